Thin whole path: a caller, an entry, a stand-in engine, a streamed answer

Cause: a first path through the whole frame is what every later part is measured against. Conclusion: the interfaces hold for one path; decisions behind them come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make demo` runs the product on loopback; `make check` runs every check.
+VENV := .venv
+PY := $(VENV)/bin/python
+ARGS ?=
+
+.PHONY: demo check format lint test
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check setuptools==80.9.0 wheel
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PY) -m cicadapond.demo.main $(ARGS)
+
+format: $(VENV)/.installed
+	$(PY) -m black cicadapond
+	$(PY) -m ruff check --fix cicadapond
+
+lint: $(VENV)/.installed
+	$(PY) -m black --check --quiet cicadapond
+	$(PY) -m ruff check --quiet cicadapond
+
+test: $(VENV)/.installed
+	$(PY) -m pytest -n 4
+
+check: lint test
--- /dev/null
+++ b/cicadapond/__init__.py
@@ -0,0 +1,1 @@
+"""Cicadapond, a serving system for small organisations on reclaimable hosts."""
--- /dev/null
+++ b/cicadapond/document/_intent.py
@@ -0,0 +1,159 @@
+"""The document's sections as checked, immutable types, and their parser."""
+
+import datetime
+import enum
+import typing
+
+import attrs
+
+from cicadapond.data import Market, Priority
+from cicadapond.kernel import (
+    Findings,
+    Place,
+    at_least,
+    between,
+    matches,
+    parse_jsonc,
+    setting,
+    structure,
+)
+
+_KEY_HASH = matches(r"[0-9a-f]{64}", "a SHA-256 in lower-case hex")
+_SECONDS = datetime.timedelta(seconds=1)
+
+
+class PriorityName(enum.Enum):
+    """How the document names a priority."""
+
+    INTERACTIVE = "interactive"
+    STANDARD = "standard"
+    BATCH = "batch"
+
+    def level(self) -> Priority:
+        """Returns the priority that the name stands for."""
+        return Priority[self.name]
+
+
+@attrs.frozen
+class ModelIntent:
+    """Section `models`: one model, by its name for callers."""
+
+    pool: str
+    version: str
+    replicas: int = setting(default=1, check=between(0, 10_000))
+    adapters: tuple[str, ...] = ()
+    first_token_target: datetime.timedelta = datetime.timedelta(milliseconds=320)
+    token_interval_target: datetime.timedelta = datetime.timedelta(milliseconds=52)
+    max_tokens: int = setting(default=4096, check=at_least(1))
+    default_priority: PriorityName = PriorityName.STANDARD
+
+
+@attrs.frozen
+class CallRule:
+    """Whether calls of a method to paths under a prefix are idempotent; the first match holds."""
+
+    method: str
+    path: str
+    idempotent: bool
+
+
+@attrs.frozen
+class ApplicationIntent:
+    """Section `applications`: one plain service, by its name in callers' paths."""
+
+    replicas: int = setting(default=1, check=between(0, 10_000))
+    calls: tuple[CallRule, ...] = ()
+    timeout: datetime.timedelta = 10 * _SECONDS
+    slots_per_server: int = setting(default=32, check=at_least(1))
+
+
+@attrs.frozen
+class AccountIntent:
+    """Section `accounts`: one client account."""
+
+    key_hashes: tuple[str, ...] = setting(
+        default=(), check=lambda hashes: next(filter(None, map(_KEY_HASH, hashes)), None)
+    )
+    share: float = setting(default=1.0, check=between(0.001, 1000.0))
+    max_in_flight: int = setting(default=256, check=at_least(1))
+    max_queued: int = setting(default=256, check=at_least(0))
+    requests_per_second: float = setting(default=1000.0, check=at_least(0.001))
+    models: tuple[str, ...] | None = None
+    services: tuple[str, ...] | None = None
+
+
+@attrs.frozen
+class MachineClass:
+    """What a class of machine can carry."""
+
+    slots: int = setting(check=at_least(1))
+    max_price_per_hour: float = setting(default=1000.0, check=at_least(0.0))
+
+
+@attrs.frozen
+class CostIntent:
+    """Section `cost`: what may be bought, and what is weighed against what."""
+
+    zones: tuple[str, ...] = ()
+    machine_classes: dict[str, MachineClass] = setting(factory=dict)
+    cost_weight: float = setting(default=1.0, check=at_least(0.0))
+    recompute_weight: float = setting(default=1.0, check=at_least(0.0))
+    on_demand_ceiling: float = setting(default=0.5, check=between(0.0, 1.0))
+    markets: tuple[Market, ...] = (Market.RECLAIMABLE, Market.ON_DEMAND)
+
+
+@attrs.frozen
+class PolicyIntent:
+    """Section `policies`: which policy decides what, by its registered name."""
+
+    admission: str = "fair"
+    routing: str = "scored"
+    moving: str = "export"
+    capacity: str = "cheapest-mix"
+    drain_limit: datetime.timedelta = datetime.timedelta(minutes=10)
+    retry_share: float = setting(default=0.1, check=between(0.0, 1.0))
+    conviction_term: datetime.timedelta = datetime.timedelta(hours=1)
+    durable_term: datetime.timedelta = datetime.timedelta(days=2)
+
+
+@attrs.frozen
+class Intent:
+    """One revision of the whole document, checked."""
+
+    revision: int = 0
+    models: dict[str, ModelIntent] = attrs.field(factory=dict)
+    applications: dict[str, ApplicationIntent] = attrs.field(factory=dict)
+    accounts: dict[str, AccountIntent] = attrs.field(factory=dict)
+    cost: CostIntent = attrs.field(factory=CostIntent)
+    policies: PolicyIntent = attrs.field(factory=PolicyIntent)
+
+
+SECTIONS = ("models", "applications", "accounts", "cost", "policies")
+
+
+def parse_document(
+    sections: typing.Mapping[str, str], revision: int, findings: Findings
+) -> Intent | None:
+    """Parses and checks the whole document.
+
+    Args:
+      sections: Each section's text, JSON with comments, by section name.
+      revision: The revision that the result bears.
+      findings: Takes everything that does not hold, with section, line and column.
+
+    Returns:
+      The intent, or None if there are findings.
+    """
+    hints = typing.get_type_hints(Intent)
+    before = len(findings)
+    values = {}
+    for section, text in sections.items():
+        if section not in SECTIONS:
+            findings.add(Place(section), f"unknown section; there are {', '.join(SECTIONS)}")
+            continue
+        node = parse_jsonc(text, section, findings)
+        if node is not None:
+            values[section] = structure(node, hints[section], findings)
+    if len(findings) > before:
+        return None
+    return Intent(revision=revision, **values)
--- /dev/null
+++ b/cicadapond/entry/_core.py
@@ -0,0 +1,92 @@
+"""What an entry does with a request, without any HTTP: admission, routing, streaming."""
+
+import abc
+
+from cicadapond.backend import Engine
+from cicadapond.data import Broken, Completion, Finished, GenerateCall, Token
+from cicadapond.document import Intent
+from cicadapond.entry._fleet import Fleet
+from cicadapond.kernel import Clock, Failed, Metrics, NotRun, Ok
+
+
+class CompletionSink(abc.ABC):
+    """Takes a completion's tokens on their way to the caller."""
+
+    @abc.abstractmethod
+    async def tokens(self, tokens: tuple[Token, ...]) -> None:
+        """Passes tokens on; returns when the caller has room for more."""
+
+
+class EntryCore:
+    """The decisions of one entry process and the state they need.
+
+    Args:
+      cfg: The entry's settings.
+      clock: Gives the time.
+      metrics: Takes counts and durations.
+      intent: The document in force.
+    """
+
+    def __init__(self, cfg, clock: Clock, metrics: Metrics, intent: Intent):
+        self.cfg = cfg
+        self.clock = clock
+        self.metrics = metrics
+        self.intent = intent
+        self.fleet = Fleet(cfg, clock, metrics)
+
+    async def complete(
+        self, req: Completion, sink: CompletionSink
+    ) -> Ok[Finished] | NotRun | Failed:
+        """Generates a completion.
+
+        Args:
+          req: The request.
+          sink: Takes the tokens in order, each once.
+
+        Returns:
+          Ok with the answer's end once all tokens are passed on, NotRun or Failed.
+        """
+        model = self.intent.models.get(req.model)
+        if model is None:
+            return NotRun(f"no model {req.model!r}", status=404)
+        backends = self.fleet.live(model.pool)
+        if not backends:
+            return NotRun(f"no engine of pool {model.pool!r} takes work")
+        backend = min(backends, key=lambda found: found.in_flight)
+        backend.in_flight += 1
+        try:
+            return await _relay(backend.adapter, _first_call(req, model), sink)
+        finally:
+            backend.in_flight -= 1
+
+
+def _first_call(req, model):
+    return GenerateCall(
+        stream_id=req.request_id,
+        epoch=1,
+        model=req.model,
+        version=model.version,
+        prompt=req.prompt,
+        max_tokens=req.max_tokens,
+        priority=req.priority,
+        adapter=req.adapter,
+        stop=req.stop,
+        seed=req.seed,
+    )
+
+
+async def _relay(engine: Engine, call, sink):
+    stream = engine.generate(call)
+    try:
+        while True:
+            events = await stream.read()
+            tokens = tuple(event for event in events if isinstance(event, Token))
+            if tokens:
+                await sink.tokens(tokens)
+            match events[-1]:
+                case Finished() as finished:
+                    return Ok(finished)
+                case Broken() as broken:
+                    return Failed(f"{broken.kind.value}: {broken.detail}")
+    finally:
+        stream.close()
--- /dev/null
+++ b/cicadapond/entry/path_test.py
@@ -0,0 +1,51 @@
+"""The whole path on real sockets: a caller, an entry, a stand-in engine, a streamed answer."""
+
+import asyncio
+import json
+import socket
+
+import attrs
+import tornado.httpclient
+
+from cicadapond.data import GenerateCall
+from cicadapond.demo.main import demo_engines, demo_entries
+from cicadapond.entry.main import EntryProcess
+from cicadapond.standin._engine import EngineTiming, whole_answer
+from cicadapond.standin.main import StandinProcess, StandinSettings
+
+FAST = EngineTiming(prefill_token_seconds=0.0, decode_step_seconds=0.001)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def ask_through_one_entry(fields):
+    server = demo_engines()[0]
+    server = attrs.evolve(server, endpoint=attrs.evolve(server.endpoint, port=free_port()))
+    standins = StandinProcess(StandinSettings(engines={server.name: server.endpoint}, timing=FAST))
+    standins.start()
+    cfg = demo_entries(free_port(), (server,))[0]
+    entry = EntryProcess(cfg)
+    await entry.start()
+    try:
+        return await tornado.httpclient.AsyncHTTPClient().fetch(
+            f"http://{cfg.http}/v1/completions", method="POST", body=json.dumps(fields)
+        )
+    finally:
+        await entry.stop()
+        await standins.stop()
+
+
+def test_a_streamed_answer_arrives_whole():
+    fields = {"model": "shade-model", "prompt": "one two", "max_tokens": 9, "stream": True}
+    response = asyncio.run(ask_through_one_entry(fields))
+    events = response.body.decode().split("\n\n")
+    assert events[-2:] == ["data: [DONE]", ""]
+    bodies = [json.loads(event.removeprefix("data: ")) for event in events[:-2]]
+    text = "".join(body["choices"][0]["text"] for body in bodies)
+    assert bodies[-1]["choices"][0]["finish_reason"] == "length"
+    call = GenerateCall("", 1, "shade-model", "2026-11", "one two", 9)
+    assert text == "".join(whole_answer(call))
--- /dev/null
+++ b/cicadapond/kernel/__init__.py
@@ -0,0 +1,63 @@
+"""The kernel: what every part of the product is built from, and nothing of its domain.
+
+Clock, plug-in registry, tasks with mailboxes, settings with checked findings, outcomes and
+metrics.  Nothing here imports a web framework, opens a socket or knows what an engine is.
+"""
+
+from cicadapond.kernel._clock import Clock, LoopClock, ManualClock
+from cicadapond.kernel._findings import Finding, Findings, Place
+from cicadapond.kernel._jsonc import Node, parse_jsonc
+from cicadapond.kernel._metrics import Metrics
+from cicadapond.kernel._outcome import (
+    AnswerLost,
+    Conflict,
+    Failed,
+    NotRun,
+    Ok,
+    Unavailable,
+    Unknown,
+)
+from cicadapond.kernel._registry import Registry, load_plugins
+from cicadapond.kernel._settings import (
+    SettingsError,
+    at_least,
+    between,
+    load_settings,
+    matches,
+    one_of,
+    setting,
+    structure,
+)
+from cicadapond.kernel._task import Mailbox, Task, TaskGroup
+
+__all__ = [
+    "AnswerLost",
+    "Clock",
+    "Conflict",
+    "Failed",
+    "Finding",
+    "Findings",
+    "LoopClock",
+    "Mailbox",
+    "ManualClock",
+    "Metrics",
+    "Node",
+    "NotRun",
+    "Ok",
+    "Place",
+    "Registry",
+    "SettingsError",
+    "Task",
+    "TaskGroup",
+    "Unavailable",
+    "Unknown",
+    "at_least",
+    "between",
+    "load_plugins",
+    "load_settings",
+    "matches",
+    "one_of",
+    "parse_jsonc",
+    "setting",
+    "structure",
+]
--- /dev/null
+++ b/cicadapond/kernel/_clock.py
@@ -0,0 +1,81 @@
+"""The clock as an interface, so that tests and scenarios decide what time it is.
+
+Durations are `datetime.timedelta`, wall-clock instants are aware `datetime.datetime` in UTC, and
+monotonic instants are a `timedelta` since an arbitrary origin: instants of one process compare
+with each other and with nothing else.
+"""
+
+import abc
+import asyncio
+import datetime
+
+ZERO = datetime.timedelta()
+VIRTUAL_EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class Clock(abc.ABC):
+    """Tells the time and waits for it to pass."""
+
+    @abc.abstractmethod
+    def now(self) -> datetime.datetime:
+        """Returns the wall-clock time, aware and in UTC."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> datetime.timedelta:
+        """Returns a time that never falls, since an arbitrary origin."""
+
+    @abc.abstractmethod
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Returns once `duration` has passed."""
+
+
+class LoopClock(Clock):
+    """The running event loop's time.
+
+    On an ordinary loop this is the machine's time; on a virtual loop it is virtual time.
+
+    Args:
+      wall: Gives the wall-clock time; the machine's by default.
+    """
+
+    def __init__(self, wall=None):
+        self._wall = wall or (lambda: datetime.datetime.now(datetime.UTC))
+
+    def now(self):
+        return self._wall()
+
+    def monotonic(self):
+        return datetime.timedelta(seconds=asyncio.get_running_loop().time())
+
+    async def sleep(self, duration):
+        await asyncio.sleep(max(0.0, duration.total_seconds()))
+
+
+class ManualClock(Clock):
+    """A clock that moves only when a test advances it; for decision modules."""
+
+    def __init__(self):
+        self._elapsed = ZERO
+
+    def now(self):
+        return VIRTUAL_EPOCH + self._elapsed
+
+    def monotonic(self):
+        return self._elapsed
+
+    async def sleep(self, duration):
+        self.advance(duration)
+        await asyncio.sleep(0)
+
+    def advance(self, duration: datetime.timedelta) -> None:
+        """Moves the clock forward.
+
+        Args:
+          duration: How far; negative durations are refused.
+
+        Raises:
+          ValueError: If `duration` is negative.
+        """
+        if duration < ZERO:
+            raise ValueError(f"a clock cannot go back by {duration}")
+        self._elapsed += duration
--- /dev/null
+++ b/cicadapond/kernel/_jsonc.py
@@ -0,0 +1,101 @@
+"""JSON with comments, parsed into nodes that remember their line and column."""
+
+import functools
+import importlib.resources
+import json
+
+import attrs
+import lark
+
+from cicadapond.kernel._findings import Findings, Place
+
+MAX_NESTING = 64
+
+
+@attrs.frozen
+class Node:
+    """A parsed value with its place.
+
+    `value` is a dict of str to Node, a list of Node, or a plain str, int, float, bool or None.
+    `key_places` gives, for a dict, where each key stands.
+    """
+
+    value: object
+    place: Place
+    key_places: dict = attrs.field(factory=dict)
+
+    def plain(self):
+        """Returns the value with all places dropped."""
+        if isinstance(self.value, dict):
+            return {key: node.plain() for key, node in self.value.items()}
+        if isinstance(self.value, list):
+            return [node.plain() for node in self.value]
+        return self.value
+
+
+def parse_jsonc(text: str, source: str, findings: Findings) -> Node | None:
+    """Parses JSON with comments.
+
+    Args:
+      text: The text.
+      source: The name of the text, for findings.
+      findings: Takes syntax errors and repeated keys.
+
+    Returns:
+      The root node, or None if the text does not parse.
+    """
+    try:
+        tree = _parser().parse(text)
+    except lark.exceptions.UnexpectedInput as exc:
+        findings.add(*_syntax_error(exc, text, source))
+        return None
+    return _build(tree, source, findings, MAX_NESTING)
+
+
+@functools.cache
+def _parser():
+    grammar = importlib.resources.files("cicadapond.kernel").joinpath("jsonc.lark").read_text()
+    return lark.Lark(grammar, parser="lalr", propagate_positions=True, maybe_placeholders=False)
+
+
+def _syntax_error(exc, text, source):
+    if isinstance(exc, lark.exceptions.UnexpectedEOF) or getattr(exc, "line", -1) in (-1, None):
+        lines = text.split("\n")
+        return Place(source, len(lines), len(lines[-1]) + 1), "the text ends too early"
+    place = Place(source, exc.line, exc.column)
+    if isinstance(exc, lark.exceptions.UnexpectedToken) and exc.token.type == "$END":
+        return place, "the text ends too early"
+    line = text.split("\n")[exc.line - 1]
+    return place, f"unexpected {line[exc.column - 1 : exc.column + 11]!r}; not valid JSON here"
+
+
+def _build(tree, source, findings, depth_left):
+    if isinstance(tree, lark.Token):
+        return Node(_scalar(tree), Place(source, tree.line, tree.column))
+    place = Place(source, tree.meta.line, tree.meta.column)
+    if depth_left == 0:
+        findings.add(place, f"nested deeper than {MAX_NESTING} levels")
+        return Node(None, place)
+    if tree.data == "object":
+        return _build_object(tree, place, source, findings, depth_left)
+    if tree.data == "array":
+        items = [_build(child, source, findings, depth_left - 1) for child in tree.children]
+        return Node(items, place)
+    return _build(tree.children[0], source, findings, depth_left - 1)
+
+
+def _build_object(tree, place, source, findings, depth_left):
+    members = {}
+    key_places = {}
+    for member in tree.children:
+        token, child = member.children
+        key = json.loads(token)
+        if key in members:
+            findings.add(Place(source, token.line, token.column), f"key {key!r} stands twice")
+        members[key] = _build(child, source, findings, depth_left - 1)
+        key_places[key] = Place(source, token.line, token.column)
+    return Node(members, place, key_places)
+
+
+def _scalar(token):
+    return json.loads(token)
--- /dev/null
+++ b/cicadapond/kernel/_settings.py
@@ -0,0 +1,240 @@
+"""Checked settings: JSON with comments becomes an attrs class, with every finding at its place.
+
+The same code reads the settings of a process and the sections of the document.  A class declares
+its fields with types and, through `setting`, with limits:
+
+    @attrs.frozen
+    class ServerSettings:
+        port: int = setting(check=between(0, 65535))
+        idle: datetime.timedelta = setting(default=datetime.timedelta(seconds=30))
+
+Types understood: str, int, float, bool, `datetime.timedelta` (a number of seconds, or a text such
+as "250ms", "7s", "5m", "1h"), enums by value, `X | None`, `tuple[X, ...]`, `dict[str, X]` and
+other attrs classes.
+"""
+
+import datetime
+import difflib
+import enum
+import pathlib
+import re
+import types
+import typing
+
+import attrs
+
+from cicadapond.kernel._findings import Findings, Place
+from cicadapond.kernel._jsonc import Node, parse_jsonc
+
+_CHECK = "cicadapond.check"
+_DURATION = re.compile(r"^(\d+(?:\.\d+)?)(us|ms|s|m|h|d)$")
+_UNIT_SECONDS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+
+
+class SettingsError(Exception):
+    """Settings that do not hold; `findings` has every reason."""
+
+    def __init__(self, findings: Findings):
+        super().__init__("\n".join(str(found) for found in findings))
+        self.findings = findings
+
+
+def setting(*, default=attrs.NOTHING, factory=None, check=None):
+    """Declares a field of a settings class.
+
+    Args:
+      default: The value when the key is absent; without one the key is required.
+      factory: Makes the default, for mutable or nested values.
+      check: Called with the value; returns a message if it does not hold, else None.
+    """
+    metadata = {_CHECK: check}
+    if factory is not None:
+        return attrs.field(factory=factory, metadata=metadata)
+    return attrs.field(default=default, metadata=metadata)
+
+
+def between(low, high):
+    """Returns a check that a value lies from `low` to `high`, both included."""
+
+    def check(value):
+        return None if low <= value <= high else f"{value} is not from {low} to {high}"
+
+    return check
+
+
+def at_least(low):
+    """Returns a check that a value is `low` or more."""
+
+    def check(value):
+        return None if value >= low else f"{value} is less than {low}"
+
+    return check
+
+
+def matches(pattern: str, meaning: str):
+    """Returns a check that a text matches a pattern whole."""
+    compiled = re.compile(pattern)
+
+    def check(value):
+        return None if compiled.fullmatch(value) else f"{value!r} is not {meaning}"
+
+    return check
+
+
+def one_of(*allowed):
+    """Returns a check that a value is among those allowed."""
+
+    def check(value):
+        if value in allowed:
+            return None
+        return f"{value!r} is not one of {', '.join(map(str, allowed))}"
+
+    return check
+
+
+def load_settings(path: str, cls):
+    """Reads a settings file.
+
+    Args:
+      path: The file, JSON with comments.
+      cls: The attrs class to build.
+
+    Returns:
+      An instance of `cls`.
+
+    Raises:
+      SettingsError: With every finding, if the file cannot be read or does not hold.
+    """
+    findings = Findings()
+    settings = None
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        findings.add(Place(path), f"cannot be read: {exc}")
+    else:
+        node = parse_jsonc(text, path, findings)
+        if node is not None:
+            settings = structure(node, cls, findings)
+    if findings:
+        raise SettingsError(findings)
+    return settings
+
+
+def structure(node: Node, wanted, findings: Findings):
+    """Builds a value of a type from a parsed node.
+
+    Args:
+      node: The parsed value.
+      wanted: The type: one of those named in the module's docstring.
+      findings: Takes everything that does not fit.
+
+    Returns:
+      The value, or None if it does not fit (then there is a finding).
+    """
+    origin = typing.get_origin(wanted)
+    if origin in (typing.Union, types.UnionType):
+        return _structure_optional(node, wanted, findings)
+    if origin is tuple:
+        return _structure_tuple(node, wanted, findings)
+    if origin is dict:
+        return _structure_dict(node, wanted, findings)
+    if attrs.has(wanted):
+        return _structure_class(node, wanted, findings)
+    if wanted is datetime.timedelta:
+        return _structure_duration(node, findings)
+    if isinstance(wanted, type) and issubclass(wanted, enum.Enum):
+        return _structure_enum(node, wanted, findings)
+    return _structure_scalar(node, wanted, findings)
+
+
+def _structure_optional(node, wanted, findings):
+    if node.value is None:
+        return None
+    inner = [arg for arg in typing.get_args(wanted) if arg is not type(None)]
+    return structure(node, inner[0], findings)
+
+
+def _structure_tuple(node, wanted, findings):
+    if not isinstance(node.value, list):
+        findings.add(node.place, f"expected a list, got {_kind(node)}")
+        return None
+    item_type = typing.get_args(wanted)[0]
+    return tuple(structure(item, item_type, findings) for item in node.value)
+
+
+def _structure_dict(node, wanted, findings):
+    if not isinstance(node.value, dict):
+        findings.add(node.place, f"expected an object, got {_kind(node)}")
+        return None
+    value_type = typing.get_args(wanted)[1]
+    return {key: structure(item, value_type, findings) for key, item in node.value.items()}
+
+
+def _structure_class(node, cls, findings):
+    if not isinstance(node.value, dict):
+        findings.add(node.place, f"expected an object, got {_kind(node)}")
+        return None
+    hints = typing.get_type_hints(cls)
+    fields = {field.name: field for field in attrs.fields(cls)}
+    before = len(findings)
+    values = {}
+    for key, item in node.value.items():
+        if key not in fields:
+            findings.add(node.key_places[key], _unknown_key(key, fields))
+            continue
+        values[key] = _structure_field(item, fields[key], hints[key], findings)
+    for name, field in fields.items():
+        if name not in node.value and field.default is attrs.NOTHING:
+            findings.add(node.place, f"key {name!r} is missing")
+    return cls(**values) if len(findings) == before else None
+
+
+def _structure_field(node, field, wanted, findings):
+    before = len(findings)
+    value = structure(node, wanted, findings)
+    check = field.metadata.get(_CHECK)
+    if check is not None and value is not None and len(findings) == before:
+        message = check(value)
+        if message is not None:
+            findings.add(node.place, f"{field.name}: {message}")
+    return value
+
+
+def _structure_duration(node, findings):
+    value = node.value
+    if isinstance(value, (int, float)) and not isinstance(value, bool) and value >= 0:
+        return datetime.timedelta(seconds=value)
+    found = _DURATION.match(value) if isinstance(value, str) else None
+    if found is None:
+        findings.add(node.place, f'expected a duration such as 7 or "250ms", got {value!r}')
+        return None
+    return datetime.timedelta(seconds=float(found[1]) * _UNIT_SECONDS[found[2]])
+
+
+def _structure_enum(node, wanted, findings):
+    allowed = {member.value: member for member in wanted}
+    if node.value in allowed:
+        return allowed[node.value]
+    findings.add(node.place, f"{node.value!r} is not one of {', '.join(map(str, allowed))}")
+    return None
+
+
+def _structure_scalar(node, wanted, findings):
+    value = node.value
+    if wanted is float and isinstance(value, int) and not isinstance(value, bool):
+        return float(value)
+    if type(value) is not wanted:
+        findings.add(node.place, f"expected {wanted.__name__}, got {_kind(node)}")
+        return None
+    return value
+
+
+def _unknown_key(key, fields):
+    close = difflib.get_close_matches(key, fields, n=1)
+    hint = f"; did you mean {close[0]!r}?" if close else f"; known: {', '.join(fields)}"
+    return f"unknown key {key!r}{hint}"
+
+
+def _kind(node):
+    names = {dict: "an object", list: "a list", str: "a string", type(None): "null"}
+    return names.get(type(node.value), f"{type(node.value).__name__} {node.value!r}")
--- /dev/null
+++ b/cicadapond/kernel/_task.py
@@ -0,0 +1,116 @@
+"""Tasks that own their state and sockets, and talk to each other by messages.
+
+A `Task` runs one coroutine; others reach it through its `Mailbox` only.  A `TaskGroup` owns the
+tasks of one process and ends them together: one teardown path, safe to call twice.
+"""
+
+import abc
+import asyncio
+import collections
+
+from absl import logging
+
+
+class Mailbox:
+    """A bounded queue of messages to one task.
+
+    Args:
+      limit: The number of messages it holds at most.
+    """
+
+    def __init__(self, limit: int = 10_000):
+        self._limit = limit
+        self._messages = collections.deque()
+        self._arrived = asyncio.Event()
+        self.dropped = 0
+
+    def post(self, message) -> bool:
+        """Adds a message without waiting.
+
+        Returns:
+          Whether there was room; a message without room is dropped and counted.
+        """
+        if len(self._messages) >= self._limit:
+            self.dropped += 1
+            return False
+        self._messages.append(message)
+        self._arrived.set()
+        return True
+
+    async def take(self):
+        """Returns the oldest message, waiting for one if there is none."""
+        while not self._messages:
+            self._arrived.clear()
+            await self._arrived.wait()
+        return self._messages.popleft()
+
+    def drain(self) -> list:
+        """Returns all waiting messages without waiting."""
+        taken = list(self._messages)
+        self._messages.clear()
+        return taken
+
+    def __len__(self):
+        return len(self._messages)
+
+
+class Task(abc.ABC):
+    """One owner of state and sockets, run by a `TaskGroup`."""
+
+    name = "task"
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Does the task's work until it is cancelled or done."""
+
+    async def close(self) -> None:
+        """Releases what the task owns; called once, after `run` has ended."""
+        return None
+
+
+class TaskGroup:
+    """Runs the tasks of one process and ends them together."""
+
+    def __init__(self):
+        self._running: dict[asyncio.Task, Task | None] = {}
+        self.failed: list[str] = []
+
+    def start(self, task: Task) -> asyncio.Task:
+        """Starts a task; an exception that it raises is logged and kept in `failed`."""
+        started = asyncio.ensure_future(self._supervise(task))
+        self._running[started] = task
+        started.add_done_callback(self._running.pop)
+        return started
+
+    def spawn(self, coro, name: str) -> asyncio.Task:
+        """Starts a bare coroutine as part of the group."""
+        started = asyncio.ensure_future(self._guard(coro, name))
+        self._running[started] = None
+        started.add_done_callback(self._running.pop)
+        return started
+
+    async def _supervise(self, task):
+        try:
+            await self._guard(task.run(), task.name)
+        finally:
+            await task.close()
+
+    async def _guard(self, coro, name):
+        try:
+            return await coro
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            self.failed.append(f"{name}: {exc!r}")
+            logging.exception("task %s failed", name)
+            return None
+
+    def __len__(self):
+        return len(self._running)
+
+    async def stop(self) -> None:
+        """Cancels every task and waits for it to release what it owns."""
+        running = list(self._running)
+        for started in running:
+            started.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- /dev/null
+++ b/cicadapond/peer/_api.py
@@ -0,0 +1,96 @@
+"""What other modules see of membership: members, their digests, and our own digest."""
+
+import abc
+import datetime
+import enum
+import typing
+
+import attrs
+
+from cicadapond.data import LoadReport
+
+
+class MemberState(enum.Enum):
+    """What this process believes of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEFT = "left"
+    DEAD = "dead"
+
+
+@attrs.frozen
+class Digest:
+    """What one process tells all others; small, whole, replaced by its next version.
+
+    Attributes:
+      revision: The document revision in force in this process.
+      in_flight: Requests that this process has running, by backend server.
+      leaving: Backend servers that this process knows to be leaving, with the drain's number.
+      drains: Drain numbers that this process has acknowledged, by backend server.
+      loads: Reports of the servers that this process watches for all.
+      convicted: Hashes of poison requests, with the wall-clock end of the conviction.
+      suspects: Hashes of requests that a crash has made suspects, with their crash count.
+    """
+
+    revision: int = 0
+    in_flight: typing.Mapping[str, int] = attrs.field(factory=dict)
+    leaving: typing.Mapping[str, int] = attrs.field(factory=dict)
+    drains: typing.Mapping[str, int] = attrs.field(factory=dict)
+    loads: typing.Mapping[str, LoadReport] = attrs.field(factory=dict)
+    convicted: typing.Mapping[str, datetime.datetime] = attrs.field(factory=dict)
+    suspects: typing.Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Member:
+    """One process of the system as this process sees it.
+
+    `heard` is the monotonic instant of the last direct or relayed word from it; `version` grows
+    with each change of its digest within one incarnation.
+    """
+
+    name: str
+    zone: str
+    role: str
+    incarnation: int
+    state: MemberState
+    heard: datetime.timedelta
+    version: int
+    digest: Digest
+
+
+class Peers(abc.ABC):
+    """Membership as the rest of the process uses it."""
+
+    @abc.abstractmethod
+    def members(self) -> tuple[Member, ...]:
+        """Returns all known members but this process, dead ones until they are forgotten."""
+
+    @abc.abstractmethod
+    def publish(self, digest: Digest) -> None:
+        """Replaces this process's own digest; it reaches all live members in under 2 s."""
+
+    @abc.abstractmethod
+    def subscribe(self, listener: typing.Callable[[Member], None]) -> None:
+        """Calls `listener` at each change of a member's digest or state."""
+
+    @abc.abstractmethod
+    def heard_from_zone(self, zone: str) -> datetime.timedelta | None:
+        """Returns the monotonic instant of the last word from any process of a data centre."""
+
+
+class NoPeers(Peers):
+    """A process alone: no members, and its digest goes nowhere."""
+
+    def members(self):
+        return ()
+
+    def publish(self, digest):
+        return None
+
+    def subscribe(self, listener):
+        return None
+
+    def heard_from_zone(self, zone):
+        return None
--- /dev/null
+++ b/cicadapond/platform/__init__.py
@@ -0,0 +1,46 @@
+"""The platform's services as abstract classes, one plug-in per platform.
+
+Whatever the platform's own protocols turn out to be, only an adapter in `cicadapond.plugins`
+knows them; everything else in the product sees the types of this package.
+"""
+
+from cicadapond.platform._api import (
+    BuyRequest,
+    CloudApi,
+    CloudHost,
+    HostList,
+    ObjectStore,
+    Price,
+    Refused,
+    Row,
+    TableService,
+    WeightStore,
+    Write,
+    cloud_apis,
+    host_lists,
+    object_stores,
+    table_services,
+    weight_stores,
+)
+from cicadapond.platform._settings import AdapterSettings, PlatformSettings
+
+__all__ = [
+    "AdapterSettings",
+    "BuyRequest",
+    "CloudApi",
+    "CloudHost",
+    "HostList",
+    "ObjectStore",
+    "PlatformSettings",
+    "Price",
+    "Refused",
+    "Row",
+    "TableService",
+    "WeightStore",
+    "Write",
+    "cloud_apis",
+    "host_lists",
+    "object_stores",
+    "table_services",
+    "weight_stores",
+]
--- /dev/null
+++ b/cicadapond/platform/_api.py
@@ -0,0 +1,190 @@
+"""Abstract classes of the platform's services, and the registries of their adapters.
+
+Every call returns a tagged outcome and never raises for an outage: `Ok`, `Unavailable` (a write
+has certainly not taken effect), `AnswerLost` (it may have), `Conflict` (a condition failed).
+"""
+
+import abc
+import dataclasses
+import datetime
+
+import attrs
+
+from cicadapond.data import BackendServer, HostListing, Market, Notice
+from cicadapond.kernel import AnswerLost, Conflict, Ok, Registry, Unavailable
+
+# The transactional table service
+
+
+@attrs.frozen
+class Row:
+    """A row as the table service holds it.
+
+    `version` grows with each write of the row; an absent row has version 0 and value None.
+    `value` is whatever msgpack can carry.
+    """
+
+    table: str
+    key: str
+    version: int
+    value: object
+
+
+@attrs.frozen
+class Write:
+    """One conditional write of a transaction.
+
+    `expected` is the version that the row must have for the transaction to take effect: 0 for
+    absent, None for no condition.  A `value` of None deletes; with `check_only` the condition is
+    tested and nothing is written.
+    """
+
+    table: str
+    key: str
+    value: object = None
+    expected: int | None = None
+    check_only: bool = False
+
+
+class TableService(abc.ABC):
+    """Transactions with conditional writes over tables of rows."""
+
+    @abc.abstractmethod
+    async def transact(
+        self, writes: tuple[Write, ...]
+    ) -> Ok[dict] | Conflict | Unavailable | AnswerLost:
+        """Applies all writes or none.
+
+        Returns:
+          Ok with a dict of (table, key) to the new version; Conflict with the rows whose
+          condition failed; Unavailable; or AnswerLost.
+        """
+
+    @abc.abstractmethod
+    async def read(self, keys: tuple[tuple[str, str], ...]) -> Ok[dict] | Unavailable:
+        """Reads rows of one instant.
+
+        Returns:
+          Ok with a dict of (table, key) to Row (version 0 where absent), or Unavailable.
+        """
+
+    @abc.abstractmethod
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Ok[tuple[Row, ...]] | Unavailable:
+        """Reads the rows whose key starts with `prefix`, by key, from the first past `after`."""
+
+
+class ObjectStore(abc.ABC):
+    """Whole objects by name."""
+
+    @abc.abstractmethod
+    async def put(self, name: str, body: bytes) -> Ok[None] | Unavailable | AnswerLost:
+        """Stores an object, replacing one of the same name."""
+
+    @abc.abstractmethod
+    async def get(self, name: str) -> Ok[bytes | None] | Unavailable:
+        """Reads an object; Ok(None) if there is none."""
+
+    @abc.abstractmethod
+    async def delete(self, name: str) -> Ok[None] | Unavailable | AnswerLost:
+        """Removes an object if it exists."""
+
+
+# Hosts
+
+
+class HostList(abc.ABC):
+    """The lagging list of live and leaving hosts."""
+
+    @abc.abstractmethod
+    async def list(self) -> Ok[HostListing] | Unavailable:
+        """Reads the list."""
+
+
+@attrs.frozen
+class Price:
+    """What a host of a zone and machine class costs per hour now, in the platform's currency."""
+
+    zone: str
+    machine_class: str
+    market: Market
+    per_hour: float
+
+
+@attrs.frozen
+class BuyRequest:
+    """An order for one host; `token` makes a repeated order the same order."""
+
+    token: str
+    pool: str
+    zone: str
+    machine_class: str
+    market: Market
+
+
+@attrs.frozen
+class CloudHost:
+    """A host as the cloud API knows it; `server` is None until its backend server answers."""
+
+    host_id: str
+    token: str
+    pool: str
+    zone: str
+    machine_class: str
+    market: Market
+    state: str  # "starting", "live", "leaving"
+    server: BackendServer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The cloud has no host of this zone, class and market now."""
+
+    reason: str
+    retry_after: datetime.timedelta | None = None
+
+
+class CloudApi(abc.ABC):
+    """Buys and releases hosts, and gives notices of reclaim."""
+
+    @abc.abstractmethod
+    async def buy(self, request: BuyRequest) -> Ok[CloudHost] | Refused | Unavailable | AnswerLost:
+        """Buys a host; the same token again gives the host that it already bought."""
+
+    @abc.abstractmethod
+    async def release(self, host_id: str) -> Ok[None] | Unavailable | AnswerLost:
+        """Gives a host back; one that is gone already counts as released."""
+
+    @abc.abstractmethod
+    async def hosts(self, zone: str) -> Ok[tuple[CloudHost, ...]] | Unavailable:
+        """Reads the hosts of a zone."""
+
+    @abc.abstractmethod
+    async def prices(self) -> Ok[tuple[Price, ...]] | Unavailable:
+        """Reads the prices of now."""
+
+    @abc.abstractmethod
+    async def notices(self, zone: str) -> Ok[tuple[Notice, ...]] | Unavailable:
+        """Reads the notices in force for a zone's hosts."""
+
+
+class WeightStore(abc.ABC):
+    """The rate-limited store that engines load weights from."""
+
+    @abc.abstractmethod
+    async def size(self, model: str, version: str) -> Ok[int] | Unavailable:
+        """Reads how many bytes a model version's weights have."""
+
+    @abc.abstractmethod
+    async def rate(self) -> Ok[float] | Unavailable:
+        """Reads how many bytes a second the store gives all engines of a zone together."""
+
+
+# Adapters register here: each takes (settings, zone, clock, metrics).
+
+table_services: Registry[TableService] = Registry("table service adapter")
+object_stores: Registry[ObjectStore] = Registry("object store adapter")
+host_lists: Registry[HostList] = Registry("host list adapter")
+cloud_apis: Registry[CloudApi] = Registry("cloud API adapter")
+weight_stores: Registry[WeightStore] = Registry("weight store adapter")
