Report the end of a text as the place of what is missing

Cause: a parser at its end reports the last token's place, so the finding pointed before the gap. Conclusion: the place of a text that ends too early is its end.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 $(VENV)/.installed: requirements.txt pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(PY) -m pip install --quiet --disable-pip-version-check setuptools==80.9.0 wheel
+	$(PY) -m pip install --quiet --disable-pip-version-check setuptools==83.0.0 wheel==0.45.1
 	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
--- a/cicadapond/kernel/_jsonc.py
+++ b/cicadapond/kernel/_jsonc.py
@@ -59,12 +59,11 @@
 
 
 def _syntax_error(exc, text, source):
-    if isinstance(exc, lark.exceptions.UnexpectedEOF) or getattr(exc, "line", -1) in (-1, None):
+    at_end = isinstance(exc, lark.exceptions.UnexpectedToken) and exc.token.type == "$END"
+    if at_end or isinstance(exc, lark.exceptions.UnexpectedEOF):
         lines = text.split("\n")
         return Place(source, len(lines), len(lines[-1]) + 1), "the text ends too early"
     place = Place(source, exc.line, exc.column)
-    if isinstance(exc, lark.exceptions.UnexpectedToken) and exc.token.type == "$END":
-        return place, "the text ends too early"
     line = text.split("\n")[exc.line - 1]
     return place, f"unexpected {line[exc.column - 1 : exc.column + 11]!r}; not valid JSON here"
 
