--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -29,11 +29,19 @@
     structure,
 )
 from cicadapond.kernel._task import Mailbox, Task, TaskGroup
+from cicadapond.kernel._virtual import (
+    DeadlockError,
+    VirtualClock,
+    VirtualLoop,
+    run_virtual,
+    seconds,
+)
 
 __all__ = [
     "AnswerLost",
     "Clock",
     "Conflict",
+    "DeadlockError",
     "Failed",
     "Finding",
     "Findings",
@@ -51,6 +59,8 @@
     "TaskGroup",
     "Unavailable",
     "Unknown",
+    "VirtualClock",
+    "VirtualLoop",
     "at_least",
     "between",
     "load_plugins",
@@ -58,6 +68,8 @@
     "matches",
     "one_of",
     "parse_jsonc",
+    "run_virtual",
+    "seconds",
     "setting",
     "structure",
 ]
