--- /dev/null
+++ b/cicadapond/entry/_parts.py
@@ -0,0 +1,34 @@
+"""What the parts of one entry process share: settings, clock, views and decisions."""
+
+import random
+import typing
+
+import attrs
+
+from cicadapond.document import Intent
+from cicadapond.kernel import Clock, Metrics
+from cicadapond.peer import Peers
+from cicadapond.platform import ObjectStore, TableService
+
+
+@attrs.define
+class Parts:
+    """The shared parts; one object per entry process.
+
+    `intent` returns the document in force.  `ledger_tables` and `journal_tables` are the table
+    service in its classes AT_MOST_ONCE and JOURNAL, None where the deployment has none.
+    """
+
+    cfg: typing.Any
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    intent: typing.Callable[[], Intent]
+    fleet: typing.Any
+    peers: Peers
+    router: typing.Any = None
+    quarantine: typing.Any = None
+    retry_budget: typing.Any = None
+    ledger_tables: TableService | None = None
+    journal_tables: TableService | None = None
+    objects: ObjectStore | None = None
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -22,6 +22,7 @@
     table_services,
     weight_stores,
 )
+from cicadapond.platform._classes import StoreClass
 from cicadapond.platform._settings import AdapterSettings, PlatformSettings
 
 __all__ = [
@@ -35,6 +36,7 @@
     "Price",
     "Refused",
     "Row",
+    "StoreClass",
     "TableService",
     "WeightStore",
     "Write",
--- /dev/null
+++ b/cicadapond/platform/_classes.py
@@ -0,0 +1,13 @@
+"""Classes of calls to the platform's table service; a lower number is served first."""
+
+import enum
+
+
+class StoreClass(enum.IntEnum):
+    """What a call to the table service is for, in order of precedence."""
+
+    LEASE = 0
+    AT_MOST_ONCE = 1
+    DOCUMENT = 2
+    JOURNAL = 3
+    STATISTICS = 4
