Add the load tool: open loop, experiments, mergeable reports and plots

Cause: figures need one tool that sends load without waiting for answers and counts the waits that a stalled server causes. Change: arrival processes (uniform, Poisson, bursts, recorded traces), mixes of the users' calls, reports as hdrhistograms that merge without loss, plots, and the experiment runner.

--- /dev/null
+++ b/cicadapond/load/__init__.py
@@ -0,0 +1,7 @@
+"""Open-loop load, experiments, and reports from hdrhistogram logs."""
+
+from cicadapond.load._arrivals import Arrivals, arrivals
+from cicadapond.load._mix import CallSpec, Mix, mixes
+from cicadapond.load._report import LoadReportFile, merge_reports
+
+__all__ = ["Arrivals", "CallSpec", "LoadReportFile", "Mix", "arrivals", "merge_reports", "mixes"]
