Add the admin port and the planned stop of an entry

Cause: a process could not be asked for its state, and SIGTERM cut off the streams in flight. Change: admin_application serves /healthz, /readyz, /metrics and /debug/state; an entry that is stopped says not ready, serves on for the balancer's delay, takes no more connections and waits for the requests in flight.

--- /dev/null
+++ b/cicadapond/admin/_dump.py
@@ -0,0 +1,48 @@
+"""Turns a process's state into JSON that a person can read.
+
+Durations become seconds, instants ISO 8601 texts, enums their values, attrs and dataclass objects
+objects with their field names.
+"""
+
+import collections.abc
+import dataclasses
+import datetime
+import enum
+
+import attrs
+
+
+def plain(value):
+    """Returns a value as something that JSON carries.
+
+    Args:
+      value: Plain values, containers, attrs classes, dataclasses, enums, durations, instants.
+
+    Returns:
+      The same as dicts, lists, texts and numbers; anything else as its `repr`.
+    """
+    if value is None or isinstance(value, (bool, int, float, str)):
+        return value.value if isinstance(value, enum.Enum) else value
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, datetime.timedelta):
+        return round(value.total_seconds(), 6)
+    if isinstance(value, datetime.datetime):
+        return value.isoformat()
+    if attrs.has(type(value)):
+        return {
+            field.name: plain(getattr(value, field.name)) for field in attrs.fields(type(value))
+        }
+    if dataclasses.is_dataclass(value):
+        return {
+            field.name: plain(getattr(value, field.name)) for field in dataclasses.fields(value)
+        }
+    if isinstance(value, collections.abc.Mapping):
+        return {str(plain(key)): plain(item) for key, item in value.items()}
+    if isinstance(value, (set, frozenset)):
+        return sorted((plain(item) for item in value), key=str)
+    if isinstance(value, (bytes, bytearray)):
+        return value.hex()
+    if isinstance(value, collections.abc.Iterable):
+        return [plain(item) for item in value]
+    return repr(value)
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -1,6 +1,7 @@
 """Program `cicadapond-demo`: stand-ins and entries of three data centres on loopback."""
 
 import asyncio
+import datetime
 import importlib.resources
 
 import tornado.httpclient
@@ -53,6 +54,7 @@
             admin=Endpoint(LOOPBACK, first_port + ADMIN_PORT_OFFSET + place),
             platform=platform,
             document=document,
+            balancer_delay=datetime.timedelta(),
         )
         for place, zone in enumerate(ZONES)
     ]
--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -34,6 +34,10 @@
         self.intent = intent
         self.fleet = Fleet(cfg, clock, metrics)
 
+    def state(self) -> dict:
+        """Returns the views and their ages, for a dump."""
+        return {"revision": self.intent.revision, "backends": self.fleet.state()}
+
     async def complete(
         self, req: Completion, sink: CompletionSink
     ) -> Ok[Finished] | NotRun | Failed:
--- a/cicadapond/entry/_fleet.py
+++ b/cicadapond/entry/_fleet.py
@@ -63,6 +63,13 @@
             if backend.server.pool == pool and backend.entry.state is HostState.LIVE
         ]
 
+    def state(self) -> dict:
+        """Returns each backend server as this process sees it, for a dump."""
+        return {
+            name: {"entry": backend.entry, "in_flight": backend.in_flight}
+            for name, backend in self.backends.items()
+        }
+
     def _connect(self, server):
         if server.kind is ServerKind.ENGINE:
             return engines.create(self._cfg.engine_adapter, server, self._clock, self._metrics)
--- a/cicadapond/entry/_http.py
+++ b/cicadapond/entry/_http.py
@@ -8,19 +8,27 @@
 
 from cicadapond.data import Completion
 from cicadapond.entry._core import CompletionSink, EntryCore
+from cicadapond.entry._in_flight import InFlight
 from cicadapond.kernel import NotRun, Ok
 
 
-def caller_application(core: EntryCore) -> tornado.web.Application:
+def caller_application(core: EntryCore, in_flight: InFlight) -> tornado.web.Application:
     """Returns the web application that callers reach."""
-    return tornado.web.Application([("/v1/completions", _CompletionHandler, {"core": core})])
+    parts = {"core": core, "in_flight": in_flight}
+    return tornado.web.Application([("/v1/completions", _CompletionHandler, parts)])
 
 
 class _CompletionHandler(tornado.web.RequestHandler):
-    def initialize(self, core):
+    def initialize(self, core, in_flight):
         self._core = core
+        self._in_flight = in_flight
 
     async def post(self):
+        with self._in_flight.one():
+            await self._complete()
+            await self.finish()
+
+    async def _complete(self):
         fields = json.loads(self.request.body)
         req = Completion(
             request_id=uuid.uuid4().hex,
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -5,18 +5,39 @@
 import attrs
 
 from cicadapond.data import Endpoint
-from cicadapond.kernel import setting
+from cicadapond.kernel import at_least, setting
 from cicadapond.platform import PlatformSettings
 
 _SECOND = datetime.timedelta(seconds=1)
 
 
+@attrs.frozen
+class HttpLimits:
+    """What one caller's connection may take of the process.
+
+    Attributes:
+      max_body_bytes: A longer body is answered with 413.
+      header_timeout: From the connection's last answer to the end of the next request's headers.
+      body_timeout: From the end of the headers to the end of the body.
+      write_timeout: How long a caller may read nothing before its connection is closed.
+    """
+
+    max_body_bytes: int = setting(default=1 << 20, check=at_least(1))
+    header_timeout: datetime.timedelta = 20 * _SECOND
+    body_timeout: datetime.timedelta = 30 * _SECOND
+    write_timeout: datetime.timedelta = 60 * _SECOND
+
+
 @attrs.frozen
 class EntrySettings:
     """What an entry process is told when it starts.
 
-    `document` names files of the document's sections, by section, for a deployment that keeps no
-    document in the table service.
+    Attributes:
+      document: Files of the document's sections, by section, for a deployment that keeps no
+        document in the table service.
+      balancer_delay: How long a planned stop goes on taking requests after `/readyz` says not
+        ready, until the balancer has noticed.
+      stop_limit: How long a planned stop waits for requests in flight at most.
     """
 
     name: str
@@ -29,3 +50,6 @@
     service_adapter: str = "http"
     host_list_interval: datetime.timedelta = _SECOND
     silence_limit: datetime.timedelta = 5 * _SECOND
+    http_limits: HttpLimits = attrs.field(factory=HttpLimits)
+    balancer_delay: datetime.timedelta = 5 * _SECOND
+    stop_limit: datetime.timedelta = 600 * _SECOND
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -1,14 +1,17 @@
 """Program `cicadapond-entry`: serves callers on one entry host."""
 
+import asyncio
 import pathlib
 
 import tornado.httpserver
 from absl import logging
 
+from cicadapond.admin import admin_application
 from cicadapond.document import parse_document
 from cicadapond.entry._core import EntryCore
 from cicadapond.entry._fleet import HostListWatcher
 from cicadapond.entry._http import caller_application
+from cicadapond.entry._in_flight import InFlight
 from cicadapond.entry._settings import EntrySettings
 from cicadapond.kernel import Findings, LoopClock, Metrics, SettingsError, TaskGroup, load_plugins
 from cicadapond.kernel._program import run_program
@@ -32,7 +35,12 @@
         self.metrics = Metrics()
         self.clock = LoopClock()
         self.core = EntryCore(cfg, self.clock, self.metrics, _read_document(cfg))
-        self._server = tornado.httpserver.HTTPServer(caller_application(self.core))
+        self.in_flight = InFlight()
+        self._ready = False
+        self._server = _caller_server(cfg, self.core, self.in_flight)
+        self._admin = tornado.httpserver.HTTPServer(
+            admin_application(self.metrics, self.state, lambda: self._ready)
+        )
 
     async def start(self) -> None:
         """Reads the host list once, then listens."""
@@ -44,13 +52,54 @@
         await watcher.read_once()
         self._tasks.start(watcher)
         self._server.listen(cfg.http.port, cfg.http.host)
-        logging.info("entry %s listens on %s", cfg.name, cfg.http)
+        self._admin.listen(cfg.admin.port, cfg.admin.host)
+        self._ready = True
+        logging.info("entry %s listens on %s, admin on %s", cfg.name, cfg.http, cfg.admin)
+
+    def state(self) -> dict:
+        """Returns the whole state of the process, for a dump."""
+        return {
+            "name": self._cfg.name,
+            "zone": self._cfg.zone,
+            "now": self.clock.now(),
+            "ready": self._ready,
+            "in_flight": self.in_flight.count,
+            "tasks": len(self._tasks),
+            "failed_tasks": self._tasks.failed,
+            **self.core.state(),
+        }
 
     async def stop(self) -> None:
-        """Takes no more connections, then ends all tasks."""
+        """Stops as planned: no request in flight is cut off.
+
+        The process first says that it is not ready and goes on serving until the balancer has
+        noticed; then it takes no more connections and waits for the requests in flight.
+        """
+        self._ready = False
+        logging.info("entry %s stops: %d requests in flight", self._cfg.name, self.in_flight.count)
+        await self.clock.sleep(self._cfg.balancer_delay)
         self._server.stop()
+        await self._finish_requests()
         await self._tasks.stop()
         await self._server.close_all_connections()
+        self._admin.stop()
+        await self._admin.close_all_connections()
+
+    async def _finish_requests(self):
+        limit = self._cfg.stop_limit.total_seconds()
+        try:
+            await asyncio.wait_for(self.in_flight.wait_idle(), limit)
+        except TimeoutError:
+            self.metrics.count("stops_with_requests_in_flight")
+            logging.error("%d requests still in flight after %s s", self.in_flight.count, limit)
+
+
+def _caller_server(cfg, core, in_flight):
+    return tornado.httpserver.HTTPServer(
+        caller_application(core, in_flight),
+        idle_connection_timeout=cfg.http_limits.header_timeout.total_seconds(),
+        body_timeout=cfg.http_limits.body_timeout.total_seconds(),
+    )
 
 
 def _read_document(cfg):
