Add stand-ins of the table service and the object store

The parts that keep anything need the platform's storage, and there was none. TableModel and ObjectModel serve requests through rate limits, latency and faults on order: outage, hanging, slowness, and writes lost before or after their effect. Clients in the same process (virtual time) and over HTTP give the outcomes of platform/_api.py; writes go over fresh connections, as libcurl repeats a request by itself when a reused connection breaks.

--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -23,6 +23,7 @@
     weight_stores,
 )
 from cicadapond.platform._classes import StoreClass
+from cicadapond.platform._rate import RateLimit
 from cicadapond.platform._settings import AdapterSettings, PlatformSettings
 
 __all__ = [
@@ -34,6 +35,7 @@
     "ObjectStore",
     "PlatformSettings",
     "Price",
+    "RateLimit",
     "Refused",
     "Row",
     "StoreClass",
--- /dev/null
+++ b/cicadapond/plugins/_storage_client.py
@@ -0,0 +1,90 @@
+"""What the storage adapters share: one HTTP request with an outcome instead of an exception."""
+
+import datetime
+import functools
+
+import attrs
+import pycurl
+import tornado.curl_httpclient
+import tornado.httpclient
+
+from cicadapond.kernel import AnswerLost, Unavailable
+
+CONNECT_SECONDS = 0.5
+REQUEST_SECONDS = 5.0
+MAX_CLIENTS = 256
+UNAVAILABLE = 503
+SERVER_ERROR = 500
+_NOT_SENT = (
+    pycurl.E_COULDNT_CONNECT,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+    pycurl.E_URL_MALFORMAT,
+)
+
+
+@attrs.frozen
+class Reply:
+    """An answer with a status other than 503."""
+
+    status: int
+    body: bytes
+
+
+class StorageClient:
+    """Sends requests to one storage service.
+
+    Args:
+      url: The service's address.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/")
+        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    async def send(
+        self, method: str, path: str, body: bytes | None = None, write: bool = False
+    ) -> Reply | Unavailable | AnswerLost:
+        """Sends one request.
+
+        A write goes over a fresh connection: libcurl sends a request again by itself when a
+        reused connection breaks, and a write that took effect would then meet its own effect.
+
+        Returns:
+          The reply; Unavailable if it was refused or never left; AnswerLost otherwise.
+        """
+        request = tornado.httpclient.HTTPRequest(
+            self._url + path,
+            method=method,
+            body=body,
+            headers={"Expect": ""},
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=REQUEST_SECONDS,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=functools.partial(_choose_connection, fresh=write),
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except tornado.curl_httpclient.CurlError as exc:
+            kind = Unavailable if exc.errno in _NOT_SENT else AnswerLost
+            return kind(f"{method} {path}: {exc}")
+        if response.code == UNAVAILABLE:
+            return Unavailable(response.body.decode("utf-8", "replace"), _retry_after(response))
+        if response.code >= SERVER_ERROR:
+            return AnswerLost(f"{method} {path}: status {response.code}")
+        return Reply(response.code, response.body)
+
+    def close(self) -> None:
+        """Drops all connections."""
+        self._client.close()
+
+
+def _choose_connection(curl, fresh):
+    curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
+    curl.setopt(pycurl.FORBID_REUSE, int(fresh))
+
+
+def _retry_after(response):
+    text = response.headers.get("Retry-After", "")
+    return datetime.timedelta(seconds=int(text)) if text.isdigit() else None
--- /dev/null
+++ b/cicadapond/standin/_tables.py
@@ -0,0 +1,134 @@
+"""The table service's behaviour without its network: rows, conditions, limits and faults."""
+
+import asyncio
+import bisect
+import random
+
+import attrs
+import msgpack
+
+from cicadapond.kernel import Clock, Conflict, Ok, Unavailable
+from cicadapond.platform import Row, TableService, Write
+from cicadapond.standin._faults import StorageServer, StorageTiming
+
+
+@attrs.define
+class _Table:
+    """Rows of one table: packed values by key, and the keys in order."""
+
+    rows: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+    keys: list[str] = attrs.field(factory=list)
+
+
+class TableModel:
+    """One stand-in table service, shared by all its clients.
+
+    Versions grow over the whole service, so that a row deleted and made again never bears a
+    version that it bore before.
+
+    Args:
+      clock: Gives the time.
+      rng: Decides jitter and losses.
+      timing: What it carries.
+    """
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, timing: StorageTiming | None = None
+    ) -> None:
+        self.server = StorageServer(timing or StorageTiming(), clock, rng)
+        self._tables: dict[str, _Table] = {}
+        self._version = 0
+
+    @property
+    def faults(self):
+        """The faults that are on now."""
+        return self.server.faults
+
+    async def transact(self, writes: tuple[Write, ...]):
+        """Serves a transaction through limits, latency and faults; outcomes as `TableService`."""
+        cost = -(-len(writes) // self.server.timing.rows_per_write)
+        return await self.server.write(cost, lambda: self.apply(writes))
+
+    async def read(self, keys):
+        """Serves a read through limits, latency and faults; outcomes as `TableService`."""
+        return await self.server.read(1, lambda: Ok({key: self.row(*key) for key in keys}))
+
+    async def scan(self, table, prefix, after, limit):
+        """Serves a scan through limits, latency and faults; outcomes as `TableService`."""
+        return await self.server.read(1, lambda: Ok(self.rows(table, prefix, after, limit)))
+
+    def apply(self, writes: tuple[Write, ...]) -> Ok[dict] | Conflict:
+        """Applies a transaction at once."""
+        failed = {}
+        for write in writes:
+            row = self.row(write.table, write.key)
+            if write.expected is not None and write.expected != row.version:
+                failed[write.table, write.key] = row
+        if failed:
+            return Conflict(failed)
+        self._version += 1
+        return Ok({(write.table, write.key): self._put(write) for write in writes})
+
+    def row(self, table: str, key: str) -> Row:
+        """Returns a row as it stands now."""
+        found = self._tables.get(table, _Table()).rows.get(key)
+        if found is None:
+            return Row(table, key, 0, None)
+        return Row(table, key, found[0], msgpack.unpackb(found[1], strict_map_key=False))
+
+    def rows(self, table: str, prefix: str = "", after: str = "", limit: int = 1000):
+        """Returns the rows of a table as they stand now, by key."""
+        found = self._tables.get(table, _Table())
+        start = bisect.bisect_left(found.keys, prefix)
+        if after:
+            start = max(start, bisect.bisect_right(found.keys, after))
+        chosen = []
+        for key in found.keys[start : start + limit]:
+            if not key.startswith(prefix):
+                break
+            chosen.append(self.row(table, key))
+        return tuple(chosen)
+
+    def _put(self, write):
+        if write.check_only:
+            return self.row(write.table, write.key).version
+        table = self._tables.setdefault(write.table, _Table())
+        present = write.key in table.rows
+        if write.value is None:
+            if present:
+                del table.rows[write.key]
+                table.keys.pop(bisect.bisect_left(table.keys, write.key))
+            return 0
+        if not present:
+            bisect.insort(table.keys, write.key)
+        table.rows[write.key] = (self._version, msgpack.packb(write.value))
+        return self._version
+
+
+class DirectTables(TableService):
+    """A client of a `TableModel` in the same process.
+
+    A request that its caller no longer waits for is still served, as over a network.
+
+    Args:
+      model: The service.
+    """
+
+    def __init__(self, model: TableModel):
+        self.model = model
+        self.reachable = True
+
+    async def transact(self, writes):
+        return await self._ask(self.model.transact(tuple(writes)))
+
+    async def read(self, keys):
+        return await self._ask(self.model.read(tuple(keys)))
+
+    async def scan(self, table, prefix="", after="", limit=1000):
+        return await self._ask(self.model.scan(table, prefix, after, limit))
+
+    async def _ask(self, request):
+        if not self.reachable:
+            request.close()
+            return Unavailable("the table service cannot be reached from here")
+        return await asyncio.shield(asyncio.ensure_future(request))
--- a/cicadapond/standin/main.py
+++ b/cicadapond/standin/main.py
@@ -1,5 +1,7 @@
 """Program `cicadapond-standin`: stand-ins of engines and plain services on loopback."""
 
+import random
+
 import attrs
 import tornado.httpserver
 from absl import logging
@@ -9,6 +11,10 @@
 from cicadapond.kernel._program import run_program
 from cicadapond.standin._engine import EngineModel, EngineTiming
 from cicadapond.standin._engine_http import engine_application
+from cicadapond.standin._faults import StorageTiming
+from cicadapond.standin._objects import ObjectModel
+from cicadapond.standin._storage_http import object_application, table_application
+from cicadapond.standin._tables import TableModel
 
 
 @attrs.frozen
@@ -17,6 +23,10 @@
 
     engines: dict[str, Endpoint] = setting(factory=dict)
     timing: EngineTiming = attrs.field(factory=EngineTiming)
+    tables: Endpoint | None = None
+    objects: Endpoint | None = None
+    storage_timing: StorageTiming = attrs.field(factory=StorageTiming)
+    seed: int = 0
 
 
 class StandinProcess:
@@ -31,10 +41,24 @@
         """Listens for every stand-in."""
         for name, endpoint in self._cfg.engines.items():
             model = EngineModel(self._cfg.timing, self._clock)
-            server = tornado.httpserver.HTTPServer(engine_application(model))
-            server.listen(endpoint.port, endpoint.host)
-            self._servers.append(server)
-            logging.info("engine %s listens on %s", name, endpoint)
+            self._listen(f"engine {name}", engine_application(model), endpoint)
+        self._start_storage()
+
+    def _start_storage(self):
+        cfg = self._cfg
+        rng = random.Random(cfg.seed)
+        if cfg.tables is not None:
+            tables = TableModel(self._clock, rng, cfg.storage_timing)
+            self._listen("table service", table_application(tables), cfg.tables)
+        if cfg.objects is not None:
+            objects = ObjectModel(self._clock, rng, cfg.storage_timing)
+            self._listen("object store", object_application(objects), cfg.objects)
+
+    def _listen(self, what, application, endpoint):
+        server = tornado.httpserver.HTTPServer(application)
+        server.listen(endpoint.port, endpoint.host)
+        self._servers.append(server)
+        logging.info("%s listens on %s", what, endpoint)
 
     async def stop(self) -> None:
         """Ends all listeners and connections."""
