Keep the document in the table service, checked whole and edited by compare-and-set

Cause: sections were read from files and could not be edited while the system runs. Peers gain ask and answer, which a membership without questions leaves at their defaults.

--- a/cicadapond/document/_intent.py
+++ b/cicadapond/document/_intent.py
@@ -9,6 +9,7 @@
 from cicadapond.data import Market, Priority
 from cicadapond.kernel import (
     Findings,
+    Node,
     Place,
     at_least,
     between,
@@ -116,6 +117,16 @@
     durable_term: datetime.timedelta = datetime.timedelta(days=2)
 
 
+@attrs.frozen
+class EditorIntent:
+    """Section `editors`: one editor of the document, and the sections that it may edit."""
+
+    key_hashes: tuple[str, ...] = setting(
+        check=lambda hashes: next(filter(None, map(_KEY_HASH, hashes)), None)
+    )
+    sections: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class Intent:
     """One revision of the whole document, checked."""
@@ -126,9 +137,36 @@
     accounts: dict[str, AccountIntent] = attrs.field(factory=dict)
     cost: CostIntent = attrs.field(factory=CostIntent)
     policies: PolicyIntent = attrs.field(factory=PolicyIntent)
+    editors: dict[str, EditorIntent] = attrs.field(factory=dict)
+
 
+SECTIONS = ("models", "applications", "accounts", "cost", "policies", "editors")
 
-SECTIONS = ("models", "applications", "accounts", "cost", "policies")
+
+def parse_sections(
+    sections: typing.Mapping[str, str], findings: Findings
+) -> dict[str, tuple[Node, object]]:
+    """Parses each section by itself.
+
+    Args:
+      sections: Each section's text, JSON with comments, by section name.
+      findings: Takes everything that does not hold, with section, line and column.
+
+    Returns:
+      By section, its root node and its checked value; sections that do not hold are left out.
+    """
+    hints = typing.get_type_hints(Intent)
+    parsed = {}
+    for section, text in sections.items():
+        if section not in SECTIONS:
+            findings.add(Place(section), f"unknown section; there are {', '.join(SECTIONS)}")
+            continue
+        node = parse_jsonc(text, section, findings)
+        before = len(findings)
+        value = None if node is None else structure(node, hints[section], findings)
+        if node is not None and len(findings) == before:
+            parsed[section] = (node, value)
+    return parsed
 
 
 def parse_document(
@@ -144,16 +182,9 @@
     Returns:
       The intent, or None if there are findings.
     """
-    hints = typing.get_type_hints(Intent)
     before = len(findings)
-    values = {}
-    for section, text in sections.items():
-        if section not in SECTIONS:
-            findings.add(Place(section), f"unknown section; there are {', '.join(SECTIONS)}")
-            continue
-        node = parse_jsonc(text, section, findings)
-        if node is not None:
-            values[section] = structure(node, hints[section], findings)
+    parsed = parse_sections(sections, findings)
     if len(findings) > before:
         return None
+    values = {section: value for section, (_, value) in parsed.items()}
     return Intent(revision=revision, **values)
--- /dev/null
+++ b/cicadapond/document/_rows.py
@@ -0,0 +1,121 @@
+"""The document as rows of the table service, and as one value in a process.
+
+Table `document` holds a row per section (`section/NAME`), one row for the revision, and one
+history row per revision.  Each accepted edit writes all of its rows in one transaction that is
+conditional on the revision row, so that the history row of a revision is there exactly if its
+edit took effect, and names the edit by its token.
+"""
+
+import datetime
+import difflib
+
+import attrs
+
+TABLE = "document"
+REVISION_KEY = "revision"
+SECTION_PREFIX = "section/"
+HISTORY_PREFIX = "history/"
+HISTORY_DIGITS = 12
+MAX_DIFF_CHARS = 8000
+
+
+@attrs.frozen
+class SectionText:
+    """One section as it is kept: its text with comments, and the revision that last changed it.
+
+    `version` is the section row's version, which an edit of the section is conditional on.
+    """
+
+    text: str
+    version: int = 0
+    revision: int = 0
+
+
+@attrs.frozen
+class DocumentText:
+    """One revision of the whole document, as text; `row_version` is the revision row's."""
+
+    revision: int = 0
+    sections: dict[str, SectionText] = attrs.field(factory=dict)
+    row_version: int = 0
+
+    def texts(self) -> dict[str, str]:
+        """Returns each section's text."""
+        return {name: section.text for name, section in self.sections.items()}
+
+
+@attrs.frozen
+class HistoryEntry:
+    """Who changed which sections when, and how."""
+
+    revision: int
+    token: str
+    editor: str
+    when: datetime.datetime
+    diffs: dict[str, str]
+
+
+def section_key(section: str) -> str:
+    """Returns the key of a section's row."""
+    return SECTION_PREFIX + section
+
+
+def history_key(revision: int) -> str:
+    """Returns the key of a revision's history row; keys sort as revisions do."""
+    return f"{HISTORY_PREFIX}{revision:0{HISTORY_DIGITS}d}"
+
+
+def diff_texts(section: str, before: str, after: str) -> str:
+    """Returns the unified diff of a section, cut at MAX_DIFF_CHARS."""
+    lines = difflib.unified_diff(
+        before.splitlines(),
+        after.splitlines(),
+        f"{section} before",
+        f"{section} after",
+        "",
+        "",
+        2,
+        "",
+    )
+    text = "\n".join(lines)
+    return text if len(text) <= MAX_DIFF_CHARS else text[:MAX_DIFF_CHARS] + "\n... cut"
+
+
+def pack_history(entry: HistoryEntry) -> dict:
+    """Returns a history entry as a row's value."""
+    packed = attrs.asdict(entry)
+    packed["when"] = entry.when.isoformat()
+    return packed
+
+
+def unpack_history(value: dict) -> HistoryEntry:
+    """Returns the history entry of a row's value."""
+    return HistoryEntry(
+        revision=value["revision"],
+        token=value["token"],
+        editor=value["editor"],
+        when=datetime.datetime.fromisoformat(value["when"]),
+        diffs=dict(value["diffs"]),
+    )
+
+
+def pack_document(document: DocumentText) -> dict:
+    """Returns a document as a message between processes."""
+    return attrs.asdict(document)
+
+
+def unpack_document(value) -> DocumentText | None:
+    """Returns the document of a message, or None if the message is not one."""
+    try:
+        sections = {name: SectionText(**fields) for name, fields in value["sections"].items()}
+        document = DocumentText(int(value["revision"]), sections, int(value["row_version"]))
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+    return document if _texts_hold(document) else None
+
+
+def _texts_hold(document):
+    return all(
+        isinstance(name, str) and isinstance(section.text, str)
+        for name, section in document.sections.items()
+    )
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -8,6 +8,7 @@
 import attrs
 
 from cicadapond.data import LoadReport
+from cicadapond.kernel import Ok, Unavailable
 
 
 class MemberState(enum.Enum):
@@ -79,6 +80,23 @@
     def heard_from_zone(self, zone: str) -> datetime.timedelta | None:
         """Returns the monotonic instant of the last word from any process of a data centre."""
 
+    async def ask(self, member: str, topic: str, payload) -> Ok[object] | Unavailable:
+        """Sends a question to one member and waits a bounded time for the answer.
+
+        Args:
+          member: The member's name.
+          topic: What the question is about; the member's handler of this topic answers.
+          payload: Whatever msgpack can carry.
+
+        Returns:
+          Ok with the answer, or Unavailable if none came or nothing there answers the topic.
+        """
+        return Unavailable(f"{member} cannot be asked about {topic!r}")
+
+    def answer(self, topic: str, handler: typing.Callable[[object], object]) -> None:
+        """Answers questions about a topic with what `handler` returns for their payload."""
+        return None
+
 
 class NoPeers(Peers):
     """A process alone: no members, and its digest goes nowhere."""
