Add the scenario language and the invariants that every run is checked against

Cause: failures need timed, repeatable tests in a text that reads like the incident. Change: a grammar with places for every finding, the record of a run, nine invariants, each with a planted fault that it must catch.

--- a/cicadapond/load/_arrivals.py
+++ b/cicadapond/load/_arrivals.py
@@ -71,7 +71,7 @@
 
 @arrivals.register("trace")
 class TraceArrivals(Arrivals):
-    """Recorded times, cut at the run's length and scaled to its mean rate if one is given."""
+    """Recorded times as they are, cut at the length of the run."""
 
     def times(self, cfg, rng):
         lines = pathlib.Path(cfg.trace).read_text(encoding="utf-8").split()
--- /dev/null
+++ b/cicadapond/scenario/__init__.py
@@ -0,0 +1,8 @@
+"""Scenarios: failures in a small test language, run on virtual time with seeds."""
+
+from cicadapond.scenario._invariants import INVARIANTS, check_invariants
+from cicadapond.scenario._observation import Record
+from cicadapond.scenario._parser import parse_scenario
+from cicadapond.scenario._script import Script
+
+__all__ = ["INVARIANTS", "Record", "Script", "check_invariants", "parse_scenario"]
--- /dev/null
+++ b/cicadapond/scenario/_observation.py
@@ -0,0 +1,161 @@
+"""What a scenario's run is seen to do: observations with their instants, and the record of them."""
+
+import datetime
+
+import attrs
+
+Instant = datetime.timedelta
+
+
+@attrs.frozen
+class Sent:
+    """A caller sent a request; `key` is its idempotency key, empty without one."""
+
+    at: Instant
+    request: str
+    kind: str
+    account: str
+    entry: str
+    key: str = ""
+
+
+@attrs.frozen
+class Answered:
+    """A caller got a final answer, or found its connection broken (`outcome` "broken").
+
+    `outcome` is "ok", "not_run", "failed", "unknown" or "broken"; `wrong` says in what an answer
+    differs from the one expected.
+    """
+
+    at: Instant
+    request: str
+    kind: str
+    account: str
+    outcome: str
+    key: str = ""
+    first: datetime.timedelta | None = None
+    wrong: str = ""
+    detail: str = ""
+
+
+@attrs.frozen
+class Accepted:
+    """A durable request was accepted."""
+
+    at: Instant
+    request: str
+
+
+@attrs.frozen
+class Started:
+    """A backend server began to work on a request."""
+
+    at: Instant
+    server: str
+    request: str
+    entry: str
+
+
+@attrs.frozen
+class Ran:
+    """A plain service carried out a call that must not repeat."""
+
+    at: Instant
+    server: str
+    request: str
+    key: str
+
+
+@attrs.frozen
+class Noticed:
+    """The first notice of a server's reclaim was given, by any source."""
+
+    at: Instant
+    server: str
+
+
+@attrs.frozen
+class Crashed:
+    """A backend server crashed on a request."""
+
+    at: Instant
+    server: str
+    request: str
+
+
+@attrs.frozen
+class InForce:
+    """A process took a document revision into force; `life` counts its restarts."""
+
+    at: Instant
+    process: str
+    life: int
+    revision: int
+
+
+@attrs.frozen
+class Edited:
+    """An operator's edit was accepted as a revision."""
+
+    at: Instant
+    revision: int
+    section: str
+    mark: str
+
+
+@attrs.frozen
+class Stopping:
+    """A process began a planned stop with these requests in flight."""
+
+    at: Instant
+    process: str
+    requests: tuple[str, ...]
+
+
+@attrs.frozen
+class Fault:
+    """A fault began or ended, in words."""
+
+    at: Instant
+    text: str
+
+
+Observation = (
+    Sent
+    | Answered
+    | Accepted
+    | Started
+    | Ran
+    | Noticed
+    | Crashed
+    | InForce
+    | Edited
+    | Stopping
+    | Fault
+)
+
+
+class Record:
+    """The observations of one run, in order."""
+
+    def __init__(self):
+        self.seen: list[Observation] = []
+
+    def add(self, observation: Observation) -> None:
+        """Appends an observation."""
+        self.seen.append(observation)
+
+    def of(self, kind: type) -> list:
+        """Returns the observations of one type, in order."""
+        return [found for found in self.seen if isinstance(found, kind)]
+
+    def timeline(self) -> list[str]:
+        """Returns one line of text per observation."""
+        return [_line(found) for found in self.seen]
+
+
+def _line(observation):
+    fields = attrs.asdict(observation, recurse=False)
+    at = fields.pop("at").total_seconds()
+    words = " ".join(f"{name}={value}" for name, value in fields.items() if value not in ("", None))
+    return f"{at:10.3f}  {type(observation).__name__.lower():9} {words}"
--- /dev/null
+++ b/cicadapond/scenario/invariants_test.py
@@ -0,0 +1,90 @@
+"""Each invariant catches the fault that it is for, and accepts the same run without it."""
+
+import datetime
+
+import pytest
+
+from cicadapond.kernel import Findings
+from cicadapond.scenario._invariants import INVARIANTS, check_invariants
+from cicadapond.scenario._observation import (
+    Accepted,
+    Answered,
+    Edited,
+    InForce,
+    Noticed,
+    Ran,
+    Record,
+    Sent,
+    Started,
+    Stopping,
+)
+
+
+def at(number):
+    return datetime.timedelta(seconds=number)
+
+
+def ok(time, request, **fields):
+    return Answered(at(time), request, "question", "a", "ok", **fields)
+
+
+PLANTED = {
+    "at_most_once": [Ran(at(1), "s1", "r1", "k"), Ran(at(2), "s2", "r2", "k")],
+    "whole_answers": [ok(1, "r1", wrong="token 3 is 'a', not 'b'")],
+    "not_run_is_true": [
+        Answered(at(1), "r1", "charge", "a", "not_run", key="k"),
+        Ran(at(2), "s1", "r1", "k"),
+    ],
+    "every_caller_answered": [Sent(at(1), "r1", "question", "a", "e")],
+    "accepted_survives": [Accepted(at(1), "r1")],
+    "leaving_gets_no_work": [Noticed(at(1), "s1"), Started(at(4.1), "s1", "r1", "e")],
+    "planned_stops_cut_nothing": [
+        Stopping(at(1), "e", ("r1",)),
+        Answered(at(2), "r1", "question", "a", "broken"),
+    ],
+    "revisions_never_fall": [InForce(at(1), "e", 0, 7), InForce(at(2), "e", 0, 6)],
+    "accepted_edits_get_distinct_revisions": [
+        Edited(at(1), 4, "models", "x"),
+        Edited(at(2), 4, "cost", "y"),
+    ],
+}
+
+ALLOWED = [
+    Ran(at(1), "s1", "r1", "k1"),
+    Ran(at(2), "s1", "r2", "k2"),
+    Sent(at(1), "r3", "question", "a", "e"),
+    Accepted(at(1), "r3"),
+    Noticed(at(1), "s1"),
+    Started(at(3.9), "s1", "r3", "e"),
+    Stopping(at(1), "e", ("r3",)),
+    ok(5, "r3"),
+    InForce(at(1), "e", 0, 7),
+    InForce(at(2), "e", 1, 6),
+    Edited(at(1), 4, "models", "x"),
+    Edited(at(2), 5, "cost", "y"),
+]
+
+
+def found_in(observations):
+    record = Record()
+    record.seen.extend(observations)
+    return [found.message for found in check_invariants(record)]
+
+
+def test_every_invariant_has_a_planted_fault():
+    assert set(PLANTED) == {invariant.__name__ for invariant in INVARIANTS}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_a_planted_fault_is_caught(name):
+    record = Record()
+    record.seen.extend(PLANTED[name])
+    invariant = next(found for found in INVARIANTS if found.__name__ == name)
+
+    findings = Findings()
+    invariant(record, findings)
+    assert len(findings) == 1
+
+
+def test_a_run_without_faults_has_no_findings():
+    assert found_in(ALLOWED) == []
