--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -22,12 +22,15 @@
     table_services,
     weight_stores,
 )
+from cicadapond.platform._budget import BudgetedTables, BudgetSettings
 from cicadapond.platform._classes import StoreClass
 from cicadapond.platform._rate import RateLimit
 from cicadapond.platform._settings import AdapterSettings, PlatformSettings
 
 __all__ = [
     "AdapterSettings",
+    "BudgetSettings",
+    "BudgetedTables",
     "BuyRequest",
     "CloudApi",
     "CloudHost",
