Serve the callers' interface: accounts, both completion shapes, services, problems

Cause: an entry took one JSON shape from anybody, and every fault was an exception. Change: bearer accounts by hash; completions and chat completions, whole or as server-sent events; any method under /services; respond-async; findings, limits and outcomes as problem+json with the request's id and outcome on every answer. Header, body and write timeouts; a caller that goes away cancels its work unless the work must run on. EntryCore takes its Parts whole. Ruled out: streaming through an unbounded buffer; a sink returns once the caller has room.

--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -8,6 +8,7 @@
 from absl import app, flags, logging
 
 from cicadapond.data import BackendServer, Endpoint, ServerKind
+from cicadapond.document import SECTIONS
 from cicadapond.entry import EntrySettings
 from cicadapond.entry.main import EntryProcess
 from cicadapond.kernel._program import stop_on_signals
@@ -19,6 +20,7 @@
 ENGINE_PORT = 18200
 ADMIN_PORT_OFFSET = 100
 ENGINES_PER_ZONE = 2
+DEMO_HEADERS = {"Authorization": "Bearer demo-counter-key"}
 
 _HTTP_PORT = flags.DEFINE_integer(
     "http_port", 18080, "The first entry's port; the next ones follow it.", 1024, 65000
@@ -44,7 +46,7 @@
 def demo_entries(first_port: int, servers) -> list[EntrySettings]:
     """Returns the settings of the demo's entries, one in each data centre."""
     sections = importlib.resources.files("cicadapond.demo").joinpath("document")
-    document = {name: str(sections.joinpath(f"{name}.jsonc")) for name in ("models",)}
+    document = {name: str(sections.joinpath(f"{name}.jsonc")) for name in SECTIONS}
     platform = PlatformSettings(hosts=AdapterSettings(adapter="static", servers=servers))
     return [
         EntrySettings(
@@ -87,7 +89,9 @@
 async def _ask_once(port):
     body = '{"model": "shade-model", "prompt": "Which red suits a prairie winter?"}'
     client = tornado.httpclient.AsyncHTTPClient()
-    await client.fetch(f"http://{LOOPBACK}:{port}/v1/completions", method="POST", body=body)
+    await client.fetch(
+        f"http://{LOOPBACK}:{port}/v1/completions", method="POST", body=body, headers=DEMO_HEADERS
+    )
 
 
 def run() -> None:
--- /dev/null
+++ b/cicadapond/entry/_accounts.py
@@ -0,0 +1,42 @@
+"""Client accounts by bearer token; the document holds only the keys' hashes."""
+
+import hashlib
+import hmac
+import typing
+
+from cicadapond.document import AccountIntent
+
+SCHEME = "bearer"
+NO_HASH = "0" * hashlib.sha256().digest_size * 2
+
+
+class AccountBook:
+    """Finds the account that a bearer token belongs to.
+
+    Args:
+      accounts: The document's section `accounts`.
+    """
+
+    def __init__(self, accounts: typing.Mapping[str, AccountIntent]):
+        self._accounts = accounts
+        self._by_hash = {
+            key_hash: (key_hash, name)
+            for name, account in accounts.items()
+            for key_hash in account.key_hashes
+        }
+
+    def is_for(self, accounts: typing.Mapping[str, AccountIntent]) -> bool:
+        """Returns whether the book was made from just this section."""
+        return self._accounts is accounts
+
+    def find(self, authorization: str | None) -> str | None:
+        """Returns the account of an Authorization header's value, or None.
+
+        The look-up goes by the token's hash, so that its time tells nothing of the keys.
+        """
+        scheme, _, token = (authorization or "").partition(" ")
+        if scheme.lower() != SCHEME:
+            return None
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        key_hash, name = self._by_hash.get(digest, (NO_HASH, None))
+        return name if hmac.compare_digest(key_hash, digest) else None
--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -1,12 +1,15 @@
-"""What an entry does with a request, without any HTTP: admission, routing, streaming."""
+"""What an entry does with a request, without any HTTP: admission, then the runner of its kind.
+
+The core opens no sockets of its own: whatever needs one is passed in with the `Parts`.
+"""
 
 import abc
 
 from cicadapond.backend import Engine
-from cicadapond.data import Broken, Completion, Finished, GenerateCall, Token
+from cicadapond.data import Answer, Broken, Completion, Finished, GenerateCall, ServiceCall, Token
 from cicadapond.document import Intent
-from cicadapond.entry._fleet import Fleet
-from cicadapond.kernel import Clock, Failed, Metrics, NotRun, Ok
+from cicadapond.entry._parts import Parts
+from cicadapond.kernel import Failed, NotRun, Ok, Unknown
 
 
 class CompletionSink(abc.ABC):
@@ -21,22 +24,20 @@
     """The decisions of one entry process and the state they need.
 
     Args:
-      cfg: The entry's settings.
-      clock: Gives the time.
-      metrics: Takes counts and durations.
-      intent: The document in force.
+      parts: What the decisions share.
     """
 
-    def __init__(self, cfg, clock: Clock, metrics: Metrics, intent: Intent):
-        self.cfg = cfg
-        self.clock = clock
-        self.metrics = metrics
-        self.intent = intent
-        self.fleet = Fleet(cfg, clock, metrics)
+    def __init__(self, parts: Parts):
+        self.parts = parts
+
+    @property
+    def intent(self) -> Intent:
+        """The document in force."""
+        return self.parts.intent()
 
     def state(self) -> dict:
         """Returns the views and their ages, for a dump."""
-        return {"revision": self.intent.revision, "backends": self.fleet.state()}
+        return {"revision": self.intent.revision, "backends": self.parts.fleet.state()}
 
     async def complete(
         self, req: Completion, sink: CompletionSink
@@ -53,7 +54,7 @@
         model = self.intent.models.get(req.model)
         if model is None:
             return NotRun(f"no model {req.model!r}", status=404)
-        backends = self.fleet.live(model.pool)
+        backends = self.parts.fleet.live(model.pool)
         if not backends:
             return NotRun(f"no engine of pool {model.pool!r} takes work")
         backend = min(backends, key=lambda found: found.in_flight)
@@ -63,6 +64,28 @@
         finally:
             backend.in_flight -= 1
 
+    async def call_service(self, call: ServiceCall) -> Ok[Answer] | NotRun | Failed | Unknown:
+        """Calls a plain service.
+
+        Args:
+          call: The call.
+
+        Returns:
+          Ok with the whole answer, or what became of the call.
+        """
+        return NotRun(f"no server of service {call.service!r} takes work")
+
+    async def accept(self, req: Completion) -> Ok[str] | NotRun:
+        """Takes a completion that nobody waits for.
+
+        Args:
+          req: The request.
+
+        Returns:
+          Ok with the request's id once the request is durable, or NotRun.
+        """
+        return NotRun("this deployment has no table service to keep requests in", status=501)
+
 
 def _first_call(req, model):
     return GenerateCall(
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cicadapond.data import Endpoint
+from cicadapond.data import Endpoint, Priority
 from cicadapond.kernel import at_least, setting
 from cicadapond.platform import PlatformSettings
 
@@ -20,12 +20,25 @@
       header_timeout: From the connection's last answer to the end of the next request's headers.
       body_timeout: From the end of the headers to the end of the body.
       write_timeout: How long a caller may read nothing before its connection is closed.
+      interactive_patience: The wait for a whole answer where the caller gives none, by priority;
+        so with the two that follow.
     """
 
     max_body_bytes: int = setting(default=1 << 20, check=at_least(1))
     header_timeout: datetime.timedelta = 20 * _SECOND
     body_timeout: datetime.timedelta = 30 * _SECOND
     write_timeout: datetime.timedelta = 60 * _SECOND
+    interactive_patience: datetime.timedelta = 30 * _SECOND
+    standard_patience: datetime.timedelta = 120 * _SECOND
+    batch_patience: datetime.timedelta = 1800 * _SECOND
+
+    def patience(self, priority: Priority) -> datetime.timedelta:
+        """Returns how long a caller of a priority waits for its whole answer."""
+        return {
+            Priority.INTERACTIVE: self.interactive_patience,
+            Priority.STANDARD: self.standard_patience,
+            Priority.BATCH: self.batch_patience,
+        }[priority]
 
 
 @attrs.frozen
--- /dev/null
+++ b/cicadapond/entry/_shapes.py
@@ -0,0 +1,128 @@
+"""The JSON shapes of answers, as the widespread completion API has them."""
+
+import abc
+import json
+
+import attrs
+
+from cicadapond.data import Finished, split_tokens
+from cicadapond.entry._body import CHAT_ANSWERER
+
+STREAM_END = "data: [DONE]\n\n"
+
+
+@attrs.frozen
+class AnswerHead:
+    """What every part of one answer repeats; `created` is in seconds since 1970."""
+
+    request_id: str
+    model: str
+    created: int
+
+
+class Shape(abc.ABC):
+    """One API's shapes for one answer.
+
+    Args:
+      head: What every part repeats.
+      prompt: The prompt, for the usage counts.
+    """
+
+    stream_object = ""
+    whole_object = ""
+
+    def __init__(self, head: AnswerHead, prompt: str):
+        self._head = head
+        self._prompt = prompt
+        before, after = json.dumps(self._fields(self.stream_object, [])).rsplit("[]", 1)
+        self._before = f"data: {before}["
+        self._after = f"]{after}\n\n"
+
+    @abc.abstractmethod
+    def opening(self) -> str:
+        """Returns the stream's event before the first text, or nothing."""
+
+    @abc.abstractmethod
+    def text_event(self, text: str) -> str:
+        """Returns the stream's event for some text."""
+
+    @abc.abstractmethod
+    def end_event(self, reason: str) -> str:
+        """Returns the stream's event for the answer's end."""
+
+    @abc.abstractmethod
+    def _whole_choice(self, text, reason):
+        """Returns the one choice of a whole answer."""
+
+    def whole(self, text: str, finished: Finished) -> dict:
+        """Returns the body of a whole answer."""
+        choice = {"index": 0, **self._whole_choice(text, finished.reason), "logprobs": None}
+        fields = self._fields(self.whole_object, [choice])
+        return fields | {"usage": self._usage(finished)}
+
+    def usage_event(self, finished: Finished) -> str:
+        """Returns the stream's event that counts tokens."""
+        fields = self._fields(self.stream_object, []) | {"usage": self._usage(finished)}
+        return f"data: {json.dumps(fields)}\n\n"
+
+    def _event(self, choice):
+        return f"{self._before}{choice}{self._after}"
+
+    def _fields(self, kind, choices):
+        return {
+            "id": self._head.request_id,
+            "object": kind,
+            "created": self._head.created,
+            "model": self._head.model,
+            "choices": choices,
+        }
+
+    def _usage(self, finished):
+        prompt = len(split_tokens(self._prompt))
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": finished.length,
+            "total_tokens": prompt + finished.length,
+            "prompt_tokens_details": {"cached_tokens": finished.cached_tokens},
+        }
+
+
+class CompletionShape(Shape):
+    """The shapes of `/v1/completions`."""
+
+    stream_object = "text_completion"
+    whole_object = "text_completion"
+
+    def opening(self):
+        return ""
+
+    def text_event(self, text):
+        return self._event(f'{{"index": 0, "text": {json.dumps(text)}, "finish_reason": null}}')
+
+    def end_event(self, reason):
+        return self._event(f'{{"index": 0, "text": "", "finish_reason": {json.dumps(reason)}}}')
+
+    def _whole_choice(self, text, reason):
+        return {"text": text, "finish_reason": reason}
+
+
+class ChatShape(Shape):
+    """The shapes of `/v1/chat/completions`."""
+
+    stream_object = "chat.completion.chunk"
+    whole_object = "chat.completion"
+
+    def opening(self):
+        return self._delta(json.dumps({"role": CHAT_ANSWERER, "content": ""}), "null")
+
+    def text_event(self, text):
+        return self._delta(f'{{"content": {json.dumps(text)}}}', "null")
+
+    def end_event(self, reason):
+        return self._delta("{}", json.dumps(reason))
+
+    def _delta(self, delta, reason):
+        return self._event(f'{{"index": 0, "delta": {delta}, "finish_reason": {reason}}}')
+
+    def _whole_choice(self, text, reason):
+        return {"message": {"role": CHAT_ANSWERER, "content": text}, "finish_reason": reason}
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 
 import tornado.httpserver
 from absl import logging
@@ -9,14 +10,19 @@
 from cicadapond.admin import admin_application
 from cicadapond.document import parse_document
 from cicadapond.entry._core import EntryCore
-from cicadapond.entry._fleet import HostListWatcher
+from cicadapond.entry._fleet import Fleet, HostListWatcher
 from cicadapond.entry._http import caller_application
+from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
+from cicadapond.entry._parts import Parts
 from cicadapond.entry._settings import EntrySettings
 from cicadapond.kernel import Findings, LoopClock, Metrics, SettingsError, TaskGroup, load_plugins
 from cicadapond.kernel._program import run_program
+from cicadapond.peer import NoPeers
 from cicadapond.platform import host_lists
 
+MAX_BODY_BYTES = 1 << 40  # the handlers answer 413 much earlier and keep no more
+
 
 class EntryProcess:
     """One running entry: its core, its tasks and its servers.
@@ -34,21 +40,35 @@
         self._tasks = TaskGroup()
         self.metrics = Metrics()
         self.clock = LoopClock()
-        self.core = EntryCore(cfg, self.clock, self.metrics, _read_document(cfg))
+        self.core = EntryCore(self._parts(_read_document(cfg)))
         self.in_flight = InFlight()
         self._ready = False
-        self._server = _caller_server(cfg, self.core, self.in_flight)
+        self._callers = CallerParts(
+            self.core, self.clock, self.metrics, cfg.http_limits, self.in_flight
+        )
+        self._server = _caller_server(cfg.http_limits, self._callers)
         self._admin = tornado.httpserver.HTTPServer(
             admin_application(self.metrics, self.state, lambda: self._ready)
         )
 
+    def _parts(self, intent):
+        return Parts(
+            cfg=self._cfg,
+            clock=self.clock,
+            metrics=self.metrics,
+            rng=random.Random(),
+            intent=lambda: intent,
+            fleet=Fleet(self._cfg, self.clock, self.metrics),
+            peers=NoPeers(),
+        )
+
     async def start(self) -> None:
         """Reads the host list once, then listens."""
         cfg = self._cfg
         hosts = host_lists.create(
             cfg.platform.hosts.adapter, cfg.platform.hosts, cfg.zone, self.clock, self.metrics
         )
-        watcher = HostListWatcher(self.core.fleet, hosts, cfg, self.clock, self.metrics)
+        watcher = HostListWatcher(self.core.parts.fleet, hosts, cfg, self.clock, self.metrics)
         await watcher.read_once()
         self._tasks.start(watcher)
         self._server.listen(cfg.http.port, cfg.http.host)
@@ -78,6 +98,7 @@
         self._ready = False
         logging.info("entry %s stops: %d requests in flight", self._cfg.name, self.in_flight.count)
         await self.clock.sleep(self._cfg.balancer_delay)
+        self._callers.stopping = True
         self._server.stop()
         await self._finish_requests()
         await self._tasks.stop()
@@ -94,11 +115,12 @@
             logging.error("%d requests still in flight after %s s", self.in_flight.count, limit)
 
 
-def _caller_server(cfg, core, in_flight):
+def _caller_server(limits, parts):
     return tornado.httpserver.HTTPServer(
-        caller_application(core, in_flight),
-        idle_connection_timeout=cfg.http_limits.header_timeout.total_seconds(),
-        body_timeout=cfg.http_limits.body_timeout.total_seconds(),
+        caller_application(parts),
+        idle_connection_timeout=limits.header_timeout.total_seconds(),
+        body_timeout=limits.body_timeout.total_seconds(),
+        max_body_size=MAX_BODY_BYTES,
     )
 
 
--- a/cicadapond/entry/path_test.py
+++ b/cicadapond/entry/path_test.py
@@ -8,7 +8,7 @@
 import tornado.httpclient
 
 from cicadapond.data import GenerateCall
-from cicadapond.demo.main import demo_engines, demo_entries
+from cicadapond.demo.main import DEMO_HEADERS, demo_engines, demo_entries
 from cicadapond.entry.main import EntryProcess
 from cicadapond.standin._engine import EngineTiming, whole_answer
 from cicadapond.standin.main import StandinProcess, StandinSettings
@@ -32,7 +32,10 @@
     await entry.start()
     try:
         return await tornado.httpclient.AsyncHTTPClient().fetch(
-            f"http://{cfg.http}/v1/completions", method="POST", body=json.dumps(fields)
+            f"http://{cfg.http}/v1/completions",
+            method="POST",
+            body=json.dumps(fields),
+            headers=DEMO_HEADERS,
         )
     finally:
         await entry.stop()
