--- a/cicadapond/document/_intent.py
+++ b/cicadapond/document/_intent.py
@@ -2,6 +2,7 @@
 
 import datetime
 import enum
+import functools
 import typing
 
 import attrs
@@ -21,6 +22,7 @@
 
 _KEY_HASH = matches(r"[0-9a-f]{64}", "a SHA-256 in lower-case hex")
 _SECONDS = datetime.timedelta(seconds=1)
+CACHED_SECTIONS = 64
 
 
 class PriorityName(enum.Enum):
@@ -155,20 +157,30 @@
     Returns:
       By section, its root node and its checked value; sections that do not hold are left out.
     """
-    hints = typing.get_type_hints(Intent)
     parsed = {}
     for section, text in sections.items():
         if section not in SECTIONS:
             findings.add(Place(section), f"unknown section; there are {', '.join(SECTIONS)}")
             continue
-        node = parse_jsonc(text, section, findings)
-        before = len(findings)
-        value = None if node is None else structure(node, hints[section], findings)
-        if node is not None and len(findings) == before:
+        node, value, found = _parse_section(section, text)
+        for finding in found:
+            findings.add(finding.place, finding.message)
+        if not found:
             parsed[section] = (node, value)
     return parsed
 
 
+@functools.lru_cache(maxsize=CACHED_SECTIONS)
+def _parse_section(section, text):
+    """Returns a section's node, value and findings; most sections do not change from one
+    revision to the next, so that recent results are kept."""
+    findings = Findings()
+    node = parse_jsonc(text, section, findings)
+    wanted = typing.get_type_hints(Intent)[section]
+    value = None if node is None else structure(node, wanted, findings)
+    return node, value, tuple(findings)
+
+
 def parse_document(
     sections: typing.Mapping[str, str], revision: int, findings: Findings
 ) -> Intent | None:
--- a/cicadapond/document/_task.py
+++ b/cicadapond/document/_task.py
@@ -28,7 +28,8 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 PEERS_ASKED_AT_START = 5
-PEERS_ASKED_AT_ONCE = 3
+PEER_ROUNDS_AT_START = 3
+PEERS_ASKED_AT_ONCE = 2
 
 
 @attrs.frozen
@@ -173,11 +174,16 @@
             await self._learn()
 
     async def _start(self):
-        """Asks the store and peers, and is ready once any of them has answered."""
+        """Is ready once the store has answered, or peers have in a few rounds.
+
+        Without the store, a first round may come before this process knows its peers.
+        """
+        rounds = 0
         while not self.ready:
-            asked = [self._ask(self._source)]
-            asked.extend(self._ask(source) for source in self._some_peers())
-            if any(await asyncio.gather(*asked)):
+            asked = [self._ask(source) for source in self._some_peers()]
+            store, *peers = await asyncio.gather(self._ask(self._source), *asked)
+            rounds += any(peers)
+            if store or rounds == PEER_ROUNDS_AT_START:
                 self._ready.set()
             else:
                 self._metrics.count("document_start_retries")
--- /dev/null
+++ b/cicadapond/document/task_test.py
@@ -0,0 +1,162 @@
+"""The document in force: never back, from peers when cut off, the last good text."""
+
+import asyncio
+import random
+
+import attrs
+
+from cicadapond.document import (
+    DocumentSettings,
+    DocumentStore,
+    DocumentTask,
+    DocumentText,
+    SectionText,
+    StoreSource,
+)
+from cicadapond.document._rows import pack_document, unpack_document
+from cicadapond.experiments._mesh import Mesh
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.peer import Digest
+from cicadapond.platform import Write
+from cicadapond.standin import DirectTables, TableModel
+
+WITHIN = seconds(5)
+
+
+def text_of(revision, body=None):
+    body = body or f'{{"s{revision}": {{}}}}'
+    return DocumentText(revision, {"applications": SectionText(body, revision, revision)}, revision)
+
+
+class World:
+    """A store, a mesh, and processes by name that keep the document."""
+
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.model = TableModel(self.clock, random.Random(1))
+        self.mesh = Mesh(self.clock)
+        self.running = {}
+
+    def put(self, revision, body=None):
+        body = body or f'{{"s{revision}": {{}}}}'
+        rows = {"revision": {"revision": revision}}
+        rows["section/applications"] = {"text": body, "revision": revision}
+        self.model.apply(tuple(Write("document", key, value) for key, value in rows.items()))
+
+    def start(self, name, zone="a", reachable=True):
+        peers = self.mesh.join(name, zone)
+        tables = DirectTables(self.model)
+        tables.reachable = reachable
+        source = StoreSource(DocumentStore(tables))
+        task = DocumentTask(
+            source, peers, DocumentSettings(), self.clock, Metrics(), random.Random(name)
+        )
+        task.seen = []
+        task.subscribe(lambda intent: task.seen.append(intent.revision))
+        task.subscribe(lambda intent: peers.publish(Digest(revision=intent.revision)))
+        loops = [asyncio.ensure_future(task.run()), asyncio.ensure_future(peers.beat())]
+        self.running[name] = loops
+        return task
+
+    def stop(self, name):
+        for loop in self.running.pop(name):
+            loop.cancel()
+        del self.mesh.nodes[name]
+
+
+def run(scene):
+    return run_virtual(scene(World()))
+
+
+def test_a_change_is_in_force_everywhere_within_seconds():
+    async def scene(world):
+        world.put(1)
+        tasks = [world.start(f"p{number}", zone) for number, zone in enumerate("aabbcc")]
+        await world.clock.sleep(WITHIN)
+        world.put(2)
+        await world.clock.sleep(WITHIN)
+        return [task.seen for task in tasks]
+
+    assert run(scene) == [[1, 2]] * 6
+
+
+def test_a_process_cut_off_from_the_platform_starts_with_its_peers_highest():
+    async def scene(world):
+        world.put(7)
+        world.start("old")
+        await world.clock.sleep(WITHIN)
+        world.put(8)
+        world.start("ahead")
+        await world.clock.sleep(seconds(0.1))
+        world.model.faults.outage = True
+        task = world.start("new", reachable=False)
+        await task.wait_ready()
+        return task.seen
+
+    assert run(scene)[-1] == 8
+
+
+def test_a_process_that_nothing_answers_is_not_ready():
+    async def scene(world):
+        world.model.faults.outage = True
+        task = world.start("alone")
+        await world.clock.sleep(WITHIN)
+        before = task.ready
+        world.model.faults.outage = False
+        await world.clock.sleep(WITHIN)
+        return before, task.ready
+
+    assert run(scene) == (False, True)
+
+
+def test_a_cut_off_data_centre_learns_through_another():
+    async def scene(world):
+        world.put(1)
+        world.start("a1", "a")
+        task = world.start("b1", "b", reachable=False)
+        await world.clock.sleep(WITHIN)
+        world.put(2)
+        await world.clock.sleep(WITHIN)
+        return task.seen
+
+    assert run(scene) == [1, 2]
+
+
+def test_a_lower_revision_is_never_applied():
+    async def scene(world):
+        task = world.start("p")
+        task.offer(text_of(5))
+        assert not task.offer(text_of(4))
+        assert not task.offer(text_of(5, '{"other": {}}'))
+        return task.seen, list(task.intent.applications)
+
+    assert run(scene) == ([5], ["s5"])
+
+
+def test_a_text_that_does_not_parse_is_passed_on_and_not_applied():
+    async def scene(world):
+        task = world.start("p")
+        task.offer(text_of(5))
+        assert not task.offer(text_of(6, '{"s": {"unknown": 1}}'))
+        held = [str(found) for found in task.held_back]
+        in_force = task.intent.revision
+        task.offer(text_of(7))
+        return in_force, task.latest.revision, held, task.held_back
+
+    assert run(scene) == (
+        5,
+        7,
+        [
+            "applications:1:8: unknown key 'unknown'; known: replicas, calls, timeout, "
+            "slots_per_server"
+        ],
+        (),
+    )
+
+
+def test_a_message_that_is_no_document_is_refused():
+    document = text_of(3)
+    assert unpack_document(pack_document(document)) == document
+    broken = [None, {}, {"revision": 1, "sections": {"models": 3}, "row_version": 1}]
+    broken.append(pack_document(attrs.evolve(document, sections={"cost": SectionText(3)})))
+    assert [unpack_document(value) for value in broken] == [None] * len(broken)
--- /dev/null
+++ b/cicadapond/experiments/_mesh.py
@@ -0,0 +1,108 @@
+"""Membership for experiments on the document alone: a full mesh whose links can be cut."""
+
+import datetime
+
+from cicadapond.kernel import Ok, Unavailable, seconds
+from cicadapond.peer import Digest, Member, MemberState, Peers
+
+BEAT = seconds(0.5)
+HOP = seconds(0.002)
+ASK_LIMIT = seconds(1)
+DEAD_AFTER = seconds(3)
+
+
+class Mesh:
+    """The links between all processes; data centres can be cut off from each other.
+
+    Args:
+      clock: Gives the time.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.nodes: dict[str, MeshPeers] = {}
+        self.cuts: set[frozenset] = set()
+
+    def linked(self, one: "MeshPeers", other: "MeshPeers") -> bool:
+        """Returns whether two processes reach each other."""
+        return one.zone == other.zone or frozenset((one.zone, other.zone)) not in self.cuts
+
+    def reachable(self, name: str) -> list["MeshPeers"]:
+        """Returns all processes that a process reaches, directly or through others."""
+        found = {name}
+        edge = [self.nodes[name]]
+        while edge:
+            node = edge.pop()
+            for other in self.nodes.values():
+                if other.name not in found and self.linked(node, other):
+                    found.add(other.name)
+                    edge.append(other)
+        return [self.nodes[name] for name in found]
+
+    def join(self, name: str, zone: str) -> "MeshPeers":
+        """Returns the membership of a new process, in place of an earlier one of its name."""
+        self.nodes[name] = MeshPeers(self, name, zone)
+        return self.nodes[name]
+
+
+class MeshPeers(Peers):
+    """One process's membership; `beat` is its heartbeat loop."""
+
+    def __init__(self, mesh: Mesh, name: str, zone: str):
+        self.name = name
+        self.zone = zone
+        self.digest = Digest()
+        self._mesh = mesh
+        self._members: dict[str, Member] = {}
+        self._listeners = []
+        self._handlers = {}
+        self._version = 0
+
+    def members(self):
+        now = self._mesh.clock.monotonic()
+        return tuple(
+            member
+            for name, member in sorted(self._members.items())
+            if now - member.heard < DEAD_AFTER
+        )
+
+    def publish(self, digest):
+        self._version += 1
+        self.digest = digest
+
+    def subscribe(self, listener):
+        self._listeners.append(listener)
+
+    def heard_from_zone(self, zone) -> datetime.timedelta | None:
+        heard = [member.heard for member in self._members.values() if member.zone == zone]
+        return max(heard, default=None)
+
+    def answer(self, topic, handler):
+        self._handlers[topic] = handler
+
+    async def ask(self, member, topic, payload):
+        await self._mesh.clock.sleep(HOP)
+        node = self._mesh.nodes.get(member)
+        if node is None or not self._mesh.linked(self, node) or topic not in node._handlers:
+            await self._mesh.clock.sleep(ASK_LIMIT)
+            return Unavailable(f"{member} does not answer")
+        return Ok(node._handlers[topic](payload))
+
+    async def beat(self) -> None:
+        """Tells every process in reach the digest, for ever."""
+        while True:
+            for node in list(self._mesh.nodes.values()):
+                if node is not self and self._mesh.linked(self, node):
+                    node._hear(self)
+            await self._mesh.clock.sleep(BEAT)
+
+    def _hear(self, node):
+        now = self._mesh.clock.monotonic()
+        known = self._members.get(node.name)
+        member = Member(
+            node.name, node.zone, "entry", 0, MemberState.ALIVE, now, node._version, node.digest
+        )
+        self._members[node.name] = member
+        if known is None or known.digest != member.digest:
+            for listener in self._listeners:
+                listener(member)
