Add the ledger: keyed calls run at most once

A caller that resends a charge, a lost answer of the table service, a process that dies or is paused between its record and its send: each could run a charge twice or call it not run when it ran. An attempt is a state machine without I/O; it claims a row before the first byte leaves, reads a lost answer back by its token, and says not_run once the row is absent or cancelled. A driver commits rows in groups, keeps large answers in the object store and records late what the store could not take. The policy trusting, which sends again after each failure, is the baseline. Unknown may carry retry_after; the document names the policy as keyed_calls.

--- a/cicadapond/document/_intent.py
+++ b/cicadapond/document/_intent.py
@@ -113,6 +113,7 @@
     routing: str = "scored"
     moving: str = "export"
     capacity: str = "cheapest-mix"
+    keyed_calls: str = "ledger"
     drain_limit: datetime.timedelta = datetime.timedelta(minutes=10)
     retry_share: float = setting(default=0.1, check=between(0.0, 1.0))
     conviction_term: datetime.timedelta = datetime.timedelta(hours=1)
--- a/cicadapond/kernel/_outcome.py
+++ b/cicadapond/kernel/_outcome.py
@@ -40,10 +40,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """The request may have run; only said of non-idempotent calls."""
+    """The request may have run; only said of non-idempotent calls.
+
+    `retry_after` is set where asking again may tell more, as while the request still runs.
+    """
 
     reason: str
     status: int = 504
+    retry_after: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cicadapond/ledger/_ledger.py
@@ -0,0 +1,250 @@
+"""Policy "ledger": runs attempts against the table service."""
+
+import asyncio
+import collections
+import random
+
+import attrs
+import msgpack
+
+from cicadapond.backend import NotSent
+from cicadapond.kernel import (
+    AnswerLost,
+    Clock,
+    Conflict,
+    Metrics,
+    NotRun,
+    Ok,
+    Unavailable,
+    Unknown,
+)
+from cicadapond.ledger._api import KeyedCalls, KeyedWork, keyed_call_policies
+from cicadapond.ledger._attempt import IN_PROGRESS, OTHER_BODY, UNAVAILABLE, Attempt
+from cicadapond.ledger._group import GroupReader, GroupWriter
+from cicadapond.ledger._messages import (
+    Finish,
+    Put,
+    Read,
+    RowRead,
+    RowWritten,
+    Send,
+    SendAnswered,
+    SendNotRun,
+    SendUnknown,
+    StoreOut,
+    Tell,
+    Wait,
+    Waited,
+    WriteLost,
+    WriteRefused,
+)
+from cicadapond.ledger._row import (
+    TABLE,
+    decode_answer,
+    decode_row,
+    encode_answer,
+    encode_row,
+    row_key,
+)
+from cicadapond.ledger._settings import LedgerSettings
+from cicadapond.platform import ObjectStore, TableService, Write
+
+TOKEN_BITS = 128
+
+
+@attrs.define
+class _Running:
+    """An attempt of this process and what its caller waits for."""
+
+    work: KeyedWork
+    attempt: Attempt
+    outcome: asyncio.Future
+    task: asyncio.Task | None = None
+
+
+@keyed_call_policies.register("ledger")
+class Ledger(KeyedCalls):
+    """Calls that run at most once, whatever fails.
+
+    Args:
+      tables: The table service, in its class for this purpose.
+      objects: The object store for large answers; None keeps all answers in the rows.
+      cfg: The settings.
+      clock: Gives the time.
+      metrics: Takes counts.
+      rng: Makes attempts' tokens; seeded differently in every process.
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        objects: ObjectStore | None,
+        cfg: LedgerSettings,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self._objects = objects
+        self._cfg = cfg
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._writer = GroupWriter(tables, cfg.group_interval, cfg.group_limit, metrics)
+        self._reader = GroupReader(tables, cfg.group_interval, cfg.group_limit)
+        self._running: dict[str, _Running] = {}
+        self._sent: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    async def call(self, work, send):
+        key = row_key(work.account, work.key)
+        now = self._clock.monotonic()
+        deadline = now + self._cfg.call_limit if work.deadline is None else work.deadline
+        running = self._running.get(key)
+        if running is not None:
+            outcome = await self._join(running, work, deadline)
+        else:
+            outcome = await self._begin(key, work, send, deadline)
+        self._metrics.count("keyed_calls", outcome=type(outcome).__name__.lower())
+        return outcome
+
+    def state(self):
+        phases = collections.Counter(r.attempt.phase.value for r in self._running.values())
+        return {"attempts": dict(phases), "remembered": len(self._sent)}
+
+    async def close(self):
+        tasks = [running.task for running in self._running.values()]
+        for task in tasks:
+            task.cancel()
+        self._writer.close()
+        self._reader.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # Callers
+
+    async def _begin(self, key, work, send, deadline):
+        token = f"{self._rng.getrandbits(TOKEN_BITS):032x}"
+        attempt = Attempt(self._cfg, self._clock, work.body, token, deadline)
+        running = _Running(work, attempt, asyncio.get_running_loop().create_future())
+        self._running[key] = running
+        running.task = asyncio.ensure_future(self._run(key, running, send, deadline))
+        try:
+            return await asyncio.shield(running.outcome)
+        except asyncio.CancelledError:
+            attempt.caller_gone = True
+            raise
+
+    async def _join(self, running, work, deadline):
+        if running.work.body != work.body:
+            return NotRun("this key was used before with another body", status=OTHER_BODY)
+        running.attempt.caller_gone = False
+        left = (deadline - self._clock.monotonic()).total_seconds()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                return await asyncio.shield(running.outcome)
+        except TimeoutError:
+            reason = "a request with this key is in progress"
+            return Unknown(reason, IN_PROGRESS, self._cfg.longest_wait)
+
+    # The attempt
+
+    async def _run(self, key, running, send, deadline):
+        try:
+            await self._drive(key, running, send, deadline)
+        finally:
+            del self._running[key]
+            if not running.outcome.done():
+                running.outcome.set_result(Unknown("this process ends"))
+
+    async def _drive(self, key, running, send, deadline):
+        attempt = running.attempt
+        commands = attempt.start()
+        while True:
+            for command in commands:
+                if isinstance(command, Tell):
+                    running.outcome.set_result(self._honest(key, command.outcome))
+            match commands[-1]:
+                case Finish():
+                    return
+                case Put(row, expected):
+                    event = await self._put(key, row, expected)
+                case Read():
+                    event = await self._read(key)
+                case Send():
+                    self._remember(key)
+                    event = _sent_event(await send(deadline))
+                case Wait(duration):
+                    await self._clock.sleep(duration)
+                    event = Waited()
+            if isinstance(event, SendNotRun):
+                self._sent.pop(key, None)
+            commands = attempt.on(event)
+
+    def _remember(self, key):
+        self._sent[key] = None
+        self._sent.move_to_end(key)
+        if len(self._sent) > self._cfg.remembered:
+            self._sent.popitem(last=False)
+
+    def _honest(self, key, outcome):
+        """Never says NotRun, for want of the row, of a key that this process has sent."""
+        if isinstance(outcome, NotRun) and outcome.status == UNAVAILABLE and key in self._sent:
+            reason = "an earlier request with this key ran or may have; its record is out of reach"
+            return Unknown(reason, UNAVAILABLE, outcome.retry_after)
+        return outcome
+
+    # The table service
+
+    async def _put(self, key, row, expected):
+        row = await self._move_large_answer(key, row)
+        if row is None:
+            return StoreOut()
+        write = Write(TABLE, key, encode_row(row), expected)
+        match await self._writer.put(write):
+            case Ok(version):
+                return RowWritten(version)
+            case Conflict(current):
+                row = decode_row(current[TABLE, key])
+                return WriteRefused(await self._with_answer(row))
+            case AnswerLost():
+                self._metrics.count("ledger_answers_lost")
+                return WriteLost()
+            case Unavailable(_, retry_after):
+                return StoreOut(retry_after)
+
+    async def _read(self, key):
+        match await self._reader.get(TABLE, key):
+            case Ok(row):
+                return RowRead(await self._with_answer(decode_row(row)))
+            case Unavailable(_, retry_after):
+                return StoreOut(retry_after)
+
+    # Large answers
+
+    async def _move_large_answer(self, key, row):
+        """Returns the row with a large answer moved to the object store; None if it is out."""
+        answer = row.answer
+        if answer is None or self._objects is None or len(answer.body) <= self._cfg.answer_limit:
+            return row
+        name = f"ledger/{key}/{row.token}"
+        outcome = await self._objects.put(name, msgpack.packb(encode_answer(answer)))
+        if not isinstance(outcome, Ok):
+            return None
+        return attrs.evolve(row, answer=None, answer_object=name)
+
+    async def _with_answer(self, row):
+        """Returns the row with an answer kept elsewhere, without it if that is out of reach."""
+        if row is None or row.answer_object is None or self._objects is None:
+            return row
+        outcome = await self._objects.get(row.answer_object)
+        if not isinstance(outcome, Ok) or outcome.value is None:
+            return row
+        return attrs.evolve(row, answer=decode_answer(msgpack.unpackb(outcome.value)))
+
+
+def _sent_event(outcome):
+    match outcome:
+        case Ok(answer):
+            return SendAnswered(answer)
+        case NotSent(reason, retry_after):
+            return SendNotRun(reason, retry_after)
+        case Unknown(reason):
+            return SendUnknown(reason)
--- /dev/null
+++ b/cicadapond/ledger/_settings.py
@@ -0,0 +1,44 @@
+"""Settings of the ledger."""
+
+import datetime
+
+import attrs
+
+from cicadapond.kernel import at_least, setting
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_SECOND = datetime.timedelta(seconds=1)
+
+
+@attrs.frozen
+class LedgerSettings:
+    """How keyed calls are kept.
+
+    Attributes:
+      group_interval: How long rows are collected for one transaction.
+      group_limit: How many rows go into one transaction at most.
+      call_limit: How long a call without a deadline may take.
+      first_wait: The first wait before a row is read again; it doubles each time.
+      longest_wait: The longest such wait.
+      grace: How long after an attempt's end its row still counts as in progress, for clocks that
+        differ between hosts.
+      settle_limit: How long an attempt goes on recording what became of it.
+      row_term: How long a row is kept after its last change.
+      answer_limit: The largest body in bytes that is kept in the row itself.
+      remembered: How many keys that were sent a process remembers, for when the store is out.
+      sweep_interval: How often a process looks for expired rows.
+      sweep_page: How many rows it looks at each time.
+    """
+
+    group_interval: datetime.timedelta = 5 * _MILLISECOND
+    group_limit: int = setting(default=64, check=at_least(1))
+    call_limit: datetime.timedelta = 10 * _SECOND
+    first_wait: datetime.timedelta = 50 * _MILLISECOND
+    longest_wait: datetime.timedelta = 1 * _SECOND
+    grace: datetime.timedelta = 2 * _SECOND
+    settle_limit: datetime.timedelta = 300 * _SECOND
+    row_term: datetime.timedelta = datetime.timedelta(days=1)
+    answer_limit: int = setting(default=16_384, check=at_least(0))
+    remembered: int = setting(default=10_000, check=at_least(0))
+    sweep_interval: datetime.timedelta = 60 * _SECOND
+    sweep_page: int = setting(default=200, check=at_least(1))
--- /dev/null
+++ b/cicadapond/ledger/_trusting.py
@@ -0,0 +1,30 @@
+"""Policy "trusting": no record, and another send after each failure; the baseline."""
+
+from cicadapond.backend import NotSent
+from cicadapond.kernel import NotRun, Ok, Unknown
+from cicadapond.ledger._api import KeyedCalls, keyed_call_policies
+
+SENDS = 3
+
+
+@keyed_call_policies.register("trusting")
+class TrustingCalls(KeyedCalls):
+    """Trusts that a call without an answer did not run."""
+
+    def __init__(self, tables, objects, cfg, clock, metrics, rng):
+        self._cfg = cfg
+        self._clock = clock
+
+    async def call(self, work, send):
+        deadline = work.deadline
+        if deadline is None:
+            deadline = self._clock.monotonic() + self._cfg.call_limit
+        for _ in range(SENDS):
+            outcome = await send(deadline)
+            if isinstance(outcome, Ok):
+                return outcome
+        match outcome:
+            case NotSent(reason, retry_after):
+                return NotRun(reason, retry_after)
+            case Unknown():
+                return outcome
