--- a/cicadapond/standin/main.py
+++ b/cicadapond/standin/main.py
@@ -12,6 +12,7 @@
 from cicadapond.standin._engine import EngineModel, EngineTiming
 from cicadapond.standin._engine_http import engine_application
 from cicadapond.standin._faults import StorageTiming
+from cicadapond.standin._hosts_process import HostStandins, HostStandinSettings
 from cicadapond.standin._objects import ObjectModel
 from cicadapond.standin._storage_http import object_application, table_application
 from cicadapond.standin._tables import TableModel
@@ -26,6 +27,7 @@
     tables: Endpoint | None = None
     objects: Endpoint | None = None
     storage_timing: StorageTiming = attrs.field(factory=StorageTiming)
+    hosts: HostStandinSettings | None = None
     seed: int = 0
 
 
@@ -36,6 +38,7 @@
         self._cfg = cfg
         self._clock = LoopClock()
         self._servers = []
+        self.hosts: HostStandins | None = None
 
     def start(self) -> None:
         """Listens for every stand-in."""
@@ -43,6 +46,14 @@
             model = EngineModel(self._cfg.timing, self._clock)
             self._listen(f"engine {name}", engine_application(model), endpoint)
         self._start_storage()
+        if self._cfg.hosts is not None:
+            rng = random.Random(self._cfg.seed)
+            self.hosts = HostStandins(self._cfg.hosts, self._clock, rng, self._run_engine)
+            self.hosts.listen(self._listen)
+
+    def _run_engine(self, name, endpoint):
+        model = EngineModel(self._cfg.timing, self._clock)
+        self._listen(f"engine {name}", engine_application(model), endpoint)
 
     def _start_storage(self):
         cfg = self._cfg
@@ -62,6 +73,8 @@
 
     async def stop(self) -> None:
         """Ends all listeners and connections."""
+        if self.hosts is not None:
+            await self.hosts.close()
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
