Build the stand-in engine whole, and the adapter that reaches it

Cause: the stand-in engine generated each answer alone, without batching, cache, KV transfer, orders or faults, and the adapter raised the client's exception when a connection broke: a crash never reached the reader as an event.

`DirectEngine` gives the same engine on a virtual loop. Tokens and ends may carry their stream's id, so that a crossed one shows. The adapter shares one client a process, cancels by the progress callback and by the engine's cancel call, and turns malformed data and broken connections into `Broken`.

--- a/cicadapond/data.py
+++ b/cicadapond/data.py
@@ -177,11 +177,15 @@
 
 @attrs.frozen
 class Token:
-    """One generated token of an attempt; `sequence` counts from the answer's first token, 0."""
+    """One generated token of an attempt; `sequence` counts from the answer's first token, 0.
+
+    `stream_id` is empty where the engine's protocol does not repeat it with each token.
+    """
 
     epoch: int
     sequence: int
     text: str
+    stream_id: str = ""
 
 
 @attrs.frozen
@@ -197,6 +201,7 @@
     reason: str
     cached_tokens: int = 0
     computed_tokens: int = 0
+    stream_id: str = ""
 
 
 class BreakKind(enum.Enum):
--- a/cicadapond/plugins/engine_sse.py
+++ b/cicadapond/plugins/engine_sse.py
@@ -10,7 +10,14 @@
 import tornado.curl_httpclient
 import tornado.httpclient
 
-from cicadapond.backend import Engine, EngineStream, engines
+from cicadapond.backend import (
+    Accepted,
+    Engine,
+    EngineStream,
+    NotSent,
+    OrderRefused,
+    engines,
+)
 from cicadapond.data import (
     BackendServer,
     BreakKind,
@@ -23,11 +30,37 @@
     Order,
     Token,
 )
-from cicadapond.kernel import Ok, Unavailable
+from cicadapond.kernel import AnswerLost, Ok, Unavailable, seconds
 
 CONNECT_SECONDS = 1.0
+CONTROL_SECONDS = 2.0
+EXPORT_MARGIN_SECONDS = 1.0
+STREAM_SECONDS = datetime.timedelta(days=1).total_seconds()
 MAX_CLIENTS = 4096
-NO_CONNECTION_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+MAX_EVENT_BYTES = 1_000_000
+STATUS_OK = 200
+STATUS_NONE = 599
+STATUS_CONFLICT = 409
+STATUS_DOWN = 503
+NO_CONNECTION_ERRORS = (
+    pycurl.E_COULDNT_CONNECT,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+    pycurl.E_INTERFACE_FAILED,
+)
+MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
+
+
+class _EngineClient(tornado.curl_httpclient.CurlAsyncHTTPClient):
+    """The process's one client of engines; the base class keeps one instance per loop."""
+
+
+async def _fetch(request):
+    """Returns the response, or one with the error and without a status if there was none."""
+    client = _EngineClient(max_clients=MAX_CLIENTS)
+    try:
+        return await client.fetch(request, raise_error=False)
+    except tornado.httpclient.HTTPError as exc:
+        return tornado.httpclient.HTTPResponse(request, STATUS_NONE, error=exc)
 
 
 @engines.register("sse")
@@ -38,35 +71,121 @@
         self.server = server
         self._clock = clock
         self._metrics = metrics
-        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._base = f"http://{server.endpoint}"
+        self._cancels = set()
 
     def generate(self, call):
-        return _SseStream(self._client, f"http://{self.server.endpoint}/v1/generate", call)
+        return _SseStream(self, call)
 
     async def export_kv(self, stream_id, target, limit):
-        return Unavailable("this engine does not export KV cache")
+        fields = {"stream_id": stream_id, "target": str(target.endpoint)}
+        fields["limit_seconds"] = limit.total_seconds()
+        timeout = limit.total_seconds() + EXPORT_MARGIN_SECONDS
+        response = await self._fetch("/v1/kv/export", fields, timeout)
+        if response.code == STATUS_CONFLICT:
+            return NotSent(_reason(response))
+        return self._value(response, str)
 
-    async def load_report(self) -> Ok[LoadReport] | Unavailable:
-        return Unavailable("this engine does not report its load")
+    async def load_report(self):
+        return self._value(await self._fetch("/v1/load"), self._load_report)
 
-    async def cache_events(self, after) -> Ok[tuple[CacheEvent, ...]] | Unavailable:
-        return Ok(())
+    def _load_report(self, fields):
+        fields = {name: fields[name] for name in ("running", "waiting", "slots", "kv_used", "age")}
+        fields["age"] = seconds(fields["age"])
+        return LoadReport(server=self.server.name, **fields)
+
+    async def cache_events(self, after):
+        response = await self._fetch(f"/v1/cache/events?after={after}")
+        return self._value(response, lambda rows: tuple(CacheEvent(*row) for row in rows))
 
     async def order(self, order: Order):
-        return Unavailable("this engine takes no orders")
+        fields = attrs.asdict(order) | {"kind": order.kind.value}
+        response = await self._fetch("/v1/orders", fields)
+        if response.code == STATUS_OK:
+            return Accepted()
+        if response.code == STATUS_CONFLICT:
+            return self._refused(response)
+        if response.code == STATUS_DOWN or _never_connected(response):
+            return Unavailable(_reason(response))
+        return AnswerLost(_reason(response))
+
+    def _refused(self, response):
+        try:
+            newest = json.loads(response.body).get("newest_fencing")
+        except MALFORMED:
+            newest = None
+        return OrderRefused(_reason(response), newest)
+
+    async def state(self):
+        return self._value(await self._fetch("/v1/state"), self._state)
+
+    def _state(self, fields):
+        names = {field.name for field in attrs.fields(EngineState)}
+        known = {name: value for name, value in fields.items() if name in names}
+        known |= {"server": self.server.name, "adapters": tuple(fields["adapters"])}
+        return EngineState(**known)
+
+    def _value(self, response, build):
+        """Returns Ok with what a response holds, or Unavailable; bad data is counted."""
+        if response.code != STATUS_OK:
+            return Unavailable(_reason(response))
+        try:
+            return Ok(build(json.loads(response.body)["value"]))
+        except MALFORMED as exc:
+            self._metrics.count("engine_malformed", server=self.server.name)
+            return Unavailable(f"engine {self.server.name} answered with malformed data: {exc!r}")
+
+    async def _fetch(self, path, fields=None, timeout=CONTROL_SECONDS):
+        request = tornado.httpclient.HTTPRequest(
+            self._base + path,
+            method="GET" if fields is None else "POST",
+            body=None if fields is None else json.dumps(fields),
+            headers={"Content-Type": "application/json", "Expect": ""},
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=timeout,
+            prepare_curl_callback=_prepare_control,
+        )
+        return await _fetch(request)
 
-    async def state(self) -> Ok[EngineState] | Unavailable:
-        return Unavailable("this engine does not report its state")
+    def cancel(self, call: GenerateCall) -> None:
+        """Tells the engine on another connection that an attempt is no longer read."""
+        fields = {"stream_id": call.stream_id, "epoch": call.epoch}
+        task = asyncio.ensure_future(self._fetch("/v1/cancel", fields))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
 
     async def close(self):
-        self._client.close()
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+
+def _prepare_control(curl):
+    # The client's handles are used again: what a stream has set must not stay.
+    curl.setopt(pycurl.NOPROGRESS, 1)
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
+
+
+def _reason(response):
+    if response.error is not None and response.code != STATUS_CONFLICT:
+        return str(response.error)
+    try:
+        return str(json.loads(response.body)["reason"])
+    except MALFORMED:
+        return f"status {response.code}"
+
+
+def _never_connected(response):
+    """Returns whether no connection was made, so that nothing can have been sent."""
+    exc = response.error
+    if isinstance(exc, tornado.curl_httpclient.CurlError):
+        return exc.errno in NO_CONNECTION_ERRORS
+    # The client's own queue was full for longer than the connect timeout.
+    return response.code == STATUS_NONE
 
 
 class _SseStream(EngineStream):
-    def __init__(self, client, url, call: GenerateCall):
-        self._epoch = call.epoch
+    def __init__(self, engine: SseEngine, call: GenerateCall):
+        self._engine = engine
+        self._call = call
         self._events = collections.deque()
         self._arrived = asyncio.Event()
         self._rest = b""
@@ -74,50 +193,70 @@
         self._closed = False
         self._curl = None
         request = tornado.httpclient.HTTPRequest(
-            url,
+            f"http://{engine.server.endpoint}/v1/generate",
             method="POST",
             body=json.dumps(attrs.asdict(call)),
             headers={"Content-Type": "application/json", "Expect": ""},
             connect_timeout=CONNECT_SECONDS,
-            request_timeout=datetime.timedelta(days=1).total_seconds(),
+            request_timeout=STREAM_SECONDS,
             streaming_callback=self._receive,
             prepare_curl_callback=self._prepare,
         )
-        self._fetch = asyncio.ensure_future(self._run(client, request))
+        self._fetch = asyncio.ensure_future(self._run(request))
 
     def _prepare(self, curl):
         self._curl = curl
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
+        # An earlier attempt may have found a pooled connection silent.
+        curl.setopt(pycurl.FRESH_CONNECT, int(self._call.epoch > 1))
 
-    async def _run(self, client, request):
+    async def _run(self, request):
         try:
-            response = await client.fetch(request, raise_error=False)
+            response = await _fetch(request)
         finally:
             self._curl = None
         if not self._ended:
             self._push(self._broken(response))
 
     def _broken(self, response):
-        exc = response.error
-        if isinstance(exc, tornado.curl_httpclient.CurlError):
-            unreachable = exc.errno in NO_CONNECTION_ERRORS
-            kind = BreakKind.UNREACHABLE if unreachable else BreakKind.CRASHED
-            return Broken(self._epoch, kind, str(exc))
-        if response.code != 200:
-            return Broken(self._epoch, BreakKind.REFUSED, f"status {response.code}")
-        return Broken(self._epoch, BreakKind.TRUNCATED, "the stream ended without its end")
+        epoch = self._call.epoch
+        if _never_connected(response) or _timed_out(response):
+            return Broken(epoch, BreakKind.UNREACHABLE, str(response.error))
+        if isinstance(response.error, tornado.curl_httpclient.CurlError):
+            return Broken(epoch, BreakKind.CRASHED, str(response.error))
+        if response.code != STATUS_OK:
+            detail = f"status {response.code}"
+            return Broken(epoch, BreakKind.REFUSED, detail, _retry_after(response))
+        return Broken(epoch, BreakKind.TRUNCATED, "the stream ended without its end")
 
     def _receive(self, chunk):
-        *lines, self._rest = (self._rest + chunk).split(b"\n\n")
-        for line in lines:
-            if line.startswith(b"data: "):
-                self._push(_parse_event(self._epoch, json.loads(line[6:])))
+        *blocks, self._rest = (self._rest + chunk).split(b"\n\n")
+        for block in blocks:
+            if block.startswith(b"data: "):
+                self._push(self._parse(block.removeprefix(b"data: ")))
+        if len(self._rest) > MAX_EVENT_BYTES:
+            self._push(self._malformed(f"an event of more than {MAX_EVENT_BYTES} bytes"))
+
+    def _parse(self, text):
+        try:
+            return _parse_event(json.loads(text))
+        except MALFORMED as exc:
+            return self._malformed(repr(exc))
+
+    def _malformed(self, detail):
+        self._closed = True
+        self._engine._metrics.count("engine_malformed", server=self._engine.server.name)
+        detail = f"engine {self._engine.server.name} sent malformed data: {detail}"
+        return Broken(self._call.epoch, BreakKind.TRUNCATED, detail)
 
     def _push(self, event):
         if self._ended:
             return
-        self._ended = not isinstance(event, Token)
+        own = (self._call.epoch, self._call.stream_id)
+        self._ended = isinstance(event, Broken) or (
+            isinstance(event, Finished) and (event.epoch, event.stream_id) == own
+        )
         self._events.append(event)
         self._arrived.set()
 
@@ -138,11 +277,29 @@
             self._curl.pause(pycurl.PAUSE_CONT)
 
     def close(self):
+        if self._closed:
+            return
         self._closed = True
+        if not self._ended:
+            self._engine.cancel(self._call)
+
+
+def _timed_out(response):
+    """Returns whether a timeout ended it; a stream has one for its connection only."""
+    return getattr(response.error, "errno", None) == pycurl.E_OPERATION_TIMEDOUT
+
+
+def _retry_after(response):
+    try:
+        return seconds(float(response.headers.get("Retry-After")))
+    except (TypeError, ValueError):
+        return None
 
 
-def _parse_event(epoch, fields):
+def _parse_event(fields):
+    epoch, stream_id = int(fields["e"]), str(fields["s"])
     if "done" in fields:
-        cached, computed = fields["cached"], fields["computed"]
-        return Finished(epoch, fields["length"], fields["done"], cached, computed)
-    return Token(epoch, fields["n"], fields["t"])
+        cached, computed = int(fields["cached"]), int(fields["computed"])
+        length, reason = int(fields["length"]), str(fields["done"])
+        return Finished(epoch, length, reason, cached, computed, stream_id)
+    return Token(epoch, int(fields["n"]), str(fields["t"]), stream_id)
--- a/cicadapond/standin/__init__.py
+++ b/cicadapond/standin/__init__.py
@@ -7,6 +7,9 @@
     CloudTiming,
     DirectCloud,
 )
+from cicadapond.standin._engine import EngineModel, whole_answer
+from cicadapond.standin._engine_direct import DirectEngine
+from cicadapond.standin._engine_settings import EngineFaults, EngineSettings, EngineTiming
 from cicadapond.standin._faults import StorageFaults, StorageTiming
 from cicadapond.standin._host_list import DirectHostList, HostListModel
 from cicadapond.standin._objects import DirectObjects, ObjectModel
@@ -19,10 +22,15 @@
     "CloudOffer",
     "CloudTiming",
     "DirectCloud",
+    "DirectEngine",
     "DirectHostList",
     "DirectObjects",
     "DirectTables",
     "DirectWeights",
+    "EngineFaults",
+    "EngineModel",
+    "EngineSettings",
+    "EngineTiming",
     "HostListModel",
     "ObjectModel",
     "StorageFaults",
@@ -30,4 +38,5 @@
     "TableModel",
     "WeightModel",
     "WeightSettings",
+    "whole_answer",
 ]
--- a/cicadapond/standin/_engine.py
+++ b/cicadapond/standin/_engine.py
@@ -1,77 +1,483 @@
-"""A model engine's behaviour without its network: batching, prefix cache, deterministic tokens."""
+"""A model engine's behaviour without its network: batching, cache, KV transfer, orders, faults."""
 
+import abc
 import asyncio
-import hashlib
+import collections
+import datetime
+import random
+import typing
 
 import attrs
 
-from cicadapond.data import Finished, GenerateCall, Token, split_tokens
-from cicadapond.kernel import Clock
+from cicadapond.backend import Accepted, NotSent, OrderRefused
+from cicadapond.data import (
+    BreakKind,
+    Broken,
+    EngineState,
+    GenerateCall,
+    LoadReport,
+    Order,
+    OrderKind,
+    Token,
+    prefix_blocks,
+)
+from cicadapond.kernel import Clock, Ok, Unavailable, seconds
+from cicadapond.standin._engine_run import EngineRun, context_text
+from cicadapond.standin._engine_settings import EngineFaults, EngineSettings, EngineTiming
+from cicadapond.standin._prefix_cache import PrefixCache
+from cicadapond.standin._tokens import advance_chain, next_token, token_chain, whole_answer
 
-_SYLLABLES = ("ba", "co", "di", "fu", "ga", "lo", "mi", "ne", "po", "ru", "sa", "te", "vi", "zo")
+__all__ = [
+    "EngineFaults",
+    "EngineModel",
+    "EngineSettings",
+    "EngineTiming",
+    "advance_chain",
+    "next_token",
+    "token_chain",
+    "whole_answer",
+]
 
+MAX_KEPT_ORDERS = 1000
+REFUSAL_RETRY = seconds(1)
+MAX_FAULT_TOKENS = 8
 
-def token_chain(call: GenerateCall) -> bytes:
-    """Returns the state from which an answer's first token follows."""
-    digest = hashlib.blake2b(digest_size=8)
-    for part in (call.model, call.version, call.adapter or "", str(call.seed), call.prompt):
-        digest.update(part.encode() + b"\0")
-    return digest.digest()
 
+@attrs.define
+class _ImportedKv:
+    text: str
+    tokens: int
+    expires: datetime.timedelta
 
-def next_token(chain: bytes) -> tuple[str, bytes]:
-    """Returns the token that follows a state, and the state after it."""
-    number = int.from_bytes(chain, "big")
-    length = 1 + number % 3
-    word = "".join(_SYLLABLES[(number >> (8 * i)) % len(_SYLLABLES)] for i in range(length))
-    text = word + " "
-    return text, advance_chain(chain, text)
 
+class KvTarget(abc.ABC):
+    """Where an engine sends KV cache."""
 
-def advance_chain(chain: bytes, text: str) -> bytes:
-    """Returns the state after a token, so that a wrong earlier token changes all later ones."""
-    return hashlib.blake2b(chain + text.encode(), digest_size=8).digest()
+    @abc.abstractmethod
+    def link_free(self) -> datetime.timedelta:
+        """Returns the instant at which its link has no transfer left."""
 
+    @abc.abstractmethod
+    def reserve_link(self, end: datetime.timedelta) -> None:
+        """Takes its link until an instant."""
 
-def whole_answer(call: GenerateCall) -> list[str]:
-    """Returns every token of an undisturbed answer, for checkers."""
-    chain = token_chain(call)
-    tokens = []
-    for _ in range(call.max_tokens):
-        text, chain = next_token(chain)
-        tokens.append(text)
-    return tokens
+    @abc.abstractmethod
+    async def accept_kv(self, text: str, tokens: int) -> Ok[str] | Unavailable:
+        """Keeps KV cache for a text, and returns its handle."""
 
 
-@attrs.frozen
-class EngineTiming:
-    """How long an engine's work takes, in seconds per token."""
-
-    prefill_token_seconds: float = 0.0002
-    decode_step_seconds: float = 0.02
-
-
-class EngineModel:
+class EngineModel(KvTarget):
     """One stand-in engine.
 
     Args:
       timing: How long its work takes.
       clock: Gives the time.
+      cfg: Its sizes and habits.
+      name: Its name in reports.
+      rng: Chooses gaps and which attempts meet a fault.
+      load_weights: Waits until a model's weights are here, by model and version; by default it
+        takes the settings' duration.
     """
 
-    def __init__(self, timing: EngineTiming, clock: Clock):
-        self._timing = timing
-        self._clock = clock
-
-    async def generate(self, call: GenerateCall):
-        """Yields the attempt's tokens, then `Finished`."""
-        chain = token_chain(call)
-        for text in call.resume:
-            chain = advance_chain(chain, text)
-        prefill = len(split_tokens(call.prompt)) + len(call.resume)
-        await asyncio.sleep(prefill * self._timing.prefill_token_seconds)
-        for sequence in range(len(call.resume), call.max_tokens):
-            await asyncio.sleep(self._timing.decode_step_seconds)
-            text, chain = next_token(chain)
-            yield Token(call.epoch, sequence, text)
-        yield Finished(call.epoch, call.max_tokens, "length", 0, prefill)
+    def __init__(
+        self,
+        timing: EngineTiming,
+        clock: Clock,
+        cfg: EngineSettings | None = None,
+        name: str = "",
+        rng: random.Random | None = None,
+        load_weights: typing.Callable | None = None,
+    ):
+        self.timing = timing
+        self.cfg = cfg or EngineSettings()
+        self.name = name
+        self.faults = EngineFaults()
+        self.clock = clock
+        self.up = True
+        self.gone = False
+        self.leaving = False
+        self.notice_at: datetime.timedelta | None = None
+        self.last_start_at: datetime.timedelta | None = None
+        self.counts = collections.Counter()
+        self.orders = collections.deque(maxlen=MAX_KEPT_ORDERS)
+        self.on_up_change: list[typing.Callable[[bool], None]] = []
+        self._rng = rng or random.Random(0)
+        self._load_weights = load_weights or self._load_by_duration
+        self._model = self.cfg.model
+        self._version = self.cfg.version
+        self._adapters = ()
+        self._role = "serve"
+        self._loading: str | None = None
+        self._fencing = 0
+        self._draining = False
+        self._stopping = False
+        self._cache = self._new_cache()
+        self._waiting: list[EngineRun] = []
+        self._running: list[EngineRun] = []
+        self._imported: dict[str, _ImportedKv] = {}
+        self._handles = 0
+        self._link_free = datetime.timedelta()
+        self._tasks = set()
+        self._stepping = False
+        self._reports = collections.deque(maxlen=2)
+
+    # Attempts
+
+    def submit(self, call: GenerateCall) -> EngineRun:
+        """Takes an attempt; a refusal arrives as its first event."""
+        run = EngineRun(call)
+        broken = self._refusal(call)
+        if broken is not None:
+            self.counts["refused"] += 1
+            run.refused = broken
+            run.end(broken)
+            return run
+        self.counts["started"] += 1
+        self.last_start_at = self.clock.monotonic()
+        self._draw_faults(run)
+        self._waiting.append(run)
+        self._waiting.sort(key=lambda waiting: waiting.call.priority)
+        self._wake()
+        return run
+
+    def _refusal(self, call):
+        if not self.up:
+            return Broken(call.epoch, BreakKind.UNREACHABLE, f"engine {self.name} is down")
+        reason = ""
+        if self.faults.refuse:
+            reason = "refuses on order"
+        elif self._draining or self._stopping:
+            reason = "is draining"
+        elif self._loading is not None:
+            reason = f"loads version {self._loading}"
+        elif self._model is not None and (call.model, call.version) != (self._model, self._version):
+            reason = f"runs {self._model} {self._version}, not {call.model} {call.version}"
+        elif len(self._waiting) >= self.cfg.max_waiting:
+            reason = f"has {len(self._waiting)} waiting"
+        if not reason:
+            return None
+        return Broken(call.epoch, BreakKind.REFUSED, f"engine {self.name} {reason}", REFUSAL_RETRY)
+
+    def _draw_faults(self, run):
+        draw = self._rng.random
+        position = len(run.tokens) + self._rng.randint(1, MAX_FAULT_TOKENS)
+        if self.faults.silent_share and draw() < self.faults.silent_share:
+            run.silent_after = position
+        if self.faults.truncate_share and draw() < self.faults.truncate_share:
+            run.truncate_after = position
+        call = run.call
+        if call.epoch > 1 and self.faults.late_share and draw() < self.faults.late_share:
+            run.push(Token(call.epoch - 1, len(run.tokens), "late ", call.stream_id))
+        others = self._running
+        if others and self.faults.cross_share and draw() < self.faults.cross_share:
+            other = others[self._rng.randrange(len(others))]
+            run.push(Token(other.call.epoch, len(other.tokens), "crossed ", other.call.stream_id))
+
+    def cancel(self, stream_id: str, epoch: int) -> bool:
+        """Ends an attempt whose reader has gone; returns whether it was there."""
+        for runs in (self._waiting, self._running):
+            for run in runs:
+                if run.key == (stream_id, epoch):
+                    run.ended = True
+                    runs.remove(run)
+                    self.counts["cancelled"] += 1
+                    return True
+        return False
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts running or waiting."""
+        return len(self._running) + len(self._waiting)
+
+    # The step loop
+
+    def _wake(self):
+        if not self._stepping:
+            self._stepping = True
+            self._spawn(self._step_loop())
+
+    def _spawn(self, coro):
+        task = asyncio.ensure_future(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _step_loop(self):
+        while self.in_flight and self.up:
+            self._admit()
+            prefilled = self._prefill()
+            decoding = [run for run in self._running if not run.to_prefill and run.readable]
+            timing = self.timing
+            duration = timing.decode_step_seconds + len(decoding) * timing.decode_stream_seconds
+            duration += prefilled * timing.prefill_token_seconds
+            await self.clock.sleep(seconds(duration * self.faults.slowness))
+            self._finish_step(decoding)
+        self._stepping = False
+
+    def _admit(self):
+        while self._waiting and len(self._running) < self.cfg.slots:
+            run = self._waiting.pop(0)
+            run.cached = self._covered(run)
+            run.to_prefill = run.context_tokens - run.cached
+            self._running.append(run)
+
+    def _covered(self, run):
+        cached = self._cache.match(run.blocks)
+        handle = self._imported.pop(run.call.kv_handle, None)
+        if handle is not None and context_text(run.call, run.call.resume).startswith(handle.text):
+            cached = max(cached, handle.tokens)
+        return min(cached, run.context_tokens - 1)
+
+    def _prefill(self):
+        left = self.cfg.prefill_chunk_tokens
+        for run in sorted(self._running, key=lambda found: found.call.priority):
+            if not run.to_prefill:
+                continue
+            done = run.prefill(left)
+            self.counts["prefilled"] += done
+            left -= done
+            if not run.to_prefill:
+                self._cache.store(run.blocks, self.clock.monotonic())
+            if not left:
+                break
+        return self.cfg.prefill_chunk_tokens - left
+
+    def _finish_step(self, decoding):
+        if not self.up:
+            return
+        poison = self.faults.poison
+        if poison and any(
+            poison in run.call.prompt and not run.to_prefill for run in self._running
+        ):
+            self.crash()
+            return
+        for run in decoding:
+            if not run.ended:
+                run.decode()
+                self.counts["decoded"] += 1
+                if run.ended:
+                    self._keep_context(run)
+        self._running = [run for run in self._running if not run.ended]
+        self._note_load()
+
+    def _keep_context(self, run):
+        blocks = prefix_blocks(context_text(run.call, run.tokens))
+        self._cache.store(blocks, self.clock.monotonic())
+
+    # Going down
+
+    def crash(self) -> None:
+        """Ends every stream and comes back after the restart's duration, cache and all lost."""
+        self.counts["crashes"] += 1
+        self._go_down()
+        self._spawn(self._restart())
+
+    async def _restart(self):
+        await self.clock.sleep(self.cfg.restart_duration)
+        if not self.gone:
+            self.up = True
+            self._tell_up()
+
+    def reclaim(self, left: datetime.timedelta) -> None:
+        """Announces that the host is taken away; it is gone after `left`."""
+        self.leaving = True
+        self.notice_at = self.clock.monotonic()
+        self._note_load()
+        self._spawn(self._leave(left))
+
+    async def _leave(self, left):
+        await self.clock.sleep(left)
+        self.take_away()
+
+    def take_away(self) -> None:
+        """Takes the host away at once and for good."""
+        self.gone = True
+        self._go_down()
+
+    def _go_down(self):
+        self.up = False
+        runs = self._running + self._waiting
+        self._running, self._waiting = [], []
+        self._imported.clear()
+        self._cache = self._new_cache()
+        self._loading = None
+        for run in runs:
+            run.end(Broken(run.call.epoch, BreakKind.CRASHED, f"engine {self.name} went down"))
+        self._tell_up()
+
+    def _tell_up(self):
+        for listener in self.on_up_change:
+            listener(self.up)
+
+    def _new_cache(self):
+        cfg = self.cfg
+        return PrefixCache(cfg.cache_blocks, cfg.event_lag, cfg.event_gap_share, self._rng)
+
+    def silence(self) -> int:
+        """Makes all open streams silent for good while new ones work; returns how many."""
+        for run in self._running + self._waiting:
+            run.silent_after = 0
+        return self.in_flight
+
+    async def close(self) -> None:
+        """Ends all of its tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # KV transfer
+
+    async def export_kv(
+        self, stream_id: str, target: KvTarget, limit: datetime.timedelta
+    ) -> Ok[str] | NotSent | Unavailable:
+        """Copies a running stream's KV cache to another engine at the links' rate."""
+        run = next((run for run in self._running if run.call.stream_id == stream_id), None)
+        if run is None or run.to_prefill or not self.up:
+            return NotSent(f"engine {self.name} has no KV cache of stream {stream_id!r}")
+        text, tokens = context_text(run.call, run.tokens), run.context_tokens
+        duration = self.timing.kv_setup_seconds + tokens * self.timing.kv_token_seconds
+        now = self.clock.monotonic()
+        end = max(now, self._link_free, target.link_free()) + seconds(duration)
+        if end - now > limit:
+            return NotSent(f"the transfer takes {end - now}, more than the limit {limit}")
+        self.reserve_link(end)
+        target.reserve_link(end)
+        await self.clock.sleep(end - now)
+        if not self.up:
+            return Unavailable(f"engine {self.name} went down during the transfer")
+        outcome = await target.accept_kv(text, tokens)
+        if isinstance(outcome, Ok):
+            self.counts["exported"] += tokens
+        return outcome
+
+    def link_free(self):
+        return self._link_free
+
+    def reserve_link(self, end):
+        self._link_free = end
+
+    async def accept_kv(self, text, tokens):
+        if not self.up:
+            return Unavailable(f"engine {self.name} is down")
+        return Ok(self.import_kv(text, tokens))
+
+    def import_kv(self, text: str, tokens: int) -> str:
+        """Keeps transferred KV cache for a while, and returns its handle."""
+        self._handles += 1
+        handle = f"{self.name}-kv-{self._handles}"
+        now = self.clock.monotonic()
+        self._imported = {
+            name: found for name, found in self._imported.items() if found.expires > now
+        }
+        self._imported[handle] = _ImportedKv(text, tokens, now + self.cfg.kv_handle_term)
+        return handle
+
+    # Reports
+
+    def _note_load(self):
+        now = self.clock.monotonic()
+        if not self._reports or now - self._reports[-1][0] >= self.cfg.report_lag:
+            self._reports.append((now, self._load()))
+
+    def _load(self):
+        return LoadReport(
+            server=self.name,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            slots=self.cfg.slots,
+            kv_used=self._cache.used_share,
+            leaving=self.leaving,
+        )
+
+    def load_report(self) -> Ok[LoadReport] | Unavailable:
+        """Returns a load report that is between one and two lags old."""
+        if not self.up:
+            return Unavailable(f"engine {self.name} is down")
+        self._note_load()
+        at, report = self._reports[0]
+        return Ok(attrs.evolve(report, age=self.clock.monotonic() - at))
+
+    def cache_events(self, after: int):
+        """Returns the published cache events numbered above `after`."""
+        if not self.up:
+            return Unavailable(f"engine {self.name} is down")
+        return Ok(self._cache.events(after, self.clock.monotonic()))
+
+    def state(self) -> Ok[EngineState] | Unavailable:
+        """Returns what the engine runs."""
+        if not self.up:
+            return Unavailable(f"engine {self.name} is down")
+        return Ok(
+            EngineState(
+                server=self.name,
+                model=self._model,
+                version=self._version,
+                adapters=self._adapters,
+                role=self._role,
+                loading=self._loading,
+                fencing=self._fencing,
+                running=self.in_flight,
+                draining=self._draining,
+            )
+        )
+
+    # Orders
+
+    def order(self, order: Order) -> Accepted | OrderRefused | Unavailable:
+        """Carries out an order, or begins to."""
+        if not self.up:
+            return Unavailable(f"engine {self.name} is down")
+        if self.cfg.checks_fencing and order.fencing < self._fencing:
+            self.counts["fenced"] += 1
+            return OrderRefused(
+                f"fencing number {order.fencing} is older than {self._fencing}", self._fencing
+            )
+        self._fencing = order.fencing
+        self.orders.append((self.clock.monotonic(), order))
+        match order.kind:
+            case OrderKind.RUN:
+                self._run_version(order)
+            case OrderKind.ADAPTERS:
+                self._spawn(self._load_adapters(order.adapters))
+            case OrderKind.ROLE:
+                self._role = order.role or self._role
+            case OrderKind.DRAIN:
+                self._draining = True
+            case OrderKind.RESUME:
+                self._draining = False
+            case OrderKind.STOP:
+                self._stopping = True
+                self._spawn(self._stop_when_idle())
+        return Accepted()
+
+    def _run_version(self, order):
+        if self._loading == order.version:
+            return
+        if self._loading is None and (order.model, order.version) == (self._model, self._version):
+            return
+        self._loading = order.version
+        self._spawn(self._load_version(order.model, order.version))
+
+    async def _load_version(self, model, version):
+        await self._wait_idle()
+        await self._load_weights(model, version)
+        if self._loading != version or not self.up:
+            return
+        self._model, self._version, self._loading = model, version, None
+        self._adapters = ()
+        self._cache.clear(self.clock.monotonic())
+
+    async def _load_by_duration(self, model, version):
+        await self.clock.sleep(self.cfg.load_duration)
+
+    async def _load_adapters(self, adapters):
+        if set(adapters) - set(self._adapters):
+            await self.clock.sleep(self.cfg.adapter_load_duration)
+        self._adapters = tuple(adapters)
+
+    async def _stop_when_idle(self):
+        await self._wait_idle()
+        self.take_away()
+
+    async def _wait_idle(self):
+        while self.in_flight and self.up:
+            await self.clock.sleep(seconds(self.timing.decode_step_seconds))
--- a/cicadapond/standin/main.py
+++ b/cicadapond/standin/main.py
@@ -9,8 +9,9 @@
 from cicadapond.data import Endpoint
 from cicadapond.kernel import LoopClock, setting
 from cicadapond.kernel._program import run_program
-from cicadapond.standin._engine import EngineModel, EngineTiming
-from cicadapond.standin._engine_http import engine_application
+from cicadapond.standin._engine import EngineModel
+from cicadapond.standin._engine_http import EngineListener
+from cicadapond.standin._engine_settings import EngineSettings, EngineTiming
 from cicadapond.standin._faults import StorageTiming
 from cicadapond.standin._hosts_process import HostStandins, HostStandinSettings
 from cicadapond.standin._objects import ObjectModel
@@ -24,6 +25,7 @@
 
     engines: dict[str, Endpoint] = setting(factory=dict)
     timing: EngineTiming = attrs.field(factory=EngineTiming)
+    engine: EngineSettings = attrs.field(factory=EngineSettings)
     tables: Endpoint | None = None
     objects: Endpoint | None = None
     storage_timing: StorageTiming = attrs.field(factory=StorageTiming)
@@ -39,12 +41,13 @@
         self._clock = LoopClock()
         self._servers = []
         self.hosts: HostStandins | None = None
+        self.engines: dict[str, EngineModel] = {}
+        self._engine_listeners = []
 
     def start(self) -> None:
         """Listens for every stand-in."""
         for name, endpoint in self._cfg.engines.items():
-            model = EngineModel(self._cfg.timing, self._clock)
-            self._listen(f"engine {name}", engine_application(model), endpoint)
+            self._run_engine(name, endpoint)
         self._start_storage()
         if self._cfg.hosts is not None:
             rng = random.Random(self._cfg.seed)
@@ -52,8 +55,13 @@
             self.hosts.listen(self._listen)
 
     def _run_engine(self, name, endpoint):
-        model = EngineModel(self._cfg.timing, self._clock)
-        self._listen(f"engine {name}", engine_application(model), endpoint)
+        cfg = self._cfg
+        rng = random.Random(f"{cfg.seed} {name}")
+        self.engines[name] = EngineModel(cfg.timing, self._clock, cfg.engine, name, rng)
+        listener = EngineListener(self.engines[name], endpoint)
+        listener.start()
+        self._engine_listeners.append(listener)
+        logging.info("engine %s listens on %s", name, endpoint)
 
     def _start_storage(self):
         cfg = self._cfg
@@ -75,6 +83,8 @@
         """Ends all listeners and connections."""
         if self.hosts is not None:
             await self.hosts.close()
+        for listener in self._engine_listeners:
+            await listener.stop()
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
