Add membership: a state machine, in memory and over TCP

Cause: processes must know each other, what leaves and how loaded servers are, with no second coordination service and no full mesh between data centres. Change: heartbeats, probes through others, incarnations and suspicion in a data centre; a few relays by rendezvous hash between data centres; digests as versioned items of which only changes travel; versions compared now and then; garbage counted and dropped. Transports in memory (cuts, silence, loss) and over TCP.

--- a/cicadapond/peer/__init__.py
+++ b/cicadapond/peer/__init__.py
@@ -1,5 +1,27 @@
 """Membership and digests: what the processes of the system tell one another."""
 
 from cicadapond.peer._api import Digest, Member, MemberState, NoPeers, Peers
+from cicadapond.peer._membership import Membership
+from cicadapond.peer._settings import PeerSettings
+from cicadapond.peer._task import PeerTask
+from cicadapond.peer._tcp import TcpTransport
+from cicadapond.peer._topology import owner, rank
+from cicadapond.peer._transport import Link, MemoryNetwork, MemoryTransport, Transport
 
-__all__ = ["Digest", "Member", "MemberState", "NoPeers", "Peers"]
+__all__ = [
+    "Digest",
+    "Link",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MemoryNetwork",
+    "MemoryTransport",
+    "NoPeers",
+    "PeerSettings",
+    "PeerTask",
+    "Peers",
+    "TcpTransport",
+    "Transport",
+    "owner",
+    "rank",
+]
--- /dev/null
+++ b/cicadapond/peer/_documents.py
@@ -0,0 +1,236 @@
+"""Each member's digest as a versioned document of small items, so that only changes travel.
+
+A member has two documents.  The wide one goes to every process of the system; the local one
+(counts and loads, which change all the time) only to processes of the member's own data centre.
+Each item bears the version at which it last changed.  Whoever has a version of a document can be
+brought up to date by any process that has a newer one, with just the items above that version.
+"""
+
+import datetime
+import enum
+import typing
+
+import attrs
+
+from cicadapond.data import LoadReport
+from cicadapond.peer._api import Digest
+
+
+class Section(enum.IntEnum):
+    """Parts of a digest, as numbered on the wire."""
+
+    REVISION = 0
+    IN_FLIGHT = 1
+    LEAVING = 2
+    DRAINS = 3
+    LOADS = 4
+    CONVICTED = 5
+    SUSPECTS = 6
+
+
+# News of these sections leaves at once; other news waits for the next heartbeat.
+URGENT = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
+MIN_COUNT_CHANGE = 2
+COUNT_CHANGE_SHARE = 0.25
+MAX_LOAD_AGE = datetime.timedelta(seconds=5)
+TOMBSTONE_LIMIT = 64
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@attrs.define
+class Document:
+    """Items of one document: (section, key) to (version, value); a value of None is a deletion."""
+
+    version: int = 0
+    floor: int = 0
+    items: dict = attrs.field(factory=dict)
+    tombstones: int = 0
+
+    def put(self, section: int, key: str, value) -> None:
+        """Sets an item of the own document, or deletes it with a value of None."""
+        self.version += 1
+        self.items[section, key] = (self.version, value)
+        self.tombstones += value is None
+        if self.tombstones > TOMBSTONE_LIMIT:
+            self._collect()
+
+    def _collect(self):
+        """Drops the older half of the deletions and raises the floor above them."""
+        dead = sorted((item[0], at) for at, item in self.items.items() if item[1] is None)
+        for version, at in dead[: len(dead) // 2]:
+            del self.items[at]
+            self.floor = version
+        self.tombstones = len(dead) - len(dead) // 2
+
+    def since(self, version: int) -> list:
+        """Returns the items above a version in order of version, as they travel."""
+        newer = [
+            (section, key, item[0], item[1])
+            for (section, key), item in self.items.items()
+            if item[0] > version
+        ]
+        newer.sort(key=lambda found: found[2])
+        return newer
+
+    def apply(self, floor: int, base: int, top: int, items: list) -> list:
+        """Takes items of another process: all that changed above `base` up to `top`.
+
+        The version rises only if nothing is missing below `base`, so that it always says up to
+        where this copy is complete.
+
+        Returns:
+          The (section, key) of those that were newer than what is here.
+        """
+        if self.version < floor and self.floor < floor:
+            self.items.clear()
+            self.version = 0
+        changed = []
+        for section, key, version, value in items:
+            known = self.items.get((section, key))
+            if known is None or known[0] < version:
+                self.items[section, key] = (version, value)
+                changed.append((section, key))
+        if base <= self.version < top:
+            self.version = top
+        if floor > self.floor:
+            self.floor = floor
+            self._drop_below_floor()
+        return changed
+
+    def _drop_below_floor(self):
+        floor = self.floor
+        old = [at for at, item in self.items.items() if item[1] is None and item[0] <= floor]
+        for at in old:
+            del self.items[at]
+
+
+# From a digest to items and back
+
+
+def _load_value(report):
+    age = report.age // _MILLISECOND
+    kv_used = round(report.kv_used, 2)
+    return [report.running, report.waiting, report.slots, kv_used, age, report.leaving]
+
+
+def _load_report(server, value):
+    running, waiting, slots, kv_used, age, leaving = value
+    return LoadReport(server, running, waiting, slots, kv_used, age * _MILLISECOND, leaving)
+
+
+def _instant(value):
+    return datetime.datetime.fromtimestamp(value, datetime.UTC)
+
+
+def _count_changed(old, new):
+    if not old or not new:
+        return old != new
+    return abs(new - old) >= max(MIN_COUNT_CHANGE, COUNT_CHANGE_SHARE * old)
+
+
+class DigestWriter:
+    """Turns the digests that a process publishes into items of its two documents.
+
+    Counts in flight travel when they change by enough to matter for routing, and exactly where
+    a drain waits for them; loads travel when they change or grow old.
+
+    Args:
+      wide_loads: The interval at which loads are told to other data centres.
+      wide_server: Whether counts for a backend server matter in other data centres.
+    """
+
+    def __init__(self, wide_loads: datetime.timedelta, wide_server: typing.Callable[[str], bool]):
+        self.local = Document()
+        self.wide = Document()
+        self._wide_loads = wide_loads
+        self._wide_server = wide_server
+        self._load_times: dict[tuple[bool, str], datetime.timedelta] = {}
+
+    def publish(self, digest: Digest, now: datetime.timedelta) -> list:
+        """Takes a digest.
+
+        Returns:
+          What changed: (wide, section, key).
+        """
+        changed = []
+        self._replace(True, Section.REVISION, {"": digest.revision}, changed)
+        self._replace(True, Section.LEAVING, digest.leaving, changed)
+        self._replace(True, Section.DRAINS, digest.drains, changed)
+        convicted = {key: end.timestamp() for key, end in digest.convicted.items()}
+        self._replace(True, Section.CONVICTED, convicted, changed)
+        self._replace(True, Section.SUSPECTS, digest.suspects, changed)
+        self._publish_counts(digest, changed)
+        self._publish_loads(digest, now, changed)
+        return changed
+
+    def _replace(self, wide, section, values, changed, differs=None):
+        document = self.wide if wide else self.local
+        for (found, key), (_, value) in list(document.items.items()):
+            if found == section and value is not None and key not in values:
+                document.put(section, key, None)
+                changed.append((wide, section, key))
+        for key, value in values.items():
+            known = document.items.get((section, key), (0, None))[1]
+            if differs(known, value, key) if differs else known != value:
+                document.put(section, key, value)
+                changed.append((wide, section, key))
+
+    def _publish_counts(self, digest, changed):
+        exact = digest.leaving.keys() | digest.drains.keys()
+
+        def differs(known, value, key):
+            return known != value if key in exact else _count_changed(known, value)
+
+        counts = {name: count for name, count in digest.in_flight.items() if count}
+        wide = {
+            name: count
+            for name, count in counts.items()
+            if name in exact or self._wide_server(name)
+        }
+        self._replace(False, Section.IN_FLIGHT, counts, changed, differs)
+        self._replace(True, Section.IN_FLIGHT, wide, changed, differs)
+
+    def _publish_loads(self, digest, now, changed):
+        values = {name: _load_value(report) for name, report in digest.loads.items()}
+        for wide, interval in ((False, MAX_LOAD_AGE), (True, self._wide_loads)):
+
+            def differs(known, value, key, wide=wide, interval=interval):
+                due = now - self._load_times.get((wide, key), -interval) >= interval
+                moved = known is None or _load_moved(known, value, wide)
+                if known is None or (moved and not wide) or (due and (moved or not wide)):
+                    self._load_times[wide, key] = now
+                    return True
+                return False
+
+            self._replace(wide, Section.LOADS, values, changed, differs)
+        for known in [known for known in self._load_times if known[1] not in values]:
+            del self._load_times[known]
+
+
+def _load_moved(known, value, wide):
+    if known[5] != value[5]:
+        return True
+    if wide:
+        return _count_changed(known[0] + known[1], value[0] + value[1])
+    return _count_changed(known[0], value[0]) or _count_changed(known[1], value[1])
+
+
+def read_digest(local: Document, wide: Document) -> Digest:
+    """Returns the digest that a member's documents hold."""
+    sections = [{} for _ in Section]
+    for document in (wide, local):
+        for (section, key), (_, value) in document.items.items():
+            if value is not None and section < len(sections):
+                sections[section][key] = value
+    try:
+        return Digest(
+            revision=sections[Section.REVISION].get("", 0),
+            in_flight=sections[Section.IN_FLIGHT],
+            leaving=sections[Section.LEAVING],
+            drains=sections[Section.DRAINS],
+            loads={key: _load_report(key, v) for key, v in sections[Section.LOADS].items()},
+            convicted={key: _instant(end) for key, end in sections[Section.CONVICTED].items()},
+            suspects=sections[Section.SUSPECTS],
+        )
+    except (TypeError, ValueError, OverflowError):
+        return Digest()
--- /dev/null
+++ b/cicadapond/peer/_settings.py
@@ -0,0 +1,45 @@
+"""Settings of membership."""
+
+import datetime
+
+import attrs
+
+from cicadapond.data import Endpoint
+from cicadapond.kernel import at_least, setting
+
+_SECOND = datetime.timedelta(seconds=1)
+
+
+@attrs.frozen
+class PeerSettings:
+    """How one process takes part in membership.
+
+    Attributes:
+      name: The process's name, unique among all processes of the system.
+      zone: Its data centre.
+      role: What it runs: "entry" or "controller".
+      endpoint: The address that it listens on for other processes.
+      seeds: Addresses tried while no process is known there.
+      beat: The interval of heartbeats and of ordinary news in a data centre.
+      relay_beat: The interval of heartbeats between data centres.
+      silence: A connection without an answer for so long is dialled anew.
+      suspicion: How long a suspect has to refute before it counts as dead.
+      sync: The interval at which versions are compared with one random member.
+      forget: How long dead and left members are remembered, so that old news cannot revive them.
+      relays: How many processes of a data centre talk to each other data centre.
+      wide_loads: The interval at which loads are told to other data centres.
+    """
+
+    name: str
+    zone: str
+    endpoint: Endpoint
+    role: str = "entry"
+    seeds: tuple[Endpoint, ...] = ()
+    beat: datetime.timedelta = _SECOND
+    relay_beat: datetime.timedelta = _SECOND / 2
+    silence: datetime.timedelta = 2.5 * _SECOND
+    suspicion: datetime.timedelta = 2.5 * _SECOND
+    sync: datetime.timedelta = 2 * _SECOND
+    forget: datetime.timedelta = 600 * _SECOND
+    relays: int = setting(default=2, check=at_least(1))
+    wide_loads: datetime.timedelta = 10 * _SECOND
--- /dev/null
+++ b/cicadapond/peer/_task.py
@@ -0,0 +1,349 @@
+"""The task that runs membership: it owns the connections, the state machine has the decisions."""
+
+import asyncio
+import datetime
+import random
+import typing
+
+import attrs
+from absl import logging
+
+from cicadapond.data import Endpoint
+from cicadapond.kernel import Clock, Metrics, Task
+from cicadapond.peer._api import Digest, Member, MemberState, Peers
+from cicadapond.peer._membership import Membership, Redial
+from cicadapond.peer._settings import PeerSettings
+from cicadapond.peer._transport import Link, Transport
+from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, decode, encode
+
+TICK = datetime.timedelta(milliseconds=250)
+URGENT_DELAY = datetime.timedelta(milliseconds=20)
+FIRST_BACKOFF = datetime.timedelta(milliseconds=200)
+LAST_BACKOFF = datetime.timedelta(seconds=2)
+
+
+@attrs.define(eq=False)
+class _Outbound:
+    """The own connection to an address, or the attempts to make it."""
+
+    endpoint: Endpoint
+    link: Link | None = None
+    name: str | None = None
+    dialling: asyncio.Task | None = None
+    since: datetime.timedelta = datetime.timedelta()
+    not_before: datetime.timedelta = datetime.timedelta()
+    backoff: datetime.timedelta = FIRST_BACKOFF
+
+
+class PeerTask(Task, Peers):
+    """Membership over a transport.
+
+    Args:
+      cfg: The process's identity, address, seeds and intervals.
+      transport: Makes connections.
+      clock: Gives the time.
+      metrics: Takes counts.
+      rng: Spreads attempts in time and chooses whom to ask.
+      wide_server: Whether counts in flight for a backend server matter in other data centres.
+    """
+
+    name = "peer"
+
+    def __init__(
+        self,
+        cfg: PeerSettings,
+        transport: Transport,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+        wide_server: typing.Callable[[str], bool] = lambda server: False,
+    ):
+        self.cfg = cfg
+        self._transport = transport
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._wide_server = wide_server
+        self._digest = Digest()
+        self._membership: Membership | None = None
+        self._outbound: dict[Endpoint, _Outbound] = {}
+        self._inbound: set[Link] = set()
+        self._by_name: dict[str, _Outbound] = {}
+        self._listeners: list[typing.Callable[[Member], None]] = []
+        self._flush: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    # Peers
+
+    def members(self):
+        if self._membership is None:
+            return ()
+        return tuple(record.member() for record in self._membership.records.values())
+
+    def publish(self, digest):
+        self._digest = digest
+        if self._membership is not None:
+            self._membership.publish(digest, self._clock.monotonic())
+            self._soon()
+
+    def subscribe(self, listener):
+        self._listeners.append(listener)
+
+    def heard_from_zone(self, zone):
+        return self._membership.zone_heard.get(zone) if self._membership else None
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a later start of a process of this name has been heard of."""
+        return self._membership is not None and self._membership.superseded
+
+    def state(self) -> dict:
+        """Returns the membership list and connections for a dump."""
+        now = self._clock.monotonic()
+        return {
+            "name": self.cfg.name,
+            "zone": self.cfg.zone,
+            "connections": sorted(self._by_name),
+            "inbound": len(self._inbound),
+            "members": [
+                {
+                    "name": member.name,
+                    "zone": member.zone,
+                    "role": member.role,
+                    "state": member.state.value,
+                    "incarnation": member.incarnation,
+                    "heard_seconds_ago": round((now - member.heard).total_seconds(), 3),
+                    "revision": member.digest.revision,
+                }
+                for member in sorted(self.members(), key=lambda found: found.name)
+            ],
+        }
+
+    # Running
+
+    def start(self) -> None:
+        """Listens, so that others can connect from now on; `run` calls it if nobody has."""
+        if self._membership is not None:
+            return
+        self._membership = Membership(
+            self.cfg,
+            self._clock.monotonic(),
+            self._clock.now(),
+            self._rng,
+            self._metrics,
+            self._wide_server,
+        )
+        self._membership.publish(self._digest, self._clock.monotonic())
+        self._transport.listen(self.cfg.endpoint, self._accept)
+
+    async def run(self):
+        self.start()
+        await self._clock.sleep(TICK * self._rng.random())
+        while True:
+            self._membership.tick(self._clock.monotonic())
+            self._perform()
+            self._reconcile()
+            await self._clock.sleep(TICK)
+
+    async def leave(self) -> None:
+        """Tells the others that this process ends."""
+        if self._membership is None:
+            return
+        self._membership.leave()
+        self._perform()
+        await self._clock.sleep(2 * URGENT_DELAY)
+
+    async def close(self):
+        if self._closed:
+            return
+        self._closed = True
+        if self._flush is not None:
+            self._flush.cancel()
+        dialling = [out.dialling for out in self._outbound.values() if out.dialling]
+        for attempt in dialling:
+            attempt.cancel()
+        await asyncio.gather(*dialling, return_exceptions=True)
+        for out in list(self._outbound.values()):
+            if out.link is not None:
+                out.link.close()
+        for link in list(self._inbound):
+            link.close()
+        self._transport.close()
+
+    # Outputs of the state machine
+
+    def _soon(self):
+        if self._flush is None and not self._closed:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(URGENT_DELAY.total_seconds(), self._perform)
+
+    def _perform(self):
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        bodies: dict[str, list[bytes]] = {}
+        for output in self._membership.outputs():
+            if isinstance(output, Redial):
+                self._drop(self._by_name.get(output.name))
+                continue
+            body = encode(output.message)
+            for name in output.names:
+                bodies.setdefault(name, []).append(body)
+        for name, frames in bodies.items():
+            out = self._by_name.get(name)
+            if out is not None and out.link is not None:
+                self._send(out.link, frames)
+        self._notify()
+
+    def _send(self, link, bodies):
+        for body in bodies:
+            if len(body) > MAX_MESSAGE_BYTES:
+                self._metrics.count("peer_messages_too_long")
+        link.send([body for body in bodies if len(body) <= MAX_MESSAGE_BYTES])
+
+    def _notify(self):
+        changed, self._membership.changed = self._membership.changed, set()
+        changed.discard(self.cfg.name)
+        if not self._listeners:
+            return
+        for name in changed:
+            record = self._membership.records.get(name)
+            if record is None:
+                continue
+            member = record.member()
+            for listener in self._listeners:
+                listener(member)
+
+    # Connections made
+
+    def _reconcile(self):
+        """Dials what is wanted and not there, drops what is no longer wanted."""
+        now = self._clock.monotonic()
+        wanted = set(self._membership.wanted().values())
+        live = {
+            record.endpoint
+            for record in self._membership.records.values()
+            if record.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        }
+        wanted.update(seed for seed in self.cfg.seeds if seed not in live)
+        wanted.discard(self.cfg.endpoint)
+        for endpoint in wanted:
+            out = self._outbound.setdefault(endpoint, _Outbound(endpoint))
+            if out.link is None and out.dialling is None and now >= out.not_before:
+                out.dialling = asyncio.ensure_future(self._dial(out))
+        for endpoint, out in list(self._outbound.items()):
+            unnamed = out.link is not None and out.name is None
+            if endpoint not in wanted or (unnamed and now - out.since > self.cfg.silence):
+                self._drop(out)
+            if endpoint not in wanted and out.dialling is None:
+                self._outbound.pop(endpoint, None)
+
+    async def _dial(self, out):
+        try:
+            link = await self._transport.dial(out.endpoint)
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            self._metrics.count("peer_dial_errors")
+            logging.error("dialling %s failed: %r", out.endpoint, exc)
+            link = None
+        out.dialling = None
+        now = self._clock.monotonic()
+        if link is None or self._closed:
+            if link is not None:
+                link.close()
+            self._back_off(out, now)
+            return
+        out.link = link
+        out.since = now
+        link.received = lambda body: self._receive_outbound(out, link, body)
+        link.closed = lambda: self._drop(out) if out.link is link else None
+        link.send([encode(Hello(self._membership.identity()))])
+
+    def _back_off(self, out, now):
+        out.not_before = now + out.backoff * (0.5 + self._rng.random())
+        out.backoff = min(2 * out.backoff, LAST_BACKOFF)
+        for name, endpoint in self._membership.wanted().items():
+            if endpoint == out.endpoint:
+                self._membership.link_down(name, now)
+                return
+
+    def _drop(self, out):
+        if out is None or out.link is None:
+            return
+        link, out.link = out.link, None
+        link.close()
+        name, out.name = out.name, None
+        now = self._clock.monotonic()
+        if name is not None and self._by_name.get(name) is out:
+            del self._by_name[name]
+            self._membership.link_down(name, now)
+        out.not_before = now + out.backoff * self._rng.random()
+
+    def _receive_outbound(self, out, link, body):
+        message = self._decode(body)
+        if message is None or out.link is not link:
+            return
+        now = self._clock.monotonic()
+        if out.name is None:
+            self._identify(out, message, now)
+        else:
+            self._hear(link, out.name, message, now)
+
+    def _identify(self, out, message, now):
+        if not isinstance(message, Hello) or not self._membership.hello(message.identity, now):
+            self._drop(out)
+            return
+        name = message.identity.name
+        if name in self._by_name:
+            self._drop(out)
+            return
+        out.name = name
+        out.backoff = FIRST_BACKOFF
+        self._by_name[name] = out
+        self._membership.link_up(name, now)
+        self._soon()
+
+    # Connections taken
+
+    def _accept(self, link):
+        if self._closed:
+            link.close()
+            return
+        names: list[str] = []
+        self._inbound.add(link)
+        link.received = lambda body: self._receive_inbound(link, names, body)
+        link.closed = lambda: self._inbound.discard(link)
+
+    def _receive_inbound(self, link, names, body):
+        message = self._decode(body)
+        if message is None:
+            return
+        now = self._clock.monotonic()
+        if names:
+            self._hear(link, names[0], message, now)
+            return
+        if not isinstance(message, Hello) or not self._membership.hello(message.identity, now):
+            self._metrics.count("peer_garbage")
+            self._inbound.discard(link)
+            link.close()
+            return
+        names.append(message.identity.name)
+        link.send([encode(Hello(self._membership.identity()))])
+        self._soon()
+
+    def _decode(self, body):
+        message = decode(body)
+        self._metrics.count("peer_messages_received")
+        self._metrics.count("peer_bytes_received", len(body))
+        if message is None:
+            self._metrics.count("peer_garbage")
+        return message
+
+    def _hear(self, link, name, message, now):
+        replies = self._membership.hear(name, message, now)
+        if replies:
+            self._send(link, [encode(reply) for reply in replies])
+        membership = self._membership
+        if membership.changed or membership.urgent:
+            self._soon()
