Plan capacity: the cheapest mix that stands the loss of a zone, and two baselines

Cause: nothing decided which hosts to buy. Change: policies 'cheapest-mix', 'on-demand-only' and 'cheapest-zone' behind one class, refusals that back off per zone, class and market, reclaim rates that fade, a need that rises at once and falls after a hold, and the difference between a plan and what is held. The mix tries the cap N / (j - 1) on a zone for each number j of zones, between which the cost is linear. Conclusion: by hypothesis a plan stands the loss of any zone wherever two zones sell.

--- /dev/null
+++ b/cicadapond/capacity/__init__.py
@@ -0,0 +1,45 @@
+"""Capacity: which hosts to hold so that the latency targets hold at the lowest cost.
+
+No I/O: a policy plans from prices, refusals, reclaims and need; the controller carries it out.
+"""
+
+from cicadapond.capacity._api import (
+    CapacityPolicy,
+    CapacityView,
+    HeldHost,
+    Offer,
+    PoolNeed,
+    Target,
+    capacity_policies,
+    target_of,
+)
+from cicadapond.capacity._difference import Difference, difference
+from cicadapond.capacity._memory import (
+    UTILISATION_TARGET,
+    NeedTracker,
+    OfferKey,
+    ReclaimRates,
+    Refusals,
+)
+from cicadapond.capacity._policies import CheapestMix, CheapestZone, OnDemandOnly
+
+__all__ = [
+    "UTILISATION_TARGET",
+    "CapacityPolicy",
+    "CapacityView",
+    "CheapestMix",
+    "CheapestZone",
+    "Difference",
+    "HeldHost",
+    "NeedTracker",
+    "Offer",
+    "OfferKey",
+    "OnDemandOnly",
+    "PoolNeed",
+    "ReclaimRates",
+    "Refusals",
+    "Target",
+    "capacity_policies",
+    "difference",
+    "target_of",
+]
--- /dev/null
+++ b/cicadapond/capacity/_api.py
@@ -0,0 +1,91 @@
+"""What a capacity policy sees and what it plans, and the registry of policies."""
+
+import abc
+
+import attrs
+
+from cicadapond.data import Market
+from cicadapond.document import CostIntent
+from cicadapond.kernel import Registry
+
+
+@attrs.frozen
+class Offer:
+    """Hosts that the cloud sells in one zone now.
+
+    Attributes:
+      per_hour: The price of one host.
+      slots: How many requests one host runs at once.
+      available: Whether a start is worth a try; False while refusals back off.
+      reclaims_per_hour: How often a host of this kind has lately been reclaimed.
+    """
+
+    zone: str
+    machine_class: str
+    market: Market
+    per_hour: float
+    slots: int
+    available: bool = True
+    reclaims_per_hour: float = 0.0
+
+
+@attrs.frozen
+class HeldHost:
+    """A host that is held now; `state` is "starting", "live" or "leaving"."""
+
+    host_id: str
+    pool: str
+    zone: str
+    machine_class: str
+    market: Market
+    state: str
+    slots: int
+
+
+@attrs.frozen
+class PoolNeed:
+    """How many slots a pool needs to hold its latency target, and how many servers at least."""
+
+    pool: str
+    slots: float
+    replicas: int = 0
+
+
+@attrs.frozen
+class CapacityView:
+    """Everything that a policy decides on."""
+
+    needs: tuple[PoolNeed, ...]
+    hosts: tuple[HeldHost, ...]
+    offers: tuple[Offer, ...]
+    cost: CostIntent
+
+
+@attrs.frozen
+class Target:
+    """Hosts of one kind for one pool."""
+
+    pool: str
+    zone: str
+    machine_class: str
+    market: Market
+
+
+class CapacityPolicy(abc.ABC):
+    """Plans how many hosts of which kind each pool has.
+
+    The controllers of all data centres plan from the same inputs and carry out their own
+    zone's part, so a plan must follow from the view alone.
+    """
+
+    @abc.abstractmethod
+    def plan(self, view: CapacityView) -> dict[Target, int]:
+        """Returns how many hosts each target shall have; targets left out have none."""
+
+
+capacity_policies: Registry[CapacityPolicy] = Registry("capacity policy")
+
+
+def target_of(host: HeldHost) -> Target:
+    """Returns the target that a host counts for."""
+    return Target(host.pool, host.zone, host.machine_class, host.market)
--- /dev/null
+++ b/cicadapond/capacity/_difference.py
@@ -0,0 +1,65 @@
+"""From a plan and what is held to the hosts to buy and to let go."""
+
+import collections
+
+import attrs
+
+from cicadapond.capacity._api import HeldHost, Target, target_of
+
+_LET_GO_FIRST = {"starting": 0, "live": 1}
+
+
+@attrs.frozen
+class Difference:
+    """What to do: targets to buy one host for each, and hosts to let go."""
+
+    buys: tuple[Target, ...]
+    releases: tuple[HeldHost, ...]
+
+
+def difference(plan: dict[Target, int], hosts: tuple[HeldHost, ...], zone: str) -> Difference:
+    """Returns the part of the difference that one zone's controller carries out.
+
+    A live host is only let go once everything planned for its pool is live, in all zones, so
+    that the new is ready before the old drains.
+
+    Args:
+      plan: How many hosts each target shall have.
+      hosts: The hosts held now, of all zones.
+      zone: The controller's zone.
+    """
+    held = collections.defaultdict(list)
+    for host in hosts:
+        if host.state != "leaving":
+            held[target_of(host)].append(host)
+    buys = []
+    releases = []
+    for target in sorted(plan.keys() | held.keys(), key=_order):
+        if target.zone != zone:
+            continue
+        missing = plan.get(target, 0) - len(held[target])
+        buys.extend([target] * missing)
+        releases.extend(_surplus(plan, held, target, -missing))
+    return Difference(tuple(buys), tuple(releases))
+
+
+def _surplus(plan, held, target, count):
+    if count <= 0:
+        return []
+    ready = _is_live(plan, held, target.pool)
+    candidates = [host for host in held[target] if host.state == "starting" or ready]
+    candidates.sort(key=lambda host: (_LET_GO_FIRST[host.state], host.host_id))
+    return candidates[:count]
+
+
+def _is_live(plan, held, pool):
+    """Returns whether all that is planned for a pool is live."""
+    return all(
+        sum(host.state == "live" for host in held.get(target, ())) >= count
+        for target, count in plan.items()
+        if target.pool == pool
+    )
+
+
+def _order(target):
+    return (target.pool, target.zone, target.machine_class, target.market.value)
