Add routing: scored by wait and recomputed prefix, with two baselines

Cause: the entry sent each request to the engine with the fewest of its own requests, so that long prompts with a shared prefix were computed on every engine.

Change: an abstract router with a registry, chosen by the document. "scored" weighs the expected wait (counted requests, aged report, prefill already sent there) and the recompute cost of the uncached prefix, with affinity bounded by load, slow start, and a prefix map that cache events mend; a gap in their numbers lowers the certainty of what is known of that engine.

--- a/cicadapond/routing/__init__.py
+++ b/cicadapond/routing/__init__.py
@@ -1,5 +1,19 @@
 """Routing: which backend server takes a request."""
 
+from cicadapond.routing import _scored, _simple
+from cicadapond.routing._api import Router, RouteRequest, RouterSettings, routers
+from cicadapond.routing._document import DocumentRouter
+from cicadapond.routing._prefix_map import PrefixMap
 from cicadapond.routing._view import ServerView
 
-__all__ = ["ServerView"]
+__all__ = [
+    "DocumentRouter",
+    "PrefixMap",
+    "RouteRequest",
+    "Router",
+    "RouterSettings",
+    "ServerView",
+    "routers",
+]
+
+POLICY_MODULES = (_scored, _simple)
--- /dev/null
+++ b/cicadapond/routing/_document.py
@@ -0,0 +1,66 @@
+"""The router that follows the document: the policy and the weights that are in force."""
+
+import random
+import typing
+
+import attrs
+
+from cicadapond.document import Intent
+from cicadapond.routing._api import Router, RouterSettings, routers
+
+
+class DocumentRouter(Router):
+    """Passes each decision to the policy that the document names.
+
+    Args:
+      intent: Returns the document in force.
+      rng: Breaks ties.
+      cfg: Limits that the document does not set.
+    """
+
+    def __init__(
+        self,
+        intent: typing.Callable[[], Intent],
+        rng: random.Random,
+        cfg: RouterSettings | None = None,
+    ):
+        super().__init__(cfg or RouterSettings(), rng)
+        self._intent = intent
+        self._chosen = None
+        self._policy: Router | None = None
+
+    @property
+    def policy(self) -> Router:
+        """The policy in force; a change of the document replaces it."""
+        intent = self._intent()
+        weights = (intent.cost.cost_weight, intent.cost.recompute_weight)
+        chosen = (intent.policies.routing, weights)
+        if chosen != self._chosen:
+            self._replace(intent.policies.routing, weights)
+            self._chosen = chosen
+        return self._policy
+
+    def _replace(self, name, weights):
+        cfg = attrs.evolve(self.cfg, cost_weight=weights[0], recompute_weight=weights[1])
+        if self._chosen is not None and name == self._chosen[0]:
+            self._policy.cfg = cfg
+        else:
+            self._policy = routers.create(name, cfg, self.rng)
+
+    def choose(self, req, views, now):
+        return self.policy.choose(req, views, now)
+
+    def routed(self, req, server, now):
+        self.policy.routed(req, server, now)
+
+    def finished(self, req, server, cached_tokens, duration):
+        self.policy.finished(req, server, cached_tokens, duration)
+
+    def cache_events(self, server, events):
+        self.policy.cache_events(server, events)
+
+    def last_event(self, server):
+        return self.policy.last_event(server)
+
+    def forget(self, server):
+        self.policy.forget(server)
--- /dev/null
+++ b/cicadapond/routing/scored_test.py
@@ -0,0 +1,130 @@
+"""Routing policies: prefixes, load, ages, slow start, gaps, and servers that may not be used."""
+
+import random
+
+import attrs
+import pytest
+
+from cicadapond.data import BackendServer, CacheEvent, Endpoint, LoadReport, ServerKind
+from cicadapond.document import CostIntent, Intent, PolicyIntent
+from cicadapond.kernel import seconds
+from cicadapond.routing import (
+    DocumentRouter,
+    PrefixMap,
+    RouteRequest,
+    RouterSettings,
+    ServerView,
+    routers,
+)
+
+NOW = seconds(1000)
+BLOCKS = tuple(range(1, 65))
+LONG = RouteRequest(blocks=BLOCKS, tokens=1024)
+QUICK = RouteRequest(tokens=20)
+
+
+def make_view(name, own=0, peers=0, **fields):
+    server = BackendServer(name, ServerKind.ENGINE, "pool", "yqr", Endpoint("127.0.0.1", 1))
+    return ServerView(server, own_in_flight=own, peer_in_flight=peers, **fields)
+
+
+def make_router(name="scored", **cfg):
+    return routers.create(name, RouterSettings(**cfg), random.Random(1))
+
+
+def chosen(router, req, views):
+    view = router.choose(req, views, NOW)
+    return view.server.name if view else None
+
+
+@pytest.mark.parametrize("name", ["scored", "round-robin", "least-in-flight"])
+def test_no_policy_uses_a_server_that_may_not_take_work(name):
+    router = make_router(name)
+    views = [
+        make_view("leaving", leaving=True),
+        make_view("failing", failing_until=NOW + seconds(1)),
+        make_view("avoided"),
+        make_view("good", own=30),
+    ]
+    req = attrs.evolve(QUICK, avoid=frozenset({"avoided"}))
+    assert {chosen(router, req, views) for _ in range(20)} == {"good"}
+    assert chosen(router, req, views[:3]) is None
+
+
+def test_round_robin_takes_turns_and_least_in_flight_counts_peers():
+    views = [make_view("a", own=2), make_view("b", own=1, peers=3), make_view("c", own=3)]
+    router = make_router("round-robin")
+    assert [chosen(router, QUICK, views) for _ in range(4)] == ["a", "b", "c", "a"]
+    assert chosen(make_router("least-in-flight"), QUICK, views) == "a"
+
+
+def test_a_prefix_goes_where_it_is_cached_until_the_load_bound():
+    router = make_router(load_bound=1.5, load_slack=4)
+    views = [make_view("a", own=2), make_view("b", own=2), make_view("c", own=2)]
+    router.routed(LONG, "b", NOW - seconds(60))
+    assert chosen(router, LONG, views) == "b"
+    views[1].own_in_flight = 30
+    assert chosen(router, LONG, views) != "b"
+
+
+def test_a_report_counts_less_as_it_ages():
+    router = make_router()
+    busy = LoadReport("a", running=32, waiting=60, slots=32)
+    views = [make_view("a", report=busy, report_at=NOW), make_view("b", own=20)]
+    assert chosen(router, QUICK, views) == "b"
+    views[0].report_at = NOW - seconds(60)
+    assert chosen(router, QUICK, views) == "a"
+
+
+def test_a_new_server_gets_its_share_slowly():
+    router = make_router()
+    old = [make_view(name, own=10) for name in "abc"]
+    new = make_view("new", own=3, live_since=NOW - seconds(0.5))
+    assert chosen(router, QUICK, [*old, new]) != "new"
+    new.live_since = NOW - seconds(60)
+    assert chosen(router, QUICK, [*old, new]) == "new"
+
+
+def test_a_gap_in_the_events_lowers_the_certainty_and_answers_restore_it():
+    prefixes = PrefixMap(1000)
+    prefixes.apply("a", [CacheEvent(1, True, 11), CacheEvent(2, True, 12)])
+    assert prefixes.depths((11, 12, 13)) == {"a": 2}
+    assert prefixes.certainty("a") == 1.0
+    prefixes.apply("a", [CacheEvent(5, True, 99)])
+    lowered = prefixes.certainty("a")
+    assert lowered < 1.0
+    assert prefixes.depths((11, 12, 13)) == {"a": 2}
+    prefixes.observe((11, 12), "a", 2)
+    assert prefixes.certainty("a") > lowered
+    prefixes.apply("a", [CacheEvent(6, False, 12)])
+    assert prefixes.depths((11, 12, 13)) == {"a": 1}
+
+
+def test_events_seen_twice_count_once_and_a_crash_forgets_all():
+    prefixes = PrefixMap(1000)
+    prefixes.apply("a", [CacheEvent(1, True, 11)])
+    prefixes.apply("a", [CacheEvent(1, False, 11)])
+    assert prefixes.depths((11,)) == {"a": 1}
+    prefixes.forget("a")
+    assert prefixes.depths((11,)) == {}
+    assert prefixes.last_event("a") == 0
+
+
+def test_the_map_is_bounded():
+    prefixes = PrefixMap(10)
+    prefixes.add(tuple(range(100)), "a")
+    assert len(prefixes) == 10
+
+
+def test_the_document_names_the_policy_and_its_weights():
+    intent = Intent(policies=PolicyIntent(routing="round-robin"))
+    router = DocumentRouter(lambda: intent, random.Random(1))
+    views = [make_view("a"), make_view("b")]
+    assert [chosen(router, QUICK, views) for _ in range(3)] == ["a", "b", "a"]
+    intent = Intent(policies=PolicyIntent(routing="scored"))
+    router.routed(LONG, "b", NOW - seconds(60))
+    before = router.policy
+    intent = attrs.evolve(intent, cost=CostIntent(recompute_weight=0.0))
+    assert router.policy is before
+    assert router.policy.cfg.recompute_weight == 0.0
+    assert chosen(router, LONG, views) == "b"
