Let engines say what they serve, and choose a new request's version by it

Cause: a request carried the document's version, which every engine refuses from the moment of a version change until the first one has loaded it; the HTTP engine adapter also dropped the engine's own word that it is leaving. Change: load reports carry model and version; digests tell them as an item of their own, which travels on a change only; serving_version picks the wanted version once an engine serves it, else the one that most serve; the adapter keeps every field of a report that it knows.

--- a/cicadapond/data.py
+++ b/cicadapond/data.py
@@ -234,7 +234,8 @@
 class LoadReport:
     """An engine's or a service's own word on its load; it lags.
 
-    `age` is how old the report was when it was read, as far as the server says.
+    `age` is how old the report was when it was read, as far as the server says.  `model` and
+    `version` are what an engine is ready to serve, empty where it does not say.
     """
 
     server: str
@@ -244,6 +245,8 @@
     kv_used: float = 0.0
     age: datetime.timedelta = datetime.timedelta()
     leaving: bool = False
+    model: str = ""
+    version: str = ""
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -26,6 +26,7 @@
     LOADS = 4
     CONVICTED = 5
     SUSPECTS = 6
+    SERVING = 7
 
 
 # News of these sections leaves at once; other news waits for the next heartbeat.
@@ -113,9 +114,11 @@
     return [report.running, report.waiting, report.slots, kv_used, age, report.leaving]
 
 
-def _load_report(server, value):
+def _load_report(server, value, serving):
     running, waiting, slots, kv_used, age, leaving = value
-    return LoadReport(server, running, waiting, slots, kv_used, age * _MILLISECOND, leaving)
+    age *= _MILLISECOND
+    model, version = serving
+    return LoadReport(server, running, waiting, slots, kv_used, age, leaving, model, version)
 
 
 def _instant(value):
@@ -159,6 +162,12 @@
         convicted = {key: end.timestamp() for key, end in digest.convicted.items()}
         self._replace(True, Section.CONVICTED, convicted, changed)
         self._replace(True, Section.SUSPECTS, digest.suspects, changed)
+        serving = {
+            name: [report.model, report.version]
+            for name, report in digest.loads.items()
+            if report.model
+        }
+        self._replace(True, Section.SERVING, serving, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -222,13 +231,18 @@
         for (section, key), (_, value) in document.items.items():
             if value is not None and section < len(sections):
                 sections[section][key] = value
+    serving = sections[Section.SERVING]
+    loads = sections[Section.LOADS]
     try:
         return Digest(
             revision=sections[Section.REVISION].get("", 0),
             in_flight=sections[Section.IN_FLIGHT],
             leaving=sections[Section.LEAVING],
             drains=sections[Section.DRAINS],
-            loads={key: _load_report(key, v) for key, v in sections[Section.LOADS].items()},
+            loads={
+                key: _load_report(key, value, serving.get(key, ("", "")))
+                for key, value in loads.items()
+            },
             convicted={key: _instant(end) for key, end in sections[Section.CONVICTED].items()},
             suspects=sections[Section.SUSPECTS],
         )
--- a/cicadapond/peer/peer_test.py
+++ b/cicadapond/peer/peer_test.py
@@ -117,7 +117,7 @@
     world = World()
     world.start()
     await world.sleep(8)
-    report = LoadReport("engine-1", running=4, waiting=1, slots=8)
+    report = LoadReport("engine-1", 4, 1, slots=8, model="m", version="2")
     digest = Digest(revision=3, in_flight={"engine-1": 4}, loads={"engine-1": report})
     world.peers["yqr-0"].publish(digest)
     await world.sleep(3)
--- a/cicadapond/plugins/engine_sse.py
+++ b/cicadapond/plugins/engine_sse.py
@@ -90,9 +90,10 @@
         return self._value(await self._fetch("/v1/load"), self._load_report)
 
     def _load_report(self, fields):
-        fields = {name: fields[name] for name in ("running", "waiting", "slots", "kv_used", "age")}
-        fields["age"] = seconds(fields["age"])
-        return LoadReport(server=self.server.name, **fields)
+        known = {field.name for field in attrs.fields(LoadReport)}
+        fields = {name: value for name, value in fields.items() if name in known}
+        fields |= {"server": self.server.name, "age": seconds(fields["age"])}
+        return LoadReport(**fields)
 
     async def cache_events(self, after):
         response = await self._fetch(f"/v1/cache/events?after={after}")
--- /dev/null
+++ b/cicadapond/routing/version_test.py
@@ -0,0 +1,36 @@
+"""The version that a new request begins with, from lists of what engines serve."""
+
+import pytest
+
+from cicadapond.data import BackendServer, Endpoint, LoadReport, ServerKind
+from cicadapond.routing import ServerView, serves, serving_version
+
+
+def view_of(text):
+    server = BackendServer(text, ServerKind.ENGINE, "p", "z", Endpoint("127.0.0.1", 1))
+    if text == "silent":
+        return ServerView(server)
+    model, _, version = text.partition("@")
+    return ServerView(server, report=LoadReport("e", 0, 0, 8, model=model, version=version))
+
+
+@pytest.mark.parametrize(
+    ("engines", "version"),
+    [
+        ("m@1 m@1 m@2", "2"),
+        ("m@1 m@1", "1"),
+        ("m@1 m@0 m@0", "0"),
+        ("m@1 other@2", "1"),
+        ("m@1 m@", "1"),  # one loads
+        ("m@1 silent", "2"),  # a silent engine may serve it
+        ("", "2"),
+    ],
+)
+def test_the_version_that_new_requests_begin_with(engines, version):
+    assert serving_version("m", "2", map(view_of, engines.split())) == version
+
+
+def test_an_engine_of_another_version_does_not_serve():
+    assert serves(view_of("m@2"), "m", "2")
+    assert not serves(view_of("m@1"), "m", "2")
+    assert not serves(view_of("m@"), "m", "2")
--- a/cicadapond/standin/_engine.py
+++ b/cicadapond/standin/_engine.py
@@ -386,6 +386,8 @@
             slots=self.cfg.slots,
             kv_used=self._cache.used_share,
             leaving=self.leaving,
+            model=self._model or "",
+            version="" if self._loading else self._version or "",
         )
 
     def load_report(self) -> Ok[LoadReport] | Unavailable:
