Let a process ask one member a question, with answers of any length in bounded parts

Cause: a process that starts asks its peers for the document, which may be longer than a message. Change: a question takes a connection of its own, so that a silent one cannot hold it up. The memory network now keeps the order of messages that arrive at the same instant. Conclusion: an answer of 600 KB comes whole from another data centre.

--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -9,12 +9,13 @@
 from absl import logging
 
 from cicadapond.data import Endpoint
-from cicadapond.kernel import Clock, Metrics, Task
+from cicadapond.kernel import Clock, Metrics, Task, Unavailable
+from cicadapond.peer import _asking
 from cicadapond.peer._api import Digest, Member, MemberState, Peers
 from cicadapond.peer._membership import Membership, Redial
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._transport import Link, Transport
-from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, decode, encode
+from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Ask, Hello, decode, encode
 
 TICK = datetime.timedelta(milliseconds=250)
 URGENT_DELAY = datetime.timedelta(milliseconds=20)
@@ -71,6 +72,7 @@
         self._by_name: dict[str, _Outbound] = {}
         self._listeners: list[typing.Callable[[Member], None]] = []
         self._flush: asyncio.TimerHandle | None = None
+        self._handlers: dict[str, typing.Callable] = {}
         self._closed = False
 
     # Peers
@@ -92,6 +94,17 @@
     def heard_from_zone(self, zone):
         return self._membership.zone_heard.get(zone) if self._membership else None
 
+    async def ask(self, member, topic, payload):
+        record = self._membership.records.get(member) if self._membership else None
+        if record is None:
+            return Unavailable(f"{member} is not known")
+        outcome = await _asking.ask(self._transport, record.endpoint, topic, payload)
+        self._metrics.count("peer_questions", outcome=type(outcome).__name__)
+        return outcome
+
+    def answer(self, topic, handler):
+        self._handlers[topic] = handler
+
     @property
     def superseded(self) -> bool:
         """Whether a later start of a process of this name has been heard of."""
@@ -323,6 +336,8 @@
         if names:
             self._hear(link, names[0], message, now)
             return
+        if isinstance(message, Ask) and _asking.answer(link, message, self._handlers):
+            return
         if not isinstance(message, Hello) or not self._membership.hello(message.identity, now):
             self._metrics.count("peer_garbage")
             self._inbound.discard(link)
--- a/cicadapond/peer/_transport.py
+++ b/cicadapond/peer/_transport.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import collections
 import datetime
 import random
 import typing
@@ -112,6 +113,7 @@
         self._network = network
         self._open = True
         self._free_at = 0.0
+        self._queue = collections.deque()
         network.links.add(self)
 
     def send(self, bodies):
@@ -125,9 +127,11 @@
             network.messages += 1
             network.bytes += len(body)
             if not network.loss or network.rng.random() >= network.loss:
-                loop.call_at(self._free_at, self._deliver, body)
+                self._queue.append(body)
+                loop.call_at(self._free_at, self._deliver)
 
-    def _deliver(self, body):
+    def _deliver(self):
+        body = self._queue.popleft()
         other = self.other
         if self.silent or not self._network.passes(self.here, self.there):
             return
--- a/cicadapond/peer/_wire.py
+++ b/cicadapond/peer/_wire.py
@@ -105,7 +105,23 @@
     age: int | None
 
 
-_KINDS = (Hello, Beat, Ack, News, Sync, ProbeRequest, ProbeReply)
+@attrs.frozen(slots=True)
+class Ask:
+    """A question about a topic, on a connection of its own."""
+
+    topic: str
+    payload: object
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """A part of the answer to `Ask`: packed bytes, and whether it is the last part."""
+
+    last: bool
+    part: bytes
+
+
+_KINDS = (Hello, Beat, Ack, News, Sync, ProbeRequest, ProbeReply, Ask, Answer)
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _STATES = frozenset(("alive", "suspect", "left", "dead"))
 
@@ -130,6 +146,10 @@
             fields = (target,)
         case ProbeReply(target, age):
             fields = (target, age)
+        case Ask(topic, payload):
+            fields = (topic, payload)
+        case Answer(last, part):
+            fields = (last, part)
     return msgpack.packb((WIRE_VERSION, _NUMBERS[type(message)], *fields))
 
 
@@ -209,7 +229,27 @@
     return ProbeReply(target, age)
 
 
-_DECODERS = (_hello, _beat, _ack, _news, _sync, _probe_request, _probe_reply)
+def _ask(topic, payload):
+    _expect(isinstance(topic, str))
+    return Ask(topic, payload)
+
+
+def _answer(last, part):
+    _expect(isinstance(last, bool) and isinstance(part, bytes))
+    return Answer(last, part)
+
+
+_DECODERS = (
+    _hello,
+    _beat,
+    _ack,
+    _news,
+    _sync,
+    _probe_request,
+    _probe_reply,
+    _ask,
+    _answer,
+)
 
 
 def _expect(holds):
--- a/cicadapond/peer/peer_test.py
+++ b/cicadapond/peer/peer_test.py
@@ -5,7 +5,15 @@
 import pytest
 
 from cicadapond.data import Endpoint, LoadReport
-from cicadapond.kernel import Metrics, TaskGroup, VirtualClock, run_virtual, seconds
+from cicadapond.kernel import (
+    Metrics,
+    Ok,
+    TaskGroup,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
 from cicadapond.peer import (
     Digest,
     MemberState,
@@ -268,3 +276,18 @@
     assert len(world.network.links) == 12
     assert len(world.tasks) == 3
     await world.tasks.stop()
+
+
+@virtual
+async def test_a_long_answer_comes_whole_from_another_data_centre():
+    world = World()
+    world.start()
+    await world.sleep(8)
+    text = "shade " * 100_000
+    world.peers["ywg-1"].answer("document", lambda payload: [payload["above"], text])
+    outcome = await world.peers["yqr-1"].ask("ywg-1", "document", {"above": 3})
+    assert outcome == Ok([3, text])
+    for member, topic in (("ywg-1", "nothing"), ("nobody", "document")):
+        outcome = await world.peers["yqr-1"].ask(member, topic, None)
+        assert isinstance(outcome, Unavailable)
+    await world.tasks.stop()
