Decide what a controller orders: hosts, loads, rolling versions, drains

Cause: nothing turned the document's intent into orders. Change: a pure function from intent and observed state to actions, the reading of that state, the drains told by digests, and a task that acts only under the lease, looked at again before each order.

--- a/cicadapond/capacity/_api.py
+++ b/cicadapond/capacity/_api.py
@@ -31,7 +31,10 @@
 
 @attrs.frozen
 class HeldHost:
-    """A host that is held now; `state` is "starting", "live" or "leaving"."""
+    """A host that is held now; `state` is "starting", "live" or "leaving".
+
+    Of hosts of one kind, those of a lower `rank` are let go first.
+    """
 
     host_id: str
     pool: str
@@ -40,6 +43,7 @@
     market: Market
     state: str
     slots: int
+    rank: int = 0
 
 
 @attrs.frozen
--- a/cicadapond/capacity/_difference.py
+++ b/cicadapond/capacity/_difference.py
@@ -48,7 +48,7 @@
         return []
     ready = _is_live(plan, held, target.pool)
     candidates = [host for host in held[target] if host.state == "starting" or ready]
-    candidates.sort(key=lambda host: (_LET_GO_FIRST[host.state], host.host_id))
+    candidates.sort(key=lambda host: (_LET_GO_FIRST[host.state], host.rank, host.host_id))
     return candidates[:count]
 
 
--- /dev/null
+++ b/cicadapond/controller/__init__.py
@@ -0,0 +1,35 @@
+"""The controller: turns intent into orders; one is active in each data centre."""
+
+from cicadapond.controller._drains import Drains, PeerDrains
+from cicadapond.controller._memory import ControlMemory
+from cicadapond.controller._observed import Observed, ServerSeen
+from cicadapond.controller._orders import (
+    Action,
+    BeginDrain,
+    Buy,
+    EndDrain,
+    EngineOrder,
+    Release,
+)
+from cicadapond.controller._parts import ControlParts, ControlSettings, Lease
+from cicadapond.controller._reconcile import reconcile
+from cicadapond.controller._task import ControllerTask
+
+__all__ = [
+    "Action",
+    "BeginDrain",
+    "Buy",
+    "ControlMemory",
+    "ControlParts",
+    "ControlSettings",
+    "ControllerTask",
+    "Drains",
+    "EndDrain",
+    "EngineOrder",
+    "Lease",
+    "Observed",
+    "PeerDrains",
+    "Release",
+    "ServerSeen",
+    "reconcile",
+]
--- /dev/null
+++ b/cicadapond/controller/_observer.py
@@ -0,0 +1,160 @@
+"""Reads the real state: hosts, prices, what engines run, and what other processes report."""
+
+import asyncio
+import collections
+
+from cicadapond.controller._observed import Observed, ServerSeen
+from cicadapond.controller._parts import ControlParts
+from cicadapond.data import HostState, ServerKind
+from cicadapond.kernel import Ok, Unavailable
+
+
+class Observer:
+    """Reads the state of one zone, and of the others as far as others report it.
+
+    Args:
+      parts: The controller's parts.
+    """
+
+    def __init__(self, parts: ControlParts):
+        self._parts = parts
+        self._adapters = {}
+        self._listing = None
+        self._sizes = {}
+
+    async def observe(self) -> Observed:
+        """Reads everything once; what cannot be read is left out."""
+        parts = self._parts
+        intent = parts.intent()
+        zones = sorted({parts.zone, *intent.cost.zones})
+        listing, hosts, prices, notices, rate = await asyncio.gather(
+            self._read(parts.hosts.list()),
+            self._read_hosts(zones),
+            self._read_cloud("prices"),
+            self._read_cloud("notices", parts.zone),
+            self._read_rate(),
+        )
+        self._listing = listing or self._listing
+        known = self._known_servers(hosts)
+        noticed = {notice.server for notice in notices or ()} | self._reported_leaving(known)
+        await self._read_sizes(intent)
+        own = [found for found in known.values() if found.zone == parts.zone]
+        return Observed(
+            now=parts.clock.monotonic(),
+            zone=parts.zone,
+            servers=tuple(await asyncio.gather(*(self._see(found, noticed) for found in own))),
+            hosts=hosts,
+            prices=prices,
+            busy=self._busy(known),
+            ready_elsewhere=self._ready_elsewhere(known),
+            weight_rate=rate,
+            weight_sizes=dict(self._sizes),
+        )
+
+    async def close(self) -> None:
+        """Closes the engines' adapters."""
+        for adapter in self._adapters.values():
+            await adapter.close()
+
+    def adapter(self, server):
+        """Returns the one adapter of an engine."""
+        if server.name not in self._adapters:
+            self._adapters[server.name] = self._parts.engine(server)
+        return self._adapters[server.name]
+
+    # Platform
+
+    async def _read(self, coro):
+        """Returns what a read gives, or None."""
+        try:
+            async with asyncio.timeout(self._parts.cfg.read_limit.total_seconds()):
+                outcome = await coro
+        except TimeoutError:
+            outcome = Unavailable("no answer in time")
+        if isinstance(outcome, Ok):
+            return outcome.value
+        self._parts.metrics.count("controller_read_failures")
+        return None
+
+    async def _read_cloud(self, name, *args):
+        if self._parts.cloud is None:
+            return None
+        return await self._read(getattr(self._parts.cloud, name)(*args))
+
+    async def _read_hosts(self, zones):
+        found = await asyncio.gather(*(self._read_cloud("hosts", zone) for zone in zones))
+        if any(hosts is None for hosts in found):
+            return None
+        return tuple(host for hosts in found for host in hosts)
+
+    async def _read_rate(self):
+        if self._parts.weights is None:
+            return None
+        return await self._read(self._parts.weights.rate())
+
+    async def _read_sizes(self, intent):
+        if self._parts.weights is None:
+            return
+        for name, model in intent.models.items():
+            key = (name, model.version)
+            if key not in self._sizes:
+                size = await self._read(self._parts.weights.size(*key))
+                if size is not None:
+                    self._sizes[key] = size
+
+    # Servers
+
+    def _known_servers(self, hosts):
+        listed = self._listing.hosts if self._listing is not None else ()
+        servers = {
+            entry.server.name: entry.server for entry in listed if entry.state is not HostState.GONE
+        }
+        if hosts is not None:
+            live = {host.server.name: host.server for host in hosts if host.server is not None}
+            servers = {
+                name: server
+                for name, server in servers.items()
+                if name in live or not server.machine_class
+            } | live
+        for name in self._adapters.keys() - servers.keys():
+            asyncio.ensure_future(self._adapters.pop(name).close())
+        return servers
+
+    def _reported_leaving(self, known):
+        listed = self._listing.hosts if self._listing is not None else ()
+        leaving = {entry.server.name for entry in listed if entry.state is HostState.LEAVING}
+        for member in self._parts.peers.members():
+            leaving.update(name for name, report in member.digest.loads.items() if report.leaving)
+        return leaving & known.keys()
+
+    async def _see(self, server, noticed):
+        drains = self._parts.drains
+        state = None
+        if server.kind is ServerKind.ENGINE:
+            state = await self._read(self.adapter(server).state())
+        return ServerSeen(
+            server=server,
+            state=state,
+            in_flight=drains.in_flight(server.name),
+            drained=drains.may_stop(server.name),
+            draining=server.name in drains.draining(),
+            noticed=server.name in noticed,
+        )
+
+    def _reports(self):
+        for member in self._parts.peers.members():
+            yield from member.digest.loads.items()
+
+    def _busy(self, known):
+        busy = collections.Counter()
+        for name, report in dict(self._reports()).items():
+            if name in known:
+                busy[known[name].pool] += report.running + report.waiting
+        return busy
+
+    def _ready_elsewhere(self, known):
+        ready = collections.Counter()
+        for name, report in dict(self._reports()).items():
+            if name in known and known[name].zone != self._parts.zone and report.version:
+                ready[report.model, report.version] += 1
+        return ready
--- /dev/null
+++ b/cicadapond/controller/_parts.py
@@ -0,0 +1,51 @@
+"""What a controller is built from; everything that needs a socket is passed in."""
+
+import datetime
+import random
+import typing
+
+import attrs
+
+from cicadapond.backend import Engine
+from cicadapond.controller._drains import Drains
+from cicadapond.data import BackendServer
+from cicadapond.document import Intent
+from cicadapond.kernel import Clock, Metrics, seconds, setting
+from cicadapond.peer import Peers
+from cicadapond.platform import CloudApi, HostList, WeightStore
+
+
+@attrs.frozen
+class ControlSettings:
+    """Intervals and limits of control; an order takes less time than the lease's margin."""
+
+    interval: datetime.timedelta = setting(default=seconds(1))
+    order_limit: datetime.timedelta = setting(default=seconds(1))
+    read_limit: datetime.timedelta = setting(default=seconds(2))
+    buys_at_once: int = setting(default=16)
+
+
+class Lease(typing.Protocol):
+    """The lease of a data centre, as control needs it."""
+
+    def grant(self):
+        """Returns the grant in force, with its `fencing` number, or None."""
+
+
+@attrs.define
+class ControlParts:
+    """The shared parts of one controller."""
+
+    zone: str
+    cfg: ControlSettings
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    intent: typing.Callable[[], Intent]
+    lease: Lease
+    peers: Peers
+    drains: Drains
+    hosts: HostList
+    engine: typing.Callable[[BackendServer], Engine]
+    cloud: CloudApi | None = None
+    weights: WeightStore | None = None
