Add leases, drains and the entry's fleet of backend servers

Cause: one holder per data centre must give orders, a leaving server must get no new work, and a stop must cut nothing off, without clocks that agree and whatever the store answers. Change: a lease row whose holder counts its term from before its write left and whose challenger from after its read came, with tokens against lost answers; numbers of leaving servers that merge to the highest, acknowledged only where a drain waits for them; the fleet's views from the host list, three sources of notices and the peers' digests, one watcher per server by hash. Acknowledgements of every leaving server would have been about 25,000 items for each process in a reclaim of 60 hosts (420 processes); only drains ask for them now. Conclusion: random pauses, lost and late writes never give two grants at once.

--- /dev/null
+++ b/cicadapond/drain/__init__.py
@@ -0,0 +1,12 @@
+"""Which backend servers are leaving, and when one may stop: numbers, acknowledgements, counts."""
+
+from cicadapond.drain._leaving import LeavingBook, says_leaving
+from cicadapond.drain._stop import DrainSettings, DrainView, StopDecision
+
+__all__ = [
+    "DrainSettings",
+    "DrainView",
+    "LeavingBook",
+    "StopDecision",
+    "says_leaving",
+]
--- /dev/null
+++ b/cicadapond/drain/_leaving.py
@@ -0,0 +1,125 @@
+"""Which backend servers are leaving, as numbers that every process merges the same way.
+
+Each server has one number, which only grows and whose lowest bit says whether it is leaving.
+Processes tell each other their numbers and keep the highest, so that all come to the same answer
+in whatever order they hear.  New numbers come from the wall clock in milliseconds, so that a
+process which has forgotten a server does not start below what others remember.  The second bit
+asks for acknowledgements: a drain needs them, a reclaim that comes anyway does not.
+"""
+
+import datetime
+
+from cicadapond.kernel import Clock
+
+EXPIRY = datetime.timedelta(minutes=10)
+LEAVING_BIT = 1
+ACKNOWLEDGE_BIT = 2
+FLAG_BITS = 2
+
+
+def says_leaving(number: int) -> bool:
+    """Returns whether a number says that its server is leaving."""
+    return bool(number & LEAVING_BIT)
+
+
+class LeavingBook:
+    """The numbers of one process.
+
+    Args:
+      clock: Gives the time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._numbers: dict[str, int] = {}
+        self._sources: dict[str, set[str]] = {}
+        self._touched: dict[str, datetime.timedelta] = {}
+        self._originated: set[str] = set()
+
+    def number(self, server: str) -> int:
+        """Returns a server's number, 0 if there never was one."""
+        return self._numbers.get(server, 0)
+
+    def is_leaving(self, server: str) -> bool:
+        """Returns whether a server takes no new work."""
+        return says_leaving(self.number(server))
+
+    def mark(self, server: str, source: str, acknowledge: bool = False) -> bool:
+        """Marks a server as leaving.
+
+        Args:
+          server: The backend server.
+          source: Who says so.
+          acknowledge: Whether every process has to acknowledge it, as for a drain.
+
+        Returns:
+          Whether that is news to other processes.
+        """
+        self._sources.setdefault(server, set()).add(source)
+        self._touched[server] = self._clock.monotonic()
+        number = self.number(server)
+        if says_leaving(number) and (number & ACKNOWLEDGE_BIT or not acknowledge):
+            return False
+        self._set_next(server, LEAVING_BIT | ACKNOWLEDGE_BIT * acknowledge)
+        return True
+
+    def undo(self, server: str) -> bool:
+        """Takes a mark back: an operator's undrain, or a new host of the same name.
+
+        Returns:
+          Whether the server was leaving.
+        """
+        self._sources.pop(server, None)
+        if not self.is_leaving(server):
+            return False
+        self._set_next(server, 0)
+        return True
+
+    def merge(self, server: str, number: int) -> bool:
+        """Takes another process's number.
+
+        Returns:
+          Whether it was higher than the one here.
+        """
+        if number <= self.number(server):
+            return False
+        self._numbers[server] = number
+        self._touched[server] = self._clock.monotonic()
+        self._originated.discard(server)
+        if says_leaving(number):
+            self._sources.setdefault(server, set()).add("peer")
+        else:
+            self._sources.pop(server, None)
+        return True
+
+    def originated(self) -> dict[str, int]:
+        """Returns the numbers that this process has given, for others to merge."""
+        return {server: self._numbers[server] for server in self._originated}
+
+    def acknowledged(self) -> dict[str, int]:
+        """Returns the numbers in effect here that ask for an acknowledgement."""
+        return {
+            server: number for server, number in self._numbers.items() if number & ACKNOWLEDGE_BIT
+        }
+
+    def sources(self, server: str) -> tuple[str, ...]:
+        """Returns who has said that a server is leaving."""
+        return tuple(sorted(self._sources.get(server, ())))
+
+    def forget(self, listed: set[str]) -> None:
+        """Drops servers that have been off the host list, or not leaving, for long."""
+        now = self._clock.monotonic()
+        for server in list(self._numbers):
+            if server in listed and self.is_leaving(server):
+                self._touched[server] = now
+            elif now - self._touched[server] > EXPIRY:
+                del self._numbers[server], self._touched[server]
+                self._sources.pop(server, None)
+                self._originated.discard(server)
+
+    def _set_next(self, server, flags):
+        wall = int(self._clock.now().timestamp() * 1000)
+        base = max((self.number(server) >> FLAG_BITS) + 1, wall)
+        self._numbers[server] = base << FLAG_BITS | flags
+        self._touched[server] = self._clock.monotonic()
+        self._originated.add(server)
--- /dev/null
+++ b/cicadapond/drain/drain_test.py
@@ -0,0 +1,138 @@
+"""A server may stop only once no process can have work there, now or later."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadapond.drain import DrainView, LeavingBook
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.peer import Digest, Member, MemberState, Peers
+
+ZERO = seconds(0)
+
+
+class FakePeers(Peers):
+    def __init__(self):
+        self.list = []
+        self.answered = {}
+
+    def members(self):
+        return tuple(self.list)
+
+    def publish(self, digest):
+        return None
+
+    def subscribe(self, listener):
+        return None
+
+    def heard_from_zone(self, zone):
+        return None
+
+    def answered_zone(self, zone):
+        return self.answered.get(zone)
+
+
+def member(name, zone="yqr", state=MemberState.ALIVE, heard=ZERO, **digest):
+    return Member(name, zone, "entry", 1, state, heard, 1, Digest(**digest))
+
+
+def drained(*members, backend=0, wait=0.0, answered=None, own=0):
+    """Begins a drain of "engine", lets time pass and returns the decision's reasons."""
+    clock, peers = ManualClock(), FakePeers()
+    book = LeavingBook(clock)
+    view = DrainView("yqr", book, peers, lambda: Digest(in_flight={"engine": own}), clock)
+    number = view.begin("engine")
+    peers.list = [made(number) for made in members]
+    clock.advance(seconds(wait))
+    peers.answered = {zone: seconds(at) for zone, at in (answered or {}).items()}
+    decision = view.may_stop("engine", backend)
+    assert decision.allowed == (not decision.waiting_for)
+    return decision.waiting_for
+
+
+def acknowledged(name, **more):
+    return lambda number: member(name, drains={"engine": number}, **more)
+
+
+def silent(name, **more):
+    return lambda number: member(name, **more)
+
+
+def test_all_have_acknowledged_and_nothing_runs():
+    assert drained(acknowledged("a"), acknowledged("b")) == ()
+
+
+def test_whoever_has_not_acknowledged_is_named():
+    reasons = drained(acknowledged("a"), silent("b"), wait=60, answered={"yqr": 60})
+    assert reasons == ("b has not acknowledged",)
+
+
+def test_every_count_must_be_zero():
+    assert drained(acknowledged("a", in_flight={"engine": 2})) == ("a has 2 in flight",)
+    assert drained(backend=3) == ("the server itself runs 3",)
+    assert drained(backend=None) == ("the server's own count is not known",)
+    assert drained(own=1) == ("this process has 1 in flight",)
+
+
+def test_a_process_that_cannot_be_asked_has_limited_itself_after_the_term():
+    cut = silent("far", zone="yxe")
+    assert drained(cut, wait=4, answered={"yxe": 0}) == ("far has not acknowledged",)
+    assert drained(cut, wait=8, answered={"yxe": 0}) == ()
+    assert drained(cut, wait=8, answered={"yxe": 5}) == ("far has not acknowledged",)
+    assert drained(silent("near"), wait=60) == ("near has not acknowledged",)
+
+
+def test_a_dead_process_may_be_a_paused_one_for_a_while():
+    dead = silent("a", state=MemberState.DEAD, heard=seconds(1))
+    assert drained(dead, wait=3) == ("a may still be alive",)
+    assert drained(dead, wait=8) == ()
+    assert drained(silent("a", state=MemberState.LEFT)) == ()
+
+
+def test_an_acknowledgement_of_an_older_drain_does_not_count():
+    clock, peers = ManualClock(), FakePeers()
+    view = DrainView("yqr", LeavingBook(clock), peers, Digest, clock)
+    old = view.begin("engine")
+    assert view.undrain("engine")
+    assert not view.may_stop("engine", 0).allowed
+    view.begin("engine")
+    peers.list = [member("a", drains={"engine": old})]
+    assert view.may_stop("engine", 0).waiting_for == ("a has not acknowledged",)
+
+
+def test_a_drain_after_a_notice_asks_for_acknowledgements():
+    book = LeavingBook(ManualClock())
+    assert book.mark("engine", "cloud")
+    assert book.acknowledged() == {}
+    assert book.mark("engine", "operator", acknowledge=True)
+    assert book.acknowledged() == {"engine": book.number("engine")}
+    assert not book.mark("engine", "cloud")
+
+
+ACTIONS = st.lists(
+    st.tuples(st.integers(0, 2), st.sampled_from(("mark", "drain", "undo", "gossip"))), max_size=30
+)
+
+
+@given(ACTIONS, st.randoms(use_true_random=False))
+def test_processes_that_tell_each_other_come_to_the_same_answer(actions, rng):
+    clock = ManualClock()
+    books = [LeavingBook(clock) for _ in range(3)]
+    for place, action in actions:
+        book = books[place]
+        before = book.number("engine")
+        if action == "mark":
+            book.mark("engine", "cloud")
+        elif action == "drain":
+            book.mark("engine", "operator", acknowledge=True)
+        elif action == "undo":
+            book.undo("engine")
+        else:
+            rng.choice(books).merge("engine", book.number("engine"))
+        assert book.number("engine") >= before
+    for one in books:
+        for other in books:
+            one.merge("engine", other.number("engine"))
+    for one in books:
+        for other in books:
+            one.merge("engine", other.number("engine"))
+    assert len({book.number("engine") for book in books}) == 1
--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -54,15 +54,16 @@
         model = self.intent.models.get(req.model)
         if model is None:
             return NotRun(f"no model {req.model!r}", status=404)
-        backends = self.parts.fleet.live(model.pool)
-        if not backends:
+        fleet = self.parts.fleet
+        views = fleet.views(model.pool)
+        if not views:
             return NotRun(f"no engine of pool {model.pool!r} takes work")
-        backend = min(backends, key=lambda found: found.in_flight)
-        backend.in_flight += 1
+        name = min(views, key=lambda view: view.own_in_flight).server.name
+        fleet.started(name)
         try:
-            return await _relay(backend.adapter, _first_call(req, model), sink)
+            return await _relay(fleet.adapter(name), _first_call(req, model), sink)
         finally:
-            backend.in_flight -= 1
+            fleet.finished(name)
 
     async def call_service(self, call: ServiceCall) -> Ok[Answer] | NotRun | Failed | Unknown:
         """Calls a plain service.
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -10,7 +10,8 @@
 from cicadapond.admin import admin_application
 from cicadapond.document import parse_document
 from cicadapond.entry._core import EntryCore
-from cicadapond.entry._fleet import Fleet, HostListWatcher
+from cicadapond.entry._fleet import Fleet
+from cicadapond.entry._fleet_tasks import HostListWatcher
 from cicadapond.entry._http import caller_application
 from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
--- /dev/null
+++ b/cicadapond/lease/lease_test.py
@@ -0,0 +1,178 @@
+"""The lease under lost answers, outages and pauses: never two grants, and intent comes back."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.kernel import (
+    AnswerLost,
+    Conflict,
+    Metrics,
+    Ok,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
+from cicadapond.lease import LeaseSettings, LeaseTask
+from cicadapond.platform import Row, TableService
+
+CFG = LeaseSettings()
+
+
+class Table(TableService):
+    """One table whose next writes can lose their answer, fail, or take effect late."""
+
+    def __init__(self):
+        self.row = Row("leases", "yqr", 0, None)
+        self.faults = []
+
+    async def read(self, keys):
+        await asyncio.sleep(0.002)
+        return Unavailable("out") if "out" in self.faults else Ok({keys[0]: self.row})
+
+    async def transact(self, writes):
+        fault = self.faults.pop(0) if self.faults and self.faults[0] != "out" else None
+        await asyncio.sleep(0.002)
+        if "out" in self.faults or fault == "fail":
+            return Unavailable("out")
+        if fault == "late":
+            asyncio.get_running_loop().call_later(1.5, self.apply, writes[0])
+            return AnswerLost("late")
+        outcome = self.apply(writes[0])
+        return AnswerLost("lost") if fault == "lost" else outcome
+
+    def apply(self, write):
+        if write.expected != self.row.version:
+            return Conflict({(write.table, write.key): self.row})
+        self.row = Row(write.table, write.key, self.row.version + 1, write.value)
+        return Ok({(write.table, write.key): self.row.version})
+
+    async def scan(self, table, prefix="", after="", limit=1000):
+        return Ok(())
+
+
+def holders(table, clock, count=3):
+    return [
+        LeaseTask(CFG, "yqr", f"c{n}", table, clock, Metrics(), random.Random(n))
+        for n in range(count)
+    ]
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("lost", "late", "fail", "out", "heal", "pause", "step")),
+            st.integers(0, 2),
+            st.floats(0.05, 3),
+        ),
+        max_size=25,
+    )
+)
+def test_no_interleaving_gives_two_grants_and_the_lease_is_held_again_after(events):
+    async def main():
+        clock, table = VirtualClock(), Table()
+        tasks = holders(table, clock)
+        paused = [0.0] * 3
+        fencings = []
+
+        async def keep(number):
+            while True:
+                await asyncio.sleep(max(0.3, paused[number]))
+                paused[number] = 0.0
+                await tasks[number].step()
+
+        async def watch():
+            while True:
+                grants = [task.grant() for task in tasks]
+                held = [grant for grant in grants if grant]
+                assert len(held) <= 1
+                if held and (not fencings or fencings[-1] != held[0].fencing):
+                    fencings.append(held[0].fencing)
+                await asyncio.sleep(0.05)
+
+        running = [asyncio.ensure_future(keep(number)) for number in range(3)]
+        watching = asyncio.ensure_future(watch())
+        for event, number, wait in events:
+            if event in ("lost", "late", "fail", "out"):
+                table.faults.append(event)
+            elif event == "heal":
+                table.faults.clear()
+            elif event == "pause":
+                paused[number] = 2 * wait
+            await asyncio.sleep(wait)
+        table.faults.clear()
+        await asyncio.sleep(12)
+        assert sum(task.grant() is not None for task in tasks) == 1
+        assert fencings == sorted(set(fencings))
+        assert not watching.done()
+        for task in (*running, watching):
+            task.cancel()
+
+    run_virtual(main())
+
+
+def test_a_lost_answer_is_read_back_by_token():
+    async def main():
+        table = Table()
+        (task,) = holders(table, VirtualClock(), 1)
+        table.faults.append("lost")
+        await task.step()
+        assert task.grant().fencing == 1
+
+    run_virtual(main())
+
+
+def test_the_grant_ends_a_margin_before_the_term_and_with_the_pause():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        (task,) = holders(table, clock, 1)
+        await task.step()
+        end = task.grant().end
+        assert end <= CFG.term - CFG.margin + seconds(0.01)
+        await clock.sleep(end - clock.monotonic())
+        assert task.grant() is None
+
+    run_virtual(main())
+
+
+def test_a_new_holder_waits_for_the_old_ones_orders_where_fencing_is_not_checked():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second = holders(table, clock, 2)
+        await first.step()
+        await second.step()
+        assert second.grant() is None
+        await clock.sleep(CFG.term + seconds(0.1))
+        await second.step()
+        grant = second.grant()
+        now = clock.monotonic()
+        assert grant.fencing == 2
+        assert grant.may_order(now, checks_fencing=True)
+        assert not grant.may_order(now, checks_fencing=False)
+        later = now + CFG.order_limit
+        assert grant.may_order(later, checks_fencing=False)
+
+    run_virtual(main())
+
+
+def test_a_released_lease_is_taken_at_once():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second = holders(table, clock, 2)
+        await first.step()
+        await first.release()
+        assert first.grant() is None
+        await second.step()
+        assert second.grant().fencing == 2
+
+    run_virtual(main())
+
+
+def test_an_order_limit_beyond_the_margin_is_refused():
+    with pytest.raises(ValueError, match="does not hold"):
+        LeaseSettings(order_limit=seconds(2))
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -27,7 +27,8 @@
     Attributes:
       revision: The document revision in force in this process.
       in_flight: Requests that this process has running, by backend server.
-      leaving: Backend servers that this process knows to be leaving, with the drain's number.
+      leaving: Numbers of backend servers that this process was the first to say are leaving, or
+        no longer are: `drain.says_leaving` tells which.
       drains: Drain numbers that this process has acknowledged, by backend server.
       loads: Reports of the servers that this process watches for all.
       convicted: Hashes of poison requests, with the wall-clock end of the conviction.
@@ -80,6 +81,13 @@
     def heard_from_zone(self, zone: str) -> datetime.timedelta | None:
         """Returns the monotonic instant of the last word from any process of a data centre."""
 
+    def answered_zone(self, zone: str) -> datetime.timedelta | None:
+        """Returns the last instant at which a data centre may have heard from this one.
+
+        A process there counts this data centre as heard from no later instant on.
+        """
+        return self.heard_from_zone(zone)
+
     async def ask(self, member: str, topic: str, payload) -> Ok[object] | Unavailable:
         """Sends a question to one member and waits a bounded time for the answer.
 
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -150,6 +150,8 @@
         self.records: dict[str, Record] = {}
         self.links: dict[str, LinkState] = {}
         self.zone_heard: dict[str, datetime.timedelta] = {}
+        self.zone_answered: dict[str, datetime.timedelta] = {}
+        self._own_answers: dict[str, datetime.timedelta] = {}
         self.changed: set[str] = set()
         self._rng = rng
         self._metrics = metrics
@@ -264,11 +266,14 @@
         record.heard = now
         match message:
             case Beat(number):
+                if record.zone != self.cfg.zone:
+                    self._own_answers[record.zone] = now
+                    self._answer_zone(record.zone, now)
                 ack = Ack(number, self._zone_ages(now))
                 accused = record.state is not MemberState.ALIVE
                 return [ack, News([record.identity()], [])] if accused else [ack]
             case Ack(number, zone_ages):
-                self._take_ack(record, number, zone_ages)
+                self._take_ack(record, number, zone_ages, now)
             case News(members, changes):
                 for identity in members:
                     self.merge(identity, now)
@@ -534,27 +539,37 @@
             link.sent.pop(link.number - REMEMBERED_BEATS, None)
             self._outputs.append(Send((name,), Beat(link.number)))
 
-    def _take_ack(self, record, number, zone_ages):
+    def _take_ack(self, record, number, zone_ages, now):
         link = self.links.get(record.name)
         sent = link.sent.get(number) if link else None
         if sent is None:
             return
         link.acked = max(link.acked or sent, sent)
         self._hear_zone(record.zone, sent)
-        for zone, age in zone_ages.items():
-            if age >= 0:
-                self._hear_zone(zone, sent - age * _MILLISECOND)
+        if record.zone != self.cfg.zone:
+            return
+        for zone, (heard, answered) in zone_ages.items():
+            if heard >= 0:
+                self._hear_zone(zone, sent - heard * _MILLISECOND)
+            if answered >= 0:
+                self._answer_zone(zone, now - answered * _MILLISECOND)
 
     def _hear_zone(self, zone, instant):
         self.zone_heard[zone] = max(self.zone_heard.get(zone, instant), instant)
 
+    def _answer_zone(self, zone, instant):
+        self.zone_answered[zone] = max(self.zone_answered.get(zone, instant), instant)
+
     def _zone_ages(self, now):
-        """Returns the ages of the data centres that this process hears directly."""
+        """Returns the ages of the data centres that this process talks to directly."""
         ages = {}
         for link in self.links.values():
             if link.zone != self.cfg.zone and link.acked is not None:
-                age = (now - link.acked) // _MILLISECOND
-                ages[link.zone] = min(ages.get(link.zone, age), age)
+                heard = (now - link.acked) // _MILLISECOND
+                ages[link.zone] = (min(ages.get(link.zone, (heard,))[0], heard), -1)
+        for zone, at in self._own_answers.items():
+            heard = ages.get(zone, (-1,))[0]
+            ages[zone] = (heard, (now - at) // _MILLISECOND)
         return ages
 
     def _last_direct(self, record):
@@ -626,7 +641,9 @@
             name: since for name, since in self._unreachable.items() if now - since < 10 * _SECOND
         }
         known = {record.zone for record in self.records.values()} | {self.cfg.zone}
-        self.zone_heard = {zone: at for zone, at in self.zone_heard.items() if zone in known}
+        for ages in (self.zone_heard, self.zone_answered, self._own_answers):
+            for zone in ages.keys() - known:
+                del ages[zone]
         self._wanted = None
 
     def _local_links(self):
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -94,6 +94,9 @@
     def heard_from_zone(self, zone):
         return self._membership.zone_heard.get(zone) if self._membership else None
 
+    def answered_zone(self, zone):
+        return self._membership.zone_answered.get(zone) if self._membership else None
+
     async def ask(self, member, topic, payload):
         record = self._membership.records.get(member) if self._membership else None
         if record is None:
--- a/cicadapond/peer/_wire.py
+++ b/cicadapond/peer/_wire.py
@@ -44,7 +44,8 @@
     """Acknowledges a heartbeat.
 
     `zone_ages` has, for each data centre that the sender hears directly, the milliseconds since
-    it sent the heartbeat that was last acknowledged from there.
+    it sent the heartbeat that was last acknowledged from there, and since it last acknowledged
+    one from there; -1 for never.
     """
 
     number: int
@@ -203,7 +204,8 @@
 
 def _ack(number, zone_ages):
     _expect(isinstance(number, int))
-    _expect(all(isinstance(z, str) and isinstance(a, int) for z, a in zone_ages.items()))
+    for zone, (heard, answered) in zone_ages.items():
+        _expect(isinstance(zone, str) and isinstance(heard, int) and isinstance(answered, int))
     return Ack(number, zone_ages)
 
 
--- a/cicadapond/peer/wire_test.py
+++ b/cicadapond/peer/wire_test.py
@@ -30,7 +30,7 @@
 def test_messages_come_back_as_they_were():
     change = Change("a", 5, True, 0, 0, 2, [[2, "engine-1", 2, 7]])
     sync = Sync("yqr", {"a": [5, "alive", 2, 1]}, True)
-    for message in (Hello(ME), Beat(3), Ack(3, {"yxe": 20}), News([ME], [change]), sync):
+    for message in (Hello(ME), Beat(3), Ack(3, {"yxe": [20, 5]}), News([ME], [change]), sync):
         assert decode(encode(message)) == message
 
 
