Add admission: fair shares with early refusal, fifo as the baseline

Cause: an entry sent every request on at once, whoever asked and whether or not it could be answered in time. AdmissionGate is the asyncio side. Ruled out: weights per account and priority in one flat queue, where an account gains by using several priorities.

--- /dev/null
+++ b/cicadapond/admission/__init__.py
@@ -0,0 +1,36 @@
+"""Admission: which requests get a slot of a pool, in which order, and which are refused at once.
+
+The policies do no I/O: they take tickets and the time, and give decisions back.  `AdmissionGate`
+is the asyncio side that callers wait at.
+"""
+
+from cicadapond.admission._api import (
+    AdmissionPolicy,
+    Admitted,
+    Decision,
+    Refused,
+    Ticket,
+    admission_policies,
+)
+from cicadapond.admission._budget import RetryBudget, full_jitter
+from cicadapond.admission._capacity import CapacitySettings, pool_slots
+from cicadapond.admission._fair import FairAdmission
+from cicadapond.admission._fifo import FifoAdmission
+from cicadapond.admission._gate import AdmissionGate, Permit
+
+__all__ = [
+    "AdmissionGate",
+    "AdmissionPolicy",
+    "Admitted",
+    "CapacitySettings",
+    "Decision",
+    "FairAdmission",
+    "FifoAdmission",
+    "Permit",
+    "Refused",
+    "RetryBudget",
+    "Ticket",
+    "admission_policies",
+    "full_jitter",
+    "pool_slots",
+]
--- /dev/null
+++ b/cicadapond/admission/_gate.py
@@ -0,0 +1,178 @@
+"""The asyncio side of admission: callers wait here for a slot."""
+
+import asyncio
+import datetime
+import random
+import typing
+
+import attrs
+
+from cicadapond.admission._api import AdmissionPolicy, Refused, Ticket, admission_policies
+from cicadapond.document import Intent
+from cicadapond.kernel import Clock, Metrics, NotRun, Ok
+
+_ZERO = datetime.timedelta()
+
+
+@attrs.frozen
+class Permit:
+    """A slot that is held; give it back with `AdmissionGate.release`."""
+
+    ticket: Ticket
+    since: datetime.timedelta
+
+
+class AdmissionGate:
+    """Gives permits by the policy that the document names.
+
+    Args:
+      intent: Returns the document in force.
+      slots: Returns the slots of a pool that this process may use now.
+      refresh: How often slots are counted again.
+      clock: Gives the time.
+      metrics: Takes counts and waits.
+      rng: Randomness for the policies.
+    """
+
+    def __init__(
+        self,
+        intent: typing.Callable[[], Intent],
+        slots: typing.Callable[[str], int],
+        refresh: datetime.timedelta,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self._intent = intent
+        self._slots = slots
+        self._refresh = refresh
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._policy: AdmissionPolicy | None = None
+        self._name = None
+        self._accounts = None
+        self._counted: dict[str, datetime.timedelta] = {}
+        self._waiters: dict[str, asyncio.Future] = {}
+        self._running: dict[str, Permit] = {}
+        self._timer = None
+
+    async def acquire(self, ticket: Ticket) -> Ok[Permit] | NotRun:
+        """Waits for a slot.
+
+        A caller that is cancelled while it waits leaves the queue.
+
+        Args:
+          ticket: What is asked for.
+
+        Returns:
+          Ok with the permit, or NotRun as soon as the policy refuses the ticket.
+        """
+        now = self._clock.monotonic()
+        self._update(ticket.pool, now)
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[ticket.ticket_id] = waiter
+        self._apply(self._policy.offer(ticket, now), now)
+        if not waiter.done():
+            self._set_timer(now)
+        try:
+            outcome = await waiter
+        except asyncio.CancelledError:
+            self._abandon(ticket, waiter)
+            raise
+        self._note(ticket, outcome, now)
+        return outcome
+
+    def release(self, permit: Permit) -> None:
+        """Gives a slot back."""
+        if self._running.pop(permit.ticket.ticket_id, None) is None:
+            return
+        now = self._clock.monotonic()
+        self._update(permit.ticket.pool, now)
+        self._apply(self._policy.release(permit.ticket, now), now)
+
+    def state(self) -> dict:
+        """Returns the policy's queues, for a dump."""
+        pools = {} if self._policy is None else self._policy.state()
+        return {"policy": self._name, "waiting": len(self._waiters), "pools": pools}
+
+    # Decisions
+
+    def _apply(self, decisions, now):
+        for decision in decisions:
+            ticket = decision.ticket
+            waiter = self._waiters.pop(ticket.ticket_id)
+            outcome = (
+                decision.outcome if isinstance(decision, Refused) else self._grant(ticket, now)
+            )
+            if not waiter.done():
+                waiter.set_result(outcome)
+
+    def _grant(self, ticket, now):
+        permit = Permit(ticket, now)
+        self._running[ticket.ticket_id] = permit
+        return Ok(permit)
+
+    def _abandon(self, ticket, waiter):
+        """Takes a cancelled caller out, whether or not its slot has just been given."""
+        now = self._clock.monotonic()
+        if self._waiters.pop(ticket.ticket_id, None) is not None:
+            self._metrics.count("admission_withdrawn", pool=ticket.pool)
+            self._apply(self._policy.withdraw(ticket, now), now)
+        elif ticket.ticket_id in self._running:
+            self.release(self._running[ticket.ticket_id])
+
+    def _note(self, ticket, outcome, arrived):
+        if isinstance(outcome, NotRun):
+            self._metrics.count("admission_refused", pool=ticket.pool, status=outcome.status)
+            return
+        self._metrics.count("admission_admitted", pool=ticket.pool)
+        wait = self._clock.monotonic() - arrived
+        self._metrics.record("admission_wait", wait, priority=ticket.priority.name.lower())
+
+    # Document, slots and time
+
+    def _update(self, pool, now):
+        intent = self._intent()
+        if intent.policies.admission != self._name:
+            self._change_policy(intent.policies.admission, now)
+        if intent.accounts is not self._accounts:
+            self._accounts = intent.accounts
+            self._policy.configure(intent.accounts)
+        counted = self._counted.get(pool)
+        if counted is None or now - counted >= self._refresh:
+            self._counted[pool] = now
+            self._apply(self._policy.set_slots(pool, self._slots(pool), now), now)
+
+    def _change_policy(self, name, now):
+        """Moves all tickets to another policy; those with a slot keep it."""
+        waiting = [] if self._policy is None else self._policy.waiting()
+        self._policy = admission_policies.create(name, self._rng)
+        self._name = name
+        self._accounts = self._intent().accounts
+        self._policy.configure(self._accounts)
+        for permit in self._running.values():
+            self._policy.take_over(permit.ticket, now)
+        for pool in self._counted:
+            self._apply(self._policy.set_slots(pool, self._slots(pool), now), now)
+        for ticket in waiting:
+            self._apply(self._policy.offer(ticket, now), now)
+
+    def _set_timer(self, now):
+        """Wakes the policy at its next expiry or count of slots, while anybody waits."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._waiters:
+            return
+        due = self._policy.next_expiry()
+        wait = self._refresh if due is None else min(self._refresh, max(due - now, _ZERO))
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(wait.total_seconds(), self._wake)
+
+    def _wake(self):
+        now = self._clock.monotonic()
+        for pool in list(self._counted):
+            self._update(pool, now)
+        self._apply(self._policy.expire(now), now)
+        self._set_timer(now)
