--- /dev/null
+++ b/cicadapond/entry/_durable.py
@@ -0,0 +1,298 @@
+"""Requests that nobody waits for: accepted once durable, run to their end by some entry."""
+
+import asyncio
+import collections.abc
+
+import attrs
+from absl import logging
+
+from cicadapond.data import Completion, Finished, Token
+from cicadapond.entry._core import CompletionSink
+from cicadapond.entry._parts import Parts
+from cicadapond.journal import (
+    Journal,
+    JournalSettings,
+    RequestReader,
+    RequestRow,
+    RequestState,
+    journal_sweep,
+)
+from cicadapond.kernel import Failed, NotRun, Ok, TaskGroup, Unavailable, Unknown
+from cicadapond.peer import MemberState
+from cicadapond.platform import TableSweep
+
+ABSENT = 404
+NOT_SUPPORTED = 501
+RunCompletion = collections.abc.Callable[
+    [Completion, CompletionSink, tuple[str, ...]],
+    collections.abc.Awaitable[Ok[Finished] | NotRun | Failed],
+]
+
+
+@attrs.frozen
+class DurableRequest:
+    """A durable request as its caller sees it.
+
+    `tokens` are the durable ones in order: all of the answer once `state` is DONE.
+    """
+
+    row: RequestRow
+    tokens: tuple[str, ...]
+
+    @property
+    def state(self) -> RequestState:
+        """What is known of the request."""
+        return self.row.state
+
+
+class DurableRequests:
+    """The durable requests of one entry.
+
+    Args:
+      parts: What the decisions of the process share.
+      run_completion: Generates a completion, given the tokens that exist already.
+      cfg: The journal's settings.
+      process: The entry's name.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        run_completion: RunCompletion,
+        cfg: JournalSettings | None = None,
+        process: str = "entry",
+    ):
+        self._parts = parts
+        self._cfg = cfg or JournalSettings()
+        self._run_completion = run_completion
+        self._tasks = TaskGroup()
+        self._runs: dict[str, asyncio.Task] = {}
+        self._slots = asyncio.Semaphore(self._cfg.max_running)
+        self._journal = None if parts.journal_tables is None else self._make_journal(process)
+
+    def start(self) -> None:
+        """Begins to write, to adopt and to sweep."""
+        if self._journal is None:
+            return
+        parts = self._parts
+        sweep = TableSweep(
+            journal_sweep(self._cfg),
+            parts.journal_tables,
+            parts.objects,
+            parts.clock,
+            parts.metrics,
+            parts.rng,
+        )
+        self._tasks.spawn(self._journal.write_loop(), "journal-writes")
+        self._tasks.spawn(self._journal.adopt_loop(self._room), "journal-adoption")
+        self._tasks.start(sweep)
+
+    async def stop(self) -> None:
+        """Ends all runs and gives them up with their tokens, so that others go on at once."""
+        await self._cancel_runs(tuple(self._runs))
+        if self._journal is not None:
+            await self._journal.release()
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends everything at once, as a process that dies does."""
+        await self._cancel_runs(tuple(self._runs))
+        await self._tasks.stop()
+
+    def state(self) -> dict:
+        """Returns what a dump shows."""
+        return {} if self._journal is None else self._journal.state()
+
+    async def accept(self, req: Completion) -> Ok[str] | NotRun | Unknown:
+        """Takes a request; see `Journal.accept`."""
+        if self._journal is None:
+            reason = "this deployment has no table service to keep requests in"
+            return NotRun(reason, status=NOT_SUPPORTED)
+        return await self._journal.accept(req)
+
+    async def lookup(self, request_id: str, account: str) -> Ok[DurableRequest] | NotRun:
+        """Returns how a request stands.
+
+        Args:
+          request_id: The request.
+          account: Whose it must be.
+        """
+        reader = self._reader(request_id)
+        row = None if reader is None else await reader.poll()
+        refusal = _refusal(row, request_id, account)
+        if refusal is not None:
+            return refusal
+        return Ok(DurableRequest(row.value, tuple(reader.tokens)))
+
+    async def follow(
+        self, request_id: str, account: str, sink: CompletionSink, after: int = 0
+    ) -> Ok[Finished] | NotRun | Failed:
+        """Streams a request's durable tokens, at any entry.
+
+        Only durable tokens are passed on, so that a new owner never contradicts them.
+
+        Args:
+          request_id: The request.
+          account: Whose it must be.
+          sink: Takes the tokens.
+          after: How many tokens the caller has already.
+
+        Returns:
+          Ok with the answer's end once all tokens are passed on, NotRun or Failed.
+        """
+        reader = self._reader(request_id)
+        row = None if reader is None else await reader.poll()
+        refusal = _refusal(row, request_id, account)
+        if refusal is not None:
+            return refusal
+        while True:
+            if isinstance(row, Ok) and row.value is None:
+                return NotRun(f"no request {request_id!r}", status=ABSENT)
+            if isinstance(row, Ok):
+                after = await _pass_tokens(sink, row.value.epoch, reader.tokens, after)
+                end = _end(row.value, reader.tokens)
+                if end is not None:
+                    return end
+            after = await self._follow_here(request_id, sink, after)
+            await self._parts.clock.sleep(self._cfg.poll_interval)
+            row = await reader.poll()
+
+    async def _follow_here(self, request_id, sink, after):
+        """Streams while the request is this process's; returns how many tokens are passed on."""
+        journal = self._journal
+        while (tokens := journal.durable_tokens(request_id)) is not None:
+            after = await _pass_tokens(sink, 0, tokens, after)
+            if journal.durable_tokens(request_id) == tokens:
+                await journal.changed(request_id)
+        return after
+
+    # Running
+
+    def _make_journal(self, process):
+        parts = self._parts
+        return Journal(
+            parts.journal_tables,
+            parts.objects,
+            self._cfg,
+            parts.clock,
+            parts.metrics,
+            parts.rng,
+            process,
+            self._processes,
+            self._begin,
+            self._lost,
+        )
+
+    def _processes(self):
+        members = self._parts.peers.members()
+        return 1 + sum(member.state is MemberState.ALIVE for member in members)
+
+    def _room(self):
+        return self._cfg.max_open - self._journal.open_requests
+
+    def _reader(self, request_id):
+        parts = self._parts
+        if parts.journal_tables is None:
+            return None
+        return RequestReader(parts.journal_tables, parts.objects, request_id)
+
+    def _begin(self, req, tokens):
+        request_id = req.request_id
+        run = self._tasks.spawn(self._run_to_end(req), f"durable {request_id}")
+        self._runs[request_id] = run
+        run.add_done_callback(lambda done: self._forget(request_id, done))
+
+    def _forget(self, request_id, run):
+        if self._runs.get(request_id) is run:
+            del self._runs[request_id]
+
+    def _lost(self, request_ids):
+        for request_id in request_ids:
+            if request_id in self._runs:
+                self._runs[request_id].cancel()
+
+    async def _cancel_runs(self, request_ids):
+        runs = [self._runs[request_id] for request_id in request_ids]
+        for run in runs:
+            run.cancel()
+        await asyncio.gather(*runs, return_exceptions=True)
+
+    async def _run_to_end(self, req):
+        backoff = self._cfg.first_backoff
+        while True:
+            async with self._slots:
+                outcome = await self._run_once(req)
+            if await self._is_over(req, outcome):
+                return
+            wait = getattr(outcome, "retry_after", None) or backoff
+            await self._parts.clock.sleep(wait * (0.5 + self._parts.rng.random()))
+            backoff = min(2 * backoff, self._cfg.longest_backoff)
+
+    async def _run_once(self, req):
+        tokens = self._journal.tokens(req.request_id)
+        if tokens is None:
+            return None
+        sink = _JournalSink(self._journal, req.request_id, len(tokens))
+        try:
+            return await self._run_completion(req, sink, tokens)
+        except Exception as exc:
+            self._parts.metrics.count("durable_run_errors")
+            logging.exception("durable request %s failed to run", req.request_id)
+            return NotRun(f"the run ended in {exc!r}")
+
+    async def _is_over(self, req, outcome):
+        term = self._parts.intent().policies.durable_term
+        if not self._journal.has(req.request_id):
+            return True
+        match outcome:
+            case Ok(finished) if finished.length == len(self._journal.tokens(req.request_id)):
+                await self._journal.finish(req.request_id, finished, term)
+                return True
+            case Failed(reason, status):
+                self._journal.fail(req.request_id, reason, status, term)
+                return True
+        return False
+
+
+class _JournalSink(CompletionSink):
+    """Adds tokens to the journal, in order and each once."""
+
+    def __init__(self, journal, request_id, length):
+        self._journal = journal
+        self._request_id = request_id
+        self._length = length
+
+    async def tokens(self, tokens):
+        fresh = []
+        for token in tokens:
+            if token.sequence == self._length:
+                fresh.append(token.text)
+                self._length += 1
+        if fresh and self._journal.has(self._request_id):
+            self._journal.append(self._request_id, tuple(fresh))
+
+
+def _refusal(row, request_id, account):
+    if row is None:
+        return NotRun("this deployment keeps no requests", status=NOT_SUPPORTED)
+    if isinstance(row, Unavailable):
+        return NotRun(row.reason, row.retry_after)
+    if row.value is None or row.value.request.account != account:
+        return NotRun(f"no request {request_id!r}", status=ABSENT)
+    return None
+
+
+async def _pass_tokens(sink, epoch, tokens, after):
+    fresh = tuple(Token(epoch, n, tokens[n]) for n in range(after, len(tokens)))
+    if fresh:
+        await sink.tokens(fresh)
+    return max(after, len(tokens))
+
+
+def _end(row, tokens):
+    match row.state:
+        case RequestState.DONE:
+            return Ok(Finished(row.epoch, len(tokens), *row.finish))
+        case RequestState.FAILED:
+            return Failed(row.reason, row.status)
+    return None
--- /dev/null
+++ b/cicadapond/journal/_reader.py
@@ -0,0 +1,122 @@
+"""Reads a request's durable tokens, wherever its owner is."""
+
+import msgpack
+
+from cicadapond.journal._rows import (
+    REQUESTS,
+    SEGMENTS,
+    RequestRow,
+    RequestState,
+    decode_request,
+)
+from cicadapond.kernel import Ok, Unavailable
+from cicadapond.platform import ObjectStore, Row, TableService
+
+PAGE = 500
+
+
+async def read_request(tables: TableService, request_id: str) -> Ok[Row] | Unavailable:
+    """Reads a request's row."""
+    key = (REQUESTS, request_id)
+    outcome = await tables.read((key,))
+    return Ok(outcome.value[key]) if isinstance(outcome, Ok) else outcome
+
+
+async def read_tokens(
+    objects: ObjectStore | None, row: RequestRow
+) -> Ok[tuple[str, ...]] | Unavailable:
+    """Returns the tokens of a row, from the object store if they are there."""
+    if row.tokens_object is None:
+        return Ok(row.tokens)
+    if objects is None:
+        return Unavailable("there is no object store")
+    outcome = await objects.get(row.tokens_object)
+    if not isinstance(outcome, Ok):
+        return outcome
+    if outcome.value is None:
+        return Unavailable(f"object {row.tokens_object!r} is missing")
+    return Ok(tuple(msgpack.unpackb(outcome.value)))
+
+
+async def scan_all(
+    tables: TableService, table: str, prefix: str, after: str = ""
+) -> Ok[list[Row]] | Unavailable:
+    """Reads every row under a prefix, page by page."""
+    rows = []
+    while True:
+        page = await tables.scan(table, prefix, after, PAGE)
+        if not isinstance(page, Ok):
+            return page
+        rows.extend(page.value)
+        if len(page.value) < PAGE:
+            return Ok(rows)
+        after = rows[-1].key
+
+
+def extend_tokens(tokens: list[str], segment: Row, request_id: str) -> None:
+    """Adds a segment's tokens of a request to those before it."""
+    found = segment.value.get(request_id)
+    if found is None:
+        return
+    start, more = found
+    if start <= len(tokens):
+        tokens.extend(more[len(tokens) - start :])
+
+
+class RequestReader:
+    """Follows one request through the tables.
+
+    Args:
+      tables: The table service.
+      objects: The object store, or None.
+      request_id: The request.
+    """
+
+    def __init__(self, tables: TableService, objects: ObjectStore | None, request_id: str):
+        self._tables = tables
+        self._objects = objects
+        self._request_id = request_id
+        self._epoch = (None, 0)
+        self._after = ""
+        self.tokens: list[str] = []
+
+    async def poll(self) -> Ok[RequestRow | None] | Unavailable:
+        """Reads what is new into `tokens`, which holds all durable tokens in order.
+
+        Returns:
+          Ok with the row, None if there is no such request; or Unavailable.
+        """
+        outcome = await read_request(self._tables, self._request_id)
+        if not isinstance(outcome, Ok):
+            return outcome
+        row = decode_request(outcome.value)
+        if row is None:
+            return Ok(None)
+        if row.state is RequestState.FAILED:
+            return Ok(row)
+        failure = await self._read_base(row)
+        if failure is None and row.state is RequestState.OPEN:
+            failure = await self._read_segments(row)
+        return Ok(row) if failure is None else failure
+
+    async def _read_base(self, row):
+        finished = row.state is RequestState.DONE
+        if not finished and self._epoch == (row.owner, row.epoch):
+            return None
+        base = await read_tokens(self._objects, row)
+        if not isinstance(base, Ok):
+            return base
+        if len(base.value) > len(self.tokens):
+            self.tokens = list(base.value)
+        self._epoch = (row.owner, row.epoch)
+        self._after = ""
+        return None
+
+    async def _read_segments(self, row):
+        rows = await scan_all(self._tables, SEGMENTS, f"{row.owner}/", self._after)
+        if not isinstance(rows, Ok):
+            return rows
+        for segment in rows.value:
+            extend_tokens(self.tokens, segment, self._request_id)
+            self._after = segment.key
+        return None
--- /dev/null
+++ b/cicadapond/journal/_sweep.py
@@ -0,0 +1,16 @@
+"""Which rows of the journal are removed when."""
+
+from cicadapond.journal._rows import REQUESTS, decode_request
+from cicadapond.journal._settings import JournalSettings
+from cicadapond.platform import SweepPlan
+
+
+def journal_sweep(cfg: JournalSettings) -> SweepPlan:
+    """Returns the plan that removes finished requests whose term is over."""
+    return SweepPlan(
+        table=REQUESTS,
+        expires=lambda row: decode_request(row).expires,
+        object_name=lambda row: decode_request(row).tokens_object,
+        interval=cfg.sweep_interval,
+        page=cfg.sweep_page,
+    )
--- a/cicadapond/ledger/__init__.py
+++ b/cicadapond/ledger/__init__.py
@@ -6,7 +6,7 @@
 from cicadapond.ledger._api import KeyedCalls, KeyedWork, SendOnce, keyed_call_policies
 from cicadapond.ledger._ledger import Ledger
 from cicadapond.ledger._settings import LedgerSettings
-from cicadapond.ledger._sweep import LedgerSweep
+from cicadapond.ledger._sweep import ledger_sweep
 from cicadapond.ledger._trusting import TrustingCalls
 
 __all__ = [
@@ -14,8 +14,8 @@
     "KeyedWork",
     "Ledger",
     "LedgerSettings",
-    "LedgerSweep",
     "SendOnce",
     "TrustingCalls",
     "keyed_call_policies",
+    "ledger_sweep",
 ]
--- a/cicadapond/ledger/ledger_test.py
+++ b/cicadapond/ledger/ledger_test.py
@@ -9,7 +9,8 @@
 from cicadapond.backend import NotSent
 from cicadapond.data import Answer
 from cicadapond.kernel import Metrics, NotRun, Ok, Unknown, VirtualClock, run_virtual, seconds
-from cicadapond.ledger import KeyedWork, Ledger, LedgerSettings, LedgerSweep, TrustingCalls
+from cicadapond.ledger import KeyedWork, Ledger, LedgerSettings, TrustingCalls, ledger_sweep
+from cicadapond.platform import TableSweep
 from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
 
 CHARGE = KeyedWork("yard-1", "charge-7", "body")
@@ -227,7 +228,9 @@
 async def test_expired_rows_are_swept(world):
     await world.ledger().call(CHARGE, world.send)
     tables = DirectTables(world.model)
-    sweep = LedgerSweep(tables, None, world.cfg, world.clock, Metrics(), random.Random(3))
+    sweep = TableSweep(
+        ledger_sweep(world.cfg), tables, None, world.clock, Metrics(), random.Random(3)
+    )
     assert await sweep.sweep_page() == 0
     await world.clock.sleep(2 * world.cfg.row_term)
     assert await sweep.sweep_page() == 1
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -26,6 +26,7 @@
 from cicadapond.platform._classes import StoreClass
 from cicadapond.platform._rate import RateLimit
 from cicadapond.platform._settings import AdapterSettings, PlatformSettings
+from cicadapond.platform._sweep import SweepPlan, TableSweep
 
 __all__ = [
     "AdapterSettings",
@@ -42,7 +43,9 @@
     "Refused",
     "Row",
     "StoreClass",
+    "SweepPlan",
     "TableService",
+    "TableSweep",
     "WeightStore",
     "Write",
     "cloud_apis",
