Admit every request through fair shares, and call plain services

Cause: the core sent completions on unasked and had no runner for plain services. Change: each request takes a slot of its pool from the gate first; slots are counted from live views, the document's slots per server, and what other entries use. ServiceRunner is wired in.

--- a/cicadapond/admission/_capacity.py
+++ b/cicadapond/admission/_capacity.py
@@ -29,7 +29,8 @@
 
 
 def pool_slots(
-    views: typing.Iterable[ServerView],
+    views: typing.Sequence[ServerView],
+    slots: typing.Sequence[int],
     now: datetime.timedelta,
     warm_since: datetime.timedelta,
     entries: int,
@@ -42,6 +43,7 @@
 
     Args:
       views: The pool's servers that take new work.
+      slots: The slots of each, once it runs at full speed.
       now: The monotonic instant.
       warm_since: Servers first seen up to this instant were there before this process, and start
         with all their slots.
@@ -53,19 +55,19 @@
     """
     total = 0.0
     peers = 0
-    for view in views:
+    for view, full in zip(views, slots, strict=True):
         if view.leaving or view.failing_until > now:
             continue
-        total += _server_slots(view, now, warm_since, cfg)
+        total += full * _warmth(view, now, warm_since, cfg)
         peers += view.peer_in_flight
     if total == 0.0:
         return 0
     return max(1, int(max(total - peers, total / max(1, entries))))
 
 
-def _server_slots(view, now, warm_since, cfg):
-    slots = cfg.default_slots if view.report is None else view.report.slots
+def _warmth(view, now, warm_since, cfg):
+    """Returns which part of its slots a server may have: all, unless it is new."""
     if view.live_since <= warm_since or cfg.slow_start <= _ZERO:
-        return slots
+        return 1.0
     age = (now - view.live_since) / cfg.slow_start
-    return slots * min(1.0, FIRST_SHARE + (1.0 - FIRST_SHARE) * max(0.0, age))
+    return min(1.0, FIRST_SHARE + (1.0 - FIRST_SHARE) * max(0.0, age))
--- a/cicadapond/admission/gate_test.py
+++ b/cicadapond/admission/gate_test.py
@@ -12,7 +12,7 @@
     Ticket,
     pool_slots,
 )
-from cicadapond.data import BackendServer, Endpoint, LoadReport, Priority, ServerKind
+from cicadapond.data import BackendServer, Endpoint, Priority, ServerKind
 from cicadapond.document import Intent, PolicyIntent
 from cicadapond.kernel import Metrics, NotRun, Ok, VirtualClock, run_virtual, seconds
 from cicadapond.routing import ServerView
@@ -125,14 +125,14 @@
 
 
 def test_slots_leave_out_leaving_servers_and_start_new_ones_slowly():
-    report = LoadReport("e", 0, 0, slots=20)
-    old = ServerView(ENGINE, report=report)
+    old = ServerView(ENGINE)
     new = attrs.evolve(old, live_since=seconds(100))
     leaving = attrs.evolve(old, leaving=True)
     failing = attrs.evolve(old, failing_until=seconds(200))
 
     def count(*views, now=100, entries=1):
-        return pool_slots(views, seconds(now), seconds(1), entries, CapacitySettings())
+        slots = [20] * len(views)
+        return pool_slots(views, slots, seconds(now), seconds(1), entries, CapacitySettings())
 
     assert count(old) == 20
     assert count(old, new) == 22
@@ -143,10 +143,10 @@
 
 
 def test_slots_are_what_other_entries_leave_but_at_least_an_even_share():
-    view = ServerView(ENGINE, peer_in_flight=5, report=LoadReport("e", 5, 0, slots=20))
+    view = ServerView(ENGINE, peer_in_flight=5)
 
     def count(entries):
-        return pool_slots([view], seconds(9), seconds(9), entries, CapacitySettings())
+        return pool_slots([view], [20], seconds(9), seconds(9), entries, CapacitySettings())
 
     assert count(2) == 15
     view.peer_in_flight = 30
--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -5,10 +5,13 @@
 
 import abc
 
+from cicadapond.admission import AdmissionGate, RetryBudget
 from cicadapond.backend import Engine
 from cicadapond.data import Answer, Broken, Completion, Finished, GenerateCall, ServiceCall, Token
 from cicadapond.document import Intent
 from cicadapond.entry._parts import Parts
+from cicadapond.entry._service import ServiceRunner
+from cicadapond.entry._tickets import SlotCount, completion_ticket, service_ticket
 from cicadapond.kernel import Failed, NotRun, Ok, Unknown
 
 
@@ -24,11 +27,23 @@
     """The decisions of one entry process and the state they need.
 
     Args:
-      parts: What the decisions share.
+      parts: What the decisions share; the retry budget is made here where there is none.
     """
 
     def __init__(self, parts: Parts):
         self.parts = parts
+        if parts.retry_budget is None:
+            parts.retry_budget = RetryBudget(lambda: parts.intent().policies.retry_share)
+        self._slots = SlotCount(parts)
+        self._gate = AdmissionGate(
+            parts.intent,
+            self._slots.count,
+            parts.cfg.capacity.refresh,
+            parts.clock,
+            parts.metrics,
+            parts.rng,
+        )
+        self._services = ServiceRunner(parts)
 
     @property
     def intent(self) -> Intent:
@@ -37,7 +52,17 @@
 
     def state(self) -> dict:
         """Returns the views and their ages, for a dump."""
-        return {"revision": self.intent.revision, "backends": self.parts.fleet.state()}
+        return {
+            "revision": self.intent.revision,
+            "backends": self.parts.fleet.state(),
+            "admission": self._gate.state(),
+            "retry_budget": self.parts.retry_budget.state(),
+            "services": self._services.state(),
+        }
+
+    async def close(self) -> None:
+        """Ends the background work."""
+        await self._services.close()
 
     async def complete(
         self, req: Completion, sink: CompletionSink
@@ -54,6 +79,20 @@
         model = self.intent.models.get(req.model)
         if model is None:
             return NotRun(f"no model {req.model!r}", status=404)
+        ticket = completion_ticket(req, model, self.parts.clock.monotonic())
+        return await self._with_slot(ticket, lambda: self._generate(req, model, sink))
+
+    async def _with_slot(self, ticket, work):
+        """Runs some work while it holds a slot; returns its outcome or the refusal."""
+        admitted = await self._gate.acquire(ticket)
+        if isinstance(admitted, NotRun):
+            return admitted
+        try:
+            return await work()
+        finally:
+            self._gate.release(admitted.value)
+
+    async def _generate(self, req, model, sink):
         fleet = self.parts.fleet
         views = fleet.views(model.pool)
         if not views:
@@ -74,7 +113,11 @@
         Returns:
           Ok with the whole answer, or what became of the call.
         """
-        return NotRun(f"no server of service {call.service!r} takes work")
+        application = self.intent.applications.get(call.service)
+        if application is None:
+            return NotRun(f"no service {call.service!r}", status=404)
+        ticket = service_ticket(call, application, self.parts.clock.monotonic())
+        return await self._with_slot(ticket, lambda: self._services.run(call))
 
     async def accept(self, req: Completion) -> Ok[str] | NotRun:
         """Takes a completion that nobody waits for.
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cicadapond.admission import CapacitySettings
 from cicadapond.data import Endpoint, Priority
 from cicadapond.kernel import at_least, setting
 from cicadapond.platform import PlatformSettings
@@ -63,6 +64,7 @@
     service_adapter: str = "http"
     host_list_interval: datetime.timedelta = _SECOND
     silence_limit: datetime.timedelta = 5 * _SECOND
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
     http_limits: HttpLimits = attrs.field(factory=HttpLimits)
     balancer_delay: datetime.timedelta = 5 * _SECOND
     stop_limit: datetime.timedelta = 600 * _SECOND
--- /dev/null
+++ b/cicadapond/entry/_tickets.py
@@ -0,0 +1,85 @@
+"""What admission is told of a request, and how many slots it may give."""
+
+import datetime
+
+from cicadapond.admission import Ticket, pool_slots
+from cicadapond.data import Completion, Priority, ServerKind, ServiceCall
+from cicadapond.document import ApplicationIntent, ModelIntent
+from cicadapond.entry._parts import Parts
+from cicadapond.peer import MemberState
+
+WAIT_SHARE = 0.5  # of the time that a request has, the part that it may wait for a slot
+WARM_UP = datetime.timedelta(seconds=5)
+_LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def completion_ticket(req: Completion, model: ModelIntent, now: datetime.timedelta) -> Ticket:
+    """Returns the ticket of a completion.
+
+    An interactive one is of no use once half of the model's target for the first token has gone
+    by; another one must leave time for its tokens before its deadline.
+
+    Args:
+      req: The request.
+      model: The model's part of the document.
+      now: The monotonic instant.
+    """
+    latest = None
+    if req.deadline is not None:
+        generation = model.token_interval_target * req.max_tokens
+        latest = req.deadline - min(generation, WAIT_SHARE * (req.deadline - now))
+    if req.priority is Priority.INTERACTIVE and not req.durable:
+        first = now + WAIT_SHARE * model.first_token_target
+        latest = first if latest is None else min(latest, first)
+    return Ticket(req.request_id, model.pool, req.account, req.priority, latest)
+
+
+def service_ticket(
+    call: ServiceCall, application: ApplicationIntent, now: datetime.timedelta
+) -> Ticket:
+    """Returns the ticket of a call to a plain service.
+
+    Args:
+      call: The call.
+      application: The service's part of the document.
+      now: The monotonic instant.
+    """
+    deadline = now + application.timeout if call.deadline is None else call.deadline
+    latest = now + WAIT_SHARE * (deadline - now)
+    return Ticket(call.request_id, call.service, call.account, call.priority, latest)
+
+
+class SlotCount:
+    """Counts the slots of a pool that this entry may use now.
+
+    Args:
+      parts: What the decisions of the process share.
+    """
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._warm_since: datetime.timedelta | None = None
+
+    def count(self, pool: str) -> int:
+        """Returns the slots of a pool or service."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        if self._warm_since is None:
+            self._warm_since = now + WARM_UP
+        views = parts.fleet.views(pool)
+        slots = [self._slots_of(view) for view in views]
+        return pool_slots(views, slots, now, self._warm_since, self._entries(), parts.cfg.capacity)
+
+    def _slots_of(self, view):
+        """Returns a server's slots: as the document says for services, as engines report."""
+        if view.server.kind is ServerKind.SERVICE:
+            application = self._parts.intent().applications.get(view.server.pool)
+            if application is not None:
+                return application.slots_per_server
+        if view.report is not None:
+            return view.report.slots
+        return self._parts.cfg.capacity.default_slots
+
+    def _entries(self):
+        members = self._parts.peers.members()
+        return 1 + sum(member.state in _LIVE and member.role == "entry" for member in members)
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -102,6 +102,7 @@
         self._callers.stopping = True
         self._server.stop()
         await self._finish_requests()
+        await self.core.close()
         await self._tasks.stop()
         await self._server.close_all_connections()
         self._admin.stop()
