Answer GET /v1/requests/{id}, whole or as a stream that resumes

Change: the core accepts, looks up and follows durable requests through DurableRequests; the stream's event ids count tokens, so that Last-Event-ID resumes it at any entry. The sink's class has a module of its own, so that runners need not import the core. Conclusion: socket tests cover the answer, resumption after each token, and unknown requests.

--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -3,26 +3,18 @@
 The core opens no sockets of its own: whatever needs one is passed in with the `Parts`.
 """
 
-import abc
-
 from cicadapond.admission import AdmissionGate, RetryBudget
 from cicadapond.backend import Engine
 from cicadapond.data import Answer, Broken, Completion, Finished, GenerateCall, ServiceCall, Token
 from cicadapond.document import Intent
+from cicadapond.entry._durable import DurableRequest, DurableRequests
 from cicadapond.entry._parts import Parts
 from cicadapond.entry._service import ServiceRunner
-from cicadapond.entry._tickets import SlotCount, completion_ticket, service_ticket
+from cicadapond.entry._sink import CompletionSink
+from cicadapond.entry._tickets import SlotCount, accept_ticket, completion_ticket, service_ticket
 from cicadapond.kernel import Failed, NotRun, Ok, Unknown
 
 
-class CompletionSink(abc.ABC):
-    """Takes a completion's tokens on their way to the caller."""
-
-    @abc.abstractmethod
-    async def tokens(self, tokens: tuple[Token, ...]) -> None:
-        """Passes tokens on; returns when the caller has room for more."""
-
-
 class EntryCore:
     """The decisions of one entry process and the state they need.
 
@@ -44,6 +36,7 @@
             parts.rng,
         )
         self._services = ServiceRunner(parts)
+        self._durable = DurableRequests(parts, self._run_durable, process=parts.cfg.name)
 
     @property
     def intent(self) -> Intent:
@@ -58,10 +51,21 @@
             "admission": self._gate.state(),
             "retry_budget": self.parts.retry_budget.state(),
             "services": self._services.state(),
+            "durable": self._durable.state(),
         }
 
+    def start(self) -> None:
+        """Begins the background work: writing the journal, adopting what others left."""
+        self._durable.start()
+
+    async def stop(self) -> None:
+        """Ends as planned: durable requests are given up with their tokens, for others to run."""
+        await self._durable.stop()
+        await self._services.close()
+
     async def close(self) -> None:
-        """Ends the background work."""
+        """Ends everything at once, as a process that dies does."""
+        await self._durable.close()
         await self._services.close()
 
     async def complete(
@@ -92,7 +96,7 @@
         finally:
             self._gate.release(admitted.value)
 
-    async def _generate(self, req, model, sink):
+    async def _generate(self, req, model, sink, resume=()):
         fleet = self.parts.fleet
         views = fleet.views(model.pool)
         if not views:
@@ -100,7 +104,7 @@
         name = min(views, key=lambda view: view.own_in_flight).server.name
         fleet.started(name)
         try:
-            return await _relay(fleet.adapter(name), _first_call(req, model), sink)
+            return await _relay(fleet.adapter(name), _first_call(req, model, resume), sink)
         finally:
             fleet.finished(name)
 
@@ -119,19 +123,39 @@
         ticket = service_ticket(call, application, self.parts.clock.monotonic())
         return await self._with_slot(ticket, lambda: self._services.run(call))
 
-    async def accept(self, req: Completion) -> Ok[str] | NotRun:
+    # Durable requests
+
+    async def accept(self, req: Completion) -> Ok[str] | NotRun | Unknown:
         """Takes a completion that nobody waits for.
 
         Args:
           req: The request.
 
         Returns:
-          Ok with the request's id once the request is durable, or NotRun.
+          Ok with the request's id once the request is durable; NotRun; or Unknown.
         """
-        return NotRun("this deployment has no table service to keep requests in", status=501)
+        ticket = accept_ticket(req, self.parts.clock.monotonic())
+        return await self._with_slot(ticket, lambda: self._durable.accept(req))
+
+    async def lookup(self, request_id: str, account: str) -> Ok[DurableRequest] | NotRun:
+        """Returns how a durable request of an account stands."""
+        return await self._durable.lookup(request_id, account)
+
+    async def follow(
+        self, request_id: str, account: str, sink: CompletionSink, after: int
+    ) -> Ok[Finished] | NotRun | Failed:
+        """Streams a durable request's tokens, leaving out the first `after`."""
+        return await self._durable.follow(request_id, account, sink, after)
+
+    async def _run_durable(self, req, sink, resume):
+        model = self.intent.models.get(req.model)
+        if model is None:
+            return NotRun(f"no model {req.model!r} now")
+        ticket = completion_ticket(req, model, self.parts.clock.monotonic())
+        return await self._with_slot(ticket, lambda: self._generate(req, model, sink, resume))
 
 
-def _first_call(req, model):
+def _first_call(req, model, resume):
     return GenerateCall(
         stream_id=req.request_id,
         epoch=1,
@@ -143,6 +167,7 @@
         adapter=req.adapter,
         stop=req.stop,
         seed=req.seed,
+        resume=resume,
     )
 
 
--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -7,8 +7,8 @@
 from absl import logging
 
 from cicadapond.data import Completion, Finished, Token
-from cicadapond.entry._core import CompletionSink
 from cicadapond.entry._parts import Parts
+from cicadapond.entry._sink import CompletionSink
 from cicadapond.journal import (
     Journal,
     JournalSettings,
--- a/cicadapond/entry/_http.py
+++ b/cicadapond/entry/_http.py
@@ -4,6 +4,7 @@
 
 from cicadapond.entry._http_base import CallerParts, UnknownPathHandler
 from cicadapond.entry._http_completions import ChatHandler, CompletionHandler, ModelsHandler
+from cicadapond.entry._http_requests import DurableHandler
 from cicadapond.entry._http_services import ServiceHandler
 
 
@@ -19,6 +20,7 @@
             ("/v1/completions", CompletionHandler, shared),
             ("/v1/chat/completions", ChatHandler, shared),
             ("/v1/models", ModelsHandler, shared),
+            ("/v1/requests/([^/]+)", DurableHandler, shared),
             ("/services/([^/]+)(/.*)?", ServiceHandler, shared),
         ],
         default_handler_class=UnknownPathHandler,
--- a/cicadapond/entry/_http_completions.py
+++ b/cicadapond/entry/_http_completions.py
@@ -2,10 +2,10 @@
 
 from cicadapond.data import Completion, Priority
 from cicadapond.entry._body import read_body
-from cicadapond.entry._core import CompletionSink
 from cicadapond.entry._http_base import CallerHandler
 from cicadapond.entry._problem import PENDING, invalid_body
 from cicadapond.entry._shapes import STREAM_END, AnswerHead, ChatShape, CompletionShape
+from cicadapond.entry._sink import CompletionSink
 from cicadapond.kernel import Findings, NotRun, Ok
 
 
--- /dev/null
+++ b/cicadapond/entry/_sink.py
@@ -0,0 +1,13 @@
+"""Where a completion's tokens go."""
+
+import abc
+
+from cicadapond.data import Token
+
+
+class CompletionSink(abc.ABC):
+    """Takes a completion's tokens on their way to the caller."""
+
+    @abc.abstractmethod
+    async def tokens(self, tokens: tuple[Token, ...]) -> None:
+        """Passes tokens on; returns when the caller has room for more."""
--- a/cicadapond/entry/_tickets.py
+++ b/cicadapond/entry/_tickets.py
@@ -9,6 +9,9 @@
 from cicadapond.peer import MemberState
 
 WAIT_SHARE = 0.5  # of the time that a request has, the part that it may wait for a slot
+ACCEPT_POOL = "durable requests"
+ACCEPT_SLOTS = 256  # writes of new durable requests that wait for the table service at once
+ACCEPT_WAIT = datetime.timedelta(seconds=2)
 WARM_UP = datetime.timedelta(seconds=5)
 _LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
 
@@ -34,6 +37,17 @@
     return Ticket(req.request_id, model.pool, req.account, req.priority, latest)
 
 
+def accept_ticket(req: Completion, now: datetime.timedelta) -> Ticket:
+    """Returns the ticket for making a durable request durable.
+
+    Args:
+      req: The request.
+      now: The monotonic instant.
+    """
+    latest = now + ACCEPT_WAIT
+    return Ticket(req.request_id, ACCEPT_POOL, req.account, Priority.STANDARD, latest)
+
+
 def service_ticket(
     call: ServiceCall, application: ApplicationIntent, now: datetime.timedelta
 ) -> Ticket:
@@ -63,6 +77,8 @@
     def count(self, pool: str) -> int:
         """Returns the slots of a pool or service."""
         parts = self._parts
+        if pool == ACCEPT_POOL:
+            return ACCEPT_SLOTS
         now = parts.clock.monotonic()
         if self._warm_since is None:
             self._warm_since = now + WARM_UP
--- a/cicadapond/entry/http_test.py
+++ b/cicadapond/entry/http_test.py
@@ -1,6 +1,7 @@
 """Callers' HTTP API over sockets, before a core that the test commands."""
 
 import asyncio
+import datetime
 import hashlib
 import json
 
@@ -9,12 +10,14 @@
 import tornado.httpserver
 import tornado.testing
 
-from cicadapond.data import Answer, Finished, Token
+from cicadapond.data import Answer, Completion, Finished, Token
 from cicadapond.document import AccountIntent, ApplicationIntent, Intent, ModelIntent
+from cicadapond.entry._durable import DurableRequest
 from cicadapond.entry._http import caller_application
 from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
 from cicadapond.entry._settings import HttpLimits
+from cicadapond.journal import RequestRow, RequestState
 from cicadapond.kernel import Failed, LoopClock, Metrics, NotRun, Ok, Unknown, seconds
 
 KEY = "counter-key"
@@ -315,3 +318,57 @@
             return other.code, served.parts.metrics.counter("callers_too_slow")
 
     assert asyncio.run(run()) == (201, 1)
+
+
+# Durable requests
+
+
+def durable(state, tokens=("a ", "b ")):
+    request = Completion("r-1", "counter", "m", "p", 2, durable=True)
+    at = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    row = RequestRow(request, "hash", "owner", 1, state, at, finish=("length", 0, 0))
+    return DurableRequest(row, tokens)
+
+
+class DurableCore(FakeCore):
+    """Has one durable request."""
+
+    def __init__(self, found):
+        super().__init__()
+        self.found = found
+
+    async def lookup(self, request_id, account):
+        self.asked.append((request_id, account))
+        return self.found
+
+    async def follow(self, request_id, account, sink, after):
+        for number, text in list(enumerate(self.found.value.tokens))[after:]:
+            await sink.tokens((Token(1, number, text),))
+        return Ok(Finished(1, 2, "length"))
+
+
+def test_a_durable_request_tells_its_answer():
+    core = DurableCore(Ok(durable(RequestState.DONE)))
+    response = ask("/v1/requests/r-1", core, method="GET")
+    body = json.loads(response.body)
+    assert core.asked == [("r-1", "counter")]
+    assert (body["state"], body["answer"]["choices"][0]["text"]) == ("done", "a b ")
+    assert response.headers["Cicadapond-Outcome"] == "ok"
+
+
+@pytest.mark.parametrize(("after", "ids"), [(None, ["1", "2"]), ("1", ["2"]), ("2", [])])
+def test_a_durable_stream_goes_on_after_the_last_event(after, ids):
+    core = DurableCore(Ok(durable(RequestState.DONE)))
+    headers = AUTHORIZED | {"Accept": "text/event-stream"}
+    headers |= {"Last-Event-ID": after} if after else {}
+    response = ask("/v1/requests/r-1", core, method="GET", headers=headers)
+    lines = response.body.decode().splitlines()
+    assert [line[4:] for line in lines if line.startswith("id: ")] == ids
+    assert lines[-2] == "data: [DONE]"
+
+
+def test_an_unknown_durable_request_is_not_found():
+    core = DurableCore(NotRun("no request 'r-1'", status=404))
+    assert ask("/v1/requests/r-1", core, method="GET").code == 404
+    headers = AUTHORIZED | {"Last-Event-ID": "x"}
+    assert ask("/v1/requests/r-1", core, method="GET", headers=headers).code == 400
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -72,6 +72,7 @@
         watcher = HostListWatcher(self.core.parts.fleet, hosts, cfg, self.clock, self.metrics)
         await watcher.read_once()
         self._tasks.start(watcher)
+        self.core.start()
         self._server.listen(cfg.http.port, cfg.http.host)
         self._admin.listen(cfg.admin.port, cfg.admin.host)
         self._ready = True
@@ -102,7 +103,7 @@
         self._callers.stopping = True
         self._server.stop()
         await self._finish_requests()
-        await self.core.close()
+        await self.core.stop()
         await self._tasks.stop()
         await self._server.close_all_connections()
         self._admin.stop()
