Run completions to their whole answers: resume, move, quarantine

Cause: an entry made one attempt for each completion; any break was the caller's error.

Change: `CompletionRunner` routes, attempts, resumes after breaks from the prompt and the tokens so far with the same model version, moves streams off noticed engines, keeps suspects of a crash apart, and waits within the deadline for an engine to exist. An attempt has one teardown, safe to call twice; the bench checks after every test that no attempt and no count is left. The trial of a suspect ends once it has gone on past the place of the crash: with a whole answer as the only end of the trial, a crash under 20 streams kept some waiting for more than 30 s behind each other.

Ruled out by a random interleaving: convicting the only suspect past its trial; with two entries it convicted an innocent beside another entry's suspect.

--- /dev/null
+++ b/cicadapond/entry/_attempt.py
@@ -0,0 +1,197 @@
+"""One attempt to generate on one engine: reads it, passes its tokens on, tears it down."""
+
+import asyncio
+import dataclasses
+import datetime
+import typing
+
+import attrs
+
+from cicadapond.backend import Engine
+from cicadapond.data import BreakKind, Broken, GenerateCall, Token
+from cicadapond.kernel import Clock, Metrics
+from cicadapond.stream import AnswerState, Broke, MoveKind, PauseWatch, SilenceLimits, Whole
+
+ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moved:
+    """The attempt was ended so that its stream goes on elsewhere."""
+
+    kind: MoveKind
+    target: str | None = None
+    kv_handle: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutOfTime:
+    """The request's deadline has passed."""
+
+
+AttemptEnd = Whole | Broke | Moved | OutOfTime
+
+
+@attrs.frozen
+class AttemptLimits:
+    """Limits of one attempt.
+
+    `slow_reader` is how long the caller may take tokens before the engine's stream is paused.
+    """
+
+    silence: SilenceLimits
+    slow_reader: datetime.timedelta
+    deadline: datetime.timedelta | None
+    silent_before: int = 0
+
+
+class Attempt:
+    """One attempt; `close` is its only teardown and safe to call twice.
+
+    Args:
+      engine: The engine's adapter.
+      call: What it is to generate.
+      answer: The state machine that checks its events.
+      limits: Its limits.
+      clock: Gives the time.
+      metrics: Takes counts.
+      pause: Tells whether the process was paused.
+      on_close: Called once when the attempt is over.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        call: GenerateCall,
+        answer: AnswerState,
+        limits: AttemptLimits,
+        clock: Clock,
+        metrics: Metrics,
+        pause: PauseWatch,
+        on_close: typing.Callable[["Attempt"], None],
+    ):
+        self.engine = engine
+        self.call = call
+        self.answer = answer
+        self.exporting = False
+        self.export_failures = 0
+        self.first_token_at: datetime.timedelta | None = None
+        self._limits = limits
+        self._clock = clock
+        self._metrics = metrics
+        self._pause = pause
+        self._on_close = on_close
+        self._stream = None
+        self._timer: asyncio.Timeout | None = None
+        self._move: Moved | None = None
+        self._closed = False
+
+    @property
+    def server(self) -> str:
+        """The engine's name."""
+        return self.engine.server.name
+
+    def remaining(self) -> datetime.timedelta | None:
+        """Returns how long the answer still takes at its pace so far, None if unknown."""
+        done = len(self.answer.tokens) - len(self.call.resume)
+        if self.first_token_at is None or done < 2:
+            return None
+        interval = (self._clock.monotonic() - self.first_token_at) / (done - 1)
+        return interval * (self.call.max_tokens - len(self.answer.tokens))
+
+    def move(self, moved: Moved) -> None:
+        """Asks the attempt to end so that its stream goes on elsewhere."""
+        if self._move is not None or self._closed:
+            return
+        self._move = moved
+        if self._timer is not None:
+            self._timer.reschedule(asyncio.get_running_loop().time())
+
+    async def run(self, deliver: typing.Callable) -> AttemptEnd:
+        """Reads the attempt to its end.
+
+        Args:
+          deliver: Takes the new tokens; returns when the caller has room for more.
+
+        Returns:
+          How it ended; by then it is closed.
+        """
+        try:
+            self._stream = self.engine.generate(self.call)
+            return await self._read(deliver)
+        finally:
+            self.close()
+
+    async def _read(self, deliver):
+        while True:
+            if self._move is not None:
+                return self._move
+            events = await self._events()
+            if events is None:
+                end = self._silent()
+                if end is not None:
+                    return end
+                continue
+            taken = self.answer.take(events)
+            for reason in taken.dropped:
+                self._metrics.count("tokens_dropped", reason=reason.value)
+            if taken.tokens:
+                await self._deliver(deliver, taken.tokens)
+            if taken.end is not None:
+                return taken.end
+            if self._time_left() == ZERO:
+                return OutOfTime()
+
+    async def _events(self):
+        """Returns the next events, None after silence or when `move` was called."""
+        limit = self._limits.silence.limit(
+            self.call.priority, self.first_token_at is not None, self._limits.silent_before
+        )
+        left = self._time_left()
+        limit = limit if left is None else min(limit, left)
+        try:
+            async with asyncio.timeout(limit.total_seconds()) as self._timer:
+                return await self._stream.read()
+        except TimeoutError:
+            return None
+        finally:
+            self._timer = None
+
+    def _silent(self):
+        """Returns the end that a silence means; None if the process itself was paused."""
+        if self._move is not None:
+            return None
+        if self._time_left() == ZERO:
+            return OutOfTime()
+        if self._pause.paused():
+            self._pause.refreshed()
+            return None
+        return Broke(Broken(self.call.epoch, BreakKind.SILENT, f"{self.server} is silent"))
+
+    def _time_left(self):
+        """Returns the time to the deadline, zero once it has passed, None without one."""
+        if self._limits.deadline is None:
+            return None
+        return max(ZERO, self._limits.deadline - self._clock.monotonic())
+
+    async def _deliver(self, deliver, tokens: tuple[Token, ...]):
+        if self.first_token_at is None:
+            self.first_token_at = self._clock.monotonic()
+        loop = asyncio.get_running_loop()
+        delay = self._limits.slow_reader.total_seconds()
+        pausing = loop.call_later(delay, self._stream.pause)
+        try:
+            await deliver(tokens)
+        finally:
+            pausing.cancel()
+        if pausing.when() <= loop.time():
+            self._stream.resume()
+
+    def close(self) -> None:
+        """Cancels what still runs and tells whoever counts attempts; safe to call twice."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._stream is not None:
+            self._stream.close()
+        self._on_close(self)
--- /dev/null
+++ b/cicadapond/entry/_mover.py
@@ -0,0 +1,168 @@
+"""Moves the streams of a noticed engine to others, as the document's moving policy decides."""
+
+import asyncio
+import collections
+import datetime
+import typing
+
+from cicadapond.backend import NotSent
+from cicadapond.data import split_tokens
+from cicadapond.entry._attempt import Attempt, Moved
+from cicadapond.kernel import Ok, Unavailable, seconds
+from cicadapond.routing import ServerView
+from cicadapond.stream import Movable, MoveKind, MoveTarget, MovingSettings, moving_policies
+
+DECISION_INTERVAL = seconds(0.05)
+GONE_AFTER = seconds(2)
+DEFAULT_SLOTS = 32
+
+
+class StreamMover:
+    """Empties engines whose hosts are leaving.
+
+    Args:
+      parts: What the parts of an entry share.
+      cfg: Estimates and limits of moving.
+      attempts: The open attempts by server and stream.
+    """
+
+    def __init__(
+        self,
+        parts,
+        cfg: MovingSettings,
+        attempts: typing.Mapping[str, typing.Mapping[str, Attempt]],
+    ):
+        self._parts = parts
+        self._cfg = cfg
+        self._attempts = attempts
+        self._ends: dict[str, datetime.timedelta] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._exports = set()
+        self._arriving = collections.Counter()
+        self._policy_name = None
+        self._policy = None
+
+    def leaving(self, server: str, left: datetime.timedelta | None) -> None:
+        """Takes a notice; a second one may only shorten the time."""
+        end = self._parts.clock.monotonic() + (left or self._cfg.assumed_notice)
+        self._ends[server] = min(end, self._ends.get(server, end))
+        if server not in self._tasks:
+            task = asyncio.ensure_future(self._empty(server))
+            self._tasks[server] = task
+            task.add_done_callback(lambda _: self._tasks.pop(server, None))
+
+    def stop(self) -> None:
+        """Ends all moving."""
+        for task in [*self._tasks.values(), *self._exports]:
+            task.cancel()
+
+    def state(self) -> dict:
+        """Returns the engines being emptied, with what is left there, for a dump."""
+        now = self._parts.clock.monotonic()
+        return {
+            name: {
+                "left_seconds": (end - now).total_seconds(),
+                "streams": len(self._attempts.get(name, ())),
+            }
+            for name, end in self._ends.items()
+        }
+
+    async def _empty(self, server):
+        clock = self._parts.clock
+        try:
+            while self._parts.fleet.is_leaving(server):
+                left = self._ends[server] - clock.monotonic()
+                if left < -GONE_AFTER:
+                    break
+                self._begin_moves(server, left)
+                await clock.sleep(DECISION_INTERVAL)
+        finally:
+            self._ends.pop(server, None)
+
+    def _begin_moves(self, server, left):
+        attempts = self._attempts.get(server)
+        if not attempts:
+            return
+        views = self._targets(server, attempts)
+        targets = [self._target(view) for view in views.values()]
+        streams = [_movable(attempt) for attempt in attempts.values()]
+        for move in self._current_policy().next(streams, targets, left):
+            attempt = attempts.get(move.stream_id)
+            if attempt is None:
+                continue
+            self._parts.metrics.count("streams_moved", kind=move.kind.value)
+            if move.kind is MoveKind.EXPORT:
+                self._begin_export(attempt, views[move.target], left - self._cfg.margin)
+            else:
+                attempt.move(Moved(move.kind, move.target))
+
+    def _current_policy(self):
+        name = self._parts.intent().policies.moving
+        if name != self._policy_name:
+            self._policy = moving_policies.create(name, self._cfg)
+            self._policy_name = name
+        return self._policy
+
+    def _targets(self, server, attempts) -> dict[str, ServerView]:
+        pool = next(iter(attempts.values())).engine.server.pool
+        now = self._parts.clock.monotonic()
+        return {
+            view.server.name: view
+            for view in self._parts.fleet.views(pool)
+            if view.server.name != server and not view.leaving and view.failing_until <= now
+        }
+
+    def _target(self, view):
+        name = view.server.name
+        slots = view.report.slots if view.report is not None else DEFAULT_SLOTS
+        taken = view.own_in_flight + view.peer_in_flight + self._arriving[name]
+        replaying = sum(
+            attempt.first_token_at is None and attempt.call.epoch > 1
+            for attempt in self._attempts.get(name, {}).values()
+        )
+        return MoveTarget(name, slots - taken, replaying)
+
+    def _begin_export(self, attempt, view, limit):
+        attempt.exporting = True
+        self._arriving[view.server.name] += 1
+        task = asyncio.ensure_future(self._export(attempt, view, limit))
+        self._exports.add(task)
+        task.add_done_callback(self._exports.discard)
+
+    async def _export(self, attempt, view, limit):
+        clock = self._parts.clock
+        started = clock.monotonic()
+        together = sum(other.exporting for other in self._attempts[attempt.server].values())
+        tokens = _context_tokens(attempt)
+        try:
+            async with asyncio.timeout((limit + self._cfg.margin).total_seconds()):
+                outcome = await attempt.engine.export_kv(attempt.call.stream_id, view.server, limit)
+        except TimeoutError:
+            outcome = Unavailable("the export did not end in time")
+        finally:
+            attempt.exporting = False
+            self._arriving[view.server.name] -= 1
+        match outcome:
+            case Ok(handle):
+                duration = (clock.monotonic() - started) / max(1, together)
+                self._current_policy().exported(tokens, duration)
+                attempt.move(Moved(MoveKind.EXPORT, view.server.name, handle))
+            case NotSent() | Unavailable():
+                attempt.export_failures += 1
+                self._parts.metrics.count("exports_failed")
+
+
+def _context_tokens(attempt):
+    return len(split_tokens(attempt.call.prompt)) + len(attempt.answer.tokens)
+
+
+def _movable(attempt):
+    return Movable(
+        stream_id=attempt.call.stream_id,
+        context_tokens=_context_tokens(attempt),
+        remaining=attempt.remaining(),
+        priority=attempt.call.priority,
+        started=attempt.first_token_at is not None,
+        exporting=attempt.exporting,
+        failures=attempt.export_failures,
+    )
--- /dev/null
+++ b/cicadapond/experiments/_engines.py
@@ -0,0 +1,275 @@
+"""A bench of stand-in engines and completion runners on one virtual loop."""
+
+import asyncio
+import collections
+import random
+import typing
+
+import attrs
+
+from cicadapond.data import (
+    BackendServer,
+    Completion,
+    Endpoint,
+    GenerateCall,
+    LoadReport,
+    Priority,
+    ServerKind,
+    Token,
+)
+from cicadapond.document import Intent, ModelIntent
+from cicadapond.entry._completion import CompletionRunner
+from cicadapond.entry._completion_settings import CompletionSettings
+from cicadapond.entry._parts import Parts
+from cicadapond.kernel import Clock, Metrics, Ok, VirtualClock, seconds
+from cicadapond.peer import NoPeers
+from cicadapond.routing import ServerView
+from cicadapond.standin import (
+    DirectEngine,
+    EngineModel,
+    EngineSettings,
+    EngineTiming,
+    whole_answer,
+)
+
+POOL = "shade-pool"
+MODEL = "shade-model"
+VERSION = "v1"
+SHARE_INTERVAL = seconds(1)
+
+
+class BenchFleet:
+    """The fleet of one entry as the completion runner uses it; views are written by the bench."""
+
+    def __init__(self, servers: list[BackendServer], adapters: dict, clock: Clock):
+        self._views = {server.name: ServerView(server) for server in servers}
+        self._adapters = adapters
+        self._clock = clock
+        self._listeners: list[typing.Callable] = []
+
+    def views(self, pool):
+        return [view for view in self._views.values() if not view.leaving]
+
+    def adapter(self, name):
+        return self._adapters[name]
+
+    def started(self, name):
+        self._views[name].own_in_flight += 1
+
+    def finished(self, name):
+        self._views[name].own_in_flight -= 1
+
+    def is_leaving(self, name):
+        return self._views[name].leaving
+
+    def on_leaving(self, callback):
+        self._listeners.append(callback)
+
+    def notice(self, name, left):
+        """Takes the notice of an engine's reclaim."""
+        self._views[name].leaving = True
+        for listener in self._listeners:
+            listener(name, left)
+
+    def in_flight(self):
+        """Returns this entry's requests by server."""
+        return {name: view.own_in_flight for name, view in self._views.items()}
+
+    def take_peers(self, in_flight):
+        """Takes the sums of the other entries' requests by server."""
+        for name, view in self._views.items():
+            view.peer_in_flight = in_flight.get(name, 0)
+
+    def take_report(self, name, report: LoadReport):
+        """Takes an engine's load report."""
+        self._views[name].report = report
+        self._views[name].report_at = self._clock.monotonic() - report.age
+
+
+class TokenList:
+    """A sink that keeps the tokens, and when the first one and the last one came."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self.texts: list[str] = []
+        self.first_at = None
+
+    async def tokens(self, tokens: tuple[Token, ...]):
+        if self.first_at is None:
+            self.first_at = self._clock.monotonic()
+        for token in tokens:
+            assert token.sequence == len(self.texts), "a token is missing or came twice"
+            self.texts.append(token.text)
+
+
+@attrs.frozen
+class BenchEntry:
+    """One entry of the bench."""
+
+    parts: Parts
+    fleet: BenchFleet
+    runner: CompletionRunner
+
+
+@attrs.frozen
+class Asked:
+    """What came of one completion."""
+
+    outcome: object
+    whole: bool
+    first_token: object
+    duration: object
+
+
+class EngineBench:
+    """Engines, and entries that share their counts and quarantines once a second.
+
+    Args:
+      engines: How many engines.
+      entries: How many entries.
+      seed: Seeds all randomness.
+      intent: The document; by default one model and the default policies.
+      engine: Sizes of the engines.
+      timing: How long their work takes.
+      cfg: Limits of the runners.
+    """
+
+    def __init__(
+        self,
+        engines: int,
+        entries: int = 1,
+        seed: int = 0,
+        intent: Intent | None = None,
+        engine: EngineSettings | None = None,
+        timing: EngineTiming | None = None,
+        cfg: CompletionSettings | None = None,
+    ):
+        self.clock = VirtualClock()
+        self.intent = intent or Intent(models={MODEL: ModelIntent(POOL, VERSION)})
+        self.servers = [
+            BackendServer(f"e{n}", ServerKind.ENGINE, POOL, "yqr", Endpoint("127.0.0.1", n + 1))
+            for n in range(engines)
+        ]
+        self.models = {
+            server.name: EngineModel(
+                timing or EngineTiming(),
+                self.clock,
+                engine or EngineSettings(),
+                server.name,
+                random.Random(f"{seed} {server.name}"),
+            )
+            for server in self.servers
+        }
+        self.entries = [self._entry(f"{seed} {n}", cfg) for n in range(entries)]
+        self._tasks = [asyncio.ensure_future(self._share())]
+
+    def _entry(self, seed, cfg):
+        adapters = {
+            server.name: DirectEngine(self.models[server.name], server, self.models)
+            for server in self.servers
+        }
+        fleet = BenchFleet(self.servers, adapters, self.clock)
+        parts = Parts(
+            cfg=None,
+            clock=self.clock,
+            metrics=Metrics(),
+            rng=random.Random(seed),
+            intent=lambda: self.intent,
+            fleet=fleet,
+            peers=NoPeers(),
+        )
+        return BenchEntry(parts, fleet, CompletionRunner(parts, cfg))
+
+    async def _share(self):
+        while True:
+            await self.clock.sleep(SHARE_INTERVAL)
+            self._share_counts()
+            self._share_quarantines()
+            self._share_cache_events()
+
+    def _share_counts(self):
+        counts = [entry.fleet.in_flight() for entry in self.entries]
+        for place, entry in enumerate(self.entries):
+            others = collections.Counter()
+            for other, found in enumerate(counts):
+                if other != place:
+                    others.update(found)
+            entry.fleet.take_peers(others)
+            for name, model in self.models.items():
+                report = model.load_report()
+                if isinstance(report, Ok):
+                    entry.fleet.take_report(name, report.value)
+
+    def _share_quarantines(self):
+        for place, source in enumerate(self.entries):
+            found = source.parts.quarantine
+            for other in self.entries:
+                if other is not source:
+                    digest = (found.convicted(), found.suspects(), f"entry-{place}")
+                    other.parts.quarantine.merge(*digest)
+
+    def _share_cache_events(self):
+        for entry in self.entries:
+            router = entry.parts.router
+            for name, model in self.models.items():
+                events = model.cache_events(router.last_event(name))
+                if isinstance(events, Ok):
+                    router.cache_events(name, events.value)
+
+    def notice(self, names, left) -> None:
+        """Notices engines, at the engines and in all entries at once."""
+        for name in names:
+            self.models[name].reclaim(left)
+            for entry in self.entries:
+                entry.fleet.notice(name, left)
+
+    async def ask(self, entry: int, prompt: str, max_tokens: int, **fields) -> Asked:
+        """Runs one completion through an entry and checks it token for token."""
+        parts, runner = self.entries[entry].parts, self.entries[entry].runner
+        req = Completion(
+            request_id=f"{parts.rng.getrandbits(48):012x}",
+            account="counter",
+            model=MODEL,
+            prompt=prompt,
+            max_tokens=max_tokens,
+            **fields,
+        )
+        sink = TokenList(self.clock)
+        started = self.clock.monotonic()
+        outcome = await runner.run(req, sink)
+        call = GenerateCall("", 1, MODEL, VERSION, prompt, max_tokens, stop=req.stop, seed=req.seed)
+        return Asked(
+            outcome,
+            isinstance(outcome, Ok) and sink.texts == whole_answer(call),
+            None if sink.first_at is None else sink.first_at - started,
+            self.clock.monotonic() - started,
+        )
+
+    def computed_tokens(self) -> int:
+        """Returns the tokens that all engines have computed, prefilled and generated."""
+        return sum(
+            model.counts["prefilled"] + model.counts["decoded"] for model in self.models.values()
+        )
+
+    def total(self, name: str) -> int:
+        """Returns a counter's sum over all engines."""
+        return sum(model.counts[name] for model in self.models.values())
+
+    async def close(self) -> None:
+        """Ends all tasks, and checks that no attempt has outlived its request."""
+        for task in self._tasks:
+            task.cancel()
+        for entry in self.entries:
+            assert not entry.runner.attempts, "an attempt outlived its request"
+            assert not any(entry.fleet.in_flight().values()), "in-flight counts do not return to 0"
+            entry.runner.stop()
+        for model in self.models.values():
+            await model.close()
+
+
+def words(rng: random.Random, count: int) -> str:
+    """Returns a text of so many words."""
+    return " ".join(f"{rng.getrandbits(20):x}" for _ in range(count))
+
+
+PRIORITIES = tuple(Priority)
--- a/cicadapond/quarantine/_quarantine.py
+++ b/cicadapond/quarantine/_quarantine.py
@@ -2,8 +2,9 @@
 
 A crash makes each request in flight there a suspect, by a hash of its content, as callers send it
 again under new ids.  A suspect may run only on the one server that its hash assigns it to, and one
-suspect at a time there; all processes compute the same assignment from the same suspects.  A second
-crash with it as the only suspect convicts; a whole answer clears.
+suspect on trial at a time there; all processes compute the same assignment from the same suspects.
+The trial ends once the request has gone on well past the place of the crash.  A second crash with
+it as the only suspect on trial convicts; a whole answer clears.
 """
 
 import datetime
@@ -49,6 +50,7 @@
 class _Suspect:
     crashes: int
     expires: datetime.timedelta
+    on_trial: bool = True
 
 
 @attrs.define
@@ -97,9 +99,9 @@
     # What others see
 
     def suspects(self) -> dict[str, int]:
-        """Returns the suspects' hashes with their crash counts."""
+        """Returns the hashes of the suspects on trial with their crash counts."""
         self._expire()
-        return {body: found.crashes for body, found in self._suspects.items()}
+        return {body: found.crashes for body, found in self._suspects.items() if found.on_trial}
 
     def convicted(self) -> dict[str, datetime.datetime]:
         """Returns the convicted requests' hashes with the wall-clock end of each conviction."""
@@ -151,7 +153,8 @@
         """Returns whether a request may only run where `place` says."""
         if body in self._suspects:
             self._expire()
-            return body in self._suspects
+        if body in self._suspects:
+            return self._suspects[body].on_trial
         if body in self._cleared:
             return False
         return any(body in found for found in self._peer_suspects.values())
@@ -196,10 +199,14 @@
                 return rival
         return None
 
-    def runs_suspect(self, server: str) -> bool:
-        """Returns whether this process runs a suspect on a server; others better go elsewhere."""
-        return any(
-            self.is_suspect(found.body) for found in self._in_flight.get(server, {}).values()
+    def servers_with_suspects(self) -> frozenset[str]:
+        """Returns the servers where this process has a suspect on trial; others avoid these."""
+        if not self._suspects and not any(self._peer_suspects.values()):
+            return frozenset()
+        return frozenset(
+            server
+            for server, held in self._in_flight.items()
+            if any(self.is_suspect(found.body) for found in held.values())
         )
 
     def _settled(self, body):
@@ -207,9 +214,13 @@
         return found is not None and self._clock.monotonic() - found.since >= self._cfg.settle
 
     def _active_suspects(self):
-        """Returns the suspects that run or wait here, and those that peers have just named."""
+        """Returns the suspects on trial or waiting here, and those that peers have just named."""
         running = {found.body for held in self._in_flight.values() for found in held.values()}
-        own = {body for body in self._suspects if body in running or body in self._waiting}
+        own = {
+            body
+            for body, found in self._suspects.items()
+            if found.on_trial and (body in running or body in self._waiting)
+        }
         return (own | self._peers_active()) - self._convicted.keys()
 
     def _peers_active(self):
@@ -234,6 +245,16 @@
         """Notes that an attempt is over, with no word on its guilt; safe to call twice."""
         self._in_flight.get(ticket.server, {}).pop(ticket.number, None)
 
+    def progressed(self, ticket: Ticket) -> None:
+        """Notes that an attempt has gone on well past the place where its request's last broke.
+
+        A poison request crashes its server again soon after it is resumed, so the trial is over
+        and the next suspect may come; only a whole answer clears.
+        """
+        found = self._suspects.get(ticket.body)
+        if found is not None:
+            found.on_trial = False
+
     def whole(self, ticket: Ticket) -> None:
         """Notes a whole answer, which clears the request."""
         self.ended(ticket)
@@ -254,9 +275,9 @@
         held = self._in_flight.pop(server, {})
         held.setdefault(ticket.number, ticket)
         bodies = {found.body for found in held.values()}
-        before = {body for body in bodies if self.is_suspect(body)}
-        if len(before) == 1 and not self._may_share_blame(*before):
-            self._convict(*before)
+        on_trial = {body for body in bodies if self.is_suspect(body)}
+        if len(on_trial) == 1 and not self._may_share_blame(*on_trial):
+            self._convict(*on_trial)
         else:
             for body in bodies:
                 self._accuse(body)
