--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 
 import attrs
 from absl import logging
@@ -17,7 +18,7 @@
     RequestState,
     journal_sweep,
 )
-from cicadapond.kernel import Failed, NotRun, Ok, TaskGroup, Unavailable, Unknown
+from cicadapond.kernel import Failed, NotRun, Ok, Task, TaskGroup, Unavailable, Unknown
 from cicadapond.peer import MemberState
 from cicadapond.platform import TableSweep
 
@@ -83,8 +84,9 @@
             parts.metrics,
             parts.rng,
         )
-        self._tasks.spawn(self._journal.write_loop(), "journal-writes")
-        self._tasks.spawn(self._journal.adopt_loop(self._room), "journal-adoption")
+        self._tasks.start(_Loop("journal-writes", self._journal.write_loop))
+        adopt = functools.partial(self._journal.adopt_loop, self._room)
+        self._tasks.start(_Loop("journal-adoption", adopt))
         self._tasks.start(sweep)
 
     async def stop(self) -> None:
@@ -254,6 +256,17 @@
         return False
 
 
+class _Loop(Task):
+    """A coroutine function that runs until it is cancelled."""
+
+    def __init__(self, name, loop):
+        self.name = name
+        self._loop = loop
+
+    async def run(self):
+        await self._loop()
+
+
 class _JournalSink(CompletionSink):
     """Adds tokens to the journal, in order and each once."""
 
--- a/cicadapond/ledger/__init__.py
+++ b/cicadapond/ledger/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from cicadapond.ledger._api import KeyedCalls, KeyedWork, SendOnce, keyed_call_policies
-from cicadapond.ledger._ledger import Ledger
+from cicadapond.ledger._ledger import Ledger, StrictLedger
 from cicadapond.ledger._settings import LedgerSettings
 from cicadapond.ledger._sweep import ledger_sweep
 from cicadapond.ledger._trusting import TrustingCalls
@@ -15,6 +15,7 @@
     "Ledger",
     "LedgerSettings",
     "SendOnce",
+    "StrictLedger",
     "TrustingCalls",
     "keyed_call_policies",
     "ledger_sweep",
--- a/cicadapond/ledger/_attempt.py
+++ b/cicadapond/ledger/_attempt.py
@@ -64,6 +64,7 @@
       body: Hash of the work.
       token: This attempt's name, unique for ever.
       deadline: The monotonic instant after which nothing is sent.
+      strict: Whether NotRun is said of the key, not of this request alone: then it takes the row.
     """
 
     def __init__(
@@ -73,7 +74,9 @@
         body: str,
         token: str,
         deadline: datetime.timedelta,
+        strict: bool = False,
     ):
+        self._strict = strict
         self._cfg = cfg
         self._clock = clock
         self._deadline = deadline
@@ -127,10 +130,16 @@
             case StoreOut(retry_after):
                 if self._may_hold:
                     return self._read_later("the storage went out during the claim")
-                reason = "the storage is out of reach: this request was not run"
-                return self._tell_last(NotRun(reason, retry_after or self._cfg.longest_wait))
+                return self._tell_last(self._unread(retry_after or self._cfg.longest_wait))
         raise ValueError(f"a claim cannot be answered by {event}")
 
+    def _unread(self, retry_after):
+        """The row cannot be read, and nothing of this attempt has taken effect."""
+        if self._strict:
+            reason = "the storage is out of reach: whether the key ran before is not known"
+            return Unknown(reason, UNAVAILABLE, retry_after)
+        return NotRun("the storage is out of reach: this request was not run", retry_after)
+
     def _read(self):
         self.phase = Phase.CHECK
         return (Read(),)
--- a/cicadapond/ledger/_ledger.py
+++ b/cicadapond/ledger/_ledger.py
@@ -1,4 +1,4 @@
-"""Policy "ledger": runs attempts against the table service."""
+"""Policies "ledger" and "ledger-strict": run attempts against the table service."""
 
 import asyncio
 import collections
@@ -75,6 +75,8 @@
       rng: Makes attempts' tokens; seeded differently in every process.
     """
 
+    strict = False
+
     def __init__(
         self,
         tables: TableService,
@@ -122,7 +124,7 @@
 
     async def _begin(self, key, work, send, deadline):
         token = f"{self._rng.getrandbits(TOKEN_BITS):032x}"
-        attempt = Attempt(self._cfg, self._clock, work.body, token, deadline)
+        attempt = Attempt(self._cfg, self._clock, work.body, token, deadline, self.strict)
         running = _Running(work, attempt, asyncio.get_running_loop().create_future())
         self._running[key] = running
         running.task = asyncio.ensure_future(self._run(key, running, send, deadline))
@@ -240,6 +242,17 @@
         return attrs.evolve(row, answer=decode_answer(msgpack.unpackb(outcome.value)))
 
 
+@keyed_call_policies.register("ledger-strict")
+class StrictLedger(Ledger):
+    """Says NotRun only while it has seen the key's row, so that it holds for resends as well.
+
+    While the storage is out of reach, `Ledger` says NotRun of a request that it did not send;
+    an earlier request with the same key may have run.  This policy says Unknown then.
+    """
+
+    strict = True
+
+
 def _sent_event(outcome):
     match outcome:
         case Ok(answer):
--- a/cicadapond/ledger/ledger_test.py
+++ b/cicadapond/ledger/ledger_test.py
@@ -9,7 +9,14 @@
 from cicadapond.backend import NotSent
 from cicadapond.data import Answer
 from cicadapond.kernel import Metrics, NotRun, Ok, Unknown, VirtualClock, run_virtual, seconds
-from cicadapond.ledger import KeyedWork, Ledger, LedgerSettings, TrustingCalls, ledger_sweep
+from cicadapond.ledger import (
+    KeyedWork,
+    Ledger,
+    LedgerSettings,
+    StrictLedger,
+    TrustingCalls,
+    ledger_sweep,
+)
 from cicadapond.platform import TableSweep
 from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
 
@@ -119,6 +126,13 @@
     assert world.clock.monotonic() - start < seconds(0.1) and world.runs == 0
 
 
+@scenario
+async def test_the_strict_policy_says_unknown_of_a_row_that_it_cannot_read(world):
+    world.model.faults.outage = True
+    outcome = await world.ledger(StrictLedger).call(CHARGE, world.send)
+    assert isinstance(outcome, Unknown) and outcome.retry_after and world.runs == 0
+
+
 @scenario
 async def test_store_out_is_not_said_to_be_not_run_of_a_key_that_was_sent(world):
     ledger = world.ledger()
--- a/cicadapond/standin/_service_direct.py
+++ b/cicadapond/standin/_service_direct.py
@@ -42,6 +42,8 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 result = await asyncio.shield(served)
+                if isinstance(result, Silent):
+                    await self._clock.sleep(timeout)
         except TimeoutError:
             self._pooled = self._pooled and fresh  # a connection that timed out is closed
             return Unknown(f"{self.server.name}: no answer within {timeout}")
@@ -60,10 +62,8 @@
             result = Crashed()
         else:
             result = await self.model.serve(call)
-        if isinstance(result, Silent) or not self.reachable:
-            await asyncio.get_running_loop().create_future()
         await self._clock.sleep(ONE_WAY)
-        return result
+        return result if self.reachable else Silent()
 
     def _outcome(self, result):
         match result:
