Assemble an entry as a node with its edges passed in

Cause: the process built its parts around sockets, so that nothing else could build one. Change: EntryNode has fleet, document, core and tasks, and takes Edges (host list, peers, storage, objects, cloud, adapters); make_edges builds them from the settings. The stop test counts tokens, as several may share one event.

--- /dev/null
+++ b/cicadapond/entry/_node.py
@@ -0,0 +1,181 @@
+"""One entry without its HTTP servers: views, document, decisions and the tasks that feed them.
+
+Whatever needs a socket comes in with the `Edges`, so that the same node runs on the virtual loop
+with edges in memory.
+"""
+
+import random
+import typing
+
+import attrs
+
+from cicadapond.document import DocumentSettings, DocumentStore, DocumentTask, Intent, StoreSource
+from cicadapond.entry._core import EntryCore
+from cicadapond.entry._fleet import Fleet
+from cicadapond.entry._fleet_tasks import (
+    CloudNoticeWatcher,
+    DigestTask,
+    HostListWatcher,
+    LoadWatcher,
+)
+from cicadapond.entry._parts import Parts
+from cicadapond.kernel import Clock, Metrics, Task, TaskGroup
+from cicadapond.peer import MemberState, NoPeers, Peers
+from cicadapond.platform import BudgetedTables, CloudApi, HostList, ObjectStore, StoreClass
+
+
+@attrs.define
+class Edges:
+    """What an entry reaches the rest of the world by.
+
+    Attributes:
+      hosts: The host list.
+      peers: The other processes; a `Task` is run with the node.
+      storage: The platform's table service under this process's budget, None without one.
+      objects: The object store.
+      cloud: The cloud API, for notices.
+      connect: Makes a backend server's adapter; by default the one that the settings name.
+    """
+
+    hosts: HostList
+    peers: Peers = attrs.field(factory=NoPeers)
+    storage: BudgetedTables | None = None
+    objects: ObjectStore | None = None
+    cloud: CloudApi | None = None
+    connect: typing.Callable | None = None
+
+
+class EntryNode:
+    """One entry's parts and tasks.
+
+    Args:
+      cfg: The entry's settings.
+      edges: What it reaches the world by.
+      clock: Gives the time.
+      metrics: Takes counts and durations.
+      rng: All randomness of the node.
+      fixed: The document, for a deployment that does not keep it in the table service.
+    """
+
+    def __init__(
+        self,
+        cfg,
+        edges: Edges,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+        fixed: Intent | None = None,
+    ):
+        self.cfg = cfg
+        self.clock = clock
+        self.metrics = metrics
+        self.edges = edges
+        self.fixed = fixed
+        self.tasks = TaskGroup()
+        self.fleet = Fleet(cfg, clock, metrics, edges.peers, edges.connect)
+        self.document = None if fixed is not None else self._document(rng)
+        self.core = EntryCore(self._parts(rng))
+        if edges.storage is not None:
+            edges.peers.subscribe(self._share_budget)
+
+    def intent(self) -> Intent:
+        """Returns the document in force."""
+        return self.fixed if self.document is None else self.document.intent
+
+    async def start(self) -> None:
+        """Starts the tasks; returns once the document and the host list have been looked for."""
+        if isinstance(self.edges.peers, Task):
+            self.tasks.start(self.edges.peers)
+        if self.document is not None:
+            self.tasks.start(self.document)
+            await self.document.wait_ready()
+        watcher = HostListWatcher(self.fleet, self.edges.hosts, self.cfg, self.clock, self.metrics)
+        await watcher.read_once()
+        self.tasks.start(watcher)
+        for task in self._other_tasks():
+            self.tasks.start(task)
+        self.core.start()
+
+    async def stop(self) -> None:
+        """Ends as planned, with no request in flight any more."""
+        await self.core.stop()
+        await self._close()
+
+    async def kill(self) -> None:
+        """Ends at once, as a process that dies does."""
+        await self.core.close()
+        await self._close()
+
+    def state(self) -> dict:
+        """Returns the whole state, for a dump."""
+        state = {"tasks": len(self.tasks), "failed_tasks": self.tasks.failed}
+        if self.document is not None:
+            state["document"] = self.document.state()
+        if self.edges.storage is not None:
+            state["storage"] = self.edges.storage.state()
+        return state | self.core.state() | {"peers": self._peers_state()}
+
+    async def _close(self):
+        await self.tasks.stop()
+        if self.edges.storage is not None:
+            self.edges.storage.close()
+
+    def _document(self, rng):
+        tables = self.edges.storage.for_class(StoreClass.DOCUMENT)
+        return DocumentTask(
+            StoreSource(DocumentStore(tables)),
+            self.edges.peers,
+            DocumentSettings(),
+            self.clock,
+            self.metrics,
+            rng,
+        )
+
+    def _parts(self, rng):
+        storage = self.edges.storage
+        tables = storage.for_class if storage is not None else lambda store_class: None
+        return Parts(
+            cfg=self.cfg,
+            clock=self.clock,
+            metrics=self.metrics,
+            rng=rng,
+            intent=self.intent,
+            fleet=self.fleet,
+            peers=self.edges.peers,
+            ledger_tables=tables(StoreClass.AT_MOST_ONCE),
+            journal_tables=tables(StoreClass.JOURNAL),
+            objects=self.edges.objects,
+        )
+
+    def _other_tasks(self):
+        parts = self.core.parts
+        events = getattr(parts.router, "cache_events", lambda server, found: None)
+        yield LoadWatcher(self.fleet, self.clock, self.metrics, events)
+        yield DigestTask(
+            self.fleet,
+            self.edges.peers,
+            self.clock,
+            lambda: self.intent().revision,
+            parts.quarantine,
+        )
+        if self.edges.cloud is not None:
+            cloud = self.edges.cloud
+            yield CloudNoticeWatcher(self.fleet, cloud, self.cfg, self.clock, self.metrics)
+
+    def _share_budget(self, member):
+        alive = sum(found.state is MemberState.ALIVE for found in self.edges.peers.members())
+        self.edges.storage.resize(1 + alive)
+
+    def _peers_state(self):
+        now = self.clock.monotonic()
+        return {
+            member.name: {
+                "zone": member.zone,
+                "role": member.role,
+                "state": member.state,
+                "incarnation": member.incarnation,
+                "heard_ago": now - member.heard,
+                "revision": member.digest.revision,
+            }
+            for member in self.edges.peers.members()
+        }
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -7,7 +7,7 @@
 from cicadapond.admission import CapacitySettings
 from cicadapond.data import Endpoint, Priority
 from cicadapond.kernel import at_least, setting
-from cicadapond.platform import PlatformSettings
+from cicadapond.platform import BudgetSettings, PlatformSettings
 
 _SECOND = datetime.timedelta(seconds=1)
 
@@ -42,13 +42,27 @@
         }[priority]
 
 
+@attrs.frozen
+class PeerAddress:
+    """Where this process listens for the other processes of the system, and where some are.
+
+    Attributes:
+      endpoint: The own address.
+      seeds: Addresses of others, asked as long as none is known.
+    """
+
+    endpoint: Endpoint
+    seeds: tuple[Endpoint, ...] = ()
+
+
 @attrs.frozen
 class EntrySettings:
     """What an entry process is told when it starts.
 
     Attributes:
-      document: Files of the document's sections, by section, for a deployment that keeps no
-        document in the table service.
+      document: Files of the document's sections, by section, for a deployment without a table
+        service; with one the document is kept there.
+      peer: Where the processes of the system reach each other; without it this one is alone.
       balancer_delay: How long a planned stop goes on taking requests after `/readyz` says not
         ready, until the balancer has noticed.
       stop_limit: How long a planned stop waits for requests in flight at most.
@@ -59,7 +73,9 @@
     http: Endpoint
     admin: Endpoint
     platform: PlatformSettings
+    peer: PeerAddress | None = None
     document: dict[str, str] = setting(factory=dict)
+    budget: BudgetSettings = attrs.field(factory=BudgetSettings)
     engine_adapter: str = "sse"
     service_adapter: str = "http"
     host_list_interval: datetime.timedelta = _SECOND
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -9,24 +9,20 @@
 
 from cicadapond.admin import admin_application
 from cicadapond.document import parse_document
-from cicadapond.entry._core import EntryCore
-from cicadapond.entry._fleet import Fleet
-from cicadapond.entry._fleet_tasks import HostListWatcher
+from cicadapond.entry._edges import make_edges
 from cicadapond.entry._http import caller_application
 from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
-from cicadapond.entry._parts import Parts
+from cicadapond.entry._node import EntryNode
 from cicadapond.entry._settings import EntrySettings
-from cicadapond.kernel import Findings, LoopClock, Metrics, SettingsError, TaskGroup, load_plugins
+from cicadapond.kernel import Findings, LoopClock, Metrics, SettingsError, load_plugins
 from cicadapond.kernel._program import run_program
-from cicadapond.peer import NoPeers
-from cicadapond.platform import host_lists
 
 MAX_BODY_BYTES = 1 << 40  # the handlers answer 413 much earlier and keep no more
 
 
 class EntryProcess:
-    """One running entry: its core, its tasks and its servers.
+    """One running entry: its node and its HTTP servers.
 
     Args:
       cfg: The entry's settings.
@@ -38,43 +34,28 @@
     def __init__(self, cfg: EntrySettings):
         load_plugins("cicadapond.plugins")
         self._cfg = cfg
-        self._tasks = TaskGroup()
         self.metrics = Metrics()
         self.clock = LoopClock()
-        self.core = EntryCore(self._parts(_read_document(cfg)))
+        rng = random.Random()
+        edges = make_edges(cfg, self.clock, self.metrics, rng)
+        fixed = _read_document(cfg) if edges.storage is None else None
+        self.node = EntryNode(cfg, edges, self.clock, self.metrics, rng, fixed)
         self.in_flight = InFlight()
         self._ready = False
         self._callers = CallerParts(
-            self.core, self.clock, self.metrics, cfg.http_limits, self.in_flight
+            self.node.core, self.clock, self.metrics, cfg.http_limits, self.in_flight
         )
         self._server = _caller_server(cfg.http_limits, self._callers)
         self._admin = tornado.httpserver.HTTPServer(
             admin_application(self.metrics, self.state, lambda: self._ready)
         )
 
-    def _parts(self, intent):
-        return Parts(
-            cfg=self._cfg,
-            clock=self.clock,
-            metrics=self.metrics,
-            rng=random.Random(),
-            intent=lambda: intent,
-            fleet=Fleet(self._cfg, self.clock, self.metrics),
-            peers=NoPeers(),
-        )
-
     async def start(self) -> None:
-        """Reads the host list once, then listens."""
+        """Listens for operators, then, once document and hosts are known, for callers."""
         cfg = self._cfg
-        hosts = host_lists.create(
-            cfg.platform.hosts.adapter, cfg.platform.hosts, cfg.zone, self.clock, self.metrics
-        )
-        watcher = HostListWatcher(self.core.parts.fleet, hosts, cfg, self.clock, self.metrics)
-        await watcher.read_once()
-        self._tasks.start(watcher)
-        self.core.start()
-        self._server.listen(cfg.http.port, cfg.http.host)
         self._admin.listen(cfg.admin.port, cfg.admin.host)
+        await self.node.start()
+        self._server.listen(cfg.http.port, cfg.http.host)
         self._ready = True
         logging.info("entry %s listens on %s, admin on %s", cfg.name, cfg.http, cfg.admin)
 
@@ -86,9 +67,7 @@
             "now": self.clock.now(),
             "ready": self._ready,
             "in_flight": self.in_flight.count,
-            "tasks": len(self._tasks),
-            "failed_tasks": self._tasks.failed,
-            **self.core.state(),
+            **self.node.state(),
         }
 
     async def stop(self) -> None:
@@ -103,8 +82,7 @@
         self._callers.stopping = True
         self._server.stop()
         await self._finish_requests()
-        await self.core.stop()
-        await self._tasks.stop()
+        await self.node.stop()
         await self._server.close_all_connections()
         self._admin.stop()
         await self._admin.close_all_connections()
--- a/cicadapond/entry/stop_test.py
+++ b/cicadapond/entry/stop_test.py
@@ -61,5 +61,7 @@
     seen, body, entry = asyncio.run(stop_while_streaming())
     assert seen == [200, 503]
     assert body.endswith(b"data: [DONE]\n\n")
-    assert body.count(b'"text": "') == TOKENS + 1
+    events = [json.loads(event[6:]) for event in body.decode().split("\n\n")[:-2]]
+    text = "".join(event["choices"][0]["text"] for event in events)
+    assert len(text.split()) == TOKENS
     assert entry.metrics.counter("stops_with_requests_in_flight") == 0
