--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -4,9 +4,9 @@
 """
 
 from cicadapond.admission import AdmissionGate, RetryBudget
-from cicadapond.backend import Engine
-from cicadapond.data import Answer, Broken, Completion, Finished, GenerateCall, ServiceCall, Token
+from cicadapond.data import Answer, Completion, Finished, ServiceCall
 from cicadapond.document import Intent
+from cicadapond.entry._completion import CompletionRunner
 from cicadapond.entry._durable import DurableRequest, DurableRequests
 from cicadapond.entry._parts import Parts
 from cicadapond.entry._service import ServiceRunner
@@ -35,6 +35,7 @@
             parts.metrics,
             parts.rng,
         )
+        self._completions = CompletionRunner(parts)
         self._services = ServiceRunner(parts)
         self._durable = DurableRequests(parts, self._run_durable, process=parts.cfg.name)
 
@@ -50,6 +51,7 @@
             "backends": self.parts.fleet.state(),
             "admission": self._gate.state(),
             "retry_budget": self.parts.retry_budget.state(),
+            "completions": self._completions.state(),
             "services": self._services.state(),
             "durable": self._durable.state(),
         }
@@ -61,11 +63,13 @@
     async def stop(self) -> None:
         """Ends as planned: durable requests are given up with their tokens, for others to run."""
         await self._durable.stop()
+        self._completions.stop()
         await self._services.close()
 
     async def close(self) -> None:
         """Ends everything at once, as a process that dies does."""
         await self._durable.close()
+        self._completions.stop()
         await self._services.close()
 
     async def complete(
@@ -84,7 +88,7 @@
         if model is None:
             return NotRun(f"no model {req.model!r}", status=404)
         ticket = completion_ticket(req, model, self.parts.clock.monotonic())
-        return await self._with_slot(ticket, lambda: self._generate(req, model, sink))
+        return await self._with_slot(ticket, lambda: self._completions.run(req, sink))
 
     async def _with_slot(self, ticket, work):
         """Runs some work while it holds a slot; returns its outcome or the refusal."""
@@ -96,18 +100,6 @@
         finally:
             self._gate.release(admitted.value)
 
-    async def _generate(self, req, model, sink, resume=()):
-        fleet = self.parts.fleet
-        views = fleet.views(model.pool)
-        if not views:
-            return NotRun(f"no engine of pool {model.pool!r} takes work")
-        name = min(views, key=lambda view: view.own_in_flight).server.name
-        fleet.started(name)
-        try:
-            return await _relay(fleet.adapter(name), _first_call(req, model, resume), sink)
-        finally:
-            fleet.finished(name)
-
     async def call_service(self, call: ServiceCall) -> Ok[Answer] | NotRun | Failed | Unknown:
         """Calls a plain service.
 
@@ -152,37 +144,4 @@
         if model is None:
             return NotRun(f"no model {req.model!r} now")
         ticket = completion_ticket(req, model, self.parts.clock.monotonic())
-        return await self._with_slot(ticket, lambda: self._generate(req, model, sink, resume))
-
-
-def _first_call(req, model, resume):
-    return GenerateCall(
-        stream_id=req.request_id,
-        epoch=1,
-        model=req.model,
-        version=model.version,
-        prompt=req.prompt,
-        max_tokens=req.max_tokens,
-        priority=req.priority,
-        adapter=req.adapter,
-        stop=req.stop,
-        seed=req.seed,
-        resume=resume,
-    )
-
-
-async def _relay(engine: Engine, call, sink):
-    stream = engine.generate(call)
-    try:
-        while True:
-            events = await stream.read()
-            tokens = tuple(event for event in events if isinstance(event, Token))
-            if tokens:
-                await sink.tokens(tokens)
-            match events[-1]:
-                case Finished() as finished:
-                    return Ok(finished)
-                case Broken() as broken:
-                    return Failed(f"{broken.kind.value}: {broken.detail}")
-    finally:
-        stream.close()
+        return await self._with_slot(ticket, lambda: self._completions.run(req, sink, resume))
