--- a/cicadapond/experiments/slopes.py
+++ b/cicadapond/experiments/slopes.py
@@ -1,8 +1,8 @@
 """What membership costs each process, against the number of members and of backend servers.
 
-Real sockets on loopback, all members in one process on one event loop; the processor time of the
-whole divided by the members is the time of one, while one core carries them all: about 60.  A figure at full size is worked out from the
-slopes, by the formula of docs/CAPACITY.md.
+Real sockets on loopback, all members in one process on one event loop: the processor time of the
+whole divided by the members is the time of one, as long as one core carries them all, about 60.
+A figure at full size is worked out from the slopes; docs/CAPACITY.md has it.
 """
 
 import asyncio
