Tell other processes of suspects and convictions at once

Ruled out: trials on two servers at once (the assignment was the same in all entries). Change: a new suspect or conviction makes the digest urgent; suspects are kept by member. Conclusion: at most two crashes, given that callers resend only after the first failed.

--- a/cicadapond/entry/_fleet_tasks.py
+++ b/cicadapond/entry/_fleet_tasks.py
@@ -159,10 +159,11 @@
         self._urgent = asyncio.Event()
         fleet.on_change(self._urgent.set)
         if quarantine is not None:
+            quarantine.on_change(self._urgent.set)
             peers.subscribe(self._hear)
 
     def _hear(self, member):
-        self._quarantine.merge(member.digest.convicted, member.digest.suspects)
+        self._quarantine.merge(member.digest.convicted, member.digest.suspects, member.name)
 
     def publish(self) -> None:
         """Composes and publishes the digest now."""
--- a/cicadapond/quarantine/_quarantine.py
+++ b/cicadapond/quarantine/_quarantine.py
@@ -86,6 +86,7 @@
         self._conviction_term = conviction_term
         self._cfg = cfg or QuarantineSettings()
         self._on_convicted = on_convicted
+        self._changed: typing.Callable[[], None] = lambda: None
         self._suspects: dict[str, _Suspect] = {}
         self._peer_suspects: dict[str, dict[str, _PeerSuspect]] = {}
         self._cleared: dict[str, datetime.timedelta] = {}
@@ -98,6 +99,10 @@
 
     # What others see
 
+    def on_change(self, callback: typing.Callable[[], None]) -> None:
+        """Calls `callback` at each new suspect or conviction: others must hear of it at once."""
+        self._changed = callback
+
     def suspects(self) -> dict[str, int]:
         """Returns the hashes of the suspects on trial with their crash counts."""
         self._expire()
@@ -297,6 +302,7 @@
         self._suspects.pop(body, None)
         self._placements.pop(body, None)
         self._convicted[body] = end
+        self._changed()
         if self._on_convicted is not None:
             self._on_convicted(body, end)
 
@@ -307,6 +313,7 @@
         self._cleared.pop(body, None)
         crashes = self._suspects[body].crashes if body in self._suspects else 0
         self._suspects[body] = _Suspect(crashes + 1, now + self._cfg.suspect_term)
+        self._changed()
         while len(self._suspects) > self._cfg.max_suspects:
             self._suspects.pop(next(iter(self._suspects)))
 
