--- a/cicadapond/entry/_fleet.py
+++ b/cicadapond/entry/_fleet.py
@@ -56,8 +56,6 @@
         self._own_loads: dict[str, LoadReport] = {}
         self._leaving_listeners: list[Listener] = []
         self._changed: typing.Callable[[], None] = lambda: None
-        self._watched: list[str] | None = None
-        self._watched_of: set[str] = set()
         self._replaced: list[Engine | PlainService] = []
         self.book = LeavingBook(clock)
         self._peers.subscribe(self.hear)
@@ -168,10 +166,6 @@
         return [self._known.pop(name).adapter for name in gone]
 
     def _rebuild_pools(self):
-        names = self._known.keys()
-        if names != self._watched_of:
-            self._watched = None
-            self._watched_of = set(names)
         self._pools = {}
         for known in self._known.values():
             self._pools.setdefault(known.view.server.pool, []).append(known.view)
@@ -240,8 +234,6 @@
 
     def hear(self, member: Member) -> None:
         """Takes a member's digest, or its end."""
-        if (member.state in _LIVE) != (member.name in self._heard):
-            self._watched = None
         before = self._heard.get(member.name, Digest())
         digest = member.digest if member.state in _LIVE else Digest()
         self._heard[member.name] = digest
@@ -278,15 +270,13 @@
         It is one of the live entries of the server's data centre, by rendezvous hash, or of all
         if that has none.
         """
-        if self._watched is None:
-            by_zone = self._entries_by_zone()
-            everyone = [name for names in by_zone.values() for name in names]
-            self._watched = [
-                name
-                for name, known in self._known.items()
-                if owner(name, by_zone.get(known.view.server.zone, everyone)) == self._cfg.name
-            ]
-        return self._watched
+        by_zone = self._entries_by_zone()
+        everyone = [name for names in by_zone.values() for name in names]
+        return [
+            name
+            for name, known in self._known.items()
+            if owner(name, by_zone.get(known.view.server.zone, everyone)) == self._cfg.name
+        ]
 
     def first_entries(self, key: str, count: int) -> list[str]:
         """Returns the live entries of the own data centre that a task falls to, by hash."""
--- a/cicadapond/journal/_watch.py
+++ b/cicadapond/journal/_watch.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cicadapond.journal._rows import OwnerRow, owner_process
+from cicadapond.journal._rows import OwnerRow
 
 
 @attrs.frozen
@@ -39,14 +39,12 @@
         self,
         rows: collections.abc.Mapping[str, tuple[int, OwnerRow]],
         now: datetime.timedelta,
-        gone: collections.abc.Container[str] = frozenset(),
     ) -> list[str]:
         """Takes a read of all owners.
 
         Args:
           rows: Version and row by owner id.
           now: The monotonic instant at which the read was begun.
-          gone: Processes that membership says are dead; if it is wrong, work is done again.
 
         Returns:
           The ids of the owners that are dead or fenced.
@@ -57,11 +55,7 @@
         self._seen = {
             owner: self._update(owner, version, now) for owner, (version, _) in rows.items()
         }
-        return [
-            owner
-            for owner, (_, row) in rows.items()
-            if owner_process(owner) in gone or self._is_dead(owner, row, now)
-        ]
+        return [owner for owner, (_, row) in rows.items() if self._is_dead(owner, row, now)]
 
     def _update(self, owner, version, now):
         seen = self._seen.get(owner)
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -15,7 +15,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.peer._api import Digest, Member, MemberState
-from cicadapond.peer._documents import FLOODED, URGENT, DigestWriter, Document, read_digest
+from cicadapond.peer._documents import URGENT, DigestWriter, Document, read_digest
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._topology import rank
 from cicadapond.peer._wire import (
@@ -33,8 +33,6 @@
 # An incarnation is the start time in milliseconds, shifted, plus the count of refutations.
 REFUTATION_BITS = 16
 PROBES = 3
-# With more members than so many, ordinary news of each leaves at longer intervals.
-NEWS_MEMBERS = 20
 MAX_LISTED_MEMBERS = 400
 REMEMBERED_BEATS = 8
 OWN_ZONE_SHARE = 0.5
@@ -165,7 +163,7 @@
         self._unreachable: dict[str, datetime.timedelta] = {}
         self._last_tick = now
         self._grace = now
-        self._next = dict.fromkeys(("beat", "news", "relay", "sync", "sweep"), now)
+        self._next = dict.fromkeys(("beat", "relay", "sync", "sweep"), now)
 
     # What the process does
 
@@ -200,10 +198,8 @@
             self._flush(self._wide, self._foreign_links())
             self._beat(now, self._foreign_links())
         if self._due("beat", now, self.cfg.beat):
-            links = self._local_links()
-            if self._due("news", now, self._news_interval(links)):
-                self._flush(self._local, links)
-            self._beat(now, links)
+            self._flush(self._local, self._local_links())
+            self._beat(now, self._local_links())
             self._check_members(now)
         if self._due("sync", now, self.cfg.sync):
             self._compare()
@@ -211,10 +207,6 @@
             self._sweep(now)
         self._check_links(now)
 
-    def _news_interval(self, links):
-        """Widens with the data centre, so that all its members' news stays within bounds."""
-        return self.cfg.beat * max(1.0, len(links) / NEWS_MEMBERS)
-
     def outputs(self) -> list:
         """Returns what to do since the last call, urgent news included."""
         if self._local.urgent:
@@ -403,9 +395,8 @@
         """Queues news of another member for those who do not hear it from the member itself."""
         urgent = any(section in URGENT for section, _ in changed)
         own = record.zone == self.cfg.zone
-        flooded = any(section in FLOODED for section, _ in changed)
         for section, _ in changed:
-            if own or flooded:
+            if own or urgent:
                 self._queue(self._wide, record.name, True, before, section)
             foreign_sender = sender.zone != self.cfg.zone
             if foreign_sender and not own and (urgent or self._first_relay(record.zone)):
--- /dev/null
+++ b/cicadapond/scenario/_faults.py
@@ -0,0 +1,279 @@
+"""The verbs of the scenario language: faults and operators' acts, each registering itself."""
+
+import abc
+import datetime
+
+from cicadapond.data import ServerKind
+from cicadapond.kernel import Registry
+from cicadapond.scenario._network import PLATFORM
+from cicadapond.scenario._script import FaultLine
+from cicadapond.standin import EngineModel
+
+verbs: "Registry[Verb]" = Registry("verb")
+
+DEFAULT_NOTICE = datetime.timedelta(seconds=30)
+
+
+class Verb(abc.ABC):
+    """A fault or act; `end` undoes it when the line's time is over.
+
+    `positional` is how many names it takes, `options` which keys.
+    """
+
+    positional = 0
+    options: tuple[str, ...] = ()
+    needs_length = False
+
+    @abc.abstractmethod
+    async def begin(self, world, line: FaultLine) -> None:
+        """Does it."""
+
+    async def end(self, world, line: FaultLine) -> None:
+        """Undoes it; nothing by default."""
+        return None
+
+
+# Backend servers
+
+
+def _selected(world, line):
+    kind = line.option("kind")
+    wanted = ServerKind(kind) if kind is not None else None
+    return world.backends.chosen(line.option("zone"), wanted, line.option("count"))
+
+
+@verbs.register("reclaim")
+class Reclaim(Verb):
+    """Announces that hosts are taken away, and takes them away after the notice."""
+
+    options = ("zone", "kind", "count", "notice")
+
+    async def begin(self, world, line):
+        for backend in _selected(world, line):
+            world.backends.reclaim(backend, line.option("notice", DEFAULT_NOTICE))
+
+
+@verbs.register("crash")
+class Crash(Verb):
+    """Kills backend server processes; they start again by themselves."""
+
+    options = ("zone", "kind", "count")
+
+    async def begin(self, world, line):
+        for backend in _selected(world, line):
+            backend.model.crash()
+
+
+@verbs.register("poison")
+class Poison(Verb):
+    """Lets every engine crash on prompts of the kind "poison"."""
+
+    async def begin(self, world, line):
+        for model in world.backends.engine_models.values():
+            model.faults.poison = "poison"
+
+    async def end(self, world, line):
+        for model in world.backends.engine_models.values():
+            model.faults.poison = ""
+
+
+@verbs.register("engine-fault")
+class EngineFault(Verb):
+    """Sets shares of attempts that go wrong in engines."""
+
+    options = ("zone", "silent", "truncate", "late", "cross", "slowness")
+
+    async def begin(self, world, line):
+        for model in self._models(world, line):
+            faults = model.faults
+            faults.silent_share = line.option("silent", 0.0)
+            faults.truncate_share = line.option("truncate", 0.0)
+            faults.late_share = line.option("late", 0.0)
+            faults.cross_share = line.option("cross", 0.0)
+            faults.slowness = line.option("slowness", 1.0)
+
+    async def end(self, world, line):
+        for model in self._models(world, line):
+            model.faults = type(model.faults)(poison=model.faults.poison)
+
+    def _models(self, world, line):
+        found = world.backends.chosen(line.option("zone"), ServerKind.ENGINE, None)
+        return [backend.model for backend in found if isinstance(backend.model, EngineModel)]
+
+
+@verbs.register("service-fault")
+class ServiceFault(Verb):
+    """Sets shares of calls that go wrong in plain services."""
+
+    options = ("zone", "before", "after", "silent", "refuse", "truncate", "slow")
+
+    async def begin(self, world, line):
+        for backend in world.backends.chosen(line.option("zone"), ServerKind.SERVICE, None):
+            faults = backend.model.faults
+            faults.crash_before = line.option("before", 0.0)
+            faults.crash_after = line.option("after", 0.0)
+            faults.silent = line.option("silent", 0.0)
+            faults.refuse = line.option("refuse", 0.0)
+            faults.truncate = line.option("truncate", 0.0)
+            faults.extra_work = line.option("slow", datetime.timedelta())
+
+    async def end(self, world, line):
+        for backend in world.backends.chosen(line.option("zone"), ServerKind.SERVICE, None):
+            backend.model.faults = type(backend.model.faults)()
+
+
+# Processes of the system
+
+
+@verbs.register("kill")
+class Kill(Verb):
+    """Kills an entry; it starts again after the line's time, if one is given."""
+
+    positional = 1
+
+    async def begin(self, world, line):
+        await world.kill(line.names()[0])
+
+    async def end(self, world, line):
+        await world.start_entry(line.names()[0])
+
+
+@verbs.register("stop")
+class Stop(Verb):
+    """Stops an entry as planned; it starts again after the line's time, if one is given."""
+
+    positional = 1
+
+    async def begin(self, world, line):
+        world.stop_planned(line.names()[0])
+
+    async def end(self, world, line):
+        await world.start_entry(line.names()[0])
+
+
+@verbs.register("pause")
+class Pause(Verb):
+    """Pauses an entry's process."""
+
+    positional = 1
+    needs_length = True
+
+    async def begin(self, world, line):
+        world.process(line.names()[0]).pause()
+
+    async def end(self, world, line):
+        world.process(line.names()[0]).node.resume()
+
+
+# The network
+
+
+@verbs.register("partition")
+class Partition(Verb):
+    """Cuts two data centres off from each other."""
+
+    positional = 2
+    needs_length = True
+
+    async def begin(self, world, line):
+        world.network.cut(*line.names())
+
+    async def end(self, world, line):
+        world.network.heal(*line.names())
+
+
+@verbs.register("isolate")
+class Isolate(Verb):
+    """Cuts a data centre off from the platform."""
+
+    positional = 1
+    needs_length = True
+
+    async def begin(self, world, line):
+        world.network.cut(line.names()[0], PLATFORM)
+
+    async def end(self, world, line):
+        world.network.heal(line.names()[0], PLATFORM)
+
+
+@verbs.register("silence")
+class Silence(Verb):
+    """Makes an entry's open connections to backend servers silent for good; new ones work."""
+
+    positional = 1
+    options = ("zone", "kind", "count")
+
+    async def begin(self, world, line):
+        for backend in _selected(world, line):
+            world.network.silence(line.names()[0], backend.server.name)
+
+
+# The platform
+
+
+@verbs.register("store-outage")
+class StoreOutage(Verb):
+    """Takes the table service and the object store out."""
+
+    needs_length = True
+
+    async def begin(self, world, line):
+        for faults in world.storage_faults():
+            faults.outage = True
+
+    async def end(self, world, line):
+        for faults in world.storage_faults():
+            faults.outage = False
+
+
+@verbs.register("store-slow")
+class StoreSlow(Verb):
+    """Slows the table service and the object store down."""
+
+    options = ("latency",)
+    needs_length = True
+
+    async def begin(self, world, line):
+        for faults in world.storage_faults():
+            faults.extra_latency = line.option("latency", datetime.timedelta(seconds=1))
+
+    async def end(self, world, line):
+        for faults in world.storage_faults():
+            faults.extra_latency = datetime.timedelta()
+
+
+@verbs.register("lose-answers")
+class LoseAnswers(Verb):
+    """Loses a share of the answers to writes, after or before they take effect."""
+
+    options = ("after", "before")
+    needs_length = True
+
+    async def begin(self, world, line):
+        for faults in world.storage_faults():
+            faults.lose_after = line.option("after", 0.0)
+            faults.lose_before = line.option("before", 0.0)
+
+    async def end(self, world, line):
+        for faults in world.storage_faults():
+            faults.lose_after = 0.0
+            faults.lose_before = 0.0
+
+
+# Operators
+
+
+@verbs.register("edit")
+class EditSection(Verb):
+    """Edits a section of the document: one field of one of its objects.
+
+    For example `at 5s edit models object="shade-model" field=replicas value=4`.
+    """
+
+    positional = 1
+    options = ("object", "field", "value")
+
+    async def begin(self, world, line):
+        await world.edit(
+            line.names()[0], line.option("object"), line.option("field"), line.option("value")
+        )
--- /dev/null
+++ b/cicadapond/scenario/_network.py
@@ -0,0 +1,335 @@
+"""What lies between the processes of a scenario: cuts, silent connections, paused processes.
+
+Wrappers around the in-memory adapters put one process's point of view on the shared stand-ins: a
+call crosses the network on the way out and its answer on the way back, and each crossing waits
+while its process is paused.
+"""
+
+import asyncio
+import datetime
+
+from cicadapond.backend import Engine, EngineStream, NotSent, PlainService
+from cicadapond.data import BreakKind, Broken
+from cicadapond.kernel import AnswerLost, Clock, LoopClock, Unavailable, Unknown, VirtualClock
+from cicadapond.platform import CloudApi, HostList, ObjectStore, TableService
+from cicadapond.scenario._observation import Record, Started
+
+PLATFORM = "platform"
+CONNECT_LIMIT = datetime.timedelta(seconds=1)
+ONE_WAY = datetime.timedelta(milliseconds=1)
+
+
+class Network:
+    """Which data centres reach each other and the platform, and which connections are silent."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._cuts: list[frozenset[str]] = []
+        self._silenced: dict[tuple[str, str], datetime.timedelta] = {}
+
+    def cut(self, one: str, other: str) -> None:
+        """Lets nothing pass between two data centres, or one and the platform."""
+        self._cuts.append(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """Ends one cut."""
+        self._cuts.remove(frozenset((one, other)))
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Tells whether anything passes between two places."""
+        return one == other or frozenset((one, other)) not in self._cuts
+
+    def silence(self, process: str, server: str) -> None:
+        """Silences for good the connections open now between a process and a server."""
+        self._silenced[process, server] = self._clock.monotonic()
+
+    def is_silent(self, process: str, server: str, opened: datetime.timedelta) -> bool:
+        """Tells whether a connection opened at an instant has gone silent."""
+        since = self._silenced.get((process, server))
+        return since is not None and opened <= since
+
+
+class Node:
+    """One process of the system: its place, and whether it runs, is paused or is dead."""
+
+    def __init__(self, name: str, zone: str, network: Network):
+        self.name = name
+        self.zone = zone
+        self.network = network
+        self.dead = False
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def pause(self) -> None:
+        """Stops the process where it waits."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Lets the process go on."""
+        self._running.set()
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process does nothing for now."""
+        return not self._running.is_set()
+
+    async def crossing(self) -> None:
+        """Waits while the process is paused; a dead process waits for good."""
+        await self._running.wait()
+        if self.dead:
+            await asyncio.Event().wait()
+
+    async def reach(self, place: str) -> bool:
+        """Crosses the network to a place.
+
+        Returns:
+          Whether the message arrived; if not, a connection attempt's limit has passed.
+        """
+        await self.crossing()
+        if self.network.reaches(self.zone, place):
+            await asyncio.sleep(ONE_WAY.total_seconds())
+            return True
+        await asyncio.sleep(CONNECT_LIMIT.total_seconds())
+        await self.crossing()
+        return False
+
+    async def hear(self, place: str) -> bool:
+        """Crosses the network back; returns whether the answer arrived."""
+        arrived = self.network.reaches(self.zone, place)
+        if not arrived:
+            await asyncio.sleep(CONNECT_LIMIT.total_seconds())
+        await self.crossing()
+        return arrived
+
+
+class NodeClock(VirtualClock):
+    """Virtual time as one process sees it: its sleeps last as long as it is paused."""
+
+    def __init__(self, node: Node):
+        super().__init__()
+        self._node = node
+
+    async def sleep(self, duration):
+        await LoopClock.sleep(self, duration)
+        await self._node.crossing()
+
+
+# Engines
+
+
+class NodeEngine(Engine):
+    """An engine as one process reaches it."""
+
+    def __init__(self, inner: Engine, node: Node, record: Record):
+        self.server = inner.server
+        self._inner = inner
+        self._node = node
+        self._record = record
+
+    def generate(self, call):
+        return _NodeStream(self._inner, self._node, call, self._record)
+
+    async def export_kv(self, stream_id, target, limit):
+        return await self._ask(lambda: self._inner.export_kv(stream_id, target, limit))
+
+    async def load_report(self):
+        return await self._ask(self._inner.load_report)
+
+    async def cache_events(self, after):
+        return await self._ask(lambda: self._inner.cache_events(after))
+
+    async def state(self):
+        return await self._ask(self._inner.state)
+
+    async def order(self, order):
+        if not await self._node.reach(self.server.zone):
+            return Unavailable("no connection")
+        outcome = await self._inner.order(order)
+        if not await self._node.hear(self.server.zone):
+            return AnswerLost("the connection was cut")
+        return outcome
+
+    async def _ask(self, request):
+        if not await self._node.reach(self.server.zone):
+            return Unavailable("no connection")
+        outcome = await request()
+        if not await self._node.hear(self.server.zone):
+            return Unavailable("the connection was cut")
+        return outcome
+
+
+class _NodeStream(EngineStream):
+    def __init__(self, engine: Engine, node: Node, call, record):
+        self._engine = engine
+        self._node = node
+        self._call = call
+        self._record = record
+        self._opened = asyncio.get_running_loop().time()
+        self._inner: EngineStream | None = None
+        self._closed = False
+
+    async def read(self):
+        if self._inner is None and not await self._connect():
+            return (Broken(self._call.epoch, BreakKind.UNREACHABLE, "no connection"),)
+        events = await self._inner.read()
+        await self._arrival()
+        return events
+
+    async def _connect(self):
+        server = self._engine.server
+        if not await self._node.reach(server.zone):
+            return False
+        now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
+        request = self._call.stream_id
+        self._record.add(Started(now, server.name, request, self._node.name))
+        self._inner = self._engine.generate(self._call)
+        if self._closed:
+            self._inner.close()
+        return True
+
+    async def _arrival(self):
+        network, server = self._node.network, self._engine.server
+        opened = datetime.timedelta(seconds=self._opened)
+        if network.is_silent(self._node.name, server.name, opened):
+            await asyncio.Event().wait()
+        while not network.reaches(self._node.zone, server.zone):
+            await asyncio.sleep(CONNECT_LIMIT.total_seconds())
+        await self._node.crossing()
+
+    def pause(self):
+        if self._inner is not None:
+            self._inner.pause()
+
+    def resume(self):
+        if self._inner is not None:
+            self._inner.resume()
+
+    def close(self):
+        self._closed = True
+        if self._inner is not None:
+            self._inner.close()
+
+
+# Plain services
+
+
+class NodeService(PlainService):
+    """A plain service's backend server as one process reaches it."""
+
+    def __init__(self, inner: PlainService, node: Node, record: Record):
+        self.server = inner.server
+        self._inner = inner
+        self._node = node
+        self._record = record
+        self._pooled_since = asyncio.get_running_loop().time()
+
+    async def call(self, call, timeout, fresh):
+        try:
+            return await asyncio.wait_for(self._exchange(call, timeout, fresh), _seconds(timeout))
+        except TimeoutError:
+            return Unknown(f"no answer within {timeout}")
+
+    async def _exchange(self, call, timeout, fresh):
+        if not await self._node.reach(self.server.zone):
+            return NotSent("no connection")
+        loop = asyncio.get_running_loop()
+        now = datetime.timedelta(seconds=loop.time())
+        opened = now if fresh else datetime.timedelta(seconds=self._pooled_since)
+        if self._node.network.is_silent(self._node.name, self.server.name, opened):
+            self._pooled_since = loop.time() + _seconds(timeout)
+            await asyncio.Event().wait()
+        self._record.add(Started(now, self.server.name, call.request_id, self._node.name))
+        outcome = await asyncio.shield(
+            asyncio.ensure_future(self._inner.call(call, timeout, fresh))
+        )
+        if not await self._node.hear(self.server.zone):
+            return Unknown("the connection was cut")
+        return outcome
+
+    async def load_report(self):
+        if not await self._node.reach(self.server.zone):
+            return Unavailable("no connection")
+        outcome = await self._inner.load_report()
+        await self._node.hear(self.server.zone)
+        return outcome
+
+
+# The platform
+
+
+class _NodePlatform:
+    """Crosses to the platform and back around calls of a stand-in."""
+
+    def __init__(self, inner, node: Node):
+        self._inner = inner
+        self._node = node
+
+    async def _read(self, request):
+        return await self._exchange(request, Unavailable("the answer was cut off"))
+
+    async def _write(self, request):
+        return await self._exchange(request, AnswerLost("the answer was cut off"))
+
+    async def _exchange(self, request, cut_off):
+        if not await self._node.reach(PLATFORM):
+            return Unavailable("the platform cannot be reached")
+        outcome = await asyncio.shield(asyncio.ensure_future(request()))
+        if not await self._node.hear(PLATFORM):
+            return cut_off
+        return outcome
+
+
+class NodeTables(_NodePlatform, TableService):
+    """The table service as one process reaches it."""
+
+    async def transact(self, writes):
+        return await self._write(lambda: self._inner.transact(writes))
+
+    async def read(self, keys):
+        return await self._read(lambda: self._inner.read(keys))
+
+    async def scan(self, table, prefix="", after="", limit=1000):
+        return await self._read(lambda: self._inner.scan(table, prefix, after, limit))
+
+
+class NodeObjects(_NodePlatform, ObjectStore):
+    """The object store as one process reaches it."""
+
+    async def put(self, name, body):
+        return await self._write(lambda: self._inner.put(name, body))
+
+    async def get(self, name):
+        return await self._read(lambda: self._inner.get(name))
+
+    async def delete(self, name):
+        return await self._write(lambda: self._inner.delete(name))
+
+
+class NodeHostList(_NodePlatform, HostList):
+    """The host list as one process reaches it."""
+
+    async def list(self):
+        return await self._read(self._inner.list)
+
+
+class NodeCloud(_NodePlatform, CloudApi):
+    """The cloud API as one process reaches it."""
+
+    async def buy(self, request):
+        return await self._write(lambda: self._inner.buy(request))
+
+    async def release(self, host_id):
+        return await self._write(lambda: self._inner.release(host_id))
+
+    async def hosts(self, zone):
+        return await self._read(lambda: self._inner.hosts(zone))
+
+    async def prices(self):
+        return await self._read(self._inner.prices)
+
+    async def notices(self, zone):
+        return await self._read(lambda: self._inner.notices(zone))
+
+
+def _seconds(duration):
+    return duration.total_seconds()
--- a/cicadapond/scenario/_observation.py
+++ b/cicadapond/scenario/_observation.py
@@ -93,6 +93,24 @@
     revision: int
 
 
+@attrs.frozen
+class Began:
+    """A process of the system is ready; `life` counts its restarts."""
+
+    at: Instant
+    process: str
+    life: int
+
+
+@attrs.frozen
+class Ended:
+    """A process of the system was killed, has stopped or was paused."""
+
+    at: Instant
+    process: str
+    life: int
+
+
 @attrs.frozen
 class Edited:
     """An operator's edit was accepted as a revision."""
@@ -129,6 +147,8 @@
     | Noticed
     | Crashed
     | InForce
+    | Began
+    | Ended
     | Edited
     | Stopping
     | Fault
--- /dev/null
+++ b/cicadapond/scenario/_world.py
@@ -0,0 +1,347 @@
+"""The whole system of a scenario in one process, on virtual time.
+
+Real entries (`EntryNode`) run over in-memory edges: the same decisions, tasks and messages as in
+production, with nothing replaced but sockets.
+"""
+
+import asyncio
+import datetime
+import json
+import random
+
+import attrs
+
+from cicadapond.admission import CapacitySettings
+from cicadapond.data import Endpoint
+from cicadapond.document import (
+    DocumentEditor,
+    DocumentStore,
+    Edit,
+    hash_key,
+)
+from cicadapond.entry import EntrySettings
+from cicadapond.entry._node import Edges, EntryNode
+from cicadapond.kernel import Findings, Metrics, Ok, VirtualClock, parse_jsonc
+from cicadapond.peer import MemoryNetwork, MemoryTransport, PeerSettings, PeerTask
+from cicadapond.platform import AdapterSettings, BudgetedTables, BudgetSettings, PlatformSettings
+from cicadapond.scenario._backends import (
+    ENGINE_SLOTS,
+    FIRST_VERSION,
+    MACHINE_CLASS,
+    MODEL,
+    POOL,
+    SERVICE,
+    Backends,
+)
+from cicadapond.scenario._callers import Balancer, Callers
+from cicadapond.scenario._network import (
+    Network,
+    Node,
+    NodeClock,
+    NodeCloud,
+    NodeHostList,
+    NodeObjects,
+    NodeTables,
+)
+from cicadapond.scenario._observation import (
+    Began,
+    Edited,
+    Ended,
+    Fault,
+    InForce,
+    Record,
+    Stopping,
+)
+from cicadapond.scenario._script import Script
+from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
+
+PEER_HOST = "10.1.0.1"
+SEEDS = 3
+EDITOR_KEY = "operator-key"
+EDIT_LIMIT = datetime.timedelta(seconds=60)
+BALANCER_DELAY = datetime.timedelta(seconds=2)
+STOP_POLL = datetime.timedelta(milliseconds=100)
+
+
+class EntryProcess:
+    """One entry of the scenario through all of its lives."""
+
+    def __init__(self, name: str, zone: str, endpoint: Endpoint, world: "World"):
+        self.name = name
+        self.zone = zone
+        self.endpoint = endpoint
+        self.ready = False
+        self.life = 0
+        self.gone = asyncio.Event()
+        self.open_requests: set[str] = set()
+        self.node: Node | None = None
+        self.entry: EntryNode | None = None
+        self._world = world
+
+    @property
+    def core(self):
+        """The entry's core, which callers reach."""
+        return self.entry.core
+
+    async def start(self) -> None:
+        """Starts a new process of this name; it is ready once its views are."""
+        self.life += 1
+        self.gone = asyncio.Event()
+        self.node = Node(self.name, self.zone, self._world.network)
+        self.entry = self._world.build_entry(self)
+        if self.entry.document is not None:
+            self.entry.document.subscribe(self._note_revision)
+        await self.entry.start()
+        self.ready = True
+        self._world.record.add(Began(self._world.clock.monotonic(), self.name, self.life))
+
+    async def kill(self) -> None:
+        """Ends the process at once; nothing that it still does reaches anybody."""
+        self.ready = False
+        self.node.dead = True
+        self._note_end()
+        self.gone.set()
+        ending = asyncio.ensure_future(self.entry.kill())
+        self._world.leftovers.append(ending)
+
+    async def stop(self) -> None:
+        """Stops as planned: not ready, wait for the balancer, finish what is open."""
+        clock = self._world.clock
+        self.ready = False
+        stopping = Stopping(clock.monotonic(), self.name, tuple(sorted(self.open_requests)))
+        self._world.record.add(stopping)
+        await clock.sleep(BALANCER_DELAY)
+        while self.open_requests:
+            await clock.sleep(STOP_POLL)
+        await self.entry.stop()
+        self._note_end()
+        self.gone.set()
+
+    def pause(self) -> None:
+        """Pauses the process where it is."""
+        self._note_end()
+        self.node.pause()
+
+    def _note_end(self):
+        self._world.record.add(Ended(self._world.clock.monotonic(), self.name, self.life))
+
+    def _note_revision(self, intent):
+        now = self._world.clock.monotonic()
+        self._world.record.add(InForce(now, self.name, self.life, intent.revision))
+
+
+class ReadyEntries(Balancer):
+    """Chooses among the entries that say that they are ready."""
+
+    def __init__(self, world: "World", rng: random.Random):
+        self._world = world
+        self._rng = rng
+
+    def choose(self, zone):
+        ready = [
+            process
+            for process in self._world.entries.values()
+            if process.ready and zone in ("", process.zone)
+        ]
+        return self._rng.choice(ready) if ready else None
+
+
+class World:
+    """Everything of one scenario.
+
+    Args:
+      script: The scenario.
+      seed: Seeds all randomness.
+    """
+
+    def __init__(self, script: Script, seed: int):
+        self.script = script
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.record = Record()
+        self.network = Network(self.clock)
+        self.peer_network = MemoryNetwork(self._random())
+        self.peer_network.cut(self._peers_separated)
+        self.tables = TableModel(self.clock, self._random())
+        self.objects = ObjectModel(self.clock, self._random())
+        self.backends = Backends(script, self.clock, self._random(), self.record)
+        self.entries: dict[str, EntryProcess] = {}
+        self.leftovers: list[asyncio.Task] = []
+        accounts = [account.name for account in script.accounts] or ["account"]
+        balancer = ReadyEntries(self, self._random())
+        self.callers = Callers(balancer, self.clock, self._random(), self.record, accounts)
+        self._edit_number = 0
+
+    # Setting up and ending
+
+    async def start(self) -> None:
+        """Writes the document, starts the backend servers, then the entries."""
+        await self._write_document()
+        await self.backends.start()
+        for zone in self.script.zones:
+            for number in range(zone.entries):
+                name = f"entry-{zone.name}-{number}"
+                endpoint = Endpoint(PEER_HOST, 1 + len(self.entries))
+                self.entries[name] = EntryProcess(name, zone.name, endpoint, self)
+        await asyncio.gather(*(process.start() for process in self.entries.values()))
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for process in self.entries.values():
+            process.node.resume()
+            if not process.gone.is_set():
+                await process.entry.kill()
+        for ending in self.leftovers:
+            ending.cancel()
+        for task in list(self.callers.pending):
+            task.cancel()
+        await self.backends.close()
+
+    # Processes
+
+    def process(self, name: str) -> EntryProcess:
+        """Returns an entry by name.
+
+        Raises:
+          LookupError: If there is none; the message lists those that exist.
+        """
+        if name not in self.entries:
+            raise LookupError(f"no entry {name!r}; there are {', '.join(self.entries)}")
+        return self.entries[name]
+
+    async def kill(self, name: str) -> None:
+        """Kills an entry."""
+        await self.process(name).kill()
+
+    async def start_entry(self, name: str) -> None:
+        """Starts an entry that was killed or stopped."""
+        process = self.process(name)
+        await process.gone.wait()
+        await process.start()
+
+    def stop_planned(self, name: str) -> None:
+        """Begins a planned stop of an entry."""
+        stopping = asyncio.ensure_future(self.process(name).stop())
+        self.leftovers.append(stopping)
+
+    def build_entry(self, process: EntryProcess) -> EntryNode:
+        """Returns a new node for a process, over in-memory edges."""
+        node = process.node
+        clock = NodeClock(node)
+        metrics = Metrics()
+        rng = self._random()
+        endpoint = process.endpoint
+        tables = NodeTables(DirectTables(self.tables), node)
+        seeds = tuple(found.endpoint for found in self.entries.values())[:SEEDS]
+        peer_cfg = PeerSettings(process.name, process.zone, endpoint, seeds=seeds)
+        transport = MemoryTransport(self.peer_network, endpoint)
+        edges = Edges(
+            hosts=NodeHostList(_Direct(list=self._list_hosts), node),
+            peers=PeerTask(peer_cfg, transport, clock, metrics, self._random()),
+            storage=BudgetedTables(tables, BudgetSettings(), clock, metrics, rng),
+            objects=NodeObjects(DirectObjects(self.objects), node),
+            cloud=NodeCloud(self.backends.cloud, node),
+            connect=lambda server: self.backends.adapter(server, node),
+        )
+        return EntryNode(self._entry_settings(process, endpoint), edges, clock, metrics, rng)
+
+    # The platform
+
+    def storage_faults(self) -> list:
+        """Returns the fault switches of the table service and the object store."""
+        return [self.tables.faults, self.objects.faults]
+
+    async def _list_hosts(self):
+        return Ok(self.backends.host_list.listing())
+
+    def _peers_separated(self, here, there):
+        """Tells whether no message passes between two processes now."""
+        ends = [found for found in self.entries.values() if found.endpoint in (here, there)]
+        if any(found.node is None or found.node.dead or found.node.is_paused for found in ends):
+            return True
+        return not self.network.reaches(ends[0].zone, ends[-1].zone)
+
+    # The document
+
+    async def edit(self, section: str, name: str, field: str, value) -> None:
+        """Changes one field of one object of a section, or of the section itself."""
+        self._edit_number += 1
+        mark = f"edit-{self._edit_number}"
+        store = DocumentStore(DirectTables(self.tables))
+        read = await store.read()
+        if not isinstance(read, Ok):
+            self.record.add(Fault(self.clock.monotonic(), f"{mark} failed: {read.reason}"))
+            return
+        current = read.value.sections[section]
+        text = _changed(current.text, name, field, value)
+        edit = Edit(mark, EDITOR_KEY, {section: text}, {section: current.version})
+        editor = DocumentEditor(store, self.clock, self._random())
+        outcome = await editor.apply(edit, EDIT_LIMIT)
+        now = self.clock.monotonic()
+        if isinstance(outcome, Ok):
+            self.record.add(Edited(now, outcome.value, section, mark))
+        else:
+            self.record.add(Fault(now, f"{mark} failed: {outcome}"))
+
+    async def _write_document(self):
+        texts = first_document(self.script)
+        store = DocumentStore(DirectTables(self.tables))
+        editor = DocumentEditor(store, self.clock, self._random())
+        edit = Edit("first", EDITOR_KEY, texts, dict.fromkeys(texts, 0))
+        outcome = await editor.apply(edit, EDIT_LIMIT)
+        if not isinstance(outcome, Ok):
+            raise ValueError(f"the scenario's first document was not accepted: {outcome}")
+
+    # Settings
+
+    def _entry_settings(self, process, endpoint):
+        return EntrySettings(
+            name=process.name,
+            zone=process.zone,
+            http=endpoint,
+            admin=endpoint,
+            platform=PlatformSettings(hosts=AdapterSettings("memory")),
+            capacity=CapacitySettings(),
+        )
+
+    def _random(self):
+        return random.Random(self.rng.random())
+
+
+@attrs.frozen
+class _Direct:
+    """A client of a stand-in given by functions."""
+
+    list: object
+
+
+def first_document(script: Script) -> dict[str, str]:
+    """Returns the sections of the document that a scenario begins with."""
+    engines = sum(zone.engines for zone in script.zones)
+    services = sum(zone.services for zone in script.zones)
+    calls = [{"method": "POST", "path": "/orders", "idempotent": False}]
+    sections = {
+        "models": {MODEL: {"pool": POOL, "version": FIRST_VERSION, "replicas": engines}},
+        "applications": {SERVICE: {"replicas": services, "timeout": "5s", "calls": calls}},
+        "accounts": {account.name: {"share": account.share} for account in script.accounts},
+        "cost": {
+            "zones": [zone.name for zone in script.zones],
+            "machine_classes": {MACHINE_CLASS: {"slots": ENGINE_SLOTS}},
+        },
+        "policies": {},
+        "editors": {
+            "operators": {
+                "key_hashes": [hash_key(EDITOR_KEY)],
+                "sections": ["models", "applications", "accounts", "cost", "policies", "editors"],
+            }
+        },
+    }
+    return {name: json.dumps(fields, indent=2) for name, fields in sections.items()}
+
+
+def _changed(text, name, field, value):
+    findings = Findings()
+    fields = parse_jsonc(text, "section", findings).plain()
+    target = fields if name is None else fields[name]
+    target[field] = value if not isinstance(value, datetime.timedelta) else value.total_seconds()
+    return json.dumps(fields, indent=2)
--- /dev/null
+++ b/cicadapond/scenario/main.py
@@ -0,0 +1,89 @@
+"""Program `cicadapond-scenario`: runs scenarios on virtual time.
+
+    cicadapond-scenario run FILE [FILE ...] [--seeds=1,2,3] [--trace]
+    cicadapond-scenario check FILE [FILE ...]
+
+Exit codes: 0 if all holds, 1 if a run has findings, 2 if a scenario does not parse.
+"""
+
+import pathlib
+import sys
+
+from absl import app, flags
+
+from cicadapond.kernel import Findings, SettingsError
+from cicadapond.scenario._parser import parse_scenario
+from cicadapond.scenario._runner import check_script, run_script
+from cicadapond.scenario._script import Script
+
+EXIT_FINDINGS = 1
+EXIT_USAGE = 2
+
+_SEEDS = flags.DEFINE_list("seeds", [], "Seeds instead of the scenario's own.")
+_TRACE = flags.DEFINE_bool("trace", False, "Print the timeline of each run.")
+
+
+def load_scenario(path: str) -> Script:
+    """Reads and checks a scenario file.
+
+    Raises:
+      SettingsError: With every finding, if it does not hold.
+      OSError: If it cannot be read.
+    """
+    findings = Findings()
+    script = parse_scenario(pathlib.Path(path).read_text(encoding="utf-8"), path, findings)
+    if script is not None:
+        check_script(script, findings)
+    if findings:
+        raise SettingsError(findings)
+    return script
+
+
+def _run(paths):
+    failed = False
+    for path in paths:
+        script = load_scenario(path)
+        for seed in [int(seed) for seed in _SEEDS.value] or [script.seed]:
+            failed |= _report(path, run_script(script, seed))
+    sys.exit(EXIT_FINDINGS if failed else 0)
+
+
+def _report(path, verdict):
+    if _TRACE.value:
+        print("\n".join(verdict.record.timeline()))
+    word = "FAILED" if verdict.findings else "ok"
+    figures = " ".join(f"{name}={value}" for name, value in verdict.figures.items())
+    print(f"{word:6} {path} seed={verdict.seed} {figures}")
+    for found in verdict.findings:
+        print(f"  {found}")
+    return bool(verdict.findings)
+
+
+def _check(paths):
+    for path in paths:
+        load_scenario(path)
+        print(f"{path}: holds")
+
+
+_COMMANDS = {"run": _run, "check": _check}
+
+
+def _main(argv):
+    command = _COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    if command is None:
+        print(f"a command is required: {', '.join(_COMMANDS)}; see --help", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        command(argv[2:])
+    except (SettingsError, OSError) as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def run() -> None:
+    """Runs the program."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- a/cicadapond/standin/_service.py
+++ b/cicadapond/standin/_service.py
@@ -8,6 +8,7 @@
 import datetime
 import json
 import random
+import typing
 
 import attrs
 
@@ -108,6 +109,7 @@
         self.leaving = False
         self.running = 0
         self.life = 0
+        self.on_run: list[typing.Callable[[ServiceCall, str], None]] = []
         self._clock = clock
         self._rng = rng
         self._down_until = datetime.timedelta()
@@ -123,6 +125,11 @@
         self.life += 1
         self._down_until = self._clock.monotonic() + self.timing.restart
 
+    def take_away(self) -> None:
+        """Takes the host away for good."""
+        self.life += 1
+        self._down_until = datetime.timedelta.max
+
     async def serve(self, call: ServiceCall) -> Answer | NotSent | Silent | Crashed | Truncated:
         """Serves one call."""
         if self._happens(self.faults.refuse) or self.running >= self.timing.slots:
@@ -167,6 +174,8 @@
             return _json_answer(200, {"path": call.path, "in_stock": len(call.path)})
         headers = {name.lower(): value for name, value in call.headers}
         key = headers.get(KEY_HEADER, "")
+        for listener in self.on_run:
+            listener(call, key)
         self.counts.by_key[key] += 1
         self.counts.by_request[headers.get(REQUEST_HEADER, call.request_id)] += 1
         return _json_answer(201, {"key": key, "runs": self.counts.by_key[key]})
