--- a/cicadapond/admission/_fair.py
+++ b/cicadapond/admission/_fair.py
@@ -30,7 +30,7 @@
 INITIAL_HOLD_SECONDS = 0.5
 HOLD_WEIGHT = 0.05  # of the newest request in the mean time that a slot is held
 URGENT_RESERVE = 0.1  # of a pool's slots that batch work leaves free
-CATCH_UP_HOLDS = 10  # slots that an account held back by its own limits may take in a row later
+CATCH_UP_SECONDS = 2.0  # of its fair share that an account may take later than it was due
 LEAST_RETRY = datetime.timedelta(seconds=1)
 TOO_MANY_REQUESTS = 429
 _ZERO = datetime.timedelta()
@@ -56,12 +56,11 @@
     hold_seconds: float = INITIAL_HOLD_SECONDS
 
     def account(self, name) -> AccountQueue:
-        """Returns an account's queue; one that was idle starts level with the others."""
+        """Returns an account's queue; a new one starts level with the others."""
         queue = self.accounts.get(name)
         if queue is None:
             queue = self.accounts[name] = AccountQueue(self.hold_seconds)
-        if not queue and not queue.running:
-            queue.virtual_time = max(queue.virtual_time, self.virtual_time)
+            queue.virtual_time = self.virtual_time
         return queue
 
     def lowest_priority(self) -> Priority:
@@ -197,9 +196,13 @@
         free = len(pool.running) < pool.slots and ticket.priority <= pool.lowest_priority()
         if free and not ahead and queue.running < limits.max_in_flight:
             return _ZERO
-        share = self._share(ticket.account) / self._active_shares(pool, ticket.account)
-        rate = min(share * max(1, pool.slots), limits.max_in_flight) / queue.hold_seconds
-        return datetime.timedelta(seconds=ahead / rate + pool.release_seconds())
+        share = self._share(ticket.account)
+        part = share / self._active_shares(pool, ticket.account)
+        rate = min(part * max(1, pool.slots), limits.max_in_flight) / queue.hold_seconds
+        behind = pool.virtual_time - self._due_time(pool, queue, ticket.account)
+        overdue = min(ahead, max(0.0, behind * share / queue.hold_seconds))
+        wait = (overdue + 1) * pool.release_seconds() + (ahead - overdue) / rate
+        return datetime.timedelta(seconds=wait)
 
     # Admissions
 
@@ -234,8 +237,7 @@
     def _start(self, pool, queue, ticket, now):
         charge = queue.hold_seconds / self._share(ticket.account)
         pool.running[ticket.ticket_id] = _Hold(now, queue.hold_seconds)
-        least = pool.virtual_time - CATCH_UP_HOLDS * charge
-        queue.virtual_time = max(queue.virtual_time, least)
+        queue.virtual_time = self._due_time(pool, queue, ticket.account)
         pool.virtual_time = max(pool.virtual_time, queue.virtual_time)
         queue.running += 1
         queue.virtual_time += charge
@@ -253,6 +255,11 @@
     def _share(self, account):
         return self._limits_of(account).share
 
+    def _due_time(self, pool, queue, account):
+        """Returns an account's virtual time; what it left unused long ago is lost."""
+        catch_up = CATCH_UP_SECONDS * pool.slots / self._active_shares(pool, account)
+        return max(queue.virtual_time, pool.virtual_time - catch_up)
+
     def _active_shares(self, pool, account):
         active = {name for name, queue in pool.accounts.items() if queue or queue.running}
         return sum(self._share(name) for name in active | {account})
