--- a/cicadapond/entry/_completion.py
+++ b/cicadapond/entry/_completion.py
@@ -24,7 +24,13 @@
 from cicadapond.entry._mover import StreamMover
 from cicadapond.kernel import Failed, NotRun, Ok
 from cicadapond.quarantine import Quarantine
-from cicadapond.routing import DocumentRouter, RouteRequest, ServerView
+from cicadapond.routing import (
+    DocumentRouter,
+    RouteRequest,
+    ServerView,
+    serves,
+    serving_version,
+)
 from cicadapond.stream import (
     AnswerState,
     Broke,
@@ -117,7 +123,7 @@
         self._quarantine = runner.parts.quarantine
         self._req = req
         self._sink = sink
-        self._pinned_version = version
+        self._version = version or ""
         self._pool = pool
         stream_id = f"{req.request_id}-{self._parts.rng.getrandbits(32):08x}"
         self._answer = AnswerState(stream_id, req.max_tokens, resume)
@@ -211,6 +217,8 @@
     def _pick(self) -> ServerView | None:
         now = self._clock.monotonic()
         views = self._parts.fleet.views(self._pool)
+        version = self._fix_version(views)
+        views = [view for view in views if serves(view, self._req.model, version)]
         if self._quarantine.is_suspect(self._body):
             return self._pick_for_suspect(views, now)
         self.end()
@@ -338,7 +346,7 @@
             stream_id=self._answer.stream_id,
             epoch=epoch,
             model=req.model,
-            version=self._version(),
+            version=self._version,
             prompt=req.prompt,
             max_tokens=req.max_tokens,
             priority=req.priority,
@@ -349,12 +357,13 @@
             kv_handle=kv_handle,
         )
 
-    def _version(self):
+    def _fix_version(self, views):
         """Returns the version of all attempts: fixed by the first token, never mixed."""
-        if self._pinned_version is None or not self._answer.tokens:
+        if not self._answer.tokens or not self._version:
             model = self._parts.intent().models.get(self._req.model)
-            self._pinned_version = model.version if model is not None else self._pinned_version
-        return self._pinned_version
+            wanted = model.version if model is not None else self._version
+            self._version = serving_version(self._req.model, wanted, views)
+        return self._version
 
     def _closed(self, attempt):
         name = attempt.server
--- a/cicadapond/entry/_mover.py
+++ b/cicadapond/entry/_mover.py
@@ -9,7 +9,7 @@
 from cicadapond.data import split_tokens
 from cicadapond.entry._attempt import Attempt, Moved
 from cicadapond.kernel import Ok, Unavailable, seconds
-from cicadapond.routing import ServerView
+from cicadapond.routing import ServerView, serves
 from cicadapond.stream import Movable, MoveKind, MoveTarget, MovingSettings, moving_policies
 
 DECISION_INTERVAL = seconds(0.05)
@@ -104,12 +104,16 @@
         return self._policy
 
     def _targets(self, server, attempts) -> dict[str, ServerView]:
-        pool = next(iter(attempts.values())).engine.server.pool
+        first = next(iter(attempts.values()))
+        model, version = first.call.model, first.call.version
         now = self._parts.clock.monotonic()
         return {
             view.server.name: view
-            for view in self._parts.fleet.views(pool)
-            if view.server.name != server and not view.leaving and view.failing_until <= now
+            for view in self._parts.fleet.views(first.engine.server.pool)
+            if view.server.name != server
+            and not view.leaving
+            and view.failing_until <= now
+            and serves(view, model, version)
         }
 
     def _target(self, view):
--- a/cicadapond/entry/completion_test.py
+++ b/cicadapond/entry/completion_test.py
@@ -109,6 +109,17 @@
     assert asked.duration > seconds(5)
 
 
+def test_a_new_request_uses_the_version_that_is_served_while_the_next_one_loads():
+    cfg = EngineSettings(model="shade-model", version="v0")
+
+    async def body(bench):
+        await asyncio.sleep(3)
+        asked = await bench.ask(0, "a b c", 20, deadline=seconds(30))
+        return asked.outcome
+
+    assert isinstance(on_bench(body, engines=2, engine=cfg), Ok)
+
+
 def test_a_silent_connection_is_given_up_for_a_new_one_on_a_single_engine():
     async def body(bench):
         asking = asyncio.ensure_future(ask_many(bench, 10, max_tokens=100))
--- a/cicadapond/experiments/_engines.py
+++ b/cicadapond/experiments/_engines.py
@@ -13,7 +13,6 @@
     Endpoint,
     GenerateCall,
     LoadReport,
-    Priority,
     ServerKind,
     Token,
 )
@@ -46,9 +45,18 @@
         self._adapters = adapters
         self._clock = clock
         self._listeners: list[typing.Callable] = []
+        self._only: set[str] | None = None
 
     def views(self, pool):
-        return [view for view in self._views.values() if not view.leaving]
+        return [
+            view
+            for name, view in self._views.items()
+            if not view.leaving and (self._only is None or name in self._only)
+        ]
+
+    def limit_to(self, names):
+        """Shows only some servers; None shows all again."""
+        self._only = None if names is None else set(names)
 
     def adapter(self, name):
         return self._adapters[name]
@@ -87,16 +95,22 @@
 
 
 class TokenList:
-    """A sink that keeps the tokens, and when the first one and the last one came."""
+    """A sink that keeps the tokens, when the first one came, and the gaps after it."""
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self.texts: list[str] = []
         self.first_at = None
+        self.gaps: list[tuple] = []
+        self._last_at = None
 
     async def tokens(self, tokens: tuple[Token, ...]):
+        now = self._clock.monotonic()
         if self.first_at is None:
-            self.first_at = self._clock.monotonic()
+            self.first_at = now
+        else:
+            self.gaps.append((now, (now - self._last_at).total_seconds()))
+        self._last_at = now
         for token in tokens:
             assert token.sequence == len(self.texts), "a token is missing or came twice"
             self.texts.append(token.text)
@@ -119,6 +133,7 @@
     whole: bool
     first_token: object
     duration: object
+    gaps: tuple[tuple, ...] = ()
 
 
 class EngineBench:
@@ -243,6 +258,7 @@
             isinstance(outcome, Ok) and sink.texts == whole_answer(call),
             None if sink.first_at is None else sink.first_at - started,
             self.clock.monotonic() - started,
+            tuple(sink.gaps),
         )
 
     def computed_tokens(self) -> int:
@@ -270,6 +286,3 @@
 def words(rng: random.Random, count: int) -> str:
     """Returns a text of so many words."""
     return " ".join(f"{rng.getrandbits(20):x}" for _ in range(count))
-
-
-PRIORITIES = tuple(Priority)
--- /dev/null
+++ b/cicadapond/experiments/routing.py
@@ -0,0 +1,199 @@
+"""Routing: planograms with long shared prefixes beside quick questions, on 6 engines.
+
+Every store's planogram requests share its long description; together the descriptions are too
+much for one engine's cache.  Arrivals are open loop.  Tokens recomputed are the prefilled tokens
+beyond those that had to be computed once: each shared prefix, and what no request shares.
+"""
+
+import asyncio
+import random
+import time
+
+import attrs
+
+from cicadapond.data import (
+    PREFIX_BLOCK_TOKENS,
+    BackendServer,
+    Endpoint,
+    LoadReport,
+    Priority,
+    ServerKind,
+    prefix_blocks,
+)
+from cicadapond.document import Intent, ModelIntent, PolicyIntent
+from cicadapond.experiments._engines import MODEL, POOL, VERSION, EngineBench, words
+from cicadapond.experiments._table import Experiment, Table, experiments
+from cicadapond.kernel import run_virtual, seconds
+from cicadapond.routing import RouteRequest, RouterSettings, ServerView, routers
+from cicadapond.standin import EngineSettings
+
+POLICIES = ("round-robin", "least-in-flight", "scored")
+ENGINES = 6
+ENTRIES = 2
+STORES = 24
+PREFIX_WORDS = 2000
+PLANOGRAM_WORDS = 50
+PLANOGRAM_TOKENS = 100
+PLANOGRAMS_PER_SECOND = 10.0
+QUESTION_WORDS = 30
+QUESTION_TOKENS = 40
+QUESTIONS_PER_SECOND = 15.0
+CACHE_BLOCKS = 1500
+LOAD_SECONDS = 60.0
+DECISIONS = 500
+FLEET_SIZES = (6, 60, 600)
+
+
+@attrs.frozen
+class RoutingReport:
+    """What came of one run."""
+
+    whole: int
+    requests: int
+    recomputed: int
+    question_first_token_seconds: float
+    planogram_first_token_seconds: float
+    tokens_per_second: float
+
+
+def run_routing(
+    seed: int, policy: str, load_seconds: float = LOAD_SECONDS, rate: float = 1.0
+) -> RoutingReport:
+    """Runs the load once.
+
+    Args:
+      seed: Seeds texts, arrivals and all decisions.
+      policy: The routing policy.
+      load_seconds: How long requests arrive.
+      rate: Factor on both arrival rates.
+    """
+    return run_virtual(_run(seed, policy, load_seconds, rate))
+
+
+async def _run(seed, policy, load_seconds, rate):
+    intent = Intent(
+        models={MODEL: ModelIntent(POOL, VERSION)}, policies=PolicyIntent(routing=policy)
+    )
+    engine = EngineSettings(cache_blocks=CACHE_BLOCKS, model=MODEL, version=VERSION)
+    bench = EngineBench(ENGINES, ENTRIES, seed, intent, engine)
+    rng = random.Random(seed)
+    prefixes = [words(rng, PREFIX_WORDS) for _ in range(STORES)]
+    used = set()
+
+    def planogram():
+        store = rng.randrange(STORES)
+        used.add(store)
+        prompt = f"{prefixes[store]} {words(rng, PLANOGRAM_WORDS)}"
+        return bench.ask(
+            rng.randrange(ENTRIES), prompt, PLANOGRAM_TOKENS, priority=Priority.STANDARD
+        )
+
+    def question():
+        prompt = words(rng, QUESTION_WORDS)
+        return bench.ask(
+            rng.randrange(ENTRIES), prompt, QUESTION_TOKENS, priority=Priority.INTERACTIVE
+        )
+
+    planograms, questions = await asyncio.gather(
+        _arrive(bench, rng, PLANOGRAMS_PER_SECOND * rate, load_seconds, planogram),
+        _arrive(bench, rng, QUESTIONS_PER_SECOND * rate, load_seconds, question),
+    )
+    asked = [*planograms, *questions]
+    needed = len(used) * (PREFIX_WORDS // PREFIX_BLOCK_TOKENS * PREFIX_BLOCK_TOKENS)
+    needed += len(planograms) * (PREFIX_WORDS % PREFIX_BLOCK_TOKENS + PLANOGRAM_WORDS)
+    needed += len(questions) * QUESTION_WORDS
+    report = RoutingReport(
+        whole=sum(found.whole for found in asked),
+        requests=len(asked),
+        recomputed=bench.total("prefilled") - needed,
+        question_first_token_seconds=_percentile_95(questions),
+        planogram_first_token_seconds=_percentile_95(planograms),
+        tokens_per_second=bench.total("decoded") / bench.clock.monotonic().total_seconds(),
+    )
+    await bench.close()
+    return report
+
+
+async def _arrive(bench, rng, per_second, load_seconds, ask):
+    """Starts requests at random intervals whatever becomes of them, and returns what came."""
+    tasks = []
+    while bench.clock.monotonic() < seconds(load_seconds):
+        tasks.append(asyncio.ensure_future(ask()))
+        await bench.clock.sleep(seconds(rng.expovariate(per_second)))
+    return await asyncio.gather(*tasks)
+
+
+def _percentile_95(asked):
+    values = sorted(found.first_token.total_seconds() for found in asked)
+    return values[int(0.95 * (len(values) - 1))]
+
+
+# The time of one decision
+
+
+def decision_microseconds(engines: int, seed: int) -> tuple[float, float, float]:
+    """Measures decisions with a learned prefix map on this machine.
+
+    Returns:
+      Microseconds to hash a prompt, to choose an engine, and to note the choice.
+    """
+    rng = random.Random(seed)
+    router = routers.create("scored", RouterSettings(), rng)
+    views = [_view(f"e{number}", rng) for number in range(engines)]
+    prompts = [words(rng, PREFIX_WORDS) for _ in range(STORES)]
+    spent = [0.0, 0.0, 0.0]
+    for number in range(DECISIONS):
+        prompt = f"{prompts[number % STORES]} {words(rng, PLANOGRAM_WORDS)}"
+        now = seconds(100 + number / 100)
+        marks = [time.perf_counter()]
+        req = RouteRequest(prefix_blocks(prompt), PREFIX_WORDS + PLANOGRAM_WORDS)
+        marks.append(time.perf_counter())
+        view = router.choose(req, views, now)
+        marks.append(time.perf_counter())
+        router.routed(req, view.server.name, now)
+        marks.append(time.perf_counter())
+        for place in range(3):
+            spent[place] += marks[place + 1] - marks[place]
+    return tuple(1e6 * found / DECISIONS for found in spent)
+
+
+def _view(name, rng):
+    server = BackendServer(name, ServerKind.ENGINE, POOL, "yqr", Endpoint("127.0.0.1", 1))
+    report = LoadReport(name, running=rng.randrange(32), waiting=0, slots=32)
+    return ServerView(server, own_in_flight=rng.randrange(3), report=report, report_at=seconds(99))
+
+
+@experiments.register("routing")
+class RoutingExperiment(Experiment):
+    """The scored policy against round robin and least in flight, and what a decision costs."""
+
+    summary = "planograms with shared prefixes beside quick questions on 6 engines"
+
+    def run(self, seeds):
+        return (self._policies(seeds), self._decisions(seeds))
+
+    def _policies(self, seeds):
+        rows = []
+        for seed in seeds:
+            for policy in POLICIES:
+                rows.append((seed, policy, *attrs.astuple(run_routing(seed, policy))))
+        columns = (
+            "seed",
+            "policy",
+            "whole",
+            "requests",
+            "prefix tokens recomputed",
+            "p95 first token of questions s",
+            "p95 first token of planograms s",
+            "tokens a second",
+        )
+        return Table("Routing: policies under the same arrivals", columns, tuple(rows))
+
+    def _decisions(self, seeds):
+        rows = [
+            (engines, *decision_microseconds(engines, seed))
+            for engines in FLEET_SIZES
+            for seed in seeds
+        ]
+        columns = ("engines", "hash the prompt us", "choose us", "note the choice us")
+        return Table("Routing: the time of one decision", columns, tuple(rows))
