--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -59,12 +59,13 @@
     def start(self) -> None:
         """Begins the background work: writing the journal, adopting what others left."""
         self._durable.start()
+        self._services.start()
 
     async def stop(self) -> None:
         """Ends as planned: durable requests are given up with their tokens, for others to run."""
         await self._durable.stop()
         self._completions.stop()
-        await self._services.close()
+        await self._services.stop()
 
     async def close(self) -> None:
         """Ends everything at once, as a process that dies does."""
--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -78,7 +78,7 @@
         parts = self._parts
         sweep = TableSweep(
             journal_sweep(self._cfg),
-            parts.journal_tables,
+            parts.statistics_tables or parts.journal_tables,
             parts.objects,
             parts.clock,
             parts.metrics,
@@ -181,6 +181,7 @@
             parts.rng,
             process,
             self._processes,
+            self._gone,
             self._begin,
             self._lost,
         )
@@ -189,6 +190,11 @@
         members = self._parts.peers.members()
         return 1 + sum(member.state is MemberState.ALIVE for member in members)
 
+    def _gone(self):
+        members = self._parts.peers.members()
+        dead = (MemberState.DEAD, MemberState.LEFT)
+        return {member.name for member in members if member.state in dead}
+
     def _room(self):
         return self._cfg.max_open - self._journal.open_requests
 
--- a/cicadapond/entry/_node.py
+++ b/cicadapond/entry/_node.py
@@ -144,6 +144,7 @@
             peers=self.edges.peers,
             ledger_tables=tables(StoreClass.AT_MOST_ONCE),
             journal_tables=tables(StoreClass.JOURNAL),
+            statistics_tables=tables(StoreClass.STATISTICS),
             objects=self.edges.objects,
         )
 
--- a/cicadapond/entry/_parts.py
+++ b/cicadapond/entry/_parts.py
@@ -15,8 +15,9 @@
 class Parts:
     """The shared parts; one object per entry process.
 
-    `intent` returns the document in force.  `ledger_tables` and `journal_tables` are the table
-    service in its classes AT_MOST_ONCE and JOURNAL, None where the deployment has none.
+    `intent` returns the document in force.  `ledger_tables`, `journal_tables` and
+    `statistics_tables` are the table service in its classes AT_MOST_ONCE, JOURNAL and
+    STATISTICS, None where the deployment has none.
     """
 
     cfg: typing.Any
@@ -31,4 +32,5 @@
     retry_budget: typing.Any = None
     ledger_tables: TableService | None = None
     journal_tables: TableService | None = None
+    statistics_tables: TableService | None = None
     objects: ObjectStore | None = None
--- a/cicadapond/entry/_service.py
+++ b/cicadapond/entry/_service.py
@@ -8,11 +8,20 @@
 from cicadapond.data import Answer, ServiceCall, body_hash
 from cicadapond.entry._parts import Parts
 from cicadapond.entry._race import QuantileEstimate, Race, not_run
-from cicadapond.kernel import Failed, NotRun, Ok, Unknown
-from cicadapond.ledger import KeyedCalls, KeyedWork, LedgerSettings, keyed_call_policies
+from cicadapond.kernel import Failed, NotRun, Ok, TaskGroup, Unknown
+from cicadapond.ledger import (
+    KeyedCalls,
+    KeyedWork,
+    LedgerSettings,
+    keyed_call_policies,
+    ledger_sweep,
+)
+from cicadapond.platform import TableSweep
 from cicadapond.routing import ServerView
 
 AVOID_TERM = datetime.timedelta(seconds=2)
+SETTLE_LIMIT = datetime.timedelta(seconds=10)
+SETTLE_POLL = datetime.timedelta(milliseconds=50)
 MAX_HOSTS = 3
 FIRST_HEDGE = datetime.timedelta(milliseconds=200)
 NOT_SUPPORTED = 501
@@ -31,6 +40,7 @@
         self._parts = parts
         self._clock = parts.clock
         self._ledger_cfg = ledger_cfg or LedgerSettings()
+        self._tasks = TaskGroup()
         self._policies: dict[str, KeyedCalls] = {}
         self._latencies: dict[str, QuantileEstimate] = {}
 
@@ -56,6 +66,27 @@
             return await self._run_keyed(call, deadline)
         return await self._run_unkeyed(call, deadline)
 
+    def start(self) -> None:
+        """Begins to remove expired rows of the ledger."""
+        parts = self._parts
+        if parts.ledger_tables is not None:
+            sweep = TableSweep(
+                ledger_sweep(self._ledger_cfg),
+                parts.statistics_tables or parts.ledger_tables,
+                parts.objects,
+                parts.clock,
+                parts.metrics,
+                parts.rng,
+            )
+            self._tasks.start(sweep)
+
+    async def stop(self) -> None:
+        """Ends as planned: what became of keyed calls is recorded first, within a limit."""
+        end = self._clock.monotonic() + SETTLE_LIMIT
+        while self._unsettled() and self._clock.monotonic() < end:
+            await self._clock.sleep(SETTLE_POLL)
+        await self.close()
+
     def state(self) -> dict:
         """Returns what a dump shows."""
         return {
@@ -64,10 +95,14 @@
         }
 
     async def close(self) -> None:
-        """Ends the background work of keyed calls."""
+        """Ends everything at once, as a process that dies does."""
+        await self._tasks.stop()
         for policy in self._policies.values():
             await policy.close()
 
+    def _unsettled(self):
+        return sum(policy.running for policy in self._policies.values())
+
     # The three kinds
 
     async def _run_idempotent(self, call, deadline):
--- a/cicadapond/entry/service_test.py
+++ b/cicadapond/entry/service_test.py
@@ -147,6 +147,19 @@
     assert isinstance(await world.runner.run(KEYED), NotRun)
 
 
+@scenario
+async def test_a_planned_stop_records_what_ran(world):
+    call = asyncio.ensure_future(world.runner.run(KEYED))
+    await asyncio.sleep(0.02)
+    world.tables.faults.outage = True
+    assert isinstance(await call, Ok)
+    stop = asyncio.ensure_future(world.runner.stop())
+    await asyncio.sleep(1)
+    world.tables.faults.outage = False
+    await stop
+    assert world.tables.row("ledger", "yard/weighing-7").value["state"] == "done"
+
+
 def test_the_trusting_baseline_charges_twice():
     async def main():
         world = World("trusting")
--- a/cicadapond/journal/_adoption.py
+++ b/cicadapond/journal/_adoption.py
@@ -1,5 +1,6 @@
 """Finds the unfinished requests of dead owners, and clears up after owners that have none left."""
 
+import collections.abc
 import datetime
 import random
 
@@ -69,13 +70,20 @@
         self._rng = rng
         self._watch = OwnerWatch(cfg.silent_intervals, GAP_FACTOR * cfg.adopt_interval)
 
-    async def find(self, own: str, room: int, pause: datetime.timedelta) -> list[Orphan]:
+    async def find(
+        self,
+        own: str,
+        room: int,
+        pause: datetime.timedelta,
+        gone: collections.abc.Container[str],
+    ) -> list[Orphan]:
         """Looks once.
 
         Args:
           own: This process's owner id, which is left out.
           room: How many requests this process can take.
           pause: The time between two looks.
+          gone: Processes that membership says are dead.
 
         Returns:
           Requests that this process may claim; others may claim them first.
@@ -88,7 +96,7 @@
             return []
         owners = {row.key: (row.version, decode_owner(row)) for row in rows.value}
         owners.pop(own, None)
-        dead = self._watch.observe(owners, begun)
+        dead = self._watch.observe(owners, begun, gone)
         self._rng.shuffle(dead)
         orphans = []
         for owner in dead:
--- a/cicadapond/journal/_journal.py
+++ b/cicadapond/journal/_journal.py
@@ -12,7 +12,7 @@
 from cicadapond.data import Completion, Finished, body_hash
 from cicadapond.journal._adoption import Adopter, Orphan
 from cicadapond.journal._log import Closed, Committed, Fenced, Owned, OwnerLog, Refused, Taken
-from cicadapond.journal._rows import RequestRow, RequestState, request_hash
+from cicadapond.journal._rows import RequestRow, RequestState, owner_id, request_hash
 from cicadapond.journal._settings import JournalSettings
 from cicadapond.kernel import (
     AnswerLost,
@@ -45,6 +45,7 @@
       rng: Makes names; seeded differently in every process.
       process: The process's name, for people.
       processes: Returns how many processes share the budget.
+      gone: Returns the processes that membership says are dead.
       on_owned: Called with a request and its tokens once it is this process's to run.
       on_lost: Called with the ids of requests that are no longer this process's.
     """
@@ -59,6 +60,7 @@
         rng: random.Random,
         process: str,
         processes: collections.abc.Callable[[], int] = lambda: 1,
+        gone: collections.abc.Callable[[], collections.abc.Container[str]] = frozenset,
         on_owned: collections.abc.Callable = lambda req, tokens: None,
         on_lost: collections.abc.Callable = lambda lost: None,
     ):
@@ -70,6 +72,7 @@
         self._rng = rng
         self._process = process
         self._processes = processes
+        self._gone = gone
         self._on_owned = on_owned
         self._on_lost = on_lost
         self._adopter = Adopter(tables, objects, cfg, clock, rng)
@@ -218,7 +221,7 @@
         while True:
             pause = self._cfg.adopt_pause(self._processes())
             await self._clock.sleep(pause * (0.5 + self._rng.random()))
-            for orphan in await self._adopter.find(self._log.owner, room(), pause):
+            for orphan in await self._find_orphans(room(), pause):
                 self._claim(orphan)
 
     async def release(self) -> None:
@@ -235,7 +238,7 @@
     # Inside
 
     def _new_log(self):
-        return OwnerLog(f"{self._process}.{self._name()}", self._name)
+        return OwnerLog(owner_id(self._process, self._name()), self._name)
 
     def _name(self):
         return f"{self._rng.getrandbits(NAME_BITS):032x}"
@@ -270,6 +273,9 @@
             return Unknown("the storage does not say whether the request was accepted")
         return _acceptance(result, body)
 
+    async def _find_orphans(self, room, pause):
+        return await self._adopter.find(self._log.owner, room, pause, self._gone())
+
     def _claim(self, orphan: Orphan):
         request_id = orphan.row.request.request_id
         if request_id not in self._log.requests and not self._released:
--- a/cicadapond/journal/_rows.py
+++ b/cicadapond/journal/_rows.py
@@ -86,6 +86,16 @@
     return body_hash(*(f"{name}={value!r}" for name, value in sorted(fields.items())))
 
 
+def owner_id(process: str, life: str) -> str:
+    """Returns the owner id of one life of a process."""
+    return f"{process}.{life}"
+
+
+def owner_process(owner: str) -> str:
+    """Returns the process of an owner id."""
+    return owner.rpartition(".")[0]
+
+
 def open_key(owner: str, request_id: str) -> str:
     """Returns a request's key in the table of open requests."""
     return f"{owner}/{request_id}"
--- a/cicadapond/journal/_watch.py
+++ b/cicadapond/journal/_watch.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from cicadapond.journal._rows import OwnerRow
+from cicadapond.journal._rows import OwnerRow, owner_process
+
+GONE_INTERVALS = 2  # of silence, for an owner that membership says is dead
 
 
 @attrs.frozen
@@ -39,12 +41,15 @@
         self,
         rows: collections.abc.Mapping[str, tuple[int, OwnerRow]],
         now: datetime.timedelta,
+        gone: collections.abc.Container[str] = frozenset(),
     ) -> list[str]:
         """Takes a read of all owners.
 
         Args:
           rows: Version and row by owner id.
           now: The monotonic instant at which the read was begun.
+          gone: Processes that membership says are dead.  It may be wrong, as when data centres
+            are cut off from each other, so that their owners must be silent as well, for less.
 
         Returns:
           The ids of the owners that are dead or fenced.
@@ -55,12 +60,12 @@
         self._seen = {
             owner: self._update(owner, version, now) for owner, (version, _) in rows.items()
         }
-        return [owner for owner, (_, row) in rows.items() if self._is_dead(owner, row, now)]
+        return [owner for owner, (_, row) in rows.items() if self._is_dead(owner, row, now, gone)]
 
     def _update(self, owner, version, now):
         seen = self._seen.get(owner)
         return seen if seen is not None and seen.version == version else _Seen(version, now)
 
-    def _is_dead(self, owner, row, now):
-        silence = now - self._seen[owner].since
-        return row.fenced or silence >= self._silent_intervals * row.interval
+    def _is_dead(self, owner, row, now, gone):
+        intervals = GONE_INTERVALS if owner_process(owner) in gone else self._silent_intervals
+        return row.fenced or now - self._seen[owner].since >= intervals * row.interval
--- a/cicadapond/journal/log_test.py
+++ b/cicadapond/journal/log_test.py
@@ -234,6 +234,15 @@
     assert watch.observe({"a": (8, row)}, seconds(66)) == []
 
 
+def test_membership_alone_does_not_condemn_an_owner_that_writes():
+    watch = OwnerWatch(5, seconds(8))
+    row = decode_owner(_owner_row())
+    for second in range(10):
+        rows = {"entry-1.life": (second, row)}
+        assert watch.observe(rows, seconds(second), {"entry-1"}) == []
+    assert watch.observe(rows, seconds(11), {"entry-1"}) == ["entry-1.life"]
+
+
 def _owner_row():
     tables = TableModel(ManualClock(), random.Random(0))
     value = {"batch": "b", "interval": 1.0, "fenced": False}
--- a/cicadapond/ledger/_api.py
+++ b/cicadapond/ledger/_api.py
@@ -50,6 +50,11 @@
           Unknown.
         """
 
+    @property
+    def running(self) -> int:
+        """How many pieces of work are not yet sent or not yet recorded."""
+        return 0
+
     def state(self) -> dict:
         """Returns what a dump shows."""
         return {}
--- a/cicadapond/ledger/_ledger.py
+++ b/cicadapond/ledger/_ledger.py
@@ -108,6 +108,10 @@
         self._metrics.count("keyed_calls", outcome=type(outcome).__name__.lower())
         return outcome
 
+    @property
+    def running(self):
+        return len(self._running)
+
     def state(self):
         phases = collections.Counter(r.attempt.phase.value for r in self._running.values())
         return {"attempts": dict(phases), "remembered": len(self._sent)}
