--- a/cicadapond/entry/_race.py
+++ b/cicadapond/entry/_race.py
@@ -64,7 +64,7 @@
         self._hedge_after = hedge_after
         self._clock = clock
         self._rng = rng
-        self._pending: set[asyncio.Task] = set()
+        self._pending: list[asyncio.Task] = []
         self._failures: list[Ok[Answer] | NotSent | Unknown] = []
         self._launched = 0
         self._closed = False
@@ -93,14 +93,16 @@
             return
         self._launched += 1
         self._closed = self._launched >= MAX_ATTEMPTS
-        self._pending.add(asyncio.ensure_future(attempt))
+        self._pending.append(asyncio.ensure_future(attempt))
 
     async def _wait_once(self):
         left = max(ZERO, self._left())
         limit = left if self._closed else min(left, self._hedge_after)
-        done, self._pending = await asyncio.wait(
+        await asyncio.wait(
             self._pending, timeout=limit.total_seconds(), return_when=asyncio.FIRST_COMPLETED
         )
+        done = [attempt for attempt in self._pending if attempt.done()]
+        self._pending = [attempt for attempt in self._pending if not attempt.done()]
         for attempt in done:
             outcome = attempt.result()
             if isinstance(outcome, Ok) and outcome.value.status not in RETRIED_STATUSES:
--- a/cicadapond/experiments/charges.py
+++ b/cicadapond/experiments/charges.py
@@ -69,7 +69,7 @@
         adapters = [DirectService(m, _server(m.name), world.clock) for m in world.models]
         self.dead = False
         self._budget = budget
-        self._calls = set()
+        self._calls = {}  # ordered, so that each run takes the same steps
         self._runner = ServiceRunner(
             Parts(
                 cfg=None,
@@ -91,7 +91,7 @@
         if self.dead:
             return None
         running = asyncio.ensure_future(self._runner.run(call))
-        self._calls.add(running)
+        self._calls[running] = call
         try:
             return await running
         except asyncio.CancelledError:
@@ -99,12 +99,12 @@
                 raise
             return None
         finally:
-            self._calls.discard(running)
+            self._calls.pop(running, None)
 
     async def die(self):
         """Ends everything that the process does, without any farewell."""
         self.dead = True
-        for running in self._calls:
+        for running in tuple(self._calls):
             running.cancel()
         await self._runner.close()
         self._budget.close()
--- a/cicadapond/ledger/_group.py
+++ b/cicadapond/ledger/_group.py
@@ -26,7 +26,7 @@
         self._limit = limit
         self._items: list[_Item] = []
         self._timer = None
-        self._sends = set()
+        self._sends = {}
 
     async def ask(self, request):
         """Returns the outcome of one request, sent with others."""
@@ -45,7 +45,7 @@
         """Drops what waits and no longer waits for what was sent."""
         if self._timer is not None:
             self._timer.cancel()
-        for send in self._sends:
+        for send in tuple(self._sends):
             send.cancel()
 
     def _clashes(self, request, waiting):
@@ -58,8 +58,8 @@
         items, self._items = self._items, []
         if items:
             send = asyncio.ensure_future(self._guarded(items))
-            self._sends.add(send)
-            send.add_done_callback(self._sends.discard)
+            self._sends[send] = items
+            send.add_done_callback(self._sends.pop)
 
     async def _guarded(self, items):
         try:
--- a/cicadapond/platform/_budget.py
+++ b/cicadapond/platform/_budget.py
@@ -172,13 +172,13 @@
 
     async def _hedged(self, send):
         first = asyncio.ensure_future(send())
-        attempts = {first}
+        attempts = [first]
         try:
             await asyncio.wait(attempts, timeout=self._cfg.hedge_after.total_seconds())
             if not first.done() and self._reads.idle:
                 self._metrics.count("store_hedged_reads")
                 await self._reads.enter(StoreClass.STATISTICS, self._cfg.longest_wait)
-                attempts.add(asyncio.ensure_future(send()))
+                attempts.append(asyncio.ensure_future(send()))
             return await _first_ok(attempts)
         finally:
             for attempt in attempts:
@@ -208,10 +208,11 @@
 
 
 async def _first_ok(attempts):
-    pending = set(attempts)
+    pending = attempts
     while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        outcomes = [attempt.result() for attempt in done]
+        await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        outcomes = [attempt.result() for attempt in pending if attempt.done()]
+        pending = [attempt for attempt in pending if not attempt.done()]
         for outcome in outcomes:
             if isinstance(outcome, Ok):
                 return outcome
