Run the demo on the whole product: platform, services, peers, document

Cause: the demo ran engines and entries alone, with the document from files. Change: a stand-in table service and object store, a plain service and an entry in each data centre; the document is written as an operator's first edit; the entries are peers. All ports follow the first entry's. Headers that an entry sets itself are not passed on from a service. Controllers are not part of it yet.

--- /dev/null
+++ b/cicadapond/demo/demo_test.py
@@ -0,0 +1,44 @@
+"""The demo as a newcomer runs it: addresses, one line `ready`, and an end by itself."""
+
+import asyncio
+import socket
+
+from cicadapond.demo._plan import demo_platform_entries, demo_standins, demo_texts
+from cicadapond.demo.main import run_demo
+from cicadapond.document import KnownNames, check_document
+from cicadapond.kernel import Findings
+
+CANDIDATES = range(23000, 60000, 1000)
+
+
+def endpoints(first_port):
+    standins = demo_standins(first_port)
+    entries = demo_platform_entries(first_port)
+    yield from standins.engines.values()
+    yield from standins.services.values()
+    yield from (standins.tables, standins.objects)
+    for cfg in entries:
+        yield from (cfg.http, cfg.admin, cfg.peer.endpoint)
+
+
+def all_free(first_port):
+    for endpoint in endpoints(first_port):
+        with socket.socket() as probe:
+            if probe.connect_ex((endpoint.host, endpoint.port)) == 0:
+                return False
+    return True
+
+
+def test_the_demo_answers_and_ends(capsys):
+    first_port = next(port for port in CANDIDATES if all_free(port))
+    asyncio.run(run_demo(first_port, duration=0.1))
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[-1] == f"ready http://127.0.0.1:{first_port}/v1/completions"
+    kinds = [line.split()[0] for line in lines]
+    assert (kinds.count("entry"), kinds.count("engine"), kinds.count("service")) == (3, 6, 3)
+
+
+def test_the_demo_document_holds():
+    findings = Findings()
+    check_document(demo_texts(), 1, KnownNames(), findings)
+    assert [str(found) for found in findings] == []
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -1,97 +1,127 @@
-"""Program `cicadapond-demo`: stand-ins and entries of three data centres on loopback."""
+"""Program `cicadapond-demo`: the product in one process on loopback, in three data centres."""
 
 import asyncio
-import datetime
-import importlib.resources
+import logging
+import random
 
 import tornado.httpclient
-from absl import app, flags, logging
-
-from cicadapond.data import BackendServer, Endpoint, ServerKind
-from cicadapond.document import SECTIONS
-from cicadapond.entry import EntrySettings
+from absl import app, flags
+from absl import logging as absl_logging
+
+from cicadapond.demo._plan import (
+    DEFAULT_PORT,
+    DEMO_HEADERS,
+    LAST_OFFSET,
+    LOOPBACK,
+    OPERATOR_KEY,
+    SERVICE,
+    demo_platform_entries,
+    demo_standins,
+    demo_texts,
+)
+from cicadapond.document import DocumentEditor, DocumentStore, Edit
 from cicadapond.entry.main import EntryProcess
+from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
 from cicadapond.kernel._program import stop_on_signals
-from cicadapond.platform import AdapterSettings, PlatformSettings
-from cicadapond.standin.main import StandinProcess, StandinSettings
+from cicadapond.platform import table_services
+from cicadapond.standin.main import StandinProcess
 
-LOOPBACK = "127.0.0.1"
-ZONES = ("yqr", "yxe", "ywg")
-ENGINE_PORT = 18200
-ADMIN_PORT_OFFSET = 100
-ENGINES_PER_ZONE = 2
-DEMO_HEADERS = {"Authorization": "Bearer demo-counter-key"}
+FIRST_EDIT_LIMIT = seconds(10)
+START_ATTEMPTS = 50
+START_PAUSE = seconds(0.2)
 
 _HTTP_PORT = flags.DEFINE_integer(
-    "http_port", 18080, "The first entry's port; the next ones follow it.", 1024, 65000
+    "http_port",
+    DEFAULT_PORT,
+    "The first entry's port; the next ones follow it.",
+    1024,
+    65535 - LAST_OFFSET,
 )
 _SECONDS = flags.DEFINE_float("seconds", 0.0, "End after so many seconds; 0 runs on.", 0.0)
 
 
-def demo_engines() -> tuple[BackendServer, ...]:
-    """Returns the demo's engines, two in each data centre."""
-    return tuple(
-        BackendServer(
-            name=f"engine-{zone}-{number}",
-            kind=ServerKind.ENGINE,
-            pool="shade-pool",
-            zone=zone,
-            endpoint=Endpoint(LOOPBACK, ENGINE_PORT + 10 * place + number),
-        )
-        for place, zone in enumerate(ZONES)
-        for number in range(ENGINES_PER_ZONE)
-    )
-
-
-def demo_entries(first_port: int, servers) -> list[EntrySettings]:
-    """Returns the settings of the demo's entries, one in each data centre."""
-    sections = importlib.resources.files("cicadapond.demo").joinpath("document")
-    document = {name: str(sections.joinpath(f"{name}.jsonc")) for name in SECTIONS}
-    platform = PlatformSettings(hosts=AdapterSettings(adapter="static", servers=servers))
-    return [
-        EntrySettings(
-            name=f"entry-{zone}",
-            zone=zone,
-            http=Endpoint(LOOPBACK, first_port + place),
-            admin=Endpoint(LOOPBACK, first_port + ADMIN_PORT_OFFSET + place),
-            platform=platform,
-            document=document,
-            balancer_delay=datetime.timedelta(),
-        )
-        for place, zone in enumerate(ZONES)
-    ]
-
-
-async def run_demo(first_port: int, seconds: float) -> None:
-    """Runs the demo until it is interrupted or its time is over."""
+class DemoError(Exception):
+    """The demo could not start."""
+
+
+async def run_demo(first_port: int, duration: float) -> None:
+    """Runs the demo until it is interrupted or its time is over.
+
+    Args:
+      first_port: The first entry's port.
+      duration: Seconds to run, 0 for no end.
+
+    Raises:
+      DemoError: If it cannot start.
+    """
     stop = stop_on_signals()
-    servers = demo_engines()
-    standins = StandinProcess(
-        StandinSettings(engines={server.name: server.endpoint for server in servers})
-    )
+    logging.getLogger("tornado.access").setLevel(logging.WARNING)
+    load_plugins("cicadapond.plugins")
+    standins = StandinProcess(demo_standins(first_port))
     standins.start()
-    entries = [EntryProcess(cfg) for cfg in demo_entries(first_port, servers)]
-    for entry in entries:
-        await entry.start()
-    for cfg in demo_entries(first_port, servers):
-        print(f"{cfg.name:12} http://{cfg.http}", flush=True)
-    await _ask_once(first_port)
+    settings = demo_platform_entries(first_port)
+    await write_document(settings[0])
+    entries = [EntryProcess(cfg) for cfg in settings]
+    await asyncio.gather(*(entry.start() for entry in entries))
+    _print_addresses(first_port, settings)
+    for cfg in settings:
+        await _ask_until_answered(cfg)
     print(f"ready http://{LOOPBACK}:{first_port}/v1/completions", flush=True)
     try:
-        await asyncio.wait_for(stop.wait(), seconds or None)
+        await asyncio.wait_for(stop.wait(), duration or None)
     except TimeoutError:
-        logging.info("the demo's time is over")
-    for entry in entries:
-        await entry.stop()
+        absl_logging.info("the demo's time is over")
+    await asyncio.gather(*(entry.stop() for entry in entries))
     await standins.stop()
 
 
-async def _ask_once(port):
+async def write_document(cfg) -> None:
+    """Writes the demo's document into the table service, as an operator's first edit.
+
+    Args:
+      cfg: The settings of an entry, for its table service.
+
+    Raises:
+      DemoError: If the edit is not accepted.
+    """
+    clock = LoopClock()
+    tables = table_services.create("standin", cfg.platform.tables, cfg.zone, clock, Metrics())
+    editor = DocumentEditor(DocumentStore(tables), clock, random.Random())
+    texts = demo_texts()
+    edit = Edit("demo", OPERATOR_KEY, texts, dict.fromkeys(texts, 0))
+    outcome = await editor.apply(edit, FIRST_EDIT_LIMIT)
+    if not isinstance(outcome, Ok):
+        raise DemoError(f"the document was not accepted: {outcome}")
+
+
+def _print_addresses(first_port, settings):
+    standins = demo_standins(first_port)
+    for cfg in settings:
+        print(f"entry    {cfg.name:20} http://{cfg.http}")
+        print(f"admin    {cfg.name:20} http://{cfg.admin}/debug/state")
+    for kind, found in (("engine", standins.engines), ("service", standins.services)):
+        for name, endpoint in found.items():
+            print(f"{kind:8} {name:20} http://{endpoint}")
+    print(f"platform {'table service':20} http://{standins.tables}")
+    print(f"platform {'object store':20} http://{standins.objects}", flush=True)
+
+
+async def _ask_until_answered(cfg):
+    """Asks an entry for a completion and a stock check until both are answered."""
     body = '{"model": "shade-model", "prompt": "Which red suits a prairie winter?"}'
     client = tornado.httpclient.AsyncHTTPClient()
-    await client.fetch(
-        f"http://{LOOPBACK}:{port}/v1/completions", method="POST", body=body, headers=DEMO_HEADERS
-    )
+    reason = ""
+    for _ in range(START_ATTEMPTS):
+        try:
+            for path in ("/v1/completions", f"/services/{SERVICE}/stock"):
+                await client.fetch(
+                    f"http://{cfg.http}{path}", method="POST", body=body, headers=DEMO_HEADERS
+                )
+            return
+        except (OSError, tornado.httpclient.HTTPError) as exc:
+            reason = str(exc)
+            await asyncio.sleep(START_PAUSE.total_seconds())
+    raise DemoError(f"{cfg.name} does not answer: {reason}")
 
 
 def run() -> None:
--- a/cicadapond/entry/_http_services.py
+++ b/cicadapond/entry/_http_services.py
@@ -23,6 +23,7 @@
         "upgrade",
     )
 )
+OWN_ANSWER_HEADERS = frozenset(("date", "server", "x-http-reason"))
 KEPT_HERE = frozenset(("authorization", "idempotency-key", "prefer", "priority"))
 
 
@@ -70,7 +71,7 @@
 
     def _pass_on(self, answer):
         self.clear_header("Content-Type")
-        for name, value in end_to_end(answer.headers):
+        for name, value in end_to_end(answer.headers, OWN_ANSWER_HEADERS):
             self.add_header(name, value)
         self.label(OK)
         self.set_status(answer.status)
--- a/cicadapond/entry/path_test.py
+++ b/cicadapond/entry/path_test.py
@@ -8,7 +8,7 @@
 import tornado.httpclient
 
 from cicadapond.data import GenerateCall
-from cicadapond.demo.main import DEMO_HEADERS, demo_engines, demo_entries
+from cicadapond.demo._plan import DEMO_HEADERS, demo_engines, demo_entries
 from cicadapond.entry.main import EntryProcess
 from cicadapond.standin._engine import EngineTiming, whole_answer
 from cicadapond.standin.main import StandinProcess, StandinSettings
--- a/cicadapond/entry/stop_test.py
+++ b/cicadapond/entry/stop_test.py
@@ -7,7 +7,7 @@
 import tornado.httpclient
 
 from cicadapond.data import Endpoint
-from cicadapond.demo.main import demo_engines, demo_entries
+from cicadapond.demo._plan import demo_engines, demo_entries
 from cicadapond.entry.main import EntryProcess
 from cicadapond.entry.path_test import free_port
 from cicadapond.kernel import seconds
