Hash a prompt once, and notice engines that count cache events anew

Cause: a routing decision hashed the prompt twice for each attempt and once more for each look for a server; an engine that restarted counts its cache events from 1 again, and those were taken for old.

Change: the run keeps the hash chain until the answer grows; the watcher reads from the start after a failed report, and the prefix map forgets an engine whose numbers begin again. Fleets over 32 engines are sampled.

--- a/cicadapond/entry/_completion.py
+++ b/cicadapond/entry/_completion.py
@@ -138,6 +138,8 @@
         self._idle_since = self._clock.monotonic()
         self._ticket = None
         self._trial_left = 0
+        self._blocks = ()
+        self._hashed_tokens: int | None = None
 
     async def go(self):
         """Runs attempts until there is an outcome."""
@@ -258,16 +260,23 @@
         return view
 
     def _route_request(self, now):
-        tokens = self._answer.tokens
-        prompt = self._req.prompt
-        context = f"{prompt} {''.join(tokens)}" if tokens else prompt
         return RouteRequest(
-            blocks=prefix_blocks(context),
-            tokens=self._prompt_tokens + len(tokens),
+            blocks=self._context_blocks(),
+            tokens=self._prompt_tokens + len(self._answer.tokens),
             priority=self._req.priority,
             avoid=self._current_avoided(now),
         )
 
+    def _context_blocks(self):
+        """Returns the hash chain of prompt and tokens so far, hashed again only if they grew."""
+        tokens = self._answer.tokens
+        if self._hashed_tokens != len(tokens):
+            prompt = self._req.prompt
+            context = f"{prompt} {''.join(tokens)}" if tokens else prompt
+            self._blocks = prefix_blocks(context)
+            self._hashed_tokens = len(tokens)
+        return self._blocks
+
     def _current_avoided(self, now):
         self._avoided = {name: end for name, end in self._avoided.items() if end > now}
         return frozenset(self._avoided)
--- a/cicadapond/entry/_fleet_tasks.py
+++ b/cicadapond/entry/_fleet_tasks.py
@@ -116,6 +116,7 @@
                     self._fleet.report(outcome.value)
                 else:
                     self._metrics.count("load_report_failures")
+                    self._last_event.pop(name, None)  # it may restart and count from 1 again
                 if isinstance(adapter, Engine):
                     await self._poll_events(name, adapter)
         except TimeoutError:
--- a/cicadapond/routing/_prefix_map.py
+++ b/cicadapond/routing/_prefix_map.py
@@ -75,7 +75,12 @@
         self._certainties[server] = max(LEAST_CERTAINTY, certainty)
 
     def apply(self, server: str, events) -> None:
-        """Takes an engine's cache events; numbers that are missing lower the certainty."""
+        """Takes an engine's cache events; numbers that are missing lower the certainty.
+
+        An engine that counts from 1 again has restarted, with nothing in its cache.
+        """
+        if events and events[0].number == 1 and self.last_event(server) > len(events):
+            self.forget(server)
         last = self.last_event(server)
         for event in events:
             if event.number <= last:
--- a/cicadapond/routing/_scored.py
+++ b/cicadapond/routing/_scored.py
@@ -13,7 +13,7 @@
 STREAM_SLOWDOWN = 0.01
 MEASURED_WEIGHT = 0.1
 LEAST_SLOW_START_SHARE = 0.1
-SCAN_ALL = 64
+SCAN_ALL = 32
 
 
 @attrs.define
--- a/cicadapond/routing/scored_test.py
+++ b/cicadapond/routing/scored_test.py
@@ -110,6 +110,14 @@
     assert prefixes.last_event("a") == 0
 
 
+def test_an_engine_that_counts_from_one_again_has_lost_its_cache():
+    prefixes = PrefixMap(1000)
+    prefixes.apply("a", [CacheEvent(number, True, number) for number in range(1, 50)])
+    prefixes.apply("a", [CacheEvent(1, True, 500)])
+    assert prefixes.depths((1,)) == {}
+    assert prefixes.depths((500,)) == {"a": 1}
+
+
 def test_the_map_is_bounded():
     prefixes = PrefixMap(10)
     prefixes.add(tuple(range(100)), "a")
