Send a prefix that no engine holds to the engine that all processes prefer

Cause: two entries each chose an engine for the first request of a prefix, so that it was computed twice and took cache in two places.

Change: for a prefix that is not in the map, the engine with the highest hash of its eighth block is scored with half of the recompute cost.

--- a/cicadapond/routing/_scored.py
+++ b/cicadapond/routing/_scored.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import zlib
 
 import attrs
 
@@ -14,6 +15,8 @@
 MEASURED_WEIGHT = 0.1
 LEAST_SLOW_START_SHARE = 0.1
 SCAN_ALL = 32
+FIRST_HOLDER_BLOCKS = 8
+FIRST_HOLDER_SHARE = 0.5
 
 
 @attrs.define
@@ -48,7 +51,18 @@
         bound = self._bound(candidates)
         within = [found for found in candidates if found.load <= self._allowed(found, bound, now)]
         at = now / _SECOND
-        return min(within or candidates, key=lambda found: self._score(req, found, at)).view
+        first = None if depths else self._first_holder(req, within)
+        return min(within or candidates, key=lambda found: self._score(req, found, at, first)).view
+
+    def _first_holder(self, req, candidates):
+        """Returns the engine that every process prefers for a prefix that none has sent yet."""
+        if len(req.blocks) < FIRST_HOLDER_BLOCKS or not candidates:
+            return None
+        key = req.blocks[FIRST_HOLDER_BLOCKS - 1]
+        return max(
+            (found.view.server.name for found in candidates),
+            key=lambda name: zlib.crc32(f"{key} {name}".encode()),
+        )
 
     def _candidates(self, req, views, depths, now):
         if len(views) <= SCAN_ALL:
@@ -91,12 +105,14 @@
         share = (now - found.view.live_since) / self.cfg.slow_start
         return bound * min(1.0, max(LEAST_SLOW_START_SHARE, share))
 
-    def _score(self, req, found, at):
+    def _score(self, req, found, at, first=None):
         cfg = self.cfg
         name = found.view.server.name
         held = block_tokens(found.depth) * self._prefixes.certainty(name)
         recompute = max(0.0, req.tokens - held) * self._prefill_token
         wait = self._queue_wait(found) + max(0.0, self._prefill_until.get(name, 0.0) - at)
+        if name == first:
+            recompute *= FIRST_HOLDER_SHARE
         tie = self.rng.random() * 1e-6
         return cfg.cost_weight * (wait + recompute) + cfg.recompute_weight * recompute + tie
 
--- a/cicadapond/routing/scored_test.py
+++ b/cicadapond/routing/scored_test.py
@@ -67,6 +67,16 @@
     assert chosen(router, LONG, views) != "b"
 
 
+def test_two_processes_send_a_new_prefix_to_the_same_engine():
+    views = [make_view(name) for name in "abcdef"]
+    for start in range(20):
+        blocks = tuple(range(1000 * start, 1000 * start + 64))
+        req = attrs.evolve(LONG, blocks=blocks)
+        first = chosen(make_router(), req, views)
+        other = routers.create("scored", RouterSettings(), random.Random(start))
+        assert chosen(other, req, list(reversed(views))) == first
+
+
 def test_a_report_counts_less_as_it_ages():
     router = make_router()
     busy = LoadReport("a", running=32, waiting=60, slots=32)
