--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -36,8 +36,10 @@
             parts.rng,
         )
         self._completions = CompletionRunner(parts)
-        self._services = ServiceRunner(parts)
-        self._durable = DurableRequests(parts, self._run_durable, process=parts.cfg.name)
+        self._services = ServiceRunner(parts, parts.cfg.ledger)
+        self._durable = DurableRequests(
+            parts, self._run_durable, parts.cfg.journal, process=parts.cfg.name
+        )
 
     @property
     def intent(self) -> Intent:
--- a/cicadapond/entry/_problem.py
+++ b/cicadapond/entry/_problem.py
@@ -53,7 +53,7 @@
 
 def retry_after(outcome: Refusal) -> datetime.timedelta | None:
     """Returns how long the caller should wait before it asks again, None if it should not."""
-    return outcome.retry_after if isinstance(outcome, NotRun) else None
+    return None if isinstance(outcome, Failed) else outcome.retry_after
 
 
 def retry_after_header(wait: datetime.timedelta) -> str:
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -6,7 +6,9 @@
 
 from cicadapond.admission import CapacitySettings
 from cicadapond.data import Endpoint, Priority
+from cicadapond.journal import JournalSettings
 from cicadapond.kernel import at_least, setting
+from cicadapond.ledger import LedgerSettings
 from cicadapond.platform import BudgetSettings, PlatformSettings
 
 _SECOND = datetime.timedelta(seconds=1)
@@ -76,6 +78,8 @@
     peer: PeerAddress | None = None
     document: dict[str, str] = setting(factory=dict)
     budget: BudgetSettings = attrs.field(factory=BudgetSettings)
+    ledger: LedgerSettings = attrs.field(factory=LedgerSettings)
+    journal: JournalSettings = attrs.field(factory=JournalSettings)
     engine_adapter: str = "sse"
     service_adapter: str = "http"
     host_list_interval: datetime.timedelta = _SECOND
--- /dev/null
+++ b/cicadapond/entry/problem_test.py
@@ -0,0 +1,16 @@
+"""What a refusal tells its caller about asking again."""
+
+from cicadapond.entry._problem import problem_body, retry_after
+from cicadapond.kernel import Failed, NotRun, Unknown, seconds
+
+
+def test_a_call_in_progress_says_when_to_ask_again():
+    outcome = Unknown("in progress", 409, seconds(1))
+    body = problem_body(outcome, "r1")
+    assert (body["status"], body["outcome"], body["retry_after_seconds"]) == (409, "unknown", 1.0)
+
+
+def test_where_asking_again_is_no_use_nothing_is_said():
+    assert retry_after(NotRun("no such service", status=404)) is None
+    assert retry_after(Unknown("it may have run")) is None
+    assert retry_after(Failed("convicted", 422)) is None
