Restore lost landings; tell counts across data centres; split membership; drains that agree

Entries did not tell other data centres their counts there, which a drain needs; a planned stop was found out only by silence; a controller's drain numbers lacked the bits that entries read, and a drain that a controller ended stayed in force in entries for ever. Change: the lost files as they were; the entry names the servers whose counts travel and leaves openly; one maker of drain numbers for entries and controllers; a drain that its live originator no longer names ends, everywhere with the same number. The state machine is in three modules.

--- a/cicadapond/controller/_drains.py
+++ b/cicadapond/controller/_drains.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cicadapond.drain import drain_number
 from cicadapond.kernel import Clock, seconds
 from cicadapond.peer import MemberState, Peers
 
@@ -67,8 +68,7 @@
         if server in self._drains:
             return
         known = (member.digest.drains.get(server, 0) for member in self._peers.members())
-        now = self._clock.now()
-        number = max(int(now.timestamp() * 1000), 1 + max(known, default=0))
+        number = drain_number(self._clock, max(known, default=0))
         self._drains[server] = _Drain(number, self._clock.monotonic())
         self._tell()
 
--- a/cicadapond/drain/__init__.py
+++ b/cicadapond/drain/__init__.py
@@ -1,6 +1,6 @@
 """Which backend servers are leaving, and when one may stop: numbers, acknowledgements, counts."""
 
-from cicadapond.drain._leaving import LeavingBook, says_leaving
+from cicadapond.drain._leaving import LeavingBook, drain_number, says_leaving
 from cicadapond.drain._stop import DrainSettings, DrainView, StopDecision
 
 __all__ = [
@@ -8,5 +8,6 @@
     "DrainView",
     "LeavingBook",
     "StopDecision",
+    "drain_number",
     "says_leaving",
 ]
--- a/cicadapond/drain/_leaving.py
+++ b/cicadapond/drain/_leaving.py
@@ -15,6 +15,7 @@
 LEAVING_BIT = 1
 ACKNOWLEDGE_BIT = 2
 FLAG_BITS = 2
+DRAIN = LEAVING_BIT | ACKNOWLEDGE_BIT
 
 
 def says_leaving(number: int) -> bool:
@@ -22,6 +23,12 @@
     return bool(number & LEAVING_BIT)
 
 
+def drain_number(clock: Clock, above: int = 0) -> int:
+    """Returns a number for a new drain, above one that is known."""
+    wall = int(clock.now().timestamp() * 1000)
+    return max((above >> FLAG_BITS) + 1, wall) << FLAG_BITS | DRAIN
+
+
 class LeavingBook:
     """The numbers of one process.
 
@@ -92,6 +99,20 @@
             self._sources.pop(server, None)
         return True
 
+    def withdraw(self, server: str, number: int) -> bool:
+        """Ends a drain whose originator no longer names it; the same number ends it everywhere.
+
+        Args:
+          server: The backend server.
+          number: The number that the originator named until now.
+
+        Returns:
+          Whether that drain was in effect here.
+        """
+        if number != self.number(server) or number & DRAIN != DRAIN:
+            return False
+        return self.merge(server, (number >> FLAG_BITS) + 1 << FLAG_BITS)
+
     def originated(self) -> dict[str, int]:
         """Returns the numbers that this process has given, for others to merge."""
         return {server: self._numbers[server] for server in self._originated}
--- a/cicadapond/entry/_fleet.py
+++ b/cicadapond/entry/_fleet.py
@@ -56,6 +56,8 @@
         self._own_loads: dict[str, LoadReport] = {}
         self._leaving_listeners: list[Listener] = []
         self._changed: typing.Callable[[], None] = lambda: None
+        self._watched: list[str] | None = None
+        self._watched_of: set[str] = set()
         self._replaced: list[Engine | PlainService] = []
         self.book = LeavingBook(clock)
         self._peers.subscribe(self.hear)
@@ -166,6 +168,10 @@
         return [self._known.pop(name).adapter for name in gone]
 
     def _rebuild_pools(self):
+        names = self._known.keys()
+        if names != self._watched_of:
+            self._watched = None
+            self._watched_of = set(names)
         self._pools = {}
         for known in self._known.values():
             self._pools.setdefault(known.view.server.pool, []).append(known.view)
@@ -234,12 +240,16 @@
 
     def hear(self, member: Member) -> None:
         """Takes a member's digest, or its end."""
+        if (member.state in _LIVE) != (member.name in self._heard):
+            self._watched = None
         before = self._heard.get(member.name, Digest())
         digest = member.digest if member.state in _LIVE else Digest()
         self._heard[member.name] = digest
         if member.state not in _LIVE:
             del self._heard[member.name]
         self._merge_numbers(before.leaving, digest.leaving)
+        if member.state in _LIVE and digest.revision >= before.revision:
+            self._take_withdrawals(before.leaving, digest.leaving)
         self._merge_numbers(before.drains, digest.drains)
         for name in before.in_flight.keys() | digest.in_flight.keys():
             self._count_peers(name, digest.in_flight.get(name, 0) - before.in_flight.get(name, 0))
@@ -253,6 +263,12 @@
             if before.get(name) != number and self.book.merge(name, number):
                 self._apply_book(name, was_leaving, None)
 
+    def _take_withdrawals(self, before, numbers):
+        """Ends drains that their live originator no longer names, as a controller does."""
+        for name in before.keys() - numbers.keys():
+            if self.book.withdraw(name, before[name]):
+                self._apply_book(name, True, None)
+
     def _count_peers(self, name, difference):
         known = self._known.get(name)
         if known is not None:
@@ -270,13 +286,15 @@
         It is one of the live entries of the server's data centre, by rendezvous hash, or of all
         if that has none.
         """
-        by_zone = self._entries_by_zone()
-        everyone = [name for names in by_zone.values() for name in names]
-        return [
-            name
-            for name, known in self._known.items()
-            if owner(name, by_zone.get(known.view.server.zone, everyone)) == self._cfg.name
-        ]
+        if self._watched is None:
+            by_zone = self._entries_by_zone()
+            everyone = [name for names in by_zone.values() for name in names]
+            self._watched = [
+                name
+                for name, known in self._known.items()
+                if owner(name, by_zone.get(known.view.server.zone, everyone)) == self._cfg.name
+            ]
+        return self._watched
 
     def first_entries(self, key: str, count: int) -> list[str]:
         """Returns the live entries of the own data centre that a task falls to, by hash."""
--- a/cicadapond/entry/_node.py
+++ b/cicadapond/entry/_node.py
@@ -73,8 +73,10 @@
         self.fixed = fixed
         self.tasks = TaskGroup()
         self.fleet = Fleet(cfg, clock, metrics, edges.peers, edges.connect)
+        edges.peers.tell_everywhere(self.fleet.is_foreign)
         self.document = None if fixed is not None else self._document(rng)
         self.core = EntryCore(self._parts(rng))
+        self._alive: set[str] = set()
         if edges.storage is not None:
             edges.peers.subscribe(self._share_budget)
 
@@ -99,6 +101,7 @@
     async def stop(self) -> None:
         """Ends as planned, with no request in flight any more."""
         await self.core.stop()
+        await self.edges.peers.leave()
         await self._close()
 
     async def kill(self) -> None:
@@ -164,8 +167,11 @@
             yield CloudNoticeWatcher(self.fleet, cloud, self.cfg, self.clock, self.metrics)
 
     def _share_budget(self, member):
-        alive = sum(found.state is MemberState.ALIVE for found in self.edges.peers.members())
-        self.edges.storage.resize(1 + alive)
+        alive = member.state is MemberState.ALIVE
+        if alive == (member.name in self._alive):
+            return
+        self._alive ^= {member.name}
+        self.edges.storage.resize(1 + len(self._alive))
 
     def _peers_state(self):
         now = self.clock.monotonic()
--- a/cicadapond/entry/fleet_test.py
+++ b/cicadapond/entry/fleet_test.py
@@ -13,7 +13,7 @@
     Notice,
     ServerKind,
 )
-from cicadapond.drain import says_leaving
+from cicadapond.drain import drain_number, says_leaving
 from cicadapond.entry._fleet import Fleet
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.peer import Digest, Member, MemberState, Peers
@@ -125,6 +125,20 @@
     assert world.names() == ["e1"]
 
 
+def test_a_drain_that_a_live_controller_no_longer_names_has_ended(world):
+    world.fleet.apply(listing("e1", "e2"))
+    number = drain_number(world.clock)
+    world.peers.say("controller", leaving={"e1": number}, revision=2)
+    assert world.names() == ["e2"]
+    world.peers.say("controller", state=MemberState.DEAD)
+    assert world.names() == ["e2"]
+    world.peers.say("controller", leaving={"e1": number}, revision=2)
+    world.peers.say("controller", revision=2)
+    assert world.names() == ["e1", "e2"]
+    world.peers.say("other", leaving={"e1": number})
+    assert world.names() == ["e1", "e2"]
+
+
 def test_a_new_host_of_the_same_name_is_live(world):
     fleet = world.fleet
     fleet.apply(listing("e1"))
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -81,6 +81,14 @@
     def heard_from_zone(self, zone: str) -> datetime.timedelta | None:
         """Returns the monotonic instant of the last word from any process of a data centre."""
 
+    def tell_everywhere(self, concerns: typing.Callable[[str], bool]) -> None:
+        """Sets which backend servers' counts in flight matter in other data centres."""
+        return None
+
+    async def leave(self) -> None:
+        """Says to all that this process ends, for a planned stop."""
+        return None
+
     def answered_zone(self, zone: str) -> datetime.timedelta | None:
         """Returns the last instant at which a data centre may have heard from this one.
 
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -29,8 +29,10 @@
     SERVING = 7
 
 
-# News of these sections leaves at once; other news waits for the next heartbeat.
-URGENT = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
+# News of these sections takes any path there is; other news comes from the member's own relays.
+FLOODED = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
+# News of these sections leaves at once; other news waits for its interval.
+URGENT = FLOODED | {Section.REVISION}
 MIN_COUNT_CHANGE = 2
 COUNT_CHANGE_SHARE = 0.25
 MAX_LOAD_AGE = datetime.timedelta(seconds=5)
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -11,118 +11,34 @@
 import random
 import typing
 
-import attrs
-
 from cicadapond.data import Endpoint
-from cicadapond.peer._api import Digest, Member, MemberState
-from cicadapond.peer._documents import URGENT, DigestWriter, Document, read_digest
+from cicadapond.peer._api import Digest, MemberState
+from cicadapond.peer._documents import DigestWriter, Document
+from cicadapond.peer._exchange import Exchange
+from cicadapond.peer._records import (
+    LIVE,
+    REFUTATION_BITS,
+    LinkState,
+    Record,
+    Redial,
+    Send,
+    newer,
+    same_start,
+)
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._topology import rank
-from cicadapond.peer._wire import (
-    MAX_NEWS_ITEMS,
-    Ack,
-    Beat,
-    Change,
-    Identity,
-    News,
-    ProbeReply,
-    ProbeRequest,
-    Sync,
-)
+from cicadapond.peer._wire import Ack, Beat, Identity, News, ProbeReply, ProbeRequest, Sync
 
-# An incarnation is the start time in milliseconds, shifted, plus the count of refutations.
-REFUTATION_BITS = 16
 PROBES = 3
-MAX_LISTED_MEMBERS = 400
+# With more members than so many, ordinary news of each leaves at longer intervals.
+NEWS_MEMBERS = 20
 REMEMBERED_BEATS = 8
-OWN_ZONE_SHARE = 0.5
-NOTHING_KNOWN = (0, MemberState.ALIVE.value, 0, 0)
 _ZERO = datetime.timedelta()
 _SECOND = datetime.timedelta(seconds=1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
-_STATE_ORDER = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT)
-
-# What the state machine asks its task to do
-
-
-@attrs.frozen(slots=True)
-class Send:
-    """Send a message on the own connection to each of these members."""
-
-    names: tuple[str, ...]
-    message: typing.Any
-
-
-@attrs.frozen(slots=True)
-class Redial:
-    """Close the own connection to a member, which has gone silent, and dial anew."""
-
-    name: str
-
-
-@attrs.define
-class Record:
-    """What is known of one other process."""
-
-    name: str
-    zone: str
-    role: str
-    endpoint: Endpoint
-    incarnation: int
-    state: MemberState
-    state_since: datetime.timedelta
-    heard: datetime.timedelta
-    vouched: datetime.timedelta = _ZERO
-    probed: datetime.timedelta = _ZERO
-    local: Document = attrs.field(factory=Document)
-    wide: Document = attrs.field(factory=Document)
-    digest: Digest | None = None
-
-    def identity(self) -> Identity:
-        """Returns the line of the membership list."""
-        host, port = self.endpoint.host, self.endpoint.port
-        state = self.state.value
-        return Identity(self.name, self.zone, self.role, host, port, self.incarnation, state)
-
-    def member(self) -> Member:
-        """Returns the record as other modules see it."""
-        if self.digest is None:
-            self.digest = read_digest(self.local, self.wide)
-        version = self.local.version + self.wide.version
-        return Member(
-            self.name,
-            self.zone,
-            self.role,
-            self.incarnation,
-            self.state,
-            self.heard,
-            version,
-            self.digest,
-        )
-
-
-@attrs.define
-class LinkState:
-    """The own connection to one member: heartbeats sent, and when the last acknowledged left."""
-
-    up_since: datetime.timedelta
-    zone: str
-    number: int = 0
-    sent: dict = attrs.field(factory=dict)
-    acked: datetime.timedelta | None = None
 
 
-@attrs.define
-class Pending:
-    """News that waits to be sent to the members of one channel."""
-
-    members: set = attrs.field(factory=set)
-    documents: dict = attrs.field(factory=dict)
-    urgent: bool = False
-
-
-class Membership:
+class Membership(Exchange):
     """Membership as one process sees it.
 
     Args:
@@ -143,27 +59,17 @@
         metrics,
         wide_server: typing.Callable[[str], bool] = lambda server: False,
     ):
-        self.cfg = cfg
+        super().__init__(cfg, DigestWriter(cfg.wide_loads, wide_server), rng, metrics)
         self.incarnation = int(started.timestamp() * 1000) << REFUTATION_BITS
-        self.state = MemberState.ALIVE
         self.superseded = False
-        self.records: dict[str, Record] = {}
-        self.links: dict[str, LinkState] = {}
         self.zone_heard: dict[str, datetime.timedelta] = {}
         self.zone_answered: dict[str, datetime.timedelta] = {}
         self._own_answers: dict[str, datetime.timedelta] = {}
-        self.changed: set[str] = set()
-        self._rng = rng
-        self._metrics = metrics
-        self._writer = DigestWriter(cfg.wide_loads, wide_server)
-        self._local = Pending()
-        self._wide = Pending()
-        self._outputs: list = []
         self._wanted: dict[str, Endpoint] | None = None
         self._unreachable: dict[str, datetime.timedelta] = {}
         self._last_tick = now
         self._grace = now
-        self._next = dict.fromkeys(("beat", "relay", "sync", "sweep"), now)
+        self._next = dict.fromkeys(("beat", "news", "relay", "sync", "sweep"), now)
 
     # What the process does
 
@@ -198,8 +104,10 @@
             self._flush(self._wide, self._foreign_links())
             self._beat(now, self._foreign_links())
         if self._due("beat", now, self.cfg.beat):
-            self._flush(self._local, self._local_links())
-            self._beat(now, self._local_links())
+            links = self._local_links()
+            if self._due("news", now, self._news_interval(links)):
+                self._flush(self._local, links)
+            self._beat(now, links)
             self._check_members(now)
         if self._due("sync", now, self.cfg.sync):
             self._compare()
@@ -207,6 +115,10 @@
             self._sweep(now)
         self._check_links(now)
 
+    def _news_interval(self, links):
+        """Widens with the data centre, so that all its members' news stays within bounds."""
+        return self.cfg.beat * max(1.0, len(links) / NEWS_MEMBERS)
+
     def outputs(self) -> list:
         """Returns what to do since the last call, urgent news included."""
         if self._local.urgent:
@@ -309,7 +221,7 @@
             return
         state = MemberState(identity.state)
         known = self.records.get(identity.name)
-        if known is None and state not in _LIVE:
+        if known is None and state not in LIVE:
             return  # forgotten here already; taking it back would keep it for ever
         if known is None:
             endpoint = Endpoint(identity.host, identity.port)
@@ -325,17 +237,17 @@
                 vouched=now,
             )
             self.records[identity.name] = known
-        elif not _newer(identity.incarnation, state, known):
+        elif not newer(identity.incarnation, state, known):
             return
         else:
             self._replace_line(known, identity, state, now)
-        if state not in _LIVE:
+        if state not in LIVE:
             self._drop_documents(known)
         self._wanted = None
         self._announce(identity.name)
 
     def _replace_line(self, known, identity, state, now):
-        if not _same_start(identity.incarnation, known.incarnation):
+        if not same_start(identity.incarnation, known.incarnation):
             self._drop_documents(known)
             known.vouched = now
         known.zone = identity.zone
@@ -357,178 +269,11 @@
             self.superseded = True
             return
         accused = identity.state != MemberState.ALIVE.value
-        if self.state in _LIVE and accused and identity.incarnation >= self.incarnation:
+        if self.state in LIVE and accused and identity.incarnation >= self.incarnation:
             self.incarnation = identity.incarnation + 1
             self._metrics.count("peer_refutations")
             self._announce(self.cfg.name)
 
-    def _announce(self, name):
-        self.changed.add(name)
-        for pending in (self._local, self._wide):
-            pending.members.add(name)
-            pending.urgent = True
-
-    # Documents
-
-    def _apply(self, sender, change, now):
-        record = self.records.get(change.name)
-        if record is None or record.state not in _LIVE:
-            return
-        if not _same_start(change.incarnation, record.incarnation):
-            self._metrics.count("peer_changes_of_other_incarnation")
-            return
-        document = record.wide if change.wide else record.local
-        before = document.version
-        changed = document.apply(change.floor, change.base, change.top, change.items)
-        if document.version < change.top:
-            self._metrics.count("peer_gaps")
-        if not changed:
-            return
-        record.digest = None
-        if record.zone != self.cfg.zone:
-            record.heard = now
-        self.changed.add(change.name)
-        if change.wide:
-            self._pass_on(sender, record, before, changed)
-
-    def _pass_on(self, sender, record, before, changed):
-        """Queues news of another member for those who do not hear it from the member itself."""
-        urgent = any(section in URGENT for section, _ in changed)
-        own = record.zone == self.cfg.zone
-        for section, _ in changed:
-            if own or urgent:
-                self._queue(self._wide, record.name, True, before, section)
-            foreign_sender = sender.zone != self.cfg.zone
-            if foreign_sender and not own and (urgent or self._first_relay(record.zone)):
-                self._queue(self._local, record.name, True, before, section)
-
-    def _queue(self, pending, name, wide, base, section):
-        known = pending.documents.get((name, wide), base)
-        pending.documents[name, wide] = min(known, base)
-        pending.urgent |= section in URGENT
-
-    def _flush(self, pending, names):
-        names = tuple(names)
-        members = [self._line(name) for name in pending.members if self._line(name)]
-        documents = [
-            (name, wide, base, self._document(name, wide))
-            for (name, wide), base in pending.documents.items()
-        ]
-        pending.members.clear()
-        pending.documents.clear()
-        pending.urgent = False
-        if names:
-            found = [entry for entry in documents if entry[3] is not None]
-            self._outputs.extend(Send(names, news) for news in self._news(members, found))
-
-    def _news(self, members, documents):
-        """Returns messages of bounded size with these lines and the documents' newer items."""
-        messages = []
-        for start in range(0, len(members), MAX_LISTED_MEMBERS):
-            messages.append(News(members[start : start + MAX_LISTED_MEMBERS], []))
-        room = 0
-        for name, wide, base, document in documents:
-            for change in self._split(name, wide, base, document):
-                if room < len(change.items) or not messages:
-                    messages.append(News([], []))
-                    room = MAX_NEWS_ITEMS
-                messages[-1].changes.append(change)
-                room -= len(change.items) + 1
-        return messages
-
-    def _split(self, name, wide, base, document):
-        incarnation = self._incarnation(name)
-        base = 0 if base < document.floor else base
-        items = document.since(base)
-        while True:
-            part, items = items[:MAX_NEWS_ITEMS], items[MAX_NEWS_ITEMS:]
-            top = part[-1][2] if items else document.version
-            if top > base:
-                yield Change(name, incarnation, wide, document.floor, base, top, part)
-            base = top
-            if not items:
-                return
-
-    def _send_own(self, name):
-        mine = self.cfg.name
-        documents = [(mine, True, 0, self._writer.wide), (mine, False, 0, self._writer.local)]
-        news = self._news([self.identity()], documents)
-        self._outputs.extend(Send((name,), message) for message in news)
-
-    def _document(self, name, wide):
-        if name == self.cfg.name:
-            return self._writer.wide if wide else self._writer.local
-        record = self.records.get(name)
-        if record is None or record.state not in _LIVE:
-            return None
-        return record.wide if wide else record.local
-
-    def _line(self, name):
-        if name == self.cfg.name:
-            return self.identity()
-        record = self.records.get(name)
-        return record.identity() if record else None
-
-    def _incarnation(self, name):
-        return self.incarnation if name == self.cfg.name else self.records[name].incarnation
-
-    # Comparing versions
-
-    def _versions(self, zone, with_local):
-        """Returns the versions of a data centre's members; of local documents only inside it."""
-        versions = {}
-        for record in self.records.values():
-            if zone is None or record.zone == zone:
-                local = record.local.version if with_local else 0
-                state = record.state.value
-                versions[record.name] = (record.incarnation, state, record.wide.version, local)
-        if zone is None or zone == self.cfg.zone:
-            local = self._writer.local.version if with_local else 0
-            own = (self.incarnation, self.state.value, self._writer.wide.version, local)
-            versions[self.cfg.name] = own
-        return versions
-
-    def _compare(self):
-        names = self._local_links() or self._foreign_links()
-        if not names:
-            return
-        zones = {record.zone for record in self.records.values()} | {self.cfg.zone}
-        own = self._rng.random() < OWN_ZONE_SHARE
-        zone = self.cfg.zone if own else self._rng.choice(sorted(zones))
-        partner = self._rng.choice(sorted(names))
-        versions = self._versions(zone, self.links[partner].zone == self.cfg.zone)
-        self._outputs.append(Send((partner,), Sync(zone, versions)))
-
-    def _answer(self, question, with_local):
-        mine = self._versions(question.zone, with_local)
-        if question.listed_only:
-            mine = {name: mine[name] for name in question.versions if name in mine}
-        members, documents = [], []
-        for name, versions in mine.items():
-            if name not in question.versions and not _is_live(versions):
-                continue
-            theirs = question.versions.get(name, NOTHING_KNOWN)
-            if _line_order(versions) > _line_order(theirs):
-                members.append(self._line(name))
-            documents.extend(self._newer_documents(name, versions, theirs))
-        missing = {
-            name: mine.get(name, NOTHING_KNOWN)
-            for name, theirs in question.versions.items()
-            if _lacks(mine.get(name), theirs)
-        }
-        answer = self._news(members, documents)
-        if missing:
-            answer.append(Sync(question.zone, missing, listed_only=True))
-        return answer
-
-    def _newer_documents(self, name, mine, theirs):
-        if not _same_start(mine[0], theirs[0]):
-            theirs = NOTHING_KNOWN
-        for wide, place in ((True, 2), (False, 3)):
-            document = self._document(name, wide)
-            if document is not None and mine[place] > theirs[place]:
-                yield name, wide, theirs[place], document
-
     # Heartbeats, probes and suspicion
 
     def _beat(self, now, names):
@@ -586,7 +331,7 @@
     def _check_members(self, now):
         silence = self.cfg.silence
         for record in self.records.values():
-            if record.zone != self.cfg.zone or record.state not in _LIVE:
+            if record.zone != self.cfg.zone or record.state not in LIVE:
                 continue
             if record.state is MemberState.SUSPECT:
                 if now - max(record.state_since, self._grace) > self.cfg.suspicion:
@@ -610,7 +355,7 @@
         self._metrics.count("peer_" + state.value)
         record.state = state
         record.state_since = now
-        if state not in _LIVE:
+        if state not in LIVE:
             self._drop_documents(record)
         self._wanted = None
         self._announce(record.name)
@@ -633,7 +378,7 @@
 
     def _sweep(self, now):
         for name, record in list(self.records.items()):
-            if record.state not in _LIVE and now - record.state_since > self.cfg.forget:
+            if record.state not in LIVE and now - record.state_since > self.cfg.forget:
                 del self.records[name]
                 self.links.pop(name, None)
                 self._unreachable.pop(name, None)
@@ -646,23 +391,6 @@
                 del ages[zone]
         self._wanted = None
 
-    def _local_links(self):
-        return [name for name, link in self.links.items() if link.zone == self.cfg.zone]
-
-    def _foreign_links(self):
-        return [name for name, link in self.links.items() if link.zone != self.cfg.zone]
-
-    def _live_by_zone(self):
-        zones = {self.cfg.zone: [self.cfg.name]}
-        for record in self.records.values():
-            if record.state in _LIVE:
-                zones.setdefault(record.zone, []).append(record.name)
-        return zones
-
-    def _first_relay(self, zone):
-        mine = self._live_by_zone()[self.cfg.zone]
-        return rank(f"{self.cfg.zone}>{zone}", mine)[0] == self.cfg.name
-
     def _choose_wanted(self):
         zones = self._live_by_zone()
         mine = zones.pop(self.cfg.zone)
@@ -681,34 +409,3 @@
         if dead:
             names.append(self._rng.choice(dead))
         return {name: self.records[name].endpoint for name in names}
-
-
-def _order(state: str) -> int:
-    return _STATE_ORDER.index(MemberState(state))
-
-
-def _line_order(versions):
-    return versions[0], _order(versions[1])
-
-
-def _is_live(versions):
-    return versions[1] in (MemberState.ALIVE.value, MemberState.SUSPECT.value)
-
-
-def _same_start(incarnation, other):
-    return incarnation >> REFUTATION_BITS == other >> REFUTATION_BITS
-
-
-def _newer(incarnation, state, known):
-    if incarnation != known.incarnation:
-        return incarnation > known.incarnation
-    return _STATE_ORDER.index(state) > _STATE_ORDER.index(known.state)
-
-
-def _lacks(mine, theirs):
-    """Whether somebody else's versions of a member show that something is missing here."""
-    if mine is None:
-        return _is_live(theirs)
-    if _line_order(theirs) != _line_order(mine):
-        return _line_order(theirs) > _line_order(mine)
-    return theirs[2] > mine[2] or theirs[3] > mine[3]
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -94,6 +94,9 @@
     def heard_from_zone(self, zone):
         return self._membership.zone_heard.get(zone) if self._membership else None
 
+    def tell_everywhere(self, concerns):
+        self._wide_server = concerns
+
     def answered_zone(self, zone):
         return self._membership.zone_answered.get(zone) if self._membership else None
 
@@ -147,7 +150,7 @@
             self._clock.now(),
             self._rng,
             self._metrics,
-            self._wide_server,
+            lambda server: self._wide_server(server),
         )
         self._membership.publish(self._digest, self._clock.monotonic())
         self._transport.listen(self.cfg.endpoint, self._accept)
