--- a/cicadapond/capacity/__init__.py
+++ b/cicadapond/capacity/__init__.py
@@ -18,6 +18,7 @@
     UTILISATION_TARGET,
     NeedTracker,
     OfferKey,
+    PoolLoad,
     ReclaimRates,
     Refusals,
 )
@@ -35,6 +36,7 @@
     "Offer",
     "OfferKey",
     "OnDemandOnly",
+    "PoolLoad",
     "PoolNeed",
     "ReclaimRates",
     "Refusals",
--- a/cicadapond/capacity/_memory.py
+++ b/cicadapond/capacity/_memory.py
@@ -17,6 +17,8 @@
 RECLAIM_MEMORY = datetime.timedelta(hours=2)
 SCALE_DOWN_HOLD = seconds(600)
 UTILISATION_TARGET = 0.75
+BACKLOG_WINDOW = seconds(15)
+BACKLOG_LIMIT = seconds(60)
 _HOUR = datetime.timedelta(hours=1)
 
 
@@ -98,23 +100,49 @@
         return self._reclaims[key] / (1.0 + self._host_hours[key])
 
 
+@attrs.frozen
+class PoolLoad:
+    """Requests running and waiting in a pool."""
+
+    running: float = 0.0
+    waiting: float = 0.0
+
+
 class NeedTracker:
-    """The slots that a pool needs: up at once, down only after a quiet while."""
+    """The slots that a pool needs: up at once, down only after a quiet while.
+
+    Of the requests that wait, no more count than run: a backlog shows a lack of slots but is not
+    itself the number that is lacking.  None count while the backlog is on its way to be worked
+    off within BACKLOG_LIMIT.
+    """
 
     def __init__(self, hold: datetime.timedelta = SCALE_DOWN_HOLD):
         self._hold = hold
         self._recent: dict[str, collections.deque] = {}
+        self._backlogs: dict[str, collections.deque] = {}
 
-    def need(self, pool: str, busy_slots: float, now: datetime.timedelta) -> float:
-        """Notes how many slots are in use or waited for, and returns how many are needed.
+    def need(self, pool: str, load: PoolLoad, now: datetime.timedelta) -> float:
+        """Notes a pool's load, and returns how many slots are needed.
 
         The need is the highest of the hold's time, at the utilisation that keeps the wait for a
         slot short.
         """
+        falling = self._is_falling(pool, load.waiting, now)
+        busy = load.running + (0.0 if falling else min(load.waiting, load.running))
         recent = self._recent.setdefault(pool, collections.deque())
-        while recent and recent[-1][1] <= busy_slots:
+        while recent and recent[-1][1] <= busy:
             recent.pop()
-        recent.append((now, busy_slots))
+        recent.append((now, busy))
         while now - recent[0][0] > self._hold:
             recent.popleft()
         return recent[0][1] / UTILISATION_TARGET
+
+    def _is_falling(self, pool, waiting, now):
+        """Notes a backlog; returns whether it ends in time at the rate at which it falls."""
+        backlogs = self._backlogs.setdefault(pool, collections.deque())
+        backlogs.append((now, waiting))
+        while now - backlogs[0][0] > BACKLOG_WINDOW:
+            backlogs.popleft()
+        before, most = backlogs[0]
+        fallen = most - waiting
+        return fallen > 0 and waiting * (now - before) <= fallen * BACKLOG_LIMIT
--- a/cicadapond/capacity/capacity_test.py
+++ b/cicadapond/capacity/capacity_test.py
@@ -14,6 +14,7 @@
     HeldHost,
     NeedTracker,
     Offer,
+    PoolLoad,
     PoolNeed,
     ReclaimRates,
     Refusals,
@@ -217,10 +218,19 @@
     assert rates.per_hour(key) < early / 5
 
 
+def need(tracker, running, waiting, at):
+    return tracker.need("p", PoolLoad(running, waiting), seconds(at))
+
+
 def test_the_need_rises_at_once_and_falls_after_a_hold():
     tracker = NeedTracker(hold=seconds(100))
-    assert tracker.need("p", 75, seconds(0)) == 100
-    assert tracker.need("p", 15, seconds(50)) == 100
-    assert tracker.need("p", 150, seconds(60)) == 200
-    assert tracker.need("p", 15, seconds(120)) == 200
-    assert tracker.need("p", 15, seconds(161)) == 20
+    loads = ((75, 0, 0), (15, 0, 50), (150, 0, 60), (15, 0, 120), (15, 0, 161))
+    assert [need(tracker, *load) for load in loads] == [100, 100, 200, 200, 20]
+
+
+def test_a_backlog_counts_as_far_as_it_runs_and_not_while_it_is_worked_off():
+    tracker = NeedTracker(hold=seconds(1))
+    assert need(tracker, 30, 900, 0) == 80
+    assert need(tracker, 30, 900, 10) == 80
+    assert need(tracker, 60, 899, 12) == 160  # falls, but not within a minute
+    assert need(tracker, 60, 500, 14) == 80
--- a/cicadapond/controller/_engines.py
+++ b/cicadapond/controller/_engines.py
@@ -43,8 +43,9 @@
 
     @property
     def outdated(self) -> bool:
-        """Whether the engine serves something else than it shall."""
-        return self.seen.state is not None and not self.current and not self.seen.noticed
+        """Whether the engine has another version than it shall; a blank one has none."""
+        state = self.seen.state
+        return state is not None and bool(state.version) and not self.current
 
 
 def load_limit(seen: Observed, model: str, version: str) -> int:
--- a/cicadapond/controller/_hosts.py
+++ b/cicadapond/controller/_hosts.py
@@ -8,6 +8,7 @@
     CapacityView,
     HeldHost,
     Offer,
+    PoolLoad,
     PoolNeed,
     Target,
     capacity_policies,
@@ -83,7 +84,9 @@
     for name, application in intent.applications.items():
         replicas[name] += application.replicas
     for pool, count in sorted(replicas.items()):
-        yield PoolNeed(pool, memory.needs.need(pool, seen.busy.get(pool, 0.0), seen.now), count)
+        yield PoolNeed(
+            pool, memory.needs.need(pool, seen.loads.get(pool, PoolLoad()), seen.now), count
+        )
 
 
 def _held(host, classes, old):
--- a/cicadapond/controller/_observed.py
+++ b/cicadapond/controller/_observed.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cicadapond.capacity import PoolLoad
 from cicadapond.data import BackendServer, EngineState
 from cicadapond.platform import CloudHost, Price
 
@@ -35,7 +36,7 @@
     """The real state at one monotonic instant.
 
     `hosts` and `prices` are None while the cloud cannot be read; then nothing is decided that
-    needs it.  `busy` gives the requests running and waiting by pool, over all zones.
+    needs it.  `loads` gives the requests running and waiting by pool, over all zones.
     `ready_elsewhere` gives, by model and version, the engines of other zones that serve it.
     """
 
@@ -44,7 +45,7 @@
     servers: tuple[ServerSeen, ...] = ()
     hosts: tuple[CloudHost, ...] | None = None
     prices: tuple[Price, ...] | None = None
-    busy: typing.Mapping[str, float] = attrs.field(factory=dict)
+    loads: typing.Mapping[str, PoolLoad] = attrs.field(factory=dict)
     ready_elsewhere: typing.Mapping[tuple[str, str], int] = attrs.field(factory=dict)
     weight_rate: float | None = None
     weight_sizes: typing.Mapping[tuple[str, str], int] = attrs.field(factory=dict)
--- a/cicadapond/controller/_observer.py
+++ b/cicadapond/controller/_observer.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from cicadapond.capacity import PoolLoad
 from cicadapond.controller._observed import Observed, ServerSeen
 from cicadapond.controller._parts import ControlParts
 from cicadapond.data import HostState, ServerKind
@@ -45,7 +46,7 @@
             servers=tuple(await asyncio.gather(*(self._see(found, noticed) for found in own))),
             hosts=hosts,
             prices=prices,
-            busy=self._busy(known),
+            loads=self._loads(known),
             ready_elsewhere=self._ready_elsewhere(known),
             weight_rate=rate,
             weight_sizes=dict(self._sizes),
@@ -145,12 +146,13 @@
         for member in self._parts.peers.members():
             yield from member.digest.loads.items()
 
-    def _busy(self, known):
-        busy = collections.Counter()
+    def _loads(self, known):
+        running, waiting = collections.Counter(), collections.Counter()
         for name, report in dict(self._reports()).items():
             if name in known:
-                busy[known[name].pool] += report.running + report.waiting
-        return busy
+                running[known[name].pool] += report.running
+                waiting[known[name].pool] += report.waiting
+        return {pool: PoolLoad(running[pool], waiting[pool]) for pool in running}
 
     def _ready_elsewhere(self, known):
         ready = collections.Counter()
--- a/cicadapond/controller/reconcile_test.py
+++ b/cicadapond/controller/reconcile_test.py
@@ -188,3 +188,8 @@
 def test_without_the_cloud_nothing_is_bought_or_released():
     assert decide("e1 m@2\ne2 m@2\ne3 m@2", intent_of(replicas=9)) == []
     assert decide("e1 m@2\ne2 m@2\ne3 m@2", intent_of(replicas=1)) == []
+
+
+def test_a_blank_engine_is_no_reason_for_a_host_more():
+    hosts = [host_of("e1"), host_of("e2")]
+    assert decide("e1 blank\ne2 m@2", hosts=hosts) == ["e1 run m 2"]
--- a/cicadapond/experiments/_mesh.py
+++ b/cicadapond/experiments/_mesh.py
@@ -39,18 +39,19 @@
                     edge.append(other)
         return [self.nodes[name] for name in found]
 
-    def join(self, name: str, zone: str) -> "MeshPeers":
+    def join(self, name: str, zone: str, role: str = "entry") -> "MeshPeers":
         """Returns the membership of a new process, in place of an earlier one of its name."""
-        self.nodes[name] = MeshPeers(self, name, zone)
+        self.nodes[name] = MeshPeers(self, name, zone, role)
         return self.nodes[name]
 
 
 class MeshPeers(Peers):
     """One process's membership; `beat` is its heartbeat loop."""
 
-    def __init__(self, mesh: Mesh, name: str, zone: str):
+    def __init__(self, mesh: Mesh, name: str, zone: str, role: str):
         self.name = name
         self.zone = zone
+        self.role = role
         self.digest = Digest()
         self._mesh = mesh
         self._members: dict[str, Member] = {}
@@ -100,7 +101,7 @@
         now = self._mesh.clock.monotonic()
         known = self._members.get(node.name)
         member = Member(
-            node.name, node.zone, "entry", 0, MemberState.ALIVE, now, node._version, node.digest
+            node.name, node.zone, node.role, 0, MemberState.ALIVE, now, node._version, node.digest
         )
         self._members[node.name] = member
         if known is None or known.digest != member.digest:
--- a/cicadapond/standin/_cloud.py
+++ b/cicadapond/standin/_cloud.py
@@ -112,6 +112,7 @@
         self.timing = timing or CloudTiming()
         self.spent = 0.0
         self.counts = collections.Counter()
+        self.reclaimed: set[str] = set()
         self.on_change: list[typing.Callable[[CloudHost], None]] = []
         self._offers = {(found.zone, found.machine_class, found.market): found for found in offers}
         self._clock = clock
@@ -193,6 +194,7 @@
             return
         notice = self.timing.notice if notice is None else notice
         self.counts["reclaimed"] += 1
+        self.reclaimed.add(host_id)
         host.gone_at = self._clock.monotonic() + notice
         host.state = "leaving"
         self._tell(host)
