Add cicadapond-controller and cicadapond-ctl, and drain through the common book

Cause: control and the document could not be reached by operators or run as a process. Change: the controller as a program (membership, document, lease, control, admin port); drains by the numbers that every process merges; cicadapond-ctl with the document's commands, dumps, tables, JSON and documented exit codes; a new request takes the version of the engine with the most room, as the first engine of a new version would else get every new request. Ruled out: version by document alone (all old engines refuse), by first engine that serves it. Conclusion: tried with real processes: apply, history, check, lease, buying and loading.

--- a/cicadapond/controller/_drains.py
+++ b/cicadapond/controller/_drains.py
@@ -1,17 +1,13 @@
 """Drains that this controller has begun, and whether every process has followed them."""
 
 import abc
-import datetime
 import typing
 
-import attrs
+from cicadapond.drain import DrainView, LeavingBook
+from cicadapond.kernel import Clock
+from cicadapond.peer import Digest, MemberState, Peers
 
-from cicadapond.drain import drain_number
-from cicadapond.kernel import Clock, seconds
-from cicadapond.peer import MemberState, Peers
-
-ENTRY_ROLE = "entry"
-SELF_LIMIT = seconds(3)
+SOURCE = "controller"
 
 
 class Drains(abc.ABC):
@@ -38,67 +34,69 @@
         """Returns the requests on a server by the count of all processes."""
 
 
-@attrs.frozen
-class _Drain:
-    number: int
-    began: datetime.timedelta
-
-
 class PeerDrains(Drains):
     """Drains told and acknowledged by digests.
 
-    A process that cannot be asked sends nothing to another data centre's servers after SELF_LIMIT
-    without a word from there, so that waiting that long stands for its answer.
-
     Args:
+      zone: The controller's data centre.
       peers: The other processes.
       clock: Gives the time.
-      publish: Is called when the drains to be told have changed, with server to number.
+      revision: Returns the document revision in force, which the own digest tells too.
     """
 
     def __init__(
-        self, peers: Peers, clock: Clock, publish: typing.Callable[[dict[str, int]], None]
+        self, zone: str, peers: Peers, clock: Clock, revision: typing.Callable[[], int] = int
     ):
         self._peers = peers
-        self._clock = clock
-        self._publish = publish
-        self._drains: dict[str, _Drain] = {}
+        self._revision = revision
+        self._begun: set[str] = set()
+        self._book = LeavingBook(clock)
+        self._view = DrainView(zone, self._book, peers, self.digest, clock)
+        peers.subscribe(self._hear)
+
+    def digest(self) -> Digest:
+        """Returns this process's own digest."""
+        return Digest(
+            revision=self._revision(),
+            leaving=self._book.originated(),
+            drains=self._book.acknowledged(),
+        )
+
+    def tell(self) -> None:
+        """Publishes the own digest."""
+        self._peers.publish(self.digest())
 
     def begin(self, server):
-        if server in self._drains:
-            return
-        known = (member.digest.drains.get(server, 0) for member in self._peers.members())
-        number = drain_number(self._clock, max(known, default=0))
-        self._drains[server] = _Drain(number, self._clock.monotonic())
-        self._tell()
+        self._begun.add(server)
+        self._view.begin(server, SOURCE)
+        self.tell()
 
     def end(self, server):
-        if self._drains.pop(server, None) is not None:
-            self._tell()
+        if server in self._begun:
+            self._begun.discard(server)
+            self._view.undrain(server)
+            self.tell()
 
     def draining(self):
-        return self._drains.keys()
+        return self._begun
 
     def may_stop(self, server):
-        drain = self._drains.get(server)
-        if drain is None or self._clock.monotonic() - drain.began < SELF_LIMIT:
-            return False
-        return all(
-            member.digest.drains.get(server, 0) >= drain.number
-            and not member.digest.in_flight.get(server, 0)
-            for member in self._entries()
-        )
+        return server in self._begun and self._view.may_stop(server, backend_running=0).allowed
 
     def in_flight(self, server):
-        return sum(member.digest.in_flight.get(server, 0) for member in self._entries())
-
-    def _entries(self):
         alive = (MemberState.ALIVE, MemberState.SUSPECT)
-        return [
-            member
+        return sum(
+            member.digest.in_flight.get(server, 0)
             for member in self._peers.members()
-            if member.role == ENTRY_ROLE and member.state in alive
-        ]
+            if member.state in alive
+        )
+
+    def forget(self, listed: set[str]) -> None:
+        """Drops servers that are gone for long."""
+        self._book.forget(listed)
 
-    def _tell(self):
-        self._publish({server: drain.number for server, drain in self._drains.items()})
+    def _hear(self, member):
+        numbers = {**member.digest.drains, **member.digest.leaving}
+        news = [self._book.merge(server, number) for server, number in numbers.items()]
+        if any(news):
+            self.tell()
--- a/cicadapond/controller/_parts.py
+++ b/cicadapond/controller/_parts.py
@@ -20,7 +20,7 @@
     """Intervals and limits of control; an order takes less time than the lease's margin."""
 
     interval: datetime.timedelta = setting(default=seconds(1))
-    order_limit: datetime.timedelta = setting(default=seconds(1))
+    order_limit: datetime.timedelta = setting(default=seconds(0.8))
     read_limit: datetime.timedelta = setting(default=seconds(2))
     buys_at_once: int = setting(default=16)
 
--- /dev/null
+++ b/cicadapond/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool: the document, and dumps of the processes."""
--- /dev/null
+++ b/cicadapond/ctl/_processes.py
@@ -0,0 +1,53 @@
+"""Commands on dumps of processes: state, hosts, requests, quarantine, lease."""
+
+from cicadapond.ctl._exit import Exit
+from cicadapond.ctl._output import Output
+
+VIEWS = ("hosts", "requests", "quarantine", "lease")
+_KEYS = {
+    "hosts": ("backends", "fleet", "servers"),
+    "requests": ("requests", "in_flight", "durable"),
+    "quarantine": ("quarantine",),
+    "lease": ("lease",),
+}
+
+
+def show_states(states: dict, names: list[str], out: Output) -> Exit:
+    """Prints whole dumps, of all processes or of those named."""
+    missing = [name for name in names if name not in states]
+    if missing:
+        out.message(f"no process {', '.join(missing)}; there are {', '.join(sorted(states))}")
+        return Exit.USAGE
+    out.fields({name: states[name] for name in names or sorted(states)})
+    return _outcome(states)
+
+
+def show_view(states: dict, view: str, out: Output) -> Exit:
+    """Prints one part of each process's dump, one line per value."""
+    rows = []
+    for name, state in sorted(states.items()):
+        if not isinstance(state, dict):
+            rows.append((name, "", f"does not answer: {state}"))
+            continue
+        for key in _KEYS[view]:
+            if key in state:
+                rows.extend((name, path, value) for path, value in _flatten(key, state[key]))
+    out.table(("process", "what", "value"), rows)
+    return _outcome(states)
+
+
+def _outcome(states):
+    return (
+        Exit.OK if all(isinstance(state, dict) for state in states.values()) else Exit.UNAVAILABLE
+    )
+
+
+def _flatten(path, value):
+    if isinstance(value, dict) and value:
+        for key, inside in value.items():
+            yield from _flatten(f"{path}.{key}", inside)
+    elif isinstance(value, list) and value:
+        for number, inside in enumerate(value):
+            yield from _flatten(f"{path}.{number}", inside)
+    else:
+        yield path, value
--- /dev/null
+++ b/cicadapond/ctl/main.py
@@ -0,0 +1,177 @@
+"""Program `cicadapond-ctl`: what operators do, from a terminal or a script.
+
+    cicadapond-ctl --config=ctl.jsonc document show|check|edit|apply|diff|history|follow ...
+    cicadapond-ctl --config=ctl.jsonc state|hosts|requests|quarantine|lease
+
+Exit codes: 0 done, 1 no answer, 2 usage, 3 rejected, 4 stale, 5 forbidden, 6 unknown, 7 behind.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import sys
+import uuid
+
+import attrs
+import tornado.curl_httpclient
+from absl import app, flags
+
+from cicadapond.admission import admission_policies
+from cicadapond.capacity import capacity_policies
+from cicadapond.ctl._document import DocumentCommands, parse_draft
+from cicadapond.ctl._exit import Exit
+from cicadapond.ctl._output import Output
+from cicadapond.ctl._processes import VIEWS, show_states, show_view
+from cicadapond.data import Endpoint
+from cicadapond.document import DocumentEditor, DocumentStore, KnownNames
+from cicadapond.kernel import (
+    LoopClock,
+    Metrics,
+    SettingsError,
+    load_plugins,
+    load_settings,
+    setting,
+)
+from cicadapond.platform import AdapterSettings, table_services
+from cicadapond.routing import routers
+from cicadapond.stream import moving_policies
+
+REQUEST_SECONDS = 2.0
+USAGE = "usage: document show|check|edit|apply|diff|history|follow, or state|" + "|".join(VIEWS)
+
+_CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
+_JSON = flags.DEFINE_bool("json", False, "Print JSON for programs.")
+_TOKEN = flags.DEFINE_string("token", None, "Names an edit; the same token is the same edit.")
+_LIMIT = flags.DEFINE_integer("limit", 20, "How many edits of the history to print.", 1)
+
+
+@attrs.frozen
+class CtlSettings:
+    """Where the document is kept, and the admin ports of processes by name.
+
+    `key_variable` names the environment variable that holds the editor's key; `zones` and
+    `machine_classes` are those that exist, empty where that is not to be checked.
+    """
+
+    tables: AdapterSettings
+    admin: dict[str, Endpoint] = setting(factory=dict)
+    key_variable: str = "CICADAPOND_KEY"
+    zones: tuple[str, ...] = ()
+    machine_classes: tuple[str, ...] = ()
+
+
+class Ctl:
+    """One invocation.
+
+    Args:
+      cfg: The settings.
+      out: Takes the results.
+    """
+
+    def __init__(self, cfg: CtlSettings, out: Output):
+        load_plugins("cicadapond.plugins")
+        self._cfg = cfg
+        self._out = out
+        self._clock = LoopClock()
+        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+        tables = table_services.create(cfg.tables.adapter, cfg.tables, "", self._clock, Metrics())
+        store = DocumentStore(tables)
+        known = known_names(cfg)
+        editor = DocumentEditor(store, self._clock, random.Random(), known)
+        self._document = DocumentCommands(store, editor, self.states, self._clock, out, known)
+
+    async def run(self, args: list[str], token: str, limit: int) -> Exit:
+        """Carries out a command."""
+        match args:
+            case ["document", "show", *rest] if len(rest) < 2:
+                return await self._document.show(*rest)
+            case ["document", "history"]:
+                return await self._document.history(limit)
+            case ["document", "follow", revision] if revision.isdigit():
+                return await self._document.follow(int(revision))
+            case ["document", "edit", section, *path] if len(path) < 2:
+                target = path[0] if path else f"{section}.jsonc"
+                return await self._document.edit(section, pathlib.Path(target))
+            case ["document", ("check" | "diff" | "apply") as command, *paths] if paths:
+                return await self._with_drafts(command, paths, token)
+            case ["state", *names]:
+                return show_states(await self.states(), names, self._out)
+            case [view] if view in VIEWS:
+                return show_view(await self.states(), view, self._out)
+        print(USAGE, file=sys.stderr)
+        return Exit.USAGE
+
+    async def _with_drafts(self, command, paths, token):
+        try:
+            drafts = [
+                parse_draft(path, pathlib.Path(path).read_text(encoding="utf-8")) for path in paths
+            ]
+        except (OSError, UnicodeDecodeError) as exc:
+            print(exc, file=sys.stderr)
+            return Exit.USAGE
+        if command == "check":
+            return await self._document.check(drafts)
+        if command == "diff":
+            return await self._document.diff(drafts)
+        key = os.environ.get(self._cfg.key_variable, "")
+        return await self._document.apply(drafts, key, token)
+
+    async def states(self) -> dict:
+        """Reads the dump of each process in the settings; an error stands as text."""
+        names = list(self._cfg.admin)
+        found = await asyncio.gather(*(self._state(self._cfg.admin[name]) for name in names))
+        return dict(zip(names, found, strict=True))
+
+    async def _state(self, endpoint):
+        try:
+            response = await self._client.fetch(
+                f"http://{endpoint}/debug/state",
+                connect_timeout=REQUEST_SECONDS,
+                request_timeout=REQUEST_SECONDS,
+            )
+            return json.loads(response.body)
+        except (OSError, ValueError, tornado.httpclient.HTTPError) as exc:
+            return str(exc)
+
+
+def known_names(cfg: CtlSettings) -> KnownNames:
+    """Returns the names that the document may use: this release's policies, the settings' zones."""
+    return KnownNames(
+        zones=frozenset(cfg.zones) or None,
+        machine_classes=frozenset(cfg.machine_classes) or None,
+        policies={
+            "admission": frozenset(admission_policies.names()),
+            "routing": frozenset(routers.names()),
+            "moving": frozenset(moving_policies.names()),
+            "capacity": frozenset(capacity_policies.names()),
+        },
+    )
+
+
+async def _run(cfg, out, args):
+    token = _TOKEN.value or uuid.uuid4().hex
+    return await Ctl(cfg, out).run(args, token, _LIMIT.value)
+
+
+def _main(argv):
+    if not _CONFIG.value:
+        print("--config is required; see --help", file=sys.stderr)
+        sys.exit(Exit.USAGE)
+    try:
+        cfg = load_settings(_CONFIG.value, CtlSettings)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(Exit.USAGE)
+    out = Output(sys.stdout, _JSON.value, sys.stdout.isatty() and not _JSON.value)
+    sys.exit(asyncio.run(_run(cfg, out, argv[1:])))
+
+
+def run() -> None:
+    """Runs the program."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- a/cicadapond/experiments/_fleet.py
+++ b/cicadapond/experiments/_fleet.py
@@ -22,6 +22,7 @@
     Token,
 )
 from cicadapond.document import Intent
+from cicadapond.drain import says_leaving
 from cicadapond.experiments._mesh import Mesh
 from cicadapond.kernel import Metrics, Ok, VirtualClock, seconds
 from cicadapond.peer import Digest
@@ -169,7 +170,7 @@
 
     def _start_controller(self, zone):
         peers = self._mesh.join(f"controller-{zone}", zone, "controller")
-        drains = self._drains(peers, self.clock, lambda told: peers.publish(Digest(leaving=told)))
+        drains = self._drains(zone, peers, self.clock)
         parts = ControlParts(
             zone=zone,
             cfg=ControlSettings(),
@@ -231,9 +232,11 @@
         """Publishes loads, counts and acknowledgements for all entries."""
         drains = {}
         for member in self._mesh.nodes.values():
-            drains |= member.digest.leaving
+            for name, number in member.digest.leaving.items():
+                drains[name] = max(number, drains.get(name, 0))
         noticed = {notice.server for zone in self.zones for notice in self.cloud.list_notices(zone)}
-        self.leaving = noticed | drains.keys()
+        told = {name for name, number in drains.items() if says_leaving(number)}
+        self.leaving = noticed | told
         first = {zone: True for zone in self.zones}
         for entry in self._entries.values():
             loads = self._loads(entry.zone) if first[entry.zone] else {}
--- a/cicadapond/experiments/rolling.py
+++ b/cicadapond/experiments/rolling.py
@@ -25,7 +25,7 @@
 class HastyDrains(Drains):
     """Baseline: a server counts as drained at once, and nobody is told."""
 
-    def __init__(self, peers, clock, publish):
+    def __init__(self, zone, peers, clock):
         self._servers = set()
 
     def begin(self, server):
--- a/cicadapond/routing/_version.py
+++ b/cicadapond/routing/_version.py
@@ -16,19 +16,28 @@
 def serving_version(model: str, wanted: str, views: typing.Iterable[ServerView]) -> str:
     """Returns the version that a new request begins with, and keeps to its end.
 
-    That is the document's version as soon as any engine serves it.  Until then it is the one
-    that most engines of the model serve, so that a change of version interrupts nobody.
+    While versions change that is the version of the engine with the most room, so that the
+    first engine of a new version does not get all requests; at equal room it is the document's.
 
     Args:
       model: The model's name.
       wanted: The version that the document wants.
       views: The engines of the model's pool that take new work.
     """
-    counts = {}
+    best = {}
     for view in views:
-        if serves(view, model, wanted):
-            return wanted
-        report = view.report
-        if report.model == model and report.version:
-            counts[report.version] = counts.get(report.version, 0) + 1
-    return max(counts, key=lambda version: (counts[version], version), default=wanted)
+        version = wanted if serves(view, model, wanted) else _other_version(view, model)
+        if version:
+            best[version] = min(best.get(version, float("inf")), _load(view))
+    return min(
+        best, key=lambda version: (best[version], version != wanted, version), default=wanted
+    )
+
+
+def _other_version(view, model):
+    return view.report.version if view.report.model == model else ""
+
+
+def _load(view):
+    slots = view.report.slots if view.report is not None else 1
+    return (view.own_in_flight + view.peer_in_flight) / max(1, slots)
