--- a/cicadapond/controller/main.py
+++ b/cicadapond/controller/main.py
@@ -98,10 +98,10 @@
         logging.info("controller %s: admin on %s", cfg.name, cfg.admin)
 
     async def stop(self) -> None:
-        """Gives the lease back and ends all tasks."""
-        await self.lease.release()
+        """Ends all tasks, then gives the lease back."""
         await self.peers.leave()
         await self._tasks.stop()
+        await self.lease.release()
         self._storage.close()
         self._admin.stop()
         await self._admin.close_all_connections()
--- a/cicadapond/document/task_test.py
+++ b/cicadapond/document/task_test.py
@@ -4,6 +4,8 @@
 import random
 
 import attrs
+import hypothesis
+import hypothesis.strategies as st
 
 from cicadapond.document import (
     DocumentSettings,
@@ -133,6 +135,19 @@
     assert run(scene) == ([5], ["s5"])
 
 
+@hypothesis.given(offers=st.lists(st.tuples(st.integers(1, 9), st.booleans()), max_size=20))
+def test_the_revision_in_force_only_rises_whatever_arrives(offers):
+    async def scene(world):
+        task = world.start("p")
+        for revision, parses in offers:
+            task.offer(text_of(revision, None if parses else "{"))
+        return task.seen, task.latest.revision
+
+    seen, latest = run(scene)
+    assert seen == sorted(set(seen))
+    assert latest == max((revision for revision, _ in offers), default=0)
+
+
 def test_a_text_that_does_not_parse_is_passed_on_and_not_applied():
     async def scene(world):
         task = world.start("p")
