--- a/cicadapond/scenario/_observation.py
+++ b/cicadapond/scenario/_observation.py
@@ -1,6 +1,7 @@
 """What a scenario's run is seen to do: observations with their instants, and the record of them."""
 
 import datetime
+import typing
 
 import attrs
 
@@ -113,12 +114,25 @@
 
 @attrs.frozen
 class Edited:
-    """An operator's edit was accepted as a revision."""
+    """An operator's edit, begun at an instant, was accepted as a revision.
+
+    `path` names the field that it set, with dots, and `value` what to.
+    """
 
     at: Instant
+    begun: Instant
     revision: int
-    section: str
     mark: str
+    path: str = ""
+    value: object = None
+
+
+@attrs.frozen
+class FinalDocument:
+    """The document as the store has it at the end: values by path."""
+
+    at: Instant
+    values: typing.Mapping[str, object]
 
 
 @attrs.frozen
@@ -150,6 +164,7 @@
     | Began
     | Ended
     | Edited
+    | FinalDocument
     | Stopping
     | Fault
 )
--- a/cicadapond/scenario/_runner.py
+++ b/cicadapond/scenario/_runner.py
@@ -85,6 +85,7 @@
     await world.clock.sleep(script.length)
     await asyncio.gather(*driving)
     await _settle(world)
+    await world.read_document()
     findings = check_invariants(world.record)
     for process in world.entries.values():
         for failure in process.entry.tasks.failed:
--- a/cicadapond/scenario/_world.py
+++ b/cicadapond/scenario/_world.py
@@ -48,6 +48,7 @@
     Edited,
     Ended,
     Fault,
+    FinalDocument,
     InForce,
     Record,
     Stopping,
@@ -267,6 +268,7 @@
         """Changes one field of one object of a section, or of the section itself."""
         self._edit_number += 1
         mark = f"edit-{self._edit_number}"
+        begun = self.clock.monotonic()
         store = DocumentStore(DirectTables(self.tables))
         read = await store.read()
         if not isinstance(read, Ok):
@@ -279,10 +281,20 @@
         outcome = await editor.apply(edit, EDIT_LIMIT)
         now = self.clock.monotonic()
         if isinstance(outcome, Ok):
-            self.record.add(Edited(now, outcome.value, section, mark))
+            path = ".".join(filter(None, (section, name, field)))
+            self.record.add(Edited(now, begun, outcome.value, mark, path, value))
         else:
             self.record.add(Fault(now, f"{mark} failed: {outcome}"))
 
+    async def read_document(self) -> None:
+        """Records the document as the store has it."""
+        read = await DocumentStore(DirectTables(self.tables)).read()
+        values = {}
+        for section, text in read.value.texts().items():
+            for path, value in _leaves(section, _fields(text)):
+                values[path] = value
+        self.record.add(FinalDocument(self.clock.monotonic(), values))
+
     async def _write_document(self):
         texts = first_document(self.script)
         store = DocumentStore(DirectTables(self.tables))
@@ -340,8 +352,20 @@
 
 
 def _changed(text, name, field, value):
-    findings = Findings()
-    fields = parse_jsonc(text, "section", findings).plain()
+    fields = _fields(text)
     target = fields if name is None else fields[name]
     target[field] = value if not isinstance(value, datetime.timedelta) else value.total_seconds()
     return json.dumps(fields, indent=2)
+
+
+def _fields(text):
+    return parse_jsonc(text, "section", Findings()).plain()
+
+
+def _leaves(path, value):
+    """Yields the dotted path and value of every field under a value."""
+    if not isinstance(value, dict):
+        yield path, value
+        return
+    for name, inner in value.items():
+        yield from _leaves(f"{path}.{name}", inner)
