Keep convictions in the table service

Cause: convictions lived in processes and their digests only; when all entries are replaced, a poison prompt could crash two more backend servers.

Change: a task of the entry writes the convictions of its process as rows with their end, reads all rows when it starts and about once a minute, and removes those that are over. It uses the class for statistics, so that it never takes room from leases or keyed calls.

Tests: a conviction outlives its process and an outage of the table service; rows that are over or unreadable are removed.

--- a/cicadapond/entry/_node.py
+++ b/cicadapond/entry/_node.py
@@ -22,6 +22,7 @@
 from cicadapond.kernel import Clock, Metrics, Task, TaskGroup
 from cicadapond.peer import MemberState, NoPeers, Peers
 from cicadapond.platform import BudgetedTables, CloudApi, HostList, ObjectStore, StoreClass
+from cicadapond.quarantine import ConvictionTable
 
 
 @attrs.define
@@ -162,6 +163,10 @@
             lambda: self.intent().revision,
             parts.quarantine,
         )
+        if parts.statistics_tables is not None:
+            yield ConvictionTable(
+                parts.quarantine, parts.statistics_tables, self.clock, self.metrics, parts.rng
+            )
         if self.edges.cloud is not None:
             cloud = self.edges.cloud
             yield CloudNoticeWatcher(self.fleet, cloud, self.cfg, self.clock, self.metrics)
--- a/cicadapond/quarantine/_quarantine.py
+++ b/cicadapond/quarantine/_quarantine.py
@@ -72,7 +72,6 @@
       clock: Gives the time.
       conviction_term: Returns how long a conviction lasts.
       cfg: Terms of suspicion.
-      on_convicted: Called with each new conviction's hash and end, to share it.
     """
 
     def __init__(
@@ -80,12 +79,11 @@
         clock: Clock,
         conviction_term: typing.Callable[[], datetime.timedelta] = lambda: seconds(3600),
         cfg: QuarantineSettings | None = None,
-        on_convicted: typing.Callable[[str, datetime.datetime], None] | None = None,
     ):
         self._clock = clock
         self._conviction_term = conviction_term
         self._cfg = cfg or QuarantineSettings()
-        self._on_convicted = on_convicted
+        self._on_convicted: typing.Callable[[str, datetime.datetime], None] | None = None
         self._changed: typing.Callable[[], None] = lambda: None
         self._suspects: dict[str, _Suspect] = {}
         self._peer_suspects: dict[str, dict[str, _PeerSuspect]] = {}
@@ -103,6 +101,10 @@
         """Calls `callback` at each new suspect or conviction: others must hear of it at once."""
         self._changed = callback
 
+    def on_convicted(self, callback: typing.Callable[[str, datetime.datetime], None]) -> None:
+        """Calls `callback` with the hash and the end of each conviction by this process."""
+        self._on_convicted = callback
+
     def suspects(self) -> dict[str, int]:
         """Returns the hashes of the suspects on trial with their crash counts."""
         self._expire()
--- a/cicadapond/quarantine/quarantine_test.py
+++ b/cicadapond/quarantine/quarantine_test.py
@@ -35,9 +35,8 @@
 def test_a_second_crash_alone_convicts_for_a_term():
     clock = ManualClock()
     shared = []
-    quarantine = Quarantine(
-        clock, lambda: seconds(60), on_convicted=lambda *row: shared.append(row)
-    )
+    quarantine = Quarantine(clock, lambda: seconds(60))
+    quarantine.on_convicted(lambda *row: shared.append(row))
     accuse(quarantine, "p", "good")
     settle(clock, quarantine, "p")
     server = quarantine.place("p", SERVERS)
--- /dev/null
+++ b/cicadapond/quarantine/table_test.py
@@ -0,0 +1,65 @@
+"""Convictions in the table service: kept over restarts, through outages, removed at their end."""
+
+import random
+
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.platform import Write
+from cicadapond.quarantine import ConvictionTable, Quarantine
+from cicadapond.standin import DirectTables, TableModel
+
+TERM = seconds(600)
+
+
+class World:
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.model = TableModel(self.clock, random.Random(1))
+        self.metrics = Metrics()
+
+    def process(self):
+        quarantine = Quarantine(self.clock, lambda: TERM)
+        rng = random.Random(2)
+        tables = DirectTables(self.model)
+        return quarantine, ConvictionTable(quarantine, tables, self.clock, self.metrics, rng)
+
+    async def convict(self, quarantine, body):
+        quarantine.crashed(quarantine.started(body, "e1"))
+        quarantine.wait(body)
+        await self.clock.sleep(seconds(5))
+        quarantine.crashed(quarantine.started(body, quarantine.place(body, ("e2",))))
+        assert body in quarantine.convicted()
+
+
+def test_a_conviction_outlives_its_process_and_an_outage():
+    async def main():
+        world = World()
+        quarantine, table = world.process()
+        await world.convict(quarantine, "p")
+        world.model.faults.outage = True
+        await table.write_once()
+        assert world.metrics.counter("conviction_write_failures") == 1
+        world.model.faults.outage = False
+        await table.write_once()
+        fresh, other = world.process()
+        await other.read_once()
+        assert fresh.convicted() == quarantine.convicted()
+
+    run_virtual(main())
+
+
+def test_rows_that_are_over_or_unreadable_are_removed():
+    async def main():
+        world = World()
+        quarantine, table = world.process()
+        await world.convict(quarantine, "p")
+        await table.write_once()
+        tables = DirectTables(world.model)
+        await tables.transact((Write("convictions", "bad", "no time"),))
+        await table.read_once()
+        assert [row.key for row in (await tables.scan("convictions")).value] == ["p"]
+        await world.clock.sleep(TERM)
+        await table.read_once()
+        assert (await tables.scan("convictions")).value == ()
+        assert quarantine.conviction_end("p") is None
+
+    run_virtual(main())
