Keep admitting when the document names a policy that this release lacks

Cause: the gate raised for each request until the document changed, so that a newer document would have stopped an entry of an older release. Change: the policy in force stays, fair at the start, and admission_policy_unknown counts it. Conclusion: a test that raised LookupError passes.

--- a/cicadapond/admission/_gate.py
+++ b/cicadapond/admission/_gate.py
@@ -11,6 +11,7 @@
 from cicadapond.document import Intent
 from cicadapond.kernel import Clock, Metrics, NotRun, Ok
 
+DEFAULT_POLICY = "fair"
 _ZERO = datetime.timedelta()
 
 
@@ -134,8 +135,9 @@
 
     def _update(self, pool, now):
         intent = self._intent()
-        if intent.policies.admission != self._name:
-            self._change_policy(intent.policies.admission, now)
+        name = self._known_policy(intent.policies.admission)
+        if name != self._name:
+            self._change_policy(name, now)
         if intent.accounts is not self._accounts:
             self._accounts = intent.accounts
             self._policy.configure(intent.accounts)
@@ -144,6 +146,13 @@
             self._counted[pool] = now
             self._apply(self._policy.set_slots(pool, self._slots(pool), now), now)
 
+    def _known_policy(self, name):
+        """Returns the policy to use: a document may name one that this release does not have."""
+        if name in admission_policies.names():
+            return name
+        self._metrics.count("admission_policy_unknown")
+        return self._name or DEFAULT_POLICY
+
     def _change_policy(self, name, now):
         """Moves all tickets to another policy; those with a slot keep it."""
         waiting = [] if self._policy is None else self._policy.waiting()
--- a/cicadapond/admission/gate_test.py
+++ b/cicadapond/admission/gate_test.py
@@ -115,6 +115,20 @@
     assert run_virtual(run()) == ("fifo", [(Ok, seconds(n)) for n in range(3)])
 
 
+def test_an_unknown_policy_leaves_the_last_one_in_force():
+    async def run():
+        world = World()
+        world.intent = Intent(policies=PolicyIntent(admission="of a later release"))
+        first = await world.hold("t1")
+        world.intent = Intent(policies=PolicyIntent(admission="fifo"))
+        await world.hold("t2")
+        world.intent = Intent(policies=PolicyIntent(admission="of a later release"))
+        await world.hold("t3")
+        return first[0], world.gate.state()["policy"]
+
+    assert run_virtual(run()) == (Ok, "fifo")
+
+
 def test_retries_are_a_share_of_successes():
     budget = RetryBudget(lambda: 0.1)
     first = sum(budget.allow("p") for _ in range(1000))
