Let operators drain a server until they take it back

Cause: nothing carried an operator's wish to keep work away from a server past the process that heard it. Change: a row per ordered drain in the table service, written by cicadapond-ctl drain and undrain; the active controller reads them and drains, and keeps what it last read while the store is out. Conclusion: tests of the decision and of the command, lost store included.

--- a/cicadapond/controller/__init__.py
+++ b/cicadapond/controller/__init__.py
@@ -3,6 +3,7 @@
 from cicadapond.controller._drains import Drains, PeerDrains
 from cicadapond.controller._memory import ControlMemory
 from cicadapond.controller._observed import Observed, ServerSeen
+from cicadapond.controller._operator_drains import OperatorDrain, OperatorDrains
 from cicadapond.controller._orders import (
     Action,
     BeginDrain,
@@ -28,6 +29,8 @@
     "EngineOrder",
     "Lease",
     "Observed",
+    "OperatorDrain",
+    "OperatorDrains",
     "PeerDrains",
     "Release",
     "ServerSeen",
--- a/cicadapond/controller/_engines.py
+++ b/cicadapond/controller/_engines.py
@@ -37,7 +37,7 @@
     def serves(self) -> bool:
         """Whether the engine takes work, of whatever version."""
         seen = self.seen
-        if seen.state is None or seen.noticed or seen.draining:
+        if seen.state is None or seen.noticed or seen.draining or seen.ordered:
             return False
         return bool(seen.state.version) and seen.state.loading is None
 
--- a/cicadapond/controller/_observed.py
+++ b/cicadapond/controller/_observed.py
@@ -21,6 +21,7 @@
       drained: Whether it is known everywhere to be leaving, with nothing in flight.
       draining: Whether this controller has it drained.
       noticed: Whether its host is reclaimed.
+      ordered: Whether an operator has ordered it to be drained.
     """
 
     server: BackendServer
@@ -29,6 +30,7 @@
     drained: bool = False
     draining: bool = False
     noticed: bool = False
+    ordered: bool = False
 
 
 @attrs.frozen
--- a/cicadapond/controller/_observer.py
+++ b/cicadapond/controller/_observer.py
@@ -22,6 +22,7 @@
         self._adapters = {}
         self._listing = None
         self._sizes = {}
+        self._ordered = frozenset()
 
     async def observe(self) -> Observed:
         """Reads everything once; what cannot be read is left out."""
@@ -39,6 +40,7 @@
         known = self._known_servers(hosts)
         noticed = {notice.server for notice in notices or ()} | self._reported_leaving(known)
         await self._read_sizes(intent)
+        await self._read_ordered()
         own = [found for found in known.values() if found.zone == parts.zone]
         return Observed(
             now=parts.clock.monotonic(),
@@ -103,6 +105,14 @@
                 if size is not None:
                     self._sizes[key] = size
 
+    async def _read_ordered(self):
+        """Reads the operators' drains; those last read hold while the store is out."""
+        if self._parts.operator_drains is None:
+            return
+        drains = await self._read(self._parts.operator_drains.list())
+        if drains is not None:
+            self._ordered = frozenset(drain.server for drain in drains)
+
     # Servers
 
     def _known_servers(self, hosts):
@@ -140,6 +150,7 @@
             drained=drains.may_stop(server.name),
             draining=server.name in drains.draining(),
             noticed=server.name in noticed,
+            ordered=server.name in self._ordered,
         )
 
     def _reports(self):
--- /dev/null
+++ b/cicadapond/controller/_operator_drains.py
@@ -0,0 +1,57 @@
+"""Drains that operators have ordered, one row each, until they take them back.
+
+They are kept in the table service, so that they outlast the controller that carries them out.
+"""
+
+import datetime
+
+import attrs
+
+from cicadapond.kernel import AnswerLost, Ok, Unavailable
+from cicadapond.platform import TableService, Write
+
+TABLE = "drains"
+MAX_DRAINS = 1000
+
+
+@attrs.frozen
+class OperatorDrain:
+    """An operator's order to drain a server."""
+
+    server: str
+    by: str
+    since: datetime.datetime
+
+
+class OperatorDrains:
+    """The drains that operators have ordered.
+
+    Args:
+      tables: The table service.
+    """
+
+    def __init__(self, tables: TableService):
+        self._tables = tables
+
+    async def add(self, drain: OperatorDrain) -> Ok[dict] | Unavailable | AnswerLost:
+        """Orders a drain; the same again changes nothing but who and when."""
+        value = {"by": drain.by, "since": drain.since.isoformat()}
+        return await self._tables.transact((Write(TABLE, drain.server, value),))
+
+    async def remove(self, server: str) -> Ok[dict] | Unavailable | AnswerLost:
+        """Takes a drain back."""
+        return await self._tables.transact((Write(TABLE, server),))
+
+    async def list(self) -> Ok[tuple[OperatorDrain, ...]] | Unavailable:
+        """Reads all drains that are ordered."""
+        outcome = await self._tables.scan(TABLE, limit=MAX_DRAINS)
+        if not isinstance(outcome, Ok):
+            return outcome
+        return Ok(
+            tuple(
+                OperatorDrain(
+                    row.key, row.value["by"], datetime.datetime.fromisoformat(row.value["since"])
+                )
+                for row in outcome.value
+            )
+        )
--- a/cicadapond/controller/_parts.py
+++ b/cicadapond/controller/_parts.py
@@ -8,6 +8,7 @@
 
 from cicadapond.backend import Engine
 from cicadapond.controller._drains import Drains
+from cicadapond.controller._operator_drains import OperatorDrains
 from cicadapond.data import BackendServer
 from cicadapond.document import Intent
 from cicadapond.kernel import Clock, Metrics, seconds, setting
@@ -49,3 +50,4 @@
     engine: typing.Callable[[BackendServer], Engine]
     cloud: CloudApi | None = None
     weights: WeightStore | None = None
+    operator_drains: OperatorDrains | None = None
--- a/cicadapond/controller/_reconcile.py
+++ b/cicadapond/controller/_reconcile.py
@@ -106,13 +106,15 @@
 
 
 def _keep_services(seen, leaving):
-    return [
-        EndDrain(found.server.name)
-        for found in seen.servers
-        if found.server.kind is ServerKind.SERVICE
-        and found.draining
-        and found.server.name not in leaving
-    ]
+    actions = []
+    for found in seen.servers:
+        if found.server.kind is not ServerKind.SERVICE or found.server.name in leaving:
+            continue
+        if found.ordered:
+            actions.extend(drain_orders(found))
+        elif found.draining:
+            actions.append(EndDrain(found.server.name))
+    return actions
 
 
 def _keep(pool, engines, planned, seen, memory):
@@ -125,6 +127,9 @@
     }
     for found in _by_need(engines):
         state = found.seen.state
+        if found.seen.ordered:
+            actions.extend(drain_orders(found.seen))
+            continue
         if state is None or state.loading is not None:
             continue
         if found.current:
--- a/cicadapond/controller/main.py
+++ b/cicadapond/controller/main.py
@@ -9,6 +9,7 @@
 from cicadapond.admin import admin_application
 from cicadapond.backend import engines
 from cicadapond.controller._drains import PeerDrains
+from cicadapond.controller._operator_drains import OperatorDrains
 from cicadapond.controller._parts import ControlParts, ControlSettings
 from cicadapond.controller._task import ControllerTask
 from cicadapond.data import Endpoint
@@ -177,6 +178,7 @@
             ),
             cloud=self._adapter(cloud_apis, cfg.platform.cloud),
             weights=self._adapter(weight_stores, cfg.platform.weights),
+            operator_drains=OperatorDrains(self._storage.for_class(StoreClass.DOCUMENT)),
         )
 
 
--- a/cicadapond/controller/reconcile_test.py
+++ b/cicadapond/controller/reconcile_test.py
@@ -1,7 +1,7 @@
 """Decisions, from short texts: one line per engine, `name runs [flags]`, and the actions as text.
 
 `runs` is model@version, `blank`, `loads`, or `?` for a state that could not be read.  Flags:
-`busy`, `draining`, `drained`, `noticed`, `adapters`.
+`busy`, `draining`, `drained`, `noticed`, `ordered`, `adapters`.
 """
 
 import random
@@ -52,6 +52,7 @@
         "drained" in flags,
         "draining" in flags,
         "noticed" in flags,
+        "ordered" in flags,
     )
 
 
@@ -115,6 +116,9 @@
         ("e1 ?\ne2 blank noticed", []),
         ("e1 m@2 draining\ne2 m@2", ["e1 resume"]),
         ("e1 m@2 adapters\ne2 m@2", ["e1 adapters"]),
+        # An operator's drain holds, whatever the engine runs, and ends when it is taken back.
+        ("e1 m@2 ordered busy\ne2 m@2", ["drain e1", "e1 drain"]),
+        ("e1 m@1 ordered draining drained\ne2 m@2", []),
         # Old engines serve on; without the cloud no drain begins at once.
         ("e1 m@1\ne2 m@1", []),
         # A drain that has begun goes on until nothing is in flight, then loads.
--- a/cicadapond/ctl/ctl_test.py
+++ b/cicadapond/ctl/ctl_test.py
@@ -6,10 +6,11 @@
 import pytest
 
 from cicadapond.capacity import capacity_policies
+from cicadapond.controller import OperatorDrains
 from cicadapond.ctl._document import DocumentCommands, Draft, draft_text, parse_draft
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._output import Output
-from cicadapond.ctl._processes import show_states, show_view
+from cicadapond.ctl._processes import drain, show_states, show_view, undrain
 from cicadapond.document import DocumentEditor, DocumentStore, KnownNames, hash_key
 from cicadapond.kernel import VirtualClock, run_virtual
 from cicadapond.standin import DirectTables, TableModel
@@ -123,6 +124,20 @@
     assert ([code.name for code in codes], stream.getvalue()) == snapshot
 
 
+def test_an_operators_drain_is_kept_until_it_is_taken_back(snapshot):
+    async def main():
+        clock, stream = VirtualClock(), io.StringIO()
+        model = TableModel(clock, random.Random(1))
+        drains, out = OperatorDrains(DirectTables(model)), Output(stream)
+        codes = [await drain(drains, "e1", "ann", clock, out)]
+        codes.append(await undrain(drains, "e1", out))
+        model.faults.outage = True
+        codes.append(await drain(drains, "e2", "ann", clock, out))
+        return [code.name for code in codes], stream.getvalue()
+
+    assert run_virtual(main()) == snapshot
+
+
 def test_colour_only_where_asked():
     stream = io.StringIO()
     Output(stream, colour=True).table(("a",), [("b",)])
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -1,12 +1,13 @@
 """Program `cicadapond-ctl`: what operators do, from a terminal or a script.
 
     cicadapond-ctl --config=ctl.jsonc document show|check|edit|apply|diff|history|follow ...
-    cicadapond-ctl --config=ctl.jsonc state|hosts|requests|quarantine|lease
+    cicadapond-ctl --config=ctl.jsonc state|hosts|requests|quarantine|lease|drain|undrain ...
 
 Exit codes: 0 done, 1 no answer, 2 usage, 3 rejected, 4 stale, 5 forbidden, 6 unknown, 7 behind.
 """
 
 import asyncio
+import getpass
 import json
 import os
 import pathlib
@@ -20,10 +21,11 @@
 
 from cicadapond.admission import admission_policies
 from cicadapond.capacity import capacity_policies
+from cicadapond.controller import OperatorDrains
 from cicadapond.ctl._document import DocumentCommands, parse_draft
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._output import Output
-from cicadapond.ctl._processes import VIEWS, show_states, show_view
+from cicadapond.ctl._processes import VIEWS, drain, show_states, show_view, undrain
 from cicadapond.data import Endpoint
 from cicadapond.document import DocumentEditor, DocumentStore, KnownNames
 from cicadapond.kernel import (
@@ -39,7 +41,10 @@
 from cicadapond.stream import moving_policies
 
 REQUEST_SECONDS = 2.0
-USAGE = "usage: document show|check|edit|apply|diff|history|follow, or state|" + "|".join(VIEWS)
+USAGE = (
+    "usage: document show|check|edit|apply|diff|history|follow, or state|drain|undrain|"
+    + "|".join(VIEWS)
+)
 
 _CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
 _JSON = flags.DEFINE_bool("json", False, "Print JSON for programs.")
@@ -78,6 +83,7 @@
         self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
         tables = table_services.create(cfg.tables.adapter, cfg.tables, "", self._clock, Metrics())
         store = DocumentStore(tables)
+        self._drains = OperatorDrains(tables)
         known = known_names(cfg)
         editor = DocumentEditor(store, self._clock, random.Random(), known)
         self._document = DocumentCommands(store, editor, self.states, self._clock, out, known)
@@ -96,6 +102,11 @@
                 return await self._document.edit(section, pathlib.Path(target))
             case ["document", ("check" | "diff" | "apply") as command, *paths] if paths:
                 return await self._with_drafts(command, paths, token)
+            case ["drain", server]:
+                by = getpass.getuser()
+                return await drain(self._drains, server, by, self._clock, self._out)
+            case ["undrain", server]:
+                return await undrain(self._drains, server, self._out)
             case ["state", *names]:
                 return show_states(await self.states(), names, self._out)
             case [view] if view in VIEWS:
