Run a controller in each of the demo's data centres

Change: ControllerProcess beside each entry, before the stand-in table service; the stand-in engines run the model version that the document names from the start, as a load takes 20 s. The demo has no stand-in cloud: its controllers order versions and drains, and buy nothing.

--- a/cicadapond/demo/_plan.py
+++ b/cicadapond/demo/_plan.py
@@ -3,16 +3,20 @@
 import datetime
 import importlib.resources
 
+from cicadapond.controller.main import ControllerSettings
 from cicadapond.data import BackendServer, Endpoint, ServerKind
 from cicadapond.document import SECTIONS
 from cicadapond.entry import EntrySettings
 from cicadapond.entry._settings import PeerAddress
 from cicadapond.platform import AdapterSettings, PlatformSettings
+from cicadapond.standin import EngineSettings
 from cicadapond.standin.main import StandinSettings
 
 LOOPBACK = "127.0.0.1"
 ZONES = ("yqr", "yxe", "ywg")
 DEFAULT_PORT = 18080
+MODEL = "shade-model"
+MODEL_VERSION = "2026-11"
 MODEL_POOL = "shade-pool"
 SERVICE = "counter-app"
 ENGINES_PER_ZONE = 2
@@ -26,6 +30,8 @@
 PEER_OFFSET = 200
 ENGINE_OFFSET = 300
 SERVICE_OFFSET = 400
+CONTROLLER_OFFSET = 450
+CONTROLLER_PEER_OFFSET = 460
 TABLES_OFFSET = 500
 OBJECTS_OFFSET = 501
 LAST_OFFSET = 600
@@ -63,6 +69,7 @@
 def demo_standins(first_port: int) -> StandinSettings:
     """Returns the settings of the demo's stand-ins."""
     return StandinSettings(
+        engine=EngineSettings(model=MODEL, version=MODEL_VERSION),
         engines={server.name: server.endpoint for server in demo_engines(first_port)},
         services={server.name: server.endpoint for server in demo_services(first_port)},
         tables=Endpoint(LOOPBACK, first_port + TABLES_OFFSET),
@@ -84,15 +91,38 @@
 
 def demo_platform_entries(first_port: int) -> list[EntrySettings]:
     """Returns the settings of one entry in each data centre, before the stand-in platform."""
+    return _entries(first_port, _platform(first_port), peers=_entry_peers(first_port))
+
+
+def demo_controllers(first_port: int) -> list[ControllerSettings]:
+    """Returns the settings of one controller in each data centre."""
+    platform = _platform(first_port)
+    return [
+        ControllerSettings(
+            name=f"controller-{zone}",
+            zone=zone,
+            admin=Endpoint(LOOPBACK, first_port + CONTROLLER_OFFSET + place),
+            peer=Endpoint(LOOPBACK, first_port + CONTROLLER_PEER_OFFSET + place),
+            tables=platform.tables,
+            platform=platform,
+            seeds=tuple(_entry_peers(first_port)),
+        )
+        for place, zone in enumerate(ZONES)
+    ]
+
+
+def _entry_peers(first_port):
+    return [Endpoint(LOOPBACK, first_port + PEER_OFFSET + n) for n in range(len(ZONES))]
+
+
+def _platform(first_port):
     servers = demo_engines(first_port) + demo_services(first_port)
     standins = demo_standins(first_port)
-    platform = PlatformSettings(
+    return PlatformSettings(
         hosts=AdapterSettings(adapter="static", servers=servers),
         tables=AdapterSettings(adapter="standin", url=f"http://{standins.tables}"),
         objects=AdapterSettings(adapter="standin", url=f"http://{standins.objects}"),
     )
-    peers = [Endpoint(LOOPBACK, first_port + PEER_OFFSET + n) for n in range(len(ZONES))]
-    return _entries(first_port, platform, peers=peers)
 
 
 def demo_texts() -> dict[str, str]:
--- a/cicadapond/demo/demo_test.py
+++ b/cicadapond/demo/demo_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from cicadapond.demo._plan import demo_platform_entries, demo_standins, demo_texts
+from cicadapond.demo._plan import demo_controllers, demo_platform_entries, demo_standins, demo_texts
 from cicadapond.demo.main import run_demo
 from cicadapond.document import KnownNames, check_document
 from cicadapond.kernel import Findings
@@ -14,6 +14,8 @@
 def endpoints(first_port):
     standins = demo_standins(first_port)
     entries = demo_platform_entries(first_port)
+    for cfg in demo_controllers(first_port):
+        yield from (cfg.admin, cfg.peer)
     yield from standins.engines.values()
     yield from standins.services.values()
     yield from (standins.tables, standins.objects)
@@ -35,7 +37,8 @@
     lines = capsys.readouterr().out.splitlines()
     assert lines[-1] == f"ready http://127.0.0.1:{first_port}/v1/completions"
     kinds = [line.split()[0] for line in lines]
-    assert (kinds.count("entry"), kinds.count("engine"), kinds.count("service")) == (3, 6, 3)
+    counts = [kinds.count(kind) for kind in ("entry", "control", "engine", "service")]
+    assert counts == [3, 3, 6, 3]
 
 
 def test_the_demo_document_holds():
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -8,6 +8,7 @@
 from absl import app, flags
 from absl import logging as absl_logging
 
+from cicadapond.controller.main import ControllerProcess
 from cicadapond.demo._plan import (
     DEFAULT_PORT,
     DEMO_HEADERS,
@@ -15,6 +16,7 @@
     LOOPBACK,
     OPERATOR_KEY,
     SERVICE,
+    demo_controllers,
     demo_platform_entries,
     demo_standins,
     demo_texts,
@@ -63,6 +65,8 @@
     await write_document(settings[0])
     entries = [EntryProcess(cfg) for cfg in settings]
     await asyncio.gather(*(entry.start() for entry in entries))
+    controllers = [ControllerProcess(cfg) for cfg in demo_controllers(first_port)]
+    await asyncio.gather(*(controller.start() for controller in controllers))
     _print_addresses(first_port, settings)
     for cfg in settings:
         await _ask_until_answered(cfg)
@@ -71,6 +75,7 @@
         await asyncio.wait_for(stop.wait(), duration or None)
     except TimeoutError:
         absl_logging.info("the demo's time is over")
+    await asyncio.gather(*(controller.stop() for controller in controllers))
     await asyncio.gather(*(entry.stop() for entry in entries))
     await standins.stop()
 
@@ -99,6 +104,8 @@
     for cfg in settings:
         print(f"entry    {cfg.name:20} http://{cfg.http}")
         print(f"admin    {cfg.name:20} http://{cfg.admin}/debug/state")
+    for cfg in demo_controllers(first_port):
+        print(f"control  {cfg.name:20} http://{cfg.admin}/debug/state")
     for kind, found in (("engine", standins.engines), ("service", standins.services)):
         for name, endpoint in found.items():
             print(f"{kind:8} {name:20} http://{endpoint}")
