Keep routing and moving when the document names a policy that this release lacks

Cause: an unknown name in `policies.routing` raised in each request, one in `policies.moving` ended the task that empties a noticed engine.

Change: both take the default policy then. Tests: one of each, which raised before.

--- a/cicadapond/entry/_mover.py
+++ b/cicadapond/entry/_mover.py
@@ -7,6 +7,7 @@
 
 from cicadapond.backend import NotSent
 from cicadapond.data import split_tokens
+from cicadapond.document import PolicyIntent
 from cicadapond.entry._attempt import Attempt, Moved
 from cicadapond.kernel import Ok, Unavailable, seconds
 from cicadapond.routing import ServerView, serves
@@ -99,7 +100,8 @@
     def _current_policy(self):
         name = self._parts.intent().policies.moving
         if name != self._policy_name:
-            self._policy = moving_policies.create(name, self._cfg)
+            known = name if name in moving_policies.names() else PolicyIntent().moving
+            self._policy = moving_policies.create(known, self._cfg)
             self._policy_name = name
         return self._policy
 
--- a/cicadapond/entry/completion_test.py
+++ b/cicadapond/entry/completion_test.py
@@ -158,7 +158,7 @@
     assert on_bench(body, engines=1) == [1]
 
 
-@pytest.mark.parametrize("policy", ["restart", "replay", "export"])
+@pytest.mark.parametrize("policy", ["restart", "replay", "export", "of-a-later-release"])
 def test_a_noticed_engine_is_emptied_and_every_answer_is_whole(policy):
     async def body(bench):
         policies = bench.intent.policies
--- a/cicadapond/routing/_document.py
+++ b/cicadapond/routing/_document.py
@@ -5,13 +5,15 @@
 
 import attrs
 
-from cicadapond.document import Intent
+from cicadapond.document import Intent, PolicyIntent
 from cicadapond.routing._api import Router, RouterSettings, routers
 
 
 class DocumentRouter(Router):
     """Passes each decision to the policy that the document names.
 
+    A name that this release lacks gets the default policy, so that requests go on.
+
     Args:
       intent: Returns the document in force.
       rng: Breaks ties.
@@ -45,7 +47,8 @@
         if self._chosen is not None and name == self._chosen[0]:
             self._policy.cfg = cfg
         else:
-            self._policy = routers.create(name, cfg, self.rng)
+            known = name if name in routers.names() else PolicyIntent().routing
+            self._policy = routers.create(known, cfg, self.rng)
 
     def choose(self, req, views, now):
         return self.policy.choose(req, views, now)
--- a/cicadapond/routing/scored_test.py
+++ b/cicadapond/routing/scored_test.py
@@ -146,3 +146,9 @@
     assert router.policy is before
     assert router.policy.cfg.recompute_weight == 0.0
     assert chosen(router, LONG, views) == "b"
+
+
+def test_a_policy_that_this_release_lacks_does_not_stop_requests():
+    intent = Intent(policies=PolicyIntent(routing="of-a-later-release"))
+    router = DocumentRouter(lambda: intent, random.Random(1))
+    assert chosen(router, QUICK, [make_view("a")]) == "a"
