--- a/cicadapond/experiments/slopes.py
+++ b/cicadapond/experiments/slopes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import gc
 import random
 import socket
@@ -20,6 +21,7 @@
 from cicadapond.peer import Digest, PeerSettings, PeerTask, TcpTransport, owner
 
 LOOPBACK = "127.0.0.1"
+PORTS = (24_000, 25_000)
 SETTLE = seconds(15)
 MEASURE = seconds(10)
 PUBLISH = seconds(1)
@@ -83,12 +85,14 @@
 
 
 def _free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((LOOPBACK, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Returns free ports below those that outgoing connections are given."""
+    ports = []
+    candidate = random.randrange(*PORTS)
+    while len(ports) < count:
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, candidate))
+            ports.append(candidate)
+        candidate = candidate + 1 if candidate + 1 < PORTS[1] else PORTS[0]
     return ports
 
 
--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -104,7 +104,8 @@
         pending.documents[name, wide] = min(known, base)
         pending.urgent |= section in URGENT
 
-    def _flush(self, pending, names):
+    def _flush(self, pending, names) -> int:
+        """Sends what is pending; returns how many items that were."""
         names = tuple(names)
         members = [self._line(name) for name in pending.members if self._line(name)]
         documents = [
@@ -114,9 +115,12 @@
         pending.members.clear()
         pending.documents.clear()
         pending.urgent = False
-        if names:
-            found = [entry for entry in documents if entry[3] is not None]
-            self._outputs.extend(Send(names, news) for news in self._news(members, found))
+        if not names:
+            return 0
+        found = [entry for entry in documents if entry[3] is not None]
+        messages = self._news(members, found)
+        self._outputs.extend(Send(names, news) for news in messages)
+        return sum(len(change.items) for news in messages for change in news.changes)
 
     def _news(self, members, documents):
         """Returns messages of bounded size with these lines and the documents' newer items."""
@@ -171,16 +175,20 @@
 
     # Comparing versions
 
-    def _versions(self, zone, with_local):
-        """Returns the versions of a data centre's members; of local documents only inside it."""
+    def _versions(self, zone, neighbour):
+        """Returns the versions of a data centre's members.
+
+        Local documents are compared only between their owner and a neighbour, a process of the
+        same data centre; None asks a process of another one.
+        """
         versions = {}
         for record in self.records.values():
             if zone is None or record.zone == zone:
-                local = record.local.version if with_local else 0
+                local = record.local.version if record.name == neighbour else 0
                 state = record.state.value
                 versions[record.name] = (record.incarnation, state, record.wide.version, local)
         if zone is None or zone == self.cfg.zone:
-            local = self._writer.local.version if with_local else 0
+            local = self._writer.local.version if neighbour else 0
             own = (self.incarnation, self.state.value, self._writer.wide.version, local)
             versions[self.cfg.name] = own
         return versions
@@ -193,7 +201,8 @@
         own = self._rng.random() < OWN_ZONE_SHARE
         zone = self.cfg.zone if own else self._rng.choice(sorted(zones))
         partner = self._rng.choice(sorted(names))
-        versions = self._versions(zone, self.links[partner].zone == self.cfg.zone)
+        near = self.links[partner].zone == self.cfg.zone
+        versions = self._versions(zone, partner if near else None)
         self._outputs.append(Send((partner,), Sync(zone, versions)))
         other = self._rng.choice(sorted(names))
         self._outputs.append(Send((other,), Summary(self._checksums())))
@@ -207,16 +216,16 @@
                 zones.setdefault(record.zone, []).append(line)
         return {zone: zlib.crc32(repr(sorted(lines)).encode()) for zone, lines in zones.items()}
 
-    def _differences(self, checksums, with_local):
+    def _differences(self, checksums, neighbour):
         """Returns questions about the data centres of which the other has another list."""
         mine = self._checksums()
         zones = sorted(mine.keys() | checksums.keys())
         differing = [zone for zone in zones if mine.get(zone) != checksums.get(zone)]
         chosen = self._rng.sample(differing, min(ZONES_ASKED_AT_ONCE, len(differing)))
-        return [Sync(zone, self._versions(zone, with_local)) for zone in chosen]
+        return [Sync(zone, self._versions(zone, neighbour)) for zone in chosen]
 
-    def _answer(self, question, with_local):
-        mine = self._versions(question.zone, with_local)
+    def _answer(self, question, neighbour):
+        mine = self._versions(question.zone, neighbour)
         if question.listed_only:
             mine = {name: mine[name] for name in question.versions if name in mine}
         members, documents = [], []
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -30,8 +30,10 @@
 from cicadapond.peer._wire import Ack, Beat, Identity, News, ProbeReply, ProbeRequest, Summary, Sync
 
 PROBES = 3
-# With more members than so many, ordinary news of each leaves at longer intervals.
-NEWS_MEMBERS = 20
+# Ordinary news to the data centre waits until what was sent last has taken its share of a second.
+NEWS_BYTES_PER_SECOND = 2500
+ITEM_BYTES = 22
+LONGEST_NEWS_INTERVAL = datetime.timedelta(seconds=20)
 REMEMBERED_BEATS = 8
 _ZERO = datetime.timedelta()
 _SECOND = datetime.timedelta(seconds=1)
@@ -106,8 +108,10 @@
         if self._due("beat", now, self.cfg.beat):
             links = self._local_links()
             self._first_relays.clear()
-            if self._due("news", now, self._news_interval(links)):
-                self._flush(self._local, links)
+            if now >= self._next["news"]:
+                sent = self._flush(self._local, links) * len(links)
+                interval = sent * ITEM_BYTES / NEWS_BYTES_PER_SECOND * _SECOND
+                self._next["news"] = now + min(interval, LONGEST_NEWS_INTERVAL)
             self._beat(now, links)
             self._check_members(now)
         if self._due("sync", now, self.cfg.sync):
@@ -116,10 +120,6 @@
             self._sweep(now)
         self._check_links(now)
 
-    def _news_interval(self, links):
-        """Widens with the data centre, so that all its members' news stays within bounds."""
-        return self.cfg.beat * max(1.0, len(links) / NEWS_MEMBERS)
-
     def outputs(self) -> list:
         """Returns what to do since the last call, urgent news included."""
         if self._local.urgent:
@@ -150,7 +150,7 @@
         if record.zone == self.cfg.zone:
             self._send_own(name)
         if record.zone != self.cfg.zone or first:
-            versions = self._versions(None, record.zone == self.cfg.zone)
+            versions = self._versions(None, self._neighbour(record))
             self._outputs.append(Send((name,), Sync(None, versions)))
         self._beat(now, (name,))
 
@@ -193,9 +193,9 @@
                 for change in changes:
                     self._apply(record, change, now)
             case Sync():
-                return self._answer(message, record.zone == self.cfg.zone)
+                return self._answer(message, self._neighbour(record))
             case Summary(checksums):
-                return self._differences(checksums, record.zone == self.cfg.zone)
+                return self._differences(checksums, self._neighbour(record))
             case ProbeRequest(target):
                 return [ProbeReply(target, self._probe_age(target, now))]
             case ProbeReply(target, age) if age is not None and target in self.records:
@@ -203,6 +203,9 @@
                 probed.vouched = max(probed.vouched, now - age * _MILLISECOND)
         return []
 
+    def _neighbour(self, record):
+        return record.name if record.zone == self.cfg.zone else None
+
     def hello(self, identity: Identity, now: datetime.timedelta) -> bool:
         """Takes the first message of a connection.
 
