Forget drains of hosts that are gone

Cause: a host reclaimed while it drained stayed in the controller's list of drains, and the book of numbers grew with every host that ever drained. Change: each reading of the cloud's hosts drops what is remembered of servers that are gone. Conclusion: the test fails without the change.

--- a/cicadapond/controller/_drains.py
+++ b/cicadapond/controller/_drains.py
@@ -33,6 +33,10 @@
     def in_flight(self, server: str) -> int:
         """Returns the requests on a server by the count of all processes."""
 
+    def forget(self, known: set[str]) -> None:
+        """Drops what is remembered of servers that are gone."""
+        return None
+
 
 class PeerDrains(Drains):
     """Drains told and acknowledged by digests.
@@ -91,9 +95,9 @@
             if member.state in alive
         )
 
-    def forget(self, listed: set[str]) -> None:
-        """Drops servers that are gone for long."""
-        self._book.forget(listed)
+    def forget(self, known):
+        self._begun &= known
+        self._book.forget(known)
 
     def _hear(self, member):
         numbers = {**member.digest.drains, **member.digest.leaving}
--- a/cicadapond/controller/_observer.py
+++ b/cicadapond/controller/_observer.py
@@ -41,6 +41,8 @@
         noticed = {notice.server for notice in notices or ()} | self._reported_leaving(known)
         await self._read_sizes(intent)
         await self._read_ordered()
+        if hosts is not None:
+            parts.drains.forget(set(known))
         own = [found for found in known.values() if found.zone == parts.zone]
         return Observed(
             now=parts.clock.monotonic(),
--- a/cicadapond/controller/task_test.py
+++ b/cicadapond/controller/task_test.py
@@ -84,6 +84,21 @@
     assert run(scene) == (REPLICAS, 2 * REPLICAS)
 
 
+def test_a_drained_host_that_is_reclaimed_is_forgotten():
+    async def scene(world):
+        await world.start()
+        await world.clock.sleep(READY)
+        host, *_ = world.cloud.list_hosts()
+        drains = [task._parts.drains for task in world.controllers]
+        for drain in drains:
+            drain.begin(host.server.name)
+        world.cloud.reclaim(host.host_id, seconds(1))
+        await world.clock.sleep(READY)
+        return [host.server.name in drain.draining() for drain in drains]
+
+    assert run(scene) == [False] * len(ZONES)
+
+
 def test_a_backlog_is_not_bought_one_to_one():
     """A backlog at most doubles the load that counts; with utilisation and spare, times four."""
 
