Plan with the default policy when the document names one that this release lacks

Cause: an unknown capacity policy raised and ended the controller's task. Change: the default policy plans instead. Conclusion: a test of the decision; other sections of such a document stay in force as they are.

--- a/cicadapond/controller/_hosts.py
+++ b/cicadapond/controller/_hosts.py
@@ -17,7 +17,7 @@
 )
 from cicadapond.controller._memory import ControlMemory
 from cicadapond.controller._observed import Observed
-from cicadapond.document import Intent
+from cicadapond.document import Intent, PolicyIntent
 
 OLD_RANK = 0
 CURRENT_RANK = 1
@@ -53,7 +53,7 @@
         return HostDecision()
     _remember(seen, memory)
     view = capacity_view(intent, seen, memory, outdated)
-    plan = capacity_policies.create(intent.policies.capacity).plan(view)
+    plan = _policy(intent).plan(view)
     planned = collections.Counter()
     for target, count in plan.items():
         if target.zone == seen.zone:
@@ -64,6 +64,13 @@
     return HostDecision(found.buys, let_go, dict(planned))
 
 
+def _policy(intent):
+    """Returns the document's policy; the default if this release lacks it."""
+    name = intent.policies.capacity
+    known = name in capacity_policies.names()
+    return capacity_policies.create(name if known else PolicyIntent().capacity)
+
+
 def capacity_view(intent, seen, memory, outdated) -> CapacityView:
     """Returns what the capacity policy decides on."""
     old = frozenset().union(*outdated.values())
--- a/cicadapond/controller/reconcile_test.py
+++ b/cicadapond/controller/reconcile_test.py
@@ -6,6 +6,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from cicadapond.controller import (
@@ -20,7 +21,7 @@
     reconcile,
 )
 from cicadapond.data import BackendServer, Endpoint, EngineState, Market, ServerKind
-from cicadapond.document import CostIntent, Intent, MachineClass, ModelIntent
+from cicadapond.document import CostIntent, Intent, MachineClass, ModelIntent, PolicyIntent
 from cicadapond.kernel import seconds
 from cicadapond.platform import CloudHost, Price
 
@@ -189,6 +190,11 @@
     assert decide("e1 m@2\ne2 m@2", hosts=hosts) == ["release host-e3"]
 
 
+def test_a_capacity_policy_of_another_release_leaves_the_default_in_force():
+    intent = attrs.evolve(intent_of(), policies=PolicyIntent(capacity="of-next-year"))
+    assert decide("e1 m@2", intent, hosts=[host_of("e1")]) == ["buy a"]
+
+
 def test_without_the_cloud_nothing_is_bought_or_released():
     assert decide("e1 m@2\ne2 m@2\ne3 m@2", intent_of(replicas=9)) == []
     assert decide("e1 m@2\ne2 m@2\ne3 m@2", intent_of(replicas=1)) == []
