--- a/cicadapond/scenario/_script.py
+++ b/cicadapond/scenario/_script.py
@@ -25,7 +25,6 @@
     entries: int = 1
     engines: int = 2
     services: int = 1
-    controllers: int = 0
 
 
 @attrs.frozen
--- a/cicadapond/scenario/_world.py
+++ b/cicadapond/scenario/_world.py
@@ -9,8 +9,6 @@
 import json
 import random
 
-import attrs
-
 from cicadapond.admission import CapacitySettings
 from cicadapond.data import Endpoint
 from cicadapond.document import (
@@ -54,7 +52,7 @@
     Stopping,
 )
 from cicadapond.scenario._script import Script
-from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
+from cicadapond.standin import DirectHostList, DirectObjects, DirectTables, ObjectModel, TableModel
 
 PEER_HOST = "10.1.0.1"
 SEEDS = 3
@@ -237,7 +235,7 @@
         peer_cfg = PeerSettings(process.name, process.zone, endpoint, seeds=seeds)
         transport = MemoryTransport(self.peer_network, endpoint)
         edges = Edges(
-            hosts=NodeHostList(_Direct(list=self._list_hosts), node),
+            hosts=NodeHostList(DirectHostList(self.backends.host_list), node),
             peers=PeerTask(peer_cfg, transport, clock, metrics, self._random()),
             storage=BudgetedTables(tables, BudgetSettings(), clock, metrics, rng),
             objects=NodeObjects(DirectObjects(self.objects), node),
@@ -252,9 +250,6 @@
         """Returns the fault switches of the table service and the object store."""
         return [self.tables.faults, self.objects.faults]
 
-    async def _list_hosts(self):
-        return Ok(self.backends.host_list.listing())
-
     def _peers_separated(self, here, there):
         """Tells whether no message passes between two processes now."""
         ends = [found for found in self.entries.values() if found.endpoint in (here, there)]
@@ -320,13 +315,6 @@
         return random.Random(self.rng.random())
 
 
-@attrs.frozen
-class _Direct:
-    """A client of a stand-in given by functions."""
-
-    list: object
-
-
 def first_document(script: Script) -> dict[str, str]:
     """Returns the sections of the document that a scenario begins with."""
     engines = sum(zone.engines for zone in script.zones)
