Keep tests on sockets from depending on the machine's speed

Cause: two tests failed once each on a busy machine: an idle limit of 50 ms closed the connection of a test that does not ask for one, and a silence limit of 0.3 s ran out while connecting. Change: the short limits belong to the tests of limits alone; the silence limit is 2 s.

--- a/cicadapond/entry/http_test.py
+++ b/cicadapond/entry/http_test.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 
+import attrs
 import pytest
 import tornado.curl_httpclient
 import tornado.httpserver
@@ -22,7 +23,8 @@
 
 KEY = "counter-key"
 AUTHORIZED = {"Authorization": f"Bearer {KEY}"}
-LIMITS = HttpLimits(
+LIMITS = HttpLimits(max_body_bytes=1000)
+SHORT_LIMITS = HttpLimits(
     max_body_bytes=1000,
     header_timeout=seconds(0.05),
     body_timeout=seconds(0.05),
@@ -87,15 +89,15 @@
 class Served:
     """A server of the caller API on a free port."""
 
-    def __init__(self, core):
+    def __init__(self, core, limits=LIMITS):
         self.core = core
-        self.parts = CallerParts(core, LoopClock(), Metrics(), LIMITS, InFlight())
+        self.parts = CallerParts(core, LoopClock(), Metrics(), limits, InFlight())
 
     async def __aenter__(self):
         self._server = tornado.httpserver.HTTPServer(
             caller_application(self.parts),
-            idle_connection_timeout=LIMITS.header_timeout.total_seconds(),
-            body_timeout=LIMITS.body_timeout.total_seconds(),
+            idle_connection_timeout=self.parts.limits.header_timeout.total_seconds(),
+            body_timeout=self.parts.limits.body_timeout.total_seconds(),
             max_body_size=1 << 40,
         )
         socket, self.port = tornado.testing.bind_unused_port()
@@ -259,7 +261,7 @@
 
 def test_slow_headers_and_bodies_are_cut():
     async def run():
-        async with Served(FakeCore()) as served:
+        async with Served(FakeCore(), SHORT_LIMITS) as served:
             for sent in (b"POST /v1/completions HT", raw_request('{"mod', length=50)):
                 reader, writer = await served.connect()
                 writer.write(sent)
@@ -304,7 +306,8 @@
     core = FakeCore(text="w" * 10_000, endless=True)
 
     async def run():
-        async with Served(core) as served:
+        limits = attrs.evolve(LIMITS, write_timeout=SHORT_LIMITS.write_timeout)
+        async with Served(core, limits) as served:
             _, writer = await served.connect()
             writer.write(raw_request(ENDLESS))
             await core.started.wait()
--- a/cicadapond/plugins/service_http_test.py
+++ b/cicadapond/plugins/service_http_test.py
@@ -18,6 +18,9 @@
 CHARGE = ServiceCall("r1", "a", "ledger", "POST", "/charges", (("Idempotency-Key", "k1"),), b"{}")
 
 
+SILENCE = seconds(2)  # long enough to connect on a busy machine
+
+
 def adapter(port):
     endpoint = Endpoint("127.0.0.1", port)
     server = BackendServer("ledger-1", ServerKind.SERVICE, "ledger", "yqr", endpoint)
@@ -71,7 +74,7 @@
 def test_silence_is_unknown():
     async def check(model, service):
         model.faults.silent = 1.0
-        assert isinstance(await service.call(CHARGE, seconds(0.3), fresh=True), Unknown)
+        assert isinstance(await service.call(CHARGE, SILENCE, fresh=True), Unknown)
 
     with_service(check)
 
