Never mix model versions in a durable answer that another entry goes on with

Ruled out: streams of callers who wait; their runner fixes the version with the first token. Conclusion: whole answers hold through a version change with entry deaths.

--- a/cicadapond/entry/_completion.py
+++ b/cicadapond/entry/_completion.py
@@ -41,6 +41,7 @@
 
 STATUS_POISON = 422
 STATUS_DEADLINE = 504
+STATUS_NO_VERSION = 410
 MAX_DOUBLINGS = 6
 NOT_REACHED = (BreakKind.UNREACHABLE, BreakKind.REFUSED)
 
@@ -140,6 +141,7 @@
         self._trial_left = 0
         self._blocks = ()
         self._hashed_tokens: int | None = None
+        self._began = False
 
     async def go(self):
         """Runs attempts until there is an outcome."""
@@ -196,10 +198,17 @@
         if deadline is not None and now >= deadline:
             return self._no_answer("the deadline has passed", STATUS_DEADLINE)
         waited = now - self._idle_since
+        if self._req.durable and waited >= self._cfg.server_wait and self._is_version_retired():
+            return Failed(f"no engine runs version {self._version!r} any more", STATUS_NO_VERSION)
         if deadline is None and not self._req.durable and waited >= self._cfg.server_wait:
             return self._no_answer(f"no engine of pool {self._pool!r} takes work", 503)
         return None
 
+    def _is_version_retired(self):
+        """Whether the answer began with a version that the document no longer wants."""
+        model = self._parts.intent().models.get(self._req.model)
+        return bool(self._answer.tokens) and model is not None and model.version != self._version
+
     def _no_answer(self, reason, status, retry_after=None):
         if self._reached:
             return Failed(reason, status)
@@ -314,6 +323,9 @@
             self._trial_left -= len(tokens)
             if self._trial_left <= 0:
                 self._quarantine.progressed(self._ticket)
+        if not self._began:
+            self._began = True
+            self._sink.began(self._version)
         await self._sink.tokens(tokens)
 
     def _take_move(self, name) -> Moved | None:
--- a/cicadapond/entry/_core.py
+++ b/cicadapond/entry/_core.py
@@ -137,14 +137,15 @@
         return await self._durable.lookup(request_id, account)
 
     async def follow(
-        self, request_id: str, account: str, sink: CompletionSink, after: int
+        self, request_id: str, account: str, sink: CompletionSink, after: int, version: str = ""
     ) -> Ok[Finished] | NotRun | Failed:
-        """Streams a durable request's tokens, leaving out the first `after`."""
-        return await self._durable.follow(request_id, account, sink, after)
+        """Streams a durable request's tokens, leaving out the first `after` of a version."""
+        return await self._durable.follow(request_id, account, sink, after, version)
 
-    async def _run_durable(self, req, sink, resume):
+    async def _run_durable(self, req, sink, resume, version):
         model = self.intent.models.get(req.model)
         if model is None:
             return NotRun(f"no model {req.model!r} now")
         ticket = completion_ticket(req, model, self.parts.clock.monotonic())
-        return await self._with_slot(ticket, lambda: self._completions.run(req, sink, resume))
+        run = self._completions.run
+        return await self._with_slot(ticket, lambda: run(req, sink, resume, version or None))
--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from cicadapond.data import Completion, Finished, Token
+from cicadapond.entry._completion import STATUS_NO_VERSION
 from cicadapond.entry._parts import Parts
 from cicadapond.entry._sink import CompletionSink
 from cicadapond.journal import (
@@ -24,8 +25,9 @@
 
 ABSENT = 404
 NOT_SUPPORTED = 501
+STATUS_CHANGED = 409
 RunCompletion = collections.abc.Callable[
-    [Completion, CompletionSink, tuple[str, ...]],
+    [Completion, CompletionSink, tuple[str, ...], str],
     collections.abc.Awaitable[Ok[Finished] | NotRun | Failed],
 ]
 
@@ -51,7 +53,8 @@
 
     Args:
       parts: What the decisions of the process share.
-      run_completion: Generates a completion, given the tokens that exist already.
+      run_completion: Generates a completion, given the tokens that exist already and the model
+        version that gave them ("" without any).
       cfg: The journal's settings.
       process: The entry's name.
     """
@@ -127,7 +130,12 @@
         return Ok(DurableRequest(row.value, tuple(reader.tokens)))
 
     async def follow(
-        self, request_id: str, account: str, sink: CompletionSink, after: int = 0
+        self,
+        request_id: str,
+        account: str,
+        sink: CompletionSink,
+        after: int = 0,
+        version: str = "",
     ) -> Ok[Finished] | NotRun | Failed:
         """Streams a request's durable tokens, at any entry.
 
@@ -138,9 +146,11 @@
           account: Whose it must be.
           sink: Takes the tokens.
           after: How many tokens the caller has already.
+          version: The model version that gave those, "" if the caller does not say.
 
         Returns:
-          Ok with the answer's end once all tokens are passed on, NotRun or Failed.
+          Ok with the answer's end once all tokens are passed on, NotRun, or Failed; so if the
+          answer began again under another version after the caller had tokens of it.
         """
         reader = self._reader(request_id)
         row = None if reader is None else await reader.poll()
@@ -151,18 +161,28 @@
             if isinstance(row, Ok) and row.value is None:
                 return NotRun(f"no request {request_id!r}", status=ABSENT)
             if isinstance(row, Ok):
+                if after and version and reader.version != version:
+                    return Failed("the answer began again with another version", STATUS_CHANGED)
+                version = reader.version
+                sink.began(version)
                 after = await _pass_tokens(sink, row.value.epoch, reader.tokens, after)
                 end = _end(row.value, reader.tokens)
                 if end is not None:
                     return end
-            after = await self._follow_here(request_id, sink, after)
+            after = await self._follow_here(request_id, sink, after, version)
             await self._parts.clock.sleep(self._cfg.poll_interval)
             row = await reader.poll()
 
-    async def _follow_here(self, request_id, sink, after):
-        """Streams while the request is this process's; returns how many tokens are passed on."""
+    async def _follow_here(self, request_id, sink, after, version):
+        """Streams while the request is this process's and its version the same.
+
+        Returns:
+          How many tokens are passed on.
+        """
         journal = self._journal
         while (tokens := journal.durable_tokens(request_id)) is not None:
+            if journal.version(request_id) != version:
+                return after
             after = await _pass_tokens(sink, 0, tokens, after)
             if journal.durable_tokens(request_id) == tokens:
                 await journal.changed(request_id)
@@ -241,8 +261,9 @@
         if tokens is None:
             return None
         sink = _JournalSink(self._journal, req.request_id, len(tokens))
+        version = self._journal.version(req.request_id)
         try:
-            return await self._run_completion(req, sink, tokens)
+            return await self._run_completion(req, sink, tokens, version)
         except Exception as exc:
             self._parts.metrics.count("durable_run_errors")
             logging.exception("durable request %s failed to run", req.request_id)
@@ -256,6 +277,10 @@
             case Ok(finished) if finished.length == len(self._journal.tokens(req.request_id)):
                 await self._journal.finish(req.request_id, finished, term)
                 return True
+            case Failed(_, status) if status == STATUS_NO_VERSION:
+                self._parts.metrics.count("durable_restarts")
+                self._journal.begin(req.request_id, "")
+                return False
             case Failed(reason, status):
                 self._journal.fail(req.request_id, reason, status, term)
                 return True
@@ -281,6 +306,10 @@
         self._request_id = request_id
         self._length = length
 
+    def began(self, version):
+        if self._journal.has(self._request_id):
+            self._journal.begin(self._request_id, version)
+
     async def tokens(self, tokens):
         fresh = []
         for token in tokens:
--- a/cicadapond/entry/_http_requests.py
+++ b/cicadapond/entry/_http_requests.py
@@ -20,15 +20,15 @@
         await self.serve(self._answer())
 
     async def _answer(self):
-        after = read_event_id(self.request.headers.get("Last-Event-ID"))
-        if after is None:
+        seen = read_event_id(self.request.headers.get("Last-Event-ID"))
+        if seen is None:
             self.refuse(NotRun("Last-Event-ID is not one of this stream's numbers", status=400))
             return
         found = await self.parts.core.lookup(self.request_id, self.account)
         if not isinstance(found, Ok):
             self.refuse(found)
         elif EVENT_STREAM in self.request.headers.get("Accept", ""):
-            await self._stream(found.value, after)
+            await self._stream(found.value, seen)
         else:
             self._tell(found.value)
 
@@ -52,11 +52,12 @@
             outcome = body["problem"]["outcome"]
         self.answer_json(body, outcome=outcome)
 
-    async def _stream(self, durable, after):
+    async def _stream(self, durable, seen):
         shape = self._shape(durable)
         sink = _ResumableSink(self, shape)
         core = self.parts.core
-        outcome = await core.follow(self.request_id, self.account, sink, after)
+        after, version = seen
+        outcome = await core.follow(self.request_id, self.account, sink, after, version)
         if not isinstance(outcome, Ok):
             await self.end_stream_with(outcome, sink.started)
             return
@@ -66,13 +67,17 @@
 
 
 class _ResumableSink(CompletionSink):
-    """Passes tokens on as server-sent events whose ids count the tokens."""
+    """Passes tokens on as server-sent events whose ids count the tokens of a model version."""
 
     def __init__(self, handler, shape):
         self._handler = handler
         self._shape = shape
+        self._version = ""
         self.started = False
 
+    def began(self, version):
+        self._version = version
+
     def start(self):
         """Writes the headers, once."""
         if not self.started:
@@ -82,13 +87,20 @@
     async def tokens(self, tokens):
         self.start()
         text = self._shape.text_event("".join(token.text for token in tokens))
-        await self._handler.send(f"id: {tokens[-1].sequence + 1}\n{text}")
+        event_id = format_event_id(tokens[-1].sequence + 1, self._version)
+        await self._handler.send(f"id: {event_id}\n{text}")
+
+
+def format_event_id(count: int, version: str) -> str:
+    """Returns an event's id: how many tokens of which model version a caller has with it."""
+    return f"{count}.{version}" if version else str(count)
 
 
-def read_event_id(header: str | None) -> int | None:
-    """Returns how many tokens a caller has, 0 without a header, None if it makes no sense."""
+def read_event_id(header: str | None) -> tuple[int, str] | None:
+    """Returns the tokens and the model version that a caller has; None if it makes no sense."""
     if not header:
-        return 0
-    if not header.isascii() or not header.isdecimal() or len(header) > MAX_EVENT_ID_DIGITS:
+        return 0, ""
+    count, _, version = header.partition(".")
+    if not count.isascii() or not count.isdecimal() or len(count) > MAX_EVENT_ID_DIGITS:
         return None
-    return int(header)
+    return int(count), version
--- a/cicadapond/entry/durable_test.py
+++ b/cicadapond/entry/durable_test.py
@@ -8,8 +8,9 @@
 
 from cicadapond.data import Completion, Finished, Token
 from cicadapond.document import Intent, PolicyIntent
+from cicadapond.entry._completion import STATUS_NO_VERSION
 from cicadapond.entry._core import CompletionSink
-from cicadapond.entry._durable import DurableRequests
+from cicadapond.entry._durable import STATUS_CHANGED, DurableRequests
 from cicadapond.entry._parts import Parts
 from cicadapond.journal import JournalSettings, RequestState
 from cicadapond.kernel import (
@@ -75,7 +76,7 @@
         entry.start()
         return entry
 
-    async def generate(self, req, sink, resume):
+    async def generate(self, req, sink, resume, version):
         if self.outcome is not None:
             return self.outcome
         texts = answer(req)
@@ -292,3 +293,41 @@
     if fault == "death":
         await entries[place].close()
         entries[place] = world.entry()
+
+
+class TwoVersions(World):
+    """Its engines run one model version at a time; an answer of another cannot go on."""
+
+    version = "v1"
+
+    async def generate(self, req, sink, resume, version):
+        if version not in ("", self.version):
+            return Failed("retired", STATUS_NO_VERSION)
+        texts = tuple(f"{self.version}-{n} " for n in range(req.max_tokens))
+        assert texts[: len(resume)] == resume
+        sink.began(self.version)
+        for sequence in range(len(resume), len(texts)):
+            await asyncio.sleep(TOKEN_SECONDS)
+            await sink.tokens((Token(1, sequence, texts[sequence]),))
+        return Ok(Finished(1, len(texts), "length"))
+
+
+def test_an_answer_never_mixes_versions_after_an_entry_death():
+    async def main():
+        world = TwoVersions()
+        first, second = world.entry(), world.entry()
+        await first.accept(REQ)
+        sink = Collected()
+        following = asyncio.ensure_future(second.follow("r1", "co-op", sink))
+        await asyncio.sleep(5)
+        world.version = "v2"
+        await first.close()
+        found = await world.wait_for_end(second, "r1")
+        assert found.row.version == "v2"
+        assert set(text.partition("-")[0] for text in found.tokens) == {"v2"}
+        assert len(found.tokens) == REQ.max_tokens
+        outcome = await following
+        assert isinstance(outcome, Failed) and outcome.status == STATUS_CHANGED
+        assert sink.texts and all(text.startswith("v1-") for text in sink.texts)
+
+    run_virtual(main())
--- a/cicadapond/entry/http_test.py
+++ b/cicadapond/entry/http_test.py
@@ -344,7 +344,7 @@
         self.asked.append((request_id, account))
         return self.found
 
-    async def follow(self, request_id, account, sink, after):
+    async def follow(self, request_id, account, sink, after, version):
         for number, text in list(enumerate(self.found.value.tokens))[after:]:
             await sink.tokens((Token(1, number, text),))
         return Ok(Finished(1, 2, "length"))
--- a/cicadapond/entry/keyed_http_test.py
+++ b/cicadapond/entry/keyed_http_test.py
@@ -115,4 +115,4 @@
     path = accepted.headers["Location"]
     stream = await ask(second, path, Accept="text/event-stream", Last_Event_ID="15")
     text = stream.body.decode()
-    assert "id: 20\n" in text and text.rstrip().endswith("data: [DONE]")
+    assert "id: 20.2026-11\n" in text and text.rstrip().endswith("data: [DONE]")
--- a/cicadapond/experiments/durable.py
+++ b/cicadapond/experiments/durable.py
@@ -129,7 +129,7 @@
             await asyncio.sleep(RESTART_SECONDS)
             self._entries[place] = self._new_entry()
 
-    async def _generate(self, req, sink, resume):
+    async def _generate(self, req, sink, resume, version):
         texts = _answer(req.request_id)
         if req.request_id in self._last:
             self.stalls.append(self.clock.monotonic() - self._last[req.request_id])
--- a/cicadapond/journal/_adoption.py
+++ b/cicadapond/journal/_adoption.py
@@ -7,11 +7,12 @@
 import attrs
 import msgpack
 
-from cicadapond.journal._reader import extend_tokens, read_request, read_tokens, scan_all
+from cicadapond.journal._reader import read_request, read_tokens, scan_all
 from cicadapond.journal._rows import (
     OPEN,
     OWNERS,
     SEGMENTS,
+    DurableText,
     RequestRow,
     RequestState,
     decode_owner,
@@ -136,13 +137,14 @@
         base = await read_tokens(self._objects, row)
         if not isinstance(base, Ok):
             return None
-        tokens = list(base.value)
+        text = DurableText(list(base.value), row.version)
         for segment in segments:
-            extend_tokens(tokens, segment, request_id)
-        row = await self._next_epoch(row, tuple(tokens))
+            text.extend(segment, request_id)
+        tokens = tuple(text.tokens)
+        row = await self._next_epoch(attrs.evolve(row, version=text.version), tokens)
         if row is None:
             return None
-        return Orphan(row, tuple(tokens), outcome.value.version, owner)
+        return Orphan(row, tokens, outcome.value.version, owner)
 
     async def _next_epoch(self, row, tokens):
         row = attrs.evolve(row, epoch=row.epoch + 1, tokens=tokens, tokens_object=None)
--- a/cicadapond/journal/_journal.py
+++ b/cicadapond/journal/_journal.py
@@ -136,6 +136,15 @@
             self._log.take(row)
         return await self._wait_until_owned(request_id, body)
 
+    def begin(self, request_id: str, version: str) -> None:
+        """Notes which model version gives a request's tokens; those of another are dropped."""
+        self._log.begin(request_id, version)
+
+    def version(self, request_id: str) -> str:
+        """Returns the model version of a request's tokens, "" if it has none."""
+        found = self._log.requests.get(request_id)
+        return "" if found is None else found.version
+
     def append(self, request_id: str, tokens: tuple[str, ...]) -> None:
         """Adds generated tokens; the next checkpoint makes them durable."""
         self._log.append(request_id, tokens)
@@ -171,7 +180,8 @@
             return
         name = f"journal/{request_id}/{found.row.epoch}"
         tokens = tuple(found.tokens)
-        row = await self._with_tokens(found.row, tokens, name)
+        versioned = attrs.evolve(found.row, version=found.version)
+        row = await self._with_tokens(versioned, tokens, name)
         ended = attrs.evolve(
             row,
             state=RequestState.DONE,
--- a/cicadapond/journal/_log.py
+++ b/cicadapond/journal/_log.py
@@ -106,6 +106,7 @@
       stage: How far it is.
       tokens: All tokens so far.
       durable: How many of them are written.
+      version: The model version that gave them.
     """
 
     row: RequestRow
@@ -114,6 +115,7 @@
     stage: Stage = Stage.NEW
     tokens: list[str] = attrs.field(factory=list)
     durable: int = 0
+    version: str = ""
 
 
 @attrs.frozen
@@ -124,7 +126,7 @@
       name: Unique for ever.
       writes: The transaction.
       taken: Ids of requests that it takes on.
-      lengths: How many tokens of each request it makes durable.
+      lengths: How many tokens of each request it makes durable, and of which version.
       closed: Ids of requests whose end it writes.
       dropped: Numbers of the segments that it removes.
       retires: Whether it removes the owner, which has nothing left.
@@ -133,7 +135,7 @@
     name: str
     writes: tuple[Write, ...]
     taken: tuple[str, ...]
-    lengths: typing.Mapping[str, int]
+    lengths: typing.Mapping[str, tuple[int, str]]
     closed: tuple[str, ...]
     dropped: tuple[int, ...]
     retires: bool = False
@@ -178,13 +180,26 @@
         """
         row = attrs.evolve(row, owner=self.owner)
         self.requests[row.request.request_id] = OpenRequest(
-            row, expected, previous, tokens=list(tokens), durable=len(tokens)
+            row,
+            expected,
+            previous,
+            tokens=list(tokens),
+            durable=len(tokens),
+            version=row.version,
         )
 
     def append(self, request_id: str, tokens: tuple[str, ...]) -> None:
         """Adds generated tokens."""
         self.requests[request_id].tokens.extend(tokens)
 
+    def begin(self, request_id: str, version: str) -> None:
+        """Notes which model version gives the tokens; those of another one are dropped."""
+        found = self.requests[request_id]
+        if found.version != version:
+            found.version = version
+            found.tokens.clear()
+            found.durable = 0
+
     def end(self, request_id: str, row: RequestRow) -> None:
         """Writes a request's end with the next batch."""
         found = self.requests[request_id]
@@ -249,8 +264,9 @@
                 closed.append(request_id)
                 writes.extend(self._ending_writes(request_id, found))
             elif len(found.tokens) > found.durable:
-                segment[request_id] = [found.durable, found.tokens[found.durable :]]
-                lengths[request_id] = len(found.tokens)
+                fresh = found.tokens[found.durable :]
+                segment[request_id] = [found.durable, fresh, found.version]
+                lengths[request_id] = (len(found.tokens), found.version)
         if segment:
             writes.append(Write(SEGMENTS, segment_key(self.owner, self._segment), segment))
         dropped = [number for number, ids in self._segments.items() if not ids]
@@ -295,9 +311,10 @@
         if batch.lengths:
             self._segments[self._segment] = set(batch.lengths)
             self._segment += 1
-        for request_id, length in batch.lengths.items():
-            self.requests[request_id].durable = length
-            yield Committed(request_id, length)
+        for request_id, (length, version) in batch.lengths.items():
+            if self.requests[request_id].version == version:
+                self.requests[request_id].durable = length
+                yield Committed(request_id, length)
 
     def _note_closed(self, batch):
         for request_id in batch.closed:
--- a/cicadapond/journal/_reader.py
+++ b/cicadapond/journal/_reader.py
@@ -5,6 +5,7 @@
 from cicadapond.journal._rows import (
     REQUESTS,
     SEGMENTS,
+    DurableText,
     RequestRow,
     RequestState,
     decode_request,
@@ -53,16 +54,6 @@
         after = rows[-1].key
 
 
-def extend_tokens(tokens: list[str], segment: Row, request_id: str) -> None:
-    """Adds a segment's tokens of a request to those before it."""
-    found = segment.value.get(request_id)
-    if found is None:
-        return
-    start, more = found
-    if start <= len(tokens):
-        tokens.extend(more[len(tokens) - start :])
-
-
 class RequestReader:
     """Follows one request through the tables.
 
@@ -78,7 +69,17 @@
         self._request_id = request_id
         self._epoch = (None, 0)
         self._after = ""
-        self.tokens: list[str] = []
+        self._text = DurableText()
+
+    @property
+    def tokens(self) -> list[str]:
+        """All durable tokens in order."""
+        return self._text.tokens
+
+    @property
+    def version(self) -> str:
+        """The model version that gave the tokens."""
+        return self._text.version
 
     async def poll(self) -> Ok[RequestRow | None] | Unavailable:
         """Reads what is new into `tokens`, which holds all durable tokens in order.
@@ -106,8 +107,8 @@
         base = await read_tokens(self._objects, row)
         if not isinstance(base, Ok):
             return base
-        if len(base.value) > len(self.tokens):
-            self.tokens = list(base.value)
+        if len(base.value) > len(self.tokens) or row.version != self.version:
+            self._text = DurableText(list(base.value), row.version)
         self._epoch = (row.owner, row.epoch)
         self._after = ""
         return None
@@ -117,6 +118,6 @@
         if not isinstance(rows, Ok):
             return rows
         for segment in rows.value:
-            extend_tokens(self.tokens, segment, self._request_id)
+            self._text.extend(segment, self._request_id)
             self._after = segment.key
         return None
--- a/cicadapond/journal/_rows.py
+++ b/cicadapond/journal/_rows.py
@@ -60,6 +60,7 @@
       accepted: When it was accepted.
       expires: When it may be removed; set once it is finished.
       tokens: The whole answer if done, else the tokens that this epoch began with.
+      version: The model version that gave the tokens; an answer never mixes two.
       tokens_object: Where the tokens are in the object store, if they are not in the row.
       finish: Finish reason, cached tokens and computed tokens of a done request.
       reason: Why it failed.
@@ -74,12 +75,36 @@
     accepted: datetime.datetime
     expires: datetime.datetime | None = None
     tokens: tuple[str, ...] = ()
+    version: str = ""
     tokens_object: str | None = None
     finish: tuple[str, int, int] = ("", 0, 0)
     reason: str = ""
     status: int = 0
 
 
+@attrs.define
+class DurableText:
+    """A request's durable tokens, all of one model version."""
+
+    tokens: list[str] = attrs.field(factory=list)
+    version: str = ""
+
+    def extend(self, segment: Row, request_id: str) -> None:
+        """Adds a segment's tokens of a request to those before it.
+
+        Tokens of another version replace all before them if they are the answer's start.
+        """
+        found = segment.value.get(request_id)
+        if found is None:
+            return
+        start, more, version = found
+        if version != self.version:
+            if start == 0:
+                self.tokens, self.version = list(more), version
+        elif start <= len(self.tokens):
+            self.tokens.extend(more[len(self.tokens) - start :])
+
+
 def request_hash(req: Completion) -> str:
     """Returns a hash of what a request asks for."""
     fields = attrs.asdict(attrs.evolve(req, request_id="", deadline=None))
--- a/cicadapond/journal/log_test.py
+++ b/cicadapond/journal/log_test.py
@@ -9,12 +9,12 @@
 
 from cicadapond.data import Completion
 from cicadapond.journal._log import Closed, Committed, Fenced, Owned, OwnerLog, Refused
-from cicadapond.journal._reader import extend_tokens
 from cicadapond.journal._rows import (
     OPEN,
     OWNERS,
     REQUESTS,
     SEGMENTS,
+    DurableText,
     RequestRow,
     RequestState,
     decode_owner,
@@ -97,11 +97,11 @@
     def durable(self, request_id):
         """Returns a request's row and durable tokens as the tables have them."""
         row = decode_request(self.tables.row(REQUESTS, request_id))
-        tokens = list(row.tokens)
+        text = DurableText(list(row.tokens), row.version)
         if row.state is RequestState.OPEN:
             for segment in self.tables.rows(SEGMENTS, f"{row.owner}/"):
-                extend_tokens(tokens, segment, request_id)
-        return row, tokens
+                text.extend(segment, request_id)
+        return row, text.tokens
 
     def check(self):
         """Checks what must hold at every moment."""
--- a/cicadapond/scenario/_faults.py
+++ b/cicadapond/scenario/_faults.py
@@ -1,16 +1,20 @@
 """The verbs of the scenario language: faults and operators' acts, each registering itself."""
 
 import abc
+import asyncio
 import datetime
 
-from cicadapond.data import ServerKind
+from cicadapond.data import Order, OrderKind, ServerKind
 from cicadapond.kernel import Registry
+from cicadapond.scenario._backends import MODEL
 from cicadapond.scenario._network import PLATFORM
 from cicadapond.scenario._script import FaultLine
 from cicadapond.standin import EngineModel
 
 verbs: "Registry[Verb]" = Registry("verb")
 
+LOAD_FENCING = 1
+LOAD_POLL = datetime.timedelta(seconds=1)
 DEFAULT_NOTICE = datetime.timedelta(seconds=30)
 
 
@@ -122,6 +126,29 @@
             backend.model.faults = type(backend.model.faults)()
 
 
+@verbs.register("load-version")
+class LoadVersion(Verb):
+    """Orders engines to take no new work, load a model version when idle, and serve again."""
+
+    options = ("zone", "version", "count")
+
+    async def begin(self, world, line):
+        for backend in world.backends.chosen(
+            line.option("zone"), ServerKind.ENGINE, line.option("count")
+        ):
+            model = backend.model
+            model.order(Order(OrderKind.DRAIN, LOAD_FENCING))
+            version = str(line.option("version"))
+            model.order(Order(OrderKind.RUN, LOAD_FENCING, model=MODEL, version=version))
+            world.leftovers.append(asyncio.ensure_future(_resume_once_loaded(model, version)))
+
+
+async def _resume_once_loaded(model, version):
+    while model.state().value.version != version:
+        await model.clock.sleep(LOAD_POLL)
+    model.order(Order(OrderKind.RESUME, LOAD_FENCING))
+
+
 # Processes of the system
 
 
