Show hosts, requests, verdicts and leases as tables of their own

Cause: the views printed every value under guessed keys, a line each; quarantine found none, as an entry keeps it within its completions. Change: each view has its columns, taken from the dumps of entries and controllers. Figures: checked against the dumps of a real entry with requests in flight and a notice (test).

--- a/cicadapond/ctl/_processes.py
+++ b/cicadapond/ctl/_processes.py
@@ -3,16 +3,9 @@
 from cicadapond.controller import OperatorDrain, OperatorDrains
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._output import Output
+from cicadapond.ctl._views import VIEWS
 from cicadapond.kernel import Clock, Ok
 
-VIEWS = ("hosts", "requests", "quarantine", "lease")
-_KEYS = {
-    "hosts": ("backends", "fleet", "servers"),
-    "requests": ("requests", "in_flight", "durable"),
-    "quarantine": ("quarantine",),
-    "lease": ("lease",),
-}
-
 
 def show_states(states: dict, names: list[str], out: Output) -> Exit:
     """Prints whole dumps, of all processes or of those named."""
@@ -25,16 +18,19 @@
 
 
 def show_view(states: dict, view: str, out: Output) -> Exit:
-    """Prints one part of each process's dump, one line per value."""
+    """Prints one view of all processes as a table; those that do not answer are named."""
+    found = VIEWS[view]
     rows = []
+    silent = {}
     for name, state in sorted(states.items()):
-        if not isinstance(state, dict):
-            rows.append((name, "", f"does not answer: {state}"))
-            continue
-        for key in _KEYS[view]:
-            if key in state:
-                rows.extend((name, path, value) for path, value in _flatten(key, state[key]))
-    out.table(("process", "what", "value"), rows)
+        if isinstance(state, dict):
+            rows.extend(found.rows(name, state))
+        else:
+            silent[name] = str(state)
+    out.table(found.columns, rows, **({"no_answer": silent} if silent else {}))
+    if not out.as_json:
+        for name, reason in silent.items():
+            out.message(f"{name} does not answer: {reason}")
     return _outcome(states)
 
 
@@ -67,14 +63,3 @@
     return (
         Exit.OK if all(isinstance(state, dict) for state in states.values()) else Exit.UNAVAILABLE
     )
-
-
-def _flatten(path, value):
-    if isinstance(value, dict) and value:
-        for key, inside in value.items():
-            yield from _flatten(f"{path}.{key}", inside)
-    elif isinstance(value, list) and value:
-        for number, inside in enumerate(value):
-            yield from _flatten(f"{path}.{number}", inside)
-    else:
-        yield path, value
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -25,7 +25,8 @@
 from cicadapond.ctl._document import DocumentCommands, parse_draft
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._output import Output
-from cicadapond.ctl._processes import VIEWS, drain, show_states, show_view, undrain
+from cicadapond.ctl._processes import drain, show_states, show_view, undrain
+from cicadapond.ctl._views import VIEWS
 from cicadapond.data import Endpoint
 from cicadapond.document import DocumentEditor, DocumentStore, KnownNames
 from cicadapond.kernel import (
--- /dev/null
+++ b/cicadapond/ctl/views_test.py
@@ -0,0 +1,62 @@
+"""The operators' tables against the dumps of a real entry, on virtual time."""
+
+import io
+import json
+
+from cicadapond.admin import plain
+from cicadapond.ctl._exit import Exit
+from cicadapond.ctl._output import Output
+from cicadapond.ctl._processes import show_view
+from cicadapond.ctl._views import VIEWS
+from cicadapond.kernel import Findings, run_virtual, seconds
+from cicadapond.scenario import parse_scenario
+from cicadapond.scenario._world import World
+
+SCENARIO = """
+zone yqr entries=1 engines=2 services=1
+account counter
+load draft from 0s for 5s rate 2/s tokens=300
+load durable from 0s for 5s rate 1/s tokens=300
+"""
+
+
+async def dumps():
+    """Returns the dumps of a world's entries while requests are in flight."""
+    script = parse_scenario(SCENARIO, "views", Findings())
+    world = World(script, 3)
+    await world.start()
+    for line in script.loads:
+        await world.callers.run(line)
+    world.backends.reclaim(world.backends.chosen("yqr", None, 1)[0], seconds(60))
+    await world.clock.sleep(seconds(3))
+    states = {
+        name: json.loads(json.dumps(plain(process.entry.state() | {"in_flight": 0})))
+        for name, process in world.entries.items()
+    }
+    await world.close()
+    return states
+
+
+def shown(states, view, as_json=False):
+    stream = io.StringIO()
+    assert show_view(states, view, Output(stream, as_json)) is Exit.OK
+    return stream.getvalue()
+
+
+def test_hosts_and_requests_of_a_real_entry():
+    states = run_virtual(dumps())
+    hosts = shown(states, "hosts").splitlines()
+    assert len(hosts) == 1 + 3
+    assert [line for line in hosts if "leaving" in line and "cloud" in line]
+    requests = shown(states, "requests")
+    assert "attempts on engine-yqr" in requests
+    assert "tokens durable" in requests
+
+
+def test_verdicts_and_leases():
+    quarantine = {"convicted": {"beef": "2026-12-03T23:00:00"}, "suspects": {"f00d": 1}}
+    lease = {"name": "yqr", "holder": "c", "held_here": True, "fencing": 4, "left": 2.5}
+    states = {"e": {"completions": {"quarantine": quarantine}}, "c": {"lease": lease}}
+    assert "convicted" in shown(states, "quarantine") and "1 crashes" in shown(states, "quarantine")
+    rows = json.loads(shown(states, "lease", as_json=True))
+    assert rows == [dict(zip(VIEWS["lease"].columns, ("c", *lease.values()), strict=True))]
