--- a/cicadapond/ledger/_group.py
+++ b/cicadapond/ledger/_group.py
@@ -4,6 +4,7 @@
 the others go again without them.
 """
 
+import abc
 import asyncio
 
 import attrs
@@ -18,7 +19,7 @@
     answer: asyncio.Future
 
 
-class _Group:
+class _Group(abc.ABC):
     """Collects requests for an interval and sends them together."""
 
     def __init__(self, interval, limit):
@@ -68,8 +69,9 @@
             _answer_all(items, lambda item: AnswerLost("the client failed"))
             raise
 
+    @abc.abstractmethod
     async def _send(self, items):
-        raise NotImplementedError
+        """Sends one group and answers each of its items."""
 
 
 class GroupWriter(_Group):
--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -3,6 +3,7 @@
 The half of the membership state machine that knows documents; the other half knows who is alive.
 """
 
+import abc
 import random
 import zlib
 
@@ -29,7 +30,7 @@
 ZONES_ASKED_AT_ONCE = 3
 
 
-class Exchange:
+class Exchange(abc.ABC):
     """The documents of all members as one process has them, and what it sends of them.
 
     Args:
@@ -54,9 +55,9 @@
         self._outputs: list = []
         self._first_relays: dict[str, bool] = {}  # worked out anew each heartbeat
 
+    @abc.abstractmethod
     def identity(self) -> Identity:
         """Returns the own line of the membership list."""
-        raise NotImplementedError
 
     def _announce(self, name):
         self.changed[name] = None
