--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from cicadapond.data import Completion, Finished, Token
-from cicadapond.entry._completion import STATUS_NO_VERSION
+from cicadapond.entry._completion_run import STATUS_NO_VERSION
 from cicadapond.entry._parts import Parts
 from cicadapond.entry._sink import CompletionSink
 from cicadapond.journal import (
--- a/cicadapond/entry/durable_test.py
+++ b/cicadapond/entry/durable_test.py
@@ -8,7 +8,7 @@
 
 from cicadapond.data import Completion, Finished, Token
 from cicadapond.document import Intent, PolicyIntent
-from cicadapond.entry._completion import STATUS_NO_VERSION
+from cicadapond.entry._completion_run import STATUS_NO_VERSION
 from cicadapond.entry._core import CompletionSink
 from cicadapond.entry._durable import STATUS_CHANGED, DurableRequests
 from cicadapond.entry._parts import Parts
