Build a controller as a node with its edges passed in, as an entry is

Cause: scenarios could not run the controller, as its process made its own sockets. Conclusion: no behaviour has changed; the program is the node plus its server for operators.

--- /dev/null
+++ b/cicadapond/controller/_node.py
@@ -0,0 +1,157 @@
+"""One controller without its HTTP server: membership, document, lease and control.
+
+Whatever needs a socket comes in with the `ControlEdges`, so that the same node runs on the virtual
+loop with edges in memory.
+"""
+
+import random
+import typing
+
+import attrs
+
+from cicadapond.backend import Engine
+from cicadapond.controller._drains import PeerDrains
+from cicadapond.controller._operator_drains import OperatorDrains
+from cicadapond.controller._parts import ControlParts
+from cicadapond.controller._task import ControllerTask
+from cicadapond.data import BackendServer
+from cicadapond.document import DocumentStore, DocumentTask, StoreSource
+from cicadapond.kernel import Clock, Metrics, TaskGroup
+from cicadapond.lease import LeaseTask
+from cicadapond.peer import MemberState, PeerTask, owner
+from cicadapond.platform import BudgetedTables, CloudApi, HostList, StoreClass, WeightStore
+
+ROLE = "controller"
+
+
+@attrs.define
+class ControlEdges:
+    """What a controller reaches the rest of the world by.
+
+    Attributes:
+      hosts: The host list.
+      peers: The other processes.
+      storage: The platform's table service under this process's budget.
+      engine: Makes an engine's adapter.
+      cloud: The cloud API, None where hosts are not bought.
+      weights: The weight store, None where its rate is not known.
+    """
+
+    hosts: HostList
+    peers: PeerTask
+    storage: BudgetedTables
+    engine: typing.Callable[[BackendServer], Engine]
+    cloud: CloudApi | None = None
+    weights: WeightStore | None = None
+
+
+class ControllerNode:
+    """One controller's parts and tasks.
+
+    Args:
+      cfg: The controller's settings.
+      edges: What it reaches the world by.
+      clock: Gives the time.
+      metrics: Takes counts and durations.
+      rng: All randomness of the node.
+    """
+
+    def __init__(
+        self, cfg, edges: ControlEdges, clock: Clock, metrics: Metrics, rng: random.Random
+    ):
+        self.cfg = cfg
+        self.edges = edges
+        self.clock = clock
+        self.metrics = metrics
+        self.tasks = TaskGroup()
+        self._rng = rng
+        self.document = self._make_document()
+        self.lease = self._make_lease()
+        self.drains = PeerDrains(
+            cfg.zone, edges.peers, clock, lambda: self.document.intent.revision
+        )
+        self.document.subscribe(lambda intent: self.drains.tell())
+        self.controller = ControllerTask(self._make_parts())
+
+    async def start(self) -> None:
+        """Starts the tasks; controls once the document is known."""
+        for task in (self.edges.peers, self.document):
+            self.tasks.start(task)
+        await self.document.wait_ready()
+        for task in (self.lease, self.controller):
+            self.tasks.start(task)
+
+    async def stop(self) -> None:
+        """Ends all tasks, then gives the lease back."""
+        await self.edges.peers.leave()
+        await self.tasks.stop()
+        await self.lease.release()
+        self.edges.storage.close()
+
+    async def kill(self) -> None:
+        """Ends at once, as a process that dies does."""
+        await self.tasks.stop()
+        self.edges.storage.close()
+
+    def state(self) -> dict:
+        """Returns the whole state, for a dump."""
+        return {
+            "document": self.document.state(),
+            "lease": self.lease.state(),
+            "controller": self.controller.state(),
+            "storage": self.edges.storage.state(),
+            "membership": self.edges.peers.state(),
+            "failed_tasks": self.tasks.failed,
+        }
+
+    def _make_document(self):
+        store = DocumentStore(self.edges.storage.for_class(StoreClass.DOCUMENT))
+        return DocumentTask(
+            StoreSource(store),
+            self.edges.peers,
+            self.cfg.document,
+            self.clock,
+            self.metrics,
+            self._rng,
+        )
+
+    def _make_lease(self):
+        return LeaseTask(
+            self.cfg.lease,
+            self.cfg.zone,
+            self.cfg.name,
+            self.edges.storage.for_class(StoreClass.LEASE),
+            self.clock,
+            self.metrics,
+            self._rng,
+            self._is_candidate,
+        )
+
+    def _is_candidate(self):
+        """Whether this process is the first choice among the live controllers of its zone."""
+        names = [
+            member.name
+            for member in self.edges.peers.members()
+            if (member.zone, member.role) == (self.cfg.zone, ROLE)
+            and member.state is MemberState.ALIVE
+        ]
+        return owner(self.cfg.zone, [self.cfg.name, *names]) == self.cfg.name
+
+    def _make_parts(self):
+        edges = self.edges
+        return ControlParts(
+            zone=self.cfg.zone,
+            cfg=self.cfg.control,
+            clock=self.clock,
+            metrics=self.metrics,
+            rng=self._rng,
+            intent=lambda: self.document.intent,
+            lease=self.lease,
+            peers=edges.peers,
+            drains=self.drains,
+            hosts=edges.hosts,
+            engine=edges.engine,
+            cloud=edges.cloud,
+            weights=edges.weights,
+            operator_drains=OperatorDrains(edges.storage.for_class(StoreClass.DOCUMENT)),
+        )
--- a/cicadapond/controller/path_test.py
+++ b/cicadapond/controller/path_test.py
@@ -62,7 +62,7 @@
         accepted = await editor.apply(edit, LIMIT)
         async with asyncio.timeout(LIMIT.total_seconds()):
             while not any(
-                server["runs"] == "m 7" for server in controller.controller.state()["servers"]
+                server["runs"] == "m 7" for server in controller.node.controller.state()["servers"]
             ):
                 await asyncio.sleep(0.1)
         return accepted, controller.state()
--- a/cicadapond/scenario/_callers.py
+++ b/cicadapond/scenario/_callers.py
@@ -29,10 +29,6 @@
 call_kinds: "Registry[CallKind]" = Registry("kind of call")
 
 
-class BrokenConnectionError(Exception):
-    """The entry that held the caller's connection is gone."""
-
-
 @attrs.frozen
 class Outcome:
     """What a caller was told; `wrong` says in what an answer is not the one expected."""
