Run controllers in scenarios: version changes and replacements under pauses and deaths

Cause: the controller's task, lease and drains were never run together with entries under faults. The trace shows no order for 180 s: hosts bought as spare began with the old version loaded, which the scenario's cloud did and a real one does not, so that no new version was ready anywhere. Change: two controllers a data centre in the world, hosts bought later start blank, the invariant that no engine carries out an older holder's order after a newer one's, figures of versions.

--- a/cicadapond/scenario/_backends.py
+++ b/cicadapond/scenario/_backends.py
@@ -9,7 +9,7 @@
 from cicadapond.kernel import Clock
 from cicadapond.platform import BuyRequest
 from cicadapond.scenario._network import Node, NodeEngine, NodeService
-from cicadapond.scenario._observation import Crashed, Noticed, Ran, Record
+from cicadapond.scenario._observation import Crashed, FinalEngine, Noticed, Ran, Record
 from cicadapond.scenario._script import Script
 from cicadapond.standin import (
     CloudModel,
@@ -61,6 +61,7 @@
         self._record = record
         self._counts = RunCounts()
         self._number = 0
+        self._running = False
         self.by_name: dict[str, Backend] = {}
         self.engine_models: dict[str, EngineModel] = {}
         self.host_list = HostListModel(clock, HOST_LIST_LAG)
@@ -75,7 +76,10 @@
         self.cloud.on_change.append(self.host_list.follow)
 
     async def start(self) -> None:
-        """Buys the hosts that the scenario begins with, and waits until the list shows them."""
+        """Buys the hosts that the scenario begins with, and waits until the list shows them.
+
+        Their engines have the first version loaded; those of later hosts start blank.
+        """
         for zone in self._script.zones:
             wanted = [POOL] * zone.engines + [SERVICE] * zone.services
             for number, pool in enumerate(wanted):
@@ -85,6 +89,7 @@
                     )
                 )
         await self._clock.sleep(HOST_LIST_LAG + datetime.timedelta(seconds=1))
+        self._running = True
 
     def adapter(self, server: BackendServer, node: Node):
         """Returns the adapter through which one process reaches a server."""
@@ -111,6 +116,13 @@
             backend.model.leaving = True
             backend.model.notice_at = self._clock.monotonic()
 
+    def note_versions(self) -> None:
+        """Records what each engine that is up runs."""
+        now = self._clock.monotonic()
+        for name, model in sorted(self.engine_models.items()):
+            if model.up:
+                self._record.add(FinalEngine(now, name, model.state().value.version))
+
     async def close(self) -> None:
         """Ends the stand-ins' tasks."""
         await self.cloud.close()
@@ -139,7 +151,12 @@
         return server
 
     def _engine(self, server, rng):
-        cfg = EngineSettings(model=MODEL, version=FIRST_VERSION, slots=ENGINE_SLOTS)
+        cfg = EngineSettings(
+            model=None if self._running else MODEL,
+            version=None if self._running else FIRST_VERSION,
+            slots=ENGINE_SLOTS,
+            checks_fencing=self._number % 2 == 0,
+        )
         model = EngineModel(EngineTiming(), self._clock, cfg, server.name, rng)
         model.on_up_change.append(lambda up: self._note_crash(server.name, model, up))
         self.engine_models[server.name] = model
--- a/cicadapond/scenario/_faults.py
+++ b/cicadapond/scenario/_faults.py
@@ -154,7 +154,7 @@
 
 @verbs.register("kill")
 class Kill(Verb):
-    """Kills an entry; it starts again after the line's time, if one is given."""
+    """Kills a process of the system; it starts again after the line's time, if one is given."""
 
     positional = 1
 
@@ -162,12 +162,12 @@
         await world.kill(line.names()[0])
 
     async def end(self, world, line):
-        await world.start_entry(line.names()[0])
+        await world.start_process(line.names()[0])
 
 
 @verbs.register("stop")
 class Stop(Verb):
-    """Stops an entry as planned; it starts again after the line's time, if one is given."""
+    """Stops a process as planned; it starts again after the line's time, if one is given."""
 
     positional = 1
 
@@ -175,12 +175,12 @@
         world.stop_planned(line.names()[0])
 
     async def end(self, world, line):
-        await world.start_entry(line.names()[0])
+        await world.start_process(line.names()[0])
 
 
 @verbs.register("pause")
 class Pause(Verb):
-    """Pauses an entry's process."""
+    """Pauses a process of the system."""
 
     positional = 1
     needs_length = True
--- a/cicadapond/scenario/_figures.py
+++ b/cicadapond/scenario/_figures.py
@@ -14,7 +14,9 @@
     Crashed,
     Edited,
     Ended,
+    FinalEngine,
     InForce,
+    Ordered,
     Ran,
     Record,
     Sent,
@@ -142,6 +144,21 @@
     return float(len(record.of(Edited)))
 
 
+@figures.register("running")
+def running(record: Record, version: str) -> Figure:
+    """The share of the engines up at the end that run a model version."""
+    versions = [found.version for found in record.of(FinalEngine)]
+    if not versions:
+        return None
+    return sum(found == version for found in versions) / len(versions)
+
+
+@figures.register("orders")
+def orders(record: Record) -> Figure:
+    """How many orders engines carried out."""
+    return float(len(record.of(Ordered)))
+
+
 @figures.register("in-force")
 def in_force(record: Record) -> Figure:
     """The longest time from an edit's acceptance until a running process had it in force.
--- a/cicadapond/scenario/_invariants.py
+++ b/cicadapond/scenario/_invariants.py
@@ -16,6 +16,7 @@
     FinalDocument,
     InForce,
     Noticed,
+    Ordered,
     Ran,
     Record,
     Sent,
@@ -135,6 +136,21 @@
                 findings.add(_place(final), message)
 
 
+def orders_never_alternate(record: Record, findings: Findings) -> None:
+    """No engine carries out an order of an older fencing number after one of a newer."""
+    newest = {}
+    for ordered in record.of(Ordered):
+        last = newest.get(ordered.server)
+        if last is not None and ordered.fencing < last.fencing:
+            message = (
+                f"{ordered.server} took {ordered.order} of {ordered.process} under"
+                f" {ordered.fencing} after {last.order} of {last.process} under {last.fencing}"
+            )
+            findings.add(_place(ordered), message)
+        if last is None or ordered.fencing >= last.fencing:
+            newest[ordered.server] = ordered
+
+
 INVARIANTS: tuple[Invariant, ...] = (
     at_most_once,
     whole_answers,
@@ -146,6 +162,7 @@
     revisions_never_fall,
     accepted_edits_are_in_order,
     accepted_edits_hold,
+    orders_never_alternate,
 )
 
 
--- a/cicadapond/scenario/_network.py
+++ b/cicadapond/scenario/_network.py
@@ -8,11 +8,11 @@
 import asyncio
 import datetime
 
-from cicadapond.backend import Engine, EngineStream, NotSent, PlainService
+from cicadapond.backend import Accepted, Engine, EngineStream, NotSent, PlainService
 from cicadapond.data import BreakKind, Broken
 from cicadapond.kernel import AnswerLost, Clock, LoopClock, Unavailable, Unknown, VirtualClock
 from cicadapond.platform import CloudApi, HostList, ObjectStore, TableService
-from cicadapond.scenario._observation import Record, Started
+from cicadapond.scenario._observation import Ordered, Record, Started
 
 PLATFORM = "platform"
 CONNECT_LIMIT = datetime.timedelta(seconds=1)
@@ -145,6 +145,10 @@
         if not await self._node.reach(self.server.zone):
             return Unavailable("no connection")
         outcome = await self._inner.order(order)
+        if isinstance(outcome, Accepted):
+            now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
+            name, kind = self._node.name, order.kind.value
+            self._record.add(Ordered(now, self.server.name, name, order.fencing, kind))
         if not await self._node.hear(self.server.zone):
             return AnswerLost("the connection was cut")
         return outcome
--- a/cicadapond/scenario/_observation.py
+++ b/cicadapond/scenario/_observation.py
@@ -84,6 +84,26 @@
     request: str
 
 
+@attrs.frozen
+class Ordered:
+    """An engine carried out an order of a process, given under a fencing number."""
+
+    at: Instant
+    server: str
+    process: str
+    fencing: int
+    order: str
+
+
+@attrs.frozen
+class FinalEngine:
+    """An engine that is up at the end, and the model version that it runs."""
+
+    at: Instant
+    server: str
+    version: str
+
+
 @attrs.frozen
 class InForce:
     """A process took a document revision into force; `life` counts its restarts."""
@@ -160,6 +180,8 @@
     | Ran
     | Noticed
     | Crashed
+    | Ordered
+    | FinalEngine
     | InForce
     | Began
     | Ended
--- a/cicadapond/scenario/_runner.py
+++ b/cicadapond/scenario/_runner.py
@@ -86,9 +86,10 @@
     await asyncio.gather(*driving)
     await _settle(world)
     await world.read_document()
+    world.backends.note_versions()
     findings = check_invariants(world.record)
-    for process in world.entries.values():
-        for failure in process.entry.tasks.failed:
+    for process in world.processes.values():
+        for failure in process.failed_tasks():
             findings.add(Place(process.name), f"a task failed: {failure}")
     figures = check_expectations(script.expects, world.record, findings)
     await world.close()
--- a/cicadapond/scenario/_script.py
+++ b/cicadapond/scenario/_script.py
@@ -25,6 +25,7 @@
     entries: int = 1
     engines: int = 2
     services: int = 1
+    controllers: int = 0
 
 
 @attrs.frozen
--- a/cicadapond/scenario/_world.py
+++ b/cicadapond/scenario/_world.py
@@ -4,12 +4,15 @@
 production, with nothing replaced but sockets.
 """
 
+import abc
 import asyncio
 import datetime
 import json
 import random
 
 from cicadapond.admission import CapacitySettings
+from cicadapond.controller._node import ROLE, ControlEdges, ControllerNode
+from cicadapond.controller.main import ControllerSettings
 from cicadapond.data import Endpoint
 from cicadapond.document import (
     DocumentEditor,
@@ -62,57 +65,43 @@
 STOP_POLL = datetime.timedelta(milliseconds=100)
 
 
-class EntryProcess:
-    """One entry of the scenario through all of its lives."""
+class SystemProcess(abc.ABC):
+    """One process of the system through all of its lives."""
 
     def __init__(self, name: str, zone: str, endpoint: Endpoint, world: "World"):
         self.name = name
         self.zone = zone
         self.endpoint = endpoint
-        self.ready = False
         self.life = 0
         self.gone = asyncio.Event()
-        self.open_requests: set[str] = set()
         self.node: Node | None = None
-        self.entry: EntryNode | None = None
         self._world = world
+        self._system = None
 
-    @property
-    def core(self):
-        """The entry's core, which callers reach."""
-        return self.entry.core
+    @abc.abstractmethod
+    def build(self):
+        """Returns a new node of the program over in-memory edges."""
 
     async def start(self) -> None:
-        """Starts a new process of this name; it is ready once its views are."""
+        """Starts a new life; returns once the process is ready."""
         self.life += 1
         self.gone = asyncio.Event()
         self.node = Node(self.name, self.zone, self._world.network)
-        self.entry = self._world.build_entry(self)
-        if self.entry.document is not None:
-            self.entry.document.subscribe(self._note_revision)
-        await self.entry.start()
-        self.ready = True
+        self._system = self.build()
+        self._system.document.subscribe(self._note_revision)
+        await self._system.start()
         self._world.record.add(Began(self._world.clock.monotonic(), self.name, self.life))
 
     async def kill(self) -> None:
         """Ends the process at once; nothing that it still does reaches anybody."""
-        self.ready = False
         self.node.dead = True
         self._note_end()
         self.gone.set()
-        ending = asyncio.ensure_future(self.entry.kill())
-        self._world.leftovers.append(ending)
+        self._world.leftovers.append(asyncio.ensure_future(self._system.kill()))
 
     async def stop(self) -> None:
-        """Stops as planned: not ready, wait for the balancer, finish what is open."""
-        clock = self._world.clock
-        self.ready = False
-        stopping = Stopping(clock.monotonic(), self.name, tuple(sorted(self.open_requests)))
-        self._world.record.add(stopping)
-        await clock.sleep(BALANCER_DELAY)
-        while self.open_requests:
-            await clock.sleep(STOP_POLL)
-        await self.entry.stop()
+        """Stops as planned."""
+        await self._system.stop()
         self._note_end()
         self.gone.set()
 
@@ -121,6 +110,16 @@
         self._note_end()
         self.node.pause()
 
+    async def end(self) -> None:
+        """Ends what still runs when the scenario is over."""
+        self.node.resume()
+        if not self.gone.is_set():
+            await self._system.kill()
+
+    def failed_tasks(self) -> list[str]:
+        """Returns the tasks of this life that ended in an exception."""
+        return self._system.tasks.failed
+
     def _note_end(self):
         self._world.record.add(Ended(self._world.clock.monotonic(), self.name, self.life))
 
@@ -129,6 +128,54 @@
         self._world.record.add(InForce(now, self.name, self.life, intent.revision))
 
 
+class EntryProcess(SystemProcess):
+    """An entry, which callers reach while it is ready."""
+
+    def __init__(self, name: str, zone: str, endpoint: Endpoint, world: "World"):
+        super().__init__(name, zone, endpoint, world)
+        self.ready = False
+        self.open_requests: set[str] = set()
+
+    @property
+    def entry(self) -> EntryNode:
+        """The node of this life."""
+        return self._system
+
+    @property
+    def core(self):
+        """The entry's core, which callers reach."""
+        return self._system.core
+
+    def build(self):
+        return self._world.build_entry(self)
+
+    async def start(self):
+        await super().start()
+        self.ready = True
+
+    async def kill(self):
+        self.ready = False
+        await super().kill()
+
+    async def stop(self):
+        """Stops as planned: not ready, wait for the balancer, finish what is open."""
+        clock = self._world.clock
+        self.ready = False
+        stopping = Stopping(clock.monotonic(), self.name, tuple(sorted(self.open_requests)))
+        self._world.record.add(stopping)
+        await clock.sleep(BALANCER_DELAY)
+        while self.open_requests:
+            await clock.sleep(STOP_POLL)
+        await super().stop()
+
+
+class ControllerProcess(SystemProcess):
+    """A controller."""
+
+    def build(self):
+        return self._world.build_controller(self)
+
+
 class ReadyEntries(Balancer):
     """Chooses among the entries that say that they are ready."""
 
@@ -165,6 +212,7 @@
         self.objects = ObjectModel(self.clock, self._random())
         self.backends = Backends(script, self.clock, self._random(), self.record)
         self.entries: dict[str, EntryProcess] = {}
+        self.controllers: dict[str, ControllerProcess] = {}
         self.leftovers: list[asyncio.Task] = []
         accounts = [account.name for account in script.accounts] or ["account"]
         balancer = ReadyEntries(self, self._random())
@@ -174,22 +222,25 @@
     # Setting up and ending
 
     async def start(self) -> None:
-        """Writes the document, starts the backend servers, then the entries."""
+        """Writes the document, starts the backend servers, then the system's processes."""
         await self._write_document()
         await self.backends.start()
         for zone in self.script.zones:
             for number in range(zone.entries):
-                name = f"entry-{zone.name}-{number}"
-                endpoint = Endpoint(PEER_HOST, 1 + len(self.entries))
-                self.entries[name] = EntryProcess(name, zone.name, endpoint, self)
-        await asyncio.gather(*(process.start() for process in self.entries.values()))
+                self._add(self.entries, EntryProcess, f"entry-{zone.name}-{number}", zone)
+            for number in range(zone.controllers):
+                name = f"controller-{zone.name}-{number}"
+                self._add(self.controllers, ControllerProcess, name, zone)
+        await asyncio.gather(*(process.start() for process in self.processes.values()))
+
+    def _add(self, group, cls, name, zone):
+        endpoint = Endpoint(PEER_HOST, 1 + len(self.processes))
+        group[name] = cls(name, zone.name, endpoint, self)
 
     async def close(self) -> None:
         """Ends everything."""
-        for process in self.entries.values():
-            process.node.resume()
-            if not process.gone.is_set():
-                await process.entry.kill()
+        for process in self.processes.values():
+            await process.end()
         for ending in self.leftovers:
             ending.cancel()
         for task in list(self.callers.pending):
@@ -198,51 +249,79 @@
 
     # Processes
 
-    def process(self, name: str) -> EntryProcess:
-        """Returns an entry by name.
+    @property
+    def processes(self) -> dict[str, SystemProcess]:
+        """All processes of the system by name."""
+        return {**self.entries, **self.controllers}
+
+    def process(self, name: str) -> SystemProcess:
+        """Returns a process by name.
 
         Raises:
           LookupError: If there is none; the message lists those that exist.
         """
-        if name not in self.entries:
-            raise LookupError(f"no entry {name!r}; there are {', '.join(self.entries)}")
-        return self.entries[name]
+        if name not in self.processes:
+            raise LookupError(f"no process {name!r}; there are {', '.join(self.processes)}")
+        return self.processes[name]
 
     async def kill(self, name: str) -> None:
-        """Kills an entry."""
+        """Kills a process."""
         await self.process(name).kill()
 
-    async def start_entry(self, name: str) -> None:
-        """Starts an entry that was killed or stopped."""
+    async def start_process(self, name: str) -> None:
+        """Starts a process that was killed or stopped."""
         process = self.process(name)
         await process.gone.wait()
         await process.start()
 
     def stop_planned(self, name: str) -> None:
-        """Begins a planned stop of an entry."""
-        stopping = asyncio.ensure_future(self.process(name).stop())
-        self.leftovers.append(stopping)
+        """Begins a planned stop of a process."""
+        self.leftovers.append(asyncio.ensure_future(self.process(name).stop()))
 
     def build_entry(self, process: EntryProcess) -> EntryNode:
-        """Returns a new node for a process, over in-memory edges."""
-        node = process.node
-        clock = NodeClock(node)
-        metrics = Metrics()
-        rng = self._random()
-        endpoint = process.endpoint
-        tables = NodeTables(DirectTables(self.tables), node)
-        seeds = tuple(found.endpoint for found in self.entries.values())[:SEEDS]
-        peer_cfg = PeerSettings(process.name, process.zone, endpoint, seeds=seeds)
-        transport = MemoryTransport(self.peer_network, endpoint)
+        """Returns a new entry for a process, over in-memory edges."""
+        node, clock, metrics, rng = process.node, NodeClock(process.node), Metrics(), self._random()
         edges = Edges(
             hosts=NodeHostList(DirectHostList(self.backends.host_list), node),
-            peers=PeerTask(peer_cfg, transport, clock, metrics, self._random()),
-            storage=BudgetedTables(tables, BudgetSettings(), clock, metrics, rng),
+            peers=self._peers(process, "entry", clock, metrics),
+            storage=self._storage(node, clock, metrics, rng),
             objects=NodeObjects(DirectObjects(self.objects), node),
             cloud=NodeCloud(self.backends.cloud, node),
             connect=lambda server: self.backends.adapter(server, node),
         )
-        return EntryNode(self._entry_settings(process, endpoint), edges, clock, metrics, rng)
+        cfg = self._entry_settings(process, process.endpoint)
+        return EntryNode(cfg, edges, clock, metrics, rng)
+
+    def build_controller(self, process: ControllerProcess) -> ControllerNode:
+        """Returns a new controller for a process, over in-memory edges."""
+        node, clock, metrics, rng = process.node, NodeClock(process.node), Metrics(), self._random()
+        edges = ControlEdges(
+            hosts=NodeHostList(DirectHostList(self.backends.host_list), node),
+            peers=self._peers(process, ROLE, clock, metrics),
+            storage=self._storage(node, clock, metrics, rng),
+            engine=lambda server: self.backends.adapter(server, node),
+            cloud=NodeCloud(self.backends.cloud, node),
+        )
+        memory = AdapterSettings("memory")
+        cfg = ControllerSettings(
+            name=process.name,
+            zone=process.zone,
+            admin=process.endpoint,
+            peer=process.endpoint,
+            tables=memory,
+            platform=PlatformSettings(hosts=memory),
+        )
+        return ControllerNode(cfg, edges, clock, metrics, rng)
+
+    def _peers(self, process, role, clock, metrics):
+        seeds = tuple(found.endpoint for found in self.entries.values())[:SEEDS]
+        cfg = PeerSettings(process.name, process.zone, process.endpoint, role=role, seeds=seeds)
+        transport = MemoryTransport(self.peer_network, process.endpoint)
+        return PeerTask(cfg, transport, clock, metrics, self._random())
+
+    def _storage(self, node, clock, metrics, rng):
+        tables = NodeTables(DirectTables(self.tables), node)
+        return BudgetedTables(tables, BudgetSettings(), clock, metrics, rng)
 
     # The platform
 
@@ -252,7 +331,7 @@
 
     def _peers_separated(self, here, there):
         """Tells whether no message passes between two processes now."""
-        ends = [found for found in self.entries.values() if found.endpoint in (here, there)]
+        ends = [found for found in self.processes.values() if found.endpoint in (here, there)]
         if any(found.node is None or found.node.dead or found.node.is_paused for found in ends):
             return True
         return not self.network.reaches(ends[0].zone, ends[-1].zone)
--- a/cicadapond/scenario/invariants_test.py
+++ b/cicadapond/scenario/invariants_test.py
@@ -13,6 +13,7 @@
     FinalDocument,
     InForce,
     Noticed,
+    Ordered,
     Ran,
     Record,
     Sent,
@@ -48,6 +49,10 @@
         Edited(at(1), at(0), 5, "x"),
         Edited(at(3), at(2), 4, "y"),
     ],
+    "orders_never_alternate": [
+        Ordered(at(1), "e1", "c2", 5, "run"),
+        Ordered(at(2), "e1", "c1", 4, "run"),
+    ],
     "accepted_edits_hold": [
         Edited(at(1), at(0), 4, "x", "cost.ceiling", 1),
         Edited(at(2), at(0), 5, "y", "cost.ceiling", 2),
@@ -70,6 +75,9 @@
     Edited(at(1), at(0), 5, "x", "cost.ceiling", 1),
     Edited(at(2), at(0), 4, "acknowledged late, its answer was lost"),
     FinalDocument(at(9), {"cost.ceiling": 1}),
+    Ordered(at(1), "e1", "c1", 4, "run"),
+    Ordered(at(2), "e1", "c2", 5, "run"),
+    Ordered(at(3), "e2", "c1", 4, "run"),
 ]
 
 
