--- a/cicadapond/standin/main.py
+++ b/cicadapond/standin/main.py
@@ -46,6 +46,7 @@
         self._servers = []
         self.hosts: HostStandins | None = None
         self.engines: dict[str, EngineModel] = {}
+        self.run_counts = RunCounts()
         self._engine_listeners = []
 
     def start(self) -> None:
@@ -71,9 +72,8 @@
     def _start_services(self):
         cfg = self._cfg
         rng = random.Random(cfg.seed)
-        counts = RunCounts()
         for name, endpoint in cfg.services.items():
-            model = ServiceModel(name, self._clock, rng, cfg.service_timing, counts)
+            model = ServiceModel(name, self._clock, rng, cfg.service_timing, self.run_counts)
             self._listen(f"service {name}", service_application(model), endpoint)
 
     def _start_storage(self):
