Say in a refusal how many slots are taken, or that no server can be used

Cause: with every entry of a data centre gone its servers are not used from elsewhere, and callers were told 'cannot be started in time', which sent the reader to look for load. Conclusion: the reason names the pool and the slots; a test for both.

--- a/cicadapond/admission/_fair.py
+++ b/cicadapond/admission/_fair.py
@@ -139,7 +139,7 @@
             pool = self._pool(ticket.pool)
             if pool.account(ticket.account).remove(ticket):
                 wait = self._expected_wait(pool, ticket)
-                refused.append(Refused(ticket, self._too_late(wait)))
+                refused.append(Refused(ticket, self._too_late(pool, ticket, wait)))
         return refused
 
     def next_expiry(self):
@@ -177,11 +177,15 @@
             reason = f"account {ticket.account!r} has {limit} requests waiting already"
             return NotRun(reason, self._come_back(wait), TOO_MANY_REQUESTS)
         if ticket.latest_start is not None and now + wait > ticket.latest_start:
-            return self._too_late(wait)
+            return self._too_late(pool, ticket, wait)
         return None
 
-    def _too_late(self, wait):
-        reason = "the request cannot be started in time"
+    def _too_late(self, pool, ticket, wait):
+        if pool.slots:
+            taken = f"{len(pool.running)} of {pool.slots} slots are taken"
+            reason = f"pool {ticket.pool!r} cannot start the request in time: {taken}"
+        else:
+            reason = f"no server of pool {ticket.pool!r} takes work from here now"
         return NotRun(reason, self._come_back(wait))
 
     def _come_back(self, wait):
@@ -216,7 +220,7 @@
             queue = pool.accounts[name]
             ticket = queue.pop(priority)
             if ticket.latest_start is not None and ticket.latest_start < now:
-                admitted.append(Refused(ticket, self._too_late(_ZERO)))
+                admitted.append(Refused(ticket, self._too_late(pool, ticket, _ZERO)))
                 continue
             self._start(pool, queue, ticket, now)
             admitted.append(Admitted(ticket))
--- a/cicadapond/admission/fair_test.py
+++ b/cicadapond/admission/fair_test.py
@@ -193,3 +193,13 @@
     pool.run_until(seconds(11.1))
     assert pool.count("small") == 0
     assert not any(isinstance(outcome, Refused) for outcome in pool.outcomes)
+
+
+def test_a_refusal_says_whether_slots_are_taken_or_there_are_none():
+    full = Pool(fair(), {"a": AccountIntent()}, slots=2)
+    for _ in range(20):
+        full.offer("a", wait=0.0)
+    assert full.outcomes[-1].reason.endswith("2 of 2 slots are taken")
+    empty = Pool(fair(), {"a": AccountIntent()}, slots=0)
+    empty.offer("a", wait=0.0)
+    assert empty.outcomes[-1].reason == "no server of pool 'p' takes work from here now"
