--- a/cicadapond/controller/path_test.py
+++ b/cicadapond/controller/path_test.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import random
-import socket
 
 from cicadapond.controller.main import ControllerProcess, ControllerSettings
-from cicadapond.data import Endpoint, Market
+from cicadapond.data import Market
 from cicadapond.document import DocumentEditor, DocumentStore, Edit, hash_key
 from cicadapond.kernel import LoopClock, Ok, seconds
 from cicadapond.platform import AdapterSettings, PlatformSettings
@@ -13,6 +12,7 @@
 from cicadapond.standin import CloudOffer, CloudTiming
 from cicadapond.standin._engine import EngineSettings
 from cicadapond.standin._hosts_process import HostStandinSettings
+from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess, StandinSettings
 
 TEXTS = {
@@ -24,18 +24,8 @@
 LIMIT = seconds(30)
 
 
-def free_endpoints(count):
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    endpoints = [Endpoint("127.0.0.1", probe.getsockname()[1]) for probe in probes]
-    for probe in probes:
-        probe.close()
-    return endpoints
-
-
 async def edit_and_wait():
-    tables, cloud, hosts, weights, engines, admin, peer = free_endpoints(7)
+    tables, cloud, hosts, weights, engines, admin, peer = (free_endpoint() for _ in range(7))
     quick = CloudTiming(start_delay=seconds(0.1), start_jitter=seconds(0))
     offer = CloudOffer("yqr", "small", Market.RECLAIMABLE, 1.0)
     standins = StandinProcess(
--- a/cicadapond/entry/keyed_http_test.py
+++ b/cicadapond/entry/keyed_http_test.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import json
-import socket
 
 import attrs
 import tornado.httpclient
 
-from cicadapond.data import Endpoint
 from cicadapond.demo._plan import (
     DEMO_HEADERS,
     SERVICE,
@@ -20,26 +18,23 @@
 from cicadapond.kernel import load_plugins
 from cicadapond.platform import AdapterSettings, PlatformSettings
 from cicadapond.standin._engine import EngineTiming
+from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess, StandinSettings
 
 FAST = EngineTiming(prefill_token_seconds=0.0, decode_step_seconds=0.001)
 REORDERS = f"/services/{SERVICE}/reorders"
 
 
-def free():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Endpoint("127.0.0.1", probe.getsockname()[1])
-
-
 def settings():
-    servers = [attrs.evolve(s, endpoint=free()) for s in (demo_engines()[0], demo_services()[0])]
+    servers = [
+        attrs.evolve(s, endpoint=free_endpoint()) for s in (demo_engines()[0], demo_services()[0])
+    ]
     standins = StandinSettings(
         engines={servers[0].name: servers[0].endpoint},
         services={servers[1].name: servers[1].endpoint},
         timing=FAST,
-        tables=free(),
-        objects=free(),
+        tables=free_endpoint(),
+        objects=free_endpoint(),
     )
     platform = PlatformSettings(
         hosts=AdapterSettings(adapter="static", servers=tuple(servers)),
@@ -47,7 +42,7 @@
         objects=AdapterSettings(adapter="standin", url=f"http://{standins.objects}"),
     )
     entries = [
-        attrs.evolve(cfg, http=free(), admin=free(), platform=platform, peer=None)
+        attrs.evolve(cfg, http=free_endpoint(), admin=free_endpoint(), platform=platform, peer=None)
         for cfg in demo_platform_entries(1)[:2]
     ]
     return standins, entries
--- a/cicadapond/entry/path_test.py
+++ b/cicadapond/entry/path_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 
 import attrs
 import pytest
@@ -12,23 +11,18 @@
 from cicadapond.demo._plan import DEMO_HEADERS, demo_engines, demo_entries
 from cicadapond.entry.main import EntryProcess
 from cicadapond.standin._engine import EngineTiming, whole_answer
+from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess, StandinSettings
 
 FAST = EngineTiming(prefill_token_seconds=0.0, decode_step_seconds=0.001)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def ask_through_one_entry(fields, urgency=0):
     server = demo_engines()[0]
-    server = attrs.evolve(server, endpoint=attrs.evolve(server.endpoint, port=free_port()))
+    server = attrs.evolve(server, endpoint=free_endpoint())
     standins = StandinProcess(StandinSettings(engines={server.name: server.endpoint}, timing=FAST))
     standins.start()
-    cfg = demo_entries(free_port(), (server,))[0]
+    cfg = demo_entries(free_endpoint().port, (server,))[0]
     entry = EntryProcess(cfg)
     await entry.start()
     try:
--- a/cicadapond/entry/processes_test.py
+++ b/cicadapond/entry/processes_test.py
@@ -11,9 +11,10 @@
 from cicadapond.data import GenerateCall
 from cicadapond.demo.main import write_document
 from cicadapond.entry._settings import PeerAddress
-from cicadapond.entry.keyed_http_test import REORDERS, ask, free, settings
+from cicadapond.entry.keyed_http_test import REORDERS, ask, settings
 from cicadapond.kernel import load_plugins, seconds
 from cicadapond.standin import EngineTiming, ServiceTiming, whole_answer
+from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess
 
 LIMIT_SECONDS = 60
@@ -87,7 +88,7 @@
     )
     standins.start()
     await write_document(cfgs[0])
-    peers = [free(), free()]
+    peers = [free_endpoint(), free_endpoint()]
     cfgs = [
         attrs.evolve(
             cfg, zone=ZONE, peer=PeerAddress(peer, tuple(peers)), balancer_delay=seconds(0.2)
--- a/cicadapond/entry/stop_test.py
+++ b/cicadapond/entry/stop_test.py
@@ -6,12 +6,11 @@
 import attrs
 import tornado.httpclient
 
-from cicadapond.data import Endpoint
 from cicadapond.demo._plan import demo_engines, demo_entries
 from cicadapond.entry.main import EntryProcess
-from cicadapond.entry.path_test import free_port
 from cicadapond.kernel import seconds
 from cicadapond.standin._engine import EngineTiming
+from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess, StandinSettings
 
 TIMING = EngineTiming(prefill_token_seconds=0.0, decode_step_seconds=0.02)
@@ -20,12 +19,12 @@
 
 async def stop_while_streaming():
     server = demo_engines()[0]
-    server = attrs.evolve(server, endpoint=attrs.evolve(server.endpoint, port=free_port()))
+    server = attrs.evolve(server, endpoint=free_endpoint())
     standins = StandinProcess(StandinSettings({server.name: server.endpoint}, TIMING))
     standins.start()
     cfg = attrs.evolve(
-        demo_entries(free_port(), (server,))[0],
-        admin=Endpoint("127.0.0.1", free_port()),
+        demo_entries(free_endpoint().port, (server,))[0],
+        admin=free_endpoint(),
         balancer_delay=seconds(0.1),
     )
     entry = EntryProcess(cfg)
--- a/cicadapond/plugins/engine_sse_test.py
+++ b/cicadapond/plugins/engine_sse_test.py
@@ -23,17 +23,12 @@
 from cicadapond.plugins.engine_sse import SseEngine
 from cicadapond.standin import EngineModel, EngineSettings, EngineTiming, whole_answer
 from cicadapond.standin._engine_http import EngineListener
+from cicadapond.standin._ports import free_endpoint
 
 LOOPBACK = "127.0.0.1"
 FAST = EngineTiming(prefill_token_seconds=0.0, decode_step_seconds=0.001)
 
 
-def free_port():
-    sock, port = tornado.testing.bind_unused_port()
-    sock.close()
-    return port
-
-
 def make_adapter(port, name="a"):
     server = BackendServer(name, ServerKind.ENGINE, "pool", "yqr", Endpoint(LOOPBACK, port))
     return SseEngine(server, LoopClock(), Metrics())
@@ -41,7 +36,7 @@
 
 @contextlib.asynccontextmanager
 async def listening(name="a", **cfg):
-    port = free_port()
+    port = free_endpoint().port
     model = EngineModel(FAST, LoopClock(), EngineSettings(**cfg), name)
     listener = EngineListener(model, Endpoint(LOOPBACK, port))
     listener.start()
@@ -170,7 +165,7 @@
 def test_malformed_data_is_an_event_and_an_outcome():
     async def main():
         for name, body in BAD_BODIES.items():
-            port = free_port()
+            port = free_endpoint().port
             server = tornado.httpserver.HTTPServer(
                 tornado.web.Application([("/.*", _BadHandler, {"body": body})])
             )
