Rename the abstract platform services to provider, so that platform/ can be the users' adapter

The package holds the interfaces and the budget of their client; the adapter that speaks the users' protocol takes the folder platform/.

--- a/cicadapond/controller/_node.py
+++ b/cicadapond/controller/_node.py
@@ -19,7 +19,7 @@
 from cicadapond.kernel import Clock, Metrics, TaskGroup
 from cicadapond.lease import LeaseTask
 from cicadapond.peer import MemberState, PeerTask, owner
-from cicadapond.platform import BudgetedTables, CloudApi, HostList, StoreClass, WeightStore
+from cicadapond.provider import BudgetedTables, CloudApi, HostList, StoreClass, WeightStore
 
 ROLE = "controller"
 
--- a/cicadapond/controller/_observed.py
+++ b/cicadapond/controller/_observed.py
@@ -7,7 +7,7 @@
 
 from cicadapond.capacity import PoolLoad
 from cicadapond.data import BackendServer, EngineState
-from cicadapond.platform import CloudHost, Price
+from cicadapond.provider import CloudHost, Price
 
 
 @attrs.frozen
--- a/cicadapond/controller/_operator_drains.py
+++ b/cicadapond/controller/_operator_drains.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cicadapond.kernel import AnswerLost, Ok, Unavailable
-from cicadapond.platform import TableService, Write
+from cicadapond.provider import TableService, Write
 
 TABLE = "drains"
 MAX_DRAINS = 1000
--- a/cicadapond/controller/_parts.py
+++ b/cicadapond/controller/_parts.py
@@ -13,7 +13,7 @@
 from cicadapond.document import Intent
 from cicadapond.kernel import Clock, Metrics, seconds, setting
 from cicadapond.peer import Peers
-from cicadapond.platform import CloudApi, HostList, WeightStore
+from cicadapond.provider import CloudApi, HostList, WeightStore
 
 
 @attrs.frozen
--- a/cicadapond/controller/_task.py
+++ b/cicadapond/controller/_task.py
@@ -12,7 +12,7 @@
 from cicadapond.controller._parts import ControlParts
 from cicadapond.controller._reconcile import reconcile
 from cicadapond.kernel import AnswerLost, Ok, Task, Unavailable
-from cicadapond.platform import BuyRequest, Refused
+from cicadapond.provider import BuyRequest, Refused
 
 KEPT_ACTIONS = 50
 
--- a/cicadapond/controller/main.py
+++ b/cicadapond/controller/main.py
@@ -16,7 +16,7 @@
 from cicadapond.kernel._program import run_program
 from cicadapond.lease import LeaseSettings
 from cicadapond.peer import PeerSettings, PeerTask, TcpTransport
-from cicadapond.platform import (
+from cicadapond.provider import (
     AdapterSettings,
     BudgetedTables,
     BudgetSettings,
--- a/cicadapond/controller/path_test.py
+++ b/cicadapond/controller/path_test.py
@@ -7,8 +7,8 @@
 from cicadapond.data import Market
 from cicadapond.document import DocumentEditor, DocumentStore, Edit, hash_key
 from cicadapond.kernel import LoopClock, Ok, seconds
-from cicadapond.platform import AdapterSettings, PlatformSettings
 from cicadapond.plugins.tables_standin import StandinTables
+from cicadapond.provider import AdapterSettings, PlatformSettings
 from cicadapond.standin import CloudOffer, CloudTiming
 from cicadapond.standin._engine import EngineSettings
 from cicadapond.standin._hosts_process import HostStandinSettings
--- a/cicadapond/controller/reconcile_test.py
+++ b/cicadapond/controller/reconcile_test.py
@@ -23,7 +23,7 @@
 from cicadapond.data import BackendServer, Endpoint, EngineState, Market, ServerKind
 from cicadapond.document import CostIntent, Intent, MachineClass, ModelIntent, PolicyIntent
 from cicadapond.kernel import seconds
-from cicadapond.platform import CloudHost, Price
+from cicadapond.provider import CloudHost, Price
 
 SPOT = Market.RECLAIMABLE
 
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -37,7 +37,7 @@
     load_settings,
     setting,
 )
-from cicadapond.platform import AdapterSettings, table_services
+from cicadapond.provider import AdapterSettings, table_services
 from cicadapond.routing import routers
 from cicadapond.stream import moving_policies
 
--- a/cicadapond/demo/_plan.py
+++ b/cicadapond/demo/_plan.py
@@ -8,7 +8,7 @@
 from cicadapond.document import SECTIONS
 from cicadapond.entry import EntrySettings
 from cicadapond.entry._settings import PeerAddress
-from cicadapond.platform import AdapterSettings, PlatformSettings
+from cicadapond.provider import AdapterSettings, PlatformSettings
 from cicadapond.standin import EngineSettings
 from cicadapond.standin.main import StandinSettings
 
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -25,7 +25,7 @@
 from cicadapond.entry.main import EntryProcess
 from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
 from cicadapond.kernel._program import stop_on_signals
-from cicadapond.platform import table_services
+from cicadapond.provider import table_services
 from cicadapond.standin.main import StandinProcess
 
 FIRST_EDIT_LIMIT = seconds(10)
--- a/cicadapond/document/_store.py
+++ b/cicadapond/document/_store.py
@@ -16,7 +16,7 @@
     unpack_history,
 )
 from cicadapond.kernel import AnswerLost, Conflict, Ok, Unavailable
-from cicadapond.platform import TableService, Write
+from cicadapond.provider import TableService, Write
 
 HISTORY_LIMIT = 2000  # revisions
 
--- a/cicadapond/document/task_test.py
+++ b/cicadapond/document/task_test.py
@@ -19,7 +19,7 @@
 from cicadapond.experiments._mesh import Mesh
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.peer import Digest
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 from cicadapond.standin import DirectTables, TableModel
 
 WITHIN = seconds(5)
--- a/cicadapond/entry/_durable.py
+++ b/cicadapond/entry/_durable.py
@@ -21,7 +21,7 @@
 )
 from cicadapond.kernel import Failed, NotRun, Ok, Task, TaskGroup, Unavailable, Unknown
 from cicadapond.peer import MemberState
-from cicadapond.platform import TableSweep
+from cicadapond.provider import TableSweep
 
 ABSENT = 404
 NOT_SUPPORTED = 501
--- a/cicadapond/entry/_edges.py
+++ b/cicadapond/entry/_edges.py
@@ -6,7 +6,7 @@
 from cicadapond.entry._settings import EntrySettings
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.peer import NoPeers, PeerSettings, PeerTask, TcpTransport
-from cicadapond.platform import (
+from cicadapond.provider import (
     BudgetedTables,
     StoreClass,
     cloud_apis,
--- a/cicadapond/entry/_node.py
+++ b/cicadapond/entry/_node.py
@@ -21,7 +21,7 @@
 from cicadapond.entry._parts import Parts
 from cicadapond.kernel import Clock, Metrics, Task, TaskGroup
 from cicadapond.peer import MemberState, NoPeers, Peers
-from cicadapond.platform import BudgetedTables, CloudApi, HostList, ObjectStore, StoreClass
+from cicadapond.provider import BudgetedTables, CloudApi, HostList, ObjectStore, StoreClass
 from cicadapond.quarantine import ConvictionTable
 
 
--- a/cicadapond/entry/_parts.py
+++ b/cicadapond/entry/_parts.py
@@ -8,7 +8,7 @@
 from cicadapond.document import Intent
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.peer import Peers
-from cicadapond.platform import ObjectStore, TableService
+from cicadapond.provider import ObjectStore, TableService
 
 
 @attrs.define
--- a/cicadapond/entry/_service.py
+++ b/cicadapond/entry/_service.py
@@ -16,7 +16,7 @@
     keyed_call_policies,
     ledger_sweep,
 )
-from cicadapond.platform import TableSweep
+from cicadapond.provider import TableSweep
 from cicadapond.routing import ServerView
 
 AVOID_TERM = datetime.timedelta(seconds=2)
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -9,7 +9,7 @@
 from cicadapond.journal import JournalSettings
 from cicadapond.kernel import at_least, setting
 from cicadapond.ledger import LedgerSettings
-from cicadapond.platform import BudgetSettings, PlatformSettings
+from cicadapond.provider import BudgetSettings, PlatformSettings
 
 _SECOND = datetime.timedelta(seconds=1)
 
--- a/cicadapond/entry/keyed_http_test.py
+++ b/cicadapond/entry/keyed_http_test.py
@@ -16,7 +16,7 @@
 from cicadapond.demo.main import write_document
 from cicadapond.entry.main import EntryProcess
 from cicadapond.kernel import load_plugins
-from cicadapond.platform import AdapterSettings, PlatformSettings
+from cicadapond.provider import AdapterSettings, PlatformSettings
 from cicadapond.standin._engine import EngineTiming
 from cicadapond.standin._ports import free_endpoint
 from cicadapond.standin.main import StandinProcess, StandinSettings
--- a/cicadapond/experiments/charges.py
+++ b/cicadapond/experiments/charges.py
@@ -17,7 +17,7 @@
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import Metrics, NotRun, Ok, Unknown, VirtualClock, run_virtual, seconds
 from cicadapond.peer import NoPeers
-from cicadapond.platform import BudgetedTables, BudgetSettings, StoreClass
+from cicadapond.provider import BudgetedTables, BudgetSettings, StoreClass
 from cicadapond.standin import (
     DirectObjects,
     DirectService,
--- a/cicadapond/experiments/document.py
+++ b/cicadapond/experiments/document.py
@@ -33,7 +33,7 @@
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import Findings, Metrics, Ok, Unknown, VirtualClock, run_virtual, seconds
 from cicadapond.peer import Digest
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 from cicadapond.standin import DirectTables, TableModel
 
 ZONES = ("yqr", "yxe", "ywg")
--- a/cicadapond/experiments/durable.py
+++ b/cicadapond/experiments/durable.py
@@ -17,7 +17,7 @@
 from cicadapond.journal import JournalSettings, RequestState
 from cicadapond.kernel import Metrics, Ok, VirtualClock, run_virtual, seconds
 from cicadapond.peer import Digest, Member, MemberState, Peers
-from cicadapond.platform import BudgetedTables, BudgetSettings, StoreClass
+from cicadapond.provider import BudgetedTables, BudgetSettings, StoreClass
 from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
 
 ENTRIES = 6
--- a/cicadapond/experiments/overload.py
+++ b/cicadapond/experiments/overload.py
@@ -27,7 +27,7 @@
 from cicadapond.entry._node import Edges, EntryNode
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import Metrics, NotRun, Ok, VirtualClock, run_virtual, seconds
-from cicadapond.platform import AdapterSettings, HostList, PlatformSettings
+from cicadapond.provider import AdapterSettings, HostList, PlatformSettings
 from cicadapond.standin import DirectEngine, EngineModel, EngineSettings, EngineTiming
 
 MODEL = "shade-model"
--- a/cicadapond/experiments/polls.py
+++ b/cicadapond/experiments/polls.py
@@ -13,8 +13,8 @@
 from cicadapond.entry._fleet_tasks import INTERVAL_PER_HOST
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
-from cicadapond.platform import AdapterSettings, host_lists
 from cicadapond.plugins.engine_sse import SseEngine
+from cicadapond.provider import AdapterSettings, host_lists
 from cicadapond.standin import EngineModel, EngineTiming, HostListModel
 from cicadapond.standin._cloud_http import host_list_application
 from cicadapond.standin._engine_http import engine_application
--- a/cicadapond/experiments/scale.py
+++ b/cicadapond/experiments/scale.py
@@ -21,7 +21,7 @@
     row,
 )
 from cicadapond.journal import JournalSettings
-from cicadapond.platform import BudgetSettings
+from cicadapond.provider import BudgetSettings
 
 ZONES = 10
 DAEMONS = 420
--- a/cicadapond/journal/_adoption.py
+++ b/cicadapond/journal/_adoption.py
@@ -22,7 +22,7 @@
 from cicadapond.journal._settings import JournalSettings
 from cicadapond.journal._watch import OwnerWatch
 from cicadapond.kernel import Clock, Ok
-from cicadapond.platform import ObjectStore, TableService, Write
+from cicadapond.provider import ObjectStore, TableService, Write
 
 GAP_FACTOR = 4
 DELETE_BATCH = 100
--- a/cicadapond/journal/_journal.py
+++ b/cicadapond/journal/_journal.py
@@ -24,7 +24,7 @@
     Unavailable,
     Unknown,
 )
-from cicadapond.platform import ObjectStore, TableService
+from cicadapond.provider import ObjectStore, TableService
 
 NAME_BITS = 128
 OTHER_BODY = 422
--- a/cicadapond/journal/_log.py
+++ b/cicadapond/journal/_log.py
@@ -28,7 +28,7 @@
     segment_key,
 )
 from cicadapond.kernel import AnswerLost, Conflict, Ok, Unavailable
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 
 TAKEN_LIMIT = 64  # requests taken on by one transaction
 
--- a/cicadapond/journal/_reader.py
+++ b/cicadapond/journal/_reader.py
@@ -11,7 +11,7 @@
     decode_request,
 )
 from cicadapond.kernel import Ok, Unavailable
-from cicadapond.platform import ObjectStore, Row, TableService
+from cicadapond.provider import ObjectStore, Row, TableService
 
 PAGE = 500
 
--- a/cicadapond/journal/_rows.py
+++ b/cicadapond/journal/_rows.py
@@ -15,7 +15,7 @@
 import attrs
 
 from cicadapond.data import Completion, Priority, body_hash
-from cicadapond.platform import Row
+from cicadapond.provider import Row
 
 OWNERS = "journal-owners"
 REQUESTS = "journal-requests"
--- a/cicadapond/journal/_sweep.py
+++ b/cicadapond/journal/_sweep.py
@@ -2,7 +2,7 @@
 
 from cicadapond.journal._rows import REQUESTS, decode_request
 from cicadapond.journal._settings import JournalSettings
-from cicadapond.platform import SweepPlan
+from cicadapond.provider import SweepPlan
 
 
 def journal_sweep(cfg: JournalSettings) -> SweepPlan:
--- a/cicadapond/journal/log_test.py
+++ b/cicadapond/journal/log_test.py
@@ -23,7 +23,7 @@
 )
 from cicadapond.journal._watch import OwnerWatch
 from cicadapond.kernel import AnswerLost, ManualClock, Ok, Unavailable, seconds
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 from cicadapond.standin import TableModel
 
 INTERVAL = seconds(1)
--- a/cicadapond/lease/_keeper.py
+++ b/cicadapond/lease/_keeper.py
@@ -10,7 +10,7 @@
 import attrs
 
 from cicadapond.kernel import setting
-from cicadapond.platform import Row, Write
+from cicadapond.provider import Row, Write
 
 TABLE = "leases"
 REMEMBERED_TOKENS = 16
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -8,7 +8,7 @@
 
 from cicadapond.kernel import AnswerLost, Clock, Metrics, Ok, Task
 from cicadapond.lease._keeper import Grant, LeaseKeeper, LeaseSettings
-from cicadapond.platform import TableService
+from cicadapond.provider import TableService
 
 
 class LeaseTask(Task):
--- a/cicadapond/lease/lease_test.py
+++ b/cicadapond/lease/lease_test.py
@@ -18,7 +18,7 @@
     seconds,
 )
 from cicadapond.lease import LeaseSettings, LeaseTask
-from cicadapond.platform import Row, TableService
+from cicadapond.provider import Row, TableService
 
 CFG = LeaseSettings()
 
--- a/cicadapond/ledger/_group.py
+++ b/cicadapond/ledger/_group.py
@@ -10,7 +10,7 @@
 import attrs
 
 from cicadapond.kernel import AnswerLost, Conflict, Metrics, Ok, Unavailable
-from cicadapond.platform import Row, TableService, Write
+from cicadapond.provider import Row, TableService, Write
 
 
 @attrs.define
--- a/cicadapond/ledger/_ledger.py
+++ b/cicadapond/ledger/_ledger.py
@@ -47,7 +47,7 @@
     row_key,
 )
 from cicadapond.ledger._settings import LedgerSettings
-from cicadapond.platform import ObjectStore, TableService, Write
+from cicadapond.provider import ObjectStore, TableService, Write
 
 TOKEN_BITS = 128
 
--- a/cicadapond/ledger/_row.py
+++ b/cicadapond/ledger/_row.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cicadapond.data import Answer
-from cicadapond.platform import Row
+from cicadapond.provider import Row
 
 TABLE = "ledger"
 
--- a/cicadapond/ledger/_sweep.py
+++ b/cicadapond/ledger/_sweep.py
@@ -2,7 +2,7 @@
 
 from cicadapond.ledger._row import TABLE, decode_row
 from cicadapond.ledger._settings import LedgerSettings
-from cicadapond.platform import SweepPlan
+from cicadapond.provider import SweepPlan
 
 
 def ledger_sweep(cfg: LedgerSettings) -> SweepPlan:
--- a/cicadapond/ledger/ledger_test.py
+++ b/cicadapond/ledger/ledger_test.py
@@ -17,7 +17,7 @@
     TrustingCalls,
     ledger_sweep,
 )
-from cicadapond.platform import TableSweep
+from cicadapond.provider import TableSweep
 from cicadapond.standin import DirectObjects, DirectTables, ObjectModel, TableModel
 
 CHARGE = KeyedWork("yard-1", "charge-7", "body")
--- a/cicadapond/plugins/cloud_standin.py
+++ b/cicadapond/plugins/cloud_standin.py
@@ -4,7 +4,8 @@
 import urllib.parse
 
 from cicadapond.kernel import AnswerLost, Ok, Unavailable
-from cicadapond.platform import (
+from cicadapond.plugins._storage_client import Reply, StorageClient
+from cicadapond.provider import (
     CloudApi,
     HostList,
     Refused,
@@ -13,7 +14,6 @@
     host_lists,
     weight_stores,
 )
-from cicadapond.plugins._storage_client import Reply, StorageClient
 from cicadapond.standin._hosts_wire import (
     parse_host,
     parse_listing,
--- a/cicadapond/plugins/hosts_static.py
+++ b/cicadapond/plugins/hosts_static.py
@@ -2,7 +2,7 @@
 
 from cicadapond.data import HostEntry, HostListing, HostState
 from cicadapond.kernel import Ok
-from cicadapond.platform import HostList, host_lists
+from cicadapond.provider import HostList, host_lists
 
 
 @host_lists.register("static")
--- a/cicadapond/plugins/objects_standin.py
+++ b/cicadapond/plugins/objects_standin.py
@@ -3,8 +3,8 @@
 import urllib.parse
 
 from cicadapond.kernel import AnswerLost, Ok, Unavailable
-from cicadapond.platform import ObjectStore, object_stores
 from cicadapond.plugins._storage_client import Reply, StorageClient
+from cicadapond.provider import ObjectStore, object_stores
 
 ABSENT = 404
 
--- a/cicadapond/plugins/tables_standin.py
+++ b/cicadapond/plugins/tables_standin.py
@@ -3,8 +3,8 @@
 import msgpack
 
 from cicadapond.kernel import AnswerLost, Conflict, Ok, Unavailable
-from cicadapond.platform import Row, TableService, table_services
 from cicadapond.plugins._storage_client import Reply, StorageClient
+from cicadapond.provider import Row, TableService, table_services
 
 CONFLICT = 409
 
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/provider/__init__.py
@@ -4,7 +4,7 @@
 knows them; everything else in the product sees the types of this package.
 """
 
-from cicadapond.platform._api import (
+from cicadapond.provider._api import (
     BuyRequest,
     CloudApi,
     CloudHost,
@@ -22,11 +22,11 @@
     table_services,
     weight_stores,
 )
-from cicadapond.platform._budget import BudgetedTables, BudgetSettings
-from cicadapond.platform._classes import StoreClass
-from cicadapond.platform._rate import RateLimit
-from cicadapond.platform._settings import AdapterSettings, PlatformSettings
-from cicadapond.platform._sweep import SweepPlan, TableSweep
+from cicadapond.provider._budget import BudgetedTables, BudgetSettings
+from cicadapond.provider._classes import StoreClass
+from cicadapond.provider._rate import RateLimit
+from cicadapond.provider._settings import AdapterSettings, PlatformSettings
+from cicadapond.provider._sweep import SweepPlan, TableSweep
 
 __all__ = [
     "AdapterSettings",
--- a/cicadapond/platform/_budget.py
+++ b/cicadapond/provider/_budget.py
@@ -21,10 +21,10 @@
     at_least,
     setting,
 )
-from cicadapond.platform._api import ObjectStore, TableService
-from cicadapond.platform._circuit import Circuit
-from cicadapond.platform._classes import StoreClass
-from cicadapond.platform._gate import Gate
+from cicadapond.provider._api import ObjectStore, TableService
+from cicadapond.provider._circuit import Circuit
+from cicadapond.provider._classes import StoreClass
+from cicadapond.provider._gate import Gate
 
 PROBE_KEY = ("probe", "probe")
 READ_ATTEMPTS = 2
--- a/cicadapond/platform/_gate.py
+++ b/cicadapond/provider/_gate.py
@@ -6,8 +6,8 @@
 import heapq
 import itertools
 
-from cicadapond.platform._classes import StoreClass
-from cicadapond.platform._rate import ZERO, RateLimit
+from cicadapond.provider._classes import StoreClass
+from cicadapond.provider._rate import ZERO, RateLimit
 
 INCREASE_SHARE = 0.02  # of the floor, for each call that went well
 DECREASE_FACTOR = 0.5
--- a/cicadapond/platform/_sweep.py
+++ b/cicadapond/provider/_sweep.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cicadapond.kernel import Clock, Metrics, Ok, Task
-from cicadapond.platform._api import ObjectStore, Row, TableService, Write
+from cicadapond.provider._api import ObjectStore, Row, TableService, Write
 
 JITTER_SHARE = 0.5
 
--- a/cicadapond/platform/budget_test.py
+++ b/cicadapond/provider/budget_test.py
@@ -12,7 +12,7 @@
     run_virtual,
     seconds,
 )
-from cicadapond.platform import BudgetedTables, BudgetSettings, RateLimit, StoreClass, Write
+from cicadapond.provider import BudgetedTables, BudgetSettings, RateLimit, StoreClass, Write
 from cicadapond.standin import DirectTables, StorageTiming, TableModel
 
 
--- a/cicadapond/quarantine/_table.py
+++ b/cicadapond/quarantine/_table.py
@@ -4,7 +4,7 @@
 import random
 
 from cicadapond.kernel import Clock, Metrics, Ok, Task, seconds
-from cicadapond.platform import Row, TableService, Write
+from cicadapond.provider import Row, TableService, Write
 from cicadapond.quarantine._quarantine import Quarantine
 
 TABLE = "convictions"
--- a/cicadapond/quarantine/table_test.py
+++ b/cicadapond/quarantine/table_test.py
@@ -3,7 +3,7 @@
 import random
 
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 from cicadapond.quarantine import ConvictionTable, Quarantine
 from cicadapond.standin import DirectTables, TableModel
 
--- a/cicadapond/scenario/_backends.py
+++ b/cicadapond/scenario/_backends.py
@@ -7,7 +7,7 @@
 
 from cicadapond.data import BackendServer, Endpoint, Market, ServerKind
 from cicadapond.kernel import Clock
-from cicadapond.platform import BuyRequest
+from cicadapond.provider import BuyRequest
 from cicadapond.scenario._network import Node, NodeEngine, NodeService
 from cicadapond.scenario._observation import Crashed, FinalEngine, Noticed, Ran, Record
 from cicadapond.scenario._script import Script
--- a/cicadapond/scenario/_network.py
+++ b/cicadapond/scenario/_network.py
@@ -11,7 +11,7 @@
 from cicadapond.backend import Accepted, Engine, EngineStream, NotSent, PlainService
 from cicadapond.data import BreakKind, Broken
 from cicadapond.kernel import AnswerLost, Clock, LoopClock, Unavailable, Unknown, VirtualClock
-from cicadapond.platform import CloudApi, HostList, ObjectStore, TableService
+from cicadapond.provider import CloudApi, HostList, ObjectStore, TableService
 from cicadapond.scenario._observation import Ordered, Record, Started
 
 PLATFORM = "platform"
--- a/cicadapond/scenario/_world.py
+++ b/cicadapond/scenario/_world.py
@@ -24,7 +24,7 @@
 from cicadapond.entry._node import Edges, EntryNode
 from cicadapond.kernel import Findings, Metrics, Ok, VirtualClock, parse_jsonc
 from cicadapond.peer import MemoryNetwork, MemoryTransport, PeerSettings, PeerTask
-from cicadapond.platform import AdapterSettings, BudgetedTables, BudgetSettings, PlatformSettings
+from cicadapond.provider import AdapterSettings, BudgetedTables, BudgetSettings, PlatformSettings
 from cicadapond.scenario._backends import (
     ENGINE_SLOTS,
     FIRST_VERSION,
--- a/cicadapond/standin/_cloud.py
+++ b/cicadapond/standin/_cloud.py
@@ -10,7 +10,7 @@
 
 from cicadapond.data import BackendServer, Market, Notice
 from cicadapond.kernel import AnswerLost, Clock, Ok, Unavailable, seconds
-from cicadapond.platform import BuyRequest, CloudApi, CloudHost, Price, Refused
+from cicadapond.provider import BuyRequest, CloudApi, CloudHost, Price, Refused
 
 ZERO = datetime.timedelta()
 _HOUR = datetime.timedelta(hours=1)
--- a/cicadapond/standin/_cloud_http.py
+++ b/cicadapond/standin/_cloud_http.py
@@ -11,7 +11,7 @@
 
 from cicadapond.data import Market
 from cicadapond.kernel import AnswerLost, Unavailable
-from cicadapond.platform import Refused
+from cicadapond.provider import Refused
 from cicadapond.standin._cloud import CloudModel
 from cicadapond.standin._host_list import HostListModel
 from cicadapond.standin._hosts_wire import (
--- a/cicadapond/standin/_faults.py
+++ b/cicadapond/standin/_faults.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cicadapond.kernel import AnswerLost, Clock, Unavailable
-from cicadapond.platform import RateLimit
+from cicadapond.provider import RateLimit
 
 ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
--- a/cicadapond/standin/_host_list.py
+++ b/cicadapond/standin/_host_list.py
@@ -5,7 +5,7 @@
 
 from cicadapond.data import BackendServer, HostEntry, HostListing, HostState
 from cicadapond.kernel import Clock, Ok, Unavailable
-from cicadapond.platform import CloudHost, HostList
+from cicadapond.provider import CloudHost, HostList
 
 _STATES = {"live": HostState.LIVE, "leaving": HostState.LEAVING}
 
--- a/cicadapond/standin/_hosts_process.py
+++ b/cicadapond/standin/_hosts_process.py
@@ -8,7 +8,7 @@
 
 from cicadapond.data import BackendServer, Endpoint, ServerKind
 from cicadapond.kernel import Clock, seconds, setting
-from cicadapond.platform import CloudHost
+from cicadapond.provider import CloudHost
 from cicadapond.standin._cloud import CloudModel, CloudOffer, CloudTiming
 from cicadapond.standin._cloud_http import (
     cloud_application,
--- a/cicadapond/standin/_hosts_wire.py
+++ b/cicadapond/standin/_hosts_wire.py
@@ -14,7 +14,7 @@
     Notice,
     ServerKind,
 )
-from cicadapond.platform import BuyRequest, CloudHost, Price
+from cicadapond.provider import BuyRequest, CloudHost, Price
 
 
 def server_fields(server: BackendServer) -> dict:
--- a/cicadapond/standin/_objects.py
+++ b/cicadapond/standin/_objects.py
@@ -4,7 +4,7 @@
 import random
 
 from cicadapond.kernel import Clock, Ok, Unavailable
-from cicadapond.platform import ObjectStore
+from cicadapond.provider import ObjectStore
 from cicadapond.standin._faults import StorageServer, StorageTiming
 
 
--- a/cicadapond/standin/_storage_http.py
+++ b/cicadapond/standin/_storage_http.py
@@ -12,7 +12,7 @@
 import tornado.web
 
 from cicadapond.kernel import AnswerLost, Conflict, Unavailable
-from cicadapond.platform import Write
+from cicadapond.provider import Write
 from cicadapond.standin._objects import ObjectModel
 from cicadapond.standin._tables import TableModel
 
--- a/cicadapond/standin/_tables.py
+++ b/cicadapond/standin/_tables.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from cicadapond.kernel import Clock, Conflict, Ok, Unavailable
-from cicadapond.platform import Row, TableService, Write
+from cicadapond.provider import Row, TableService, Write
 from cicadapond.standin._faults import StorageServer, StorageTiming
 
 
--- a/cicadapond/standin/_weights.py
+++ b/cicadapond/standin/_weights.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cicadapond.kernel import Clock, Ok, Unavailable, seconds, setting
-from cicadapond.platform import WeightStore
+from cicadapond.provider import WeightStore
 
 CHUNK_BYTES = 64_000_000
 
--- a/cicadapond/standin/cloud_test.py
+++ b/cicadapond/standin/cloud_test.py
@@ -17,8 +17,8 @@
     run_virtual,
     seconds,
 )
-from cicadapond.platform import AdapterSettings, BuyRequest, Refused
 from cicadapond.plugins.cloud_standin import StandinCloud, StandinHostList, StandinWeights
+from cicadapond.provider import AdapterSettings, BuyRequest, Refused
 from cicadapond.standin import (
     CloudModel,
     CloudOffer,
--- a/cicadapond/standin/storage_test.py
+++ b/cicadapond/standin/storage_test.py
@@ -8,9 +8,9 @@
 import tornado.testing
 
 from cicadapond.kernel import AnswerLost, Conflict, Ok, Unavailable, VirtualClock, run_virtual
-from cicadapond.platform import AdapterSettings, Row, Write
 from cicadapond.plugins.objects_standin import StandinObjects
 from cicadapond.plugins.tables_standin import StandinTables
+from cicadapond.provider import AdapterSettings, Row, Write
 from cicadapond.standin import DirectTables, ObjectModel, StorageTiming, TableModel
 from cicadapond.standin._storage_http import object_application, table_application
 
--- a/docs/examples/ledger_example.py
+++ b/docs/examples/ledger_example.py
@@ -1,7 +1,7 @@
 """Embeds the ledger by itself: a gate fee that is charged at most once, whatever is lost.
 
 Run it with `python docs/examples/ledger_example.py`.  The table service here is the stand-in;
-any `cicadapond.platform.TableService` takes its place.
+any `cicadapond.provider.TableService` takes its place.
 """
 
 import asyncio
