--- /dev/null
+++ b/cicadapond/gateway/_duties.py
@@ -0,0 +1,202 @@
+"""The duties of the lease's holder: usage reports and orders of servers."""
+
+import datetime
+
+from cicadapond.eventlog import EventLog
+from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
+from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
+from cicadapond.lease import LeaseTask
+from cicadapond.provider import Row, TableService, Write
+from cicadapond.usage import UsageWindows
+
+STEP = datetime.timedelta(milliseconds=500)
+USAGE_TABLE = "usage"
+# A window's counts of other processes arrive within two seconds; the rest is for their clocks.
+COUNTS_SETTLE = datetime.timedelta(seconds=4)
+# How many windows back a new holder looks for reports that its predecessor did not send.
+LOOK_BACK = 3
+KEPT_ROWS = 12
+
+
+class UsageReporter:
+    """Reports each window once, with counts that are fixed in the store before they are sent.
+
+    Args:
+      cloud: Takes the reports.
+      tables: Keeps the fixed counts, so that every holder sends the same.
+      usage: Knows the windows.
+      add_up: Returns the counts of a window over all processes.
+      clock: Gives true time.
+      log: Takes a line for each report.
+    """
+
+    def __init__(
+        self,
+        cloud: Cloud,
+        tables: TableService,
+        usage: UsageWindows,
+        add_up,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._cloud = cloud
+        self._tables = tables
+        self._usage = usage
+        self._add_up = add_up
+        self._clock = clock
+        self._log = log
+        self._next: int | None = None
+
+    async def step(self, lease: LeaseTask, name: str) -> None:
+        """Reports the next window if it is due."""
+        newest = self._usage.number(self._clock.now() - COUNTS_SETTLE) - 1
+        if self._next is None:
+            self._next = newest - LOOK_BACK + 1
+        while self._next <= newest:
+            counts = await self._fixed(self._next)
+            grant = lease.grant()
+            if counts is None or grant is None:
+                return
+            holder = Holder(name, grant.fencing)
+            outcome = await self._cloud.report_usage(holder, self._next, counts)
+            self._log.write(
+                "usage_reported",
+                window=self._next,
+                counts=counts,
+                fencing=grant.fencing,
+                outcome=type(outcome).__name__,
+            )
+            if not isinstance(outcome, Ok | Declined):
+                return
+            self._next += 1
+
+    def restart(self) -> None:
+        """Forgets how far reports have come, for the next time that the lease is held."""
+        self._next = None
+
+    async def _fixed(self, window):
+        """Returns the counts of a window as the store holds them, None if it does not answer."""
+        counts = self._add_up(window)
+        place = (USAGE_TABLE, _key(window))
+        writes = [Write(*place, counts, expected=0)]
+        if window % KEPT_ROWS == 0:
+            writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
+        match await self._tables.transact(tuple(writes)):
+            case Ok():
+                return counts
+            case Conflict(current=current) if place in current:
+                return current[place].value
+            case Conflict() | AnswerLost():
+                return await self._read(place)
+        return None
+
+    async def _read(self, place):
+        match await self._tables.read((place,)):
+            case Ok(value=rows):
+                row: Row = rows[place]
+                return row.value
+        return None
+
+
+def _key(window):
+    return f"{window:012d}"
+
+
+def _old_windows():
+    return range(KEPT_ROWS, 2 * KEPT_ROWS)
+
+
+class DutyTask(Task):
+    """Does the duties while this process holds the lease.
+
+    Args:
+      lease: Says whether it does.
+      holder: The process's name.
+      reporter: Reports usage, None if that is no duty here.
+      orderer: Orders servers, None if that is no duty here.
+      clock: Gives the time.
+    """
+
+    name = "duties"
+
+    def __init__(self, lease: LeaseTask, holder: str, reporter, orderer, clock: Clock):
+        self._lease = lease
+        self._holder = holder
+        self._reporter = reporter
+        self._orderer = orderer
+        self._clock = clock
+
+    async def run(self):
+        while True:
+            if self._lease.grant() is None:
+                for part in (self._reporter, self._orderer):
+                    if part is not None:
+                        part.restart()
+            else:
+                await self._step()
+            await self._clock.sleep(STEP)
+
+    async def _step(self):
+        if self._orderer is not None:
+            await self._orderer.step(self._lease, self._holder)
+        if self._reporter is not None:
+            await self._reporter.step(self._lease, self._holder)
+
+
+class ServerOrderer:
+    """Sends the orders that differ from what was ordered before, or that were not carried out.
+
+    Args:
+      cloud: Takes the orders.
+      plan: Returns the orders that should be in force.
+      missing: Returns whether an order is not carried out, though there was time for it.
+      clock: Gives the time.
+      log: Takes a line for each order.
+    """
+
+    REPEAT = datetime.timedelta(seconds=2)
+
+    def __init__(self, cloud: Cloud, plan, missing, clock: Clock, log: EventLog):
+        self._cloud = cloud
+        self._plan = plan
+        self._missing = missing
+        self._clock = clock
+        self._log = log
+        self._sent: dict[tuple, tuple[int, datetime.timedelta]] = {}
+
+    def restart(self) -> None:
+        """Forgets what was ordered, for the next time that the lease is held."""
+        self._sent.clear()
+
+    async def step(self, lease: LeaseTask, name: str) -> None:
+        """Sends the orders that are due."""
+        for order in self._plan():
+            if not self._is_due(order):
+                continue
+            grant = lease.grant()
+            if grant is None:
+                return
+            place = (order.service, order.zone, order.reclaimable)
+            outcome = await self._cloud.order(Holder(name, grant.fencing), order)
+            count = order.count if isinstance(outcome, Ok) else -1
+            self._sent[place] = (count, self._clock.monotonic())
+            self._log.write(
+                "servers_ordered",
+                service=order.service,
+                zone=order.zone,
+                reclaimable=order.reclaimable,
+                count=order.count,
+                fencing=grant.fencing,
+                outcome=type(outcome).__name__,
+                reason=getattr(outcome, "reason", None),
+            )
+
+    def _is_due(self, order: ServerOrder) -> bool:
+        place = (order.service, order.zone, order.reclaimable)
+        count, at = self._sent.get(place, (None, None))
+        if count is None:
+            return True
+        waited = self._clock.monotonic() - at >= self.REPEAT
+        if count == order.count:
+            return waited and self._missing(order, at)
+        return count >= 0 or waited
--- /dev/null
+++ b/cicadapond/gateway/_front.py
@@ -0,0 +1,158 @@
+"""Callers' side of a gateway process: the listener, admission of each request, planned stops."""
+
+import asyncio
+import datetime
+
+from cicadapond.gateway._caller import (
+    Answerer,
+    CallerConnection,
+    ReceivedRequest,
+    Reply,
+    RequestError,
+)
+from cicadapond.gateway._dialect import Malformed
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._run import RequestRun, send_own_answer
+from cicadapond.gateway.data import RequestLimits
+from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
+
+LISTEN_BACKLOG = 1024
+NOT_READY_RETRY = datetime.timedelta(milliseconds=500)
+# In force until the configuration is known.
+FIRST_LIMITS = RequestLimits(
+    header_bytes=16 * 1024,
+    body_bytes=4 * 1024 * 1024,
+    header_timeout=datetime.timedelta(seconds=3),
+    idle_timeout=datetime.timedelta(seconds=15),
+)
+
+
+class Front(Answerer):
+    """Accepts callers and answers them.
+
+    Args:
+      parts: The process.
+    """
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Starts to accept connections."""
+        endpoint = self._parts.cfg.callers
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, endpoint.host, endpoint.port, backlog=LISTEN_BACKLOG
+        )
+
+    @property
+    def busy(self) -> int:
+        """How many connections have a request in progress."""
+        return sum(not conn.is_idle for conn in self._connections)
+
+    def close(self) -> None:
+        """Stops accepting and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.close() if conn.is_idle else conn.abort()
+
+    def _accept(self):
+        conn = _Counted(self, self._parts.clock, self._connections)
+        self._parts.metrics.count("caller_connections")
+        return conn
+
+    # Answerer
+
+    def limits(self):
+        table = self._parts.directory.table
+        return table.cfg.limits if table is not None else FIRST_LIMITS
+
+    def is_stopping(self):
+        return self._parts.stopping_since is not None
+
+    def rejected(self, exc: RequestError):
+        self._parts.metrics.count("requests", status=exc.status)
+        self._parts.log.write("request_unreadable", status=exc.status, reason=str(exc))
+        return self._parts.dialect.own_headers(None, None)
+
+    async def answer(self, request: ReceivedRequest, reply: Reply) -> None:
+        try:
+            await self._answer(request, reply)
+        except asyncio.CancelledError:
+            self._parts.metrics.count("callers_left")
+            raise
+        except Exception as exc:
+            self._parts.log.write("request_failed", reason=repr(exc))
+            reply.break_off()
+            raise
+
+    async def _answer(self, request, reply):
+        parts = self._parts
+        req = parts.dialect.read_request(
+            request.method, request.target, request.headers, request.body
+        )
+        if isinstance(req, Malformed):
+            raise RequestError(req.status, req.reason)
+        verdict = parts.directory.find(req)
+        if not isinstance(verdict, Admitted):
+            await self._refuse(req, verdict, reply)
+            return
+        wait = self._take_quota(req, verdict.account)
+        if wait is not None:
+            await self._own(req, reply, 429, "the client account's quota is used up", wait)
+            return
+        run = RequestRun(parts, req, verdict.route, verdict.account, reply, request.at)
+        try:
+            await run.run()
+        except asyncio.CancelledError:
+            parts.log.write("caller_left", request=req.id, route=verdict.route.name)
+            raise
+
+    def _take_quota(self, req, account):
+        if account is None:
+            return None
+        units = 1.0
+        if account.counts_tokens:
+            units = req.generation.tokens if req.generation else account.default_tokens
+        return self._parts.quotas.take(account, units, self._parts.processes())
+
+    async def _refuse(self, req, verdict, reply):
+        match verdict:
+            case NoRoute():
+                await self._own(req, reply, 404, "no route", None)
+            case BadKey():
+                await self._own(req, reply, 401, "unknown key", None)
+            case NotReady(reason=reason):
+                await self._own(req, reply, 503, reason, NOT_READY_RETRY)
+
+    async def _own(self, req, reply, status, reason, retry_after):
+        age = self._parts.directory.age()
+        self._parts.metrics.count("requests", status=status)
+        self._parts.log.write(
+            "refused",
+            request=req.id,
+            status=status,
+            reason=reason,
+            configuration=self._parts.directory.version,
+            configuration_age_ms=round(age.total_seconds() * 1000) if age is not None else None,
+        )
+        await send_own_answer(self._parts, reply, req.id, status, reason, retry_after)
+
+
+class _Counted(CallerConnection):
+    """A caller's connection that knows the set of all open ones."""
+
+    def __init__(self, answerer, clock, connections):
+        super().__init__(answerer, clock)
+        self._connections = connections
+
+    def connection_made(self, transport):
+        self._connections.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc):
+        self._connections.discard(self)
+        super().connection_lost(exc)
--- /dev/null
+++ b/cicadapond/gateway/_parts.py
@@ -0,0 +1,46 @@
+"""What one gateway process is made of, handed whole to those who use several of its parts."""
+
+import datetime
+import typing
+
+import attrs
+
+from cicadapond.containment import CrashBook
+from cicadapond.eventlog import EventLog
+from cicadapond.forwarding import Attempt, ConnectionPool, RepeatBudget
+from cicadapond.gateway._dialect import Dialect
+from cicadapond.gateway._servers import ServerBook
+from cicadapond.gateway.data import GatewaySettings, ServerEntry
+from cicadapond.kernel import Clock, Metrics
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import Directory
+from cicadapond.usage import UsageWindows
+
+
+@attrs.define
+class Parts:
+    """The parts of one process.
+
+    `processes` tells how many share limits with it, itself too; `check_server` has a server
+    looked at whose connection broke.
+    """
+
+    cfg: GatewaySettings
+    clock: Clock
+    log: EventLog
+    metrics: Metrics
+    dialect: Dialect
+    directory: Directory
+    book: ServerBook
+    placer: Placer
+    health: ServerHealth
+    pool: ConnectionPool
+    attempt: Attempt
+    repeats: RepeatBudget
+    quotas: QuotaShares
+    usage: UsageWindows
+    crashes: CrashBook
+    processes: typing.Callable[[], int] = lambda: 1
+    check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
+    stopping_since: datetime.timedelta | None = None
--- /dev/null
+++ b/cicadapond/gateway/_run.py
@@ -0,0 +1,390 @@
+"""The run of one request, from its admission to its final answer."""
+
+import asyncio
+import datetime
+
+from cicadapond.containment import fingerprint_of
+from cicadapond.forwarding import (
+    AnswerSink,
+    Broken,
+    NotSent,
+    Refused,
+    Silence,
+    StreamWhole,
+    Whole,
+)
+from cicadapond.gateway._caller import Reply
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway.data import CallerRequest, ClientAccount, Dispatch, Route, RouteKind
+from cicadapond.kernel import Failed, NotRun, Unknown
+from cicadapond.routes import choose_service
+
+# Choices of a server within one request, those that sent nothing included.
+MAX_CHOICES = 5
+# A server of a repeatable request that is silent for so many objectives is given up.
+SILENT_OBJECTIVES = 2.5
+LEAST_SILENCE = datetime.timedelta(milliseconds=350)
+SILENCE_BETWEEN_EVENTS = datetime.timedelta(milliseconds=1500)
+# When a caller may come back: after a short shortage, and when no server is there at all.
+SHORT_RETRY = datetime.timedelta(milliseconds=250)
+NO_SERVER_RETRY = datetime.timedelta(seconds=1)
+# With less time left than this no server could answer.
+LEAST_LEFT = datetime.timedelta(milliseconds=5)
+HIGHEST_RANK, RANK_STEP, MOST_PRIORITY = 2, 2, 9
+
+
+class _OutOfTimeError(Exception):
+    """The request's time is over."""
+
+
+class RequestRun(AnswerSink):
+    """One admitted request.
+
+    Args:
+      parts: The process.
+      req: The request.
+      route: Its route.
+      account: Its client account, None without one.
+      reply: Where the answer goes.
+      at: The instant at which the request was here.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        req: CallerRequest,
+        route: Route,
+        account: ClientAccount | None,
+        reply: Reply,
+        at: datetime.timedelta,
+    ):
+        self._parts = parts
+        self._req = req
+        self._route = route
+        self._account = account
+        self._reply = reply
+        limit = min(route.timeout, req.patience) if req.patience is not None else route.timeout
+        self._end = at + limit
+        self._at = at
+        self._service = choose_service(route, req.id)
+        self._fingerprint = fingerprint_of(req, account.name if account else None)
+        self._tried: set[str] = set()
+        self._sent = 0
+        self._may_have_run = False
+        self._counted = False
+        self._last_event_id = req.last_event_id
+        self._fallback: Whole | None = None
+        self._reason = "nothing was tried"
+        self._visit = None
+
+    async def run(self) -> None:
+        """Serves the request; its caller has the final answer when this returns."""
+        parts = self._parts
+        if parts.crashes.is_contained(self._fingerprint):
+            await self._finish(Failed("this request crashes servers", status=500))
+            return
+        parts.repeats.first(self._service)
+        try:
+            final = await self._try_servers()
+        except _OutOfTimeError:
+            final = self._timed_out()
+        await self._finish(final)
+
+    # Attempts
+
+    async def _try_servers(self):
+        for _ in range(MAX_CHOICES):
+            refusal = self._refusal()
+            if refusal is not None:
+                return refusal
+            outcome, entry = await self._try_one()
+            final = self._judge(outcome, entry)
+            if final is not None:
+                return final
+            if not self._may_try_again():
+                break
+        return self._given_up()
+
+    def _refusal(self):
+        """Returns why no server is to be tried now, None if one is."""
+        if self._parts.crashes.is_contained(self._fingerprint) and not self._may_have_run:
+            return Failed("this request crashes servers", status=500)
+        if not self._parts.directory.still_allowed(self._req, self._route.name):
+            if self._may_have_run:
+                return self._given_up()
+            return NotRun("the client account can no longer be checked", SHORT_RETRY)
+        return None
+
+    async def _try_one(self):
+        parts = self._parts
+        left = self._left()
+        servers = self._candidates()
+        placement = parts.placer.place(servers, self._req.generation)
+        if placement is None:
+            return NotSent("no server takes requests"), None
+        entry, self._visit = placement.server, placement.visit
+        dispatch = Dispatch(
+            server=entry,
+            left=left,
+            account=self._account.name if self._account else None,
+            last_event_id=self._last_event_id,
+            priority=self._priority(),
+        )
+        started = parts.clock.monotonic()
+        took = None
+        try:
+            async with asyncio.timeout(left.total_seconds()) as timeout:
+                outcome = await parts.attempt.run(
+                    self._req,
+                    dispatch,
+                    self,
+                    self._silence(),
+                    self._route.repeatable,
+                    lambda: self._may_send(entry),
+                )
+            if isinstance(outcome, Whole):
+                took = parts.clock.monotonic() - started
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            self._log("attempt_timed_out", server=entry.name)
+            raise _OutOfTimeError() from None
+        finally:
+            parts.placer.ended(self._visit, took)
+        self._log(
+            "attempt",
+            server=entry.name,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+            expected_ms=_milliseconds(placement.expected),
+            took_ms=_milliseconds(parts.clock.monotonic() - started),
+        )
+        return outcome, entry
+
+    def _candidates(self):
+        parts = self._parts
+        usable = parts.book.usable(self._service)
+        fresh = [entry for entry in usable if entry.name not in self._tried]
+        return parts.health.sound(fresh)
+
+    def _may_send(self, entry):
+        """Returns why the request must not leave now, None if it may."""
+        if not self._parts.book.takes_requests(entry):
+            return "the server is leaving"
+        if not self._parts.directory.still_allowed(self._req, self._route.name):
+            return "the client account can no longer be checked"
+        if self._end - self._parts.clock.monotonic() < LEAST_LEFT:
+            return "no time is left"
+        self._sent += 1
+        return None
+
+    def _silence(self):
+        if not self._route.repeatable or self._sent + 1 >= self._route.max_attempts:
+            return Silence()
+        first = max(LEAST_SILENCE, SILENT_OBJECTIVES * self._route.objective)
+        return Silence(first, SILENCE_BETWEEN_EVENTS)
+
+    def _priority(self):
+        if self._req.generation is None:
+            return None
+        rank = self._route.rank
+        if self._account is not None and self._account.rank is not None:
+            rank = self._account.rank
+        return min(MOST_PRIORITY, HIGHEST_RANK + RANK_STEP * max(0, rank))
+
+    def _left(self):
+        left = self._end - self._parts.clock.monotonic()
+        if left < LEAST_LEFT:
+            raise _OutOfTimeError()
+        return left
+
+    # What an attempt came to
+
+    def _judge(self, outcome, entry):
+        """Returns the final answer that an outcome gives, None if another server may be tried."""
+        parts = self._parts
+        match outcome:
+            case NotSent(reason=reason):
+                self._reason = reason
+                if entry is not None and reason == "no connection":
+                    self._server_failed(entry)
+                    self._tried.add(entry.name)
+                return None if entry is not None else self._given_up()
+            case Refused(reason=reason, is_misdirected=is_misdirected):
+                self._reason = f"a server refused it: {reason}"
+                self._tried.add(entry.name)
+                if is_misdirected:
+                    parts.book.left(entry)
+                    parts.pool.drop_server(entry.name)
+                    self._log("server_is_another", server=entry.name)
+                return None
+            case StreamWhole():
+                parts.health.succeeded(entry.name)
+                parts.crashes.answered(self._fingerprint)
+                return outcome
+            case Whole(head=head):
+                return self._judge_whole(outcome, head, entry)
+            case Broken():
+                return self._judge_broken(outcome, entry)
+        raise AssertionError(f"unexpected outcome {outcome}")
+
+    def _judge_whole(self, outcome, head, entry):
+        self._count_usage()
+        self._tried.add(entry.name)
+        self._may_have_run = True
+        if head.load is not None:
+            self._parts.placer.told(entry.name, head.load)
+        if head.status < 500:
+            self._parts.health.succeeded(entry.name)
+            self._parts.crashes.answered(self._fingerprint)
+            return outcome
+        self._server_failed(entry)
+        self._fallback = outcome
+        can_repeat = self._route.kind is RouteKind.IDEMPOTENT
+        return None if can_repeat else outcome
+
+    def _judge_broken(self, outcome, entry):
+        self._may_have_run = True
+        self._reason = outcome.reason
+        self._tried.add(entry.name)
+        self._server_failed(entry)
+        if outcome.head is not None:
+            self._count_usage()
+        if outcome.was_closed:
+            self._parts.crashes.broke(self._fingerprint, entry.name)
+            self._parts.check_server(entry)
+        if not self._route.repeatable:
+            return self._given_up()
+        return None
+
+    def _server_failed(self, entry):
+        peers = tuple(
+            other.name
+            for other in self._parts.book.usable(self._service)
+            if other.name != entry.name
+        )
+        if self._parts.health.failed(entry.name, peers):
+            self._parts.log.write("server_rests", server=entry.name, service=self._service)
+
+    def _may_try_again(self):
+        if self._sent == 0:
+            return True
+        if self._sent >= self._route.max_attempts:
+            return False
+        if self._may_have_run and not self._route.repeatable:
+            return False
+        allowed = self._parts.repeats.allow(self._service, self._parts.processes())
+        if not allowed:
+            self._log("repeat_denied", service=self._service)
+        return allowed
+
+    # The final answer
+
+    def _given_up(self):
+        if self._fallback is not None:
+            return self._fallback
+        if self._may_have_run:
+            return Unknown(self._reason, status=502)
+        wait = NO_SERVER_RETRY if self._sent == 0 else SHORT_RETRY
+        return NotRun(self._reason, wait)
+
+    def _timed_out(self):
+        if self._fallback is not None:
+            return self._fallback
+        if self._sent:
+            return Unknown("the time limit passed", status=504)
+        return NotRun("no server could take it within its time", None)
+
+    async def _finish(self, final):
+        match final:
+            case StreamWhole():
+                self._reply.finish()
+                self._done(200, "whole")
+            case Whole(head=head, body=body):
+                await self._reply.whole(head.status, head.headers, body)
+                self._done(head.status, "whole")
+            case _ if self._reply.has_begun:
+                self._reply.break_off()
+                self._done(None, final.reason)
+            case _:
+                await self._answer_self(final)
+
+    async def _answer_self(self, final):
+        retry_after = getattr(final, "retry_after", None)
+        await send_own_answer(
+            self._parts, self._reply, self._req.id, final.status, final.reason, retry_after
+        )
+        self._done(final.status, final.reason)
+
+    def _done(self, status, reason):
+        took = self._parts.clock.monotonic() - self._at
+        self._parts.metrics.record("request", took, kind=self._route.kind.value)
+        self._parts.metrics.count("requests", status=status or "broken")
+        self._log("answered", status=status, reason=reason, took_ms=_milliseconds(took))
+
+    # AnswerSink
+
+    async def begin(self, head):
+        if head.load is not None:
+            self._parts.placer.told(self._visit.server, head.load)
+        self._parts.placer.begun(self._visit)
+        self._count_usage()
+        if not self._reply.has_begun:
+            self._reply.begin(head.status, head.headers)
+            took = self._parts.clock.monotonic() - self._at
+            self._parts.metrics.record("first_event", took)
+
+    async def event(self, event):
+        if event.id is not None:
+            if self._last_event_id is not None and not _follows(event.id, self._last_event_id):
+                self._parts.metrics.count("events_repeated")
+                return
+            self._last_event_id = event.id
+        await self._reply.send(event.raw)
+
+    def _count_usage(self):
+        if self._account is not None and not self._counted:
+            self._counted = True
+            self._parts.usage.count(self._account.name, self._parts.clock.now())
+
+    def _log(self, event, **fields):
+        self._parts.log.write(
+            event,
+            request=self._req.id,
+            route=self._route.name,
+            configuration=self._parts.directory.version,
+            **fields,
+        )
+
+
+async def send_own_answer(
+    parts: Parts,
+    reply: Reply,
+    request_id: str | None,
+    status: int,
+    reason: str,
+    retry_after: datetime.timedelta | None,
+) -> None:
+    """Sends an answer that no backend server gave.
+
+    Args:
+      parts: The process.
+      reply: Where it goes.
+      request_id: The request's id, None if it has none.
+      status: The HTTP status.
+      reason: What the answer says.
+      retry_after: When the caller may come back, None to leave it open.
+    """
+    headers = parts.dialect.own_headers(request_id, retry_after)
+    headers.append((b"content-type", b"text/plain; charset=utf-8"))
+    await reply.whole(status, headers, reason.encode() + b"\n")
+
+
+def _follows(event_id, last_id):
+    if event_id.isdigit() and last_id.isdigit():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
+
+
+def _milliseconds(duration):
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
--- /dev/null
+++ b/cicadapond/gateway/_servers.py
@@ -0,0 +1,116 @@
+"""Which backend servers there are, and which of them take new requests; no I/O."""
+
+import datetime
+import typing
+
+import attrs
+
+from cicadapond.gateway.data import ServerEntry
+from cicadapond.kernel import Clock
+
+# Entries that lapsed while the directory was away are back within two seconds of its return.
+RETURN_TERM = datetime.timedelta(milliseconds=1800)
+
+
+@attrs.frozen
+class ServerChange:
+    """What one change of an entry means: `kind` is "joined", "changed", "leaving" or "gone"."""
+
+    name: str
+    kind: str
+    entry: ServerEntry | None
+
+
+class ServerBook:
+    """Entries of backend servers by name.
+
+    Args:
+      clock: Gives the time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._entries: dict[str, ServerEntry] = {}
+        self._versions: dict[str, int] = {}
+        self._lapsed: dict[str, datetime.timedelta] = {}
+        self._left: dict[str, int] = {}
+
+    def usable(self, service: str) -> list[ServerEntry]:
+        """Returns the servers of a service that take new requests."""
+        self._drop_lapsed()
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service == service and self.takes_requests(entry)
+        ]
+
+    def all(self) -> tuple[ServerEntry, ...]:
+        """Returns all known servers, leaving ones too."""
+        self._drop_lapsed()
+        return tuple(self._entries.values())
+
+    def takes_requests(self, entry: ServerEntry) -> bool:
+        """Returns whether a server, as it was when it was chosen, still takes new requests."""
+        known = self._entries.get(entry.name)
+        if known is None or known.born != entry.born or known.is_leaving:
+            return False
+        return self._left.get(entry.name) != entry.born
+
+    def put(self, entry: ServerEntry, version: int) -> ServerChange | None:
+        """Takes an entry; returns what changed, None for nothing."""
+        if not self._is_newer(entry.name, version):
+            return None
+        known = self._entries.get(entry.name)
+        self._entries[entry.name] = entry
+        self._lapsed.pop(entry.name, None)
+        if known is None:
+            return ServerChange(entry.name, "leaving" if entry.is_leaving else "joined", entry)
+        if entry.is_leaving and not known.is_leaving:
+            return ServerChange(entry.name, "leaving", entry)
+        return ServerChange(entry.name, "changed", entry) if known != entry else None
+
+    def remove(self, name: str, version: int, was_away: bool) -> ServerChange | None:
+        """Takes the removal of an entry.
+
+        Args:
+          name: The server's name.
+          version: The version of the removal.
+          was_away: Whether the directory was away, so that the entry may have lapsed only.
+        """
+        if not self._is_newer(name, version) or name not in self._entries:
+            return None
+        if was_away:
+            self._lapsed.setdefault(name, self._clock.monotonic() + RETURN_TERM)
+            return None
+        return self._drop(name)
+
+    def replace(
+        self, entries: typing.Mapping[str, tuple[ServerEntry, int]], version: int, was_away: bool
+    ) -> list[ServerChange]:
+        """Takes a whole reading of the directory; returns what changed."""
+        changes = [self.put(entry, at) for entry, at in entries.values()]
+        for name in list(self._entries):
+            if name not in entries:
+                changes.append(self.remove(name, version, was_away))
+        return [change for change in changes if change is not None]
+
+    def left(self, entry: ServerEntry) -> None:
+        """Notes that this start of a server is over: its address answers as another."""
+        self._left[entry.name] = entry.born
+
+    def _is_newer(self, name, version):
+        if version <= self._versions.get(name, 0):
+            return False
+        self._versions[name] = version
+        return True
+
+    def _drop_lapsed(self):
+        now = self._clock.monotonic()
+        for name in [name for name, end in self._lapsed.items() if end <= now]:
+            self._drop(name)
+
+    def _drop(self, name):
+        entry = self._entries.pop(name, None)
+        self._lapsed.pop(name, None)
+        self._left.pop(name, None)
+        return ServerChange(name, "gone", entry)
--- /dev/null
+++ b/cicadapond/gateway/main.py
@@ -0,0 +1,157 @@
+"""cicadapond-gateway: serves callers on an edge machine of the users' platform."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+import tornado.httpserver
+import tornado.web
+from absl import app, flags, logging
+
+from cicadapond.eventlog import EventLog
+from cicadapond.forwarding import HttpClient
+from cicadapond.gateway._node import Edges, Node
+from cicadapond.gateway._time import TrueClock
+from cicadapond.kernel import Metrics
+from cicadapond.platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    SETTINGS_VARIABLE,
+    PlatformCloud,
+    PlatformDialect,
+    PlatformStore,
+    decode_configuration,
+    decode_server,
+    read_settings,
+)
+
+EXIT_SETTINGS = 2
+SETTINGS_POLL_S = 2.0
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, f"The settings file; by default the one that {SETTINGS_VARIABLE} names."
+)
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings, report every finding and end.")
+_METRICS_PORT = flags.DEFINE_integer("metrics_port", 0, "Where to serve metrics; 0 for nowhere.")
+
+
+class _Readiness(tornado.web.RequestHandler):
+    def initialize(self, node):
+        self._node = node
+
+    def get(self):
+        self.set_status(200 if self._node.is_ready() else 503)
+
+
+class _Metrics(tornado.web.RequestHandler):
+    def initialize(self, metrics):
+        self._metrics = metrics
+
+    def get(self):
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.write(self._metrics.exposition())
+
+
+def _load(path):
+    cfg, findings = read_settings(path, _METRICS_PORT.value)
+    for finding in findings:
+        print(finding, file=sys.stderr)
+    return cfg
+
+
+def _listen(application, endpoint):
+    server = tornado.httpserver.HTTPServer(application)
+    server.listen(endpoint.port, endpoint.host)
+    return server
+
+
+def _edges(cfg, clock, metrics):
+    store = PlatformStore(HttpClient(cfg.store, clock, metrics))
+    cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics)) if cfg.cloud else None
+    return Edges(
+        dialect=PlatformDialect(),
+        tables=store,
+        feed=store,
+        cloud=cloud,
+        decode_configuration=decode_configuration,
+        decode_server=decode_server,
+        configuration_place=(OPERATOR_TABLE, CONFIGURATION_KEY),
+        server_table=SERVER_TABLE,
+    )
+
+
+async def _serve(cfg, path):
+    clock, metrics = TrueClock(), Metrics()
+    log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
+    log.write("started", zone=cfg.zone, pid=os.getpid())
+    node = Node(cfg, _edges(cfg, clock, metrics), clock, log, metrics, random.Random())
+    await node.start()
+    readiness = tornado.web.Application(
+        [("/readyz", _Readiness, {"node": node})], log_function=lambda handler: None
+    )
+    _listen(readiness, cfg.readiness)
+    if cfg.metrics is not None:
+        exposition = tornado.web.Application(
+            [("/metrics", _Metrics, {"metrics": metrics})], log_function=lambda handler: None
+        )
+        _listen(exposition, cfg.metrics)
+    await _until_stopped(node, path)
+    await node.stop()
+    log.flush()
+
+
+async def _until_stopped(node, path):
+    """Waits for SIGTERM or SIGINT; takes the settings anew at SIGHUP and when the file changes."""
+    loop = asyncio.get_running_loop()
+    stop, reload = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    changed_at = _changed_at(path)
+    while not stop.is_set():
+        try:
+            async with asyncio.timeout(SETTINGS_POLL_S):
+                await stop.wait()
+        except TimeoutError:
+            pass  # the ordinary end of the wait
+        now_changed_at = _changed_at(path)
+        if reload.is_set() or now_changed_at != changed_at:
+            reload.clear()
+            changed_at = now_changed_at
+            cfg = _load(path)
+            if cfg is not None:
+                node.reload(cfg)
+
+
+def _changed_at(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return None
+
+
+def _main(argv):
+    logging.use_absl_handler()
+    path = _SETTINGS.value or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"--settings or {SETTINGS_VARIABLE} is required; see --help", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    cfg = _load(path)
+    if cfg is None:
+        sys.exit(EXIT_SETTINGS)
+    if _CHECK.value:
+        print(f"{path}: settings hold")
+        return
+    asyncio.run(_serve(cfg, path))
+
+
+def run() -> None:
+    """Runs the program."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -4,7 +4,7 @@
 metrics.  Nothing here imports a web framework, opens a socket or knows what an engine is.
 """
 
-from cicadapond.kernel._clock import Clock, LoopClock, ManualClock
+from cicadapond.kernel._clock import BootClock, Clock, LoopClock, ManualClock
 from cicadapond.kernel._findings import Finding, Findings, Place
 from cicadapond.kernel._jsonc import Node, parse_jsonc
 from cicadapond.kernel._metrics import Metrics
@@ -39,6 +39,7 @@
 
 __all__ = [
     "AnswerLost",
+    "BootClock",
     "Clock",
     "Conflict",
     "DeadlockError",
--- a/cicadapond/kernel/_clock.py
+++ b/cicadapond/kernel/_clock.py
@@ -8,6 +8,7 @@
 import abc
 import asyncio
 import datetime
+import time
 
 ZERO = datetime.timedelta()
 VIRTUAL_EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
@@ -51,6 +52,16 @@
         await asyncio.sleep(max(0.0, duration.total_seconds()))
 
 
+class BootClock(LoopClock):
+    """The machine's time, of which the monotonic part also counts while the machine is suspended.
+
+    For whatever must not outlive its term: a lease, the age of a copy.
+    """
+
+    def monotonic(self):
+        return datetime.timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class ManualClock(Clock):
     """A clock that moves only when a test advances it; for decision modules."""
 
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -33,6 +33,8 @@
       loads: Reports of the servers that this process watches for all.
       convicted: Hashes of poison requests, with the wall-clock end of the conviction.
       suspects: Hashes of requests that a crash has made suspects, with their crash count.
+      spent: Running totals of what this process admitted, by client account with a quota.
+      usage: How many requests of each client account began to run here, by window number.
     """
 
     revision: int = 0
@@ -42,6 +44,8 @@
     loads: typing.Mapping[str, LoadReport] = attrs.field(factory=dict)
     convicted: typing.Mapping[str, datetime.datetime] = attrs.field(factory=dict)
     suspects: typing.Mapping[str, int] = attrs.field(factory=dict)
+    spent: typing.Mapping[str, float] = attrs.field(factory=dict)
+    usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -27,6 +27,8 @@
     CONVICTED = 5
     SUSPECTS = 6
     SERVING = 7
+    SPENT = 8
+    USAGE = 9
 
 
 # News of these sections takes any path there is; other news comes from the member's own relays.
@@ -170,6 +172,9 @@
             if report.model
         }
         self._replace(True, Section.SERVING, serving, changed)
+        self._replace(True, Section.SPENT, digest.spent, changed)
+        usage = {str(number): dict(counts) for number, counts in digest.usage.items()}
+        self._replace(True, Section.USAGE, usage, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -247,6 +252,8 @@
             },
             convicted={key: _instant(end) for key, end in sections[Section.CONVICTED].items()},
             suspects=sections[Section.SUSPECTS],
+            spent=sections[Section.SPENT],
+            usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
         )
     except (TypeError, ValueError, OverflowError):
         return Digest()
--- /dev/null
+++ b/cicadapond/platform/__init__.py
@@ -0,0 +1,26 @@
+"""The users' platform: its names, formats and calls, translated and nothing decided."""
+
+from cicadapond.platform._cloud import PlatformCloud
+from cicadapond.platform._configuration import decode_configuration
+from cicadapond.platform._headers import PlatformDialect
+from cicadapond.platform._servers import decode_server
+from cicadapond.platform._settings import SETTINGS_VARIABLE, read_settings
+from cicadapond.platform._store import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    PlatformStore,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATOR_TABLE",
+    "SERVER_TABLE",
+    "SETTINGS_VARIABLE",
+    "PlatformCloud",
+    "PlatformDialect",
+    "PlatformStore",
+    "decode_configuration",
+    "decode_server",
+    "read_settings",
+]
--- /dev/null
+++ b/cicadapond/platform/_configuration.py
@@ -0,0 +1,119 @@
+"""The operators' configuration as the platform spells it."""
+
+import json
+
+from cicadapond.gateway.data import (
+    ClientAccount,
+    Configuration,
+    EngineLimits,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Scaling,
+    Service,
+    WeightedService,
+)
+from cicadapond.kernel import Findings, Place
+from cicadapond.platform._reader import Reader, UnreadableError
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+TOKEN_UNIT = "token_stream"
+
+
+def decode_configuration(raw: bytes) -> tuple[Configuration | None, Findings]:
+    """Returns the configuration that a row holds, None if any of it cannot be read."""
+    findings = Findings()
+    try:
+        return _configuration(Reader(json.loads(raw), "configuration", findings)), findings
+    except (ValueError, RecursionError) as exc:
+        findings.add(Place("configuration"), f"is not JSON: {exc}")
+    except UnreadableError:
+        pass  # the finding says it
+    return None, findings
+
+
+def _configuration(reader):
+    accounts = None
+    if reader.has("tenants"):
+        accounts = tuple(_account(inner) for inner in reader.list_of("tenants"))
+    services = (_service(inner) for inner in reader.list_of("services"))
+    return Configuration(
+        version=reader.integer("version"),
+        routes=tuple(_route(inner) for inner in reader.list_of("routes")),
+        services={service.name: service for service in services},
+        limits=_limits(reader.inner("limits")),
+        accounts=accounts,
+    )
+
+
+def _route(reader):
+    kind = _KINDS.get(reader.text("route_type"))
+    if kind is None:
+        reader.fail("'route_type' is not known")
+    timeout = reader.milliseconds("timeout_ms")
+    return Route(
+        name=reader.text("name"),
+        host=reader.text("hostname").lower(),
+        prefix=reader.text("prefix"),
+        kind=kind,
+        services=_services_of(reader),
+        timeout=timeout,
+        objective=reader.milliseconds("target_latency_ms", timeout),
+        max_attempts=reader.integer("max_attempts", 1),
+        rank=reader.integer("priority", 0),
+        is_public=reader.flag("public", False),
+        resumable=reader.flag("stream_resume", False),
+    )
+
+
+def _services_of(reader):
+    if not reader.has("traffic_split"):
+        return (WeightedService(reader.text("service"), 1.0),)
+    return tuple(
+        WeightedService(inner.text("service"), inner.number("weight"))
+        for inner in reader.list_of("traffic_split")
+    )
+
+
+def _service(reader):
+    engine = None
+    if reader.has("engine"):
+        inner = reader.inner("engine")
+        engine = EngineLimits(inner.integer("slots"), inner.integer("kv_capacity"))
+    scaling = None
+    if reader.has("scaling"):
+        inner = reader.inner("scaling")
+        scaling = Scaling(
+            minimum=inner.integer("min"),
+            maximum=inner.integer("max"),
+            boot=inner.seconds("boot_time_s"),
+            reclaimable_price=inner.number("spot_price", 1.0),
+            prices=inner.numbers("zone_prices") if inner.has("zone_prices") else {},
+        )
+    return Service(reader.text("name"), reader.integer("max_connections"), engine, scaling)
+
+
+def _account(reader):
+    return ClientAccount(
+        name=reader.text("name"),
+        keys=frozenset(reader.texts("api_keys")),
+        rate=reader.number("rate_per_s", 0.0),
+        burst=reader.number("burst", 0.0),
+        rank=reader.integer("priority", None),
+        counts_tokens=reader.text("unit", "") == TOKEN_UNIT,
+        # Named for prompts, but it is what any request without a token count is worth.
+        default_tokens=reader.integer("uncached_tokens", 0),
+    )
+
+
+def _limits(reader):
+    return RequestLimits(
+        header_bytes=reader.integer("max_header_bytes"),
+        body_bytes=reader.integer("max_body_bytes"),
+        header_timeout=reader.milliseconds("header_timeout_ms"),
+        idle_timeout=reader.milliseconds("idle_timeout_ms"),
+    )
--- /dev/null
+++ b/cicadapond/platform/_headers.py
@@ -0,0 +1,212 @@
+"""The platform's headers, in both directions."""
+
+import datetime
+
+from cicadapond.gateway import Dialect, Malformed
+from cicadapond.gateway.data import (
+    AnswerHead,
+    CallerRequest,
+    Generation,
+    LoadHeader,
+    PromptPart,
+)
+
+REQUEST_ID = b"x-cicadapond-attempt-id"
+DEADLINE = b"x-cicadapond-deadline-ms"
+TARGET = b"x-cicadapond-target-instance"
+ACCOUNT = b"x-cicadapond-tenant"
+PRIORITY = b"x-cicadapond-request-priority"
+MODEL = b"x-cicadapond-model"
+# Named a count, but holds two: the prompt's tokens and the most output tokens.
+TOKENS = b"x-cicadapond-token-count"
+# Named a hash, but lists the hash and the tokens of each part of the prompt.
+PARTS = b"x-cicadapond-prefix-hash"
+LENGTH_HINT = b"x-cicadapond-length-hint"
+SIGNATURE = b"x-cicadapond-response-signature"
+NOT_EXECUTED = b"x-cicadapond-not-executed"
+LOAD = b"x-cicadapond-server-load"
+INSTANCE = b"x-cicadapond-instance-id"
+LAST_EVENT_ID = b"last-event-id"
+RETRY_AFTER = b"retry-after"
+KEY_SCHEME = "token"
+
+OWN_PREFIX = b"x-cicadapond-"
+MISDIRECTED = 421
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+# Headers with the platform's prefix that are the caller's to set; all others are the product's.
+_CALLERS = frozenset((REQUEST_ID, MODEL, TOKENS, PARTS, LENGTH_HINT))
+# Without the prefix, but not the caller's to set.
+_PRODUCTS = frozenset((b"kv-from", b"kv-fetch", b"wait-ms", b"authorization", LAST_EVENT_ID))
+_ONCE = frozenset((REQUEST_ID, DEADLINE, MODEL, TOKENS, PARTS, b"authorization", LAST_EVENT_ID))
+_NOT_FOR_CALLERS = frozenset((LOAD, INSTANCE))
+
+
+class PlatformDialect(Dialect):
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, method, target, headers, body):
+        fields = {}
+        for name, value in headers:
+            if name in fields and (name in _ONCE or name == b"host"):
+                return Malformed(f"header {name.decode()} is repeated")
+            fields[name] = value
+        try:
+            return _request(method, target, headers, fields, body)
+        except ValueError as exc:
+            return Malformed(str(exc))
+
+    def server_headers(self, req, dispatch):
+        headers = list(req.headers)
+        headers.append((DEADLINE, b"%d" % max(1, _milliseconds(dispatch.left))))
+        headers.append((TARGET, dispatch.server.name.encode()))
+        if dispatch.account is not None:
+            headers.append((ACCOUNT, dispatch.account.encode()))
+        if dispatch.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, dispatch.last_event_id.encode()))
+        if dispatch.priority is not None:
+            headers.append((PRIORITY, b"%d" % dispatch.priority))
+        return headers
+
+    def read_answer(self, status, headers):
+        fields = dict(headers)
+        named = _connection_options(fields)
+        kept = tuple(
+            (name, value)
+            for name, value in headers
+            if name not in _HOP_BY_HOP and name not in named and name not in _NOT_FOR_CALLERS
+        )
+        request_id = fields.get(REQUEST_ID)
+        return AnswerHead(
+            status=status,
+            headers=kept,
+            request_id=request_id.decode("latin-1") if request_id is not None else None,
+            is_signed=SIGNATURE in fields,
+            refused=NOT_EXECUTED in fields or status == MISDIRECTED,
+            closes=b"close" in named,
+            load=_load(fields.get(LOAD)),
+            keep_idle=_keep_idle(fields.get(b"keep-alive")),
+            is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
+        )
+
+    def own_headers(self, request_id, retry_after):
+        headers = []
+        if request_id is not None:
+            headers.append((REQUEST_ID, request_id.encode()))
+        if retry_after is not None:
+            headers.append((RETRY_AFTER, b"%.3f" % retry_after.total_seconds()))
+        return headers
+
+
+def _request(method, target, headers, fields, body):
+    if not target.startswith(b"/"):
+        raise ValueError("the target does not begin with a slash")
+    request_id = _text(fields.get(REQUEST_ID, b""))
+    if not request_id:
+        raise ValueError("the request has no id")
+    host = _text(fields.get(b"host", b"")).lower()
+    named = _connection_options(fields)
+    return CallerRequest(
+        id=request_id,
+        method=method.decode("ascii"),
+        target=target,
+        host=host.partition(":")[0],
+        path=target.partition(b"?")[0].decode("latin-1"),
+        headers=tuple((name, value) for name, value in headers if _passes(name, named)),
+        body=body,
+        key=_key(fields.get(b"authorization")),
+        patience=_patience(fields.get(DEADLINE)),
+        last_event_id=_optional_text(fields.get(LAST_EVENT_ID)),
+        generation=_generation(fields.get(TOKENS), fields.get(PARTS)),
+    )
+
+
+def _passes(name, named):
+    if name in _HOP_BY_HOP or name in _PRODUCTS:
+        return False
+    if name.startswith(OWN_PREFIX):
+        return name in _CALLERS
+    return name not in named
+
+
+def _connection_options(fields):
+    listed = fields.get(b"connection", b"").lower().split(b",")
+    return frozenset(option.strip() for option in listed)
+
+
+def _text(raw):
+    text = raw.decode("latin-1")
+    if not text.isascii() or not text.isprintable():
+        raise ValueError("a header has bytes that are no printable ASCII")
+    return text
+
+
+def _optional_text(raw):
+    return _text(raw) if raw is not None else None
+
+
+def _key(raw):
+    if raw is None:
+        return None
+    scheme, _, key = _text(raw).partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+
+def _patience(raw):
+    if raw is None:
+        return None
+    try:
+        return datetime.timedelta(milliseconds=max(0.0, float(_text(raw))))
+    except (ValueError, OverflowError):
+        raise ValueError("the deadline is not a number") from None
+
+
+def _generation(tokens, parts):
+    if tokens is None:
+        return None
+    counts = _text(tokens).split(",")
+    if len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+        raise ValueError("the token count is not of the form PROMPT,OUTPUT")
+    return Generation(int(counts[0]), int(counts[1]), _parts(parts))
+
+
+def _parts(raw):
+    parts = []
+    for entry in _text(raw or b"").split(","):
+        name, _, tokens = entry.strip().rpartition(":")
+        if name and tokens.isdigit():
+            parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def _load(raw):
+    counts = (raw or b"").split(b",")
+    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
+        return None
+    return LoadHeader(*(int(count) for count in counts))
+
+
+def _keep_idle(raw):
+    for option in (raw or b"").split(b","):
+        name, _, value = option.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return datetime.timedelta(seconds=int(value))
+    return None
+
+
+def _milliseconds(duration):
+    return duration // datetime.timedelta(milliseconds=1)
--- /dev/null
+++ b/cicadapond/platform/_reader.py
@@ -0,0 +1,133 @@
+"""Reads fields of decoded JSON with their types checked; what is wrong becomes findings."""
+
+import datetime
+
+from cicadapond.data import Endpoint
+from cicadapond.kernel import Findings, Place
+
+_MISSING = object()
+
+
+class UnreadableError(Exception):
+    """A field is missing or of another type; the finding is recorded already."""
+
+
+class Reader:
+    """One JSON object and where it stands.
+
+    Args:
+      value: The decoded value.
+      source: What the place of a finding says, such as a row's name and the path in it.
+      findings: Takes what is wrong.
+    """
+
+    def __init__(self, value, source: str, findings: Findings):
+        self._value = value
+        self._source = source
+        self._findings = findings
+        if not isinstance(value, dict):
+            self._fail("an object is expected")
+
+    def text(self, name: str, default=_MISSING) -> str:
+        """Returns a text."""
+        return self._get(name, str, default)
+
+    def flag(self, name: str, default=_MISSING) -> bool:
+        """Returns a truth value."""
+        return self._get(name, bool, default)
+
+    def integer(self, name: str, default=_MISSING) -> int:
+        """Returns a whole number."""
+        value = self._number(name, default)
+        if isinstance(value, float) and not value.is_integer():
+            self._fail(f"{name!r} is not a whole number")
+        return value if value is default else int(value)
+
+    def number(self, name: str, default=_MISSING) -> float:
+        """Returns a number."""
+        value = self._number(name, default)
+        return value if value is default else float(value)
+
+    def milliseconds(self, name: str, default=_MISSING) -> datetime.timedelta:
+        """Returns a duration that is told in milliseconds."""
+        value = self._number(name, default)
+        return value if value is default else datetime.timedelta(milliseconds=value)
+
+    def seconds(self, name: str, default=_MISSING) -> datetime.timedelta:
+        """Returns a duration that is told in seconds."""
+        value = self._number(name, default)
+        return value if value is default else datetime.timedelta(seconds=value)
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Returns an address of the form IP:PORT."""
+        found = parse_endpoint(self.text(name))
+        if found is None:
+            self._fail(f"{name!r} is not of the form IP:PORT")
+        return found
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Returns a list of texts."""
+        values = self._get(name, list, _MISSING)
+        if not all(isinstance(value, str) for value in values):
+            self._fail(f"{name!r} does not hold texts only")
+        return tuple(values)
+
+    def numbers(self, name: str) -> dict[str, float]:
+        """Returns an object whose values are numbers."""
+        values = self._get(name, dict, _MISSING)
+        if not all(_is_number(value) for value in values.values()):
+            self._fail(f"{name!r} does not hold numbers only")
+        return {key: float(value) for key, value in values.items()}
+
+    def inner(self, name: str) -> "Reader":
+        """Returns a reader of an inner object."""
+        self._get(name, dict, _MISSING)
+        return Reader(self._value[name], f"{self._source}.{name}", self._findings)
+
+    def list_of(self, name: str) -> list["Reader"]:
+        """Returns a reader for each object of a list."""
+        values = self._get(name, list, _MISSING)
+        return [
+            Reader(value, f"{self._source}.{name}[{index}]", self._findings)
+            for index, value in enumerate(values)
+        ]
+
+    def has(self, name: str) -> bool:
+        """Returns whether a field is there and not null."""
+        return self._value.get(name) is not None
+
+    def fail(self, message: str):
+        """Records a finding about this object and gives up on it."""
+        self._fail(message)
+
+    def _number(self, name, default):
+        if name not in self._value and default is not _MISSING:
+            return default
+        value = self._get(name, (int, float), default)
+        if not _is_number(value):
+            self._fail(f"{name!r} is not a number")
+        return value
+
+    def _get(self, name, kind, default):
+        value = self._value.get(name, default)
+        if value is _MISSING:
+            self._fail(f"{name!r} is missing")
+        if value is not default and not isinstance(value, kind):
+            self._fail(f"{name!r} has the wrong type, {type(value).__name__}")
+        return value
+
+    def _fail(self, message):
+        self._findings.add(Place(self._source), message)
+        raise UnreadableError(message)
+
+
+def parse_endpoint(text: str) -> Endpoint | None:
+    """Returns the address that a text of the form IP:PORT names, None if it has another form."""
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        return None
+    return Endpoint(host, int(port))
+
+
+def _is_number(value):
+    return isinstance(value, int | float) and not isinstance(value, bool)
--- /dev/null
+++ b/cicadapond/platform/_servers.py
@@ -0,0 +1,47 @@
+"""Entries of backend servers as the platform's store holds them."""
+
+import json
+
+from cicadapond.gateway.data import ServerEntry
+from cicadapond.kernel import Findings, Place
+from cicadapond.platform._reader import Reader, UnreadableError
+
+READY = "ready"
+DRAINING = "draining"
+
+
+def decode_server(name: str, raw: bytes) -> tuple[ServerEntry | None, Findings]:
+    """Returns the backend server that an entry names, None if it names no usable one.
+
+    Args:
+      name: The row's key, which is the name of this start of the server.
+      raw: The row's value.
+    """
+    findings = Findings()
+    try:
+        return _server(name, Reader(json.loads(raw), f"server {name}", findings)), findings
+    except (ValueError, RecursionError) as exc:
+        findings.add(Place(f"server {name}"), f"is not JSON: {exc}")
+    except UnreadableError:
+        pass  # the finding says it
+    return None, findings
+
+
+def _server(name, reader):
+    state = reader.text("state")
+    if state not in (READY, DRAINING):
+        reader.fail(f"'state' is {state!r}, which is not known")
+    slots = reader.integer("slots")
+    if slots <= 0:
+        reader.fail(f"'slots' is {slots}")
+    return ServerEntry(
+        name=name,
+        service=reader.text("service"),
+        endpoint=reader.endpoint("address"),
+        zone=reader.text("zone"),
+        slots=slots,
+        born=reader.integer("born", 0),
+        is_leaving=state == DRAINING,
+        is_reclaimable=reader.flag("preemptible", False),
+        left=reader.milliseconds("leaves_ms", None),
+    )
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -75,6 +75,52 @@
         """Reads the rows whose key starts with `prefix`, by key, from the first past `after`."""
 
 
+@attrs.frozen
+class RawRow:
+    """A row that others write, as it is stored; `value` is None where the row was deleted."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@attrs.frozen
+class Changes:
+    """Rows of a table, and the version up to which they are complete.
+
+    `service_time` is the table service's own steady clock when it answered.
+    """
+
+    rows: tuple[RawRow, ...]
+    version: int
+    service_time: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The table service no longer knows what changed since then: read the table anew."""
+
+
+class ChangeFeed(abc.ABC):
+    """Tables that others write, followed by their changes."""
+
+    @abc.abstractmethod
+    async def snapshot(self, table: str) -> Ok[Changes] | Unavailable:
+        """Reads all rows of a table."""
+
+    @abc.abstractmethod
+    async def changes(
+        self, table: str, since: int, wait: datetime.timedelta
+    ) -> Ok[Changes] | HistoryLost | Unavailable:
+        """Reads the rows that changed after a version, waiting for the first change.
+
+        Args:
+          table: The table.
+          since: The version up to which the caller is complete.
+          wait: How long to wait for a change; without one, the answer has no rows.
+        """
+
+
 class ObjectStore(abc.ABC):
     """Whole objects by name."""
 
--- /dev/null
+++ b/cicadapond/routes/__init__.py
@@ -0,0 +1,23 @@
+"""Routes: the configuration in force, and what it says of a request."""
+
+from cicadapond.routes._directory import Directory
+from cicadapond.routes._table import (
+    Admitted,
+    BadKey,
+    NoRoute,
+    NotReady,
+    RoutingTable,
+    Verdict,
+    choose_service,
+)
+
+__all__ = [
+    "Admitted",
+    "BadKey",
+    "Directory",
+    "NoRoute",
+    "NotReady",
+    "RoutingTable",
+    "Verdict",
+    "choose_service",
+]
--- /dev/null
+++ b/cicadapond/usage/_windows.py
@@ -0,0 +1,48 @@
+"""Counts of the requests that began to run, by window of true time and client account; no I/O."""
+
+import collections
+import datetime
+import typing
+
+KEPT_WINDOWS = 8
+EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+
+
+class UsageWindows:
+    """One process's counts.
+
+    Args:
+      window: The length of a window; window k begins k lengths after the start of 1970.
+    """
+
+    def __init__(self, window: datetime.timedelta):
+        self._window = window
+        self._counts: dict[int, collections.Counter] = {}
+
+    def number(self, at: datetime.datetime) -> int:
+        """Returns the window that an instant is in."""
+        return (at - EPOCH) // self._window
+
+    def end(self, number: int) -> datetime.datetime:
+        """Returns the end of a window."""
+        return EPOCH + (number + 1) * self._window
+
+    def count(self, account: str, at: datetime.datetime) -> None:
+        """Counts a request that began to run."""
+        self._counts.setdefault(self.number(at), collections.Counter())[account] += 1
+        while len(self._counts) > KEPT_WINDOWS:
+            del self._counts[min(self._counts)]
+
+    def counts(self) -> dict[int, dict[str, int]]:
+        """Returns the counts of the newest windows."""
+        return {number: dict(counts) for number, counts in self._counts.items()}
+
+
+def add_up(
+    number: int, processes: typing.Iterable[typing.Mapping[int, typing.Mapping[str, int]]]
+) -> dict[str, int]:
+    """Returns the counts of one window over all processes."""
+    total = collections.Counter()
+    for windows in processes:
+        total.update(windows.get(number, {}))
+    return {account: count for account, count in sorted(total.items()) if count}
