--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -16,7 +16,7 @@
 
 # A new connection inside a deployment takes a few milliseconds; a server that needs so long is
 # down or cut off.
-CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_STRAY_ANSWERS = 2
 MISDIRECTED = 421
@@ -110,10 +110,10 @@
                 outcome = await _whole(conn, head)
         except BrokenAnswerError as exc:
             conn.close()
-            return progress.broken(str(exc), was_closed=True)
+            return progress.broken(str(exc), exc.was_silent)
         except TimeoutError:
             conn.close()
-            return progress.broken("the server is silent")
+            return progress.broken("the server is silent", was_silent=True)
         if progress.head.closes:
             conn.close()
         else:
@@ -162,8 +162,9 @@
         if event.id is not None:
             self.last_event_id = event.id
 
-    def broken(self, reason, was_closed=False):
-        return Broken(reason, self.head, self.last_event_id, self.events, was_closed)
+    def broken(self, reason, was_silent):
+        was_closed = not was_silent
+        return Broken(reason, self.head, self.last_event_id, self.events, was_closed, was_silent)
 
 
 async def _whole(conn, head):
--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -15,7 +15,7 @@
 # Above it the other end has to wait until what came is read.
 MAX_UNREAD_BYTES = 256 * 1024
 # A peer that acknowledges nothing for so long is gone; well under the shortest deadlines.
-UNACKNOWLEDGED_TIMEOUT = datetime.timedelta(milliseconds=1500)
+UNACKNOWLEDGED_TIMEOUT = datetime.timedelta(milliseconds=1000)
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -23,11 +23,15 @@
 
 
 class ChannelClosedError(Exception):
-    """The connection is closed; `was_reset` tells a reset or time-out from an orderly end."""
+    """The connection is closed.
 
-    def __init__(self, reason: str, was_reset: bool):
+    `was_reset` tells a reset or time-out from an orderly end, `was_silent` a time-out from both.
+    """
+
+    def __init__(self, reason: str, was_reset: bool, was_silent: bool = False):
         super().__init__(reason)
         self.was_reset = was_reset
+        self.was_silent = was_silent
 
 
 class Channel(asyncio.Protocol):
@@ -45,7 +49,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._ended = False
-        self._error: str | None = None
+        self._error: Exception | None = None
         self._paused = False
         self.on_closed = None
         self.on_bytes = None
@@ -72,7 +76,7 @@
         return False
 
     def connection_lost(self, exc):
-        self._end(repr(exc) if exc is not None else None)
+        self._end(exc)
 
     def pause_writing(self):
         self._writable.clear()
@@ -105,8 +109,7 @@
         """
         while not self._unread:
             if self._ended:
-                reason = self._error or "closed by the other end"
-                raise ChannelClosedError(reason, was_reset=self._error is not None)
+                raise self._closed_error()
             self._arrival = asyncio.get_running_loop().create_future()
             await self._arrival
         data = bytes(self._unread)
@@ -135,6 +138,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _closed_error(self):
+        if self._error is None:
+            return ChannelClosedError("closed by the other end", was_reset=False)
+        was_silent = isinstance(self._error, TimeoutError)
+        return ChannelClosedError(repr(self._error), was_reset=True, was_silent=was_silent)
+
     def _end(self, error):
         if self._ended:
             return
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -11,12 +11,12 @@
 class BrokenAnswerError(Exception):
     """The server's answer did not come, or not whole; the request may have run.
 
-    `was_reset` tells that the connection ended by a reset or a time-out.
+    `was_silent` tells that the other end acknowledged nothing for too long.
     """
 
-    def __init__(self, reason: str, was_reset: bool = False):
+    def __init__(self, reason: str, was_silent: bool = False):
         super().__init__(reason)
-        self.was_reset = was_reset
+        self.was_silent = was_silent
 
 
 class ServerConnection:
@@ -164,5 +164,5 @@
         except ChannelClosedError as exc:
             self._is_spoiled = True
             if exc.was_reset:
-                raise BrokenAnswerError(str(exc), was_reset=True) from exc
+                raise BrokenAnswerError(str(exc), exc.was_silent) from exc
             return b""
--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -40,7 +40,8 @@
     """The request may have run, and no whole answer came.
 
     `head` is None if not even an answer's head came; `last_event_id` and `events` tell how much
-    of a stream was passed on; `was_closed` that the server's end of the connection went away.
+    of a stream was passed on; `was_closed` that the server's end of the connection went away;
+    `was_silent` that the server, or the way to it, said nothing for too long.
     """
 
     reason: str
@@ -48,6 +49,7 @@
     last_event_id: str | None = None
     events: int = 0
     was_closed: bool = False
+    was_silent: bool = False
 
 
 Outcome = NotSent | Refused | Whole | StreamWhole | Broken
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -84,6 +84,8 @@
         except asyncio.CancelledError:
             self._parts.metrics.count("callers_left")
             raise
+        except RequestError:
+            raise
         except Exception as exc:
             self._parts.log.write("request_failed", reason=repr(exc))
             reply.break_off()
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -20,16 +20,23 @@
 from cicadapond.gateway.data import GatewaySettings
 from cicadapond.kernel import Metrics, Ok, TaskGroup
 from cicadapond.lease import LeaseSettings, LeaseTask
-from cicadapond.peer import Digest, MemberState, PeerSettings, PeerTask, TcpTransport
+from cicadapond.peer import Digest, MemberState, PeerSettings, PeerTask, TcpTransport, start_of
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.provider import TableService, Write
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import Directory
 from cicadapond.scaling import plan_orders
-from cicadapond.usage import UsageWindows, add_up
+from cicadapond.usage import UsageLedger, UsageWindows
 
 PROCESS_TABLE = "processes"
 LEASE_NAME = "duties"
+LEASE_SETTINGS = LeaseSettings(
+    term=datetime.timedelta(seconds=3),
+    margin=datetime.timedelta(milliseconds=900),
+    order_limit=datetime.timedelta(milliseconds=800),
+    renewal=datetime.timedelta(milliseconds=900),
+    idle_poll=datetime.timedelta(milliseconds=1500),
+)
 PEER_BEAT = datetime.timedelta(milliseconds=400)
 DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=1)
@@ -102,7 +109,7 @@
         self.parts = self._make_parts()
         self._front = Front(self.parts)
         self._lease = LeaseTask(
-            LeaseSettings(),
+            LEASE_SETTINGS,
             LEASE_NAME,
             cfg.name,
             edges.tables,
@@ -112,6 +119,7 @@
             candidate=lambda: False,
         )
         self._lease_held = False
+        self._usage_of_others = UsageLedger()
 
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
@@ -125,7 +133,7 @@
             directory=Directory(clock, bounds.revocation, bounds.apply),
             book=ServerBook(clock),
             placer=Placer(clock, cfg.zone),
-            health=ServerHealth(clock),
+            health=ServerHealth(clock, cfg.zone),
             pool=pool,
             attempt=Attempt(self._edges.dialect, pool, clock),
             repeats=RepeatBudget(
@@ -341,6 +349,7 @@
     def _hear(self, member):
         self.parts.quotas.hear(member.name, member.digest.spent)
         self.parts.crashes.hear(member.name, member.digest.suspects)
+        self._usage_of_others.hear(member.name, start_of(member.incarnation), member.digest.usage)
 
     def _processes(self):
         if self._peer is None:
@@ -381,8 +390,7 @@
         return DutyTask(self._lease, cfg.name, reporter, orderer, self._clock)
 
     def _usage_of_all(self, window):
-        others = [member.digest.usage for member in self._peer.members()] if self._peer else []
-        return add_up(window, [self.parts.usage.counts(), *others])
+        return self._usage_of_others.add_up(window, self.parts.usage.counts())
 
     def _orders(self):
         table = self.parts.directory.table
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -203,11 +203,13 @@
     def _judge(self, outcome, entry):
         """Returns the final answer that an outcome gives, None if another server may be tried."""
         parts = self._parts
+        if not isinstance(outcome, NotSent | Broken):
+            parts.health.reached(entry)
         match outcome:
             case NotSent(reason=reason):
                 self._reason = reason
                 if entry is not None and reason == "no connection":
-                    self._server_failed(entry)
+                    parts.health.unreachable(entry)
                     self._tried.add(entry.name)
                 return None if entry is not None else self._given_up()
             case Refused(reason=reason, is_misdirected=is_misdirected):
@@ -247,7 +249,10 @@
         self._may_have_run = True
         self._reason = outcome.reason
         self._tried.add(entry.name)
-        self._server_failed(entry)
+        if outcome.was_silent and outcome.head is None:
+            self._parts.health.unreachable(entry)
+        else:
+            self._server_failed(entry)
         if outcome.head is not None:
             self._count_usage()
         if outcome.was_closed:
--- a/cicadapond/peer/_records.py
+++ b/cicadapond/peer/_records.py
@@ -120,6 +120,11 @@
     return incarnation >> REFUTATION_BITS == other >> REFUTATION_BITS
 
 
+def start_of(incarnation: int) -> int:
+    """Returns what tells a start of a process from its others, in Unix milliseconds."""
+    return incarnation >> REFUTATION_BITS
+
+
 def newer(incarnation: int, state: MemberState, known: Record) -> bool:
     """Returns whether a line is newer than what is known."""
     if incarnation != known.incarnation:
--- a/cicadapond/placing/_health.py
+++ b/cicadapond/placing/_health.py
@@ -2,7 +2,8 @@
 
 Servers are judged by the outcomes of requests only: a liveness check can be good while requests
 fail, and it costs a place.  A service may fail part of its requests by its nature, so a server is
-judged against the others of its service.
+judged against the others of its service.  A server that cannot be reached is left out at once, and
+two of them in one other data centre, with nothing reached there since, stand for all of it.
 """
 
 import collections
@@ -10,6 +11,7 @@
 
 import attrs
 
+from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 
 # Outcomes kept per server, and how many of them are needed for a judgement.
@@ -21,8 +23,12 @@
 CONSECUTIVE_FAILURES = 3
 FIRST_REST = datetime.timedelta(seconds=1)
 LONGEST_REST = datetime.timedelta(seconds=6)
-# No more than this share of a service's servers is left out at once.
+# No more than this share of a service's reachable servers is left out at once.
 MOST_RESTING = 0.5
+FIRST_UNREACHABLE_REST = datetime.timedelta(milliseconds=400)
+LONGEST_UNREACHABLE_REST = datetime.timedelta(milliseconds=1600)
+ZONE_CUT_SERVERS = 2
+ZONE_REST = datetime.timedelta(milliseconds=800)
 
 
 @attrs.define
@@ -33,6 +39,8 @@
     in_a_row: int = 0
     rests: int = 0
     resting_until: datetime.timedelta = datetime.timedelta()
+    misses: int = 0
+    unreachable_until: datetime.timedelta = datetime.timedelta()
 
 
 class ServerHealth:
@@ -40,11 +48,36 @@
 
     Args:
       clock: Gives the time.
+      zone: This process's data centre.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, zone: str):
         self._clock = clock
+        self._zone = zone
         self._records: dict[str, _Record] = {}
+        self._missed_zones: dict[str, set[str]] = {}
+        self._zone_rests: dict[str, datetime.timedelta] = {}
+
+    def unreachable(self, entry: ServerEntry) -> None:
+        """Notes that no connection could be made, or that one went silent."""
+        now = self._clock.monotonic()
+        record = self._record(entry.name)
+        record.misses += 1
+        rest = min(FIRST_UNREACHABLE_REST * 2 ** (record.misses - 1), LONGEST_UNREACHABLE_REST)
+        record.unreachable_until = now + rest
+        missed = self._missed_zones.setdefault(entry.zone, set())
+        missed.add(entry.name)
+        if len(missed) >= ZONE_CUT_SERVERS and entry.zone != self._zone:
+            self._zone_rests[entry.zone] = now + ZONE_REST
+
+    def reached(self, entry: ServerEntry) -> None:
+        """Notes that a server has answered something."""
+        self._missed_zones.pop(entry.zone, None)
+        self._zone_rests.pop(entry.zone, None)
+        record = self._records.get(entry.name)
+        if record is not None and record.misses:
+            record.misses = 0
+            record.unreachable_until = datetime.timedelta()
 
     def succeeded(self, server: str) -> None:
         """Counts an answer that is what a sound server gives."""
@@ -76,8 +109,12 @@
         return True
 
     def sound(self, servers: list) -> list:
-        """Returns the entries of servers that are not left out, at least half of them."""
+        """Returns the entries of servers that are not left out.
+
+        Of those that can be reached at least half are returned, and of all at least one.
+        """
         now = self._clock.monotonic()
+        servers = [entry for entry in servers if self._is_reachable(entry, now)] or servers
 
         def left(entry):
             record = self._records.get(entry.name)
@@ -90,6 +127,12 @@
             usable += resting[: least - len(usable)]
         return usable
 
+    def _is_reachable(self, entry, now):
+        if self._zone_rests.get(entry.zone, now) > now:
+            return False
+        record = self._records.get(entry.name)
+        return record is None or record.unreachable_until <= now
+
     def forget(self, server: str) -> None:
         """Drops a server that is gone."""
         self._records.pop(server, None)
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -8,7 +8,7 @@
 
 For a process that has not been heard of lately its even part of rate and burst is set aside, and
 it reckons in the same way; so the sum holds however the network is split.  A process that starts
-again begins with an empty bucket, as it does not know what was spent before.
+again begins with a part of the burst only, as it does not know what was spent before.
 """
 
 import datetime
@@ -21,6 +21,10 @@
 
 ZERO = datetime.timedelta()
 LONGEST_WAIT = datetime.timedelta(seconds=60)
+# The part of a burst that a process reckons with when it starts again.
+RESTART_PART = 0.5
+# Totals that are first heard of so soon were spent before this process started.
+FIRST_TOTALS_TERM = datetime.timedelta(seconds=4)
 
 
 @attrs.define
@@ -52,6 +56,7 @@
         self._begins_full = begins_full
         self._buckets: dict[str, _Bucket] = {}
         self._totals: dict[str, dict[str, float]] = {}
+        self._started = clock.monotonic()
 
     def totals(self) -> dict[str, float]:
         """Returns the running totals that the other processes need, by account."""
@@ -64,9 +69,10 @@
 
     def hear(self, process: str, totals: typing.Mapping[str, float]) -> None:
         """Takes the running totals of another process."""
+        just_started = self._clock.monotonic() - self._started < FIRST_TOTALS_TERM
         known = self._totals.setdefault(process, {})
         for account, total in totals.items():
-            last = known.get(account, 0.0)
+            last = known.get(account, total if just_started else 0.0)
             # A lower total is of a process that has started anew.
             spent = total - last if total >= last else total
             known[account] = total
@@ -102,7 +108,7 @@
         bucket = self._buckets.get(account.name)
         now = self._clock.monotonic()
         if bucket is None:
-            level = account.burst if self._begins_full else 0.0
+            level = account.burst * (1.0 if self._begins_full else RESTART_PART)
             bucket = _Bucket(account.rate, account.burst, level, now)
             self._buckets[account.name] = bucket
         elif (bucket.rate, bucket.burst) != (account.rate, account.burst):
--- a/cicadapond/usage/_windows.py
+++ b/cicadapond/usage/_windows.py
@@ -38,11 +38,37 @@
         return {number: dict(counts) for number, counts in self._counts.items()}
 
 
-def add_up(
-    number: int, processes: typing.Iterable[typing.Mapping[int, typing.Mapping[str, int]]]
-) -> dict[str, int]:
-    """Returns the counts of one window over all processes."""
-    total = collections.Counter()
-    for windows in processes:
-        total.update(windows.get(number, {}))
-    return {account: count for account, count in sorted(total.items()) if count}
+class UsageLedger:
+    """Counts of other processes, those of earlier starts included.
+
+    A process that starts again counts anew, while what it told before it ended still holds.
+    """
+
+    def __init__(self):
+        self._counts: dict[int, dict[tuple[str, int], typing.Mapping[str, int]]] = {}
+
+    def hear(
+        self,
+        process: str,
+        start: int,
+        windows: typing.Mapping[int, typing.Mapping[str, int]],
+    ) -> None:
+        """Takes what one start of a process tells; later words on a window replace earlier."""
+        for number, counts in windows.items():
+            self._counts.setdefault(number, {})[process, start] = counts
+        while len(self._counts) > 2 * KEPT_WINDOWS:
+            del self._counts[min(self._counts)]
+
+    def add_up(
+        self, number: int, own: typing.Mapping[int, typing.Mapping[str, int]]
+    ) -> dict[str, int]:
+        """Returns the counts of one window over all processes.
+
+        Args:
+          number: The window.
+          own: This process's counts by window.
+        """
+        total = collections.Counter(own.get(number, {}))
+        for counts in self._counts.get(number, {}).values():
+            total.update(counts)
+        return {account: count for account, count in sorted(total.items()) if count}
