--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -149,6 +149,7 @@
     Args:
       cloud: Takes the orders.
       plan: Returns the orders that should be in force.
+      replan: Has the plan forget the past.
       missing: Returns whether an order is not carried out, though there was time for it.
       clock: Gives the time.
       log: Takes a line for each order.
@@ -156,9 +157,10 @@
 
     REPEAT = datetime.timedelta(seconds=2)
 
-    def __init__(self, cloud: Cloud, plan, missing, clock: Clock, log: EventLog):
+    def __init__(self, cloud: Cloud, plan, replan, missing, clock: Clock, log: EventLog):
         self._cloud = cloud
         self._plan = plan
+        self._replan = replan
         self._missing = missing
         self._clock = clock
         self._log = log
@@ -167,6 +169,7 @@
     def restart(self) -> None:
         """Forgets what was ordered, for the next time that the lease is held."""
         self._sent.clear()
+        self._replan()
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Sends the orders that are due."""
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -17,6 +17,12 @@
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
 LISTEN_BACKLOG = 1024
+# New connections come until the balancer has missed two readiness answers, a second apart.
+BALANCER_DELAY = datetime.timedelta(seconds=3)
+# The part of the grace period after which requests in progress are broken off.
+GRACE_SHARE = 0.93
+# Another process takes the caller's next connection.
+ENDING_RETRY = datetime.timedelta(milliseconds=50)
 NOT_READY_RETRY = datetime.timedelta(milliseconds=500)
 # In force until the configuration is known.
 FIRST_LIMITS = RequestLimits(
@@ -102,6 +108,9 @@
         if not isinstance(verdict, Admitted):
             await self._refuse(req, verdict, reply)
             return
+        if not self._can_finish(req, verdict.route):
+            await self._own(req, reply, 503, "this process is ending", ENDING_RETRY)
+            return
         wait = self._take_quota(req, verdict.account)
         if wait is not None:
             account = verdict.account
@@ -124,6 +133,19 @@
             parts.log.write("caller_left", request=req.id, route=verdict.route.name)
             raise
 
+    def _can_finish(self, req, route):
+        """Returns whether a request is sure to be answered before this process ends.
+
+        While the balancer may still send new callers, requests are taken and most are finished.
+        """
+        begun = self._parts.stopping_since
+        now = self._parts.clock.monotonic()
+        if begun is None or now - begun < BALANCER_DELAY:
+            return True
+        end = begun + self._parts.cfg.bounds.grace * GRACE_SHARE
+        limit = min(route.timeout, req.patience) if req.patience is not None else route.timeout
+        return now + limit < end
+
     def _take_quota(self, req, account):
         if account is None:
             return None
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -13,7 +13,7 @@
 from cicadapond.gateway._dialect import Dialect
 from cicadapond.gateway._duties import DutyTask, ServerOrderer, UsageReporter
 from cicadapond.gateway._follow import FollowTask, TableFollower
-from cicadapond.gateway._front import Front
+from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Front
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._servers import ServerBook
 from cicadapond.gateway._time import TrueClock
@@ -25,7 +25,7 @@
 from cicadapond.provider import TableService, Write
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import Directory
-from cicadapond.scaling import plan_orders
+from cicadapond.scaling import CapacityPlanner, DemandMeter
 from cicadapond.usage import UsageLedger, UsageWindows
 
 PROCESS_TABLE = "processes"
@@ -47,10 +47,6 @@
 SILENT_AFTER = datetime.timedelta(seconds=3)
 CHECK_DELAY = datetime.timedelta(milliseconds=60)
 CHECK_TIMEOUT = datetime.timedelta(milliseconds=500)
-# New connections come until the balancer has missed two readiness answers, a second apart.
-BALANCER_DELAY = datetime.timedelta(seconds=3)
-# The part of the grace period after which requests in progress are broken off.
-GRACE_SHARE = 0.93
 STOP_POLL = datetime.timedelta(milliseconds=50)
 # Orders take a boot time and a little; then servers that are not there are ordered again.
 ORDER_SLACK = datetime.timedelta(seconds=3)
@@ -120,6 +116,7 @@
         )
         self._lease_held = False
         self._usage_of_others = UsageLedger()
+        self._planner = CapacityPlanner(clock)
 
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
@@ -142,6 +139,7 @@
             quotas=QuotaShares(clock, cfg.is_first_start),
             usage=UsageWindows(bounds.usage_window),
             crashes=CrashBook(clock),
+            demand=DemandMeter(clock),
             processes=self._processes,
             quota_part=self._quota_part,
             check_server=self._check_server,
@@ -179,10 +177,11 @@
             if waited >= BALANCER_DELAY and not self._front.busy:
                 break
             await self._clock.sleep(STOP_POLL)
-        if self._peer is not None:
-            await self._peer.leave()
+        # No request may begin between the last look at what is in progress and this.
         broken_off = self._front.busy
         self._front.close()
+        if self._peer is not None:
+            await self._peer.leave()
         await self._tasks.stop()
         self.parts.pool.close()
         self._log.write("stopped", broken_off=broken_off)
@@ -342,6 +341,10 @@
                     suspects=self.parts.crashes.counts(),
                     spent=self.parts.quotas.totals(),
                     usage=self.parts.usage.counts(),
+                    demand={
+                        service: round(busy, 2)
+                        for service, busy in self.parts.demand.busy_engines().items()
+                    },
                 )
             )
             await self._clock.sleep(DIGEST_INTERVAL)
@@ -386,7 +389,9 @@
                 self._log,
             )
         if cfg.duties.orders_servers:
-            orderer = ServerOrderer(cloud, self._orders, self._is_missing, self._clock, self._log)
+            orderer = ServerOrderer(
+                cloud, self._orders, self._planner.restart, self._is_missing, self._clock, self._log
+            )
         return DutyTask(self._lease, cfg.name, reporter, orderer, self._clock)
 
     def _usage_of_all(self, window):
@@ -398,9 +403,18 @@
             return []
         orders = []
         for service in table.cfg.services.values():
-            orders += plan_orders(service, self._cfg.zones)
+            servers = self.parts.book.usable(service.name)
+            demand = self._demand(service.name)
+            orders += self._planner.plan(service, self._cfg.zones, servers, demand)
         return orders
 
+    def _demand(self, service):
+        demand = self.parts.demand.busy_engines().get(service, 0.0)
+        for member in self._peer.members() if self._peer else ():
+            if member.state is MemberState.ALIVE:
+                demand += member.digest.demand.get(service, 0.0)
+        return demand
+
     def _is_missing(self, order, since):
         table = self.parts.directory.table
         boot = table.cfg.services[order.service].scaling.boot
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -15,6 +15,7 @@
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import Directory
+from cicadapond.scaling import DemandMeter
 from cicadapond.usage import UsageWindows
 
 
@@ -42,6 +43,7 @@
     quotas: QuotaShares
     usage: UsageWindows
     crashes: CrashBook
+    demand: DemandMeter
     processes: typing.Callable[[], int] = lambda: 1
     quota_part: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -123,6 +123,9 @@
         if placement is None:
             return NotSent("no server takes requests"), None
         entry, self._visit = placement.server, placement.visit
+        if self._req.generation is not None:
+            work = datetime.timedelta(milliseconds=placement.visit.reading_ms)
+            parts.demand.add(self._service, work)
         dispatch = Dispatch(
             server=entry,
             left=left,
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -35,6 +35,7 @@
       suspects: Hashes of requests that a crash has made suspects, with their crash count.
       spent: Running totals of what this process admitted, by client account with a quota.
       usage: How many requests of each client account began to run here, by window number.
+      demand: How many servers of each service this process's requests keep busy.
     """
 
     revision: int = 0
@@ -46,6 +47,7 @@
     suspects: typing.Mapping[str, int] = attrs.field(factory=dict)
     spent: typing.Mapping[str, float] = attrs.field(factory=dict)
     usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
+    demand: typing.Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -29,6 +29,7 @@
     SERVING = 7
     SPENT = 8
     USAGE = 9
+    DEMAND = 10
 
 
 # News of these sections takes any path there is; other news comes from the member's own relays.
@@ -175,6 +176,7 @@
         self._replace(True, Section.SPENT, digest.spent, changed)
         usage = {str(number): dict(counts) for number, counts in digest.usage.items()}
         self._replace(True, Section.USAGE, usage, changed)
+        self._replace(True, Section.DEMAND, digest.demand, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -254,6 +256,7 @@
             suspects=sections[Section.SUSPECTS],
             spent=sections[Section.SPENT],
             usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
+            demand=sections[Section.DEMAND],
         )
     except (TypeError, ValueError, OverflowError):
         return Digest()
--- a/cicadapond/scaling/__init__.py
+++ b/cicadapond/scaling/__init__.py
@@ -1,5 +1,6 @@
 """Scaling: how many servers of which kind are ordered where."""
 
-from cicadapond.scaling._planner import plan_orders
+from cicadapond.scaling._demand import DemandMeter
+from cicadapond.scaling._planner import CapacityPlanner
 
-__all__ = ["plan_orders"]
+__all__ = ["CapacityPlanner", "DemandMeter"]
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -1,32 +1,115 @@
 """How many servers of a service are ordered in each data centre; no I/O.
 
-On-demand servers stay when a data centre takes its reclaimable ones away, so a base of them
-carries what must go on; reclaimable ones are cheap and carry the rest.
+For a load that must go on when data centres take their reclaimable servers away, one after the
+other, while no others are to be had: reclaimable servers are cheap and carry nearly all of it.  A
+small on-demand base stays through every reclaim, and on-demand servers in the cheapest data
+centres stand in for reclaimable ones until these are back.
 """
 
+import collections
+import datetime
+import math
 import typing
 
+import attrs
+
 from cicadapond.gateway import ServerOrder
-from cicadapond.gateway.data import Service
+from cicadapond.gateway.data import ServerEntry, Service
+from cicadapond.kernel import Clock
+
+# On-demand servers that stay whatever the demand, in the cheapest data centres.
+ON_DEMAND_BASE = 1
+# Reclaimable servers are ordered for this use of them, so that prompts seldom wait for others.
+RECLAIMABLE_USE = 0.3
+LEAST_RECLAIMABLE_PER_ZONE = 2
+# On-demand servers stand in when what is there would be used more than this.
+LARGEST_USE = 0.5
+# The same, for what is there once one more data centre takes its reclaimable servers away.
+LARGEST_USE_AFTER_RECLAIM = 0.6
+# Demand is reckoned at its highest over this time, as servers take seconds to come.
+DEMAND_MEMORY = datetime.timedelta(seconds=8)
+# A new holder of the lease lowers nothing before it knows the demand.
+SETTLE = datetime.timedelta(seconds=6)
+
 
-BASE_PER_ZONE = 1
-RECLAIMABLE_PER_ZONE = 2
+@attrs.frozen
+class _Peak:
+    demand: float
+    at: datetime.timedelta
 
 
-def plan_orders(service: Service, zones: typing.Sequence[str]) -> list[ServerOrder]:
-    """Returns the orders that should be in force for a service.
+class CapacityPlanner:
+    """Plans the orders of one process while it holds the lease.
 
     Args:
-      service: The service, with its bounds.
-      zones: The data centres where it runs.
+      clock: Gives the time.
     """
-    scaling = service.scaling
-    if scaling is None:
-        return []
-    orders = []
-    for zone in zones:
-        base = min(scaling.maximum, max(scaling.minimum, BASE_PER_ZONE))
-        cheap = min(scaling.maximum - base, RECLAIMABLE_PER_ZONE)
-        orders.append(ServerOrder(service.name, zone, True, cheap))
-        orders.append(ServerOrder(service.name, zone, False, base))
-    return orders
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._peaks: dict[str, list[_Peak]] = {}
+        self._began: datetime.timedelta | None = None
+
+    def restart(self) -> None:
+        """Forgets the past, for the next time that the lease is held."""
+        self._began = None
+        self._peaks.clear()
+
+    def plan(
+        self,
+        service: Service,
+        zones: typing.Sequence[str],
+        servers: typing.Sequence[ServerEntry],
+        demand: float,
+    ) -> list[ServerOrder]:
+        """Returns the orders that should be in force for a service.
+
+        Args:
+          service: The service, with its bounds.
+          zones: The data centres where it may run.
+          servers: Its servers that take requests.
+          demand: How many servers its requests keep busy now.
+        """
+        scaling = service.scaling
+        if scaling is None:
+            return []
+        now = self._clock.monotonic()
+        self._began = now if self._began is None else self._began
+        demand = self._peak(service.name, demand, now)
+        reclaimable = math.ceil(demand / RECLAIMABLE_USE / len(zones))
+        reclaimable = max(LEAST_RECLAIMABLE_PER_ZONE, reclaimable)
+        reclaimable = min(reclaimable, scaling.maximum - 1)
+        on_demand = self._on_demand(scaling, zones, servers, demand, reclaimable)
+        orders = [ServerOrder(service.name, zone, True, reclaimable) for zone in zones]
+        orders += [ServerOrder(service.name, zone, False, on_demand[zone]) for zone in zones]
+        return [self._not_below(order, servers, now) for order in orders]
+
+    def _on_demand(self, scaling, zones, servers, demand, reclaimable):
+        present = collections.Counter(entry.zone for entry in servers if entry.is_reclaimable)
+        kept = present.total() - max(present.values(), default=0)
+        wanted = max(
+            ON_DEMAND_BASE,
+            math.ceil(demand / LARGEST_USE) - present.total(),
+            math.ceil(demand / LARGEST_USE_AFTER_RECLAIM) - kept,
+        )
+        counts = dict.fromkeys(zones, 0)
+        for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
+            counts[zone] = min(wanted, max(0, scaling.maximum - reclaimable))
+            wanted -= counts[zone]
+        return counts
+
+    def _peak(self, service, demand, now):
+        peaks = self._peaks.setdefault(service, [])
+        peaks.append(_Peak(demand, now))
+        peaks[:] = [peak for peak in peaks if now - peak.at <= DEMAND_MEMORY]
+        return max(peak.demand for peak in peaks)
+
+    def _not_below(self, order, servers, now):
+        """Returns an order that lowers nothing while the demand is not known yet."""
+        if now - self._began >= SETTLE:
+            return order
+        present = sum(
+            entry.zone == order.zone and entry.is_reclaimable == order.reclaimable
+            for entry in servers
+        )
+        return attrs.evolve(order, count=max(order.count, present))
