--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -64,8 +64,8 @@
     told = [str(finding).partition("settings.conf:")[2] for finding in findings]
     assert told == [
         "3:0: 'zone' is not of the form name=value",
-        "16:0: bounds.grace_s: 'long' is not a number",
-        "22:0: platform.address: 'here' is not of the form IP:PORT",
+        "12:0: bounds.grace_s: 'long' is not a number",
+        "18:0: platform.address: 'here' is not of the form IP:PORT",
     ]
 
 
