--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -65,7 +65,7 @@
     assert told == [
         "3:0: 'zone' is not of the form name=value",
         "12:0: bounds.grace_s: 'long' is not a number",
-        "18:0: platform.address: 'here' is not of the form IP:PORT",
+        "19:0: platform.address: 'here' is not of the form IP:PORT",
     ]
 
 
