Reckon one queue of prompt reading for each engine, fed by all processes

Processes now tell running totals of reading at once, an engine takes off one millisecond in a millisecond, an answer that begins puts the queue right, and long prompts count attention's part.

--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -1,5 +1,7 @@
 """One gateway process: its parts, its tasks, and how they hang together."""
 
+import asyncio
+import contextlib
 import datetime
 import random
 
@@ -39,6 +41,8 @@
 )
 PEER_BEAT = datetime.timedelta(milliseconds=400)
 DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
+# The least time between two digests, however much there is to tell.
+LEAST_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=1)
 REGISTER_RETRY = datetime.timedelta(milliseconds=300)
 # A process that has been dead for so long no longer has a share of limits.
@@ -99,6 +103,7 @@
         self._metrics = metrics
         self._rng = rng
         self._tasks = TaskGroup()
+        self._news = asyncio.Event()
         self._servers_known = False
         self._peer: PeerTask | None = None
         self._checking: set[str] = set()
@@ -143,6 +148,7 @@
             processes=self._processes,
             quota_part=self._quota_part,
             check_server=self._check_server,
+            tell_readings=self._news.set,
         )
 
     # Life
@@ -341,21 +347,26 @@
 
     async def _publish(self):
         while True:
-            self._peer.publish(
-                Digest(
-                    revision=self.parts.directory.version,
-                    suspects=self.parts.crashes.counts(),
-                    spent=self.parts.quotas.totals(),
-                    usage=self.parts.usage.counts(),
-                    demand={
-                        service: round(busy, 2)
-                        for service, busy in self.parts.demand.busy_engines().items()
-                    },
-                )
-            )
-            await self._clock.sleep(DIGEST_INTERVAL)
+            self._news.clear()
+            self._peer.publish(self._digest())
+            await self._clock.sleep(LEAST_DIGEST_INTERVAL)
+            with contextlib.suppress(TimeoutError):  # the ordinary end of the wait
+                async with asyncio.timeout(DIGEST_INTERVAL.total_seconds()):
+                    await self._news.wait()
+
+    def _digest(self):
+        parts = self.parts
+        return Digest(
+            revision=parts.directory.version,
+            suspects=parts.crashes.counts(),
+            spent=parts.quotas.totals(),
+            usage=parts.usage.counts(),
+            demand={name: round(busy, 2) for name, busy in parts.demand.busy_engines().items()},
+            readings=parts.placer.readings(),
+        )
 
     def _hear(self, member):
+        self.parts.placer.hear(member.name, member.digest.readings)
         self.parts.quotas.hear(member.name, member.digest.spent)
         self.parts.crashes.hear(member.name, member.digest.suspects)
         self._usage_of_others.hear(member.name, start_of(member.incarnation), member.digest.usage)
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -25,7 +25,7 @@
 
     `processes` tells how many share limits with it, itself too; `quota_part` which part of
     quotas it and those that it hears of may spend; `check_server` has a server looked at whose
-    connection broke.
+    connection broke; `tell_readings` has the other processes told of a long prompt.
     """
 
     cfg: GatewaySettings
@@ -47,4 +47,5 @@
     processes: typing.Callable[[], int] = lambda: 1
     quota_part: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
+    tell_readings: typing.Callable[[], None] = lambda: None
     stopping_since: datetime.timedelta | None = None
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -17,6 +17,7 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Dispatch, Route, RouteKind
 from cicadapond.kernel import Failed, NotRun, Unknown
+from cicadapond.placing import LONG_READING_MS
 from cicadapond.routes import choose_service
 
 # Choices of a server within one request, those that sent nothing included.
@@ -128,6 +129,8 @@
         if self._req.generation is not None:
             work = datetime.timedelta(milliseconds=placement.visit.reading_ms)
             parts.demand.add(self._service, work)
+            if placement.visit.reading_ms >= LONG_READING_MS:
+                parts.tell_readings()
         dispatch = Dispatch(
             server=entry,
             left=left,
@@ -161,11 +164,18 @@
             server=entry.name,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", None),
+            reading_ms=round(self._visit.reading_ms),
             expected_ms=_milliseconds(placement.expected),
+            first_event_ms=self._first_event_ms(started),
             took_ms=_milliseconds(parts.clock.monotonic() - started),
         )
         return outcome, entry
 
+    def _first_event_ms(self, started):
+        if self._visit.begun_at is None:
+            return None
+        return _milliseconds(self._visit.begun_at - started)
+
     def _candidates(self):
         parts = self._parts
         usable = parts.book.usable(self._service)
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -36,6 +36,7 @@
       spent: Running totals of what this process admitted, by client account with a quota.
       usage: How many requests of each client account began to run here, by window number.
       demand: How many servers of each service this process's requests keep busy.
+      readings: Running totals of prompt reading sent, in milliseconds by engine.
     """
 
     revision: int = 0
@@ -48,6 +49,7 @@
     spent: typing.Mapping[str, float] = attrs.field(factory=dict)
     usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
     demand: typing.Mapping[str, float] = attrs.field(factory=dict)
+    readings: typing.Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -30,12 +30,13 @@
     SPENT = 8
     USAGE = 9
     DEMAND = 10
+    READINGS = 11
 
 
 # News of these sections takes any path there is; other news comes from the member's own relays.
 FLOODED = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
 # News of these sections leaves at once; other news waits for its interval.
-URGENT = FLOODED | {Section.REVISION, Section.SPENT}
+URGENT = FLOODED | {Section.REVISION, Section.SPENT, Section.READINGS}
 MIN_COUNT_CHANGE = 2
 COUNT_CHANGE_SHARE = 0.25
 MAX_LOAD_AGE = datetime.timedelta(seconds=5)
@@ -177,6 +178,7 @@
         usage = {str(number): dict(counts) for number, counts in digest.usage.items()}
         self._replace(True, Section.USAGE, usage, changed)
         self._replace(True, Section.DEMAND, digest.demand, changed)
+        self._replace(True, Section.READINGS, digest.readings, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -257,6 +259,7 @@
             spent=sections[Section.SPENT],
             usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
             demand=sections[Section.DEMAND],
+            readings=sections[Section.READINGS],
         )
     except (TypeError, ValueError, OverflowError):
         return Digest()
--- a/cicadapond/placing/__init__.py
+++ b/cicadapond/placing/__init__.py
@@ -1,7 +1,15 @@
 """Placing: which backend server a request goes to."""
 
 from cicadapond.placing._health import ServerHealth
-from cicadapond.placing._placer import Placement, Placer, Visit
+from cicadapond.placing._placer import LONG_READING_MS, Placement, Placer, Visit
 from cicadapond.placing._prefixes import PrefixMemory, shared_parts
 
-__all__ = ["Placement", "Placer", "PrefixMemory", "ServerHealth", "Visit", "shared_parts"]
+__all__ = [
+    "LONG_READING_MS",
+    "Placement",
+    "Placer",
+    "PrefixMemory",
+    "ServerHealth",
+    "Visit",
+    "shared_parts",
+]
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -6,9 +6,12 @@
 milliseconds, so that a shorter queue and a warmer memory are weighed against each other.
 
 The processes of the system agree without talking on where a shared part belongs: the engine with
-the highest hash of both.  An engine that is expected to hold a part counts as holding it.
+the highest hash of both.  An engine that is expected to hold a part counts as holding it.  They
+tell each other how much they have sent to each engine, since a long prompt of one keeps the short
+prompts of all others waiting.
 """
 
+import collections
 import datetime
 import hashlib
 import typing
@@ -19,14 +22,18 @@
 from cicadapond.kernel import Clock
 from cicadapond.placing._prefixes import PrefixMemory, shared_parts
 
-# Measured on the users' engines: prompt tokens read in a millisecond.
-PREFILL_TOKENS_PER_MS = 90.0
+# Measured on the users' engines: prompt tokens read in a millisecond, decoding beside them.
+PREFILL_TOKENS_PER_MS = 88.0
+# From the same: attention's part, for each million pairs of a token read and one before it.
+ATTENTION_MS_PER_MILLION_PAIRS = 0.184
 # What one more running request costs an answer to come, from the users' step times.
 BATCH_COST_MS = 0.6
 # A server's word on its load counts in full when it comes and fades with this half-life.
 LOAD_HALF_LIFE_MS = 400.0
-# A request that waits at an engine stands for so much reading before it.
-WAITING_COST_MS = 25.0
+# Reading that is worth telling the other processes at once.
+LONG_READING_MS = 30.0
+# Longer than any prompt waits before its caller gives up.
+QUEUE_MEMORY = datetime.timedelta(seconds=4)
 # The typical time of a call of a plain service, until answers have told it.
 FIRST_SERVICE_MS = 30.0
 SERVICE_TIME_GAIN = 0.1
@@ -41,7 +48,35 @@
     server: str
     reading_ms: float
     since: datetime.timedelta
-    has_begun: bool = False
+    begun_at: datetime.timedelta | None = None
+
+
+@attrs.define
+class _ReadingQueue:
+    """The reading that waits at an engine, which takes off a millisecond in a millisecond.
+
+    `added` has what was added lately, so that the queue can be put right when a request's answer
+    begins: all that came before that request is read by then.
+    """
+
+    waiting_ms: float = 0.0
+    at: datetime.timedelta = datetime.timedelta()
+    added: collections.deque = attrs.field(factory=collections.deque)
+
+    def left_ms(self, now):
+        return max(0.0, self.waiting_ms - (now - self.at) / _MILLISECOND)
+
+    def add(self, reading_ms, now):
+        self.waiting_ms = self.left_ms(now) + reading_ms
+        self.at = now
+        self.added.append((now, reading_ms))
+        while self.added and now - self.added[0][0] > QUEUE_MEMORY:
+            self.added.popleft()
+
+    def read_up_to(self, sent, now):
+        later = sum(reading_ms for at, reading_ms in self.added if at > sent)
+        self.waiting_ms = min(self.left_ms(now), later)
+        self.at = now
 
 
 @attrs.define
@@ -52,6 +87,9 @@
     told_at: datetime.timedelta = datetime.timedelta()
     own_when_told: int = 0
     service_ms: float = FIRST_SERVICE_MS
+    queue: "_ReadingQueue" = attrs.field(factory=lambda: _ReadingQueue())
+    sent_ms: float = 0.0
+    told_ms: dict = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -92,7 +130,7 @@
                 expected = reading * (1.0 + self._occupied(load) / entry.slots)
             else:
                 reading = self._reading_ms(load, generation, entry is home)
-                expected = self._backlog_ms(load) + reading
+                expected = load.queue.left_ms(self._clock.monotonic()) + reading
                 expected += BATCH_COST_MS * self._occupied(load)
             if entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
@@ -113,11 +151,16 @@
         load.visits.add(visit)
         if generation is not None:
             load.memory.read(generation.parts)
+            load.queue.add(reading, visit.since)
+            load.sent_ms += reading
         return Placement(entry, expected * _MILLISECOND, visit)
 
     def begun(self, visit: Visit) -> None:
         """Notes that a request's answer has begun: its prompt no longer waits."""
-        visit.has_begun = True
+        now = visit.begun_at = self._clock.monotonic()
+        load = self._loads.get(visit.server)
+        if load is not None:
+            load.queue.read_up_to(visit.since, now)
 
     def ended(self, visit: Visit, took: datetime.timedelta | None = None) -> None:
         """Notes that a request is no longer at its server.
@@ -141,6 +184,20 @@
             load.told_at = self._clock.monotonic()
             load.own_when_told = len(load.visits)
 
+    def readings(self) -> dict[str, int]:
+        """Returns the running totals of reading, in milliseconds, sent to each engine."""
+        return {name: round(load.sent_ms) for name, load in self._loads.items() if load.sent_ms}
+
+    def hear(self, process: str, readings: typing.Mapping[str, float]) -> None:
+        """Takes the running totals of another process, in milliseconds by engine."""
+        now = self._clock.monotonic()
+        for name, load in self._loads.items():
+            total = readings.get(name, 0.0)
+            last = load.told_ms.get(process, total)
+            load.told_ms[process] = total
+            if total > last:
+                load.queue.add(total - last, now)
+
     def forget(self, server: str) -> None:
         """Drops a server that is gone."""
         self._loads.pop(server, None)
@@ -160,15 +217,7 @@
         cached = load.memory.cached_tokens(generation.parts)
         if is_home:
             cached = max(cached, sum(part.tokens for part in shared_parts(generation)))
-        return max(0, generation.prompt_tokens - cached) / PREFILL_TOKENS_PER_MS
-
-    def _backlog_ms(self, load):
-        now = self._clock.monotonic()
-        own = 0.0
-        for visit in load.visits:
-            if not visit.has_begun:
-                own += max(0.0, visit.reading_ms - (now - visit.since) / _MILLISECOND * 0.5)
-        return own + WAITING_COST_MS * self._fresh(load, lambda told: told.waiting)
+        return reading_ms(generation.prompt_tokens, cached)
 
     def _occupied(self, load):
         """Returns how many requests a server has: this process's, and others' by its word."""
@@ -182,6 +231,18 @@
         return count(load.told) * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
 
 
+def reading_ms(tokens: int, cached: int) -> float:
+    """Returns how long an engine reads a prompt, in milliseconds.
+
+    Args:
+      tokens: The prompt's tokens.
+      cached: How many of its first tokens the engine holds already.
+    """
+    new = max(0, tokens - cached)
+    pairs = new * (cached + new / 2)
+    return new / PREFILL_TOKENS_PER_MS + pairs / 1e6 * ATTENTION_MS_PER_MILLION_PAIRS
+
+
 def _home(servers, generation):
     """Returns the server where a prompt's last shared part belongs, the same everywhere."""
     if generation is None or not servers:
