Let on-demand engines take the whole place of reclaimable ones

Cause: only one on-demand engine a data centre could stand in, as the order of three reclaimable ones stood on while none was to be had. Feeds wait 2 s, orders that were declined 3 s, to ask the store and the cloud less often.

--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -155,7 +155,7 @@
       log: Takes a line for each order.
     """
 
-    REPEAT = datetime.timedelta(seconds=2)
+    REPEAT = datetime.timedelta(seconds=3)
 
     def __init__(self, cloud: Cloud, plan, replan, missing, clock: Clock, log: EventLog):
         self._cloud = cloud
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -8,7 +8,7 @@
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost
 
 # The age of a copy is at most the wait and the call's own time; well under the bounds on it.
-FEED_WAIT = datetime.timedelta(milliseconds=1500)
+FEED_WAIT = datetime.timedelta(milliseconds=2000)
 # From then on an answer after failures is one after an outage.
 OUTAGE_AFTER = datetime.timedelta(milliseconds=1200)
 FIRST_PAUSE = datetime.timedelta(milliseconds=100)
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -23,9 +23,9 @@
 RECLAIMABLE_USE = 0.3
 LEAST_RECLAIMABLE_PER_ZONE = 2
 # On-demand servers stand in when what is there would be used more than this.
-LARGEST_USE = 0.5
+LARGEST_USE = 0.65
 # The same, for what is there once one more data centre takes its reclaimable servers away.
-LARGEST_USE_AFTER_RECLAIM = 0.6
+LARGEST_USE_AFTER_RECLAIM = 0.85
 # Demand is reckoned at its highest over this time, as servers take seconds to come.
 DEMAND_MEMORY = datetime.timedelta(seconds=8)
 # A new holder of the lease lowers nothing before it knows the demand.
@@ -79,12 +79,18 @@
         reclaimable = math.ceil(demand / RECLAIMABLE_USE / len(zones))
         reclaimable = max(LEAST_RECLAIMABLE_PER_ZONE, reclaimable)
         reclaimable = min(reclaimable, scaling.maximum - 1)
-        on_demand = self._on_demand(scaling, zones, servers, demand, reclaimable)
-        orders = [ServerOrder(service.name, zone, True, reclaimable) for zone in zones]
+        on_demand = self._on_demand(scaling, zones, servers, demand)
+        # Both kinds share the bounds: what stands in takes the place of what is not to be had.
+        orders = [
+            ServerOrder(
+                service.name, zone, True, min(reclaimable, scaling.maximum - on_demand[zone])
+            )
+            for zone in zones
+        ]
         orders += [ServerOrder(service.name, zone, False, on_demand[zone]) for zone in zones]
         return [self._not_below(order, servers, now) for order in orders]
 
-    def _on_demand(self, scaling, zones, servers, demand, reclaimable):
+    def _on_demand(self, scaling, zones, servers, demand):
         present = collections.Counter(entry.zone for entry in servers if entry.is_reclaimable)
         kept = present.total() - max(present.values(), default=0)
         wanted = max(
@@ -94,7 +100,7 @@
         )
         counts = dict.fromkeys(zones, 0)
         for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
-            counts[zone] = min(wanted, max(0, scaling.maximum - reclaimable))
+            counts[zone] = min(wanted, max(0, scaling.maximum - present[zone]))
             wanted -= counts[zone]
         return counts
 
