--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -4,11 +4,14 @@
 import datetime
 
 from cicadapond.eventlog import EventLog
+from cicadapond.gateway._time import ServiceTime
 from cicadapond.kernel import Clock, Metrics, Ok, Task
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost
 
 # The age of a copy is at most the wait and the call's own time; well under the bounds on it.
-FEED_WAIT = datetime.timedelta(milliseconds=2000)
+FEED_WAIT = datetime.timedelta(milliseconds=1600)
+# The age up to which a copy counts as current: what a feed that works never exceeds.
+CURRENT_FOR = FEED_WAIT + datetime.timedelta(milliseconds=600)
 # From then on an answer after failures is one after an outage.
 OUTAGE_AFTER = datetime.timedelta(milliseconds=1200)
 FIRST_PAUSE = datetime.timedelta(milliseconds=100)
@@ -56,6 +59,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._time = ServiceTime()
         self._version: int | None = None
         self._failures = 0
         self._reached_at: datetime.timedelta | None = None
@@ -95,7 +99,8 @@
         self._version = max(self._version or 0, changes.version)
         if changes.rows or is_whole:
             self._follower.changed(changes, is_whole, was_away)
-        self._follower.current(asked)
+        now = self._clock.monotonic()
+        self._follower.current(self._time.answered_at(changes.service_time, asked, now))
 
     async def _fail(self, outcome):
         if self._failures == 0:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -14,7 +14,7 @@
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._dialect import Dialect
 from cicadapond.gateway._duties import DutyTask, ServerOrderer, UsageReporter
-from cicadapond.gateway._follow import FollowTask, TableFollower
+from cicadapond.gateway._follow import CURRENT_FOR, FollowTask, TableFollower
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Front
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._servers import ServerBook
@@ -132,7 +132,7 @@
             log=self._log,
             metrics=self._metrics,
             dialect=self._edges.dialect,
-            directory=Directory(clock, bounds.revocation, bounds.apply),
+            directory=Directory(clock, bounds.revocation, CURRENT_FOR),
             book=ServerBook(clock),
             placer=Placer(clock, cfg.zone),
             health=ServerHealth(clock, cfg.zone),
--- a/cicadapond/gateway/_time.py
+++ b/cicadapond/gateway/_time.py
@@ -47,3 +47,34 @@
             return None
         self._origin += difference
         return difference
+
+
+class ServiceTime:
+    """When, by this machine's clock, the platform's store gave an answer.
+
+    The store's steady clock in each answer bounds how far it is ahead of this machine's: by no
+    more than its reading less the instant at which the call left.  The tightest bound of all
+    calls places the moment of each later answer, a long poll's too, to within one short call.
+    """
+
+    def __init__(self):
+        self._ahead: datetime.timedelta | None = None
+
+    def answered_at(
+        self, service_time: datetime.timedelta, asked: datetime.timedelta, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Returns an instant not after the store's answer, and not before the call left.
+
+        Args:
+          service_time: The store's clock in the answer.
+          asked: The monotonic instant before the call left.
+          now: The monotonic instant after the answer came.
+        """
+        bound = service_time - asked
+        if self._ahead is None or bound < self._ahead:
+            self._ahead = bound
+        answered = service_time - self._ahead
+        if answered > now:  # the store's clock has begun anew
+            self._ahead = bound
+            answered = asked
+        return answered
--- /dev/null
+++ b/cicadapond/gateway/follow_test.py
@@ -0,0 +1,149 @@
+"""Following a table: the age of the copy while the feed works, through outages and lost history."""
+
+import asyncio
+import random
+
+import attrs
+
+from cicadapond.gateway._follow import CURRENT_FOR, FollowTask, TableFollower
+from cicadapond.gateway._time import ServiceTime
+from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.provider import ChangeFeed, Changes, HistoryLost, RawRow
+from cicadapond.routes import Directory
+
+ANSWER_DELAY = seconds(0.02)
+
+
+class Log:
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append(event)
+
+
+@attrs.define
+class Feed(ChangeFeed):
+    """A feed whose calls answer after their whole wait, unless something has changed."""
+
+    clock: VirtualClock
+    version: int = 1
+    is_down: bool = False
+    lost_below: int = 0
+    calls: int = 0
+
+    def service_time(self):
+        return seconds(1000) + self.clock.monotonic()
+
+    async def snapshot(self, table):
+        self.calls += 1
+        await self.clock.sleep(ANSWER_DELAY)
+        if self.is_down:
+            return Unavailable("down")
+        return Ok(Changes((RawRow("k", self.version, b"x"),), self.version, self.service_time()))
+
+    async def changes(self, table, since, wait):
+        self.calls += 1
+        end = self.clock.monotonic() + wait
+        while self.clock.monotonic() < end and self.version <= since and not self.is_down:
+            await self.clock.sleep(min(ANSWER_DELAY, end - self.clock.monotonic()))
+        await self.clock.sleep(ANSWER_DELAY)
+        if self.is_down:
+            return Unavailable("down")
+        if since < self.lost_below:
+            return HistoryLost()
+        rows = (RawRow("k", self.version, b"x"),) if self.version > since else ()
+        return Ok(Changes(rows, self.version, self.service_time()))
+
+
+class Follower(TableFollower):
+    def __init__(self, directory):
+        self.directory = directory
+        self.taken = []
+
+    def changed(self, changes, is_whole, was_away):
+        self.taken.append((changes.version, is_whole, was_away))
+
+    def current(self, since):
+        self.directory.proved_current(since)
+
+
+def play(script):
+    """Runs a follower on virtual time beside a script of what happens to the feed."""
+
+    async def main():
+        clock = VirtualClock()
+        feed, log = Feed(clock), Log()
+        directory = Directory(clock, seconds(5), CURRENT_FOR)
+        follower = Follower(directory)
+        task = FollowTask("t", feed, follower, clock, log, Metrics())
+        running = asyncio.ensure_future(task.run())
+        await script(clock, feed, follower, log)
+        running.cancel()
+
+    random.seed(1)
+    run_virtual(main())
+
+
+def test_the_copy_of_a_feed_that_works_is_always_current():
+    async def script(clock, feed, follower, log):
+        await clock.sleep(seconds(0.1))
+        for _ in range(400):
+            await clock.sleep(seconds(0.05))
+            assert follower.directory.age() < CURRENT_FOR
+        assert feed.calls < 16  # a call every wait, not a poll
+
+    play(script)
+
+
+def test_a_change_is_taken_at_once():
+    async def script(clock, feed, follower, log):
+        await clock.sleep(seconds(1))
+        feed.version = 2
+        await clock.sleep(seconds(0.1))
+        assert follower.taken == [(1, True, False), (2, False, False)]
+
+    play(script)
+
+
+def test_an_outage_is_told_once_and_its_end_is_known():
+    async def script(clock, feed, follower, log):
+        await clock.sleep(seconds(1))
+        feed.is_down = True
+        await clock.sleep(seconds(6))
+        assert follower.directory.age() > seconds(5)
+        feed.version = 2
+        feed.is_down = False
+        await clock.sleep(seconds(1))
+        assert follower.taken[-1] == (2, False, True)
+        assert log.events == ["table_lost", "table_regained"]
+        assert follower.directory.age() < CURRENT_FOR
+
+    play(script)
+
+
+def test_lost_history_leads_to_a_whole_reading():
+    async def script(clock, feed, follower, log):
+        await clock.sleep(seconds(1))
+        feed.version, feed.lost_below = 5, 4
+        await clock.sleep(seconds(0.2))
+        assert follower.taken[-1] == (5, True, False)
+        assert log.events == ["history_lost"]
+
+    play(script)
+
+
+def test_an_answer_that_was_long_on_its_way_proves_no_more_than_when_it_was_given():
+    time = ServiceTime()
+    assert time.answered_at(seconds(500.01), seconds(0), seconds(0.02)) == seconds(0)
+    # Given after 2 s of a long poll, on its way for 3 s.
+    answered = time.answered_at(seconds(502.01), seconds(0.5), seconds(5))
+    assert answered == seconds(2)
+
+
+def test_a_store_whose_clock_begins_anew_is_placed_by_the_call_alone():
+    time = ServiceTime()
+    time.answered_at(seconds(500.01), seconds(0), seconds(0.02))
+    assert time.answered_at(seconds(0.01), seconds(9), seconds(9.02)) == seconds(9)
+    assert time.answered_at(seconds(2.01), seconds(10), seconds(11.02)) == seconds(11)
+    assert time.answered_at(seconds(900), seconds(20), seconds(20.02)) == seconds(20)
