--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -374,12 +374,12 @@
     def _processes(self):
         if self._peer is None:
             return 1
-        now = self._clock.monotonic()
-        counted = 1
-        for member in self._peer.members():
-            if member.state is MemberState.ALIVE or now - member.heard < SHARE_TERM:
-                counted += 1
-        return counted
+        return 1 + sum(self._has_share(member) for member in self._peer.members())
+
+    def _has_share(self, member):
+        if member.state is MemberState.ALIVE:
+            return True
+        return self._clock.monotonic() - member.heard < SHARE_TERM
 
     def _quota_part(self):
         processes = self._processes()
@@ -428,7 +428,8 @@
     def _demand(self, service):
         demand = self.parts.demand.busy_engines().get(service, 0.0)
         for member in self._peer.members() if self._peer else ():
-            if member.state is MemberState.ALIVE:
+            # One that is cut off still has its callers, and will send here what they ask.
+            if self._has_share(member):
                 demand += member.digest.demand.get(service, 0.0)
         return demand
 
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -26,8 +26,10 @@
 LARGEST_USE = 0.65
 # The same, for what is there once one more data centre takes its reclaimable servers away.
 LARGEST_USE_AFTER_RECLAIM = 0.85
-# Demand is reckoned at its highest over this time, as servers take seconds to come.
+# Demand is reckoned at its highest over this time, as servers take seconds to come; longer for
+# reclaimable ones, which cost little and take what they hold of prompts with them.
 DEMAND_MEMORY = datetime.timedelta(seconds=8)
+RECLAIMABLE_DEMAND_MEMORY = datetime.timedelta(seconds=25)
 # A new holder of the lease lowers nothing before it knows the demand.
 SETTLE = datetime.timedelta(seconds=6)
 
@@ -75,8 +77,8 @@
             return []
         now = self._clock.monotonic()
         self._began = now if self._began is None else self._began
-        demand = self._peak(service.name, demand, now)
-        reclaimable = math.ceil(demand / RECLAIMABLE_USE / len(zones))
+        demand, long_demand = self._peaks_of(service.name, demand, now)
+        reclaimable = math.ceil(long_demand / RECLAIMABLE_USE / len(zones))
         reclaimable = max(LEAST_RECLAIMABLE_PER_ZONE, reclaimable)
         reclaimable = min(reclaimable, scaling.maximum - 1)
         on_demand = self._on_demand(scaling, zones, servers, demand)
@@ -104,11 +106,13 @@
             wanted -= counts[zone]
         return counts
 
-    def _peak(self, service, demand, now):
+    def _peaks_of(self, service, demand, now):
+        """Returns the highest demand of the short and of the long memory."""
         peaks = self._peaks.setdefault(service, [])
         peaks.append(_Peak(demand, now))
-        peaks[:] = [peak for peak in peaks if now - peak.at <= DEMAND_MEMORY]
-        return max(peak.demand for peak in peaks)
+        peaks[:] = [peak for peak in peaks if now - peak.at <= RECLAIMABLE_DEMAND_MEMORY]
+        short = max(peak.demand for peak in peaks if now - peak.at <= DEMAND_MEMORY)
+        return short, max(peak.demand for peak in peaks)
 
     def _not_below(self, order, servers, now):
         """Returns an order that lowers nothing while the demand is not known yet."""
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -70,12 +70,22 @@
 
 
 def test_demand_counts_at_its_highest_of_the_last_seconds():
+    clock = ManualClock()
+    planner = settled_planner(clock)
+    plan(planner, servers(on_demand="a"), 2.4)
+    clock.advance(seconds(7))
+    assert plan(planner, servers(on_demand="a"), 0.1)[1] == {"a": 4, "b": 0, "c": 0}
+    clock.advance(seconds(2))
+    assert plan(planner, servers(on_demand="a"), 0.1)[1] == {"a": 1, "b": 0, "c": 0}
+
+
+def test_reclaimable_servers_stay_through_a_short_lull():
     clock = ManualClock()
     planner = settled_planner(clock)
     plan(planner, servers("aabbcc", "a"), 2.4)
-    clock.advance(seconds(4))
+    clock.advance(seconds(20))
     assert plan(planner, servers("aabbcc", "a"), 0.1)[0] == {"a": 3, "b": 3, "c": 3}
-    clock.advance(seconds(5))
+    clock.advance(seconds(6))
     assert plan(planner, servers("aabbcc", "a"), 0.1)[0] == {"a": 2, "b": 2, "c": 2}
 
 
