--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -9,7 +9,7 @@
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost
 
 # The age of a copy is at most the wait and the call's own time; well under the bounds on it.
-FEED_WAIT = datetime.timedelta(milliseconds=1600)
+FEED_WAIT = datetime.timedelta(milliseconds=2300)
 # The age up to which a copy counts as current: what a feed that works never exceeds.
 CURRENT_FOR = FEED_WAIT + datetime.timedelta(milliseconds=600)
 # From then on an answer after failures is one after an outage.
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -22,7 +22,15 @@
 from cicadapond.gateway.data import GatewaySettings
 from cicadapond.kernel import Metrics, Ok, TaskGroup
 from cicadapond.lease import LeaseSettings, LeaseTask
-from cicadapond.peer import Digest, MemberState, PeerSettings, PeerTask, TcpTransport, start_of
+from cicadapond.peer import (
+    Digest,
+    MemberState,
+    PeerSettings,
+    PeerTask,
+    TcpTransport,
+    owner,
+    start_of,
+)
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.provider import TableService, Write
 from cicadapond.quotas import QuotaShares
@@ -36,8 +44,8 @@
     term=datetime.timedelta(seconds=3),
     margin=datetime.timedelta(milliseconds=900),
     order_limit=datetime.timedelta(milliseconds=800),
-    renewal=datetime.timedelta(milliseconds=900),
-    idle_poll=datetime.timedelta(milliseconds=1500),
+    renewal=datetime.timedelta(milliseconds=1000),
+    idle_poll=datetime.timedelta(seconds=10),
 )
 PEER_BEAT = datetime.timedelta(milliseconds=400)
 DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -117,7 +125,7 @@
             clock,
             metrics,
             rng,
-            candidate=lambda: False,
+            candidate=self._is_candidate,
         )
         self._lease_held = False
         self._usage_of_others = UsageLedger()
@@ -393,6 +401,14 @@
 
     # Duties
 
+    def _is_candidate(self):
+        """Returns whether this process watches the lease closely: one of each data centre does."""
+        names = [self._cfg.name]
+        for member in self._peer.members() if self._peer else ():
+            if member.zone == self._cfg.zone and member.state is MemberState.ALIVE:
+                names.append(member.name)
+        return owner(LEASE_NAME, names) == self._cfg.name
+
     def _duty_task(self):
         cfg, cloud = self._cfg, self._edges.cloud
         reporter = orderer = None
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -51,11 +51,15 @@
         self._clock = clock
         self._peaks: dict[str, list[_Peak]] = {}
         self._began: datetime.timedelta | None = None
+        self._found: dict[str, int] = {}
+        self._demanded_at: dict[str, datetime.timedelta] = {}
 
     def restart(self) -> None:
         """Forgets the past, for the next time that the lease is held."""
         self._began = None
         self._peaks.clear()
+        self._found.clear()
+        self._demanded_at.clear()
 
     def plan(
         self,
@@ -77,9 +81,11 @@
             return []
         now = self._clock.monotonic()
         self._began = now if self._began is None else self._began
+        if demand > 0.0:
+            self._demanded_at.setdefault(service.name, now)
         demand, long_demand = self._peaks_of(service.name, demand, now)
         reclaimable = math.ceil(long_demand / RECLAIMABLE_USE / len(zones))
-        reclaimable = max(LEAST_RECLAIMABLE_PER_ZONE, reclaimable)
+        reclaimable = max(self._least_reclaimable(service.name, zones, servers, now), reclaimable)
         reclaimable = min(reclaimable, scaling.maximum - 1)
         on_demand = self._on_demand(scaling, zones, servers, demand)
         # Both kinds share the bounds: what stands in takes the place of what is not to be had.
@@ -106,6 +112,17 @@
             wanted -= counts[zone]
         return counts
 
+    def _least_reclaimable(self, service, zones, servers, now):
+        """Returns how many reclaimable servers a data centre has at least.
+
+        Until the demand has been seen for a while, as many as there were servers at first.
+        """
+        found = self._found.setdefault(service, math.ceil(len(servers) / len(zones)))
+        demanded_at = self._demanded_at.get(service)
+        if demanded_at is None or now - demanded_at < SETTLE:
+            return max(LEAST_RECLAIMABLE_PER_ZONE, found)
+        return LEAST_RECLAIMABLE_PER_ZONE
+
     def _peaks_of(self, service, demand, now):
         """Returns the highest demand of the short and of the long memory."""
         peaks = self._peaks.setdefault(service, [])
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -99,6 +99,18 @@
     assert on_demand == {"a": 1, "b": 0, "c": 0}
 
 
+def test_reclaimable_servers_match_those_found_until_the_demand_is_known():
+    clock = ManualClock()
+    planner = CapacityPlanner(clock)
+    found = servers(on_demand="aaabbbccc")
+    assert plan(planner, found, 0.0)[0] == {"a": 3, "b": 3, "c": 3}
+    clock.advance(seconds(60))
+    found = servers("aaabbbccc", "a")
+    assert plan(planner, found, 1.0)[0] == {"a": 3, "b": 3, "c": 3}
+    clock.advance(seconds(7))
+    assert plan(planner, found, 1.0)[0] == {"a": 2, "b": 2, "c": 2}
+
+
 def test_a_service_without_bounds_is_not_ordered():
     planner = CapacityPlanner(ManualClock())
     assert planner.plan(Service("plain", 10), ZONES, [], 5.0) == []
