--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -7,10 +7,12 @@
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
 from cicadapond.lease import LeaseTask
 from cicadapond.provider import Row, TableService, Write
-from cicadapond.usage import UsageWindows
+from cicadapond.usage import UsageLedger, UsageWindows
 
 STEP = datetime.timedelta(milliseconds=500)
 USAGE_TABLE = "usage"
+# What processes counted until their planned end, as those that start later have not heard them.
+LEFT_USAGE_TABLE = "left_usage"
 # A window's counts of other processes arrive within two seconds; the rest is for their clocks.
 COUNTS_SETTLE = datetime.timedelta(seconds=4)
 # How many windows back a new holder looks for reports that its predecessor did not send.
@@ -24,8 +26,8 @@
     Args:
       cloud: Takes the reports.
       tables: Keeps the fixed counts, so that every holder sends the same.
-      usage: Knows the windows.
-      add_up: Returns the counts of a window over all processes.
+      usage: This process's counts.
+      ledger: Takes the counts that ended processes left, and has those of the others.
       clock: Gives true time.
       log: Takes a line for each report.
     """
@@ -35,14 +37,14 @@
         cloud: Cloud,
         tables: TableService,
         usage: UsageWindows,
-        add_up,
+        ledger: UsageLedger,
         clock: Clock,
         log: EventLog,
     ):
         self._cloud = cloud
         self._tables = tables
         self._usage = usage
-        self._add_up = add_up
+        self._ledger = ledger
         self._clock = clock
         self._log = log
         self._next: int | None = None
@@ -52,6 +54,8 @@
         newest = self._usage.number(self._clock.now() - COUNTS_SETTLE) - 1
         if self._next is None:
             self._next = newest - LOOK_BACK + 1
+        if self._next <= newest and not await self._take_left():
+            return
         while self._next <= newest:
             counts = await self._fixed(self._next)
             grant = lease.grant()
@@ -74,9 +78,24 @@
         """Forgets how far reports have come, for the next time that the lease is held."""
         self._next = None
 
+    async def _take_left(self):
+        """Takes the counts that processes left at their end; returns whether the store answered."""
+        found = await self._tables.scan(LEFT_USAGE_TABLE)
+        if not isinstance(found, Ok):
+            return False
+        old = []
+        for row in found.value:
+            process, start, windows = row.value
+            self._ledger.hear(process, start, windows)
+            if all(window < self._next - KEPT_ROWS for window in windows):
+                old.append(Write(LEFT_USAGE_TABLE, row.key, expected=row.version))
+        if old:
+            await self._tables.transact(tuple(old))
+        return True
+
     async def _fixed(self, window):
         """Returns the counts of a window as the store holds them, None if it does not answer."""
-        counts = self._add_up(window)
+        counts = self._ledger.add_up(window, self._usage.counts())
         place = (USAGE_TABLE, _key(window))
         writes = [Write(*place, counts, expected=0)]
         if window % KEPT_ROWS == 0:
@@ -98,6 +117,19 @@
         return None
 
 
+async def leave_usage(tables: TableService, process: str, start: int, usage: UsageWindows) -> None:
+    """Leaves a process's counts in the store at its planned end.
+
+    Args:
+      tables: The store.
+      process: The process's name.
+      start: What tells this start of it from others, as the other processes know it.
+      usage: Its counts.
+    """
+    row = [process, start, usage.counts()]
+    await tables.transact((Write(LEFT_USAGE_TABLE, f"{process}/{start}", row),))
+
+
 def _key(window):
     return f"{window:012d}"
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -13,7 +13,7 @@
 from cicadapond.forwarding import Attempt, ConnectionPool, RepeatBudget
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._dialect import Dialect
-from cicadapond.gateway._duties import DutyTask, ServerOrderer, UsageReporter
+from cicadapond.gateway._duties import DutyTask, ServerOrderer, UsageReporter, leave_usage
 from cicadapond.gateway._follow import CURRENT_FOR, FollowTask, TableFollower
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Front
 from cicadapond.gateway._parts import Parts
@@ -128,6 +128,7 @@
             candidate=self._is_candidate,
         )
         self._lease_held = False
+        self._lease_running: asyncio.Task | None = None
         self._usage_of_others = UsageLedger()
         self._planner = CapacityPlanner(clock)
 
@@ -169,7 +170,7 @@
         self._tasks.spawn(self._join(), "join")
         self._tasks.spawn(self._housekeep(), "housekeeping")
         if self._edges.cloud is not None:
-            self._tasks.start(self._lease)
+            self._lease_running = self._tasks.start(self._lease)
             self._tasks.start(self._duty_task())
 
     def is_ready(self) -> bool:
@@ -185,7 +186,9 @@
         """Ends as planned: not ready first, then whatever is in progress, within the grace."""
         begun = self.parts.stopping_since = self._clock.monotonic()
         self._log.write("stopping", busy=self._front.busy)
-        await self._lease.release()
+        if self._lease_running is not None:
+            self._lease_running.cancel()
+            await self._lease.release()
         limit = self._cfg.bounds.grace * GRACE_SHARE
         while (waited := self._clock.monotonic() - begun) < limit:
             if waited >= BALANCER_DELAY and not self._front.busy:
@@ -195,6 +198,8 @@
         broken_off = self._front.busy
         self._front.close()
         if self._peer is not None:
+            start = start_of(self._peer.incarnation)
+            await leave_usage(self._edges.tables, self._cfg.name, start, self.parts.usage)
             await self._peer.leave()
         await self._tasks.stop()
         self.parts.pool.close()
@@ -417,7 +422,7 @@
                 cloud,
                 self._edges.tables,
                 self.parts.usage,
-                self._usage_of_all,
+                self._usage_of_others,
                 self._clock,
                 self._log,
             )
@@ -427,9 +432,6 @@
             )
         return DutyTask(self._lease, cfg.name, reporter, orderer, self._clock)
 
-    def _usage_of_all(self, window):
-        return self._usage_of_others.add_up(window, self.parts.usage.counts())
-
     def _orders(self):
         table = self.parts.directory.table
         if table is None or not self._servers_known:
--- /dev/null
+++ b/cicadapond/gateway/duties_test.py
@@ -0,0 +1,208 @@
+"""Duties: each window reported once and alike by every holder; orders that follow the plan."""
+
+import random
+
+import attrs
+import pytest
+
+from cicadapond.gateway import Cloud, Declined, ServerOrder
+from cicadapond.gateway._duties import ServerOrderer, UsageReporter, leave_usage
+from cicadapond.kernel import AnswerLost, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.standin import DirectTables, TableModel
+from cicadapond.usage import UsageLedger, UsageWindows
+
+WINDOW = seconds(5)
+
+
+class Log:
+    def write(self, event, **fields):
+        return None
+
+
+@attrs.define
+class RecordingCloud(Cloud):
+    outcomes: list = attrs.field(factory=list)
+    reports: list = attrs.field(factory=list)
+    orders: list = attrs.field(factory=list)
+
+    def _outcome(self):
+        return self.outcomes.pop(0) if self.outcomes else Ok(None)
+
+    async def report_usage(self, holder, window, counts):
+        self.reports.append((holder.fencing, window, dict(counts)))
+        return self._outcome()
+
+    async def order(self, holder, order):
+        self.orders.append(order)
+        return self._outcome()
+
+
+@attrs.frozen
+class Grant:
+    fencing: int
+
+
+@attrs.define
+class Lease:
+    """A lease that is held with this fencing number, or not."""
+
+    fencing: int | None = 1
+
+    def grant(self):
+        return Grant(self.fencing) if self.fencing is not None else None
+
+
+@attrs.define
+class World:
+    clock: VirtualClock
+    tables: TableModel
+    cloud: RecordingCloud
+    usage: UsageWindows
+    ledger: UsageLedger
+
+    def reporter(self, ledger=None, usage=None):
+        return UsageReporter(
+            self.cloud,
+            DirectTables(self.tables),
+            usage or self.usage,
+            ledger or self.ledger,
+            self.clock,
+            Log(),
+        )
+
+
+def play(script):
+    async def main():
+        clock = VirtualClock()
+        tables = TableModel(clock, random.Random(1))
+        world = World(clock, tables, RecordingCloud(), UsageWindows(WINDOW), UsageLedger())
+        await script(world)
+
+    run_virtual(main())
+
+
+def test_each_window_is_reported_once_after_its_counts_have_settled():
+    async def script(world):
+        reporter = world.reporter()
+        await reporter.step(Lease(), "a")
+        world.cloud.reports.clear()
+        window = world.usage.number(world.clock.now())
+        world.usage.count("acme", world.clock.now())
+        world.ledger.hear("b", 1, {window: {"acme": 2, "other": 1}})
+        for _ in range(40):
+            await world.clock.sleep(seconds(0.5))
+            await reporter.step(Lease(), "a")
+        windows = [report[1] for report in world.cloud.reports]
+        assert windows == sorted(set(windows))
+        assert (1, window, {"acme": 3, "other": 1}) in world.cloud.reports
+
+    play(script)
+
+
+@pytest.mark.parametrize("lost", [AnswerLost("lost"), Unavailable("down")])
+def test_a_report_without_an_answer_is_repeated_alike_though_more_was_heard(lost):
+    async def script(world):
+        reporter = world.reporter()
+        world.cloud.outcomes = [lost]
+        await reporter.step(Lease(), "a")
+        window = world.cloud.reports[0][1]
+        world.ledger.hear("b", 1, {window: {"acme": 9}})
+        await reporter.step(Lease(), "a")
+        assert world.cloud.reports[0] == world.cloud.reports[1]
+
+    play(script)
+
+
+def test_a_new_holder_sends_what_its_predecessor_fixed():
+    async def script(world):
+        window = world.usage.number(world.clock.now() - seconds(4)) - 1
+        world.ledger.hear("c", 1, {window: {"acme": 5}})
+        world.cloud.outcomes = [AnswerLost("lost")] * 3
+        await world.reporter().step(Lease(1), "a")
+        other = UsageLedger()
+        other.hear("c", 1, {window: {"acme": 4}})
+        successor = world.reporter(ledger=other, usage=UsageWindows(WINDOW))
+        await successor.step(Lease(2), "b")
+        sent = {}
+        for _, number, counts in world.cloud.reports:
+            assert sent.setdefault(number, counts) == counts
+
+    play(script)
+
+
+def test_nothing_is_sent_once_the_lease_is_over():
+    async def script(world):
+        await world.reporter().step(Lease(None), "a")
+        assert world.cloud.reports == []
+
+    play(script)
+
+
+def test_what_a_process_counted_until_its_planned_end_is_reported():
+    async def script(world):
+        leaver = UsageWindows(WINDOW)
+        window = leaver.number(world.clock.now())
+        leaver.count("acme", world.clock.now())
+        await leave_usage(DirectTables(world.tables), "b", 7, leaver)
+        reporter = world.reporter()
+        await reporter.step(Lease(), "a")
+        await world.clock.sleep(seconds(10))
+        await reporter.step(Lease(), "a")
+        assert (1, window, {"acme": 1}) in world.cloud.reports
+
+    play(script)
+
+
+# Orders
+
+ORDER = ServerOrder("pool", "a", True, 2)
+
+
+def orderer(world, plan, missing=lambda order, at: False):
+    return ServerOrderer(world.cloud, lambda: plan, lambda: None, missing, world.clock, Log())
+
+
+async def steps(world, found, count, lease=None):
+    for _ in range(count):
+        await found.step(lease or Lease(), "a")
+        await world.clock.sleep(seconds(0.5))
+
+
+def test_an_order_is_sent_once_and_again_when_the_plan_changes():
+    async def script(world):
+        plan = [ORDER]
+        found = orderer(world, plan)
+        await steps(world, found, 10)
+        assert world.cloud.orders == [ORDER]
+        plan[0] = attrs.evolve(ORDER, count=3)
+        await steps(world, found, 10)
+        assert world.cloud.orders == [ORDER, plan[0]]
+
+    play(script)
+
+
+def test_what_is_not_to_be_had_is_asked_for_again_after_a_pause():
+    async def script(world):
+        found = orderer(world, [ORDER])
+        world.cloud.outcomes = [Declined("none")] * 2
+        await steps(world, found, 20)
+        assert world.cloud.orders == [ORDER] * 3
+
+    play(script)
+
+
+def test_servers_that_did_not_come_are_ordered_again():
+    async def script(world):
+        found = orderer(world, [ORDER], missing=lambda order, at: world.clock.monotonic() > at)
+        await steps(world, found, 8)
+        assert len(world.cloud.orders) > 1
+
+    play(script)
+
+
+def test_no_order_without_the_lease():
+    async def script(world):
+        await steps(world, orderer(world, [ORDER]), 3, Lease(None))
+        assert world.cloud.orders == []
+
+    play(script)
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -1,7 +1,9 @@
 """The whole path on sockets: a gateway node before stand-ins that speak the platform's protocol."""
 
 import asyncio
+import base64
 
+import msgpack
 import pytest
 
 from cicadapond.gateway.harness import deployment
@@ -298,6 +300,10 @@
         taken = await late.exchange("p-1", "/post/a")
         assert taken.status == 200 and taken.headers["connection"] == "close"
         await stopping
+        assert not found.node.state()["lease"]["held_here"]
+        (row,) = found.fleet.store.rows("leases", "", None)
+        assert msgpack.unpackb(base64.b64decode(row.value))["released"]
+        assert found.fleet.store.rows("left_usage", "", None)
 
     run(check, tmp_path)
 
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -116,6 +116,11 @@
         """Whether a later start of a process of this name has been heard of."""
         return self._membership is not None and self._membership.superseded
 
+    @property
+    def incarnation(self) -> int:
+        """What tells this start of this process, and its refutations, from others; 0 before."""
+        return self._membership.incarnation if self._membership is not None else 0
+
     def state(self) -> dict:
         """Returns the membership list and connections for a dump."""
         now = self._clock.monotonic()
