--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -30,7 +30,9 @@
 # reclaimable ones, which cost little and take what they hold of prompts with them.
 DEMAND_MEMORY = datetime.timedelta(seconds=8)
 RECLAIMABLE_DEMAND_MEMORY = datetime.timedelta(seconds=25)
-# A new holder of the lease lowers nothing before it knows the demand.
+# Servers that are there already make themselves known within so long.
+ARRIVAL_TERM = datetime.timedelta(seconds=3)
+# A new holder of the lease knows the demand after having seen it for so long.
 SETTLE = datetime.timedelta(seconds=6)
 
 
@@ -40,6 +42,12 @@
     at: datetime.timedelta
 
 
+@attrs.frozen
+class _Found:
+    count: int
+    at: datetime.timedelta
+
+
 class CapacityPlanner:
     """Plans the orders of one process while it holds the lease.
 
@@ -50,13 +58,11 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._peaks: dict[str, list[_Peak]] = {}
-        self._began: datetime.timedelta | None = None
-        self._found: dict[str, int] = {}
+        self._found: dict[str, _Found] = {}
         self._demanded_at: dict[str, datetime.timedelta] = {}
 
     def restart(self) -> None:
         """Forgets the past, for the next time that the lease is held."""
-        self._began = None
         self._peaks.clear()
         self._found.clear()
         self._demanded_at.clear()
@@ -80,14 +86,14 @@
         if scaling is None:
             return []
         now = self._clock.monotonic()
-        self._began = now if self._began is None else self._began
         if demand > 0.0:
             self._demanded_at.setdefault(service.name, now)
         demand, long_demand = self._peaks_of(service.name, demand, now)
         reclaimable = math.ceil(long_demand / RECLAIMABLE_USE / len(zones))
-        reclaimable = max(self._least_reclaimable(service.name, zones, servers, now), reclaimable)
+        replaced = self._replaced(service.name, servers, now)
+        reclaimable = max(LEAST_RECLAIMABLE_PER_ZONE, reclaimable, math.ceil(replaced / len(zones)))
         reclaimable = min(reclaimable, scaling.maximum - 1)
-        on_demand = self._on_demand(scaling, zones, servers, demand)
+        on_demand = self._on_demand(scaling, zones, servers, demand, replaced)
         # Both kinds share the bounds: what stands in takes the place of what is not to be had.
         orders = [
             ServerOrder(
@@ -96,32 +102,42 @@
             for zone in zones
         ]
         orders += [ServerOrder(service.name, zone, False, on_demand[zone]) for zone in zones]
-        return [self._not_below(order, servers, now) for order in orders]
+        return orders
 
-    def _on_demand(self, scaling, zones, servers, demand):
+    def _on_demand(self, scaling, zones, servers, demand, replaced):
         present = collections.Counter(entry.zone for entry in servers if entry.is_reclaimable)
+        on_demand = collections.Counter(e.zone for e in servers if not e.is_reclaimable)
         kept = present.total() - max(present.values(), default=0)
         wanted = max(
             ON_DEMAND_BASE,
+            replaced - present.total(),
             math.ceil(demand / LARGEST_USE) - present.total(),
             math.ceil(demand / LARGEST_USE_AFTER_RECLAIM) - kept,
         )
         counts = dict.fromkeys(zones, 0)
         for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
-            counts[zone] = min(wanted, max(0, scaling.maximum - present[zone]))
+            room = max(0, scaling.maximum - present[zone])
+            if replaced:  # nothing new is bought where nothing is known
+                room = min(room, on_demand[zone])
+            counts[zone] = min(wanted, room)
             wanted -= counts[zone]
         return counts
 
-    def _least_reclaimable(self, service, zones, servers, now):
-        """Returns how many reclaimable servers a data centre has at least.
+    def _replaced(self, service, servers, now):
+        """Returns how many servers there were when the lease came, until the demand is known.
 
-        Until the demand has been seen for a while, as many as there were servers at first.
+        Reclaimable ones are to replace them; 0 once the demand has been seen for a while.
         """
-        found = self._found.setdefault(service, math.ceil(len(servers) / len(zones)))
+        found = self._found.get(service)
+        if found is None or now - found.at < ARRIVAL_TERM:
+            count = max(found.count if found is not None else 0, len(servers))
+            if count:
+                found = _Found(count, found.at if found is not None else now)
+                self._found[service] = found
         demanded_at = self._demanded_at.get(service)
-        if demanded_at is None or now - demanded_at < SETTLE:
-            return max(LEAST_RECLAIMABLE_PER_ZONE, found)
-        return LEAST_RECLAIMABLE_PER_ZONE
+        if found is None or (demanded_at is not None and now - demanded_at >= SETTLE):
+            return 0
+        return found.count
 
     def _peaks_of(self, service, demand, now):
         """Returns the highest demand of the short and of the long memory."""
@@ -130,13 +146,3 @@
         peaks[:] = [peak for peak in peaks if now - peak.at <= RECLAIMABLE_DEMAND_MEMORY]
         short = max(peak.demand for peak in peaks if now - peak.at <= DEMAND_MEMORY)
         return short, max(peak.demand for peak in peaks)
-
-    def _not_below(self, order, servers, now):
-        """Returns an order that lowers nothing while the demand is not known yet."""
-        if now - self._began >= SETTLE:
-            return order
-        present = sum(
-            entry.zone == order.zone and entry.is_reclaimable == order.reclaimable
-            for entry in servers
-        )
-        return attrs.evolve(order, count=max(order.count, present))
