--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -33,7 +33,10 @@
 NO_SERVER_RETRY = datetime.timedelta(seconds=1)
 # With less time left than this no server could answer.
 LEAST_LEFT = datetime.timedelta(milliseconds=5)
-HIGHEST_RANK, RANK_STEP, MOST_PRIORITY = 2, 2, 9
+# Engines know ten priorities; an account's rank goes before its routes'.
+LOWEST_PRIORITY = 9
+ACCOUNT_RANK_STEP = 3
+LOWEST_ROUTE_RANK = ACCOUNT_RANK_STEP - 1
 
 
 class _OutOfTimeError(Exception):
@@ -201,12 +204,13 @@
         return Silence(max(LEAST_SILENCE, first), SILENCE_BETWEEN_EVENTS)
 
     def _priority(self):
+        """Returns how urgent the request is to an engine: by its account, then by its route."""
         if self._req.generation is None:
             return None
-        rank = self._route.rank
+        rank = max(0, self._route.rank)
         if self._account is not None and self._account.rank is not None:
-            rank = self._account.rank
-        return min(MOST_PRIORITY, HIGHEST_RANK + RANK_STEP * max(0, rank))
+            rank = ACCOUNT_RANK_STEP * max(0, self._account.rank) + min(rank, LOWEST_ROUTE_RANK)
+        return min(LOWEST_PRIORITY, rank)
 
     def _left(self):
         left = self._end - self._parts.clock.monotonic()
