--- a/cicadapond/ctl/_exit.py
+++ b/cicadapond/ctl/_exit.py
@@ -14,3 +14,4 @@
     FORBIDDEN = 5  # the key may not edit the section
     UNKNOWN = 6  # the edit may have been made; apply it again with the same token
     BEHIND = 7  # accepted, but not yet in force in every process that was asked
+    NOT_FOUND = 8  # no line of the given logs tells of the request
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -2,8 +2,10 @@
 
     cicadapond-ctl --config=ctl.jsonc document show|check|edit|apply|diff|history|follow ...
     cicadapond-ctl --config=ctl.jsonc state|hosts|requests|quarantine|lease|drain|undrain ...
+    cicadapond-ctl explain REQUEST LOG...
 
-Exit codes: 0 done, 1 no answer, 2 usage, 3 rejected, 4 stale, 5 forbidden, 6 unknown, 7 behind.
+Exit codes: 0 done, 1 no answer, 2 usage, 3 rejected, 4 stale, 5 forbidden, 6 unknown, 7 behind,
+8 not found.
 """
 
 import asyncio
@@ -24,6 +26,7 @@
 from cicadapond.controller import OperatorDrains
 from cicadapond.ctl._document import DocumentCommands, parse_draft
 from cicadapond.ctl._exit import Exit
+from cicadapond.ctl._explain import explain, read_log
 from cicadapond.ctl._output import Output
 from cicadapond.ctl._processes import drain, show_states, show_view, undrain
 from cicadapond.ctl._views import VIEWS
@@ -45,6 +48,7 @@
 USAGE = (
     "usage: document show|check|edit|apply|diff|history|follow, or state|drain|undrain|"
     + "|".join(VIEWS)
+    + ", or explain REQUEST LOG..."
 )
 
 _CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
@@ -167,7 +171,36 @@
     return await Ctl(cfg, out).run(args, token, _LIMIT.value)
 
 
+def explain_request(request_id: str, paths: list[str]) -> Exit:
+    """Prints what logs tell of a request.
+
+    Args:
+      request_id: The request's id.
+      paths: The log files of any processes.
+
+    Returns:
+      Exit.OK, or Exit.NOT_FOUND if no line tells of it.
+    """
+    lines = []
+    for path in paths:
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as exc:
+            print(exc, file=sys.stderr)
+            return Exit.USAGE
+        found, findings = read_log(path, text)
+        lines += found
+        for finding in findings:
+            print(finding, file=sys.stderr)
+    told = explain(request_id, lines)
+    for line in told:
+        print(line)
+    return Exit.OK if told else Exit.NOT_FOUND
+
+
 def _main(argv):
+    if argv[1:2] == ["explain"] and len(argv) > 3:
+        sys.exit(explain_request(argv[2], argv[3:]))
     if not _CONFIG.value:
         print("--config is required; see --help", file=sys.stderr)
         sys.exit(Exit.USAGE)
