--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -17,16 +17,20 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Dispatch, Route, RouteKind
 from cicadapond.kernel import Failed, NotRun, Unknown
-from cicadapond.placing import LONG_READING_MS
+from cicadapond.placing import LONG_READING_MS, should_hold
 from cicadapond.routes import choose_service
 
 # Choices of a server within one request, those that sent nothing included.
 MAX_CHOICES = 5
 # A server of a repeatable request that is silent for so many objectives is given up.
 SILENT_OBJECTIVES = 2.5
+# So is one that takes so many times as long as was expected of it.
+SILENT_EXPECTATIONS = 3.0
 # It leaves at least this part of the request's time to the next one.
 SILENT_SHARE = 0.4
 LEAST_SILENCE = datetime.timedelta(milliseconds=350)
+# How often a held request looks again whether there is room.
+HOLD_STEP = datetime.timedelta(milliseconds=40)
 SILENCE_BETWEEN_EVENTS = datetime.timedelta(milliseconds=1500)
 # When a caller may come back: after a short shortage, and when no server is there at all.
 SHORT_RETRY = datetime.timedelta(milliseconds=250)
@@ -123,8 +127,8 @@
 
     async def _try_one(self):
         parts = self._parts
+        servers = await self._servers_with_room()
         left = self._left()
-        servers = self._candidates()
         placement = parts.placer.place(servers, self._req.generation)
         if placement is None:
             return NotSent("no server takes requests"), None
@@ -149,7 +153,7 @@
                     self._req,
                     dispatch,
                     self,
-                    self._silence(),
+                    self._silence(placement.expected),
                     self._route.repeatable,
                     lambda: self._may_send(entry),
                 )
@@ -174,6 +178,25 @@
         )
         return outcome, entry
 
+    async def _servers_with_room(self):
+        """Returns the servers to choose from, once those that can be in time have gone first."""
+        parts = self._parts
+        begun = parts.clock.monotonic()
+        while True:
+            servers = self._candidates()
+            found = parts.placer.estimate(servers, self._req.generation)
+            if self._req.generation is None or self._sent or not found:
+                return servers
+            expected = datetime.timedelta(milliseconds=found[0][0])
+            held = parts.clock.monotonic() - begun
+            if not should_hold(expected, self._route.objective, held, self._end - self._at):
+                break
+            await parts.clock.sleep(HOLD_STEP)
+        if held >= HOLD_STEP:
+            parts.metrics.record("held", held)
+            self._log("held", held_ms=_milliseconds(held), expected_ms=_milliseconds(expected))
+        return servers
+
     def _first_event_ms(self, started):
         if self._visit.begun_at is None:
             return None
@@ -196,12 +219,13 @@
         self._sent += 1
         return None
 
-    def _silence(self):
+    def _silence(self, expected):
+        """Returns when a silent server is given up: later where a queue explains its silence."""
         if not self._route.repeatable or self._sent + 1 >= self._route.max_attempts:
             return Silence()
         limit = SILENT_SHARE * (self._end - self._at)
-        first = min(SILENT_OBJECTIVES * self._route.objective, limit)
-        return Silence(max(LEAST_SILENCE, first), SILENCE_BETWEEN_EVENTS)
+        first = max(SILENT_OBJECTIVES * self._route.objective, SILENT_EXPECTATIONS * expected)
+        return Silence(max(LEAST_SILENCE, min(first, limit)), SILENCE_BETWEEN_EVENTS + expected)
 
     def _priority(self):
         """Returns how urgent the request is to an engine: by its account, then by its route."""
--- a/cicadapond/placing/__init__.py
+++ b/cicadapond/placing/__init__.py
@@ -1,6 +1,7 @@
 """Placing: which backend server a request goes to."""
 
 from cicadapond.placing._health import ServerHealth
+from cicadapond.placing._holding import should_hold
 from cicadapond.placing._placer import LONG_READING_MS, Placement, Placer, Visit
 from cicadapond.placing._prefixes import PrefixMemory, shared_parts
 
@@ -12,4 +13,5 @@
     "ServerHealth",
     "Visit",
     "shared_parts",
+    "should_hold",
 ]
