--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import logging
+import pathlib
 import random
+import sys
+import tempfile
 
 import tornado.httpclient
 from absl import app, flags
@@ -23,8 +26,10 @@
 )
 from cicadapond.document import DocumentEditor, DocumentStore, Edit
 from cicadapond.entry.main import EntryProcess
+from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
 from cicadapond.kernel._program import stop_on_signals
+from cicadapond.platform.standin import STREAM_PREFIX
 from cicadapond.provider import table_services
 from cicadapond.standin.main import StandinProcess
 
@@ -39,6 +44,9 @@
     1024,
     65535 - LAST_OFFSET,
 )
+_PLATFORM = flags.DEFINE_bool(
+    "platform", False, "Run a gateway before stand-ins of the users' platform instead."
+)
 _SECONDS = flags.DEFINE_float("seconds", 0.0, "End after so many seconds; 0 runs on.", 0.0)
 
 
@@ -131,9 +139,37 @@
     raise DemoError(f"{cfg.name} does not answer: {reason}")
 
 
+async def run_platform_demo(duration: float) -> None:
+    """Runs a gateway before stand-ins of the users' platform.
+
+    Args:
+      duration: Seconds to run, 0 for no end.
+    """
+    stop = stop_on_signals()
+    with tempfile.TemporaryDirectory() as folder:
+        async with deployment(pathlib.Path(folder)) as found:
+            print(f"ready http://{LOOPBACK}:{found.port}{STREAM_PREFIX}; a stream:")
+            print(
+                f"  curl -N http://{LOOPBACK}:{found.port}{STREAM_PREFIX}x {found.curl_headers()}"
+            )
+            sys.stdout.flush()
+            try:
+                await asyncio.wait_for(stop.wait(), duration or None)
+            except TimeoutError:
+                absl_logging.info("the demo's time is over")
+            await found.node.stop()
+
+
+def _main(argv):
+    if _PLATFORM.value:
+        asyncio.run(run_platform_demo(_SECONDS.value))
+    else:
+        asyncio.run(run_demo(_HTTP_PORT.value, _SECONDS.value))
+
+
 def run() -> None:
     """Runs the program."""
-    app.run(lambda argv: asyncio.run(run_demo(_HTTP_PORT.value, _SECONDS.value)))
+    app.run(_main)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/cicadapond/gateway/_edges.py
@@ -0,0 +1,30 @@
+"""What a gateway process reaches the users' platform with."""
+
+from cicadapond.forwarding import HttpClient
+from cicadapond.gateway._node import Edges
+from cicadapond.platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    PlatformCloud,
+    PlatformDialect,
+    PlatformStore,
+    decode_configuration,
+    decode_server,
+)
+
+
+def platform_edges(cfg, clock, metrics) -> Edges:
+    """Returns the platform's adapter for one process."""
+    store = PlatformStore(HttpClient(cfg.store, clock, metrics))
+    cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics)) if cfg.cloud else None
+    return Edges(
+        dialect=PlatformDialect(),
+        tables=store,
+        feed=store,
+        cloud=cloud,
+        decode_configuration=decode_configuration,
+        decode_server=decode_server,
+        configuration_place=(OPERATOR_TABLE, CONFIGURATION_KEY),
+        server_table=SERVER_TABLE,
+    )
--- /dev/null
+++ b/cicadapond/gateway/_tables.py
@@ -0,0 +1,97 @@
+"""The tables that others write: the configuration and the entries of backend servers."""
+
+from cicadapond.eventlog import EventLog
+from cicadapond.gateway._follow import TableFollower
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._time import TrueClock
+
+
+class ConfigurationTable(TableFollower):
+    """Puts configurations in force.
+
+    Args:
+      parts: The process.
+      key: The configuration's key in its table.
+      decode: Returns the configuration that a row's value holds, or None, and findings.
+    """
+
+    def __init__(self, parts: Parts, key: str, decode):
+        self._parts = parts
+        self._key = key
+        self._decode = decode
+
+    def changed(self, changes, is_whole, was_away):
+        for row in changes.rows:
+            if row.key == self._key and row.value is not None:
+                self._take(row.value)
+
+    def current(self, since):
+        self._parts.directory.proved_current(since)
+
+    def _take(self, raw):
+        log: EventLog = self._parts.log
+        cfg, findings = self._decode(raw)
+        if cfg is None:
+            log.write("configuration_unreadable", findings=[str(found) for found in findings])
+        elif self._parts.directory.apply(cfg):
+            log.write("configuration_applied", version=cfg.version, routes=len(cfg.routes))
+
+
+class ServerTable(TableFollower):
+    """Keeps the book of backend servers.
+
+    Args:
+      parts: The process.
+      clock: Takes the store's steady clock.
+      decode: Returns the server that an entry names, or None, and findings.
+    """
+
+    def __init__(self, parts: Parts, clock: TrueClock, decode):
+        self._parts = parts
+        self._clock = clock
+        self._decode = decode
+        self.is_known = False
+
+    def changed(self, changes, is_whole, was_away):
+        self._clock.observed(changes.service_time)
+        if is_whole:
+            decoded = ((row, self._entry(row)) for row in changes.rows)
+            entries = {row.key: (entry, row.version) for row, entry in decoded if entry}
+            found = self._parts.book.replace(entries, changes.version, was_away)
+        else:
+            found = [self._take_row(row, was_away) for row in changes.rows]
+        for change in found:
+            if change is not None:
+                self._tell(change)
+        self.is_known = True
+
+    def current(self, since):
+        return None
+
+    def _take_row(self, row, was_away):
+        book = self._parts.book
+        if row.value is None:
+            return book.remove(row.key, row.version, was_away)
+        entry = self._entry(row)
+        return book.put(entry, row.version) if entry is not None else None
+
+    def _entry(self, row):
+        entry, findings = self._decode(row.key, row.value)
+        if entry is None:
+            self._parts.log.write("server_unreadable", findings=[str(found) for found in findings])
+        return entry
+
+    def _tell(self, change):
+        entry = change.entry
+        self._parts.log.write(
+            "server_" + change.kind,
+            server=change.name,
+            service=entry.service if entry else None,
+            zone=entry.zone if entry else None,
+            reclaimable=entry.is_reclaimable if entry else None,
+        )
+        if change.kind in ("leaving", "gone"):
+            self._parts.pool.drop_server(change.name)
+        if change.kind == "gone":
+            self._parts.placer.forget(change.name)
+            self._parts.health.forget(change.name)
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -39,7 +39,7 @@
 
     Attributes:
       timeout: The longest time that a request may take here.
-      objective: The time to the answer, or to a stream's first event, that callers are owed.
+      objective: The time to the answer, or to a stream's first event, that callers aim at.
       max_attempts: The most backend servers that one request may be sent to.
       rank: Its importance; 0 is the highest.
       is_public: Whether it needs no key.
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -6,9 +6,9 @@
 import sys
 
 from cicadapond.eventlog import EventLog
+from cicadapond.gateway._edges import platform_edges
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.main import platform_edges
 from cicadapond.kernel import Metrics
 from cicadapond.platform import read_settings
 from cicadapond.platform.standin import Caller, Fleet, FleetSettings
@@ -32,6 +32,10 @@
         self.node = node
         self.port = port
 
+    def curl_headers(self) -> str:
+        """Returns curl's arguments for a request for a stream."""
+        return self.fleet.curl_headers()
+
     def caller(self) -> Caller:
         """Returns a new connection of a caller."""
         return Caller(self.port)
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -11,22 +11,11 @@
 from absl import app, flags, logging
 
 from cicadapond.eventlog import EventLog
-from cicadapond.forwarding import HttpClient
-from cicadapond.gateway._node import Edges, Node
+from cicadapond.gateway._edges import platform_edges
+from cicadapond.gateway._node import Node
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Metrics
-from cicadapond.platform import (
-    CONFIGURATION_KEY,
-    OPERATOR_TABLE,
-    SERVER_TABLE,
-    SETTINGS_VARIABLE,
-    PlatformCloud,
-    PlatformDialect,
-    PlatformStore,
-    decode_configuration,
-    decode_server,
-    read_settings,
-)
+from cicadapond.platform import SETTINGS_VARIABLE, read_settings
 
 EXIT_SETTINGS = 2
 SETTINGS_POLL_S = 2.0
@@ -68,22 +57,6 @@
     return server
 
 
-def platform_edges(cfg, clock, metrics) -> Edges:
-    """Returns what a process reaches the users' platform with."""
-    store = PlatformStore(HttpClient(cfg.store, clock, metrics))
-    cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics)) if cfg.cloud else None
-    return Edges(
-        dialect=PlatformDialect(),
-        tables=store,
-        feed=store,
-        cloud=cloud,
-        decode_configuration=decode_configuration,
-        decode_server=decode_server,
-        configuration_place=(OPERATOR_TABLE, CONFIGURATION_KEY),
-        server_table=SERVER_TABLE,
-    )
-
-
 async def _serve(cfg, path):
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -3,10 +3,11 @@
 from cicadapond.platform.standin._caller import Answer, Caller
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._engine import EngineFault, EngineModel, EngineServer
-from cicadapond.platform.standin._fleet import Fleet, FleetSettings
+from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._store import StoreModel, store_application
 
 __all__ = [
+    "STREAM_PREFIX",
     "Answer",
     "Caller",
     "CloudModel",
--- a/cicadapond/platform/standin/_caller.py
+++ b/cicadapond/platform/standin/_caller.py
@@ -6,6 +6,7 @@
 import attrs
 import h11
 
+CALLERS_HOST = "callers.example"
 REQUEST_ID_HEADER = "x-cicadapond-attempt-id"
 
 
@@ -24,6 +25,21 @@
         return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
 
 
+def curl_headers(key: str) -> str:
+    """Returns curl's arguments for a request for a stream.
+
+    Args:
+      key: The client account's key.
+    """
+    fields = {
+        "Host": CALLERS_HOST,
+        REQUEST_ID_HEADER: "demo-1",
+        "Authorization": f"Token {key}",
+        "x-cicadapond-token-count": "100,20",
+    }
+    return " ".join(f"-H '{name}: {value}'" for name, value in fields.items()) + " -d prompt"
+
+
 class Caller:
     """One connection of a caller.
 
@@ -47,7 +63,7 @@
         """Sends a request; header names are written with underscores for hyphens."""
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         fields = {
-            "host": "callers.example",
+            "host": CALLERS_HOST,
             REQUEST_ID_HEADER: request_id,
             "authorization": "Token demo-key",
             "x-cicadapond-deadline-ms": "3000",
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -3,13 +3,13 @@
 import attrs
 import tornado.httpserver
 
+from cicadapond.platform.standin._caller import CALLERS_HOST, curl_headers
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._engine import EngineModel, EngineServer
 from cicadapond.platform.standin._store import StoreModel, store_application
 from cicadapond.standin._ports import free_endpoint
 
 HOST = "127.0.0.1"
-CALLERS_HOST = "callers.example"
 MODEL_SERVICE, PLAIN_SERVICE = "pool", "plain"
 STREAM_PREFIX, PLAIN_PREFIX, LOOKUP_PREFIX = "/stream/", "/post/", "/peek/"
 
@@ -153,6 +153,10 @@
         }
         return "".join(f"{name}={value}\n" for name, value in values.items())
 
+    def curl_headers(self) -> str:
+        """Returns curl's arguments for a request for a stream here."""
+        return curl_headers(self.cfg.key)
+
     def _routes(self):
         stream = {
             "name": "stream",
