Prove the run of a request over any outcomes of its attempts

hypothesis: sends at most max_attempts, at most one that may have run where it must not repeat, no promise after one, one final answer, no piece of a stream missing or twice.

--- /dev/null
+++ b/cicadapond/experiments/decisions.py
@@ -0,0 +1,141 @@
+"""What the gateway's decisions cost a request, by the number of processes and engines; no I/O.
+
+Route, key, quota, placing, the digest of another process, and the peak memory that placing takes.
+"""
+
+import random
+import time
+import tracemalloc
+
+from cicadapond.data import Endpoint
+from cicadapond.experiments._table import Experiment, Table, experiments
+from cicadapond.gateway.data import (
+    CallerRequest,
+    ClientAccount,
+    Configuration,
+    Generation,
+    PromptPart,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ServerEntry,
+    WeightedService,
+)
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import Directory
+
+# The users' deployments today, once grown, and the size aimed at.
+SIZES = ((6, 15), (80, 36), (420, 600))
+REQUESTS = 400
+ROUTES, ACCOUNTS, SUBJECTS = 250, 16, 110
+MICROSECONDS = 1e6
+
+
+def _configuration():
+    routes = tuple(
+        Route(
+            name=f"r-{number}",
+            host="a.example",
+            prefix=f"/r{number}/",
+            kind=RouteKind.STREAM,
+            services=(WeightedService("pool", 1.0),),
+            timeout=seconds(15),
+            objective=seconds(0.8),
+        )
+        for number in range(ROUTES)
+    )
+    accounts = tuple(
+        ClientAccount(f"a-{number}", frozenset((f"k-{number}",)), rate=1e6, burst=1e6)
+        for number in range(ACCOUNTS)
+    )
+    limits = RequestLimits(16384, 4194304, seconds(3), seconds(15))
+    return Configuration(1, routes, {}, limits, accounts)
+
+
+def _request(rng):
+    path = f"/r{rng.randrange(ROUTES)}/x"
+    key = f"k-{rng.randrange(ACCOUNTS)}"
+    parts = (
+        PromptPart("system", 512),
+        PromptPart(f"t-{rng.randrange(SUBJECTS)}", 4870),
+        PromptPart(f"o-{rng.getrandbits(32)}", 6610),
+    )
+    generation = Generation(11992, 384, parts)
+    return CallerRequest(
+        "r", "POST", path.encode(), "a.example", path, (), key=key, generation=generation
+    )
+
+
+def _engines(count):
+    return [
+        ServerEntry(f"e-{number}", "pool", Endpoint("::1", 1), f"z{number % 10}", 64)
+        for number in range(count)
+    ]
+
+
+def _timed(call):
+    before = time.process_time()
+    for _ in range(REQUESTS):
+        call()
+    return (time.process_time() - before) / REQUESTS * MICROSECONDS
+
+
+def _measure(processes, engines, seed):
+    rng, clock = random.Random(seed), ManualClock()
+    directory = Directory(clock, seconds(5), seconds(2))
+    directory.apply(_configuration())
+    directory.proved_current(clock.monotonic())
+    placer, health = Placer(clock, "z0"), ServerHealth(clock, "z0")
+    quotas = QuotaShares(clock, begins_full=True)
+    servers = _engines(engines)
+    names = [f"p-{number}" for number in range(processes)]
+    totals = {f"a-{number}": 1000.0 for number in range(ACCOUNTS)}
+    readings = {server.name: 100 for server in servers[:60]}
+
+    def place():
+        placement = placer.place(health.sound(servers), _request(rng).generation)
+        placer.begun(placement.visit)
+        placer.ended(placement.visit)
+
+    def admit():
+        found = directory.find(_request(rng))
+        quotas.take(found.account, 12376, 1.0)
+
+    def hear():
+        name = rng.choice(names)
+        totals[f"a-{rng.randrange(ACCOUNTS)}"] += 1000.0
+        quotas.hear(name, totals)
+        placer.hear(name, readings)
+
+    place()
+    costs = [_timed(each) for each in (admit, place, hear)]
+    tracemalloc.start()
+    for name in names:
+        quotas.hear(name, totals)
+        placer.hear(name, readings)
+    for _ in range(REQUESTS):
+        place()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (processes, engines, *costs, peak / 1e6)
+
+
+@experiments.register("decisions")
+class DecisionsExperiment(Experiment):
+    """Times the gateway's decisions."""
+
+    summary = "cost of the gateway's decisions by processes and engines"
+
+    def run(self, seeds):
+        columns = (
+            "processes",
+            "engines",
+            "route, key and quota (µs)",
+            "placing (µs)",
+            "one digest heard (µs)",
+            "peak memory (MB)",
+        )
+        rows = tuple(_measure(*size, seed) for seed in seeds for size in SIZES)
+        return (Table("Decisions of one gateway process", columns, rows),)
--- /dev/null
+++ b/cicadapond/gateway/run_test.py
@@ -0,0 +1,221 @@
+"""The run of a request over any outcomes of its attempts: what is sent, what the caller gets."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.containment import CrashBook
+from cicadapond.data import Endpoint
+from cicadapond.forwarding import Broken, Event, NotSent, Refused, RepeatBudget, StreamWhole, Whole
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._run import RequestRun
+from cicadapond.gateway._servers import ServerBook
+from cicadapond.gateway.data import (
+    AnswerHead,
+    CallerRequest,
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ServerEntry,
+    WeightedService,
+)
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.platform import PlatformDialect
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import Directory
+from cicadapond.scaling import DemandMeter
+from cicadapond.usage import UsageWindows
+
+PROMISES = (408, 421, 429, 503)
+OK_HEAD = AnswerHead(200, (), "r-1", is_signed=True)
+ERROR_HEAD = AnswerHead(500, (), "r-1", is_signed=True)
+STEPS = ("no connection", "refused", "misdirected", "whole", "error", "reset", "silent", "events")
+
+
+class Log:
+    def write(self, event, **fields):
+        return None
+
+
+@attrs.define
+class Reply:
+    """Records what the caller gets."""
+
+    status: int | None = None
+    body: bytes = b""
+    ends: int = 0
+    has_begun: bool = False
+    is_broken: bool = False
+
+    async def whole(self, status, headers, body):
+        assert not self.has_begun
+        self.status, self.body, self.has_begun = status, body, True
+        self.ends += 1
+
+    def begin(self, status, headers):
+        assert not self.has_begun
+        self.status, self.has_begun = status, True
+
+    async def send(self, data):
+        self.body += data
+
+    def finish(self):
+        self.ends += 1
+
+    def break_off(self):
+        self.ends += 1
+        self.is_broken = True
+
+
+class ScriptedAttempt:
+    """Gives one scripted outcome an attempt; the last one for ever."""
+
+    def __init__(self, script, clock, total_events):
+        self.script = list(script)
+        self.clock = clock
+        self.total_events = total_events
+        self.sends = []
+
+    async def run(self, req, dispatch, sink, silence, repeatable, may_send):
+        step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        await self.clock.sleep(seconds(0.02))
+        if step == "no connection":
+            return NotSent("no connection")
+        reason = may_send()
+        if reason is not None:
+            return NotSent(reason)
+        ran = step not in ("refused", "misdirected")
+        self.sends.append((dispatch.server.name, ran))
+        return await self._outcome(step, dispatch, sink)
+
+    async def _outcome(self, step, dispatch, sink):
+        if step in ("refused", "misdirected"):
+            return Refused(step, is_misdirected=step == "misdirected")
+        if step == "whole":
+            return await self._stream(dispatch, sink, None)
+        if step == "error":
+            return Whole(ERROR_HEAD, b"failed")
+        if step == "events":
+            return await self._stream(dispatch, sink, 2)
+        return Broken(step, was_closed=step == "reset", was_silent=step == "silent")
+
+    async def _stream(self, dispatch, sink, count):
+        if self.total_events == 0:
+            return Whole(OK_HEAD, b"body") if count is None else Broken("cut", OK_HEAD)
+        first = int(dispatch.last_event_id or "0") + 1
+        last = self.total_events if count is None else min(first + count - 1, self.total_events)
+        for number in range(first, last + 1):
+            if number == first:
+                await sink.begin(OK_HEAD)
+            await sink.event(Event(b"%d," % number, str(number)))
+        if count is None:
+            return StreamWhole(self.total_events)
+        return Broken("cut", OK_HEAD, str(last), last - first + 1, was_closed=True)
+
+
+def play(kind, resumable, max_attempts, script, servers=3):
+    """Runs one request; returns what was sent and what the caller got."""
+
+    async def main():
+        clock, metrics = VirtualClock(), Metrics()
+        route = Route(
+            name="r",
+            host="h",
+            prefix="/",
+            kind=kind,
+            services=(WeightedService("s", 1.0),),
+            timeout=seconds(3),
+            objective=seconds(0.4),
+            max_attempts=max_attempts,
+            resumable=resumable,
+        )
+        limits = RequestLimits(1000, 1000, seconds(1), seconds(1))
+        directory = Directory(clock, seconds(5), seconds(2))
+        directory.apply(Configuration(1, (route,), {}, limits, None))
+        directory.proved_current(clock.monotonic())
+        book = ServerBook(clock)
+        for number in range(servers):
+            entry = ServerEntry(f"s-{number}", "s", Endpoint("::1", 1), "z", 8)
+            book.put(entry, number + 1)
+        attempt = ScriptedAttempt(script, clock, 5 if kind is RouteKind.STREAM else 0)
+        parts = Parts(
+            cfg=None,
+            clock=clock,
+            log=Log(),
+            metrics=metrics,
+            dialect=PlatformDialect(),
+            directory=directory,
+            book=book,
+            placer=Placer(clock, "z"),
+            health=ServerHealth(clock, "z"),
+            pool=None,
+            attempt=attempt,
+            repeats=RepeatBudget(0.2, 50, seconds(10), clock),
+            quotas=QuotaShares(clock, True),
+            usage=UsageWindows(seconds(5)),
+            crashes=CrashBook(clock),
+            demand=DemandMeter(clock),
+        )
+        parts.pool = _Pool()
+        req = CallerRequest("r-1", "POST", b"/x", "h", "/x", (), patience=seconds(3))
+        reply = Reply()
+        await RequestRun(parts, req, route, None, reply, clock.monotonic()).run()
+        return attempt.sends, reply, clock.monotonic()
+
+    return run_virtual(main())
+
+
+class _Pool:
+    def drop_server(self, server):
+        return None
+
+
+SCRIPTS = st.lists(st.sampled_from(STEPS), min_size=1, max_size=6)
+KINDS = st.sampled_from(
+    [
+        (RouteKind.IDEMPOTENT, False),
+        (RouteKind.NON_IDEMPOTENT, False),
+        (RouteKind.STREAM, False),
+        (RouteKind.STREAM, True),
+    ]
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(kind=KINDS, max_attempts=st.integers(1, 3), script=SCRIPTS)
+def test_what_is_sent_and_told_holds_over_any_outcomes(kind, max_attempts, script):
+    kind, resumable = kind
+    sends, reply, _ = play(kind, resumable, max_attempts, script)
+    ran = [server for server, has_run in sends if has_run]
+    repeatable = kind is RouteKind.IDEMPOTENT or resumable
+    assert len(sends) <= max_attempts
+    assert repeatable or len(ran) <= 1
+    assert len(set(ran)) == len(ran), "a server that ran it is not asked again"
+    assert reply.ends == 1, "one final answer"
+    if reply.status in PROMISES:
+        assert not ran
+    if kind is RouteKind.STREAM and reply.status == 200:
+        numbers = [int(number) for number in reply.body.decode().split(",") if number]
+        assert numbers == list(range(1, len(numbers) + 1)), "no piece is missing or comes twice"
+        assert reply.is_broken or len(numbers) == 5
+
+
+def test_no_server_is_told_at_once_with_a_time_to_come_back():
+    sends, reply, elapsed = play(RouteKind.NON_IDEMPOTENT, False, 2, ["whole"], servers=0)
+    assert sends == [] and reply.status == 503
+    assert elapsed < seconds(0.1)
+
+
+def test_a_server_that_cannot_be_reached_costs_no_attempt():
+    script = ["no connection", "no connection", "whole"]
+    sends, reply, _ = play(RouteKind.NON_IDEMPOTENT, False, 1, script)
+    assert len(sends) == 1 and reply.status == 200
+
+
+def test_a_failure_of_an_idempotent_call_is_tried_elsewhere_and_told_if_it_fails_again():
+    sends, reply, _ = play(RouteKind.IDEMPOTENT, False, 2, ["error", "whole"])
+    assert len(sends) == 2 and reply.status == 200
+    sends, reply, _ = play(RouteKind.IDEMPOTENT, False, 2, ["error", "reset"])
+    assert len(sends) == 2 and (reply.status, reply.body) == (500, b"failed")
