--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -38,10 +38,17 @@
 
 @attrs.frozen
 class Silence:
-    """How long a server may say nothing before the attempt is given up; None for no limit."""
+    """How long a server may say nothing before the attempt is given up; None for no limit.
+
+    Attributes:
+      first: Until an answer begins.
+      between: Between events, if the server cannot be reached then.
+      longest: Between events, if it can: it may only be behind.
+    """
 
     first: datetime.timedelta | None = None
     between: datetime.timedelta | None = None
+    longest: datetime.timedelta | None = None
 
 
 class Attempt:
@@ -105,7 +112,7 @@
                 head = await self._own_head(conn, req)
             progress.head = head
             if _is_stream(head):
-                outcome = await self._stream(conn, sink, silence, progress)
+                outcome = await self._stream(conn, dispatch.server, sink, silence, progress)
             else:
                 outcome = await _whole(conn, head)
         except BrokenAnswerError as exc:
@@ -131,14 +138,9 @@
             await conn.skip_answer()
         raise BrokenAnswerError("answers to other requests only")
 
-    async def _stream(self, conn, sink, silence, progress):
+    async def _stream(self, conn, server, sink, silence, progress):
         splitter = EventSplitter()
-        while True:
-            limit = silence.between if progress.events else silence.first
-            async with asyncio.timeout(_seconds(limit)):
-                data = await conn.read_body()
-            if data is None:
-                break
+        while (data := await self._next_part(conn, server, silence, progress)) is not None:
             for event in splitter.feed(data):
                 if progress.events == 0:
                     await sink.begin(progress.head)
@@ -148,6 +150,35 @@
             raise BrokenAnswerError("the stream ended within an event")
         return StreamWhole(progress.events)
 
+    async def _next_part(self, conn, server, silence, progress):
+        """Returns the next bytes of a stream, None at its end.
+
+        Raises:
+          TimeoutError: If the server is silent for too long.
+        """
+        if progress.events == 0 or silence.between is None:
+            async with asyncio.timeout(_seconds(silence.first)):
+                return await conn.read_body()
+        reading = asyncio.ensure_future(conn.read_body())
+        try:
+            await asyncio.wait((reading,), timeout=_seconds(silence.between))
+            if not reading.done() and await self._is_reachable(server):
+                rest = silence.longest - silence.between
+                await asyncio.wait((reading,), timeout=max(0.0, rest.total_seconds()))
+            if not reading.done():
+                raise TimeoutError
+            return reading.result()
+        finally:
+            reading.cancel()
+
+    async def _is_reachable(self, server):
+        """Returns whether a server accepts a new connection."""
+        conn = await self._pool.connect(server.name, server.endpoint, CONNECT_TIMEOUT)
+        if conn is None:
+            return False
+        conn.close()
+        return True
+
 
 @attrs.define
 class _Progress:
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -32,6 +32,11 @@
 # How often a held request looks again whether there is room.
 HOLD_STEP = datetime.timedelta(milliseconds=40)
 SILENCE_BETWEEN_EVENTS = datetime.timedelta(milliseconds=1500)
+# Callers give up a stream after such a gap; with a server that is only behind, a new try is worth
+# it shortly before.
+LEAST_GAP = datetime.timedelta(seconds=2)
+GAP_OBJECTIVES = 4
+GAP_SHARE = 0.85
 # When a caller may come back: after a short shortage, and when no server is there at all.
 SHORT_RETRY = datetime.timedelta(milliseconds=250)
 NO_SERVER_RETRY = datetime.timedelta(seconds=1)
@@ -225,7 +230,12 @@
             return Silence()
         limit = SILENT_SHARE * (self._end - self._at)
         first = max(SILENT_OBJECTIVES * self._route.objective, SILENT_EXPECTATIONS * expected)
-        return Silence(max(LEAST_SILENCE, min(first, limit)), SILENCE_BETWEEN_EVENTS + expected)
+        patience = max(LEAST_GAP, GAP_OBJECTIVES * self._route.objective)
+        return Silence(
+            max(LEAST_SILENCE, min(first, limit)),
+            SILENCE_BETWEEN_EVENTS,
+            max(SILENCE_BETWEEN_EVENTS, GAP_SHARE * patience),
+        )
 
     def _priority(self):
         """Returns how urgent the request is to an engine: by its account, then by its route."""
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -171,6 +171,20 @@
     run(check, tmp_path, FleetSettings(resumable=False))
 
 
+def test_a_stream_goes_on_at_an_engine_that_is_only_behind(tmp_path):
+    async def check(found):
+        for name in ("e-0", "e-1"):
+            found.engine(name).pause_s = 1.55  # over the least silence, under a caller's patience
+            found.engine(name).events = 2
+        caller = found.caller()
+        await caller.stream("s-1", x_cicadapond_deadline_ms="15000")
+        answer = await caller.answer()
+        assert answer.is_whole and answer.event_ids() == [1, 2]
+        assert found.ran() == ["s-1"]
+
+    run(check, tmp_path)
+
+
 def test_a_callers_leaving_stops_its_engine(tmp_path):
     async def check(found):
         for name in ("e-0", "e-1"):
