--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -30,6 +30,8 @@
 REGISTER_RETRY = datetime.timedelta(milliseconds=300)
 # A process that has been dead for so long no longer has a share of limits.
 SHARE_TERM = datetime.timedelta(seconds=20)
+# Processes that start within so many milliseconds of each other have started together.
+SAME_START_MS = 2500
 # Totals of a process older than this may hide a burst; its even part is set aside instead.
 SILENT_AFTER = datetime.timedelta(seconds=3)
 
@@ -80,8 +82,8 @@
         metrics = self._parts.metrics
         peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
         peer.subscribe(self._hear)
-        peer.start()
         self._peer = peer
+        peer.start()
         self._tasks.start(peer)
         await self._publish()
 
@@ -189,6 +191,8 @@
     def _hear(self, member):
         digest = member.digest
         self._parts.placer.hear(member.name, digest.readings)
-        self._parts.quotas.hear(member.name, digest.spent)
+        start = start_of(member.incarnation)
+        started_earlier = start < self.start - SAME_START_MS
+        self._parts.quotas.hear(member.name, digest.spent, started_earlier)
         self._parts.crashes.hear(member.name, digest.suspects)
-        self.usage.hear(member.name, start_of(member.incarnation), digest.usage)
+        self.usage.hear(member.name, start, digest.usage)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -359,12 +359,12 @@
             case StreamWhole():
                 self._reply.finish()
                 self._done(200, "whole")
-            case Whole(head=head, body=body):
+            case Whole(head=head, body=body) if not self._reply.has_begun:
                 await self._reply.whole(head.status, head.headers, body)
                 self._done(head.status, "whole")
             case _ if self._reply.has_begun:
                 self._reply.break_off()
-                self._done(None, final.reason)
+                self._done(None, getattr(final, "reason", "it could not go on elsewhere"))
             case _:
                 await self._answer_self(final)
 
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -22,8 +22,8 @@
 ZERO = datetime.timedelta()
 LONGEST_WAIT = datetime.timedelta(seconds=60)
 # The part of a burst that a process reckons with when it starts again.
-RESTART_PART = 0.5
-# Totals that are first heard of so soon were spent before this process started.
+RESTART_PART = 0.25
+# Totals of older processes that are first heard of so soon were spent before this one started.
 FIRST_TOTALS_TERM = datetime.timedelta(seconds=4)
 
 
@@ -67,12 +67,21 @@
         bucket = self._buckets.get(account)
         return bucket.level if bucket is not None else None
 
-    def hear(self, process: str, totals: typing.Mapping[str, float]) -> None:
-        """Takes the running totals of another process."""
-        just_started = self._clock.monotonic() - self._started < FIRST_TOTALS_TERM
+    def hear(
+        self, process: str, totals: typing.Mapping[str, float], started_earlier: bool = True
+    ) -> None:
+        """Takes the running totals of another process.
+
+        Args:
+          process: The process's name.
+          totals: What it has spent since its start, by account.
+          started_earlier: Whether it started well before this process.
+        """
+        is_first = self._clock.monotonic() - self._started < FIRST_TOTALS_TERM
+        is_old = is_first and started_earlier
         known = self._totals.setdefault(process, {})
         for account, total in totals.items():
-            last = known.get(account, total if just_started else 0.0)
+            last = known.get(account, total if is_old else 0.0)
             # A lower total is of a process that has started anew.
             spent = total - last if total >= last else total
             known[account] = total
