Keep a lease that went round from its last but one holder for a term

Cause: two planned stops within the lease's term gave it from A to B and back to A at once. Change: the row names the holder before; that one waits a term even if the lease was released. Tests: failed before (a lease that went round); orders that arrive late and in any order show no holder between those of another and no fencing number of two holders (hypothesis).

--- a/cicadapond/lease/_keeper.py
+++ b/cicadapond/lease/_keeper.py
@@ -132,7 +132,8 @@
             return self._write(value["fencing"], now, value["waited_ms"])
         if value is None:
             return self._write(1, now, 0)
-        if value.get("released"):
+        # One that held it before the last holder waits even so: orders on their way would mix.
+        if value.get("released") and self._holder != value.get("predecessor"):
             return self._write(value["fencing"] + 1, now, 0)
         term = value["term_ms"] * _MILLISECOND
         if now - self._seen_at <= term:
@@ -172,9 +173,17 @@
             "fencing": fencing,
             "term_ms": self.cfg.term // _MILLISECOND,
             "waited_ms": waited_ms,
+            "predecessor": self._predecessor(fencing),
         }
         return Write(*self.key, value, expected=self._row.version)
 
+    def _predecessor(self, fencing):
+        """Returns who held the lease before the holder that has this fencing number."""
+        value = self._value()
+        if value is None:
+            return None
+        return value.get("predecessor") if value["fencing"] == fencing else value["holder"]
+
     def _hold(self, sent, value):
         if self._fencing_held != value["fencing"]:
             self._unfenced_from = sent + value["waited_ms"] * _MILLISECOND
--- a/cicadapond/lease/lease_test.py
+++ b/cicadapond/lease/lease_test.py
@@ -116,6 +116,102 @@
     run_virtual(main())
 
 
+ALTERNATION = seconds(3)  # in which orders of A, B and A again break the users' rule
+
+
+class Fenced:
+    """Takes orders that arrive late and in any order, and refuses those of an older holder."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.taken = []
+
+    def take(self, holder, fencing):
+        if not self.taken or fencing >= self.taken[-1][2]:
+            self.taken.append((self.clock.monotonic(), holder, fencing))
+
+    def turns(self):
+        """Returns the first and last instant of each uninterrupted series of one holder."""
+        found = []
+        for at, holder, _ in self.taken:
+            if found and found[-1][0] == holder:
+                found[-1] = (holder, found[-1][1], at)
+            else:
+                found.append((holder, at, at))
+        return found
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("lost", "late", "out", "heal", "pause", "stop", "kill")),
+            st.integers(0, 2),
+            st.floats(0.05, 2),
+        ),
+        max_size=25,
+    ),
+    st.integers(0, 9),
+)
+def test_no_holder_comes_back_between_the_orders_of_another(events, seed):
+    async def main():
+        clock, table = VirtualClock(), Table()
+        cloud, rng = Fenced(clock), random.Random(seed)
+        paused = [0.0] * 3
+
+        async def order(number, fencing):
+            await asyncio.sleep(rng.uniform(0, CFG.order_limit.total_seconds()))
+            cloud.take(number, fencing)
+
+        async def keep(number, start):
+            task = LeaseTask(
+                CFG, "yqr", f"c{number}", table, clock, Metrics(), random.Random(f"{number}{start}")
+            )
+            try:
+                while True:
+                    await asyncio.sleep(max(0.3, paused[number]))
+                    paused[number] = 0.0
+                    await task.step()
+                    grant = task.grant()
+                    if grant is not None:
+                        asyncio.ensure_future(order(number, grant.fencing))
+            except asyncio.CancelledError as exc:
+                if "stop" in exc.args:
+                    await task.release()
+                raise
+
+        running = [asyncio.ensure_future(keep(number, 0)) for number in range(3)]
+        for start, (event, number, wait) in enumerate(events, 1):
+            if event in ("lost", "late", "out"):
+                table.faults.append(event)
+            elif event == "heal":
+                table.faults.clear()
+            elif event == "pause":
+                paused[number] = 2 * wait
+            else:
+                running[number].cancel(event)
+                await asyncio.gather(running[number], return_exceptions=True)
+                running[number] = asyncio.ensure_future(keep(number, start))
+            await asyncio.sleep(wait)
+        table.faults.clear()
+        await asyncio.sleep(12)
+        assert cloud.taken[-1][0] > clock.monotonic() - seconds(2)
+        turns = cloud.turns()
+        for (first, _, until), _, (third, again, _) in zip(
+            turns, turns[1:], turns[2:], strict=False
+        ):
+            assert first != third or again - until > ALTERNATION
+        fencings = [fencing for _, _, fencing in cloud.taken]
+        owners = {}
+        for _, holder, fencing in cloud.taken:
+            assert owners.setdefault(fencing, holder) == holder
+        assert fencings == sorted(fencings)
+        for task in running:
+            task.cancel()
+
+    run_virtual(main())
+
+
 def test_a_lost_answer_is_read_back_by_token():
     async def main():
         table = Table()
@@ -176,3 +272,34 @@
 def test_an_order_limit_beyond_the_margin_is_refused():
     with pytest.raises(ValueError, match="does not hold"):
         LeaseSettings(order_limit=seconds(2))
+
+
+def test_a_lease_that_went_round_comes_back_only_after_a_term():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second = holders(table, clock, 2)
+        await first.step()
+        await first.release()
+        await second.step()
+        await second.release()
+        restarted = LeaseTask(CFG, "yqr", "c0", table, clock, Metrics(), random.Random("again"))
+        await restarted.step()
+        assert restarted.grant() is None
+        await clock.sleep(CFG.term + seconds(0.1))
+        await restarted.step()
+        assert restarted.grant().fencing == 3
+
+    run_virtual(main())
+
+
+def test_a_released_lease_goes_to_one_that_did_not_hold_it_before_at_once():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second, third = holders(table, clock, 3)
+        for task in (first, second):
+            await task.step()
+            await task.release()
+        await third.step()
+        assert third.grant().fencing == 3
+
+    run_virtual(main())
