Add a randomized soak of real gateway processes with faults from outside

Three processes or more on loopback, callers that keep their connections, a balancer that asks for readiness, a proxy before the store and each server that delays, silences, cuts one way or resets; signals that stop, pause, kill and restart; the store's history, clock and answers; keys, servers and configurations that change. Before that the recovery check counted requests by keys that had been taken away: corrected, with a test.

--- a/cicadapond/platform/standin/_cloud.py
+++ b/cicadapond/platform/standin/_cloud.py
@@ -15,6 +15,7 @@
       orders: Every accepted order: (service, zone, reclaimable, count).
       is_dry: Reclaimable servers are not to be had.
       is_down: Every call is answered 503.
+      holders: Who called with each fencing number of each subject.
     """
 
     reports: dict[int, list[dict]] = attrs.field(factory=dict)
@@ -22,6 +23,7 @@
     is_dry: bool = False
     is_down: bool = False
     fences: dict[tuple, int] = attrs.field(factory=dict)
+    holders: dict[tuple, set[str]] = attrs.field(factory=dict)
 
     def is_fenced(self, subject: tuple, fencing: int) -> bool:
         """Returns whether a call comes with an older right than one before it."""
@@ -38,6 +40,8 @@
     def post(self):
         body = json.loads(self.request.body)
         fencing = int(self.request.headers["X-Cicadapond-Fencing-Token"])
+        holder = self.request.headers["X-Cicadapond-Duty-Holder"]
+        self._model.holders.setdefault((self.subject(body), fencing), set()).add(holder)
         if self._model.is_down:
             self.set_status(503)
         elif self._model.is_fenced(self.subject(body), fencing) or not self.accept(body):
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -40,6 +40,7 @@
       work_s: How long a plain request takes, in seconds.
       faults: What goes wrong, one a request.
       ran: Every request that it began to run: (id, method, target, headers, body).
+      ran_at: When it began to, by the event loop's clock in seconds, in the same order.
       stopped: The ids of streams that it stopped as the caller had left.
     """
 
@@ -50,6 +51,7 @@
     faults: list[EngineFault] = attrs.field(factory=list)
     ran: list[tuple] = attrs.field(factory=list)
     stopped: list[str] = attrs.field(factory=list)
+    ran_at: list[float] = attrs.field(factory=list)
 
     def ids(self) -> list[str]:
         """Returns the ids of the requests that it ran, in order."""
@@ -112,6 +114,7 @@
         if fault is EngineFault.FULL:
             return self._whole(503, request_id, b"", [("x-cicadapond-not-executed", "1")])
         target = head.target.decode()
+        self._model.ran_at.append(asyncio.get_running_loop().time())
         self._model.ran.append((request_id, head.method.decode(), target, fields, body))
         if "x-cicadapond-token-count" in fields:
             return await self._stream(request_id, fields, fault)
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -40,6 +40,7 @@
         self.cloud = CloudModel()
         self.servers: dict[str, EngineServer] = {}
         self._ports: dict[str, int] = {}
+        self._relays: dict[str, int] = {}
         self._faces: list[tornado.httpserver.HTTPServer] = []
         self._version = 1
 
@@ -61,19 +62,35 @@
             face.stop()
             await face.close_all_connections()
 
+    def port(self, name: str) -> int:
+        """Returns the port of the store, the cloud or a backend server."""
+        return self._ports[name]
+
+    def relay(self, name: str, port: int) -> None:
+        """Has gateways reach the store, the cloud or a backend server at another port."""
+        self._relays[name] = port
+
+    def _shown(self, name):
+        return self._relays.get(name, self._ports[name])
+
     async def add_server(self, name: str, service: str, **changes) -> EngineModel:
         """Starts a backend server and lists it."""
+        model = await self.start_server(name, **changes)
+        self.list_server(name, service)
+        return model
+
+    async def start_server(self, name: str, **changes) -> EngineModel:
+        """Starts a backend server that nothing lists yet."""
         model = EngineModel(name, **changes)
         self.servers[name] = EngineServer(model)
         self._ports[name] = await self.servers[name].start(free_endpoint().port)
-        self.list_server(name, service)
         return model
 
     def list_server(self, name: str, service: str, state: str = "ready") -> None:
         """Writes the entry of a backend server."""
         entry = {
             "service": service,
-            "address": f"{HOST}:{self._ports[name]}",
+            "address": f"{HOST}:{self._shown(name)}",
             "zone": "z1",
             "version": "v1",
             "slots": 6,
@@ -118,14 +135,15 @@
         self.store.put("op", "config", configuration)
         return self._version
 
-    def settings_text(self, ports: dict[str, int]) -> str:
+    def settings_text(self, ports: dict[str, int], name: str = "edge-1") -> str:
         """Returns the settings file of a gateway process.
 
         Args:
           ports: Its ports by name: frontend, readiness, and peers, the first of four.
+          name: The process's name.
         """
         values = {
-            "node_name": "edge-1",
+            "node_name": name,
             "ip": HOST,
             "zone": "z1",
             "region": "r",
@@ -143,10 +161,10 @@
             "bounds.retry_ratio": "0.2",
             "bounds.retry_window_s": "10",
             "bounds.retry_slack": "52",
-            "platform.address": f"{HOST}:{self._ports['store']}",
+            "platform.address": f"{HOST}:{self._shown('store')}",
             "platform.writes_per_s": "400",
             "platform.reads_per_s": "2000",
-            "cloud.address": f"{HOST}:{self._ports['cloud']}",
+            "cloud.address": f"{HOST}:{self._shown('cloud')}",
             "cloud.duties": "usage_report,autoscale",
             "cloud.duty_per_s": "50",
             "unknown.field": "is ignored",
--- a/cicadapond/platform/standin/_store.py
+++ b/cicadapond/platform/standin/_store.py
@@ -32,6 +32,7 @@
     Attributes:
       is_down: Every call is answered 503, and nothing is done.
       loses_answers: Writes are carried out and not answered.
+      clock_step_ms: By how much its steady clock has been set back or ahead.
       oldest: The version before which the history is gone.
       calls: How many calls came, by path.
     """
@@ -43,6 +44,7 @@
         self.version = 0
         self.is_down = False
         self.loses_answers = False
+        self.clock_step_ms = 0
         self.oldest = 0
         self.calls: dict[str, int] = {}
 
@@ -96,7 +98,7 @@
 
     def now_ms(self) -> int:
         """Returns the store's steady clock."""
-        return round(self._clock.monotonic().total_seconds() * 1000)
+        return round(self._clock.monotonic().total_seconds() * 1000) + self.clock_step_ms
 
     def _since(self, table, since):
         found = [r for r in self._rows.values() if r.table == table and r.version > since]
--- /dev/null
+++ b/cicadapond/soak/__init__.py
@@ -0,0 +1,18 @@
+"""A randomized soak: real gateway processes on loopback, with faults injected from outside them."""
+
+from cicadapond.soak._checks import Violation, check
+from cicadapond.soak._plan import Fault, Injection, make_plan
+from cicadapond.soak._records import CallRecord, History
+from cicadapond.soak._run import SoakSettings, run_soak
+
+__all__ = [
+    "CallRecord",
+    "Fault",
+    "History",
+    "Injection",
+    "SoakSettings",
+    "Violation",
+    "check",
+    "make_plan",
+    "run_soak",
+]
--- /dev/null
+++ b/cicadapond/soak/_run.py
@@ -0,0 +1,359 @@
+"""One soak: processes, stand-ins and callers, and what the plan does to them."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+
+import attrs
+
+from cicadapond.kernel import BootClock
+from cicadapond.platform.standin import EngineFault, Fleet, FleetSettings
+from cicadapond.soak._callers import Balancer, CallerLoop
+from cicadapond.soak._checks import RECOVERY_S, Violation, check
+from cicadapond.soak._plan import PLANNED, Injection, make_plan
+from cicadapond.soak._proxy import Proxy, Trouble
+from cicadapond.soak._records import History, Run
+from cicadapond.standin._ports import free_endpoint
+
+PROGRAM = "cicadapond.gateway.main"
+START_TIMEOUT_S = 30.0
+START_POLL_S = 0.05
+# The platform's time from SIGTERM to SIGKILL, and a moment for the process to be gone.
+GRACE_S = 9.0
+RESTART_S = 0.3
+# What a trouble may still cause after its end: time-outs of calls and probes.
+AFTERMATH_S = 2.0
+SERVING_ON_S = 3.0  # a leaving server serves a little longer than it must
+QUIET_S = RECOVERY_S + 3.0
+PORTS_PER_PROCESS = 4
+FAULTS_AT_ONCE = 4
+
+
+@attrs.frozen
+class SoakSettings:
+    """One soak.
+
+    Attributes:
+      seed: Decides what is injected when.
+      length: For how many seconds faults begin.
+      processes: How many gateway processes run.
+      callers: How many callers send.
+      directory: Where settings and logs go.
+    """
+
+    seed: int
+    length: float
+    directory: pathlib.Path
+    processes: int = 3
+    callers: int = 8
+
+
+class _Process:
+    """A gateway process that is started again whenever it has ended."""
+
+    def __init__(self, number: int, directory: pathlib.Path, history: History):
+        self.number = number
+        self.ports = {name: free_endpoint().port for name in ("frontend", "readiness")}
+        self.ports["peers"] = free_endpoint().port
+        self.path = directory / f"edge-{number}.conf"
+        self._log = directory / f"edge-{number}.log"
+        self._history = history
+        self._running: asyncio.subprocess.Process | None = None
+        self._awaited: asyncio.Task | None = None
+        self._is_expected = False
+
+    async def start(self) -> None:
+        """Starts it."""
+        self._is_expected = False
+        with open(self._log, "ab") as log:
+            self._running = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                PROGRAM,
+                f"--settings={self.path}",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._awaited = asyncio.ensure_future(self._wait(self._running))
+
+    async def _wait(self, running):
+        status = await running.wait()
+        if not self._is_expected:
+            self._history.ends.append((self.number, status))
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self._running.returncode is None:
+            self._running.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kills it and waits until it is gone."""
+        self._is_expected = True
+        self.send(signal.SIGKILL)
+        await self._awaited
+
+    async def stop(self) -> None:
+        """Stops it as planned; an end by a signal or an error is not expected."""
+        self._is_expected = True
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await asyncio.shield(self._awaited)
+        except TimeoutError:
+            await self.kill()
+        if self._running.returncode != 0:
+            self._history.ends.append((self.number, self._running.returncode))
+
+
+class Soak:
+    """A deployment under a plan.
+
+    Args:
+      cfg: The soak.
+    """
+
+    def __init__(self, cfg: SoakSettings):
+        self.history = History()
+        self._cfg = cfg
+        self._rng = random.Random(f"run {cfg.seed}")
+        self._fleet = Fleet(FleetSettings(engines=3, services=3), BootClock())
+        self._processes = [
+            _Process(number, cfg.directory, self.history) for number in range(cfg.processes)
+        ]
+        self._busy: set[int] = set()
+        self._proxies: dict[str, Proxy] = {}
+        self._services: dict[str, str] = {}
+        self._models = []
+        self._keys = ["demo-key", "key-0"]
+        self._removed: list[str] = []
+        self._running: list[asyncio.Task] = []
+
+    async def run(self) -> None:
+        """Plays the plan and a quiet time after it, and fills the history."""
+        await self._start()
+        try:
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            injected = []
+            for injection in make_plan(self._cfg.seed, self._cfg.length):
+                await asyncio.sleep(max(0.0, begun + injection.at - loop.time()))
+                injected.append(asyncio.ensure_future(self._inject(injection)))
+            await asyncio.gather(*injected)
+            self.history.quiet_from = loop.time()
+            await asyncio.sleep(QUIET_S)
+        finally:
+            await self._stop()
+
+    async def _start(self):
+        fleet = self._fleet
+        await fleet.start()
+        await self._relay("store", fleet.port("store"))
+        for name, server in list(fleet.servers.items()):
+            service = "pool" if name.startswith("e-") else "plain"
+            await self._adopt(name, service, server.model)
+            fleet.list_server(name, service)
+        fleet.configure(keys=tuple(self._keys))
+        for process in self._processes:
+            text = fleet.settings_text(process.ports, f"edge-{process.number}")
+            process.path.write_text(text, encoding="utf-8")
+            await process.start()
+        balancer = Balancer([process.ports["readiness"] for process in self._processes])
+        self._spawn(balancer.run())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while len(balancer.ready()) < len(self._processes):
+                await asyncio.sleep(START_POLL_S)
+        ports = [process.ports["frontend"] for process in self._processes]
+        for number in range(self._cfg.callers):
+            name = f"s{self._cfg.seed}-c{number}"
+            rng = random.Random(name)
+            caller = CallerLoop(name, ports, balancer, self._some_keys, self.history, rng)
+            self._spawn(caller.run())
+
+    async def _stop(self):
+        for task in self._running:
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+        await asyncio.gather(*(process.kill() for process in self._processes))
+        for proxy in self._proxies.values():
+            await proxy.stop()
+        await self._fleet.stop()
+        self._collect()
+
+    def _collect(self):
+        history = self.history
+        history.reports = self._fleet.cloud.reports
+        history.holders = self._fleet.cloud.holders
+        for model in self._models:
+            for request, at in zip(model.ran, model.ran_at, strict=True):
+                history.runs.append(Run(request[0], model.name, at))
+
+    def _spawn(self, coroutine):
+        self._running.append(asyncio.ensure_future(coroutine))
+
+    def _some_keys(self):
+        """Returns keys that callers use: now and then one that was removed."""
+        return [*self._keys * 4, *self._removed[-2:]]
+
+    async def _relay(self, name, port):
+        self._proxies[name] = Proxy(port)
+        self._fleet.relay(name, await self._proxies[name].start())
+
+    async def _adopt(self, name, service, model):
+        await self._relay(name, self._fleet.port(name))
+        self._services[name] = service
+        self._models.append(model)
+
+    # Faults
+
+    async def _inject(self, injection: Injection):
+        fault = injection.fault
+        begin = asyncio.get_running_loop().time()
+        await getattr(self, f"_inject_{fault.name.lower()}")(injection)
+        end = asyncio.get_running_loop().time()
+        if fault not in PLANNED:
+            self.history.troubles.append((begin, end + AFTERMATH_S))
+
+    def _take(self, injection):
+        """Returns a process that nothing else happens to, None if there is none."""
+        free = [process for process in self._processes if process.number not in self._busy]
+        if not free:
+            return None
+        process = free[int(injection.pick * len(free))]
+        self._busy.add(process.number)
+        return process
+
+    async def _stop_one(self, process):
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        await process.stop()
+        self.history.stops.append((process.number, begin, loop.time()))
+
+    async def _restart(self, process, end):
+        await end
+        await asyncio.sleep(RESTART_S)
+        await process.start()
+        self._busy.discard(process.number)
+
+    async def _inject_stop(self, injection):
+        process = self._take(injection)
+        if process is not None:
+            await self._restart(process, self._stop_one(process))
+
+    async def _inject_kill(self, injection):
+        process = self._take(injection)
+        if process is not None:
+            await self._restart(process, process.kill())
+
+    async def _inject_kill_all(self, injection):
+        taken = [self._take(injection) for _ in self._processes]
+        taken = [process for process in taken if process is not None]
+        await asyncio.gather(*(self._restart(process, process.kill()) for process in taken))
+
+    async def _inject_pause(self, injection):
+        process = self._take(injection)
+        if process is not None:
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(injection.duration)
+            process.send(signal.SIGCONT)
+            self._busy.discard(process.number)
+
+    async def _inject_hang_up(self, injection):
+        process = self._take(injection)
+        if process is not None:
+            text = process.path.read_text(encoding="utf-8")
+            process.path.write_text(f"{text}changed.at={injection.at}\n", encoding="utf-8")
+            process.send(signal.SIGHUP)
+            self._busy.discard(process.number)
+
+    async def _inject_store_down(self, injection):
+        self._fleet.store.is_down = True
+        await asyncio.sleep(injection.duration)
+        self._fleet.store.is_down = False
+
+    async def _through(self, name, trouble, duration):
+        self._proxies[name].set(trouble)
+        await asyncio.sleep(duration)
+        self._proxies[name].set(Trouble.NONE)
+
+    async def _inject_store_silent(self, injection):
+        await self._through("store", Trouble.SILENT, 0.0)
+
+    async def _inject_store_one_way(self, injection):
+        await self._through("store", Trouble.ONE_WAY, injection.duration)
+
+    async def _inject_store_slow(self, injection):
+        await self._through("store", Trouble.DELAY, injection.duration)
+
+    async def _inject_store_loses(self, injection):
+        self._fleet.store.loses_answers = True
+        await asyncio.sleep(injection.duration)
+        self._fleet.store.loses_answers = False
+
+    async def _inject_store_forgets(self, injection):
+        self._fleet.store.oldest = self._fleet.store.version
+        self._proxies["store"].reset()
+
+    async def _inject_store_clock(self, injection):
+        self._fleet.store.clock_step_ms -= round(1000 * injection.duration)
+        self._proxies["store"].reset()
+
+    async def _inject_cloud_down(self, injection):
+        self._fleet.cloud.is_down = True
+        await asyncio.sleep(injection.duration)
+        self._fleet.cloud.is_down = False
+
+    def _server(self, injection):
+        names = sorted(self._services)
+        return names[int(injection.pick * len(names))]
+
+    async def _inject_server_reset(self, injection):
+        self._proxies[self._server(injection)].reset()
+
+    async def _inject_server_silent(self, injection):
+        await self._through(self._server(injection), Trouble.SILENT, 0.0)
+
+    async def _inject_server_slow(self, injection):
+        await self._through(self._server(injection), Trouble.DELAY, injection.duration)
+
+    async def _inject_server_faults(self, injection):
+        server = self._fleet.servers[self._server(injection)]
+        server.model.faults = self._rng.choices(list(EngineFault), k=FAULTS_AT_ONCE)
+
+    async def _inject_server_leaves(self, injection):
+        name = self._server(injection)
+        service = self._services.pop(name)
+        successor = f"{name.split('.')[0]}.{injection.at:.3f}"
+        model = await self._fleet.start_server(successor)
+        await self._adopt(successor, service, model)
+        self._fleet.list_server(successor, service)
+        self._fleet.list_server(name, service, "draining")
+        self.history.drained[name] = asyncio.get_running_loop().time()
+        await asyncio.sleep(SERVING_ON_S)
+        self._fleet.unlist_server(name)
+        await self._fleet.servers.pop(name).stop()
+
+    async def _inject_configure(self, injection):
+        self._fleet.configure(keys=tuple(self._keys))
+
+    async def _inject_remove_key(self, injection):
+        gone = self._keys.pop()
+        if gone == "demo-key":
+            self._keys.append(gone)
+            return
+        self._fleet.configure(keys=tuple(self._keys))
+        self.history.keys_removed[gone] = asyncio.get_running_loop().time()
+        self._removed.append(gone)
+        await asyncio.sleep(injection.duration)
+        self._keys.append(f"key-{injection.at:.3f}")
+        self._fleet.configure(keys=tuple(self._keys))
+
+
+async def run_soak(cfg: SoakSettings) -> tuple[History, list[Violation]]:
+    """Plays one soak; returns what was seen and every violation of a promise."""
+    soak = Soak(cfg)
+    await soak.run()
+    return soak.history, check(soak.history)
--- /dev/null
+++ b/cicadapond/soak/soak_test.py
@@ -0,0 +1,138 @@
+"""Checks find what they are for, plans repeat, the proxy does as told, a short run holds."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from cicadapond.platform.standin import Answer
+from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
+from cicadapond.soak._callers import is_own
+from cicadapond.soak._proxy import Proxy, Trouble
+from cicadapond.soak._records import PLAIN, STREAM, Run
+from cicadapond.soak._run import Soak
+from cicadapond.soak.main import read_seeds
+
+CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
+RUN = Run("r-1", "s-0", 10.05)
+
+
+def history(**changes):
+    return attrs.evolve(History(calls=[CALL], runs=[RUN]), **changes)
+
+
+def call(**changes):
+    return attrs.evolve(CALL, **changes)
+
+
+def test_a_history_without_faults_keeps_every_promise():
+    assert check(history()) == []
+
+
+@pytest.mark.parametrize(
+    ("promise", "found"),
+    [
+        ("runs at most once", history(runs=[RUN, attrs.evolve(RUN, server="s-1")])),
+        ("said not to have run", history(calls=[call(status=503)])),
+        ("own answers, in order", history(calls=[call(is_own=False)])),
+        ("removed keys", history(keys_removed={"k": 5.0})),
+        ("leaving servers", history(drained={"s-0": 7.5})),
+        ("usage once", history(reports={7: [{"a": 1}, {"a": 2}]})),
+        ("one holder", history(holders={(("usage",), 3): {"edge-0", "edge-1"}})),
+        ("runs until it is stopped", history(ends=[(1, -6)])),
+        (
+            "planned stops",
+            history(calls=[call(status=None, is_whole=False)], stops=[(0, 9.0, 11.0)]),
+        ),
+        ("recovery", history(calls=[call(status=503, sent_at=90.0)], runs=[], quiet_from=50.0)),
+    ],
+)
+def test_each_broken_promise_is_found_once(promise, found):
+    assert [violation.promise for violation in check(found)] == [promise]
+
+
+@pytest.mark.parametrize(
+    "found",
+    [
+        history(keys_removed={"k": 5.1}),
+        history(drained={"s-0": 7.5}, troubles=[(8.0, 9.0)]),
+        history(reports={7: [{"a": 1}, {"a": 1}]}),
+        history(
+            calls=[call(status=None, is_whole=False)],
+            stops=[(0, 9.0, 11.0)],
+            troubles=[(7.5, 7.6)],
+        ),
+        history(calls=[call(status=None, is_whole=False)], stops=[(1, 9.0, 11.0)]),
+        history(calls=[call(status=None, is_whole=False)], runs=[], stops=[(0, 9.0, 11.0)]),
+        history(calls=[call(status=401, sent_at=90.0)], runs=[], keys_removed={"k": 60.0}),
+    ],
+)
+def test_what_the_pages_allow_is_no_violation(found):
+    assert check(found) == []
+
+
+def test_a_plan_repeats_and_every_fault_can_be_injected():
+    assert make_plan(3, 60.0) == make_plan(3, 60.0)
+    assert make_plan(3, 60.0) != make_plan(4, 60.0)
+    assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0)} == set(Fault)
+    assert all(hasattr(Soak, f"_inject_{fault.name.lower()}") for fault in Fault)
+
+
+def test_seeds_are_read_as_a_list_or_a_range():
+    assert read_seeds("3") == [3]
+    assert read_seeds("1,5") == [1, 5]
+    assert read_seeds("2-4") == [2, 3, 4]
+    with pytest.raises(ValueError, match="invalid literal"):
+        read_seeds("a-b")
+
+
+@pytest.mark.parametrize(
+    ("numbers", "is_whole", "expected"),
+    [
+        ((1, 2, 3, 4), True, True),
+        ((1, 2), False, True),
+        ((1, 2, 3), True, False),
+        ((1, 3), False, False),
+        ((1, 2, 2), False, False),
+    ],
+)
+def test_streams_are_compared_event_by_event(numbers, is_whole, expected):
+    body = "".join(f"id: {n}\ndata: piece {n} of r-1\n\n" for n in numbers).encode()
+    answer = Answer(200, {}, body + b"id: ", is_whole)
+    assert is_own(call(kind=STREAM), answer) is expected
+
+
+def test_a_proxy_passes_holds_and_resets():
+    async def main():
+        async def echo(reader, writer):
+            with contextlib.suppress(ConnectionError):
+                while data := await reader.read(100):
+                    writer.write(data)
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        proxy = Proxy(server.sockets[0].getsockname()[1])
+        port = await proxy.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"one")
+        assert await reader.read(100) == b"one"
+        proxy.set(Trouble.ONE_WAY)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(100)
+        proxy.set(Trouble.NONE)
+        assert await reader.read(100) == b"two"
+        proxy.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(100)
+        await proxy.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_a_short_run_of_real_processes_keeps_every_promise(tmp_path):
+    seen, violations = asyncio.run(run_soak(SoakSettings(8, 6.0, tmp_path)))
+    assert violations == []
+    assert len(seen.runs) > 100
