Mend the soak's flags and strengthen its faults

Cause: a second flag of the name 'seeds' in one test process (4 errors in collecting soak_test.py). A proxy waits for its connections when it stops.

--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -26,7 +26,7 @@
     SERVER_SILENT = "open connections to a server go silent"
     SERVER_SLOW = "a server's answers come late"
     SERVER_LEAVES = "a server leaves and another comes"
-    SERVER_FAULTS = "a server's next answers are faulty"
+    SERVER_FAULTS = "the servers' next answers are faulty"
     CONFIGURE = "the configuration changes"
     REMOVE_KEY = "a key is taken away, and given back later"
 
@@ -57,3 +57,15 @@
         plan.append(Injection(at, rng.choice(faults), duration, rng.random()))
         at += LEAST_GAP_S + rng.expovariate(1 / MEAN_GAP_S)
     return plan
+
+
+def read_seeds(text: str) -> list[int]:
+    """Returns the seeds that a flag names.
+
+    Raises:
+      ValueError: If it names none.
+    """
+    first, dash, last = text.partition("-")
+    if dash:
+        return list(range(int(first), int(last) + 1))
+    return [int(seed) for seed in text.split(",")]
--- a/cicadapond/soak/_proxy.py
+++ b/cicadapond/soak/_proxy.py
@@ -6,6 +6,7 @@
 import struct
 
 CHUNK_BYTES = 64 * 1024
+POLL_S = 0.05
 _LINGER_RESET = struct.pack("ii", 1, 0)
 HOST = "127.0.0.1"
 
@@ -55,9 +56,11 @@
             link.reset()
 
     async def stop(self) -> None:
-        """Stops listening and resets what is open."""
+        """Stops listening, resets what is open and waits until it is gone."""
         self._server.close()
         self.reset()
+        while self._links:
+            await asyncio.sleep(POLL_S)
 
     def holds(self, link: "_Link", is_back: bool) -> bool:
         """Returns whether bytes of a connection are held back now."""
@@ -81,8 +84,6 @@
 
 
 class _Link:
-    POLL_S = 0.05
-
     def __init__(self, proxy, near):
         self.is_silent = False
         self._proxy = proxy
@@ -118,7 +119,7 @@
                 while self._proxy.holds(self, is_back):
                     if writer.transport.is_closing():
                         return
-                    await asyncio.sleep(self.POLL_S)
+                    await asyncio.sleep(POLL_S)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -28,7 +28,9 @@
 SERVING_ON_S = 3.0  # a leaving server serves a little longer than it must
 QUIET_S = RECOVERY_S + 3.0
 PORTS_PER_PROCESS = 4
-FAULTS_AT_ONCE = 4
+# Requests take long enough that a fault finds some in progress.
+WORK_S, PAUSE_S = 0.03, 0.05
+FAULTS_AT_ONCE = 4  # for each server
 
 
 @attrs.frozen
@@ -205,6 +207,7 @@
     async def _adopt(self, name, service, model):
         await self._relay(name, self._fleet.port(name))
         self._services[name] = service
+        model.work_s, model.pause_s = WORK_S, PAUSE_S
         self._models.append(model)
 
     # Faults
@@ -320,8 +323,8 @@
         await self._through(self._server(injection), Trouble.DELAY, injection.duration)
 
     async def _inject_server_faults(self, injection):
-        server = self._fleet.servers[self._server(injection)]
-        server.model.faults = self._rng.choices(list(EngineFault), k=FAULTS_AT_ONCE)
+        for server in self._fleet.servers.values():
+            server.model.faults = self._rng.choices(list(EngineFault), k=FAULTS_AT_ONCE)
 
     async def _inject_server_leaves(self, injection):
         name = self._server(injection)
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -7,6 +7,7 @@
 
 from absl import app, flags
 
+from cicadapond.soak._plan import read_seeds
 from cicadapond.soak._run import SoakSettings, run_soak
 
 _SEEDS = flags.DEFINE_string("seeds", "1", "Seeds with commas, or FIRST-LAST.")
@@ -17,18 +18,6 @@
 _DIRECTORY = flags.DEFINE_string("directory", None, "Where logs go; by default a new one.")
 
 
-def read_seeds(text: str) -> list[int]:
-    """Returns the seeds that a flag names.
-
-    Raises:
-      ValueError: If it names none.
-    """
-    first, dash, last = text.partition("-")
-    if dash:
-        return list(range(int(first), int(last) + 1))
-    return [int(seed) for seed in text.split(",")]
-
-
 async def _play(seeds, base):
     limit = asyncio.Semaphore(_AT_ONCE.value)
     failed = 0
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -9,10 +9,10 @@
 from cicadapond.platform.standin import Answer
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_own
+from cicadapond.soak._plan import read_seeds
 from cicadapond.soak._proxy import Proxy, Trouble
 from cicadapond.soak._records import PLAIN, STREAM, Run
 from cicadapond.soak._run import Soak
-from cicadapond.soak.main import read_seeds
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
 RUN = Run("r-1", "s-0", 10.05)
