Share copies of tables in a data centre, and tell digests by the number of processes

Each of 61 processes followed both tables and heard each other's digests 3.7 times a second. Ruled out: coalescing changes (most calls bring one); telling versions only. Change: two processes of a data centre read, the others listen, with the store's clock as proof; digests at 0.8 s instead of 0.4 s with 61 processes; a document keeps its values by section. Bounds of other deployments: feed wait, lease term and settling time follow revoke_ms, lease_ms and usage_delay_s.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -1,12 +1,14 @@
 """The other gateway processes: how they are found, what they are told, what they tell."""
 
 import asyncio
+import collections
 import contextlib
 import datetime
 import random
 
 from cicadapond.data import Endpoint
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._sharing import CopyCircle, CopyInbox, SharedCopy, read_copy
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Ok, TaskGroup
 from cicadapond.peer import (
@@ -17,16 +19,22 @@
     PeerTask,
     TcpTransport,
     owner,
+    rank,
     start_of,
 )
 from cicadapond.provider import TableService, Write
 from cicadapond.usage import UsageLedger
 
 PROCESS_TABLE = "processes"
+# How many processes of a data centre read each table from the store for all of them.
+READERS = 2
 PEER_BEAT = datetime.timedelta(milliseconds=400)
+# The time between two digests, and the least time however much there is to tell.  Both grow with
+# the number of processes, so that what each one hears takes at most about 5% of a core.
 DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
-# The least time between two digests, however much there is to tell.
 LEAST_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
+DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
+LEAST_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=3)
 REGISTER_RETRY = datetime.timedelta(milliseconds=300)
 # A process that has been dead for so long no longer has a share of limits.
 SHARE_TERM = datetime.timedelta(seconds=20)
@@ -36,7 +44,14 @@
 SILENT_AFTER = datetime.timedelta(seconds=3)
 
 
-class Cluster:
+def digest_intervals(processes: int) -> tuple[datetime.timedelta, datetime.timedelta]:
+    """Returns the least and the longest time between two digests of a process."""
+    least = max(LEAST_DIGEST_INTERVAL, processes * LEAST_DIGEST_INTERVAL_PER_PROCESS)
+    longest = max(DIGEST_INTERVAL, processes * DIGEST_INTERVAL_PER_PROCESS)
+    return least, longest
+
+
+class Cluster(CopyCircle):
     """What this process knows of the others.
 
     Args:
@@ -63,6 +78,9 @@
         self._rng = rng
         self._peer: PeerTask | None = None
         self._news = asyncio.Event()
+        self._copies: dict[str, SharedCopy] = {}
+        self._inboxes: dict[str, CopyInbox] = collections.defaultdict(CopyInbox)
+        self._heard_copies: dict[tuple[str, str], list] = {}
         self.usage = UsageLedger()
 
     async def run(self) -> None:
@@ -121,12 +139,16 @@
 
     def is_first_for(self, key: str) -> bool:
         """Returns whether a matter is this process's among those of its data centre."""
+        return owner(key, self._neighbours()) == self._cfg.name
+
+    def _neighbours(self):
+        """Returns the live processes of this data centre, this one included."""
         names = [
             member.name
             for member in self._members()
             if member.zone == self._cfg.zone and member.state is MemberState.ALIVE
         ]
-        return owner(key, [*names, self._cfg.name]) == self._cfg.name
+        return [*names, self._cfg.name]
 
     def tell_soon(self) -> None:
         """Has the others told at once what has changed."""
@@ -140,6 +162,32 @@
             return True
         return self._clock.monotonic() - member.heard < SHARE_TERM
 
+    # CopyCircle
+
+    def reads(self, table):
+        return self._cfg.name in rank(f"follow {table}", self._neighbours())[:READERS]
+
+    def has_listeners(self, table):
+        return len(self._neighbours()) > READERS
+
+    def tell(self, table, copy):
+        self._copies[table] = copy
+        self.tell_soon()
+
+    async def hear(self, table, limit):
+        return await self._inboxes[table].take(limit)
+
+    def _hear_copies(self, member):
+        for table, value in member.digest.copies.items():
+            if self._heard_copies.get((member.name, table)) == value:
+                continue
+            self._heard_copies[member.name, table] = value
+            copy = read_copy(value)
+            if copy is None:
+                self._parts.log.write("copy_unreadable", table=table, process=member.name)
+            else:
+                self._inboxes[table].put(copy)
+
     # Finding them
 
     async def _register(self):
@@ -172,9 +220,10 @@
         while True:
             self._news.clear()
             self._peer.publish(self._digest())
-            await self._clock.sleep(LEAST_DIGEST_INTERVAL)
+            least, longest = digest_intervals(1 + len(self._members()))
+            await self._clock.sleep(least)
             with contextlib.suppress(TimeoutError):  # the ordinary end of the wait
-                async with asyncio.timeout(DIGEST_INTERVAL.total_seconds()):
+                async with asyncio.timeout((longest - least).total_seconds()):
                     await self._news.wait()
 
     def _digest(self):
@@ -186,10 +235,12 @@
             usage=parts.usage.counts(),
             demand={name: round(busy, 2) for name, busy in parts.demand.busy_engines().items()},
             readings=parts.placer.readings(),
+            copies={table: copy.as_list() for table, copy in self._copies.items()},
         )
 
     def _hear(self, member):
         digest = member.digest
+        self._hear_copies(member)
         self._parts.placer.hear(member.name, digest.readings)
         start = start_of(member.incarnation)
         started_earlier = start < self.start - SAME_START_MS
--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -14,7 +14,9 @@
 # What processes counted until their planned end, as those that start later have not heard them.
 LEFT_USAGE_TABLE = "left_usage"
 # A window's counts of other processes arrive within two seconds; the rest is for their clocks.
-COUNTS_SETTLE = datetime.timedelta(seconds=4)
+LONGEST_SETTLE = datetime.timedelta(seconds=4)
+# The part of the time until a report is due that its counts may take to settle.
+SETTLE_SHARE = 0.4
 # How many windows back a new holder looks for reports that its predecessor did not send.
 LOOK_BACK = 3
 KEPT_ROWS = 12
@@ -30,6 +32,7 @@
       ledger: Takes the counts that ended processes left, and has those of the others.
       clock: Gives true time.
       log: Takes a line for each report.
+      settle: How long after its end a window's counts are fixed.
     """
 
     def __init__(
@@ -40,7 +43,9 @@
         ledger: UsageLedger,
         clock: Clock,
         log: EventLog,
+        settle: datetime.timedelta = LONGEST_SETTLE,
     ):
+        self._settle = settle
         self._cloud = cloud
         self._tables = tables
         self._usage = usage
@@ -51,7 +56,7 @@
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports the next window if it is due."""
-        newest = self._usage.number(self._clock.now() - COUNTS_SETTLE) - 1
+        newest = self._usage.number(self._clock.now() - self._settle) - 1
         if self._next is None:
             self._next = newest - LOOK_BACK + 1
         if self._next <= newest and not await self._take_left():
@@ -117,6 +122,11 @@
         return None
 
 
+def settle_time(due: datetime.timedelta) -> datetime.timedelta:
+    """Returns how long after a window's end its counts are fixed, if its report is due so late."""
+    return min(LONGEST_SETTLE, SETTLE_SHARE * due)
+
+
 async def leave_usage(tables: TableService, process: str, start: int, usage: UsageWindows) -> None:
     """Leaves a process's counts in the store at its planned end.
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -12,8 +12,14 @@
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._dialect import Dialect
-from cicadapond.gateway._duties import DutyTask, ServerOrderer, UsageReporter, leave_usage
-from cicadapond.gateway._follow import CURRENT_FOR, FollowTask
+from cicadapond.gateway._duties import (
+    DutyTask,
+    ServerOrderer,
+    UsageReporter,
+    leave_usage,
+    settle_time,
+)
+from cicadapond.gateway._follow import FEED_DELAY, FollowTask, feed_wait
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Front
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._servers import ServerBook
@@ -30,8 +36,10 @@
 from cicadapond.usage import UsageWindows
 
 LEASE_NAME = "duties"
+# The shortest term; the margin leaves time for the longest call of a duty.
+LEAST_TERM = datetime.timedelta(seconds=3)
 LEASE_SETTINGS = LeaseSettings(
-    term=datetime.timedelta(seconds=3),
+    term=LEAST_TERM,
     margin=datetime.timedelta(milliseconds=900),
     order_limit=datetime.timedelta(milliseconds=800),
     renewal=datetime.timedelta(milliseconds=1000),
@@ -101,7 +109,7 @@
         self._servers = ServerTable(self.parts, clock, edges.decode_server)
         self._front = Front(self.parts)
         self._lease = LeaseTask(
-            LEASE_SETTINGS,
+            attrs.evolve(LEASE_SETTINGS, term=max(LEAST_TERM, cfg.bounds.lease)),
             LEASE_NAME,
             cfg.name,
             edges.tables,
@@ -117,13 +125,14 @@
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
+        current_for = feed_wait(bounds.revocation) + FEED_DELAY
         return Parts(
             cfg=cfg,
             clock=clock,
             log=self._log,
             metrics=self._metrics,
             dialect=self._edges.dialect,
-            directory=Directory(clock, bounds.revocation, CURRENT_FOR),
+            directory=Directory(clock, bounds.revocation, current_for),
             book=ServerBook(clock),
             placer=Placer(clock, cfg.zone),
             health=ServerHealth(clock, cfg.zone),
@@ -212,7 +221,16 @@
 
     def _follow(self, table, follower):
         self._tasks.start(
-            FollowTask(table, self._edges.feed, follower, self._clock, self._log, self._metrics)
+            FollowTask(
+                table,
+                self._edges.feed,
+                follower,
+                feed_wait(self._cfg.bounds.revocation),
+                self._clock,
+                self._log,
+                self._metrics,
+                self._cluster,
+            )
         )
 
     # Servers whose connections broke
@@ -248,6 +266,7 @@
                 self._cluster.usage,
                 self._clock,
                 self._log,
+                settle_time(cfg.bounds.usage_due),
             )
         if cfg.duties.orders_servers:
             orderer = ServerOrderer(
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -32,10 +32,11 @@
 # How often a held request looks again whether there is room.
 HOLD_STEP = datetime.timedelta(milliseconds=40)
 SILENCE_BETWEEN_EVENTS = datetime.timedelta(milliseconds=1500)
-# Callers give up a stream after such a gap; with a server that is only behind, a new try is worth
-# it shortly before.
+# Callers give up a stream after the longest of these gaps; with a server that is only behind, a
+# new try is worth it shortly before.
 LEAST_GAP = datetime.timedelta(seconds=2)
 GAP_OBJECTIVES = 4
+GAP_PAUSES = 8
 GAP_SHARE = 0.85
 # When a caller may come back: after a short shortage, and when no server is there at all.
 SHORT_RETRY = datetime.timedelta(milliseconds=250)
@@ -124,7 +125,7 @@
         """Returns why no server is to be tried now, None if one is."""
         if self._parts.crashes.is_contained(self._fingerprint) and not self._may_have_run:
             return Failed("this request crashes servers", status=500)
-        if not self._parts.directory.still_allowed(self._req, self._route.name):
+        if not self._parts.directory.still_allowed(self._req):
             if self._may_have_run:
                 return self._given_up()
             return NotRun("the client account can no longer be checked", SHORT_RETRY)
@@ -217,7 +218,7 @@
         """Returns why the request must not leave now, None if it may."""
         if not self._parts.book.takes_requests(entry):
             return "the server is leaving"
-        if not self._parts.directory.still_allowed(self._req, self._route.name):
+        if not self._parts.directory.still_allowed(self._req):
             return "the client account can no longer be checked"
         if self._end - self._parts.clock.monotonic() < LEAST_LEFT:
             return "no time is left"
@@ -231,6 +232,8 @@
         limit = SILENT_SHARE * (self._end - self._at)
         first = max(SILENT_OBJECTIVES * self._route.objective, SILENT_EXPECTATIONS * expected)
         patience = max(LEAST_GAP, GAP_OBJECTIVES * self._route.objective)
+        if self._route.pause is not None:
+            patience = max(patience, GAP_PAUSES * self._route.pause)
         return Silence(
             max(LEAST_SILENCE, min(first, limit)),
             SILENCE_BETWEEN_EVENTS,
--- a/cicadapond/gateway/_time.py
+++ b/cicadapond/gateway/_time.py
@@ -13,6 +13,8 @@
 # Ordinary differences between machines' clocks are smaller; jumps are larger.
 LARGEST_DIFFERENCE = datetime.timedelta(milliseconds=300)
 LEAST_READINGS = 3
+# Clocks that differ by 100 parts in a million drift 60 ms apart in two such terms.
+BOUND_TERM = datetime.timedelta(minutes=5)
 
 
 class TrueClock(BootClock):
@@ -53,12 +55,15 @@
     """When, by this machine's clock, the platform's store gave an answer.
 
     The store's steady clock in each answer bounds how far it is ahead of this machine's: by no
-    more than its reading less the instant at which the call left.  The tightest bound of all
-    calls places the moment of each later answer, a long poll's too, to within one short call.
+    more than its reading less the instant at which the call left.  The tightest bound of recent
+    calls places the moment of each answer, a long poll's too, to within one short call.  Bounds
+    are forgotten, as two clocks drift apart.
     """
 
     def __init__(self):
         self._ahead: datetime.timedelta | None = None
+        self._next: datetime.timedelta | None = None  # the tightest bound of the current term
+        self._term_began: datetime.timedelta | None = None
 
     def answered_at(
         self, service_time: datetime.timedelta, asked: datetime.timedelta, now: datetime.timedelta
@@ -71,10 +76,35 @@
           now: The monotonic instant after the answer came.
         """
         bound = service_time - asked
-        if self._ahead is None or bound < self._ahead:
-            self._ahead = bound
+        self._forget(now)
+        self._next = bound if self._next is None else min(self._next, bound)
+        self._ahead = bound if self._ahead is None else min(self._ahead, bound)
         answered = service_time - self._ahead
         if answered > now:  # the store's clock has begun anew
-            self._ahead = bound
+            self._ahead = self._next = bound
             answered = asked
         return answered
+
+    def told_at(
+        self, service_time: datetime.timedelta, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns an instant not after a reading of the store's clock that another process took.
+
+        Args:
+          service_time: The reading.
+          now: The monotonic instant.
+
+        Returns:
+          None if this process cannot place the reading.
+        """
+        if self._ahead is None or now - self._term_began > 2 * BOUND_TERM:
+            return None
+        answered = service_time - self._ahead
+        return answered if answered <= now else None
+
+    def _forget(self, now):
+        if self._term_began is None:
+            self._term_began = now
+        elif now - self._term_began > BOUND_TERM:
+            self._ahead, self._next = self._next, None
+            self._term_began = now
--- /dev/null
+++ b/cicadapond/gateway/cluster_test.py
@@ -0,0 +1,18 @@
+"""How often processes tell each other what changed, by their number."""
+
+import pytest
+
+from cicadapond.gateway._cluster import digest_intervals
+from cicadapond.kernel import seconds
+
+
+@pytest.mark.parametrize("processes", [1, 2, 6, 30, 61, 78, 420])
+def test_what_one_process_hears_stays_bounded(processes):
+    least, longest = digest_intervals(processes)
+    assert least < longest
+    assert processes / longest.total_seconds() <= 80
+    assert processes / least.total_seconds() <= 1000
+
+
+def test_few_processes_tell_each_other_often():
+    assert digest_intervals(6) == (seconds(0.018), seconds(0.4))
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -44,6 +44,7 @@
       rank: Its importance; 0 is the highest.
       is_public: Whether it needs no key.
       resumable: Whether a stream may go on at another server after its last event.
+      pause: The longest pause between the events of a stream that is still in time.
     """
 
     name: str
@@ -57,6 +58,7 @@
     rank: int = 0
     is_public: bool = False
     resumable: bool = False
+    pause: datetime.timedelta | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -262,28 +264,23 @@
     """Figures of the deployment that decisions must keep.
 
     Attributes:
-      drain: A leaving server gets no request later than this after its leaving is known.
       revocation: No request runs by a key later than this after the key was taken away.
       grace: The time from SIGTERM to SIGKILL.
       retry_ratio: Repeats that a service may get per request, over `retry_window`.
       retry_slack: Repeats that a service may get besides.
-      quota_window: The length over which a quota is counted.
+      lease: Within this time a duty must not pass to another process and back.
+      usage_window: The length of a usage report.
+      usage_due: How long after a window's end its report is due.
     """
 
-    drain: datetime.timedelta
     revocation: datetime.timedelta | None
     grace: datetime.timedelta
-    contact: datetime.timedelta
-    apply: datetime.timedelta
     retry_ratio: float
     retry_window: datetime.timedelta
     retry_slack: float
-    quota_window: datetime.timedelta
-    quota_overage: float
     lease: datetime.timedelta
     usage_window: datetime.timedelta
     usage_due: datetime.timedelta
-    prefix_reuse: datetime.timedelta
 
 
 @attrs.frozen
--- a/cicadapond/gateway/follow_test.py
+++ b/cicadapond/gateway/follow_test.py
@@ -4,14 +4,34 @@
 import random
 
 import attrs
-
-from cicadapond.gateway._follow import CURRENT_FOR, FollowTask, TableFollower
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.gateway._follow import (
+    FEED_DELAY,
+    LONGEST_FEED_WAIT,
+    FollowTask,
+    TableFollower,
+    feed_wait,
+)
 from cicadapond.gateway._time import ServiceTime
+from cicadapond.gateway.data import (
+    CallerRequest,
+    ClientAccount,
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    WeightedService,
+)
 from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost, RawRow
 from cicadapond.routes import Directory
 
 ANSWER_DELAY = seconds(0.02)
+REVOCATION = seconds(5)
+CURRENT_FOR = LONGEST_FEED_WAIT + FEED_DELAY
 
 
 class Log:
@@ -74,9 +94,9 @@
     async def main():
         clock = VirtualClock()
         feed, log = Feed(clock), Log()
-        directory = Directory(clock, seconds(5), CURRENT_FOR)
+        directory = Directory(clock, REVOCATION, CURRENT_FOR)
         follower = Follower(directory)
-        task = FollowTask("t", feed, follower, clock, log, Metrics())
+        task = FollowTask("t", feed, follower, feed_wait(REVOCATION), clock, log, Metrics())
         running = asyncio.ensure_future(task.run())
         await script(clock, feed, follower, log)
         running.cancel()
@@ -147,3 +167,116 @@
     assert time.answered_at(seconds(0.01), seconds(9), seconds(9.02)) == seconds(9)
     assert time.answered_at(seconds(2.01), seconds(10), seconds(11.02)) == seconds(11)
     assert time.answered_at(seconds(900), seconds(20), seconds(20.02)) == seconds(20)
+
+
+@pytest.mark.parametrize("revocation_s", [1.5, 2, 5, 8])
+def test_a_feed_that_works_allows_keys_all_the_time_whatever_the_bound(revocation_s):
+    async def main():
+        clock = VirtualClock()
+        wait = feed_wait(seconds(revocation_s))
+        directory = Directory(clock, seconds(revocation_s), wait + FEED_DELAY)
+        follower = Follower(directory)
+        directory.apply(configuration(1, "k"))
+        task = FollowTask("t", Feed(clock), follower, wait, clock, Log(), Metrics())
+        running = asyncio.ensure_future(task.run())
+        await clock.sleep(seconds(0.1))
+        for _ in range(200):
+            await clock.sleep(seconds(0.05))
+            assert directory.may_use_keys()
+        running.cancel()
+
+    run_virtual(main())
+
+
+def configuration(version, *keys):
+    services = (WeightedService("s", 1.0),)
+    route = Route("r", "h", "/", RouteKind.IDEMPOTENT, services, seconds(1), seconds(0.1))
+    limits = RequestLimits(8192, 65536, seconds(1), seconds(10))
+    accounts = (ClientAccount("acme", frozenset(keys)),)
+    return Configuration(version, (route,), {}, limits, accounts)
+
+
+class FaultyFeed(Feed):
+    """A feed whose answers come late, get lost or never come, and whose history gets lost."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.faults = []
+
+    async def _deliver(self, answer):
+        fault, wait = self.faults.pop(0) if self.faults else ("none", 0.0)
+        await self.clock.sleep(seconds(wait))
+        if fault in ("lost", "refused"):
+            return Unavailable(fault)
+        return HistoryLost() if fault == "forgotten" else answer
+
+    async def snapshot(self, table):
+        return await self._deliver(await super().snapshot(table))
+
+    async def changes(self, table, since, wait):
+        return await self._deliver(await super().changes(table, since, wait))
+
+
+class Configurations(Follower):
+    def changed(self, changes, is_whole, was_away):
+        keys = ("k",) if changes.version == 1 else ()
+        self.directory.apply(configuration(changes.version, *keys))
+
+
+FAULTS = ("late", "lost", "refused", "forgotten")
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((*FAULTS, "down", "up", "suspended")),
+            st.floats(0.01, 6),
+        ),
+        max_size=16,
+    ),
+    st.floats(0, 20),
+    st.sampled_from((1.5, 3.0, 5.0)),
+)
+def test_no_request_leaves_by_a_key_after_the_bound_on_its_use(events, revoked_s, bound_s):
+    async def main():
+        clock = VirtualClock()
+        feed = FaultyFeed(clock)
+        wait = feed_wait(seconds(bound_s))
+        directory = Directory(clock, seconds(bound_s), wait + FEED_DELAY)
+        req = CallerRequest("1", "GET", b"/", "h", "/", (), key="k")
+        suspended = asyncio.Event()
+        suspended.set()
+        sent = []
+
+        async def caller():
+            while True:
+                await clock.sleep(seconds(0.05))
+                await suspended.wait()
+                if directory.still_allowed(req):
+                    sent.append(clock.monotonic())
+
+        async def revoke():
+            await clock.sleep(seconds(revoked_s))
+            feed.version = 2
+
+        task = FollowTask("t", feed, Configurations(directory), wait, clock, Log(), Metrics())
+        running = [asyncio.ensure_future(part) for part in (task.run(), caller(), revoke())]
+        for event, wait_s in events:
+            if event in FAULTS:
+                feed.faults.append((event, wait_s))
+            elif event == "suspended":
+                suspended.clear()
+            else:
+                feed.is_down = event == "down"
+            await clock.sleep(seconds(wait_s))
+            suspended.set()
+        feed.is_down = False
+        feed.faults.clear()
+        await clock.sleep(seconds(30))
+        assert not sent or sent[-1] <= seconds(revoked_s + bound_s)
+        assert directory.version == 2
+        for part in running:
+            part.cancel()
+
+    run_virtual(main())
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -58,6 +58,7 @@
 
 
 async def _serve(cfg, path):
+    stop, reload = _signals()
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
     log.write("started", zone=cfg.zone, pid=os.getpid())
@@ -72,18 +73,23 @@
             [("/metrics", _Metrics, {"metrics": metrics})], log_function=lambda handler: None
         )
         _listen(exposition, cfg.metrics)
-    await _until_stopped(node, path)
+    await _until_stopped(node, path, stop, reload)
     await node.stop()
     log.flush()
 
 
-async def _until_stopped(node, path):
-    """Waits for SIGTERM or SIGINT; takes the settings anew at SIGHUP and when the file changes."""
+def _signals():
+    """Returns events that SIGTERM or SIGINT, and SIGHUP, set from now on."""
     loop = asyncio.get_running_loop()
     stop, reload = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    return stop, reload
+
+
+async def _until_stopped(node, path, stop, reload):
+    """Waits for the end; takes the settings anew when told to and when the file changes."""
     changed_at = _changed_at(path)
     while not stop.is_set():
         try:
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -185,6 +185,20 @@
     run(check, tmp_path)
 
 
+def test_a_stream_is_not_given_up_before_its_caller_would(tmp_path):
+    async def check(found):
+        for name in ("e-0", "e-1"):
+            found.engine(name).pause_s = 1.9  # under 0.85 of the 2.4 s that eight pauses make
+            found.engine(name).events = 2
+        caller = found.caller()
+        await caller.stream("s-1", x_cicadapond_deadline_ms="15000")
+        answer = await caller.answer()
+        assert answer.is_whole and answer.event_ids() == [1, 2]
+        assert found.ran() == ["s-1"]
+
+    run(check, tmp_path, FleetSettings(pause_ms=300))
+
+
 def test_a_callers_leaving_stops_its_engine(tmp_path):
     async def check(found):
         for name in ("e-0", "e-1"):
--- /dev/null
+++ b/cicadapond/gateway/sharing_test.py
@@ -0,0 +1,261 @@
+"""Shared copies: complete whatever is missed, current, and made with few calls to the store."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.gateway._follow import FEED_DELAY, LISTEN_FOR, FollowTask, feed_wait
+from cicadapond.gateway._sharing import (
+    MAX_TOLD_BYTES,
+    TOLD_FOR,
+    CopyCircle,
+    CopyInbox,
+    CopyWriter,
+    SharedCopy,
+    read_copy,
+)
+from cicadapond.gateway._time import BOUND_TERM, ServiceTime
+from cicadapond.gateway.data import CallerRequest
+from cicadapond.gateway.follow_test import (
+    Configurations,
+    FaultyFeed,
+    Feed,
+    Follower,
+    Log,
+)
+from cicadapond.kernel import ManualClock, Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.provider import Changes, RawRow
+from cicadapond.routes import Directory
+
+BOUND = seconds(5)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(0, 3000)), max_size=5),
+            st.floats(0, 2),
+            st.booleans(),
+        ),
+        max_size=20,
+    )
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_whoever_is_above_the_floor_has_the_whole_table_after_a_copy(steps):
+    clock = ManualClock()
+    writer = CopyWriter(clock)
+    table, version, mine, my_version = {}, 1, {}, 1
+    writer.take(Changes((), version, seconds(1)), is_whole=True)
+    for changed, wait_s, is_heard in steps:
+        clock.advance(seconds(wait_s))
+        rows = []
+        for key, size in dict(changed).items():
+            version += 1
+            value = None if size == 0 else bytes(size)
+            rows.append(RawRow(key, version, value))
+            table[key] = value
+        copy = writer.take(Changes(tuple(rows), version, seconds(1)), is_whole=False)
+        assert sum(len(row.value or b"") for row in copy.rows) <= MAX_TOLD_BYTES
+        copy = read_copy(copy.as_list())
+        if is_heard:
+            if copy.floor > my_version:
+                mine = dict(table)
+            else:
+                mine |= {row.key: row.value for row in copy.rows if row.version > my_version}
+            my_version = copy.version
+            assert mine == table
+
+
+def test_changes_are_told_again_for_a_while_only():
+    clock = ManualClock()
+    writer = CopyWriter(clock)
+    writer.take(Changes((), 5, seconds(1)), is_whole=True)
+    first = writer.take(Changes((RawRow("k", 7, b"x"),), 7, seconds(2)), is_whole=False)
+    clock.advance(TOLD_FOR + seconds(0.1))
+    later = writer.take(Changes((), 9, seconds(5)), is_whole=False)
+    assert (first.floor, len(first.rows)) == (5, 1)
+    assert (later.floor, later.version, later.rows) == (7, 9, ())
+
+
+@pytest.mark.parametrize("value", [None, [], [1, 2], [1, 2, 3, [["k"]]], ["a", 1, 1, []]])
+def test_what_is_no_copy_is_not_read(value):
+    assert read_copy(value) is None
+
+
+def test_a_reading_is_placed_only_by_recent_answers():
+    times = ServiceTime()
+    assert times.told_at(seconds(100), seconds(1)) is None
+    times.answered_at(seconds(100), seconds(1), seconds(1.2))
+    assert times.told_at(seconds(104), seconds(6)) == seconds(5)
+    assert times.told_at(seconds(120), seconds(6)) is None  # from the future: another clock
+    late = seconds(1) + 2 * BOUND_TERM + seconds(1)
+    assert times.told_at(seconds(120), late) is None
+
+
+def test_a_bound_on_the_clocks_difference_is_forgotten():
+    times = ServiceTime()
+    times.answered_at(seconds(100), seconds(1), seconds(1.1))  # 99 s ahead
+    drifted = seconds(101) + 2 * BOUND_TERM  # 99.5 s ahead by then
+    for minute in range(11):
+        now = seconds(1 + 60 * minute)
+        times.answered_at(now + seconds(99.5), now, now)
+    assert times.answered_at(drifted + seconds(99.5), drifted, drifted) == drifted
+
+
+@attrs.define
+class Circle(CopyCircle):
+    """One process's place among others that tell each other through lists."""
+
+    name: int
+    readers: list
+    others: list = attrs.field(factory=list)
+    inbox: CopyInbox = attrs.field(factory=CopyInbox)
+    is_cut: bool = False
+
+    def reads(self, table):
+        return self.name in self.readers
+
+    def has_listeners(self, table):
+        return len(self.readers) <= len(self.others)
+
+    def tell(self, table, copy: SharedCopy):
+        for other in self.others:
+            if not (self.is_cut or other.is_cut):
+                other.inbox.put(read_copy(copy.as_list()))
+
+    async def hear(self, table, limit):
+        return await self.inbox.take(limit)
+
+
+class Fleet:
+    """Processes that follow one table; the first `readers` read it for all."""
+
+    def __init__(self, clock, feeds, readers, follower=Follower):
+        self.clock = clock
+        self.feeds = feeds
+        self.readers = list(range(readers))
+        self.circles = [Circle(number, self.readers) for number in range(len(feeds))]
+        wait = feed_wait(BOUND)
+        self.directories = [Directory(clock, BOUND, wait + FEED_DELAY) for _ in feeds]
+        self.followers = [follower(directory) for directory in self.directories]
+        self.running = []
+        for circle, feed, taker in zip(self.circles, feeds, self.followers, strict=True):
+            circle.others = [other for other in self.circles if other is not circle]
+            task = FollowTask("t", feed, taker, wait, clock, Log(), Metrics(), circle)
+            self.running.append(asyncio.ensure_future(task.run()))
+
+    def calls(self):
+        return [feed.calls for feed in self.feeds]
+
+    def stop(self):
+        for part in self.running:
+            part.cancel()
+
+
+def test_only_readers_call_the_store_and_all_hear_a_change_at_once():
+    async def main():
+        clock = VirtualClock()
+        feeds = [Feed(clock) for _ in range(8)]
+        fleet = Fleet(clock, feeds, readers=2)
+        await clock.sleep(seconds(2))
+        before = fleet.calls()
+        for version in range(2, 12):
+            for feed in feeds:
+                feed.version = version
+            await clock.sleep(seconds(0.1))
+            assert all(taker.taken[-1][0] == version for taker in fleet.followers)
+            await clock.sleep(seconds(1.9))
+            assert all(directory.age() < LISTEN_FOR for directory in fleet.directories)
+        made = [after - then for after, then in zip(fleet.calls(), before, strict=True)]
+        assert made[2:] == [0] * 6
+        assert max(made) < 40
+        fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("how", ["stopped", "cut"])
+def test_without_readers_each_asks_the_store_itself(how):
+    async def main():
+        clock = VirtualClock()
+        feeds = [Feed(clock) for _ in range(5)]
+        fleet = Fleet(clock, feeds, readers=2)
+        await clock.sleep(seconds(3))
+        for number in (0, 1):
+            if how == "cut":
+                fleet.circles[number].is_cut = True
+            else:
+                fleet.running[number].cancel()
+        for feed in feeds:
+            feed.version = 2
+        await clock.sleep(LISTEN_FOR + seconds(0.2))
+        assert all(taker.taken[-1][0] == 2 for taker in fleet.followers[2:])
+        for _ in range(100):
+            await clock.sleep(seconds(0.1))
+            assert all(d.age() < LISTEN_FOR + feed_wait(BOUND) for d in fleet.directories[2:])
+        fleet.stop()
+
+    run_virtual(main())
+
+
+FAULTS = ("late", "lost", "refused", "forgotten")
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((*FAULTS, "down", "up", "cut", "join", "reader")),
+            st.integers(0, 3),
+            st.floats(0.01, 4),
+        ),
+        max_size=18,
+    ),
+    st.floats(0, 20),
+)
+def test_no_request_leaves_by_a_key_after_the_bound_whoever_told_the_copy(events, revoked_s):
+    async def main():
+        clock = VirtualClock()
+        feeds = [FaultyFeed(clock) for _ in range(4)]
+        fleet = Fleet(clock, feeds, readers=2, follower=Configurations)
+        req = CallerRequest("1", "GET", b"/", "h", "/", (), key="k")
+        sent = []
+
+        async def callers():
+            while True:
+                await clock.sleep(seconds(0.05))
+                if any(directory.still_allowed(req) for directory in fleet.directories):
+                    sent.append(clock.monotonic())
+
+        async def revoke():
+            await clock.sleep(seconds(revoked_s))
+            for feed in feeds:
+                feed.version = 2
+
+        others = [asyncio.ensure_future(part) for part in (callers(), revoke())]
+        for event, number, wait_s in events:
+            if event in FAULTS:
+                feeds[number].faults.append((event, wait_s))
+            elif event == "reader":
+                fleet.readers[:] = [number, random.Random(wait_s).randrange(4)]
+            elif event in ("down", "up"):
+                feeds[number].is_down = event == "down"
+            else:
+                fleet.circles[number].is_cut = event == "cut"
+            await clock.sleep(seconds(wait_s))
+        for feed, circle in zip(feeds, fleet.circles, strict=True):
+            feed.is_down = False
+            feed.faults.clear()
+            circle.is_cut = False
+        await clock.sleep(seconds(30))
+        assert not sent or sent[-1] <= seconds(revoked_s) + BOUND
+        assert all(directory.version == 2 for directory in fleet.directories)
+        fleet.stop()
+        for part in others:
+            part.cancel()
+
+    run_virtual(main())
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -37,6 +37,7 @@
       usage: How many requests of each client account began to run here, by window number.
       demand: How many servers of each service this process's requests keep busy.
       readings: Running totals of prompt reading sent, in milliseconds by engine.
+      copies: What this process reads from the table service for its data centre, by table.
     """
 
     revision: int = 0
@@ -50,6 +51,7 @@
     usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
     demand: typing.Mapping[str, float] = attrs.field(factory=dict)
     readings: typing.Mapping[str, int] = attrs.field(factory=dict)
+    copies: typing.Mapping[str, list] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -31,36 +31,50 @@
     USAGE = 9
     DEMAND = 10
     READINGS = 11
+    COPIES = 12
 
 
 # News of these sections takes any path there is; other news comes from the member's own relays.
 FLOODED = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
 # News of these sections leaves at once; other news waits for its interval.
-URGENT = FLOODED | {Section.REVISION, Section.SPENT, Section.READINGS}
+URGENT = FLOODED | {Section.REVISION, Section.SPENT, Section.READINGS, Section.COPIES}
 MIN_COUNT_CHANGE = 2
 COUNT_CHANGE_SHARE = 0.25
 MAX_LOAD_AGE = datetime.timedelta(seconds=5)
 TOMBSTONE_LIMIT = 64
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_NOTHING: dict = {}
 
 
 @attrs.define
 class Document:
-    """Items of one document: (section, key) to (version, value); a value of None is a deletion."""
+    """Items of one document: (section, key) to (version, value); a value of None is a deletion.
+
+    `values` has what is not deleted by section and key, as it is read far more often than it
+    changes.
+    """
 
     version: int = 0
     floor: int = 0
     items: dict = attrs.field(factory=dict)
+    values: dict[int, dict] = attrs.field(factory=dict)
     tombstones: int = 0
 
     def put(self, section: int, key: str, value) -> None:
         """Sets an item of the own document, or deletes it with a value of None."""
         self.version += 1
-        self.items[section, key] = (self.version, value)
+        self._set(section, key, self.version, value)
         self.tombstones += value is None
         if self.tombstones > TOMBSTONE_LIMIT:
             self._collect()
 
+    def _set(self, section, key, version, value):
+        self.items[section, key] = (version, value)
+        if value is not None:
+            self.values.setdefault(section, {})[key] = value
+        elif section in self.values:
+            self.values[section].pop(key, None)
+
     def _collect(self):
         """Drops the older half of the deletions and raises the floor above them."""
         dead = sorted((item[0], at) for at, item in self.items.items() if item[1] is None)
@@ -90,12 +104,13 @@
         """
         if self.version < floor and self.floor < floor:
             self.items.clear()
+            self.values.clear()
             self.version = 0
         changed = []
         for section, key, version, value in items:
             known = self.items.get((section, key))
             if known is None or known[0] < version:
-                self.items[section, key] = (version, value)
+                self._set(section, key, version, value)
                 changed.append((section, key))
         if base <= self.version < top:
             self.version = top
@@ -179,6 +194,7 @@
         self._replace(True, Section.USAGE, usage, changed)
         self._replace(True, Section.DEMAND, digest.demand, changed)
         self._replace(True, Section.READINGS, digest.readings, changed)
+        self._replace(False, Section.COPIES, digest.copies, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -237,11 +253,10 @@
 
 def read_digest(local: Document, wide: Document) -> Digest:
     """Returns the digest that a member's documents hold."""
-    sections = [{} for _ in Section]
-    for document in (wide, local):
-        for (section, key), (_, value) in document.items.items():
-            if value is not None and section < len(sections):
-                sections[section][key] = value
+    sections = [
+        wide.values.get(section, _NOTHING) | local.values.get(section, _NOTHING)
+        for section in Section
+    ]
     serving = sections[Section.SERVING]
     loads = sections[Section.LOADS]
     try:
@@ -260,6 +275,7 @@
             usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
             demand=sections[Section.DEMAND],
             readings=sections[Section.READINGS],
+            copies=sections[Section.COPIES],
         )
     except (TypeError, ValueError, OverflowError):
         return Digest()
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -137,19 +137,13 @@
 def _bounds(lines):
     strict = lines.flag("bounds.revoke_strict")
     return Bounds(
-        drain=lines.milliseconds("bounds.drain_ms"),
         # Named for keys that are taken away: a request may run so much later.
         revocation=lines.milliseconds("bounds.revoke_ms") if strict else None,
         grace=lines.seconds("bounds.grace_s"),
-        contact=lines.milliseconds("bounds.contact_ms", 3000.0),
-        apply=lines.milliseconds("bounds.config_apply_ms"),
         retry_ratio=lines.number("bounds.retry_ratio"),
         retry_window=lines.seconds("bounds.retry_window_s"),
         retry_slack=lines.number("bounds.retry_slack"),
-        quota_window=lines.seconds("bounds.quota_window_s", 10.0),
-        quota_overage=lines.number("bounds.quota_overage", 0.0),
         lease=lines.milliseconds("bounds.lease_ms", 3000.0),
         usage_window=lines.seconds("bounds.report_window_s", 5.0),
         usage_due=lines.seconds("bounds.usage_delay_s", 10.0),
-        prefix_reuse=lines.seconds("bounds.reuse_window_s", 10.0),
     )
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -24,6 +24,7 @@
     key: str = "demo-key"
     account: str = "demo-account"
     resumable: bool = True
+    pause_ms: int | None = None
 
 
 class Fleet:
@@ -188,6 +189,8 @@
             "max_attempts": 2,
             "stream_resume": self.cfg.resumable,
         }
+        if self.cfg.pause_ms is not None:
+            stream["target_itl_ms"] = self.cfg.pause_ms
         post = {
             "name": "post",
             "hostname": CALLERS_HOST,
--- a/cicadapond/routes/_directory.py
+++ b/cicadapond/routes/_directory.py
@@ -85,7 +85,7 @@
         age = self.age()
         return age is not None and age + SEND_MARGIN < self._revocation
 
-    def still_allowed(self, req: CallerRequest, route_name: str) -> bool:
+    def still_allowed(self, req: CallerRequest) -> bool:
         """Returns whether a request that was allowed still is, right before it is sent."""
         if self._table is None:
             return False
--- a/cicadapond/routes/routes_test.py
+++ b/cicadapond/routes/routes_test.py
@@ -114,7 +114,7 @@
     clock.advance(seconds(age_s))
     allowed = age_s < 4.75
     assert isinstance(found.find(request()), Admitted if allowed else NotReady)
-    assert found.still_allowed(request(), "/a/") is allowed
+    assert found.still_allowed(request()) is allowed
 
 
 def test_the_age_counts_from_the_latest_proof():
@@ -129,4 +129,4 @@
 def test_a_request_whose_key_was_taken_away_meanwhile_is_not_sent():
     found = directory(ManualClock())
     found.apply(configuration(2, accounts=(ClientAccount("acme", frozenset(("k2",))),)))
-    assert not found.still_allowed(request(), "/a/")
+    assert not found.still_allowed(request())
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -65,11 +65,13 @@
         self._running: asyncio.subprocess.Process | None = None
         self._awaited: asyncio.Task | None = None
         self._is_expected = False
+        self._log_begin = 0
 
     async def start(self) -> None:
         """Starts it."""
         self._is_expected = False
         with open(self._log, "ab") as log:
+            self._log_begin = log.tell()
             self._running = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -107,8 +109,15 @@
                 await asyncio.shield(self._awaited)
         except TimeoutError:
             await self.kill()
-        if self._running.returncode != 0:
-            self._history.ends.append((self.number, self._running.returncode))
+        status = self._running.returncode
+        # Before its first line a process has no handler for the signal, and nothing to finish.
+        if status != 0 and (status != -signal.SIGTERM or self._has_started()):
+            self._history.ends.append((self.number, status))
+
+    def _has_started(self):
+        with open(self._log, "rb") as log:
+            log.seek(self._log_begin)
+            return b'"started"' in log.read()
 
 
 class Soak:
