Keep what the holder has heard of usage in the store, with the renewal of its lease

Cause: counts lay in the processes only; when all die at once one or two windows are off. Change: the holder's renewal carries all counts that it knows in the same transaction, no call more; a new holder reads them once, before it writes any. Tests: what the holder had heard outlives all processes; companions go with each renewal or not.

--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -1,6 +1,7 @@
 """The duties of the lease's holder: usage reports and orders of servers."""
 
 import datetime
+import typing
 
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
@@ -13,6 +14,9 @@
 USAGE_TABLE = "usage"
 # What processes counted until their planned end, as those that start later have not heard them.
 LEFT_USAGE_TABLE = "left_usage"
+# What the holder has heard of all processes, as all of them may end at once.
+HEARD_USAGE = ("heard_usage", "all")
+HEARD_WINDOWS = 3
 # A window's counts of other processes arrive within two seconds; the rest is for their clocks.
 LONGEST_SETTLE = datetime.timedelta(seconds=4)
 # The part of the time until a report is due that its counts may take to settle.
@@ -32,6 +36,8 @@
       ledger: Takes the counts that ended processes left, and has those of the others.
       clock: Gives true time.
       log: Takes a line for each report.
+      own: Returns this process's name and what tells this start of it from others, None before
+        the others know it.
       settle: How long after its end a window's counts are fixed.
     """
 
@@ -43,6 +49,7 @@
         ledger: UsageLedger,
         clock: Clock,
         log: EventLog,
+        own: typing.Callable[[], tuple[str, int] | None] = lambda: None,
         settle: datetime.timedelta = LONGEST_SETTLE,
     ):
         self._settle = settle
@@ -52,7 +59,9 @@
         self._ledger = ledger
         self._clock = clock
         self._log = log
+        self._own = own
         self._next: int | None = None
+        self._has_taken = False
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports the next window if it is due."""
@@ -82,9 +91,30 @@
     def restart(self) -> None:
         """Forgets how far reports have come, for the next time that the lease is held."""
         self._next = None
+        self._has_taken = False
+
+    def heard(self) -> tuple[Write, ...]:
+        """Returns what to write with each renewal of the lease: all counts that are known here."""
+        place = self._own()
+        if place is None or not self._has_taken:
+            return ()
+        newest = self._usage.number(self._clock.now())
+        own = (*place, self._usage.counts())
+        return (Write(*HEARD_USAGE, self._ledger.pack(own, newest, HEARD_WINDOWS)),)
+
+    async def _take_heard(self):
+        """Takes what the holder before had heard; returns whether the store answered."""
+        match await self._tables.read((HEARD_USAGE,)):
+            case Ok(value=rows):
+                if rows[HEARD_USAGE].value is not None:
+                    self._ledger.unpack(rows[HEARD_USAGE].value, self._own())
+                self._has_taken = True
+        return self._has_taken
 
     async def _take_left(self):
         """Takes the counts that processes left at their end; returns whether the store answered."""
+        if not self._has_taken and not await self._take_heard():
+            return False
         found = await self._tables.scan(LEFT_USAGE_TABLE)
         if not isinstance(found, Ok):
             return False
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -117,7 +117,9 @@
             metrics,
             rng,
             candidate=lambda: self._cluster.is_first_for(LEASE_NAME),
+            companions=self._writes_of_holder,
         )
+        self._reporter: UsageReporter | None = None
         self._lease_held = False
         self._lease_running: asyncio.Task | None = None
         self._planner = CapacityPlanner(clock)
@@ -266,14 +268,23 @@
                 self._cluster.usage,
                 self._clock,
                 self._log,
+                self._own_start,
                 settle_time(cfg.bounds.usage_due),
             )
+            self._reporter = reporter
         if cfg.duties.orders_servers:
             orderer = ServerOrderer(
                 cloud, self._orders, self._planner.restart, self._is_missing, self._clock, self._log
             )
         return DutyTask(self._lease, cfg.name, reporter, orderer, self._clock)
 
+    def _own_start(self):
+        start = self._cluster.start
+        return (self._cfg.name, start) if start is not None else None
+
+    def _writes_of_holder(self):
+        return self._reporter.heard() if self._reporter is not None else ()
+
     def _orders(self):
         table = self.parts.directory.table
         if table is None or not self._servers.is_known:
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -60,7 +60,7 @@
     usage: UsageWindows
     ledger: UsageLedger
 
-    def reporter(self, ledger=None, usage=None):
+    def reporter(self, ledger=None, usage=None, own=lambda: None):
         return UsageReporter(
             self.cloud,
             DirectTables(self.tables),
@@ -68,6 +68,7 @@
             ledger or self.ledger,
             self.clock,
             Log(),
+            own,
         )
 
 
@@ -138,6 +139,25 @@
     play(script)
 
 
+def test_what_the_holder_had_heard_outlives_all_processes():
+    async def script(world):
+        tables = DirectTables(world.tables)
+        window = world.usage.number(world.clock.now())
+        world.usage.count("acme", world.clock.now())
+        world.ledger.hear("b", 1, {window: {"acme": 2}})
+        holder = world.reporter(own=lambda: ("a", 1))
+        assert holder.heard() == ()  # nothing is written over what the holder before left
+        await holder.step(Lease(), "a")
+        assert isinstance(await tables.transact(holder.heard()), Ok)
+        successor = world.reporter(UsageLedger(), UsageWindows(WINDOW), lambda: ("a", 2))
+        await successor.step(Lease(2), "a")
+        await world.clock.sleep(seconds(10))
+        await successor.step(Lease(2), "a")
+        assert (2, window, {"acme": 3}) in world.cloud.reports
+
+    play(script)
+
+
 def test_what_a_process_counted_until_its_planned_end_is_reported():
     async def script(world):
         leaver = UsageWindows(WINDOW)
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -8,7 +8,7 @@
 
 from cicadapond.kernel import AnswerLost, Clock, Metrics, Ok, Task
 from cicadapond.lease._keeper import Grant, LeaseKeeper, LeaseSettings
-from cicadapond.provider import TableService
+from cicadapond.provider import TableService, Write
 
 
 class LeaseTask(Task):
@@ -24,6 +24,7 @@
       rng: Spreads reads in time and makes this start's identity.
       candidate: Whether this process should take the lease when it can; the others follow it
         at a slow pace and take it too, but late.
+      companions: Returns writes that go with each renewal, in the same transaction.
     """
 
     name = "lease"
@@ -38,6 +39,7 @@
         metrics: Metrics,
         rng: random.Random,
         candidate: typing.Callable[[], bool] = lambda: True,
+        companions: typing.Callable[[], tuple[Write, ...]] = lambda: (),
     ):
         self.keeper = LeaseKeeper(cfg, name, holder, f"{holder}-{rng.getrandbits(64):016x}")
         self._cfg = cfg
@@ -46,6 +48,7 @@
         self._metrics = metrics
         self._rng = rng
         self._candidate = candidate
+        self._companions = companions
         self._fencing: int | None = None
 
     def grant(self) -> Grant | None:
@@ -93,7 +96,7 @@
         return True
 
     async def _write(self, write):
-        outcome = await self._tables.transact((write,))
+        outcome = await self._tables.transact((write, *self._companions()))
         match outcome:
             case Ok(versions):
                 version = versions[write.table, write.key]
--- a/cicadapond/lease/lease_test.py
+++ b/cicadapond/lease/lease_test.py
@@ -18,7 +18,7 @@
     seconds,
 )
 from cicadapond.lease import LeaseSettings, LeaseTask
-from cicadapond.provider import Row, TableService
+from cicadapond.provider import Row, TableService, Write
 
 CFG = LeaseSettings()
 
@@ -303,3 +303,36 @@
         assert third.grant().fencing == 3
 
     run_virtual(main())
+
+
+def test_companions_go_with_each_renewal_or_not_at_all():
+    class Recording(Table):
+        def __init__(self):
+            super().__init__()
+            self.companions = []
+
+        async def transact(self, writes):
+            outcome = await super().transact(writes)
+            if isinstance(outcome, Ok):
+                self.companions.append([write.key for write in writes[1:]])
+            return outcome
+
+    async def main():
+        table = Recording()
+        task = LeaseTask(
+            CFG,
+            "yqr",
+            "c0",
+            table,
+            VirtualClock(),
+            Metrics(),
+            random.Random(0),
+            companions=lambda: (Write("t", "k", 1),),
+        )
+        for _ in range(3):
+            await task.step()
+        table.row = Row("leases", "yqr", 99, {**table.row.value, "instance": "another"})
+        await task.step()
+        assert table.companions == [["k"]] * 3
+
+    run_virtual(main())
--- a/cicadapond/usage/_windows.py
+++ b/cicadapond/usage/_windows.py
@@ -59,6 +59,45 @@
         while len(self._counts) > 2 * KEPT_WINDOWS:
             del self._counts[min(self._counts)]
 
+    def pack(self, own: tuple[str, int, typing.Mapping], newest: int, windows: int) -> list:
+        """Returns the counts of the newest windows of every start, for another ledger to take.
+
+        Args:
+          own: This process, its start and its counts by window.
+          newest: The newest window.
+          windows: How many windows to pack.
+        """
+        process, start, counts = own
+        found = {(process, start): dict(counts)}
+        for number, starts in self._counts.items():
+            for place, counts in starts.items():
+                found.setdefault(place, {}).setdefault(number, counts)
+        numbers = range(newest - windows + 1, newest + 1)
+        accounts = sorted({a for each in found.values() for n in numbers for a in each.get(n, ())})
+        rows = []
+        for (process, start), counts in sorted(found.items()):
+            kept = {n: [counts[n].get(a, 0) for a in accounts] for n in numbers if n in counts}
+            if kept:
+                rows.append([process, start, kept])
+        return [accounts, rows]
+
+    def unpack(self, packed: list, own: tuple[str, int]) -> None:
+        """Takes what another ledger packed, if more than what is known.
+
+        Args:
+          packed: What it packed.
+          own: This process and its start, whose counts are not kept here.
+        """
+        accounts, rows = packed
+        for process, start, windows in rows:
+            if (process, start) == own:
+                continue
+            for number, row in windows.items():
+                counts = {a: count for a, count in zip(accounts, row, strict=True) if count}
+                known = self._counts.setdefault(number, {})
+                if sum(known.get((process, start), {}).values()) < sum(row):
+                    known[process, start] = counts
+
     def add_up(
         self, number: int, own: typing.Mapping[int, typing.Mapping[str, int]]
     ) -> dict[str, int]:
--- a/cicadapond/usage/windows_test.py
+++ b/cicadapond/usage/windows_test.py
@@ -36,3 +36,18 @@
     ledger.hear("p2", 100, {7: {"acme": 1, "other": 0}})
     assert ledger.add_up(7, {7: {"acme": 10}}) == {"acme": 19}
     assert ledger.add_up(8, {}) == {}
+
+
+def test_what_one_ledger_packs_another_takes_but_for_its_own_start():
+    holder, successor = UsageLedger(), UsageLedger()
+    holder.hear("p2", 100, {6: {"acme": 1}, 7: {"acme": 3, "other": 2}, 3: {"acme": 9}})
+    successor.hear("p2", 100, {7: {"acme": 4, "other": 2}})
+    packed = holder.pack(("p1", 50, {7: {"acme": 5}, 8: {"new": 1}}), newest=8, windows=3)
+    successor.unpack(packed, ("p3", 1))
+    assert successor.add_up(6, {}) == {"acme": 1}
+    assert successor.add_up(7, {}) == {"acme": 9, "other": 2}
+    assert successor.add_up(8, {}) == {"new": 1}
+    assert successor.add_up(3, {}) == {}
+    again = UsageLedger()
+    again.unpack(packed, ("p1", 50))
+    assert again.add_up(7, {7: {"acme": 5}}) == {"acme": 8, "other": 2}
