--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -27,7 +27,6 @@
 AFTERMATH_S = 2.0
 SERVING_ON_S = 3.0  # a leaving server serves a little longer than it must
 QUIET_S = RECOVERY_S + 3.0
-PORTS_PER_PROCESS = 4
 # Requests take long enough that a fault finds some in progress.
 WORK_S, PAUSE_S = 0.03, 0.05
 FAULTS_AT_ONCE = 4  # for each server
@@ -94,10 +93,11 @@
             self._running.send_signal(number)
 
     async def kill(self) -> None:
-        """Kills it and waits until it is gone."""
+        """Kills it, if it runs, and waits until it is gone."""
         self._is_expected = True
-        self.send(signal.SIGKILL)
-        await self._awaited
+        if self._running is not None:
+            self.send(signal.SIGKILL)
+            await self._awaited
 
     async def stop(self) -> None:
         """Stops it as planned; an end by a signal or an error is not expected."""
@@ -145,8 +145,8 @@
 
     async def run(self) -> None:
         """Plays the plan and a quiet time after it, and fills the history."""
-        await self._start()
         try:
+            await self._start()
             loop = asyncio.get_running_loop()
             begun = loop.time()
             injected = []
