--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -30,7 +30,7 @@
 READERS = 2
 PEER_BEAT = datetime.timedelta(milliseconds=400)
 # The time between two digests, and the least time however much there is to tell.  Both grow with
-# the number of processes, so that what each one hears takes at most about 5% of a core.
+# the number of processes, so that each one hears at most about 80 ordinary ones a second.
 DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
 LEAST_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
 DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -33,7 +33,7 @@
 # Ordinary news to the data centre waits until what was sent last has taken its share of a second.
 NEWS_BYTES_PER_SECOND = 2500
 ITEM_BYTES = 22
-# 600 servers told to 15 neighbours keep to 19 KB/s, sent and received (docs/CAPACITY.md).
+# Counts that are older than this are of no use for placing.
 LONGEST_NEWS_INTERVAL = datetime.timedelta(seconds=25)
 REMEMBERED_BEATS = 8
 _ZERO = datetime.timedelta()
