--- a/cicadapond/platform/standin/_store.py
+++ b/cicadapond/platform/standin/_store.py
@@ -93,7 +93,8 @@
                 while not (found := self._since(table, since)):
                     await self._changed.wait()
         except TimeoutError:
-            return []
+            # A change may have come at the same instant; the answer bears its version.
+            return self._since(table, since)
         return found
 
     def now_ms(self) -> int:
--- /dev/null
+++ b/cicadapond/platform/standin/store_test.py
@@ -0,0 +1,28 @@
+"""The stand-in of the store: an answer's version never covers a change that it does not tell."""
+
+import asyncio
+
+from cicadapond.kernel import VirtualClock, run_virtual, seconds
+from cicadapond.platform.standin import StoreModel
+
+
+def test_a_change_at_the_end_of_a_wait_is_told_by_the_answer():
+    async def main():
+        clock = VirtualClock()
+        store = StoreModel(clock)
+        asyncio.get_running_loop().call_later(0.01, store.put, "op", "config", {"version": 5})
+        found = await store.changes("op", 0, 10)
+        assert [row.version for row in found] == [store.version]
+
+    run_virtual(main())
+
+
+def test_a_wait_without_a_change_ends_without_rows():
+    async def main():
+        clock = VirtualClock()
+        store = StoreModel(clock)
+        begun = clock.monotonic()
+        assert await store.changes("op", 0, 50) == []
+        assert clock.monotonic() - begun == seconds(0.05)
+
+    run_virtual(main())
