Make every recent holder of a released lease wait for a term

Cause: a lease row named only the holder before the last one, and only that one waited. Change: the row lists all holders since the last that kept the lease for a term; each of them waits. A row without the list makes everybody wait. Where the platform does not check fencing numbers, a new holder also waits for the longest order, and a process that stops ends its calls before it releases the lease. Ruled out: a longer wait than a term, since a call in transit is now awaited before the release.

--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -1,5 +1,6 @@
 """Tasks that only the lease holder performs: usage reports and server orders."""
 
+import asyncio
 import datetime
 import typing
 
@@ -203,12 +204,23 @@
       reporter: Reports usage, None if usage is not reported.
       orderer: Orders servers, None if servers are not ordered.
       clock: The clock.
+      checks_fencing: Whether the platform refuses calls with an old fencing number.
     """
 
     name = "duties"
 
-    def __init__(self, lease: LeaseTask, holder: str, reporter, orderer, clock: Clock):
+    def __init__(
+        self,
+        lease: LeaseTask,
+        holder: str,
+        reporter,
+        orderer,
+        clock: Clock,
+        checks_fencing: bool = True,
+    ):
         self._lease = lease
+        self._checks_fencing = checks_fencing
+        self._step_in_progress = asyncio.Lock()
         self._holder = holder
         self._reporter = reporter
         self._orderer = orderer
@@ -216,14 +228,21 @@
 
     async def run(self):
         while True:
-            if self._lease.grant() is None:
+            grant = self._lease.grant()
+            if grant is None:
                 for part in (self._reporter, self._orderer):
                     if part is not None:
                         part.restart()
-            else:
-                await self._step()
+            elif grant.may_order(self._clock.monotonic(), self._checks_fencing):
+                async with self._step_in_progress:
+                    await self._step()
             await self._clock.sleep(STEP_INTERVAL)
 
+    async def wait_for_calls(self) -> None:
+        """Waits until no call is in transit, after the lease has stopped granting."""
+        async with self._step_in_progress:
+            return
+
     async def _step(self):
         if self._orderer is not None:
             await self._orderer.step(self._lease, self._holder)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -123,6 +123,7 @@
         self._reporter: UsageReporter | None = None
         self._lease_held = False
         self._lease_runner: asyncio.Task | None = None
+        self._duties: DutyTask | None = None
         self._planner = CapacityPlanner(clock)
 
     def _make_parts(self):
@@ -166,7 +167,8 @@
         self._tasks.spawn(self._housekeep(), "housekeeping")
         if self._adapters.cloud is not None:
             self._lease_runner = self._tasks.start(self._lease)
-            self._tasks.start(self._duty_task())
+            self._duties = self._duty_task()
+            self._tasks.start(self._duties)
 
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
@@ -185,6 +187,8 @@
         self._log.write("stopping", busy=self._frontend.busy)
         if self._lease_runner is not None:
             self._lease_runner.cancel()
+            self._lease.stop_acting()
+            await self._duties.wait_for_calls()
             await self._lease.release()
         limit = self._cfg.bounds.grace * GRACE_SHARE
         while (waited := self._clock.monotonic() - begun) < limit:
@@ -281,7 +285,9 @@
             orderer = ServerOrderer(
                 cloud, self._orders, self._planner.reset, self._is_missing, self._clock, self._log
             )
-        return DutyTask(self._lease, cfg.name, reporter, orderer, self._clock)
+        return DutyTask(
+            self._lease, cfg.name, reporter, orderer, self._clock, cfg.duties.checks_fencing
+        )
 
     def _identity(self):
         start = self._cluster.start
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -292,11 +292,15 @@
 
 @attrs.frozen
 class Duties:
-    """The platform calls that the lease holder makes, and their maximum rate."""
+    """The platform calls that the lease holder makes, and their maximum rate.
+
+    `checks_fencing` says whether the platform refuses calls with an old fencing number.
+    """
 
     reports_usage: bool
     orders_servers: bool
     calls_per_second: float
+    checks_fencing: bool = True
 
 
 @attrs.frozen
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -1,13 +1,28 @@
 """Tests of the duties: consistent usage reports across lease holders, and server orders."""
 
+import asyncio
 import random
 
 import attrs
 import pytest
 
 from cicadapond.gateway import Cloud, Declined, ServerOrder
-from cicadapond.gateway._duties import ServerOrderer, UsageReporter, store_final_usage
-from cicadapond.kernel import AnswerLost, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.gateway._duties import (
+    DutyTask,
+    ServerOrderer,
+    UsageReporter,
+    store_final_usage,
+)
+from cicadapond.kernel import (
+    AnswerLost,
+    Metrics,
+    Ok,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
+from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.standin import DirectTables, TableModel
 from cicadapond.usage import UsageLedger, UsageWindows
 
@@ -229,3 +244,70 @@
         assert world.cloud.orders == []
 
     play(script)
+
+
+class SlowOrderer:
+    """Makes one call per step, which takes a while."""
+
+    def __init__(self, clock, lasts):
+        self.clock = clock
+        self.lasts = lasts
+        self.begun = []
+        self.ended = []
+
+    def restart(self):
+        return None
+
+    async def step(self, lease, name):
+        self.begun.append(self.clock.monotonic())
+        await self.clock.sleep(self.lasts)
+        self.ended.append(self.clock.monotonic())
+
+
+def lease_task(world, name, tables=None):
+    cfg = LeaseSettings(term=seconds(3), margin=seconds(0.9), order_limit=seconds(0.8))
+    tables = tables or DirectTables(world.tables)
+    return LeaseTask(cfg, "duties", name, tables, world.clock, Metrics(), random.Random(name))
+
+
+def test_a_call_in_transit_is_awaited_before_the_lease_is_released():
+    """A late call would reach a platform that checks no fencing after the next holder's calls."""
+
+    async def script(world):
+        lease = lease_task(world, "a")
+        await lease.step()
+        slow = SlowOrderer(world.clock, seconds(0.6))
+        duties = DutyTask(lease, "a", None, slow, world.clock, checks_fencing=False)
+        running = asyncio.ensure_future(duties.run())
+        await world.clock.sleep(seconds(0.1))
+        assert slow.begun
+        assert not slow.ended
+        lease.stop_acting()
+        await duties.wait_for_calls()
+        assert len(slow.ended) == 1
+        await lease.release()
+        await world.clock.sleep(seconds(2))
+        assert len(slow.begun) == 1
+        running.cancel()
+
+    play(script)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_a_new_holder_waits_for_calls_in_transit_where_fencing_is_not_checked(checks_fencing):
+    async def script(world):
+        former, lease = lease_task(world, "a"), lease_task(world, "b")
+        await former.step()
+        await lease.step()
+        await world.clock.sleep(seconds(3.1))
+        await lease.step()
+        taken = world.clock.monotonic()
+        slow = SlowOrderer(world.clock, seconds(0.01))
+        duties = DutyTask(lease, "b", None, slow, world.clock, checks_fencing)
+        running = asyncio.ensure_future(duties.run())
+        await world.clock.sleep(seconds(1.5))
+        waited = slow.begun[0] - taken
+        assert waited < seconds(0.1) if checks_fencing else waited > seconds(0.7)
+        running.cancel()
+
+    play(script)
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -90,6 +90,7 @@
         self._sent_at: dict[str, datetime.timedelta] = {}
         self._held_until: datetime.timedelta | None = None
         self._held_fencing: int | None = None
+        self._held_since = datetime.timedelta()
         self._unfenced_from = datetime.timedelta()
 
     @property
@@ -137,13 +138,14 @@
             return self._write(value["fencing"], now, value["waited_ms"])
         if value is None:
             return self._write(1, now, 0)
-        # A released lease can be taken at once, except by the holder before the last one, which
-        # waits for a full term: its new orders could interleave with its old ones and with the last
-        # holder's that are still in transit.
-        if value.get("released") and self._holder != value.get("predecessor"):
-            return self._write(value["fencing"] + 1, now, 0)
+        waited = now - self._version_seen_at
         term = value["term_ms"] * _MILLISECOND
-        if now - self._version_seen_at <= term:
+        # A released lease can be taken at once, except by a recent holder, which waits until its
+        # own earlier orders are a full term old: otherwise its old and new orders would enclose
+        # those of the holders in between.
+        if value.get("released") and not self._held_recently(value):
+            return self._write(value["fencing"] + 1, now, 0)
+        if waited <= term:
             return None
         return self._write(value["fencing"] + 1, now, self.cfg.order_limit // _MILLISECOND)
 
@@ -151,9 +153,13 @@
         """Updates the state after a write from `next_write` has taken effect."""
         self.observe(Row(write.table, write.key, version, write.value), now)
 
+    def stop_acting(self) -> None:
+        """Ends the current grant; the lease itself stays held until it is released."""
+        self._held_until = None
+
     def release(self) -> Write | None:
         """Returns the write that releases the lease, None if it is not held."""
-        self._held_until = None
+        self.stop_acting()
         if not self._is_mine():
             return None
         value = {**self._value(), "released": True}
@@ -180,20 +186,34 @@
             "fencing": fencing,
             "term_ms": self.cfg.term // _MILLISECOND,
             "waited_ms": unfenced_wait_ms,
-            "predecessor": self._predecessor(fencing),
+            "recent": self._recent_holders(fencing, now),
         }
         return Write(*self.key, value, expected=self._row.version)
 
-    def _predecessor(self, fencing):
-        """Returns the holder that preceded the one with this fencing number."""
+    def _held_recently(self, value):
+        """Returns whether this process held the lease shortly before its last holder.
+
+        The holders before the last one are unknown in a row that lacks them.
+        """
+        recent = value.get("recent")
+        return recent is None or self._holder in recent
+
+    def _recent_holders(self, fencing, now):
+        """Returns the earlier holders whose last orders may be less than a term old."""
         value = self._value()
         if value is None:
-            return None
-        return value.get("predecessor") if value["fencing"] == fencing else value["holder"]
+            return []
+        if value["fencing"] != fencing:
+            recent = [*value.get("recent", ()), value["holder"]]
+            return [holder for holder in dict.fromkeys(recent) if holder != self._holder]
+        if now - self._held_since > self.cfg.term:
+            return []
+        return value.get("recent", [])
 
     def _extend(self, sent_at, value):
         if self._held_fencing != value["fencing"]:
             self._unfenced_from = sent_at + value["waited_ms"] * _MILLISECOND
             self._held_fencing = value["fencing"]
+            self._held_since = sent_at
         end = sent_at + self.cfg.term - self.cfg.margin
         self._held_until = max(self._held_until or end, end)
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -70,6 +70,10 @@
             await self._write(write)
         self._log_change()
 
+    def stop_acting(self) -> None:
+        """Ends the current grant, before orders in transit are awaited and the lease released."""
+        self.lease.stop_acting()
+
     async def release(self) -> None:
         """Releases the lease, so that another process need not wait for its end."""
         write = self.lease.release()
--- a/cicadapond/lease/lease_test.py
+++ b/cicadapond/lease/lease_test.py
@@ -217,15 +217,12 @@
 
 
 def test_no_holder_comes_back_after_a_lost_answer_and_three_stops():
-    """Known fault: a holder resumes too soon after planned stops of three holders in a row.
+    """A holder must not resume too soon after planned stops of three holders in a row.
 
     Candidate 1 is paused and first reads the row just after holder 0 was stopped and released the
-    lease.  (The lost answer to one of holder 0's writes is not needed: the fault occurs without it,
-    too.)  Holder 1 takes the lease at once and is stopped before an order of its own arrives.
-    Holder 2 takes it, so that the server refuses holder 1's late order, and is stopped too.  The
-    row then names holder 1 as the predecessor, and only the predecessor waits for a term: holder 0
-    takes the lease at once.  The server receives orders of holder 0, of holder 2 and again of
-    holder 0, whose orders resume less than a term after they ended, and sooner than ALTERNATION.
+    lease.  Holder 1 takes the lease at once and is stopped before an order of its own arrives.
+    Holder 2 takes it, so that the server refuses holder 1's late order, and is stopped too.  Holder
+    0 is then not the predecessor of the last holder, and still has to wait.
     """
     events = [
         ("pause", 1, 1.078125),
@@ -330,6 +327,43 @@
     run_virtual(main())
 
 
+def test_every_recent_holder_waits_for_a_term():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second, third = holders(table, clock, 3)
+        for task in (first, second, third):
+            await task.step()
+            await task.release()
+        restarted = LeaseTask(CFG, "yqr", "c0", table, clock, Metrics(), random.Random("again"))
+        await restarted.step()
+        await clock.sleep(CFG.term - seconds(0.1))
+        await restarted.step()
+        assert restarted.grant() is None
+        await clock.sleep(seconds(0.2))
+        await restarted.step()
+        assert restarted.grant().fencing == 4
+
+    run_virtual(main())
+
+
+def test_earlier_holders_are_forgotten_once_the_lease_was_held_for_a_term():
+    async def main():
+        clock, table = VirtualClock(), Table()
+        first, second = holders(table, clock, 2)
+        await first.step()
+        await first.release()
+        await second.step()
+        end = clock.monotonic() + CFG.term + CFG.renewal
+        while clock.monotonic() < end:
+            await clock.sleep(CFG.renewal)
+            await second.step()
+        await second.release()
+        await first.step()
+        assert first.grant().fencing == 3
+
+    run_virtual(main())
+
+
 def test_companion_writes_are_applied_with_the_renewal_or_not_at_all():
     class Recording(Table):
         def __init__(self):
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -120,6 +120,7 @@
             reports_usage=USAGE_DUTY in duties,
             orders_servers=SCALING_DUTY in duties,
             calls_per_second=file.number("cloud.duty_per_s", 1.0),
+            checks_fencing=file.flag("bounds.fencing_enabled"),
         ),
         cloud=file.endpoint("cloud.address") if duties else None,
         metrics=Endpoint(ip, metrics_port) if metrics_port else None,
