Count the requests that use or await a slot as demand for engines

Cause: demand counted prefill alone. Change: the demand is the larger of prefill and of requests in progress per slot.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -136,15 +136,22 @@
         )
         return 1.0 - min(silent, count - 1) / count
 
-    def demand(self, service: str) -> float:
-        """Returns how many servers of a service all processes' requests keep busy."""
-        demand = self._parts.demand.busy_engines().get(service, 0.0)
+    def demand(self, service: str, slots: int) -> float:
+        """Returns how many servers of a service all processes' requests keep busy.
+
+        Args:
+          service: The service.
+          slots: The slots of one of its servers.
+        """
+        prefilling = self._parts.demand.prefilling_engines().get(service, 0.0)
+        in_progress = self._parts.demand.requests_in_progress().get(service, 0.0)
         for member in self._members():
             # A process that is cut off keeps its callers, whose requests need servers of this
             # service too.
             if self._has_share(member):
-                demand += member.digest.demand.get(service, 0.0)
-        return demand
+                prefilling += member.digest.demand.get(service, 0.0)
+                in_progress += member.digest.in_progress.get(service, 0.0)
+        return max(prefilling, in_progress / slots)
 
     def owns(self, key: str) -> bool:
         """Returns whether this process owns a key among the live processes of its data centre."""
@@ -242,7 +249,8 @@
             suspects=parts.crashes.counts(),
             spent=parts.quotas.totals(),
             usage=parts.usage.counts(),
-            demand={name: round(busy, 2) for name, busy in parts.demand.busy_engines().items()},
+            demand=_rounded(parts.demand.prefilling_engines()),
+            in_progress=_rounded(parts.demand.requests_in_progress()),
             readings=parts.placer.prefill_totals(),
             copies={table: copy.as_list() for table, copy in self._copies.items()},
         )
@@ -256,3 +264,7 @@
         self._parts.quotas.apply_totals(member.name, digest.spent, started_earlier)
         self._parts.crashes.record_peer_counts(member.name, digest.suspects)
         self.usage.record_report(member.name, start, digest.usage)
+
+
+def _rounded(values):
+    return {name: round(value, 2) for name, value in values.items()}
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -303,7 +303,7 @@
         orders = []
         for service in table.cfg.services.values():
             servers = self.parts.registry.usable(service.name)
-            demand = self._cluster.demand(service.name)
+            demand = self._cluster.demand(service.name, _slots_per_server(service, servers))
             orders += self._planner.plan(service, self._cfg.zones, servers, demand)
         return orders
 
@@ -335,3 +335,10 @@
                     fencing=held.fencing if held else None,
                 )
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
+
+
+def _slots_per_server(service, servers):
+    """Returns how many requests a server of a service runs at once."""
+    if service.engine is not None:
+        return service.engine.slots
+    return min((entry.slots for entry in servers), default=1)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -106,10 +106,13 @@
             await self._finish(Failed("this request crashes servers", status=500))
             return
         parts.retry_limiter.record_request(self._service)
+        parts.demand.begin(self._service)
         try:
             final = await self._try_servers()
         except _DeadlineExceededError:
             final = self._timeout_outcome()
+        finally:
+            parts.demand.end(self._service)
         await self._finish(final)
 
     # Attempts
@@ -147,7 +150,7 @@
         entry, self._in_flight_request = placement.server, placement.request
         if self._req.generation is not None:
             work = datetime.timedelta(milliseconds=placement.request.work_ms)
-            parts.demand.add(self._service, work)
+            parts.demand.add_prefill(self._service, work)
             if placement.request.work_ms >= LONG_PREFILL_MS:
                 parts.publish_readings()
         dispatch = Dispatch(
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -39,7 +39,8 @@
       suspects: Hashes of requests suspected of causing a crash, with their crash count.
       spent: Running totals of the units that this process admitted, by client account with a quota.
       usage: How many requests of each client account were started here, by window number.
-      demand: How many servers of each service this process's requests keep busy.
+      demand: How many servers of each service this process's requests keep busy with prefill.
+      in_progress: How many requests of this process use or await a slot, by service.
       readings: Running totals of prefill work sent, in milliseconds by engine.
       copies: What this process reads from the table service on behalf of its data centre, by table.
     """
@@ -54,6 +55,7 @@
     spent: typing.Mapping[str, float] = attrs.field(factory=dict)
     usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
     demand: typing.Mapping[str, float] = attrs.field(factory=dict)
+    in_progress: typing.Mapping[str, float] = attrs.field(factory=dict)
     readings: typing.Mapping[str, int] = attrs.field(factory=dict)
     copies: typing.Mapping[str, list] = attrs.field(factory=dict)
 
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -33,6 +33,7 @@
     DEMAND = 10
     READINGS = 11
     COPIES = 12
+    IN_PROGRESS = 13
 
 
 # Changes in these sections are flooded: each relay that receives one sends it on to all other data
@@ -207,6 +208,7 @@
         usage = {str(number): dict(counts) for number, counts in digest.usage.items()}
         self._replace(True, Section.USAGE, usage, changed)
         self._replace(True, Section.DEMAND, digest.demand, changed)
+        self._replace(True, Section.IN_PROGRESS, digest.in_progress, changed)
         self._replace(True, Section.READINGS, digest.readings, changed)
         self._replace(False, Section.COPIES, digest.copies, changed)
         self._publish_counts(digest, changed)
@@ -293,6 +295,7 @@
             spent=sections[Section.SPENT],
             usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
             demand=sections[Section.DEMAND],
+            in_progress=sections[Section.IN_PROGRESS],
             readings=sections[Section.READINGS],
             copies=sections[Section.COPIES],
         )
--- a/cicadapond/scaling/_demand.py
+++ b/cicadapond/scaling/_demand.py
@@ -1,16 +1,38 @@
-"""Measures the engine time that requests ask for, as a rate; no I/O."""
+"""Measures how many engines the requests of this process keep busy; no I/O.
+
+An engine has two resources: it prefills one prompt at a time, and its batch has a limited number of
+slots.  Short answers to long prompts use up the first, long answers the second.  Requests in the
+slots are counted instead of computed from their sizes, so that requests that wait because no slot
+is free count too: in an overload the demand must not fall.
+"""
 
 import datetime
 import math
 
+import attrs
+
 from cicadapond.kernel import Clock
 
 # Short enough to follow a burst, long enough to bridge the gaps between requests.
 HALF_LIFE = datetime.timedelta(seconds=2)
 
 
+@attrs.define
+class _Mean:
+    """A mean over time with exponential decay."""
+
+    value: float
+    updated_at: datetime.timedelta
+
+    def advance(self, level: float, now: datetime.timedelta) -> None:
+        """Moves the mean towards the level that was in force since the last update."""
+        weight = 0.5 ** ((now - self.updated_at) / HALF_LIFE)
+        self.value = level + (self.value - level) * weight
+        self.updated_at = now
+
+
 class DemandMeter:
-    """Measures demand by service, as the number of engines that its requests keep busy.
+    """Measures demand by service.
 
     Args:
       clock: Gives the time.
@@ -18,20 +40,42 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._work_s: dict[str, tuple[float, datetime.timedelta]] = {}
+        self._work_s: dict[str, _Mean] = {}
+        self._in_progress: dict[str, int] = {}
+        self._mean_in_progress: dict[str, _Mean] = {}
 
-    def add(self, service: str, work: datetime.timedelta) -> None:
-        """Counts the work of one request."""
+    def add_prefill(self, service: str, work: datetime.timedelta) -> None:
+        """Counts the prefill of one request."""
         now = self._clock.monotonic()
-        self._work_s[service] = (self._decayed(service, now) + work.total_seconds(), now)
+        total = self._work_s.setdefault(service, _Mean(0.0, now))
+        total.advance(0.0, now)
+        total.value += work.total_seconds()
+
+    def begin(self, service: str) -> None:
+        """Counts a request that waits for a slot or occupies one, until `end`."""
+        self._change(service, 1)
+
+    def end(self, service: str) -> None:
+        """Ends what `begin` began."""
+        self._change(service, -1)
 
-    def busy_engines(self) -> dict[str, float]:
-        """Returns, for each service, how many engines its requests keep busy."""
+    def prefilling_engines(self) -> dict[str, float]:
+        """Returns, for each service, how many engines its requests keep busy with prefill."""
         now = self._clock.monotonic()
         # At a steady rate the decayed sum is the rate times the mean lifetime of its terms.
         mean_life_s = HALF_LIFE.total_seconds() / math.log(2.0)
-        return {service: self._decayed(service, now) / mean_life_s for service in self._work_s}
+        for total in self._work_s.values():
+            total.advance(0.0, now)
+        return {service: total.value / mean_life_s for service, total in self._work_s.items()}
 
-    def _decayed(self, service, now):
-        work, updated_at = self._work_s.get(service, (0.0, now))
-        return work * 0.5 ** ((now - updated_at) / HALF_LIFE)
+    def requests_in_progress(self) -> dict[str, float]:
+        """Returns, for each service, the mean number of requests that use or await a slot."""
+        for service in self._in_progress:
+            self._change(service, 0)
+        return {service: mean.value for service, mean in self._mean_in_progress.items()}
+
+    def _change(self, service, by):
+        now = self._clock.monotonic()
+        level = self._in_progress.get(service, 0)
+        self._mean_in_progress.setdefault(service, _Mean(0.0, now)).advance(level, now)
+        self._in_progress[service] = level + by
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -124,8 +124,33 @@
     clock = ManualClock()
     meter = DemandMeter(clock)
     for _ in range(400):
-        meter.add("pool", seconds(0.06))
+        meter.add_prefill("pool", seconds(0.06))
         clock.advance(seconds(0.05))
-    assert 1.1 < meter.busy_engines()["pool"] < 1.3
+    assert 1.1 < meter.prefilling_engines()["pool"] < 1.3
     clock.advance(seconds(2))
-    assert 0.5 < meter.busy_engines()["pool"] < 0.65
+    assert 0.5 < meter.prefilling_engines()["pool"] < 0.65
+
+
+def test_requests_in_progress_are_averaged_over_time():
+    clock = ManualClock()
+    meter = DemandMeter(clock)
+    for _ in range(50):
+        for _ in range(6):
+            meter.begin("pool")
+        clock.advance(seconds(0.2))
+        for _ in range(6):
+            meter.end("pool")
+        clock.advance(seconds(0.2))
+    assert 2.6 < meter.requests_in_progress()["pool"] < 3.4
+
+
+def test_requests_that_wait_in_an_overload_raise_the_demand():
+    """Callers that find no slot for seconds must not look like a shrinking load."""
+    clock = ManualClock()
+    meter = DemandMeter(clock)
+    for _ in range(20):
+        meter.begin("pool")
+        clock.advance(seconds(0.25))
+    before = meter.requests_in_progress()["pool"]
+    clock.advance(seconds(3))
+    assert meter.requests_in_progress()["pool"] > before
