Let the processes of a large data centre connect to hubs instead of to each other

Cause: every process sent heartbeats and digests to every other one of its data centre, and relays forwarded each digest: at 195 machines the work among the processes grows with the square of their number. Change: with PeerSettings.hubs the members connect to two hubs, which watch them, relay and forward; a program's report goes to the hubs only, a hub's summary to everybody. At most some seeds are dialled at a time. Result: tests on the in-memory network, among them messages in proportion to the processes, death of one or both hubs, a cut data centre. Not used yet.

--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -24,8 +24,8 @@
 class Digest:
     """The state that one process publishes to the others; small, and always replaced entirely.
 
-    `copies` and the `in_flight` of most servers go only to its own data centre, `loads` less often
-    to the others.
+    `report` and the `in_flight` of most servers go only to its own data centre, `report` only to
+    its hubs where there are hubs; `loads` go less often to the others.
 
     Attributes:
       revision: The revision of the configuration document in force in this process.
@@ -37,12 +37,9 @@
       loads: Load reports of the servers that this process polls on behalf of all.
       convicted: Hashes of quarantined poison requests, with the wall-clock end of the quarantine.
       suspects: Hashes of requests suspected of causing a crash, with their crash count.
-      spent: Running totals of the units that this process admitted, by client account with a quota.
-      usage: How many requests of each client account were started here, by window number.
-      demand: How many servers of each service this process's requests keep busy with prefill.
-      in_progress: How many requests of this process use or await a slot, by service.
-      readings: Running totals of prefill work sent, in milliseconds by engine.
-      copies: What this process reads from the table service on behalf of its data centre, by table.
+      copies: What this process reads from the table service on behalf of others, by table.
+      report: What this process tells about its own work, in the embedding program's own format.
+      summary: What it tells everybody about the work of its data centre, in that format.
     """
 
     revision: int = 0
@@ -52,12 +49,9 @@
     loads: typing.Mapping[str, LoadReport] = attrs.field(factory=dict)
     convicted: typing.Mapping[str, datetime.datetime] = attrs.field(factory=dict)
     suspects: typing.Mapping[str, int] = attrs.field(factory=dict)
-    spent: typing.Mapping[str, float] = attrs.field(factory=dict)
-    usage: typing.Mapping[int, typing.Mapping[str, int]] = attrs.field(factory=dict)
-    demand: typing.Mapping[str, float] = attrs.field(factory=dict)
-    in_progress: typing.Mapping[str, float] = attrs.field(factory=dict)
-    readings: typing.Mapping[str, int] = attrs.field(factory=dict)
     copies: typing.Mapping[str, list] = attrs.field(factory=dict)
+    report: typing.Mapping[str, object] = attrs.field(factory=dict)
+    summary: typing.Mapping[str, object] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -28,19 +28,16 @@
     CONVICTED = 5
     SUSPECTS = 6
     SERVING = 7
-    SPENT = 8
-    USAGE = 9
-    DEMAND = 10
-    READINGS = 11
     COPIES = 12
-    IN_PROGRESS = 13
+    REPORT = 14
+    SUMMARY = 15
 
 
 # Changes in these sections are flooded: each relay that receives one sends it on to all other data
 # centres it is connected to.  Other changes come only from relays of the member's data centre.
 FLOODED = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
 # Changes in these sections are sent at once; others wait for their interval.
-URGENT = FLOODED | {Section.REVISION, Section.SPENT, Section.READINGS, Section.COPIES}
+URGENT = FLOODED | {Section.REVISION, Section.COPIES, Section.REPORT, Section.SUMMARY}
 # An in-flight count is sent when it becomes or ceases to be zero, and when it changes by the larger
 # of this number and this share of its old value.
 MIN_COUNT_CHANGE = 2
@@ -204,13 +201,9 @@
             if report.model
         }
         self._replace(True, Section.SERVING, serving, changed)
-        self._replace(True, Section.SPENT, digest.spent, changed)
-        usage = {str(number): dict(counts) for number, counts in digest.usage.items()}
-        self._replace(True, Section.USAGE, usage, changed)
-        self._replace(True, Section.DEMAND, digest.demand, changed)
-        self._replace(True, Section.IN_PROGRESS, digest.in_progress, changed)
-        self._replace(True, Section.READINGS, digest.readings, changed)
-        self._replace(False, Section.COPIES, digest.copies, changed)
+        self._replace(True, Section.COPIES, digest.copies, changed)
+        self._replace(False, Section.REPORT, digest.report, changed)
+        self._replace(True, Section.SUMMARY, digest.summary, changed)
         self._publish_counts(digest, changed)
         self._publish_loads(digest, now, changed)
         return changed
@@ -273,9 +266,10 @@
 
 def read_digest(local: Document, wide: Document) -> Digest:
     """Returns the digest that a member's documents hold; an empty one if a value is malformed."""
-    sections = [
-        wide.values.get(section, _EMPTY) | local.values.get(section, _EMPTY) for section in Section
-    ]
+    sections = {
+        section: wide.values.get(section, _EMPTY) | local.values.get(section, _EMPTY)
+        for section in Section
+    }
     serving = sections[Section.SERVING]
     loads = sections[Section.LOADS]
     try:
@@ -292,12 +286,9 @@
                 key: _from_timestamp(end) for key, end in sections[Section.CONVICTED].items()
             },
             suspects=sections[Section.SUSPECTS],
-            spent=sections[Section.SPENT],
-            usage={int(number): counts for number, counts in sections[Section.USAGE].items()},
-            demand=sections[Section.DEMAND],
-            in_progress=sections[Section.IN_PROGRESS],
-            readings=sections[Section.READINGS],
             copies=sections[Section.COPIES],
+            report=sections[Section.REPORT],
+            summary=sections[Section.SUMMARY],
         )
     except (TypeError, ValueError, OverflowError):
         return Digest()
--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import datetime
 import random
 import zlib
 
@@ -23,7 +24,7 @@
     same_start,
 )
 from cicadapond.peer._settings import PeerSettings
-from cicadapond.peer._topology import relays
+from cicadapond.peer._topology import hubs, relays
 from cicadapond.peer._wire import MAX_UPDATE_ITEMS, Change, Identity, Summary, Sync, Update
 
 MAX_UPDATE_MEMBERS = 400
@@ -55,11 +56,36 @@
         self._wide_pending = PendingUpdates()
         self._outputs: list = []
         self._first_relay_cache: dict[str, bool] = {}  # recomputed after each heartbeat
+        self._unreachable: dict[str, datetime.timedelta] = {}
+        self._hubs: list[str] | None = None  # recomputed after each change of the members
 
     @abc.abstractmethod
     def identity(self) -> Identity:
         """Returns this process's entry in the membership list."""
 
+    # Hubs
+
+    def own_hubs(self) -> list[str]:
+        """Returns the reachable hubs of this data centre, the primary one first; [] without hubs.
+
+        All members choose the same ones as long as they agree on who is alive and reachable.
+        """
+        if not self.cfg.hubs:
+            return []
+        if self._hubs is None:
+            live = [self.cfg.name, *self._live_by_zone()[self.cfg.zone][1:]]
+            reachable = [name for name in live if name not in self._unreachable]
+            self._hubs = hubs(self.cfg.zone, reachable, self.cfg.hubs)
+        return self._hubs
+
+    def is_hub(self) -> bool:
+        """Returns whether the other processes of this data centre connect to this one."""
+        return not self.cfg.hubs or self.cfg.name in self.own_hubs()
+
+    def is_primary_hub(self) -> bool:
+        """Returns whether this process forwards to the members of its data centre."""
+        return not self.cfg.hubs or self.own_hubs()[0] == self.cfg.name
+
     def _announce(self, name):
         self.changed[name] = None
         for pending in (self._local_pending, self._wide_pending):
@@ -91,6 +117,9 @@
 
     def _forward(self, sender, record, before, changed):
         """Queues changes of another member for those who do not get them from the member itself."""
+        if self.cfg.hubs:
+            self._forward_as_hub(sender, record, before, changed)
+            return
         urgent = any(section in URGENT for section, _ in changed)
         is_own_zone = record.zone == self.cfg.zone
         flooded = any(section in FLOODED for section, _ in changed)
@@ -105,11 +134,43 @@
             ):
                 self._enqueue(self._local_pending, record.name, True, before, section)
 
+    def _forward_as_hub(self, sender, record, before, changed):
+        """Queues changes between data centres and members, which only hubs connect.
+
+        The hubs of a data centre receive the same changes; only the primary one forwards them.
+        """
+        if not self.is_primary_hub():
+            return
+        is_own_zone = record.zone == self.cfg.zone
+        sent_by_itself = is_own_zone and record.name in self.own_hubs()
+        for section, _ in changed:
+            if is_own_zone and not sent_by_itself:
+                self._enqueue(self._wide_pending, record.name, True, before, section)
+                self._enqueue(self._local_pending, record.name, True, before, section)
+            elif not is_own_zone and sender.zone != self.cfg.zone:
+                self._enqueue(self._local_pending, record.name, True, before, section)
+
     def _enqueue(self, pending, name, wide, base, section):
         known = pending.documents.get((name, wide), base)
         pending.documents[name, wide] = min(known, base)
         pending.urgent |= section in URGENT
 
+    def _flush_local(self) -> int:
+        """Sends what is pending for this data centre; returns the number of items sent.
+
+        This process's own local document goes only to the hubs, if there are any.
+        """
+        links = self._local_links()
+        own = (self.cfg.name, False)
+        if not self.cfg.hubs or own not in self._local_pending.documents:
+            return self._flush(self._local_pending, links) * len(links)
+        base = self._local_pending.documents.pop(own)
+        messages = self._build_updates([], [(*own, base, self._writer.local)])
+        recipients = tuple(name for name in self.own_hubs() if name in self.links)
+        if recipients:
+            self._outputs.extend(Send(recipients, message) for message in messages)
+        return self._flush(self._local_pending, links) * len(links)
+
     def _flush(self, pending, names) -> int:
         """Sends the pending updates; returns the number of items in them."""
         names = tuple(names)
@@ -163,10 +224,9 @@
 
     def _send_own_documents(self, name):
         own_name = self.cfg.name
-        documents = [
-            (own_name, True, 0, self._writer.wide),
-            (own_name, False, 0, self._writer.local),
-        ]
+        documents = [(own_name, True, 0, self._writer.wide)]
+        if not self.cfg.hubs or name in self.own_hubs():
+            documents.append((own_name, False, 0, self._writer.local))
         updates = self._build_updates([self.identity()], documents)
         self._outputs.extend(Send((name,), message) for message in updates)
 
@@ -202,7 +262,8 @@
                 state = record.state.value
                 versions[record.name] = (record.incarnation, state, record.wide.version, local)
         if zone is None or zone == self.cfg.zone:
-            local = self._writer.local.version if neighbour else 0
+            has_local = neighbour and (not self.cfg.hubs or neighbour in self.own_hubs())
+            local = self._writer.local.version if has_local else 0
             own = (self.incarnation, self.state.value, self._writer.wide.version, local)
             versions[self.cfg.name] = own
         return versions
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -5,6 +5,11 @@
 it is suspected, and it can refute the suspicion with a higher incarnation.  Between data centres a
 few processes of each, the relays chosen by rendezvous hash, exchange what every process needs and
 forward it.  Updates that were lost are recovered by comparing versions.
+
+In a large data centre that is too much traffic, as it grows with the square of the processes.
+There the processes connect only to a few hubs, chosen by rendezvous hash too, which watch all
+members, relay between data centres and forward.  A process whose hub does not answer takes the next
+one at once, before the hub counts as dead.
 """
 
 import datetime
@@ -26,7 +31,7 @@
     supersedes,
 )
 from cicadapond.peer._settings import PeerSettings
-from cicadapond.peer._topology import rank, relays
+from cicadapond.peer._topology import hubs, rank, relays
 from cicadapond.peer._wire import (
     Ack,
     Heartbeat,
@@ -79,7 +84,6 @@
         self.zone_last_acked: dict[str, datetime.timedelta] = {}
         self._own_ack_times: dict[str, datetime.timedelta] = {}
         self._wanted_links: dict[str, Endpoint] | None = None
-        self._unreachable: dict[str, datetime.timedelta] = {}
         self._last_tick = now
         self._running_since = now
         self._next_due = dict.fromkeys(("beat", "news", "relay", "sync", "sweep"), now)
@@ -121,7 +125,7 @@
             links = self._local_links()
             self._first_relay_cache.clear()
             if now >= self._next_due["news"]:
-                sent_items = self._flush(self._local_pending, links) * len(links)
+                sent_items = self._flush_local()
                 interval = (
                     sent_items * ESTIMATED_ITEM_BYTES / LOCAL_UPDATE_BYTES_PER_SECOND * _SECOND
                 )
@@ -137,7 +141,7 @@
     def outputs(self) -> list:
         """Returns the outputs since the last call, urgent updates included."""
         if self._local_pending.urgent:
-            self._flush(self._local_pending, self._local_links())
+            self._flush_local()
         if self._wide_pending.urgent:
             self._flush(self._wide_pending, self._foreign_links())
         outputs, self._outputs = self._outputs, []
@@ -159,6 +163,8 @@
     def link_up(self, name: str, now: datetime.timedelta) -> None:
         """Records that the connection dialled to a member is up and both ends have said hello."""
         record = self.records[name]
+        if self._unreachable.pop(name, None) is not None:
+            self._topology_changed()
         first = not self._local_links()
         self.links[name] = LinkState(now, record.zone)
         if record.zone == self.cfg.zone:
@@ -172,9 +178,9 @@
         """Records that the connection dialled to a member is lost, or could not be made."""
         self.links.pop(name, None)
         record = self.records.get(name)
-        if record is not None and record.zone != self.cfg.zone:
+        if record is not None and (self.cfg.hubs or record.zone != self.cfg.zone):
             self._unreachable[name] = now
-            self._wanted_links = None
+            self._topology_changed()
 
     def receive(self, sender: str, message, now: datetime.timedelta) -> list:
         """Handles a message.
@@ -265,8 +271,12 @@
             self._update_record(known, identity, state, now)
         if state not in LIVE:
             self._drop_documents(known)
-        self._wanted_links = None
-        self._announce(identity.name)
+        self._topology_changed()
+        if self.is_hub():
+            self._announce(identity.name)
+        else:  # it came from a hub, which tells the others
+            known.last_heard = now
+            self.changed[identity.name] = None
 
     def _update_record(self, known, identity, state, now):
         if not same_start(identity.incarnation, known.incarnation):
@@ -355,6 +365,8 @@
         for record in self.records.values():
             if record.zone != self.cfg.zone or record.state not in LIVE:
                 continue
+            if not self._watches(record.name):
+                continue
             if record.state is MemberState.SUSPECT:
                 if now - max(record.state_since, self._running_since) > self.cfg.suspicion:
                     self._set_state(record, MemberState.DEAD, now)
@@ -366,8 +378,13 @@
             if now - max(last, record.reported_alive_at) > silence + self.cfg.beat:
                 self._set_state(record, MemberState.SUSPECT, now)
 
+    def _watches(self, name):
+        """Returns whether this process detects the failure of a member of its data centre."""
+        return self.is_hub() or name in self.wanted_links()
+
     def _probe(self, record, now):
-        others = [name for name in self._local_links() if name != record.name]
+        candidates = self.own_hubs() if self.cfg.hubs else self._local_links()
+        others = [name for name in candidates if name in self.links and name != record.name]
         chosen = self._rng.sample(sorted(others), min(PROBE_FANOUT, len(others)))
         if chosen:
             record.probed_at = now
@@ -379,7 +396,7 @@
         record.state_since = now
         if state not in LIVE:
             self._drop_documents(record)
-        self._wanted_links = None
+        self._topology_changed()
         self._announce(record.name)
 
     def _check_links(self, now):
@@ -411,16 +428,30 @@
         for times in (self.zone_last_heard, self.zone_last_acked, self._own_ack_times):
             for zone in times.keys() - known:
                 del times[zone]
+        self._topology_changed()
+
+    def _topology_changed(self):
         self._wanted_links = None
+        self._hubs = None
 
     def _choose_wanted_links(self):
         zones = self._live_by_zone()
         own_members = zones.pop(self.cfg.zone)
+        if not self.is_hub():
+            return {name: self.records[name].endpoint for name in self.own_hubs()}
         names = [name for name in own_members if name != self.cfg.name]
+        if self.cfg.hubs:
+            for zone, members in zones.items():
+                names.extend(self._foreign_hubs(zone, members))
+            return self._endpoints_with_a_dead_one(names)
         chosen = relays(self.cfg.zone, own_members, zones, self.cfg.relays)
         for zone, members in zones.items():
             if self.cfg.name in chosen[zone]:
                 names.extend(self._counterparts(zone, members, zones))
+        return self._endpoints_with_a_dead_one(names)
+
+    def _endpoints_with_a_dead_one(self, names):
+        """Returns the endpoints of members, and of one that counts as dead, which may be back."""
         dead = [
             record.name
             for record in self.records.values()
@@ -430,6 +461,10 @@
             names.append(self._rng.choice(dead))
         return {name: self.records[name].endpoint for name in names}
 
+    def _foreign_hubs(self, zone, members):
+        reachable = [name for name in members if name not in self._unreachable]
+        return hubs(zone, reachable or members, self.cfg.hubs)
+
     def _counterparts(self, zone, members, zones):
         """Returns the members of another data centre to connect to: its relays if reachable."""
         others = zones.keys() - {zone} | {self.cfg.zone}
--- a/cicadapond/peer/_settings.py
+++ b/cicadapond/peer/_settings.py
@@ -28,6 +28,9 @@
       sync: The interval at which versions are compared with one random member.
       forget: How long dead and left members are kept, so that old updates cannot revive them.
       relays: How many processes of a data centre connect to each of the other data centres.
+      hubs: How many processes of a data centre all others of it connect to; the hubs are then also
+        its relays.  If it is 0, every process connects to every other one of its data centre.
+      seed_dials: How many seeds are dialled at the same time, 0 for all.
       wide_loads: The shortest interval at which changed loads are sent to other data centres.
     """
 
@@ -44,3 +47,5 @@
     forget: datetime.timedelta = 600 * _SECOND
     relays: int = setting(default=2, check=at_least(1))
     wide_loads: datetime.timedelta = 10 * _SECOND
+    seed_dials: int = setting(default=0, check=at_least(0))
+    hubs: int = setting(default=0, check=at_least(0))
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -74,6 +74,7 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._handlers: dict[str, typing.Callable] = {}
         self._closed = False
+        self._failed_dials: dict[Endpoint, int] = {}
 
     # Peers
 
@@ -249,7 +250,7 @@
             for record in self._membership.records.values()
             if record.state in (MemberState.ALIVE, MemberState.SUSPECT)
         }
-        wanted.update(dict.fromkeys(seed for seed in self.cfg.seeds if seed not in live))
+        wanted.update(dict.fromkeys(self._seeds_to_dial(live)))
         wanted.pop(self.cfg.endpoint, None)
         for endpoint in wanted:
             out = self._outbound.setdefault(endpoint, _Outbound(endpoint))
@@ -264,6 +265,14 @@
             if endpoint not in wanted and out.dialling is None:
                 self._outbound.pop(endpoint, None)
 
+    def _seeds_to_dial(self, live):
+        """Returns seeds where no live process is known, those with fewer failed attempts first."""
+        unknown = [seed for seed in self.cfg.seeds if seed not in live]
+        if not self.cfg.seed_dials or len(unknown) <= self.cfg.seed_dials:
+            return unknown
+        unknown.sort(key=lambda seed: self._failed_dials.get(seed, 0))
+        return unknown[: self.cfg.seed_dials]
+
     async def _dial(self, out):
         try:
             link = await self._transport.dial(out.endpoint)
@@ -278,6 +287,7 @@
         if link is None or self._closed:
             if link is not None:
                 link.close()
+            self._failed_dials[out.endpoint] = self._failed_dials.get(out.endpoint, 0) + 1
             self._back_off(out, now)
             return
         out.link = link
--- a/cicadapond/peer/_topology.py
+++ b/cicadapond/peer/_topology.py
@@ -19,6 +19,11 @@
     return max(names, key=lambda name: _score(key, name), default=None)
 
 
+def hubs(zone: str, members: typing.Iterable[str], count: int) -> list[str]:
+    """Returns the members of a data centre that the others connect to, the primary one first."""
+    return rank(f"hub {zone}", members)[:count]
+
+
 def relays(
     zone: str, members: typing.Iterable[str], others: typing.Iterable[str], count: int
 ) -> dict[str, list[str]]:
--- a/cicadapond/peer/_wire.py
+++ b/cicadapond/peer/_wire.py
@@ -8,7 +8,7 @@
 import attrs
 import msgpack
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 MAX_MESSAGE_BYTES = 64 * 1024
 MAX_UPDATE_ITEMS = 400
 
--- /dev/null
+++ b/cicadapond/peer/hubs_test.py
@@ -0,0 +1,133 @@
+"""Tests of large data centres, whose processes connect only to a few hubs."""
+
+import pytest
+
+from cicadapond.kernel import seconds
+from cicadapond.peer import Digest, MemberState
+from cicadapond.peer._topology import hubs
+from cicadapond.peer.peer_test import World, virtual
+
+SETTINGS = {"hubs": 2, "seed_dials": 6}
+STARTUP_S = 6
+
+
+def hub_names(world, zone, without=()):
+    members = [name for name in world.names if name.startswith(zone) and name not in without]
+    return hubs(zone, members, SETTINGS["hubs"])
+
+
+def ordinary(world, zone):
+    chosen = hub_names(world, zone)
+    return [name for name in world.names if name.startswith(zone) and name not in chosen]
+
+
+def links(world, name):
+    return len(world.peers[name].state()["connections"])
+
+
+async def started(per_zone=12):
+    world = World(per_zone=per_zone)
+    world.start(**SETTINGS)
+    await world.sleep(STARTUP_S)
+    return world
+
+
+@virtual
+async def test_all_find_each_other_and_connect_only_to_hubs():
+    world = await started()
+    assert world.everyone_sees()
+    for zone in world.zones:
+        for name in ordinary(world, zone):
+            assert links(world, name) == 2
+        for name in hub_names(world, zone):
+            assert links(world, name) == 11 + 2 * 2
+    await world.tasks.stop()
+
+
+@virtual
+async def test_messages_grow_in_proportion_to_the_processes():
+    counts = []
+    for per_zone in (10, 20):
+        world = await started(per_zone)
+        before = world.network.messages
+        await world.sleep(10)
+        counts.append(world.network.messages - before)
+        await world.tasks.stop()
+    assert counts[1] < 2.4 * counts[0]
+
+
+@virtual
+async def test_a_report_reaches_only_the_hubs_and_a_summary_everybody():
+    world = await started()
+    sender = ordinary(world, "yqr")[0]
+    world.peers[sender].publish(Digest(report={"a": 1}, summary={"b": 2}))
+    await world.sleep(1)
+    for name in world.names:
+        if name != sender:
+            digest = world.digest(name, sender)
+            assert digest.summary == {"b": 2}
+            assert digest.report == ({"a": 1} if name in hub_names(world, "yqr") else {})
+    await world.tasks.stop()
+
+
+@pytest.mark.parametrize("killed_count", [1, 2])
+def test_reports_and_summaries_pass_again_after_hubs_were_killed(killed_count):
+    @virtual
+    async def play():
+        world = await started()
+        killed = hub_names(world, "yqr")[:killed_count]
+        for name in killed:
+            await world.kill(name)
+        await world.sleep(3)
+        left = hub_names(world, "yqr", without=killed)
+        sender = [name for name in ordinary(world, "yqr") if name not in left][0]
+        world.peers[sender].publish(Digest(report={"a": 1}, summary={"b": 2}))
+        await world.sleep(1.5)
+        assert all(world.digest(name, sender).report == {"a": 1} for name in left)
+        survivors = [name for name in world.names if name not in (*killed, sender)]
+        assert all(world.digest(name, sender).summary == {"b": 2} for name in survivors)
+        await world.sleep(6)
+        assert world.everyone_sees(names=[*survivors, sender])
+        await world.tasks.stop()
+
+    play()
+
+
+@virtual
+async def test_all_members_learn_of_a_death_that_only_the_hubs_can_see():
+    world = await started()
+    killed = ordinary(world, "yxe")[0]
+    await world.kill(killed)
+    await world.sleep(9)
+    for name in world.names:
+        if name != killed:
+            states = {member.name: member.state for member in world.peers[name].members()}
+            assert states[killed] is MemberState.DEAD
+    await world.tasks.stop()
+
+
+@virtual
+async def test_a_cut_data_centre_is_known_again_after_the_cut():
+    world = await started()
+    sender = ordinary(world, "ywg")[0]
+    world.network.cut(lambda a, b: (world.zone(a) == "ywg") != (world.zone(b) == "ywg"))
+    await world.sleep(8)
+    world.peers[sender].publish(Digest(summary={"b": 3}))
+    await world.sleep(4)
+    world.network.heal()
+    await world.sleep(12)
+    others = [name for name in world.names if name != sender]
+    assert all(world.digest(name, sender).summary == {"b": 3} for name in others)
+    await world.tasks.stop()
+
+
+@virtual
+async def test_a_process_with_many_dead_seeds_still_finds_the_others():
+    world = World(per_zone=4)
+    dead = tuple(world.endpoint(f"yqr-{number}") for number in range(60, 90))
+    world.seeds = (*dead, *world.seeds)
+    world.start(**SETTINGS)
+    await world.sleep(10)
+    assert world.everyone_sees()
+    assert world.clock.monotonic() >= seconds(10)
+    await world.tasks.stop()
