--- a/cicadapond/controller/_node.py
+++ b/cicadapond/controller/_node.py
@@ -124,18 +124,19 @@
             self.clock,
             self.metrics,
             self._rng,
-            self._is_candidate,
+            self._lease_poll_interval,
         )
 
-    def _is_candidate(self):
-        """Returns whether this process is the preferred one of the live controllers of its zone."""
+    def _lease_poll_interval(self):
+        """Returns the shorter interval in the preferred one of the zone's live controllers."""
         names = [
             member.name
             for member in self.services.peers.members()
             if (member.zone, member.role) == (self.cfg.zone, ROLE)
             and member.state is MemberState.ALIVE
         ]
-        return owner(self.cfg.zone, [self.cfg.name, *names]) == self.cfg.name
+        is_preferred = owner(self.cfg.zone, [self.cfg.name, *names]) == self.cfg.name
+        return self.cfg.lease.renewal if is_preferred else self.cfg.lease.idle_poll
 
     def _make_parts(self):
         services = self.services
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -1,14 +1,17 @@
 """Membership of the gateway processes and the state that they exchange."""
 
 import asyncio
-import collections
 import contextlib
 import datetime
 import random
 
+import attrs
+
 from cicadapond.data import Endpoint
+from cicadapond.gateway._copies import CopyExchange
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway._sharing import CopyGroup, CopyInbox, SharedCopy, read_copy
+from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
+from cicadapond.gateway._sharing import CopyGroup
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Ok, TaskGroup
 from cicadapond.peer import (
@@ -18,7 +21,7 @@
     PeerSettings,
     PeerTask,
     TcpTransport,
-    owner,
+    hubs,
     rank,
     start_time_ms,
 )
@@ -26,12 +29,12 @@
 from cicadapond.usage import UsageLedger
 
 PROCESS_TABLE = "processes"
-# How many processes of a data centre read each table from the store on behalf of all.
-READERS_PER_ZONE = 2
+HUBS_PER_ZONE = 2
+MAX_SEED_DIALS = 6
 PEER_BEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # Digests are published at the maximum interval, and sooner after a change, but never below the
-# minimum interval.  Both grow with the number of processes, so that each process receives at most
-# about 80 digests a second while nothing changes.
+# minimum interval.  Both grow with the number of processes of the data centre, so that its hubs
+# receive at most about 80 digests a second while nothing changes.
 MAX_DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
 MIN_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
 MAX_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
@@ -39,21 +42,52 @@
 REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 # A process that is not alive keeps its share of limits for this long after it was last heard from.
 SHARE_RETENTION = datetime.timedelta(seconds=20)
-# Processes that start within this time of each other count as started together.
-SAME_START_MS = 2500
+# The last report of a process reaches the hubs within this time; after it has left, it counts for
+# nothing.
+FINAL_REPORT_DELAY = datetime.timedelta(milliseconds=60)
 # If a process has not been heard from for this long, its quota totals may miss a burst; an equal
 # share is then reserved for it.
 SILENCE_THRESHOLD = datetime.timedelta(seconds=3)
+# A process that has just joined may not know an earlier hub's summary yet, which it must continue.
+SUMMARY_DELAY = datetime.timedelta(milliseconds=1200)
+# The members are counted anew at this interval, as every request needs their number.
+MEMBERSHIP_CACHE_TIME = datetime.timedelta(milliseconds=200)
+# Processes of other data centres may take over a duty after these intervals without it being done;
+# the processes are ordered by rendezvous hash, one of each data centre first.
+CANDIDATE_POLL_INTERVALS = tuple(datetime.timedelta(seconds=each) for each in (1, 3, 6, 9, 12))
+IDLE_POLL_INTERVAL = datetime.timedelta(seconds=60)
+
 
+def digest_intervals(neighbours: int) -> tuple[datetime.timedelta, datetime.timedelta]:
+    """Returns the minimum and the maximum time between two digests of a process.
 
-def digest_intervals(processes: int) -> tuple[datetime.timedelta, datetime.timedelta]:
-    """Returns the minimum and the maximum time between two digests of a process."""
-    shortest = max(MIN_DIGEST_INTERVAL, processes * MIN_DIGEST_INTERVAL_PER_PROCESS)
-    longest = max(MAX_DIGEST_INTERVAL, processes * MAX_DIGEST_INTERVAL_PER_PROCESS)
+    Args:
+      neighbours: How many processes of a data centre send digests to its hubs.
+    """
+    shortest = max(MIN_DIGEST_INTERVAL, neighbours * MIN_DIGEST_INTERVAL_PER_PROCESS)
+    longest = max(MAX_DIGEST_INTERVAL, neighbours * MAX_DIGEST_INTERVAL_PER_PROCESS)
     return shortest, longest
 
 
-class Cluster(CopyGroup):
+@attrs.frozen
+class _Summary:
+    """The last summary of a data centre, from one of its hubs."""
+
+    hub: str
+    received_at: datetime.timedelta
+    report: Report
+
+
+@attrs.frozen
+class _View:
+    """The members as of a moment: names by data centre, this process included."""
+
+    at: datetime.timedelta
+    count: int
+    live_by_zone: dict[str, tuple[str, ...]]
+
+
+class Cluster:
     """The gateway processes that this process knows of.
 
     Args:
@@ -79,62 +113,88 @@
         self._tasks = tasks
         self._rng = rng
         self._peer: PeerTask | None = None
+        self._joined_at: datetime.timedelta | None = None
         self._changed = asyncio.Event()
-        self._copies: dict[str, SharedCopy] = {}
-        self._inboxes: dict[str, CopyInbox] = collections.defaultdict(CopyInbox)
-        self._received_copies: dict[tuple[str, str], list] = {}
+        self._copies = CopyExchange(
+            self._cfg.name, self._cfg.zone, clock, parts.log, self.live_by_zone, self.publish_soon
+        )
+        self._zone_reports: ZoneReports | None = None
+        self._summaries: dict[str, _Summary] = {}
+        self._view: _View | None = None
+        self._sequence = 0
         self.usage = UsageLedger()
 
+    @property
+    def copies(self) -> CopyGroup:
+        """The processes as a group that shares copies of tables."""
+        return self._copies
+
     async def run(self) -> None:
         """Joins the other processes and publishes digests until cancelled."""
         rows = await self._register()
-        seeds = tuple(
-            Endpoint(*value["peer"]) for name, value in rows.items() if name != self._cfg.name
-        )
         cfg = PeerSettings(
             self._cfg.name,
             self._cfg.zone,
             self._cfg.peers[0],
-            seeds=seeds,
+            seeds=self._seeds(rows),
             beat=PEER_BEAT_INTERVAL,
             relay_beat=PEER_BEAT_INTERVAL,
+            hubs=HUBS_PER_ZONE,
+            seed_dials=MAX_SEED_DIALS,
         )
         metrics = self._parts.metrics
         peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
         peer.subscribe(self._receive)
-        self._peer = peer
         peer.start()
+        self._peer = peer
+        self._joined_at = self._clock.monotonic()
+        self._zone_reports = ZoneReports(self._own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
         self._tasks.start(peer)
         await self._publish()
 
+    async def report_last(self) -> None:
+        """Reports what this process has done since its last report."""
+        if self._peer is not None:
+            self._peer.publish(self._digest())
+            await self._clock.sleep(FINAL_REPORT_DELAY)
+
     async def leave(self) -> None:
-        """Announces to the other processes that this one leaves."""
+        """Announces that this process leaves."""
         if self._peer is not None:
             await self._peer.leave()
 
-    @property
-    def start(self) -> int | None:
-        """The start time of this process in Unix milliseconds, which identifies this start.
+    def is_alone(self) -> bool:
+        """Whether no other process is alive, which could report for this one after it has left."""
+        return sum(map(len, self.live_by_zone().values())) == 1
 
-        None before it has joined the others.
-        """
-        return start_time_ms(self._peer.incarnation) if self._peer is not None else None
+    def has_settled(self) -> bool:
+        """Whether this process has had time to learn of the others."""
+        if self._joined_at is None:
+            return False
+        return self._clock.monotonic() - self._joined_at >= SUMMARY_DELAY
 
-    # Values derived from the received digests
+    # Values derived from what was received
 
     def count(self) -> int:
         """Returns how many processes share limits, this one included."""
-        return 1 + sum(self._has_share(member) for member in self._members())
+        return self._current_view().count
+
+    def live_by_zone(self) -> dict[str, tuple[str, ...]]:
+        """Returns the names of the live processes by data centre, this one included."""
+        return self._current_view().live_by_zone
 
     def quota_share(self) -> float:
         """Returns the share of quotas available to this process and those heard from lately."""
-        count = self.count()
         now = self._clock.monotonic()
-        silent = sum(
-            SILENCE_THRESHOLD < now - member.last_heard < SHARE_RETENTION
-            for member in self._members()
-        )
-        return 1.0 - min(silent, count - 1) / count
+        has_just_joined = self._joined_at is None or now - self._joined_at <= SILENCE_THRESHOLD
+        heard = 0
+        for zone, names in self.live_by_zone().items():
+            summary = self._summaries.get(zone)
+            if summary is None:
+                heard += len(names) if has_just_joined else 0
+            elif now - summary.received_at <= SILENCE_THRESHOLD:
+                heard += summary.report.processes
+        return min(1.0, max(1, heard) / self.count())
 
     def demand(self, service: str, slots: int) -> float:
         """Returns how many servers of a service all processes' requests keep busy.
@@ -143,66 +203,88 @@
           service: The service.
           slots: The slots of one of its servers.
         """
-        prefilling = self._parts.demand.prefilling_engines().get(service, 0.0)
-        in_progress = self._parts.demand.requests_in_progress().get(service, 0.0)
-        for member in self._members():
-            # A process that is cut off keeps its callers, whose requests need servers of this
-            # service too.
-            if self._has_share(member):
-                prefilling += member.digest.demand.get(service, 0.0)
-                in_progress += member.digest.in_progress.get(service, 0.0)
-        return max(prefilling, in_progress / slots)
-
-    def owns(self, key: str) -> bool:
-        """Returns whether this process owns a key among the live processes of its data centre."""
-        return owner(key, self._live_in_zone()) == self._cfg.name
-
-    def _live_in_zone(self):
-        """Returns the live processes of this data centre, this one included."""
-        names = [
-            member.name
-            for member in self._members()
-            if member.zone == self._cfg.zone and member.state is MemberState.ALIVE
-        ]
-        return [*names, self._cfg.name]
+        now = self._clock.monotonic()
+        # A data centre that is cut off keeps its callers, whose requests need servers of this
+        # service too.
+        reports = {
+            zone: summary.report
+            for zone, summary in self._summaries.items()
+            if now - summary.received_at < SHARE_RETENTION
+        }
+        reports.setdefault(self._cfg.zone, self._report())
+        total = ServiceDemand()
+        for report in reports.values():
+            total += report.demand.get(service, ServiceDemand())
+        return max(total.prefilling, total.in_progress / slots)
+
+    def poll_interval(self, duty: str) -> datetime.timedelta:
+        """Returns how often this process checks whether it can take over a duty."""
+        if not self.has_settled():
+            return IDLE_POLL_INTERVAL
+        first, others = [], []
+        by_zone = self.live_by_zone()
+        for zone in rank(duty, by_zone):
+            ranked = rank(duty, by_zone[zone])
+            first.append(ranked[0])
+            others += ranked[1:]
+        candidates = (first + others)[: len(CANDIDATE_POLL_INTERVALS)]
+        if self._cfg.name not in candidates:
+            return IDLE_POLL_INTERVAL
+        return CANDIDATE_POLL_INTERVALS[candidates.index(self._cfg.name)]
+
+    def merge_own_usage(self) -> None:
+        """Adds this process's own counts where no hub tells those of its data centre."""
+        if self._cfg.zone not in self._summaries and self._peer is not None:
+            self.usage.merge(f"{self._cfg.zone} {self._own_run()}", self._parts.usage.counts())
 
     def publish_soon(self) -> None:
         """Publishes the next digest as soon as the minimum interval allows."""
         self._changed.set()
 
+    def state(self) -> dict:
+        """Returns what is known of the processes, for a dump."""
+        now = self._clock.monotonic()
+        return {
+            "processes": self.count(),
+            "quota_share": round(self.quota_share(), 3),
+            "copies": self._copies.state(),
+            "zones": {
+                zone: {
+                    "live": len(self.live_by_zone().get(zone, ())),
+                    "hub": summary.hub,
+                    "age_ms": round((now - summary.received_at).total_seconds() * 1000),
+                    "heard": summary.report.processes,
+                    "configuration": summary.report.configuration,
+                    "lineage": summary.report.lineage,
+                }
+                for zone, summary in sorted(self._summaries.items())
+            },
+        }
+
+    def _current_view(self):
+        now = self._clock.monotonic()
+        known = self._view
+        if known is not None and now - known.at < MEMBERSHIP_CACHE_TIME:
+            return known
+        members = self._members()
+        live: dict[str, tuple[str, ...]] = {self._cfg.zone: (self._cfg.name,)}
+        for member in members:
+            if member.state is MemberState.ALIVE:
+                live[member.zone] = (*live.get(member.zone, ()), member.name)
+        if known is not None and known.live_by_zone == live:
+            live = known.live_by_zone  # the same object, by which others notice changes
+        count = 1 + sum(self._has_share(member, now) for member in members)
+        self._view = _View(now, count, live)
+        return self._view
+
     def _members(self) -> tuple[Member, ...]:
         return self._peer.members() if self._peer is not None else ()
 
-    def _has_share(self, member):
-        if member.state is MemberState.ALIVE:
-            return True
-        return self._clock.monotonic() - member.last_heard < SHARE_RETENTION
-
-    # CopyGroup
-
-    def is_reader(self, table):
-        return self._cfg.name in rank(f"follow {table}", self._live_in_zone())[:READERS_PER_ZONE]
-
-    def has_receivers(self, table):
-        return len(self._live_in_zone()) > READERS_PER_ZONE
-
-    def publish_copy(self, table, copy):
-        self._copies[table] = copy
-        self.publish_soon()
-
-    async def receive_copy(self, table, limit):
-        return await self._inboxes[table].get(limit)
+    def _has_share(self, member, now):
+        return member.state is MemberState.ALIVE or now - member.last_heard < SHARE_RETENTION
 
-    def _receive_copies(self, member):
-        for table, value in member.digest.copies.items():
-            if self._received_copies.get((member.name, table)) == value:
-                continue
-            self._received_copies[member.name, table] = value
-            copy = read_copy(value)
-            if copy is None:
-                self._parts.log.write("copy_unreadable", table=table, process=member.name)
-            else:
-                self._inboxes[table].put(copy)
+    def _own_run(self):
+        return f"{self._cfg.name}/{start_time_ms(self._peer.incarnation)}"
 
     # Discovery
 
@@ -213,7 +295,11 @@
             written = None
             if reading is not None:
                 endpoint = self._cfg.peers[0]
-                own = {"peer": [endpoint.host, endpoint.port], "reading": reading}
+                own = {
+                    "peer": [endpoint.host, endpoint.port],
+                    "zone": self._cfg.zone,
+                    "reading": reading,
+                }
                 written = await self._tables.transact((Write(PROCESS_TABLE, self._cfg.name, own),))
             if isinstance(written, Ok):
                 found = await self._tables.scan(PROCESS_TABLE)
@@ -230,41 +316,103 @@
             by_ms = round(correction.total_seconds() * 1000)
             self._parts.log.write("clock_corrected", by_ms=by_ms)
 
+    def _seeds(self, rows):
+        """Returns where to look for the others: likely hubs, those of this data centre first."""
+        by_zone: dict[str, list[str]] = {}
+        for name, value in rows.items():
+            if name != self._cfg.name:
+                by_zone.setdefault(value.get("zone", ""), []).append(name)
+        ranked = [
+            (position, zone != self._cfg.zone, zone, name)
+            for zone, names in by_zone.items()
+            for position, name in enumerate(hubs(zone, names, len(names)))
+        ]
+        return tuple(Endpoint(*rows[name]["peer"]) for *_, name in sorted(ranked))
+
     # Exchange of digests
 
     async def _publish(self):
         while True:
             self._changed.clear()
             self._peer.publish(self._digest())
-            shortest, longest = digest_intervals(1 + len(self._members()))
+            shortest, longest = digest_intervals(len(self.live_by_zone()[self._cfg.zone]))
             await self._clock.sleep(shortest)
             with contextlib.suppress(TimeoutError):  # no change within the maximum interval
                 async with asyncio.timeout((longest - shortest).total_seconds()):
                     await self._changed.wait()
 
     def _digest(self):
-        parts = self._parts
+        now = self._clock.monotonic()
+        self._sequence += 1
+        report = self._report()
+        self._zone_reports.record(self._own_run(), report, now)
+        summary = {}
+        if self.has_settled() and self._peer.is_primary_hub():
+            total = self._zone_total(now)
+            self._apply_summary(self._cfg.name, self._cfg.zone, total)
+            summary = total.as_items()
         return Digest(
-            revision=parts.active_configuration.version,
-            suspects=parts.crashes.counts(),
-            spent=parts.quotas.totals(),
+            suspects=self._parts.crashes.counts(),
+            copies=self._copies.published(),
+            report=report.as_items(),
+            summary=summary,
+        )
+
+    def _report(self):
+        parts = self._parts
+        prefilling = parts.demand.prefilling_engines()
+        in_progress = parts.demand.requests_in_progress()
+        return Report(
+            self._sequence,
+            parts.active_configuration.version or 0,
+            spending=parts.quotas.spending(),
             usage=parts.usage.counts(),
-            demand=_rounded(parts.demand.prefilling_engines()),
-            in_progress=_rounded(parts.demand.requests_in_progress()),
-            readings=parts.placer.prefill_totals(),
-            copies={table: copy.as_list() for table, copy in self._copies.items()},
+            demand={
+                service: ServiceDemand(prefilling.get(service, 0.0), in_progress[service])
+                for service in in_progress
+            },
+            engines=parts.placer.engine_work(),
         )
 
+    def _zone_total(self, now):
+        for member in self._members():
+            if member.zone == self._cfg.zone:
+                run = _run_of(member)
+                self._zone_reports.record_heard(run, member.last_heard)
+                if member.state in (MemberState.DEAD, MemberState.LEFT):
+                    self._zone_reports.record_ended(run)
+        lineage = self._zone_reports.lineage
+        return self._zone_reports.total(self.usage.counts(f"{self._cfg.zone} {lineage}"), now)
+
     def _receive(self, member):
         digest = member.digest
-        self._receive_copies(member)
-        self._parts.placer.add_peer_prefill(member.name, digest.readings)
-        start = start_time_ms(member.incarnation)
-        started_earlier = start < self.start - SAME_START_MS
-        self._parts.quotas.apply_totals(member.name, digest.spent, started_earlier)
+        self._copies.receive(member.name, member.zone, digest.copies)
         self._parts.crashes.record_peer_counts(member.name, digest.suspects)
-        self.usage.record_report(member.name, start, digest.usage)
+        if member.zone == self._cfg.zone:
+            report = read_report(digest.report)
+            if report is not None:
+                self._zone_reports.record(_run_of(member), report, self._clock.monotonic())
+                if self._peer.is_primary_hub():
+                    self.publish_soon()
+        summary = read_report(digest.summary)
+        if summary is not None and self._is_new(member, summary):
+            if member.zone == self._cfg.zone:
+                self._zone_reports.continue_from(summary)
+            self._apply_summary(member.name, member.zone, summary)
+
+    def _is_new(self, member, summary):
+        known = self._summaries.get(member.zone)
+        if known is None or known.hub != member.name:
+            return True
+        return known.report.sequence != summary.sequence
+
+    def _apply_summary(self, hub, zone, summary):
+        is_own_zone = zone == self._cfg.zone
+        self._summaries[zone] = _Summary(hub, self._clock.monotonic(), summary)
+        self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
+        self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
+        self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
 
 
-def _rounded(values):
-    return {name: round(value, 2) for name, value in values.items()}
+def _run_of(member):
+    return f"{member.name}/{start_time_ms(member.incarnation)}"
--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -13,12 +13,9 @@
 
 STEP_INTERVAL = datetime.timedelta(milliseconds=500)
 USAGE_TABLE = "usage"
-# Final counts of processes that shut down gracefully; processes that start later never received
-# them from their peers.
-FINAL_USAGE_TABLE = "left_usage"
 # Row of the counts, of all processes, that the holder knows of; stored because all processes may
 # stop at once.
-KNOWN_USAGE_ROW = ("heard_usage", "all")
+KNOWN_USAGE_ROW = ("known_usage", "all")
 KNOWN_USAGE_WINDOWS = 3
 # Other processes' counts of a window arrive within two seconds; the rest allows for clock skew.
 MAX_SETTLE_TIME = datetime.timedelta(seconds=4)
@@ -38,11 +35,10 @@
       cloud: Receives the reports.
       tables: Stores the counts to report, so that every holder sends the same ones.
       usage: This process's counts.
-      ledger: The counts of the other processes, stopped ones included.
+      ledger: The counts of all processes, stopped ones included.
       clock: The clock.
       log: The event log; gets one line per report.
-      identity: Returns this process's name and its start time in Unix milliseconds, None before it
-        has joined its peers.
+      merge_own: Adds this process's own counts to the ledger where nobody else does.
       settle: How long after the end of a window its counts are stored.
     """
 
@@ -54,7 +50,7 @@
         ledger: UsageLedger,
         clock: Clock,
         log: EventLog,
-        identity: typing.Callable[[], tuple[str, int] | None] = lambda: None,
+        merge_own: typing.Callable[[], None] = lambda: None,
         settle: datetime.timedelta = MAX_SETTLE_TIME,
     ):
         self._settle = settle
@@ -64,7 +60,7 @@
         self._ledger = ledger
         self._clock = clock
         self._log = log
-        self._identity = identity
+        self._merge_own = merge_own
         self._next: int | None = None
         self._has_loaded = False
 
@@ -73,7 +69,7 @@
         newest = self._usage.number(self._clock.now() - self._settle) - 1
         if self._next is None:
             self._next = newest - LOOKBACK_WINDOWS + 1
-        if self._next <= newest and not await self._load_final_usage():
+        if not self._has_loaded and not await self._load_known_usage():
             return
         while self._next <= newest:
             counts = await self._store_counts(self._next)
@@ -100,43 +96,21 @@
 
     def known_usage_writes(self) -> tuple[Write, ...]:
         """Returns the writes to make with each lease renewal: all counts known to this process."""
-        identity = self._identity()
-        if identity is None or not self._has_loaded:
+        if not self._has_loaded:
             return ()
+        self._merge_own()
         newest = self._usage.number(self._clock.now())
-        own = (*identity, self._usage.counts())
-        return (Write(*KNOWN_USAGE_ROW, self._ledger.pack(own, newest, KNOWN_USAGE_WINDOWS)),)
+        return (Write(*KNOWN_USAGE_ROW, self._ledger.pack(newest, KNOWN_USAGE_WINDOWS)),)
 
     async def _load_known_usage(self):
         """Loads the counts that the previous holder knew; returns whether the store answered."""
         match await self._tables.read((KNOWN_USAGE_ROW,)):
             case Ok(value=rows):
                 if rows[KNOWN_USAGE_ROW].value is not None:
-                    self._ledger.merge_packed(rows[KNOWN_USAGE_ROW].value, self._identity())
+                    self._ledger.merge_packed(rows[KNOWN_USAGE_ROW].value)
                 self._has_loaded = True
         return self._has_loaded
 
-    async def _load_final_usage(self):
-        """Loads the final counts of stopped processes; deletes rows of old windows.
-
-        Returns:
-          Whether the store answered.
-        """
-        if not self._has_loaded and not await self._load_known_usage():
-            return False
-        found = await self._tables.scan(FINAL_USAGE_TABLE)
-        if not isinstance(found, Ok):
-            return False
-        old = []
-        for row in found.value:
-            process, start, windows = row.value
-            self._ledger.record_report(process, start, windows)
-            if all(window < self._next - RETAINED_WINDOWS for window in windows):
-                old.append(Write(FINAL_USAGE_TABLE, row.key, expected=row.version))
-        if old:
-            await self._tables.transact(tuple(old))
-        return True
-
     async def _store_counts(self, window):
         """Stores a window's counts unless some are stored already.
 
@@ -145,7 +119,8 @@
         Returns:
           The stored counts, None if the store does not answer.
         """
-        counts = self._ledger.total(window, self._usage.counts())
+        self._merge_own()
+        counts = self._ledger.total(window)
         row_key = (USAGE_TABLE, _key(window))
         writes = [Write(*row_key, counts, expected=0)]
         if window % RETAINED_WINDOWS == 0:
@@ -172,21 +147,6 @@
     return min(MAX_SETTLE_TIME, SETTLE_SHARE * due)
 
 
-async def store_final_usage(
-    tables: TableService, process: str, start: int, usage: UsageWindows
-) -> None:
-    """Stores a process's counts at its graceful shutdown.
-
-    Args:
-      tables: The table service.
-      process: The name of the process.
-      start: Its start time in Unix milliseconds, as its peers know it.
-      usage: Its counts.
-    """
-    row = [process, start, usage.counts()]
-    await tables.transact((Write(FINAL_USAGE_TABLE, f"{process}/{start}", row),))
-
-
 def _key(window):
     return f"{window:012d}"
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -16,7 +16,6 @@
     ServerOrderer,
     UsageReporter,
     settle_time,
-    store_final_usage,
 )
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Frontend
@@ -43,7 +42,6 @@
     margin=datetime.timedelta(milliseconds=900),
     order_limit=datetime.timedelta(milliseconds=800),
     renewal=datetime.timedelta(milliseconds=1000),
-    idle_poll=datetime.timedelta(seconds=10),
 )
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=1)
 CRASH_CHECK_DELAY = datetime.timedelta(milliseconds=60)
@@ -117,7 +115,7 @@
             clock,
             metrics,
             rng,
-            candidate=lambda: self._cluster.owns(LEASE_NAME),
+            poll_interval=lambda: self._cluster.poll_interval(LEASE_NAME),
             extra_writes=self._extra_lease_writes,
         )
         self._reporter: UsageReporter | None = None
@@ -166,7 +164,7 @@
         self._tasks.spawn(self._cluster.run(), "cluster")
         self._tasks.spawn(self._housekeep(), "housekeeping")
         if self._adapters.cloud is not None:
-            self._lease_runner = self._tasks.start(self._lease)
+            self._lease_runner = self._tasks.spawn(self._hold_lease(), "lease")
             self._duties = self._duty_task()
             self._tasks.start(self._duties)
 
@@ -198,10 +196,10 @@
         # No await between the last check of `busy` and the close, so that no request can begin.
         aborted = self._frontend.busy
         self._frontend.close()
-        if self._cluster.start is not None:
-            await store_final_usage(
-                self._adapters.tables, self._cfg.name, self._cluster.start, self.parts.usage
-            )
+        await self._cluster.report_last()
+        writes = self._extra_lease_writes()
+        if writes and self._cluster.is_alone():
+            await self._adapters.tables.transact(writes)
         await self._cluster.leave()
         await self._tasks.stop()
         self.parts.pool.close()
@@ -227,7 +225,7 @@
             "configuration_age": age,
             "servers": [attrs.asdict(entry) for entry in self.parts.registry.all()],
             "lease": self._lease.state(),
-            "processes": self._cluster.count(),
+            "cluster": self._cluster.state(),
         }
 
     def _follow(self, table, follower):
@@ -240,7 +238,7 @@
                 self._clock,
                 self._log,
                 self._metrics,
-                self._cluster,
+                self._cluster.copies,
             )
         )
 
@@ -277,7 +275,7 @@
                 self._cluster.usage,
                 self._clock,
                 self._log,
-                self._identity,
+                self._cluster.merge_own_usage,
                 settle_time(cfg.bounds.usage_report_delay),
             )
             self._reporter = reporter
@@ -289,9 +287,10 @@
             self._lease, cfg.name, reporter, orderer, self._clock, cfg.duties.checks_fencing
         )
 
-    def _identity(self):
-        start = self._cluster.start
-        return (self._cfg.name, start) if start is not None else None
+    async def _hold_lease(self):
+        while not self._cluster.has_settled():
+            await self._clock.sleep(STOP_POLL_INTERVAL)
+        await self._lease.run()
 
     def _extra_lease_writes(self):
         return self._reporter.known_usage_writes() if self._reporter is not None else ()
--- /dev/null
+++ b/cicadapond/gateway/_reports.py
@@ -0,0 +1,231 @@
+"""Reports of processes to the hubs of their data centre, and summaries of hubs for everybody.
+
+A hub adds up the reports of its data centre, so that what each process receives does not grow with
+the number of processes.  Both are sent as small items, of which only the changed ones travel.  No
+I/O.
+"""
+
+import datetime
+import typing
+
+import attrs
+
+from cicadapond.placing import EngineWork
+from cicadapond.usage import UsageLedger
+
+Windows = typing.Mapping[int, typing.Mapping[str, int]]
+
+
+@attrs.frozen
+class ServiceDemand:
+    """What requests need of a service: engines busy with prefill, and requests in progress."""
+
+    prefilling: float = 0.0
+    in_progress: float = 0.0
+
+    def __add__(self, other: "ServiceDemand") -> "ServiceDemand":
+        return ServiceDemand(
+            self.prefilling + other.prefilling, self.in_progress + other.in_progress
+        )
+
+
+@attrs.frozen
+class Report:
+    """The work of one process, or the sum over a data centre.
+
+    Attributes:
+      sequence: The number of the report; it grows with each one of the same sender.
+      configuration: The lowest version of the configuration in force.
+      processes: How many processes it covers.
+      lineage: Identifies the succession of hubs whose counts of usage continue each other, "" in
+        the report of a process.
+      spending: Units of quota spent, by window and client account.
+      usage: Requests started, by window and client account.
+      departed: Usage of processes that ended lately, which new hubs did not hear from.
+      demand: The demand for each service.
+      engines: What was sent to each engine.
+    """
+
+    sequence: int = 0
+    configuration: int = 0
+    processes: int = 1
+    lineage: str = ""
+    spending: Windows = attrs.field(factory=dict)
+    usage: Windows = attrs.field(factory=dict)
+    departed: typing.Mapping[str, Windows] = attrs.field(factory=dict)
+    demand: typing.Mapping[str, ServiceDemand] = attrs.field(factory=dict)
+    engines: typing.Mapping[str, EngineWork] = attrs.field(factory=dict)
+
+    def as_items(self) -> dict[str, object]:
+        """Returns the report in the form in which it is sent between processes."""
+        items = {"": [self.sequence, self.configuration, self.processes, self.lineage]}
+        items |= {f"s {number}": dict(counts) for number, counts in self.spending.items()}
+        items |= {f"u {number}": dict(counts) for number, counts in self.usage.items()}
+        for run, windows in self.departed.items():
+            items[f"x {run}"] = {str(number): dict(counts) for number, counts in windows.items()}
+        for service, demand in self.demand.items():
+            items[f"d {service}"] = [round(demand.prefilling, 2), round(demand.in_progress, 2)]
+        for engine, work in self.engines.items():
+            items[f"e {engine}"] = [work.prefill_total_ms, work.in_flight]
+        return items
+
+
+def read_report(items: typing.Mapping[str, object]) -> Report | None:
+    """Decodes a report; returns None if there is none or it is malformed."""
+    if "" not in items:
+        return None
+    fields = {"s": {}, "u": {}, "x": {}, "d": {}, "e": {}}
+    try:
+        sequence, configuration, processes, lineage = items[""]
+        for key, value in items.items():
+            kind, _, name = key.partition(" ")
+            match kind:
+                case "s" | "u":
+                    fields[kind][int(name)] = value
+                case "x":
+                    fields[kind][name] = {int(number): counts for number, counts in value.items()}
+                case "d":
+                    fields[kind][name] = ServiceDemand(*value)
+                case "e":
+                    fields[kind][name] = EngineWork(*value)
+        return Report(
+            int(sequence),
+            int(configuration),
+            int(processes),
+            str(lineage),
+            spending=fields["s"],
+            usage=fields["u"],
+            departed=fields["x"],
+            demand=fields["d"],
+            engines=fields["e"],
+        )
+    except (AttributeError, TypeError, ValueError):
+        return None
+
+
+@attrs.define
+class _Run:
+    """One run of a process: its last report, and when it was last heard from."""
+
+    report: Report
+    heard: datetime.timedelta
+    ended: bool = False
+
+
+class ZoneReports:
+    """The reports of the processes of one data centre, as a hub knows them.
+
+    Args:
+      own_run: This process's run.
+      silence: A process that was not heard from for this long is not counted among `processes`.
+      retention: Its demand and its requests in flight count for this long.
+    """
+
+    def __init__(self, own_run: str, silence: datetime.timedelta, retention: datetime.timedelta):
+        self._own_run = own_run
+        self._silence = silence
+        self._retention = retention
+        self._runs: dict[str, _Run] = {}
+        self._usage = UsageLedger()
+        self._spending = UsageLedger()
+        self._prefill_totals: dict[str, int] = {}
+        self._lineage = ""
+        self._sequence = 0
+
+    @property
+    def lineage(self) -> str:
+        """The lineage of this hub's summaries; a new one if it knows of no earlier hub."""
+        return self._lineage or self._own_run
+
+    def record(self, run: str, report: Report, now: datetime.timedelta) -> None:
+        """Stores the latest report of a run."""
+        known = self._runs.get(run)
+        if known is not None and known.report.sequence > report.sequence:
+            return
+        before = known.report.engines if known is not None else {}
+        for engine, work in report.engines.items():
+            last = before[engine].prefill_total_ms if engine in before else 0
+            added = max(0, work.prefill_total_ms - last)
+            self._prefill_totals[engine] = self._prefill_totals.get(engine, 0) + added
+        if known is None:
+            self._end_earlier_runs(run)
+        self._runs[run] = _Run(report, now)
+        self._usage.merge(run, report.usage)
+        self._spending.merge(run, report.spending)
+
+    def record_heard(self, run: str, heard: datetime.timedelta) -> None:
+        """Records when a process was last heard from."""
+        if run in self._runs:
+            self._runs[run].heard = max(heard, self._runs[run].heard)
+
+    def record_ended(self, run: str) -> None:
+        """Records that a process has ended; what it counted remains."""
+        if run in self._runs:
+            self._runs[run].ended = True
+
+    def continue_from(self, summary: Report) -> None:
+        """Takes over what an earlier hub told of this data centre."""
+        # If two hubs began without knowing of each other, the lineage that began earlier remains.
+        if not self._lineage or _start(summary.lineage) < _start(self._lineage):
+            self._lineage = summary.lineage
+        for run, windows in summary.departed.items():
+            self._usage.merge(run, windows)
+
+    def total(self, floor: Windows, now: datetime.timedelta) -> Report:
+        """Returns the sum over the data centre.
+
+        Args:
+          floor: The usage that earlier hubs told, which the sum does not fall below.
+          now: The monotonic time.
+        """
+        self._forget(now)
+        self._sequence += 1
+        self._lineage = self.lineage
+        counted = [
+            run
+            for run in self._runs.values()
+            if not run.ended and now - run.heard <= self._retention
+        ]
+        usage = UsageLedger()
+        usage.merge("", floor)
+        usage.merge("", self._usage.totals())
+        demand: dict[str, ServiceDemand] = {}
+        in_flight: dict[str, int] = {}
+        for run in counted:
+            for service, need in run.report.demand.items():
+                demand[service] = demand.get(service, ServiceDemand()) + need
+            for engine, work in run.report.engines.items():
+                in_flight[engine] = in_flight.get(engine, 0) + work.in_flight
+        ended = {name for name, run in self._runs.items() if run.ended}
+        departed = (self._usage.sources() - self._runs.keys()) | ended
+        return Report(
+            self._sequence,
+            min((run.report.configuration for run in counted), default=0),
+            sum(now - run.heard <= self._silence for run in counted),
+            self._lineage,
+            spending=self._spending.totals(),
+            usage=usage.totals(),
+            departed={run: self._usage.counts(run) for run in sorted(departed)},
+            demand=demand,
+            engines={
+                engine: EngineWork(self._prefill_totals.get(engine, 0), count)
+                for engine, count in in_flight.items()
+            },
+        )
+
+    def _end_earlier_runs(self, run):
+        process = run.rpartition("/")[0]
+        for name, known in self._runs.items():
+            if name.rpartition("/")[0] == process:
+                known.ended = True
+
+    def _forget(self, now):
+        for name, run in list(self._runs.items()):
+            if now - run.heard > self._retention:
+                del self._runs[name]
+
+
+def _start(run):
+    """Returns the start time of a run in Unix milliseconds."""
+    start = run.rpartition("/")[2]
+    return int(start) if start.isdigit() else 0
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from cicadapond.kernel import AnswerLost, Clock, Metrics, Ok, Task
+from cicadapond.kernel import AnswerLost, Clock, Conflict, Metrics, Ok, Task
 from cicadapond.lease._state import Grant, LeaseSettings, LeaseState
 from cicadapond.provider import TableService, Write
 
@@ -22,8 +22,8 @@
       clock: The clock.
       metrics: Counts failures and changes of the lease.
       rng: Source of poll jitter and of this run's identity.
-      candidate: Returns whether this process should take the lease as soon as it can; other
-        processes poll it at the longer interval and take it too, but later.
+      poll_interval: Returns how often this process checks whether it can take the lease, None for
+        the interval of renewals.
       extra_writes: Returns writes to include in the transaction of each renewal.
     """
 
@@ -38,7 +38,7 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        candidate: typing.Callable[[], bool] = lambda: True,
+        poll_interval: typing.Callable[[], datetime.timedelta] | None = None,
         extra_writes: typing.Callable[[], tuple[Write, ...]] = lambda: (),
     ):
         self.lease = LeaseState(cfg, name, holder, f"{holder}-{rng.getrandbits(64):016x}")
@@ -47,7 +47,7 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
-        self._candidate = candidate
+        self._challenge_interval = poll_interval or (lambda: cfg.renewal)
         self._extra_writes = extra_writes
         self._fencing: int | None = None
 
@@ -58,11 +58,16 @@
     async def run(self):
         while True:
             await self.step()
-            await self._clock.sleep(self._poll_interval())
+            stepped_at, jitter = self._clock.monotonic(), self._rng.uniform(0.8, 1.0)
+            # The interval is looked up again and again, as it changes with the other processes.
+            while (
+                left := stepped_at + self._poll_interval() * jitter - self._clock.monotonic()
+            ) > datetime.timedelta():
+                await self._clock.sleep(min(left, self._cfg.renewal))
 
     async def step(self) -> None:
-        """Reads the row once and writes it if the lease can be taken or renewed."""
-        if not await self._read():
+        """Writes the row if the lease can be taken or renewed; reads it first unless it is held."""
+        if self.grant() is None and not await self._read():
             return
         now = self._clock.monotonic()
         write = self.lease.next_write(now)
@@ -108,6 +113,9 @@
             case AnswerLost():
                 self._metrics.count("lease_answers_lost")
                 await self._read()
+            case Conflict(current=current) if self.lease.key in current:
+                self._metrics.count("lease_write_failures", outcome="Conflict")
+                self.lease.observe(current[self.lease.key], self._clock.monotonic())
             case _:
                 self._metrics.count("lease_write_failures", outcome=type(outcome).__name__)
 
@@ -122,6 +130,4 @@
             self._fencing = fencing
 
     def _poll_interval(self) -> datetime.timedelta:
-        is_active = self.grant() is not None or self._candidate()
-        interval = self._cfg.renewal if is_active else self._cfg.idle_poll
-        return interval * self._rng.uniform(0.8, 1.0)
+        return self._cfg.renewal if self.grant() is not None else self._challenge_interval()
--- a/cicadapond/peer/__init__.py
+++ b/cicadapond/peer/__init__.py
@@ -6,7 +6,7 @@
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._task import PeerTask
 from cicadapond.peer._tcp import TcpTransport
-from cicadapond.peer._topology import owner, rank
+from cicadapond.peer._topology import hubs, owner, rank
 from cicadapond.peer._transport import Link, MemoryNetwork, MemoryTransport, Transport
 
 __all__ = [
@@ -23,6 +23,7 @@
     "Peers",
     "TcpTransport",
     "Transport",
+    "hubs",
     "owner",
     "rank",
     "start_time_ms",
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -112,6 +112,10 @@
     def register_handler(self, topic, handler):
         self._handlers[topic] = handler
 
+    def is_primary_hub(self) -> bool:
+        """Returns whether this process speaks for its data centre, as all do without hubs."""
+        return self._membership is not None and self._membership.is_primary_hub()
+
     @property
     def superseded(self) -> bool:
         """Whether a later start of a process of this name is known."""
--- a/cicadapond/placing/__init__.py
+++ b/cicadapond/placing/__init__.py
@@ -2,11 +2,18 @@
 
 from cicadapond.placing._health import ServerHealth
 from cicadapond.placing._holding import should_hold
-from cicadapond.placing._placer import LONG_PREFILL_MS, InFlightRequest, Placement, Placer
+from cicadapond.placing._placer import (
+    LONG_PREFILL_MS,
+    EngineWork,
+    InFlightRequest,
+    Placement,
+    Placer,
+)
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
 
 __all__ = [
     "LONG_PREFILL_MS",
+    "EngineWork",
     "Placement",
     "Placer",
     "PrefixCacheModel",
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -1,14 +1,15 @@
 """Chooses the backend server of a request by the expected time until its answer begins; no I/O.
 
-It suits many prompts that share long prefixes, on engines that prefill prompts one after the other.
-The estimate includes the prompt tokens queued at the engine, the tokens of this prompt that it has
-not cached, and the size of its batch.  All are converted into milliseconds, so that a shorter queue
-can be weighed against a warmer cache.
+It suits many prompts that share long prefixes, on engines that prefill prompts one after the other
+and generate in a batch with a limited number of slots.  The estimate includes the prompt tokens
+queued at the engine, the tokens of this prompt that it has not cached, the size of its batch, and
+the wait for a slot if the batch is full.  All are converted into milliseconds, so that a shorter
+queue can be weighed against a warmer cache.
 
 The processes agree without communication on the home engine of a shared prefix, by rendezvous
 hashing; a home engine counts as having the prefix cached.  They report to each other how much
-prefill they have sent to each engine, since a long prompt of one process delays the short prompts
-of all others.
+prefill they have sent to each engine and how many requests they have there, since a long prompt of
+one process delays the short prompts of all others.
 """
 
 import collections
@@ -20,14 +21,9 @@
 
 from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
 
-# Prompt tokens that an engine prefills per millisecond while it also decodes.
-PREFILL_TOKENS_PER_MS = 88.0
-# Attention takes this much longer per million pairs of a prefilled token and a token before it.
-ATTENTION_MS_PER_MILLION_PAIRS = 0.184
-# Delay of a new answer per request that the engine already runs, as each lengthens its steps.
-BATCH_COST_MS = 0.6
 # A server's load report counts in full when it arrives and decays with this half-life.
 LOAD_HALF_LIFE_MS = 400.0
 # A prefill of at least this length is reported to the other processes at once.
@@ -39,25 +35,54 @@
 # measured one in the moving average.
 INITIAL_CALL_MS = 30.0
 CALL_TIME_GAIN = 0.1
+# The same for the time that a generation occupies a slot.
+INITIAL_SLOT_MS = 1000.0
+SLOT_TIME_GAIN = 0.05
+# Numbers of requests that others reported longer ago than this are ignored.
+MAX_IN_FLIGHT_AGE = datetime.timedelta(seconds=3)
 OTHER_ZONE_COST_MS = 1.8
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+@attrs.frozen
+class EngineWork:
+    """What some processes have sent to an engine.
+
+    `prefill_total_ms` is a running total of prefill, `in_flight` the number of requests there.
+    """
+
+    prefill_total_ms: int
+    in_flight: int
+
+
+@attrs.frozen
+class _Estimate:
+    """What was known of a generation when it was sent, to learn from its answer."""
+
+    prompt: Prompt
+    queued_ms: float
+    running: float
+    has_slot: bool
+
+
 @attrs.define(eq=False)
 class InFlightRequest:
     """A request that is in flight at a server.
 
     Attributes:
       server: The server's name.
+      service: Its service.
       work_ms: The expected prefill time, or the expected duration of a plain service's call.
       since: The monotonic instant at which it was sent.
       begun_at: The monotonic instant at which its answer began, None before.
     """
 
     server: str
+    service: str
     work_ms: float
     since: datetime.timedelta
     begun_at: datetime.timedelta | None = None
+    estimate: _Estimate | None = None
 
 
 @attrs.define
@@ -98,7 +123,10 @@
     mean_call_ms: float = INITIAL_CALL_MS
     queue: "_PrefillQueue" = attrs.field(factory=lambda: _PrefillQueue())
     total_prefill_ms: float = 0.0
-    peer_totals_ms: dict = attrs.field(factory=dict)
+    # Own prefill that the total of this data centre does not include yet.
+    unreported_ms: float = 0.0
+    others_totals_ms: dict = attrs.field(factory=dict)
+    others_in_flight: dict = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -122,6 +150,15 @@
         self._clock = clock
         self._zone = zone
         self._loads: dict[str, _ServerLoad] = {}
+        self._models: dict[str, FirstEventModel] = {}
+        self._slot_ms: dict[str, float] = {}
+
+    def model(self, service: str) -> FirstEventModel:
+        """Returns the model of a service's engines."""
+        model = self._models.get(service)
+        if model is None:
+            model = self._models[service] = FirstEventModel()
+        return model
 
     def estimate(
         self, servers: typing.Sequence[ServerEntry], generation: Generation | None
@@ -132,16 +169,20 @@
         a plain service's call.  Both are in milliseconds.
         """
         home_server = _home_server(servers, generation)
+        now = self._clock.monotonic()
         estimates = []
         for entry in servers:
             load = self._load(entry)
+            in_flight = self._in_flight(load)
             if generation is None:
                 work_ms = load.mean_call_ms
-                expected = work_ms * (1.0 + self._in_flight(load) / entry.slots)
+                expected = work_ms * (1.0 + in_flight / entry.slots)
             else:
-                work_ms = self._prefill_ms(load, generation, entry is home_server)
-                expected = load.queue.remaining_ms(self._clock.monotonic()) + work_ms
-                expected += BATCH_COST_MS * self._in_flight(load)
+                model = self.model(entry.service)
+                work_ms = model.prefill_ms(_prompt(load, generation, entry is home_server))
+                queued_ms = load.queue.remaining_ms(now)
+                expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
+                expected += self._slot_wait_ms(entry, in_flight)
             if entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
             estimates.append((expected, entry, work_ms))
@@ -156,13 +197,22 @@
         if not estimates:
             return None
         expected, entry, work_ms = estimates[0]
-        request = InFlightRequest(entry.name, work_ms, self._clock.monotonic())
+        now = self._clock.monotonic()
+        request = InFlightRequest(entry.name, entry.service, work_ms, now)
         load = self._load(entry)
-        load.in_flight.add(request)
         if generation is not None:
+            in_flight = self._in_flight(load)
+            request.estimate = _Estimate(
+                _prompt(load, generation, entry is _home_server(servers, generation)),
+                load.queue.remaining_ms(now),
+                in_flight,
+                has_slot=in_flight < entry.slots,
+            )
             load.prefix_cache.add_prompt(generation.parts)
-            load.queue.add(work_ms, request.since)
+            load.queue.add(work_ms, now)
             load.total_prefill_ms += work_ms
+            load.unreported_ms += work_ms
+        load.in_flight.add(request)
         return Placement(entry, expected * _MILLISECOND, request)
 
     def mark_answer_begun(self, request: InFlightRequest) -> None:
@@ -171,6 +221,15 @@
         load = self._loads.get(request.server)
         if load is not None:
             load.queue.discard_up_to(request.since, now)
+        estimate = request.estimate
+        if estimate is not None and estimate.has_slot:
+            self.model(request.service).observe(
+                request.server,
+                estimate.prompt,
+                estimate.queued_ms,
+                estimate.running,
+                (now - request.since) / _MILLISECOND,
+            )
 
     def mark_ended(self, request: InFlightRequest, took: datetime.timedelta | None = None) -> None:
         """Records that a request is no longer in flight.
@@ -179,6 +238,10 @@
           request: The request.
           took: How long a complete answer of a plain service took, None for anything else.
         """
+        if request.begun_at is not None:
+            held_ms = (self._clock.monotonic() - request.begun_at) / _MILLISECOND + request.work_ms
+            mean = self._slot_ms.get(request.service, INITIAL_SLOT_MS)
+            self._slot_ms[request.service] = mean + SLOT_TIME_GAIN * (held_ms - mean)
         load = self._loads.get(request.server)
         if load is None:
             return
@@ -194,32 +257,54 @@
             load.reported_at = self._clock.monotonic()
             load.own_in_flight_at_report = len(load.in_flight)
 
-    def prefill_totals(self) -> dict[str, int]:
-        """Returns the running totals of prefill sent to each engine, in milliseconds."""
+    def engine_work(self) -> dict[str, EngineWork]:
+        """Returns what this process has sent to each engine."""
         return {
-            name: round(load.total_prefill_ms)
+            name: EngineWork(round(load.total_prefill_ms), len(load.in_flight))
             for name, load in self._loads.items()
             if load.total_prefill_ms
         }
 
-    def add_peer_prefill(self, process: str, totals_ms: typing.Mapping[str, float]) -> None:
-        """Adds the prefill that another process has sent to each engine since its last report.
+    def apply_others_work(
+        self,
+        zone: str,
+        reporter: str,
+        work: typing.Mapping[str, EngineWork],
+        includes_own: bool,
+    ) -> None:
+        """Applies a report of what the processes of a data centre have sent to each engine.
 
         Args:
-          process: The other process's name.
-          totals_ms: Its running totals of prefill, in milliseconds by engine.
+          zone: The data centre.
+          reporter: Who counted; the running totals of different reporters are not compared.
+          work: The work by engine.
+          includes_own: Whether this process's own work is part of it.
         """
         now = self._clock.monotonic()
         for name, load in self._loads.items():
-            total = totals_ms.get(name, 0.0)
-            last = load.peer_totals_ms.get(process, total)
-            load.peer_totals_ms[process] = total
-            if total > last:
-                load.queue.add(total - last, now)
+            reported = work.get(name)
+            if reported is None:
+                load.others_in_flight.pop(zone, None)
+                continue
+            in_flight = reported.in_flight - (len(load.in_flight) if includes_own else 0)
+            load.others_in_flight[zone] = (max(0, in_flight), now)
+            last_reporter, last = load.others_totals_ms.get(zone, (None, 0))
+            load.others_totals_ms[zone] = (reporter, reported.prefill_total_ms)
+            if reporter != last_reporter:
+                continue
+            added = max(0, reported.prefill_total_ms - last)
+            if includes_own:
+                own = min(added, load.unreported_ms)
+                load.unreported_ms -= own
+                added -= own
+            if added:
+                load.queue.add(added, now)
 
     def remove(self, server: str) -> None:
         """Drops the load of a server that is gone."""
         self._loads.pop(server, None)
+        for model in self._models.values():
+            model.remove(server)
 
     def running(self, server: str) -> int:
         """Returns how many requests of this process are in flight at a server."""
@@ -232,36 +317,37 @@
             load = self._loads[entry.name] = _ServerLoad(PrefixCacheModel())
         return load
 
-    def _prefill_ms(self, load, generation, is_home):
-        cached = load.prefix_cache.cached_tokens(generation.parts)
-        if is_home:
-            cached = max(cached, sum(part.tokens for part in shared_parts(generation)))
-        return prefill_ms(generation.prompt_tokens, cached)
+    def _slot_wait_ms(self, entry, in_flight):
+        """Returns the expected wait for a slot: the slots free up evenly."""
+        if in_flight < entry.slots:
+            return 0.0
+        slot_ms = self._slot_ms.get(entry.service, INITIAL_SLOT_MS)
+        return (in_flight - entry.slots + 1) * slot_ms / entry.slots
 
     def _in_flight(self, load):
-        """Returns how many requests a server has: this process's own, and others as reported."""
-        others = self._decayed(
-            load, lambda report: max(0, report.running - load.own_in_flight_at_report)
+        """Returns how many requests a server has: this process's own, and those of others.
+
+        Those of others come from the server's own report while it is recent, and increasingly from
+        the reports of the other processes as it ages.
+        """
+        now = self._clock.monotonic()
+        others = sum(
+            count for count, at in load.others_in_flight.values() if now - at < MAX_IN_FLIGHT_AGE
         )
+        if load.report is not None:
+            age_ms = (now - load.reported_at) / _MILLISECOND
+            weight = 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+            reported = load.report.running + load.report.waiting - load.own_in_flight_at_report
+            others += weight * (max(0, reported) - others)
         return len(load.in_flight) + others
 
-    def _decayed(self, load, count):
-        if load.report is None:
-            return 0.0
-        age_ms = (self._clock.monotonic() - load.reported_at) / _MILLISECOND
-        return count(load.report) * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
-
 
-def prefill_ms(tokens: int, cached: int) -> float:
-    """Returns how long an engine takes to prefill a prompt, in milliseconds.
-
-    Args:
-      tokens: The prompt's tokens.
-      cached: How many of its leading tokens the engine has cached.
-    """
-    new = max(0, tokens - cached)
-    pairs = new * (cached + new / 2)
-    return new / PREFILL_TOKENS_PER_MS + pairs / 1e6 * ATTENTION_MS_PER_MILLION_PAIRS
+def _prompt(load, generation, is_home):
+    """Returns the prefill that a prompt needs at an engine."""
+    cached = load.prefix_cache.cached_tokens(generation.parts)
+    if is_home:
+        cached = max(cached, sum(part.tokens for part in shared_parts(generation)))
+    return Prompt(max(0, generation.prompt_tokens - cached), cached)
 
 
 def _home_server(servers, generation):
--- a/cicadapond/quotas/__init__.py
+++ b/cicadapond/quotas/__init__.py
@@ -1,5 +1,5 @@
 """Quotas of client accounts, enforced jointly by all processes that admit requests."""
 
-from cicadapond.quotas._shares import QuotaShares
+from cicadapond.quotas._shares import SPENDING_WINDOW, QuotaShares
 
-__all__ = ["QuotaShares"]
+__all__ = ["SPENDING_WINDOW", "QuotaShares"]
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -1,10 +1,11 @@
 """Client account quotas shared among the processes that admit requests; no I/O.
 
 A quota is a token bucket that all processes draw from: it fills at the account's rate up to its
-burst.  Each process estimates the level from what it admitted itself and from the running totals
-that the others report.  Spending that is reported late can make the level negative, and later
-requests wait until it covers them again; so the total exceeds the quota only by what has not been
-reported yet.
+burst.  Each process estimates the level from what it admitted itself and from what the others
+spent, which is reported by data centre and by short windows of UTC time.  Spending that is reported
+late can make the level negative, and later requests wait until it covers them again; so the total
+exceeds the quota only by what has not been reported yet.  The spending of one window only grows, so
+that reports may be lost, repeated, or come from another process than before.
 
 For each process that has not reported lately, an equal fraction of rate and burst is reserved,
 and that process does the same; so the total also holds during a network partition.  A process
@@ -18,14 +19,20 @@
 
 from cicadapond.gateway.data import ClientAccount
 from cicadapond.kernel import Clock
+from cicadapond.usage import UsageWindows
 
 ZERO = datetime.timedelta()
 MAX_WAIT = datetime.timedelta(seconds=60)
 # The initial level after a restart, as a fraction of the burst.
 RESTART_LEVEL_FRACTION = 0.25
-# Within this time of this process's start, the first total that an older process reports counts as
-# spent before the start.
-FIRST_TOTALS_PERIOD = datetime.timedelta(seconds=4)
+# The length of the windows in which spending is reported.
+SPENDING_WINDOW = datetime.timedelta(seconds=1)
+# How many windows a process reports.
+REPORTED_WINDOWS = 8
+# Spending reported in older windows is ignored, as it was applied before.
+MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
+# A process remembers its own spending for longer than anybody else reports it.
+OWN_WINDOWS = 24
 
 
 @attrs.define
@@ -34,7 +41,6 @@
     burst: float
     level: float
     refilled_at: datetime.timedelta
-    spent: float = 0.0
 
     def refill(self, now: datetime.timedelta, fraction: float) -> None:
         """Refills the bucket for the time until `now`, by a fraction of the rate and burst."""
@@ -56,12 +62,13 @@
         self._clock = clock
         self._begins_full = begins_full
         self._buckets: dict[str, _Bucket] = {}
-        self._totals: dict[str, dict[str, float]] = {}
+        self._own = UsageWindows(SPENDING_WINDOW, OWN_WINDOWS)
+        self._others: dict[int, dict[tuple[str, str], float]] = {}
         self._started_at = clock.monotonic()
 
-    def totals(self) -> dict[str, float]:
-        """Returns this process's running totals by account, to report to the other processes."""
-        return {name: round(bucket.spent) for name, bucket in self._buckets.items()}
+    def spending(self) -> dict[int, dict[str, int]]:
+        """Returns what this process spent in the newest windows, by account, to be reported."""
+        return dict(sorted(self._own.counts().items())[-REPORTED_WINDOWS:])
 
     def level(self, account: str) -> float | None:
         """Returns the level of an account's bucket, without a refill since its last use.
@@ -71,26 +78,38 @@
         bucket = self._buckets.get(account)
         return bucket.level if bucket is not None else None
 
-    def apply_totals(
-        self, process: str, totals: typing.Mapping[str, float], started_earlier: bool = True
+    def apply_spending(
+        self,
+        source: str,
+        windows: typing.Mapping[int, typing.Mapping[str, float]],
+        includes_own: bool,
     ) -> None:
-        """Applies the running totals reported by another process.
+        """Applies reported spending; what was spent before this process started is ignored.
 
         Args:
-          process: The process's name.
-          totals: The units that it has spent since its start, by account.
-          started_earlier: Whether it started well before this process.
+          source: Whose spending it is: a process or a data centre.
+          windows: The units spent by window and account.
+          includes_own: Whether this process's own spending, as far as it is known there, is part of
+            it.
         """
-        is_startup = self._clock.monotonic() - self._started_at < FIRST_TOTALS_PERIOD
-        is_spent_before_start = is_startup and started_earlier
-        known_totals = self._totals.setdefault(process, {})
-        for account, total in totals.items():
-            last_total = known_totals.get(account, total if is_spent_before_start else 0.0)
-            # A lower total means that the process has restarted.
-            spent = total - last_total if total >= last_total else total
-            known_totals[account] = total
-            if account in self._buckets:
-                self._buckets[account].level -= spent
+        own = self._own.counts()
+        # Derived each time, as the wall clock may have been corrected since the start.
+        running = self._clock.monotonic() - self._started_at
+        oldest = self._own.number(self._clock.now() - min(running, MAX_SPENDING_AGE))
+        for number, spending in windows.items():
+            if number < oldest:
+                continue
+            known = self._others.setdefault(number, {})
+            own_spending = own.get(number, {}) if includes_own else {}
+            for account, units in spending.items():
+                others = units - own_spending.get(account, 0)
+                increase = others - known.get((source, account), 0.0)
+                if increase <= 0:
+                    continue
+                known[source, account] = others
+                if account in self._buckets:
+                    self._buckets[account].level -= increase
+        self._forget_old_windows()
 
     def take(
         self, account: ClientAccount, units: float, fraction: float
@@ -116,14 +135,14 @@
             wait_seconds = (needed - bucket.level) / (bucket.rate * fraction)
             return min(datetime.timedelta(seconds=wait_seconds), MAX_WAIT)
         bucket.level -= units
-        bucket.spent += units
+        self._own.count(account.name, self._clock.now(), round(units))
         return None
 
     def _bucket(self, account, fraction):
         bucket = self._buckets.get(account.name)
         now = self._clock.monotonic()
         if bucket is None:
-            level = account.burst * (1.0 if self._begins_full else RESTART_LEVEL_FRACTION)
+            level = self._level_before_first_use(account, fraction)
             bucket = _Bucket(account.rate, account.burst, level, now)
             self._buckets[account.name] = bucket
         elif (bucket.rate, bucket.burst) != (account.rate, account.burst):
@@ -131,3 +150,21 @@
             bucket.rate, bucket.burst = account.rate, account.burst
             bucket.level = min(bucket.level, account.burst)
         return bucket
+
+    def _level_before_first_use(self, account, fraction):
+        """Returns the level of a bucket that others have drawn from but not yet this process."""
+        level = account.burst * (1.0 if self._begins_full else RESTART_LEVEL_FRACTION)
+        newest = self._own.number(self._clock.now())
+        oldest = min(self._others, default=newest)
+        for number in range(oldest, newest + 1):
+            if number > oldest and level < account.burst * fraction:
+                refilled = level + account.rate * fraction * SPENDING_WINDOW.total_seconds()
+                level = min(account.burst * fraction, refilled)
+            spending = self._others.get(number, {})
+            level -= sum(units for (_, name), units in spending.items() if name == account.name)
+        return level
+
+    def _forget_old_windows(self):
+        oldest = self._own.number(self._clock.now() - MAX_SPENDING_AGE)
+        for number in [number for number in self._others if number < oldest]:
+            del self._others[number]
--- a/cicadapond/usage/_windows.py
+++ b/cicadapond/usage/_windows.py
@@ -1,4 +1,4 @@
-"""Counts of started requests by window of UTC time and client account; no I/O."""
+"""Counts of started requests, or of units of quota, by window of UTC time and account; no I/O."""
 
 import collections
 import datetime
@@ -13,10 +13,12 @@
 
     Args:
       window: The length of a window; window k begins k lengths after the Unix epoch.
+      kept: How many windows are kept.
     """
 
-    def __init__(self, window: datetime.timedelta):
+    def __init__(self, window: datetime.timedelta, kept: int = KEPT_WINDOWS):
         self._window = window
+        self._kept = kept
         self._counts: dict[int, collections.Counter] = {}
 
     def number(self, at: datetime.datetime) -> int:
@@ -27,10 +29,10 @@
         """Returns the end of a window."""
         return EPOCH + (number + 1) * self._window
 
-    def count(self, account: str, at: datetime.datetime) -> None:
-        """Counts a request that started at a time."""
-        self._counts.setdefault(self.number(at), collections.Counter())[account] += 1
-        while len(self._counts) > KEPT_WINDOWS:
+    def count(self, account: str, at: datetime.datetime, units: int = 1) -> None:
+        """Counts a request that started at a time, as a number of units."""
+        self._counts.setdefault(self.number(at), collections.Counter())[account] += units
+        while len(self._counts) > self._kept:
             del self._counts[min(self._counts)]
 
     def counts(self) -> dict[int, dict[str, int]]:
@@ -39,92 +41,83 @@
 
 
 class UsageLedger:
-    """The counts reported by other processes, by process and by run, which `start` identifies.
+    """Counts by source, window and account, each the highest that was reported.
 
-    A process that restarts counts from zero, and what it reported before still counts.
+    A source counts on its own from zero: a run of a process, or what one succession of hubs knows
+    of a data centre.  Counts of one source only grow, so reports may be lost, repeated or come in
+    any order.
     """
 
     def __init__(self):
-        self._counts: dict[int, dict[tuple[str, int], typing.Mapping[str, int]]] = {}
-
-    def record_report(
-        self,
-        process: str,
-        start: int,
-        windows: typing.Mapping[int, typing.Mapping[str, int]],
-    ) -> None:
-        """Stores the counts of one run of a process, replacing earlier ones of the same windows."""
+        self._counts: dict[int, dict[str, dict[str, int]]] = {}
+
+    def merge(self, source: str, windows: typing.Mapping[int, typing.Mapping[str, int]]) -> None:
+        """Merges the counts that a source reports by window and account."""
         for number, counts in windows.items():
-            self._counts.setdefault(number, {})[process, start] = counts
+            known = self._counts.setdefault(number, {}).setdefault(source, {})
+            for account, count in counts.items():
+                known[account] = max(count, known.get(account, 0))
         while len(self._counts) > 2 * KEPT_WINDOWS:
             del self._counts[min(self._counts)]
 
-    def pack(self, own: tuple[str, int, typing.Mapping], newest: int, windows: int) -> list:
-        """Serialises the counts of the newest windows of every run, for `merge_packed`.
+    def counts(self, source: str) -> dict[int, dict[str, int]]:
+        """Returns the counts of one source by window."""
+        return {
+            number: dict(by_source[source])
+            for number, by_source in self._counts.items()
+            if source in by_source
+        }
+
+    def sources(self) -> set[str]:
+        """Returns the sources that have counts in the windows kept."""
+        return {source for by_source in self._counts.values() for source in by_source}
+
+    def total(self, number: int) -> dict[str, int]:
+        """Returns the total counts of one window over all sources, by account."""
+        total = collections.Counter()
+        for counts in self._counts.get(number, {}).values():
+            total.update(counts)
+        return {account: count for account, count in sorted(total.items()) if count}
+
+    def totals(self) -> dict[int, dict[str, int]]:
+        """Returns the totals of the newest windows."""
+        return {number: self.total(number) for number in sorted(self._counts)[-KEPT_WINDOWS:]}
+
+    def pack(self, newest: int, windows: int) -> list:
+        """Serialises the counts of the newest windows, for `merge_packed`.
 
         Args:
-          own: The name of this process, its start and its counts by window.
           newest: The number of the newest window.
           windows: How many windows to include.
 
         Returns:
-          The account names, and a row per run: process, start and, by window, the counts in the
-          order of the names.
+          The account names, and a row per source: its name and, by window, the counts in the order
+          of the names.
         """
-        process, start, counts = own
-        counts_by_start = {(process, start): dict(counts)}
-        for number, starts in self._counts.items():
-            for start_key, counts in starts.items():
-                counts_by_start.setdefault(start_key, {}).setdefault(number, counts)
-        numbers = range(newest - windows + 1, newest + 1)
+        numbers = [
+            number for number in range(newest - windows + 1, newest + 1) if number in self._counts
+        ]
         accounts = sorted(
             {
                 account
-                for each in counts_by_start.values()
-                for window in numbers
-                for account in each.get(window, ())
+                for number in numbers
+                for counts in self._counts[number].values()
+                for account in counts
             }
         )
-        rows = []
-        for (process, start), counts in sorted(counts_by_start.items()):
-            kept = {
-                window: [counts[window].get(account, 0) for account in accounts]
-                for window in numbers
-                if window in counts
-            }
-            if kept:
-                rows.append([process, start, kept])
-        return [accounts, rows]
-
-    def merge_packed(self, packed: list, own: tuple[str, int]) -> None:
-        """Merges the result of another ledger's `pack`, where its counts have a higher total.
-
-        Args:
-          packed: The result of `pack`.
-          own: The name and `start` of this process, whose own counts are skipped.
-        """
+        rows: dict[str, dict[int, list[int]]] = {}
+        for number in numbers:
+            for source, counts in self._counts[number].items():
+                row = [counts.get(account, 0) for account in accounts]
+                rows.setdefault(source, {})[number] = row
+        return [accounts, [[source, kept] for source, kept in sorted(rows.items())]]
+
+    def merge_packed(self, packed: list) -> None:
+        """Merges the result of another ledger's `pack`."""
         accounts, rows = packed
-        for process, start, windows in rows:
-            if (process, start) == own:
-                continue
-            for number, row in windows.items():
-                counts = {
-                    account: count for account, count in zip(accounts, row, strict=True) if count
-                }
-                known = self._counts.setdefault(number, {})
-                if sum(known.get((process, start), {}).values()) < sum(row):
-                    known[process, start] = counts
-
-    def total(
-        self, number: int, own: typing.Mapping[int, typing.Mapping[str, int]]
-    ) -> dict[str, int]:
-        """Returns the total counts of one window over all processes, by account.
-
-        Args:
-          number: The number of the window.
-          own: This process's counts by window.
-        """
-        total = collections.Counter(own.get(number, {}))
-        for counts in self._counts.get(number, {}).values():
-            total.update(counts)
-        return {account: count for account, count in sorted(total.items()) if count}
+        for source, windows in rows:
+            named = {
+                number: {name: count for name, count in zip(accounts, row, strict=True) if count}
+                for number, row in windows.items()
+            }
+            self.merge(source, named)
