--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -181,13 +181,14 @@
         self._lease = lease
         self._checks_fencing = checks_fencing
         self._step_in_progress = asyncio.Lock()
+        self._is_finished = False
         self._holder = holder
         self._reporter = reporter
         self._orderer = orderer
         self._clock = clock
 
     async def run(self):
-        while True:
+        while not self._is_finished:
             grant = self._lease.grant()
             if grant is None:
                 for part in (self._reporter, self._orderer):
@@ -198,8 +199,9 @@
                     await self._step()
             await self._clock.sleep(STEP_INTERVAL)
 
-    async def wait_for_calls(self) -> None:
-        """Waits until no call is in transit, after the lease has stopped granting."""
+    async def finish(self) -> None:
+        """Ends the task; returns when no call is in transit.  The lease must not grant any more."""
+        self._is_finished = True
         async with self._step_in_progress:
             return
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -186,7 +186,7 @@
         if self._lease_runner is not None:
             self._lease_runner.cancel()
             self._lease.stop_acting()
-            await self._duties.wait_for_calls()
+            await self._duties.finish()
             await self._lease.release()
         limit = self._cfg.bounds.grace * GRACE_SHARE
         while (waited := self._clock.monotonic() - begun) < limit:
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -269,7 +269,7 @@
         assert slow.begun
         assert not slow.ended
         lease.stop_acting()
-        await duties.wait_for_calls()
+        await duties.finish()
         assert len(slow.ended) == 1
         await lease.release()
         await world.clock.sleep(seconds(2))
