--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -26,6 +26,7 @@
     start_time_ms,
 )
 from cicadapond.provider import TableService, Write
+from cicadapond.scaling import Demand
 from cicadapond.usage import UsageLedger
 
 PROCESS_TABLE = "processes"
@@ -196,8 +197,8 @@
                 heard += summary.report.processes
         return min(1.0, max(1, heard) / self.count())
 
-    def demand(self, service: str, slots: int) -> float:
-        """Returns how many servers of a service all processes' requests keep busy.
+    def demand(self, service: str, slots: int) -> Demand:
+        """Returns what the requests of all processes need of a service.
 
         Args:
           service: The service.
@@ -215,7 +216,7 @@
         total = ServiceDemand()
         for report in reports.values():
             total += report.demand.get(service, ServiceDemand())
-        return max(total.prefilling, total.in_progress / slots)
+        return Demand(total.prefilling, total.in_progress / slots)
 
     def poll_interval(self, duty: str) -> datetime.timedelta:
         """Returns how often this process checks whether it can take over a duty."""
--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -223,15 +223,26 @@
         although they had time to start.
       clock: The clock.
       log: The event log; gets one line per order.
+      inputs: Returns what decided the orders of a service, for the log.
     """
 
     RETRY_INTERVAL = datetime.timedelta(seconds=3)
 
-    def __init__(self, cloud: Cloud, plan, reset_planner, missing, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        cloud: Cloud,
+        plan,
+        reset_planner,
+        missing,
+        clock: Clock,
+        log: EventLog,
+        inputs: typing.Callable[[str], dict] = lambda service: {},
+    ):
         self._cloud = cloud
         self._plan = plan
         self._reset_planner = reset_planner
         self._missing = missing
+        self._inputs = inputs
         self._clock = clock
         self._log = log
         # The count and the monotonic time of the last order of each kind; the count is -1 if the
@@ -264,6 +275,7 @@
                 fencing=grant.fencing,
                 outcome=type(outcome).__name__,
                 reason=getattr(outcome, "reason", None),
+                **self._inputs(order.service),
             )
 
     def _is_due(self, order: ServerOrder) -> bool:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -281,7 +281,13 @@
             self._reporter = reporter
         if cfg.duties.orders_servers:
             orderer = ServerOrderer(
-                cloud, self._orders, self._planner.reset, self._is_missing, self._clock, self._log
+                cloud,
+                self._orders,
+                self._planner.reset,
+                self._is_missing,
+                self._clock,
+                self._log,
+                self._order_inputs,
             )
         return DutyTask(
             self._lease, cfg.name, reporter, orderer, self._clock, cfg.duties.checks_fencing
@@ -306,6 +312,17 @@
             orders += self._planner.plan(service, self._cfg.zones, servers, demand)
         return orders
 
+    def _order_inputs(self, service_name):
+        """Returns the demand and the servers that the orders of a service are based on."""
+        service = self.parts.active_configuration.table.cfg.services[service_name]
+        servers = self.parts.registry.usable(service_name)
+        demand = self._cluster.demand(service_name, _slots_per_server(service, servers))
+        return {
+            "demand_prefill": round(demand.prefill, 2),
+            "demand_batches": round(demand.batches, 2),
+            "servers": len(servers),
+        }
+
     def _is_missing(self, order, since):
         table = self.parts.active_configuration.table
         boot = table.cfg.services[order.service].scaling.boot
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -144,7 +144,7 @@
         parts = self._parts
         servers = await self._servers_after_hold()
         left = self._time_left()
-        placement = parts.placer.place(servers, self._req.generation)
+        placement = parts.placer.place(servers, self._req.generation, self._priority() or 0)
         if placement is None:
             return NotSent("no server takes requests"), None
         entry, self._in_flight_request = placement.server, placement.request
@@ -202,7 +202,7 @@
         begun = parts.clock.monotonic()
         while True:
             servers = self._candidates()
-            found = parts.placer.estimate(servers, self._req.generation)
+            found = parts.placer.estimate(servers, self._req.generation, self._priority() or 0)
             if self._req.generation is None or self._send_count or not found:
                 return servers
             expected = datetime.timedelta(milliseconds=found[0][0])
--- a/cicadapond/placing/_first_event.py
+++ b/cicadapond/placing/_first_event.py
@@ -3,8 +3,9 @@
 Engines of different deployments differ in speed, in the number of tokens per event and in how much
 their batch slows them down.  So the time is a linear model of what is known of a request and of its
 engine when it is sent, fitted by recursive least squares to the times that this process observes.
-It starts from a guess and follows changes of the load.  Engines that are slower or faster than the
-others of their service have a factor of their own.
+It starts from a guess and follows changes of the load.  Relative errors are minimised, as a short
+prompt's time matters as much as a long one's.  Engines that are slower or faster than the others of
+their service have a factor of their own.
 """
 
 import attrs
@@ -16,15 +17,17 @@
 # The standard deviations of the coefficients before any observation.
 INITIAL_DEVIATIONS = (30.0, 8.0, 0.5, 0.4, 1.0)
 BOUNDS = ((0.0, 400.0), (1.0, 200.0), (0.0, 10.0), (0.2, 3.0), (0.0, 20.0))
-# The standard deviation of an observation in ms.
-NOISE_MS = 40.0
+# The standard deviation of an observation, as a share of its expected time.
+NOISE = 0.4
+# Expected times below this count as this long when relative errors are taken.
+MIN_EXPECTED_MS = 12.0
 # An observation counts half after about 350 later ones.
 FORGETTING = 0.998
-# Observations further from the prediction than this many mean deviations are moved to that limit,
-# so that a lost packet or a frozen engine changes little.
-MAX_DEVIATIONS = 4.0
+# Observations further from the prediction than this many mean relative deviations are moved to that
+# limit, so that a lost packet or a frozen engine changes little.
+MAX_DEVIATIONS = 3.0
 DEVIATION_GAIN = 0.05
-INITIAL_DEVIATION_MS = 40.0
+INITIAL_DEVIATION = 1.0
 # The weight of an observation in an engine's own factor, and its bounds.
 FACTOR_GAIN = 0.15
 MIN_FACTOR, MAX_FACTOR = 0.5, 8.0
@@ -50,12 +53,11 @@
 
     def __init__(self):
         self._coefficients = list(INITIAL)
-        variance = NOISE_MS**2
         self._covariance = [
-            [deviation**2 / variance if row == column else 0.0 for column in range(len(INITIAL))]
+            [deviation**2 / NOISE**2 if row == column else 0.0 for column in range(len(INITIAL))]
             for row, deviation in enumerate(INITIAL_DEVIATIONS)
         ]
-        self._mean_deviation_ms = INITIAL_DEVIATION_MS
+        self._mean_deviation = INITIAL_DEVIATION
         self._factors: dict[str, float] = {}
 
     @property
@@ -91,22 +93,24 @@
         if expected >= MIN_FACTOR_SAMPLE_MS:
             sample = min(MAX_FACTOR, max(MIN_FACTOR, took_ms / expected))
             self._factors[engine] = factor + FACTOR_GAIN * (sample - factor)
-        self._fit(features, took_ms / factor - expected)
+        scale = max(MIN_EXPECTED_MS, expected)
+        self._fit([value / scale for value in features], (took_ms / factor - expected) / scale)
 
     def remove(self, engine: str) -> None:
         """Drops what was learned of an engine that is gone."""
         self._factors.pop(engine, None)
 
-    def _fit(self, features, error_ms):
-        limit = MAX_DEVIATIONS * self._mean_deviation_ms
-        error_ms = min(limit, max(-limit, error_ms))
-        self._mean_deviation_ms += DEVIATION_GAIN * (abs(error_ms) - self._mean_deviation_ms)
+    def _fit(self, features, error):
+        """Moves the coefficients so that the relative error of one observation shrinks."""
+        limit = MAX_DEVIATIONS * self._mean_deviation
+        error = min(limit, max(-limit, error))
+        self._mean_deviation += DEVIATION_GAIN * (abs(error) - self._mean_deviation)
         size = range(len(features))
         spread = [sum(self._covariance[i][j] * features[j] for j in size) for i in size]
         scale = FORGETTING + sum(features[i] * spread[i] for i in size)
         for i in size:
             low, high = BOUNDS[i]
-            value = self._coefficients[i] + spread[i] / scale * error_ms
+            value = self._coefficients[i] + spread[i] / scale * error
             self._coefficients[i] = min(high, max(low, value))
         for i in size:
             for j in size:
@@ -115,4 +119,4 @@
 
 
 # Keeps forgetting from inflating the variance of a coefficient whose feature does not occur.
-_MAX_COVARIANCE = max(deviation**2 for deviation in INITIAL_DEVIATIONS) / NOISE_MS**2
+_MAX_COVARIANCE = max(deviation**2 for deviation in INITIAL_DEVIATIONS) / NOISE**2
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -74,13 +74,16 @@
       service: Its service.
       work_ms: The expected prefill time, or the expected duration of a plain service's call.
       since: The monotonic instant at which it was sent.
+      priority: Its priority at the engine.
       begun_at: The monotonic instant at which its answer began, None before.
+      estimate: What its expected time was derived from, None for a plain service's call.
     """
 
     server: str
     service: str
     work_ms: float
     since: datetime.timedelta
+    priority: int = 0
     begun_at: datetime.timedelta | None = None
     estimate: _Estimate | None = None
 
@@ -150,23 +153,30 @@
         self._clock = clock
         self._zone = zone
         self._loads: dict[str, _ServerLoad] = {}
-        self._models: dict[str, FirstEventModel] = {}
+        self._models: dict[tuple[str, int], FirstEventModel] = {}
         self._slot_ms: dict[str, float] = {}
 
-    def model(self, service: str) -> FirstEventModel:
-        """Returns the model of a service's engines."""
-        model = self._models.get(service)
+    def model(self, service: str, priority: int = 0) -> FirstEventModel:
+        """Returns the model of a service's engines for requests of one priority.
+
+        Engines admit more urgent requests first, so that the same queue delays them less.
+        """
+        model = self._models.get((service, priority))
         if model is None:
-            model = self._models[service] = FirstEventModel()
+            model = self._models[service, priority] = FirstEventModel()
         return model
 
     def estimate(
-        self, servers: typing.Sequence[ServerEntry], generation: Generation | None
+        self,
+        servers: typing.Sequence[ServerEntry],
+        generation: Generation | None,
+        priority: int = 0,
     ) -> list[tuple[float, ServerEntry, float]]:
         """Returns tuples of the expected delay, the server and the work, sorted by delay.
 
         The delay is the time until the answer begins; the work is the prefill, or the duration of
-        a plain service's call.  Both are in milliseconds.
+        a plain service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most
+        urgent.
         """
         home_server = _home_server(servers, generation)
         now = self._clock.monotonic()
@@ -178,7 +188,7 @@
                 work_ms = load.mean_call_ms
                 expected = work_ms * (1.0 + in_flight / entry.slots)
             else:
-                model = self.model(entry.service)
+                model = self.model(entry.service, priority)
                 work_ms = model.prefill_ms(_prompt(load, generation, entry is home_server))
                 queued_ms = load.queue.remaining_ms(now)
                 expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
@@ -190,15 +200,18 @@
         return estimates
 
     def place(
-        self, servers: typing.Sequence[ServerEntry], generation: Generation | None
+        self,
+        servers: typing.Sequence[ServerEntry],
+        generation: Generation | None,
+        priority: int = 0,
     ) -> Placement | None:
         """Chooses a server and counts the request there; returns None if there is no server."""
-        estimates = self.estimate(servers, generation)
+        estimates = self.estimate(servers, generation, priority)
         if not estimates:
             return None
         expected, entry, work_ms = estimates[0]
         now = self._clock.monotonic()
-        request = InFlightRequest(entry.name, entry.service, work_ms, now)
+        request = InFlightRequest(entry.name, entry.service, work_ms, now, priority)
         load = self._load(entry)
         if generation is not None:
             in_flight = self._in_flight(load)
@@ -223,7 +236,7 @@
             load.queue.discard_up_to(request.since, now)
         estimate = request.estimate
         if estimate is not None and estimate.has_slot:
-            self.model(request.service).observe(
+            self.model(request.service, request.priority).observe(
                 request.server,
                 estimate.prompt,
                 estimate.queued_ms,
--- a/cicadapond/scaling/__init__.py
+++ b/cicadapond/scaling/__init__.py
@@ -3,7 +3,7 @@
 The gateway uses this planner, the controller the one in `capacity`.
 """
 
-from cicadapond.scaling._demand import DemandMeter
+from cicadapond.scaling._demand import Demand, DemandMeter
 from cicadapond.scaling._planner import CapacityPlanner
 
-__all__ = ["CapacityPlanner", "DemandMeter"]
+__all__ = ["CapacityPlanner", "Demand", "DemandMeter"]
--- a/cicadapond/scaling/_demand.py
+++ b/cicadapond/scaling/_demand.py
@@ -8,6 +8,7 @@
 
 import datetime
 import math
+import typing
 
 import attrs
 
@@ -17,6 +18,43 @@
 HALF_LIFE = datetime.timedelta(seconds=2)
 
 
+@attrs.frozen
+class Utilisation:
+    """The shares of an engine's time for prefill, and of its slots, that are in use."""
+
+    prefill: float
+    slots: float
+
+
+@attrs.frozen
+class Demand:
+    """What requests need of a service.
+
+    `prefill` is the number of engines that they keep busy with prefill, `batches` the number of
+    engines whose slots they fill.
+    """
+
+    prefill: float
+    batches: float
+
+    @property
+    def is_positive(self) -> bool:
+        """Whether there are any requests."""
+        return self.prefill > 0.0 or self.batches > 0.0
+
+    def servers_at(self, utilisation: Utilisation) -> float:
+        """Returns how many engines serve the demand at a utilisation."""
+        return max(self.prefill / utilisation.prefill, self.batches / utilisation.slots)
+
+
+def peak(demands: typing.Iterable[Demand]) -> Demand:
+    """Returns the highest demand for each resource."""
+    demands = tuple(demands)
+    return Demand(
+        max(demand.prefill for demand in demands), max(demand.batches for demand in demands)
+    )
+
+
 @attrs.define
 class _Mean:
     """A mean over time with exponential decay."""
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -16,16 +16,18 @@
 from cicadapond.gateway import ServerOrder
 from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock
+from cicadapond.scaling._demand import Demand, Utilisation, peak
 
 # On-demand servers that are kept whatever the demand, in the cheapest data centres.
 MIN_ON_DEMAND = 1
-# Target utilisation of reclaimable servers, low so that prompts seldom wait for others.
-RECLAIMABLE_UTILISATION = 0.3
+# Target utilisation of reclaimable servers by prefill and by slots.  Prompts wait for each other at
+# any load, so that of prefill is low; slots cause no wait before all of them are taken.
+RECLAIMABLE_UTILISATION = Utilisation(prefill=0.38, slots=0.5)
 MIN_RECLAIMABLE_PER_ZONE = 2
 # On-demand servers are added when the reclaimable ones would be utilised more than this.
-MAX_UTILISATION = 0.65
+MAX_UTILISATION = Utilisation(prefill=0.65, slots=0.7)
 # The same, for the reclaimable servers left if one more data centre reclaims its own.
-MAX_UTILISATION_AFTER_RECLAIM = 0.85
+MAX_UTILISATION_AFTER_RECLAIM = Utilisation(prefill=0.85, slots=0.9)
 # The highest demand of this window counts, as servers take seconds to start.  The window is longer
 # for reclaimable servers: they cost little, and their cached prompts are lost when they go.
 DEMAND_WINDOW = datetime.timedelta(seconds=8)
@@ -38,7 +40,7 @@
 
 @attrs.frozen
 class _DemandSample:
-    demand: float
+    demand: Demand
     at: datetime.timedelta
 
 
@@ -72,7 +74,7 @@
         service: Service,
         zones: typing.Sequence[str],
         servers: typing.Sequence[ServerEntry],
-        demand: float,
+        demand: Demand,
     ) -> list[ServerOrder]:
         """Returns the orders that should be in force for a service.
 
@@ -80,16 +82,17 @@
           service: The service, with its bounds.
           zones: The data centres where it may run.
           servers: Its servers that take requests.
-          demand: How many engines its requests keep busy now.
+          demand: What its requests need now.
         """
         scaling = service.scaling
         if scaling is None:
             return []
         now = self._clock.monotonic()
-        if demand > 0.0:
+        if demand.is_positive:
             self._first_demand_at.setdefault(service.name, now)
         short_term_peak, long_term_peak = self._peak_demands(service.name, demand, now)
-        reclaimable = math.ceil(long_term_peak / RECLAIMABLE_UTILISATION / len(zones))
+        needed = long_term_peak.servers_at(RECLAIMABLE_UTILISATION)
+        reclaimable = math.ceil(needed / len(zones))
         to_replace = self._servers_to_replace(service.name, servers, now)
         reclaimable = max(MIN_RECLAIMABLE_PER_ZONE, reclaimable, math.ceil(to_replace / len(zones)))
         reclaimable = min(reclaimable, scaling.maximum - 1)
@@ -122,8 +125,8 @@
         needed = max(
             MIN_ON_DEMAND,
             to_replace - reclaimable_by_zone.total(),
-            math.ceil(demand / MAX_UTILISATION) - reclaimable_by_zone.total(),
-            math.ceil(demand / MAX_UTILISATION_AFTER_RECLAIM) - left_after_reclaim,
+            math.ceil(demand.servers_at(MAX_UTILISATION)) - reclaimable_by_zone.total(),
+            math.ceil(demand.servers_at(MAX_UTILISATION_AFTER_RECLAIM)) - left_after_reclaim,
         )
         counts = dict.fromkeys(zones, 0)
         for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
@@ -159,7 +162,5 @@
         samples = self._demand_samples.setdefault(service, [])
         samples.append(_DemandSample(demand, now))
         samples[:] = [sample for sample in samples if now - sample.at <= RECLAIMABLE_DEMAND_WINDOW]
-        short_term_peak = max(
-            sample.demand for sample in samples if now - sample.at <= DEMAND_WINDOW
-        )
-        return short_term_peak, max(sample.demand for sample in samples)
+        short_term = [each.demand for each in samples if now - each.at <= DEMAND_WINDOW]
+        return peak(short_term), peak([sample.demand for sample in samples])
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -3,7 +3,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, seconds
-from cicadapond.scaling import CapacityPlanner, DemandMeter
+from cicadapond.scaling import CapacityPlanner, Demand, DemandMeter
 
 ZONES = ("a", "b", "c")
 SCALING = Scaling(1, 4, seconds(4), 0.18, {"a": 0.85, "b": 1.2, "c": 1.0})
@@ -22,6 +22,7 @@
 
 
 def plan(planner, current, demand):
+    demand = demand if isinstance(demand, Demand) else Demand(prefill=demand, batches=0.0)
     orders = planner.plan(POOL, ZONES, current, demand)
     reclaimable = {order.zone: order.count for order in orders if order.reclaimable}
     return reclaimable, {order.zone: order.count for order in orders if not order.reclaimable}
@@ -30,7 +31,7 @@
 def planner_with_known_demand(clock):
     """Returns a planner that has observed a small demand for 30 s."""
     planner = CapacityPlanner(clock)
-    planner.plan(POOL, ZONES, [], 0.01)
+    planner.plan(POOL, ZONES, [], Demand(0.01, 0.0))
     clock.advance(seconds(30))
     return planner
 
@@ -50,6 +51,14 @@
     assert all(reclaimable[zone] + on_demand[zone] <= SCALING.maximum for zone in ZONES)
 
 
+def test_the_scarcer_resource_decides():
+    planner = planner_with_known_demand(ManualClock())
+    reclaimable, _ = plan(planner, servers("aabbcc", "a"), Demand(prefill=0.3, batches=4.0))
+    assert reclaimable == {"a": 3, "b": 3, "c": 3}
+    reclaimable, _ = plan(planner, servers("aaabbbccc", "a"), Demand(prefill=2.4, batches=0.1))
+    assert reclaimable == {"a": 3, "b": 3, "c": 3}
+
+
 def test_on_demand_servers_are_added_before_the_last_reclaim():
     planner = planner_with_known_demand(ManualClock())
     _, on_demand = plan(planner, servers("aa", "a"), 1.2)
@@ -117,7 +126,7 @@
 
 def test_no_servers_are_ordered_for_a_service_without_bounds():
     planner = CapacityPlanner(ManualClock())
-    assert planner.plan(Service("plain", 10), ZONES, [], 5.0) == []
+    assert planner.plan(Service("plain", 10), ZONES, [], Demand(5.0, 0.0)) == []
 
 
 def test_a_steady_demand_is_measured_as_busy_engines():
