--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -22,12 +22,12 @@
 MIN_ON_DEMAND = 1
 # Target utilisation of reclaimable servers by prefill and by slots.  Prompts wait for each other at
 # any load, so that of prefill is low; slots cause no wait before all of them are taken.
-RECLAIMABLE_UTILISATION = Utilisation(prefill=0.38, slots=0.5)
+RECLAIMABLE_UTILISATION = Utilisation(prefill=0.42, slots=0.45)
 MIN_RECLAIMABLE_PER_ZONE = 2
 # On-demand servers are added when the reclaimable ones would be utilised more than this.
-MAX_UTILISATION = Utilisation(prefill=0.65, slots=0.7)
+MAX_UTILISATION = Utilisation(prefill=0.8, slots=0.6)
 # The same, for the reclaimable servers left if one more data centre reclaims its own.
-MAX_UTILISATION_AFTER_RECLAIM = Utilisation(prefill=0.85, slots=0.9)
+MAX_UTILISATION_AFTER_RECLAIM = Utilisation(prefill=1.0, slots=0.8)
 # The highest demand of this window counts, as servers take seconds to start.  The window is longer
 # for reclaimable servers: they cost little, and their cached prompts are lost when they go.
 DEMAND_WINDOW = datetime.timedelta(seconds=8)
