Time shared copies by the drain time, keep engines until all are discovered

Copies older than 1.4 s sent each process to the store, a configuration of over 6 KB was fetched by all 195, and the first orders stopped engines that had not been listed yet, so that the first 8 s were served by 10 engines. Change: ages of copies follow the drain time; a large row is sent once; a late copy costs a call without a wait; no on-demand order before 3 s; candidates for the lease read again when the term has passed.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -11,7 +11,7 @@
 from cicadapond.gateway._copies import CopyExchange
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
-from cicadapond.gateway._sharing import CopyGroup
+from cicadapond.gateway._sharing import CopyGroup, copy_times
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Ok, TaskGroup
 from cicadapond.peer import (
@@ -55,7 +55,7 @@
 MEMBERSHIP_CACHE_TIME = datetime.timedelta(milliseconds=200)
 # Processes of other data centres may take over a duty after these intervals without it being done;
 # the processes are ordered by rendezvous hash, one of each data centre first.
-CANDIDATE_POLL_INTERVALS = tuple(datetime.timedelta(seconds=each) for each in (1, 3, 6, 9, 12))
+CANDIDATE_POLL_INTERVALS = tuple(datetime.timedelta(seconds=each) for each in (1, 2, 4, 6, 8))
 IDLE_POLL_INTERVAL = datetime.timedelta(seconds=60)
 
 
@@ -117,7 +117,13 @@
         self._joined_at: datetime.timedelta | None = None
         self._changed = asyncio.Event()
         self._copies = CopyExchange(
-            self._cfg.name, self._cfg.zone, clock, parts.log, self.live_by_zone, self.publish_soon
+            self._cfg.name,
+            self._cfg.zone,
+            clock,
+            parts.log,
+            self.live_by_zone,
+            self.publish_soon,
+            copy_times(self._cfg.bounds.drain),
         )
         self._zone_reports: ZoneReports | None = None
         self._summaries: dict[str, _Summary] = {}
--- a/cicadapond/gateway/_copies.py
+++ b/cicadapond/gateway/_copies.py
@@ -9,16 +9,13 @@
 import typing
 
 from cicadapond.eventlog import EventLog
-from cicadapond.gateway._sharing import CopyGroup, CopyInbox, SharedCopy, read_copy
+from cicadapond.gateway._sharing import CopyGroup, CopyInbox, CopyTimes, SharedCopy, read_copy
 from cicadapond.kernel import Clock
 from cicadapond.peer import owner
 
 # With fewer processes than this, each reads for itself: a few calls less are not worth a process's
 # dependence on others.
 MIN_PROCESSES_TO_SHARE = 8
-# If no copy arrives for this long, one process of each data centre reads for its neighbours.  It is
-# longer than a reader's wait for a change, and shorter than the age at which all call the store.
-DEPUTY_THRESHOLD = datetime.timedelta(milliseconds=1180)
 
 
 class CopyExchange(CopyGroup):
@@ -31,6 +28,7 @@
       log: The event log.
       live_by_zone: Returns the names of the live processes by data centre, this one included.
       publish_soon: Sends what `published` returns to the others soon.
+      times: When the processes call the store.
     """
 
     def __init__(
@@ -41,6 +39,7 @@
         log: EventLog,
         live_by_zone: typing.Callable[[], typing.Mapping[str, tuple[str, ...]]],
         publish_soon: typing.Callable[[], None],
+        times: CopyTimes,
     ):
         self._name = name
         self._zone = zone
@@ -48,6 +47,7 @@
         self._log = log
         self._live_by_zone = live_by_zone
         self._publish_soon = publish_soon
+        self.times = times
         self._published: dict[str, SharedCopy] = {}
         self._inboxes: dict[str, CopyInbox] = collections.defaultdict(CopyInbox)
         self._received: dict[tuple[str, str], list] = {}
@@ -96,7 +96,7 @@
             return True
         if self._reader(table) == self._name:
             return True
-        return self._deputy(table) == self._name and self._age(table) > DEPUTY_THRESHOLD
+        return self._deputy(table) == self._name and self._age(table) > self.times.deputy_age
 
     def has_receivers(self, table):
         return sum(map(len, self._live_by_zone().values())) >= MIN_PROCESSES_TO_SHARE
@@ -107,7 +107,7 @@
 
     async def receive_copy(self, table, limit):
         if self._deputy(table) == self._name:
-            limit = min(limit, max(datetime.timedelta(), DEPUTY_THRESHOLD - self._age(table)))
+            limit = min(limit, max(datetime.timedelta(), self.times.deputy_age - self._age(table)))
         return await self._inboxes[table].get(limit)
 
     def _age(self, table):
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -18,11 +18,6 @@
 FEED_WAIT_SHARE = 0.46
 # By how much the copy of a working feed may be older than the feed's wait.
 FEED_DELAY_ALLOWANCE = datetime.timedelta(milliseconds=600)
-# Maximum duration of a long poll while others rely on this process's copy, and the age of their
-# copies at which they call the store themselves.  Both are below the time for which a leaving
-# server still accepts requests.
-SHARED_FEED_WAIT = datetime.timedelta(milliseconds=1000)
-MAX_SHARED_COPY_AGE = datetime.timedelta(milliseconds=1400)
 # Failures count as an outage if the call that ends them began this long after the last answer or
 # shared copy.
 OUTAGE_THRESHOLD = datetime.timedelta(milliseconds=1200)
@@ -125,7 +120,7 @@
         if self._failures:
             wait = ZERO
         elif self._group.has_receivers(self._table):
-            wait = min(wait, SHARED_FEED_WAIT)
+            wait = min(wait, self._group.times.reader_wait)
         return await self._feed.changes(self._table, self._version, wait)
 
     def _apply(self, changes, called_at):
@@ -162,7 +157,7 @@
         """Returns whether to wait for a copy from another process instead of calling the store."""
         if self._version is None or self._failures or self._group.is_reader(self._table):
             return False
-        return self._clock.monotonic() - self._current_as_of < MAX_SHARED_COPY_AGE
+        return self._clock.monotonic() - self._current_as_of < self._group.times.max_age
 
     async def _receive_shared_copy(self):
         """Waits for the next copy from another process and applies it.
@@ -170,11 +165,11 @@
         Returns:
           The wait of the store call to make next, None if no call is needed.
         """
-        left = self._current_as_of + MAX_SHARED_COPY_AGE - self._clock.monotonic()
+        left = self._current_as_of + self._group.times.max_age - self._clock.monotonic()
         copy = await self._group.receive_copy(self._table, left)
         if copy is None:
             self._log_source_change(False)
-            return self._wait
+            return ZERO
         if copy.version < self._version:
             return None
         now = self._clock.monotonic()
--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -19,12 +19,42 @@
 
 # How long a change is resent, for processes that missed a message.
 RESEND_PERIOD = datetime.timedelta(seconds=3)
-# The limit on the changes of one copy; a message between processes holds 64 KB.
+# The limits on the changes of one copy: on those that are resent, and on those sent once; a message
+# between processes holds 64 KB.
 MAX_COPY_BYTES = 6 * 1024
+MAX_NEW_BYTES = 40 * 1024
 ROW_OVERHEAD_BYTES = 16
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+@attrs.frozen
+class CopyTimes:
+    """When processes that share copies call the store.
+
+    Attributes:
+      reader_wait: How long the reader's call waits for a change.
+      deputy_age: The age of a copy at which one process of each data centre reads for the others
+        of it, because nothing comes from the reader.
+      max_age: The age of its copy at which any process calls the store.
+    """
+
+    reader_wait: datetime.timedelta = datetime.timedelta(milliseconds=1000)
+    deputy_age: datetime.timedelta = datetime.timedelta(milliseconds=1180)
+    max_age: datetime.timedelta = datetime.timedelta(milliseconds=1400)
+
+
+# The times as shares of the time for which a leaving server still accepts requests: a process must
+# know of its leaving before.
+READER_WAIT_SHARE = 0.33
+DEPUTY_AGE_SHARE = 0.48
+MAX_AGE_SHARE = 0.62
+
+
+def copy_times(drain: datetime.timedelta) -> CopyTimes:
+    """Returns the times, given how long a leaving server still accepts requests."""
+    return CopyTimes(READER_WAIT_SHARE * drain, DEPUTY_AGE_SHARE * drain, MAX_AGE_SHARE * drain)
+
+
 @attrs.frozen
 class SharedCopy:
     """What a process sends of its copy of a table.
@@ -81,15 +111,19 @@
             for row in sorted(changes.rows, key=lambda row: row.version):
                 self._recent.pop(row.key, None)
                 self._recent[row.key] = (row, now)
-        while self._recent and self._must_drop(now):
-            _, (row, _) = self._recent.popitem(last=False)
-            self._floor = max(self._floor, row.version)
+        self._drop_oldest(lambda since: now - since > RESEND_PERIOD or self._size() > MAX_NEW_BYTES)
         rows = tuple(row for row, _ in self._recent.values())
-        return SharedCopy(changes.version, self._floor, changes.service_time, rows)
-
-    def _must_drop(self, now):
-        _, since = next(iter(self._recent.values()))
-        return now - since > RESEND_PERIOD or self._size() > MAX_COPY_BYTES
+        copy = SharedCopy(changes.version, self._floor, changes.service_time, rows)
+        self._drop_oldest(lambda since: self._size() > MAX_COPY_BYTES)
+        return copy
+
+    def _drop_oldest(self, must_drop):
+        while self._recent:
+            row, since = next(iter(self._recent.values()))
+            if not must_drop(since):
+                return
+            self._recent.popitem(last=False)
+            self._floor = max(self._floor, row.version)
 
     def _size(self):
         return sum(
@@ -99,7 +133,12 @@
 
 
 class CopyGroup(abc.ABC):
-    """A group of processes that share copies of tables."""
+    """A group of processes that share copies of tables.
+
+    `times` says when its processes call the store.
+    """
+
+    times = CopyTimes()
 
     @abc.abstractmethod
     def is_reader(self, table: str) -> bool:
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -271,6 +271,7 @@
     Attributes:
       max_revocation_delay: The maximum time for which a revoked key may still be used, None if
         unbounded.
+      drain: How long a leaving server still accepts requests.
       grace: The time from SIGTERM to SIGKILL.
       retry_ratio: The retries allowed per request to a service, over `retry_window`.
       retry_slack: The retries allowed in addition.
@@ -281,6 +282,7 @@
     """
 
     max_revocation_delay: datetime.timedelta | None
+    drain: datetime.timedelta
     grace: datetime.timedelta
     retry_ratio: float
     retry_window: datetime.timedelta
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -86,6 +86,7 @@
         self._instance = instance
         self._row: Row | None = None
         self._version_seen_at = datetime.timedelta()
+        self._is_unchanged = False
         self._write_count = 0
         self._sent_at: dict[str, datetime.timedelta] = {}
         self._held_until: datetime.timedelta | None = None
@@ -116,7 +117,8 @@
           row: The row.
           now: The monotonic time after the answer was received.
         """
-        if self._row is None or row.version != self._row.version:
+        self._is_unchanged = self._row is not None and row.version == self._row.version
+        if not self._is_unchanged:
             self._version_seen_at = now
         self._row = row
         if not self._is_mine():
@@ -126,6 +128,16 @@
         if sent_at is not None:
             self._extend(sent_at, row.value)
 
+    def lapses_at(self) -> datetime.timedelta | None:
+        """Returns the monotonic time at which the lease can be taken if it is not renewed.
+
+        None if the last two reads of the row differed, or one of them is still to come.
+        """
+        value = self._value()
+        if value is None or not self._is_unchanged:
+            return None
+        return self._version_seen_at + value["term_ms"] * _MILLISECOND
+
     def next_write(self, now: datetime.timedelta) -> Write | None:
         """Returns the conditional write that takes or renews the lease, None if neither is allowed.
 
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -10,6 +10,10 @@
 from cicadapond.lease._state import Grant, LeaseSettings, LeaseState
 from cicadapond.provider import TableService, Write
 
+# After a term without a renewal, when the row is read to take the lease.
+LAPSE_READ_DELAY = datetime.timedelta(milliseconds=100)
+MIN_READ_INTERVAL = datetime.timedelta(milliseconds=300)
+
 
 class LeaseTask(Task):
     """Acquires and renews a lease, and reports at any time whether this process may act.
@@ -59,7 +63,7 @@
         while True:
             await self.step()
             stepped_at, jitter = self._clock.monotonic(), self._rng.uniform(0.8, 1.0)
-            # The interval is looked up again and again, as it changes with the other processes.
+            # The interval is looked up repeatedly, as it changes with the other processes.
             while (
                 left := stepped_at + self._poll_interval() * jitter - self._clock.monotonic()
             ) > datetime.timedelta():
@@ -130,4 +134,12 @@
             self._fencing = fencing
 
     def _poll_interval(self) -> datetime.timedelta:
-        return self._cfg.renewal if self.grant() is not None else self._challenge_interval()
+        if self.grant() is not None:
+            return self._cfg.renewal
+        interval = self._challenge_interval()
+        lapses_at = self.lease.lapses_at()
+        if lapses_at is None:
+            return interval
+        # The holder has not renewed since the last read.
+        until_lapse = lapses_at + LAPSE_READ_DELAY - self._clock.monotonic()
+        return min(interval, max(until_lapse, MIN_READ_INTERVAL))
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -142,6 +142,7 @@
     return Bounds(
         # Named after the revocation of keys: how long after it a request may still be executed.
         max_revocation_delay=file.milliseconds("bounds.revoke_ms") if strict else None,
+        drain=file.milliseconds("bounds.drain_ms", 2000.0),
         grace=file.seconds("bounds.grace_s"),
         retry_ratio=file.number("bounds.retry_ratio"),
         retry_window=file.seconds("bounds.retry_window_s"),
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -62,12 +62,14 @@
         self._demand_samples: dict[str, list[_DemandSample]] = {}
         self._initial_servers: dict[str, _InitialServers] = {}
         self._first_demand_at: dict[str, datetime.timedelta] = {}
+        self._first_plan_at: dict[str, datetime.timedelta] = {}
 
     def reset(self) -> None:
         """Drops what was observed, before the lease is held again."""
         self._demand_samples.clear()
         self._initial_servers.clear()
         self._first_demand_at.clear()
+        self._first_plan_at.clear()
 
     def plan(
         self,
@@ -88,6 +90,7 @@
         if scaling is None:
             return []
         now = self._clock.monotonic()
+        self._first_plan_at.setdefault(service.name, now)
         if demand.is_positive:
             self._first_demand_at.setdefault(service.name, now)
         short_term_peak, long_term_peak = self._peak_demands(service.name, demand, now)
@@ -109,9 +112,11 @@
             )
             for zone in zones
         ]
-        orders += [
-            ServerOrder(service.name, zone, False, on_demand_by_zone[zone]) for zone in zones
-        ]
+        # An order for on-demand servers also stops those that have not been discovered yet.
+        if self._has_discovered(service.name, now):
+            orders += [
+                ServerOrder(service.name, zone, False, on_demand_by_zone[zone]) for zone in zones
+            ]
         return orders
 
     def _on_demand_counts(self, scaling, zones, servers, demand, to_replace):
@@ -137,6 +142,12 @@
             needed -= counts[zone]
         return counts
 
+    def _has_discovered(self, service, now):
+        """Returns whether all servers that ran before the first plan are known."""
+        initial = self._initial_servers.get(service)
+        since = initial.at if initial is not None else self._first_plan_at[service]
+        return now - since >= DISCOVERY_PERIOD
+
     def _servers_to_replace(self, service, servers, now):
         """Returns how many servers reclaimable ones have to replace, 0 once the demand is known.
 
@@ -145,7 +156,7 @@
         DEMAND_SETTLE_TIME.
         """
         initial = self._initial_servers.get(service)
-        if initial is None or now - initial.at < DISCOVERY_PERIOD:
+        if not self._has_discovered(service, now):
             count = max(initial.count if initial is not None else 0, len(servers))
             if count:
                 initial = _InitialServers(count, initial.at if initial is not None else now)
