--- a/cicadapond/placing/placing_test.py
+++ b/cicadapond/placing/placing_test.py
@@ -5,7 +5,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import Generation, LoadHeader, PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
-from cicadapond.placing import Placer, PrefixCacheModel, ServerHealth
+from cicadapond.placing import EngineWork, Placer, PrefixCacheModel, ServerHealth
 
 
 def entry(name, zone="a", slots=8):
@@ -81,6 +81,54 @@
     assert abs(estimates["s-0"] - estimates["s-1"]) < 1.0
 
 
+def work(prefill_total_ms, in_flight):
+    return {"e-0": EngineWork(prefill_total_ms, in_flight)}
+
+
+def waits(placer, servers=ENGINES, generation=None):
+    estimates = placer.estimate(servers, generation or prompt("x", "y"))
+    return {server.name: expected for expected, server, _ in estimates}
+
+
+def known_placer(clock):
+    """Returns a placer that has sent a request to each engine."""
+    placer = Placer(clock, "a")
+    for server in ENGINES:
+        placer.mark_ended(placer.place([server], prompt("warm", server.name)).request)
+    clock.advance(seconds(5))
+    return placer
+
+
+def test_a_full_batch_of_other_processes_is_avoided():
+    clock = ManualClock()
+    placer = known_placer(clock)
+    before = waits(placer)
+    placer.apply_others_work("b", "hub", work(0, 8), includes_own=False)
+    assert waits(placer)["e-0"] > before["e-0"] + 100
+    clock.advance(seconds(4))  # nothing was heard for too long to count
+    assert waits(placer)["e-0"] < before["e-0"] + 10
+
+
+def test_prefill_that_others_sent_counts_from_the_second_report_on():
+    placer = known_placer(ManualClock())
+    before = waits(placer)["e-0"]
+    placer.apply_others_work("b", "hub", work(5000, 0), includes_own=False)
+    assert waits(placer)["e-0"] < before + 10
+    placer.apply_others_work("b", "hub", work(5300, 0), includes_own=False)
+    assert waits(placer)["e-0"] > before + 200
+    placer.apply_others_work("b", "other hub", work(9000, 0), includes_own=False)
+    assert waits(placer)["e-0"] < before + 400
+
+
+def test_own_work_in_the_total_of_the_data_centre_counts_once():
+    placer = known_placer(ManualClock())
+    own = placer.engine_work()["e-0"].prefill_total_ms
+    placer.apply_others_work("a", "hub", work(0, 0), includes_own=True)
+    before = waits(placer)["e-0"]
+    placer.apply_others_work("a", "hub", work(own, 0), includes_own=True)
+    assert abs(waits(placer)["e-0"] - before) < 5
+
+
 def test_no_server_gives_no_placement():
     assert Placer(ManualClock(), "a").place([], None) is None
 
