--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -7,9 +7,9 @@
 import sys
 
 import tornado.httpserver
-import tornado.web
 from absl import app, flags, logging
 
+from cicadapond.admin import admin_application
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
@@ -29,23 +29,6 @@
 )
 
 
-class _Readiness(tornado.web.RequestHandler):
-    def initialize(self, node):
-        self._node = node
-
-    def get(self):
-        self.set_status(200 if self._node.is_ready() else 503)
-
-
-class _Metrics(tornado.web.RequestHandler):
-    def initialize(self, metrics):
-        self._metrics = metrics
-
-    def get(self):
-        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-        self.write(self._metrics.exposition())
-
-
 def _load(path):
     cfg, findings = read_settings(path, _METRICS_PORT.value)
     for finding in findings:
@@ -66,15 +49,10 @@
     log.write("started", zone=cfg.zone, pid=os.getpid())
     node = Node(cfg, platform_adapters(cfg, clock, metrics), clock, log, metrics, random.Random())
     await node.start()
-    readiness = tornado.web.Application(
-        [("/readyz", _Readiness, {"node": node})], log_function=lambda handler: None
-    )
-    _listen(readiness, cfg.readiness)
+    application = admin_application(metrics, node.state, node.is_ready)
+    _listen(application, cfg.readiness)
     if cfg.metrics is not None:
-        exposition = tornado.web.Application(
-            [("/metrics", _Metrics, {"metrics": metrics})], log_function=lambda handler: None
-        )
-        _listen(exposition, cfg.metrics)
+        _listen(application, cfg.metrics)
     await _until_stopped(node, path, stop, reload)
     await node.stop()
     log.flush()
