--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -101,6 +101,8 @@
     added: collections.deque = attrs.field(factory=collections.deque)
 
     def remaining_ms(self, now):
+        if not self.waiting_ms:
+            return 0.0
         return max(0.0, self.waiting_ms - (now - self.updated_at) / _MILLISECOND)
 
     def add(self, prefill_ms, now):
@@ -119,6 +121,7 @@
 @attrs.define
 class _ServerLoad:
     prefix_cache: PrefixCacheModel
+    name_hash: int
     in_flight: set = attrs.field(factory=set)
     report: LoadHeader | None = None
     reported_at: datetime.timedelta = datetime.timedelta()
@@ -132,6 +135,18 @@
     others_in_flight: dict = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class _Candidate:
+    """A server and what a request would meet there; `prompt` is None for a plain service."""
+
+    expected_ms: float
+    entry: ServerEntry
+    work_ms: float
+    queued_ms: float
+    in_flight: float
+    prompt: Prompt | None
+
+
 @attrs.frozen
 class Placement:
     """The server chosen for a request, and the expected time until its answer begins."""
@@ -178,26 +193,10 @@
         a plain service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most
         urgent.
         """
-        home_server = _home_server(servers, generation)
-        now = self._clock.monotonic()
-        estimates = []
-        for entry in servers:
-            load = self._load(entry)
-            in_flight = self._in_flight(load)
-            if generation is None:
-                work_ms = load.mean_call_ms
-                expected = work_ms * (1.0 + in_flight / entry.slots)
-            else:
-                model = self.model(entry.service, priority)
-                work_ms = model.prefill_ms(_prompt(load, generation, entry is home_server))
-                queued_ms = load.queue.remaining_ms(now)
-                expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
-                expected += self._slot_wait_ms(entry, in_flight)
-            if entry.zone != self._zone:
-                expected += OTHER_ZONE_COST_MS
-            estimates.append((expected, entry, work_ms))
-        estimates.sort(key=lambda item: (item[0], item[1].name))
-        return estimates
+        return [
+            (found.expected_ms, found.entry, found.work_ms)
+            for found in self._candidates(servers, generation, priority)
+        ]
 
     def place(
         self,
@@ -206,27 +205,51 @@
         priority: int = 0,
     ) -> Placement | None:
         """Chooses a server and counts the request there; returns None if there is no server."""
-        estimates = self.estimate(servers, generation, priority)
-        if not estimates:
+        candidates = self._candidates(servers, generation, priority)
+        if not candidates:
             return None
-        expected, entry, work_ms = estimates[0]
-        now = self._clock.monotonic()
-        request = InFlightRequest(entry.name, entry.service, work_ms, now, priority)
+        chosen = candidates[0]
+        entry, now = chosen.entry, self._clock.monotonic()
+        request = InFlightRequest(entry.name, entry.service, chosen.work_ms, now, priority)
         load = self._load(entry)
         if generation is not None:
-            in_flight = self._in_flight(load)
             request.estimate = _Estimate(
-                _prompt(load, generation, entry is _home_server(servers, generation)),
-                load.queue.remaining_ms(now),
-                in_flight,
-                has_slot=in_flight < entry.slots,
+                chosen.prompt,
+                chosen.queued_ms,
+                chosen.in_flight,
+                has_slot=chosen.in_flight < entry.slots,
             )
             load.prefix_cache.add_prompt(generation.parts)
-            load.queue.add(work_ms, now)
-            load.total_prefill_ms += work_ms
-            load.unreported_ms += work_ms
+            load.queue.add(chosen.work_ms, now)
+            load.total_prefill_ms += chosen.work_ms
+            load.unreported_ms += chosen.work_ms
         load.in_flight.add(request)
-        return Placement(entry, expected * _MILLISECOND, request)
+        return Placement(entry, chosen.expected_ms * _MILLISECOND, request)
+
+    def _candidates(self, servers, generation, priority):
+        """Returns the servers with the expected delay there, the shortest one first."""
+        now = self._clock.monotonic()
+        loads = [self._load(entry) for entry in servers]
+        home = _home(loads, generation)
+        candidates = []
+        for entry, load in zip(servers, loads, strict=True):
+            in_flight = self._in_flight(load, now)
+            prompt, queued_ms = None, 0.0
+            if generation is None:
+                work_ms = load.mean_call_ms
+                expected = work_ms * (1.0 + in_flight / entry.slots)
+            else:
+                model = self.model(entry.service, priority)
+                prompt = _prompt(load, generation, load is home)
+                work_ms = model.prefill_ms(prompt)
+                queued_ms = load.queue.remaining_ms(now)
+                expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
+                expected += self._slot_wait_ms(entry, in_flight)
+            if entry.zone != self._zone:
+                expected += OTHER_ZONE_COST_MS
+            candidates.append(_Candidate(expected, entry, work_ms, queued_ms, in_flight, prompt))
+        candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
+        return candidates
 
     def mark_answer_begun(self, request: InFlightRequest) -> None:
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
@@ -327,7 +350,8 @@
     def _load(self, entry):
         load = self._loads.get(entry.name)
         if load is None:
-            load = self._loads[entry.name] = _ServerLoad(PrefixCacheModel())
+            load = _ServerLoad(PrefixCacheModel(), _hash(entry.name))
+            self._loads[entry.name] = load
         return load
 
     def _slot_wait_ms(self, entry, in_flight):
@@ -337,16 +361,16 @@
         slot_ms = self._slot_ms.get(entry.service, INITIAL_SLOT_MS)
         return (in_flight - entry.slots + 1) * slot_ms / entry.slots
 
-    def _in_flight(self, load):
+    def _in_flight(self, load, now):
         """Returns how many requests a server has: this process's own, and those of others.
 
         Those of others come from the server's own report while it is recent, and increasingly from
         the reports of the other processes as it ages.
         """
-        now = self._clock.monotonic()
-        others = sum(
-            count for count, at in load.others_in_flight.values() if now - at < MAX_IN_FLIGHT_AGE
-        )
+        others = 0.0
+        if load.others_in_flight:
+            oldest = now - MAX_IN_FLIGHT_AGE
+            others = sum(count for count, at in load.others_in_flight.values() if at > oldest)
         if load.report is not None:
             age_ms = (now - load.reported_at) / _MILLISECOND
             weight = 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
@@ -363,16 +387,25 @@
     return Prompt(max(0, generation.prompt_tokens - cached), cached)
 
 
-def _home_server(servers, generation):
-    """Returns the server where a prompt's last shared part belongs; all processes agree on it."""
-    if generation is None or not servers:
+def _home(loads, generation):
+    """Returns the load of the server where a prompt's last shared part belongs.
+
+    All processes agree on it by rendezvous hashing.
+    """
+    if generation is None or not loads:
         return None
     shared = shared_parts(generation)
     if not shared:
         return None
-    key = shared[-1].name
-    return max(servers, key=lambda entry: _rendezvous_hash(key, entry.name))
+    part_hash = _hash(shared[-1].name)
+    return max(loads, key=lambda load: (part_hash ^ load.name_hash) * _MIXER & _HASH_MASK)
+
+
+def _hash(name):
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-def _rendezvous_hash(part, server):
-    return hashlib.blake2b(f"{part} {server}".encode(), digest_size=8).digest()
+# An odd number whose product with the difference of two hashes orders servers differently for each
+# part.
+_MIXER = 0x9E3779B97F4A7C15
+_HASH_MASK = (1 << 64) - 1
