Set the part of processes that are not heard aside after a restart

After a stop of all processes each took itself for alone with the whole quota until the first summaries came, 1.2 s later, and six of them spent the burst that a restart leaves. Change: a process that restarted counts the registered processes until it has settled, and only those that a summary covers as heard; summaries begin after 0.7 s. The test fails on the code before.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -50,7 +50,9 @@
 # share is then reserved for it.
 SILENCE_THRESHOLD = datetime.timedelta(seconds=3)
 # A process that has just joined may not know an earlier hub's summary yet, which it must continue.
-SUMMARY_DELAY = datetime.timedelta(milliseconds=1200)
+SUMMARY_DELAY = datetime.timedelta(milliseconds=700)
+# The share of quotas of a process that restarted and does not know yet how many others there are.
+SHARE_BEFORE_JOINING = 0.1
 # The members are counted anew at this interval, as every request needs their number.
 MEMBERSHIP_CACHE_TIME = datetime.timedelta(milliseconds=200)
 # Processes of other data centres may take over a duty after these intervals without it being done;
@@ -129,6 +131,7 @@
         self._summaries: dict[str, _Summary] = {}
         self._view: _View | None = None
         self._sequence = 0
+        self._registered = 1
         self.usage = UsageLedger()
 
     @property
@@ -139,6 +142,7 @@
     async def run(self) -> None:
         """Joins the other processes and publishes digests until cancelled."""
         rows = await self._register()
+        self._registered = len(rows)
         cfg = PeerSettings(
             self._cfg.name,
             self._cfg.zone,
@@ -193,14 +197,15 @@
     def quota_share(self) -> float:
         """Returns the share of quotas available to this process and those heard from lately."""
         now = self._clock.monotonic()
-        has_just_joined = self._joined_at is None or now - self._joined_at <= SILENCE_THRESHOLD
-        heard = 0
-        for zone, names in self.live_by_zone().items():
-            summary = self._summaries.get(zone)
-            if summary is None:
-                heard += len(names) if has_just_joined else 0
-            elif now - summary.received_at <= SILENCE_THRESHOLD:
-                heard += summary.report.processes
+        heard = sum(
+            summary.report.processes
+            for summary in self._summaries.values()
+            if now - summary.received_at <= SILENCE_THRESHOLD
+        )
+        if self._cfg.is_first_start and not self.has_settled():
+            return 1.0  # nobody has spent anything yet
+        if self._joined_at is None:
+            return SHARE_BEFORE_JOINING
         return min(1.0, max(1, heard) / self.count())
 
     def demand(self, service: str, slots: int) -> Demand:
@@ -281,6 +286,8 @@
         if known is not None and known.live_by_zone == live:
             live = known.live_by_zone  # the same object, by which others notice changes
         count = 1 + sum(self._has_share(member, now) for member in members)
+        if not self.has_settled():
+            count = max(count, self._registered)
         self._view = _View(now, count, live)
         return self._view
 
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -1,9 +1,21 @@
-"""Tests of the digest intervals by the number of processes."""
+"""Tests of the digest intervals, and of the share of quotas that a process may spend."""
+
+import asyncio
+import random
+import types
 
 import pytest
 
-from cicadapond.gateway._cluster import digest_intervals
-from cicadapond.kernel import seconds
+from cicadapond.data import Endpoint
+from cicadapond.gateway._cluster import (
+    SILENCE_THRESHOLD,
+    SUMMARY_DELAY,
+    Cluster,
+    digest_intervals,
+)
+from cicadapond.gateway._reports import Report
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.peer import Digest, Member, MemberState
 
 
 @pytest.mark.parametrize("processes", [1, 2, 6, 30, 61, 78, 420])
@@ -16,3 +28,98 @@
 
 def test_few_processes_publish_often():
     assert digest_intervals(6) == (seconds(0.018), seconds(0.4))
+
+
+class Peers:
+    """Membership as a test sets it."""
+
+    incarnation = 1 << 16
+
+    def __init__(self, names):
+        self.names = names
+
+    def members(self):
+        return tuple(
+            Member(name, name[0], "entry", 1 << 16, MemberState.ALIVE, seconds(0), 1, Digest())
+            for name in self.names
+        )
+
+
+def cluster(clock, is_first_start):
+    """Returns the cluster of process a0, which has not joined the others."""
+    quiet = types.SimpleNamespace(
+        apply_spending=lambda *args, **kwargs: None,
+        apply_others_work=lambda *args, **kwargs: None,
+    )
+    cfg = types.SimpleNamespace(
+        name="a0",
+        zone="a",
+        peers=(Endpoint("::1", 1),),
+        bounds=types.SimpleNamespace(drain=seconds(2)),
+        is_first_start=is_first_start,
+    )
+    parts = types.SimpleNamespace(cfg=cfg, log=None, metrics=None, quotas=quiet, placer=quiet)
+    return Cluster(parts, None, clock, None, random.Random(1))
+
+
+def join(joined, names, rows):
+    joined._peer = Peers(names)
+    joined._joined_at = joined._clock.monotonic()
+    joined._registered = rows
+
+
+def hear(joined, zone, processes):
+    joined._apply_summary(f"{zone}0", zone, Report(processes=processes, lineage="x/1"))
+
+
+def run(check):
+    async def main():
+        check()
+
+    asyncio.run(main())
+
+
+def test_after_a_stop_of_all_processes_each_spends_only_its_own_part_at_first():
+    """All restart with a part of the burst, and do not know at first what the others spend."""
+
+    def check():
+        clock = ManualClock()
+        joined = cluster(clock, is_first_start=False)
+        assert joined.quota_share() <= 0.1
+        join(joined, names=(), rows=6)
+        assert joined.quota_share() == pytest.approx(1 / 6)
+        clock.advance(SUMMARY_DELAY / 2)
+        joined._peer.names = ("a1", "b0", "b1", "c0", "c1")
+        assert joined.quota_share() == pytest.approx(1 / 6)
+        clock.advance(SUMMARY_DELAY)
+        for zone in "abc":
+            hear(joined, zone, 2)
+        assert joined.quota_share() == 1.0
+
+    run(check)
+
+
+def test_the_part_of_a_data_centre_that_is_not_heard_is_set_aside():
+    def check():
+        clock = ManualClock()
+        joined = cluster(clock, is_first_start=False)
+        join(joined, names=("a1", "b0", "b1"), rows=4)
+        clock.advance(seconds(1))
+        for zone in "ab":
+            hear(joined, zone, 2)
+        assert joined.quota_share() == 1.0
+        clock.advance(SILENCE_THRESHOLD + seconds(0.1))
+        hear(joined, "a", 2)
+        assert joined.quota_share() == 0.5
+        hear(joined, "b", 1)
+        assert joined.quota_share() == 0.75
+
+    run(check)
+
+
+def test_at_the_first_start_nothing_is_set_aside():
+    def check():
+        clock = ManualClock()
+        assert cluster(clock, is_first_start=True).quota_share() == 1.0
+
+    run(check)
