Connect to a hub that restarted at once

Change: a hub that connects, or starts again, is reachable. The test fails on the code before. Ruled out: a lost lineage (the counts of ended runs were there).

--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -238,6 +238,8 @@
             return False
         self.merge(identity, now)
         self.records[identity.name].last_heard = now
+        if self._unreachable.pop(identity.name, None) is not None:
+            self._topology_changed()  # it has connected to this process, so it is back
         return True
 
     # The membership list
@@ -282,6 +284,7 @@
         if not same_start(identity.incarnation, known.incarnation):
             self._drop_documents(known)
             known.reported_alive_at = now
+            self._unreachable.pop(known.name, None)
         known.zone = identity.zone
         known.role = identity.role
         known.endpoint = Endpoint(identity.host, identity.port)
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -131,3 +131,24 @@
     assert world.everyone_sees()
     assert world.clock.monotonic() >= seconds(10)
     await world.tasks.stop()
+
+
+@virtual
+async def test_a_hub_that_restarts_is_connected_to_again_at_once():
+    """Members that still held it for unreachable would report to other hubs than the primary one.
+
+    The restarted hub speaks for its data centre as soon as it is up, and would tell sums without
+    their reports.
+    """
+    world = await started()
+    primary = hub_names(world, "yqr")[0]
+    await world.kill(primary)
+    await world.sleep(2)
+    world.start(primary, **SETTINGS)
+    await world.sleep(1.5)
+    senders = ordinary(world, "yqr")
+    for name in senders:
+        world.peers[name].publish(Digest(report={"a": 1}))
+    await world.sleep(1)
+    assert all(world.digest(primary, name).report == {"a": 1} for name in senders)
+    await world.tasks.stop()
