--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -422,6 +422,16 @@
 
     def _apply_summary(self, hub, zone, summary):
         is_own_zone = zone == self._cfg.zone
+        known = self._summaries.get(zone)
+        if known is None or known.hub != hub or known.report.lineage != summary.lineage:
+            self._parts.log.write(
+                "summary_source",
+                zone=zone,
+                hub=hub,
+                lineage=summary.lineage,
+                heard=summary.processes,
+                last=known.hub if known is not None else None,
+            )
         self._summaries[zone] = _Summary(hub, self._clock.monotonic(), summary)
         self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -1,9 +1,9 @@
-"""Sharing of table copies among the processes of a data centre.
+"""Sharing of table copies among the processes of a deployment.
 
 In a large deployment most calls to the store would fetch the same rows for each process.
-Instead, two processes of a data centre read a table; each sends the others what changed and the
-time on the store's clock at which its copy was current.  A process that receives nothing in time,
-or that has missed an earlier change, calls the store itself.
+Instead, few processes read a table; each sends the others what changed and the time on the store's
+clock at which its copy was current.  A process that receives nothing in time, or that has missed an
+earlier change, calls the store itself.
 """
 
 import abc
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -30,6 +30,11 @@
     assert digest_intervals(6) == (seconds(0.018), seconds(0.4))
 
 
+class Log:
+    def write(self, event, **fields):
+        return None
+
+
 class Peers:
     """Membership as a test sets it."""
 
@@ -58,7 +63,7 @@
         bounds=types.SimpleNamespace(drain=seconds(2)),
         is_first_start=is_first_start,
     )
-    parts = types.SimpleNamespace(cfg=cfg, log=None, metrics=None, quotas=quiet, placer=quiet)
+    parts = types.SimpleNamespace(cfg=cfg, log=Log(), metrics=None, quotas=quiet, placer=quiet)
     return Cluster(parts, None, clock, None, random.Random(1))
 
 
