Follow one hub of a data centre at a time

Change: another hub's summary counts only for spending and usage, which are merged by window, while the last hub is heard. Open: why the two hubs of yqr take each other for unreachable.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -51,6 +51,9 @@
 SILENCE_THRESHOLD = datetime.timedelta(seconds=3)
 # A process that has just joined may not know an earlier hub's summary yet, which it must continue.
 SUMMARY_DELAY = datetime.timedelta(milliseconds=700)
+# Two hubs that do not reach each other both tell the sums of their data centre.  Their running
+# totals cannot be compared, so that another hub is followed only if nothing comes from the last one.
+HUB_CHANGE_DELAY = datetime.timedelta(milliseconds=1500)
 # The share of quotas of a process that restarted and does not know yet how many others there are.
 SHARE_BEFORE_JOINING = 0.1
 # The members are counted anew at this interval, as every request needs their number.
@@ -422,7 +425,12 @@
 
     def _apply_summary(self, hub, zone, summary):
         is_own_zone = zone == self._cfg.zone
+        self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
+        self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
         known = self._summaries.get(zone)
+        now = self._clock.monotonic()
+        if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
+            return
         if known is None or known.hub != hub or known.report.lineage != summary.lineage:
             self._parts.log.write(
                 "summary_source",
@@ -432,10 +440,8 @@
                 heard=summary.processes,
                 last=known.hub if known is not None else None,
             )
-        self._summaries[zone] = _Summary(hub, self._clock.monotonic(), summary)
-        self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
+        self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
-        self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
 
 
 def _run_of(member):
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -8,6 +8,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.gateway._cluster import (
+    HUB_CHANGE_DELAY,
     SILENCE_THRESHOLD,
     SUMMARY_DELAY,
     Cluster,
@@ -73,8 +74,9 @@
     joined._registered = rows
 
 
-def hear(joined, zone, processes):
-    joined._apply_summary(f"{zone}0", zone, Report(processes=processes, lineage="x/1"))
+def hear(joined, zone, processes, hub="0", usage=0):
+    report = Report(processes=processes, lineage="x/1", usage={7: {"acme": usage}})
+    joined._apply_summary(f"{zone}{hub}", zone, report)
 
 
 def run(check):
@@ -128,3 +130,26 @@
         assert cluster(clock, is_first_start=True).quota_share() == 1.0
 
     run(check)
+
+
+def test_one_hub_is_followed_while_two_tell_the_sums_of_a_data_centre():
+    """Work at engines is derived from running totals, which those of another hub would upset."""
+
+    def check():
+        clock = ManualClock()
+        joined = cluster(clock, is_first_start=False)
+        reporters = []
+        joined._parts.placer.apply_others_work = lambda zone, hub, work, includes_own: (
+            reporters.append(hub)
+        )
+        for round_number in range(6):
+            hear(joined, "b", 2, hub="0", usage=10 * round_number)
+            hear(joined, "b", 2, hub="1", usage=10 * round_number + 5)
+            clock.advance(seconds(0.5))
+        assert set(reporters) == {"b0"}
+        assert joined.usage.total(7) == {"acme": 55}  # counts are taken from both
+        clock.advance(HUB_CHANGE_DELAY)
+        hear(joined, "b", 2, hub="1")
+        assert reporters[-1] == "b1"
+
+    run(check)
