--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -52,7 +52,7 @@
 # A process that has just joined may not know an earlier hub's summary yet, which it must continue.
 SUMMARY_DELAY = datetime.timedelta(milliseconds=700)
 # Two hubs that do not reach each other both tell the sums of their data centre.  Their running
-# totals cannot be compared, so that another hub is followed only if nothing comes from the last one.
+# totals cannot be compared, so another hub is followed only if nothing comes from the last one.
 HUB_CHANGE_DELAY = datetime.timedelta(milliseconds=1500)
 # The share of quotas of a process that restarted and does not know yet how many others there are.
 SHARE_BEFORE_JOINING = 0.1
