Reset connections of calls to the platform that were given up

Cause, by reading: a call that timed out closed its connection in order, so that bytes held up by a partition arrived once it had healed, after the calls of the next holder. Where the platform does not check fencing numbers that breaks the order of holders. Change: the connection is reset.

--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -9,6 +9,7 @@
 import contextlib
 import datetime
 import socket
+import struct
 
 from cicadapond.data import Endpoint
 
@@ -22,6 +23,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# Makes closing a socket reset its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ChannelClosedError(Exception):
@@ -142,6 +145,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def prepare_reset(self) -> None:
+        """Makes the next close reset the connection.
+
+        Bytes that the peer has not received, for example in a network partition, are then lost.
+        """
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
     def _closed_error(self):
         if self._error is None:
             return ChannelClosedError("connection closed by the peer", was_reset=False)
--- a/cicadapond/forwarding/_client.py
+++ b/cicadapond/forwarding/_client.py
@@ -69,10 +69,11 @@
                 status, _ = await conn.read_head()
                 reply = Reply(status, await conn.read_full_body(MAX_BODY_BYTES))
         except (BrokenResponseError, TimeoutError) as exc:
-            conn.close()
+            # A call that was given up must not arrive after a network partition.
+            conn.reset()
             return ReplyLost(str(exc) or f"no response within {timeout}")
         except BaseException:
-            conn.close()
+            conn.reset()
             raise
         self._pool.release(self._name, conn)
         return reply
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -150,6 +150,11 @@
         self._channel.on_data = None
         self._channel.abort()
 
+    def reset(self) -> None:
+        """Closes the connection so that what the server has not received never reaches it."""
+        self._channel.prepare_reset()
+        self.close()
+
     async def _next_event(self):
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
