--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -58,8 +58,8 @@
 SHARE_BEFORE_JOINING = 0.1
 # The members are counted anew at this interval, as every request needs their number.
 MEMBERSHIP_CACHE_TIME = datetime.timedelta(milliseconds=200)
-# Processes of other data centres may take over a duty after these intervals without it being done;
-# the processes are ordered by rendezvous hash, one of each data centre first.
+# How often the candidates for a duty check whether they can take it over, by their rank.  They are
+# ordered by rendezvous hash, one of each data centre first.
 CANDIDATE_POLL_INTERVALS = tuple(datetime.timedelta(seconds=each) for each in (1, 2, 4, 6, 8))
 IDLE_POLL_INTERVAL = datetime.timedelta(seconds=60)
 
