Use the copies of others while the store turns this process away

While the reader was turned away by the store, other processes called it themselves; those that were turned away too kept calling with a back-off and ignored the copies that deputies told. Change: between failed calls a process takes copies, and a copy ends its failure. The test fails on the code before.

--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -170,6 +170,10 @@
         if copy is None:
             self._log_source_change(False)
             return ZERO
+        return self._apply_shared_copy(copy)
+
+    def _apply_shared_copy(self, copy):
+        """Applies a copy from another process; returns the same as `_receive_shared_copy`."""
         if copy.version < self._version:
             return None
         now = self._clock.monotonic()
@@ -183,6 +187,7 @@
         self._metrics.count("feed_copies", table=self._table)
         if rows:
             self._follower.apply_changes(changes, is_snapshot=False, after_outage=False)
+        self._failures = 0
         self._confirm_current(since)
         self._recent_changes.update(changes, is_snapshot=False)
         self._log_source_change(True)
@@ -199,4 +204,10 @@
             self._log.write("table_lost", table=self._table, reason=outcome.reason)
         self._failures += 1
         pause = min(FIRST_BACKOFF * 2 ** min(self._failures - 1, 8), MAX_BACKOFF)
-        await self._clock.sleep(pause)
+        if self._version is None or self._group.is_reader(self._table):
+            await self._clock.sleep(pause)
+            return
+        # The store may turn away this process and serve others, whose copies are as good.
+        copy = await self._group.receive_copy(self._table, pause)
+        if copy is not None:
+            self._apply_shared_copy(copy)
--- a/cicadapond/gateway/sharing_test.py
+++ b/cicadapond/gateway/sharing_test.py
@@ -283,3 +283,26 @@
             part.cancel()
 
     run_virtual(main())
+
+
+def test_a_process_that_the_store_turns_away_uses_the_copies_of_others():
+    """Its own failed call must not make it deaf to changes that its neighbours tell."""
+
+    async def main():
+        clock = VirtualClock()
+        feeds = [Feed(clock) for _ in range(4)]
+        fleet = Fleet(clock, feeds, readers=1)
+        await clock.sleep(seconds(2))
+        feeds[3].is_down = True
+        fleet.groups[3].is_cut = True  # misses copies for a while, so that it calls the store
+        await clock.sleep(CopyTimes().max_age + seconds(0.5))
+        fleet.groups[3].is_cut = False
+        await clock.sleep(seconds(1.2))
+        for feed in feeds[:3]:
+            feed.version = 9
+        await clock.sleep(seconds(0.2))
+        assert all(taker.taken[-1][0] == 9 for taker in fleet.followers)
+        assert fleet.directories[3].age() < CopyTimes().max_age
+        fleet.stop()
+
+    run_virtual(main())
