Decode and log the rate limits that servers state in their answers

The hypotheses that no process reads the limit, that each one applies it by itself, and that some path ignores it look alike in the logs. The head of each answer now carries the server's stated limit; a change is logged as server_advisory and counted, and each attempt line has the limit that was known. Values that are no finite number of at least 0 count as absent and are logged once per server. No decision uses the limit yet.

--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -28,6 +28,10 @@
 class ResponseSink(abc.ABC):
     """Receives a streamed response as it arrives."""
 
+    @abc.abstractmethod
+    def head(self, head: ResponseHead) -> None:
+        """Receives the head of any response of this server, as soon as it has been read."""
+
     @abc.abstractmethod
     async def begin(self, head: ResponseHead) -> None:
         """Receives the status and headers, before the first event."""
@@ -117,6 +121,8 @@
         try:
             async with asyncio.timeout(_seconds(silence.first)):
                 head = await self._read_matching_head(conn, req)
+            if head.status != MISDIRECTED:
+                sink.head(head)
             progress.head = head
             if _is_stream(head):
                 outcome = await self._relay_stream(conn, dispatch.server, sink, silence, progress)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
@@ -140,6 +141,7 @@
             registry=ServerRegistry(clock),
             placer=Placer(clock, cfg.zone),
             health=ServerHealth(clock, cfg.zone),
+            advisories=ServerAdvisories(clock),
             pool=pool,
             attempt=Attempt(self._adapters.header_codec, pool, clock),
             retry_limiter=RetryLimiter(
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
@@ -38,6 +39,7 @@
     registry: ServerRegistry
     placer: Placer
     health: ServerHealth
+    advisories: ServerAdvisories
     pool: ConnectionPool
     attempt: Attempt
     retry_limiter: RetryLimiter
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -15,7 +15,14 @@
 )
 from cicadapond.gateway._caller import Reply
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import CallerRequest, ClientAccount, Dispatch, Route, RouteKind
+from cicadapond.gateway.data import (
+    CallerRequest,
+    ClientAccount,
+    Dispatch,
+    Route,
+    RouteKind,
+    ServerEntry,
+)
 from cicadapond.kernel import Failed, NotRun, Unknown
 from cicadapond.placing import LONG_PREFILL_MS, should_hold
 from cicadapond.routes import choose_service
@@ -98,6 +105,7 @@
         self._fallback: Whole | None = None
         self._reason = "nothing was tried"
         self._in_flight_request = None
+        self._server: ServerEntry | None = None
 
     async def run(self) -> None:
         """Serves the request; the final response has been sent when this returns."""
@@ -148,6 +156,7 @@
         if placement is None:
             return NotSent("no server takes requests"), None
         entry, self._in_flight_request = placement.server, placement.request
+        self._server = entry
         if self._req.generation is not None:
             work = datetime.timedelta(milliseconds=placement.request.work_ms)
             parts.demand.add_prefill(self._service, work)
@@ -190,6 +199,7 @@
             expected_ms=_milliseconds(placement.expected),
             first_event_ms=self._first_event_ms(started),
             took_ms=_milliseconds(parts.clock.monotonic() - started),
+            rate_limit=self._rate_limit(entry),
         )
         return outcome, entry
 
@@ -217,6 +227,10 @@
             self._log("held", held_ms=_milliseconds(held), expected_ms=_milliseconds(expected))
         return servers
 
+    def _rate_limit(self, entry):
+        advisory = self._parts.advisories.get(entry)
+        return advisory.rate_limit if advisory is not None else None
+
     def _first_event_ms(self, started):
         if self._in_flight_request.begun_at is None:
             return None
@@ -414,6 +428,19 @@
 
     # ResponseSink
 
+    def head(self, head):
+        change = self._parts.advisories.record(self._server, head)
+        if change is not None:
+            before, after = change.before, change.after
+            self._parts.metrics.count("server_advisories", service=self._service)
+            self._log(
+                "server_advisory",
+                server=self._server.name,
+                rate_limit=after.rate_limit,
+                rate_limit_before=before.rate_limit if before is not None else None,
+                unreadable=list(after.unreadable),
+            )
+
     async def begin(self, head):
         if head.load is not None:
             self._parts.placer.update_load(self._in_flight_request.server, head.load)
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -248,6 +248,9 @@
       closes_connection: Whether the server closes the connection after the response.
       keep_alive_timeout: How long the server keeps an idle connection open, None if unknown.
       is_encoded: Whether the body has a content encoding.
+      rate_limit: The requests per second that the server accepts from all processes together, None
+        if it states no limit.
+      unreadable: The names of headers with invalid values, which count as absent.
     """
 
     status: int
@@ -259,6 +262,8 @@
     load: LoadHeader | None = None
     keep_alive_timeout: datetime.timedelta | None = None
     is_encoded: bool = False
+    rate_limit: float | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 # Settings of a process
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -4,6 +4,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Broken, Event, NotSent, Refused, RetryLimiter, StreamWhole, Whole
@@ -151,6 +152,7 @@
             registry=registry,
             placer=Placer(clock, "z"),
             health=ServerHealth(clock, "z"),
+            advisories=ServerAdvisories(clock),
             pool=None,
             attempt=attempt,
             retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -1,6 +1,7 @@
 """Parses and builds the platform's HTTP headers."""
 
 import datetime
+import math
 
 from cicadapond.gateway import HeaderCodec, Malformed
 from cicadapond.gateway.data import (
@@ -28,6 +29,8 @@
 INSTANCE = b"x-cicadapond-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+# The requests per second that an engine accepts from all processes together.
+RATE_LIMIT = b"server-limit"
 KEY_SCHEME = "token"
 
 OWN_PREFIX = b"x-cicadapond-"
@@ -99,6 +102,8 @@
             and name not in _SERVER_ONLY_HEADERS
         )
         request_id = fields.get(REQUEST_ID)
+        rate_limit = _parse_rate_limit(fields.get(RATE_LIMIT))
+        is_unreadable = rate_limit is None and RATE_LIMIT in fields
         return ResponseHead(
             status=status,
             headers=kept,
@@ -109,6 +114,8 @@
             load=_parse_load(fields.get(LOAD)),
             keep_alive_timeout=_parse_keep_alive(fields.get(b"keep-alive")),
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
+            rate_limit=rate_limit,
+            unreadable=(RATE_LIMIT.decode(),) if is_unreadable else (),
         )
 
     def local_response_headers(self, request_id, retry_after):
@@ -210,6 +217,14 @@
     return LoadHeader(*(int(count) for count in counts))
 
 
+def _parse_rate_limit(raw):
+    try:
+        rate = float(raw) if raw is not None else None
+    except ValueError:
+        return None
+    return rate if rate is not None and math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _parse_keep_alive(raw):
     for option in (raw or b"").split(b","):
         name, _, value = option.strip().partition(b"=")
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -283,3 +283,21 @@
         and not path.name.endswith("_test.py")
     ]
     assert occurrences == []
+
+
+@pytest.mark.parametrize(
+    ("raw", "rate", "unreadable"),
+    [
+        (b"1.6", 1.6, ()),
+        (b"0", 0.0, ()),
+        (b"-3", None, ("server-limit",)),
+        (b"nan", None, ("server-limit",)),
+        (b"1e999", None, ("server-limit",)),
+        (b"a few", None, ("server-limit",)),
+        (None, None, ()),
+    ],
+)
+def test_a_servers_rate_limit_is_a_finite_number_or_absent(raw, rate, unreadable):
+    headers = [(b"server-limit", raw)] if raw is not None else []
+    head = HEADER_CODEC.parse_response_head(200, headers)
+    assert (head.rate_limit, head.unreadable) == (rate, unreadable)
