Add failing tests of servers that get more requests than they accept

It fails with a single process and without any retry, so the limit is not read at all; that each process applies it by itself, or that only some path ignores it, is ruled out as the cause here. The stand-in of a server can state a limit.

--- /dev/null
+++ b/cicadapond/gateway/limits_test.py
@@ -0,0 +1,193 @@
+"""Plays processes before servers that state a rate limit, in virtual time."""
+
+import asyncio
+import random
+
+import attrs
+
+from cicadapond.advisories import ServerAdvisories
+from cicadapond.containment import CrashTracker
+from cicadapond.data import Endpoint
+from cicadapond.forwarding import NotSent, RetryLimiter, Whole
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._run import RequestRun
+from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway.data import (
+    CallerRequest,
+    Configuration,
+    RequestLimits,
+    ResponseHead,
+    Route,
+    RouteKind,
+    ServerEntry,
+    WeightedService,
+)
+from cicadapond.gateway.run_test import Log, Reply
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import ActiveConfiguration
+from cicadapond.scaling import DemandMeter
+from cicadapond.usage import UsageWindows
+
+# The rule: in any window no more than this multiple of what the limit allows, and some more,
+# from the processes that passed on a statement of the limit this long before.
+WINDOW_S = 4.0
+MAX_LIMIT_RATIO = 1.5
+MAX_EXTRA_REQUESTS = 5
+TELLING_DELAY_S = 0.5
+CALL_S = 0.02
+PLAYED_S = 20.0
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RouteKind.IDEMPOTENT,
+    services=(WeightedService("s", 1.0),),
+    timeout=seconds(3),
+    objective=seconds(0.4),
+    max_attempts=2,
+)
+
+
+@attrs.define
+class Server:
+    """A server and the limit that it states; `received` has the time and process of each call."""
+
+    entry: ServerEntry
+    limit: float | None = None
+    received: list[tuple[float, str]] = attrs.field(factory=list)
+    told: dict[str, float] = attrs.field(factory=dict)
+
+    def most_in_a_window(self) -> int:
+        """Returns the most requests in any window from processes that the server had told."""
+        times = [
+            at
+            for at, process in self.received
+            if self.told.get(process, at) <= at - TELLING_DELAY_S
+        ]
+        return max(
+            (sum(begin <= at <= begin + WINDOW_S for at in times) for begin in times), default=0
+        )
+
+    def allowed_in_a_window(self) -> float:
+        """Returns how many requests the rule allows in a window."""
+        return MAX_LIMIT_RATIO * self.limit * WINDOW_S + MAX_EXTRA_REQUESTS
+
+
+class Calls:
+    """Carries a process's attempts to the servers."""
+
+    def __init__(self, process, servers, clock):
+        self._process = process
+        self._servers = servers
+        self._clock = clock
+
+    async def run(self, req, dispatch, sink, silence, repeatable, check_send):
+        reason = check_send()
+        if reason is not None:
+            return NotSent(reason)
+        server = self._servers[dispatch.server.name]
+        server.received.append((self._clock.monotonic().total_seconds(), self._process))
+        await self._clock.sleep(seconds(CALL_S))
+        if server.limit is not None:
+            now = self._clock.monotonic().total_seconds()
+            server.told.setdefault(self._process, now)
+        head = ResponseHead(200, (), req.id, is_signed=True, rate_limit=server.limit)
+        sink.head(head)
+        return Whole(head, b"body")
+
+
+class _Pool:
+    def drop_server(self, server):
+        return None
+
+
+def make_parts(process, servers, clock):
+    """Returns the components of a process that lists the servers."""
+    active_configuration = ActiveConfiguration(clock, seconds(5), seconds(2))
+    limits = RequestLimits(1000, 1000, seconds(1), seconds(1))
+    active_configuration.apply(Configuration(1, (ROUTE,), {}, limits, None))
+    active_configuration.confirm_current(clock.monotonic())
+    registry = ServerRegistry(clock)
+    for number, server in enumerate(servers.values()):
+        registry.put(server.entry, number + 1)
+    return Parts(
+        cfg=None,
+        clock=clock,
+        log=Log(),
+        metrics=Metrics(),
+        header_codec=PlatformHeaderCodec(),
+        active_configuration=active_configuration,
+        registry=registry,
+        placer=Placer(clock, "z"),
+        health=ServerHealth(clock, "z"),
+        advisories=ServerAdvisories(clock),
+        pool=_Pool(),
+        attempt=Calls(process, servers, clock),
+        retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
+        quotas=QuotaShares(clock, True),
+        usage=UsageWindows(seconds(5)),
+        crashes=CrashTracker(clock),
+        demand=DemandMeter(clock),
+    )
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got, and the seconds that it took."""
+
+    reply: Reply
+    took_s: float
+
+
+def play(processes, limits, rate):
+    """Plays requests at `rate` a second, spread evenly over the processes.
+
+    Returns:
+      The servers, with the limits given, and the answers.
+    """
+
+    async def main():
+        clock, rng = VirtualClock(), random.Random(1)
+        servers = {}
+        for number, limit in enumerate(limits):
+            name = f"s-{number}"
+            servers[name] = Server(ServerEntry(name, "s", Endpoint("::1", 1), "z", 8), limit)
+        names = tuple(f"p-{number:03}" for number in range(processes))
+        parts = {name: make_parts(name, servers, clock) for name in names}
+        answers = []
+
+        async def ask(number):
+            req = CallerRequest(f"r-{number}", "GET", b"/x", "h", "/x", (), timeout=seconds(3))
+            reply, begun = Reply(), clock.monotonic()
+            await RequestRun(parts[rng.choice(names)], req, ROUTE, None, reply, begun).run()
+            answers.append(Answer(reply, (clock.monotonic() - begun).total_seconds()))
+
+        asked = []
+        while clock.monotonic() < seconds(PLAYED_S):
+            for each in parts.values():
+                each.active_configuration.confirm_current(clock.monotonic())
+            asked.append(asyncio.ensure_future(ask(len(asked))))
+            await clock.sleep(seconds(rng.expovariate(rate)))
+        await asyncio.gather(*asked)
+        return list(servers.values()), answers
+
+    return run_virtual(main())
+
+
+def check_limits(servers):
+    for server in servers:
+        if server.limit is not None:
+            assert server.most_in_a_window() <= server.allowed_in_a_window(), server.limit
+
+
+def test_a_server_gets_no_more_than_its_limit_from_one_process():
+    servers, _ = play(1, [1.0, None, None], 30.0)
+    check_limits(servers)
+
+
+def test_a_server_gets_no_more_than_its_limit_from_all_processes_together():
+    servers, _ = play(6, [1.0, 1.6, 0.4, 0.0, None, None], 60.0)
+    check_limits(servers)
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -234,6 +234,23 @@
     run(check, tmp_path)
 
 
+def test_a_server_that_states_a_limit_gets_no_more_requests_than_that(tmp_path):
+    async def check(system):
+        loop, caller = asyncio.get_running_loop(), system.caller()
+        system.engine("s-0").rate_limit = 1.0
+        begun = loop.time()
+        answers = [await caller.exchange(f"p-{number}", "/post/a") for number in range(40)]
+        most = 1.5 * (loop.time() - begun) + 5
+        assert len(system.ran()) <= most
+        assert answers[0].status == 200
+        for answer in answers:
+            assert answer.status == 200 or (
+                answer.status == 503 and 0 < float(answer.headers["retry-after"]) <= 2
+            )
+
+    run(check, tmp_path, FleetSettings(services=1))
+
+
 def test_a_server_that_answers_as_another_is_no_longer_used(tmp_path):
     async def check(system):
         system.engine("s-0").name = "reborn"
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -38,6 +38,8 @@
       events: Number of events in each stream.
       event_interval_s: The time between events, in seconds.
       processing_time_s: How long a plain request takes, in seconds.
+      rate_limit: The requests per second that it says to accept from all processes together, None
+        to state no limit.
       faults: Faults to inject, one per request in order.
       executed_requests: Every request that it began to execute: (id, method, target, headers,
         body).
@@ -50,6 +52,7 @@
     events: int = 4
     event_interval_s: float = 0.0
     processing_time_s: float = 0.0
+    rate_limit: float | None = None
     faults: list[EngineFault] = attrs.field(factory=list)
     executed_requests: list[tuple] = attrs.field(factory=list)
     cancelled_streams: list[str] = attrs.field(factory=list)
@@ -186,6 +189,7 @@
             _signature(f"{request_id}-{self._model.name}"),
             ("content-type", "text/event-stream"),
             ("transfer-encoding", "chunked"),
+            *self._advisories(),
         ]
         self._send(h11.Response(status_code=200, headers=headers))
         for number in range(first, self._model.events + 1):
@@ -217,12 +221,17 @@
             ("x-cicadapond-attempt-id", request_id),
             ("x-cicadapond-server-load", "1,0,6"),
             ("content-length", str(len(body))),
+            *self._advisories(),
             *headers,
         ]
         self._send(h11.Response(status_code=status, headers=framed))
         self._send(h11.Data(data=body))
         return self._end()
 
+    def _advisories(self):
+        rate = self._model.rate_limit
+        return [("server-limit", f"{rate:g}")] if rate is not None else []
+
     def _send(self, event):
         self._writer.write(self._http.send(event))
 
