Keep to the rate limits that servers state, all processes together

The class of fault: what a server says of itself in its answers is not kept as state, and the table of servers is taken as the only word on it.

Change: a process keeps to the newest statement that it or another process heard. The limit holds for all processes together. Time is divided into frames of a second, each limit gives permits for each frame, and these are dealt to the processes in turn by a schedule that each one computes from the time, the limit and the names of the processes. Nothing is counted in common, so no report has to arrive in time, and the work does not grow with the processes. Statements travel with the reports to the hubs and their sums. Every send takes a permit right before the first byte, so retries and sessions keep to the limit as well. A request that only limits keep out waits for a permit within half of its objective, or is refused at once, with the time until a permit is due, spread.

Weighed: equal shares of a bucket for each process allow as many requests at once as there are processes; one bucket with reported spending allows one request of each process before the first report arrives.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -1,12 +1,17 @@
-"""The newest statement of each backend server, by server and start."""
+"""The newest statement of each backend server, and what it lets this process send; no I/O."""
 
 import datetime
+import typing
 
 import attrs
 
+from cicadapond.advisories._permits import PermitSchedule, frame_of, time_until_frame
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import Clock
 
+# How long the end of a limit is reported: processes that hear of it later find out by an answer.
+ENDED_LIMIT_REPORTED = datetime.timedelta(seconds=10)
+
 
 @attrs.frozen
 class Advisory:
@@ -16,7 +21,7 @@
       born: The start of the server that said it, as `ServerEntry.born`.
       rate_limit: The requests per second that it accepts from all processes together, None if it
         states no limit.
-      said_at: When it said so, in UTC.
+      said_at: When it began to say so, in UTC.
       unreadable: The headers with invalid values.
     """
 
@@ -35,32 +40,135 @@
     after: Advisory
 
 
+@attrs.define
+class _Known:
+    """An advisory, whether this process heard it itself, and the permits used in a frame."""
+
+    advisory: Advisory
+    is_own: bool
+    frame: int = 0
+    used: int = 0
+
+
+@attrs.frozen
+class _Schedule:
+    processes: tuple[str, ...]
+    schedule: PermitSchedule
+
+
 class ServerAdvisories:
-    """Keeps what the servers said.
+    """Keeps what the servers said, and the requests that it still allows.
 
     Args:
-      clock: Gives the time.
+      clock: Gives the time; its wall-clock time is close to that of the other processes.
+      process: This process's name.
+      processes: Returns the sorted names of all processes that send to the servers, this one
+        included, or None while they are unknown; servers with a limit are avoided then.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        process: str = "",
+        processes: typing.Callable[[], tuple[str, ...] | None] | None = None,
+    ):
         self._clock = clock
-        self._advisories: dict[str, Advisory] = {}
+        self._process = process
+        self._processes = processes or (lambda: (process,))
+        self._known: dict[str, _Known] = {}
+        self._schedules: dict[str, _Schedule] = {}
+
+    # Statements
 
     def get(self, entry: ServerEntry) -> Advisory | None:
         """Returns what this start of a server said last, None if it stated nothing."""
-        known = self._advisories.get(entry.name)
-        return known if known is not None and known.born == entry.born else None
+        known = self._find(entry)
+        return known.advisory if known is not None else None
 
     def record(self, entry: ServerEntry, head: ResponseHead) -> AdvisoryChange | None:
         """Records the head of a server's answer; returns what has changed, None if nothing has."""
-        known = self.get(entry)
+        before = self.get(entry)
         said = (head.rate_limit, head.unreadable)
-        if said == ((known.rate_limit, known.unreadable) if known is not None else (None, ())):
+        if said == ((before.rate_limit, before.unreadable) if before is not None else (None, ())):
             return None
         after = Advisory(entry.born, head.rate_limit, self._clock.now(), head.unreadable)
-        self._advisories[entry.name] = after
-        return AdvisoryChange(entry.name, known, after)
+        self._put(entry, after, is_own=True)
+        return AdvisoryChange(entry.name, before, after)
+
+    def merge(self, entry: ServerEntry, advisory: Advisory) -> None:
+        """Applies what another process heard from a server, if it is newer."""
+        known = self.get(entry)
+        if advisory.born != entry.born:
+            return
+        if known is None or advisory.said_at > known.said_at:
+            self._put(entry, advisory, is_own=False)
+
+    def reported(self) -> dict[str, Advisory]:
+        """Returns what this process heard itself and the others should know, by server."""
+        oldest = self._clock.now() - ENDED_LIMIT_REPORTED
+        return {
+            server: known.advisory
+            for server, known in self._known.items()
+            if known.is_own
+            and (known.advisory.rate_limit is not None or known.advisory.said_at >= oldest)
+        }
 
     def remove(self, server: str) -> None:
         """Drops what a server that is gone said."""
-        self._advisories.pop(server, None)
+        self._known.pop(server, None)
+        self._schedules.pop(server, None)
+
+    # Limits
+
+    def may_send(self, entry: ServerEntry) -> bool:
+        """Returns whether the server's limit lets this process send another request now."""
+        known = self._find(entry)
+        if known is None or known.advisory.rate_limit is None:
+            return True
+        schedule = self._schedule(entry.name)
+        if schedule is None:
+            return False
+        frame = frame_of(self._clock.now())
+        used = known.used if known.frame == frame else 0
+        return used < schedule.permits(known.advisory.rate_limit, frame)
+
+    def take(self, entry: ServerEntry) -> bool:
+        """Counts a request that is about to be sent; returns False if it must not be."""
+        if not self.may_send(entry):
+            return False
+        known = self._find(entry)
+        if known is not None:
+            frame = frame_of(self._clock.now())
+            known.used = known.used + 1 if known.frame == frame else 1
+            known.frame = frame
+        return True
+
+    def time_until_permit(self, entry: ServerEntry) -> datetime.timedelta | None:
+        """Returns the time until this process may send to a limited server, None if it is long."""
+        known, schedule = self._find(entry), self._schedule(entry.name)
+        if known is None or known.advisory.rate_limit is None or schedule is None:
+            return None
+        now = self._clock.now()
+        ahead = schedule.frames_until_permit(known.advisory.rate_limit, frame_of(now))
+        return time_until_frame(frame_of(now) + ahead, now) if ahead is not None else None
+
+    def _find(self, entry):
+        known = self._known.get(entry.name)
+        return known if known is not None and known.advisory.born == entry.born else None
+
+    def _put(self, entry, advisory, is_own):
+        known = self._find(entry)
+        if known is None:
+            self._known[entry.name] = _Known(advisory, is_own)
+        else:
+            known.advisory, known.is_own = advisory, is_own
+
+    def _schedule(self, server):
+        processes = self._processes()
+        if processes is None:
+            return None
+        known = self._schedules.get(server)
+        if known is None or known.processes != processes:
+            schedule = PermitSchedule(server, self._process, processes)
+            known = self._schedules[server] = _Schedule(processes, schedule)
+        return known.schedule
--- /dev/null
+++ b/cicadapond/advisories/advisories_test.py
@@ -0,0 +1,140 @@
+"""Tests of what servers say of themselves, and of the division of their limits."""
+
+import datetime
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.advisories import Advisory, ServerAdvisories
+from cicadapond.advisories._permits import PermitSchedule
+from cicadapond.data import Endpoint
+from cicadapond.gateway.data import ResponseHead, ServerEntry
+from cicadapond.kernel import ManualClock, seconds
+
+START = ManualClock().now()
+ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8)
+LIMITED = ResponseHead(200, (), rate_limit=2.0)
+UNLIMITED = ResponseHead(200, ())
+MAX_CLOCK_DIFFERENCE_FRAMES = 0.3
+
+
+def names(count):
+    return tuple(f"p-{number:03}" for number in range(count))
+
+
+def advisories(clock, processes=("p",)):
+    return ServerAdvisories(clock, "p", lambda: processes)
+
+
+@pytest.mark.parametrize("rate", [0.25, 0.4, 1.0, 1.6, 7.0, 100.0])
+@pytest.mark.parametrize("count", [1, 2, 6, 195])
+def test_the_permits_of_all_processes_add_up_to_the_limit(rate, count):
+    schedules = [PermitSchedule("e", name, names(count)) for name in names(count)]
+    begin, frames = 1_780_000_000, 400
+    for frame in range(begin, begin + 5):
+        total = sum(schedule.permits(rate, frame) for schedule in schedules)
+        assert rate - 1 <= total <= rate + 1
+    total = sum(
+        schedule.permits(rate, frame)
+        for schedule in schedules
+        for frame in range(begin, begin + frames)
+    )
+    assert abs(total - rate * frames) <= 1
+
+
+@pytest.mark.parametrize(("rate", "count"), [(1.6, 6), (7.0, 6), (10.0, 195)])
+def test_each_process_gets_the_same_number_of_permits(rate, count):
+    frames = round(20 * count / rate)
+    totals = [
+        sum(PermitSchedule("e", name, names(count)).permits(rate, 10**9 + n) for n in range(frames))
+        for name in names(count)
+    ]
+    assert max(totals) - min(totals) <= 1
+
+
+@settings(deadline=None, derandomize=True)
+@given(
+    rate=st.floats(0.0, 20.0),
+    count=st.integers(1, 60),
+    begin=st.integers(10**9, 2 * 10**9),
+    seed=st.integers(0, 99),
+)
+def test_no_window_exceeds_the_limit_though_clocks_differ(rate, count, begin, seed):
+    rng, window = random.Random(seed), 4.0
+    schedules = [
+        (PermitSchedule("e", name, names(count)), rng.uniform(0, MAX_CLOCK_DIFFERENCE_FRAMES))
+        for name in names(count)
+    ]
+    times = sorted(
+        frame - begin + skew + rng.random()
+        for schedule, skew in schedules
+        for frame in range(begin, begin + 12)
+        for _ in range(schedule.permits(rate, frame))
+    )
+    for first in times:
+        sent = sum(first <= at <= first + window for at in times)
+        assert sent <= 1.5 * window * rate + 5
+
+
+def test_a_permit_is_not_kept_for_a_later_frame():
+    clock = ManualClock()
+    known = advisories(clock)
+    known.record(ENTRY, LIMITED)
+    clock.advance(seconds(10))
+    assert [known.take(ENTRY) for _ in range(4)] == [True, True, False, False]
+    assert known.time_until_permit(ENTRY) == seconds(1)
+    clock.advance(seconds(1))
+    assert [known.take(ENTRY) for _ in range(3)] == [True, True, False]
+
+
+def test_a_limit_ends_with_the_first_answer_without_it():
+    known = advisories(ManualClock())
+    assert known.record(ENTRY, LIMITED).after.rate_limit == 2.0
+    assert known.record(ENTRY, LIMITED) is None
+    assert known.record(ENTRY, UNLIMITED).after.rate_limit is None
+    assert all(known.take(ENTRY) for _ in range(10))
+
+
+def test_a_server_that_starts_again_has_no_limit():
+    known = advisories(ManualClock())
+    known.record(ENTRY, LIMITED)
+    reborn = attrs.evolve(ENTRY, born=1)
+    assert known.get(reborn) is None and all(known.take(reborn) for _ in range(10))
+    assert known.record(reborn, UNLIMITED) is None
+
+
+def test_a_limited_server_is_avoided_while_the_processes_are_unknown():
+    known = advisories(ManualClock(), processes=None)
+    assert known.take(ENTRY)
+    known.record(ENTRY, LIMITED)
+    assert not known.take(ENTRY)
+
+
+def test_the_newest_statement_of_all_processes_holds():
+    clock = ManualClock()
+    known = advisories(clock)
+    known.record(ENTRY, LIMITED)
+    earlier = START - datetime.timedelta(seconds=1)
+    known.merge(ENTRY, Advisory(0, 9.0, earlier))
+    assert known.get(ENTRY).rate_limit == 2.0
+    known.merge(ENTRY, Advisory(0, None, START + seconds(1)))
+    assert known.get(ENTRY).rate_limit is None
+    known.merge(ENTRY, Advisory(7, 1.0, START + seconds(2)))
+    assert known.get(ENTRY).rate_limit is None, "said by another start of the server"
+
+
+def test_only_own_observations_are_reported_and_ended_limits_for_a_while():
+    clock = ManualClock()
+    known = advisories(clock)
+    known.merge(ENTRY, Advisory(0, 3.0, START))
+    assert known.reported() == {}
+    clock.advance(seconds(1))
+    known.record(ENTRY, LIMITED)
+    assert known.reported()["e"].rate_limit == 2.0
+    known.record(ENTRY, UNLIMITED)
+    assert known.reported()["e"].rate_limit is None
+    clock.advance(seconds(11))
+    assert known.reported() == {}
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -86,10 +86,14 @@
 
 @attrs.frozen
 class _View:
-    """The members as of a moment: names by data centre, this process included."""
+    """The members as of a moment: names by data centre, this process included.
+
+    `sharers` are the sorted names of those that may send requests to servers.
+    """
 
     at: datetime.timedelta
     count: int
+    sharers: tuple[str, ...]
     live_by_zone: dict[str, tuple[str, ...]]
 
 
@@ -193,6 +197,14 @@
         """Returns how many processes share limits, this one included."""
         return self._current_view().count
 
+    def sharers(self) -> tuple[str, ...] | None:
+        """Returns the sorted names of the processes that share the servers' limits.
+
+        Processes that are not heard count for a while, as they may still serve callers.  None while
+        this process has not had time to learn of the others.
+        """
+        return self._current_view().sharers if self.has_settled() else None
+
     def live_by_zone(self) -> dict[str, tuple[str, ...]]:
         """Returns the names of the live processes by data centre, this one included."""
         return self._current_view().live_by_zone
@@ -291,7 +303,13 @@
         count = 1 + sum(self._has_share(member, now) for member in members)
         if not self.has_settled():
             count = max(count, self._registered)
-        self._view = _View(now, count, live)
+        others = {
+            member.name
+            for member in members
+            if member.state is not MemberState.LEFT and self._has_share(member, now)
+        }
+        sharers = tuple(sorted({self._cfg.name, *others}))
+        self._view = _View(now, count, sharers, live)
         return self._view
 
     def _members(self) -> tuple[Member, ...]:
@@ -389,6 +407,7 @@
                 for service in in_progress
             },
             engines=parts.placer.engine_work(),
+            advisories=parts.advisories.reported(),
         )
 
     def _zone_total(self, now):
@@ -442,6 +461,10 @@
             )
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
+        for server, advisory in summary.advisories.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None:
+                self._parts.advisories.merge(entry, advisory)
 
 
 def _run_of(member):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -141,7 +141,7 @@
             registry=ServerRegistry(clock),
             placer=Placer(clock, cfg.zone),
             health=ServerHealth(clock, cfg.zone),
-            advisories=ServerAdvisories(clock),
+            advisories=ServerAdvisories(clock, cfg.name, lambda: self._cluster.sharers()),
             pool=pool,
             attempt=Attempt(self._adapters.header_codec, pool, clock),
             retry_limiter=RetryLimiter(
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -27,7 +27,8 @@
     `processes` returns how many processes share limits, this one included; `quota_share` the
     share of quotas available to this process and those it has heard from lately; `check_server`
     checks whether a server whose connection broke is down; `publish_readings` sends the other
-    processes the prefill totals as soon as the minimum digest interval allows.
+    processes the prefill totals and the servers' statements as soon as the minimum digest interval
+    allows.
     """
 
     cfg: GatewaySettings
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from cicadapond.advisories import Advisory
 from cicadapond.placing import EngineWork
 from cicadapond.usage import UsageLedger
 
@@ -44,6 +45,7 @@
       departed: Usage of processes that ended lately, which new hubs did not hear from.
       demand: The demand for each service.
       engines: What was sent to each engine.
+      advisories: What servers said of themselves, by server.
     """
 
     sequence: int = 0
@@ -55,6 +57,7 @@
     departed: typing.Mapping[str, Windows] = attrs.field(factory=dict)
     demand: typing.Mapping[str, ServiceDemand] = attrs.field(factory=dict)
     engines: typing.Mapping[str, EngineWork] = attrs.field(factory=dict)
+    advisories: typing.Mapping[str, Advisory] = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -67,6 +70,9 @@
             items[f"d {service}"] = [round(demand.prefilling, 2), round(demand.in_progress, 2)]
         for engine, work in self.engines.items():
             items[f"e {engine}"] = [work.prefill_total_ms, work.in_flight]
+        for server, advisory in self.advisories.items():
+            said_at_ms = round(advisory.said_at.timestamp() * 1000)
+            items[f"a {server}"] = [advisory.born, advisory.rate_limit, said_at_ms]
         return items
 
 
@@ -74,7 +80,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {"s": {}, "u": {}, "x": {}, "d": {}, "e": {}}
+    fields = {"s": {}, "u": {}, "x": {}, "d": {}, "e": {}, "a": {}}
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -88,6 +94,8 @@
                     fields[kind][name] = ServiceDemand(*value)
                 case "e":
                     fields[kind][name] = EngineWork(*value)
+                case "a":
+                    fields[kind][name] = _read_advisory(*value)
         return Report(
             int(sequence),
             int(configuration),
@@ -98,11 +106,17 @@
             departed=fields["x"],
             demand=fields["d"],
             engines=fields["e"],
+            advisories=fields["a"],
         )
-    except (AttributeError, TypeError, ValueError):
+    except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
 
 
+def _read_advisory(born, rate_limit, said_at_ms):
+    said_at = datetime.datetime.fromtimestamp(said_at_ms / 1000, datetime.UTC)
+    return Advisory(int(born), None if rate_limit is None else float(rate_limit), said_at)
+
+
 @attrs.define
 class _Run:
     """One run of a process: its last report, and when it was last heard from."""
@@ -191,11 +205,16 @@
         usage.merge("", self._usage.totals())
         demand: dict[str, ServiceDemand] = {}
         in_flight: dict[str, int] = {}
+        advisories: dict[str, Advisory] = {}
         for run in counted:
             for service, need in run.report.demand.items():
                 demand[service] = demand.get(service, ServiceDemand()) + need
             for engine, work in run.report.engines.items():
                 in_flight[engine] = in_flight.get(engine, 0) + work.in_flight
+            for server, advisory in run.report.advisories.items():
+                known = advisories.get(server)
+                if known is None or (advisory.born, advisory.said_at) > (known.born, known.said_at):
+                    advisories[server] = advisory
         ended = {name for name, run in self._runs.items() if run.ended}
         departed = (self._usage.sources() - self._runs.keys()) | ended
         return Report(
@@ -211,6 +230,7 @@
                 engine: EngineWork(self._prefill_totals.get(engine, 0), count)
                 for engine, count in in_flight.items()
             },
+            advisories=advisories,
         )
 
     def _end_earlier_runs(self, run):
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import zlib
 
 from cicadapond.containment import fingerprint_of
 from cicadapond.forwarding import (
@@ -53,6 +54,13 @@
 # Retry-After values: for a transient shortage, and when no request could be sent to any server.
 SHORT_RETRY_AFTER = datetime.timedelta(milliseconds=250)
 NO_SERVER_RETRY_AFTER = datetime.timedelta(seconds=1)
+# A request waits for a server's limit to admit it if it still gets there within this share of its
+# objective; else it is refused at once.
+PERMIT_WAIT_SHARE = 0.5
+# Retry-After of requests that the servers' limits keep out: until a permit is due, and a part of
+# this longer; never longer than the maximum.
+LIMITED_RETRY_SPREAD = datetime.timedelta(milliseconds=500)
+MAX_LIMITED_RETRY_AFTER = datetime.timedelta(seconds=2)
 # With less time left than this, no server could respond.
 MIN_TIME_LEFT = datetime.timedelta(milliseconds=5)
 # Engines have ten priorities, 0 to 9; the account's rank takes precedence over the route's.
@@ -106,6 +114,7 @@
         self._reason = "nothing was tried"
         self._in_flight_request = None
         self._server: ServerEntry | None = None
+        self._limited_retry_after: datetime.timedelta | None = None
 
     async def run(self) -> None:
         """Serves the request; the final response has been sent when this returns."""
@@ -151,6 +160,8 @@
     async def _try_one(self):
         parts = self._parts
         servers = await self._servers_after_hold()
+        if not servers and self._limited_servers():
+            return self._limited_outcome(), None
         left = self._time_left()
         placement = parts.placer.place(servers, self._req.generation, self._priority() or 0)
         if placement is None:
@@ -212,6 +223,9 @@
         begun = parts.clock.monotonic()
         while True:
             servers = self._candidates()
+            if not servers and self._can_wait_for_permit():
+                await parts.clock.sleep(HOLD_POLL_INTERVAL)
+                continue
             found = parts.placer.estimate(servers, self._req.generation, self._priority() or 0)
             if self._req.generation is None or self._send_count or not found:
                 return servers
@@ -237,10 +251,41 @@
         return _milliseconds(self._in_flight_request.begun_at - started)
 
     def _candidates(self):
+        permitted = [entry for entry in self._untried() if self._parts.advisories.may_send(entry)]
+        return self._parts.health.usable(permitted)
+
+    def _untried(self):
+        usable = self._parts.registry.usable(self._service)
+        return [entry for entry in usable if entry.name not in self._tried]
+
+    def _limited_servers(self):
+        """Returns the servers that only their stated limits keep this request from."""
+        may_send = self._parts.advisories.may_send
+        return [entry for entry in self._untried() if not may_send(entry)]
+
+    def _time_until_permit(self):
+        """Returns the time until a limited server may be sent a request, None if it is long."""
+        waits = map(self._parts.advisories.time_until_permit, self._limited_servers())
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def _can_wait_for_permit(self):
+        """Returns whether a limited server may be sent this request well within its objective."""
+        wait = self._time_until_permit()
+        waited = self._parts.clock.monotonic() - self._received_at
+        return wait is not None and waited + wait <= PERMIT_WAIT_SHARE * self._route.objective
+
+    def _limited_outcome(self):
+        """Refuses this request because of the servers' limits.
+
+        Callers that are refused in the same frame are asked to return spread over a later one.
+        """
         parts = self._parts
-        usable = parts.registry.usable(self._service)
-        fresh = [entry for entry in usable if entry.name not in self._tried]
-        return parts.health.usable(fresh)
+        wait = self._time_until_permit() or MAX_LIMITED_RETRY_AFTER / 2
+        spread = zlib.crc32(self._req.id.encode()) / 2**32 * LIMITED_RETRY_SPREAD
+        self._limited_retry_after = min(wait + spread, MAX_LIMITED_RETRY_AFTER)
+        parts.metrics.count("requests_limited", service=self._service)
+        self._log("limited", servers=len(self._limited_servers()), tried=len(self._tried))
+        return NotSent("the servers accept no more requests at the moment")
 
     def _check_send(self, entry):
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
@@ -254,6 +299,8 @@
             return "the client account can no longer be checked"
         if self._deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
+        if not self._parts.advisories.take(entry):
+            return "the server's limit is reached"
         self._send_count += 1
         return None
 
@@ -387,7 +434,7 @@
         if self._may_have_run:
             return Unknown(self._reason, status=502)
         wait = NO_SERVER_RETRY_AFTER if self._send_count == 0 else SHORT_RETRY_AFTER
-        return NotRun(self._reason, wait)
+        return NotRun(self._reason, self._limited_retry_after or wait)
 
     def _timeout_outcome(self):
         if self._fallback is not None:
@@ -433,6 +480,7 @@
         if change is not None:
             before, after = change.before, change.after
             self._parts.metrics.count("server_advisories", service=self._service)
+            self._parts.publish_readings()
             self._log(
                 "server_advisory",
                 server=self._server.name,
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -50,6 +50,10 @@
         self._drop_overdue()
         return tuple(self._entries.values())
 
+    def find(self, name: str) -> ServerEntry | None:
+        """Returns a known server, also a leaving one, or None."""
+        return self._entries.get(name)
+
     def takes_requests(self, entry: ServerEntry) -> bool:
         """Returns whether this start of a server still accepts new requests."""
         known = self._entries.get(entry.name)
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -104,8 +104,8 @@
         return None
 
 
-def make_parts(process, servers, clock):
-    """Returns the components of a process that lists the servers."""
+def make_parts(process, processes, servers, clock):
+    """Returns the components of one of several processes that list the servers."""
     active_configuration = ActiveConfiguration(clock, seconds(5), seconds(2))
     limits = RequestLimits(1000, 1000, seconds(1), seconds(1))
     active_configuration.apply(Configuration(1, (ROUTE,), {}, limits, None))
@@ -123,7 +123,7 @@
         registry=registry,
         placer=Placer(clock, "z"),
         health=ServerHealth(clock, "z"),
-        advisories=ServerAdvisories(clock),
+        advisories=ServerAdvisories(clock, process, lambda: processes),
         pool=_Pool(),
         attempt=Calls(process, servers, clock),
         retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
@@ -156,7 +156,7 @@
             name = f"s-{number}"
             servers[name] = Server(ServerEntry(name, "s", Endpoint("::1", 1), "z", 8), limit)
         names = tuple(f"p-{number:03}" for number in range(processes))
-        parts = {name: make_parts(name, servers, clock) for name in names}
+        parts = {name: make_parts(name, names, servers, clock) for name in names}
         answers = []
 
         async def ask(number):
@@ -191,3 +191,25 @@
 def test_a_server_gets_no_more_than_its_limit_from_all_processes_together():
     servers, _ = play(6, [1.0, 1.6, 0.4, 0.0, None, None], 60.0)
     check_limits(servers)
+
+
+def test_requests_go_to_servers_without_a_limit():
+    _, answers = play(6, [1.0, 0.4, None], 60.0)
+    assert all(answer.reply.status == 200 for answer in answers)
+    assert max(answer.took_s for answer in answers) < 0.2
+
+
+def test_if_all_servers_are_limited_most_of_the_limits_is_used_and_the_rest_refused_at_once():
+    servers, answers = play(6, [3.0, 3.0], 40.0)
+    check_limits(servers)
+    served = [answer for answer in answers if answer.reply.status == 200]
+    refused = [answer for answer in answers if answer.reply.status == 503]
+    assert len(served) + len(refused) == len(answers)
+    assert len(served) >= 0.8 * PLAYED_S * sum(server.limit for server in servers)
+    assert max(answer.took_s for answer in refused) <= 0.5 * 0.4 + 0.05
+
+
+def test_many_processes_keep_a_limit_together():
+    servers, answers = play(60, [4.0, 1.0, None, None], 80.0)
+    check_limits(servers)
+    assert all(answer.reply.status == 200 for answer in answers)
--- a/cicadapond/gateway/reports_test.py
+++ b/cicadapond/gateway/reports_test.py
@@ -2,15 +2,17 @@
 
 import pytest
 
+from cicadapond.advisories import Advisory
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
-from cicadapond.kernel import seconds
+from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import EngineWork
 from cicadapond.usage import UsageLedger
 
+START = ManualClock().now()
 SILENCE, RETENTION = seconds(3), seconds(20)
 
 
-def report(sequence, usage=0, spending=0, in_flight=0, prefill=0):
+def report(sequence, usage=0, spending=0, in_flight=0, prefill=0, limits=()):
     return Report(
         sequence,
         configuration=4,
@@ -18,6 +20,7 @@
         usage={20: {"acme": usage}},
         demand={"pool": ServiceDemand(0.5, in_flight)},
         engines={"e": EngineWork(prefill, in_flight)},
+        advisories=dict(limits),
     )
 
 
@@ -42,13 +45,23 @@
     total = zone_reports("h/1")
     total.record("a/1", report(1, 2, 30, 4, 50), seconds(0))
     total.record_ended("a/1")
-    total.record("b/1", report(1, 3, 10, 1, 20), seconds(0))
+    limits = {"e": Advisory(3, 1.6, START), "f": Advisory(0, None, START)}
+    total.record("b/1", report(1, 3, 10, 1, 20, limits), seconds(0))
     summary = total.total({}, seconds(1))
+    assert summary.advisories == limits
     assert read_report(summary.as_items()) == summary
 
 
 @pytest.mark.parametrize(
-    "items", [{}, {"": None}, {"": [1, 2]}, {"": [1, 2, 3, ""], "u x": {}}, {"": 1, "e a": [1]}]
+    "items",
+    [
+        {},
+        {"": None},
+        {"": [1, 2]},
+        {"": [1, 2, 3, ""], "u x": {}},
+        {"": 1, "e a": [1]},
+        {"": [1, 2, 3, ""], "a e": [0, 1.0, 1e30]},
+    ],
 )
 def test_a_malformed_report_is_none(items):
     assert read_report(items) is None
@@ -131,3 +144,13 @@
     first.continue_from(summaries[1])
     second.continue_from(summaries[0])
     assert first.lineage == second.lineage == "a/1"
+
+
+def test_the_newest_statement_about_a_server_is_told():
+    total = zone_reports("h/1")
+    older = Advisory(1, 5.0, START + seconds(9))
+    newer = Advisory(2, 1.0, START)
+    ended = Advisory(2, None, START + seconds(1))
+    for run, advisory in (("a/1", newer), ("b/1", ended), ("c/1", older)):
+        total.record(run, report(1, limits={"e": advisory}), seconds(0))
+    assert total.total({}, seconds(1)).advisories == {"e": ended}
