--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -118,6 +118,19 @@
         self._known.pop(server, None)
         self._schedules.pop(server, None)
 
+    def state(self) -> dict:
+        """Returns the limits in force, for a dump."""
+        now = self._clock.now()
+        return {
+            server: {
+                "rate_limit": known.advisory.rate_limit,
+                "age_ms": round((now - known.advisory.said_at).total_seconds() * 1000),
+                "heard_here": known.is_own,
+            }
+            for server, known in sorted(self._known.items())
+            if known.advisory.rate_limit is not None
+        }
+
     # Limits
 
     def may_send(self, entry: ServerEntry) -> bool:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -227,6 +227,7 @@
             "configuration_age": age,
             "servers": [attrs.asdict(entry) for entry in self.parts.registry.all()],
             "lease": self._lease.state(),
+            "advisories": self.parts.advisories.state(),
             "cluster": self._cluster.state(),
         }
 
