Decode and log software versions of servers, and which stream a request continues

The logs showed neither the version of a server nor that a request continues a stream, so that a continuation at another version within a process, one that its caller takes up elsewhere, and a server replaced under its name looked alike. The entry's version and the request's Resumes header are decoded, and stand in the attempt lines and in those of servers that join or change. No decision uses them yet. The test of a server's entry now also checks its version.

--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -211,6 +211,9 @@
             first_event_ms=self._first_event_ms(started),
             took_ms=_milliseconds(parts.clock.monotonic() - started),
             rate_limit=self._rate_limit(entry),
+            version=entry.version,
+            resumes=self._req.resumes,
+            after_event=dispatch.last_event_id,
         )
         return outcome, entry
 
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -89,6 +89,7 @@
             service=entry.service if entry else None,
             zone=entry.zone if entry else None,
             reclaimable=entry.is_reclaimable if entry else None,
+            version=entry.version if entry else None,
         )
         if change.kind in ("leaving", "gone"):
             self._parts.pool.drop_server(change.name)
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -154,6 +154,8 @@
       is_leaving: Whether it accepts no new requests.
       is_reclaimable: Whether its data centre may reclaim it.
       left: How long a leaving server still runs, None if unknown.
+      version: The version of its software, "" if unknown.  Streams of different versions do not fit
+        together.
     """
 
     name: str
@@ -165,6 +167,7 @@
     is_leaving: bool = False
     is_reclaimable: bool = False
     left: datetime.timedelta | None = None
+    version: str = ""
 
 
 # Requests
@@ -197,7 +200,9 @@
     """A complete request from a caller, with the values parsed from its headers.
 
     `headers` are forwarded; they exclude hop-by-hop headers and those that the gateway sets
-    itself.  `timeout` is the caller's timeout, None if it gives none.
+    itself.  `timeout` is the caller's timeout, None if it gives none.  A request that continues a
+    stream has the `last_event_id` that its caller received, and in `resumes` the id of the request
+    that brought the first event.
     """
 
     id: str
@@ -210,6 +215,7 @@
     key: str | None = None
     timeout: datetime.timedelta | None = None
     last_event_id: str | None = None
+    resumes: str | None = None
     generation: Generation | None = None
 
 
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -28,6 +28,8 @@
 LOAD = b"x-cicadapond-server-load"
 INSTANCE = b"x-cicadapond-instance-id"
 LAST_EVENT_ID = b"last-event-id"
+# The id of the request that brought the first event of a stream that its caller continues.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 # The requests per second that an engine accepts from all processes together.
 RATE_LIMIT = b"server-limit"
@@ -59,7 +61,7 @@
 )
 # Headers that may occur only once in a request.
 _SINGLE_HEADERS = frozenset(
-    (REQUEST_ID, DEADLINE, MODEL, TOKENS, PARTS, b"authorization", LAST_EVENT_ID)
+    (REQUEST_ID, DEADLINE, MODEL, TOKENS, PARTS, b"authorization", LAST_EVENT_ID, RESUMES)
 )
 # Headers of backend servers that are not forwarded to callers.
 _SERVER_ONLY_HEADERS = frozenset((LOAD, INSTANCE, NOT_EXECUTED))
@@ -148,6 +150,7 @@
         key=_parse_key(fields.get(b"authorization")),
         timeout=_parse_timeout(fields.get(DEADLINE)),
         last_event_id=_optional_printable_text(fields.get(LAST_EVENT_ID)),
+        resumes=_optional_printable_text(fields.get(RESUMES)),
         generation=_parse_generation(fields.get(TOKENS), fields.get(PARTS)),
     )
 
--- a/cicadapond/platform/_servers.py
+++ b/cicadapond/platform/_servers.py
@@ -44,4 +44,5 @@
         is_leaving=state == DRAINING,
         is_reclaimable=reader.flag("preemptible", False),
         left=reader.milliseconds("leaves_ms", None),
+        version=reader.text("version", ""),
     )
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -148,7 +148,7 @@
 def test_an_entry_is_read():
     entry, _ = decode_server("i-1", json.dumps(ENTRY).encode())
     assert entry == ServerEntry(
-        "i-1", "pool", Endpoint("10.0.0.1", 8080), "a", 8, born=1700000000000
+        "i-1", "pool", Endpoint("10.0.0.1", 8080), "a", 8, born=1700000000000, version="v1"
     )
     leaving = ENTRY | {"state": "draining", "preemptible": True, "leaves_ms": 2500}
     entry, _ = decode_server("i-1", json.dumps(leaving).encode())
@@ -301,3 +301,16 @@
     headers = [(b"server-limit", raw)] if raw is not None else []
     head = HEADER_CODEC.parse_response_head(200, headers)
     assert (head.rate_limit, head.unreadable) == (rate, unreadable)
+
+
+def test_a_request_that_continues_a_stream_names_the_first_request():
+    headers = [
+        (b"host", b"h"),
+        (b"x-cicadapond-attempt-id", b"r-2"),
+        (b"last-event-id", b"7"),
+        (b"resumes", b"r-1"),
+    ]
+    req = HEADER_CODEC.parse_request(b"POST", b"/x", headers, b"")
+    assert (req.id, req.resumes, req.last_event_id) == ("r-2", "r-1", "7")
+    repeated = HEADER_CODEC.parse_request(b"POST", b"/x", [*headers, (b"resumes", b"r-0")], b"")
+    assert isinstance(repeated, Malformed)
