Add failing tests of streams that go on at another software version

On sockets, with stand-ins of several versions: a stream that breaks goes on at another version within its process, a caller that takes a stream up is sent to any version at the same process and at another one after its own was killed, and a stream of which nothing is known is continued all the same. The stand-ins have a version, and the harness can run several nodes.

--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -1,4 +1,4 @@
-"""A gateway node with stand-ins of the platform on loopback, for tests."""
+"""Gateway nodes with stand-ins of the platform on loopback, for tests."""
 
 import asyncio
 import contextlib
@@ -11,39 +11,56 @@
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Metrics
 from cicadapond.platform import read_settings
-from cicadapond.platform.standin import Caller, Fleet, FleetSettings
+from cicadapond.platform.standin import Caller, EngineModel, Fleet, FleetSettings
 from cicadapond.standin._ports import free_endpoint
 
+MODEL_SERVICE = "pool"
 READY_TIMEOUT_S = 10.0
 POLL_S = 0.01
 
 
 class Deployment:
-    """A gateway node and the stand-ins around it.
+    """Gateway nodes and the stand-ins around them.
 
     Args:
       fleet: The stand-ins.
-      node: The node.
-      port: The port on which it accepts callers.
+      nodes: The nodes.
+      ports: The ports on which they accept callers.
     """
 
-    def __init__(self, fleet: Fleet, node: Node, port: int):
+    def __init__(self, fleet: Fleet, nodes: list[Node], ports: list[int]):
         self.fleet = fleet
-        self.node = node
-        self.port = port
+        self.nodes = nodes
+        self.node = nodes[0]
+        self.port = ports[0]
+        self._ports = ports
 
     def curl_headers(self) -> str:
         """Returns curl's arguments for a request for a stream."""
         return self.fleet.curl_headers()
 
-    def caller(self) -> Caller:
-        """Returns a new connection of a caller."""
-        return Caller(self.port)
+    def caller(self, node: int = 0) -> Caller:
+        """Returns a new connection of a caller to a node."""
+        return Caller(self._ports[node])
 
     def engine(self, name: str):
         """Returns the model of a backend server."""
         return self.fleet.servers[name].model
 
+    def engines(self) -> list[EngineModel]:
+        """Returns the models of all backend servers."""
+        return [server.model for server in self.fleet.servers.values()]
+
+    async def add_engine(self, name: str, version: str) -> None:
+        """Starts an engine of a software version, and waits until all nodes list it."""
+        await self.fleet.add_server(name, MODEL_SERVICE, version=version)
+        await self.until(
+            lambda: all(
+                name in [entry.name for entry in node.parts.registry.usable(MODEL_SERVICE)]
+                for node in self.nodes
+            )
+        )
+
     def fail_next(self, *faults) -> None:
         """Makes the next requests fail, one per fault, at whichever servers receive them."""
         shared = list(faults)
@@ -62,25 +79,38 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(tmp_path, cfg: FleetSettings | None = None):
-    """Starts stand-ins and a node, ready for callers."""
-    clock, metrics = TrueClock(), Metrics()
+async def deployment(tmp_path, cfg: FleetSettings | None = None, processes: int = 1):
+    """Starts stand-ins and nodes, ready for callers."""
+    clock = TrueClock()
     fleet = Fleet(cfg or FleetSettings(), clock)
     await fleet.start()
-    ports = {name: free_endpoint().port for name in ("frontend", "readiness", "peers")}
-    path = tmp_path / "settings.conf"
-    path.write_text(fleet.settings_text(ports))
-    settings, findings = read_settings(str(path), metrics_port=0)
-    assert not list(findings)
-    log = EventLog("edge-1", sys.stdout.fileno(), clock, metrics)
-    adapters = platform_adapters(settings, clock, metrics)
-    node = Node(settings, adapters, clock, log, metrics, random.Random(1))
-    await node.start()
-    system = Deployment(fleet, node, ports["frontend"])
+    nodes, ports, logs = [], [], []
+    for number in range(processes):
+        node, port, log = _make_node(tmp_path, fleet, f"edge-{number + 1}", random.Random(number))
+        nodes.append(node)
+        ports.append(port)
+        logs.append(log)
+        await node.start()
+    system = Deployment(fleet, nodes, ports)
     try:
-        await system.until(node.is_ready)
+        await system.until(lambda: all(node.is_ready() for node in nodes))
         yield system
     finally:
-        await node.abort()
+        for node in nodes:
+            await node.abort()
         await fleet.stop()
-        log.flush()
+        for log in logs:
+            log.flush()
+
+
+def _make_node(tmp_path, fleet, name, rng):
+    """Returns a node, the port on which it will accept callers, and its log."""
+    ports = {kind: free_endpoint().port for kind in ("frontend", "readiness", "peers")}
+    path = tmp_path / f"{name}.conf"
+    path.write_text(fleet.settings_text(ports, name))
+    settings, findings = read_settings(str(path), metrics_port=0)
+    assert not list(findings)
+    clock, metrics = TrueClock(), Metrics()
+    log = EventLog(name, sys.stdout.fileno(), clock, metrics)
+    adapters = platform_adapters(settings, clock, metrics)
+    return Node(settings, adapters, clock, log, metrics, rng), ports["frontend"], log
--- /dev/null
+++ b/cicadapond/gateway/versions_test.py
@@ -0,0 +1,109 @@
+"""Streams stay at the software version that began them, in one answer and over several."""
+
+import asyncio
+
+from cicadapond.gateway.harness import deployment
+from cicadapond.platform.standin import EngineFault, FleetSettings
+
+EVENTS = 4
+
+
+def run(check, tmp_path, versions, processes=1):
+    async def main():
+        cfg = FleetSettings(engines=0, services=0)
+        async with deployment(tmp_path, cfg, processes) as system:
+            async with asyncio.timeout(20):
+                for name, version in versions.items():
+                    await system.add_engine(name, version)
+                await check(system)
+
+    asyncio.run(main())
+
+
+def versions_of(system, *request_ids):
+    """Returns the versions of the engines that executed the requests, in order of time."""
+    runs = sorted(
+        (at, model.version)
+        for model in system.engines()
+        for at, request in zip(model.execution_times, model.executed_requests, strict=True)
+        if request[0] in request_ids
+    )
+    return [version for _, version in runs]
+
+
+def test_a_broken_stream_does_not_go_on_at_another_version(tmp_path):
+    async def check(system):
+        for number in range(6):
+            caller = system.caller()
+            system.fail_next(EngineFault.RESET)
+            await caller.stream(f"s-{number}")
+            answer = await caller.read_response()
+            assert len(set(versions_of(system, f"s-{number}"))) == 1
+            assert not answer.is_complete or answer.event_ids() == [1, 2, 3, 4]
+
+    run(check, tmp_path, {"a": "v1", "b": "v2"})
+
+
+def test_a_broken_stream_goes_on_at_an_engine_of_its_version(tmp_path):
+    async def check(system):
+        system.engine("z").event_interval_s = 0.3
+        system.fail_next(EngineFault.RESET)
+        caller = system.caller()
+        await caller.stream("s-1")
+        await system.until(system.ran)
+        for name, version in (("a", "v1"), ("b", "v1"), ("y", "v2")):
+            await system.add_engine(name, version)
+        answer = await caller.read_response()
+        assert answer.is_complete and answer.event_ids() == [1, 2, 3, 4]
+        assert versions_of(system, "s-1") == ["v2", "v2"]
+
+    run(check, tmp_path, {"z": "v2"})
+
+
+def test_a_stream_that_its_caller_takes_up_goes_on_at_its_version(tmp_path):
+    async def check(system):
+        for number in range(6):
+            caller = system.caller()
+            system.fail_next(EngineFault.RESET)
+            await caller.stream(f"s-{number}")
+            first = await caller.read_response()
+            assert not first.is_complete, "no other engine has its version"
+            (begun,) = versions_of(system, f"s-{number}")
+            again = system.caller()
+            await again.stream(
+                f"t-{number}", last_event_id=str(first.event_ids()[-1]), resumes=f"s-{number}"
+            )
+            answer = await again.read_response()
+            assert answer.is_complete and answer.event_ids()[-1] == EVENTS
+            assert versions_of(system, f"t-{number}") == [begun]
+
+    run(check, tmp_path, {"a": "v1", "b": "v2"})
+
+
+def test_another_process_continues_a_stream_at_the_version_that_began_it(tmp_path):
+    async def check(system):
+        system.engine("z").events, system.engine("z").event_interval_s = 60, 0.03
+        caller = system.caller(0)
+        await caller.stream("s-1")
+        await system.until(system.ran)
+        for name, version in (("a", "v1"), ("b", "v3")):
+            await system.add_engine(name, version)
+        await asyncio.sleep(0.6)
+        await system.nodes[0].abort()
+        again = system.caller(1)
+        await again.stream("t-1", last_event_id="5", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and answer.event_ids() == list(range(6, 61))
+        assert versions_of(system, "t-1") == ["v2"]
+
+    run(check, tmp_path, {"z": "v2"}, processes=2)
+
+
+def test_a_stream_of_unknown_version_is_refused_and_not_run(tmp_path):
+    async def check(system):
+        caller = system.caller()
+        await caller.stream("t-1", last_event_id="2", resumes="never-seen")
+        answer = await caller.read_response()
+        assert answer.status == 503 and not system.ran()
+
+    run(check, tmp_path, {"a": "v1", "b": "v2"})
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -35,6 +35,7 @@
 
     Attributes:
       name: The name of this instance, new at each start.
+      version: The version of its software.
       events: Number of events in each stream.
       event_interval_s: The time between events, in seconds.
       processing_time_s: How long a plain request takes, in seconds.
@@ -49,6 +50,7 @@
     """
 
     name: str
+    version: str = "v1"
     events: int = 4
     event_interval_s: float = 0.0
     processing_time_s: float = 0.0
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -98,7 +98,7 @@
             "service": service,
             "address": f"{HOST}:{self._advertised_port(name)}",
             "zone": "z1",
-            "version": "v1",
+            "version": self.servers[name].model.version,
             "slots": 6,
             "state": state,
             "cold_remaining_ms": 0,
