Continue a stream at the software version that began it

Change: from its first event on, a stream goes on only at servers of the version that began it. Each process remembers the versions of its streams and tells those that have lasted 100 ms, or broke, to the hubs of its data centre, which tell everybody; so a caller may take its stream up anywhere, also after the process that began it was killed. A stream is told as 6 bytes in buckets of 250 ms, which are kept for 20 s. If only one version can have begun a stream, it is that one; if the version is not known within 160 ms, the request is refused as not run.

Weighed: the store (a write a stream), versions drawn from the stream's id by hash (wrong as soon as versions come and go), asking the process that began the stream (gone when it matters most), telling every stream (five times as much, since most are over within 100 ms).

publish_readings is renamed to publish_soon, as it publishes more than those.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -408,6 +408,7 @@
             },
             engines=parts.placer.engine_work(),
             advisories=parts.advisories.reported(),
+            origins=parts.origins.reported(),
         )
 
     def _zone_total(self, now):
@@ -428,6 +429,7 @@
             report = read_report(digest.report)
             if report is not None:
                 self._zone_reports.record(_run_of(member), report, self._clock.monotonic())
+                self._parts.origins.apply(member.zone, report.origins)
                 if self._peer.is_primary_hub():
                     self.publish_soon()
         summary = read_report(digest.summary)
@@ -461,6 +463,7 @@
             )
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
+        self._parts.origins.apply(zone, summary.origins)
         for server, advisory in summary.advisories.items():
             entry = self._parts.registry.find(server)
             if entry is not None:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -8,6 +8,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
+from cicadapond.continuation import StreamOrigins
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._cloud import Cloud
@@ -105,7 +106,7 @@
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
-        self.parts.publish_readings = self._cluster.publish_soon
+        self.parts.publish_soon = self._cluster.publish_soon
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
@@ -142,6 +143,7 @@
             placer=Placer(clock, cfg.zone),
             health=ServerHealth(clock, cfg.zone),
             advisories=ServerAdvisories(clock, cfg.name, lambda: self._cluster.sharers()),
+            origins=StreamOrigins(clock),
             pool=pool,
             attempt=Attempt(self._adapters.header_codec, pool, clock),
             retry_limiter=RetryLimiter(
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -7,6 +7,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
+from cicadapond.continuation import StreamOrigins
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._header_codec import HeaderCodec
@@ -26,9 +27,9 @@
 
     `processes` returns how many processes share limits, this one included; `quota_share` the
     share of quotas available to this process and those it has heard from lately; `check_server`
-    checks whether a server whose connection broke is down; `publish_readings` sends the other
-    processes the prefill totals and the servers' statements as soon as the minimum digest interval
-    allows.
+    checks whether a server whose connection broke is down; `publish_soon` sends the other processes
+    this one's report (prefill totals, statements of servers, streams) as soon as the minimum digest
+    interval allows.
     """
 
     cfg: GatewaySettings
@@ -41,6 +42,7 @@
     placer: Placer
     health: ServerHealth
     advisories: ServerAdvisories
+    origins: StreamOrigins
     pool: ConnectionPool
     attempt: Attempt
     retry_limiter: RetryLimiter
@@ -51,5 +53,5 @@
     processes: typing.Callable[[], int] = lambda: 1
     quota_share: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
-    publish_readings: typing.Callable[[], None] = lambda: None
+    publish_soon: typing.Callable[[], None] = lambda: None
     stopping_since: datetime.timedelta | None = None
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cicadapond.advisories import Advisory
+from cicadapond.continuation import Buckets, drop_old_buckets, merge_buckets
 from cicadapond.placing import EngineWork
 from cicadapond.usage import UsageLedger
 
@@ -46,6 +47,7 @@
       demand: The demand for each service.
       engines: What was sent to each engine.
       advisories: What servers said of themselves, by server.
+      origins: Streams in progress lately, by the version that began them.
     """
 
     sequence: int = 0
@@ -58,6 +60,7 @@
     demand: typing.Mapping[str, ServiceDemand] = attrs.field(factory=dict)
     engines: typing.Mapping[str, EngineWork] = attrs.field(factory=dict)
     advisories: typing.Mapping[str, Advisory] = attrs.field(factory=dict)
+    origins: Buckets = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -73,6 +76,7 @@
         for server, advisory in self.advisories.items():
             said_at_ms = round(advisory.said_at.timestamp() * 1000)
             items[f"a {server}"] = [advisory.born, advisory.rate_limit, said_at_ms]
+        items |= {f"o {number}": dict(versions) for number, versions in self.origins.items()}
         return items
 
 
@@ -80,7 +84,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {"s": {}, "u": {}, "x": {}, "d": {}, "e": {}, "a": {}}
+    fields = {"s": {}, "u": {}, "x": {}, "d": {}, "e": {}, "a": {}, "o": {}}
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -96,6 +100,8 @@
                     fields[kind][name] = EngineWork(*value)
                 case "a":
                     fields[kind][name] = _read_advisory(*value)
+                case "o":
+                    fields[kind][int(name)] = {str(k): bytes(v) for k, v in value.items()}
         return Report(
             int(sequence),
             int(configuration),
@@ -107,6 +113,7 @@
             demand=fields["d"],
             engines=fields["e"],
             advisories=fields["a"],
+            origins=fields["o"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
@@ -142,6 +149,8 @@
         self._runs: dict[str, _Run] = {}
         self._usage = UsageLedger()
         self._spending = UsageLedger()
+        # Those of ended processes too, as their callers take them up elsewhere.
+        self._origins: dict[int, dict[str, bytes]] = {}
         self._prefill_totals: dict[str, int] = {}
         self._lineage = ""
         self._sequence = 0
@@ -161,6 +170,16 @@
             last = before[engine].prefill_total_ms if engine in before else 0
             added = max(0, work.prefill_total_ms - last)
             self._prefill_totals[engine] = self._prefill_totals.get(engine, 0) + added
+        before = known.report.origins if known is not None else {}
+        merge_buckets(
+            self._origins,
+            {
+                number: versions
+                for number, versions in report.origins.items()
+                if versions != before.get(number)
+            },
+        )
+        drop_old_buckets(self._origins)
         if known is None:
             self._end_earlier_runs(run)
         self._runs[run] = _Run(report, now)
@@ -231,6 +250,7 @@
                 for engine, count in in_flight.items()
             },
             advisories=advisories,
+            origins={number: dict(versions) for number, versions in self._origins.items()},
         )
 
     def _end_earlier_runs(self, run):
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -57,6 +57,8 @@
 # A request waits for a server's limit to admit it if it still gets there within this share of its
 # objective; else it is refused at once.
 PERMIT_WAIT_SHARE = 0.5
+# How long a request that continues a stream waits for word of where it began.
+MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
 # Retry-After of requests that the servers' limits keep out: until a permit is due, and a part of
 # this longer; never longer than the maximum.
 LIMITED_RETRY_SPREAD = datetime.timedelta(milliseconds=500)
@@ -110,6 +112,10 @@
         self._may_have_run = False
         self._usage_counted = False
         self._last_event_id = req.last_event_id
+        # The id by which the stream is known if its caller continues it, and the software version
+        # at which it goes on, None while any version may serve it.
+        self._origin_id = req.resumes or req.id
+        self._version: str | None = None
         self._fallback: Whole | None = None
         self._reason = "nothing was tried"
         self._in_flight_request = None
@@ -135,6 +141,11 @@
     # Attempts
 
     async def _try_servers(self):
+        if self._continues_stream() and not await self._find_version():
+            self._log("origin_unknown", resumes=self._req.resumes)
+            return NotRun(
+                "the software version that began the stream is not known", SHORT_RETRY_AFTER
+            )
         for _ in range(MAX_SERVER_CHOICES):
             refusal = self._refusal()
             if refusal is not None:
@@ -157,6 +168,29 @@
             return NotRun("the client account can no longer be checked", SHORT_RETRY_AFTER)
         return None
 
+    def _continues_stream(self):
+        return self._route.kind is RouteKind.STREAM and self._req.last_event_id is not None
+
+    async def _find_version(self):
+        """Finds the software version at which a continued stream goes on; returns whether it did.
+
+        Waits for a moment, as word of a stream that has just broken may be on its way.
+        """
+        parts = self._parts
+        begun = parts.clock.monotonic()
+        while True:
+            if self._req.resumes is not None:
+                self._version = parts.origins.find(self._req.resumes)
+            if self._version is None:
+                versions = parts.registry.software_versions(self._service)
+                if len(versions) == 1 and parts.origins.versions() <= versions:
+                    (self._version,) = versions
+            if self._version is not None:
+                return True
+            if parts.clock.monotonic() - begun >= MAX_ORIGIN_WAIT:
+                return False
+            await parts.clock.sleep(HOLD_POLL_INTERVAL)
+
     async def _try_one(self):
         parts = self._parts
         servers = await self._servers_after_hold()
@@ -172,7 +206,7 @@
             work = datetime.timedelta(milliseconds=placement.request.work_ms)
             parts.demand.add_prefill(self._service, work)
             if placement.request.work_ms >= LONG_PREFILL_MS:
-                parts.publish_readings()
+                parts.publish_soon()
         dispatch = Dispatch(
             server=entry,
             time_left=left,
@@ -259,7 +293,11 @@
 
     def _untried(self):
         usable = self._parts.registry.usable(self._service)
-        return [entry for entry in usable if entry.name not in self._tried]
+        return [
+            entry
+            for entry in usable
+            if entry.name not in self._tried and self._version in (None, entry.version)
+        ]
 
     def _limited_servers(self):
         """Returns the servers that only their stated limits keep this request from."""
@@ -449,12 +487,15 @@
     async def _finish(self, final):
         match final:
             case StreamWhole():
+                self._parts.origins.complete(self._origin_id)
                 self._reply.finish()
                 self._record_answered(200, "whole")
             case Whole(head=head, body=body) if not self._reply.has_begun:
                 await self._reply.send_complete(head.status, head.headers, body)
                 self._record_answered(head.status, "whole")
             case _ if self._reply.has_begun:
+                self._parts.origins.break_off(self._origin_id)
+                self._parts.publish_soon()
                 self._reply.abort()
                 self._record_answered(
                     None,
@@ -483,7 +524,7 @@
         if change is not None:
             before, after = change.before, change.after
             self._parts.metrics.count("server_advisories", service=self._service)
-            self._parts.publish_readings()
+            self._parts.publish_soon()
             self._log(
                 "server_advisory",
                 server=self._server.name,
@@ -497,6 +538,9 @@
             self._parts.placer.update_load(self._in_flight_request.server, head.load)
         self._parts.placer.mark_answer_begun(self._in_flight_request)
         self._count_usage()
+        if self._version is None:
+            self._version = self._server.version
+        self._parts.origins.begin(self._origin_id, self._version)
         if not self._reply.has_begun:
             self._reply.begin(head.status, head.headers)
             took = self._parts.clock.monotonic() - self._received_at
@@ -508,6 +552,8 @@
                 self._parts.metrics.count("events_repeated")
                 return
             self._last_event_id = event.id
+        if self._parts.origins.is_due(self._origin_id):
+            self._parts.publish_soon()
         await self._reply.send(event.raw)
 
     def _count_usage(self):
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -5,12 +5,15 @@
 
 import attrs
 
+from cicadapond.continuation import ORIGIN_RETENTION
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 
 # After an outage of the store, running servers whose entries expired are listed again within two
 # seconds.
 RELIST_TIMEOUT = datetime.timedelta(milliseconds=1800)
+# Streams that a server began before it went may be continued for this long.
+SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
 
 
 @attrs.frozen
@@ -35,6 +38,8 @@
         self._versions: dict[str, int] = {}
         self._removal_due: dict[str, datetime.timedelta] = {}
         self._replaced: dict[str, int] = {}
+        # When the last server of a service and software version went.
+        self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
 
     def usable(self, service: str) -> list[ServerEntry]:
         """Returns the servers of a service that accept new requests."""
@@ -50,6 +55,17 @@
         self._drop_overdue()
         return tuple(self._entries.values())
 
+    def software_versions(self, service: str) -> set[str]:
+        """Returns the software versions of a service's servers, also of those that went lately."""
+        self._drop_overdue()
+        oldest = self._clock.monotonic() - SOFTWARE_VERSION_RETENTION
+        listed = {entry.version for entry in self._entries.values() if entry.service == service}
+        return listed | {
+            version
+            for (of_service, version), gone_at in self._gone_versions.items()
+            if of_service == service and gone_at >= oldest
+        }
+
     def find(self, name: str) -> ServerEntry | None:
         """Returns a known server, also a leaving one, or None."""
         return self._entries.get(name)
@@ -66,6 +82,8 @@
         if not self._is_newer(entry.name, version):
             return None
         known = self._entries.get(entry.name)
+        if known is not None:
+            self._record_gone(known)
         self._entries[entry.name] = entry
         self._removal_due.pop(entry.name, None)
         if known is None:
@@ -122,4 +140,9 @@
         entry = self._entries.pop(name, None)
         self._removal_due.pop(name, None)
         self._replaced.pop(name, None)
+        if entry is not None:
+            self._record_gone(entry)
         return ServerChange(name, "gone", entry)
+
+    def _record_gone(self, entry):
+        self._gone_versions[entry.service, entry.version] = self._clock.monotonic()
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -56,6 +56,7 @@
     quiet = types.SimpleNamespace(
         apply_spending=lambda *args, **kwargs: None,
         apply_others_work=lambda *args, **kwargs: None,
+        apply=lambda *args, **kwargs: None,
     )
     cfg = types.SimpleNamespace(
         name="a0",
@@ -64,7 +65,9 @@
         bounds=types.SimpleNamespace(drain=seconds(2)),
         is_first_start=is_first_start,
     )
-    parts = types.SimpleNamespace(cfg=cfg, log=Log(), metrics=None, quotas=quiet, placer=quiet)
+    parts = types.SimpleNamespace(
+        cfg=cfg, log=Log(), metrics=None, quotas=quiet, placer=quiet, origins=quiet
+    )
     return Cluster(parts, None, clock, None, random.Random(1))
 
 
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -7,6 +7,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
+from cicadapond.continuation import StreamOrigins
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import NotSent, RetryLimiter, Whole
 from cicadapond.gateway._parts import Parts
@@ -124,6 +125,7 @@
         placer=Placer(clock, "z"),
         health=ServerHealth(clock, "z"),
         advisories=ServerAdvisories(clock, process, lambda: processes),
+        origins=StreamOrigins(clock),
         pool=_Pool(),
         attempt=Calls(process, servers, clock),
         retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
--- a/cicadapond/gateway/reports_test.py
+++ b/cicadapond/gateway/reports_test.py
@@ -12,7 +12,7 @@
 SILENCE, RETENTION = seconds(3), seconds(20)
 
 
-def report(sequence, usage=0, spending=0, in_flight=0, prefill=0, limits=()):
+def report(sequence, usage=0, spending=0, in_flight=0, prefill=0, limits=(), origins=()):
     return Report(
         sequence,
         configuration=4,
@@ -21,6 +21,7 @@
         demand={"pool": ServiceDemand(0.5, in_flight)},
         engines={"e": EngineWork(prefill, in_flight)},
         advisories=dict(limits),
+        origins=dict(origins),
     )
 
 
@@ -45,10 +46,12 @@
     total = zone_reports("h/1")
     total.record("a/1", report(1, 2, 30, 4, 50), seconds(0))
     total.record_ended("a/1")
+    origins = {7: {"v1": b"123456", "v2": b"abcdef"}}
     limits = {"e": Advisory(3, 1.6, START), "f": Advisory(0, None, START)}
-    total.record("b/1", report(1, 3, 10, 1, 20, limits), seconds(0))
+    total.record("b/1", report(1, 3, 10, 1, 20, limits, origins), seconds(0))
     summary = total.total({}, seconds(1))
     assert summary.advisories == limits
+    assert summary.origins == origins
     assert read_report(summary.as_items()) == summary
 
 
@@ -154,3 +157,14 @@
     for run, advisory in (("a/1", newer), ("b/1", ended), ("c/1", older)):
         total.record(run, report(1, limits={"e": advisory}), seconds(0))
     assert total.total({}, seconds(1)).advisories == {"e": ended}
+
+
+def test_the_streams_of_an_ended_process_are_still_told():
+    total = zone_reports("h/1")
+    total.record("a/1", report(1, origins={7: {"v1": b"aaaaaa"}}), seconds(0))
+    total.record("a/1", report(2, origins={7: {"v1": b"aaaaaabbbbbb"}}), seconds(0))
+    total.record("b/1", report(1, origins={7: {"v1": b"cccccc", "v2": b"dddddd"}}), seconds(0))
+    total.record_ended("a/1")
+    assert total.total({}, seconds(1)).origins == {
+        7: {"v1": b"aaaaaabbbbbbcccccc", "v2": b"dddddd"}
+    }
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -6,6 +6,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
+from cicadapond.continuation import StreamOrigins
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Broken, Event, NotSent, Refused, RetryLimiter, StreamWhole, Whole
 from cicadapond.gateway._parts import Parts
@@ -153,6 +154,7 @@
             placer=Placer(clock, "z"),
             health=ServerHealth(clock, "z"),
             advisories=ServerAdvisories(clock),
+            origins=StreamOrigins(clock),
             pool=None,
             attempt=attempt,
             retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
