Play stated limits and two software versions in the soak

Servers state rate limits for some seconds beside all other faults, engines of two versions serve side by side, and callers take streams that broke up again at any process. Two checks: no server gets more than its limit allows from the processes that it has told, and no stream holds events of two versions. The faults of earlier seeds are drawn as before; the new ones are drawn apart.

--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -2,7 +2,12 @@
 
 from cicadapond.platform.standin._caller import Answer, Caller
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
-from cicadapond.platform.standin._engine import EngineFault, EngineModel, EngineServer
+from cicadapond.platform.standin._engine import (
+    EngineFault,
+    EngineModel,
+    EngineServer,
+    stream_event,
+)
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._store import StoreModel, store_application
 
@@ -19,4 +24,5 @@
     "StoreModel",
     "cloud_application",
     "store_application",
+    "stream_event",
 ]
--- a/cicadapond/platform/standin/_caller.py
+++ b/cicadapond/platform/standin/_caller.py
@@ -24,6 +24,12 @@
         lines = self.body.decode().splitlines()
         return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
 
+    def versions(self) -> set[str]:
+        """Returns the software versions that the complete events of a stream came from."""
+        lines = [line for event in self.body.split(b"\n\n")[:-1] for line in event.split(b"\n")]
+        prefix = b"event: "
+        return {line.removeprefix(prefix).decode() for line in lines if line.startswith(prefix)}
+
 
 def curl_headers(key: str) -> str:
     """Returns curl's arguments for a streaming request.
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -195,7 +195,7 @@
         ]
         self._send(h11.Response(status_code=200, headers=headers))
         for number in range(first, self._model.events + 1):
-            event = f"id: {number}\ndata: piece {number} of {request_id}\n\n".encode()
+            event = stream_event(number, request_id, self._model.version)
             if fault is EngineFault.WITHIN_EVENT and number == first + 1:
                 self._send(h11.Data(data=event[:-5]))
                 await self._writer.drain()
@@ -242,6 +242,11 @@
         return True
 
 
+def stream_event(number: int, request_id: str, version: str) -> bytes:
+    """Returns an event of a stream, which names the software version in its type."""
+    return f"event: {version}\nid: {number}\ndata: piece {number} of {request_id}\n\n".encode()
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     if not writer.transport.is_closing():
--- a/cicadapond/soak/_callers.py
+++ b/cicadapond/soak/_callers.py
@@ -6,7 +6,7 @@
 
 import tornado.httpclient
 
-from cicadapond.platform.standin import Answer, Caller
+from cicadapond.platform.standin import Answer, Caller, stream_event
 from cicadapond.soak._records import LOOKUP, PLAIN, STREAM, CallRecord, History
 
 EVENTS_PER_STREAM = 4
@@ -82,7 +82,14 @@
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_REQUEST_GAP_S))
             if self._connection is None and not self._connect():
                 continue
-            await self._exchange(f"{self._name}-{number}")
+            call, answer = await self._exchange(f"{self._name}-{number}")
+            if call.kind == STREAM and not answer.is_complete and answer.event_ids():
+                await self._take_up(call, answer)
+
+    async def _take_up(self, call, answer):
+        """Continues a stream that broke off, on a new connection."""
+        if self._connect():
+            await self._exchange(f"{call.id}-again", call, answer.event_ids()[-1])
 
     def _connect(self):
         ready = self._balancer.ready()
@@ -92,15 +99,18 @@
         self._connection = Caller(self._ports[self._process])
         return True
 
-    async def _exchange(self, request_id):
+    async def _exchange(self, request_id, begun: CallRecord | None = None, last_event: int = 0):
+        """Sends a request, or continues the stream of an earlier one; returns record and answer."""
         (kind,) = self._rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
         key = self._rng.choice(self._keys())
         loop = asyncio.get_running_loop()
         call = CallRecord(request_id, kind, key, self._process, loop.time())
+        if begun is not None:
+            call.kind, call.key, call.resumes = begun.kind, begun.key, begun.id
         answer = Answer()
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
-                await self._send(call)
+                await self._send(call, last_event)
                 answer = await self._connection.read_response()
         except TimeoutError:
             call.timed_out = True
@@ -109,30 +119,39 @@
             pass  # the record's status stays None
         call.ended_at = loop.time()
         call.status, call.is_complete = answer.status, answer.is_complete
-        call.is_correct = is_expected_answer(call, answer)
+        call.is_correct = is_expected_answer(call, answer, last_event)
+        call.versions = answer.versions()
         self._history.calls.append(call)
         if not answer.is_complete or answer.headers.get("connection", "").lower() == "close":
             self._connection = None
+        return call, answer
 
-    async def _send(self, call):
+    async def _send(self, call, last_event):
         token = f"Token {call.key}"
         if call.kind == STREAM:
-            await self._connection.stream(call.id, authorization=token)
+            continuing = {"last_event_id": str(last_event), "resumes": call.resumes}
+            headers = continuing if call.resumes else {}
+            await self._connection.stream(call.id, authorization=token, **headers)
         else:
             method = "POST" if call.kind == PLAIN else "GET"
             path = PATHS[call.kind]
             await self._connection.send(call.id, path, method=method, authorization=token)
 
 
-def is_expected_answer(call: CallRecord, answer: Answer) -> bool:
+def is_expected_answer(call: CallRecord, answer: Answer, last_event: int = 0) -> bool:
     """Returns whether the body received belongs to the request, in order.
 
-    An answer that ended properly must have the full body; a truncated stream must be a prefix.
+    An answer that ended properly must have the full body; a truncated stream must be a prefix.  A
+    continued stream begins after the last event of the one before.
     """
     if answer.status != 200:
         return True
     if call.kind != STREAM:
         return not answer.is_complete or answer.body == f"answer to {call.id}".encode()
-    events = answer.body.decode().split("\n\n")[:-1]
-    expected = [f"id: {n}\ndata: piece {n} of {call.id}" for n in range(1, EVENTS_PER_STREAM + 1)]
+    if len(answer.versions()) > 1:
+        return False
+    version = "".join(answer.versions())
+    events = answer.body.split(b"\n\n")[:-1]
+    numbers = range(last_event + 1, EVENTS_PER_STREAM + 1)
+    expected = [stream_event(n, call.id, version).removesuffix(b"\n\n") for n in numbers]
     return events == (expected if answer.is_complete else expected[: len(events)])
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -16,6 +16,12 @@
 # request, or before the server's drain, until the request ended or ran. Planned stops excuse
 # nothing.
 EXCUSE_LOOKBACK_S = 3.0
+# A stated limit binds the processes that have passed on an answer with it for a while: this long
+# after it was first stated they may not exceed it in any window.
+CONTACT_S = 3.0
+TOLD_AFTER_S = 0.7
+LIMIT_WINDOW_S = 4.0
+MAX_LIMIT_RATIO, MAX_EXTRA_REQUESTS = 1.5, 5
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MIN_SERVED_SHARE = 0.9
 
@@ -40,6 +46,8 @@
         _correct_answers,
         _removed_keys,
         _drained_servers,
+        _stated_limits,
+        _one_version,
         _consistent_usage,
         _single_holders,
         _planned_stops,
@@ -91,6 +99,37 @@
             yield Violation("leaving servers", run.id, f"runs {late:.2f} s after {run.server} left")
 
 
+def _stated_limits(history):
+    processes = {call.id: call.process for call in history.calls}
+    for limit in history.limits:
+        if _overlaps(history.fault_spans, limit.begin - EXCUSE_LOOKBACK_S, limit.end):
+            continue
+        times, told = [], {}
+        for run in sorted(history.runs, key=lambda run: run.at):
+            if run.server != limit.server or not limit.begin <= run.at <= limit.end:
+                continue
+            process = processes.get(run.id)
+            if run.at >= told.setdefault(process, run.at) + TOLD_AFTER_S:
+                times.append(run.at)
+        allowed = MAX_LIMIT_RATIO * limit.rate * LIMIT_WINDOW_S + MAX_EXTRA_REQUESTS
+        for begin in times:
+            end = begin + LIMIT_WINDOW_S
+            count = sum(begin <= at <= end for at in times)
+            if count > allowed and end >= limit.begin + CONTACT_S:
+                detail = f"{count} in {LIMIT_WINDOW_S:g} s, limit {limit.rate:g}"
+                yield Violation("stated limits", limit.server, detail)
+                break
+
+
+def _one_version(history):
+    versions = collections.defaultdict(set)
+    for call in history.calls:
+        versions[call.resumes or call.id] |= call.versions
+    for request, seen in versions.items():
+        if len(seen) > 1:
+            yield Violation("one software version", request, f"events of {sorted(seen)}")
+
+
 def _consistent_usage(history):
     for window, reports in sorted(history.reports.items()):
         if any(report != reports[0] for report in reports):
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -29,9 +29,21 @@
     SERVER_FAULTS = "the servers' next answers are faulty"
     CONFIGURE = "a new configuration revision is published"
     REMOVE_KEY = "an API key is removed, and a new one is added later"
-
-
-PLANNED = (Fault.STOP, Fault.HANG_UP, Fault.SERVER_LEAVES, Fault.CONFIGURE, Fault.REMOVE_KEY)
+    SERVER_LIMITS = "a server states a rate limit for a while"
+
+
+PLANNED = (
+    Fault.STOP,
+    Fault.HANG_UP,
+    Fault.SERVER_LEAVES,
+    Fault.CONFIGURE,
+    Fault.REMOVE_KEY,
+    Fault.SERVER_LIMITS,
+)
+# Drawn apart, so that they come beside any of the others.
+STATEMENTS = (Fault.SERVER_LIMITS,)
+MEAN_STATEMENT_GAP_S = 6.0
+MIN_STATEMENT_S, MAX_STATEMENT_S = 4.0, 12.0
 FIRST_FAULT_S = 3.0  # leaves time for all processes to start serving
 MIN_GAP_S, MEAN_GAP_S = 0.2, 1.6
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 5.0
@@ -55,12 +67,23 @@
     """Returns the injections of a seed during `length` seconds, in order of time."""
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
-    faults = rng.sample(list(Fault), k=rng.randint(3, 9))
+    faults = [fault for fault in Fault if fault not in STATEMENTS]
+    faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
     while at < length:
         duration = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         plan.append(Injection(at, rng.choice(faults), duration, rng.random()))
         at += MIN_GAP_S + rng.expovariate(1 / MEAN_GAP_S)
+    return sorted(plan + _statements(seed, length), key=lambda injection: injection.at)
+
+
+def _statements(seed, length):
+    rng = random.Random(f"statements {seed}")
+    plan, at = [], rng.expovariate(1 / MEAN_STATEMENT_GAP_S)
+    while at < length:
+        duration = rng.uniform(MIN_STATEMENT_S, MAX_STATEMENT_S)
+        plan.append(Injection(at, rng.choice(STATEMENTS), duration, rng.random()))
+        at += rng.expovariate(1 / MEAN_STATEMENT_GAP_S)
     return plan
 
 
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -14,6 +14,9 @@
       is_complete: Whether the answer ended properly, neither cut off nor timed out.
       timed_out: Whether the caller stopped waiting.
       is_correct: Whether the body received belongs to this request, in order.
+      resumes: The id of the request that brought the first event of the stream that this one
+        continues, None if it begins one.
+      versions: The software versions that the events received came from.
     """
 
     id: str
@@ -26,6 +29,8 @@
     is_complete: bool = False
     timed_out: bool = False
     is_correct: bool = True
+    resumes: str | None = None
+    versions: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
@@ -37,6 +42,16 @@
     at: float
 
 
+@attrs.frozen
+class StatedLimit:
+    """A server stated a limit of `rate` requests a second from `begin` to `end`, in seconds."""
+
+    server: str
+    rate: float
+    begin: float
+    end: float
+
+
 @attrs.define
 class History:
     """Everything recorded during a soak; times are in seconds on the event loop's clock.
@@ -48,6 +63,7 @@
       drained: When the store confirmed that a server is leaving, by server.
       reports: The accepted usage reports of each window.
       holders: The processes that used a fencing number, by (subject, fencing number).
+      limits: The limits that servers stated.
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
       unexpected_exits: Processes that exited unprompted or by an error: (process, status).
@@ -60,6 +76,7 @@
     drained: dict[str, float] = attrs.field(factory=dict)
     reports: dict[int, list[dict]] = attrs.field(factory=dict)
     holders: dict[tuple, set[str]] = attrs.field(factory=dict)
+    limits: list[StatedLimit] = attrs.field(factory=list)
     planned_stops: list[tuple[int, float, float]] = attrs.field(factory=list)
     fault_spans: list[tuple[float, float]] = attrs.field(factory=list)
     unexpected_exits: list[tuple[int, int]] = attrs.field(factory=list)
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -14,7 +14,7 @@
 from cicadapond.soak._checks import RECOVERY_S, Violation, check
 from cicadapond.soak._plan import PLANNED, Injection, make_plan
 from cicadapond.soak._proxy import NetworkFault, Proxy
-from cicadapond.soak._records import History, Run
+from cicadapond.soak._records import History, Run, StatedLimit
 from cicadapond.standin._ports import free_endpoint
 
 PROGRAM = "cicadapond.gateway.main"
@@ -30,6 +30,8 @@
 # Requests take long enough that some are in progress at each fault.
 WORK_S, PAUSE_S = 0.03, 0.05
 FAULTS_PER_SERVER = 4
+SOFTWARE_VERSIONS = ("v1", "v2")
+MAX_STATED_LIMIT = 4.0
 
 
 @attrs.frozen
@@ -130,7 +132,7 @@
         self.history = History()
         self._cfg = cfg
         self._rng = random.Random(f"run {cfg.seed}")
-        self._fleet = Fleet(FleetSettings(engines=3, services=3), BootClock())
+        self._fleet = Fleet(FleetSettings(engines=4, services=3), BootClock())
         self._processes = [
             _Process(number, cfg.directory, self.history) for number in range(cfg.processes)
         ]
@@ -162,7 +164,8 @@
         fleet = self._fleet
         await fleet.start()
         await self._start_proxy("store", fleet.port("store"))
-        for name, server in list(fleet.servers.items()):
+        for number, (name, server) in enumerate(fleet.servers.items()):
+            server.model.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
             service = "pool" if name.startswith("e-") else "plain"
             await self._register_server(name, service, server.model)
             fleet.list_server(name, service)
@@ -340,7 +343,8 @@
         name = self._pick_server(injection)
         service = self._services.pop(name)
         successor = f"{name.split('.')[0]}.{injection.at:.3f}"
-        model = await self._fleet.start_server(successor)
+        version = self._rng.choice(SOFTWARE_VERSIONS)
+        model = await self._fleet.start_server(successor, version=version)
         await self._register_server(successor, service, model)
         self._fleet.list_server(successor, service)
         self._fleet.list_server(name, service, "draining")
@@ -349,6 +353,17 @@
         self._fleet.unlist_server(name)
         await self._fleet.servers.pop(name).stop()
 
+    async def _inject_server_limits(self, injection):
+        model = self._fleet.servers[self._pick_server(injection)].model
+        if model.rate_limit is not None:
+            return
+        begin = asyncio.get_running_loop().time()
+        model.rate_limit = round(self._rng.uniform(0.0, MAX_STATED_LIMIT), 1)
+        await asyncio.sleep(injection.duration)
+        limit = StatedLimit(model.name, model.rate_limit, begin, asyncio.get_running_loop().time())
+        model.rate_limit = None
+        self.history.limits.append(limit)
+
     async def _inject_configure(self, injection):
         self._fleet.configure(keys=tuple(self._keys))
 
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -6,12 +6,12 @@
 import attrs
 import pytest
 
-from cicadapond.platform.standin import Answer
+from cicadapond.platform.standin import Answer, stream_event
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._plan import parse_seeds
 from cicadapond.soak._proxy import NetworkFault, Proxy
-from cicadapond.soak._records import PLAIN, STREAM, Run
+from cicadapond.soak._records import PLAIN, STREAM, Run, StatedLimit
 from cicadapond.soak._run import Soak
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
@@ -38,6 +38,23 @@
         ("own answers, in order", history(calls=[call(is_correct=False)])),
         ("removed keys", history(keys_removed={"k": 5.0})),
         ("leaving servers", history(drained={"s-0": 7.5})),
+        (
+            "stated limits",
+            history(
+                calls=[call(id=f"r-{n}") for n in range(20)],
+                runs=[Run(f"r-{n}", "s-0", 10.0 + n / 5) for n in range(20)],
+                limits=[StatedLimit("s-0", 1.0, 9.0, 15.0)],
+            ),
+        ),
+        (
+            "one software version",
+            history(
+                calls=[
+                    call(kind=STREAM, versions={"v1"}),
+                    call(id="r-2", kind=STREAM, resumes="r-1", versions={"v2"}),
+                ]
+            ),
+        ),
         ("usage once", history(reports={7: [{"a": 1}, {"a": 2}]})),
         ("one holder", history(holders={(("usage",), 3): {"edge-0", "edge-1"}})),
         ("runs until it is stopped", history(unexpected_exits=[(1, -6)])),
@@ -103,7 +120,7 @@
     ],
 )
 def test_streams_are_compared_event_by_event(numbers, is_whole, expected):
-    body = "".join(f"id: {n}\ndata: piece {n} of r-1\n\n" for n in numbers).encode()
+    body = b"".join(stream_event(n, "r-1", "v1") for n in numbers)
     answer = Answer(200, {}, body + b"id: ", is_whole)
     assert is_expected_answer(call(kind=STREAM), answer) is expected
 
