Send nothing more to servers that say in their answers that they leave

The header was not decoded, so a server that says that it leaves got requests until the table listed it as leaving: in virtual time, with 6 processes, all through the 15 s after it said so (the test fails without this change). The statement is kept beside the limit, is told to the other processes, and closes this start of the server in the registry, which placement, retries, continued streams and the ordering of engines all ask. A closed start stays closed when its entry lapses and comes back; without a start time in its entry, until the entry goes.

mark_replaced is renamed to mark_closed, as both mean the same.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -22,12 +22,14 @@
       rate_limit: The requests per second that it accepts from all processes together, None if it
         states no limit.
       said_at: When it began to say so, in UTC.
+      is_leaving: Whether it says that it leaves; a start that leaves does not come back.
       unreadable: The headers with invalid values.
     """
 
     born: int
     rate_limit: float | None
     said_at: datetime.datetime
+    is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
@@ -88,10 +90,16 @@
     def record(self, entry: ServerEntry, head: ResponseHead) -> AdvisoryChange | None:
         """Records the head of a server's answer; returns what has changed, None if nothing has."""
         before = self.get(entry)
-        said = (head.rate_limit, head.unreadable)
-        if said == ((before.rate_limit, before.unreadable) if before is not None else (None, ())):
+        last = before or Advisory(entry.born, None, self._clock.now())
+        after = attrs.evolve(
+            last,
+            rate_limit=head.rate_limit,
+            is_leaving=head.is_leaving or last.is_leaving,
+            unreadable=head.unreadable,
+        )
+        if after == last:
             return None
-        after = Advisory(entry.born, head.rate_limit, self._clock.now(), head.unreadable)
+        after = attrs.evolve(after, said_at=self._clock.now())
         self._put(entry, after, is_own=True)
         return AdvisoryChange(entry.name, before, after)
 
@@ -101,7 +109,8 @@
         if advisory.born != entry.born:
             return
         if known is None or advisory.said_at > known.said_at:
-            self._put(entry, advisory, is_own=False)
+            is_leaving = advisory.is_leaving or (known is not None and known.is_leaving)
+            self._put(entry, attrs.evolve(advisory, is_leaving=is_leaving), is_own=False)
 
     def reported(self) -> dict[str, Advisory]:
         """Returns what this process heard itself and the others should know, by server."""
@@ -109,8 +118,7 @@
         return {
             server: known.advisory
             for server, known in self._known.items()
-            if known.is_own
-            and (known.advisory.rate_limit is not None or known.advisory.said_at >= oldest)
+            if known.is_own and (_binds(known.advisory) or known.advisory.said_at >= oldest)
         }
 
     def remove(self, server: str) -> None:
@@ -119,16 +127,17 @@
         self._schedules.pop(server, None)
 
     def state(self) -> dict:
-        """Returns the limits in force, for a dump."""
+        """Returns the statements in force, for a dump."""
         now = self._clock.now()
         return {
             server: {
                 "rate_limit": known.advisory.rate_limit,
+                "leaving": known.advisory.is_leaving,
                 "age_ms": round((now - known.advisory.said_at).total_seconds() * 1000),
                 "heard_here": known.is_own,
             }
             for server, known in sorted(self._known.items())
-            if known.advisory.rate_limit is not None
+            if _binds(known.advisory)
         }
 
     # Limits
@@ -185,3 +194,8 @@
             schedule = PermitSchedule(server, self._process, processes)
             known = self._schedules[server] = _Schedule(processes, schedule)
         return known.schedule
+
+
+def _binds(advisory):
+    """Returns whether a statement keeps requests from its server."""
+    return advisory.rate_limit is not None or advisory.is_leaving
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -138,3 +138,13 @@
     assert known.reported()["e"].rate_limit is None
     clock.advance(seconds(11))
     assert known.reported() == {}
+
+
+def test_a_start_that_leaves_does_not_come_back():
+    clock = ManualClock()
+    known = advisories(clock)
+    assert known.record(ENTRY, attrs.evolve(UNLIMITED, is_leaving=True)).after.is_leaving
+    assert known.record(ENTRY, UNLIMITED) is None
+    known.merge(ENTRY, Advisory(0, 1.0, START + seconds(1)))
+    assert known.get(ENTRY).is_leaving and known.get(ENTRY).rate_limit == 1.0
+    assert known.get(attrs.evolve(ENTRY, born=1)) is None
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -468,6 +468,8 @@
             entry = self._parts.registry.find(server)
             if entry is not None:
                 self._parts.advisories.merge(entry, advisory)
+                if advisory.is_leaving and advisory.born == entry.born:
+                    self._parts.registry.mark_closed(entry)
 
 
 def _run_of(member):
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -75,7 +75,12 @@
             items[f"e {engine}"] = [work.prefill_total_ms, work.in_flight]
         for server, advisory in self.advisories.items():
             said_at_ms = round(advisory.said_at.timestamp() * 1000)
-            items[f"a {server}"] = [advisory.born, advisory.rate_limit, said_at_ms]
+            items[f"a {server}"] = [
+                advisory.born,
+                advisory.rate_limit,
+                said_at_ms,
+                advisory.is_leaving,
+            ]
         items |= {f"o {number}": dict(versions) for number, versions in self.origins.items()}
         return items
 
@@ -119,9 +124,10 @@
         return None
 
 
-def _read_advisory(born, rate_limit, said_at_ms):
+def _read_advisory(born, rate_limit, said_at_ms, is_leaving=False):
     said_at = datetime.datetime.fromtimestamp(said_at_ms / 1000, datetime.UTC)
-    return Advisory(int(born), None if rate_limit is None else float(rate_limit), said_at)
+    rate = None if rate_limit is None else float(rate_limit)
+    return Advisory(int(born), rate, said_at, bool(is_leaving))
 
 
 @attrs.define
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -400,7 +400,7 @@
                 self._reason = f"a server refused it: {reason}"
                 self._tried.add(entry.name)
                 if is_misdirected:
-                    parts.registry.mark_replaced(entry)
+                    parts.registry.mark_closed(entry)
                     parts.pool.drop_server(entry.name)
                     self._log("server_is_another", server=entry.name)
                 return None
@@ -524,12 +524,16 @@
         if change is not None:
             before, after = change.before, change.after
             self._parts.metrics.count("server_advisories", service=self._service)
+            if after.is_leaving:
+                self._parts.registry.mark_closed(self._server)
+                self._parts.pool.drop_server(self._server.name)
             self._parts.publish_soon()
             self._log(
                 "server_advisory",
                 server=self._server.name,
                 rate_limit=after.rate_limit,
                 rate_limit_before=before.rate_limit if before is not None else None,
+                leaving=after.is_leaving,
                 unreadable=list(after.unreadable),
             )
 
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -12,6 +12,8 @@
 # After an outage of the store, running servers whose entries expired are listed again within two
 # seconds.
 RELIST_TIMEOUT = datetime.timedelta(milliseconds=1800)
+# How many starts that accept no more requests are remembered; the oldest are dropped first.
+MAX_CLOSED = 4096
 # Streams that a server began before it went may be continued for this long.
 SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
 
@@ -37,7 +39,9 @@
         self._entries: dict[str, ServerEntry] = {}
         self._versions: dict[str, int] = {}
         self._removal_due: dict[str, datetime.timedelta] = {}
-        self._replaced: dict[str, int] = {}
+        # Starts that accept no more requests.  Kept after their entry is gone, as an entry that
+        # lapsed while the store was away comes back.
+        self._closed: dict[str, int] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
 
@@ -75,7 +79,7 @@
         known = self._entries.get(entry.name)
         if known is None or known.born != entry.born or known.is_leaving:
             return False
-        return self._replaced.get(entry.name) != entry.born
+        return self._closed.get(entry.name) != entry.born
 
     def put(self, entry: ServerEntry, version: int) -> ServerChange | None:
         """Adds or updates an entry; returns the change, None if there is none."""
@@ -121,9 +125,14 @@
                 changes.append(self.remove(name, version, after_outage))
         return [change for change in changes if change is not None]
 
-    def mark_replaced(self, entry: ServerEntry) -> None:
-        """Records that this start of a server is gone, as another one answers at its address."""
-        self._replaced[entry.name] = entry.born
+    def mark_closed(self, entry: ServerEntry) -> None:
+        """Records that this start of a server accepts no more requests, whatever the table says.
+
+        It said so itself, or another start answers at its address.
+        """
+        self._closed[entry.name] = entry.born
+        while len(self._closed) > MAX_CLOSED:
+            del self._closed[next(iter(self._closed))]
 
     def _is_newer(self, name, version):
         if version <= self._versions.get(name, 0):
@@ -139,8 +148,9 @@
     def _drop(self, name):
         entry = self._entries.pop(name, None)
         self._removal_due.pop(name, None)
-        self._replaced.pop(name, None)
         if entry is not None:
+            if not entry.born:  # a later start under this name cannot be told from this one
+                self._closed.pop(name, None)
             self._record_gone(entry)
         return ServerChange(name, "gone", entry)
 
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -256,6 +256,7 @@
       is_encoded: Whether the body has a content encoding.
       rate_limit: The requests per second that the server accepts from all processes together, None
         if it states no limit.
+      is_leaving: Whether the server says that it leaves and accepts no new requests.
       unreadable: The names of headers with invalid values, which count as absent.
     """
 
@@ -269,6 +270,7 @@
     keep_alive_timeout: datetime.timedelta | None = None
     is_encoded: bool = False
     rate_limit: float | None = None
+    is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -54,10 +54,15 @@
 
 @attrs.define
 class Server:
-    """A server and the limit that it states; `received` has the time and process of each call."""
+    """A server and what it states of itself.
+
+    `limit` is its rate limit, `leaves_at_s` the time from which it says that it leaves; `received`
+    has the time and process of each call, `told` when each process first passed a statement on.
+    """
 
     entry: ServerEntry
     limit: float | None = None
+    leaves_at_s: float | None = None
     received: list[tuple[float, str]] = attrs.field(factory=list)
     told: dict[str, float] = attrs.field(factory=dict)
 
@@ -92,10 +97,18 @@
         server = self._servers[dispatch.server.name]
         server.received.append((self._clock.monotonic().total_seconds(), self._process))
         await self._clock.sleep(seconds(CALL_S))
-        if server.limit is not None:
-            now = self._clock.monotonic().total_seconds()
+        now = self._clock.monotonic().total_seconds()
+        is_leaving = server.leaves_at_s is not None and now >= server.leaves_at_s
+        if server.limit is not None or is_leaving:
             server.told.setdefault(self._process, now)
-        head = ResponseHead(200, (), req.id, is_signed=True, rate_limit=server.limit)
+        head = ResponseHead(
+            200,
+            (),
+            req.id,
+            is_signed=True,
+            rate_limit=server.limit,
+            is_leaving=is_leaving,
+        )
         sink.head(head)
         return Whole(head, b"body")
 
@@ -144,11 +157,17 @@
     took_s: float
 
 
-def play(processes, limits, rate):
+def play(processes, limits, rate, leaves_at_s=None):
     """Plays requests at `rate` a second, spread evenly over the processes.
 
+    Args:
+      processes: The number of processes.
+      limits: The limit of each server.
+      rate: The requests per second.
+      leaves_at_s: From when the first server says that it leaves.
+
     Returns:
-      The servers, with the limits given, and the answers.
+      The servers and the answers.
     """
 
     async def main():
@@ -157,6 +176,7 @@
         for number, limit in enumerate(limits):
             name = f"s-{number}"
             servers[name] = Server(ServerEntry(name, "s", Endpoint("::1", 1), "z", 8), limit)
+        servers["s-0"].leaves_at_s = leaves_at_s
         names = tuple(f"p-{number:03}" for number in range(processes))
         parts = {name: make_parts(name, names, servers, clock) for name in names}
         answers = []
@@ -215,3 +235,12 @@
     servers, answers = play(60, [4.0, 1.0, None, None], 80.0)
     check_limits(servers)
     assert all(answer.reply.status == 200 for answer in answers)
+
+
+def test_a_server_that_says_it_leaves_gets_nothing_more_though_the_table_lists_it():
+    servers, answers = play(6, [None, None], 60.0, leaves_at_s=5.0)
+    leaving = servers[0]
+    assert len(leaving.told) == 6
+    for at, process in leaving.received:
+        assert at <= leaving.told[process]
+    assert all(answer.reply.status == 200 for answer in answers)
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -251,6 +251,21 @@
     run(check, tmp_path, FleetSettings(services=1))
 
 
+def test_a_server_that_says_it_leaves_gets_no_new_request(tmp_path):
+    async def check(system):
+        caller = system.caller()
+        for name in ("s-0", "s-1"):
+            system.engine(name).is_leaving = name == "s-0"
+        for number in range(20):
+            assert (await caller.exchange(f"p-{number}", "/post/a")).status == 200
+        assert len(system.engine("s-0").executed_requests) <= 1
+        system.fleet.unlist_server("s-0")
+        registry = system.node.parts.registry
+        await system.until(lambda: [e.name for e in registry.usable("plain")] == ["s-1"])
+
+    run(check, tmp_path)
+
+
 def test_a_server_that_answers_as_another_is_no_longer_used(tmp_path):
     async def check(system):
         system.engine("s-0").name = "reborn"
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -33,6 +33,7 @@
 RETRY_AFTER = b"retry-after"
 # The requests per second that an engine accepts from all processes together.
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 KEY_SCHEME = "token"
 
 OWN_PREFIX = b"x-cicadapond-"
@@ -117,6 +118,7 @@
             keep_alive_timeout=_parse_keep_alive(fields.get(b"keep-alive")),
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             rate_limit=rate_limit,
+            is_leaving=fields.get(LEAVING) == b"1",
             unreadable=(RATE_LIMIT.decode(),) if is_unreadable else (),
         )
 
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -41,6 +41,7 @@
       processing_time_s: How long a plain request takes, in seconds.
       rate_limit: The requests per second that it says to accept from all processes together, None
         to state no limit.
+      is_leaving: Whether it says that it leaves.
       faults: Faults to inject, one per request in order.
       executed_requests: Every request that it began to execute: (id, method, target, headers,
         body).
@@ -55,6 +56,7 @@
     event_interval_s: float = 0.0
     processing_time_s: float = 0.0
     rate_limit: float | None = None
+    is_leaving: bool = False
     faults: list[EngineFault] = attrs.field(factory=list)
     executed_requests: list[tuple] = attrs.field(factory=list)
     cancelled_streams: list[str] = attrs.field(factory=list)
@@ -231,8 +233,12 @@
         return self._end()
 
     def _advisories(self):
-        rate = self._model.rate_limit
-        return [("server-limit", f"{rate:g}")] if rate is not None else []
+        headers = []
+        if self._model.rate_limit is not None:
+            headers.append(("server-limit", f"{self._model.rate_limit:g}"))
+        if self._model.is_leaving:
+            headers.append(("server-leaving", "1"))
+        return headers
 
     def _send(self, event):
         self._writer.write(self._http.send(event))
