Leave servers alone for as long as their refusals ask

The header was not read, so a server that wants nothing for 2.5 s was sent every request for which it looked best (two tests in virtual time fail without this change; one more and a test on sockets pin the refusal and its forecast). A process now sends nothing there until the time is over, then one request, and more after its answer; up to a quarter of the time is added by process, so that processes come back one after the other. A time below 0 or over a minute is logged and not believed; the health judgement then decides as before.

A caller that is refused because no server accepts requests now is told when one does: the earliest end of a pause, or the next permit of a limit.

--- /dev/null
+++ b/cicadapond/advisories/_pauses.py
@@ -0,0 +1,67 @@
+"""Servers that refused a request and want nothing more of this process for a while; no I/O."""
+
+import datetime
+import zlib
+
+import attrs
+
+from cicadapond.kernel import Clock
+
+# Processes that were refused together come back spread over this share of the pause.
+RETURN_SPREAD = 0.25
+# After a pause one request is sent; if nothing comes back for this long, another one.
+PROBE_TIMEOUT = datetime.timedelta(seconds=1)
+NO_PAUSE = datetime.timedelta()
+
+
+@attrs.define
+class _Pause:
+    until: datetime.timedelta
+    probed_at: datetime.timedelta | None = None
+
+
+class Pauses:
+    """The pauses that servers asked this process for, by server and start.
+
+    Args:
+      clock: Gives the time.
+      process: This process's name.
+    """
+
+    def __init__(self, clock: Clock, process: str):
+        self._clock = clock
+        self._process = process
+        self._pauses: dict[tuple[str, int], _Pause] = {}
+
+    def begin(self, server: str, born: int, length: datetime.timedelta) -> None:
+        """Records that a server wants nothing for a time."""
+        share = zlib.crc32(f"{server} {self._process}".encode()) / 2**32
+        until = self._clock.monotonic() + length * (1 + RETURN_SPREAD * share)
+        self._pauses[server, born] = _Pause(until)
+
+    def answered(self, server: str, born: int) -> None:
+        """Records that a server accepted a request, which ends a pause whose time is over."""
+        pause = self._pauses.get((server, born))
+        if pause is not None and pause.until <= self._clock.monotonic():
+            del self._pauses[server, born]
+
+    def remaining(self, server: str, born: int) -> datetime.timedelta:
+        """Returns the time until a request may be sent, zero if it may be now."""
+        pause = self._pauses.get((server, born)) if self._pauses else None
+        if pause is None:
+            return NO_PAUSE
+        begins = pause.until
+        if pause.probed_at is not None:
+            begins = max(begins, pause.probed_at + PROBE_TIMEOUT)
+        return max(NO_PAUSE, begins - self._clock.monotonic())
+
+    def take(self, server: str, born: int) -> None:
+        """Counts a request that is about to be sent; after a pause it is the only one at first."""
+        pause = self._pauses.get((server, born))
+        if pause is not None:
+            pause.probed_at = self._clock.monotonic()
+
+    def remove(self, server: str) -> None:
+        """Drops the pauses of a server that is gone."""
+        for key in [key for key in self._pauses if key[0] == server]:
+            del self._pauses[key]
--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cicadapond.advisories._pauses import Pauses
 from cicadapond.advisories._permits import PermitSchedule, frame_of, time_until_frame
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import Clock
@@ -79,6 +80,7 @@
         self._processes = processes or (lambda: (process,))
         self._known: dict[str, _Known] = {}
         self._schedules: dict[str, _Schedule] = {}
+        self._pauses = Pauses(clock, process)
 
     # Statements
 
@@ -89,6 +91,10 @@
 
     def record(self, entry: ServerEntry, head: ResponseHead) -> AdvisoryChange | None:
         """Records the head of a server's answer; returns what has changed, None if nothing has."""
+        if head.retry_after is not None:
+            self._pauses.begin(entry.name, entry.born, head.retry_after)
+        else:
+            self._pauses.answered(entry.name, entry.born)
         before = self.get(entry)
         last = before or Advisory(entry.born, None, self._clock.now())
         after = attrs.evolve(
@@ -125,6 +131,7 @@
         """Drops what a server that is gone said."""
         self._known.pop(server, None)
         self._schedules.pop(server, None)
+        self._pauses.remove(server)
 
     def state(self) -> dict:
         """Returns the statements in force, for a dump."""
@@ -143,7 +150,9 @@
     # Limits
 
     def may_send(self, entry: ServerEntry) -> bool:
-        """Returns whether the server's limit lets this process send another request now."""
+        """Returns whether the server's statements let this process send another request now."""
+        if self._pauses.remaining(entry.name, entry.born):
+            return False
         known = self._find(entry)
         if known is None or known.advisory.rate_limit is None:
             return True
@@ -163,10 +172,17 @@
             frame = frame_of(self._clock.now())
             known.used = known.used + 1 if known.frame == frame else 1
             known.frame = frame
+        self._pauses.take(entry.name, entry.born)
         return True
 
     def time_until_permit(self, entry: ServerEntry) -> datetime.timedelta | None:
-        """Returns the time until this process may send to a limited server, None if it is long."""
+        """Returns the time until this process may send to a server that it may not send to now.
+
+        None if its limit admits nothing for a long time.
+        """
+        pause = self._pauses.remaining(entry.name, entry.born)
+        if pause:
+            return pause
         known, schedule = self._find(entry), self._schedule(entry.name)
         if known is None or known.advisory.rate_limit is None or schedule is None:
             return None
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -59,10 +59,9 @@
 PERMIT_WAIT_SHARE = 0.5
 # How long a request that continues a stream waits for word of where it began.
 MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
-# Retry-After of requests that the servers' limits keep out: until a permit is due, and a part of
-# this longer; never longer than the maximum.
+# Retry-After of requests that the servers' statements keep out: until a server may be sent one, and
+# a part of this longer.
 LIMITED_RETRY_SPREAD = datetime.timedelta(milliseconds=500)
-MAX_LIMITED_RETRY_AFTER = datetime.timedelta(seconds=2)
 # With less time left than this, no server could respond.
 MIN_TIME_LEFT = datetime.timedelta(milliseconds=5)
 # Engines have ten priorities, 0 to 9; the account's rank takes precedence over the route's.
@@ -120,7 +119,6 @@
         self._reason = "nothing was tried"
         self._in_flight_request = None
         self._server: ServerEntry | None = None
-        self._limited_retry_after: datetime.timedelta | None = None
 
     async def run(self) -> None:
         """Serves the request; the final response has been sent when this returns."""
@@ -291,40 +289,32 @@
         permitted = [entry for entry in self._untried() if self._parts.advisories.may_send(entry)]
         return self._parts.health.usable(permitted)
 
-    def _untried(self):
+    def _usable(self):
         usable = self._parts.registry.usable(self._service)
-        return [
-            entry
-            for entry in usable
-            if entry.name not in self._tried and self._version in (None, entry.version)
-        ]
+        return [entry for entry in usable if self._version in (None, entry.version)]
+
+    def _untried(self):
+        return [entry for entry in self._usable() if entry.name not in self._tried]
 
     def _limited_servers(self):
-        """Returns the servers that only their stated limits keep this request from."""
+        """Returns the servers that only their statements keep this request from."""
         may_send = self._parts.advisories.may_send
         return [entry for entry in self._untried() if not may_send(entry)]
 
-    def _time_until_permit(self):
-        """Returns the time until a limited server may be sent a request, None if it is long."""
-        waits = map(self._parts.advisories.time_until_permit, self._limited_servers())
+    def _time_until_permit(self, servers):
+        """Returns the time until one of these may be sent a request, None if it is long."""
+        waits = map(self._parts.advisories.time_until_permit, servers)
         return min((wait for wait in waits if wait is not None), default=None)
 
     def _can_wait_for_permit(self):
         """Returns whether a limited server may be sent this request well within its objective."""
-        wait = self._time_until_permit()
+        wait = self._time_until_permit(self._limited_servers())
         waited = self._parts.clock.monotonic() - self._received_at
         return wait is not None and waited + wait <= PERMIT_WAIT_SHARE * self._route.objective
 
     def _limited_outcome(self):
-        """Refuses this request because of the servers' limits.
-
-        Callers that are refused in the same frame are asked to return spread over a later one.
-        """
-        parts = self._parts
-        wait = self._time_until_permit() or MAX_LIMITED_RETRY_AFTER / 2
-        spread = zlib.crc32(self._req.id.encode()) / 2**32 * LIMITED_RETRY_SPREAD
-        self._limited_retry_after = min(wait + spread, MAX_LIMITED_RETRY_AFTER)
-        parts.metrics.count("requests_limited", service=self._service)
+        """Refuses this request because of what the servers stated."""
+        self._parts.metrics.count("requests_limited", service=self._service)
         self._log("limited", servers=len(self._limited_servers()), tried=len(self._tried))
         return NotSent("the servers accept no more requests at the moment")
 
@@ -341,7 +331,7 @@
         if self._deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
         if not self._parts.advisories.take(entry):
-            return "the server's limit is reached"
+            return "the server accepts no more at the moment"
         self._send_count += 1
         return None
 
@@ -474,8 +464,20 @@
             return self._fallback
         if self._may_have_run:
             return Unknown(self._reason, status=502)
-        wait = NO_SERVER_RETRY_AFTER if self._send_count == 0 else SHORT_RETRY_AFTER
-        return NotRun(self._reason, self._limited_retry_after or wait)
+        return NotRun(self._reason, self._retry_after())
+
+    def _retry_after(self):
+        """Returns when a caller that is refused should come back.
+
+        If no server accepts requests now, that is when one does, by its own word; callers that are
+        refused together return spread over a while.
+        """
+        may_send = self._parts.advisories.may_send
+        servers = [entry for entry in self._usable() if not may_send(entry)]
+        if servers and len(servers) == len(self._usable()):
+            wait = self._time_until_permit(servers) or NO_SERVER_RETRY_AFTER
+            return wait + zlib.crc32(self._req.id.encode()) / 2**32 * LIMITED_RETRY_SPREAD
+        return NO_SERVER_RETRY_AFTER if self._send_count == 0 else SHORT_RETRY_AFTER
 
     def _timeout_outcome(self):
         if self._fallback is not None:
@@ -520,6 +522,13 @@
     # ResponseSink
 
     def head(self, head):
+        if head.retry_after is not None:
+            self._parts.metrics.count("server_pauses", service=self._service)
+            self._log(
+                "server_pauses",
+                server=self._server.name,
+                retry_after_ms=_milliseconds(head.retry_after),
+            )
         change = self._parts.advisories.record(self._server, head)
         if change is not None:
             before, after = change.before, change.after
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -9,7 +9,7 @@
 from cicadapond.containment import CrashTracker
 from cicadapond.continuation import StreamOrigins
 from cicadapond.data import Endpoint
-from cicadapond.forwarding import NotSent, RetryLimiter, Whole
+from cicadapond.forwarding import NotSent, Refused, RetryLimiter, Whole
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._servers import ServerRegistry
@@ -39,6 +39,11 @@
 MAX_EXTRA_REQUESTS = 5
 TELLING_DELAY_S = 0.5
 CALL_S = 0.02
+RETRY_AFTER_S = 2.5
+# The rule: no more than this many requests from a process between this long after a refusal with
+# Retry-After and the end of that time.
+REFUSAL_DELAY_S = 0.5
+MAX_REQUESTS_IN_REFUSAL = 2
 PLAYED_S = 20.0
 ROUTE = Route(
     name="r",
@@ -56,13 +61,17 @@
 class Server:
     """A server and what it states of itself.
 
-    `limit` is its rate limit, `leaves_at_s` the time from which it says that it leaves; `received`
-    has the time and process of each call, `told` when each process first passed a statement on.
+    `limit` is its rate limit, `leaves_at_s` the time from which it says that it leaves, `refuses_s`
+    the time during which it refuses all calls and wants nothing for RETRY_AFTER_S.  `received` has
+    the time and process of each call, `refusals` of those that it refused, `told` when each process
+    first passed a statement on.
     """
 
     entry: ServerEntry
     limit: float | None = None
     leaves_at_s: float | None = None
+    refuses_s: tuple[float, float] | None = None
+    refusals: list[tuple[float, str]] = attrs.field(factory=list)
     received: list[tuple[float, str]] = attrs.field(factory=list)
     told: dict[str, float] = attrs.field(factory=dict)
 
@@ -98,6 +107,12 @@
         server.received.append((self._clock.monotonic().total_seconds(), self._process))
         await self._clock.sleep(seconds(CALL_S))
         now = self._clock.monotonic().total_seconds()
+        if server.refuses_s is not None and server.refuses_s[0] <= now < server.refuses_s[1]:
+            server.refusals.append((now, self._process))
+            sink.head(
+                ResponseHead(503, (), req.id, not_executed=True, retry_after=seconds(RETRY_AFTER_S))
+            )
+            return Refused("status 503")
         is_leaving = server.leaves_at_s is not None and now >= server.leaves_at_s
         if server.limit is not None or is_leaving:
             server.told.setdefault(self._process, now)
@@ -157,14 +172,14 @@
     took_s: float
 
 
-def play(processes, limits, rate, leaves_at_s=None):
+def play(processes, limits, rate, **statements):
     """Plays requests at `rate` a second, spread evenly over the processes.
 
     Args:
       processes: The number of processes.
       limits: The limit of each server.
       rate: The requests per second.
-      leaves_at_s: From when the first server says that it leaves.
+      statements: What the first server states besides, as attributes of `Server`.
 
     Returns:
       The servers and the answers.
@@ -176,7 +191,7 @@
         for number, limit in enumerate(limits):
             name = f"s-{number}"
             servers[name] = Server(ServerEntry(name, "s", Endpoint("::1", 1), "z", 8), limit)
-        servers["s-0"].leaves_at_s = leaves_at_s
+        servers["s-0"] = attrs.evolve(servers["s-0"], **statements)
         names = tuple(f"p-{number:03}" for number in range(processes))
         parts = {name: make_parts(name, names, servers, clock) for name in names}
         answers = []
@@ -244,3 +259,36 @@
     for at, process in leaving.received:
         assert at <= leaving.told[process]
     assert all(answer.reply.status == 200 for answer in answers)
+
+
+def test_a_server_that_wants_nothing_for_a_while_gets_nothing_meanwhile():
+    servers, answers = play(6, [None, None], 60.0, refuses_s=(4.0, 9.0))
+    refusing = servers[0]
+    assert refusing.refusals
+    for at, process in refusing.refusals:
+        closed = [
+            other
+            for other, from_process in refusing.received
+            if from_process == process and at + REFUSAL_DELAY_S < other < at + RETRY_AFTER_S
+        ]
+        assert len(closed) <= MAX_REQUESTS_IN_REFUSAL
+    assert all(answer.reply.status == 200 for answer in answers)
+
+
+def test_processes_come_back_spread_with_one_request_each():
+    servers, _ = play(6, [None, None], 60.0, refuses_s=(4.0, 9.0))
+    firsts = {}
+    for at, process in servers[0].received:
+        if at > 9.0:
+            firsts.setdefault(process, at)
+    assert len(firsts) == 6
+    assert max(firsts.values()) - min(firsts.values()) >= 0.1
+    probes = [at for at, _ in servers[0].refusals if at > 4.0 + RETRY_AFTER_S]
+    assert len(probes) <= 2 * 6
+
+
+def test_if_all_servers_want_nothing_requests_are_refused_at_once_until_they_are_back():
+    servers, answers = play(2, [None], 30.0, refuses_s=(4.0, 6.0))
+    refused = [answer for answer in answers if answer.reply.status == 503]
+    assert refused and all(answer.took_s <= 0.3 for answer in refused)
+    assert any(at > 9.0 for at, _ in servers[0].received)
--- a/cicadapond/gateway/path_test.py
+++ b/cicadapond/gateway/path_test.py
@@ -266,6 +266,22 @@
     run(check, tmp_path)
 
 
+def test_a_server_that_refuses_with_retry_after_is_left_alone_meanwhile(tmp_path):
+    async def check(system):
+        caller = system.caller()
+        system.engine("s-0").retry_after_s = 30.0
+        for number in range(5):
+            answer = await caller.exchange(f"p-{number}", "/post/a")
+            assert answer.status == 503 and 25 < float(answer.headers["retry-after"]) <= 40
+        assert len(system.engine("s-0").refusals) == 1
+        await system.fleet.add_server("s-1", "plain")
+        registry = system.node.parts.registry
+        await system.until(lambda: len(registry.usable("plain")) == 2)
+        assert (await caller.exchange("p-5", "/post/a")).status == 200
+
+    run(check, tmp_path, FleetSettings(services=1))
+
+
 def test_a_server_that_answers_as_another_is_no_longer_used(tmp_path):
     async def check(system):
         system.engine("s-0").name = "reborn"
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -38,6 +38,9 @@
 
 OWN_PREFIX = b"x-cicadapond-"
 MISDIRECTED = 421
+UNAVAILABLE = 503
+# A server that wants nothing for longer than this is not believed.
+MAX_RETRY_AFTER = datetime.timedelta(seconds=60)
 
 _HOP_BY_HOP = frozenset(
     (
@@ -106,7 +109,13 @@
         )
         request_id = fields.get(REQUEST_ID)
         rate_limit = _parse_rate_limit(fields.get(RATE_LIMIT))
-        is_unreadable = rate_limit is None and RATE_LIMIT in fields
+        # Elsewhere it is part of an answer to the caller.
+        wait = fields.get(RETRY_AFTER) if status == UNAVAILABLE else None
+        retry_after = _parse_retry_after(wait)
+        unreadable = (
+            (RATE_LIMIT, RATE_LIMIT in fields and rate_limit is None),
+            (RETRY_AFTER, wait is not None and retry_after is None),
+        )
         return ResponseHead(
             status=status,
             headers=kept,
@@ -119,7 +128,8 @@
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             rate_limit=rate_limit,
             is_leaving=fields.get(LEAVING) == b"1",
-            unreadable=(RATE_LIMIT.decode(),) if is_unreadable else (),
+            retry_after=retry_after,
+            unreadable=tuple(name.decode() for name, is_unreadable in unreadable if is_unreadable),
         )
 
     def local_response_headers(self, request_id, retry_after):
@@ -230,6 +240,14 @@
     return rate if rate is not None and math.isfinite(rate) and rate >= 0.0 else None
 
 
+def _parse_retry_after(raw):
+    try:
+        wait = datetime.timedelta(seconds=float(raw)) if raw is not None else None
+    except (OverflowError, ValueError):
+        return None
+    return wait if wait is not None and datetime.timedelta() <= wait <= MAX_RETRY_AFTER else None
+
+
 def _parse_keep_alive(raw):
     for option in (raw or b"").split(b","):
         name, _, value = option.strip().partition(b"=")
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -314,3 +314,21 @@
     assert (req.id, req.resumes, req.last_event_id) == ("r-2", "r-1", "7")
     repeated = HEADER_CODEC.parse_request(b"POST", b"/x", [*headers, (b"resumes", b"r-0")], b"")
     assert isinstance(repeated, Malformed)
+
+
+@pytest.mark.parametrize(
+    ("status", "raw", "wait", "unreadable"),
+    [
+        (503, b"1.5", seconds(1.5), ()),
+        (503, b"0", seconds(0), ()),
+        (200, b"1.5", None, ()),
+        (503, b"-1", None, ("retry-after",)),
+        (503, b"86400", None, ("retry-after",)),
+        (503, b"1e300", None, ("retry-after",)),
+        (503, b"nan", None, ("retry-after",)),
+        (503, b"Fri, 04 Dec 2026 09:00:00 GMT", None, ("retry-after",)),
+    ],
+)
+def test_a_refusing_servers_pause_is_bounded(status, raw, wait, unreadable):
+    head = HEADER_CODEC.parse_response_head(status, [(b"retry-after", raw)])
+    assert (head.retry_after, head.unreadable) == (wait, unreadable)
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -42,6 +42,8 @@
       rate_limit: The requests per second that it says to accept from all processes together, None
         to state no limit.
       is_leaving: Whether it says that it leaves.
+      retry_after_s: The Retry-After of its refusals in seconds, None for none.
+      refusals: When it refused a request so, by the event loop's clock in seconds, and the id.
       faults: Faults to inject, one per request in order.
       executed_requests: Every request that it began to execute: (id, method, target, headers,
         body).
@@ -57,6 +59,8 @@
     processing_time_s: float = 0.0
     rate_limit: float | None = None
     is_leaving: bool = False
+    retry_after_s: float | None = None
+    refusals: list[tuple[float, str]] = attrs.field(factory=list)
     faults: list[EngineFault] = attrs.field(factory=list)
     executed_requests: list[tuple] = attrs.field(factory=list)
     cancelled_streams: list[str] = attrs.field(factory=list)
@@ -120,6 +124,10 @@
         if fields.get("x-cicadapond-target-instance", self._model.name) != self._model.name:
             return self._respond(421, request_id, b"", [("x-cicadapond-not-executed", "1")])
         fault = self._model.faults.pop(0) if self._model.faults else None
+        if self._model.retry_after_s is not None:
+            self._model.refusals.append((asyncio.get_running_loop().time(), request_id))
+            wait = ("retry-after", f"{self._model.retry_after_s:g}")
+            return self._respond(503, request_id, b"", [("x-cicadapond-not-executed", "1"), wait])
         if fault is EngineFault.FULL:
             return self._respond(503, request_id, b"", [("x-cicadapond-not-executed", "1")])
         target = head.target.decode()
