--- /dev/null
+++ b/cicadapond/gateway/_eligible.py
@@ -0,0 +1,111 @@
+"""Which servers a request may still be sent to: by version, what they state, and what was tried.
+
+It answers two loads: servers that accept fewer requests than come, and streams that callers take up
+while several software versions run side by side.
+"""
+
+import datetime
+import zlib
+
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway.data import ServerEntry
+
+# How long a request that continues a stream waits for word of where it began.
+MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
+ORIGIN_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
+# Retry-After if no server accepts requests and none says when it will.
+UNKNOWN_RETRY_AFTER = datetime.timedelta(seconds=1)
+# Callers that are refused together return spread over this time.
+RETRY_SPREAD = datetime.timedelta(milliseconds=500)
+
+
+class EligibleServers:
+    """The servers of a service that one request may be sent to.
+
+    Args:
+      parts: The components of this process.
+      service: The service.
+
+    Attributes:
+      version: The software version at which a stream goes on, None while any may serve it.
+      tried: The names of the servers that were tried.
+    """
+
+    def __init__(self, parts: Parts, service: str):
+        self._parts = parts
+        self._service = service
+        self.version: str | None = None
+        self.tried: set[str] = set()
+
+    def candidates(self) -> list[ServerEntry]:
+        """Returns the untried servers that accept a request now and are in good health."""
+        permitted = [entry for entry in self._untried() if self._parts.advisories.may_send(entry)]
+        return self._parts.health.usable(permitted)
+
+    def limited(self) -> list[ServerEntry]:
+        """Returns the untried servers that only their own statements exclude."""
+        return self._limited(self._untried())
+
+    def time_until_permit(self) -> datetime.timedelta | None:
+        """Returns the time until one of the `limited` accepts a request, None if it is long."""
+        return self._time_until_permit(self.limited())
+
+    def retry_after(self, request_id: str) -> datetime.timedelta | None:
+        """Returns when to come back if no server of the service accepts requests now.
+
+        Returns:
+          When one does, by its own word, with a spread by the request's id; None if one does now,
+          or if there is none.
+        """
+        usable = self._usable()
+        limited = self._limited(usable)
+        if not usable or len(limited) < len(usable):
+            return None
+        spread = zlib.crc32(request_id.encode()) / 2**32 * RETRY_SPREAD
+        return (self._time_until_permit(limited) or UNKNOWN_RETRY_AFTER) + spread
+
+    async def find_version(self, first_request_id: str | None) -> bool:
+        """Finds the software version at which a continued stream goes on.
+
+        Waits for a moment, as word of a stream that has just broken may be on its way.
+
+        Args:
+          first_request_id: The id of the request that brought the stream's first event, None if the
+            caller does not say.
+
+        Returns:
+          Whether the version is known.
+        """
+        parts = self._parts
+        begun = parts.clock.monotonic()
+        while True:
+            self.version = self._known_version(first_request_id)
+            if self.version is not None:
+                return True
+            if parts.clock.monotonic() - begun >= MAX_ORIGIN_WAIT:
+                return False
+            await parts.clock.sleep(ORIGIN_POLL_INTERVAL)
+
+    def _known_version(self, first_request_id):
+        parts = self._parts
+        found = parts.origins.find(first_request_id) if first_request_id is not None else None
+        if found is not None:
+            return found
+        versions = parts.registry.software_versions(self._service)
+        if len(versions) == 1 and parts.origins.versions() <= versions:
+            return next(iter(versions))
+        return None
+
+    def _usable(self):
+        usable = self._parts.registry.usable(self._service)
+        return [entry for entry in usable if self.version in (None, entry.version)]
+
+    def _untried(self):
+        return [entry for entry in self._usable() if entry.name not in self.tried]
+
+    def _limited(self, servers):
+        return [entry for entry in servers if not self._parts.advisories.may_send(entry)]
+
+    def _time_until_permit(self, servers):
+        waits = map(self._parts.advisories.time_until_permit, servers)
+        return min((wait for wait in waits if wait is not None), default=None)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import zlib
 
 from cicadapond.containment import fingerprint_of
 from cicadapond.forwarding import (
@@ -15,6 +14,7 @@
     Whole,
 )
 from cicadapond.gateway._caller import Reply
+from cicadapond.gateway._eligible import EligibleServers
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import (
     CallerRequest,
@@ -57,11 +57,6 @@
 # A request waits for a server's limit to admit it if it still gets there within this share of its
 # objective; else it is refused at once.
 PERMIT_WAIT_SHARE = 0.5
-# How long a request that continues a stream waits for word of where it began.
-MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
-# Retry-After of requests that the servers' statements keep out: until a server may be sent one, and
-# a part of this longer.
-LIMITED_RETRY_SPREAD = datetime.timedelta(milliseconds=500)
 # With less time left than this, no server could respond.
 MIN_TIME_LEFT = datetime.timedelta(milliseconds=5)
 # Engines have ten priorities, 0 to 9; the account's rank takes precedence over the route's.
@@ -106,15 +101,13 @@
         self._received_at = received_at
         self._service = choose_service(route, req.id)
         self._fingerprint = fingerprint_of(req, account.name if account else None)
-        self._tried: set[str] = set()
+        self._servers = EligibleServers(parts, self._service)
         self._send_count = 0
         self._may_have_run = False
         self._usage_counted = False
         self._last_event_id = req.last_event_id
-        # The id by which the stream is known if its caller continues it, and the software version
-        # at which it goes on, None while any version may serve it.
+        # The id by which the stream is known if its caller continues it.
         self._origin_id = req.resumes or req.id
-        self._version: str | None = None
         self._fallback: Whole | None = None
         self._reason = "nothing was tried"
         self._in_flight_request = None
@@ -139,7 +132,7 @@
     # Attempts
 
     async def _try_servers(self):
-        if self._continues_stream() and not await self._find_version():
+        if self._continues_stream() and not await self._servers.find_version(self._req.resumes):
             self._log("origin_unknown", resumes=self._req.resumes)
             return NotRun(
                 "the software version that began the stream is not known", SHORT_RETRY_AFTER
@@ -169,30 +162,10 @@
     def _continues_stream(self):
         return self._route.kind is RouteKind.STREAM and self._req.last_event_id is not None
 
-    async def _find_version(self):
-        """Finds the software version at which a continued stream goes on; returns whether it did.
-
-        Waits for a moment, as word of a stream that has just broken may be on its way.
-        """
-        parts = self._parts
-        begun = parts.clock.monotonic()
-        while True:
-            if self._req.resumes is not None:
-                self._version = parts.origins.find(self._req.resumes)
-            if self._version is None:
-                versions = parts.registry.software_versions(self._service)
-                if len(versions) == 1 and parts.origins.versions() <= versions:
-                    (self._version,) = versions
-            if self._version is not None:
-                return True
-            if parts.clock.monotonic() - begun >= MAX_ORIGIN_WAIT:
-                return False
-            await parts.clock.sleep(HOLD_POLL_INTERVAL)
-
     async def _try_one(self):
         parts = self._parts
         servers = await self._servers_after_hold()
-        if not servers and self._limited_servers():
+        if not servers and self._servers.limited():
             return self._limited_outcome(), None
         left = self._time_left()
         placement = parts.placer.place(servers, self._req.generation, self._priority() or 0)
@@ -257,7 +230,7 @@
         parts = self._parts
         begun = parts.clock.monotonic()
         while True:
-            servers = self._candidates()
+            servers = self._servers.candidates()
             if not servers and self._can_wait_for_permit():
                 await parts.clock.sleep(HOLD_POLL_INTERVAL)
                 continue
@@ -285,37 +258,17 @@
             return None
         return _milliseconds(self._in_flight_request.begun_at - started)
 
-    def _candidates(self):
-        permitted = [entry for entry in self._untried() if self._parts.advisories.may_send(entry)]
-        return self._parts.health.usable(permitted)
-
-    def _usable(self):
-        usable = self._parts.registry.usable(self._service)
-        return [entry for entry in usable if self._version in (None, entry.version)]
-
-    def _untried(self):
-        return [entry for entry in self._usable() if entry.name not in self._tried]
-
-    def _limited_servers(self):
-        """Returns the servers that only their statements keep this request from."""
-        may_send = self._parts.advisories.may_send
-        return [entry for entry in self._untried() if not may_send(entry)]
-
-    def _time_until_permit(self, servers):
-        """Returns the time until one of these may be sent a request, None if it is long."""
-        waits = map(self._parts.advisories.time_until_permit, servers)
-        return min((wait for wait in waits if wait is not None), default=None)
-
     def _can_wait_for_permit(self):
         """Returns whether a limited server may be sent this request well within its objective."""
-        wait = self._time_until_permit(self._limited_servers())
+        wait = self._servers.time_until_permit()
         waited = self._parts.clock.monotonic() - self._received_at
         return wait is not None and waited + wait <= PERMIT_WAIT_SHARE * self._route.objective
 
     def _limited_outcome(self):
         """Refuses this request because of what the servers stated."""
         self._parts.metrics.count("requests_limited", service=self._service)
-        self._log("limited", servers=len(self._limited_servers()), tried=len(self._tried))
+        limited, tried = self._servers.limited(), self._servers.tried
+        self._log("limited", servers=len(limited), tried=len(tried))
         return NotSent("the servers accept no more requests at the moment")
 
     def _check_send(self, entry):
@@ -384,11 +337,11 @@
                 self._reason = reason
                 if entry is not None and reason == "no connection":
                     parts.health.mark_unreachable(entry)
-                    self._tried.add(entry.name)
+                    self._servers.tried.add(entry.name)
                 return None if entry is not None else self._failure_outcome()
             case Refused(reason=reason, is_misdirected=is_misdirected):
                 self._reason = f"a server refused it: {reason}"
-                self._tried.add(entry.name)
+                self._servers.tried.add(entry.name)
                 if is_misdirected:
                     parts.registry.mark_closed(entry)
                     parts.pool.drop_server(entry.name)
@@ -406,7 +359,7 @@
 
     def _evaluate_complete(self, outcome, head, entry):
         self._count_usage()
-        self._tried.add(entry.name)
+        self._servers.tried.add(entry.name)
         self._may_have_run = True
         if head.load is not None:
             self._parts.placer.update_load(entry.name, head.load)
@@ -422,7 +375,7 @@
     def _evaluate_broken(self, outcome, entry):
         self._may_have_run = True
         self._reason = outcome.reason
-        self._tried.add(entry.name)
+        self._servers.tried.add(entry.name)
         if outcome.was_silent and outcome.head is None:
             self._parts.health.mark_unreachable(entry)
         else:
@@ -464,20 +417,10 @@
             return self._fallback
         if self._may_have_run:
             return Unknown(self._reason, status=502)
-        return NotRun(self._reason, self._retry_after())
-
-    def _retry_after(self):
-        """Returns when a caller that is refused should come back.
-
-        If no server accepts requests now, that is when one does, by its own word; callers that are
-        refused together return spread over a while.
-        """
-        may_send = self._parts.advisories.may_send
-        servers = [entry for entry in self._usable() if not may_send(entry)]
-        if servers and len(servers) == len(self._usable()):
-            wait = self._time_until_permit(servers) or NO_SERVER_RETRY_AFTER
-            return wait + zlib.crc32(self._req.id.encode()) / 2**32 * LIMITED_RETRY_SPREAD
-        return NO_SERVER_RETRY_AFTER if self._send_count == 0 else SHORT_RETRY_AFTER
+        wait = self._servers.retry_after(self._req.id)
+        if wait is None:
+            wait = NO_SERVER_RETRY_AFTER if self._send_count == 0 else SHORT_RETRY_AFTER
+        return NotRun(self._reason, wait)
 
     def _timeout_outcome(self):
         if self._fallback is not None:
@@ -551,9 +494,9 @@
             self._parts.placer.update_load(self._in_flight_request.server, head.load)
         self._parts.placer.mark_answer_begun(self._in_flight_request)
         self._count_usage()
-        if self._version is None:
-            self._version = self._server.version
-        self._parts.origins.begin(self._origin_id, self._version)
+        if self._servers.version is None:
+            self._servers.version = self._server.version
+        self._parts.origins.begin(self._origin_id, self._servers.version)
         if not self._reply.has_begun:
             self._reply.begin(head.status, head.headers)
             took = self._parts.clock.monotonic() - self._received_at
