--- a/cicadapond/experiments/decisions.py
+++ b/cicadapond/experiments/decisions.py
@@ -1,13 +1,15 @@
 """Processor time of the gateway's decisions for a request, by processes and engines; no I/O.
 
-Measures the check of route, key and quota, the placement, the merge of another process's digest,
-and the peak memory of placement and digests.
+Measures the check of route, key and quota, the placement, the check of what the servers state where
+all of them state a limit, the merge of another process's digest, and the peak memory of placement
+and digests.
 """
 
 import random
 import time
 import tracemalloc
 
+from cicadapond.advisories import ServerAdvisories
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.gateway.data import (
@@ -17,6 +19,7 @@
     Generation,
     PromptPart,
     RequestLimits,
+    ResponseHead,
     Route,
     RouteKind,
     ServerEntry,
@@ -92,7 +95,10 @@
     placer, health = Placer(clock, "z0"), ServerHealth(clock, "z0")
     quotas = QuotaShares(clock, begins_full=True)
     servers = _engines(engines)
-    process_names = [f"p-{number}" for number in range(processes)]
+    process_names = tuple(sorted(f"p-{number}" for number in range(processes)))
+    advisories = ServerAdvisories(clock, process_names[0], lambda: process_names)
+    for server in servers:
+        advisories.record(server, ResponseHead(200, (), rate_limit=5.0))
     number = UsageWindows(SPENDING_WINDOW).number(clock.now())
     spending = {number: {f"a-{account}": 1000.0 for account in range(ACCOUNTS)}}
     work = {server.name: EngineWork(100, 2) for server in servers[:60]}
@@ -106,6 +112,9 @@
         found = active_configuration.find(_request(rng))
         quotas.take(found.account, 12376, 1.0)
 
+    def check_statements():
+        return [server for server in servers if advisories.may_send(server)]
+
     def merge_digest():
         name = rng.choice(process_names)
         spending[number][f"a-{rng.randrange(ACCOUNTS)}"] += 1000.0
@@ -113,7 +122,8 @@
         placer.apply_others_work(name, "hub", work, includes_own=False)
 
     place()
-    costs = [_microseconds_per_call(operation) for operation in (admit, place, merge_digest)]
+    operations = (admit, place, check_statements, merge_digest)
+    costs = [_microseconds_per_call(operation) for operation in operations]
     tracemalloc.start()
     for name in process_names:
         quotas.apply_spending(name, spending, includes_own=False)
@@ -137,6 +147,7 @@
             "engines",
             "route, key and quota (µs)",
             "placing (µs)",
+            "statements of all servers (µs)",
             "one digest heard (µs)",
             "peak memory (MB)",
         )
