--- a/cicadapond/advisories/__init__.py
+++ b/cicadapond/advisories/__init__.py
@@ -1,7 +1,10 @@
-"""What backend servers say of themselves in their answers: how many requests they accept.
+"""What backend servers say of themselves in their answers.
+
+That is how many requests they accept, for how long they want none, and that they leave.
 
 The server table is written by the platform; these statements come from the servers themselves and
-are often newer.  A limit holds for all processes together, so it is divided among them.  No I/O.
+are often newer.  A limit holds for all processes together, so it is divided among them; a pause
+concerns one process.  No I/O.
 """
 
 from cicadapond.advisories._record import Advisory, AdvisoryChange, ServerAdvisories
