Read load reports that state the pace of the server's host

Engines of some deployments add a fourth figure to their load: how long work takes on their host at the moment, in percent. The codec dropped every report that did not have exactly three figures, without a word, so that placement knew of the requests of other processes only from their digests.

The first three figures are read whatever follows them, the fourth is a factor of the expected time that decays with the age of the report, and a report that cannot be read is named in the log.

--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -244,11 +244,16 @@
 
 @attrs.frozen
 class LoadHeader:
-    """The load that a server reports in a response."""
+    """The load that a server reports in a response.
+
+    `pace` is how long work takes on its host at the moment, as a multiple of the usual time; None
+    if the server does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @attrs.frozen
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -26,6 +26,8 @@
 
 # A server's load report counts in full when it arrives and decays with this half-life.
 LOAD_HALF_LIFE_MS = 400.0
+# The pace of a server's host changes many times a second, so a report of it decays faster.
+PACE_HALF_LIFE_MS = 200.0
 # A prefill of at least this length is reported to the other processes at once.
 LONG_PREFILL_MS = 30.0
 # How long additions to a prefill queue are kept: longer than any prompt is queued before its caller
@@ -245,6 +247,7 @@
                 queued_ms = load.queue.remaining_ms(now)
                 expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
                 expected += self._slot_wait_ms(entry, in_flight)
+            expected *= _pace(load, now)
             if entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
             candidates.append(_Candidate(expected, entry, work_ms, queued_ms, in_flight, prompt))
@@ -379,6 +382,14 @@
         return len(load.in_flight) + others
 
 
+def _pace(load, now):
+    """Returns how long work takes on a server's host, as a multiple of the usual time."""
+    if load.report is None or load.report.pace is None:
+        return 1.0
+    age_ms = (now - load.reported_at) / _MILLISECOND
+    return 1.0 + (load.report.pace - 1.0) * 0.5 ** (age_ms / PACE_HALF_LIFE_MS)
+
+
 def _prompt(load, generation, is_home):
     """Returns the prefill that a prompt needs at an engine."""
     cached = load.prefix_cache.cached_tokens(generation.parts)
--- a/cicadapond/placing/placing_test.py
+++ b/cicadapond/placing/placing_test.py
@@ -81,6 +81,19 @@
     assert abs(estimates["s-0"] - estimates["s-1"]) < 1.0
 
 
+def test_calls_avoid_a_slow_host_only_while_its_pace_is_news():
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    servers = [entry("s-0"), entry("s-1")]
+    for server in servers:
+        placer.mark_ended(placer.place([server], None).request)
+    placer.update_load("s-0", LoadHeader(running=0, waiting=0, slots=8, pace=2.5))
+    assert placer.place(servers, None).server.name == "s-1"
+    clock.advance(seconds(3))
+    estimates = {server.name: expected for expected, server, _ in placer.estimate(servers, None)}
+    assert abs(estimates["s-0"] - (estimates["s-1"])) < 5.0, "the pace changes within a second"
+
+
 def work(prefill_total_ms, in_flight):
     return {"e-0": EngineWork(prefill_total_ms, in_flight)}
 
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -37,6 +37,8 @@
 # The requests that an engine may turn away in a second for want of room before it crashes.
 BRITTLE = b"server-brittle"
 KEY_SCHEME = "token"
+# The requests running, those waiting, and the slots, with which a report of a load begins.
+LOAD_COUNTS = 3
 
 OWN_PREFIX = b"x-cicadapond-"
 MISDIRECTED = 421
@@ -126,8 +128,10 @@
         wait = fields.get(RETRY_AFTER) if status == UNAVAILABLE else None
         retry_after = _parse_retry_after(wait)
         brittle = _parse_brittle(fields.get(BRITTLE))
+        load = _parse_load(fields.get(LOAD))
         unreadable = (
             (BRITTLE, BRITTLE in fields and brittle is None),
+            (LOAD, LOAD in fields and load is None),
             (RATE_LIMIT, RATE_LIMIT in fields and rate_limit is None),
             (RETRY_AFTER, wait is not None and retry_after is None),
         )
@@ -138,7 +142,7 @@
             is_signed=SIGNATURE in fields,
             not_executed=NOT_EXECUTED in fields or status == MISDIRECTED,
             closes_connection=b"close" in connection_options,
-            load=_parse_load(fields.get(LOAD)),
+            load=load,
             keep_alive_timeout=_parse_keep_alive(fields.get(b"keep-alive")),
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             rate_limit=rate_limit,
@@ -242,10 +246,22 @@
 
 
 def _parse_load(raw):
-    counts = (raw or b"").split(b",")
-    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
+    """Returns the load that a header reports, None if it has no readable counts.
+
+    Three counts may be followed by the pace of the server's host, in percent.  Later figures are
+    not known here and are ignored.
+    """
+    figures = [figure.strip() for figure in (raw or b"").split(b",")]
+    if len(figures) < LOAD_COUNTS or not all(each.isdigit() for each in figures[:LOAD_COUNTS]):
         return None
-    return LoadHeader(*(int(count) for count in counts))
+    running, waiting, slots = (int(each) for each in figures[:LOAD_COUNTS])
+    pace = figures[LOAD_COUNTS] if len(figures) > LOAD_COUNTS else b""
+    return LoadHeader(running, waiting, slots, _parse_pace(pace))
+
+
+def _parse_pace(raw):
+    percent = int(raw) if raw.isdigit() else 0
+    return percent / 100 if percent > 0 else None
 
 
 def _parse_rate_limit(raw):
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -357,3 +357,21 @@
     again = HEADER_CODEC.parse_request(b"POST", b"/x/", headers, b"body")
     changes = {"timeout": seconds(1.25), "last_event_id": "7", "resumes": "r-1"}
     assert attrs.evolve(again, headers=()) == attrs.evolve(req, headers=(), **changes)
+
+
+@pytest.mark.parametrize(
+    ("raw", "load", "unreadable"),
+    [
+        (b"3,1,8", LoadHeader(3, 1, 8), ()),
+        (b"3, 1, 8, 250", LoadHeader(3, 1, 8, pace=2.5), ()),
+        (b"3,1,8,100,7", LoadHeader(3, 1, 8, pace=1.0), ()),
+        (b"3,1,8,fast", LoadHeader(3, 1, 8), ()),
+        (b"3,1,8,0", LoadHeader(3, 1, 8), ()),
+        (b"3,1", None, ("x-cicadapond-server-load",)),
+        (b"3,one,8,100", None, ("x-cicadapond-server-load",)),
+    ],
+)
+def test_a_load_report_is_read_also_with_figures_beyond_the_first_three(raw, load, unreadable):
+    # A fourth figure made the whole report be ignored, so that placement knew nothing of the load.
+    head = HEADER_CODEC.parse_response_head(200, [(b"x-cicadapond-server-load", raw)])
+    assert head.load == load and head.unreadable == unreadable
