--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -10,10 +10,11 @@
     RequestError,
     RequestHandler,
 )
+from cicadapond.gateway._final_answer import send_local_answer
 from cicadapond.gateway._header_codec import Malformed
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import ATTEMPTS_HEADER
-from cicadapond.gateway._run import RequestRun, send_local_answer
+from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
--- /dev/null
+++ b/cicadapond/gateway/_passing_on.py
@@ -0,0 +1,106 @@
+"""Passes a request on to another process, if this one does not reach the servers."""
+
+import asyncio
+import datetime
+
+from cicadapond.forwarding import Broken, NotSent, Refused, ResponseSink, StreamWhole, Whole
+from cicadapond.gateway._request import DeadlineExceededError, RequestState
+from cicadapond.gateway._retries import Retries
+from cicadapond.gateway.data import Dispatch
+
+# After so many servers in a row to which it got no connection, a request is passed on.
+MIN_FAILED_SERVERS = 2
+
+
+class PassingOn:
+    """The ways of one request over other processes.
+
+    Args:
+      state: The request.
+      retries: The limits on its attempts.
+      sink: Receives the answer.
+    """
+
+    def __init__(self, state: RequestState, retries: Retries, sink: ResponseSink):
+        self._state = state
+        self._parts = state.parts
+        self._retries = retries
+        self._sink = sink
+
+    def is_due(self):
+        """Returns whether another process is more likely to reach a server."""
+        if self._parts.relay is None:
+            return False
+        lost_links = self._parts.links.is_cut_off(self._state.service)
+        return lost_links or self._state.no_connections >= MIN_FAILED_SERVERS
+
+    async def run(self):
+        """Passes the request on; returns its final outcome, None if servers may still be tried."""
+        if self._state.was_passed_on:
+            self._state.reason = "this process does not reach a server either"
+            return self._retries.failure_outcome()
+        for target in self._parts.relay.targets(self._state.service, self._state.req.id):
+            outcome = await self._relay_to(target)
+            self._state.log("relayed", target=target.name, outcome=type(outcome).__name__)
+            final = self._evaluate_relayed(outcome)
+            if final is not None:
+                return final
+            if not self._retries.may_try_again():
+                return self._retries.failure_outcome()
+        if self._state.was_refused_elsewhere:
+            return self._retries.failure_outcome()
+        if self._parts.links.cannot_serve(self._state.service):
+            self._state.reason = "neither this process nor another one reaches a server"
+            return self._retries.failure_outcome()
+        return None
+
+    async def _relay_to(self, target):
+        parts, left = self._parts, self._state.time_left()
+        dispatch = Dispatch(
+            server=target,
+            time_left=left,
+            last_event_id=self._state.last_event_id,
+            max_attempts=self._state.max_attempts - self._state.send_count,
+        )
+        self._state.is_relaying = True
+        parts.demand.end(self._state.service)  # the other process counts it
+        try:
+            async with asyncio.timeout(left.total_seconds()) as timeout:
+                return await parts.relay.attempt.run(
+                    self._state.req,
+                    dispatch,
+                    self._sink,
+                    self._retries.silence_limits(datetime.timedelta()),
+                    self._state.route.repeatable,
+                    self._check_relay,
+                )
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            raise DeadlineExceededError() from None
+        finally:
+            parts.demand.begin(self._state.service)
+            self._state.is_relaying = False
+
+    def _check_relay(self):
+        if not self._parts.active_configuration.still_allowed(self._state.req):
+            return "the client account can no longer be checked"
+        self._state.send_count += 1
+        return None
+
+    def _evaluate_relayed(self, outcome):
+        match outcome:
+            case StreamWhole() | Whole():
+                return outcome
+            case NotSent(reason=reason):
+                self._state.reason = reason
+            case Refused(reason=reason):
+                self._state.send_count -= 1
+                self._state.was_refused_elsewhere = True
+                self._state.reason = f"another process refused it: {reason}"
+            case Broken(reason=reason):
+                self._state.may_have_run = True
+                self._state.reason = reason
+                if not self._state.route.repeatable:
+                    return self._retries.failure_outcome()
+        return None
--- /dev/null
+++ b/cicadapond/gateway/_request.py
@@ -0,0 +1,146 @@
+"""The state of one admitted request while it is served, shared by the steps of its way."""
+
+import datetime
+
+from cicadapond.forwarding import Whole
+from cicadapond.gateway._caller import Reply
+from cicadapond.gateway._crash_watch import CrashWatch
+from cicadapond.gateway._eligible import EligibleServers
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
+from cicadapond.placing import InFlightRequest
+from cicadapond.routes import choose_service
+
+# With less time left than this, no server could respond.
+MIN_TIME_LEFT = datetime.timedelta(milliseconds=5)
+# Engines have ten priorities, 0 to 9; the account's rank takes precedence over the route's.
+# Route ranks 0 to 2 fit into one account rank; further ones share the last.
+LOWEST_PRIORITY = 9
+ACCOUNT_RANK_STEP = 3
+LOWEST_ROUTE_RANK = ACCOUNT_RANK_STEP - 1
+
+
+class DeadlineExceededError(Exception):
+    """The request's deadline has passed."""
+
+
+class RequestState:
+    """One admitted request: what it asks for, and what has happened to it so far.
+
+    Args:
+      parts: The components of this process.
+      req: The request.
+      route: Its route.
+      account: Its client account, None if it has none.
+      reply: Sends the response to the caller.
+      received_at: The monotonic time at which the first byte of the request was received.
+      max_attempts: How many servers it may be sent to, if another process passed it on; None if it
+        comes from a caller.
+
+    Attributes:
+      deadline: The monotonic time at which the request must be answered.
+      was_passed_on: Whether another process passed it on.
+      service: The service that runs it.
+      crash_watch: What it tells of crashes of servers.
+      servers: The servers that it may still be sent to.
+      send_count: How often it was sent to a server, or passed on.
+      no_connections: To how many servers in a row it got no connection.
+      is_relaying: Whether the attempt in progress is one of another process.
+      was_refused_elsewhere: Whether another process refused it.
+      may_have_run: Whether a server may have run it.
+      last_event_id: The id of the last event of its stream that was passed on.
+      origin_id: The id by which the stream is known if its caller continues it.
+      fallback: A complete answer with a server error, returned if nothing better follows.
+      reason: Why the last attempt failed.
+      in_flight: The attempt in progress as placement knows it.
+      has_head: Whether the attempt in progress has brought the head of a response.
+      server: The server of the last attempt.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        req: CallerRequest,
+        route: Route,
+        account: ClientAccount | None,
+        reply: Reply,
+        received_at: datetime.timedelta,
+        max_attempts: int | None = None,
+    ):
+        self.parts = parts
+        self.req = req
+        self.route = route
+        self.account = account
+        self.reply = reply
+        self.received_at = received_at
+        limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
+        self.deadline = received_at + limit
+        self.was_passed_on = max_attempts is not None
+        self.max_attempts = min(route.max_attempts, max_attempts or route.max_attempts)
+        self.service = choose_service(route, req.id)
+        account_name = account.name if account is not None else None
+        self.crash_watch = CrashWatch(parts.crashes, parts.clock, req, account_name)
+        self.servers = EligibleServers(parts, self.service)
+        self.send_count = 0
+        self.no_connections = 0
+        self.is_relaying = False
+        self.was_refused_elsewhere = False
+        self.may_have_run = False
+        self.last_event_id = req.last_event_id
+        self.origin_id = req.resumes or req.id
+        self.fallback: Whole | None = None
+        self.reason = "nothing was tried"
+        self.in_flight: InFlightRequest | None = None
+        self.has_head = False
+        self.server: ServerEntry | None = None
+        self._usage_counted = False
+
+    @property
+    def time_limit(self) -> datetime.timedelta:
+        """The time from the request's arrival to its deadline."""
+        return self.deadline - self.received_at
+
+    def time_left(self) -> datetime.timedelta:
+        """Returns the time to the deadline.
+
+        Raises:
+          DeadlineExceededError: If too little is left for a server to respond.
+        """
+        left = self.deadline - self.parts.clock.monotonic()
+        if left < MIN_TIME_LEFT:
+            raise DeadlineExceededError()
+        return left
+
+    def priority(self) -> int | None:
+        """Returns the engine priority, by the account's rank first and the route's second."""
+        if self.req.generation is None:
+            return None
+        rank = max(0, self.route.rank)
+        if self.account is not None and self.account.rank is not None:
+            rank = ACCOUNT_RANK_STEP * max(0, self.account.rank) + min(rank, LOWEST_ROUTE_RANK)
+        return min(LOWEST_PRIORITY, rank)
+
+    def continues_stream(self) -> bool:
+        """Returns whether its caller has received a part of its stream before."""
+        return self.route.kind is RouteKind.STREAM and self.req.last_event_id is not None
+
+    def count_usage(self) -> None:
+        """Counts, once for each request, that a server has begun to run it."""
+        if self.account is not None and not self._usage_counted:
+            self._usage_counted = True
+            self.parts.usage.count(self.account.name, self.parts.clock.now())
+
+    def log(self, event: str, **fields) -> None:
+        """Writes an event of this request to the log."""
+        self.parts.log.write(
+            event,
+            request=self.req.id,
+            route=self.route.name,
+            configuration=self.parts.active_configuration.version,
+            **fields,
+        )
+
+
+def milliseconds(duration: datetime.timedelta) -> float:
+    """Returns a duration in milliseconds, rounded for the log."""
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
--- /dev/null
+++ b/cicadapond/gateway/_sending.py
@@ -0,0 +1,179 @@
+"""One attempt of a request: chooses a server, holds the request if need be, and sends it."""
+
+import asyncio
+import datetime
+
+from cicadapond.forwarding import Broken, NotSent, ResponseSink, Whole
+from cicadapond.gateway._request import (
+    MIN_TIME_LEFT,
+    DeadlineExceededError,
+    RequestState,
+    milliseconds,
+)
+from cicadapond.gateway._retries import Retries
+from cicadapond.gateway.data import Dispatch
+from cicadapond.placing import LONG_PREFILL_MS, should_hold
+
+# Interval at which a held request checks again for a server that can respond in time.
+HOLD_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
+# A request waits for a server's limit to admit it if it still gets there within this share of its
+# objective; else it is refused at once.
+PERMIT_WAIT_SHARE = 0.5
+
+
+class Sending:
+    """The attempts of one request at servers.
+
+    Args:
+      state: The request.
+      retries: The limits on its attempts.
+      sink: Receives the answer.
+    """
+
+    def __init__(self, state: RequestState, retries: Retries, sink: ResponseSink):
+        self._state = state
+        self._parts = state.parts
+        self._retries = retries
+        self._sink = sink
+
+    async def run(self):
+        parts = self._parts
+        servers = await self._servers_after_hold()
+        if not servers and self._state.servers.limited():
+            return self._limited_outcome(), None
+        left = self._state.time_left()
+        placement = parts.placer.place(
+            servers, self._state.req.generation, self._state.priority() or 0
+        )
+        if placement is None:
+            return NotSent("no server takes requests"), None
+        entry, self._state.in_flight = placement.server, placement.request
+        self._state.server = entry
+        if self._state.req.generation is not None:
+            work = datetime.timedelta(milliseconds=placement.request.work_ms)
+            parts.demand.add_prefill(self._state.service, work)
+            if placement.request.work_ms >= LONG_PREFILL_MS:
+                parts.publish_soon()
+        dispatch = Dispatch(
+            server=entry,
+            time_left=left,
+            account=self._state.account.name if self._state.account else None,
+            last_event_id=self._state.last_event_id,
+            priority=self._state.priority(),
+        )
+        started = parts.clock.monotonic()
+        self._state.crash_watch.begin_attempt()
+        self._state.has_head = False
+        took = None
+        try:
+            async with asyncio.timeout(left.total_seconds()) as timeout:
+                outcome = await parts.attempt.run(
+                    self._state.req,
+                    dispatch,
+                    self._sink,
+                    self._retries.silence_limits(placement.expected),
+                    self._state.route.repeatable,
+                    lambda: self._check_send(entry),
+                )
+            if isinstance(outcome, Whole):
+                took = parts.clock.monotonic() - started
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            self._state.log("attempt_timed_out", server=entry.name)
+            if not self._state.has_head:
+                parts.links.timed_out(entry)
+            raise DeadlineExceededError() from None
+        finally:
+            parts.placer.mark_ended(self._state.in_flight, took)
+        self._state.log(
+            "attempt",
+            server=entry.name,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+            reading_ms=round(self._state.in_flight.work_ms),
+            expected_ms=milliseconds(placement.expected),
+            first_event_ms=self._first_event_ms(started),
+            took_ms=milliseconds(parts.clock.monotonic() - started),
+            rate_limit=self._rate_limit(entry),
+            version=entry.version,
+            resumes=self._state.req.resumes,
+            after_event=dispatch.last_event_id,
+            **self._crash_evidence(outcome),
+        )
+        return outcome, entry
+
+    def _crash_evidence(self, outcome):
+        """Returns the log fields by which requests that crash servers can be compared."""
+        if not isinstance(outcome, Broken):
+            return {}
+        return {
+            "traits": list(self._state.crash_watch.traits),
+            "writing_ms": milliseconds(self._state.crash_watch.writing_time()),
+        }
+
+    async def _servers_after_hold(self):
+        """Returns the candidate servers, after holding a request that would exceed its objective.
+
+        Requests that can still meet their objective are sent first meanwhile.
+        """
+        parts = self._parts
+        begun = parts.clock.monotonic()
+        while True:
+            servers = self._state.servers.candidates()
+            if not servers and self._can_wait_for_permit():
+                await parts.clock.sleep(HOLD_POLL_INTERVAL)
+                continue
+            found = parts.placer.estimate(
+                servers, self._state.req.generation, self._state.priority() or 0
+            )
+            if self._state.req.generation is None or self._state.send_count or not found:
+                return servers
+            expected = datetime.timedelta(milliseconds=found[0][0])
+            held = parts.clock.monotonic() - begun
+            if not should_hold(expected, self._state.route.objective, held, self._state.time_limit):
+                break
+            await parts.clock.sleep(HOLD_POLL_INTERVAL)
+        if held >= HOLD_POLL_INTERVAL:
+            parts.metrics.record("held", held)
+            self._state.log("held", held_ms=milliseconds(held), expected_ms=milliseconds(expected))
+        return servers
+
+    def _rate_limit(self, entry):
+        advisory = self._parts.advisories.get(entry)
+        return advisory.rate_limit if advisory is not None else None
+
+    def _first_event_ms(self, started):
+        if self._state.in_flight.begun_at is None:
+            return None
+        return milliseconds(self._state.in_flight.begun_at - started)
+
+    def _can_wait_for_permit(self):
+        """Returns whether a limited server may be sent this request well within its objective."""
+        wait = self._state.servers.time_until_permit()
+        waited = self._parts.clock.monotonic() - self._state.received_at
+        return wait is not None and waited + wait <= PERMIT_WAIT_SHARE * self._state.route.objective
+
+    def _limited_outcome(self):
+        """Refuses this request because of what the servers stated."""
+        self._parts.metrics.count("requests_limited", service=self._state.service)
+        limited, tried = self._state.servers.limited(), self._state.servers.tried
+        self._state.log("limited", servers=len(limited), tried=len(tried))
+        return NotSent("the servers accept no more requests at the moment")
+
+    def _check_send(self, entry):
+        """Returns the reason why the request must not be sent now; if it may be, counts the send.
+
+        Returns:
+          The reason, None if the request may be sent.
+        """
+        if not self._parts.registry.takes_requests(entry):
+            return "the server is leaving"
+        if not self._parts.active_configuration.still_allowed(self._state.req):
+            return "the client account can no longer be checked"
+        if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
+            return "no time is left"
+        if not self._parts.advisories.take(entry):
+            return "the server accepts no more at the moment"
+        self._state.send_count += 1
+        return None
