--- a/cicadapond/controller/main.py
+++ b/cicadapond/controller/main.py
@@ -13,7 +13,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.document import DocumentSettings
 from cicadapond.kernel import LoopClock, Metrics, load_plugins
-from cicadapond.kernel._program import run_program
+from cicadapond.kernel._program import run_program, server_help
 from cicadapond.lease import LeaseSettings
 from cicadapond.peer import PeerSettings, PeerTask, TcpTransport
 from cicadapond.provider import (
@@ -27,6 +27,11 @@
     weight_stores,
 )
 
+HELP = server_help(
+    "cicadapond-controller",
+    "Buys, loads, drains and releases hosts of its data centre while it holds the lease.",
+)
+
 
 @attrs.frozen
 class ControllerSettings:
@@ -123,7 +128,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_program(ControllerSettings, serve)
+    run_program(HELP, ControllerSettings, serve)
 
 
 if __name__ == "__main__":
--- a/cicadapond/ctl/_views.py
+++ b/cicadapond/ctl/_views.py
@@ -7,8 +7,9 @@
 
 @attrs.frozen
 class View:
-    """One table: its columns, and a function from a process's name and dump to its rows."""
+    """One table: what it shows, its columns, and a function of a process's name and dump."""
 
+    summary: str
     columns: tuple[str, ...]
     rows: object
 
@@ -66,6 +67,7 @@
 
 VIEWS = {
     "hosts": View(
+        "the backend servers that entries know",
         (
             "process",
             "server",
@@ -80,9 +82,19 @@
         ),
         hosts,
     ),
-    "requests": View(("process", "what", "count", "progress"), requests),
-    "quarantine": View(("process", "verdict", "request", "term"), quarantine),
-    "lease": View(("process", "data centre", "holder", "held here", "fencing", "left s"), lease),
+    "requests": View(
+        "requests in flight, and durable ones", ("process", "what", "count", "progress"), requests
+    ),
+    "quarantine": View(
+        "requests suspected of crashing servers",
+        ("process", "verdict", "request", "term"),
+        quarantine,
+    ),
+    "lease": View(
+        "who holds the lease of each data centre",
+        ("process", "data centre", "holder", "held here", "fencing", "left s"),
+        lease,
+    ),
 }
 
 
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -19,7 +19,7 @@
 
 import attrs
 import tornado.curl_httpclient
-from absl import app, flags
+from absl import flags
 
 from cicadapond.admission import admission_policies
 from cicadapond.capacity import capacity_policies
@@ -40,16 +40,12 @@
     load_settings,
     setting,
 )
+from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
 from cicadapond.provider import AdapterSettings, table_services
 from cicadapond.routing import routers
 from cicadapond.stream import moving_policies
 
 REQUEST_TIMEOUT_SECONDS = 2.0
-USAGE = (
-    "usage: document show|check|edit|apply|diff|history|follow, or state|drain|undrain|"
-    + "|".join(VIEWS)
-    + ", or explain REQUEST LOG..."
-)
 
 _CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
 _JSON = flags.DEFINE_bool("json", False, "Print JSON instead of text.")
@@ -59,6 +55,33 @@
 _LIMIT = flags.DEFINE_integer("limit", 20, "Number of edits that `document history` prints.", 1)
 
 
+HELP = ProgramHelp(
+    "cicadapond-ctl",
+    "Operators' commands: edits and follows the document, shows the state of processes, drains"
+    " servers, and explains what happened to a request.",
+    commands=(
+        Command("document show [SECTION]", "print the document, or one section"),
+        Command("document edit SECTION [FILE]", "write a section to a file, to be edited"),
+        Command("document check FILE...", "check edited sections; nothing is changed"),
+        Command("document diff FILE...", "show what edited sections would change"),
+        Command("document apply FILE...", "make edited sections the document in force"),
+        Command("document history", "list the last edits"),
+        Command("document follow REVISION", "wait until a revision is in force in all processes"),
+        Command("state [PROCESS...]", "print the state of processes"),
+        *(Command(name, f"show {view.summary}") for name, view in VIEWS.items()),
+        Command("drain SERVER", "let a server finish its work, and send it nothing new"),
+        Command("undrain SERVER", "end a drain"),
+        Command("explain REQUEST LOG...", "print from logs what happened to a request"),
+    ),
+    flags=("config", "json", "token", "limit"),
+    examples=(
+        "cicadapond-ctl --config=ctl.jsonc document edit models",
+        "cicadapond-ctl explain 9c41d07be2a35f68 edge-1.log edge-2.log",
+    ),
+    exit_codes={code.value: code.meaning for code in Exit},
+)
+
+
 @attrs.frozen
 class CtlSettings:
     """The table service that stores the document, and the admin endpoints of processes by name.
@@ -118,7 +141,7 @@
                 return show_states(await self.states(), names, self._out)
             case [view] if view in VIEWS:
                 return show_view(await self.states(), view, self._out)
-        print(USAGE, file=sys.stderr)
+        print(HELP.unknown_command(args), file=sys.stderr)
         return Exit.USAGE
 
     async def _with_drafts(self, command, paths, token):
@@ -204,6 +227,9 @@
 def _main(argv):
     if argv[1:2] == ["explain"] and len(argv) > 3:
         sys.exit(explain_request(argv[2], argv[3:]))
+    if not HELP.accepts(argv[1:]):
+        print(HELP.unknown_command(argv[1:]), file=sys.stderr)
+        sys.exit(Exit.USAGE)
     if not _CONFIG.value:
         print("--config is required; see --help", file=sys.stderr)
         sys.exit(Exit.USAGE)
@@ -218,7 +244,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -8,7 +8,7 @@
 import tempfile
 
 import tornado.httpclient
-from absl import app, flags
+from absl import flags
 from absl import logging as absl_logging
 
 from cicadapond.controller.main import ControllerProcess
@@ -28,6 +28,7 @@
 from cicadapond.entry.main import EntryProcess
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
+from cicadapond.kernel._help import ProgramHelp, run_with_help
 from cicadapond.kernel._program import stop_on_signals
 from cicadapond.platform.standin import STREAM_PREFIX
 from cicadapond.provider import table_services
@@ -52,6 +53,16 @@
 )
 
 
+HELP = ProgramHelp(
+    "cicadapond-demo",
+    "Runs the product in one process on loopback, as three data centres, or one gateway before"
+    " stand-ins of the users' platform. Prints lines to try once it is ready.",
+    flags=("http_port", "platform", "seconds"),
+    examples=("cicadapond-demo", "cicadapond-demo --platform --seconds=40"),
+    exit_codes={0: "ended after --seconds, or by a signal", 1: "failed"},
+)
+
+
 class DemoError(Exception):
     """The demo could not start."""
 
@@ -175,7 +186,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -17,7 +17,13 @@
 from cicadapond.entry._node import EntryNode
 from cicadapond.entry._settings import EntrySettings
 from cicadapond.kernel import Findings, LoopClock, Metrics, SettingsError, load_plugins
-from cicadapond.kernel._program import run_program
+from cicadapond.kernel._program import run_program, server_help
+
+HELP = server_help(
+    "cicadapond-entry",
+    "Serves callers on an entry host, by the interface of the product itself.",
+)
+
 
 GC_THRESHOLDS = (20_000, 20, 20)  # allocations, then collections of the next younger generation
 MAX_BODY_BYTES = 1 << 40  # the handlers answer 413 at a much lower limit and buffer no more
@@ -136,7 +142,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    run_program(EntrySettings, serve)
+    run_program(HELP, EntrySettings, serve)
 
 
 if __name__ == "__main__":
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -7,7 +7,7 @@
 import sys
 
 import tornado.httpserver
-from absl import app, flags, logging
+from absl import flags, logging
 
 from cicadapond.admin import admin_application
 from cicadapond.eventlog import EventLog
@@ -15,9 +15,14 @@
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import Metrics
+from cicadapond.kernel._help import (
+    EXIT_SETTINGS,
+    SERVER_EXIT_CODES,
+    ProgramHelp,
+    run_with_help,
+)
 from cicadapond.platform import SETTINGS_VARIABLE, read_settings
 
-EXIT_SETTINGS = 2
 SETTINGS_POLL_S = 2.0
 
 _SETTINGS = flags.DEFINE_string(
@@ -29,6 +34,18 @@
 )
 
 
+HELP = ProgramHelp(
+    "cicadapond-gateway",
+    "Serves callers on an edge machine of the users' platform, before its engines and services.",
+    flags=("settings", "check", "metrics_port"),
+    examples=(
+        "cicadapond-gateway --settings=settings.conf --metrics_port=9464",
+        "cicadapond-gateway --settings=settings.conf --check",
+    ),
+    exit_codes=SERVER_EXIT_CODES,
+)
+
+
 def _load(path):
     cfg, findings = read_settings(path, _METRICS_PORT.value)
     for finding in findings:
@@ -114,7 +131,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/kernel/_program.py
+++ b/cicadapond/kernel/_program.py
@@ -7,25 +7,46 @@
 import signal
 import sys
 
-from absl import app, flags, logging
+from absl import flags, logging
 
+from cicadapond.kernel._help import (
+    EXIT_SETTINGS,
+    SERVER_EXIT_CODES,
+    ProgramHelp,
+    run_with_help,
+)
 from cicadapond.kernel._settings import SettingsError, load_settings
 
-EXIT_SETTINGS = 2
-
 _CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings, report every finding and exit.")
 
 
-def run_program(settings_class, serve) -> None:
+def server_help(name: str, purpose: str) -> ProgramHelp:
+    """Returns the help page of a program that is configured by a settings file.
+
+    Args:
+      name: The program.
+      purpose: What it is for.
+    """
+    return ProgramHelp(
+        name,
+        purpose,
+        flags=("config", "check"),
+        examples=(f"{name} --config=settings.jsonc", f"{name} --config=settings.jsonc --check"),
+        exit_codes=SERVER_EXIT_CODES,
+    )
+
+
+def run_program(page: ProgramHelp, settings_class, serve) -> None:
     """Runs a program that is configured by a settings file.
 
     Args:
+      page: The program's help page.
       settings_class: The attrs class of its settings.
       serve: A coroutine function of (settings, stop); it returns when its work is done, at the
         latest soon after SIGTERM or SIGINT sets the asyncio.Event `stop`.
     """
-    app.run(lambda argv: _main(settings_class, serve))
+    run_with_help(page, lambda argv: _main(settings_class, serve))
 
 
 def _main(settings_class, serve):
--- a/cicadapond/load/main.py
+++ b/cicadapond/load/main.py
@@ -13,10 +13,11 @@
 import sys
 
 import attrs
-from absl import app, flags
+from absl import flags
 
 from cicadapond.experiments import experiments
 from cicadapond.kernel import load_plugins
+from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
 from cicadapond.load._arrivals import ArrivalSettings, arrivals
 from cicadapond.load._mix import mixes
 from cicadapond.load._plot import plot_reports
@@ -82,6 +83,38 @@
     )
 
 
+HELP = ProgramHelp(
+    "cicadapond-load",
+    "Sends load to a deployment, runs experiments on virtual time, and prints and plots reports.",
+    commands=(
+        Command("run", "send load to the targets and print a report"),
+        Command("experiment NAME...", "run experiments and print their tables"),
+        Command("experiments", "list the experiments"),
+        Command("report FILE...", "merge report files and print the result"),
+        Command("plot FILE...", "plot the latencies of report files"),
+    ),
+    flags=(
+        "target",
+        "mix",
+        "arrivals",
+        "rate",
+        "seconds",
+        "burst_size",
+        "trace",
+        "token",
+        "timeout",
+        "seed",
+        "seeds",
+        "out",
+        "json",
+    ),
+    examples=(
+        "cicadapond-load run --target=http://127.0.0.1:18080 --mix=day --rate=20 --seconds=30",
+        "cicadapond-load experiment decisions --seeds=1,2",
+    ),
+    exit_codes={0: "done", EXIT_USAGE: "wrong arguments, or a file that cannot be read"},
+)
+
 _COMMANDS = {
     "run": _run,
     "experiment": _experiment,
@@ -95,7 +128,7 @@
     load_plugins("cicadapond.experiments")
     command = _COMMANDS.get(argv[1]) if len(argv) > 1 else None
     if command is None:
-        print(f"a command is required: {', '.join(_COMMANDS)}; see --help", file=sys.stderr)
+        print(HELP.unknown_command(argv[1:]), file=sys.stderr)
         sys.exit(EXIT_USAGE)
     try:
         command(argv[2:])
@@ -106,7 +139,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/scenario/main.py
+++ b/cicadapond/scenario/main.py
@@ -10,9 +10,10 @@
 import pathlib
 import sys
 
-from absl import app, flags
+from absl import flags
 
 from cicadapond.kernel import Findings, SettingsError
+from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
 from cicadapond.scenario._parser import parse_scenario
 from cicadapond.scenario._runner import check_script, run_script
 from cicadapond.scenario._script import Script
@@ -66,13 +67,32 @@
         print(f"{path}: valid")
 
 
+HELP = ProgramHelp(
+    "cicadapond-scenario",
+    "Runs scenarios of failures, in a small test language, on virtual time.",
+    commands=(
+        Command("run FILE...", "run scenarios and print what breaks their expectations"),
+        Command("check FILE...", "check scenarios without running them"),
+    ),
+    flags=("seeds", "trace"),
+    examples=(
+        "cicadapond-scenario run reclaim.scenario --seeds=1,2,3",
+        "cicadapond-scenario check reclaim.scenario",
+    ),
+    exit_codes={
+        0: "no findings",
+        EXIT_FINDINGS: "a run has findings",
+        EXIT_USAGE: "a scenario is invalid or cannot be read, or the arguments are wrong",
+    },
+)
+
 _COMMANDS = {"run": _run, "check": _check}
 
 
 def _main(argv):
     command = _COMMANDS.get(argv[1]) if len(argv) > 1 else None
     if command is None:
-        print(f"a command is required: {', '.join(_COMMANDS)}; see --help", file=sys.stderr)
+        print(HELP.unknown_command(argv[1:]), file=sys.stderr)
         sys.exit(EXIT_USAGE)
     try:
         command(argv[2:])
@@ -83,7 +103,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -5,8 +5,9 @@
 import sys
 import tempfile
 
-from absl import app, flags
+from absl import flags
 
+from cicadapond.kernel._help import ProgramHelp, run_with_help
 from cicadapond.soak._plan import parse_seeds
 from cicadapond.soak._run import SoakSettings, run_soak
 
@@ -45,6 +46,16 @@
     return failed
 
 
+HELP = ProgramHelp(
+    "cicadapond-soak",
+    "Runs gateway processes under random faults from outside, and checks what callers, servers and"
+    " the platform saw.",
+    flags=("seeds", "length", "processes", "callers", "at_once", "directory"),
+    examples=("cicadapond-soak --seeds=1-4", "cicadapond-soak --seeds=301 --length=60"),
+    exit_codes={0: "all promises held", 1: "a promise was broken, or a process failed"},
+)
+
+
 def _main(argv):
     base = pathlib.Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="cicadapond-soak-"))
     failed = asyncio.run(_run_seeds(parse_seeds(_SEEDS.value), base))
@@ -54,7 +65,7 @@
 
 def run() -> None:
     """Runs the program."""
-    app.run(_main)
+    run_with_help(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/standin/main.py
+++ b/cicadapond/standin/main.py
@@ -8,7 +8,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.kernel import LoopClock, setting
-from cicadapond.kernel._program import run_program
+from cicadapond.kernel._program import run_program, server_help
 from cicadapond.standin._engine import EngineModel
 from cicadapond.standin._engine_http import EngineListener
 from cicadapond.standin._engine_settings import EngineSettings, EngineTiming
@@ -20,6 +20,11 @@
 from cicadapond.standin._storage_http import object_application, table_application
 from cicadapond.standin._tables import TableModel
 
+HELP = server_help(
+    "cicadapond-standin",
+    "Runs stand-ins of engines, services and the platform over HTTP, with faults on order.",
+)
+
 
 @attrs.frozen
 class StandinSettings:
@@ -113,7 +118,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_program(StandinSettings, serve)
+    run_program(HELP, StandinSettings, serve)
 
 
 if __name__ == "__main__":
