Check a configuration of the users' platform before it is sent

The store accepts every configuration of the right form, so that a slip is in force everywhere within seconds. `cicadapond-ctl check FILE [IN_FORCE]` reports errors of form, missing services, entries that can never match, limits that contradict each other, and what changes, all at once and with no process running. The checks are a package without I/O; fields are named as the operators write them, by a table in the platform adapter.

--- a/cicadapond/ctl/_exit.py
+++ b/cicadapond/ctl/_exit.py
@@ -23,3 +23,4 @@
     UNKNOWN = 6, "the edit may have been made; apply it again with the same token to find out"
     BEHIND = 7, "accepted, but not yet in force in all known processes"
     NOT_FOUND = 8, "the given logs have no line about the request"
+    WARNINGS = 9, "the check found no errors, but warnings"
--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -2,10 +2,10 @@
 
     cicadapond-ctl --config=ctl.jsonc document show|check|edit|apply|diff|history|follow ...
     cicadapond-ctl --config=ctl.jsonc state|hosts|requests|quarantine|lease|drain|undrain ...
+    cicadapond-ctl check FILE [IN_FORCE]
     cicadapond-ctl explain REQUEST LOG...
 
-Exit codes: 0 done, 1 unavailable, 2 usage, 3 rejected, 4 stale, 5 forbidden, 6 unknown, 7 behind,
-8 not found.
+The last two read files only; no process has to run.  `Exit` lists the exit codes.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 from cicadapond.admission import admission_policies
 from cicadapond.capacity import capacity_policies
 from cicadapond.controller import OperatorDrains
+from cicadapond.ctl._configuration_check import check
 from cicadapond.ctl._document import DocumentCommands, parse_draft
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._explain import explain, read_log
@@ -71,11 +72,17 @@
         *(Command(name, f"show {view.summary}") for name, view in VIEWS.items()),
         Command("drain SERVER", "let a server finish its work, and send it nothing new"),
         Command("undrain SERVER", "end a drain"),
+        Command(
+            "check FILE [IN_FORCE]",
+            "check a configuration for the users' platform before it is sent (- for standard"
+            " input), and show what it changes against the one in force",
+        ),
         Command("explain REQUEST LOG...", "print from logs what happened to a request"),
     ),
     flags=("config", "json", "token", "limit"),
     examples=(
         "cicadapond-ctl --config=ctl.jsonc document edit models",
+        "cicadapond-ctl check next.json in-force.json",
         "cicadapond-ctl explain 9c41d07be2a35f68 edge-1.log edge-2.log",
     ),
     exit_codes={code.value: code.meaning for code in Exit},
@@ -225,11 +232,15 @@
 
 
 def _main(argv):
-    if argv[1:2] == ["explain"] and len(argv) > 3:
-        sys.exit(explain_request(argv[2], argv[3:]))
     if not HELP.accepts(argv[1:]):
         print(HELP.unknown_command(argv[1:]), file=sys.stderr)
         sys.exit(Exit.USAGE)
+    out = Output(sys.stdout, _JSON.value, sys.stdout.isatty() and not _JSON.value)
+    match argv[1:]:
+        case ["explain", request_id, *paths]:
+            sys.exit(explain_request(request_id, paths))
+        case ["check", path, *in_force]:
+            sys.exit(check(path, in_force[0] if in_force else None, out))
     if not _CONFIG.value:
         print("--config is required; see --help", file=sys.stderr)
         sys.exit(Exit.USAGE)
@@ -238,7 +249,6 @@
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         sys.exit(Exit.USAGE)
-    out = Output(sys.stdout, _JSON.value, sys.stdout.isatty() and not _JSON.value)
     sys.exit(asyncio.run(_run(cfg, out, argv[1:])))
 
 
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -1,7 +1,7 @@
 """Adapter to the users' platform: translates its names, formats and calls, and decides nothing."""
 
 from cicadapond.platform._cloud import PlatformCloud
-from cicadapond.platform._configuration import decode_configuration
+from cicadapond.platform._configuration import decode_configuration, field_name
 from cicadapond.platform._headers import PlatformHeaderCodec
 from cicadapond.platform._servers import decode_server
 from cicadapond.platform._settings import SETTINGS_VARIABLE, read_settings
@@ -22,5 +22,6 @@
     "PlatformStore",
     "decode_configuration",
     "decode_server",
+    "field_name",
     "read_settings",
 ]
--- a/cicadapond/platform/_configuration.py
+++ b/cicadapond/platform/_configuration.py
@@ -22,6 +22,26 @@
     "streaming": RouteKind.STREAM,
 }
 TOKEN_UNIT = "token_stream"
+# The platform's names of fields of `cicadapond.gateway.data` that are called differently there.
+_FIELD_NAMES = {
+    "accounts": "tenants",
+    "objective": "target_latency_ms",
+    "timeout": "timeout_ms",
+    "max_event_gap": "target_itl_ms",
+    "minimum": "min",
+    "maximum": "max",
+    "rate": "rate_per_s",
+    "default_tokens": "uncached_tokens",
+    "header_bytes": "max_header_bytes",
+    "body_bytes": "max_body_bytes",
+    "header_timeout": "header_timeout_ms",
+    "idle_timeout": "idle_timeout_ms",
+}
+
+
+def field_name(name: str) -> str:
+    """Returns the platform's name of a field of the configuration."""
+    return _FIELD_NAMES.get(name, name)
 
 
 def decode_configuration(raw: bytes) -> tuple[Configuration | None, Findings]:
