--- a/cicadapond/forwarding/__init__.py
+++ b/cicadapond/forwarding/__init__.py
@@ -2,7 +2,7 @@
 
 from cicadapond.forwarding._attempt import Attempt, ResponseSink, SilenceTimeouts
 from cicadapond.forwarding._channel import Channel, ChannelClosedError, open_channel
-from cicadapond.forwarding._client import HttpClient, NoConnection, Reply, ReplyLost
+from cicadapond.forwarding._client import Expired, HttpClient, NoConnection, Reply, ReplyLost
 from cicadapond.forwarding._connection import BrokenResponseError, ServerConnection
 from cicadapond.forwarding._events import Event, EventSplitter
 from cicadapond.forwarding._outcome import Broken, NotSent, Outcome, Refused, StreamWhole, Whole
@@ -19,6 +19,7 @@
     "ConnectionPool",
     "Event",
     "EventSplitter",
+    "Expired",
     "HttpClient",
     "NoConnection",
     "NotSent",
--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -156,39 +156,60 @@
 
     async def _relay_stream(self, conn, server, sink, silence, progress):
         splitter = EventSplitter()
-        while (data := await self._read_chunk(conn, server, silence, progress)) is not None:
+        # Bytes that complete no event do not count as progress: a stalled server may go on sending
+        # some now and then.
+        waiting_since = self._clock.monotonic()
+        while True:
+            data = await self._read_chunk(conn, server, silence, progress, waiting_since)
+            if data is None:
+                break
             for event in splitter.feed(data):
                 if progress.events == 0:
                     await sink.begin(progress.head)
                 await sink.event(event)
                 progress.record_event(event)
+                waiting_since = self._clock.monotonic()
             if splitter.buffered_bytes > MAX_EVENT_BYTES:
                 raise BrokenResponseError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         if splitter.is_within_event or progress.events == 0:
             raise BrokenResponseError("the stream ended within an event")
         return StreamWhole(progress.events)
 
-    async def _read_chunk(self, conn, server, silence, progress):
+    async def _read_chunk(self, conn, server, silence, progress, waiting_since):
         """Returns the next bytes of a stream, None at its end.
 
+        Args:
+          conn: The connection.
+          server: The server.
+          silence: The time-outs.
+          progress: What was received before.
+          waiting_since: When the last event was complete, or the wait for the first one began.
+
         Raises:
-          TimeoutError: If the server sends nothing within the time-out.
+          TimeoutError: If the server completes no event within the time-out.
         """
         if progress.events == 0 or silence.between is None:
-            async with asyncio.timeout(_seconds(silence.first)):
+            async with asyncio.timeout(self._left(silence.first, waiting_since)):
                 return await conn.read_body()
         pending_read = asyncio.ensure_future(conn.read_body())
         try:
-            await asyncio.wait((pending_read,), timeout=_seconds(silence.between))
+            between = self._left(silence.between, waiting_since)
+            await asyncio.wait((pending_read,), timeout=between)
             if not pending_read.done() and await self._is_reachable(server):
-                remaining = silence.longest - silence.between
-                await asyncio.wait((pending_read,), timeout=max(0.0, remaining.total_seconds()))
+                longest = self._left(silence.longest, waiting_since)
+                await asyncio.wait((pending_read,), timeout=longest)
             if not pending_read.done():
                 raise TimeoutError
             return pending_read.result()
         finally:
             pending_read.cancel()
 
+    def _left(self, limit, since):
+        """Returns how many seconds of a time limit are left, None if there is no limit."""
+        if limit is None:
+            return None
+        return max(0.0, (since + limit - self._clock.monotonic()).total_seconds())
+
     async def _is_reachable(self, server):
         """Returns whether a server accepts a new connection."""
         conn = await self._pool.connect(server.name, server.endpoint, CONNECT_TIMEOUT)
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -39,6 +39,8 @@
         self._is_unusable = False
         self.last_used_at = now
         self.keep_alive_timeout: datetime.timedelta | None = None
+        # What the last exchange brought, for clients that compare answers.
+        self.last_reply: object = None
 
     @classmethod
     async def connect(cls, endpoint: Endpoint, timeout: datetime.timedelta, clock):
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -108,7 +108,12 @@
         self._http: h11.Connection | None = None
         self._answering: asyncio.Task | None = None
         self._serving: asyncio.Task | None = None
-        self.is_idle = True
+        self._is_serving = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress, and no byte of one has been received."""
+        return not (self._is_serving or self.has_unread)
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -138,7 +143,7 @@
 
     async def _serve_one(self):
         request = await self._read_request()
-        self.is_idle = False
+        self._is_serving = True
         reply = Reply(self)
         self._answering = asyncio.ensure_future(self._handler.handle(request, reply))
         if self.is_closed:
@@ -150,7 +155,7 @@
             self._answering.result()
         finally:
             self._answering = None
-            self.is_idle = True
+            self._is_serving = False
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         return both_done and not self.is_closed
 
@@ -159,7 +164,7 @@
         if not self.has_unread and not self._http.trailing_data[0]:
             await self._wait_for_bytes(limits.idle_timeout)
         received_at = self._clock.monotonic()
-        self.is_idle = False
+        self._is_serving = True
         try:
             async with asyncio.timeout(limits.header_timeout.total_seconds()):
                 head = await self._next_event()
--- a/cicadapond/gateway/_cloud.py
+++ b/cicadapond/gateway/_cloud.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+import datetime
 import typing
 
 import attrs
@@ -11,10 +12,14 @@
 
 @attrs.frozen
 class Holder:
-    """The lease holder that makes a call, and the fencing token of its lease."""
+    """The lease holder that makes a call, and the fencing token of its lease.
+
+    `until` is the monotonic time at which the lease ends: the call must not be sent later.
+    """
 
     name: str
     fencing: int
+    until: datetime.timedelta | None = None
 
 
 @attrs.frozen(order=True)
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -156,6 +156,11 @@
 
     async def run(self) -> None:
         """Joins the other processes and publishes digests until cancelled."""
+        if self._peer is None:
+            await self._join()
+        await self._publish()
+
+    async def _join(self):
         rows = await self._register()
         self._registered = len(rows)
         cfg = PeerSettings(
@@ -176,7 +181,6 @@
         self._joined_at = self._clock.monotonic()
         self._zone_reports = ZoneReports(self._own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
         self._tasks.start(peer)
-        await self._publish()
 
     async def report_last(self) -> None:
         """Reports what this process has done since its last report."""
--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -76,7 +76,7 @@
             grant = lease.grant()
             if counts is None or grant is None:
                 return
-            holder = Holder(name, grant.fencing)
+            holder = Holder(name, grant.fencing, grant.end)
             outcome = await self._cloud.report_usage(holder, self._next, counts)
             self._log.write(
                 "usage_reported",
@@ -263,7 +263,7 @@
             if grant is None:
                 return
             target = (order.service, order.zone, order.reclaimable)
-            outcome = await self._cloud.order(Holder(name, grant.fencing), order)
+            outcome = await self._cloud.order(Holder(name, grant.fencing, grant.end), order)
             count = order.count if isinstance(outcome, Ok) else -1
             self._sent[target] = (count, self._clock.monotonic())
             self._log.write(
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -94,6 +94,7 @@
         self._used_shared_copy = False
 
     async def run(self):
+        self._version = None  # after an unexpected error, changes may be missing
         while True:
             wait = await self._receive_shared_copy() if self._uses_shared_copies() else self._wait
             if wait is not None:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -183,14 +183,14 @@
         decode = self._adapters.decode_configuration
         self._follow(table, ConfigurationTable(self.parts, key, decode))
         self._follow(self._adapters.server_table, self._servers)
-        self._tasks.spawn(self._cluster.run(), "cluster")
-        self._tasks.spawn(self._housekeep(), "housekeeping")
-        self._tasks.spawn(self.parts.links.probe(), "link probes")
-        self._tasks.spawn(self._crash_causes.run(), "crash causes")
+        self._tasks.keep_running(self._cluster.run, "cluster")
+        self._tasks.keep_running(self._housekeep, "housekeeping")
+        self._tasks.keep_running(self.parts.links.probe, "link probes")
+        self._tasks.keep_running(self._crash_causes.run, "crash causes")
         if self._adapters.cloud is not None:
-            self._lease_runner = self._tasks.spawn(self._hold_lease(), "lease")
+            self._lease_runner = self._tasks.keep_running(self._hold_lease, "lease")
             self._duties = self._duty_task()
-            self._tasks.start(self._duties)
+            self._tasks.start(self._duties, restarts=True)
 
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
@@ -268,7 +268,8 @@
                 self._log,
                 self._metrics,
                 self._cluster.copies,
-            )
+            ),
+            restarts=True,
         )
 
     # Crashes of servers
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -17,7 +17,10 @@
 def platform_adapters(cfg, clock, metrics) -> PlatformAdapters:
     """Returns the platform adapters of one process."""
     store = PlatformStore(HttpClient(cfg.store, clock, metrics))
-    cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics)) if cfg.cloud else None
+    # The cloud's answers are all alike, so that a late copy could not be told from an answer.
+    cloud = None
+    if cfg.cloud:
+        cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics, reuses_connections=False))
     return PlatformAdapters(
         header_codec=PlatformHeaderCodec(),
         tables=store,
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -1,6 +1,7 @@
 """Tests of the duties: consistent usage reports across lease holders, and server orders."""
 
 import asyncio
+import datetime
 import random
 
 import attrs
@@ -54,6 +55,7 @@
 @attrs.frozen
 class Grant:
     fencing: int
+    end: datetime.timedelta = seconds(60)
 
 
 @attrs.define
--- a/cicadapond/kernel/_task.py
+++ b/cicadapond/kernel/_task.py
@@ -11,6 +11,10 @@
 
 from absl import logging
 
+# Between the end of a task by an unexpected error and its next run.
+RESTART_DELAY_S = 0.5
+MAX_RECORDED_FAILURES = 100
+
 
 class Mailbox:
     """A bounded queue of messages to one task.
@@ -76,9 +80,15 @@
         self._running: dict[asyncio.Task, Task | None] = {}
         self.failed: list[str] = []
 
-    def start(self, task: Task) -> asyncio.Task:
-        """Starts a task; an exception that it raises is logged and recorded in `failed`."""
-        started = asyncio.ensure_future(self._supervise(task))
+    def start(self, task: Task, restarts: bool = False) -> asyncio.Task:
+        """Starts a task; an exception that it raises is logged and recorded in `failed`.
+
+        Args:
+          task: The task.
+          restarts: Whether it is run again after an exception, a while later; for tasks without
+            which the process cannot do its work.
+        """
+        started = asyncio.ensure_future(self._supervise(task, restarts))
         self._running[started] = task
         started.add_done_callback(self._running.pop)
         return started
@@ -90,21 +100,43 @@
         started.add_done_callback(self._running.pop)
         return started
 
-    async def _supervise(self, task):
+    def keep_running(self, run, name: str) -> asyncio.Task:
+        """Runs a coroutine function as part of the group, again whenever it raises an exception.
+
+        Args:
+          run: The coroutine function, without arguments.
+          name: Its name in the log.
+        """
+        return self.spawn(self._run_repeatedly(run, name), name)
+
+    async def _supervise(self, task, restarts):
         try:
-            await self._run_logged(task.run(), task.name)
+            if restarts:
+                await self._run_repeatedly(task.run, task.name)
+            else:
+                await self._run_logged(task.run(), task.name)
         finally:
             await task.close()
 
+    async def _run_repeatedly(self, run, name):
+        while not await self._ends_well(run(), name):
+            await asyncio.sleep(RESTART_DELAY_S)
+
     async def _run_logged(self, coro, name):
+        await self._ends_well(coro, name)
+
+    async def _ends_well(self, coro, name):
+        """Runs a coroutine; returns whether it ended without an exception, which is logged."""
         try:
-            return await coro
+            await coro
         except asyncio.CancelledError:
             raise
         except Exception as exc:
             self.failed.append(f"{name}: {exc!r}")
+            del self.failed[:-MAX_RECORDED_FAILURES]
             logging.exception("task %s failed", name)
-            return None
+            return False
+        return True
 
     def __len__(self):
         return len(self._running)
--- a/cicadapond/platform/_cloud.py
+++ b/cicadapond/platform/_cloud.py
@@ -3,7 +3,7 @@
 import datetime
 import json
 
-from cicadapond.forwarding import HttpClient, NoConnection, Reply, ReplyLost
+from cicadapond.forwarding import Expired, HttpClient, NoConnection, Reply, ReplyLost
 from cicadapond.gateway import Cloud, Declined, Holder
 from cicadapond.kernel import AnswerLost, Ok, Unavailable
 
@@ -41,11 +41,13 @@
             (b"content-type", b"application/json"),
         )
         reply = await self._client.call(
-            "POST", path, headers, json.dumps(body).encode(), CALL_TIMEOUT
+            "POST", path, headers, json.dumps(body).encode(), CALL_TIMEOUT, holder.until
         )
         match reply:
             case NoConnection():
                 return Unavailable("no connection to the cloud API")
+            case Expired():
+                return Unavailable("the lease ended before the call could be sent")
             case ReplyLost(reason=reason):
                 return AnswerLost(reason)
             case Reply(status=200):
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -39,6 +39,8 @@
 KEY_SCHEME = "token"
 # The requests running, those waiting, and the slots, with which a report of a load begins.
 LOAD_COUNTS = 3
+# Counts of back ends are far smaller; longer ones could not be converted or represented.
+MAX_COUNT_DIGITS = 9
 
 OWN_PREFIX = b"x-cicadapond-"
 MISDIRECTED = 421
@@ -251,17 +253,11 @@
     Three counts may be followed by the pace of the server's host, in percent.  Later figures are
     not known here and are ignored.
     """
-    figures = [figure.strip() for figure in (raw or b"").split(b",")]
-    if len(figures) < LOAD_COUNTS or not all(each.isdigit() for each in figures[:LOAD_COUNTS]):
+    figures = [_parse_count(figure) for figure in (raw or b"").split(b",")]
+    if len(figures) < LOAD_COUNTS or None in figures[:LOAD_COUNTS]:
         return None
-    running, waiting, slots = (int(each) for each in figures[:LOAD_COUNTS])
-    pace = figures[LOAD_COUNTS] if len(figures) > LOAD_COUNTS else b""
-    return LoadHeader(running, waiting, slots, _parse_pace(pace))
-
-
-def _parse_pace(raw):
-    percent = int(raw) if raw.isdigit() else 0
-    return percent / 100 if percent > 0 else None
+    percent = figures[LOAD_COUNTS] if len(figures) > LOAD_COUNTS else None
+    return LoadHeader(*figures[:LOAD_COUNTS], pace=percent / 100 if percent else None)
 
 
 def _parse_rate_limit(raw):
@@ -273,7 +269,13 @@
 
 
 def _parse_brittle(raw):
-    return int(raw) if raw is not None and raw.strip().isdigit() else None
+    return _parse_count(raw) if raw is not None else None
+
+
+def _parse_count(raw):
+    """Returns a count, None if the bytes are no number of at most `MAX_COUNT_DIGITS`."""
+    raw = raw.strip()
+    return int(raw) if raw.isdigit() and len(raw) <= MAX_COUNT_DIGITS else None
 
 
 def _parse_retry_after(raw):
@@ -287,8 +289,9 @@
 def _parse_keep_alive(raw):
     for option in (raw or b"").split(b","):
         name, _, value = option.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return datetime.timedelta(seconds=int(value))
+        seconds = _parse_count(value)
+        if name.lower() == b"timeout" and seconds is not None:
+            return datetime.timedelta(seconds=seconds)
     return None
 
 
--- a/cicadapond/platform/_reader.py
+++ b/cicadapond/platform/_reader.py
@@ -50,13 +50,11 @@
 
     def milliseconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in milliseconds."""
-        value = self._number(name, default)
-        return value if value is default else datetime.timedelta(milliseconds=value)
+        return self._duration(name, default, datetime.timedelta(milliseconds=1))
 
     def seconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in seconds."""
-        value = self._number(name, default)
-        return value if value is default else datetime.timedelta(seconds=value)
+        return self._duration(name, default, datetime.timedelta(seconds=1))
 
     def endpoint(self, name: str) -> Endpoint:
         """Returns an address of the form IP:PORT."""
@@ -104,6 +102,15 @@
         """
         self._fail(message)
 
+    def _duration(self, name, default, unit):
+        value = self._number(name, default)
+        if value is default:
+            return value
+        try:
+            return value * unit
+        except (OverflowError, ValueError):
+            self._fail(f"{name!r} is no duration that can be represented")
+
     def _number(self, name, default):
         if name not in self._value and default is not _MISSING:
             return default
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -173,8 +173,15 @@
 def _decoded_rows(payload):
     for row in payload.get("rows", ()):
         if not row.get("deleted") and row.get("value") is not None:
-            value = msgpack.unpackb(base64.b64decode(row["value"]), strict_map_key=False)
-            yield Row(row["table"], row["key"], row["ver"], value)
+            yield Row(row["table"], row["key"], row["ver"], _decode_value(row["value"]))
+
+
+def _decode_value(raw):
+    """Returns the value of a row of the product's own, None if the bytes are none."""
+    try:
+        return msgpack.unpackb(base64.b64decode(raw), strict_map_key=False)
+    except (binascii.Error, TypeError, ValueError, msgpack.exceptions.UnpackException):
+        return None
 
 
 def _rows_by_key(payload):
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -9,6 +9,7 @@
 import h11
 
 READ_BYTES = 64 * 1024
+TRICKLE_INTERVAL_S = 0.2
 _ENDLESS_CHUNK = {
     "ENDLESS_INTERIM": b"HTTP/1.1 102 Processing\r\n\r\n" * 64,
     "ENDLESS_HEAD": b"x-filler: " + b"a" * 1024 + b"\r\n",
@@ -30,6 +31,7 @@
     EXTRA = "a second answer to it follows immediately"
     LATE_EXTRA = "a second answer to it is sent before the answer to the next request"
     WITHIN_EVENT = "the stream stops within its second event"
+    TRICKLE = "the stream stalls within its second event, and sends a byte of it now and then"
     GARBAGE = "the answer is not valid HTTP"
     FOREIGN = "the answer belongs to another request"
     UNFRAMED_WITHIN_EVENT = "the stream has no length and ends within its second event"
@@ -286,6 +288,8 @@
                 self._send(h11.Data(data=event[:-5]))
                 await self._writer.drain()
                 return False
+            if fault is EngineFault.TRICKLE and number == first + 1:
+                return await self._trickle(request_id)
             self._send(h11.Data(data=event))
             if fault is EngineFault.RESET and number == first + 1:
                 await self._writer.drain()
@@ -295,6 +299,12 @@
             await self._pause(request_id)
         return self._end() and fault is not EngineFault.UNFRAMED
 
+    async def _trickle(self, request_id):
+        while True:
+            self._send(h11.Data(data=b":"))
+            await self._pause(request_id)
+            await asyncio.sleep(TRICKLE_INTERVAL_S)
+
     async def _pause(self, request_id):
         await asyncio.sleep(self._model.event_interval_s)
         if self._writer.transport.is_closing():
