--- a/cicadapond/gateway/reported_failures_test.py
+++ b/cicadapond/gateway/reported_failures_test.py
@@ -6,7 +6,7 @@
 from cicadapond.platform.standin import EngineFault, FleetSettings
 
 EVENTS = 4
-# The stream route: callers give up after a gap of 2 s, an attempt ends after 1.7 s without an event.
+# Callers give up after a gap of 2 s, and an attempt ends after 1.7 s without an event.
 MAX_GAP_MS = 100
 
 
