Count each wait once in the estimate of the time to the first event

Cause: under overload the expected time to the first event was several times too high for urgent requests, so that they were held although engines would have begun them. Shown on a model of engines on virtual time: (a) a whole wait for a slot, at the mean slot time of all kinds, was added whatever the priority; (b) prefill that other processes reported late was counted in full, also if it was done by then; (c) answers that had waited for a queue that was not known raised the coefficients of the prefill, and those of a slow phase of a host the factor of its engine; (d) the queue of a plain server was learned as the duration of its calls, and counted again.

Change: of the wait for a slot and the queued prefill the longer one counts, without the prompts that wait behind because they are less urgent. Others' requests are a mean of the server's report, the digests and the service's servers, weighted by age. Late reports use up the time in which the queue seemed empty. Answers that waited for a slot teach nothing of the engine's speed, and the stated pace is taken out of what is learned.

--- /dev/null
+++ b/cicadapond/experiments/_virtual_engine.py
@@ -0,0 +1,140 @@
+"""A model of an engine under load on virtual time, for measuring estimates and queues; no I/O.
+
+It prefills one prompt after the other, in chunks between the decode steps of its batch.  A batch
+has a limited number of slots; the more urgent of the waiting requests are admitted first.  Times
+are milliseconds of virtual time.
+"""
+
+import heapq
+import itertools
+import typing
+
+import attrs
+
+from cicadapond.gateway.data import Generation, LoadHeader
+from cicadapond.placing import PrefixCacheModel
+
+# Tokens of a prompt that one step prefills, and how much each generating request lengthens it.
+CHUNK_TOKENS = 512
+STEP_MS_PER_RUN = 0.03
+
+
+@attrs.frozen
+class EngineFigures:
+    """The speed and size of an engine.
+
+    `prefill_rate` is in tokens per millisecond, `stride` the tokens per event, `kv_tokens` the
+    memory.  A `slowness` of 2 makes every step take twice as long.
+    """
+
+    slots: int = 16
+    prefill_rate: float = 112.0
+    step_ms: float = 3.23
+    stride: int = 9
+    kv_tokens: int = 739_197
+    slowness: float = 1.0
+
+
+@attrs.define(eq=False)
+class Run:
+    """One request at an engine; `on_event(now, number)` is called for each of its events."""
+
+    generation: Generation
+    priority: int
+    events: int
+    on_event: typing.Callable[[float, int], None]
+    on_end: typing.Callable[[float], None]
+    prefill_left: int = 0
+    tokens: int = 0
+    is_cancelled: bool = False
+
+
+class VirtualEngine:
+    """One engine.
+
+    Args:
+      name: Its name.
+      cfg: Its figures.
+      schedule: Runs a function at an instant: schedule(at, function).
+      pace: Returns how long work takes at an instant, as a multiple of the usual time.
+    """
+
+    def __init__(self, name, cfg: EngineFigures, schedule, pace=lambda now: 1.0):
+        self.name = name
+        self.cfg = cfg
+        self.is_gone = False
+        self.preempted = 0
+        self._schedule = schedule
+        self._pace = pace
+        self._waiting: list = []
+        self._active: list[Run] = []
+        self._numbers = itertools.count()
+        self._cache = PrefixCacheModel(cfg.kv_tokens)
+        self._is_stepping = False
+
+    def load(self, now: float) -> LoadHeader:
+        """Returns the load that its responses state now."""
+        return LoadHeader(len(self._active), len(self._waiting), self.cfg.slots, self._pace(now))
+
+    def submit(self, run: Run, now: float) -> None:
+        """Queues a request."""
+        heapq.heappush(self._waiting, (run.priority, next(self._numbers), run))
+        if not self._is_stepping:
+            self._is_stepping = True
+            self._schedule(now, self._step)
+
+    def stop(self) -> list[Run]:
+        """Ends the engine; returns what it ran or had waiting."""
+        self.is_gone = True
+        lost = [*self._active, *(run for _, _, run in self._waiting)]
+        self._active, self._waiting = [], []
+        return lost
+
+    def _admit(self):
+        while self._waiting and len(self._active) < self.cfg.slots:
+            run = self._waiting[0][2]
+            used = sum(active.generation.tokens for active in self._active)
+            if self._active and used + run.generation.tokens > self.cfg.kv_tokens:
+                return
+            heapq.heappop(self._waiting)
+            if run.is_cancelled:
+                continue
+            cached = self._cache.cached_tokens(run.generation.parts)
+            run.prefill_left = max(1, run.generation.prompt_tokens - cached)
+            self._active.append(run)
+
+    def _step(self, now):
+        self._active = [run for run in self._active if not run.is_cancelled]
+        self._admit()
+        if not self._active or self.is_gone:
+            self._is_stepping = False
+            return
+        generating = [run for run in self._active if not run.prefill_left]
+        prefilling = next((run for run in self._active if run.prefill_left), None)
+        chunk = min(prefilling.prefill_left, CHUNK_TOKENS) if prefilling is not None else 0
+        took = max(self.cfg.step_ms, chunk / self.cfg.prefill_rate)
+        took += STEP_MS_PER_RUN * len(generating)
+        took *= self.cfg.slowness * self._pace(now)
+
+        def end_step(then):
+            if self.is_gone:
+                return
+            if prefilling is not None:
+                prefilling.prefill_left -= chunk
+                if not prefilling.prefill_left:
+                    self._cache.add_prompt(prefilling.generation.parts)
+            for run in generating:
+                self._generate(run, then)
+            self._step(then)
+
+        self._schedule(now + took, end_step)
+
+    def _generate(self, run, now):
+        run.tokens += 1
+        if run.is_cancelled or run.tokens % self.cfg.stride:
+            return
+        number = run.tokens // self.cfg.stride
+        run.on_event(now, number)
+        if number == run.events:
+            self._active.remove(run)
+            run.on_end(now)
--- a/cicadapond/placing/_first_event.py
+++ b/cicadapond/placing/_first_event.py
@@ -27,6 +27,9 @@
 # limit, so that a lost packet or a frozen engine changes little.
 MAX_DEVIATIONS = 3.0
 DEVIATION_GAIN = 0.05
+# An answer that took longer than this multiple of its expected time met a queue that was not known,
+# which is no property of the engine.
+MAX_EXCESS = 1.0
 INITIAL_DEVIATION = 1.0
 # The weight of an observation in an engine's own factor, and its bounds.
 FACTOR_GAIN = 0.15
@@ -103,7 +106,7 @@
     def _fit(self, features, error):
         """Moves the coefficients so that the relative error of one observation shrinks."""
         limit = MAX_DEVIATIONS * self._mean_deviation
-        error = min(limit, max(-limit, error))
+        error = min(limit, MAX_EXCESS, max(-limit, error))
         self._mean_deviation += DEVIATION_GAIN * (abs(error) - self._mean_deviation)
         size = range(len(features))
         spread = [sum(self._covariance[i][j] * features[j] for j in size) for i in size]
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -6,13 +6,16 @@
 the wait for a slot if the batch is full.  All are converted into milliseconds, so that a shorter
 queue can be weighed against a warmer cache.
 
+Under overload the same wait must not be counted twice: while a prompt waits for a slot, the prompts
+before it are prefilled, so that the longer of the two counts.  Prompts that wait behind it because
+they are less urgent do not count at all.
+
 The processes agree without communication on the home engine of a shared prefix, by rendezvous
 hashing; a home engine counts as having the prefix cached.  They report to each other how much
 prefill they have sent to each engine and how many requests they have there, since a long prompt of
 one process delays the short prompts of all others.
 """
 
-import collections
 import datetime
 import hashlib
 import typing
@@ -23,48 +26,34 @@
 from cicadapond.kernel import Clock
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
+from cicadapond.placing._server_load import EngineWork, ServerLoad, ServiceOthers
+from cicadapond.placing._slot_wait import SlotTimes, expected_excess
 
-# A server's load report counts in full when it arrives and decays with this half-life.
-LOAD_HALF_LIFE_MS = 400.0
-# The pace of a server's host changes many times a second, so a report of it decays faster.
-PACE_HALF_LIFE_MS = 200.0
 # A prefill of at least this length is reported to the other processes at once.
 LONG_PREFILL_MS = 30.0
-# How long additions to a prefill queue are kept: longer than any prompt is queued before its caller
-# gives up.
-QUEUE_HISTORY = datetime.timedelta(seconds=4)
-# The assumed duration of a call to a plain service before any was measured, and the weight of each
-# measured one in the moving average.
-INITIAL_CALL_MS = 30.0
+# The weight of each measured call to a plain service in the moving average of its duration.
 CALL_TIME_GAIN = 0.1
-# The same for the time that a generation occupies a slot.
-INITIAL_SLOT_MS = 1000.0
-SLOT_TIME_GAIN = 0.05
-# Numbers of requests that others reported longer ago than this are ignored.
-MAX_IN_FLIGHT_AGE = datetime.timedelta(seconds=3)
+# Of several servers with free slots the emptier one is preferred: what is known of others is stale.
+FREE_SLOT_COST = 0.2
+# The mean prefill of a service's prompts, before any was sent, and the weight of each.
+INITIAL_PREFILL_MS = 20.0
+PREFILL_GAIN = 0.05
 OTHER_ZONE_COST_MS = 1.8
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @attrs.frozen
-class EngineWork:
-    """What some processes have sent to an engine.
+class _Estimate:
+    """What was known of a request when it was sent, to learn from its answer.
 
-    `prefill_total_ms` is a running total of prefill, `in_flight` the number of requests there.
+    `prompt` is None for a plain service's call, whose `running` is the factor of its wait.
     """
 
-    prefill_total_ms: int
-    in_flight: int
-
-
-@attrs.frozen
-class _Estimate:
-    """What was known of a generation when it was sent, to learn from its answer."""
-
-    prompt: Prompt
-    queued_ms: float
+    prompt: Prompt | None
+    ahead_ms: float
     running: float
     has_slot: bool
+    pace: float
 
 
 @attrs.define(eq=False)
@@ -78,7 +67,7 @@
       since: The monotonic instant at which it was sent.
       priority: Its priority at the engine.
       begun_at: The monotonic instant at which its answer began, None before.
-      estimate: What its expected time was derived from, None for a plain service's call.
+      estimate: What its expected time was derived from, None before it was placed.
     """
 
     server: str
@@ -90,53 +79,6 @@
     estimate: _Estimate | None = None
 
 
-@attrs.define
-class _PrefillQueue:
-    """The prefill queued at an engine, in milliseconds of work; it drains in real time.
-
-    `added` lists the recent additions, to correct the estimate when a request's answer begins: all
-    prefill that was queued up to that request is done by then.
-    """
-
-    waiting_ms: float = 0.0
-    updated_at: datetime.timedelta = datetime.timedelta()
-    added: collections.deque = attrs.field(factory=collections.deque)
-
-    def remaining_ms(self, now):
-        if not self.waiting_ms:
-            return 0.0
-        return max(0.0, self.waiting_ms - (now - self.updated_at) / _MILLISECOND)
-
-    def add(self, prefill_ms, now):
-        self.waiting_ms = self.remaining_ms(now) + prefill_ms
-        self.updated_at = now
-        self.added.append((now, prefill_ms))
-        while self.added and now - self.added[0][0] > QUEUE_HISTORY:
-            self.added.popleft()
-
-    def discard_up_to(self, sent_at, now):
-        later = sum(prefill_ms for at, prefill_ms in self.added if at > sent_at)
-        self.waiting_ms = min(self.remaining_ms(now), later)
-        self.updated_at = now
-
-
-@attrs.define
-class _ServerLoad:
-    prefix_cache: PrefixCacheModel
-    name_hash: int
-    in_flight: set = attrs.field(factory=set)
-    report: LoadHeader | None = None
-    reported_at: datetime.timedelta = datetime.timedelta()
-    own_in_flight_at_report: int = 0
-    mean_call_ms: float = INITIAL_CALL_MS
-    queue: "_PrefillQueue" = attrs.field(factory=lambda: _PrefillQueue())
-    total_prefill_ms: float = 0.0
-    # Own prefill that the total of this data centre does not include yet.
-    unreported_ms: float = 0.0
-    others_totals_ms: dict = attrs.field(factory=dict)
-    others_in_flight: dict = attrs.field(factory=dict)
-
-
 @attrs.frozen
 class _Candidate:
     """A server and what a request would meet there; `prompt` is None for a plain service."""
@@ -144,9 +86,42 @@
     expected_ms: float
     entry: ServerEntry
     work_ms: float
-    queued_ms: float
-    in_flight: float
-    prompt: Prompt | None
+    estimate: _Estimate
+
+
+@attrs.frozen
+class _ServiceView:
+    """What counts for a request at all servers of a service; the rest only for engines.
+
+    `waiting_ahead` is as `SlotTimes.waiting_ahead` returns it for the request's priority.
+    """
+
+    mean_others: float
+    model: FirstEventModel | None = None
+    slot_ms: float = 0.0
+    waiting_ahead: float | None = None
+    mean_prefill_ms: float = 0.0
+
+    def ahead_ms(self, queued_ms: float, excess: float, slots: int) -> float:
+        """Returns the wait until an engine begins with a prompt.
+
+        With a free slot that is the prefill queued there.  Else it is the longer of the time until
+        the prompt has a slot (they free up evenly) and the queued prefill of the prompts that have
+        one or get it earlier.
+
+        Args:
+          queued_ms: The prefill queued there.
+          excess: How many requests must end until one more has a slot.
+          slots: The engine's slots.
+        """
+        if excess <= 0.0:
+            return queued_ms
+        ahead = excess if self.waiting_ahead is None else min(excess, 1.0 + self.waiting_ahead)
+        slot_wait_ms = ahead * self.slot_ms / slots
+        if not queued_ms or ahead >= excess:
+            return max(slot_wait_ms, queued_ms)
+        prompts = max(excess, queued_ms / max(1.0, self.mean_prefill_ms))
+        return max(slot_wait_ms, queued_ms * (prompts - excess + ahead) / prompts)
 
 
 @attrs.frozen
@@ -169,9 +144,13 @@
     def __init__(self, clock: Clock, zone: str):
         self._clock = clock
         self._zone = zone
-        self._loads: dict[str, _ServerLoad] = {}
+        self._loads: dict[str, ServerLoad] = {}
+        self._services: dict[str, str] = {}
         self._models: dict[tuple[str, int], FirstEventModel] = {}
-        self._slot_ms: dict[str, float] = {}
+        self._slot_times: dict[str, SlotTimes] = {}
+        self._mean_prefills: dict[str, float] = {}
+        self._others: dict[str, ServiceOthers] = {}
+        self._reported_by_zone: dict[str, set[str]] = {}
 
     def model(self, service: str, priority: int = 0) -> FirstEventModel:
         """Returns the model of a service's engines for requests of one priority.
@@ -213,44 +192,52 @@
         chosen = candidates[0]
         entry, now = chosen.entry, self._clock.monotonic()
         request = InFlightRequest(entry.name, entry.service, chosen.work_ms, now, priority)
+        request.estimate = chosen.estimate
         load = self._load(entry)
         if generation is not None:
-            request.estimate = _Estimate(
-                chosen.prompt,
-                chosen.queued_ms,
-                chosen.in_flight,
-                has_slot=chosen.in_flight < entry.slots,
-            )
             load.prefix_cache.add_prompt(generation.parts)
-            load.queue.add(chosen.work_ms, now)
-            load.total_prefill_ms += chosen.work_ms
-            load.unreported_ms += chosen.work_ms
+            load.add_prompt(chosen.work_ms, now / _MILLISECOND)
+            mean = self._mean_prefill_ms(entry.service)
+            self._mean_prefills[entry.service] = mean + PREFILL_GAIN * (chosen.work_ms - mean)
         load.in_flight.add(request)
         return Placement(entry, chosen.expected_ms * _MILLISECOND, request)
 
     def _candidates(self, servers, generation, priority):
         """Returns the servers with the expected delay there, the shortest one first."""
-        now = self._clock.monotonic()
+        now = self._clock.monotonic() / _MILLISECOND
         loads = [self._load(entry) for entry in servers]
         home = _home(loads, generation)
+        services = {
+            service: self._service_view(service, generation, priority, now)
+            for service in {entry.service for entry in servers}
+        }
+        prompts = {}
         candidates = []
         for entry, load in zip(servers, loads, strict=True):
-            in_flight = self._in_flight(load, now)
-            prompt, queued_ms = None, 0.0
+            view = services[entry.service]
+            others = load.others_in_flight(now, view.mean_others)
+            in_flight = len(load.in_flight) + others
+            pace = load.pace(now)
             if generation is None:
-                work_ms = load.mean_call_ms
-                expected = work_ms * (1.0 + in_flight / entry.slots)
+                work_ms, wait = load.mean_call_ms, _call_wait(entry, in_flight)
+                expected = work_ms * wait
+                estimate = _Estimate(None, 0.0, wait, in_flight < entry.slots, pace)
             else:
-                model = self.model(entry.service, priority)
-                prompt = _prompt(load, generation, load is home)
-                work_ms = model.prefill_ms(prompt)
+                cached = _cached_tokens(load, generation, load is home)
+                if cached not in prompts:
+                    prompt = Prompt(max(0, generation.prompt_tokens - cached), cached)
+                    prompts[cached] = prompt, view.model.prefill_ms(prompt)
+                prompt, work_ms = prompts[cached]
                 queued_ms = load.queue.remaining_ms(now)
-                expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
-                expected += self._slot_wait_ms(entry, in_flight)
-            expected *= _pace(load, now)
+                excess = expected_excess(in_flight, others, entry.slots)
+                ahead_ms = view.ahead_ms(queued_ms, excess, entry.slots)
+                running = min(in_flight, entry.slots)
+                expected = view.model.predict(entry.name, work_ms, ahead_ms, running)
+                estimate = _Estimate(prompt, ahead_ms, running, in_flight < entry.slots, pace)
+            expected *= pace
             if entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
-            candidates.append(_Candidate(expected, entry, work_ms, queued_ms, in_flight, prompt))
+            candidates.append(_Candidate(expected, entry, work_ms, estimate))
         candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
         return candidates
 
@@ -258,17 +245,22 @@
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
         now = request.begun_at = self._clock.monotonic()
         load = self._loads.get(request.server)
-        if load is not None:
-            load.queue.discard_up_to(request.since, now)
         estimate = request.estimate
-        if estimate is not None and estimate.has_slot:
-            self.model(request.service, request.priority).observe(
-                request.server,
-                estimate.prompt,
-                estimate.queued_ms,
-                estimate.running,
-                (now - request.since) / _MILLISECOND,
-            )
+        if estimate is None or estimate.prompt is None:
+            return
+        # An urgent request that needed no slot of others overtook those that wait for one.
+        overtakes = not estimate.has_slot and self._waiting_ahead(request) is not None
+        if load is not None and not overtakes:
+            load.queue.discard_up_to(request.since / _MILLISECOND, now / _MILLISECOND)
+        if not estimate.has_slot or load is None or load.has_waiting():
+            return  # it waited for a slot, which says nothing of the engine's speed
+        self.model(request.service, request.priority).observe(
+            request.server,
+            estimate.prompt,
+            estimate.ahead_ms,
+            estimate.running,
+            (now - request.since) / _MILLISECOND / estimate.pace,
+        )
 
     def mark_ended(self, request: InFlightRequest, took: datetime.timedelta | None = None) -> None:
         """Records that a request is no longer in flight.
@@ -279,22 +271,21 @@
         """
         if request.begun_at is not None:
             held_ms = (self._clock.monotonic() - request.begun_at) / _MILLISECOND + request.work_ms
-            mean = self._slot_ms.get(request.service, INITIAL_SLOT_MS)
-            self._slot_ms[request.service] = mean + SLOT_TIME_GAIN * (held_ms - mean)
+            self._slots(request.service).record(request.priority, held_ms)
         load = self._loads.get(request.server)
         if load is None:
             return
         load.in_flight.discard(request)
-        if took is not None:
-            load.mean_call_ms += CALL_TIME_GAIN * (took / _MILLISECOND - load.mean_call_ms)
+        estimate = request.estimate
+        if took is not None and estimate is not None and estimate.prompt is None:
+            call_ms = took / _MILLISECOND / estimate.pace / estimate.running
+            load.mean_call_ms += CALL_TIME_GAIN * (call_ms - load.mean_call_ms)
 
     def update_load(self, server: str, load_header: LoadHeader) -> None:
         """Stores a server's report of its load."""
         load = self._loads.get(server)
         if load is not None:
-            load.report = load_header
-            load.reported_at = self._clock.monotonic()
-            load.own_in_flight_at_report = len(load.in_flight)
+            load.report(load_header, self._clock.monotonic() / _MILLISECOND)
 
     def engine_work(self) -> dict[str, EngineWork]:
         """Returns what this process has sent to each engine."""
@@ -319,29 +310,26 @@
           work: The work by engine.
           includes_own: Whether this process's own work is part of it.
         """
-        now = self._clock.monotonic()
-        for name, load in self._loads.items():
-            reported = work.get(name)
-            if reported is None:
-                load.others_in_flight.pop(zone, None)
-                continue
-            in_flight = reported.in_flight - (len(load.in_flight) if includes_own else 0)
-            load.others_in_flight[zone] = (max(0, in_flight), now)
-            last_reporter, last = load.others_totals_ms.get(zone, (None, 0))
-            load.others_totals_ms[zone] = (reporter, reported.prefill_total_ms)
-            if reporter != last_reporter:
+        now = self._clock.monotonic() / _MILLISECOND
+        reported = {name for name in work if name in self._loads}
+        for name in reported | self._reported_by_zone.get(zone, set()):
+            load = self._loads.get(name)
+            if load is None:
                 continue
-            added = max(0, reported.prefill_total_ms - last)
-            if includes_own:
-                own = min(added, load.unreported_ms)
-                load.unreported_ms -= own
-                added -= own
-            if added:
-                load.queue.add(added, now)
+            others = self._others[self._services[name]]
+            others.in_flight -= load.others_count()
+            load.apply_others(zone, reporter, work.get(name), includes_own, now)
+            others.in_flight += load.others_count()
+            others.heard_at = now
+        self._reported_by_zone[zone] = reported
 
     def remove(self, server: str) -> None:
         """Drops the load of a server that is gone."""
-        self._loads.pop(server, None)
+        load = self._loads.pop(server, None)
+        if load is not None:
+            others = self._others[self._services.pop(server)]
+            others.servers -= 1
+            others.in_flight -= load.others_count()
         for model in self._models.values():
             model.remove(server)
 
@@ -353,49 +341,50 @@
     def _load(self, entry):
         load = self._loads.get(entry.name)
         if load is None:
-            load = _ServerLoad(PrefixCacheModel(), _hash(entry.name))
+            load = ServerLoad(PrefixCacheModel(), _hash(entry.name))
             self._loads[entry.name] = load
+            self._services[entry.name] = entry.service
+            self._others.setdefault(entry.service, ServiceOthers()).servers += 1
         return load
 
-    def _slot_wait_ms(self, entry, in_flight):
-        """Returns the expected wait for a slot: the slots free up evenly."""
-        if in_flight < entry.slots:
-            return 0.0
-        slot_ms = self._slot_ms.get(entry.service, INITIAL_SLOT_MS)
-        return (in_flight - entry.slots + 1) * slot_ms / entry.slots
+    def _slots(self, service):
+        slot_times = self._slot_times.get(service)
+        if slot_times is None:
+            slot_times = self._slot_times[service] = SlotTimes()
+        return slot_times
 
-    def _in_flight(self, load, now):
-        """Returns how many requests a server has: this process's own, and those of others.
+    def _waiting_ahead(self, request):
+        return self._slots(request.service).waiting_ahead(request.priority)
 
-        Those of others come from the server's own report while it is recent, and increasingly from
-        the reports of the other processes as it ages.
-        """
-        others = 0.0
-        if load.others_in_flight:
-            oldest = now - MAX_IN_FLIGHT_AGE
-            others = sum(count for count, at in load.others_in_flight.values() if at > oldest)
-        if load.report is not None:
-            age_ms = (now - load.reported_at) / _MILLISECOND
-            weight = 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
-            reported = load.report.running + load.report.waiting - load.own_in_flight_at_report
-            others += weight * (max(0, reported) - others)
-        return len(load.in_flight) + others
-
-
-def _pace(load, now):
-    """Returns how long work takes on a server's host, as a multiple of the usual time."""
-    if load.report is None or load.report.pace is None:
-        return 1.0
-    age_ms = (now - load.reported_at) / _MILLISECOND
-    return 1.0 + (load.report.pace - 1.0) * 0.5 ** (age_ms / PACE_HALF_LIFE_MS)
-
-
-def _prompt(load, generation, is_home):
-    """Returns the prefill that a prompt needs at an engine."""
+    def _mean_prefill_ms(self, service):
+        return self._mean_prefills.get(service, INITIAL_PREFILL_MS)
+
+    def _service_view(self, service, generation, priority, now):
+        mean_others = self._others[service].mean(now)
+        if generation is None:
+            return _ServiceView(mean_others)
+        slot_times = self._slots(service)
+        return _ServiceView(
+            mean_others,
+            self.model(service, priority),
+            slot_times.mean_ms,
+            slot_times.waiting_ahead(priority),
+            self._mean_prefill_ms(service),
+        )
+
+
+def _call_wait(entry, in_flight):
+    """Returns how long a plain service's call takes, as a multiple of its time with a free slot."""
+    excess = max(0.0, in_flight - entry.slots + 1)
+    return 1.0 + (FREE_SLOT_COST * min(in_flight, entry.slots) + excess) / entry.slots
+
+
+def _cached_tokens(load, generation, is_home):
+    """Returns how many tokens of a prompt an engine has cached."""
     cached = load.prefix_cache.cached_tokens(generation.parts)
     if is_home:
         cached = max(cached, sum(part.tokens for part in shared_parts(generation)))
-    return Prompt(max(0, generation.prompt_tokens - cached), cached)
+    return cached
 
 
 def _home(loads, generation):
--- /dev/null
+++ b/cicadapond/placing/_slot_wait.py
@@ -0,0 +1,71 @@
+"""How long a request waits for a slot of a full engine, by its priority; no I/O.
+
+It answers overload with several kinds of requests: engines admit the more urgent first, so that an
+urgent one waits for the next slot only, however many less urgent ones wait there.
+"""
+
+import math
+
+import attrs
+
+# The assumed time that a generation occupies a slot, in milliseconds, before any was measured, and
+# the weight of each measured one in the moving average.
+INITIAL_SLOT_MS = 1000.0
+SLOT_TIME_GAIN = 0.05
+# The slot time that each priority used counts half after about 140 later requests.
+SLOT_SHARE_DECAY = 0.995
+# Up to this share of the slot time the waiting requests are those of a queue in balance.
+MAX_BALANCED_SHARE = 0.95
+# The standard deviation of the number of others' requests, as a multiple of its square root.
+OTHERS_DEVIATION = 0.5
+
+
+@attrs.define
+class SlotTimes:
+    """The slot times of one service's requests."""
+
+    mean_ms: float = INITIAL_SLOT_MS
+    _used_ms: dict[int, float] = attrs.field(factory=dict)
+
+    def record(self, priority: int, held_ms: float) -> None:
+        """Records how long a request occupied a slot."""
+        self.mean_ms += SLOT_TIME_GAIN * (held_ms - self.mean_ms)
+        for known in self._used_ms:
+            self._used_ms[known] *= SLOT_SHARE_DECAY
+        self._used_ms[priority] = self._used_ms.get(priority, 0.0) + held_ms
+
+    def waiting_ahead(self, priority: int) -> float | None:
+        """Returns how many requests of the same or a higher urgency wait at a full engine.
+
+        As long as they need less than all slots, it is a short queue in balance, whatever else
+        waits behind them.
+
+        Returns:
+          The number, None if all that wait may be ahead.
+        """
+        total = sum(self._used_ms.values())
+        ahead_ms = sum(used for known, used in self._used_ms.items() if known <= priority)
+        if not total or ahead_ms > MAX_BALANCED_SHARE * total:
+            return None
+        share = ahead_ms / total
+        return share / (1.0 - share)
+
+
+def expected_excess(count: float, others: float, slots: int) -> float:
+    """Returns how many requests must end at an engine until one more has a slot.
+
+    The number of others' requests is uncertain, by about half of its square root, so that an engine
+    that is almost full may well be full.
+
+    Args:
+      count: The requests that it has, by all that is known.
+      others: Those of them that other processes sent.
+      slots: Its slots.
+    """
+    excess = count - slots + 1.0
+    deviation = OTHERS_DEVIATION * math.sqrt(others)
+    if deviation <= 0.0 or excess > 4.0 * deviation:
+        return max(0.0, excess)
+    if excess < -4.0 * deviation:
+        return 0.0
+    return deviation * math.log1p(math.exp(excess / deviation))
--- /dev/null
+++ b/cicadapond/placing/estimates_test.py
@@ -0,0 +1,70 @@
+"""Estimates count each wait once, and what others report only while it is true."""
+
+from cicadapond.data import Endpoint
+from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.placing import EngineWork, Placer
+
+ENGINE = ServerEntry("e-0", "pool", Endpoint("::1", 1), "a", 16)
+PLAIN = ServerEntry("s-0", "calls", Endpoint("::1", 1), "a", 6)
+SHORT, LONG = Generation(1800, 30), Generation(6600, 400)
+
+
+def expected_ms(placer, generation, priority=0, server=ENGINE):
+    return placer.estimate([server], generation, priority)[0][0]
+
+
+def run(placer, clock, generation, priority, begins_s, lasts_s):
+    request = placer.place([ENGINE], generation, priority).request
+    clock.advance(seconds(begins_s))
+    placer.mark_answer_begun(request)
+    clock.advance(seconds(lasts_s))
+    placer.mark_ended(request)
+
+
+def test_an_urgent_request_waits_for_the_next_slot_only():
+    """Counting all that wait, whatever their priority, gave over a second for a short prompt."""
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    for _ in range(20):
+        run(placer, clock, LONG, 1, 0.15, 1.2)
+        run(placer, clock, SHORT, 0, 0.07, 0.06)
+    for _ in range(40):
+        placer.place([ENGINE], LONG, 1)
+    clock.advance(seconds(2))
+    assert expected_ms(placer, SHORT, 0) < 400
+    assert expected_ms(placer, LONG, 1) > 800
+
+
+def test_prefill_that_was_heard_of_late_was_done_while_the_engine_seemed_idle():
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    placer.mark_ended(placer.place([ENGINE], SHORT).request)
+    placer.apply_others_work("b", "hub", {"e-0": EngineWork(0, 0)}, includes_own=False)
+    clock.advance(seconds(1))
+    before = expected_ms(placer, SHORT)
+    placer.apply_others_work("b", "hub", {"e-0": EngineWork(300, 0)}, includes_own=False)
+    assert expected_ms(placer, SHORT) < before + 10
+
+
+def test_a_slow_phase_of_a_host_is_not_learned_as_the_speed_of_its_engine():
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    placer.mark_ended(placer.place([ENGINE], LONG).request)
+    usual = expected_ms(placer, LONG)
+    for _ in range(20):
+        placer.update_load("e-0", LoadHeader(0, 0, 16, pace=2.5))
+        run(placer, clock, LONG, 0, 2.5 * usual / 1000, 0.01)
+    clock.advance(seconds(10))
+    assert expected_ms(placer, LONG) < 1.3 * usual
+
+
+def test_the_queue_of_a_plain_server_is_not_learned_as_its_speed():
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    for _ in range(60):
+        requests = [placer.place([PLAIN], None).request for _ in range(12)]
+        clock.advance(seconds(0.03))
+        for number, request in enumerate(requests):
+            placer.mark_ended(request, seconds(0.03 if number < 6 else 0.06))
+    assert expected_ms(placer, None, server=PLAIN) < 45
