Plan which share of requests leaves its data centre

Cause: another data centre costs a constant 1.8 ms, so that each process sends its requests wherever its reports, some hundred milliseconds old, show a shorter queue.

Change: `zones` plans the share of a data centre's requests that is served in others from what callers need and from the number of servers, which do not depend on where requests are sent, so that processes agree and nothing oscillates. ZoneCosts turns the share into a cost that Placer asks for: distance (as connects show it), bytes, and a part of the objective without a credit. Shared parts have a home engine in each data centre. `--zone_costs` is off by default; `auto` takes services whose configuration states the bandwidth of their engines' links, which earlier ones do not.

--- a/cicadapond/forwarding/_pool.py
+++ b/cicadapond/forwarding/_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import typing
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._connection import ServerConnection
@@ -23,12 +24,16 @@
     Args:
       clock: The clock.
       metrics: Receives the counts of connections opened and reused.
+
+    Attributes:
+      on_connect: Called with the server's name and how long it took to connect to it.
     """
 
     def __init__(self, clock: Clock, metrics: Metrics):
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, collections.deque[ServerConnection]] = {}
+        self.on_connect: typing.Callable[[str, datetime.timedelta], None] = lambda name, took: None
 
     def take_idle(self, server: str, recent_only: bool) -> ServerConnection | None:
         """Removes and returns an idle connection to a server, None if there is no usable one.
@@ -56,7 +61,10 @@
         self, server: str, endpoint: Endpoint, timeout: datetime.timedelta
     ) -> ServerConnection | None:
         """Returns a new connection to a server, None if none could be made."""
+        begun = self._clock.monotonic()
         conn = await ServerConnection.connect(endpoint, timeout, self._clock)
+        if conn is not None:
+            self.on_connect(server, self._clock.monotonic() - begun)
         outcome = "made" if conn is not None else "failed"
         self._metrics.count("server_connections_opened", outcome=outcome)
         return conn
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -260,20 +260,31 @@
           service: The service.
           slots: The slots of one of its servers.
         """
+        demands = self.demand_by_zone(service, slots).values()
+        return Demand(
+            sum(demand.prefill for demand, _ in demands),
+            sum(demand.batches for demand, _ in demands),
+        )
+
+    def demand_by_zone(
+        self, service: str, slots: int
+    ) -> dict[str, tuple[Demand, datetime.timedelta]]:
+        """Returns what the callers of each data centre need, and how old that is."""
         now = self._clock.monotonic()
         # A data centre that is cut off keeps its callers, whose requests need servers of this
         # service too.
         reports = {
-            zone: summary.report
+            zone: (summary.report, now - summary.received_at)
             for zone, summary in self._summaries.items()
             if now - summary.received_at < SHARE_RETENTION
         }
         if self._cfg.zone not in reports:
-            reports[self._cfg.zone] = self._report()
-        total = ServiceDemand()
-        for report in reports.values():
-            total += report.demand.get(service, ServiceDemand())
-        return Demand(total.prefilling, total.in_progress / slots)
+            reports[self._cfg.zone] = (self._report(), datetime.timedelta())
+        found = {}
+        for zone, (report, age) in reports.items():
+            need = report.demand.get(service, ServiceDemand())
+            found[zone] = (Demand(need.prefilling, need.in_progress / slots), age)
+        return found
 
     def poll_interval(self, duty: str) -> datetime.timedelta:
         """Returns how often this process checks whether it can take over a duty."""
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -29,7 +29,8 @@
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.data import GatewaySettings
+from cicadapond.gateway._zone_flows import ZoneFlowTask
+from cicadapond.gateway.data import GatewaySettings, ZoneCostUse
 from cicadapond.kernel import Metrics, TaskGroup
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.peer import rank
@@ -39,6 +40,7 @@
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import DemandMeter
 from cicadapond.usage import UsageWindows
+from cicadapond.zones import ZoneCosts
 
 LEASE_NAME = "duties"
 # The shortest lease term; the margin covers the longest call that a duty makes.
@@ -104,6 +106,9 @@
         self._rng = rng
         self._tasks = TaskGroup()
         self._checking: set[str] = set()
+        self._zone_costs: ZoneCosts | None = None
+        if cfg.zone_costs is not ZoneCostUse.OFF:
+            self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self.parts.processes = self._cluster.count
@@ -143,7 +148,7 @@
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
-        placer = Placer(clock, cfg.zone)
+        placer = Placer(clock, cfg.zone, self._zone_costs)
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
         return Parts(
             cfg=cfg,
@@ -187,6 +192,10 @@
         self._tasks.spawn(self._housekeep(), "housekeeping")
         self._tasks.spawn(self.parts.links.probe(), "link probes")
         self._tasks.spawn(self._crash_causes.run(), "crash causes")
+        if self._zone_costs is not None:
+            flows = ZoneFlowTask(self._zone_costs, self.parts, self._cluster)
+            self.parts.pool.on_connect = flows.record_connect
+            self._tasks.start(flows)
         if self._adapters.cloud is not None:
             self._lease_runner = self._tasks.spawn(self._hold_lease(), "lease")
             self._duties = self._duty_task()
@@ -255,6 +264,7 @@
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
             "cluster": self._cluster.state(),
+            "zones": self._zone_costs.state() if self._zone_costs is not None else None,
         }
 
     def _follow(self, table, follower):
--- a/cicadapond/gateway/_orders.py
+++ b/cicadapond/gateway/_orders.py
@@ -196,7 +196,7 @@
         return [entry for entry in servers if entry.start not in crashed]
 
     def _demand(self, service, servers):
-        return self._cluster.demand(service.name, _slots_per_server(service, servers))
+        return self._cluster.demand(service.name, slots_per_server(service, servers))
 
 
 def _kind_of(outcome) -> Outcome:
@@ -205,7 +205,7 @@
     return Outcome.DECLINED if isinstance(outcome, Declined) else Outcome.FAILED
 
 
-def _slots_per_server(service, servers):
+def slots_per_server(service, servers):
     """Returns how many requests a server of a service runs at once."""
     if service.engine is not None:
         return service.engine.slots
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -49,6 +49,9 @@
             return NotSent("no server takes requests"), None
         entry, self._state.in_flight = placement.server, placement.request
         self._state.server = entry
+        if placement.departure != "own":
+            reason, to = placement.departure, entry.zone
+            parts.metrics.count("zone_departures", service=entry.service, zone=to, reason=reason)
         if self._state.req.generation is not None:
             work = datetime.timedelta(milliseconds=placement.request.work_ms)
             tokens = self._state.req.generation.prompt_tokens
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -84,10 +84,14 @@
 
 @attrs.frozen
 class EngineLimits:
-    """Capacity of one engine: requests in its batch and tokens in its memory."""
+    """Capacity of one engine: requests in its batch and tokens in its memory.
+
+    `bandwidth_mbps` is that of its link, None if the configuration does not state it.
+    """
 
     slots: int
     tokens: int
+    bandwidth_mbps: float | None = None
 
 
 @attrs.frozen
@@ -338,6 +342,18 @@
     checks_fencing: bool = True
 
 
+class ZoneCostUse(enum.Enum):
+    """For which services the cost of leaving the data centre follows from load and distance.
+
+    It is constant for the others.  `AUTO` stands for services whose configuration states the
+    bandwidth of their engines' links, `ON` for all services with engines.
+    """
+
+    OFF = "off"
+    AUTO = "auto"
+    ON = "on"
+
+
 @attrs.frozen
 class GatewaySettings:
     """The settings of one gateway process.
@@ -352,6 +368,7 @@
       cloud: The endpoint of the platform's cloud API, None if no duty needs it.
       max_descriptors: The limit on open file descriptors.
       is_first_start: Whether the whole system starts for the first time.
+      zone_costs: For which services the cost of leaving the data centre is planned.
     """
 
     name: str
@@ -369,3 +386,4 @@
     metrics: Endpoint | None = None
     max_descriptors: int = 1024
     is_first_start: bool = False
+    zone_costs: ZoneCostUse = ZoneCostUse.OFF
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+import attrs
 import tornado.httpserver
 from absl import app, flags, logging
 
@@ -14,6 +15,7 @@
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
+from cicadapond.gateway.data import ZoneCostUse
 from cicadapond.kernel import Metrics
 from cicadapond.platform import SETTINGS_VARIABLE, read_settings
 
@@ -27,13 +29,20 @@
 _METRICS_PORT = flags.DEFINE_integer(
     "metrics_port", 0, "Port on which to serve metrics; 0 to serve none."
 )
+_ZONE_COSTS = flags.DEFINE_enum_class(
+    "zone_costs",
+    ZoneCostUse.OFF,
+    ZoneCostUse,
+    "Services whose requests leave their data centre by a planned share: none (off), those whose "
+    "configuration states the bandwidth of their engines' links (auto), or all with engines (on).",
+)
 
 
 def _load(path):
     cfg, findings = read_settings(path, _METRICS_PORT.value)
     for finding in findings:
         print(finding, file=sys.stderr)
-    return cfg
+    return cfg and attrs.evolve(cfg, zone_costs=_ZONE_COSTS.value)
 
 
 def _listen(application, endpoint):
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -23,6 +23,7 @@
 from cicadapond.kernel import Clock
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
+from cicadapond.zones import ZoneCosts
 
 # A server's load report counts in full when it arrives and decays with this half-life.
 LOAD_HALF_LIFE_MS = 400.0
@@ -43,6 +44,8 @@
 # Numbers of requests that others reported longer ago than this are ignored.
 MAX_IN_FLIGHT_AGE = datetime.timedelta(seconds=3)
 OTHER_ZONE_COST_MS = 1.8
+# The bytes of a request and its response for each of their tokens, about the length of a word.
+BYTES_PER_TOKEN = 4
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -120,7 +123,7 @@
         self.updated_at = now
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _ServerLoad:
     prefix_cache: PrefixCacheModel
     name_hash: int
@@ -147,15 +150,21 @@
     queued_ms: float
     in_flight: float
     prompt: Prompt | None
+    cost_ms: float = 0.0
 
 
 @attrs.frozen
 class Placement:
-    """The server chosen for a request, and the expected time until its answer begins."""
+    """The server chosen for a request, and the expected time until its answer begins.
+
+    `departure` is why it is in its data centre: "own" if that is the process's own or leaving it
+    has a constant cost, else what `ZoneCosts.record_placed` returns.
+    """
 
     server: ServerEntry
     expected: datetime.timedelta
     request: InFlightRequest
+    departure: str = "own"
 
 
 class Placer:
@@ -164,11 +173,13 @@
     Args:
       clock: Gives the time.
       zone: This process's data centre; servers elsewhere cost OTHER_ZONE_COST_MS more.
+      zone_costs: What they cost instead for the services that it is on for, None for no service.
     """
 
-    def __init__(self, clock: Clock, zone: str):
+    def __init__(self, clock: Clock, zone: str, zone_costs: ZoneCosts | None = None):
         self._clock = clock
         self._zone = zone
+        self._zone_costs = zone_costs
         self._loads: dict[str, _ServerLoad] = {}
         self._models: dict[tuple[str, int], FirstEventModel] = {}
         self._slot_ms: dict[str, float] = {}
@@ -189,14 +200,14 @@
         generation: Generation | None,
         priority: int = 0,
     ) -> list[tuple[float, ServerEntry, float]]:
-        """Returns tuples of the expected delay, the server and the work, sorted by delay.
+        """Returns tuples of the expected delay, the server and the work, in the order of choice.
 
-        The delay is the time until the answer begins; the work is the prefill, or the duration of
-        a plain service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most
-        urgent.
+        That is by delay and, where it applies, the cost of leaving the data centre.  The delay is
+        the time until the answer begins; the work is the prefill, or the duration of a plain
+        service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most urgent.
         """
         return [
-            (found.expected_ms, found.entry, found.work_ms)
+            (found.expected_ms - found.cost_ms, found.entry, found.work_ms)
             for found in self._candidates(servers, generation, priority)
         ]
 
@@ -226,13 +237,19 @@
             load.total_prefill_ms += chosen.work_ms
             load.unreported_ms += chosen.work_ms
         load.in_flight.add(request)
-        return Placement(entry, chosen.expected_ms * _MILLISECOND, request)
+        departure = "own"
+        if self._costs_of(entry.service) is not None:
+            departure = self._zone_costs.record_placed(entry.service, entry.zone)
+        expected = (chosen.expected_ms - chosen.cost_ms) * _MILLISECOND
+        return Placement(entry, expected, request, departure)
 
     def _candidates(self, servers, generation, priority):
         """Returns the servers with the expected delay there, the shortest one first."""
         now = self._clock.monotonic()
         loads = [self._load(entry) for entry in servers]
-        home = _home(loads, generation)
+        costs = self._costs_of(servers[0].service) if servers else None
+        homes = _homes(servers, loads, generation, by_zone=costs is not None)
+        zone_costs = self._zone_costs_ms(costs, servers, generation)
         candidates = []
         for entry, load in zip(servers, loads, strict=True):
             in_flight = self._in_flight(load, now)
@@ -242,18 +259,44 @@
                 expected = work_ms * (1.0 + in_flight / entry.slots)
             else:
                 model = self.model(entry.service, priority)
-                prompt = _prompt(load, generation, load is home)
+                prompt = _prompt(load, generation, load in homes)
                 work_ms = model.prefill_ms(prompt)
                 queued_ms = load.queue.remaining_ms(now)
                 expected = model.predict(entry.name, work_ms, queued_ms, in_flight)
                 expected += self._slot_wait_ms(entry, in_flight)
             expected *= _pace(load, now)
-            if entry.zone != self._zone:
+            cost_ms = 0.0
+            if zone_costs is not None:
+                distance_ms, cost_ms = zone_costs[entry.zone]
+                expected += distance_ms + cost_ms
+            elif entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
-            candidates.append(_Candidate(expected, entry, work_ms, queued_ms, in_flight, prompt))
+            candidates.append(
+                _Candidate(expected, entry, work_ms, queued_ms, in_flight, prompt, cost_ms)
+            )
         candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
         return candidates
 
+    def _costs_of(self, service):
+        """Returns the costs of leaving the data centre, None if they are constant."""
+        costs = self._zone_costs
+        return costs if costs is not None and costs.is_on(service) else None
+
+    def _zone_costs_ms(self, costs, servers, generation):
+        """Returns, by data centre, the time to its servers and the further cost of leaving.
+
+        It is None if the cost is constant.
+        """
+        if costs is None:
+            return None
+        zones = {entry.zone for entry in servers}
+        service, size = servers[0].service, _size(generation)
+        found = {}
+        for zone in zones:
+            distance_ms = 0.0 if zone == self._zone else costs.distance_ms(zone)
+            found[zone] = (distance_ms, costs.cost_ms(service, zone, size) - distance_ms)
+        return found
+
     def mark_answer_begun(self, request: InFlightRequest) -> None:
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
         now = request.begun_at = self._clock.monotonic()
@@ -398,18 +441,37 @@
     return Prompt(max(0, generation.prompt_tokens - cached), cached)
 
 
-def _home(loads, generation):
-    """Returns the load of the server where a prompt's last shared part belongs.
+def _homes(servers, loads, generation, by_zone):
+    """Returns the loads of the servers where a prompt's last shared part belongs.
 
-    All processes agree on it by rendezvous hashing.
+    All processes agree on them by rendezvous hashing.  If `by_zone` is set there is one in each
+    data centre, so that requests need not leave theirs for it, else one in all.
     """
     if generation is None or not loads:
-        return None
+        return ()
     shared = shared_parts(generation)
     if not shared:
-        return None
+        return ()
     part_hash = _hash(shared[-1].name)
-    return max(loads, key=lambda load: (part_hash ^ load.name_hash) * _MIXER & _HASH_MASK)
+
+    def weight(load):
+        return (part_hash ^ load.name_hash) * _MIXER & _HASH_MASK
+
+    if not by_zone:
+        return (max(loads, key=weight),)
+    best = {}
+    for entry, load in zip(servers, loads, strict=True):
+        known = best.get(entry.zone)
+        if known is None or weight(load) > weight(known):
+            best[entry.zone] = load
+    return tuple(best.values())
+
+
+def _size(generation):
+    """Returns about how many bytes a request and its response have."""
+    if generation is None:
+        return 0
+    return (generation.prompt_tokens + generation.output_tokens) * BYTES_PER_TOKEN
 
 
 def _hash(name):
--- a/cicadapond/platform/_configuration.py
+++ b/cicadapond/platform/_configuration.py
@@ -84,7 +84,8 @@
     engine = None
     if reader.has("engine"):
         inner = reader.inner("engine")
-        engine = EngineLimits(inner.integer("slots"), inner.integer("kv_capacity"))
+        bandwidth = inner.number("bandwidth_mbps", 0.0) or None
+        engine = EngineLimits(inner.integer("slots"), inner.integer("kv_capacity"), bandwidth)
     scaling = None
     if reader.has("scaling"):
         inner = reader.inner("scaling")
