--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -253,23 +253,13 @@
             if member.state is MemberState.ALIVE and member.name not in cut_off
         )
 
-    def demand(self, service: str, slots: int) -> Demand:
-        """Returns what the requests of all processes need of a service.
-
-        Args:
-          service: The service.
-          slots: The slots of one of its servers.
-        """
-        demands = self.demand_by_zone(service, slots).values()
-        return Demand(
-            sum(demand.prefill for demand, _ in demands),
-            sum(demand.batches for demand, _ in demands),
-        )
-
     def demand_by_zone(
         self, service: str, slots: int
     ) -> dict[str, tuple[Demand, datetime.timedelta]]:
-        """Returns what the callers of each data centre need, and how old that is."""
+        """Returns what the callers of each data centre need of a service, and how old that is.
+
+        `slots` are those of one of its servers.
+        """
         now = self._clock.monotonic()
         # A data centre that is cut off keeps its callers, whose requests need servers of this
         # service too.
--- a/cicadapond/gateway/_orders.py
+++ b/cicadapond/gateway/_orders.py
@@ -11,7 +11,7 @@
 from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock, Metrics, Ok
 from cicadapond.lease import LeaseTask
-from cicadapond.scaling import CapacityPlanner, Listed, OrderBook, Outcome
+from cicadapond.scaling import CapacityPlanner, Listed, OrderBook, Outcome, total
 
 
 class OrderPlan(abc.ABC):
@@ -196,7 +196,8 @@
         return [entry for entry in servers if entry.start not in crashed]
 
     def _demand(self, service, servers):
-        return self._cluster.demand(service.name, slots_per_server(service, servers))
+        slots = slots_per_server(service, servers)
+        return total(need for need, _ in self._cluster.demand_by_zone(service.name, slots).values())
 
 
 def _kind_of(outcome) -> Outcome:
--- a/cicadapond/gateway/orders_test.py
+++ b/cicadapond/gateway/orders_test.py
@@ -31,7 +31,8 @@
         active_configuration=configuration,
         cfg=types.SimpleNamespace(zones=("a", "b", "c")),
     )
-    cluster = types.SimpleNamespace(demand=lambda service, slots: Demand(demand, 0.0))
+    heard = {zone: (Demand(demand / 2, 0.0), seconds(0)) for zone in "ab"}
+    cluster = types.SimpleNamespace(demand_by_zone=lambda service, slots: heard)
     return parts, ServiceOrders(parts, cluster, lambda: True)
 
 
--- a/cicadapond/scaling/__init__.py
+++ b/cicadapond/scaling/__init__.py
@@ -3,7 +3,7 @@
 The gateway uses this planner, the controller the one in `capacity`.
 """
 
-from cicadapond.scaling._demand import Demand, DemandMeter
+from cicadapond.scaling._demand import Demand, DemandMeter, total
 from cicadapond.scaling._history import DemandHistory
 from cicadapond.scaling._order_book import Due, Listed, OrderBook, Outcome
 from cicadapond.scaling._planner import Basis, CapacityPlanner, PlanInputs
@@ -19,4 +19,5 @@
     "OrderBook",
     "Outcome",
     "PlanInputs",
+    "total",
 ]
--- a/cicadapond/scaling/_demand.py
+++ b/cicadapond/scaling/_demand.py
@@ -58,6 +58,14 @@
     )
 
 
+def total(demands: typing.Iterable[Demand]) -> Demand:
+    """Returns the sum for each resource."""
+    demands = tuple(demands)
+    return Demand(
+        sum(demand.prefill for demand in demands), sum(demand.batches for demand in demands)
+    )
+
+
 @attrs.define
 class _Mean:
     """A mean over time with exponential decay."""
