--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -35,6 +35,7 @@
     ServiceOthers,
 )
 from cicadapond.placing._slot_wait import SlotTimes, expected_excess
+from cicadapond.zones import ZoneCosts
 
 # A prefill of at least this length is reported to the other processes at once.
 LONG_PREFILL_MS = 30.0
@@ -46,6 +47,8 @@
 INITIAL_PREFILL_MS = 20.0
 PREFILL_GAIN = 0.05
 OTHER_ZONE_COST_MS = 1.8
+# The bytes of a request and its response for each of their tokens, about the length of a word.
+BYTES_PER_TOKEN = 4
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -94,6 +97,7 @@
     entry: ServerEntry
     work_ms: float
     estimate: _Estimate
+    cost_ms: float = 0.0
 
 
 @attrs.frozen
@@ -133,11 +137,16 @@
 
 @attrs.frozen
 class Placement:
-    """The server chosen for a request, and the expected time until its answer begins."""
+    """The server chosen for a request, and the expected time until its answer begins.
+
+    `departure` is why it is in its data centre: "own" if that is the process's own or leaving it
+    has a constant cost, else what `ZoneCosts.record_placed` returns.
+    """
 
     server: ServerEntry
     expected: datetime.timedelta
     request: InFlightRequest
+    departure: str = "own"
 
 
 class Placer:
@@ -147,14 +156,23 @@
       clock: Gives the time.
       zone: This process's data centre; servers elsewhere cost OTHER_ZONE_COST_MS more.
       rng: Draws the engines that a placement compares.
+      zone_costs: What they cost instead for the services that it is on for, None for no service.
     """
 
-    def __init__(self, clock: Clock, zone: str, rng: random.Random | None = None):
+    def __init__(
+        self,
+        clock: Clock,
+        zone: str,
+        rng: random.Random | None = None,
+        zone_costs: ZoneCosts | None = None,
+    ):
         self._clock = clock
         self._zone = zone
+        self._zone_costs = zone_costs
         self._rng = rng or random.Random()
         self._loads: dict[str, ServerLoad] = {}
         self._services: dict[str, str] = {}
+        self._paced: set[str] = set()
         self._models: dict[tuple[str, int], FirstEventModel] = {}
         self._slot_times: dict[str, SlotTimes] = {}
         self._mean_prefills: dict[str, float] = {}
@@ -179,16 +197,16 @@
         generation: Generation | None,
         priority: int = 0,
     ) -> list[tuple[float, ServerEntry, float]]:
-        """Returns tuples of the expected delay, the server and the work, sorted by delay.
+        """Returns tuples of the expected delay, the server and the work, in the order of choice.
 
-        The delay is the time until the answer begins; the work is the prefill, or the duration of
-        a plain service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most
-        urgent.
+        That is by delay and, where it applies, the cost of leaving the data centre.  The delay is
+        the time until the answer begins; the work is the prefill, or the duration of a plain
+        service's call.  Both are in milliseconds.  The priority is the engine's, 0 the most urgent.
         """
         return [
-            (found.expected_ms, found.entry, found.work_ms)
+            (found.expected_ms - found.cost_ms, found.entry, found.work_ms)
             for found in self._candidates(
-                servers, generation, priority, self._home(servers, generation)
+                servers, generation, priority, self._homes(servers, generation)
             )
         ]
 
@@ -203,7 +221,7 @@
         Of many servers only a few are compared, and not the same each time; None if there is none.
         """
         found = self._best(servers, generation, priority)
-        return (found.expected_ms, found.entry) if found is not None else None
+        return (found.expected_ms - found.cost_ms, found.entry) if found is not None else None
 
     def place(
         self,
@@ -225,27 +243,32 @@
             mean = self._mean_prefill_ms(entry.service)
             self._mean_prefills[entry.service] = mean + PREFILL_GAIN * (chosen.work_ms - mean)
         load.in_flight.add(request)
-        return Placement(entry, chosen.expected_ms * _MILLISECOND, request)
+        departure = "own"
+        if self._costs_of(entry.service) is not None:
+            departure = self._zone_costs.record_placed(entry.service, entry.zone)
+        expected = (chosen.expected_ms - chosen.cost_ms) * _MILLISECOND
+        return Placement(entry, expected, request, departure)
 
     def _best(self, servers, generation, priority):
         """Returns the best candidate, of a few servers if other processes place requests too."""
         if not servers:
             return None
         now = self._clock.monotonic() / _MILLISECOND
-        home = self._home(servers, generation)
+        homes = self._homes(servers, generation)
         if generation is None or now - self._heard_at >= MAX_IN_FLIGHT_AGE_MS:
-            return self._candidates(servers, generation, priority, home)[0]
+            return self._candidates(servers, generation, priority, homes)[0]
         sample = sample_servers(servers, lambda entry: entry.zone == self._zone, self._rng)
-        if home is not None and home not in sample:
-            sample.append(home)
-        best = self._candidates(sample, generation, priority, home)[0]
+        near = [home for home in homes if len(homes) == 1 or home.zone == self._zone]
+        sample += [home for home in near if home not in sample]
+        best = self._candidates(sample, generation, priority, homes)[0]
         if best.estimate.has_slot and best.estimate.ahead_ms <= best.work_ms:
             return best
         others = sample_servers(servers, lambda entry: entry.zone != self._zone, self._rng, 1)
-        found = self._candidates(others, generation, priority, home)[0]
+        others += [home for home in homes if home not in sample and home not in others]
+        found = self._candidates(others, generation, priority, homes)[0]
         return min(best, found, key=lambda candidate: candidate.expected_ms)
 
-    def _candidates(self, servers, generation, priority, home):
+    def _candidates(self, servers, generation, priority, homes):
         """Returns the servers with the expected delay there, the shortest one first."""
         now = self._clock.monotonic() / _MILLISECOND
         loads = [self._load(entry) for entry in servers]
@@ -254,6 +277,8 @@
             for service in {entry.service for entry in servers}
         }
         prompts = {}
+        costs = self._costs_of(servers[0].service) if servers else None
+        zone_costs = self._zone_costs_ms(costs, servers, generation)
         candidates = []
         for entry, load in zip(servers, loads, strict=True):
             view = services[entry.service]
@@ -265,7 +290,7 @@
                 expected = work_ms * wait
                 estimate = _Estimate(None, 0.0, wait, in_flight < entry.slots, pace)
             else:
-                cached = _cached_tokens(load, generation, entry is home)
+                cached = _cached_tokens(load, generation, entry in homes)
                 if cached not in prompts:
                     prompt = Prompt(max(0, generation.prompt_tokens - cached), cached)
                     prompts[cached] = prompt, view.model.prefill_ms(prompt)
@@ -277,12 +302,35 @@
                 expected = view.model.predict(entry.name, work_ms, ahead_ms, running)
                 estimate = _Estimate(prompt, ahead_ms, running, in_flight < entry.slots, pace)
             expected *= pace
-            if entry.zone != self._zone:
+            cost_ms = 0.0
+            if zone_costs is not None:
+                distance_ms, cost_ms = zone_costs[entry.zone]
+                expected += distance_ms + cost_ms
+            elif entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
-            candidates.append(_Candidate(expected, entry, work_ms, estimate))
+            candidates.append(_Candidate(expected, entry, work_ms, estimate, cost_ms))
         candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
         return candidates
 
+    def _costs_of(self, service):
+        """Returns the costs of leaving the data centre, None if they are constant."""
+        costs = self._zone_costs
+        return costs if costs is not None and costs.is_on(service) else None
+
+    def _zone_costs_ms(self, costs, servers, generation):
+        """Returns, by data centre, the time to its servers and the further cost of leaving.
+
+        It is None if the cost is constant.
+        """
+        if costs is None:
+            return None
+        service, size = servers[0].service, _size(generation)
+        found = {}
+        for zone in {entry.zone for entry in servers}:
+            distance_ms = 0.0 if zone == self._zone else costs.distance_ms(zone)
+            found[zone] = (distance_ms, costs.cost_ms(service, zone, size) - distance_ms)
+        return found
+
     def mark_answer_begun(self, request: InFlightRequest) -> None:
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
         now = request.begun_at = self._clock.monotonic()
@@ -328,6 +376,12 @@
         load = self._loads.get(server)
         if load is not None:
             load.report(load_header, self._clock.monotonic() / _MILLISECOND)
+            if load_header.pace is not None:
+                self._paced.add(self._services[server])
+
+    def states_pace(self, service: str) -> bool:
+        """Returns whether a server of a service has reported the pace of its host."""
+        return service in self._paced
 
     def engine_work(self) -> dict[str, EngineWork]:
         """Returns what this process has sent to each engine."""
@@ -392,24 +446,27 @@
             self._others.setdefault(entry.service, ServiceOthers()).servers += 1
         return load
 
-    def _home(self, servers, generation):
-        """Returns the server where a prompt's last shared part belongs.
+    def _homes(self, servers, generation):
+        """Returns the servers where a prompt's last shared part belongs.
 
-        All processes agree on it by rendezvous hashing.
+        All processes agree on them by rendezvous hashing.  Where leaving the data centre has costs
+        there is one in each, so that requests need not leave theirs for it, else one in all.
         """
         shared = shared_parts(generation) if generation is not None else ()
-        if not shared:
-            return None
+        if not shared or not servers:
+            return ()
+        by_zone = self._costs_of(servers[0].service) is not None
         part_hash, hashes = _hash(shared[-1].name), self._name_hashes
-        home, highest = None, -1
+        homes, highest = {}, {}
         for entry in servers:
             name_hash = hashes.get(entry.name)
             if name_hash is None:
                 name_hash = hashes[entry.name] = _hash(entry.name)
             rank = (part_hash ^ name_hash) * _MIXER & _HASH_MASK
-            if rank > highest:
-                home, highest = entry, rank
-        return home
+            zone = entry.zone if by_zone else None
+            if rank > highest.get(zone, -1):
+                homes[zone], highest[zone] = entry, rank
+        return tuple(homes.values())
 
     def _slots(self, service):
         slot_times = self._slot_times.get(service)
@@ -451,6 +508,13 @@
     return cached
 
 
+def _size(generation):
+    """Returns about how many bytes a request and its response have."""
+    if generation is None:
+        return 0
+    return (generation.prompt_tokens + generation.output_tokens) * BYTES_PER_TOKEN
+
+
 def _hash(name):
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
