Read rollout orders, write the status row as JSON, and report evidence of rollouts

The operator orders rollouts by rows of table op and reads table status. PlatformStore writes the rows of status as JSON, as the operator reads them, and all others as msgpack as before, so that both fit into one transaction. A wrapper type for encoded values was ruled out, as every caller of transact would have to know of it. Settings read contracts and the three exposure bounds; without the contract nothing changes.

Reports have a new item kind v, which the build before ignores. A hub keeps the totals of each run for 15 minutes instead of adding differences, so that a run that was silent and comes back is not counted twice.

The stand-ins get versions that fail or are slow for a portion of requests, from a time on, under load or on one route, and the platform's side of a rollout.

--- a/cicadapond/gateway/__init__.py
+++ b/cicadapond/gateway/__init__.py
@@ -2,5 +2,6 @@
 
 from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
 from cicadapond.gateway._header_codec import HeaderCodec, Malformed
+from cicadapond.gateway._rollout_codec import RolloutCodec
 
-__all__ = ["Cloud", "Declined", "HeaderCodec", "Holder", "Malformed", "ServerOrder"]
+__all__ = ["Cloud", "Declined", "HeaderCodec", "Holder", "Malformed", "RolloutCodec", "ServerOrder"]
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -13,6 +13,7 @@
 from cicadapond.advisories import Advisory
 from cicadapond.containment import Crash, CrashEvidence, Successes, merge_evidence
 from cicadapond.continuation import Buckets, drop_old_buckets, merge_buckets
+from cicadapond.gateway._run_totals import RunTotals, Totals
 from cicadapond.placing import EngineWork
 from cicadapond.usage import UsageLedger
 
@@ -51,6 +52,8 @@
       origins: Streams in progress lately, by the version that began them.
       crash_evidence: Crashes of servers, and successes that speak against suspicion.
       cut_off: The services whose servers a process does not reach, by the process's name.
+      rollouts: What was sent to old and new versions, and what came of it: running totals by an
+        opaque key.
     """
 
     sequence: int = 0
@@ -66,6 +69,7 @@
     origins: Buckets = attrs.field(factory=dict)
     crash_evidence: CrashEvidence = CrashEvidence()
     cut_off: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
+    rollouts: Totals = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -92,6 +96,7 @@
         for trait, successes in self.crash_evidence.successes.items():
             items[f"k {trait}"] = [successes.count, _to_ms(successes.last)]
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
+        items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
         return items
 
 
@@ -99,7 +104,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {kind: {} for kind in "suxdeaockr"}
+    fields = {kind: {} for kind in "suxdeaockrv"}
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -125,6 +130,8 @@
                     fields[kind][name] = Successes(int(count), _from_ms(last_ms))
                 case "r":
                     fields[kind][name] = tuple(map(str, value))
+                case "v":
+                    fields[kind][name] = tuple(map(int, value))
         return Report(
             int(sequence),
             int(configuration),
@@ -139,6 +146,7 @@
             origins=fields["o"],
             crash_evidence=CrashEvidence(fields["c"], fields["k"]),
             cut_off=fields["r"],
+            rollouts=fields["v"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
@@ -186,6 +194,7 @@
         # Those of ended processes too, as their callers take them up elsewhere.
         self._origins: dict[int, dict[str, bytes]] = {}
         self._prefill_totals: dict[str, int] = {}
+        self._rollouts = RunTotals()
         self._lineage = ""
         self._sequence = 0
 
@@ -219,6 +228,7 @@
         self._runs[run] = _Run(report, now)
         self._usage.merge(run, report.usage)
         self._spending.merge(run, report.spending)
+        self._rollouts.record(run, report.rollouts, now)
 
     def record_heard(self, run: str, heard: datetime.timedelta) -> None:
         """Records when a process was last heard from."""
@@ -291,6 +301,7 @@
                 for run in counted
                 for process, services in run.report.cut_off.items()
             },
+            rollouts=self._rollouts.sums(now),
         )
 
     def _end_earlier_runs(self, run):
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -312,6 +312,10 @@
         and back.
       usage_window: The length of the period that a usage report covers.
       usage_report_delay: How long after the end of a window its report is due.
+      exposure_share: The share of a service's requests that a version that turns out to be bad may
+        get while a rollout decides on it.
+      exposure_tolerance: The requests that it may get in addition.
+      rollback: How long after its 50th bad response it may still be sent requests.
     """
 
     max_revocation_delay: datetime.timedelta | None
@@ -323,6 +327,9 @@
     lease: datetime.timedelta
     usage_window: datetime.timedelta
     usage_report_delay: datetime.timedelta
+    exposure_share: float = 0.1
+    exposure_tolerance: float = 50.0
+    rollback: datetime.timedelta = datetime.timedelta(seconds=5)
 
 
 @attrs.frozen
@@ -352,6 +359,7 @@
       cloud: The endpoint of the platform's cloud API, None if no duty needs it.
       max_descriptors: The limit on open file descriptors.
       is_first_start: Whether the whole system starts for the first time.
+      rolls_out: Whether the system shifts the traffic of services to new server versions.
     """
 
     name: str
@@ -369,3 +377,4 @@
     metrics: Endpoint | None = None
     max_descriptors: int = 1024
     is_first_start: bool = False
+    rolls_out: bool = False
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -3,6 +3,7 @@
 from cicadapond.platform._cloud import PlatformCloud
 from cicadapond.platform._configuration import decode_configuration
 from cicadapond.platform._headers import PlatformHeaderCodec
+from cicadapond.platform._rollouts import PlatformRolloutCodec
 from cicadapond.platform._servers import decode_server
 from cicadapond.platform._settings import SETTINGS_VARIABLE, read_settings
 from cicadapond.platform._store import (
@@ -19,6 +20,7 @@
     "SETTINGS_VARIABLE",
     "PlatformCloud",
     "PlatformHeaderCodec",
+    "PlatformRolloutCodec",
     "PlatformStore",
     "decode_configuration",
     "decode_server",
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -11,6 +11,7 @@
 SETTINGS_VARIABLE = "CICADAPOND_CONFIG"
 USAGE_DUTY = "usage_report"
 SCALING_DUTY = "autoscale"
+ROLLOUT_CONTRACT = "rollout"
 
 
 def read_settings(path: str, metrics_port: int) -> tuple[GatewaySettings | None, Findings]:
@@ -61,7 +62,7 @@
         return default
 
     def texts(self, name):
-        return tuple(part for part in self.text(name, "").split(",") if part)
+        return tuple(part.strip() for part in self.text(name, "").split(",") if part.strip())
 
     def names_with_prefix(self, prefix):
         return tuple(name[len(prefix) :] for name in self._fields if name.startswith(prefix))
@@ -126,6 +127,7 @@
         metrics=Endpoint(ip, metrics_port) if metrics_port else None,
         is_first_start=file.flag("bootstrap"),
         max_descriptors=int(file.number("limits.max_fds", 1024.0)),
+        rolls_out=ROLLOUT_CONTRACT in file.texts("contracts"),
     )
 
 
@@ -150,4 +152,7 @@
         lease=file.milliseconds("bounds.lease_ms", 3000.0),
         usage_window=file.seconds("bounds.report_window_s", 5.0),
         usage_report_delay=file.seconds("bounds.usage_delay_s", 10.0),
+        exposure_share=file.number("bounds.exposure_share", 0.1),
+        exposure_tolerance=file.number("bounds.exposure_tolerance", 50.0),
+        rollback=file.milliseconds("bounds.rollback_ms", 5000.0),
     )
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -23,6 +23,9 @@
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 SERVER_TABLE = "servers"
+STATUS_TABLE = "status"
+# Tables whose rows the product writes for the operator, in JSON; its own rows are msgpack.
+JSON_TABLES = frozenset((STATUS_TABLE,))
 # A transaction is limited to one part.  The product's own rows are few and are all in this one.
 PART = ""
 PAGE_ROWS = 500
@@ -51,7 +54,7 @@
                 if write.expected is not None
             ],
             "writes": [
-                _row_address(write) | {"value": _encode_value(write.value)}
+                _row_address(write) | {"value": _encode_value(write)}
                 for write in writes
                 if write.value is not None and not write.check_only
             ],
@@ -156,8 +159,20 @@
     return {"table": write.table, "part": PART, "key": write.key}
 
 
-def _encode_value(value):
-    return base64.b64encode(msgpack.packb(value)).decode()
+def _encode_value(write: Write):
+    if write.table in JSON_TABLES:
+        raw = json.dumps(write.value).encode()
+    else:
+        raw = msgpack.packb(write.value)
+    return base64.b64encode(raw).decode()
+
+
+def decode_own_row(raw: bytes) -> object | None:
+    """Returns the value of one of the product's own rows, None if it cannot be decoded."""
+    try:
+        return msgpack.unpackb(raw, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException):
+        return None
 
 
 def _raw_rows(payload):
@@ -173,7 +188,9 @@
 def _decoded_rows(payload):
     for row in payload.get("rows", ()):
         if not row.get("deleted") and row.get("value") is not None:
-            value = msgpack.unpackb(base64.b64decode(row["value"]), strict_map_key=False)
+            raw = base64.b64decode(row["value"])
+            is_json = row["table"] in JSON_TABLES
+            value = json.loads(raw) if is_json else msgpack.unpackb(raw, strict_map_key=False)
             yield Row(row["table"], row["key"], row["ver"], value)
 
 
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -9,6 +9,7 @@
     stream_event,
 )
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
+from cicadapond.platform.standin._rollouts import RolloutModel, VersionDefect
 from cicadapond.platform.standin._store import StoreModel, store_application
 
 __all__ = [
@@ -21,7 +22,9 @@
     "EngineServer",
     "Fleet",
     "FleetSettings",
+    "RolloutModel",
     "StoreModel",
+    "VersionDefect",
     "cloud_application",
     "store_application",
     "stream_event",
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -8,6 +8,8 @@
 import attrs
 import h11
 
+from cicadapond.platform.standin._rollouts import VersionDefect
+
 READ_BYTES = 64 * 1024
 _ENDLESS_CHUNK = {
     "ENDLESS_INTERIM": b"HTTP/1.1 102 Processing\r\n\r\n" * 64,
@@ -57,6 +59,7 @@
       waiting_room: How many more may wait, None for any number; further ones are turned away.
       brittle: How many it says that it may turn away in a second; it crashes if there are more.
       turned_away: When it turned requests away, by the event loop's clock in seconds.
+      defect: What is wrong with its version, None if nothing is.
       crashing_parts: The parts of a prompt by which a request crashes it once it begins to answer.
       faults: Faults to inject, one per request in order.
       executed_requests: Every request that it began to execute: (id, method, target, headers,
@@ -82,6 +85,7 @@
     running: int = 0
     turned_away: list[float] = attrs.field(factory=list)
     crashing_parts: frozenset[str] = frozenset()
+    defect: VersionDefect | None = None
     faults: list[EngineFault] = attrs.field(factory=list)
     executed_requests: list[tuple] = attrs.field(factory=list)
     cancelled_streams: list[str] = attrs.field(factory=list)
@@ -189,6 +193,11 @@
         self._model.executed_requests.append(
             (request_id, head.method.decode(), target, fields, body)
         )
+        defect = self._model.defect
+        if defect is not None and defect.strikes(target, self._model.running):
+            if not defect.delay_s:
+                return self._respond(500, request_id, b"failed", [_signature(request_id)])
+            await asyncio.sleep(defect.delay_s)
         if fault is not None and fault.name in _ENDLESS_CHUNK:
             return await self._send_endlessly(request_id, fields, fault)
         if "x-cicadapond-token-count" in fields:
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -25,6 +25,8 @@
 
     Attributes:
       quota_per_s: The account's rate limit and burst.
+      rolls_out: Whether gateways roll out new versions.
+      exposure_tolerance: What a bad version may get beside its share of the requests.
       max_event_gap_ms: The stream route's `target_itl_ms`, None to leave it out.
     """
 
@@ -35,6 +37,8 @@
     account: str = "demo-account"
     resumable: bool = True
     max_event_gap_ms: int | None = None
+    rolls_out: bool = False
+    exposure_tolerance: float = 50.0
 
 
 class Fleet:
@@ -209,6 +213,11 @@
             "cloud.duty_per_s": "50",
             "unknown.field": "is ignored",
         }
+        if self.cfg.rolls_out:
+            values["contracts"] = "rollout"
+            values["bounds.exposure_share"] = "0.1"
+            values["bounds.exposure_tolerance"] = f"{self.cfg.exposure_tolerance:g}"
+            values["bounds.rollback_ms"] = "5000"
         return "".join(f"{name}={value}\n" for name, value in values.items())
 
     def curl_headers(self) -> str:
