Gate sends by rollouts, observe versions, and let the lease holder move rollouts on

Each process follows the operator's orders (rows of table op that it reads anyway) and the product's table rollouts, asks Rollouts which servers a send may use, and again right before the first byte. Without the contract in the settings the gate lets everything through: no table is followed and no call is made.

Versions are compared by the times that the old version is expected to take, for the first event, the longest gap and a call; a response that is known to be late is told before it ends. Crashes of servers of the new version alone are not blamed on prompts. Server orders count the version that carries the traffic, and are not lowered while a rollout runs.

--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -68,6 +68,7 @@
       clock: The clock; its wall-clock time is compared with that of other processes.
       zone: This process's data centre.
       tries: Returns whether this process is the one that sends requests with a trait on trial.
+      explained: Returns those of the crashed starts of servers that no request is to blame for.
     """
 
     def __init__(
@@ -75,7 +76,11 @@
         clock: Clock,
         zone: str = "",
         tries: typing.Callable[[str], bool] = lambda trait: False,
+        explained: typing.Callable[
+            [typing.Collection[str]], typing.Collection[str]
+        ] = lambda servers: (),
     ):
+        self._explained = explained
         self._clock = clock
         self._zone = zone
         self._tries = tries
@@ -206,7 +211,9 @@
             if self._successes_of(trait).last > at:
                 del self._blamed[trait]
                 self._restored.pop(trait, None)
-        found = find_culprits(self._known.values(), self._successes_of, self._blamed)
+        explained = self._explained(self._known.keys())
+        crashes = [crash for server, crash in self._known.items() if server not in explained]
+        found = find_culprits(crashes, self._successes_of, self._blamed)
         self._culprits = self._restored | found
         self._blamed |= self._culprits
 
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -441,6 +441,7 @@
             origins=parts.origins.reported(),
             crash_evidence=parts.crashes.observed(),
             cut_off={self._cfg.name: services} if services else {},
+            rollouts=parts.rollouts.reported(),
         )
 
     def _zone_total(self, now):
@@ -484,6 +485,7 @@
         self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
         self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
         self._parts.crashes.apply(zone, summary.crash_evidence)
+        self._parts.rollouts.apply(zone, summary.rollouts)
         known = self._summaries.get(zone)
         now = self._clock.monotonic()
         if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -25,22 +25,25 @@
     Args:
       parts: The components of this process.
       service: The service.
+      route: The name of the request's route.
 
     Attributes:
       version: The software version at which a stream goes on, None while any may serve it.
       tried: The names of the servers that were tried.
     """
 
-    def __init__(self, parts: Parts, service: str):
+    def __init__(self, parts: Parts, service: str, route: str = ""):
         self._parts = parts
         self._service = service
+        self._route = route
         self.version: str | None = None
         self.tried: set[str] = set()
 
     def candidates(self) -> list[ServerEntry]:
         """Returns the untried servers that accept a request now and are in good health."""
         permitted = [entry for entry in self._untried() if self._parts.advisories.may_send(entry)]
-        return self._parts.health.usable(permitted)
+        sound = self._parts.health.usable(permitted)
+        return self._parts.rollouts.allowed(self._service, self._route, sound)
 
     def limited(self) -> list[ServerEntry]:
         """Returns the untried servers that only their own statements exclude."""
@@ -98,7 +101,11 @@
 
     def _usable(self):
         usable = self._parts.registry.usable(self._service)
-        return [entry for entry in usable if self.version in (None, entry.version)]
+        return [
+            entry
+            for entry in usable
+            if self.version in (None, entry.version) and not self._parts.rollouts.is_stopped(entry)
+        ]
 
     def _untried(self):
         return [entry for entry in self._usable() if entry.name not in self.tried]
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -26,6 +26,11 @@
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import Relay
+from cicadapond.gateway._rollout_codec import RolloutCodec
+from cicadapond.gateway._rollout_gate import NoRollouts
+from cicadapond.gateway._rollout_tables import STATE_TABLE, OperatorTable, StateTable
+from cicadapond.gateway._rollout_task import RolloutTask
+from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
@@ -36,6 +41,7 @@
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.provider import TableService
 from cicadapond.quotas import QuotaShares
+from cicadapond.rollout import ExposureBounds, Rollouts
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import CapacityPlanner, DemandMeter
 from cicadapond.usage import UsageWindows
@@ -63,7 +69,7 @@
 
     `decode_configuration` and `decode_server` decode rows that others write to the store;
     `configuration_row` is the table and key of the configuration, `server_table` the table of
-    backend servers.
+    backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
     """
 
     header_codec: HeaderCodec
@@ -74,6 +80,7 @@
     decode_server: object
     configuration_row: tuple[str, str]
     server_table: str
+    rollout_codec: RolloutCodec | None = None
 
 
 class Node:
@@ -112,6 +119,8 @@
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
         self.parts.links.on_change = self._cluster.publish_soon
+        if self._rollouts is not None:
+            self._rollouts.publish_soon = self._cluster.publish_soon
         self._cluster.cut_off_services = self.parts.links.cut_off_services
         self._relay_pool = ConnectionPool(clock, metrics)
         self.parts.relay = Relay(
@@ -121,6 +130,7 @@
             self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
         )
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
+        self._rollout_states: StateTable | None = None
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
             attrs.evolve(LEASE_SETTINGS, term=max(MIN_LEASE_TERM, cfg.bounds.lease)),
@@ -143,7 +153,9 @@
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
-        placer = Placer(clock, cfg.zone)
+        placer = Placer(clock, cfg.zone, by_version=cfg.rolls_out)
+        self._rollouts = self._make_rollouts(registry, placer)
+        rollouts = self._rollouts or NoRollouts()
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
         return Parts(
             cfg=cfg,
@@ -168,12 +180,24 @@
             ),
             quotas=QuotaShares(clock, cfg.is_first_start),
             usage=UsageWindows(bounds.usage_window),
-            crashes=CrashTracker(clock, cfg.zone, self._tries_trait),
+            crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
             check_server=self._check_server,
+            rollouts=rollouts,
         )
 
+    def _make_rollouts(self, registry, placer):
+        """Returns the rollouts of this process, None if the deployment has none."""
+        if not self._cfg.rolls_out:
+            return None
+        rollouts = Rollouts(self._clock, self._exposure_bounds(), self._rng)
+        return ServiceRollouts(rollouts, registry, placer, self._clock, self._log, self._metrics)
+
+    def _exposure_bounds(self):
+        bounds = self._cfg.bounds
+        return ExposureBounds(bounds.exposure_share, bounds.exposure_tolerance, bounds.rollback)
+
     # Lifecycle
 
     async def start(self) -> None:
@@ -181,14 +205,18 @@
         await self._frontend.listen()
         table, key = self._adapters.configuration_row
         decode = self._adapters.decode_configuration
-        self._follow(table, ConfigurationTable(self.parts, key, decode))
+        configuration = ConfigurationTable(self.parts, key, decode)
+        if self._rollouts is not None:
+            configuration = self._start_rollouts(configuration)
+        self._follow(table, configuration)
         self._follow(self._adapters.server_table, self._servers)
         self._tasks.spawn(self._cluster.run(), "cluster")
         self._tasks.spawn(self._housekeep(), "housekeeping")
         self._tasks.spawn(self.parts.links.probe(), "link probes")
         self._tasks.spawn(self._crash_causes.run(), "crash causes")
-        if self._adapters.cloud is not None:
+        if self._adapters.cloud is not None or self._rollouts is not None:
             self._lease_runner = self._tasks.spawn(self._hold_lease(), "lease")
+        if self._adapters.cloud is not None:
             self._duties = self._duty_task()
             self._tasks.start(self._duties)
 
@@ -196,6 +224,8 @@
         """Whether the load balancer should send callers here."""
         if self.parts.stopping_since is not None or not self._servers.is_loaded:
             return False
+        if self._rollout_states is not None and not self._rollout_states.is_loaded:
+            return False
         active_configuration = self.parts.active_configuration
         if active_configuration.table is None:
             return False
@@ -210,7 +240,8 @@
         if self._lease_runner is not None:
             self._lease_runner.cancel()
             self._lease.stop_acting()
-            await self._duties.finish()
+            if self._duties is not None:
+                await self._duties.finish()
             await self._lease.release()
         limit = self._cfg.bounds.grace * GRACE_SHARE
         while (waited := self._clock.monotonic() - begun) < limit:
@@ -254,6 +285,7 @@
             "advisories": self.parts.advisories.state(),
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
+            "rollouts": self.parts.rollouts.state(),
             "cluster": self._cluster.state(),
         }
 
@@ -271,6 +303,24 @@
             )
         )
 
+    def _start_rollouts(self, configuration):
+        """Starts the rollouts; returns the follower of the operator's table, which has orders."""
+        rollouts, codec = self._rollouts, self._adapters.rollout_codec
+        self._rollout_states = StateTable(rollouts, codec, self._log)
+        self._follow(STATE_TABLE, self._rollout_states)
+        task = RolloutTask(
+            rollouts,
+            self._lease,
+            self._adapters.tables,
+            codec,
+            self._exposure_bounds(),
+            self._clock,
+            self._log,
+        )
+        self._tasks.spawn(task.watch(), "rollout watch")
+        self._tasks.start(task)
+        return OperatorTable(configuration, rollouts, codec, self._log)
+
     # Crashes of servers
 
     def _tries_trait(self, trait):
@@ -346,17 +396,19 @@
         table = self.parts.active_configuration.table
         if table is None or not self._servers.is_loaded:
             return []
-        orders = []
+        orders, rollouts = [], self.parts.rollouts
         for service in table.cfg.services.values():
-            servers = self.parts.registry.usable(service.name)
+            servers = rollouts.carrying(service.name, self.parts.registry.usable(service.name))
             demand = self._cluster.demand(service.name, _slots_per_server(service, servers))
             orders += self._planner.plan(service, self._cfg.zones, servers, demand)
-        return orders
+        scaled = [each for each in table.cfg.services.values() if each.scaling is not None]
+        return rollouts.hold_orders(orders, {each.name: each.scaling.maximum for each in scaled})
 
     def _order_inputs(self, service_name):
         """Returns the demand and the servers that the orders of a service are based on."""
         service = self.parts.active_configuration.table.cfg.services[service_name]
-        servers = self.parts.registry.usable(service_name)
+        usable = self.parts.registry.usable(service_name)
+        servers = self.parts.rollouts.carrying(service_name, usable)
         demand = self._cluster.demand(service_name, _slots_per_server(service, servers))
         return {
             "demand_prefill": round(demand.prefill, 2),
@@ -374,7 +426,7 @@
             and entry.zone == order.zone
             and entry.is_reclaimable == order.reclaimable
             and not entry.is_leaving
-            for entry in self.parts.registry.all()
+            for entry in self.parts.rollouts.carrying(order.service, self.parts.registry.all())
         )
         return present < order.count
 
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -13,6 +13,7 @@
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._relay import Relay
+from cicadapond.gateway._rollout_gate import NoRollouts, RolloutGate
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
 from cicadapond.kernel import Clock, Metrics
@@ -54,6 +55,7 @@
     crashes: CrashTracker
     demand: DemandMeter
     links: ServerLinks
+    rollouts: RolloutGate = attrs.field(factory=NoRollouts)
     processes: typing.Callable[[], int] = lambda: 1
     quota_share: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -8,6 +8,7 @@
     SERVER_TABLE,
     PlatformCloud,
     PlatformHeaderCodec,
+    PlatformRolloutCodec,
     PlatformStore,
     decode_configuration,
     decode_server,
@@ -27,4 +28,5 @@
         decode_server=decode_server,
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
+        rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
     )
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -58,6 +58,7 @@
         self._parts.placer.mark_answer_begun(self._state.in_flight)
         self._state.count_usage()
         self._state.crash_watch.begin_answer()
+        self._state.observer.answer_begun()
         if self._state.servers.version is None:
             self._state.servers.version = self._state.server.version
         self._parts.origins.begin(self._state.origin_id, self._state.servers.version)
@@ -74,6 +75,7 @@
             self._parts.publish_soon()
         if not self._state.is_relaying:
             self._state.crash_watch.continue_answer()
+            self._state.observer.event()
         await self._state.reply.send(event.raw)
 
 
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -7,6 +7,7 @@
 from cicadapond.gateway._crash_watch import CrashWatch
 from cicadapond.gateway._eligible import EligibleServers
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._rollout_gate import AttemptObserver
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
@@ -55,6 +56,7 @@
       in_flight: The attempt in progress as placement knows it.
       has_head: Whether the attempt in progress has brought the head of a response.
       server: The server of the last attempt.
+      observer: Learns what the last attempt shows of its server's version.
     """
 
     def __init__(
@@ -80,7 +82,7 @@
         self.service = choose_service(route, req.id)
         account_name = account.name if account is not None else None
         self.crash_watch = CrashWatch(parts.crashes, parts.clock, req, account_name)
-        self.servers = EligibleServers(parts, self.service)
+        self.servers = EligibleServers(parts, self.service, route.name)
         self.send_count = 0
         self.no_connections = 0
         self.is_relaying = False
@@ -93,6 +95,7 @@
         self.in_flight: InFlightRequest | None = None
         self.has_head = False
         self.server: ServerEntry | None = None
+        self.observer = AttemptObserver()
         self._usage_counted = False
 
     @property
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -64,6 +64,7 @@
             return
         if not self._state.was_passed_on:
             parts.retry_limiter.record_request(self._state.service)
+            parts.rollouts.record_request(self._state.service, self._state.route.name)
         parts.demand.begin(self._state.service)
         try:
             final = await self._try_servers()
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -64,7 +64,8 @@
         started = parts.clock.monotonic()
         self._state.crash_watch.begin_attempt()
         self._state.has_head = False
-        took = None
+        self._state.observer = parts.rollouts.observe(self._state.route.name, placement)
+        took = outcome = None
         try:
             async with asyncio.timeout(left.total_seconds()) as timeout:
                 outcome = await parts.attempt.run(
@@ -86,6 +87,7 @@
             raise DeadlineExceededError() from None
         finally:
             parts.placer.mark_ended(self._state.in_flight, took)
+            self._state.observer.end(outcome)
         self._state.log(
             "attempt",
             server=entry.name,
@@ -169,6 +171,8 @@
         """
         if not self._parts.registry.takes_requests(entry):
             return "the server is leaving"
+        if self._parts.rollouts.is_stopped(entry):
+            return "the server's version gets no requests"
         if not self._parts.active_configuration.still_allowed(self._state.req):
             return "the client account can no longer be checked"
         if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
@@ -176,4 +180,6 @@
         if not self._parts.advisories.take(entry):
             return "the server accepts no more at the moment"
         self._state.send_count += 1
+        self._parts.rollouts.record_sent(entry, self._state.route.name)
+        self._state.observer.sent()
         return None
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -14,6 +14,8 @@
 RELIST_TIMEOUT = datetime.timedelta(milliseconds=1800)
 # How many starts that accept no more requests are remembered; the oldest are dropped first.
 MAX_CLOSED = 4096
+# The same for the software of starts.
+MAX_STARTS = 4096
 # Streams that a server began before it went may be continued for this long.
 SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
 
@@ -42,6 +44,8 @@
         # Starts that accept no more requests.  Kept after their entry is gone, as an entry that
         # lapsed while the store was away comes back.
         self._closed: dict[str, int] = {}
+        # The service and the software version of each start, also of those that have gone.
+        self._software: dict[str, tuple[str, str]] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
 
@@ -74,6 +78,10 @@
         """Returns a known server, also a leaving one, or None."""
         return self._entries.get(name)
 
+    def software_of(self, start: str) -> tuple[str, str] | None:
+        """Returns the service and the software version of a start, None if it is not known."""
+        return self._software.get(start)
+
     def takes_requests(self, entry: ServerEntry) -> bool:
         """Returns whether this start of a server still accepts new requests."""
         known = self._entries.get(entry.name)
@@ -89,6 +97,9 @@
         if known is not None:
             self._record_gone(known)
         self._entries[entry.name] = entry
+        self._software[entry.start] = (entry.service, entry.version)
+        while len(self._software) > MAX_STARTS:
+            del self._software[next(iter(self._software))]
         self._removal_due.pop(entry.name, None)
         if known is None:
             return ServerChange(entry.name, "leaving" if entry.is_leaving else "joined", entry)
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -15,6 +15,7 @@
     digest_intervals,
 )
 from cicadapond.gateway._reports import Report
+from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.peer import Digest, Member, MemberState
 
@@ -66,7 +67,14 @@
         is_first_start=is_first_start,
     )
     parts = types.SimpleNamespace(
-        cfg=cfg, log=Log(), metrics=None, quotas=quiet, placer=quiet, origins=quiet, crashes=quiet
+        cfg=cfg,
+        log=Log(),
+        metrics=None,
+        quotas=quiet,
+        placer=quiet,
+        origins=quiet,
+        crashes=quiet,
+        rollouts=NoRollouts(),
     )
     return Cluster(parts, None, clock, None, random.Random(1))
 
--- a/cicadapond/gateway/run_totals_test.py
+++ b/cicadapond/gateway/run_totals_test.py
@@ -1,4 +1,4 @@
-"""Tests of the evidence of rollouts in reports: a data centre's sum loses nothing and counts once."""
+"""Tests of evidence of rollouts in reports: the sum of a data centre counts each run once."""
 
 import datetime
 
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -169,6 +169,15 @@
         """Ends the current grant; the lease itself stays held until it is released."""
         self._held_until = None
 
+    def held_check(self) -> Write | None:
+        """Returns a check by which a transaction fails if the lease has passed on, None if it has.
+
+        It also fails if the lease is renewed meanwhile; the transaction is then tried again.
+        """
+        if not self._is_mine():
+            return None
+        return Write(*self.key, expected=self._row.version, check_only=True)
+
     def release(self) -> Write | None:
         """Returns the write that releases the lease, None if it is not held."""
         self.stop_acting()
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -59,6 +59,10 @@
         """Returns the current grant or None; to be checked right before each order."""
         return self.lease.grant(self._clock.monotonic())
 
+    def held_check(self) -> Write | None:
+        """Returns the check to include in transactions that only the holder may make."""
+        return self.lease.held_check()
+
     async def run(self):
         while True:
             await self.step()
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import copy
 import datetime
 import hashlib
 import typing
@@ -79,6 +80,7 @@
       priority: Its priority at the engine.
       begun_at: The monotonic instant at which its answer began, None before.
       estimate: What its expected time was derived from, None for a plain service's call.
+      version: The server's software version.
     """
 
     server: str
@@ -88,6 +90,7 @@
     priority: int = 0
     begun_at: datetime.timedelta | None = None
     estimate: _Estimate | None = None
+    version: str = ""
 
 
 @attrs.define
@@ -151,11 +154,15 @@
 
 @attrs.frozen
 class Placement:
-    """The server chosen for a request, and the expected time until its answer begins."""
+    """The server chosen for a request, and the expected time until its answer begins.
+
+    `in_flight` is the number of requests that were there.
+    """
 
     server: ServerEntry
     expected: datetime.timedelta
     request: InFlightRequest
+    in_flight: float = 0.0
 
 
 class Placer:
@@ -164,25 +171,47 @@
     Args:
       clock: Gives the time.
       zone: This process's data centre; servers elsewhere cost OTHER_ZONE_COST_MS more.
+      by_version: Whether the software versions of a service are learned apart.
     """
 
-    def __init__(self, clock: Clock, zone: str):
+    def __init__(self, clock: Clock, zone: str, by_version: bool = False):
+        self._by_version = by_version
         self._clock = clock
         self._zone = zone
         self._loads: dict[str, _ServerLoad] = {}
-        self._models: dict[tuple[str, int], FirstEventModel] = {}
+        self._models: dict[tuple[str, str, int], FirstEventModel] = {}
         self._slot_ms: dict[str, float] = {}
 
-    def model(self, service: str, priority: int = 0) -> FirstEventModel:
+    def model(self, service: str, priority: int = 0, version: str = "") -> FirstEventModel:
         """Returns the model of a service's engines for requests of one priority.
 
-        Engines admit more urgent requests first, so that the same queue delays them less.
+        Engines admit more urgent requests first, so that the same queue delays them less.  A new
+        version starts from what was learned of the one before.
         """
-        model = self._models.get((service, priority))
+        key = (service, version if self._by_version else "", priority)
+        model = self._models.get(key)
         if model is None:
-            model = self._models[service, priority] = FirstEventModel()
+            known = [
+                other for of, other in self._models.items() if (of[0], of[2]) == (service, priority)
+            ]
+            model = copy.deepcopy(known[-1]) if known else FirstEventModel()
+            self._models[key] = model
         return model
 
+    def expected_as(self, placement: Placement, version: str) -> float | None:
+        """Returns the expected time to a request's first event if its server had that version.
+
+        Returns:
+          The time in milliseconds, None for a plain service.
+        """
+        request, estimate = placement.request, placement.request.estimate
+        if estimate is None:
+            return None
+        model = self.model(request.service, request.priority, version)
+        prefill_ms = model.prefill_ms(estimate.prompt)
+        expected = model.predict(request.server, prefill_ms, estimate.queued_ms, estimate.running)
+        return expected + self._slot_wait_ms(placement.server, placement.in_flight)
+
     def estimate(
         self,
         servers: typing.Sequence[ServerEntry],
@@ -212,7 +241,9 @@
             return None
         chosen = candidates[0]
         entry, now = chosen.entry, self._clock.monotonic()
-        request = InFlightRequest(entry.name, entry.service, chosen.work_ms, now, priority)
+        request = InFlightRequest(
+            entry.name, entry.service, chosen.work_ms, now, priority, version=entry.version
+        )
         load = self._load(entry)
         if generation is not None:
             request.estimate = _Estimate(
@@ -226,7 +257,7 @@
             load.total_prefill_ms += chosen.work_ms
             load.unreported_ms += chosen.work_ms
         load.in_flight.add(request)
-        return Placement(entry, chosen.expected_ms * _MILLISECOND, request)
+        return Placement(entry, chosen.expected_ms * _MILLISECOND, request, chosen.in_flight)
 
     def _candidates(self, servers, generation, priority):
         """Returns the servers with the expected delay there, the shortest one first."""
@@ -241,7 +272,7 @@
                 work_ms = load.mean_call_ms
                 expected = work_ms * (1.0 + in_flight / entry.slots)
             else:
-                model = self.model(entry.service, priority)
+                model = self.model(entry.service, priority, entry.version)
                 prompt = _prompt(load, generation, load is home)
                 work_ms = model.prefill_ms(prompt)
                 queued_ms = load.queue.remaining_ms(now)
@@ -262,7 +293,7 @@
             load.queue.discard_up_to(request.since, now)
         estimate = request.estimate
         if estimate is not None and estimate.has_slot:
-            self.model(request.service, request.priority).observe(
+            self.model(request.service, request.priority, request.version).observe(
                 request.server,
                 estimate.prompt,
                 estimate.queued_ms,
@@ -345,6 +376,11 @@
         for model in self._models.values():
             model.remove(server)
 
+    def in_flight(self, server: str) -> float:
+        """Returns how many requests of all processes are in flight at a server."""
+        load = self._loads.get(server)
+        return self._in_flight(load, self._clock.monotonic()) if load is not None else 0.0
+
     def running(self, server: str) -> int:
         """Returns how many requests of this process are in flight at a server."""
         load = self._loads.get(server)
