Decide rollouts: exposure credits, canary engines, sequential judgement, phases

Cause: rollouts need decisions without I/O in each process and at the holder. Change: Rollouts splits traffic by credits, chooses few canary engines, counts evidence and judges; next_state plans phases backwards from the time limit. Ruled out: splitting the exposure between processes by a budget, which leaves processes with few requests unable to take part in the shift.

--- a/cicadapond/rollout/_data.py
+++ b/cicadapond/rollout/_data.py
@@ -57,7 +57,6 @@
       share: The share of the service's requests that go to the new version during the trial.
       shifted: The routes whose requests all go to the new version during the shift.
       barred: Versions that were rolled back earlier and may still have engines.
-      requests: The requests that had reached the service in all at `started_at`.
     """
 
     order: RolloutOrder
@@ -69,7 +68,11 @@
     share: float = 0.0
     shifted: tuple[str, ...] = ()
     barred: tuple[str, ...] = ()
-    requests: int = 0
+
+    @property
+    def rollout_id(self) -> str:
+        """Identifies the rollout among those of the service, in all processes."""
+        return str(round(self.started_at.timestamp() * 1000))
 
     @property
     def ends_at(self) -> datetime.datetime:
@@ -91,7 +94,6 @@
             "share": self.share,
             "shifted": list(self.shifted),
             "barred": list(self.barred),
-            "requests": self.requests,
         }
 
     @classmethod
@@ -116,7 +118,6 @@
                 share=share,
                 shifted=tuple(map(_text, row.get("shifted", ()))),
                 barred=tuple(map(_text, row.get("barred", ()))),
-                requests=int(row.get("requests", 0)),
             )
         except (AttributeError, KeyError, OSError, OverflowError, TypeError, ValueError):
             return None
@@ -186,7 +187,8 @@
       new_servers: The number of usable servers of the new version.
       in_flight_old: The requests that run on servers of other versions.
       in_flight_new: The requests that run on servers of the new version.
-      requests: The requests that have reached the service, by route, in all processes.
+      requests: The requests that have reached the service since the order, by route, in all
+        processes.
       sent_new: What was sent to the new version since the order, in all processes.
       durations: The mean duration of responses of the old version in seconds, by route.
       seen_at: When this process first saw the order, None if unknown.
--- a/cicadapond/rollout/_next_state.py
+++ b/cicadapond/rollout/_next_state.py
@@ -1,11 +1,33 @@
 """The holder's decision on the phase of a rollout.
 
-It answers the load of a service while a new version of its servers takes over its traffic.
+It answers the load of a service while a new version of its servers takes over its traffic.  All
+that it needs is in the state and in what each process hears, so that any process may go on.
 """
 
 import datetime
 
-from cicadapond.rollout._data import ExposureBounds, RolloutOrder, RolloutState, RolloutView
+import attrs
+
+from cicadapond.rollout._data import (
+    ALL_ROUTES,
+    ExposureBounds,
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    RolloutView,
+    Verdict,
+)
+from cicadapond.rollout._plan import MIN_SHIFT, Plan, make_plan
+
+# The shortest wait before the trial, in which the rate of requests is learned and the state reaches
+# all processes.
+MIN_WAIT = datetime.timedelta(milliseconds=500)
+# A changed share is written only if it differs by this factor, to spare the store.
+SHARE_STEP = 1.3
+# The share stays as it is in this last part of an order's duration.
+SHARE_FIXED_PART = 0.12
+# How many versions that were rolled back earlier are remembered.
+MAX_BARRED = 8
 
 
 def next_state(
@@ -27,4 +49,89 @@
     Returns:
       The state to write; `state` itself if nothing changes, None if there never was an order.
     """
+    if state is None or state.phase.has_ended:
+        if order is None:
+            return state
+        if state is not None and state.order.row_version == order.row_version:
+            return state
+        return _begin(order, state, view, now)
+    if order is None:
+        return _moved(state, Phase.ROLLED_BACK, "withdrawn", view, now)
+    if not order.asks_the_same(state.order):
+        return _moved(state, Phase.ROLLED_BACK, "superseded", view, now)
+    if order.row_version != state.order.row_version:
+        state = attrs.evolve(state, order=order)
+    if view.judgement.verdict is Verdict.BAD:
+        return _moved(state, Phase.ROLLED_BACK, view.judgement.reason, view, now)
+    plan = make_plan(state, view, bounds, now)
+    if now >= plan.complete_at:
+        return _at_limit(state, view, now)
+    if state.phase is Phase.WAITING:
+        return _wait(state, view, plan, now)
+    return _advance(state, view, plan, now)
+
+
+def _begin(order, state, view, now):
+    started_at = min(now, view.seen_at or now)
+    barred = ()
+    if state is not None:
+        rolled_back = (state.order.to,) if state.phase is Phase.ROLLED_BACK else ()
+        kept = (version for version in state.barred + rolled_back if version != order.to)
+        barred = tuple(dict.fromkeys(kept))[-MAX_BARRED:]
+    serves_alone = view.new_servers > 0 and view.old_servers == 0
+    phase = Phase.COMPLETED if serves_alone else Phase.WAITING
+    reason = "the version serves alone" if serves_alone else ""
+    return RolloutState(order, phase, started_at, now, reason, barred=barred)
+
+
+def _moved(state, phase, reason, view, now, **changes):
+    return attrs.evolve(
+        state,
+        phase=phase,
+        phase_since=now,
+        reason=reason,
+        judged=view.judgement.evidence,
+        **changes,
+    )
+
+
+def _at_limit(state, view, now):
+    if state.phase is Phase.WAITING:
+        reason = "no engine" if view.new_servers == 0 else "no time for a trial"
+        return _moved(state, Phase.ROLLED_BACK, reason, view, now)
+    if now >= state.ends_at:
+        return _moved(state, Phase.ROLLED_BACK, "time limit", view, now)
+    if view.judgement.verdict is Verdict.GOOD and view.new_servers > 0:
+        return _moved(state, Phase.COMPLETED, view.judgement.reason, view, now)
+    reason = f"not judged good in time: {view.judgement.reason}"
+    return _moved(state, Phase.ROLLED_BACK, reason, view, now)
+
+
+def _wait(state, view, plan, now):
+    if view.new_servers == 0 or now - state.started_at < MIN_WAIT:
+        return state
+    return _moved(state, Phase.TRIAL, "", view, now, share=plan.share)
+
+
+def _advance(state, view, plan: Plan, now):
+    is_good = view.judgement.verdict is Verdict.GOOD and view.new_servers > 0
+    if is_good and state.shifted == (ALL_ROUTES,):
+        if view.in_flight_old == 0 and now - state.phase_since >= MIN_SHIFT:
+            return _moved(state, Phase.COMPLETED, view.judgement.reason, view, now)
+        return state
+    if is_good and now >= plan.shift_at:
+        return _moved(state, Phase.SHIFT, "", view, now, shifted=(ALL_ROUTES,))
+    if is_good and state.phase is Phase.TRIAL and plan.long_routes and now >= plan.shift_long_at:
+        return _moved(state, Phase.SHIFT, "", view, now, shifted=plan.long_routes)
+    if state.phase is Phase.TRIAL and _share_changed(state, plan, now):
+        return attrs.evolve(state, share=plan.share)
     return state
+
+
+def _share_changed(state, plan, now):
+    if state.ends_at - now < SHARE_FIXED_PART * state.order.duration:
+        return False
+    if state.share <= 0:
+        return True
+    ratio = plan.share / state.share
+    return ratio >= SHARE_STEP or ratio <= 1 / SHARE_STEP
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -1,15 +1,20 @@
 """The traffic split and the evidence of rollouts, in one process.
 
-It answers the load of a service while a new version of its servers takes over its traffic.
+It answers the load of a service while a new version of its servers takes over its traffic: a
+decision for a request uses only figures that are renewed a few times a second.
 """
 
+import collections
+import datetime
 import random
 import typing
 from collections.abc import Mapping, Sequence
 
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.rollout._credits import Credits, route_shares
 from cicadapond.rollout._data import (
+    ALL_ROUTES,
     ExposureBounds,
     Judgement,
     Observation,
@@ -19,6 +24,22 @@
     RolloutView,
     Verdict,
 )
+from cicadapond.rollout._evidence import Evidence, Totals, add_totals, read_totals, rollout_of
+from cicadapond.rollout._judge import SequentialTest
+from cicadapond.rollout._split import (
+    CanaryChoice,
+    KnownVersions,
+    barred_versions,
+    canary_count,
+)
+
+# How often the figures of a rollout are renewed, at most.
+REFRESH_INTERVAL = datetime.timedelta(milliseconds=250)
+# How long the times of an engine of the new version do not count after its first request.
+COLD_TIME = datetime.timedelta(milliseconds=1500)
+# The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
+TRIAL_TOLERANCE_PART = 0.6
+SHIFT_TOLERANCE_PART = 0.9
 
 
 class Rollouts:
@@ -35,55 +56,104 @@
         self._bounds = bounds
         self._rng = rng
         self._orders: dict[str, RolloutOrder] = {}
-        self._states: dict[str, RolloutState] = {}
+        self._seen_at: dict[str, datetime.datetime] = {}
+        self._rollouts: dict[str, _Rollout] = {}
+        self._barred: dict[str, frozenset[str]] = {}
+        self._versions: dict[str, KnownVersions] = collections.defaultdict(KnownVersions)
 
     def set_order(self, service: str, order: RolloutOrder | None) -> None:
         """Notes the order in force for a service, None if there is none."""
+        known = self._orders.get(service)
         if order is None:
             self._orders.pop(service, None)
-        else:
+            self._seen_at.pop(service, None)
+        elif order != known:
             self._orders[service] = order
+            self._seen_at[service] = self._clock.now()
+        self._bar(service)
 
     def set_state(self, service: str, state: RolloutState | None) -> None:
         """Notes the state of a service's rollout, None if there is none or it is unreadable."""
+        rollout = self._rollouts.get(service)
         if state is None:
-            self._states.pop(service, None)
+            self._rollouts.pop(service, None)
+        elif rollout is not None and rollout.state.rollout_id == state.rollout_id:
+            rollout.state = state
         else:
-            self._states[service] = state
+            self._rollouts[service] = _Rollout(state, self._clock, self._bounds, self._rng)
+        self._bar(service)
 
     def allowed(
         self, service: str, route: str, servers: Sequence[ServerEntry]
     ) -> list[ServerEntry]:
-        """Returns those of `servers` that a send of a request on `route` may use now."""
-        order, state = self._orders.get(service), self._states.get(service)
-        if state is not None and state.phase is Phase.COMPLETED:
-            return [entry for entry in servers if entry.version == state.order.to] or list(servers)
-        barred = {known.to for known in (order, state and state.order) if known is not None}
-        return [entry for entry in servers if entry.version not in barred]
+        """Returns those of `servers` that a send of a request on `route` may use now.
+
+        A request that draws on a credit gets servers of the new version only; without a usable one
+        it gets those of the old version.  Without a usable server of the old version, a request
+        gets the new one only on a credit.
+        """
+        servers = self._versions[service].permitted(servers, self._clock.monotonic())
+        barred = self._barred.get(service)
+        if barred:
+            servers = [entry for entry in servers if entry.version not in barred]
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return list(servers)
+        return rollout.choose(route, servers)
 
     def record_request(self, service: str, route: str) -> None:
         """Counts a request that a caller sent to the service; called once for each request."""
+        rollout = self._rollouts.get(service)
+        if rollout is not None:
+            rollout.record_request(route)
+            rollout.refresh()
 
     def record_sent(self, entry: ServerEntry, route: str) -> None:
         """Counts a send to a server; called right before its first byte."""
+        rollout = self._rollouts.get(entry.service)
+        if rollout is not None and entry.version == rollout.state.order.to:
+            rollout.record_sent(entry, route)
 
     def record(self, seen: Observation) -> None:
         """Adds the outcome of a send to the evidence."""
+        rollout = self._rollouts.get(seen.service)
+        if rollout is not None:
+            rollout.record(seen)
+            rollout.refresh()
 
     def is_stopped(self, entry: ServerEntry) -> bool:
         """Returns whether nothing more may be sent to the server, for its version."""
-        return not self.allowed(entry.service, "", [entry])
+        if entry.version in self._barred.get(entry.service, ()):
+            return True
+        rollout = self._rollouts.get(entry.service)
+        return rollout is not None and rollout.is_stopped(entry.version)
 
     def reported(self) -> dict[str, tuple[int, ...]]:
         """Returns the running totals of this process, by an opaque key; they only grow."""
-        return {}
+        totals: dict[str, tuple[int, ...]] = {}
+        for rollout in self._rollouts.values():
+            totals.update(rollout.totals.reported())
+        return totals
 
     def apply(self, zone: str, totals: Mapping[str, tuple[int, ...]]) -> None:
-        """Takes the sum of the totals of the other processes of a data centre."""
+        """Takes the sum of the totals of a data centre's processes, which may include this one."""
+        heard: dict[str, dict[str, tuple[int, ...]]] = collections.defaultdict(dict)
+        for key, counts in totals.items():
+            service, rollout_id = rollout_of(key) or ("", "")
+            rollout = self._rollouts.get(service)
+            if rollout is not None and rollout.state.rollout_id == rollout_id:
+                heard[service][key] = tuple(counts)
+        for service, sums in heard.items():
+            self._rollouts[service].apply(zone, sums)
+            self._rollouts[service].refresh()
 
     def judgement(self, service: str) -> Judgement:
         """Returns the judgement of the new version, on this process's and heard evidence."""
-        return Judgement(Verdict.CONTINUE)
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return Judgement(Verdict.CONTINUE, "no rollout")
+        rollout.refresh()
+        return rollout.judgement()
 
     def view(
         self,
@@ -93,15 +163,190 @@
         in_flight_old: int = 0,
         in_flight_new: int = 0,
     ) -> RolloutView:
-        """Returns what `next_state` needs to know of a service."""
+        """Returns what `next_state` needs to know of a service.
+
+        Args:
+          service: The service.
+          old_servers: The number of usable servers of other versions than the new one.
+          new_servers: The number of usable servers of the new version.
+          in_flight_old: The requests that run on servers of other versions.
+          in_flight_new: The requests that run on servers of the new version.
+        """
+        rollout = self._rollouts.get(service)
+        evidence = rollout.fleet if rollout is not None else Evidence()
         return RolloutView(
             old_servers,
             new_servers,
             in_flight_old,
             in_flight_new,
             judgement=self.judgement(service),
+            requests=dict(evidence.requests),
+            sent_new=sum(evidence.sent.values()),
+            durations=evidence.durations(),
+            seen_at=self._seen_at.get(service),
         )
 
     def state(self) -> dict[str, typing.Any]:
         """Returns the state as JSON values, for a dump."""
-        return {}
+        return {
+            service: {
+                "state": rollout.state.as_row(),
+                "barred": sorted(self._barred.get(service, ())),
+                **rollout.dump(),
+            }
+            for service, rollout in self._rollouts.items()
+        }
+
+    def _bar(self, service):
+        rollout = self._rollouts.get(service)
+        state = rollout.state if rollout is not None else None
+        self._barred[service] = barred_versions(self._orders.get(service), state)
+
+
+class _Rollout:
+    """One rollout in one process."""
+
+    def __init__(self, state, clock, bounds, rng):
+        self.state: RolloutState = state
+        self.totals = Totals(state.order.service, state.rollout_id)
+        # The larger of what this process and what all heard processes counted.
+        self.fleet = Evidence()
+        self._clock = clock
+        self._bounds = bounds
+        self._credits = Credits(rng)
+        self._canaries = CanaryChoice(state.rollout_id)
+        self._own_test = SequentialTest(bounds, state.order.duration)
+        self._heard_test = SequentialTest(bounds, state.order.duration)
+        self._heard: dict[str, dict[str, tuple[int, ...]]] = {}
+        self._shares: dict[str, float] = {}
+        self._work_share = 0.0
+        self._refreshed_at: datetime.timedelta | None = None
+        self._is_exhausted = False
+        self._warm_at: dict[str, datetime.timedelta] = {}
+
+    @property
+    def _is_bad(self):
+        return self._own_test.is_bad or self._heard_test.is_bad
+
+    def is_stopped(self, version):
+        """Returns whether this process has stopped sending to the version by itself."""
+        is_running = not self.state.phase.has_ended
+        return version == self.state.order.to and is_running and self._is_bad
+
+    def choose(self, route, servers):
+        to = self.state.order.to
+        old = [entry for entry in servers if entry.version != to]
+        if len(old) == len(servers):
+            return old
+        new = [entry for entry in servers if entry.version == to]
+        match self.state.phase:
+            case Phase.COMPLETED:
+                return new
+            case Phase.TRIAL | Phase.SHIFT if not self._is_bad and not self._is_exhausted:
+                if self._is_shifted(route):
+                    return new
+                if self._credits.may_send(route):
+                    return self._canaries.choose(new, canary_count(len(old), self._work_share))
+        return old
+
+    def record_request(self, route):
+        self.totals.add_request(route)
+        if self.state.phase in (Phase.TRIAL, Phase.SHIFT):
+            self._credits.grow(route, self._shares.get(route, self.state.share))
+
+    def record_sent(self, entry, route):
+        self.totals.add_sent(route)
+        if not self._is_shifted(route):
+            self._credits.spend(route)
+        if entry.start not in self._warm_at:
+            self._warm_at[entry.start] = self._clock.monotonic() + COLD_TIME
+
+    def record(self, seen):
+        is_new = seen.version == self.state.order.to
+        warm_at = self._warm_at.get(seen.server) if is_new else None
+        is_warm = warm_at is None or self._clock.monotonic() >= warm_at
+        self.totals.add(seen, is_new, is_warm)
+
+    def apply(self, zone, sums):
+        known = self._heard.setdefault(zone, {})
+        for key, counts in sums.items():
+            before = known.get(key, ())
+            if len(before) != len(counts) or any(map(int.__lt__, before, counts)):
+                known[key] = tuple(map(max, before, counts)) if before else counts
+
+    def refresh(self):
+        """Renews the figures that decisions use, if they are old."""
+        now = self._clock.monotonic()
+        if self._refreshed_at is not None and now - self._refreshed_at < REFRESH_INTERVAL:
+            return
+        self._refreshed_at = now
+        own = self.totals.reported()
+        heard = add_totals(self._heard.values())
+        self.fleet = read_totals(_larger(own, heard))
+        if self.state.phase.has_ended:
+            return
+        self._own_test.update(read_totals(own), now)
+        self._heard_test.update(read_totals(heard), now)
+        self._shares = route_shares(self.state.share, self.fleet.requests)
+        self._work_share = self._find_work_share()
+        self._is_exhausted = self._find_exhausted()
+
+    def judgement(self):
+        now = self._clock.monotonic()
+        own, heard = self._own_test.judgement(now), self._heard_test.judgement(now)
+        for found in (heard, own):
+            if found.verdict is Verdict.BAD:
+                return found
+        own_count, heard_count = self._own_test.outcomes, self._heard_test.outcomes
+        return own if own_count > heard_count else heard
+
+    def dump(self):
+        found = self.judgement()
+        return {
+            "verdict": found.verdict.value,
+            "reason": found.reason,
+            "evidence": dict(found.evidence),
+            "requests": dict(self.fleet.requests),
+            "sent": dict(self.fleet.sent),
+            "credits": self._credits.state(),
+            "shares": {route: round(share, 4) for route, share in self._shares.items()},
+            "is_stopped": self._is_bad,
+            "is_exhausted": self._is_exhausted,
+        }
+
+    def _is_shifted(self, route):
+        if self.state.phase is not Phase.SHIFT or self._clock.now() >= self.state.ends_at:
+            return False
+        shifted = self.state.shifted
+        return route in shifted or ALL_ROUTES in shifted
+
+    def _find_work_share(self):
+        """Returns the share of the engines' time that the requests of the trial take."""
+        durations = self.fleet.durations()
+        usual = sum(durations.values()) / len(durations) if durations else 1.0
+        work = {
+            route: count * durations.get(route, usual)
+            for route, count in self.fleet.requests.items()
+        }
+        canary = sum(amount * self._shares.get(route, 0.0) for route, amount in work.items())
+        total = sum(work.values())
+        return canary / total if total else self.state.share
+
+    def _find_exhausted(self):
+        """Returns whether the version received all it may, by the counts of all processes."""
+        requests, sent = sum(self.fleet.requests.values()), sum(self.fleet.sent.values())
+        share, tolerance = self._bounds.share, self._bounds.tolerance
+        if self.state.phase is not Phase.SHIFT:
+            return sent > share * requests + TRIAL_TOLERANCE_PART * tolerance
+        elapsed = self._clock.now() - self.state.started_at
+        if elapsed > datetime.timedelta():
+            requests *= max(1.0, self.state.order.duration / elapsed)
+        return sent > share * requests + SHIFT_TOLERANCE_PART * tolerance
+
+
+def _larger(own, heard):
+    sums = dict(heard)
+    for key, counts in own.items():
+        known = sums.get(key)
+        sums[key] = tuple(map(max, known, counts)) if known else counts
+    return sums
