--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -101,11 +101,8 @@
 
     def _usable(self):
         usable = self._parts.registry.usable(self._service)
-        return [
-            entry
-            for entry in usable
-            if self.version in (None, entry.version) and not self._parts.rollouts.is_stopped(entry)
-        ]
+        usable = [entry for entry in usable if self.version in (None, entry.version)]
+        return self._parts.rollouts.without_stopped(usable)
 
     def _untried(self):
         return [entry for entry in self._usable() if entry.name not in self.tried]
--- a/cicadapond/gateway/_rollout_gate.py
+++ b/cicadapond/gateway/_rollout_gate.py
@@ -37,6 +37,15 @@
     def allowed(self, service: str, route: str, servers: Servers) -> list[ServerEntry]:
         """Returns those of some servers that a request of a route may be sent to now."""
 
+    def without_stopped(self, servers: Servers) -> list[ServerEntry]:
+        """Returns some servers of one service without those that `is_stopped` excludes."""
+        # Asked once for each version, as a service has hundreds of servers of few versions.
+        stopped: dict[str, bool] = {}
+        for entry in servers:
+            if entry.version not in stopped:
+                stopped[entry.version] = self.is_stopped(entry)
+        return [entry for entry in servers if not stopped[entry.version]]
+
     @abc.abstractmethod
     def is_stopped(self, entry: ServerEntry) -> bool:
         """Returns whether nothing may be sent to a server because of its version."""
@@ -93,6 +102,9 @@
     def allowed(self, service, route, servers):
         return list(servers)
 
+    def without_stopped(self, servers):
+        return servers
+
     def is_stopped(self, entry):
         return False
 
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -376,10 +376,14 @@
         for model in self._models.values():
             model.remove(server)
 
-    def in_flight(self, server: str) -> float:
-        """Returns how many requests of all processes are in flight at a server."""
+    def in_flight(self, server: str) -> int:
+        """Returns how many requests this process and those heard lately have at a server."""
         load = self._loads.get(server)
-        return self._in_flight(load, self._clock.monotonic()) if load is not None else 0.0
+        if load is None:
+            return 0
+        oldest = self._clock.monotonic() - MAX_IN_FLIGHT_AGE
+        others = sum(count for count, at in load.others_in_flight.values() if at > oldest)
+        return len(load.in_flight) + others
 
     def running(self, server: str) -> int:
         """Returns how many requests of this process are in flight at a server."""
--- a/cicadapond/platform/standin/_rollouts.py
+++ b/cicadapond/platform/standin/_rollouts.py
@@ -66,6 +66,7 @@
     Attributes:
       states: The states read from the status row, each with the time, by the event loop's clock.
       ordered_at: When the order was written.
+      defect: The given one, or one that never strikes.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
         self._to = to
         self._duration_s = duration_s
         self._engines = engines
-        self._defect = defect
+        self.defect = defect or VersionDefect(share=0.0)
         self._changes = changes
         self._old = [name for name, server in fleet.servers.items() if server.model.version != to]
         self.states: list[tuple[str, float]] = []
@@ -101,7 +102,7 @@
         self._fleet.store.put("op", f"rollout/{self._service}", order)
         for name in self._engines:
             await self._fleet.add_server(
-                name, self._service, version=self._to, defect=self._defect, **self._changes
+                name, self._service, version=self._to, defect=self.defect, **self._changes
             )
 
     async def run(self) -> str:
