--- a/cicadapond/ctl/_explain.py
+++ b/cicadapond/ctl/_explain.py
@@ -27,6 +27,10 @@
         "history_lost",
         "clock_corrected",
         "configuration_unreadable",
+        "rollout_ordered",
+        "rollout_withdrawn",
+        "rollout_phase",
+        "rollout_stopped",
     )
 )
 _COMMON_FIELDS = ("at", "process", "event", "request")
--- a/cicadapond/ctl/_views.py
+++ b/cicadapond/ctl/_views.py
@@ -64,6 +64,24 @@
     return [(name, *(status.get(field) for field in fields))]
 
 
+def rollouts(name: str, state: dict) -> Rows:
+    """Returns a row for each rollout that a gateway knows, the last one of each service."""
+    return [
+        (
+            name,
+            service,
+            rollout["to"],
+            rollout["phase"] or "ordered",
+            rollout["share"],
+            _bad_of(rollout["evidence"].get("new")),
+            _bad_of(rollout["evidence"].get("old")),
+            rollout["verdict"],
+            rollout["reason"] or rollout["verdict_reason"],
+        )
+        for service, rollout in state.get("rollouts", {}).items()
+    ]
+
+
 VIEWS = {
     "hosts": View(
         (
@@ -82,6 +100,20 @@
     ),
     "requests": View(("process", "what", "count", "progress"), requests),
     "quarantine": View(("process", "verdict", "request", "term"), quarantine),
+    "rollouts": View(
+        (
+            "process",
+            "service",
+            "to",
+            "phase",
+            "share",
+            "new: bad/all",
+            "old: bad/all",
+            "verdict here",
+            "reason",
+        ),
+        rollouts,
+    ),
     "lease": View(("process", "data centre", "holder", "held here", "fencing", "left s"), lease),
 }
 
@@ -92,6 +124,13 @@
     return "yes" if server["usable"] else "out of reach"
 
 
+def _bad_of(counts):
+    """Returns how many of a version's responses failed or were very slow."""
+    if not counts:
+        return ""
+    return f"{counts['failed'] + counts['very_slow']}/{counts['answers']}"
+
+
 def _load(report):
     if report is None:
         return ""
--- a/cicadapond/ctl/views_test.py
+++ b/cicadapond/ctl/views_test.py
@@ -62,3 +62,20 @@
     )
     rows = json.loads(rendered(states, "lease", as_json=True))
     assert rows == [dict(zip(VIEWS["lease"].columns, ("c", *lease.values()), strict=True))]
+
+
+def test_rollouts_show_the_evidence_and_the_reason_of_the_verdict():
+    counts = {"answers": 80, "failed": 9, "very_slow": 3, "slow": 5}
+    rollout = {
+        "to": "v2",
+        "phase": "rolled_back",
+        "share": 0.04,
+        "verdict": "bad",
+        "verdict_reason": "failed responses on all routes",
+        "reason": "failed responses on all routes",
+        "evidence": {"new": counts, "old": {}},
+    }
+    states = {"edge-1": {"rollouts": {"pool": rollout}}, "edge-2": {}}
+    (row,) = json.loads(rendered(states, "rollouts", as_json=True))
+    assert (row["service"], row["phase"], row["new: bad/all"]) == ("pool", "rolled_back", "12/80")
+    assert row["reason"] == "failed responses on all routes"
