--- a/cicadapond/gateway/rollouts_test.py
+++ b/cicadapond/gateway/rollouts_test.py
@@ -18,6 +18,7 @@
 SHARE, TOLERANCE = 0.1, 50
 ROLLBACK_S = 5.0
 PHASE_TIMEOUT_S = 20.0
+EVENTS, EVENT_PAUSE_S = 10, 0.015
 
 
 class Traffic:
@@ -200,6 +201,48 @@
     run(check, tmp_path)
 
 
+def test_streams_stay_at_their_version_and_none_breaks_when_the_old_servers_stop(tmp_path):
+    async def main():
+        cfg = FleetSettings(engines=3, services=0, rolls_out=True)
+        async with deployment(tmp_path, cfg, processes=2) as system:
+            for model in system.engines():
+                model.events, model.event_interval_s = EVENTS, EVENT_PAUSE_S
+            await system.until_joined()
+            await system.until(lambda: holder(system) is not None)
+            answers, stop = [], asyncio.Event()
+
+            async def call(name):
+                for number in itertools.count():
+                    if stop.is_set():
+                        return
+                    caller = system.caller(int(name[-1]) % 2)
+                    await caller.stream(f"{name}-{number}")
+                    answers.append(await caller.read_response())
+                    caller.abort()
+
+            callers = [asyncio.ensure_future(call(f"c{number}")) for number in range(8)]
+            await asyncio.sleep(1.0)
+            model = RolloutModel(
+                system.fleet,
+                "pool",
+                NEW,
+                DURATION_S,
+                NEW_ENGINES,
+                events=EVENTS,
+                event_interval_s=EVENT_PAUSE_S,
+            )
+            async with asyncio.timeout(DURATION_S + PHASE_TIMEOUT_S):
+                assert await model.run() == "completed"
+                await asyncio.sleep(0.5)
+                stop.set()
+                await asyncio.gather(*callers)
+            assert all(len(answer.versions()) == 1 for answer in answers if answer.status == 200)
+            broken = [answer for answer in answers if not answer.is_complete]
+            assert not broken, f"{len(broken)} of {len(answers)}"
+
+    asyncio.run(main())
+
+
 def test_without_the_contract_no_call_is_made_and_versions_are_equal(tmp_path):
     async def main():
         cfg = FleetSettings(engines=0, services=1)
