Roll versions out in the soak, good and bad ones

Half of the seeds, the even ones, roll a version out every few seconds beside all other faults, among them holders that are killed, frozen or cut off and a store that is down. Checked: an outcome for each order, no bad version completed, both exposure clauses, nothing after the rollback. Odd seeds run as before.

--- a/cicadapond/platform/standin/_rollouts.py
+++ b/cicadapond/platform/standin/_rollouts.py
@@ -61,6 +61,8 @@
       duration_s: The time limit, in seconds.
       engines: The names of the servers of the new version.
       defect: What is wrong with the version, None if it is good.
+      start_server: Starts and lists a server: (name, service, version, defect); None for the
+        fleet's own way.
       changes: Further properties of the new servers.
 
     Attributes:
@@ -77,6 +79,7 @@
         duration_s: float,
         engines: tuple[str, ...],
         defect: VersionDefect | None = None,
+        start_server=None,
         **changes,
     ):
         self._fleet = fleet
@@ -86,7 +89,7 @@
         self._engines = engines
         self.defect = defect or VersionDefect(share=0.0)
         self._changes = changes
-        self._old = [name for name, server in fleet.servers.items() if server.model.version != to]
+        self._start_server = start_server or self._add_server
         self.states: list[tuple[str, float]] = []
         self.ordered_at = 0.0
 
@@ -101,19 +104,30 @@
         order = {"service": self._service, "to": self._to, "duration_s": self._duration_s}
         self._fleet.store.put("op", f"rollout/{self._service}", order)
         for name in self._engines:
-            await self._fleet.add_server(
-                name, self._service, version=self._to, defect=self.defect, **self._changes
-            )
+            await self._start_server(name, self._service, self._to, self.defect)
 
     async def run(self) -> str:
         """Carries the rollout out to its end; returns the last state."""
         await self.order()
+        await self.outcome()
+        await self.end()
+        return self.state
+
+    async def outcome(self) -> str:
+        """Waits for the last state and returns it."""
         while self.state not in (COMPLETED, ROLLED_BACK):
             self.read_status()
             await asyncio.sleep(POLL_S)
-        await self.end()
         return self.state
 
+    def old_servers(self) -> list[str]:
+        """Returns the names of the service's listed servers of other versions."""
+        return [name for name, version in self._listed() if version != self._to]
+
+    def new_servers(self) -> list[str]:
+        """Returns the names of the service's listed servers of the new version."""
+        return [name for name, version in self._listed() if version == self._to]
+
     def read_status(self) -> None:
         """Reads the status row and records a new state."""
         key = f"rollout/{self._service}"
@@ -125,10 +139,10 @@
     async def end(self) -> None:
         """Does what the platform does at the last state."""
         if self.state == COMPLETED:  # without draining
-            await self._stop(self._old)
+            await self._stop(self.old_servers())
             return
         await asyncio.sleep(DRAIN_DELAY_S)
-        for name in self._engines:
+        for name in self.new_servers():
             self._fleet.list_server(name, self._service, "draining")
 
     def requests(self) -> int:
@@ -143,6 +157,15 @@
     def _times(self, name):
         return self._fleet.servers[name].model.execution_times
 
+    async def _add_server(self, name, service, version, defect):
+        await self._fleet.add_server(name, service, version=version, defect=defect, **self._changes)
+
+    def _listed(self):
+        for row in self._fleet.store.rows("servers", "", None):
+            entry = json.loads(base64.b64decode(row.value))
+            if entry["service"] == self._service:
+                yield row.key, entry["version"]
+
     async def _stop(self, names):
         for name in names:
             server = self._fleet.servers[name]
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cicadapond.soak._records import PLAIN, CallRecord, History
+from cicadapond.soak._rollouts import check_rollouts
 
 # Limits of the deployment under test (platform.standin).
 REVOCATION_S = 5.0
@@ -60,6 +61,7 @@
         _silent_servers,
         _brittle_servers,
         _one_version,
+        _rollouts,
         _consistent_usage,
         _single_holders,
         _planned_stops,
@@ -211,6 +213,13 @@
             yield Violation("one software version", request, f"events of {sorted(seen)}")
 
 
+def _rollouts(history):
+    for found in check_rollouts(history):
+        record = found.record
+        kind = "good" if record.is_good else "bad"
+        yield Violation("rollouts", f"{record.to} of {record.service} ({kind})", found.detail)
+
+
 def _consistent_usage(history):
     for window, reports in sorted(history.reports.items()):
         if any(report != reports[0] for report in reports):
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -80,6 +80,29 @@
     crashes: tuple[float, ...]
 
 
+@attrs.define
+class RolloutRecord:
+    """One rollout; times are in seconds on the event loop's clock.
+
+    Attributes:
+      duration: The time limit, from the order.
+      servers: The servers of the new version.
+      outcome: The last state, None if there was none.
+      ended_at: When it was seen.
+      bad_times: When the version gave bad responses.
+    """
+
+    service: str
+    to: str
+    is_good: bool
+    duration: float
+    servers: tuple[str, ...]
+    ordered_at: float = 0.0
+    outcome: str | None = None
+    ended_at: float = 0.0
+    bad_times: list[float] = attrs.field(factory=list)
+
+
 @attrs.define
 class History:
     """Everything recorded during a soak; times are in seconds on the event loop's clock.
@@ -95,6 +118,7 @@
       cuts: Cuts of processes from all servers.
       holds: Silences of sound servers.
       brittle_times: Times in which the servers were brittle.
+      rollouts: The rollouts of versions.
       crashing_ids: The requests whose prompts crash engines.
       crashing_share: The share of prompts that crash engines now.
       prompt_crashes: When engines crashed by them.
@@ -114,6 +138,7 @@
     cuts: list[Cut] = attrs.field(factory=list)
     holds: list[Hold] = attrs.field(factory=list)
     brittle_times: list[BrittleTime] = attrs.field(factory=list)
+    rollouts: list[RolloutRecord] = attrs.field(factory=list)
     crashing_ids: set[str] = attrs.field(factory=set)
     crashing_share: float = 0.0
     prompt_crashes: list[float] = attrs.field(factory=list)
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -15,6 +15,7 @@
 from cicadapond.soak._plan import PLANNED, Injection, make_plan
 from cicadapond.soak._proxy import NetworkFault, Proxy
 from cicadapond.soak._records import BrittleTime, Cut, History, Hold, Run, StatedLimit
+from cicadapond.soak._rollouts import RolloutLoop
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
 PROGRAM = "cicadapond.gateway.main"
@@ -58,6 +59,11 @@
     processes: int = 3
     callers: int = 8
 
+    @property
+    def rolls_out(self) -> bool:
+        """Whether versions are rolled out, which half of the seeds do."""
+        return self.seed % 2 == 0
+
 
 class _Process:
     """A gateway process, with signals and exit checks; it can be started again after it exited."""
@@ -138,7 +144,9 @@
         self.history = History()
         self._cfg = cfg
         self._rng = random.Random(f"run {cfg.seed}")
-        self._fleet = Fleet(FleetSettings(engines=4, services=3), BootClock())
+        self._fleet = Fleet(
+            FleetSettings(engines=4, services=3, rolls_out=cfg.rolls_out), BootClock()
+        )
         self._processes = [
             _Process(number, cfg.directory, self.history) for number in range(cfg.processes)
         ]
@@ -160,6 +168,11 @@
             loop = asyncio.get_running_loop()
             started_at = loop.time()
             injected = []
+            if self._cfg.rolls_out:
+                rng = random.Random(f"rollouts {self._cfg.seed}")
+                servers = (self._start_server, self._stop_server)
+                rollouts = RolloutLoop(self._fleet, rng, self.history, *servers)
+                injected.append(asyncio.ensure_future(rollouts.run(started_at + self._cfg.length)))
             for injection in make_plan(self._cfg.seed, self._cfg.length):
                 await asyncio.sleep(max(0.0, started_at + injection.at - loop.time()))
                 injected.append(asyncio.ensure_future(self._inject(injection)))
@@ -375,15 +388,28 @@
 
     async def _inject_server_leaves(self, injection):
         name = self._pick_server(injection)
-        service = self._services.pop(name)
+        service = self._services[name]
         successor = f"{name.split('.')[0]}.{injection.at:.3f}"
-        version = self._rng.choice(SOFTWARE_VERSIONS)
-        model = await self._fleet.start_server(successor, version=version)
-        await self._register_server(successor, service, model)
-        self._fleet.list_server(successor, service)
-        self._fleet.list_server(name, service, "draining")
-        self.history.drained[name] = asyncio.get_running_loop().time()
-        await asyncio.sleep(EXTRA_SERVING_S)
+        version, leaving = self._rng.choice(SOFTWARE_VERSIONS), self._fleet.servers[name].model
+        if self._cfg.rolls_out:  # only rollouts change the version then
+            version = leaving.version
+        await self._start_server(successor, service, version, leaving.defect)
+        await self._stop_server(name, drains=True)
+
+    async def _start_server(self, name, service, version, defect):
+        model = await self._fleet.start_server(name, version=version, defect=defect)
+        await self._register_server(name, service, model)
+        self._fleet.list_server(name, service)
+
+    async def _stop_server(self, name, drains):
+        """Ends a server, unless it is ended already."""
+        service = self._services.pop(name, None)
+        if service is None:
+            return
+        if drains:
+            self._fleet.list_server(name, service, "draining")
+            self.history.drained[name] = asyncio.get_running_loop().time()
+            await asyncio.sleep(EXTRA_SERVING_S)
         self._fleet.unlist_server(name)
         await self._fleet.servers.pop(name).stop()
 
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -1,6 +1,7 @@
 """Program `cicadapond-soak`: runs gateway processes under faults and checks the guarantees."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 import tempfile
@@ -34,7 +35,7 @@
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
         print(
             f"seed {seed}: {len(history.calls)} requests, {served} served, "
-            f"{len(violations)} violations",
+            f"{_outcomes(history)}{len(violations)} violations",
             flush=True,
         )
         for violation in violations:
@@ -45,6 +46,14 @@
     return failed
 
 
+def _outcomes(history):
+    """Returns how many good and bad versions had which outcome, "" without rollouts."""
+    counts = collections.Counter(
+        f"{'good' if each.is_good else 'bad'} {each.outcome}" for each in history.rollouts
+    )
+    return "".join(f"{count} {outcome}, " for outcome, count in sorted(counts.items()))
+
+
 def _main(argv):
     base = pathlib.Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="cicadapond-soak-"))
     failed = asyncio.run(_run_seeds(parse_seeds(_SEEDS.value), base))
