--- a/cicadapond/rollout/_evidence.py
+++ b/cicadapond/rollout/_evidence.py
@@ -4,6 +4,7 @@
 processes, only grow, and their number does not depend on the number of requests.
 """
 
+import bisect
 import collections
 import datetime
 import itertools
@@ -13,13 +14,18 @@
 
 from cicadapond.rollout._data import Observation
 
-# A response this many times slower than expected of the old version counts as slow, or very slow.
-# Hosts are 2.5 times slower for moments, which must stay below the second limit.
-SLOW = 2.0
-VERY_SLOW = 3.2
+# The limits between the classes of slowness, a factor of 1.3 apart: hosts that are 2.5 times slower
+# for moments and versions that are at least three times slower fall into different classes.
+SLOWNESS_STEP = 1.3
+SLOWNESS_LIMITS = (1.3, 1.7, 2.2, 2.9, 3.8, 5.0)
+CLASSES = len(SLOWNESS_LIMITS) + 1
+# The class from which on a response counts as slow: 2.9 times the expected time and more.
+SLOW_CLASS = 4
 # Requests in flight by slots from which on a server counts as loaded.
 HIGH_LOAD = 0.5
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 _SEPARATOR = "\t"
 _REQUESTS, _OLD, _NEW, _ENGINE = "r", "o", "n", "e"
 
@@ -31,25 +37,37 @@
     Attributes:
       answers: Outcomes of sends.
       failed: Those that failed.
-      timed: Responses whose slowness is known.
-      slow: Those of `timed` that were slower than `SLOW`.
-      very_slow: Those of `timed` that were slower than `VERY_SLOW`.
       measured: Responses whose duration is known.
       duration_ms: The sum of their durations in milliseconds.
+      classes: The responses by class of slowness, without those whose slowness is unknown.
     """
 
     answers: int = 0
     failed: int = 0
-    timed: int = 0
-    slow: int = 0
-    very_slow: int = 0
     measured: int = 0
     duration_ms: int = 0
+    classes: tuple[int, ...] = (0,) * CLASSES
+
+    @classmethod
+    def of(cls, counts: typing.Sequence[int]) -> "Sums":
+        """Returns the sums that `counts` holds in the order of the attributes."""
+        return cls(*counts[:4], classes=tuple(counts[4:]))
+
+    @property
+    def counts(self) -> tuple[int, ...]:
+        """All counts in the order of the attributes."""
+        return (self.answers, self.failed, self.measured, self.duration_ms, *self.classes)
+
+    @property
+    def slow(self) -> int:
+        """The number of slow responses."""
+        return sum(self.classes[SLOW_CLASS:])
 
     def plus(self, other: "Sums", sign: int = 1) -> "Sums":
         """Returns the sums of both; the difference if `sign` is -1."""
-        mine, others = attrs.astuple(self), attrs.astuple(other)
-        return Sums(*(one + sign * two for one, two in zip(mine, others, strict=True)))
+        return Sums.of(
+            [one + sign * two for one, two in zip(self.counts, other.counts, strict=True)]
+        )
 
 
 @attrs.define
@@ -61,7 +79,7 @@
       sent: The sends to the new version, by route.
       old: The sums of the old version, by route and whether the server was loaded.
       new: Those of the new version.
-      engines: Failed and very slow responses of the new version, by start of the server.
+      engines: Failed and slow responses of the new version, by start of the server.
     """
 
     requests: dict[str, int] = attrs.field(factory=dict)
@@ -72,9 +90,7 @@
 
     def total(self, version: str, route: str | None = None) -> Sums:
         """Returns the sums of "old" or "new" over all loads, of one route or of all."""
-        sums = getattr(self, version)
-        found = (value for (name, _), value in sums.items() if route in (None, name))
-        return Sums(*map(sum, zip(*map(attrs.astuple, found), strict=True)))
+        return total_of(getattr(self, version), route)
 
     def durations(self) -> dict[str, float]:
         """Returns the mean duration of responses of the old version in seconds, by route."""
@@ -86,6 +102,19 @@
         }
 
 
+def total_of(
+    sums: typing.Mapping[tuple[str, bool], Sums],
+    route: str | None = None,
+    is_loaded: bool | None = None,
+) -> Sums:
+    """Returns the sums of one route or of all, at one load or at both."""
+    found = Sums()
+    for (name, load), value in sums.items():
+        if route in (None, name) and is_loaded in (None, load):
+            found = found.plus(value)
+    return found
+
+
 class Totals:
     """The totals of one rollout by opaque keys, as one process counts them.
 
@@ -115,23 +144,19 @@
           is_timed: Whether the time counts; it does not while the server is cold.
         """
         slowness = seen.slowness if is_timed and not seen.is_bad else None
-        is_slow = slowness is not None and slowness >= SLOW
-        is_very_slow = slowness is not None and slowness >= VERY_SLOW
-        has_duration = seen.duration is not None and not seen.is_bad
-        duration = seen.duration / datetime.timedelta(milliseconds=1) if has_duration else 0
+        classes = [0] * CLASSES
+        is_slow = False
+        if slowness is not None:
+            number = bisect.bisect_right(SLOWNESS_LIMITS, slowness)
+            classes[number] = 1
+            is_slow = number >= SLOW_CLASS
+        duration = None if seen.is_bad else seen.duration
+        milliseconds = round(duration / MILLISECOND) if duration is not None else 0
         kind, load = _NEW if is_new else _OLD, "1" if seen.load >= HIGH_LOAD else "0"
-        counts = (
-            1,
-            int(seen.is_bad),
-            int(slowness is not None),
-            int(is_slow),
-            int(is_very_slow),
-            int(has_duration),
-            round(duration),
-        )
+        counts = (1, int(seen.is_bad), int(duration is not None), milliseconds, *classes)
         self._add((kind, load, seen.route), counts)
-        if is_new and seen.server and (seen.is_bad or is_very_slow):
-            self._add((_ENGINE, seen.server), (int(seen.is_bad), int(is_very_slow)))
+        if is_new and seen.server and (seen.is_bad or is_slow):
+            self._add((_ENGINE, seen.server), (int(seen.is_bad), int(is_slow)))
 
     def reported(self) -> dict[str, tuple[int, ...]]:
         """Returns the totals by opaque key."""
@@ -163,9 +188,9 @@
         match parts:
             case [kind, route] if kind == _REQUESTS and len(counts) == 2:
                 evidence.requests[route], evidence.sent[route] = counts
-            case [kind, load, route] if kind in (_OLD, _NEW) and len(counts) == 7:
+            case [kind, load, route] if kind in (_OLD, _NEW) and len(counts) == 4 + CLASSES:
                 sums = evidence.new if kind == _NEW else evidence.old
-                sums[route, load == "1"] = Sums(*counts)
+                sums[route, load == "1"] = Sums.of(counts)
             case [kind, server] if kind == _ENGINE and len(counts) == 2:
                 evidence.engines[server] = (counts[0], counts[1])
     return evidence
--- a/cicadapond/rollout/_plan.py
+++ b/cicadapond/rollout/_plan.py
@@ -13,7 +13,7 @@
 
 # The part of the tolerance that the plan spends; the rest covers requests in flight, counts that
 # are not heard yet and the chance in the credits of the processes.
-TOLERANCE_PART = 0.7
+TOLERANCE_PART = 0.8
 # `COMPLETED` is decided this long before the time limit: the order is seen some 250 ms late, the
 # holder steps every 250 ms, and the store's response takes up to some 100 ms.
 END_MARGIN = datetime.timedelta(seconds=1)
@@ -27,7 +27,7 @@
 END_PART = 0.65
 # The time for which a version that turns bad in the shift goes on to receive all requests, until
 # the processes stop by themselves.
-REACTION_S = 0.5
+REACTION_S = 0.4
 # On short orders margins take at most this part of the duration.
 MAX_MARGIN_PART = 0.15
 # Routes whose responses take longer shift earlier, by twice their duration but at most `MAX_LEAD`.
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -215,13 +215,16 @@
         self._bounds = bounds
         self._credits = Credits(rng)
         self._canaries = CanaryChoice(state.rollout_id)
-        self._own_test = SequentialTest(bounds, state.order.duration)
-        self._heard_test = SequentialTest(bounds, state.order.duration)
+        self._own_test = SequentialTest(state.order.duration)
+        self._heard_test = SequentialTest(state.order.duration)
         self._heard: dict[str, dict[str, tuple[int, ...]]] = {}
         self._shares: dict[str, float] = {}
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
         self._is_exhausted = False
+        # The usable servers of the new version and the number of others, at the last request.
+        self._new: list[ServerEntry] = []
+        self._old_count = 0
         self._warm_at: dict[str, datetime.timedelta] = {}
 
     @property
@@ -239,6 +242,7 @@
         if len(old) == len(servers):
             return old
         new = [entry for entry in servers if entry.version == to]
+        self._new, self._old_count = new, len(old)
         match self.state.phase:
             case Phase.COMPLETED:
                 return new
@@ -246,7 +250,7 @@
                 if self._is_shifted(route):
                     return new
                 if self._credits.may_send(route):
-                    return self._canaries.choose(new, canary_count(len(old), self._work_share))
+                    return self._choose_canaries()
         return old
 
     def record_request(self, route):
@@ -264,7 +268,8 @@
     def record(self, seen):
         is_new = seen.version == self.state.order.to
         warm_at = self._warm_at.get(seen.server) if is_new else None
-        is_warm = warm_at is None or self._clock.monotonic() >= warm_at
+        began_at = self._clock.monotonic() - (seen.duration or datetime.timedelta())
+        is_warm = warm_at is None or began_at >= warm_at
         self.totals.add(seen, is_new, is_warm)
 
     def apply(self, zone, sums):
@@ -290,10 +295,13 @@
         self._shares = route_shares(self.state.share, self.fleet.requests)
         self._work_share = self._find_work_share()
         self._is_exhausted = self._find_exhausted()
+        if self.state.phase is Phase.TRIAL:
+            # The canary engines are those of all processes, and get requests from now on.
+            for entry in self._choose_canaries():
+                self._warm_at.setdefault(entry.start, now + COLD_TIME)
 
     def judgement(self):
-        now = self._clock.monotonic()
-        own, heard = self._own_test.judgement(now), self._heard_test.judgement(now)
+        own, heard = self._own_test.judgement(), self._heard_test.judgement()
         for found in (heard, own):
             if found.verdict is Verdict.BAD:
                 return found
@@ -314,6 +322,9 @@
             "is_exhausted": self._is_exhausted,
         }
 
+    def _choose_canaries(self):
+        return self._canaries.choose(self._new, canary_count(self._old_count, self._work_share))
+
     def _is_shifted(self, route):
         if self.state.phase is not Phase.SHIFT or self._clock.now() >= self.state.ends_at:
             return False
