--- a/cicadapond/ctl/_views.py
+++ b/cicadapond/ctl/_views.py
@@ -107,8 +107,8 @@
             "to",
             "phase",
             "share",
-            "new: bad/all",
-            "old: bad/all",
+            "new: failed/slow/all",
+            "old: failed/slow/all",
             "verdict here",
             "reason",
         ),
@@ -125,10 +125,10 @@
 
 
 def _bad_of(counts):
-    """Returns how many of a version's responses failed or were very slow."""
+    """Returns how many of a version's responses failed, were slow, and were seen."""
     if not counts:
         return ""
-    return f"{counts['failed'] + counts['very_slow']}/{counts['answers']}"
+    return "/".join(str(counts.get(name, "")) for name in ("failed", "slow", "answers"))
 
 
 def _load(report):
--- a/cicadapond/ctl/views_test.py
+++ b/cicadapond/ctl/views_test.py
@@ -65,7 +65,7 @@
 
 
 def test_rollouts_show_the_evidence_and_the_reason_of_the_verdict():
-    counts = {"answers": 80, "failed": 9, "very_slow": 3, "slow": 5}
+    counts = {"answers": 80, "failed": 9, "timed": 70, "slow": 5}
     rollout = {
         "to": "v2",
         "phase": "rolled_back",
@@ -77,5 +77,6 @@
     }
     states = {"edge-1": {"rollouts": {"pool": rollout}}, "edge-2": {}}
     (row,) = json.loads(rendered(states, "rollouts", as_json=True))
-    assert (row["service"], row["phase"], row["new: bad/all"]) == ("pool", "rolled_back", "12/80")
+    assert (row["service"], row["phase"]) == ("pool", "rolled_back")
+    assert row["new: failed/slow/all"] == "9/5/80" and row["old: failed/slow/all"] == ""
     assert row["reason"] == "failed responses on all routes"
--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -125,7 +125,7 @@
                 to=state.order.to,
                 order=state.order.row_version,
                 phase=state.phase.value,
-                share=state.share,
+                share=round(state.share, 4),
                 shifted=list(state.shifted),
                 reason=state.reason,
                 evidence=dict(state.judged),
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -93,6 +93,7 @@
             server=entry.name,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", None),
+            status=outcome.head.status if isinstance(outcome, Whole) else None,
             reading_ms=round(self._state.in_flight.work_ms),
             expected_ms=milliseconds(placement.expected),
             first_event_ms=self._first_event_ms(started),
