--- a/cicadapond/rollout/_evidence.py
+++ b/cicadapond/rollout/_evidence.py
@@ -5,9 +5,8 @@
 """
 
 import bisect
-import collections
 import datetime
-import itertools
+import operator
 import typing
 
 import attrs
@@ -108,11 +107,14 @@
     is_loaded: bool | None = None,
 ) -> Sums:
     """Returns the sums of one route or of all, at one load or at both."""
-    found = Sums()
-    for (name, load), value in sums.items():
-        if route in (None, name) and is_loaded in (None, load):
-            found = found.plus(value)
-    return found
+    found = [
+        value.counts
+        for (name, load), value in sums.items()
+        if (route is None or route == name) and (is_loaded is None or is_loaded == load)
+    ]
+    if len(found) > 1:
+        return Sums.of(list(map(sum, zip(*found, strict=True))))
+    return Sums.of(found[0]) if found else Sums()
 
 
 class Totals:
@@ -200,9 +202,9 @@
     sources: typing.Iterable[typing.Mapping[str, tuple[int, ...]]],
 ) -> dict[str, tuple[int, ...]]:
     """Returns the sum of the totals of several sources."""
-    sums: dict[str, tuple[int, ...]] = collections.defaultdict(tuple)
+    sums: dict[str, tuple[int, ...]] = {}
     for source in sources:
         for key, counts in source.items():
-            pairs = itertools.zip_longest(sums[key], counts, fillvalue=0)
-            sums[key] = tuple(one + two for one, two in pairs)
-    return dict(sums)
+            known = sums.get(key)
+            sums[key] = tuple(map(operator.add, known, counts)) if known else counts
+    return sums
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -78,7 +78,7 @@
         if state is None:
             self._rollouts.pop(service, None)
         elif rollout is not None and rollout.state.rollout_id == state.rollout_id:
-            rollout.state = state
+            rollout.set_state(state)
         else:
             self._rollouts[service] = _Rollout(state, self._clock, self._bounds, self._rng)
         self._bar(service)
@@ -218,6 +218,8 @@
         self._own_test = SequentialTest(state.order.duration)
         self._heard_test = SequentialTest(state.order.duration)
         self._heard: dict[str, dict[str, tuple[int, ...]]] = {}
+        self._heard_sum: dict[str, tuple[int, ...]] = {}
+        self._heard_changed = False
         self._shares: dict[str, float] = {}
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
@@ -225,7 +227,15 @@
         # The usable servers of the new version and the number of others, at the last request.
         self._new: list[ServerEntry] = []
         self._old_count = 0
+        # When engines of the new version count as warm, by start; and those sent to in the trial.
         self._warm_at: dict[str, datetime.timedelta] = {}
+        self._tried: set[str] = set()
+
+    def set_state(self, state):
+        if state.phase is Phase.SHIFT and self.state.phase is not Phase.SHIFT:
+            # Of the others it is not known that any process has sent requests to them.
+            self._warm_at = {key: at for key, at in self._warm_at.items() if key in self._tried}
+        self.state = state
 
     @property
     def _is_bad(self):
@@ -262,6 +272,7 @@
         self.totals.add_sent(route)
         if not self._is_shifted(route):
             self._credits.spend(route)
+            self._tried.add(entry.start)
         if entry.start not in self._warm_at:
             self._warm_at[entry.start] = self._clock.monotonic() + COLD_TIME
 
@@ -278,6 +289,7 @@
             before = known.get(key, ())
             if len(before) != len(counts) or any(map(int.__lt__, before, counts)):
                 known[key] = tuple(map(max, before, counts)) if before else counts
+                self._heard_changed = True
 
     def refresh(self):
         """Renews the figures that decisions use, if they are old."""
@@ -286,12 +298,15 @@
             return
         self._refreshed_at = now
         own = self.totals.reported()
-        heard = add_totals(self._heard.values())
-        self.fleet = read_totals(_larger(own, heard))
+        if self._heard_changed:
+            self._heard_changed = False
+            self._heard_sum = add_totals(self._heard.values())
+            if not self.state.phase.has_ended:
+                self._heard_test.update(read_totals(self._heard_sum), now)
+        self.fleet = read_totals(_larger(own, self._heard_sum))
         if self.state.phase.has_ended:
             return
         self._own_test.update(read_totals(own), now)
-        self._heard_test.update(read_totals(heard), now)
         self._shares = route_shares(self.state.share, self.fleet.requests)
         self._work_share = self._find_work_share()
         self._is_exhausted = self._find_exhausted()
