Send nothing before the states of rollouts were read, and keep what runs while one runs

Another process may pass a request on to one that is not ready yet, which then did not know which version had been rolled back. A new lease holder starts from the servers that run, as the floors of the holder before are not known to it.

--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -130,7 +130,6 @@
             self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
         )
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
-        self._rollout_states: StateTable | None = None
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
             attrs.evolve(LEASE_SETTINGS, term=max(MIN_LEASE_TERM, cfg.bounds.lease)),
@@ -224,7 +223,7 @@
         """Whether the load balancer should send callers here."""
         if self.parts.stopping_since is not None or not self._servers.is_loaded:
             return False
-        if self._rollout_states is not None and not self._rollout_states.is_loaded:
+        if self._rollouts is not None and not self._rollouts.is_loaded:
             return False
         active_configuration = self.parts.active_configuration
         if active_configuration.table is None:
@@ -306,8 +305,7 @@
     def _start_rollouts(self, configuration):
         """Starts the rollouts; returns the follower of the operator's table, which has orders."""
         rollouts, codec = self._rollouts, self._adapters.rollout_codec
-        self._rollout_states = StateTable(rollouts, codec, self._log)
-        self._follow(STATE_TABLE, self._rollout_states)
+        self._follow(STATE_TABLE, StateTable(rollouts, codec, self._log))
         task = RolloutTask(
             rollouts,
             self._lease,
--- a/cicadapond/gateway/_rollout_tables.py
+++ b/cicadapond/gateway/_rollout_tables.py
@@ -66,16 +66,12 @@
       rollouts: Receives the states.
       codec: Decodes them.
       log: The event log.
-
-    Attributes:
-      is_loaded: Whether the table was read.
     """
 
     def __init__(self, rollouts: ServiceRollouts, codec: RolloutCodec, log: EventLog):
         self._rollouts = rollouts
         self._codec = codec
         self._log = log
-        self.is_loaded = False
 
     def apply_changes(self, changes, is_snapshot, after_outage):
         for row in changes.rows:
@@ -85,7 +81,7 @@
                 if state is None:
                     self._log.write("rollout_state_unreadable", service=row.key)
             self._rollouts.set_state(row.key, row.version, state)
-        self.is_loaded = True
+        self._rollouts.is_loaded = True
 
     def confirm_current(self, since):
         return None
--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -40,6 +40,8 @@
 
     Attributes:
       rollouts: The given one.
+      is_loaded: Whether the states were read.  Before that no request is sent, as any version may
+        have been rolled back.
       publish_soon: Called when the other processes should hear of the evidence at once.
     """
 
@@ -53,6 +55,7 @@
         metrics: Metrics,
     ):
         self.rollouts = rollouts
+        self.is_loaded = False
         self.publish_soon: typing.Callable[[], None] = lambda: None
         self._registry = registry
         self._placer = placer
@@ -146,10 +149,12 @@
     # The way of a request
 
     def allowed(self, service, route, servers):
+        if not self.is_loaded:
+            return []
         return self.rollouts.allowed(service, route, servers)
 
     def is_stopped(self, entry):
-        return self.rollouts.is_stopped(entry)
+        return not self.is_loaded or self.rollouts.is_stopped(entry)
 
     def record_request(self, service, route):
         self.rollouts.record_request(service, route)
@@ -233,7 +238,7 @@
             target = (order.service, order.zone, order.reclaimable)
             place = (order.service, order.zone)
             if self._is_running(order.service):
-                count = max(order.count, self._floors.get(target, 0))
+                count = max(order.count, self._floor(target))
                 if order.reclaimable and order.service in maxima:
                     count = min(count, maxima[order.service] - on_demand.get(place, 0))
                     count = max(count, 0)
@@ -244,6 +249,16 @@
             held.append(order)
         return sorted(held, key=lambda order: not order.reclaimable)
 
+    def _floor(self, target):
+        """Returns the least that is ordered; at first what runs, as another holder ordered it."""
+        if target not in self._floors:
+            service, zone, reclaimable = target
+            self._floors[target] = sum(
+                (entry.zone, entry.is_reclaimable) == (zone, reclaimable)
+                for entry in self.carrying(service, self._registry.usable(service))
+            )
+        return self._floors[target]
+
     # Exchange with other processes
 
     def reported(self):
