--- a/cicadapond/gateway/rollouts_test.py
+++ b/cicadapond/gateway/rollouts_test.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from cicadapond.forwarding import NoConnection
 from cicadapond.gateway.harness import Deployment, deployment
+from cicadapond.gateway.relay_test import cut_off
 from cicadapond.platform.standin import FleetSettings, RolloutModel, VersionDefect
 
 SERVICE, OLD, NEW = "plain", "v1", "v2"
@@ -82,6 +84,19 @@
     )
 
 
+def partition(node):
+    """Cuts a node off from the store, and from what the others tell of rollouts."""
+
+    async def call(*args):
+        await asyncio.sleep(0.05)
+        return NoConnection()
+
+    node._adapters.tables._client.call = call
+    node.parts.rollouts.apply = lambda zone, totals: None
+    node.parts.rollouts.reported = dict
+    node.parts.rollouts.set_state = lambda service, version, state: None
+
+
 def phase(node):
     return node.state()["rollouts"].get(SERVICE, {}).get("phase")
 
@@ -186,6 +201,40 @@
     run(check, tmp_path)
 
 
+def test_a_process_that_hears_nothing_keeps_its_share_and_stops_by_its_own_evidence(tmp_path):
+    async def check(system, traffic):
+        model = rollout(system, VersionDefect(share=0.8, starts_after_s=0.5))
+        running = asyncio.ensure_future(model.run())
+        await system.until(lambda: all(phase(node) == "trial" for node in system.nodes))
+        cut = next(node for node in system.nodes if node is not holder(system))
+        partition(cut)
+        assert await running == "rolled_back"
+        assert phase(cut) == "trial"
+        await asyncio.sleep(DURATION_S)
+        received = model.requests()
+        await asyncio.sleep(0.5)
+        assert model.requests() == received
+        check_exposure(model, traffic)
+
+    run(check, tmp_path, processes=3)
+
+
+def test_requests_that_are_passed_on_count_against_the_same_bounds(tmp_path):
+    async def check(system, traffic):
+        cut_off(system.nodes[1], "refuses")
+        model = rollout(system, VersionDefect(share=0.8))
+        assert await model.run() == "rolled_back"
+        received = model.requests()
+        assert received
+        before = len(traffic.statuses)
+        await system.until(lambda: len(traffic.statuses) > before + 100)
+        assert model.requests() == received
+        assert traffic.statuses[before:].count(200) > 80
+        check_exposure(model, traffic)
+
+    run(check, tmp_path)
+
+
 def test_an_unreadable_state_keeps_requests_from_the_new_version(tmp_path):
     async def check(system, traffic):
         model = rollout(system, VersionDefect(share=0.0))
