--- a/cicadapond/rollout/_evidence.py
+++ b/cicadapond/rollout/_evidence.py
@@ -15,11 +15,10 @@
 
 # The limits between the classes of slowness, a factor of 1.3 apart: hosts that are 2.5 times slower
 # for moments and versions that are at least three times slower fall into different classes.
-SLOWNESS_STEP = 1.3
-SLOWNESS_LIMITS = (1.3, 1.7, 2.2, 2.9, 3.8, 5.0)
+SLOWNESS_LIMITS = (0.77, 1.0, 1.3, 1.7, 2.2, 2.9, 3.8, 5.0)
 CLASSES = len(SLOWNESS_LIMITS) + 1
-# The class from which on a response counts as slow: 2.9 times the expected time and more.
-SLOW_CLASS = 4
+# The class from which on a response counts as slow: 2.2 times the expected time and more.
+SLOW_CLASS = 5
 # Requests in flight by slots from which on a server counts as loaded.
 HIGH_LOAD = 0.5
 
--- a/cicadapond/rollout/_judge.py
+++ b/cicadapond/rollout/_judge.py
@@ -43,14 +43,14 @@
 
 # Log-likelihood ratios at or below which a version is good: on all routes in the last part of the
 # order, and on each route since its start, which has fewer outcomes.
-GOOD_LEVEL, ROUTE_GOOD_LEVEL = -1.5, -0.5
+GOOD_LEVEL, ROUTE_GOOD_LEVEL = -1.5, 0.0
 RECENT_PART = 0.38
 RECENT_TIME = datetime.timedelta(seconds=3)
 # A route with fewer requests is too rare for that; it needs one outcome in this many requests.
-RARE_REQUESTS, RARE_RATIO, RARE_GOOD_LEVEL = 60, 12, 0.0
+RARE_REQUESTS, RARE_RATIO, RARE_GOOD_LEVEL = 60, 12, 0.5
 # A version with a likelihood ratio above this since any moment is not good yet.  Failures have less
 # noise than times.
-FAILED_SUSPICION_LEVEL, SLOW_SUSPICION_LEVEL = 4.0, 7.0
+FAILED_SUSPICION_LEVEL, SLOW_SUSPICION_LEVEL = 5.0, 7.0
 
 
 @attrs.frozen
@@ -68,10 +68,12 @@
     Attributes:
       portion: The portion of bad responses.
       shift: By how many classes they are slower; 0 if they fail.
+      may_prove: Whether a version may be found bad by it; else it only keeps it from being good.
     """
 
     portion: float
     shift: int = 0
+    may_prove: bool = True
 
     @property
     def text(self) -> str:
@@ -102,10 +104,9 @@
 
 
 # Slower by four, five and six classes is 2.9, 3.7 and 4.8 times slower.  A small portion of
-# responses that are 2.9 times slower can't be told from the noise of one or two engines.
-BAD_WAYS = (BadWay(0.2), BadWay(0.6), BadWay(0.2, 5), BadWay(0.6, 4), BadWay(0.6, 6))
-
-
+# responses that are three times slower can't be told from the noise of the one or two engines of a
+# trial, and a large one is no proof.
+BAD_WAYS = (BadWay(0.2), BadWay(0.6), BadWay(0.25, 6), BadWay(0.6, 5), BadWay(0.6, 4, False))
 ALL = (None, None)
 NO_SUMS = Sums()
 NO_RATIOS = (0.0,) * len(BAD_WAYS)
@@ -251,6 +252,8 @@
             if ratio > 0:
                 ratio *= factors[1 if way.shift else 0]
             group.ratios[index] += ratio
+            if not way.may_prove:
+                continue
             group.levels[index] = level = max(0.0, group.levels[index] + ratio)
             if level >= BAD_LEVEL and not self._bad_reason:
                 name, is_loaded = key
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -35,6 +35,8 @@
 
 # How often the figures of a rollout are renewed, at most.
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=250)
+# How often a process judges on its own evidence, which is part of that of all, while it hears it.
+OWN_TEST_INTERVAL = datetime.timedelta(seconds=1)
 # How long the times of an engine of the new version do not count after its first request.
 COLD_TIME = datetime.timedelta(milliseconds=1500)
 # The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
@@ -220,6 +222,8 @@
         self._heard: dict[str, dict[str, tuple[int, ...]]] = {}
         self._heard_sum: dict[str, tuple[int, ...]] = {}
         self._heard_changed = False
+        self._heard_at: datetime.timedelta | None = None
+        self._own_tested_at: datetime.timedelta | None = None
         self._shares: dict[str, float] = {}
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
@@ -242,9 +246,10 @@
         return self._own_test.is_bad or self._heard_test.is_bad
 
     def is_stopped(self, version):
-        """Returns whether this process has stopped sending to the version by itself."""
-        is_running = not self.state.phase.has_ended
-        return version == self.state.order.to and is_running and self._is_bad
+        """Returns whether nothing goes to the version before the trial, or as it was found bad."""
+        if version != self.state.order.to or self.state.phase.has_ended:
+            return False
+        return self._is_bad or self.state.phase is Phase.WAITING
 
     def choose(self, route, servers):
         to = self.state.order.to
@@ -299,14 +304,21 @@
         self._refreshed_at = now
         own = self.totals.reported()
         if self._heard_changed:
-            self._heard_changed = False
+            self._heard_changed, self._heard_at = False, now
             self._heard_sum = add_totals(self._heard.values())
             if not self.state.phase.has_ended:
                 self._heard_test.update(read_totals(self._heard_sum), now)
         self.fleet = read_totals(_larger(own, self._heard_sum))
         if self.state.phase.has_ended:
             return
-        self._own_test.update(read_totals(own), now)
+        hears = self._heard_at is not None and now - self._heard_at < OWN_TEST_INTERVAL
+        if (
+            not hears
+            or self._own_tested_at is None
+            or (now - self._own_tested_at >= OWN_TEST_INTERVAL)
+        ):
+            self._own_tested_at = now
+            self._own_test.update(read_totals(own), now)
         self._shares = route_shares(self.state.share, self.fleet.requests)
         self._work_share = self._find_work_share()
         self._is_exhausted = self._find_exhausted()
--- /dev/null
+++ b/cicadapond/rollout/rollouts_test.py
@@ -0,0 +1,193 @@
+"""Tests the part of one process in a rollout: the split of its traffic, and its evidence."""
+
+import collections
+import random
+
+import attrs
+import pytest
+
+from cicadapond.data import Endpoint
+from cicadapond.gateway.data import ServerEntry
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.rollout import (
+    ALL_ROUTES,
+    ExposureBounds,
+    Observation,
+    Phase,
+    RolloutOrder,
+    Rollouts,
+    RolloutState,
+    Verdict,
+)
+from cicadapond.rollout._evidence import add_totals
+
+ORDER = RolloutOrder("chat", "v2", seconds(15), 1)
+
+
+def server(name, version):
+    return ServerEntry(name, "chat", Endpoint("127.0.0.1", 1), "z", 8, version=version)
+
+
+OLD = [server(f"old-{number}", "v1") for number in range(30)]
+NEW = [server(f"new-{number}", "v2") for number in range(30)]
+
+
+def process_in(phase, clock=None, seed=1, begun=None, **changes):
+    clock = clock or ManualClock()
+    process = Rollouts(clock, ExposureBounds(), random.Random(seed))
+    process.allowed("chat", "a", OLD)
+    process.set_order("chat", ORDER)
+    if phase is not None:
+        now = begun or clock.now()
+        process.set_state("chat", RolloutState(ORDER, phase, now, now, share=0.05, **changes))
+    clock.advance(seconds(2))
+    process.allowed("chat", "a", OLD + NEW)
+    clock.advance(seconds(2))
+    return process
+
+
+def versions(process, servers=(*OLD, *NEW), route="a"):
+    return {entry.version for entry in process.allowed("chat", route, list(servers))}
+
+
+def observe(process, version, number, is_bad=False, name="x", slowness=1.0):
+    for _ in range(number):
+        seen = Observation("chat", version, "a", 0.3, is_bad, slowness, name, seconds(0.1))
+        process.record(seen)
+
+
+def test_a_version_that_appears_before_its_order_gets_nothing_for_a_second():
+    clock = ManualClock()
+    process = Rollouts(clock, ExposureBounds(), random.Random(1))
+    assert versions(process, OLD) == {"v1"}
+    assert versions(process) == {"v1"}
+    assert versions(process, NEW) == {"v2"}
+    clock.advance(seconds(1))
+    assert versions(process) == {"v1", "v2"}
+
+
+@pytest.mark.parametrize("phase", [None, Phase.WAITING, Phase.ROLLED_BACK])
+def test_nothing_goes_to_the_version_without_a_trial(phase):
+    process = process_in(phase)
+    assert versions(process) == {"v1"}
+    assert versions(process, NEW) == set()
+    assert process.is_stopped(NEW[0]) and not process.is_stopped(OLD[0])
+
+
+def test_a_completed_rollout_uses_the_version_while_one_of_its_servers_is_usable():
+    process = process_in(Phase.COMPLETED)
+    assert versions(process) == {"v2"}
+    assert versions(process, OLD) == {"v1"}
+    process.set_order("chat", None)
+    assert versions(process) == {"v2"}
+
+
+def test_a_rolled_back_version_stays_barred_during_the_next_rollout():
+    process = process_in(Phase.TRIAL, barred=("v0",))
+    assert versions(process, [server("zero", "v0")]) == set()
+
+
+def test_withdrawn_and_changed_orders_stop_the_version_before_the_holder_says_so():
+    process = process_in(Phase.SHIFT, shifted=(ALL_ROUTES,))
+    assert versions(process) == {"v2"}
+    process.set_order("chat", attrs.evolve(ORDER, row_version=2))
+    assert versions(process) == {"v2"}
+    process.set_order("chat", attrs.evolve(ORDER, duration=seconds(20)))
+    assert versions(process) == {"v1"}
+    process.set_order("chat", None)
+    assert versions(process) == {"v1"} and process.is_stopped(NEW[0])
+
+
+def test_a_shift_moves_its_routes_until_the_time_limit():
+    clock = ManualClock()
+    process = process_in(Phase.SHIFT, clock, shifted=("a",))
+    assert versions(process) == {"v2"} and versions(process, route="b") == {"v1"}
+    assert versions(process, OLD) == {"v1"}
+    clock.advance(seconds(15))
+    assert versions(process) == {"v1"}
+
+
+def test_many_processes_that_hear_nothing_keep_the_share_and_use_few_engines():
+    # Guards against a sum of roundings, and against canary engines without load.
+    clock, rng = ManualClock(), random.Random(3)
+    begun = clock.now()
+    processes = [process_in(Phase.TRIAL, clock, number, begun) for number in range(420)]
+    sent, used = collections.Counter(), set()
+    for _ in range(4000):
+        process, route = rng.choice(processes), rng.choices("ab", (10, 1))[0]
+        process.record_request("chat", route)
+        entry = process.allowed("chat", route, OLD + NEW)[0]
+        process.record_sent(entry, route)
+        sent[entry.version] += 1
+        used.add(entry.name)
+    assert 150 < sent["v2"] < 250
+    assert len([name for name in used if name.startswith("new")]) <= 2
+
+
+def test_rare_routes_have_a_larger_share():
+    clock = ManualClock()
+    process = process_in(Phase.TRIAL, clock)
+    sent = collections.Counter()
+    for number in range(4400):
+        route = "b" if number % 11 == 0 else "a"
+        clock.advance(seconds(0.002))
+        process.record_request("chat", route)
+        entry = process.allowed("chat", route, OLD + NEW)[0]
+        process.record_sent(entry, route)
+        sent[entry.version, route] += 1
+    assert sent["v2", "b"] / 400 > 3 * sent["v2", "a"] / 4000
+    assert sent["v2", "a"] + sent["v2", "b"] < 0.06 * 4400
+
+
+def test_a_process_stops_on_its_own_evidence_and_stays_stopped():
+    clock = ManualClock()
+    process = process_in(Phase.TRIAL, clock)
+    for _ in range(16):
+        clock.advance(seconds(0.3))
+        observe(process, "v1", 20)
+        observe(process, "v2", 2, is_bad=True)
+    assert process.judgement("chat").verdict is Verdict.BAD
+    assert process.is_stopped(NEW[0]) and versions(process, NEW) == set()
+    for _ in range(16):
+        clock.advance(seconds(0.3))
+        observe(process, "v2", 50)
+    assert process.is_stopped(NEW[0])
+
+
+def test_a_process_stops_on_what_others_saw():
+    clock = ManualClock()
+    begun = clock.now()
+    others = [process_in(Phase.TRIAL, clock, number, begun) for number in range(9)]
+    process = process_in(Phase.TRIAL, clock, begun=begun)
+    for number in range(9):
+        clock.advance(seconds(0.3))
+        observe(others[number], "v1", 20)
+        observe(others[number], "v2", 2, is_bad=True, name=f"new-{number}")
+        process.apply("z", add_totals(other.reported() for other in others))
+    assert process.judgement("chat").verdict is Verdict.BAD
+    process.apply("z", {"garbage": (1,), "chat\tx\tn": ()})
+
+
+def test_a_crash_of_one_engine_does_not_stop_the_version():
+    # Guards against blaming a version for the requests that an engine ran when it crashed.
+    clock = ManualClock()
+    process = process_in(Phase.TRIAL, clock)
+    for number in range(10):
+        clock.advance(seconds(0.3))
+        observe(process, "v1", 20)
+        observe(process, "v2", 4)
+        observe(process, "v2", 30 * (number == 5), is_bad=True, name="crashed")
+    assert process.judgement("chat").verdict is not Verdict.BAD
+
+
+def test_slow_responses_of_the_new_version_only_count_against_it():
+    clock = ManualClock()
+    process, other = (process_in(Phase.TRIAL, clock, seed=number) for number in (1, 2))
+    for number in range(16):
+        clock.advance(seconds(0.3))
+        for seen, factor in ((process, 1.0), (other, 4.0)):
+            observe(seen, "v1", 20, slowness=4.0 / factor)
+            observe(seen, "v2", 4, slowness=4.0, name=f"new-{number % 2}")
+    assert process.judgement("chat").verdict is not Verdict.BAD
+    assert other.judgement("chat").verdict is Verdict.BAD
+    assert other.state()["chat"]["is_stopped"]
