--- a/cicadapond/gateway/rollouts_test.py
+++ b/cicadapond/gateway/rollouts_test.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import itertools
+import json
 
 import pytest
 
+from cicadapond.admin import to_jsonable
 from cicadapond.forwarding import NoConnection
 from cicadapond.gateway.harness import Deployment, deployment
 from cicadapond.gateway.relay_test import cut_off
@@ -117,6 +119,8 @@
         assert await model.run() == "completed"
         assert model.states[-1][1] <= model.ordered_at + DURATION_S
         assert [state for state, _ in model.states] == ["in_progress", "completed"]
+        shown = json.loads(json.dumps(to_jsonable(system.node.state())))["rollouts"][SERVICE]
+        assert shown["phase"] == "completed" and shown["evidence"]["new"]["answers"]
         before = len(traffic.statuses)
         await asyncio.sleep(1.0)
         assert len(traffic.statuses) > before
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -11,13 +11,31 @@
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._plan import parse_seeds
 from cicadapond.soak._proxy import NetworkFault, Proxy
-from cicadapond.soak._records import PLAIN, STREAM, BrittleTime, Cut, Hold, Run, StatedLimit
+from cicadapond.soak._records import (
+    PLAIN,
+    STREAM,
+    BrittleTime,
+    Cut,
+    Hold,
+    RolloutRecord,
+    Run,
+    StatedLimit,
+)
 from cicadapond.soak._run import Soak
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
 RUN = Run("r-1", "s-0", 10.05)
 
 
+ROLLOUT = RolloutRecord("plain", "r1", False, 9.0, ("r1-0",), 1.0, "rolled_back", 4.0)
+
+
+def rolled_out(runs=0, at=2.0, **changes):
+    """Returns a history with a rollout and requests at its version, all at one time."""
+    ran = [Run(f"r-{number}", "r1-0", at) for number in range(runs)]
+    return history(rollouts=[attrs.evolve(ROLLOUT, **changes)], runs=ran)
+
+
 def history(**changes):
     return attrs.evolve(History(calls=[CALL], runs=[RUN]), **changes)
 
@@ -28,6 +46,8 @@
 
 def test_a_history_without_faults_has_no_violations():
     assert check(history()) == []
+    assert check(rolled_out(runs=50)) == []
+    assert check(rolled_out(is_good=True, outcome="completed")) == []
 
 
 @pytest.mark.parametrize(
@@ -37,6 +57,13 @@
         ("said not to have run", history(calls=[call(status=503)])),
         ("own answers, in order", history(calls=[call(is_correct=False)])),
         ("removed keys", history(keys_removed={"k": 5.0})),
+        ("rollouts", rolled_out(outcome="completed")),
+        ("rollouts", rolled_out(outcome=None)),
+        ("rollouts", rolled_out(is_good=True)),
+        ("rollouts", rolled_out(ended_at=10.5)),
+        ("rollouts", rolled_out(runs=51)),
+        ("rollouts", rolled_out(runs=1, at=8.0, bad_times=[2.0] * 50)),
+        ("rollouts", rolled_out(runs=1, at=9.5)),
         ("leaving servers", history(drained={"s-0": 7.5})),
         (
             "stated limits",
