Bound the shift in each process by its part of the exposure

Cause: a bad version that was shifted got 183 of 1,105 requests (bound 160), as the counts of other processes are some 400 ms old. Change: in the shift a process sends to the new version at most its part of what is left, with half a request of slack.

--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -6,6 +6,7 @@
 
 import collections
 import datetime
+import math
 import random
 import typing
 from collections.abc import Mapping, Sequence
@@ -35,13 +36,17 @@
 
 # How often the figures of a rollout are renewed, at most.
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=250)
+# How old the counts of other processes are.
+REPORT_DELAY = datetime.timedelta(milliseconds=400)
 # How often a process judges on its own evidence, which is part of that of all, while it hears it.
 OWN_TEST_INTERVAL = datetime.timedelta(seconds=1)
 # How long the times of an engine of the new version do not count after its first request.
 COLD_TIME = datetime.timedelta(milliseconds=1500)
 # The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
 TRIAL_TOLERANCE_PART = 0.6
-SHIFT_TOLERANCE_PART = 0.9
+SHIFT_TOLERANCE_PART = 0.7
+# What a process may send beyond its part in the shift, so that those with few requests take part.
+PART_SLACK = 0.5
 
 
 class Rollouts:
@@ -228,6 +233,10 @@
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
         self._is_exhausted = False
+        # What this process counted, and what it may send in all for each of its requests.
+        self._requests = self._sent = 0
+        self._sends_per_request = math.inf
+        self._rounding = rng.random()
         # The usable servers of the new version and the number of others, at the last request.
         self._new: list[ServerEntry] = []
         self._old_count = 0
@@ -263,18 +272,20 @@
                 return new
             case Phase.TRIAL | Phase.SHIFT if not self._is_bad and not self._is_exhausted:
                 if self._is_shifted(route):
-                    return new
+                    return old if self._has_spent_part() else new
                 if self._credits.may_send(route):
                     return self._choose_canaries()
         return old
 
     def record_request(self, route):
         self.totals.add_request(route)
+        self._requests += 1
         if self.state.phase in (Phase.TRIAL, Phase.SHIFT):
             self._credits.grow(route, self._shares.get(route, self.state.share))
 
     def record_sent(self, entry, route):
         self.totals.add_sent(route)
+        self._sent += 1
         if not self._is_shifted(route):
             self._credits.spend(route)
             self._tried.add(entry.start)
@@ -321,7 +332,7 @@
             self._own_test.update(read_totals(own), now)
         self._shares = route_shares(self.state.share, self.fleet.requests)
         self._work_share = self._find_work_share()
-        self._is_exhausted = self._find_exhausted()
+        self._update_exposure()
         if self.state.phase is Phase.TRIAL:
             # The canary engines are those of all processes, and get requests from now on.
             for entry in self._choose_canaries():
@@ -370,16 +381,26 @@
         total = sum(work.values())
         return canary / total if total else self.state.share
 
-    def _find_exhausted(self):
-        """Returns whether the version received all it may, by the counts of all processes."""
+    def _has_spent_part(self):
+        """Returns whether this process has sent its part of what the version may receive.
+
+        The parts of all processes add up to the whole, without delay by what they hear.
+        """
+        part = self._sends_per_request * self._requests
+        return self._sent > part + PART_SLACK + self._rounding - 1
+
+    def _update_exposure(self):
+        """Compares the counts of all processes with what the version may receive."""
         requests, sent = sum(self.fleet.requests.values()), sum(self.fleet.sent.values())
         share, tolerance = self._bounds.share, self._bounds.tolerance
-        if self.state.phase is not Phase.SHIFT:
-            return sent > share * requests + TRIAL_TOLERANCE_PART * tolerance
-        elapsed = self._clock.now() - self.state.started_at
-        if elapsed > datetime.timedelta():
-            requests *= max(1.0, self.state.order.duration / elapsed)
-        return sent > share * requests + SHIFT_TOLERANCE_PART * tolerance
+        allowed = share * requests + TRIAL_TOLERANCE_PART * tolerance
+        if self.state.phase is Phase.SHIFT:
+            elapsed = self._clock.now() - self.state.started_at
+            heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
+            expected = requests * max(1.0, self.state.order.duration / heard)
+            allowed = share * expected + SHIFT_TOLERANCE_PART * tolerance
+            self._sends_per_request = allowed / max(1.0, requests * (elapsed / heard))
+        self._is_exhausted = sent > allowed
 
 
 def _larger(own, heard):
