Complete at once a new order for the version that a rollout has completed

Cause: old engines may still be listed when the row is written again; a new trial would send the traffic back to them. Change: such an order is completed at once.

--- a/cicadapond/rollout/_next_state.py
+++ b/cicadapond/rollout/_next_state.py
@@ -78,7 +78,9 @@
         rolled_back = (state.order.to,) if state.phase is Phase.ROLLED_BACK else ()
         kept = (version for version in state.barred + rolled_back if version != order.to)
         barred = tuple(dict.fromkeys(kept))[-MAX_BARRED:]
-    serves_alone = view.new_servers > 0 and view.old_servers == 0
+    # Old engines may still be listed for some seconds after a rollout was completed.
+    is_serving = state is not None and state.phase is Phase.COMPLETED and state.order.to == order.to
+    serves_alone = view.new_servers > 0 and (view.old_servers == 0 or is_serving)
     phase = Phase.COMPLETED if serves_alone else Phase.WAITING
     reason = "the version serves alone" if serves_alone else ""
     return RolloutState(order, phase, started_at, now, reason, barred=barred)
