--- a/cicadapond/experiments/rollouts.py
+++ b/cicadapond/experiments/rollouts.py
@@ -100,7 +100,8 @@
         self._events, self._numbers, self.at = [], itertools.count(), 0.0
         self._usable, self._entries, self._usable_until = {}, [], -1.0
         self._moments = {}
-        self._routes, self._weights = list(case.weights), list(case.weights.values())
+        self._routes = list(case.weights)
+        self._weights = list(itertools.accumulate(case.weights.values()))
 
     def run(self):
         """Plays the order until its right end, or to its time limit."""
@@ -167,13 +168,15 @@
         case, rng = self.case, self.rng
         self._at(self.at + rng.expovariate(case.rate), self._arrive)
         process = self.processes[int(len(self.processes) * rng.random() ** 1.5)]
-        route = rng.choices(self._routes, self._weights)[0]
+        route = rng.choices(self._routes, cum_weights=self._weights)[0]
         self.requests += 1
         process.record_request(SERVICE, route)
         self._send(process, route, ())
 
     def _send(self, process, route, tried):
-        entries = [entry for entry in self._servers() if entry.name not in tried]
+        entries = self._servers()
+        if tried:
+            entries = [entry for entry in entries if entry.name not in tried]
         allowed = process.allowed(SERVICE, route, entries)
         if not allowed:
             return
--- a/cicadapond/rollout/_evidence.py
+++ b/cicadapond/rollout/_evidence.py
@@ -116,6 +116,26 @@
     return Sums.of(found[0]) if found else Sums()
 
 
+def group_sums(
+    sums: typing.Mapping[tuple[str, bool], Sums],
+) -> dict[tuple[str | None, bool | None], Sums]:
+    """Returns the sums of all, of each route, and of each route on loaded servers.
+
+    The keys are routes, None for all, and whether only loaded servers count, None for all.
+    """
+    found: dict[tuple[str | None, bool | None], list[tuple[int, ...]]] = {}
+    for (name, is_loaded), value in sums.items():
+        counts = value.counts
+        found.setdefault((None, None), []).append(counts)
+        found.setdefault((name, None), []).append(counts)
+        if is_loaded:
+            found[name, True] = [counts]
+    return {
+        key: Sums.of(many[0] if len(many) == 1 else list(map(sum, zip(*many, strict=True))))
+        for key, many in found.items()
+    }
+
+
 class Totals:
     """The totals of one rollout by opaque keys, as one process counts them.
 
--- a/cicadapond/rollout/_judge.py
+++ b/cicadapond/rollout/_judge.py
@@ -16,7 +16,7 @@
 import attrs
 
 from cicadapond.rollout._data import Judgement, Verdict
-from cicadapond.rollout._evidence import CLASSES, Evidence, Sums, total_of
+from cicadapond.rollout._evidence import CLASSES, Evidence, Sums, group_sums
 
 # A version is bad once a likelihood ratio exceeds exp(11.5), about 100,000: with some 60 tests,
 # each of some 40 steps, the nominal error is below 1 in 40 orders; that with noise is measured.
@@ -161,15 +161,15 @@
         """Takes the totals at a monotonic time; one step of the test."""
         while len(self._history) > 1 and self._history[1][0] <= now - self._recent:
             self._history.popleft()
-        old = {None: total_of(evidence.old)}
-        for name in {name for name, _ in evidence.old}:
-            old[name] = total_of(evidence.old, name)
+        old = {None: NO_SUMS}
+        for (name, is_loaded), sums in group_sums(evidence.old).items():
+            if not is_loaded:
+                old[name] = sums
         factors = self._count_clumps(evidence, now)
         weights: dict[str | None, list[tuple[float, ...]]] = {}
-        for key in _groups(evidence):
+        for key, sums in group_sums(evidence.new).items():
             name, _ = key
             group = self._groups.setdefault(key, _Group())
-            sums = total_of(evidence.new, *key)
             if sums.answers <= group.sums.answers:
                 continue
             added = sums.plus(group.sums, -1)
@@ -294,10 +294,3 @@
                 if ratio > limit:
                     return f"{way.text}, on route {name}: {outcomes} outcomes do not suffice"
         return ""
-
-
-def _groups(evidence):
-    """Returns what is tested apart: all, each route, and each route on loaded servers."""
-    routes = {(name, None) for name, _ in evidence.new}
-    loaded = {(name, True) for name, is_loaded in evidence.new if is_loaded}
-    return [ALL, *routes, *loaded] if routes else []
