--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -82,12 +82,31 @@
     prices: typing.Mapping[str, float]
 
 
+@attrs.frozen
+class MemoryMoves:
+    """How the engines of a service copy the memory of a running request to each other.
+
+    Attributes:
+      token_bytes: The bytes of a token in an engine's memory.
+      bandwidth_mbps: The bandwidth of an engine's link, in megabits per second.
+      event_tokens: The tokens that each event of a stream adds.
+    """
+
+    token_bytes: int
+    bandwidth_mbps: float
+    event_tokens: int = 1
+
+
 @attrs.frozen
 class EngineLimits:
-    """Capacity of one engine: requests in its batch and tokens in its memory."""
+    """Capacity of one engine: requests in its batch and tokens in its memory.
+
+    `moves` is None if running requests must not be moved between the engines.
+    """
 
     slots: int
     tokens: int
+    moves: MemoryMoves | None = None
 
 
 @attrs.frozen
@@ -224,11 +243,25 @@
     generation: Generation | None = None
 
 
+@attrs.frozen
+class MemoryHandle:
+    """A copy of a stopped request's memory, with which an engine goes on with the same run.
+
+    Attributes:
+      source: The engine that ran the request until then.
+      handle: The name of the copy there.
+    """
+
+    source: ServerEntry
+    handle: str
+
+
 @attrs.frozen
 class Dispatch:
     """The values sent with a request to a server; `time_left` is the time until its deadline.
 
     `max_attempts` is how many servers another process may send it to, if it is passed on to one.
+    `memory` is the copy from which the server goes on with a stopped run, None to begin a new one.
     """
 
     server: ServerEntry
@@ -237,6 +270,7 @@
     last_event_id: str | None = None
     priority: int | None = None
     max_attempts: int = 1
+    memory: MemoryHandle | None = None
 
 
 # Responses
--- a/cicadapond/platform/_configuration.py
+++ b/cicadapond/platform/_configuration.py
@@ -6,6 +6,7 @@
     ClientAccount,
     Configuration,
     EngineLimits,
+    MemoryMoves,
     RequestLimits,
     Route,
     RouteKind,
@@ -84,7 +85,9 @@
     engine = None
     if reader.has("engine"):
         inner = reader.inner("engine")
-        engine = EngineLimits(inner.integer("slots"), inner.integer("kv_capacity"))
+        engine = EngineLimits(
+            inner.integer("slots"), inner.integer("kv_capacity"), _memory_moves(inner)
+        )
     scaling = None
     if reader.has("scaling"):
         inner = reader.inner("scaling")
@@ -98,6 +101,19 @@
     return Service(reader.text("name"), reader.integer("max_connections"), engine, scaling)
 
 
+def _memory_moves(reader):
+    """Returns how engines move memory, None if they must not or do not say at which cost."""
+    if not all(map(reader.has, ("moves", "kv_bytes", "bandwidth_mbps"))):
+        return None
+    moves = MemoryMoves(
+        token_bytes=reader.integer("kv_bytes"),
+        bandwidth_mbps=reader.number("bandwidth_mbps"),
+        event_tokens=max(1, reader.integer("stride", 1)),
+    )
+    is_on = reader.flag("moves") and moves.token_bytes > 0 and moves.bandwidth_mbps > 0
+    return moves if is_on else None
+
+
 def _account(reader):
     return ClientAccount(
         name=reader.text("name"),
