Move streams off engines that are withdrawn, under the head that their callers have

Cause: streams that outlast the notice of their engine were cut; where the route is not resumable nobody may begin them again. Change: the process that relays a stream asks the engine to stop the run and to copy its memory (kv-move with last), passes on what still arrives, and sends the same request with Kv-From and the last event id to the destination, else back to the source. A stream that its engine closed for that is no failure: no health record, no crash evidence. The continuation is the same run, so it counts neither as an attempt nor in the budget of retries. An answer that is lost is asked for again; if it stays unknown, the stream falls back to what its route allows once its engine has closed it. Copies that nobody uses are freed. It is on where a service's engine.moves is true. Ruled out: counting the continuation as an attempt, as a used-up budget would cut streams whose copy is ready.

--- a/cicadapond/evacuation/_planner.py
+++ b/cicadapond/evacuation/_planner.py
@@ -23,8 +23,11 @@
 # A move has to be complete this long before the engine ends: notices arrive some hundredths of a
 # second late.
 END_MARGIN = datetime.timedelta(milliseconds=120)
-# The estimate of a stream's remaining time may be too short by this factor.
+# The estimate of a stream's remaining time may be too short by this factor.  A stream that is cut
+# only then is left alone until this much of the notice remains: the estimate from its first events
+# is rough, and moves that prove unnecessary cost links and a pause.
 REMAINING_FACTOR = 1.25
+BORDERLINE_NOTICE = datetime.timedelta(milliseconds=800)
 # The destination is the best of this many engines drawn by their free slots, so that processes
 # which decide at the same time choose different ones.
 DRAWN_ENGINES = 3
@@ -141,7 +144,10 @@
 
 def must_move(stream: RunningStream) -> bool:
     """Returns whether a stream would be cut by the end of its engine."""
-    return REMAINING_FACTOR * stream.remaining > stream.notice_left - END_MARGIN
+    left = stream.notice_left - END_MARGIN
+    if stream.notice_left > BORDERLINE_NOTICE:
+        return stream.remaining > left
+    return REMAINING_FACTOR * stream.remaining > left
 
 
 def _order(stream):
--- a/cicadapond/evacuation/wave_test.py
+++ b/cicadapond/evacuation/wave_test.py
@@ -159,6 +159,12 @@
     assert planner().choose([stream(**changes)], [room()], ()) == []
 
 
+@pytest.mark.parametrize(("remaining_s", "left_s", "moves"), [(1.7, 2.0, 0), (0.6, 0.8, 1)])
+def test_a_stream_that_may_just_end_in_time_is_moved_late_if_at_all(remaining_s, left_s, moves):
+    streams = [stream(remaining_s=remaining_s, left_s=left_s)]
+    assert len(planner().choose(streams, [room()], ())) == moves
+
+
 @pytest.mark.parametrize(
     "unfit",
     [room(version="v2"), room(slots=0.5), room(tokens=SIZE - 1), room("source")],
--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -52,6 +52,7 @@
       was_closed: Whether the attempt failed other than by a time-out, so that the server may have
         crashed.
       was_silent: Whether it failed because the server or the network sent nothing in time.
+      was_stopped: Whether the server stopped the run because it was asked to, which is no fault.
     """
 
     reason: str
@@ -60,6 +61,7 @@
     events: int = 0
     was_closed: bool = False
     was_silent: bool = False
+    was_stopped: bool = False
 
 
 Outcome = NotSent | Refused | Whole | StreamWhole | Broken
--- a/cicadapond/gateway/__init__.py
+++ b/cicadapond/gateway/__init__.py
@@ -1,6 +1,27 @@
 """The gateway: forwards callers' requests to backend servers over the platform's protocols."""
 
 from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
+from cicadapond.gateway._engine_calls import (
+    EngineCalls,
+    KeptAtSource,
+    Moved,
+    MoveDeclined,
+    MoveResult,
+    MoveUnknown,
+)
 from cicadapond.gateway._header_codec import HeaderCodec, Malformed
 
-__all__ = ["Cloud", "Declined", "HeaderCodec", "Holder", "Malformed", "ServerOrder"]
+__all__ = [
+    "Cloud",
+    "Declined",
+    "EngineCalls",
+    "HeaderCodec",
+    "Holder",
+    "KeptAtSource",
+    "Malformed",
+    "MoveDeclined",
+    "MoveResult",
+    "MoveUnknown",
+    "Moved",
+    "ServerOrder",
+]
--- /dev/null
+++ b/cicadapond/gateway/_engine_calls.py
@@ -0,0 +1,83 @@
+"""The calls to engines that move the memory of running requests, as an abstract class."""
+
+import abc
+import datetime
+
+import attrs
+
+from cicadapond.gateway.data import ServerEntry
+
+
+@attrs.frozen
+class Moved:
+    """The run was stopped and its memory copied.
+
+    Attributes:
+      handle: The name of the copy.
+      events: How many events the run had made when it stopped.
+    """
+
+    handle: str
+    events: int
+
+
+@attrs.frozen
+class KeptAtSource:
+    """The run was stopped and could not be copied; its engine keeps the memory."""
+
+    handle: str
+    reason: str
+
+
+@attrs.frozen
+class MoveDeclined:
+    """The engine did not move the run.
+
+    Attributes:
+      reason: Why.
+      has_no_run: Whether the engine knows of no such run: it has ended, or had not begun.
+      is_busy: Whether another call for the same run is in progress.
+    """
+
+    reason: str
+    has_no_run: bool = False
+    is_busy: bool = False
+
+
+@attrs.frozen
+class MoveUnknown:
+    """The call was sent and no readable answer came: the run may be stopped, or not."""
+
+    reason: str
+
+
+MoveResult = Moved | KeptAtSource | MoveDeclined | MoveUnknown
+
+
+class EngineCalls(abc.ABC):
+    """Calls to engines beside the requests of callers."""
+
+    @abc.abstractmethod
+    async def move(
+        self,
+        source: ServerEntry,
+        request_id: str,
+        destination: ServerEntry,
+        timeout: datetime.timedelta,
+    ) -> MoveResult:
+        """Stops a run at an engine and copies its memory to another one.
+
+        Args:
+          source: The engine that runs the request.
+          request_id: The request's id.
+          destination: The engine that receives the copy.
+          timeout: How long the copy may take.
+        """
+
+    @abc.abstractmethod
+    async def free(self, source: ServerEntry, handle: str) -> None:
+        """Frees a copy that is not used, at both ends; a failure is ignored, as copies expire."""
+
+    @abc.abstractmethod
+    def drop_server(self, server: ServerEntry) -> None:
+        """Closes the connections to an engine that is gone."""
--- a/cicadapond/gateway/_evaluation.py
+++ b/cicadapond/gateway/_evaluation.py
@@ -46,6 +46,8 @@
                 return outcome
             case Whole(head=head):
                 return self._evaluate_complete(outcome, head, entry)
+            case Broken(was_stopped=True):
+                return self._evaluate_stopped(outcome, entry)
             case Broken():
                 return self._evaluate_broken(outcome, entry)
         raise AssertionError(f"unexpected outcome {outcome}")
@@ -82,6 +84,17 @@
             return self._retries.failure_outcome()
         return None
 
+    def _evaluate_stopped(self, outcome, entry):
+        """Evaluates a run that was stopped to be moved, or may have been; no fault of the server.
+
+        A further attempt counts as one, and takes from the budget of retries.
+        """
+        self._state.may_have_run = True
+        self._state.reason = f"its engine left and it could not be moved: {outcome.reason}"
+        self._state.servers.tried.add(entry.name)
+        self._state.count_usage()
+        return None if self._state.route.repeatable else self._retries.failure_outcome()
+
     def _server_failed(self, entry):
         other_servers = tuple(
             other.name
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -20,6 +20,8 @@
     UsageReporter,
     settle_time,
 )
+from cicadapond.gateway._engine_calls import EngineCalls
+from cicadapond.gateway._evacuation import Evacuation
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Frontend
 from cicadapond.gateway._header_codec import HeaderCodec
@@ -63,7 +65,7 @@
 
     `decode_configuration` and `decode_server` decode rows that others write to the store;
     `configuration_row` is the table and key of the configuration, `server_table` the table of
-    backend servers.
+    backend servers.  Without `engine_calls` no stream is moved between engines.
     """
 
     header_codec: HeaderCodec
@@ -74,6 +76,7 @@
     decode_server: object
     configuration_row: tuple[str, str]
     server_table: str
+    engine_calls: EngineCalls | None = None
 
 
 class Node:
@@ -111,6 +114,8 @@
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
+        if adapters.engine_calls is not None:
+            self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
         self.parts.links.on_change = self._cluster.publish_soon
         self._cluster.cut_off_services = self.parts.links.cut_off_services
         self._relay_pool = ConnectionPool(clock, metrics)
@@ -254,6 +259,7 @@
             "advisories": self.parts.advisories.state(),
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
+            "moves": self.parts.evacuation.state() if self.parts.evacuation is not None else {},
             "cluster": self._cluster.state(),
         }
 
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -14,6 +14,7 @@
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._stream_moves import StreamMoves
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.placing import Placer, ServerHealth
@@ -32,7 +33,7 @@
     checks whether a server whose connection broke is down; `publish_soon` sends the other processes
     this one's report (prefill totals, statements of servers, streams) as soon as the minimum digest
     interval allows; `relay` leads to servers that this process does not reach, None if there are
-    no other processes.
+    no other processes; `evacuation` moves streams off leaving engines, None to move none.
     """
 
     cfg: GatewaySettings
@@ -59,4 +60,5 @@
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
     publish_soon: typing.Callable[[], None] = lambda: None
     relay: Relay | None = None
+    evacuation: StreamMoves | None = None
     stopping_since: datetime.timedelta | None = None
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -7,6 +7,7 @@
     OPERATOR_TABLE,
     SERVER_TABLE,
     PlatformCloud,
+    PlatformEngineCalls,
     PlatformHeaderCodec,
     PlatformStore,
     decode_configuration,
@@ -27,4 +28,5 @@
         decode_server=decode_server,
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
+        engine_calls=PlatformEngineCalls(clock, metrics),
     )
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -74,6 +74,8 @@
             self._parts.publish_soon()
         if not self._state.is_relaying:
             self._state.crash_watch.continue_answer()
+            if self._state.relayed is not None:
+                self._state.relayed.record_event(event.id, self._parts.clock)
         await self._state.reply.send(event.raw)
 
 
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -7,6 +7,7 @@
 from cicadapond.gateway._crash_watch import CrashWatch
 from cicadapond.gateway._eligible import EligibleServers
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._stream_moves import RelayedStream
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
@@ -55,6 +56,7 @@
       in_flight: The attempt in progress as placement knows it.
       has_head: Whether the attempt in progress has brought the head of a response.
       server: The server of the last attempt.
+      relayed: Its stream in the attempt in progress or the last one, None if it cannot be moved.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self.in_flight: InFlightRequest | None = None
         self.has_head = False
         self.server: ServerEntry | None = None
+        self.relayed: RelayedStream | None = None
         self._usage_counted = False
 
     @property
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -1,13 +1,15 @@
 """Serves one admitted request: tries servers one after the other, and sends the final answer.
 
 The steps are modules of their own, along a request's way: `_sending` (choose a server and send),
-`_relaying` (pass the answer on), `_evaluation` (what an outcome means), `_retries` (whether to go
-on), `_passing_on` (over another process) and `_final_answer`.  They share a `RequestState`.
+`_relaying` (pass the answer on), `_continuing` (go on at another engine), `_evaluation` (what an
+outcome means), `_retries` (whether to go on), `_passing_on` (over another process) and
+`_final_answer`.  They share a `RequestState`.
 """
 
 import datetime
 
 from cicadapond.gateway._caller import Reply
+from cicadapond.gateway._continuing import Continuing
 from cicadapond.gateway._evaluation import Evaluation
 from cicadapond.gateway._final_answer import FinalAnswer
 from cicadapond.gateway._parts import Parts
@@ -52,6 +54,7 @@
         sink = AnswerRelay(self._state)
         self._retries = Retries(self._state)
         self._sending = Sending(self._state, self._retries, sink)
+        self._continuing = Continuing(self._state, self._sending)
         self._passing_on = PassingOn(self._state, self._retries, sink)
         self._evaluation = Evaluation(self._state, self._retries)
 
@@ -71,6 +74,8 @@
             final = self._retries.timeout_outcome()
         finally:
             parts.demand.end(self._state.service)
+            if self._state.relayed is not None:
+                parts.evacuation.release(self._state.relayed)
         await FinalAnswer(self._state).send(final)
 
     async def _try_servers(self):
@@ -92,7 +97,7 @@
             if not await self._knows_version():
                 self._state.log("origin_unknown", resumes=self._state.origin_id)
                 return self._retries.failure_outcome()
-            outcome, entry = await self._sending.run()
+            outcome, entry = await self._continuing.follow(*await self._sending.run())
             final = self._evaluation.evaluate(outcome, entry)
             if final is not None:
                 return final
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -3,6 +3,8 @@
 import asyncio
 import datetime
 
+import attrs
+
 from cicadapond.forwarding import Broken, NotSent, ResponseSink, Whole
 from cicadapond.gateway._request import (
     MIN_TIME_LEFT,
@@ -11,7 +13,8 @@
     milliseconds,
 )
 from cicadapond.gateway._retries import Retries
-from cicadapond.gateway.data import Dispatch
+from cicadapond.gateway._stream_moves import RelayedStream
+from cicadapond.gateway.data import Dispatch, MemoryHandle, RouteKind, ServerEntry
 from cicadapond.placing import LONG_PREFILL_MS, should_hold
 
 # Interval at which a held request checks again for a server that can respond in time.
@@ -47,44 +50,78 @@
         )
         if placement is None:
             return NotSent("no server takes requests"), None
-        entry, self._state.in_flight = placement.server, placement.request
-        self._state.server = entry
         if self._state.req.generation is not None:
             work = datetime.timedelta(milliseconds=placement.request.work_ms)
             parts.demand.add_prefill(self._state.service, work)
             if placement.request.work_ms >= LONG_PREFILL_MS:
                 parts.publish_soon()
+        return await self._send(placement, left)
+
+    async def continue_at(self, entry: ServerEntry, memory: MemoryHandle):
+        """Sends a request whose run was stopped, to go on from a copy of its memory.
+
+        It is no further attempt: the run is the same, and the engine runs nothing if the copy is
+        not there.
+
+        Args:
+          entry: The engine that has the copy.
+          memory: The copy.
+
+        Returns:
+          The outcome and the engine.
+        """
+        left = self._state.time_left()
+        # Only the last tokens are prefilled, so it adds nothing to the engine's queue, and its
+        # first event says nothing about prefill.
+        generation = attrs.evolve(self._state.req.generation, prompt_tokens=0, parts=())
+        priority = self._state.priority() or 0
+        placement = self._parts.placer.place([entry], generation, priority)
+        placement.request.estimate = None
+        return await self._send(placement, left, memory)
+
+    async def _send(self, placement, left, memory=None):
+        parts = self._parts
+        entry, self._state.in_flight = placement.server, placement.request
+        self._state.server = entry
         dispatch = Dispatch(
             server=entry,
             time_left=left,
             account=self._state.account.name if self._state.account else None,
             last_event_id=self._state.last_event_id,
             priority=self._state.priority(),
+            memory=memory,
         )
         started = parts.clock.monotonic()
         self._state.crash_watch.begin_attempt()
         self._state.has_head = False
         took = None
+        self._state.relayed = stream = self._enter_stream(entry)
         try:
             async with asyncio.timeout(left.total_seconds()) as timeout:
+                if stream is not None:
+                    stream.timeout = timeout
                 outcome = await parts.attempt.run(
                     self._state.req,
                     dispatch,
                     self._sink,
                     self._retries.silence_limits(placement.expected),
                     self._state.route.repeatable,
-                    lambda: self._check_send(entry),
+                    lambda: self._check_send(entry, memory),
                 )
             if isinstance(outcome, Whole):
                 took = parts.clock.monotonic() - started
         except TimeoutError:
             if not timeout.expired():
                 raise
-            self._state.log("attempt_timed_out", server=entry.name)
-            if not self._state.has_head:
-                parts.links.timed_out(entry)
-            raise DeadlineExceededError() from None
+            if stream is None or not stream.is_cut:
+                self._state.log("attempt_timed_out", server=entry.name)
+                if not self._state.has_head:
+                    parts.links.timed_out(entry)
+                raise DeadlineExceededError() from None
+            outcome = Broken("its run was moved", was_stopped=True)
         finally:
+            if stream is not None:
+                parts.evacuation.end_attempt(stream)
             parts.placer.mark_ended(self._state.in_flight, took)
         self._state.log(
             "attempt",
@@ -99,6 +136,8 @@
             version=entry.version,
             resumes=self._state.req.resumes,
             after_event=dispatch.last_event_id,
+            moving_to=stream.destination.name if stream and stream.destination else None,
+            moved_from=memory.source.name if memory is not None else None,
             **self._crash_evidence(outcome),
         )
         return outcome, entry
@@ -161,19 +200,52 @@
         self._state.log("limited", servers=len(limited), tried=len(tried))
         return NotSent("the servers accept no more requests at the moment")
 
-    def _check_send(self, entry):
+    def _enter_stream(self, entry):
+        """Returns the stream of an attempt if its engine can move it, None otherwise."""
+        state, parts = self._state, self._parts
+        tries = 0
+        if state.relayed is not None:
+            tries = state.relayed.tries
+            parts.evacuation.release(state.relayed)
+        table = parts.active_configuration.table
+        service = table.cfg.services.get(state.service) if table is not None else None
+        engine = service.engine if service is not None else None
+        if parts.evacuation is None or engine is None or engine.moves is None:
+            return None
+        if state.route.kind is not RouteKind.STREAM or state.req.generation is None:
+            return None
+        stream = RelayedStream(
+            id=state.req.id,
+            server=entry,
+            moves=engine.moves,
+            generation=state.req.generation,
+            deadline=state.deadline,
+            is_resumable=state.route.resumable,
+            log=state.log,
+            tries=tries,
+            last_event_id=state.last_event_id,
+        )
+        parts.evacuation.enter(stream)
+        return stream
+
+    def _check_send(self, entry, memory):
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
 
+        A run that goes on from a copy is no further attempt, and may go back to the engine that
+        stopped it although that leaves.
+
         Returns:
           The reason, None if the request may be sent.
         """
-        if not self._parts.registry.takes_requests(entry):
+        goes_back = memory is not None and memory.source.start == entry.start
+        if not goes_back and not self._parts.registry.takes_requests(entry):
             return "the server is leaving"
         if not self._parts.active_configuration.still_allowed(self._state.req):
             return "the client account can no longer be checked"
         if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
-        if not self._parts.advisories.take(entry):
+        if not goes_back and not self._parts.advisories.take(entry):
             return "the server accepts no more at the moment"
-        self._state.send_count += 1
+        if memory is None:
+            self._state.send_count += 1
         return None
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -93,6 +93,11 @@
         )
         if change.kind in ("leaving", "gone"):
             self._parts.pool.drop_server(change.name)
+        if self._parts.evacuation is not None and entry is not None:
+            if change.kind == "gone":
+                self._parts.evacuation.server_gone(entry)
+            else:
+                self._parts.evacuation.server_changed(entry)
         if change.kind == "gone":
             self._parts.placer.remove(change.name)
             self._parts.health.remove(change.name)
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -350,6 +350,10 @@
         load = self._loads.get(server)
         return len(load.in_flight) if load is not None else 0
 
+    def in_flight(self, entry: ServerEntry) -> float:
+        """Returns how many requests of all processes a server is estimated to have."""
+        return self._in_flight(self._load(entry), self._clock.monotonic())
+
     def _load(self, entry):
         load = self._loads.get(entry.name)
         if load is None:
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadapond.platform._cloud import PlatformCloud
 from cicadapond.platform._configuration import decode_configuration
+from cicadapond.platform._engine_calls import PlatformEngineCalls
 from cicadapond.platform._headers import PlatformHeaderCodec
 from cicadapond.platform._servers import decode_server
 from cicadapond.platform._settings import SETTINGS_VARIABLE, read_settings
@@ -18,6 +19,7 @@
     "SERVER_TABLE",
     "SETTINGS_VARIABLE",
     "PlatformCloud",
+    "PlatformEngineCalls",
     "PlatformHeaderCodec",
     "PlatformStore",
     "decode_configuration",
--- /dev/null
+++ b/cicadapond/platform/_engine_calls.py
@@ -0,0 +1,104 @@
+"""Calls to engines that move the memory of running requests, in the platform's protocol."""
+
+import datetime
+import json
+
+from cicadapond.data import Endpoint
+from cicadapond.forwarding import HttpClient, NoConnection, ReplyLost
+from cicadapond.gateway import (
+    EngineCalls,
+    KeptAtSource,
+    Moved,
+    MoveDeclined,
+    MoveResult,
+    MoveUnknown,
+)
+from cicadapond.kernel import Clock, Metrics
+
+MOVE_PATH = "/kv-move"
+HANDLE_PATH = "/kv-handle/"
+TARGET = b"x-cicadapond-target-instance"
+FREE_TIMEOUT = datetime.timedelta(milliseconds=500)
+NO_RUN, BUSY, NO_ROOM = 404, 409, 503
+
+
+class PlatformEngineCalls(EngineCalls):
+    """The engines of the platform, accessed over HTTP.
+
+    Args:
+      clock: The clock.
+      metrics: Receives the counts of connections.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics):
+        self._clock = clock
+        self._metrics = metrics
+        self._clients: dict[Endpoint, HttpClient] = {}
+
+    async def move(self, source, request_id, destination, timeout):
+        body = {"id": request_id, "to": str(destination.endpoint), "last": True}
+        headers = (
+            (TARGET, source.name.encode()),
+            (b"content-type", b"application/json"),
+        )
+        client = self._client(source.endpoint)
+        raw = json.dumps(body).encode()
+        reply = await client.call("POST", MOVE_PATH, headers, raw, timeout)
+        match reply:
+            case NoConnection():
+                return MoveDeclined("no connection to the engine")
+            case ReplyLost(reason=reason):
+                return MoveUnknown(reason)
+        return read_answer(reply.status, reply.body)
+
+    async def free(self, source, handle):
+        headers = ((TARGET, source.name.encode()),)
+        client = self._client(source.endpoint)
+        await client.call("DELETE", HANDLE_PATH + handle, headers, b"", FREE_TIMEOUT)
+
+    def drop_server(self, server):
+        client = self._clients.pop(server.endpoint, None)
+        if client is not None:
+            client.close()
+
+    def _client(self, endpoint):
+        client = self._clients.get(endpoint)
+        if client is None:
+            client = HttpClient(endpoint, self._clock, self._metrics)
+            self._clients[endpoint] = client
+        return client
+
+
+def read_answer(status: int, raw: bytes) -> MoveResult:
+    """Returns what an engine's answer to a move means."""
+    reason = f"the engine answered {status}"
+    if status not in (200, NO_ROOM):
+        if status >= 500:
+            return MoveUnknown(reason)
+        return MoveDeclined(reason, has_no_run=status == NO_RUN, is_busy=status == BUSY)
+    answer = _parse_object(raw)
+    handle = _parse_handle(answer.get("handle"))
+    if status == NO_ROOM:
+        return KeptAtSource(handle, reason) if handle is not None else MoveDeclined(reason)
+    events = answer.get("created")
+    if handle is None or not isinstance(events, int) or isinstance(events, bool):
+        return MoveUnknown("the engine's answer is unreadable")
+    return Moved(handle, events)
+
+
+def _parse_object(raw):
+    try:
+        answer = json.loads(raw)
+    except (ValueError, RecursionError):
+        return {}
+    return answer if isinstance(answer, dict) else {}
+
+
+def _parse_handle(value):
+    """Returns a handle that can be part of a path and a header, None if it is anything else."""
+    if isinstance(value, int) and not isinstance(value, bool):
+        value = str(value)
+    if not isinstance(value, str) or not value or not value.isascii():
+        return None
+    is_plain = all(char.isalnum() or char in "-._~" for char in value)
+    return value if is_plain else None
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -31,6 +31,8 @@
 # The id of the request that brought the first event of a stream that its caller continues.
 RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
+# The copy of a stopped run's memory: the address of its source, a slash and the handle.
+MEMORY_FROM = b"kv-from"
 # The requests per second that an engine accepts from all processes together.
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
@@ -65,7 +67,7 @@
 _CALLER_HEADERS = frozenset((REQUEST_ID, MODEL, TOKENS, PARTS, LENGTH_HINT))
 # Headers without the prefix that are not forwarded from callers either.
 _RESERVED_HEADERS = frozenset(
-    (b"kv-from", b"kv-fetch", b"wait-ms", b"authorization", LAST_EVENT_ID)
+    (MEMORY_FROM, b"kv-fetch", b"wait-ms", b"authorization", LAST_EVENT_ID)
 )
 # Headers that may occur only once in a request.
 _SINGLE_HEADERS = frozenset(
@@ -99,6 +101,9 @@
             headers.append((LAST_EVENT_ID, dispatch.last_event_id.encode()))
         if dispatch.priority is not None:
             headers.append((PRIORITY, b"%d" % dispatch.priority))
+        if dispatch.memory is not None:
+            memory = dispatch.memory
+            headers.append((MEMORY_FROM, f"{memory.source.endpoint}/{memory.handle}".encode()))
         return headers
 
     def caller_headers(self, req, dispatch):
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -11,7 +11,7 @@
 
 import cicadapond
 from cicadapond.data import Endpoint
-from cicadapond.gateway import Malformed
+from cicadapond.gateway import KeptAtSource, Malformed, Moved, MoveDeclined, MoveUnknown
 from cicadapond.gateway.data import (
     Dispatch,
     LoadHeader,
@@ -26,6 +26,7 @@
     decode_server,
     read_settings,
 )
+from cicadapond.platform._engine_calls import read_answer
 from cicadapond.platform.standin import Fleet, FleetSettings
 
 HEADER_CODEC = PlatformHeaderCodec()
@@ -375,3 +376,46 @@
     # A fourth figure made the whole report be ignored, so that placement knew nothing of the load.
     head = HEADER_CODEC.parse_response_head(200, [(b"x-cicadapond-server-load", raw)])
     assert head.load == load and head.unreadable == unreadable
+
+
+# Moves of running requests
+
+
+def configured_moves(**engine):
+    value = configuration_value()
+    limits = {"slots": 6, "kv_capacity": 100, "kv_bytes": 1000, "bandwidth_mbps": 10, "moves": True}
+    value["services"][0]["engine"] = limits | engine
+    cfg, findings = decode_configuration(json.dumps(value).encode())
+    assert cfg is not None and not list(findings)
+    return cfg.services["pool"].engine.moves
+
+
+def test_moves_are_off_unless_the_configuration_calls_for_them_and_states_their_cost():
+    assert configured_moves().token_bytes == 1000
+    assert configured_moves(moves=False) is None
+    assert configured_moves(moves=None) is None
+    assert configured_moves(kv_bytes=None) is None
+    assert configured_moves(bandwidth_mbps=0) is None
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, b'{"handle": "h-1", "created": 7}', Moved("h-1", 7)),
+        (503, b'{"handle": 5}', KeptAtSource("5", "the engine answered 503")),
+        (503, b"", MoveDeclined("the engine answered 503")),
+        (404, b"", MoveDeclined("the engine answered 404", has_no_run=True)),
+        (409, b"{}", MoveDeclined("the engine answered 409", is_busy=True)),
+        (500, b"", MoveUnknown("the engine answered 500")),
+        (200, b"[]", MoveUnknown("the engine's answer is unreadable")),
+        (
+            200,
+            b'{"handle": "a b\\r\\n", "created": 7}',
+            MoveUnknown("the engine's answer is unreadable"),
+        ),
+    ],
+)
+def test_answers_to_moves_are_read_and_an_unreadable_one_leaves_the_run_unknown(
+    status, body, expected
+):
+    assert read_answer(status, body) == expected
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -9,6 +9,7 @@
     stream_event,
 )
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
+from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._store import StoreModel, store_application
 
 __all__ = [
@@ -21,6 +22,7 @@
     "EngineServer",
     "Fleet",
     "FleetSettings",
+    "MoveFault",
     "StoreModel",
     "cloud_application",
     "store_application",
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import enum
+import json
 import socket
 import struct
 
 import attrs
 import h11
 
+from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH, EngineMemory
+
 READ_BYTES = 64 * 1024
 _ENDLESS_CHUNK = {
     "ENDLESS_INTERIM": b"HTTP/1.1 102 Processing\r\n\r\n" * 64,
@@ -65,6 +68,7 @@
         order.
       cancelled_streams: The ids of streams that it stopped because the caller had disconnected.
       endless_bytes: How many bytes of answers without end it has sent.
+      memory: Its memory, from which runs are moved to other engines.
     """
 
     name: str
@@ -88,6 +92,9 @@
     execution_times: list[float] = attrs.field(factory=list)
 
     endless_bytes: int = 0
+    memory: EngineMemory = attrs.field(
+        default=attrs.Factory(lambda self: EngineMemory(self.name), takes_self=True)
+    )
 
     def ids(self) -> list[str]:
         """Returns the ids of the requests in `executed_requests`, in order."""
@@ -114,6 +121,7 @@
     async def stop(self) -> None:
         """Resets all connections, as in a crash."""
         self._server.close()
+        self.model.memory.copies.clear()
         for writer in list(self._writers):
             _reset(writer)
         await asyncio.sleep(0)
@@ -157,6 +165,15 @@
         request_id = fields.get("x-cicadapond-attempt-id", "")
         if fields.get("x-cicadapond-target-instance", self._model.name) != self._model.name:
             return self._respond(421, request_id, b"", [("x-cicadapond-not-executed", "1")])
+        if head.target.decode() == MOVE_PATH:
+            return await self._move(body)
+        if head.target.decode().startswith(HANDLE_PATH):
+            self._model.memory.free(head.target.decode().removeprefix(HANDLE_PATH))
+            return self._respond(200, request_id, b"", [])
+        if "kv-from" in fields:
+            if not self._model.memory.use_copy(fields["kv-from"], request_id):
+                return self._respond(503, request_id, b"", [("x-cicadapond-not-executed", "1")])
+            return await self._execute(head, body, fields, request_id, None)
         fault = self._model.faults.pop(0) if self._model.faults else None
         if self._model.retry_after_s is not None:
             self._model.refusals.append((asyncio.get_running_loop().time(), request_id))
@@ -172,6 +189,13 @@
         finally:
             self._model.running -= 1
 
+    async def _move(self, body):
+        answer = await self._model.memory.move(body, self._crash)
+        if answer is None:
+            _reset(self._writer)
+            return False
+        return self._respond(answer[0], "", json.dumps(answer[1]).encode(), [])
+
     async def _turns_away(self):
         """Returns whether there is no room for a request; a brittle server may crash by that."""
         model, now = self._model, asyncio.get_running_loop().time()
@@ -279,7 +303,19 @@
             await self._writer.drain()
             await self._crash(by_prompt=True)
             return False
+        run = self._model.memory.begin(request_id)
+        try:
+            return await self._write_events(run, first, fault)
+        finally:
+            self._model.memory.end(run)
+
+    async def _write_events(self, run, first, fault):
+        request_id = run.id
         for number in range(first, self._model.events + 1):
+            if run.is_stopped:
+                await self._writer.drain()
+                return False
+            run.events = number
             event = stream_event(number, request_id, self._model.version)
             ends_within = fault in (EngineFault.WITHIN_EVENT, EngineFault.UNFRAMED_WITHIN_EVENT)
             if ends_within and number == first + 1:
@@ -293,6 +329,8 @@
                 _reset(self._writer)
                 return False
             await self._pause(request_id)
+        if run.is_stopped:
+            return False
         return self._end() and fault is not EngineFault.UNFRAMED
 
     async def _pause(self, request_id):
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -11,6 +11,7 @@
 from cicadapond.platform.standin._caller import CALLERS_HOST, curl_headers
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._engine import EngineModel, EngineServer
+from cicadapond.platform.standin._moves import EngineMemory
 from cicadapond.platform.standin._store import StoreModel, store_application
 from cicadapond.standin._ports import free_endpoint
 
@@ -26,6 +27,7 @@
     Attributes:
       quota_per_s: The account's rate limit and burst.
       max_event_gap_ms: The stream route's `target_itl_ms`, None to leave it out.
+      moves: Whether the engines move running requests between each other.
     """
 
     engines: int = 2
@@ -35,6 +37,7 @@
     account: str = "demo-account"
     resumable: bool = True
     max_event_gap_ms: int | None = None
+    moves: bool = False
 
 
 class Fleet:
@@ -53,6 +56,7 @@
         self._ports: dict[str, int] = {}
         # By view and name: what a group of processes sees in place of the true ports.
         self._relays: dict[tuple[int, str], int] = {}
+        self._memories: dict[str, EngineMemory] = {}
         self._http_servers: list[tornado.httpserver.HTTPServer] = []
         self._version = 1
 
@@ -122,10 +126,17 @@
         model = EngineModel(name, **changes)
         self.servers[name] = EngineServer(model)
         self._ports[name] = await self.servers[name].start(free_endpoint().port)
+        model.memory.peers = self._memories
         return model
 
-    def list_server(self, name: str, service: str, state: str = "ready") -> None:
-        """Writes the entry of a backend server."""
+    def list_server(
+        self, name: str, service: str, state: str = "ready", leaves_in_s: float | None = None
+    ) -> None:
+        """Writes the entry of a backend server; `leaves_in_s` is when it says that it ends."""
+        # Gateways name engines to each other by the addresses that they are given.
+        for view in {0} | {each for each, _ in self._relays}:
+            address = f"{HOST}:{self._advertised_port(name, view)}"
+            self._memories[address] = self.servers[name].model.memory
         entry = {
             "service": service,
             "address": f"{HOST}:{self._advertised_port(name)}",
@@ -137,6 +148,8 @@
             "cold_remaining_ms": 0,
             "sequence": 1,
         }
+        if leaves_in_s is not None:
+            entry["leaves_ms"] = round(1000 * leaves_in_s)
         self.store.put("servers", name, entry)
 
     def unlist_server(self, name: str) -> None:
@@ -159,7 +172,12 @@
             "version": self._version,
             "routes": self._routes(),
             "services": [
-                {"name": MODEL_SERVICE, "max_connections": 50, "scaling": _scaling()},
+                {
+                    "name": MODEL_SERVICE,
+                    "max_connections": 50,
+                    "scaling": _scaling(),
+                    "engine": _engine() if self.cfg.moves else None,
+                },
                 {"name": PLAIN_SERVICE, "max_connections": 50},
             ],
             "limits": {
@@ -250,6 +268,18 @@
         return endpoint.port
 
 
+def _engine():
+    return {
+        "slots": 6,
+        "kv_capacity": 100_000,
+        "kv_bytes": 1000,
+        "bandwidth_mbps": 10_000,
+        "moves": True,
+        "stride": 1,
+        "handle_ttl_s": 4,
+    }
+
+
 def _scaling():
     return {
         "min": 1,
