Withdraw engines with short notice in the soak, and check that one engine works at a time

Cause: moves of streams had no test beside other faults. Change: an own draw of reclaims, so that the plans of existing seeds stay; notices are shorter than what the streams say to last. The stand-ins record a request on which another engine still works 400 ms after it began; that is a violation unless a fault without a path to the engine excuses it.

--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -19,6 +19,8 @@
 # A stated limit binds the processes that have passed on an answer with it for a while: this long
 # after it was first stated they may not exceed it in any window.
 CONTACT_S = 3.0
+# For so long an engine may work on a request after another one began it.
+OVERLAP_S = 0.4
 TOLD_AFTER_S = 0.7
 LIMIT_WINDOW_S = 4.0
 MAX_LIMIT_RATIO, MAX_EXTRA_REQUESTS = 1.5, 5
@@ -50,6 +52,7 @@
     """Returns all violations found."""
     checks = (
         _at_most_once,
+        _one_engine_at_a_time,
         _reported_not_run,
         _correct_answers,
         _removed_keys,
@@ -77,6 +80,13 @@
             yield Violation("runs at most once", request, f"{counts[request]} runs")
 
 
+def _one_engine_at_a_time(history):
+    for at, request in history.double_runs:
+        # Without a path to an engine it cannot be told to stop.
+        if not _overlaps(history.fault_spans, at - EXCUSE_LOOKBACK_S, at + OVERLAP_S):
+            yield Violation("one engine at a time", request, "two engines worked on it")
+
+
 def _reported_not_run(history):
     runs = collections.defaultdict(list)
     for run in history.runs:
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -33,6 +33,7 @@
     LINKS_LOST = "a process is cut off from all servers"
     SERVER_HOLDS = "a sound server is silent for a second or more, and goes on"
     CRASHING_PROMPTS = "prompts with one part crash each engine that begins to answer them"
+    ENGINE_RECLAIMED = "an engine is withdrawn with short notice, and its streams are moved"
     BRITTLE = "the servers let nobody wait, and crash if they turn too many requests away"
 
 
@@ -44,11 +45,15 @@
     Fault.REMOVE_KEY,
     Fault.SERVER_LIMITS,
     Fault.SERVER_HOLDS,
+    Fault.ENGINE_RECLAIMED,
 )
 # Drawn apart, so that they come beside any of the others.
 STATEMENTS = (Fault.SERVER_LIMITS,)
 MEAN_STATEMENT_GAP_S = 6.0
 MIN_STATEMENT_S, MAX_STATEMENT_S = 4.0, 12.0
+RECLAIMS = (Fault.ENGINE_RECLAIMED,)
+MEAN_RECLAIM_GAP_S = 2.5
+MIN_NOTICE_S, MAX_NOTICE_S = 0.3, 0.9  # shorter than what the streams say to last
 # Drawn apart, a few kinds in each run.
 LONG_FAULTS = (Fault.LINKS_LOST, Fault.SERVER_HOLDS, Fault.CRASHING_PROMPTS, Fault.BRITTLE)
 MEAN_LONG_FAULT_GAP_S = 7.0
@@ -76,7 +81,7 @@
     """Returns the injections of a seed during `length` seconds, in order of time."""
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
-    faults = [fault for fault in Fault if fault not in STATEMENTS + LONG_FAULTS]
+    faults = [fault for fault in Fault if fault not in STATEMENTS + LONG_FAULTS + RECLAIMS]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
     while at < length:
@@ -86,6 +91,9 @@
     statements = random.Random(f"statements {seed}")
     bounds = (MIN_STATEMENT_S, MAX_STATEMENT_S)
     plan += _apart(statements, STATEMENTS, MEAN_STATEMENT_GAP_S, bounds, length)
+    reclaims = random.Random(f"reclaims {seed}")
+    bounds = (MIN_NOTICE_S, MAX_NOTICE_S)
+    plan += _apart(reclaims, RECLAIMS, MEAN_RECLAIM_GAP_S, bounds, length)
     long_faults = random.Random(f"long faults {seed}")
     kinds = long_faults.sample(LONG_FAULTS, k=2)
     bounds = (MIN_LONG_FAULT_S, MAX_LONG_FAULT_S)
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -101,6 +101,8 @@
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
       unexpected_exits: Processes that exited unprompted or by an error: (process, status).
+      double_runs: When an engine began a request on which another one went on working.
+      moved: How many runs engines moved away.
       faults_ended_at: When the last injection had ended.
     """
 
@@ -120,4 +122,6 @@
     planned_stops: list[tuple[int, float, float]] = attrs.field(factory=list)
     fault_spans: list[tuple[float, float]] = attrs.field(factory=list)
     unexpected_exits: list[tuple[int, int]] = attrs.field(factory=list)
+    double_runs: list[tuple[float, str]] = attrs.field(factory=list)
+    moved: int = 0
     faults_ended_at: float = 0.0
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -138,7 +138,7 @@
         self.history = History()
         self._cfg = cfg
         self._rng = random.Random(f"run {cfg.seed}")
-        self._fleet = Fleet(FleetSettings(engines=4, services=3), BootClock())
+        self._fleet = Fleet(FleetSettings(engines=4, services=3, moves=True), BootClock())
         self._processes = [
             _Process(number, cfg.directory, self.history) for number in range(cfg.processes)
         ]
@@ -212,6 +212,8 @@
         history.reports = self._fleet.cloud.reports
         history.holders = self._fleet.cloud.holders
         for model in self._models:
+            history.double_runs += model.memory.double_runs
+            history.moved += len(model.memory.moves)
             for request, at in zip(model.executed_requests, model.execution_times, strict=True):
                 history.runs.append(Run(request[0], model.name, at))
 
@@ -373,17 +375,25 @@
         for server in self._fleet.servers.values():
             server.model.faults = self._rng.choices(list(EngineFault), k=FAULTS_PER_SERVER)
 
+    async def _inject_engine_reclaimed(self, injection):
+        names = sorted(name for name, service in self._services.items() if service == "pool")
+        name = names[int(injection.pick * len(names))]
+        notice_s = injection.duration
+        await self._replace(name, injection, notice_s, leaves_in_s=notice_s)
+
     async def _inject_server_leaves(self, injection):
-        name = self._pick_server(injection)
+        await self._replace(self._pick_server(injection), injection, EXTRA_SERVING_S)
+
+    async def _replace(self, name, injection, serving_s, **notice):
         service = self._services.pop(name)
         successor = f"{name.split('.')[0]}.{injection.at:.3f}"
         version = self._rng.choice(SOFTWARE_VERSIONS)
         model = await self._fleet.start_server(successor, version=version)
         await self._register_server(successor, service, model)
         self._fleet.list_server(successor, service)
-        self._fleet.list_server(name, service, "draining")
+        self._fleet.list_server(name, service, "draining", **notice)
         self.history.drained[name] = asyncio.get_running_loop().time()
-        await asyncio.sleep(EXTRA_SERVING_S)
+        await asyncio.sleep(serving_s)
         self._fleet.unlist_server(name)
         await self._fleet.servers.pop(name).stop()
 
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -34,7 +34,7 @@
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
         print(
             f"seed {seed}: {len(history.calls)} requests, {served} served, "
-            f"{len(violations)} violations",
+            f"{history.moved} moved, {len(violations)} violations",
             flush=True,
         )
         for violation in violations:
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -55,6 +55,7 @@
                 ]
             ),
         ),
+        ("one engine at a time", history(double_runs=[(10.0, "r-1")])),
         ("usage once", history(reports={7: [{"a": 1}, {"a": 2}]})),
         ("one holder", history(holders={(("usage",), 3): {"edge-0", "edge-1"}})),
         ("runs until it is stopped", history(unexpected_exits=[(1, -6)])),
