--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -19,6 +19,8 @@
     UsageReporter,
     settle_time,
 )
+from cicadapond.gateway._engine_calls import EngineCalls
+from cicadapond.gateway._evacuation import Evacuation
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Frontend
 from cicadapond.gateway._header_codec import HeaderCodec
@@ -70,6 +72,7 @@
     `decode_configuration` and `decode_server` decode rows that others write to the store;
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
+    Without `engine_calls` no stream is moved between engines.
     """
 
     header_codec: HeaderCodec
@@ -81,6 +84,7 @@
     configuration_row: tuple[str, str]
     server_table: str
     rollout_codec: RolloutCodec | None = None
+    engine_calls: EngineCalls | None = None
 
 
 class Node:
@@ -121,6 +125,8 @@
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
+        if adapters.engine_calls is not None:
+            self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
         self.parts.links.on_change = self._cluster.publish_soon
         if self._rollouts is not None:
             self._rollouts.publish_soon = self._cluster.publish_soon
@@ -294,6 +300,7 @@
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
             "rollouts": self.parts.rollouts.state(),
+            "moves": self.parts.evacuation.state() if self.parts.evacuation is not None else {},
             "cluster": self._cluster.state(),
             "zones": self._zone_costs.state() if self._zone_costs is not None else None,
         }
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -7,6 +7,7 @@
     OPERATOR_TABLE,
     SERVER_TABLE,
     PlatformCloud,
+    PlatformEngineCalls,
     PlatformHeaderCodec,
     PlatformRolloutCodec,
     PlatformStore,
@@ -32,4 +33,5 @@
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
         rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
+        engine_calls=PlatformEngineCalls(clock, metrics),
     )
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -76,6 +76,8 @@
         if not self._state.is_relaying:
             self._state.crash_watch.continue_answer()
             self._state.observer.event()
+            if self._state.relayed is not None:
+                self._state.relayed.record_event(event.id, self._parts.clock)
         await self._state.reply.send(event.raw)
 
 
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -8,6 +8,7 @@
 from cicadapond.gateway._eligible import EligibleServers
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._rollout_gate import AttemptObserver
+from cicadapond.gateway._stream_moves import RelayedStream
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
@@ -57,6 +58,7 @@
       has_head: Whether the attempt in progress has brought the head of a response.
       server: The server of the last attempt.
       observer: Learns what the last attempt shows of its server's version.
+      relayed: Its stream in the attempt in progress or the last one, None if it cannot be moved.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.has_head = False
         self.server: ServerEntry | None = None
         self.observer = AttemptObserver()
+        self.relayed: RelayedStream | None = None
         self._usage_counted = False
 
     @property
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -477,6 +477,13 @@
         load = self._loads.get(server)
         return len(load.in_flight) if load is not None else 0
 
+    def estimated_in_flight(self, entry: ServerEntry) -> float:
+        """Returns how many requests of all processes a server is estimated to have."""
+        now = self._clock.monotonic() / _MILLISECOND
+        load = self._load(entry)
+        others = load.others_in_flight(now, self._others[entry.service].mean(now))
+        return len(load.in_flight) + others
+
     def _load(self, entry):
         load = self._loads.get(entry.name)
         if load is None:
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadapond.platform._cloud import PlatformCloud
 from cicadapond.platform._configuration import decode_configuration, field_name
+from cicadapond.platform._engine_calls import PlatformEngineCalls
 from cicadapond.platform._headers import PlatformHeaderCodec
 from cicadapond.platform._rollouts import PlatformRolloutCodec
 from cicadapond.platform._servers import decode_server
@@ -19,6 +20,7 @@
     "SERVER_TABLE",
     "SETTINGS_VARIABLE",
     "PlatformCloud",
+    "PlatformEngineCalls",
     "PlatformHeaderCodec",
     "PlatformRolloutCodec",
     "PlatformStore",
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -9,6 +9,7 @@
     stream_event,
 )
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
+from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._rollouts import RolloutModel, VersionDefect
 from cicadapond.platform.standin._store import StoreModel, store_application
 
@@ -23,6 +24,7 @@
     "Fleet",
     "FleetSettings",
     "RolloutModel",
+    "MoveFault",
     "StoreModel",
     "VersionDefect",
     "cloud_application",
