End a stream whole if its run was stopped after its last event

Cause: a run that is stopped between its last event and its end has nothing left at the engine where it goes on; that answer without an event counted as broken, and the stream was cut or resumed. Change: an answer that goes on from a copy may have no event, if its framing shows its end. Result: a test on sockets that failed before. Ruled out: the same for an answer without framing, which ends like that if the engine dies.

--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -128,7 +128,7 @@
                 sink.head(head)
             progress.head = head
             if _is_stream(head):
-                outcome = await self._relay_stream(conn, dispatch.server, sink, silence, progress)
+                outcome = await self._relay_stream(conn, dispatch, sink, silence, progress)
             else:
                 outcome = await _read_full_response(conn, head)
         except BrokenResponseError as exc:
@@ -154,8 +154,9 @@
             await conn.skip_response(MAX_RESPONSE_BYTES)
         raise BrokenResponseError("answers to other requests only")
 
-    async def _relay_stream(self, conn, server, sink, silence, progress):
+    async def _relay_stream(self, conn, dispatch, sink, silence, progress):
         splitter = EventSplitter()
+        server = dispatch.server
         # Bytes that complete no event do not count as progress: a stalled server may go on sending
         # some now and then.
         waiting_since = self._clock.monotonic()
@@ -171,7 +172,10 @@
                 waiting_since = self._clock.monotonic()
             if splitter.buffered_bytes > MAX_EVENT_BYTES:
                 raise BrokenResponseError(f"an event of more than {MAX_EVENT_BYTES} bytes")
-        if splitter.is_within_event or progress.events == 0:
+        # A run that was stopped after its last event has nothing left where it goes on.  Without
+        # framing, the same would be seen if the server died.
+        may_be_empty = dispatch.memory is not None and conn.is_reusable
+        if splitter.is_within_event or (progress.events == 0 and not may_be_empty):
             raise BrokenResponseError("the stream ended within an event")
         return StreamWhole(progress.events)
 
--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -88,6 +88,17 @@
     run(check, tmp_path, resumable)
 
 
+def test_a_run_that_is_stopped_after_its_last_event_ends_whole(tmp_path):
+    async def check(system):
+        for engine in system.engines():
+            engine.events, engine.event_interval_s = 5, 0.2
+        answer, source = await exchange(system)
+        assert system.engine(source).memory.moves == ["s-1"]
+        assert answer.is_complete and answer.event_ids() == [1, 2, 3, 4, 5]
+
+    run(check, tmp_path)
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
