--- a/cicadapond/experiments/_load_world.py
+++ b/cicadapond/experiments/_load_world.py
@@ -148,7 +148,12 @@
 
     def new_placer(self, zone: str, number: int) -> Placer:
         """Returns the placer of a process."""
-        return Placer(self.clock, zone, random.Random(number))
+        return Placer(
+            self.clock,
+            zone,
+            random.Random(number),
+            memory=lambda service: self.cfg.figures.kv_tokens,
+        )
 
     def schedule(self, at: float, function) -> None:
         """Calls function(now) at an instant."""
@@ -226,6 +231,7 @@
             if self.cfg.states_load:
                 call.process.placer.update_load(engine.name, load)
             call.process.placer.mark_answer_begun(call.placement.request)
+            self.hold.begun(call)
             self.hold.changed(call.process)
 
         self.schedule(self.now + HOP_MS, heard)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -27,6 +27,7 @@
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._rollout_codec import RolloutCodec
 from cicadapond.gateway._rollout_gate import NoRollouts
@@ -163,7 +164,16 @@
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
-        placer = Placer(clock, cfg.zone, self._rng, self._zone_costs, by_version=cfg.rolls_out)
+        placer = Placer(
+            clock,
+            cfg.zone,
+            self._rng,
+            self._zone_costs,
+            by_version=cfg.rolls_out,
+            memory=self._engine_memory,
+        )
+        queues = ServiceQueues(clock, placer, self._metrics)
+        placer.on_change = queues.changed
         self._rollouts = self._make_rollouts(registry, placer)
         rollouts = self._rollouts or NoRollouts()
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
@@ -194,6 +204,7 @@
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
             check_server=self._check_server,
+            queues=queues,
             rollouts=rollouts,
         )
 
@@ -208,6 +219,12 @@
         bounds = self._cfg.bounds
         return ExposureBounds(bounds.exposure_share, bounds.exposure_tolerance, bounds.rollback)
 
+    def _engine_memory(self, service):
+        """Returns how many tokens an engine of a service holds, None if it is not configured."""
+        table = self.parts.active_configuration.table
+        found = table.cfg.services.get(service) if table is not None else None
+        return found.engine.tokens if found is not None and found.engine else None
+
     # Lifecycle
 
     async def start(self) -> None:
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -98,7 +98,10 @@
             if not await self._knows_version():
                 self._state.log("origin_unknown", resumes=self._state.origin_id)
                 return self._retries.failure_outcome()
-            outcome, entry = await self._continuing.follow(*await self._sending.run())
+            outcome, entry = await self._sending.run()
+            if isinstance(outcome, NotRun):
+                return outcome
+            outcome, entry = await self._continuing.follow(outcome, entry)
             final = self._evaluation.evaluate(outcome, entry)
             if final is not None:
                 return final
--- a/cicadapond/gateway/_zone_flows.py
+++ b/cicadapond/gateway/_zone_flows.py
@@ -56,7 +56,7 @@
         if service.engine is None or len(self._parts.cfg.zones) < 2:
             return False
         if self._parts.cfg.zone_costs is ZoneCostUse.AUTO:
-            return self._parts.placer.states_pace(service.name)
+            return self._parts.placer.reports_pace(service.name)
         return self._parts.cfg.zone_costs is ZoneCostUse.ON
 
     def _update_service(self, cfg, service, servers):
--- a/cicadapond/gateway/zone_flows_test.py
+++ b/cicadapond/gateway/zone_flows_test.py
@@ -36,7 +36,7 @@
         log=log,
         metrics=metrics,
         registry=registry,
-        placer=types.SimpleNamespace(states_pace=lambda service: states_pace),
+        placer=types.SimpleNamespace(reports_pace=lambda service: states_pace),
         active_configuration=types.SimpleNamespace(table=types.SimpleNamespace(cfg=cfg)),
         cfg=types.SimpleNamespace(zones=("a", "b", "c"), zone_costs=use),
     )
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -26,6 +26,7 @@
 
 from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.placing._candidate import Candidate, Estimate, InFlightRequest, ServiceView
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
 from cicadapond.placing._sampling import sample_servers
@@ -53,92 +54,6 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@attrs.frozen
-class _Estimate:
-    """What was known of a request when it was sent, to learn from its answer.
-
-    `prompt` is None for a plain service's call, whose `running` is the factor of its wait.
-    """
-
-    prompt: Prompt | None
-    ahead_ms: float
-    running: float
-    has_slot: bool
-    pace: float
-
-
-@attrs.define(eq=False)
-class InFlightRequest:
-    """A request that is in flight at a server.
-
-    Attributes:
-      server: The server's name.
-      service: Its service.
-      work_ms: The expected prefill time, or the expected duration of a plain service's call.
-      since: The monotonic instant at which it was sent.
-      priority: Its priority at the engine.
-      begun_at: The monotonic instant at which its answer began, None before.
-      estimate: What its expected time was derived from, None before it was placed.
-      version: The server's software version.
-    """
-
-    server: str
-    service: str
-    work_ms: float
-    since: datetime.timedelta
-    priority: int = 0
-    begun_at: datetime.timedelta | None = None
-    estimate: _Estimate | None = None
-    version: str = ""
-
-
-@attrs.frozen
-class _Candidate:
-    """A server and what a request would meet there; `prompt` is None for a plain service."""
-
-    expected_ms: float
-    entry: ServerEntry
-    work_ms: float
-    estimate: _Estimate
-    in_flight: float
-    cost_ms: float = 0.0
-
-
-@attrs.frozen
-class _ServiceView:
-    """What counts for a request at all servers of a service; the rest only for engines.
-
-    `waiting_ahead` is as `SlotTimes.waiting_ahead` returns it for the request's priority.
-    """
-
-    mean_others: float
-    model: FirstEventModel | None = None
-    slot_ms: float = 0.0
-    waiting_ahead: float | None = None
-    mean_prefill_ms: float = 0.0
-
-    def ahead_ms(self, queued_ms: float, excess: float, slots: int) -> float:
-        """Returns the wait until an engine begins with a prompt.
-
-        With a free slot that is the prefill queued there.  Else it is the longer of the time until
-        the prompt has a slot (they free up evenly) and the queued prefill of the prompts that have
-        one or get it earlier.
-
-        Args:
-          queued_ms: The prefill queued there.
-          excess: How many requests must end until one more has a slot.
-          slots: The engine's slots.
-        """
-        if excess <= 0.0:
-            return queued_ms
-        ahead = excess if self.waiting_ahead is None else min(excess, 1.0 + self.waiting_ahead)
-        slot_wait_ms = ahead * self.slot_ms / slots
-        if not queued_ms or ahead >= excess:
-            return max(slot_wait_ms, queued_ms)
-        prompts = max(excess, queued_ms / max(1.0, self.mean_prefill_ms))
-        return max(slot_wait_ms, queued_ms * (prompts - excess + ahead) / prompts)
-
-
 @attrs.frozen
 class Placement:
     """The server chosen for a request, and the expected time until its answer begins.
@@ -164,6 +79,11 @@
       rng: Draws the engines that a placement compares.
       zone_costs: What they cost instead for the services that it is on for, None for no service.
       by_version: Whether the software versions of a service are learned apart.
+      memory: Returns how many tokens an engine of a service holds in memory, None if unknown.
+
+    Attributes:
+      on_change: Is called if an answer has begun or ended, with its request, and with None if
+        something else has changed what `estimate` returns.
     """
 
     def __init__(
@@ -173,19 +93,22 @@
         rng: random.Random | None = None,
         zone_costs: ZoneCosts | None = None,
         by_version: bool = False,
+        memory: typing.Callable[[str], int | None] = lambda service: None,
     ):
+        self.on_change: typing.Callable[[InFlightRequest | None], None] = lambda request: None
         self._by_version = by_version
         self._clock = clock
         self._zone = zone
         self._zone_costs = zone_costs
         self._rng = rng or random.Random()
+        self._memory = memory
         self._loads: dict[str, ServerLoad] = {}
         self._services: dict[str, str] = {}
-        self._paced: set[str] = set()
         self._models: dict[tuple[str, str, int], FirstEventModel] = {}
         self._slot_times: dict[str, SlotTimes] = {}
         self._mean_prefills: dict[str, float] = {}
         self._others: dict[str, ServiceOthers] = {}
+        self._paced_services: set[str] = set()
         self._name_hashes: dict[str, int] = {}
         self._heard_at = -MAX_IN_FLIGHT_AGE_MS
         self._reported_by_zone: dict[str, set[str]] = {}
@@ -271,6 +194,8 @@
         if generation is not None:
             load.prefix_cache.add_prompt(generation.parts)
             load.add_prompt(chosen.work_ms, now / _MILLISECOND)
+            request.tokens = generation.tokens
+            load.own_tokens += request.tokens
             mean = self._mean_prefill_ms(entry.service)
             self._mean_prefills[entry.service] = mean + PREFILL_GAIN * (chosen.work_ms - mean)
         load.in_flight.add(request)
@@ -319,7 +244,7 @@
             if generation is None:
                 work_ms, wait = load.mean_call_ms, _call_wait(entry, in_flight)
                 expected = work_ms * wait
-                estimate = _Estimate(None, 0.0, wait, in_flight < entry.slots, pace)
+                estimate = Estimate(None, 0.0, wait, in_flight < entry.slots, pace)
             else:
                 cached = _cached_tokens(load, generation, entry in homes)
                 key = (cached, entry.version)
@@ -327,12 +252,17 @@
                     prompt = Prompt(max(0, generation.prompt_tokens - cached), cached)
                     prompts[key] = prompt, view.model.prefill_ms(prompt)
                 prompt, work_ms = prompts[key]
+                running = min(in_flight, entry.slots)
                 queued_ms = load.queue.remaining_ms(now)
                 excess = expected_excess(in_flight, others, entry.slots)
-                ahead_ms = view.ahead_ms(queued_ms, excess, entry.slots)
-                running = min(in_flight, entry.slots)
+                used = load.used_tokens(now, others * view.mean_tokens)
+                # Those that wait for a slot hold no memory yet.
+                lacking = view.lacking_memory(used * running / max(in_flight, 1.0))
+                ending = entry.slots if excess >= lacking else max(1.0, running)
+                ahead_ms = view.ahead_ms(queued_ms, max(excess, lacking), ending)
                 expected = view.model.predict(entry.name, work_ms, ahead_ms, running)
-                estimate = _Estimate(prompt, ahead_ms, running, in_flight < entry.slots, pace)
+                has_slot = in_flight < entry.slots and lacking <= 0.0
+                estimate = Estimate(prompt, ahead_ms, running, has_slot, pace)
             expected *= pace
             cost_ms = 0.0
             if zone_costs is not None:
@@ -340,7 +270,7 @@
                 expected += distance_ms + cost_ms
             elif entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
-            candidates.append(_Candidate(expected, entry, work_ms, estimate, in_flight, cost_ms))
+            candidates.append(Candidate(expected, entry, work_ms, estimate, in_flight, cost_ms))
         candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
         return candidates
 
@@ -365,6 +295,10 @@
 
     def mark_answer_begun(self, request: InFlightRequest) -> None:
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
+        self._learn_begin(request)
+        self.on_change(request)
+
+    def _learn_begin(self, request):
         now = request.begun_at = self._clock.monotonic()
         load = self._loads.get(request.server)
         estimate = request.estimate
@@ -391,13 +325,19 @@
           request: The request.
           took: How long a complete answer of a plain service took, None for anything else.
         """
+        self._learn_end(request, took)
+        self.on_change(request)
+
+    def _learn_end(self, request, took):
         if request.begun_at is not None:
             held_ms = (self._clock.monotonic() - request.begun_at) / _MILLISECOND + request.work_ms
-            self._slots(request.service).record(request.priority, held_ms)
+            self._slots(request.service).record(request.priority, held_ms, request.tokens)
         load = self._loads.get(request.server)
         if load is None:
             return
-        load.in_flight.discard(request)
+        if request in load.in_flight:
+            load.in_flight.discard(request)
+            load.own_tokens -= request.tokens
         estimate = request.estimate
         if took is not None and estimate is not None and estimate.prompt is None:
             call_ms = took / _MILLISECOND / estimate.pace / estimate.running
@@ -409,11 +349,24 @@
         if load is not None:
             load.report(load_header, self._clock.monotonic() / _MILLISECOND)
             if load_header.pace is not None:
-                self._paced.add(self._services[server])
+                self._paced_services.add(self._services[server])
+            self.on_change(None)
 
-    def states_pace(self, service: str) -> bool:
-        """Returns whether a server of a service has reported the pace of its host."""
-        return service in self._paced
+    def update_memory(self, server: str, used_tokens: int) -> None:
+        """Stores how many tokens in a server's memory cannot be evicted, as it reports."""
+        load = self._loads.get(server)
+        if load is not None:
+            load.report_memory(used_tokens, self._clock.monotonic() / _MILLISECOND)
+            self.on_change(None)
+
+    def reports_pace(self, service: str) -> bool:
+        """Returns whether servers of a service state how long work takes at the moment."""
+        return service in self._paced_services
+
+    def is_in_flight(self, request: InFlightRequest) -> bool:
+        """Returns whether a request has not ended."""
+        load = self._loads.get(request.server)
+        return load is not None and request in load.in_flight
 
     def engine_work(self) -> dict[str, EngineWork]:
         """Returns what this process has sent to each engine."""
@@ -450,6 +403,7 @@
             others.in_flight += load.others_count()
             others.heard_at = now
         self._reported_by_zone[zone] = reported
+        self.on_change(None)
         if not includes_own or any(self._loads[name].others_count() for name in reported):
             self._heard_at = now
 
@@ -530,14 +484,17 @@
     def _service_view(self, service, version, generation, priority, now):
         mean_others = self._others[service].mean(now)
         if generation is None:
-            return _ServiceView(mean_others)
+            return ServiceView(mean_others)
         slot_times = self._slots(service)
-        return _ServiceView(
+        return ServiceView(
             mean_others,
             self.model(service, priority, version),
             slot_times.mean_ms,
             slot_times.waiting_ahead(priority),
             self._mean_prefill_ms(service),
+            self._memory(service),
+            slot_times.mean_tokens or generation.tokens,
+            generation.tokens,
         )
 
 
