Return the results of spawned coroutines again

Since tasks are run again after an unexpected error, spawn() lost what its coroutine returned; moving a stream to another engine, merged since, takes the result of its call from there.

--- a/cicadapond/kernel/_task.py
+++ b/cicadapond/kernel/_task.py
@@ -119,24 +119,30 @@
             await task.close()
 
     async def _run_repeatedly(self, run, name):
-        while not await self._ends_well(run(), name):
+        failures = []
+        while await self._run_logged(run(), name, failures) is None and failures:
+            failures.clear()
             await asyncio.sleep(RESTART_DELAY_S)
 
-    async def _run_logged(self, coro, name):
-        await self._ends_well(coro, name)
+    async def _run_logged(self, coro, name, failures=None):
+        """Returns the result of a coroutine, None after an exception, which is logged.
 
-    async def _ends_well(self, coro, name):
-        """Runs a coroutine; returns whether it ended without an exception, which is logged."""
+        Args:
+          coro: The coroutine.
+          name: Its name in the log.
+          failures: Receives the exception, if it is a list.
+        """
         try:
-            await coro
+            return await coro
         except asyncio.CancelledError:
             raise
         except Exception as exc:
             self.failed.append(f"{name}: {exc!r}")
             del self.failed[:-MAX_RECORDED_FAILURES]
             logging.exception("task %s failed", name)
-            return False
-        return True
+            if failures is not None:
+                failures.append(exc)
+            return None
 
     def __len__(self):
         return len(self._running)
--- a/cicadapond/kernel/task_test.py
+++ b/cicadapond/kernel/task_test.py
@@ -44,6 +44,16 @@
     assert len(tasks.failed) == 2
 
 
+def test_the_result_of_a_spawned_coroutine_is_that_of_its_task():
+    async def answer():
+        return 42
+
+    async def main():
+        return await TaskGroup().spawn(answer(), "answer")
+
+    assert run_virtual(main()) == 42
+
+
 def test_other_tasks_end_with_their_first_error():
     task, tasks, running = play(restarts=False)
     assert (task.runs, task.closes, running) == (1, 1, 0)
