--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -45,8 +45,6 @@
 # The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
 TRIAL_TOLERANCE_PART = 0.6
 SHIFT_TOLERANCE_PART = 0.7
-# What a process may send beyond its part in the shift, so that those with few requests take part.
-PART_SLACK = 0.5
 
 
 class Rollouts:
@@ -233,9 +231,9 @@
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
         self._is_exhausted = False
-        # What this process counted, and what it may send in all for each of its requests.
+        # What this process counted, and what it may send in all until the end of a shift.
         self._requests = self._sent = 0
-        self._sends_per_request = math.inf
+        self._part = math.inf
         self._rounding = rng.random()
         # The usable servers of the new version and the number of others, at the last request.
         self._new: list[ServerEntry] = []
@@ -384,22 +382,25 @@
     def _has_spent_part(self):
         """Returns whether this process has sent its part of what the version may receive.
 
-        The parts of all processes add up to the whole, without delay by what they hear.
+        The parts of all processes add up to the whole, without delay by what they hear; each is
+        rounded up or down at random, so that there is no bias however many processes there are.
         """
-        part = self._sends_per_request * self._requests
-        return self._sent > part + PART_SLACK + self._rounding - 1
+        return self._sent > self._part + self._rounding - 1
 
     def _update_exposure(self):
         """Compares the counts of all processes with what the version may receive."""
         requests, sent = sum(self.fleet.requests.values()), sum(self.fleet.sent.values())
         share, tolerance = self._bounds.share, self._bounds.tolerance
-        allowed = share * requests + TRIAL_TOLERANCE_PART * tolerance
-        if self.state.phase is Phase.SHIFT:
-            elapsed = self._clock.now() - self.state.started_at
-            heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
-            expected = requests * max(1.0, self.state.order.duration / heard)
-            allowed = share * expected + SHIFT_TOLERANCE_PART * tolerance
-            self._sends_per_request = allowed / max(1.0, requests * (elapsed / heard))
+        elapsed = self._clock.now() - self.state.started_at
+        heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
+        expected = requests * max(1.0, self.state.order.duration / heard)
+        allowed = share * expected
+        if self._heard_sum:  # else each process would use the whole tolerance
+            allowed += SHIFT_TOLERANCE_PART * tolerance
+        # Computed before the shift too, as its first requests come before the next refresh.
+        self._part = allowed * self._requests / max(1.0, requests * (elapsed / heard))
+        if self.state.phase is not Phase.SHIFT:
+            allowed = share * requests + TRIAL_TOLERANCE_PART * tolerance
         self._is_exhausted = sent > allowed
 
 
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -138,6 +138,51 @@
     assert 100 < sent["v2"] < 0.1 * 2200 + 50
 
 
+@pytest.mark.parametrize("count", [60, 420])
+def test_the_parts_of_all_processes_in_a_shift_stay_within_the_bound(count):
+    # Guards against half a request or a quarter of a second too much in each of many processes.
+    rng = random.Random(4)
+    clocks = [ManualClock() for _ in range(count)]
+    processes = [process_in(Phase.TRIAL, each, seed) for seed, each in enumerate(clocks)]
+    begun = clocks[0].now() - seconds(4)
+    requests = sent = 0
+    totals = [{}]
+    for tick in range(1, 220):
+        for clock in clocks:
+            clock.advance(seconds(0.05))
+        if tick == 192:
+            shift = RolloutState(ORDER, Phase.SHIFT, begun, begun, shifted=(ALL_ROUTES,))
+            for process in processes:
+                process.set_state("chat", shift)
+        for process in processes:
+            if rng.random() < 0.3:
+                process.record_request("chat", "a")
+                entry, *_ = process.allowed("chat", "a", [OLD[0], NEW[0]])
+                process.record_sent(entry, "a")
+                requests += 1
+                sent += entry.version == "v2"
+        totals.append(add_totals(process.reported() for process in processes))
+        if tick % 5 == 0:
+            for process in processes:
+                process.apply("z", totals[max(0, tick - 6)])
+    assert 0.09 * requests < sent <= 0.1 * requests + 50
+
+
+def test_a_process_that_has_heard_of_no_other_gets_none_of_the_tolerance_in_a_shift():
+    # Guards against exposure by processes that all restart right before the shift.
+    sent = 0
+    for number in range(60):
+        clock = ManualClock()
+        begun = clock.now() - seconds(10)
+        process = process_in(Phase.SHIFT, clock, number, begun, shifted=(ALL_ROUTES,))
+        for _ in range(6):
+            process.record_request("chat", "a")
+            entry = process.allowed("chat", "a", OLD + NEW)[0]
+            process.record_sent(entry, "a")
+            sent += entry.version == "v2"
+    assert 0 < sent < 0.1 * 60 * 6 + 50
+
+
 def test_rare_routes_have_a_larger_share():
     clock = ManualClock()
     process = process_in(Phase.TRIAL, clock)
