--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -197,7 +197,9 @@
             if entry.service == service:
                 in_flight[entry.version == to] += self._placer.in_flight(entry.name)
         for entry in self._registry.usable(service):
-            counts[entry.version == to] += 1
+            # Servers of a version that was rolled back serve nothing.
+            if entry.version == to or not self.rollouts.is_stopped(entry):
+                counts[entry.version == to] += 1
         return self.rollouts.view(
             service, counts[False], counts[True], in_flight[False], in_flight[True]
         )
--- a/cicadapond/gateway/rollout_parts_test.py
+++ b/cicadapond/gateway/rollout_parts_test.py
@@ -19,7 +19,14 @@
 from cicadapond.placing import Placer
 from cicadapond.platform import PlatformRolloutCodec
 from cicadapond.provider import Changes, RawRow
-from cicadapond.rollout import ExposureBounds, Phase, RolloutOrder, Rollouts, RolloutState
+from cicadapond.rollout import (
+    ExposureBounds,
+    Phase,
+    RolloutOrder,
+    Rollouts,
+    RolloutState,
+    next_state,
+)
 from cicadapond.standin import DirectTables, TableModel
 
 CODEC = PlatformRolloutCodec()
@@ -238,6 +245,21 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("phase", [Phase.WAITING, Phase.TRIAL, Phase.SHIFT])
+def test_an_order_back_to_the_old_version_is_completed_at_once(phase):
+    # Guards against a trial of the version in service while nothing else may serve.
+    process = Process(ManualClock())
+    process.order(phase)
+    back = attrs.evolve(ORDER, to="v1", row_version=9)
+    process.rollouts.set_order("pool", back)
+    state = process.rollouts.row("pool").state
+    for version in (10, 11):
+        view, now = process.rollouts.view("pool"), process.clock.now()
+        state = next_state(back, state, view, ExposureBounds(), now)
+        process.rollouts.set_state("pool", version, state)
+    assert (state.phase, state.order.to, state.barred) == (Phase.COMPLETED, "v1", ("v2",))
+
+
 def test_nothing_is_decided_without_the_order_of_the_state_or_on_an_unreadable_one():
     process = Process(ManualClock())
     rollouts = process.rollouts
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -64,6 +64,8 @@
         self._seen_at: dict[str, datetime.datetime] = {}
         self._rollouts: dict[str, _Rollout] = {}
         self._barred: dict[str, frozenset[str]] = {}
+        # Orders for the version that served alone when they came; without a state it goes on.
+        self._serving_orders: dict[str, RolloutOrder] = {}
         self._versions: dict[str, KnownVersions] = collections.defaultdict(KnownVersions)
 
     def set_order(self, service: str, order: RolloutOrder | None) -> None:
@@ -73,6 +75,10 @@
             self._orders.pop(service, None)
             self._seen_at.pop(service, None)
         elif order != known:
+            if self._serves_alone(service, order.to):
+                self._serving_orders[service] = order
+            else:
+                self._serving_orders.pop(service, None)
             self._orders[service] = order
             self._seen_at[service] = self._clock.now()
         self._bar(service)
@@ -205,7 +211,20 @@
     def _bar(self, service):
         rollout = self._rollouts.get(service)
         state = rollout.state if rollout is not None else None
-        self._barred[service] = barred_versions(self._orders.get(service), state)
+        order = self._orders.get(service)
+        barred = barred_versions(order, state)
+        if order is not None and order == self._serving_orders.get(service):
+            if state is None or state.order.row_version != order.row_version:
+                barred -= {order.to}
+        self._barred[service] = barred
+
+    def _serves_alone(self, service, version):
+        """Returns whether a version is the only one to which requests went so far."""
+        others = set(self._barred.get(service, ()))
+        rollout = self._rollouts.get(service)
+        if rollout is not None and not rollout.state.phase.has_ended:
+            others.add(rollout.state.order.to)
+        return self._versions[service].established - others == {version}
 
 
 class _Rollout:
--- a/cicadapond/rollout/_split.py
+++ b/cicadapond/rollout/_split.py
@@ -27,6 +27,11 @@
         self._established: set[str] = set()
         self._since: dict[str, datetime.timedelta] = {}
 
+    @property
+    def established(self) -> frozenset[str]:
+        """The versions that were seen for long enough, also those that have left."""
+        return frozenset(self._established)
+
     def permitted(
         self, servers: Sequence[ServerEntry], now: datetime.timedelta
     ) -> Sequence[ServerEntry]:
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -87,6 +87,35 @@
     assert versions(process, [server("zero", "v0")]) == set()
 
 
+def test_an_order_for_the_version_that_serves_keeps_its_servers_in_service():
+    # Guards against an outage of the service until the holder has written the order's state.
+    process = Rollouts(ManualClock(), ExposureBounds(), random.Random(1))
+    assert versions(process, OLD) == {"v1"}
+    process.set_order("chat", attrs.evolve(ORDER, to="v1"))
+    assert versions(process, OLD) == {"v1"} and not process.is_stopped(OLD[0])
+
+
+@pytest.mark.parametrize("phase", [Phase.WAITING, Phase.TRIAL, Phase.SHIFT])
+def test_an_order_back_to_the_old_version_keeps_it_in_service(phase):
+    # Guards against an outage when the operator takes a rollout back by an order.
+    process = process_in(phase, shifted=(ALL_ROUTES,) * (phase is Phase.SHIFT))
+    back = attrs.evolve(ORDER, to="v1", row_version=2)
+    process.set_order("chat", back)
+    assert versions(process) == {"v1"} and not process.is_stopped(OLD[0])
+    now = ManualClock().now()
+    process.set_state("chat", RolloutState(ORDER, Phase.ROLLED_BACK, now, now))
+    assert versions(process) == {"v1"}
+    process.set_state("chat", RolloutState(back, Phase.COMPLETED, now, now, barred=("v2",)))
+    assert versions(process) == {"v1"} and process.is_stopped(NEW[0])
+
+
+def test_a_version_that_was_rolled_back_stays_barred_when_it_is_ordered_again():
+    # Guards against taking a version that was served for a while for the one in service.
+    process = process_in(Phase.ROLLED_BACK)
+    process.set_order("chat", attrs.evolve(ORDER, row_version=2))
+    assert versions(process) == {"v1"} and process.is_stopped(NEW[0])
+
+
 def test_withdrawn_and_changed_orders_stop_the_version_before_the_holder_says_so():
     process = process_in(Phase.SHIFT, shifted=(ALL_ROUTES,))
     assert versions(process) == {"v2"}
