--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -213,9 +213,10 @@
         state = rollout.state if rollout is not None else None
         order = self._orders.get(service)
         barred = barred_versions(order, state)
-        if order is not None and order == self._serving_orders.get(service):
-            if state is None or state.order.row_version != order.row_version:
-                barred -= {order.to}
+        has_state = state is not None and order is not None
+        has_state = has_state and state.order.row_version == order.row_version
+        if order is not None and order == self._serving_orders.get(service) and not has_state:
+            barred -= {order.to}
         self._barred[service] = barred
 
     def _serves_alone(self, service, version):
