End the trial at the time limit in each process; ignore malformed totals and counts after the end

Credits do not grow while the version has no usable server. A clock that is behind that of the host which wrote the state does not extend the order.

--- a/cicadapond/rollout/_evidence.py
+++ b/cicadapond/rollout/_evidence.py
@@ -26,6 +26,8 @@
 
 _SEPARATOR = "\t"
 _REQUESTS, _OLD, _NEW, _ENGINE = "r", "o", "n", "e"
+# The number of counts by kind; a later build may add more.
+_LENGTHS = {_REQUESTS: 2, _OLD: 4 + CLASSES, _NEW: 4 + CLASSES, _ENGINE: 2}
 
 
 @attrs.frozen
@@ -181,6 +183,14 @@
     return (parts[0], parts[1]) if len(parts) == 3 else None
 
 
+def readable_counts(key: str, counts: typing.Sequence[int]) -> tuple[int, ...] | None:
+    """Returns the counts that this build knows of those of a key, None if they are malformed."""
+    kind = key.split(_SEPARATOR, 3)[2]
+    length = _LENGTHS.get(kind, 0)
+    known = tuple(counts[:length])
+    return known if length and len(known) == length and min(known) >= 0 else None
+
+
 def read_totals(totals: typing.Mapping[str, tuple[int, ...]]) -> Evidence:
     """Returns the totals of one rollout, without those that are unreadable."""
     evidence = Evidence()
--- a/cicadapond/rollout/_next_state.py
+++ b/cicadapond/rollout/_next_state.py
@@ -63,6 +63,9 @@
         state = attrs.evolve(state, order=order)
     if view.judgement.verdict is Verdict.BAD:
         return _moved(state, Phase.ROLLED_BACK, view.judgement.reason, view, now)
+    if view.seen_at is not None:
+        # The clock of the host that wrote the state may be ahead of this one's.
+        now = max(now, state.started_at + (now - view.seen_at))
     plan = make_plan(state, view, bounds, now)
     if now >= plan.complete_at:
         return _at_limit(state, view, now)
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -25,7 +25,14 @@
     RolloutView,
     Verdict,
 )
-from cicadapond.rollout._evidence import Evidence, Totals, add_totals, read_totals, rollout_of
+from cicadapond.rollout._evidence import (
+    Evidence,
+    Totals,
+    add_totals,
+    read_totals,
+    readable_counts,
+    rollout_of,
+)
 from cicadapond.rollout._judge import SequentialTest
 from cicadapond.rollout._split import (
     CanaryChoice,
@@ -152,8 +159,11 @@
         for key, counts in totals.items():
             service, rollout_id = rollout_of(key) or ("", "")
             rollout = self._rollouts.get(service)
-            if rollout is not None and rollout.state.rollout_id == rollout_id:
-                heard[service][key] = tuple(counts)
+            if rollout is None or rollout.state.rollout_id != rollout_id:
+                continue
+            known = readable_counts(key, counts)
+            if known is not None:
+                heard[service][key] = known
         for service, sums in heard.items():
             self._rollouts[service].apply(zone, sums)
             self._rollouts[service].refresh()
@@ -254,10 +264,12 @@
         # What this process counted, and what it may send in all until the end of a shift.
         self._requests = self._sent = 0
         self._part = math.inf
+        self._since = clock.monotonic()
         self._rounding = rng.random()
         # The usable servers of the new version and the number of others, at the last request.
         self._new: list[ServerEntry] = []
         self._old_count = 0
+        self._has_new = True
         # When engines of the new version count as warm, by start; and those sent to in the trial.
         self._warm_at: dict[str, datetime.timedelta] = {}
         self._tried: set[str] = set()
@@ -281,14 +293,15 @@
     def choose(self, route, servers):
         to = self.state.order.to
         old = [entry for entry in servers if entry.version != to]
-        if len(old) == len(servers):
+        self._has_new = len(old) < len(servers)
+        if not self._has_new:
             return old
         new = [entry for entry in servers if entry.version == to]
         self._new, self._old_count = new, len(old)
         match self.state.phase:
             case Phase.COMPLETED:
                 return new
-            case Phase.TRIAL | Phase.SHIFT if not self._is_bad and not self._is_exhausted:
+            case Phase.TRIAL | Phase.SHIFT if self._may_go_on():
                 if self._is_shifted(route):
                     return old if self._has_spent_part() else new
                 if self._credits.may_send(route):
@@ -296,12 +309,17 @@
         return old
 
     def record_request(self, route):
+        if self.state.phase.has_ended:
+            return
         self.totals.add_request(route)
         self._requests += 1
-        if self.state.phase in (Phase.TRIAL, Phase.SHIFT):
+        # What could not be sent for want of a server is not made up for when there is one.
+        if self._has_new and self.state.phase in (Phase.TRIAL, Phase.SHIFT):
             self._credits.grow(route, self._shares.get(route, self.state.share))
 
     def record_sent(self, entry, route):
+        if self.state.phase.has_ended:
+            return
         self.totals.add_sent(route)
         self._sent += 1
         if not self._is_shifted(route):
@@ -311,6 +329,8 @@
             self._warm_at[entry.start] = self._clock.monotonic() + COLD_TIME
 
     def record(self, seen):
+        if self.state.phase.has_ended:
+            return
         is_new = seen.version == self.state.order.to
         warm_at = self._warm_at.get(seen.server) if is_new else None
         began_at = self._clock.monotonic() - (seen.duration or datetime.timedelta())
@@ -321,7 +341,7 @@
         known = self._heard.setdefault(zone, {})
         for key, counts in sums.items():
             before = known.get(key, ())
-            if len(before) != len(counts) or any(map(int.__lt__, before, counts)):
+            if not before or any(map(int.__lt__, before, counts)):
                 known[key] = tuple(map(max, before, counts)) if before else counts
                 self._heard_changed = True
 
@@ -381,8 +401,22 @@
     def _choose_canaries(self):
         return self._canaries.choose(self._new, canary_count(self._old_count, self._work_share))
 
+    def _may_go_on(self):
+        """Returns whether the version gets requests; none after the time limit."""
+        if self._is_bad or self._is_exhausted:
+            return False
+        return self._elapsed() < self.state.order.duration
+
+    def _elapsed(self):
+        """Returns the time since the order, at least that since it was heard of.
+
+        The clock of the host that wrote the state may be ahead of this one's.
+        """
+        heard_for = self._clock.monotonic() - self._since
+        return max(self._clock.now() - self.state.started_at, heard_for)
+
     def _is_shifted(self, route):
-        if self.state.phase is not Phase.SHIFT or self._clock.now() >= self.state.ends_at:
+        if self.state.phase is not Phase.SHIFT:
             return False
         shifted = self.state.shifted
         return route in shifted or ALL_ROUTES in shifted
@@ -411,7 +445,7 @@
         """Compares the counts of all processes with what the version may receive."""
         requests, sent = sum(self.fleet.requests.values()), sum(self.fleet.sent.values())
         share, tolerance = self._bounds.share, self._bounds.tolerance
-        elapsed = self._clock.now() - self.state.started_at
+        elapsed = self._elapsed()
         heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
         expected = requests * max(1.0, self.state.order.duration / heard)
         allowed = share * expected
--- a/cicadapond/rollout/next_state_test.py
+++ b/cicadapond/rollout/next_state_test.py
@@ -86,6 +86,14 @@
     assert step(ORDER, state, 15.1).reason == "time limit"
 
 
+def test_a_holder_whose_clock_is_behind_ends_the_order_before_its_time_limit():
+    # Guards against a missed time limit when a process with another clock takes over.
+    state = state_in(Phase.SHIFT, shifted=(ALL_ROUTES,))
+    view = attrs.evolve(VIEW, seen_at=START - seconds(2.8))
+    assert step(ORDER, state, 11.4, view).phase is Phase.COMPLETED
+    assert step(ORDER, state, 11.0, view) == state
+
+
 def test_an_order_without_engines_waits_until_its_time_limit():
     view = attrs.evolve(VIEW, new_servers=0)
     state = state_in(Phase.WAITING)
