--- a/cicadapond/rollout/_data.py
+++ b/cicadapond/rollout/_data.py
@@ -103,7 +103,7 @@
             share = float(row.get("share", 0.0))
             if not 0.0 <= share <= 1.0:
                 return None
-            return cls(
+            state = cls(
                 order=RolloutOrder(
                     service=_text(row["service"]),
                     to=_text(row["to"]),
@@ -119,6 +119,7 @@
                 shifted=tuple(map(_text, row.get("shifted", ()))),
                 barred=tuple(map(_text, row.get("barred", ()))),
             )
+            return state if state.ends_at > state.started_at else None
         except (AttributeError, KeyError, OSError, OverflowError, TypeError, ValueError):
             return None
 
--- a/cicadapond/rollout/next_state_test.py
+++ b/cicadapond/rollout/next_state_test.py
@@ -126,4 +126,6 @@
     assert RolloutState.read_row(state.as_row()) == state
     broken = [{**state.as_row(), "phase": "x"}, {**state.as_row(), "started_at": "y"}]
     broken += [None, 3, [], {}, {**state.as_row(), "to": 1}, {**state.as_row(), "share": 2}]
+    # Guards against an error in each request of the service for a time limit out of range.
+    broken += [{**state.as_row(), "duration_s": each} for each in (1e13, -5.0, 0, None)]
     assert [RolloutState.read_row(row) for row in broken] == [None] * len(broken)
