--- a/cicadapond/rollout/_judge.py
+++ b/cicadapond/rollout/_judge.py
@@ -287,6 +287,8 @@
         for name in sorted({name for name, _ in self._last.old} | set(self._last.requests)):
             group = self._groups.get((name, None)) or _Group()
             outcomes, requests = group.sums.answers, self._last.requests.get(name, 0)
+            if not outcomes and requests > RARE_REQUESTS:
+                return f"no outcomes on route {name}"
             limit = ROUTE_GOOD_LEVEL
             if requests <= RARE_REQUESTS and outcomes * RARE_RATIO >= requests:
                 limit = RARE_GOOD_LEVEL
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -288,6 +288,23 @@
     assert sent["v2", "a"] + sent["v2", "b"] < 0.06 * 4400
 
 
+@pytest.mark.parametrize(("requests", "verdict"), [(30, Verdict.GOOD), (300, Verdict.CONTINUE)])
+def test_a_version_is_not_good_while_a_route_has_no_outcomes(requests, verdict):
+    # Guards against a version that refuses all requests of one route.
+    clock = ManualClock()
+    process = process_in(Phase.TRIAL, clock)
+    for number in range(40):
+        clock.advance(seconds(0.3))
+        observe(process, "v1", 50)
+        observe(process, "v2", 5, name=f"engine {number % 4}")
+        for _ in range(50):
+            process.record_request("chat", "a")
+    for _ in range(requests):
+        process.record_request("chat", "b")
+    clock.advance(seconds(1.1))
+    assert process.judgement("chat").verdict is verdict
+
+
 @pytest.mark.parametrize("phase", [Phase.TRIAL, Phase.SHIFT])
 def test_a_process_stops_on_its_own_evidence_and_stays_stopped(phase):
     clock = ManualClock()
