--- a/cicadapond/platform/_reader.py
+++ b/cicadapond/platform/_reader.py
@@ -46,17 +46,21 @@
     def number(self, name: str, default=_MISSING) -> float:
         """Returns a number."""
         value = self._number(name, default)
-        return value if value is default else float(value)
+        return value if value is default else self._convert(name, float, value)
 
     def milliseconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in milliseconds."""
         value = self._number(name, default)
-        return value if value is default else datetime.timedelta(milliseconds=value)
+        if value is default:
+            return value
+        return self._convert(name, lambda each: datetime.timedelta(milliseconds=each), value)
 
     def seconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in seconds."""
         value = self._number(name, default)
-        return value if value is default else datetime.timedelta(seconds=value)
+        if value is default:
+            return value
+        return self._convert(name, lambda each: datetime.timedelta(seconds=each), value)
 
     def endpoint(self, name: str) -> Endpoint:
         """Returns an address of the form IP:PORT."""
@@ -104,6 +108,12 @@
         """
         self._fail(message)
 
+    def _convert(self, name, convert, value):
+        try:
+            return convert(value)
+        except (OverflowError, ValueError):
+            self._fail(f"{name!r} is out of range")
+
     def _number(self, name, default):
         if name not in self._value and default is not _MISSING:
             return default
--- a/cicadapond/platform/_rollouts.py
+++ b/cicadapond/platform/_rollouts.py
@@ -48,6 +48,9 @@
             reader.fail(f"'service' is {service!r}, but the key says otherwise")
         if not to:
             reader.fail("'to' is empty")
+        if not (service + to).isprintable():
+            # Such as half of a surrogate pair, which no row of the store can hold.
+            reader.fail("'service' or 'to' has characters that cannot be printed")
         seconds = reader.number("duration_s")
         if not 0 < seconds <= MAX_DURATION.total_seconds():
             reader.fail(f"'duration_s' is {seconds}, not above 0 and at most 30 days")
--- a/cicadapond/platform/rollouts_test.py
+++ b/cicadapond/platform/rollouts_test.py
@@ -34,6 +34,11 @@
         {"duration_s": "25"},
         {"duration_s": float("nan")},
         {"duration_s": 1e12},
+        # Guard against an error for which no later row of the operator would be applied, and
+        # against a state that cannot be written.
+        {"duration_s": 10**400},
+        {"to": "\ud800"},
+        {"to": "v\t2"},
     ],
 )
 def test_an_invalid_order_is_a_finding(changes):
