--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -71,6 +71,8 @@
         self._seen_at: dict[str, datetime.datetime] = {}
         self._rollouts: dict[str, _Rollout] = {}
         self._barred: dict[str, frozenset[str]] = {}
+        # The rollouts whose state can't be read any more, as last known.
+        self._unread: dict[str, _Rollout] = {}
         # Orders for the version that served alone when they came; without a state it goes on.
         self._serving_orders: dict[str, RolloutOrder] = {}
         self._versions: dict[str, KnownVersions] = collections.defaultdict(KnownVersions)
@@ -92,10 +94,13 @@
 
     def set_state(self, service: str, state: RolloutState | None) -> None:
         """Notes the state of a service's rollout, None if there is none or it is unreadable."""
-        rollout = self._rollouts.get(service)
+        rollout = self._rollouts.get(service) or self._unread.pop(service, None)
         if state is None:
             self._rollouts.pop(service, None)
+            if rollout is not None:
+                self._unread[service] = rollout
         elif rollout is not None and rollout.state.rollout_id == state.rollout_id:
+            self._rollouts[service] = rollout
             rollout.set_state(state)
         else:
             self._rollouts[service] = _Rollout(state, self._clock, self._bounds, self._rng)
@@ -227,6 +232,9 @@
         has_state = has_state and state.order.row_version == order.row_version
         if order is not None and order == self._serving_orders.get(service) and not has_state:
             barred -= {order.to}
+        unread = self._unread.get(service)
+        if unread is not None:
+            barred |= barred_versions(None, unread.state)
         self._barred[service] = barred
 
     def _serves_alone(self, service, version):
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -177,6 +177,26 @@
     assert process.judgement("chat").verdict is not Verdict.BAD
 
 
+def test_a_state_that_becomes_unreadable_forgets_no_verdict():
+    # Guards against sends to a bad version because its row cannot be read for a while.
+    process = process_in(Phase.ROLLED_BACK, barred=("v0",))
+    process.set_state("chat", None)
+    process.set_order("chat", None)
+    assert versions(process) == {"v1"} and process.is_stopped(server("zero", "v0"))
+
+    clock = ManualClock()
+    process = process_in(Phase.TRIAL, clock)
+    state = process._rollouts["chat"].state
+    for _ in range(16):
+        clock.advance(seconds(0.3))
+        observe(process, "v1", 20)
+        observe(process, "v2", 5, is_bad=True)
+    assert process.is_stopped(NEW[0])
+    process.set_state("chat", None)
+    process.set_state("chat", state)
+    assert process.is_stopped(NEW[0])
+
+
 def test_withdrawn_and_changed_orders_stop_the_version_before_the_holder_says_so():
     process = process_in(Phase.SHIFT, shifted=(ALL_ROUTES,))
     assert versions(process) == {"v2"}
