--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -52,6 +52,9 @@
 # The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
 TRIAL_TOLERANCE_PART = 0.6
 SHIFT_TOLERANCE_PART = 0.7
+# Taken from the part of each process in the shift, in requests: by chance some have sent more than
+# their part in the trial.
+PART_RESERVE = 0.08
 
 
 class Rollouts:
@@ -447,7 +450,7 @@
         The parts of all processes add up to the whole, without delay by what they hear; each is
         rounded up or down at random, so that there is no bias however many processes there are.
         """
-        return self._sent > self._part + self._rounding - 1
+        return self._sent > self._part - PART_RESERVE + self._rounding - 1
 
     def _update_exposure(self):
         """Compares the counts of all processes with what the version may receive."""
