--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -25,7 +25,14 @@
     RolloutView,
     Verdict,
 )
-from cicadapond.rollout._evidence import Evidence, Totals, add_totals, read_totals, rollout_of
+from cicadapond.rollout._evidence import (
+    Evidence,
+    Totals,
+    add_totals,
+    read_totals,
+    readable_counts,
+    rollout_of,
+)
 from cicadapond.rollout._judge import SequentialTest
 from cicadapond.rollout._split import (
     CanaryChoice,
@@ -45,8 +52,9 @@
 # The parts of the tolerance that the trial and the shift may use, by the counts of all processes.
 TRIAL_TOLERANCE_PART = 0.6
 SHIFT_TOLERANCE_PART = 0.7
-# What a process may send beyond its part in the shift, so that those with few requests take part.
-PART_SLACK = 0.5
+# Taken from the part of each process in the shift, in requests: by chance some have sent more than
+# their part in the trial.
+PART_RESERVE = 0.08
 
 
 class Rollouts:
@@ -66,6 +74,10 @@
         self._seen_at: dict[str, datetime.datetime] = {}
         self._rollouts: dict[str, _Rollout] = {}
         self._barred: dict[str, frozenset[str]] = {}
+        # The rollouts whose state can't be read any more, as last known.
+        self._unread: dict[str, _Rollout] = {}
+        # Orders for the version that served alone when they came; without a state it goes on.
+        self._serving_orders: dict[str, RolloutOrder] = {}
         self._versions: dict[str, KnownVersions] = collections.defaultdict(KnownVersions)
 
     def set_order(self, service: str, order: RolloutOrder | None) -> None:
@@ -75,16 +87,23 @@
             self._orders.pop(service, None)
             self._seen_at.pop(service, None)
         elif order != known:
+            if self._serves_alone(service, order.to):
+                self._serving_orders[service] = order
+            else:
+                self._serving_orders.pop(service, None)
             self._orders[service] = order
             self._seen_at[service] = self._clock.now()
         self._bar(service)
 
     def set_state(self, service: str, state: RolloutState | None) -> None:
         """Notes the state of a service's rollout, None if there is none or it is unreadable."""
-        rollout = self._rollouts.get(service)
+        rollout = self._rollouts.get(service) or self._unread.pop(service, None)
         if state is None:
             self._rollouts.pop(service, None)
+            if rollout is not None:
+                self._unread[service] = rollout
         elif rollout is not None and rollout.state.rollout_id == state.rollout_id:
+            self._rollouts[service] = rollout
             rollout.set_state(state)
         else:
             self._rollouts[service] = _Rollout(state, self._clock, self._bounds, self._rng)
@@ -148,8 +167,11 @@
         for key, counts in totals.items():
             service, rollout_id = rollout_of(key) or ("", "")
             rollout = self._rollouts.get(service)
-            if rollout is not None and rollout.state.rollout_id == rollout_id:
-                heard[service][key] = tuple(counts)
+            if rollout is None or rollout.state.rollout_id != rollout_id:
+                continue
+            known = readable_counts(key, counts)
+            if known is not None:
+                heard[service][key] = known
         for service, sums in heard.items():
             self._rollouts[service].apply(zone, sums)
             self._rollouts[service].refresh()
@@ -207,7 +229,24 @@
     def _bar(self, service):
         rollout = self._rollouts.get(service)
         state = rollout.state if rollout is not None else None
-        self._barred[service] = barred_versions(self._orders.get(service), state)
+        order = self._orders.get(service)
+        barred = barred_versions(order, state)
+        has_state = state is not None and order is not None
+        has_state = has_state and state.order.row_version == order.row_version
+        if order is not None and order == self._serving_orders.get(service) and not has_state:
+            barred -= {order.to}
+        unread = self._unread.get(service)
+        if unread is not None:
+            barred |= barred_versions(None, unread.state)
+        self._barred[service] = barred
+
+    def _serves_alone(self, service, version):
+        """Returns whether a version is the only one to which requests went so far."""
+        others = set(self._barred.get(service, ()))
+        rollout = self._rollouts.get(service)
+        if rollout is not None and not rollout.state.phase.has_ended:
+            others.add(rollout.state.order.to)
+        return self._versions[service].established - others == {version}
 
 
 class _Rollout:
@@ -233,13 +272,15 @@
         self._work_share = 0.0
         self._refreshed_at: datetime.timedelta | None = None
         self._is_exhausted = False
-        # What this process counted, and what it may send in all for each of its requests.
+        # What this process counted, and what it may send in all until the end of a shift.
         self._requests = self._sent = 0
-        self._sends_per_request = math.inf
+        self._part = math.inf
+        self._since = clock.monotonic()
         self._rounding = rng.random()
         # The usable servers of the new version and the number of others, at the last request.
         self._new: list[ServerEntry] = []
         self._old_count = 0
+        self._has_new = True
         # When engines of the new version count as warm, by start; and those sent to in the trial.
         self._warm_at: dict[str, datetime.timedelta] = {}
         self._tried: set[str] = set()
@@ -263,14 +304,15 @@
     def choose(self, route, servers):
         to = self.state.order.to
         old = [entry for entry in servers if entry.version != to]
-        if len(old) == len(servers):
+        self._has_new = len(old) < len(servers)
+        if not self._has_new:
             return old
         new = [entry for entry in servers if entry.version == to]
         self._new, self._old_count = new, len(old)
         match self.state.phase:
             case Phase.COMPLETED:
                 return new
-            case Phase.TRIAL | Phase.SHIFT if not self._is_bad and not self._is_exhausted:
+            case Phase.TRIAL | Phase.SHIFT if self._may_go_on():
                 if self._is_shifted(route):
                     return old if self._has_spent_part() else new
                 if self._credits.may_send(route):
@@ -278,12 +320,17 @@
         return old
 
     def record_request(self, route):
+        if self.state.phase.has_ended:
+            return
         self.totals.add_request(route)
         self._requests += 1
-        if self.state.phase in (Phase.TRIAL, Phase.SHIFT):
+        # What could not be sent for want of a server is not made up for when there is one.
+        if self._has_new and self.state.phase in (Phase.TRIAL, Phase.SHIFT):
             self._credits.grow(route, self._shares.get(route, self.state.share))
 
     def record_sent(self, entry, route):
+        if self.state.phase.has_ended:
+            return
         self.totals.add_sent(route)
         self._sent += 1
         if not self._is_shifted(route):
@@ -293,6 +340,8 @@
             self._warm_at[entry.start] = self._clock.monotonic() + COLD_TIME
 
     def record(self, seen):
+        if self.state.phase.has_ended:
+            return
         is_new = seen.version == self.state.order.to
         warm_at = self._warm_at.get(seen.server) if is_new else None
         began_at = self._clock.monotonic() - (seen.duration or datetime.timedelta())
@@ -303,7 +352,7 @@
         known = self._heard.setdefault(zone, {})
         for key, counts in sums.items():
             before = known.get(key, ())
-            if len(before) != len(counts) or any(map(int.__lt__, before, counts)):
+            if not before or any(map(int.__lt__, before, counts)):
                 known[key] = tuple(map(max, before, counts)) if before else counts
                 self._heard_changed = True
 
@@ -363,8 +412,22 @@
     def _choose_canaries(self):
         return self._canaries.choose(self._new, canary_count(self._old_count, self._work_share))
 
+    def _may_go_on(self):
+        """Returns whether the version gets requests; none after the time limit."""
+        if self._is_bad or self._is_exhausted:
+            return False
+        return self._elapsed() < self.state.order.duration
+
+    def _elapsed(self):
+        """Returns the time since the order, at least that since it was heard of.
+
+        The clock of the host that wrote the state may be ahead of this one's.
+        """
+        heard_for = self._clock.monotonic() - self._since
+        return max(self._clock.now() - self.state.started_at, heard_for)
+
     def _is_shifted(self, route):
-        if self.state.phase is not Phase.SHIFT or self._clock.now() >= self.state.ends_at:
+        if self.state.phase is not Phase.SHIFT:
             return False
         shifted = self.state.shifted
         return route in shifted or ALL_ROUTES in shifted
@@ -384,22 +447,25 @@
     def _has_spent_part(self):
         """Returns whether this process has sent its part of what the version may receive.
 
-        The parts of all processes add up to the whole, without delay by what they hear.
+        The parts of all processes add up to the whole, without delay by what they hear; each is
+        rounded up or down at random, so that there is no bias however many processes there are.
         """
-        part = self._sends_per_request * self._requests
-        return self._sent > part + PART_SLACK + self._rounding - 1
+        return self._sent > self._part - PART_RESERVE + self._rounding - 1
 
     def _update_exposure(self):
         """Compares the counts of all processes with what the version may receive."""
         requests, sent = sum(self.fleet.requests.values()), sum(self.fleet.sent.values())
         share, tolerance = self._bounds.share, self._bounds.tolerance
-        allowed = share * requests + TRIAL_TOLERANCE_PART * tolerance
-        if self.state.phase is Phase.SHIFT:
-            elapsed = self._clock.now() - self.state.started_at
-            heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
-            expected = requests * max(1.0, self.state.order.duration / heard)
-            allowed = share * expected + SHIFT_TOLERANCE_PART * tolerance
-            self._sends_per_request = allowed / max(1.0, requests * (elapsed / heard))
+        elapsed = self._elapsed()
+        heard = max(elapsed - REPORT_DELAY, elapsed / 2, REFRESH_INTERVAL)
+        expected = requests * max(1.0, self.state.order.duration / heard)
+        allowed = share * expected
+        if self._heard_sum:  # else each process would use the whole tolerance
+            allowed += SHIFT_TOLERANCE_PART * tolerance
+        # Computed before the shift too, as its first requests come before the next refresh.
+        self._part = allowed * self._requests / max(1.0, requests * (elapsed / heard))
+        if self.state.phase is not Phase.SHIFT:
+            allowed = share * requests + TRIAL_TOLERANCE_PART * tolerance
         self._is_exhausted = sent > allowed
 
 
