--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -11,12 +11,13 @@
 from cicadapond.containment import CrashEvidence, merge_evidence
 from cicadapond.data import Endpoint
 from cicadapond.gateway._copies import CopyExchange
+from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import RelayPeer
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
 from cicadapond.gateway._sharing import CopyGroup, copy_times
 from cicadapond.gateway._time import TrueClock
-from cicadapond.kernel import Ok, TaskGroup
+from cicadapond.kernel import TaskGroup
 from cicadapond.peer import (
     Digest,
     Member,
@@ -24,15 +25,13 @@
     PeerSettings,
     PeerTask,
     TcpTransport,
-    hubs,
     rank,
     start_time_ms,
 )
-from cicadapond.provider import TableService, Write
+from cicadapond.provider import TableService
 from cicadapond.scaling import Demand
 from cicadapond.usage import UsageLedger
 
-PROCESS_TABLE = "processes"
 HUBS_PER_ZONE = 2
 MAX_SEED_DIALS = 6
 PEER_BEAT_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -43,7 +42,6 @@
 MIN_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
 MAX_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
 MIN_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=3)
-REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 # A process that is not alive keeps its share of limits for this long after it was last heard from.
 SHARE_RETENTION = datetime.timedelta(seconds=20)
 # The last report of a process reaches the hubs within this time; after it has left, it counts for
@@ -161,13 +159,14 @@
         await self._publish()
 
     async def _join(self):
-        rows = await self._register()
+        discovery = ProcessDiscovery(self._cfg, self._tables, self._clock, self._parts.log)
+        rows = await discovery.register()
         self._registered = len(rows)
         cfg = PeerSettings(
             self._cfg.name,
             self._cfg.zone,
             self._cfg.peers[0],
-            seeds=self._seeds(rows),
+            seeds=discovery.seeds(rows),
             beat=PEER_BEAT_INTERVAL,
             relay_beat=PEER_BEAT_INTERVAL,
             hubs=HUBS_PER_ZONE,
@@ -357,49 +356,6 @@
     def _own_run(self):
         return f"{self._cfg.name}/{start_time_ms(self._peer.incarnation)}"
 
-    # Discovery
-
-    async def _register(self):
-        """Writes this process's row and returns the rows of all processes."""
-        while True:
-            reading = self._clock.store_epoch()
-            written = None
-            if reading is not None:
-                endpoint = self._cfg.peers[0]
-                own = {
-                    "peer": [endpoint.host, endpoint.port],
-                    "zone": self._cfg.zone,
-                    "reading": reading,
-                }
-                written = await self._tables.transact((Write(PROCESS_TABLE, self._cfg.name, own),))
-            if isinstance(written, Ok):
-                found = await self._tables.scan(PROCESS_TABLE)
-                if isinstance(found, Ok):
-                    rows = {row.key: row.value for row in found.value}
-                    self._correct_clock(rows)
-                    return rows
-            await self._clock.sleep(REGISTER_RETRY_INTERVAL)
-
-    def _correct_clock(self, rows):
-        readings = [value["reading"] for value in rows.values() if value.get("reading")]
-        correction = self._clock.correct(readings)
-        if correction is not None:
-            by_ms = round(correction.total_seconds() * 1000)
-            self._parts.log.write("clock_corrected", by_ms=by_ms)
-
-    def _seeds(self, rows):
-        """Returns where to look for the others: likely hubs, those of this data centre first."""
-        by_zone: dict[str, list[str]] = {}
-        for name, value in rows.items():
-            if name != self._cfg.name:
-                by_zone.setdefault(value.get("zone", ""), []).append(name)
-        ranked = [
-            (position, zone != self._cfg.zone, zone, name)
-            for zone, names in by_zone.items()
-            for position, name in enumerate(hubs(zone, names, len(names)))
-        ]
-        return tuple(Endpoint(*rows[name]["peer"]) for *_, name in sorted(ranked))
-
     # Exchange of digests
 
     async def _publish(self):
--- /dev/null
+++ b/cicadapond/gateway/_discovery.py
@@ -0,0 +1,72 @@
+"""How gateway processes find each other: a row of each in the store."""
+
+import datetime
+
+from cicadapond.data import Endpoint
+from cicadapond.eventlog import EventLog
+from cicadapond.gateway._time import TrueClock
+from cicadapond.gateway.data import GatewaySettings
+from cicadapond.kernel import Ok
+from cicadapond.peer import hubs
+from cicadapond.provider import TableService, Write
+
+PROCESS_TABLE = "processes"
+REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
+
+
+class ProcessDiscovery:
+    """Writes the row of this process and reads those of the others.
+
+    Args:
+      cfg: The settings of this process.
+      tables: Holds the rows.
+      clock: Corrected by the readings in the rows.
+      log: The event log.
+    """
+
+    def __init__(self, cfg: GatewaySettings, tables: TableService, clock: TrueClock, log: EventLog):
+        self._cfg = cfg
+        self._tables = tables
+        self._clock = clock
+        self._log = log
+
+    async def register(self) -> dict[str, dict]:
+        """Writes this process's row and returns the readable rows of all processes by name."""
+        while True:
+            reading = self._clock.store_epoch()
+            written = None
+            if reading is not None:
+                endpoint = self._cfg.peers[0]
+                own = {
+                    "peer": [endpoint.host, endpoint.port],
+                    "zone": self._cfg.zone,
+                    "reading": reading,
+                }
+                written = await self._tables.transact((Write(PROCESS_TABLE, self._cfg.name, own),))
+            if isinstance(written, Ok):
+                found = await self._tables.scan(PROCESS_TABLE)
+                if isinstance(found, Ok):
+                    rows = {r.key: r.value for r in found.value if isinstance(r.value, dict)}
+                    self._correct_clock(rows)
+                    return rows
+            await self._clock.sleep(REGISTER_RETRY_INTERVAL)
+
+    def seeds(self, rows: dict[str, dict]) -> tuple[Endpoint, ...]:
+        """Returns where to look for the others: likely hubs, those of this data centre first."""
+        by_zone: dict[str, list[str]] = {}
+        for name, value in rows.items():
+            if name != self._cfg.name:
+                by_zone.setdefault(value.get("zone", ""), []).append(name)
+        ranked = [
+            (position, zone != self._cfg.zone, zone, name)
+            for zone, names in by_zone.items()
+            for position, name in enumerate(hubs(zone, names, len(names)))
+        ]
+        return tuple(Endpoint(*rows[name]["peer"]) for *_, name in sorted(ranked))
+
+    def _correct_clock(self, rows):
+        readings = [value["reading"] for value in rows.values() if value.get("reading")]
+        correction = self._clock.correct(readings)
+        if correction is not None:
+            by_ms = round(correction.total_seconds() * 1000)
+            self._log.write("clock_corrected", by_ms=by_ms)
--- a/cicadapond/placing/__init__.py
+++ b/cicadapond/placing/__init__.py
@@ -1,11 +1,10 @@
 """Placement: chooses the backend server of each request of the gateway."""
 
-from cicadapond.placing._candidate import InFlightRequest
+from cicadapond.placing._candidate import InFlightRequest, Placement
 from cicadapond.placing._health import ServerHealth
 from cicadapond.placing._holding import should_hold
 from cicadapond.placing._placer import (
     LONG_PREFILL_MS,
-    Placement,
     Placer,
 )
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
--- a/cicadapond/placing/_candidate.py
+++ b/cicadapond/placing/_candidate.py
@@ -109,3 +109,19 @@
             return max(slot_wait_ms, queued_ms)
         prompts = max(excess, queued_ms / max(1.0, self.mean_prefill_ms))
         return max(slot_wait_ms, queued_ms * (prompts - excess + ahead) / prompts)
+
+
+@attrs.frozen
+class Placement:
+    """The server chosen for a request, and the expected time until its answer begins.
+
+    `departure` is why it is in its data centre: "own" if that is the process's own or leaving it
+    has a constant cost, else what `ZoneCosts.record_placed` returns.
+    `in_flight` is the number of requests that were there.
+    """
+
+    server: ServerEntry
+    expected: datetime.timedelta
+    request: InFlightRequest
+    departure: str = "own"
+    in_flight: float = 0.0
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -18,16 +18,20 @@
 
 import copy
 import datetime
-import hashlib
 import random
 import typing
 
-import attrs
-
 from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import Clock
-from cicadapond.placing._candidate import Candidate, Estimate, InFlightRequest, ServiceView
+from cicadapond.placing._candidate import (
+    Candidate,
+    Estimate,
+    InFlightRequest,
+    Placement,
+    ServiceView,
+)
 from cicadapond.placing._first_event import FirstEventModel, Prompt
+from cicadapond.placing._prefix_homes import PrefixHomes
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
 from cicadapond.placing._sampling import sample_servers
 from cicadapond.placing._server_load import (
@@ -54,22 +58,6 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-@attrs.frozen
-class Placement:
-    """The server chosen for a request, and the expected time until its answer begins.
-
-    `departure` is why it is in its data centre: "own" if that is the process's own or leaving it
-    has a constant cost, else what `ZoneCosts.record_placed` returns.
-    `in_flight` is the number of requests that were there.
-    """
-
-    server: ServerEntry
-    expected: datetime.timedelta
-    request: InFlightRequest
-    departure: str = "own"
-    in_flight: float = 0.0
-
-
 class Placer:
     """Tracks the load of backend servers and places requests on them.
 
@@ -109,7 +97,7 @@
         self._mean_prefills: dict[str, float] = {}
         self._others: dict[str, ServiceOthers] = {}
         self._paced_services: set[str] = set()
-        self._name_hashes: dict[str, int] = {}
+        self._prefix_homes = PrefixHomes()
         self._heard_at = -MAX_IN_FLIGHT_AGE_MS
         self._reported_by_zone: dict[str, set[str]] = {}
 
@@ -409,7 +397,7 @@
 
     def remove(self, server: str) -> None:
         """Drops the load of a server that is gone."""
-        self._name_hashes.pop(server, None)
+        self._prefix_homes.remove(server)
         load = self._loads.pop(server, None)
         if load is not None:
             others = self._others[self._services.pop(server)]
@@ -450,24 +438,14 @@
     def _homes(self, servers, generation):
         """Returns the servers where a prompt's last shared part belongs.
 
-        All processes agree on them by rendezvous hashing.  Where leaving the data centre has costs
-        there is one in each, so that requests need not leave theirs for it, else one in all.
+        Where leaving the data centre has costs there is one in each, so that requests need not
+        leave theirs for it, else one in all.
         """
         shared = shared_parts(generation) if generation is not None else ()
         if not shared or not servers:
             return ()
         by_zone = self._costs_of(servers[0].service) is not None
-        part_hash, hashes = _hash(shared[-1].name), self._name_hashes
-        homes, highest = {}, {}
-        for entry in servers:
-            name_hash = hashes.get(entry.name)
-            if name_hash is None:
-                name_hash = hashes[entry.name] = _hash(entry.name)
-            rank = (part_hash ^ name_hash) * _MIXER & _HASH_MASK
-            zone = entry.zone if by_zone else None
-            if rank > highest.get(zone, -1):
-                homes[zone], highest[zone] = entry, rank
-        return tuple(homes.values())
+        return self._prefix_homes.find(shared[-1].name, servers, by_zone)
 
     def _slots(self, service):
         slot_times = self._slot_times.get(service)
@@ -517,13 +495,3 @@
     if generation is None:
         return 0
     return (generation.prompt_tokens + generation.output_tokens) * BYTES_PER_TOKEN
-
-
-def _hash(name):
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
-# An odd number whose product with the difference of two hashes orders servers differently for each
-# part.
-_MIXER = 0x9E3779B97F4A7C15
-_HASH_MASK = (1 << 64) - 1
--- /dev/null
+++ b/cicadapond/soak/_process.py
@@ -0,0 +1,83 @@
+"""A gateway process of a soak."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+from cicadapond.soak._records import History
+from cicadapond.standin._ports import free_endpoint, free_port_range
+
+PROGRAM = "cicadapond.gateway.main"
+PEER_PORTS = 2
+# The platform's time from SIGTERM to SIGKILL, and some more for the process to exit.
+GRACE_S = 9.0
+
+
+class GatewayProcess:
+    """A gateway process, with signals and exit checks; it can be started again after it exited."""
+
+    def __init__(self, number: int, directory: pathlib.Path, history: History):
+        self.number = number
+        self.ports = {name: free_endpoint().port for name in ("frontend", "readiness")}
+        self.ports["peers"] = free_port_range(PEER_PORTS)
+        self.path = directory / f"edge-{number}.conf"
+        self._log = directory / f"edge-{number}.log"
+        self._history = history
+        self._running: asyncio.subprocess.Process | None = None
+        self._exit_task: asyncio.Task | None = None
+        self._expects_exit = False
+        self._log_offset = 0
+
+    async def start(self) -> None:
+        """Starts the process; its output goes to its log."""
+        self._expects_exit = False
+        with open(self._log, "ab") as log:
+            self._log_offset = log.tell()
+            self._running = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                PROGRAM,
+                f"--settings={self.path}",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._exit_task = asyncio.ensure_future(self._wait(self._running))
+
+    async def _wait(self, running):
+        status = await running.wait()
+        if not self._expects_exit:
+            self._history.unexpected_exits.append((self.number, status))
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self._running.returncode is None:
+            self._running.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kills the process, if it runs, and waits until it has exited."""
+        self._expects_exit = True
+        if self._running is not None:
+            self.send(signal.SIGKILL)
+            await self._exit_task
+
+    async def stop(self) -> None:
+        """Stops the process gracefully; an exit by a signal or with an error is unexpected."""
+        self._expects_exit = True
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await asyncio.shield(self._exit_task)
+        except TimeoutError:
+            await self.kill()
+        status = self._running.returncode
+        # Before its "started" line a process has no SIGTERM handler yet, and no work to finish.
+        if status != 0 and (status != -signal.SIGTERM or self._has_started()):
+            self._history.unexpected_exits.append((self.number, status))
+
+    def _has_started(self):
+        with open(self._log, "rb") as log:
+            log.seek(self._log_offset)
+            return b'"started"' in log.read()
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import signal
-import sys
 
 import attrs
 
@@ -13,17 +12,13 @@
 from cicadapond.soak._callers import CRASHING_PART, Balancer, CallerLoop
 from cicadapond.soak._checks import CONTACT_S, RECOVERY_S, Violation, check
 from cicadapond.soak._plan import PLANNED, Injection, make_plan
+from cicadapond.soak._process import GatewayProcess
 from cicadapond.soak._proxy import NetworkFault, Proxy
 from cicadapond.soak._records import BrittleTime, Cut, History, Hold, Run, StatedLimit
 from cicadapond.soak._rollouts import RolloutLoop
-from cicadapond.standin._ports import free_endpoint, free_port_range
 
-PROGRAM = "cicadapond.gateway.main"
 START_TIMEOUT_S = 30.0
-PEER_PORTS = 2
 START_POLL_S = 0.05
-# The platform's time from SIGTERM to SIGKILL, and some more for the process to exit.
-GRACE_S = 9.0
 RESTART_S = 0.3
 # How long a fault may have effects after its end: calls and probes that still time out.
 RESIDUAL_EFFECT_S = 2.0
@@ -65,74 +60,6 @@
         return self.seed % 2 == 0
 
 
-class _Process:
-    """A gateway process, with signals and exit checks; it can be started again after it exited."""
-
-    def __init__(self, number: int, directory: pathlib.Path, history: History):
-        self.number = number
-        self.ports = {name: free_endpoint().port for name in ("frontend", "readiness")}
-        self.ports["peers"] = free_port_range(PEER_PORTS)
-        self.path = directory / f"edge-{number}.conf"
-        self._log = directory / f"edge-{number}.log"
-        self._history = history
-        self._running: asyncio.subprocess.Process | None = None
-        self._exit_task: asyncio.Task | None = None
-        self._expects_exit = False
-        self._log_offset = 0
-
-    async def start(self) -> None:
-        self._expects_exit = False
-        with open(self._log, "ab") as log:
-            self._log_offset = log.tell()
-            self._running = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                PROGRAM,
-                f"--settings={self.path}",
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        self._exit_task = asyncio.ensure_future(self._wait(self._running))
-
-    async def _wait(self, running):
-        status = await running.wait()
-        if not self._expects_exit:
-            self._history.unexpected_exits.append((self.number, status))
-
-    def send(self, number: signal.Signals) -> None:
-        """Sends a signal, unless the process has ended."""
-        if self._running.returncode is None:
-            self._running.send_signal(number)
-
-    async def kill(self) -> None:
-        """Kills the process, if it runs, and waits until it has exited."""
-        self._expects_exit = True
-        if self._running is not None:
-            self.send(signal.SIGKILL)
-            await self._exit_task
-
-    async def stop(self) -> None:
-        """Stops the process gracefully; an exit by a signal or with an error is unexpected."""
-        self._expects_exit = True
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await asyncio.shield(self._exit_task)
-        except TimeoutError:
-            await self.kill()
-        status = self._running.returncode
-        # Before its "started" line a process has no SIGTERM handler yet, and no work to finish.
-        if status != 0 and (status != -signal.SIGTERM or self._has_started()):
-            self._history.unexpected_exits.append((self.number, status))
-
-    def _has_started(self):
-        with open(self._log, "rb") as log:
-            log.seek(self._log_offset)
-            return b'"started"' in log.read()
-
-
 class Soak:
     """A deployment under a fault plan.
 
@@ -148,7 +75,7 @@
             FleetSettings(engines=4, services=3, rolls_out=cfg.rolls_out, moves=True), BootClock()
         )
         self._processes = [
-            _Process(number, cfg.directory, self.history) for number in range(cfg.processes)
+            GatewayProcess(number, cfg.directory, self.history) for number in range(cfg.processes)
         ]
         self._busy: set[int] = set()
         # By name, one for each process, as a process may lose links that others keep.
