--- a/cicadapond/queueing/_queue.py
+++ b/cicadapond/queueing/_queue.py
@@ -22,8 +22,10 @@
 QUEUE_LIMIT = 64
 # How many waiting requests are decided at an event.
 MAX_DECIDED = 4
-# A request waits at most for this share of its time limit: its answer takes time too.
-MAX_WAIT_SHARE = 0.5
+# A request waits at most for this share of its time limit, and for this long: its answer takes time
+# too, and a caller that is told early when to return is better off than one that is kept waiting.
+MAX_WAIT_SHARE = 0.3
+MAX_WAIT = datetime.timedelta(milliseconds=1200)
 # An engine counts as free for late requests if its queue is at most this share of their objective.
 FREE_SHARE = 0.25
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
@@ -118,7 +120,7 @@
     def latest(self, waiting: Waiting) -> datetime.timedelta:
         """Returns the monotonic time until which a request waits at most."""
         limit = waiting.deadline - waiting.received_at
-        return waiting.received_at + MAX_WAIT_SHARE * limit
+        return waiting.received_at + min(MAX_WAIT, MAX_WAIT_SHARE * limit)
 
     def decide_now(self, waiting: Waiting) -> Admission:
         """Decides on a request that can wait no longer, and removes it."""
--- a/cicadapond/queueing/queueing_test.py
+++ b/cicadapond/queueing/queueing_test.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
@@ -79,12 +81,14 @@
     assert len(bench.refused) == 1
 
 
-def test_a_request_waits_no_longer_than_half_of_its_time_limit():
+@pytest.mark.parametrize(("limit", "longest"), [(10.0, 1.2), (2.0, 0.6)])
+def test_a_request_that_finds_no_engine_is_rejected_early(limit, longest):
+    """Callers were kept waiting for half of their time limit, and then rejected."""
     bench = Bench()
     bench.fill_engine()
-    bench.submit("a", limit=10.0)
-    assert bench.queue.next_due() == bench.clock.monotonic() + seconds(5)
-    bench.clock.advance(seconds(5))
+    bench.submit("a", limit=limit)
+    assert bench.queue.next_due() == bench.clock.monotonic() + seconds(longest)
+    bench.clock.advance(seconds(longest))
     bench.fill_engine()
     bench.queue.wake()
     assert bench.refused == ["a"]
