--- a/cicadapond/queueing/queueing_test.py
+++ b/cicadapond/queueing/queueing_test.py
@@ -81,15 +81,15 @@
     assert len(bench.refused) == 1
 
 
-@pytest.mark.parametrize(("limit", "longest"), [(10.0, 1.2), (2.0, 0.6)])
-def test_a_request_that_finds_no_engine_is_rejected_early(limit, longest):
+@pytest.mark.parametrize(("limit", "waiting", "longest"), [(10.0, 40, 1.2), (3.0, 12, 0.9)])
+def test_a_request_that_finds_no_engine_is_rejected_early(limit, waiting, longest):
     """Callers were kept waiting for half of their time limit, and then rejected."""
     bench = Bench()
-    bench.fill_engine()
+    bench.fill_engine(waiting)
     bench.submit("a", limit=limit)
     assert bench.queue.next_due() == bench.clock.monotonic() + seconds(longest)
     bench.clock.advance(seconds(longest))
-    bench.fill_engine()
+    bench.fill_engine(waiting)
     bench.queue.wake()
     assert bench.refused == ["a"]
 
