Order on-demand servers before the demand has settled

Cause: no on-demand server was added in the first 6 s of demand (DEMAND_SETTLE_TIME), so that a burst 3.1 s after the start of the traffic was answered at 6.2 s.

Change: until the demand has settled, the on-demand servers that run are not lowered, but more are added as the demand requires. They still wait for the 3 s of discovery, because an absolute number would stop servers that are not listed yet. On-demand servers that run or start stay where they are in place of being exchanged for ones in a cheaper data centre.

Both new tests fail without the change.

--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -44,6 +44,15 @@
     at: datetime.timedelta
 
 
+@attrs.frozen
+class _LastPlan:
+    """How many on-demand servers the last plan for a service needed, and where."""
+
+    needed: int
+    counts: typing.Mapping[str, int]
+    at: datetime.timedelta
+
+
 class Basis(enum.Enum):
     """What decides how many on-demand servers are ordered."""
 
@@ -89,8 +98,7 @@
         self._history = DemandHistory(clock)
         self._initial_servers: dict[str, _InitialServers] = {}
         self._first_observed_at: dict[str, datetime.timedelta] = {}
-        # How many on-demand servers the last plan for a service needed.
-        self._last_needs: dict[str, int] = {}
+        self._last_plans: dict[str, _LastPlan] = {}
         self._inputs: dict[str, PlanInputs] = {}
 
     def observe(
@@ -166,22 +174,24 @@
         return orders
 
     def _on_demand_counts(self, service, zones, servers, to_replace, arriving):
-        scaling = service.scaling
+        scaling, now = service.scaling, self._clock.monotonic()
         running = collections.Counter(entry.zone for entry in servers if entry.is_reclaimable)
-        on_demand_by_zone = collections.Counter(e.zone for e in servers if not e.is_reclaimable)
+        current = collections.Counter(e.zone for e in servers if not e.is_reclaimable)
         demand = self._history.peak(service.name, scaling.boot)
         needed, basis = _needed_on_demand(running + collections.Counter(arriving), demand)
+        last = self._last_plans.get(service.name)
+        if last is None or now - last.at > scaling.boot:
+            last = _LastPlan(0, {}, now)
         # Servers that are starting spare new on-demand servers; those that are there stay until
         # the others have started.
         present, present_basis = _needed_on_demand(running, demand)
-        present = min(
-            present, max(on_demand_by_zone.total(), self._last_needs.get(service.name, 0))
-        )
+        present = min(present, max(current.total(), last.needed))
         if present > needed:
             needed, basis = present, present_basis
-        if to_replace - running.total() > needed:
-            needed, basis = to_replace - running.total(), Basis.UNKNOWN_DEMAND
-        self._last_needs[service.name] = needed
+        # The servers that run are not lowered before the demand is known, but more may be added.
+        unknown = min(to_replace - running.total(), current.total())
+        if unknown > needed:
+            needed, basis = unknown, Basis.UNKNOWN_DEMAND
         self._inputs[service.name] = PlanInputs(
             needed,
             basis,
@@ -190,13 +200,12 @@
             len(servers),
             sum(arriving.values()),
         )
-        counts = dict.fromkeys(zones, 0)
-        for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
-            room = max(0, scaling.maximum - running[zone])
-            if to_replace:  # while the demand is unknown, no on-demand server is added
-                room = min(room, on_demand_by_zone[zone])
-            counts[zone] = min(needed, room)
-            needed -= counts[zone]
+        # A server that runs or starts is not exchanged for one in a cheaper data centre, which
+        # would take the boot time to replace it.
+        kept = {zone: max(current[zone], last.counts.get(zone, 0)) for zone in zones}
+        room = {zone: max(0, scaling.maximum - running[zone]) for zone in zones}
+        counts = _distribute(needed, zones, scaling, kept, room)
+        self._last_plans[service.name] = _LastPlan(needed, counts, now)
         return counts
 
     def _has_discovered(self, service, now):
@@ -233,3 +242,14 @@
         ),
         key=lambda need: need[0],
     )
+
+
+def _distribute(needed, zones, scaling, kept, room):
+    """Returns the on-demand servers of each data centre: those to keep, then the cheapest."""
+    counts = dict.fromkeys(zones, 0)
+    for wanted in (kept, room):
+        for zone in sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone)):
+            limit = min(wanted[zone], room[zone])
+            added = min(needed - sum(counts.values()), max(0, limit - counts[zone]))
+            counts[zone] += added
+    return counts
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -169,6 +169,25 @@
     assert plan(planner, on_demand_servers, 0.5)[1] == {"a": 1, "b": 0, "c": 0}
 
 
+def test_on_demand_servers_are_added_before_the_demand_has_settled():
+    """A burst 3 s after the start was followed by orders only after 6 s of demand."""
+    clock = ManualClock()
+    planner = CapacityPlanner(clock)
+    observe_for(planner, clock, 3, servers("aabbcc", "c"), 0.5)
+    clock.advance(seconds(0.5))
+    reclaimable, on_demand = plan(planner, servers("aabbcc", "c"), 6.5)
+    assert reclaimable == {"a": 2, "b": 3, "c": 3}
+    assert on_demand == {"a": 2, "b": 0, "c": 1}
+
+
+def test_an_on_demand_server_is_not_exchanged_for_a_cheaper_one():
+    """The one that ran stopped at once, and the other one took the boot time to start."""
+    planner = planner_with_known_demand(ManualClock())
+    assert plan(planner, servers("aabbcc", "b"), 0.5)[1] == {"a": 0, "b": 1, "c": 0}
+    # One that starts is not listed yet.
+    assert plan(planner, servers("aabbcc"), 0.5)[1] == {"a": 0, "b": 1, "c": 0}
+
+
 def test_no_servers_are_ordered_for_a_service_without_bounds():
     planner = CapacityPlanner(ManualClock())
     assert planner.plan(Service("plain", 10), ZONES, [], Demand(5.0, 0.0)) == []
