Replace servers at the notice of their loss also right after an order

Cause: an order of an unchanged number was repeated only 3 s after the last one, so that an on-demand engine that was told to stop at 16.2 s, 1.4 s after an order, was replaced at 17.8 s.

Change: OrderBook recognises each fall of the number of listed servers and repeats the order at once, at most once a second for each data centre and kind. An order that was sent while servers were leaving is repeated when these have gone.

--- a/cicadapond/experiments/_orders_world.py
+++ b/cicadapond/experiments/_orders_world.py
@@ -26,6 +26,10 @@
 # How long the processes take to see that an engine has crashed.
 CRASH_DETECTION_S = 0.5
 STEP_S = 0.02
+# What a process knows of the engines is at most this old.
+VIEW_AGE_S = 0.2
+# How many engines, drawn at random, a process compares, besides one that cached the shared part.
+SAMPLE_SIZE = 2
 OBSERVATION_INTERVAL_S = 1.0
 ORDER_INTERVAL_S = 0.5
 RECLAIMABLE_PRICE = 0.18
@@ -51,7 +55,9 @@
     """What is served, and by which engines.
 
     `initial` is the number of reclaimable engines of each data centre at the start, besides one
-    on-demand engine.
+    on-demand engine.  If `processes` is not 0, that many place requests by what they have last
+    heard of the engines, which is up to VIEW_AGE_S old, and by what they sent since; else each
+    request finds the engine that begins it first.
     """
 
     kinds: tuple[Kind, ...]
@@ -60,6 +66,7 @@
     maximum: int
     initial: int
     prices: typing.Mapping[str, float]
+    processes: int = 0
 
     def service(self) -> Service:
         """Returns the service as the configuration has it."""
@@ -73,7 +80,8 @@
 
     `reclaims` are (time, data centre); no reclaimable engine is to be had within `dry`.
     `crashes` are (time, share of the engines).  Nobody holds the lease within `no_holder`, and
-    another process after it.  `bursts` are (from, until, factor of the rate).
+    another process after it.  `bursts` are (from, until, factor of the rate).  `shutdowns` are the
+    times at which an on-demand engine is told to stop.
     """
 
     reclaims: tuple[tuple[float, str], ...] = ()
@@ -81,11 +89,24 @@
     crashes: tuple[tuple[float, float], ...] = ()
     no_holder: tuple[float, float] = (0.0, 0.0)
     bursts: tuple[tuple[float, float, float], ...] = ()
+    shutdowns: tuple[float, ...] = ()
+
+
+@attrs.frozen
+class _SentWork:
+    """What a process sent to an engine since the engine was last heard of, at `seen_at`."""
+
+    seen_at: float
+    work_s: float
+    count: int
 
 
 @attrs.define(eq=False)
 class Engine:
-    """An engine; `ends` are the ends of its requests that occupy slots, a heap."""
+    """An engine; `ends` are the ends of its requests that occupy slots, a heap.
+
+    The processes know `seen_free_at` and `seen_active`, which were true at `seen_at`.
+    """
 
     name: str
     zone: str
@@ -97,6 +118,9 @@
     ends: list[float] = attrs.field(factory=list)
     cached: set[int] = attrs.field(factory=set)
     requests: list["Request"] = attrs.field(factory=list)
+    seen_at: float = -VIEW_AGE_S
+    seen_free_at: float = 0.0
+    seen_active: int = 0
 
 
 @attrs.define(eq=False)
@@ -184,6 +208,8 @@
         self._engines: list[Engine] = []
         self._meter_ends: list[float] = []
         self._result = Result()
+        # What each process sent to an engine since the engine was last heard of.
+        self._sent: list[dict[str, _SentWork]] = [{} for _ in range(deployment.processes)]
         for zone in ZONES:
             self._start(zone, True, deployment.initial, 0.0)
         self._start(min(ZONES, key=deployment.prices.__getitem__), False, 1, 0.0)
@@ -192,12 +218,16 @@
         """Plays the day and returns its result."""
         has_taken_over = False
         reclaims, crashes = list(self._faults.reclaims), list(self._faults.crashes)
+        shutdowns = list(self._faults.shutdowns)
         for step in range(round(duration_s / STEP_S)):
             self._now = step * STEP_S
             while reclaims and reclaims[0][0] <= self._now:
                 self._reclaim(reclaims.pop(0)[1])
             while crashes and crashes[0][0] <= self._now:
                 self._crash(crashes.pop(0)[1])
+            while shutdowns and shutdowns[0] <= self._now:
+                shutdowns.pop(0)
+                self._shut_down()
             self._remove_gone()
             while self._meter_ends and self._meter_ends[0] <= self._now:
                 heapq.heappop(self._meter_ends)
@@ -234,6 +264,12 @@
             engine.crashed_at = self._now
             self._fail_requests(engine)
 
+    def _shut_down(self):
+        for engine in self._engines:
+            if not engine.is_reclaimable and self._serves(engine):
+                engine.leaves_at = max([self._now + NOTICE_S, *engine.ends])
+                return
+
     def _remove_gone(self):
         for engine in list(self._engines):
             if engine.leaves_at is not None and engine.leaves_at <= self._now:
@@ -276,7 +312,7 @@
         part = part if kind.shared_tokens > 2000 else part + SHARED_PARTS
         speed = self._deployment.tokens_per_s
         best = None
-        for engine in usable:
+        for engine in self._compared(usable, part, kind):
             ends = engine.ends
             while ends and ends[0] <= now:
                 heapq.heappop(ends)
@@ -305,6 +341,41 @@
         engine.requests.append(request)
         result.earned[int(now)] += value * (1.0 if request.in_time else LATE_SHARE)
 
+    def _compared(self, usable, part, kind):
+        """Returns the engines to choose from: all, or the one that a process prefers."""
+        if not self._sent or not usable:
+            return usable
+        sent = self._rng.choice(self._sent)
+        sample = self._rng.sample(usable, min(SAMPLE_SIZE, len(usable)))
+        cached = [each for each in usable if part in each.cached]
+        if cached:
+            sample.append(self._rng.choice(cached))
+        expected = [self._expected(sent, each, part, kind) for each in sample]
+        began, work_s = min(expected)
+        chosen = sample[expected.index((began, work_s))]
+        own = sent[chosen.name]
+        sent[chosen.name] = _SentWork(chosen.seen_at, own.work_s + work_s, own.count + 1)
+        return [chosen]
+
+    def _expected(self, sent, engine, part, kind):
+        """Returns when a process expects a prompt to be prefilled there, and its prefill time."""
+        now = self._now
+        if now - engine.seen_at >= VIEW_AGE_S:
+            active = sum(end > now for end in engine.ends)
+            engine.seen_at, engine.seen_free_at, engine.seen_active = (
+                now,
+                engine.prefill_free_at,
+                active,
+            )
+        own = sent.get(engine.name)
+        if own is None or own.seen_at != engine.seen_at:
+            own = sent[engine.name] = _SentWork(engine.seen_at, 0.0, 0)
+        tokens = kind.own_tokens + (0 if part in engine.cached else kind.shared_tokens)
+        work_s = tokens / self._deployment.tokens_per_s
+        has_slot = engine.seen_active + own.count < self._deployment.slots
+        began = max(now, engine.seen_free_at) + own.work_s + work_s
+        return began + (0.0 if has_slot else kind.answer_s / 2), work_s
+
     def _add_prefill(self, kind, work_s):
         self._meter.add_prefill("pool", seconds(work_s), kind.shared_tokens + kind.own_tokens)
 
--- a/cicadapond/experiments/orders.py
+++ b/cicadapond/experiments/orders.py
@@ -21,7 +21,8 @@
 DAY_S = 45.0
 PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
 # Half the rates of three deployments: many slots, few slots, and a small one whose batches fill up
-# before prefill does.
+# before prefill does; the whole rates of the first two, an eighth of them, and six engines.  The
+# latter are placed by 20 processes on information that is up to 200 ms old.
 DEPLOYMENTS = {
     "64 slots": Deployment(
         (
@@ -45,6 +46,54 @@
         4,
         PRICES,
     ),
+    "64 slots, large": Deployment(
+        (
+            Kind(41.7, 5382, 6610, 1.2, 0.845, 15.8, 6.7),
+            Kind(310.0, 568, 1800, 0.07, 0.422, 3.2, 1.9),
+        ),
+        64,
+        101e3,
+        24,
+        8,
+        PRICES,
+        20,
+    ),
+    "16 slots, large": Deployment(
+        (
+            Kind(88.9, 5382, 6610, 1.3, 1.545, 12.4, 2.9),
+            Kind(245.0, 568, 1800, 0.1, 0.522, 2.6, 2.7),
+        ),
+        16,
+        112e3,
+        24,
+        9,
+        PRICES,
+        20,
+    ),
+    "64 slots, an eighth": Deployment(
+        (
+            Kind(5.2, 5382, 6610, 1.2, 0.845, 15.8, 6.7),
+            Kind(38.8, 568, 1800, 0.07, 0.422, 3.2, 1.9),
+        ),
+        64,
+        101e3,
+        12,
+        2,
+        PRICES,
+        20,
+    ),
+    "six engines": Deployment(
+        (
+            Kind(6.0, 5382, 4000, 1.5, 0.8, 8.0, 3.0),
+            Kind(50.0, 568, 1000, 0.3, 0.4, 4.0, 1.0),
+        ),
+        32,
+        50e3,
+        12,
+        2,
+        PRICES,
+        20,
+    ),
     "small": Deployment((Kind(13.0, 2000, 1500, 2.6, 1.2, 8.0, 1.0),), 12, 60e3, 12, 2, PRICES),
 }
 DAYS = {
@@ -58,6 +107,13 @@
     "two reclaims and a new holder": Faults(
         reclaims=((15.0, "b"), (16.0, "a")), dry=(15.0, 26.0), no_holder=(14.0, 16.5)
     ),
+    "burst of 2x 3.1 s after the start": Faults(bursts=((3.1, 9.0, 2.0),)),
+    "three reclaims, a shutdown and a new holder": Faults(
+        reclaims=((8.0, "b"), (11.7, "a"), (14.0, "c")),
+        dry=(8.0, 21.0),
+        no_holder=(19.0, 20.0),
+        shutdowns=(16.2,),
+    ),
     "17% crash": Faults(crashes=((15.0, 0.17),)),
     "all of these": Faults(
         reclaims=((15.0, "b"), (18.0, "a")),
--- a/cicadapond/scaling/_order_book.py
+++ b/cicadapond/scaling/_order_book.py
@@ -20,8 +20,9 @@
 FIRST_RETRY = datetime.timedelta(seconds=1.5)
 RETRY_GROWTH = 1.1
 MAX_RETRY = datetime.timedelta(seconds=5)
-# The shortest time between two orders of the same number, for servers that were lost meanwhile.
-REPEAT_INTERVAL = datetime.timedelta(seconds=3)
+# The shortest time between two orders of the same number, for servers that were lost meanwhile.  It
+# merges the notices of one data centre's servers, which arrive one after the other.
+LOSS_INTERVAL = datetime.timedelta(seconds=1)
 # A server may take this long beyond the boot time before it counts as not coming.
 START_SLACK = datetime.timedelta(seconds=3)
 
@@ -59,13 +60,19 @@
 
 @attrs.define
 class _Sent:
-    """The last order for a target; `most_listed` is the most servers that were seen since."""
+    """The last order for a target.
+
+    `most_listed` is the most servers that were seen since, `last_listed` those seen last.
+    `has_lost` tells whether the number that was seen has fallen below the order since.
+    """
 
     count: int
     at: datetime.timedelta
     outcome: Outcome
     most_listed: int
+    last_listed: int
     had_leaving: bool
+    has_lost: bool = False
 
 
 @attrs.define
@@ -115,21 +122,23 @@
         if sent.count != order.count:
             return Due.CHANGED
         sent.most_listed = max(sent.most_listed, listed.serving)
+        sent.has_lost = listed.serving < order.count and (
+            sent.has_lost or listed.serving < sent.last_listed
+        )
+        sent.last_listed = listed.serving
         waited = now - sent.at
-        if listed.serving >= order.count or waited < REPEAT_INTERVAL:
+        if listed.serving >= order.count:
             return None
-        is_lost = listed.serving < min(sent.most_listed, order.count)
         # The platform may have counted the servers that were leaving when the order was sent.
         is_short = sent.had_leaving and not listed.leaving
-        if is_lost or is_short or waited >= boot + START_SLACK:
-            return Due.MISSING
-        return None
+        is_due = (sent.has_lost or is_short) and waited >= LOSS_INTERVAL
+        return Due.MISSING if is_due or waited >= boot + START_SLACK else None
 
     def record(self, order: ServerOrder, outcome: Outcome, listed: Listed) -> None:
         """Records what became of an order that was sent just now."""
         now, kind = self._clock.monotonic(), (order.service, order.reclaimable)
         self._sent[_target(order)] = _Sent(
-            order.count, now, outcome, listed.serving, bool(listed.leaving)
+            order.count, now, outcome, listed.serving, listed.serving, bool(listed.leaving)
         )
         backoff = self._backoffs.get(kind)
         if outcome is Outcome.ACCEPTED:
--- a/cicadapond/scaling/order_book_test.py
+++ b/cicadapond/scaling/order_book_test.py
@@ -27,6 +27,32 @@
     assert due(book, A, serving=3) is Due.MISSING
 
 
+def test_a_server_that_leaves_is_replaced_at_its_notice_also_right_after_an_order():
+    """A planned shutdown 1.4 s after an order was answered 1.6 s after the notice."""
+    clock = ManualClock()
+    book = book_with(clock, Outcome.ACCEPTED, listed=3)
+    clock.advance(seconds(1.4))
+    assert due(book, A, serving=3) is None  # the fourth one is starting
+    assert due(book, A, serving=2, leaving=1) is Due.MISSING
+    book.record(A, Outcome.ACCEPTED, Listed(2, leaving=1))
+    for _ in range(4):
+        assert due(book, A, serving=2, leaving=1) is None
+        clock.advance(seconds(0.5))
+    # The platform may have counted the one that left; after that, those that start have time to.
+    assert due(book, A, serving=2) is Due.MISSING
+    book.record(A, Outcome.ACCEPTED, Listed(2))
+    clock.advance(seconds(3.5))
+    assert due(book, A, serving=2) is None
+
+
+def test_a_lowered_order_is_not_repeated_for_the_servers_that_it_stopped():
+    clock = ManualClock()
+    book = book_with(clock, Outcome.ACCEPTED, listed=6)
+    for serving in (5, 4):
+        clock.advance(seconds(1))
+        assert due(book, A, serving=serving, leaving=1) is None
+
+
 def test_servers_that_left_after_an_order_are_ordered_again():
     """A platform that counts leaving servers accepts the order and starts none."""
     clock = ManualClock()
