Split what is learned of servers off from the placer

The models, slot times and mean prefill move to LearnedTimes in _learned.py; nothing else changes. 51 tests of placing and queueing pass.

--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -16,7 +16,6 @@
 one process delays the short prompts of all others.
 """
 
-import copy
 import datetime
 import random
 import typing
@@ -28,9 +27,9 @@
     Estimate,
     InFlightRequest,
     Placement,
-    ServiceView,
 )
 from cicadapond.placing._first_event import FirstEventModel, Prompt
+from cicadapond.placing._learned import LearnedTimes
 from cicadapond.placing._prefix_homes import PrefixHomes
 from cicadapond.placing._prefixes import PrefixCacheModel, shared_parts
 from cicadapond.placing._sampling import sample_servers
@@ -40,18 +39,13 @@
     ServerLoad,
     ServiceOthers,
 )
-from cicadapond.placing._slot_wait import SlotTimes, expected_excess
+from cicadapond.placing._slot_wait import expected_excess
 from cicadapond.zones import ZoneCosts
 
 # A prefill of at least this length is reported to the other processes at once.
 LONG_PREFILL_MS = 30.0
-# The weight of each measured call to a plain service in the moving average of its duration.
-CALL_TIME_GAIN = 0.1
 # Of several servers with free slots the emptier one is preferred: what is known of others is stale.
 FREE_SLOT_COST = 0.2
-# The mean prefill of a service's prompts, before any was sent, and the weight of each.
-INITIAL_PREFILL_MS = 20.0
-PREFILL_GAIN = 0.05
 OTHER_ZONE_COST_MS = 1.8
 # The bytes of a request and its response for each of their tokens, about the length of a word.
 BYTES_PER_TOKEN = 4
@@ -84,17 +78,13 @@
         memory: typing.Callable[[str], int | None] = lambda service: None,
     ):
         self.on_change: typing.Callable[[InFlightRequest | None], None] = lambda request: None
-        self._by_version = by_version
         self._clock = clock
         self._zone = zone
         self._zone_costs = zone_costs
         self._rng = rng or random.Random()
-        self._memory = memory
         self._loads: dict[str, ServerLoad] = {}
         self._services: dict[str, str] = {}
-        self._models: dict[tuple[str, str, int], FirstEventModel] = {}
-        self._slot_times: dict[str, SlotTimes] = {}
-        self._mean_prefills: dict[str, float] = {}
+        self._learned = LearnedTimes(by_version, memory)
         self._others: dict[str, ServiceOthers] = {}
         self._paced_services: set[str] = set()
         self._prefix_homes = PrefixHomes()
@@ -102,20 +92,8 @@
         self._reported_by_zone: dict[str, set[str]] = {}
 
     def model(self, service: str, priority: int = 0, version: str = "") -> FirstEventModel:
-        """Returns the model of a service's engines for requests of one priority.
-
-        Engines admit more urgent requests first, so that the same queue delays them less.  A new
-        version starts from what was learned of the one before.
-        """
-        key = (service, version if self._by_version else "", priority)
-        model = self._models.get(key)
-        if model is None:
-            known = [
-                other for of, other in self._models.items() if (of[0], of[2]) == (service, priority)
-            ]
-            model = copy.deepcopy(known[-1]) if known else FirstEventModel()
-            self._models[key] = model
-        return model
+        """Returns the model of a service's engines for requests of one priority."""
+        return self._learned.model(service, priority, version)
 
     def expected_as(self, placement: Placement, version: str) -> float | None:
         """Returns the expected time to a request's first event if its server had that version.
@@ -184,8 +162,7 @@
             load.add_prompt(chosen.work_ms, now / _MILLISECOND)
             request.tokens = generation.tokens
             load.own_tokens += request.tokens
-            mean = self._mean_prefill_ms(entry.service)
-            self._mean_prefills[entry.service] = mean + PREFILL_GAIN * (chosen.work_ms - mean)
+            self._learned.record_prefill(entry.service, chosen.work_ms)
         load.in_flight.add(request)
         departure = "own"
         if self._costs_of(entry.service) is not None:
@@ -217,7 +194,7 @@
         now = self._clock.monotonic() / _MILLISECOND
         loads = [self._load(entry) for entry in servers]
         views = {
-            of: self._service_view(*of, generation, priority, now)
+            of: self._learned.view(*of, generation, priority, self._others[of[0]].mean(now))
             for of in {(entry.service, entry.version) for entry in servers}
         }
         prompts = {}
@@ -283,28 +260,9 @@
 
     def mark_answer_begun(self, request: InFlightRequest) -> None:
         """Records that a request's answer has begun, so that its prompt is no longer queued."""
-        self._learn_begin(request)
-        self.on_change(request)
-
-    def _learn_begin(self, request):
         now = request.begun_at = self._clock.monotonic()
-        load = self._loads.get(request.server)
-        estimate = request.estimate
-        if estimate is None or estimate.prompt is None:
-            return
-        # An urgent request that needed no slot of others overtook those that wait for one.
-        overtakes = not estimate.has_slot and self._waiting_ahead(request) is not None
-        if load is not None and not overtakes:
-            load.queue.discard_up_to(request.since / _MILLISECOND, now / _MILLISECOND)
-        if not estimate.has_slot or load is None or load.has_waiting():
-            return  # it waited for a slot, which says nothing of the engine's speed
-        self.model(request.service, request.priority, request.version).observe(
-            request.server,
-            estimate.prompt,
-            estimate.ahead_ms,
-            estimate.running,
-            (now - request.since) / _MILLISECOND / estimate.pace,
-        )
+        self._learned.record_begun(request, self._loads.get(request.server), now)
+        self.on_change(request)
 
     def mark_ended(self, request: InFlightRequest, took: datetime.timedelta | None = None) -> None:
         """Records that a request is no longer in flight.
@@ -313,23 +271,12 @@
           request: The request.
           took: How long a complete answer of a plain service took, None for anything else.
         """
-        self._learn_end(request, took)
-        self.on_change(request)
-
-    def _learn_end(self, request, took):
-        if request.begun_at is not None:
-            held_ms = (self._clock.monotonic() - request.begun_at) / _MILLISECOND + request.work_ms
-            self._slots(request.service).record(request.priority, held_ms, request.tokens)
         load = self._loads.get(request.server)
-        if load is None:
-            return
-        if request in load.in_flight:
+        self._learned.record_ended(request, load, self._clock.monotonic(), took)
+        if load is not None and request in load.in_flight:
             load.in_flight.discard(request)
             load.own_tokens -= request.tokens
-        estimate = request.estimate
-        if took is not None and estimate is not None and estimate.prompt is None:
-            call_ms = took / _MILLISECOND / estimate.pace / estimate.running
-            load.mean_call_ms += CALL_TIME_GAIN * (call_ms - load.mean_call_ms)
+        self.on_change(request)
 
     def update_load(self, server: str, load_header: LoadHeader) -> None:
         """Stores a server's report of its load."""
@@ -403,8 +350,7 @@
             others = self._others[self._services.pop(server)]
             others.servers -= 1
             others.in_flight -= load.others_count()
-        for model in self._models.values():
-            model.remove(server)
+        self._learned.remove(server)
 
     def in_flight(self, server: str) -> int:
         """Returns how many requests this process and those heard lately have at a server."""
@@ -447,34 +393,6 @@
         by_zone = self._costs_of(servers[0].service) is not None
         return self._prefix_homes.find(shared[-1].name, servers, by_zone)
 
-    def _slots(self, service):
-        slot_times = self._slot_times.get(service)
-        if slot_times is None:
-            slot_times = self._slot_times[service] = SlotTimes()
-        return slot_times
-
-    def _waiting_ahead(self, request):
-        return self._slots(request.service).waiting_ahead(request.priority)
-
-    def _mean_prefill_ms(self, service):
-        return self._mean_prefills.get(service, INITIAL_PREFILL_MS)
-
-    def _service_view(self, service, version, generation, priority, now):
-        mean_others = self._others[service].mean(now)
-        if generation is None:
-            return ServiceView(mean_others)
-        slot_times = self._slots(service)
-        return ServiceView(
-            mean_others,
-            self.model(service, priority, version),
-            slot_times.mean_ms,
-            slot_times.waiting_ahead(priority),
-            self._mean_prefill_ms(service),
-            self._memory(service),
-            slot_times.mean_tokens or generation.tokens,
-            generation.tokens,
-        )
-
 
 def _call_wait(entry, in_flight):
     """Returns how long a plain service's call takes, as a multiple of its time with a free slot."""
