--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -153,6 +153,9 @@
             return []
         return self.rollouts.allowed(service, route, servers)
 
+    def must_wait(self, service, route, chosen, left):
+        return self.rollouts.must_wait(service, route, chosen, left)
+
     def is_stopped(self, entry):
         return not self.is_loaded or self.rollouts.is_stopped(entry)
 
@@ -161,7 +164,7 @@
 
     def record_sent(self, entry, route):
         self.rollouts.record_sent(entry, route)
-        if self._is_running(entry.service):
+        if self.is_running(entry.service):
             self._metrics.count("rollout_sends", service=entry.service, version=entry.version)
 
     def observe(self, route, placement):
@@ -184,7 +187,7 @@
             observer.check_overdue()
         for service in self.services():
             self._find_old_version(service)
-            if self._is_running(service):
+            if self.is_running(service):
                 self._log_verdict(service)
             else:
                 self._release_floors(service)
@@ -210,7 +213,7 @@
         blamed: set[str] = set()
         for service in self.services():
             state = self.row(service).state
-            if not self._is_running(service) and (
+            if not self.is_running(service) and (
                 state is None or state.phase is not Phase.ROLLED_BACK
             ):
                 continue
@@ -228,7 +231,7 @@
             return list(servers)
         state = self.row(service).state
         is_completed = state is not None and state.phase is Phase.COMPLETED
-        runs_new = is_completed and not self._is_running(service)
+        runs_new = is_completed and not self.is_running(service)
         found = [entry for entry in servers if (entry.version == to) == runs_new]
         return found or list(servers)
 
@@ -239,7 +242,7 @@
         for order in sorted(orders, key=lambda order: order.reclaimable):
             target = (order.service, order.zone, order.reclaimable)
             place = (order.service, order.zone)
-            if self._is_running(order.service):
+            if self.is_running(order.service):
                 count = max(order.count, self._floor(target))
                 if order.reclaimable and order.service in maxima:
                     count = min(count, maxima[order.service] - on_demand.get(place, 0))
@@ -294,8 +297,7 @@
         known = order if order is not None else state.order if state is not None else None
         return known.to if known is not None else None
 
-    def _is_running(self, service):
-        """Returns whether a rollout of a service has no outcome yet."""
+    def is_running(self, service):
         order, row = self._orders.get(service), self.row(service)
         if row.state is None:
             return order is not None
@@ -318,7 +320,7 @@
             self._old_versions[service] = counts.most_common(1)[0][0]
 
     def _record(self, seen: Observation):
-        if not self._is_running(seen.service):
+        if not self.is_running(seen.service):
             return
         if seen.is_bad:
             self._metrics.count("rollout_bad", service=seen.service, version=seen.version)
