Size services by waiting time, and expect reclaims in a row

Cause: fixed utilisations (0.42 for reclaimable engines, 0.8 and 1.0 for on-demand ones) counted one engine as enough for a demand of 1.0, whose queue is unbounded, and kept large services idle for more than half of the time. Three reclaims within 6 s left one to three overloaded engines, because engines ordered at the second reclaim start after the third.

Change: Waiting.servers_for gives the fewest engines at which 1% of the prompts wait longer than the shortest objective of the service's routes leaves room for; DemandMeter measures mean and variation of prefill times and how long requests are in progress. Assumption: engines share their work as if 4 of them had one queue, since processes place on stale information. Within 4.5 s of a reclaim two more are expected. Without reclaimable engines there is one engine more than the demand keeps busy.

--- a/cicadapond/experiments/_orders_world.py
+++ b/cicadapond/experiments/_orders_world.py
@@ -16,7 +16,7 @@
 from cicadapond.gateway import ServerOrder
 from cicadapond.gateway.data import EngineLimits, Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, seconds
-from cicadapond.scaling import Demand, DemandMeter
+from cicadapond.scaling import Demand, DemandMeter, Waiting
 
 ZONES = ("a", "b", "c")
 BOOT_S = 4.0
@@ -171,6 +171,7 @@
         entries: list[ServerEntry],
         leaving: list[ServerEntry],
         demand: Demand,
+        waiting: Waiting,
         order: typing.Callable[[ServerOrder], bool],
     ) -> None:
         """Orders what is due, while the lease is held; `order` returns whether it was accepted."""
@@ -242,7 +243,11 @@
             is_held = not lost_at <= self._now < taken_at
             if is_held and step % round(ORDER_INTERVAL_S / STEP_S) == 0:
                 self._orderer.step(
-                    self._entries(), self._entries(leaving=True), self._demand(), self._order
+                    self._entries(),
+                    self._entries(leaving=True),
+                    self._demand(),
+                    self._waiting(),
+                    self._order,
                 )
             self._charge()
             self._clock.advance(seconds(STEP_S))
@@ -385,6 +390,15 @@
             self._meter.requests_in_progress().get("pool", 0.0) / self._deployment.slots,
         )
 
+    def _waiting(self):
+        objective = seconds(min(kind.objective_s for kind in self._deployment.kinds))
+        return Waiting(
+            objective,
+            self._deployment.slots,
+            self._meter.prompt_times("pool"),
+            self._meter.stay_s("pool"),
+        )
+
     def _entries(self, leaving=False):
         """Returns the servers that take requests, or those that leave, as the processes know."""
         now, entries = self._now, []
--- a/cicadapond/gateway/_orders.py
+++ b/cicadapond/gateway/_orders.py
@@ -11,7 +11,10 @@
 from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock, Metrics, Ok
 from cicadapond.lease import LeaseTask
-from cicadapond.scaling import CapacityPlanner, Listed, OrderBook, Outcome, total
+from cicadapond.scaling import CapacityPlanner, Listed, OrderBook, Outcome, Waiting, total
+
+# The objective of a service that no route leads to; nothing is asked of it.
+DEFAULT_OBJECTIVE = datetime.timedelta(seconds=1)
 
 
 class OrderPlan(abc.ABC):
@@ -140,6 +143,7 @@
                 self._parts.cfg.zones,
                 servers,
                 self._demand(service, servers),
+                self._waiting(service, servers),
                 arriving(service.name, service.scaling.boot),
             )
             needed = self._planner.inputs(service.name).needed_on_demand
@@ -166,6 +170,7 @@
 
     def inputs(self, service):
         inputs = self._planner.inputs(service)
+        prompts = inputs.waiting.prompts
         return {
             "basis": inputs.basis.value,
             "needed_on_demand": inputs.needed_on_demand,
@@ -175,6 +180,10 @@
             "peak_batches": round(inputs.peak.batches, 2),
             "servers": inputs.servers,
             "arriving": inputs.arriving,
+            "is_reclaiming": inputs.is_reclaiming,
+            "objective_ms": round(inputs.waiting.objective.total_seconds() * 1e3),
+            "prompt_ms": round(prompts.mean_s * 1e3, 1) if prompts is not None else None,
+            "prompt_variation": round(prompts.variation, 2) if prompts is not None else None,
         }
 
     def _services(self) -> list[Service]:
@@ -202,6 +211,20 @@
         slots = slots_per_server(service, servers)
         return total(need for need, _ in self._cluster.demand_by_zone(service.name, slots).values())
 
+    def _waiting(self, service, servers):
+        # The prompts of this process stand for those of all: only their mean and variation count.
+        objectives = [
+            route.objective
+            for route in self._parts.active_configuration.table.cfg.routes
+            if any(each.service == service.name for each in route.services)
+        ]
+        return Waiting(
+            min(objectives, default=DEFAULT_OBJECTIVE),
+            slots_per_server(service, servers),
+            self._parts.demand.prompt_times(service.name),
+            self._parts.demand.stay_s(service.name),
+        )
+
 
 def _kind_of(outcome) -> Outcome:
     if isinstance(outcome, Ok):
--- a/cicadapond/scaling/__init__.py
+++ b/cicadapond/scaling/__init__.py
@@ -3,10 +3,11 @@
 The gateway uses this planner, the controller the one in `capacity`.
 """
 
-from cicadapond.scaling._demand import Demand, DemandMeter, total
+from cicadapond.scaling._demand import Demand, DemandMeter, PromptTimes, total
 from cicadapond.scaling._history import DemandHistory
 from cicadapond.scaling._order_book import Due, Listed, OrderBook, Outcome
 from cicadapond.scaling._planner import Basis, CapacityPlanner, PlanInputs
+from cicadapond.scaling._sizing import Waiting
 
 __all__ = [
     "Basis",
@@ -19,5 +20,7 @@
     "OrderBook",
     "Outcome",
     "PlanInputs",
+    "PromptTimes",
+    "Waiting",
     "total",
 ]
--- a/cicadapond/scaling/_demand.py
+++ b/cicadapond/scaling/_demand.py
@@ -19,14 +19,16 @@
 # The same for the prefill time of a prompt token.  It is longer than the second or two for which
 # caches are cold after engines have gone, and in which estimates of prefill are too high.
 TOKEN_TIME_HALF_LIFE = datetime.timedelta(seconds=8)
+# The mean prefill time is known from this many prompts on, older ones with less weight.
+MIN_PROMPTS = 8.0
 
 
 @attrs.frozen
-class Utilisation:
-    """The shares of an engine's time for prefill, and of its slots, that are in use."""
+class PromptTimes:
+    """How long engines prefill a prompt, in seconds, and the squared coefficient of variation."""
 
-    prefill: float
-    slots: float
+    mean_s: float
+    variation: float
 
 
 @attrs.frozen
@@ -45,10 +47,6 @@
         """Whether there are any requests."""
         return self.prefill > 0.0 or self.batches > 0.0
 
-    def servers_at(self, utilisation: Utilisation) -> float:
-        """Returns how many engines serve the demand at a utilisation."""
-        return max(self.prefill / utilisation.prefill, self.batches / utilisation.slots)
-
 
 def peak(demands: typing.Iterable[Demand]) -> Demand:
     """Returns the highest demand for each resource."""
@@ -89,6 +87,8 @@
         self._tokens = _Mean(0.0, now)
         self._lasting_work_s = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
         self._lasting_tokens = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
+        self._lasting_prompts = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
+        self._lasting_squares = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
 
     def add(self, work_s: float, tokens: int, now: datetime.timedelta) -> None:
         self._advance(now)
@@ -97,6 +97,8 @@
             (self._tokens, tokens),
             (self._lasting_work_s, work_s),
             (self._lasting_tokens, tokens),
+            (self._lasting_prompts, 1.0),
+            (self._lasting_squares, work_s**2),
         ):
             total.value += amount
 
@@ -114,8 +116,25 @@
         # At a steady rate the decayed sum is the rate times the mean lifetime of its terms.
         return work_s / (HALF_LIFE.total_seconds() / math.log(2.0))
 
+    def prompt_times(self, now: datetime.timedelta) -> PromptTimes | None:
+        """Returns the mean and variation of prefill times, None if there were too few lately."""
+        self._advance(now)
+        prompts, work_s = self._lasting_prompts.value, self._lasting_work_s.value
+        if prompts < MIN_PROMPTS or work_s <= 0.0:
+            return None
+        mean_s = work_s / prompts
+        variation = self._lasting_squares.value / prompts / mean_s**2 - 1.0
+        return PromptTimes(mean_s, max(0.0, variation))
+
     def _advance(self, now):
-        for total in (self._work_s, self._tokens, self._lasting_work_s, self._lasting_tokens):
+        for total in (
+            self._work_s,
+            self._tokens,
+            self._lasting_work_s,
+            self._lasting_tokens,
+            self._lasting_prompts,
+            self._lasting_squares,
+        ):
             total.advance(0.0, now)
 
 
@@ -131,6 +150,8 @@
         self._prefill: dict[str, _Prefill] = {}
         self._in_progress: dict[str, int] = {}
         self._mean_in_progress: dict[str, _Mean] = {}
+        # By service: the lasting mean of the requests in progress, and the sum of those begun.
+        self._lasting: dict[str, tuple[_Mean, _Mean]] = {}
 
     def add_prefill(self, service: str, work: datetime.timedelta, tokens: int = 0) -> None:
         """Counts the prefill of one request and the tokens of its prompt, cached ones included."""
@@ -143,6 +164,7 @@
     def begin(self, service: str) -> None:
         """Counts a request that waits for a slot or occupies one, until `end`."""
         self._change(service, 1)
+        self._lasting[service][1].value += 1.0
 
     def end(self, service: str) -> None:
         """Ends what `begin` began."""
@@ -153,6 +175,22 @@
         now = self._clock.monotonic()
         return {service: prefill.busy_engines(now) for service, prefill in self._prefill.items()}
 
+    def prompt_times(self, service: str) -> PromptTimes | None:
+        """Returns how long engines prefill a service's prompts, None if there were few lately."""
+        prefill = self._prefill.get(service)
+        return prefill.prompt_times(self._clock.monotonic()) if prefill is not None else None
+
+    def stay_s(self, service: str) -> float | None:
+        """Returns for how many seconds a request is in progress, None if there were few lately."""
+        if service not in self._lasting:
+            return None
+        self._change(service, 0)
+        in_progress, begun = self._lasting[service]
+        if begun.value < MIN_PROMPTS:
+            return None
+        per_s = begun.value / (TOKEN_TIME_HALF_LIFE.total_seconds() / math.log(2.0))
+        return in_progress.value / per_s
+
     def requests_in_progress(self) -> dict[str, float]:
         """Returns, for each service, the mean number of requests that use or await a slot."""
         for service in self._in_progress:
@@ -163,4 +201,12 @@
         now = self._clock.monotonic()
         level = self._in_progress.get(service, 0)
         self._mean_in_progress.setdefault(service, _Mean(0.0, now)).advance(level, now)
+        if service not in self._lasting:
+            self._lasting[service] = (
+                _Mean(0.0, now, TOKEN_TIME_HALF_LIFE),
+                _Mean(0.0, now, TOKEN_TIME_HALF_LIFE),
+            )
+        in_progress, begun = self._lasting[service]
+        in_progress.advance(level, now)
+        begun.advance(0.0, now)
         self._in_progress[service] = level + by
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -17,23 +17,26 @@
 from cicadapond.gateway import ServerOrder
 from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock
-from cicadapond.scaling._demand import Demand, Utilisation
+from cicadapond.scaling._demand import Demand
 from cicadapond.scaling._history import DEMAND_RETENTION, DemandHistory
+from cicadapond.scaling._sizing import Waiting
 
 # On-demand servers that are kept whatever the demand, in the cheapest data centres.
 MIN_ON_DEMAND = 1
-# Target utilisation of reclaimable servers by prefill and by slots.  Prompts wait for each other at
-# any load, so that of prefill is low; slots cause no wait before all of them are taken.
-RECLAIMABLE_UTILISATION = Utilisation(prefill=0.42, slots=0.45)
 MIN_RECLAIMABLE_PER_ZONE = 2
-# On-demand servers are added when the reclaimable ones would be utilised more than this.
-MAX_UTILISATION = Utilisation(prefill=0.8, slots=0.6)
-# The same, for the reclaimable servers left if one more data centre reclaims its own.
-MAX_UTILISATION_AFTER_RECLAIM = Utilisation(prefill=1.0, slots=0.8)
+# Reclaimable servers are sized for a demand this many times the present one, for the boot time of
+# those that a burst calls for.  Slots fill up more slowly, as answers take seconds.
+BURST = Demand(prefill=2.15, batches=1.5)
+# After a data centre withdrew its servers, two more may do so within this time (three within 6 s
+# were seen on several days).  It covers the boot time of on-demand servers and a step.
+RECENT_RECLAIM = datetime.timedelta(seconds=4.5)
 # The highest demand of this window counts for reclaimable servers; for on-demand ones the window is
 # the time that a server takes to start.  Reclaimable servers cost little, and their cached prompts
 # are lost when they go.
 RECLAIMABLE_DEMAND_WINDOW = DEMAND_RETENTION
+# On-demand servers for two more reclaims are ordered after this time, when it is known whether the
+# first order of reclaimable ones in place of those withdrawn was accepted.
+WAVE_DELAY = datetime.timedelta(seconds=0.5)
 # Servers that run already are discovered within this time.
 DISCOVERY_PERIOD = datetime.timedelta(seconds=3)
 
@@ -44,6 +47,14 @@
     at: datetime.timedelta
 
 
+@attrs.frozen
+class _Reclaims:
+    """When the first and the last of several data centres withdrew their reclaimable servers."""
+
+    first_at: datetime.timedelta
+    last_at: datetime.timedelta
+
+
 @attrs.frozen
 class _LastPlan:
     """How many on-demand servers the last plan for a service needed, and where."""
@@ -60,6 +71,7 @@
     UNKNOWN_DEMAND = "unknown_demand"
     DEMAND = "demand"
     NEXT_RECLAIM = "next_reclaim"
+    TWO_RECLAIMS = "two_reclaims"
 
 
 @attrs.frozen
@@ -73,6 +85,8 @@
       peak: The demand that reclaimable servers are ordered for.
       servers: How many servers take requests.
       arriving: How many reclaimable servers are starting.
+      is_reclaiming: Whether a data centre withdrew its servers lately, so that two more may.
+      waiting: What decides how long requests wait.
     """
 
     needed_on_demand: int
@@ -81,6 +95,8 @@
     peak: Demand
     servers: int
     arriving: int
+    is_reclaiming: bool
+    waiting: Waiting
 
 
 class CapacityPlanner:
@@ -99,6 +115,10 @@
         self._initial_servers: dict[str, _InitialServers] = {}
         self._first_observed_at: dict[str, datetime.timedelta] = {}
         self._last_plans: dict[str, _LastPlan] = {}
+        # The data centres that had reclaimable servers when last observed, and when one of them had
+        # none any more.
+        self._running: dict[str, frozenset[str]] = {}
+        self._reclaims: dict[str, _Reclaims] = {}
         self._inputs: dict[str, PlanInputs] = {}
 
     def observe(
@@ -115,6 +135,8 @@
             # What ran before the process was suspended says nothing of what runs now.
             self._first_observed_at[service.name] = now
             self._initial_servers.pop(service.name, None)
+            self._running.pop(service.name, None)
+        self._observe_reclaims(service.name, servers, now)
         if not self._has_discovered(service.name, now):
             initial = self._initial_servers.get(service.name)
             count = max(initial.count if initial is not None else 0, len(servers))
@@ -132,6 +154,7 @@
         zones: typing.Sequence[str],
         servers: typing.Sequence[ServerEntry],
         demand: Demand,
+        waiting: Waiting,
         arriving: typing.Mapping[str, int] | None = None,
     ) -> list[ServerOrder]:
         """Returns the orders that should be in force for a service.
@@ -141,6 +164,7 @@
           zones: The data centres where it may run.
           servers: Its servers that take requests.
           demand: What its requests need now.
+          waiting: What decides how long they wait.
           arriving: By data centre, reclaimable servers that are starting, besides `servers`.
         """
         scaling = service.scaling
@@ -148,13 +172,13 @@
             return []
         now = self._clock.monotonic()
         self.observe(service, servers, demand)
-        needed = self._history.peak(service.name, RECLAIMABLE_DEMAND_WINDOW)
-        reclaimable = math.ceil(needed.servers_at(RECLAIMABLE_UTILISATION) / len(zones))
+        needed = _needed_reclaimable(
+            self._history.peak(service.name, RECLAIMABLE_DEMAND_WINDOW), waiting, len(zones)
+        )
         to_replace = self._servers_to_replace(service.name)
-        reclaimable = max(MIN_RECLAIMABLE_PER_ZONE, reclaimable, math.ceil(to_replace / len(zones)))
-        reclaimable = min(reclaimable, scaling.maximum - 1)
+        reclaimable = _spread(max(needed, to_replace), zones, scaling)
         on_demand_by_zone = self._on_demand_counts(
-            service, zones, servers, to_replace, arriving or {}
+            service, zones, servers, to_replace, waiting, arriving or {}
         )
         # Both kinds share the maximum: on-demand servers take the room of missing reclaimable ones.
         orders = [
@@ -162,7 +186,7 @@
                 service.name,
                 zone,
                 True,
-                min(reclaimable, scaling.maximum - on_demand_by_zone[zone]),
+                min(reclaimable[zone], scaling.maximum - on_demand_by_zone[zone]),
             )
             for zone in zones
         ]
@@ -173,18 +197,20 @@
             ]
         return orders
 
-    def _on_demand_counts(self, service, zones, servers, to_replace, arriving):
+    def _on_demand_counts(self, service, zones, servers, to_replace, waiting, arriving):
         scaling, now = service.scaling, self._clock.monotonic()
         running = collections.Counter(entry.zone for entry in servers if entry.is_reclaimable)
         current = collections.Counter(e.zone for e in servers if not e.is_reclaimable)
         demand = self._history.peak(service.name, scaling.boot)
-        needed, basis = _needed_on_demand(running + collections.Counter(arriving), demand)
+        is_reclaiming = self._is_reclaiming(service.name)
+        expected = running + collections.Counter(arriving)
+        needed, basis = _needed_on_demand(expected, demand, waiting, is_reclaiming)
         last = self._last_plans.get(service.name)
         if last is None or now - last.at > scaling.boot:
             last = _LastPlan(0, {}, now)
         # Servers that are starting spare new on-demand servers; those that are there stay until
         # the others have started.
-        present, present_basis = _needed_on_demand(running, demand)
+        present, present_basis = _needed_on_demand(running, demand, waiting, False)
         present = min(present, max(current.total(), last.needed))
         if present > needed:
             needed, basis = present, present_basis
@@ -199,6 +225,8 @@
             self._history.peak(service.name, RECLAIMABLE_DEMAND_WINDOW),
             len(servers),
             sum(arriving.values()),
+            is_reclaiming,
+            waiting,
         )
         # A server that runs or starts is not exchanged for one in a cheaper data centre, which
         # would take the boot time to replace it.
@@ -208,6 +236,23 @@
         self._last_plans[service.name] = _LastPlan(needed, counts, now)
         return counts
 
+    def _observe_reclaims(self, service, servers, now):
+        zones = frozenset(entry.zone for entry in servers if entry.is_reclaimable)
+        if self._running.get(service, zones) - zones:
+            wave = self._reclaims.get(service)
+            is_next = wave is not None and now - wave.last_at <= RECENT_RECLAIM
+            self._reclaims[service] = _Reclaims(wave.first_at if is_next else now, now)
+        self._running[service] = zones
+
+    def _is_reclaiming(self, service):
+        """Returns whether data centres withdraw their servers one after the other."""
+        wave, now = self._reclaims.get(service), self._clock.monotonic()
+        return (
+            wave is not None
+            and now - wave.first_at >= WAVE_DELAY
+            and now - wave.last_at <= RECENT_RECLAIM
+        )
+
     def _has_discovered(self, service, now):
         """Returns whether all servers that ran before the first observation are known."""
         initial = self._initial_servers.get(service)
@@ -225,23 +270,43 @@
         return initial.count
 
 
-def _needed_on_demand(reclaimable, demand):
+def _needed_reclaimable(demand, waiting, zones):
+    """Returns how many reclaimable servers serve the demand without one data centre, or a burst."""
+    burst = Demand(demand.prefill * BURST.prefill, demand.batches * BURST.batches)
+    without_one = waiting.servers_for(demand) * zones / max(1, zones - 1)
+    return max(math.ceil(without_one), waiting.servers_for(burst))
+
+
+def _spread(count, zones, scaling):
+    """Returns the reclaimable servers of each data centre; the cheapest ones have one more."""
+    by_price = sorted(zones, key=lambda zone: (scaling.prices.get(zone, 1.0), zone))
+    each, more = divmod(max(count, MIN_RECLAIMABLE_PER_ZONE * len(zones)), len(zones))
+    return {
+        zone: min(scaling.maximum - 1, each + (rank < more)) for rank, zone in enumerate(by_price)
+    }
+
+
+def _needed_on_demand(reclaimable, demand, waiting, is_reclaiming):
     """Returns how many on-demand servers are needed beside reclaimable ones, and why.
 
     Args:
       reclaimable: The number of reclaimable servers by data centre.
       demand: The demand.
+      waiting: What decides how long requests wait.
+      is_reclaiming: Whether two more data centres may withdraw their servers, in place of one.
     """
-    left_after_reclaim = reclaimable.total() - max(reclaimable.values(), default=0)
-    after_reclaim = math.ceil(demand.servers_at(MAX_UTILISATION_AFTER_RECLAIM))
-    return max(
-        (
-            (MIN_ON_DEMAND, Basis.BASE),
-            (math.ceil(demand.servers_at(MAX_UTILISATION)) - reclaimable.total(), Basis.DEMAND),
-            (after_reclaim - left_after_reclaim, Basis.NEXT_RECLAIM),
-        ),
-        key=lambda need: need[0],
-    )
+    needed = waiting.servers_for(demand)
+    # The loss of one more server must not leave fewer than the demand keeps busy.
+    with_spare = max(needed, math.ceil(max(demand.prefill, demand.batches)) + 1)
+    left = [0, *sorted(reclaimable.values())]
+    needs = [
+        (MIN_ON_DEMAND, Basis.BASE),
+        (with_spare - sum(left), Basis.DEMAND),
+        (needed - sum(left[:-1]), Basis.NEXT_RECLAIM),
+    ]
+    if is_reclaiming:
+        needs.append((needed - sum(left[:-2]), Basis.TWO_RECLAIMS))
+    return max(needs, key=lambda need: need[0])
 
 
 def _distribute(needed, zones, scaling, kept, room):
