--- a/cicadapond/placing/_call_times.py
+++ b/cicadapond/placing/_call_times.py
@@ -12,10 +12,13 @@
 # mean of the service.
 INITIAL_CALL_MS = 30.0
 CALL_TIME_GAIN = 0.1
-# What was measured of a server counts half after so many calls to each server of the service.
-HALF_LIFE_ROUNDS = 6.0
+# What was measured of a server counts half after so many calls to each server of the service; with
+# 6 fewer calls were in time where servers have slow phases.
+HALF_LIFE_ROUNDS = 15.0
 # It counts half after this time as well: a process with a call a second would take minutes else.
-HALF_LIFE_MS = 5000.0
+HALF_LIFE_MS = 10_000.0
+# A call counts as at most this multiple of the mean; one slow call says little.
+MAX_CALL_RATIO = 4.0
 # A call that took this multiple of the mean, after what was measured before had become this light,
 # is one more vain try; each doubles the half-lives, up to MAX_VAIN_TRIES: 2 to 4% of the calls went
 # to a server that is always 2.4 times slower without it.
@@ -26,7 +29,7 @@
 PRIOR_CALLS = 1.0
 # That mean counts as this much shorter, so that of servers that seem equal the one that was
 # measured least is tried.
-PRIOR_DISCOUNT = 0.1
+PRIOR_DISCOUNT = 0.05
 
 
 @attrs.define
@@ -62,6 +65,7 @@
         """Records a measured call."""
         self._calls += 1
         mean_ms = self._mean_ms if self._mean_ms is not None else call_ms
+        call_ms = min(call_ms, MAX_CALL_RATIO * mean_ms)
         self._mean_ms = mean_ms + CALL_TIME_GAIN * (call_ms - mean_ms)
         found = self._servers.get(server)
         if found is None:
