Ask engines which prompt parts they keep, and name the source of a fetch

The gateway guesses which prompt parts an engine has in memory from what it sent there itself, and from the rendezvous home of a part. With 58 processes the first is seldom right.

Adds the calls kv-events and kv-list (`platform/_part_calls.py`), the header Kv-Fetch of a dispatch, the configuration's `most` and `kv_bytes`, and stand-in engines that keep parts, tell of them and fetch them, with lost events, restarts and calls without an answer. Nothing calls them yet.

HttpClient took an answer equal to the one before for a late copy of it; for events of an idle engine that is the usual case, and each call would have cost a new connection. A client may now say that its answers repeat.

Ruled out: the memory reports (GET /report), which are priced as probes and tell no parts.

--- a/cicadapond/forwarding/_client.py
+++ b/cicadapond/forwarding/_client.py
@@ -49,6 +49,8 @@
       reuses_connections: Whether connections are kept for further calls.  A service may send a
         second copy of an answer, late; only on a connection of its own is a call safe from one
         that looks like its own answer.
+      answers_repeat: Whether two equal answers in succession are usual and a late copy of one does
+        no harm, so that the connection is kept.
     """
 
     def __init__(
@@ -57,10 +59,12 @@
         clock: Clock,
         metrics: Metrics,
         reuses_connections: bool = True,
+        answers_repeat: bool = False,
     ):
         self._endpoint = endpoint
         self._clock = clock
         self._reuses_connections = reuses_connections
+        self._answers_repeat = answers_repeat
         self._name = str(endpoint)
         self._pool = ConnectionPool(clock, metrics)
 
@@ -100,7 +104,7 @@
                 conn.send(method, target.encode(), (host, *headers), body)
                 status, _ = await conn.read_head()
                 reply = Reply(status, await conn.read_full_body(MAX_BODY_BYTES))
-                if reply == conn.last_reply:
+                if reply == conn.last_reply and not self._answers_repeat:
                     raise BrokenResponseError("the answer repeats the one before")
                 conn.last_reply = reply
         except (BrokenResponseError, TimeoutError) as exc:
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -97,18 +97,33 @@
     event_tokens: int = 1
 
 
+@attrs.frozen
+class PartTelling:
+    """How the engines of a service tell which prompt parts they keep in memory.
+
+    Attributes:
+      max_waiting_calls: How many calls for events an engine keeps waiting.
+      token_bytes: The bytes of a token in an engine's memory.
+    """
+
+    max_waiting_calls: int
+    token_bytes: int
+
+
 @attrs.frozen
 class EngineLimits:
     """Capacity of one engine: requests in its batch and tokens in its memory.
 
     `bandwidth_mbps` is that of its link, None if the configuration does not state it.
-    `moves` is None if running requests must not be moved between the engines.
+    `moves` is None if running requests must not be moved between the engines, `telling` if they do
+    not tell which prompt parts they keep.
     """
 
     slots: int
     tokens: int
     bandwidth_mbps: float | None = None
     moves: MemoryMoves | None = None
+    telling: PartTelling | None = None
 
 
 @attrs.frozen
@@ -264,6 +279,7 @@
 
     `max_attempts` is how many servers another process may send it to, if it is passed on to one.
     `memory` is the copy from which the server goes on with a stopped run, None to begin a new one.
+    `fetch_from` is the server from which it fetches what that keeps of the prompt, None for none.
     """
 
     server: ServerEntry
@@ -273,6 +289,7 @@
     priority: int | None = None
     max_attempts: int = 1
     memory: MemoryHandle | None = None
+    fetch_from: ServerEntry | None = None
 
 
 # Responses
@@ -393,6 +410,18 @@
     ON = "on"
 
 
+class ResidencyUse(enum.Enum):
+    """For which services it is followed which prompt parts the engines keep.
+
+    Their configuration must say how engines tell it.  `AUTO` stands for services whose engines
+    report the pace of their hosts, `ON` for all.
+    """
+
+    OFF = "off"
+    AUTO = "auto"
+    ON = "on"
+
+
 @attrs.frozen
 class GatewaySettings:
     """The settings of one gateway process.
@@ -409,6 +438,7 @@
       is_first_start: Whether the whole system starts for the first time.
       zone_costs: For which services the cost of leaving the data centre is planned.
       rolls_out: Whether the system shifts the traffic of services to new server versions.
+      residency: For which services it is followed which prompt parts the engines keep.
     """
 
     name: str
@@ -428,3 +458,4 @@
     is_first_start: bool = False
     zone_costs: ZoneCostUse = ZoneCostUse.OFF
     rolls_out: bool = False
+    residency: ResidencyUse = ResidencyUse.OFF
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -4,6 +4,7 @@
 from cicadapond.platform._configuration import decode_configuration, field_name
 from cicadapond.platform._engine_calls import PlatformEngineCalls
 from cicadapond.platform._headers import PlatformHeaderCodec
+from cicadapond.platform._part_calls import PlatformPartCalls
 from cicadapond.platform._rollouts import PlatformRolloutCodec
 from cicadapond.platform._servers import decode_server
 from cicadapond.platform._settings import SETTINGS_VARIABLE, read_settings
@@ -22,6 +23,7 @@
     "PlatformCloud",
     "PlatformEngineCalls",
     "PlatformHeaderCodec",
+    "PlatformPartCalls",
     "PlatformRolloutCodec",
     "PlatformStore",
     "decode_configuration",
--- a/cicadapond/platform/_configuration.py
+++ b/cicadapond/platform/_configuration.py
@@ -7,6 +7,7 @@
     Configuration,
     EngineLimits,
     MemoryMoves,
+    PartTelling,
     RequestLimits,
     Route,
     RouteKind,
@@ -110,6 +111,7 @@
             inner.integer("kv_capacity"),
             inner.number("bandwidth_mbps", 0.0) or None,
             _memory_moves(inner),
+            _part_telling(inner),
         )
     scaling = None
     if reader.has("scaling"):
@@ -137,6 +139,14 @@
     return moves if is_on else None
 
 
+def _part_telling(reader):
+    """Returns how engines tell which prompt parts they keep, None if they do not."""
+    if not all(map(reader.has, ("most", "kv_bytes"))):
+        return None
+    telling = PartTelling(reader.integer("most"), reader.integer("kv_bytes"))
+    return telling if telling.max_waiting_calls > 0 and telling.token_bytes > 0 else None
+
+
 def _account(reader):
     return ClientAccount(
         name=reader.text("name"),
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -33,6 +33,8 @@
 RETRY_AFTER = b"retry-after"
 # The copy of a stopped run's memory: the address of its source, a slash and the handle.
 MEMORY_FROM = b"kv-from"
+# The address of an engine from which the prompt's parts that it keeps are fetched.
+FETCH_FROM = b"kv-fetch"
 # The requests per second that an engine accepts from all processes together.
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
@@ -69,7 +71,7 @@
 _CALLER_HEADERS = frozenset((REQUEST_ID, MODEL, TOKENS, PARTS, LENGTH_HINT))
 # Headers without the prefix that are not forwarded from callers either.
 _RESERVED_HEADERS = frozenset(
-    (MEMORY_FROM, b"kv-fetch", b"wait-ms", b"authorization", LAST_EVENT_ID)
+    (MEMORY_FROM, FETCH_FROM, b"wait-ms", b"authorization", LAST_EVENT_ID)
 )
 # Headers that may occur only once in a request.
 _SINGLE_HEADERS = frozenset(
@@ -106,6 +108,8 @@
         if dispatch.memory is not None:
             memory = dispatch.memory
             headers.append((MEMORY_FROM, f"{memory.source.endpoint}/{memory.handle}".encode()))
+        if dispatch.fetch_from is not None:
+            headers.append((FETCH_FROM, str(dispatch.fetch_from.endpoint).encode()))
         return headers
 
     def caller_headers(self, req, dispatch):
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -10,6 +10,7 @@
 )
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._moves import MoveFault
+from cicadapond.platform.standin._parts import EventFault
 from cicadapond.platform.standin._rollouts import RolloutModel, VersionDefect
 from cicadapond.platform.standin._store import StoreModel, store_application
 
@@ -21,6 +22,7 @@
     "EngineFault",
     "EngineModel",
     "EngineServer",
+    "EventFault",
     "Fleet",
     "FleetSettings",
     "RolloutModel",
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -10,6 +10,7 @@
 import h11
 
 from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH, EngineMemory
+from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH, EngineParts
 from cicadapond.platform.standin._rollouts import VersionDefect
 
 READ_BYTES = 64 * 1024
@@ -73,6 +74,7 @@
       cancelled_streams: The ids of streams that it stopped because the caller had disconnected.
       endless_bytes: How many bytes of answers without end it has sent.
       memory: Its memory, from which runs are moved to other engines.
+      parts: The prompt parts that it keeps.
     """
 
     name: str
@@ -100,6 +102,7 @@
     memory: EngineMemory = attrs.field(
         default=attrs.Factory(lambda self: EngineMemory(self.name), takes_self=True)
     )
+    parts: EngineParts = attrs.field(factory=EngineParts)
 
     def ids(self) -> list[str]:
         """Returns the ids of the requests in `executed_requests`, in order."""
@@ -127,6 +130,7 @@
         """Resets all connections, as in a crash."""
         self._server.close()
         self.model.memory.copies.clear()
+        self.model.parts.restart()
         for writer in list(self._writers):
             _reset(writer)
         await asyncio.sleep(0)
@@ -175,6 +179,8 @@
         if head.target.decode().startswith(HANDLE_PATH):
             self._model.memory.free(head.target.decode().removeprefix(HANDLE_PATH))
             return self._respond(200, request_id, b"", [])
+        if head.target.decode().startswith((EVENTS_PATH, LIST_PATH)):
+            return await self._tell_parts(head.target.decode(), fields)
         if "kv-from" in fields:
             if not self._model.memory.use_copy(fields["kv-from"], request_id):
                 return self._respond(503, request_id, b"", [("x-cicadapond-not-executed", "1")])
@@ -201,6 +207,13 @@
             return False
         return self._respond(answer[0], "", json.dumps(answer[1]).encode(), [])
 
+    async def _tell_parts(self, target, fields):
+        answer = await self._model.parts.answer(target, fields)
+        if answer is None:
+            _reset(self._writer)
+            return False
+        return self._respond(answer[0], "", answer[1], [])
+
     async def _turns_away(self):
         """Returns whether there is no room for a request; a brittle server may crash by that."""
         model, now = self._model, asyncio.get_running_loop().time()
@@ -300,6 +313,7 @@
 
     async def _stream(self, request_id, fields, fault):
         first = int(fields.get("last-event-id", "0")) + 1
+        await self._model.parts.prefill(fields)
         headers = [
             ("x-cicadapond-attempt-id", request_id),
             _signature(f"{request_id}-{self._model.name}"),
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -12,6 +12,7 @@
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._engine import EngineModel, EngineServer
 from cicadapond.platform.standin._moves import EngineMemory
+from cicadapond.platform.standin._parts import EngineParts
 from cicadapond.platform.standin._store import StoreModel, store_application
 from cicadapond.standin._ports import free_endpoint
 
@@ -30,6 +31,7 @@
       exposure_tolerance: What a bad version may get beside its share of the requests.
       max_event_gap_ms: The stream route's `target_itl_ms`, None to leave it out.
       moves: Whether the engines move running requests between each other.
+      tells_parts: Whether the engines tell which prompt parts they keep.
     """
 
     engines: int = 2
@@ -42,6 +44,7 @@
     rolls_out: bool = False
     exposure_tolerance: float = 50.0
     moves: bool = False
+    tells_parts: bool = False
 
 
 class Fleet:
@@ -61,6 +64,7 @@
         # By view and name: what a group of processes sees in place of the true ports.
         self._relays: dict[tuple[int, str], int] = {}
         self._memories: dict[str, EngineMemory] = {}
+        self._parts: dict[str, EngineParts] = {}
         self._http_servers: list[tornado.httpserver.HTTPServer] = []
         self._version = 1
 
@@ -131,6 +135,7 @@
         self.servers[name] = EngineServer(model)
         self._ports[name] = await self.servers[name].start(free_endpoint().port)
         model.memory.peers = self._memories
+        model.parts.peers = self._parts
         return model
 
     def list_server(
@@ -141,6 +146,7 @@
         for view in {0} | {each for each, _ in self._relays}:
             address = f"{HOST}:{self._advertised_port(name, view)}"
             self._memories[address] = self.servers[name].model.memory
+            self._parts[address] = self.servers[name].model.parts
         entry = {
             "service": service,
             "address": f"{HOST}:{self._advertised_port(name)}",
@@ -180,7 +186,7 @@
                     "name": MODEL_SERVICE,
                     "max_connections": 50,
                     "scaling": _scaling(),
-                    "engine": _engine() if self.cfg.moves else None,
+                    "engine": self._engine(),
                 },
                 {"name": PLAIN_SERVICE, "max_connections": 50},
             ],
@@ -269,6 +275,12 @@
         peek = post | {"name": "peek", "prefix": LOOKUP_PREFIX, "route_type": "idempotent"}
         return [stream, post, peek]
 
+    def _engine(self):
+        if not self.cfg.moves and not self.cfg.tells_parts:
+            return None
+        engine = _engine() | {"moves": self.cfg.moves}
+        return engine | {"most": 8} if self.cfg.tells_parts else engine
+
     def _listen(self, application):
         server = tornado.httpserver.HTTPServer(application)
         endpoint = free_endpoint()
