Watch engines for the parts that they keep, and tell all processes

Reports have three new kinds of items (h, b, p), which previous builds ignore. `--residency=off|auto|on` is auto: services whose engines state their pace, and whose configuration states `most`, `kv_bytes` and `bandwidth_mbps`. All other deployments get no calls and are served as before.

The soak test runs with it on; its shared parts have 400 and 300 tokens in place of 40 and 30, as parts of less than 128 tokens are not told.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -389,6 +389,8 @@
         prefilling = parts.demand.prefilling_engines()
         in_progress = parts.demand.requests_in_progress()
         services = self.cut_off_services()
+        watch = parts.engine_watch
+        held, shared_parts = watch.reported() if watch is not None else ({}, {})
         return Report(
             self._sequence,
             parts.active_configuration.version or 0,
@@ -404,6 +406,8 @@
             crash_evidence=parts.crashes.observed(),
             cut_off={self._cfg.name: services} if services else {},
             rollouts=parts.rollouts.reported(),
+            held=held,
+            shared_parts=shared_parts,
         )
 
     def _zone_total(self, now):
@@ -448,6 +452,8 @@
         self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
         self._parts.crashes.apply(zone, summary.crash_evidence)
         self._parts.rollouts.apply(zone, summary.rollouts)
+        if self._parts.engine_watch is not None:
+            self._parts.engine_watch.apply(zone, summary.held, summary.shared_parts)
         known = self._summaries.get(zone)
         now = self._clock.monotonic()
         if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -29,6 +29,7 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
+from cicadapond.gateway._residency import EngineWatch
 from cicadapond.gateway._rollout_codec import RolloutCodec
 from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.gateway._rollout_tables import STATE_TABLE, OperatorTable, StateTable
@@ -38,13 +39,14 @@
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
-from cicadapond.gateway.data import GatewaySettings, ZoneCostUse
+from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics, TaskGroup
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.peer import rank
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.provider import TableService
 from cicadapond.quotas import QuotaShares
+from cicadapond.residency import PartCalls
 from cicadapond.rollout import ExposureBounds, Rollouts
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import DemandMeter
@@ -73,7 +75,8 @@
     `decode_configuration` and `decode_server` decode rows that others write to the store;
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
-    Without `engine_calls` no stream is moved between engines.
+    Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
+    which prompt parts they keep.
     """
 
     header_codec: HeaderCodec
@@ -86,6 +89,7 @@
     server_table: str
     rollout_codec: RolloutCodec | None = None
     engine_calls: EngineCalls | None = None
+    part_calls: PartCalls | None = None
 
 
 class Node:
@@ -126,6 +130,8 @@
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
+        if self.parts.engine_watch is not None:
+            self.parts.engine_watch.live_by_zone = self._cluster.live_by_zone
         if adapters.engine_calls is not None:
             self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
         self.parts.links.on_change = self._cluster.publish_soon
@@ -164,6 +170,7 @@
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
+        watch = self._make_engine_watch(registry)
         placer = Placer(
             clock,
             cfg.zone,
@@ -171,7 +178,10 @@
             self._zone_costs,
             by_version=cfg.rolls_out,
             memory=self._engine_memory,
+            cached_parts=watch.cached_parts if watch is not None else None,
         )
+        if watch is not None:
+            watch.reports_pace = placer.reports_pace
         queues = ServiceQueues(clock, placer, self._metrics)
         placer.on_change = queues.changed
         self._rollouts = self._make_rollouts(registry, placer)
@@ -206,8 +216,32 @@
             check_server=self._check_server,
             queues=queues,
             rollouts=rollouts,
+            engine_watch=watch,
         )
 
+    def _make_engine_watch(self, registry):
+        """Returns what follows the prompt parts of engines, None if that is off."""
+        if self._cfg.residency is ResidencyUse.OFF or self._adapters.part_calls is None:
+            return None
+        watch = EngineWatch(
+            self._cfg,
+            self._adapters.part_calls,
+            registry,
+            self._clock,
+            self._log,
+            self._metrics,
+            self._tasks,
+            self._rng,
+        )
+        watch.engine_limits = self._engine_limits
+        return watch
+
+    def _engine_limits(self):
+        """Returns the limits of the engines of each service that has some."""
+        table = self.parts.active_configuration.table
+        services = table.cfg.services.values() if table is not None else ()
+        return {service.name: service.engine for service in services if service.engine}
+
     def _make_rollouts(self, registry, placer):
         """Returns the rollouts of this process, None if the deployment has none."""
         if not self._cfg.rolls_out:
@@ -241,6 +275,8 @@
         self._tasks.keep_running(self._housekeep, "housekeeping")
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
+        if self.parts.engine_watch is not None:
+            self._tasks.keep_running(self.parts.engine_watch.run, "engine watch")
         if self._zone_costs is not None:
             flows = ZoneFlowTask(self._zone_costs, self.parts, self._cluster)
             self.parts.pool.on_connect = flows.record_connect
@@ -319,6 +355,7 @@
             "rollouts": self.parts.rollouts.state(),
             "moves": self.parts.evacuation.state() if self.parts.evacuation is not None else {},
             "cluster": self._cluster.state(),
+            "residency": self.parts.engine_watch.state() if self.parts.engine_watch else {},
             "zones": self._zone_costs.state() if self._zone_costs is not None else None,
         }
 
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -26,6 +26,7 @@
 
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._queues import ServiceQueues
+    from cicadapond.gateway._residency import EngineWatch
 
 
 @attrs.define
@@ -38,7 +39,8 @@
     this one's report (prefill totals, statements of servers, streams) as soon as the minimum digest
     interval allows; `relay` leads to servers that this process does not reach, None if there are
     no other processes; `evacuation` moves streams off leaving engines, None to move none; `queues`
-    are those in front of the engines.
+    are those in front of the engines; `engine_watch` follows which prompt parts the engines keep,
+    None to guess it.
     """
 
     cfg: GatewaySettings
@@ -68,4 +70,5 @@
     relay: Relay | None = None
     evacuation: StreamMoves | None = None
     queues: "ServiceQueues | None" = None
+    engine_watch: "EngineWatch | None" = None
     stopping_since: datetime.timedelta | None = None
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -9,6 +9,7 @@
     PlatformCloud,
     PlatformEngineCalls,
     PlatformHeaderCodec,
+    PlatformPartCalls,
     PlatformRolloutCodec,
     PlatformStore,
     decode_configuration,
@@ -34,4 +35,5 @@
         server_table=SERVER_TABLE,
         rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
         engine_calls=PlatformEngineCalls(clock, metrics),
+        part_calls=PlatformPartCalls(clock, metrics),
     )
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -5,6 +5,7 @@
 I/O.
 """
 
+import base64
 import datetime
 import typing
 
@@ -15,8 +16,12 @@
 from cicadapond.continuation import Buckets, drop_old_buckets, merge_buckets
 from cicadapond.gateway._run_totals import RunTotals, Totals
 from cicadapond.placing import EngineWork
+from cicadapond.residency import HeldParts, merge_groups
 from cicadapond.usage import UsageLedger
 
+# A process tells of an engine in at most so many buckets.
+MAX_BUCKETS = 64
+
 Windows = typing.Mapping[int, typing.Mapping[str, int]]
 
 
@@ -54,6 +59,8 @@
       cut_off: The services whose servers a process does not reach, by the process's name.
       rollouts: What was sent to old and new versions, and what came of it: running totals by an
         opaque key.
+      held: What engines keep of shared prompt parts, by engine.
+      shared_parts: Hashes of the prompt parts that requests share, by group.
     """
 
     sequence: int = 0
@@ -70,6 +77,8 @@
     crash_evidence: CrashEvidence = CrashEvidence()
     cut_off: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
     rollouts: Totals = attrs.field(factory=dict)
+    held: typing.Mapping[str, HeldParts] = attrs.field(factory=dict)
+    shared_parts: typing.Mapping[int, bytes] = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -97,6 +106,13 @@
             items[f"k {trait}"] = [successes.count, _to_ms(successes.last)]
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
         items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
+        for engine, held in self.held.items():
+            items[f"h {engine}"] = [held.born, len(held.buckets)]
+            # One item each, as only the changed ones travel.
+            for number, bucket in enumerate(held.buckets):
+                if bucket:
+                    items[f"b {number} {engine}"] = _to_text(bucket)
+        items |= {f"p {group}": _to_text(raw) for group, raw in self.shared_parts.items()}
         return items
 
 
@@ -104,7 +120,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {kind: {} for kind in "suxdeaockrv"}
+    fields = {kind: {} for kind in "suxdeaockrvhbp"}
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -132,6 +148,14 @@
                     fields[kind][name] = tuple(map(str, value))
                 case "v":
                     fields[kind][name] = tuple(map(int, value))
+                case "h":
+                    born, count = value
+                    fields[kind][name] = int(born), min(int(count), MAX_BUCKETS)
+                case "b":
+                    number, _, engine = name.partition(" ")
+                    fields[kind].setdefault(engine, {})[int(number)] = _from_text(value)
+                case "p":
+                    fields[kind][int(name)] = _from_text(value)
         return Report(
             int(sequence),
             int(configuration),
@@ -147,11 +171,31 @@
             crash_evidence=CrashEvidence(fields["c"], fields["k"]),
             cut_off=fields["r"],
             rollouts=fields["v"],
+            held=_read_held(fields["h"], fields["b"]),
+            shared_parts=fields["p"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
 
 
+def _read_held(engines, buckets):
+    """Returns what engines keep; a bucket that did not arrive with the others is empty."""
+    return {
+        engine: HeldParts(
+            born, tuple(buckets.get(engine, {}).get(number, b"") for number in range(count))
+        )
+        for engine, (born, count) in engines.items()
+    }
+
+
+def _to_text(raw):
+    return base64.b64encode(raw).decode()
+
+
+def _from_text(text):
+    return base64.b64decode(text, validate=True)
+
+
 def _read_advisory(born, rate_limit, said_at_ms, is_leaving=False, brittle=None):
     rate = None if rate_limit is None else float(rate_limit)
     turned_away = None if brittle is None else int(brittle)
@@ -302,6 +346,8 @@
                 for process, services in run.report.cut_off.items()
             },
             rollouts=self._rollouts.sums(now),
+            held=_latest_held(counted),
+            shared_parts=merge_groups(run.report.shared_parts for run in counted),
         )
 
     def _end_earlier_runs(self, run):
@@ -316,6 +362,16 @@
                 del self._runs[name]
 
 
+def _latest_held(runs):
+    """Returns what the processes last told of each engine's latest start."""
+    found: dict[str, HeldParts] = {}
+    for run in sorted(runs, key=lambda run: run.heard):
+        for engine, held in run.report.held.items():
+            if engine not in found or held.born >= found[engine].born:
+                found[engine] = held
+    return found
+
+
 def _start(run):
     """Returns the start time of a run in Unix milliseconds."""
     start = run.rpartition("/")[2]
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -110,7 +110,10 @@
             last_event_id=self._state.last_event_id,
             priority=self._state.priority(),
             memory=memory,
+            fetch_from=placement.fetch_from,
         )
+        if placement.fetch_from is not None:
+            parts.metrics.count("fetches", service=self._state.service)
         started = parts.clock.monotonic()
         self._state.crash_watch.begin_attempt()
         self._state.has_head = False
@@ -161,6 +164,7 @@
             after_event=dispatch.last_event_id,
             moving_to=stream.destination.name if stream and stream.destination else None,
             moved_from=memory.source.name if memory is not None else None,
+            fetch_from=placement.fetch_from.name if placement.fetch_from is not None else None,
             **self._crash_evidence(outcome),
         )
         return outcome, entry
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -98,6 +98,8 @@
                 self._parts.evacuation.server_gone(entry)
             else:
                 self._parts.evacuation.server_changed(entry)
+        if self._parts.engine_watch is not None and entry is not None and change.kind == "gone":
+            self._parts.engine_watch.server_gone(entry)
         if change.kind == "gone":
             self._parts.placer.remove(change.name)
             self._parts.health.remove(change.name)
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -413,8 +413,8 @@
 class ResidencyUse(enum.Enum):
     """For which services it is followed which prompt parts the engines keep.
 
-    Their configuration must say how engines tell it.  `AUTO` stands for services whose engines
-    report the pace of their hosts, `ON` for all.
+    Their configuration must say how engines tell it, and how fast their links are.  `AUTO` stands
+    for services whose engines report the pace of their hosts, `ON` for all.
     """
 
     OFF = "off"
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -5,10 +5,13 @@
 import random
 import sys
 
+import attrs
+
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
+from cicadapond.gateway.data import ResidencyUse
 from cicadapond.kernel import Metrics
 from cicadapond.platform import read_settings
 from cicadapond.platform.standin import Caller, EngineModel, Fleet, FleetSettings
@@ -136,7 +139,8 @@
     path.write_text(fleet.settings_text(ports, f"edge-{number + 1}"))
     settings, findings = read_settings(str(path), metrics_port=0)
     assert not list(findings)
-    return settings
+    use = ResidencyUse.ON if fleet.cfg.tells_parts else ResidencyUse.OFF
+    return attrs.evolve(settings, residency=use)
 
 
 def _make_node(settings, rng):
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -15,7 +15,7 @@
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.data import ZoneCostUse
+from cicadapond.gateway.data import ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics
 from cicadapond.kernel._help import (
     EXIT_SETTINGS,
@@ -42,6 +42,14 @@
     "configuration states the bandwidth of their engines' links (auto), or all with engines (on).",
 )
 
+_RESIDENCY = flags.DEFINE_enum_class(
+    "residency",
+    ResidencyUse.AUTO,
+    ResidencyUse,
+    "Services whose engines are asked which prompt parts they keep: none (off), those whose "
+    "engines report the pace of their hosts (auto), or all (on).  The configuration must state "
+    "how many calls an engine keeps waiting, the bytes of a token and the bandwidth of its link.",
+)
 
 HELP = ProgramHelp(
     "cicadapond-gateway",
@@ -59,7 +67,7 @@
     cfg, findings = read_settings(path, _METRICS_PORT.value)
     for finding in findings:
         print(finding, file=sys.stderr)
-    return cfg and attrs.evolve(cfg, zone_costs=_ZONE_COSTS.value)
+    return cfg and attrs.evolve(cfg, zone_costs=_ZONE_COSTS.value, residency=_RESIDENCY.value)
 
 
 def _listen(application, endpoint):
--- a/cicadapond/soak/_callers.py
+++ b/cicadapond/soak/_callers.py
@@ -141,7 +141,7 @@
             continuing = {"last_event_id": str(last_event), "resumes": call.resumes}
             headers = continuing if call.resumes else {}
             self._streams += 1
-            parts = f"aa:40,{self._part(call)}:30,{self._name}-{self._streams}:30"
+            parts = f"aa:400,{self._part(call)}:300,{self._name}-{self._streams}:30"
             headers["x_cicadapond_prefix_hash"] = parts
             await self._connection.stream(call.id, authorization=token, **headers)
         else:
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -39,6 +39,7 @@
                 "-m",
                 PROGRAM,
                 f"--settings={self.path}",
+                "--residency=on",
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -72,7 +72,10 @@
         self._cfg = cfg
         self._rng = random.Random(f"run {cfg.seed}")
         self._fleet = Fleet(
-            FleetSettings(engines=4, services=3, rolls_out=cfg.rolls_out, moves=True), BootClock()
+            FleetSettings(
+                engines=4, services=3, rolls_out=cfg.rolls_out, moves=True, tells_parts=True
+            ),
+            BootClock(),
         )
         self._processes = [
             GatewayProcess(number, cfg.directory, self.history) for number in range(cfg.processes)
