--- a/cicadapond/placing/_candidate.py
+++ b/cicadapond/placing/_candidate.py
@@ -7,6 +7,7 @@
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.placing._call_times import CallTimes
 from cicadapond.placing._first_event import FirstEventModel, Prompt
+from cicadapond.residency import Fetch
 
 
 @attrs.frozen
@@ -60,6 +61,7 @@
     estimate: Estimate
     in_flight: float
     cost_ms: float = 0.0
+    fetch: Fetch | None = None
 
 
 @attrs.frozen
@@ -121,6 +123,7 @@
     `departure` is why it is in its data centre: "own" if that is the process's own or leaving it
     has a constant cost, else what `ZoneCosts.record_placed` returns.
     `in_flight` is the number of requests that were there.
+    `fetch_from` is the engine from which the server fetches kept parts of the prompt, if any.
     """
 
     server: ServerEntry
@@ -128,3 +131,4 @@
     request: InFlightRequest
     departure: str = "own"
     in_flight: float = 0.0
+    fetch_from: ServerEntry | None = None
