Keep connections for frequent queries between processes

A query opens a connection of its own, which is right for rare ones. A connection on which an answer was late is closed, lest the answer be taken for that of the next query.

--- a/cicadapond/peer/_asking.py
+++ b/cicadapond/peer/_asking.py
@@ -1,19 +1,25 @@
-"""Queries to one member, each on a connection of its own, with answers in bounded parts."""
+"""Queries to one member, with answers in bounded parts.
+
+Rare ones have a connection of their own; frequent ones share connections that are kept.
+"""
 
 import asyncio
+import collections
 import datetime
 import typing
 
 import msgpack
 
 from cicadapond.data import Endpoint
-from cicadapond.kernel import Ok, Unavailable
+from cicadapond.kernel import Clock, Ok, Unavailable
 from cicadapond.peer._transport import Link, Transport
 from cicadapond.peer._wire import Query, QueryReply, decode, encode
 
 REPLY_TIMEOUT = datetime.timedelta(seconds=2)
 PART_BYTES = 32 * 1024
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# A kept connection is closed if it was not used for this long; it takes some 10 KB at both ends.
+KEPT_IDLE_TIME = datetime.timedelta(seconds=5)
 
 
 async def send_query(
@@ -71,6 +77,116 @@
     return await reply
 
 
+class _KeptLink:
+    """A connection on which queries are answered in order; ends at the first that is not."""
+
+    def __init__(self, link: Link):
+        self._link = link
+        self._waiting: collections.deque[asyncio.Future] = collections.deque()
+        self._parts = bytearray()
+        self.is_closed = False
+        self.used_at = datetime.timedelta()
+        link.on_message = self._receive
+        link.on_closed = self.close
+
+    @property
+    def is_waiting(self) -> bool:
+        return bool(self._waiting)
+
+    async def query(self, query: Query) -> bytes | None:
+        """Returns the packed answer, None if the connection ended before."""
+        reply = asyncio.get_running_loop().create_future()
+        self._waiting.append(reply)
+        self._link.send([encode(query)])
+        return await reply
+
+    def close(self) -> None:
+        self.is_closed = True
+        self._link.close()
+        for reply in self._waiting:
+            if not reply.done():
+                reply.set_result(None)
+        self._waiting.clear()
+
+    def _receive(self, body):
+        message = decode(body)
+        is_readable = isinstance(message, QueryReply) and self._waiting
+        if not is_readable or len(self._parts) + len(message.part) > MAX_REPLY_BYTES:
+            self.close()
+            return
+        self._parts.extend(message.part)
+        if message.last:
+            packed, self._parts = bytes(self._parts), bytearray()
+            reply = self._waiting.popleft()
+            if not reply.done():
+                reply.set_result(packed)
+
+
+class KeptQueries:
+    """Queries on connections that are kept for a while, one to each address.
+
+    Args:
+      transport: Makes the connections.
+      clock: The clock.
+    """
+
+    def __init__(self, transport: Transport, clock: Clock):
+        self._transport = transport
+        self._clock = clock
+        self._links: dict[Endpoint, _KeptLink] = {}
+
+    async def send(
+        self, endpoint: Endpoint, topic: str, payload, timeout: datetime.timedelta
+    ) -> Ok[object] | Unavailable:
+        """Sends a query to the process at an address, as `send_query`; answers come within a time.
+
+        A connection on which an answer was late is closed, so that no answer is taken for another.
+        """
+        self._close_idle()
+        link = None
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                link = await self._link(endpoint)
+                packed = await link.query(Query(topic, payload)) if link is not None else None
+        except TimeoutError:
+            if link is not None:
+                link.close()
+            return Unavailable(f"no answer from {endpoint} within {timeout.total_seconds():g} s")
+        if packed is None:
+            return Unavailable(f"no answer from {endpoint}")
+        try:
+            return Ok(msgpack.unpackb(packed, strict_map_key=False))
+        except (TypeError, ValueError):
+            return Unavailable(f"{endpoint} sent no readable answer about {topic!r}")
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    async def _link(self, endpoint):
+        link = self._links.get(endpoint)
+        if link is None or link.is_closed:
+            found = await self._transport.dial(endpoint)
+            if found is None:
+                return None
+            link = self._links.get(endpoint)
+            if link is None or link.is_closed:
+                link = self._links[endpoint] = _KeptLink(found)
+            else:
+                found.close()  # another query connected meanwhile
+        link.used_at = self._clock.monotonic()
+        return link
+
+    def _close_idle(self):
+        oldest = self._clock.monotonic() - KEPT_IDLE_TIME
+        for endpoint, link in list(self._links.items()):
+            if link.is_closed or (link.used_at < oldest and not link.is_waiting):
+                link.close()
+                del self._links[endpoint]
+
+
 def reply_to_query(
     link: Link, query: Query, handlers: typing.Mapping[str, typing.Callable]
 ) -> bool:
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from cicadapond.data import Endpoint
-from cicadapond.kernel import Clock, Metrics, Task, Unavailable
+from cicadapond.kernel import Clock, Metrics, Ok, Task, Unavailable
 from cicadapond.peer import _asking
 from cicadapond.peer._api import Digest, Member, MemberState, Peers
 from cicadapond.peer._membership import Membership, Redial
@@ -61,6 +61,7 @@
     ):
         self.cfg = cfg
         self._transport = transport
+        self._kept_queries = _asking.KeptQueries(transport, clock)
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -109,6 +110,25 @@
         self._metrics.count("peer_questions", outcome=type(outcome).__name__)
         return outcome
 
+    async def query_often(
+        self, member: str, topic: str, payload, timeout: datetime.timedelta
+    ) -> Ok[object] | Unavailable:
+        """Sends a query as `query`, on a connection that is kept for the next ones.
+
+        Args:
+          member: The member's name.
+          topic: The topic of the query, which selects the member's handler.
+          payload: Any value that msgpack can encode.
+          timeout: The longest time until the answer.
+
+        Returns:
+          Ok with the answer, or Unavailable if none arrived or the member has no handler.
+        """
+        record = self._membership.records.get(member) if self._membership else None
+        if record is None:
+            return Unavailable(f"{member} is not a known member")
+        return await self._kept_queries.send(record.endpoint, topic, payload, timeout)
+
     def register_handler(self, topic, handler):
         self._handlers[topic] = handler
 
@@ -197,6 +217,7 @@
                 out.link.close()
         for link in list(self._inbound):
             link.close()
+        self._kept_queries.close()
         self._transport.close()
 
     # Outputs of the state machine
--- a/cicadapond/peer/peer_test.py
+++ b/cicadapond/peer/peer_test.py
@@ -1,5 +1,6 @@
 """Tests that the members' views converge on an in-memory network with injected faults."""
 
+import asyncio
 import random
 
 import pytest
@@ -303,6 +304,43 @@
     await world.tasks.stop()
 
 
+@virtual
+async def test_frequent_queries_share_a_connection_and_get_their_own_answers():
+    world = World(per_zone=1)
+    world.start()
+    await world.sleep(8)
+    asking, answering = world.peers["yqr-0"], world.peers["yxe-0"]
+    answering.register_handler("double", lambda payload: 2 * payload)
+    links = len(world.network.links)
+    sent = (asking.query_often("yxe-0", "double", number, seconds(0.1)) for number in range(20))
+    outcomes = await asyncio.gather(*sent)
+    outcomes.append(await asking.query_often("yxe-0", "double", 20, seconds(0.1)))
+    assert outcomes == [Ok(2 * number) for number in range(21)]
+    assert len(world.network.links) == links + 2
+    await world.sleep(6)
+    assert isinstance(await asking.query_often("yxe-0", "no", 1, seconds(0.1)), Unavailable)
+    await world.sleep(1)
+    assert len(world.network.links) <= links + 2, "an idle connection was kept"
+    await world.tasks.stop()
+
+
+@virtual
+async def test_a_late_answer_is_not_taken_for_that_of_the_next_query():
+    world = World(per_zone=1)
+    world.start()
+    await world.sleep(8)
+    asking, answering = world.peers["yqr-0"], world.peers["yxe-0"]
+    answering.register_handler("same", lambda payload: payload)
+    assert await asking.query_often("yxe-0", "same", "a", seconds(0.1)) == Ok("a")
+    world.network.delay = seconds(0.08)
+    assert isinstance(await asking.query_often("yxe-0", "same", "b", seconds(0.1)), Unavailable)
+    world.network.delay = seconds(0.001)
+    assert await asking.query_often("yxe-0", "same", "c", seconds(0.1)) == Ok("c")
+    await world.sleep(1)
+    assert await asking.query_often("yxe-0", "same", "d", seconds(0.1)) == Ok("d")
+    await world.tasks.stop()
+
+
 @virtual
 async def test_a_connection_storm_ends_once_receivers_keep_up_with_the_messages():
     world = World(per_zone=24, zones=("yqr",))
