Let permits of servers' limits follow the callers

A limit that a server states was dealt to all processes alike: with 420 processes and 10 requests a second a process got one permit in 42 s, wherever the callers were.

A process that has more callers than its share now asks the keeper of the server, the first process by rendezvous hash that answers. The keeper collects from the owners of the permits of the second that is on what they do not need, and divides it in proportion to the demands. An owner counts what it lends as used, and terms are durations counted from the sending of a call on a clock that runs through suspensions, so no second gets more than the even shares allow, whatever the views, clocks and the number of keepers.

Ruled out: a keeper that divides the whole limit by itself, loans several frames ahead (a joining process would find its share still lent), and forwarding requests.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -6,8 +6,20 @@
 import attrs
 
 from cicadapond.advisories._pauses import Pauses
-from cicadapond.advisories._permits import PermitSchedule, frame_of, time_until_frame
 from cicadapond.advisories._places import deal_places
+from cicadapond.credits import (
+    FRAME,
+    Ask,
+    AskReply,
+    LendReply,
+    LoanRequest,
+    PermitLedger,
+    Permits,
+    PermitSchedule,
+    frame_of,
+    permit_owners,
+    time_until_frame,
+)
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import Clock
 
@@ -20,6 +32,8 @@
 MIN_BRITTLE_PAUSE = datetime.timedelta(milliseconds=250)
 MAX_BRITTLE_PAUSE = datetime.timedelta(seconds=10)
 BRITTLE_SHARE = 0.5
+# A keeper's answer comes within this time; a request that waits for it looks again then.
+BORROW_TIME = datetime.timedelta(milliseconds=20)
 # How long the end of a limit is reported: processes that hear of it later find out by an answer.
 ENDED_LIMIT_REPORTED = datetime.timedelta(seconds=10)
 
@@ -57,12 +71,11 @@
 
 @attrs.define
 class _Known:
-    """An advisory, whether this process heard it itself, and the permits used in a frame."""
+    """An advisory, whether this process heard it itself, and its permits."""
 
     advisory: Advisory
     is_own: bool
-    frame: int = 0
-    used: int = 0
+    ledger: PermitLedger = attrs.field(factory=PermitLedger)
 
 
 @attrs.frozen
@@ -89,6 +102,9 @@
         included, or None while they are unknown; servers with a limit are avoided then.
       in_flight: Returns how many requests this process has placed at a server.
       servers: Returns the servers of a service that accept requests.
+
+    Attributes:
+      on_want: Is called if a request finds no permit; None if there is nobody to borrow from.
     """
 
     def __init__(
@@ -108,6 +124,8 @@
         self._known: dict[str, _Known] = {}
         self._schedules: dict[str, _Schedule] = {}
         self._pauses = Pauses(clock, process)
+        self.on_want: typing.Callable[[], None] | None = None
+        self._wants = 0
 
     # Statements
 
@@ -197,8 +215,9 @@
         if schedule is None:
             return False
         frame = frame_of(self._clock.now())
-        used = known.used if known.frame == frame else 0
-        return used < schedule.permits(known.advisory.rate_limit, frame)
+        share = schedule.permits(known.advisory.rate_limit, frame)
+        ledger = known.ledger
+        return bool(ledger.own_left(share, frame) or ledger.borrowed_left(self._clock.monotonic()))
 
     def _places(self, entry):
         """Returns how many requests this process may have at a brittle server."""
@@ -227,9 +246,12 @@
         if not self._is_permitted(entry, known, self._in_flight(entry.name) - 1):
             return False
         if known is not None:
-            frame = frame_of(self._clock.now())
-            known.used = known.used + 1 if known.frame == frame else 1
-            known.frame = frame
+            frame, limit = frame_of(self._clock.now()), known.advisory.rate_limit
+            if limit is None:
+                known.ledger.use_unlimited(frame)
+            else:
+                share = self._schedule(entry.name).permits(limit, frame)
+                known.ledger.take(share, frame, self._clock.monotonic())
         self._pauses.take(entry.name, entry.born)
         return True
 
@@ -246,10 +268,97 @@
             return None
         if known.advisory.rate_limit is None:
             return PLACE_POLL_INTERVAL if known.advisory.brittle is not None else None
+        if self.on_want is not None and known.ledger.is_hopeful(self._clock.monotonic()):
+            return BORROW_TIME
         now = self._clock.now()
         ahead = schedule.frames_until_permit(known.advisory.rate_limit, frame_of(now))
         return time_until_frame(frame_of(now) + ahead, now) if ahead is not None else None
 
+    # Permits that are handed on
+
+    def want(self, entries: typing.Sequence[ServerEntry]) -> None:
+        """Records a request that found no permit at any of some servers, once for each request."""
+        processes = self._processes()
+        if self.on_want is None or processes is None or len(processes) < 2:
+            return
+        found = [self._find(entry) for entry in entries]
+        limited = [known for known in found if known and known.advisory.rate_limit is not None]
+        if limited:
+            self._wants += 1
+            limited[self._wants % len(limited)].ledger.want(self._clock.monotonic())
+            self.on_want()
+
+    def asks(self, ahead: datetime.timedelta) -> list[Ask]:
+        """Returns what this process would borrow.
+
+        Args:
+          ahead: The time until it asks again.
+        """
+        now = self._clock.monotonic()
+        return [
+            Ask(server, known.advisory.born, wanted, known.ledger.demand(now))
+            for server, known in self._known.items()
+            if known.advisory.rate_limit is not None
+            and known.ledger.is_short(now)
+            and (wanted := known.ledger.to_ask(ahead, now))
+        ]
+
+    def receive(
+        self,
+        ask: Ask,
+        reply: AskReply | None,
+        sent_at: datetime.timedelta,
+        again: datetime.timedelta,
+    ) -> int:
+        """Adds what was borrowed.
+
+        Args:
+          ask: What this process asked for.
+          reply: The answer, None if there is nobody to ask.
+          sent_at: The monotonic time right before the call was sent.
+          again: How long it does not ask again if it got nothing.
+
+        Returns:
+          The number of permits.
+        """
+        known = self._known.get(ask.server)
+        if known is None or known.advisory.born != ask.born:
+            return 0
+        permits = reply.permits if reply is not None else ()
+        for each in permits:
+            known.ledger.receive(each.count, sent_at + each.left)
+        if not permits:
+            known.ledger.give_up(self._clock.monotonic() + again)
+        return sum(each.count for each in permits)
+
+    def lend(self, request: LoanRequest) -> LendReply | None:
+        """Gives up permits of the frame that is on; None if the server's limit is not known."""
+        known, schedule = self._known.get(request.server), self._schedule(request.server)
+        if known is None or schedule is None or known.advisory.born != request.born:
+            return None
+        limit = known.advisory.rate_limit
+        if limit is None:
+            return None
+        wall, now = self._clock.now(), self._clock.monotonic()
+        frame = frame_of(wall)
+        left = min(FRAME, time_until_frame(frame + 1, wall))
+        count = 0
+        if not self._pauses.remaining(request.server, request.born):
+            share = schedule.permits(limit, frame)
+            count = known.ledger.lend(share, frame, left, request.most, now)
+        return LendReply(request.server, frame, Permits(count, left))
+
+    def owners(self, server: str, born: int, frame: int) -> typing.Mapping[str, int] | None:
+        """Returns how many permits of a frame each process owns.
+
+        None if the server's limit or the processes are not known.
+        """
+        known, processes = self._known.get(server), self._processes()
+        if known is None or processes is None or known.advisory.born != born:
+            return None
+        limit = known.advisory.rate_limit
+        return permit_owners(server, processes, limit, frame) if limit is not None else None
+
     def _find(self, entry):
         known = self._known.get(entry.name)
         return known if known is not None and known.advisory.born == entry.born else None
@@ -259,6 +368,8 @@
         if known is None:
             self._known[entry.name] = _Known(advisory, is_own)
         else:
+            if _is_lower(advisory.rate_limit, known.advisory.rate_limit):
+                known.ledger.drop_borrowed()
             known.advisory, known.is_own = advisory, is_own
 
     def _schedule(self, server):
@@ -272,6 +383,10 @@
         return known.schedule
 
 
+def _is_lower(limit, before):
+    return limit is not None and (before is None or limit < before)
+
+
 def _binds(advisory):
     """Returns whether a statement keeps requests from its server."""
     states_limit = advisory.rate_limit is not None or advisory.brittle is not None
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from cicadapond.advisories import Advisory, ServerAdvisories
-from cicadapond.advisories._permits import PermitSchedule
+from cicadapond.credits import Ask, AskReply, LoanRequest, Permits, PermitSchedule
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
@@ -90,6 +90,64 @@
     assert [known.take(ENTRY) for _ in range(3)] == [True, True, False]
 
 
+def borrowing(clock):
+    """Returns the statements known to a process that owns one permit of two in a second."""
+    known = advisories(clock, ("p", "q"))
+    known.on_want = lambda: None
+    known.record(ENTRY, LIMITED)
+    return known
+
+
+def test_a_borrowed_permit_counts_from_the_call_that_brought_it():
+    """Guards against a process that was suspended in its call and uses expired permits."""
+    clock = ManualClock()
+    known = borrowing(clock)
+    ask = Ask("e", 0, 1, 1)
+    reply = AskReply("e", (Permits(1, seconds(0.6)),))
+    sent_at = clock.monotonic()
+    clock.advance(seconds(0.7))
+    known.receive(ask, reply, sent_at, seconds(1))
+    assert [known.take(ENTRY), known.take(ENTRY)] == [True, False]
+    known.receive(ask, reply, clock.monotonic(), seconds(1))
+    clock.advance(seconds(0.2))
+    assert [known.take(ENTRY), known.take(ENTRY)] == [True, False]
+
+
+def test_permits_lent_under_a_higher_limit_are_dropped():
+    known = borrowing(ManualClock())
+    known.receive(
+        Ask("e", 0, 5, 1), AskReply("e", (Permits(5, seconds(1)),)), seconds(0), seconds(1)
+    )
+    known.record(ENTRY, attrs.evolve(LIMITED, rate_limit=1.0))
+    assert sum(known.take(ENTRY) for _ in range(9)) <= 1
+
+
+def test_a_request_waits_for_a_borrowed_permit_but_not_once_there_are_none():
+    clock = ManualClock()
+    known = borrowing(clock)
+    while known.take(ENTRY):
+        pass
+    known.want([ENTRY])
+    (ask,) = known.asks(seconds(0.25))
+    assert (ask.server, ask.born, ask.wanted) == ("e", 0, 1)
+    assert known.time_until_permit(ENTRY) < seconds(0.1)
+    known.receive(ask, AskReply("e", ()), clock.monotonic(), seconds(0.25))
+    assert known.time_until_permit(ENTRY) == seconds(1) and not known.asks(seconds(0.25))
+    clock.advance(seconds(0.3))
+    known.want([ENTRY])
+    assert known.time_until_permit(ENTRY) < seconds(0.1)
+
+
+def test_only_permits_of_a_known_start_with_a_limit_are_lent():
+    known = borrowing(ManualClock())
+    assert known.lend(LoanRequest("e", 7, 5)) is None, "another start"
+    assert known.lend(LoanRequest("other", 0, 5)) is None
+    assert known.lend(LoanRequest("e", 0, 5)).permits == Permits(1, seconds(1))
+    assert not known.take(ENTRY), "what was lent is not used here"
+    known.record(ENTRY, UNLIMITED)
+    assert known.lend(LoanRequest("e", 0, 5)) is None
+
+
 def test_a_limit_ends_with_the_first_answer_without_it():
     known = advisories(ManualClock())
     assert known.record(ENTRY, LIMITED).after.rate_limit == 2.0
--- /dev/null
+++ b/cicadapond/credits/_keeper.py
@@ -0,0 +1,301 @@
+"""Collects permits that their owners do not need, and divides them among the processes that ask.
+
+Load condition: demand for a server with a rate limit comes to few processes, or changes place.
+
+A process acts as keeper of a server because others ask it to.  It issues only what owners lent it
+in the frame that is on, so several keepers of one server do no harm.  No I/O.
+"""
+
+import collections
+import datetime
+import heapq
+import math
+import typing
+
+import attrs
+
+from cicadapond.credits._messages import Ask, AskReply, LendReply, LoanRequest, Permits
+from cicadapond.credits._schedule import FRAME, frame_of, time_until_frame
+from cicadapond.kernel import Clock
+
+# A process that has not asked for this long needs nothing more.
+ASK_LIFETIME = datetime.timedelta(seconds=1)
+# Permits with less time left than this are issued also to those who had their share of the frame,
+# lest they expire unused.
+SPENDING_TIME = FRAME / 2
+# By how many seconds of its demand a process may be ahead of the others and still get permits
+# early in a frame: what it asks for at once.
+FAIR_LEAD = 0.25
+# What it got beyond that is remembered up to this many seconds of its demand.
+MAX_LEAD = 1.0
+# Requests a second of a process that has counted none lately.
+MIN_DEMAND = 1.0
+# Permits that would expire on their way to the process that asks are not issued.
+MIN_TIME_LEFT = datetime.timedelta(milliseconds=20)
+# How many more permits are collected than the demand, which is known only roughly.
+COLLECT_RATIO = 1.2
+# What was lent within this time counts as collected; it is shorter than a frame, so that replies
+# that were slow in one frame do not delay the loans of the next.
+COLLECTED_WINDOW = 0.8 * FRAME
+# The clocks of two hosts differ by up to this, so an owner's frame may begin so much earlier.
+MAX_CLOCK_DIFFERENCE = datetime.timedelta(milliseconds=300)
+# The owner's frame has begun for certain so long after it was due.
+FRAME_MARGIN = datetime.timedelta(milliseconds=3)
+# A call and its reply take about 100 bytes, so these take 15 of the 19 KB/s of a process.
+MAX_LOANS_PER_SECOND = 150
+# An owner that did not answer is not asked for this long.
+OWNER_RETRY_DELAY = datetime.timedelta(seconds=3)
+
+Owners = typing.Callable[[str, int, int], typing.Mapping[str, int] | None]
+
+
+@attrs.define
+class _Asker:
+    """A process that asks: its demand, when it asked last, and how much of its demand it got.
+
+    `level` is in seconds of its demand, counted from the least that others had when it came.
+    """
+
+    demand: float
+    asked_at: datetime.timedelta
+    level: float
+
+
+@attrs.define
+class _Held:
+    """Permits in the pool; they end at a monotonic time."""
+
+    ends: datetime.timedelta
+    count: int
+
+
+@attrs.define(order=True)
+class _Loan:
+    """Permits to ask an owner for, from the time at which its frame has begun."""
+
+    due_at: datetime.timedelta
+    frame: int
+    owner: str
+    count: int
+
+
+@attrs.define
+class _Pool:
+    """What a keeper knows of one start of a server."""
+
+    askers: dict[str, _Asker] = attrs.field(factory=dict)
+    held: list[_Held] = attrs.field(factory=list)
+    loans: list[_Loan] = attrs.field(factory=list)
+    planned_until: int = 0
+    collected: collections.deque[tuple[datetime.timedelta, int]] = attrs.field(
+        factory=collections.deque
+    )
+    # The sum of `collected`, and of the loans whose replies are due.
+    supply: int = 0
+    pending: int = 0
+
+
+class PermitKeeper:
+    """The pools of the servers that this process is asked for.
+
+    Args:
+      clock: Gives the time; its monotonic clock also runs while the host is suspended.
+      process: This process's name.
+      owners: Returns who owns how many permits of a server, its start and a frame; None if the
+        server's limit or the members are not known.
+    """
+
+    def __init__(self, clock: Clock, process: str, owners: Owners):
+        self._clock = clock
+        self._process = process
+        self._owners = owners
+        self._pools: dict[tuple[str, int], _Pool] = {}
+        # An owner's frame and its end on this process's monotonic clock.
+        self._phases: dict[str, tuple[int, datetime.timedelta]] = {}
+        self._unreachable_until: dict[str, datetime.timedelta] = {}
+        self._calls: collections.deque[datetime.timedelta] = collections.deque()
+
+    def is_active(self) -> bool:
+        """Returns whether any process asks for permits."""
+        return bool(self._pools)
+
+    def ask(self, process: str, ask: Ask) -> AskReply:
+        """Records what a process needs, and issues permits to it."""
+        now = self._clock.monotonic()
+        pool = self._pools.setdefault((ask.server, ask.born), _Pool())
+        self._forget(pool, now)
+        asker = pool.askers.get(process)
+        if asker is None:
+            level = min((each.level for each in pool.askers.values()), default=0.0)
+            asker = pool.askers[process] = _Asker(ask.demand, now, level)
+        asker.demand, asker.asked_at = ask.demand, now
+        return AskReply(ask.server, self._issue(pool, asker, ask.wanted, now))
+
+    def due(self) -> dict[str, list[LoanRequest]]:
+        """Returns what to ask the owners for now; each must be followed by `lent`."""
+        now = self._clock.monotonic()
+        requests: dict[str, list[LoanRequest]] = {}
+        while self._calls and now - self._calls[0] > FRAME:
+            self._calls.popleft()
+        for (server, born), pool in list(self._pools.items()):
+            self._forget(pool, now)
+            if not pool.askers:
+                if not pool.pending:
+                    del self._pools[server, born]
+                continue
+            self._plan(server, born, pool, now)
+            self._take_due(server, born, pool, now, requests)
+        return requests
+
+    def lent(
+        self,
+        owner: str,
+        requests: typing.Sequence[LoanRequest],
+        replies: typing.Sequence[LendReply] | None,
+        sent_at: datetime.timedelta,
+    ) -> int:
+        """Adds what an owner lent.
+
+        Args:
+          owner: The owner.
+          requests: What it was asked for.
+          replies: What it replied; None if it did not answer.
+          sent_at: The monotonic time right before the call was sent.
+
+        Returns:
+          How many permits it lent.
+        """
+        now = self._clock.monotonic()
+        if replies is None:
+            self._unreachable_until[owner] = now + OWNER_RETRY_DELAY
+        found = {reply.server: reply for reply in replies or ()}
+        total = 0
+        for request in requests:
+            pool = self._pools.get((request.server, request.born))
+            if pool is None:
+                continue
+            pool.pending -= request.most
+            reply = found.get(request.server)
+            if reply is None:
+                continue
+            total += self._add(owner, pool, reply, sent_at, now)
+            if reply.frame < request.frame:  # the owner's clock is behind
+                due_at = self._frame_begin(owner, request.frame, now)
+                loan = _Loan(due_at, request.frame, owner, request.most)
+                heapq.heappush(pool.loans, loan)
+        return total
+
+    def state(self) -> dict:
+        """Returns the pools, for a dump."""
+        now = self._clock.monotonic()
+        return {
+            server: {
+                "demand": round(sum(asker.demand for asker in pool.askers.values()), 1),
+                "askers": len(pool.askers),
+                "held": sum(held.count for held in pool.held if held.ends > now),
+                "lent_last_second": pool.supply,
+            }
+            for (server, _), pool in sorted(self._pools.items())
+        }
+
+    def _add(self, owner, pool, reply, sent_at, now):
+        ends = sent_at + reply.permits.left
+        self._phases[owner] = reply.frame, ends
+        count = reply.permits.count
+        if count:
+            pool.held.append(_Held(ends, count))
+            pool.held.sort(key=lambda held: held.ends)
+            pool.collected.append((now, count))
+            pool.supply += count
+        return count
+
+    def _issue(self, pool, asker, wanted, now):
+        """Takes permits from the pool, those that end first."""
+        demand = sum(each.demand for each in pool.askers.values())
+        total = sum(each.count for each in pool.held)
+        share = math.ceil(total * asker.demand / demand) if demand else 1
+        fair = self._fair_count(pool, asker)
+        issued = []
+        for held in pool.held:
+            left = held.ends - now
+            if left < MIN_TIME_LEFT:
+                continue
+            allowed = max(share, fair) if left <= SPENDING_TIME else fair
+            count = max(0, min(held.count, wanted, allowed))
+            if count:
+                held.count -= count
+                wanted, share, fair = wanted - count, share - count, fair - count
+                issued.append(Permits(count, left))
+        pool.held = [held for held in pool.held if held.count]
+        got = sum(permits.count for permits in issued)
+        others = [each.level for each in pool.askers.values() if each is not asker]
+        asker.level += got / max(asker.demand, MIN_DEMAND)
+        if others:
+            asker.level = min(asker.level, min(others) + MAX_LEAD)
+        return tuple(issued)
+
+    def _fair_count(self, pool, asker):
+        """Returns how many permits a process may get until the others had as much of their demand.
+
+        All that there are if nobody else asks.
+        """
+        others = [each.level for each in pool.askers.values() if each is not asker]
+        if not others:
+            return sum(each.count for each in pool.held)
+        lead = asker.level - min(others)
+        if lead > FAIR_LEAD:
+            return 0
+        return max(1, math.floor((FAIR_LEAD - lead) * asker.demand))
+
+    def _plan(self, server, born, pool, now):
+        """Plans the loans of each frame when some owner's clock may have reached it."""
+        wall = self._clock.now()
+        for frame in (frame_of(wall), frame_of(wall + MAX_CLOCK_DIFFERENCE)):
+            if frame <= pool.planned_until:
+                continue
+            pool.planned_until = frame
+            begins = now + time_until_frame(frame, wall)
+            for owner, count in (self._owners(server, born, frame) or {}).items():
+                due_at = self._frame_begin(owner, frame, begins)
+                heapq.heappush(pool.loans, _Loan(due_at, frame, owner, count))
+
+    def _frame_begin(self, owner, frame, estimate):
+        """Returns when an owner's frame has begun; the estimate if its clock is not known."""
+        if owner not in self._phases:
+            return estimate
+        known, ends = self._phases[owner]
+        return ends + (frame - known - 1) * FRAME + FRAME_MARGIN
+
+    def _take_due(self, server, born, pool, now, requests):
+        demand = sum(each.demand for each in pool.askers.values())
+        while pool.loans and pool.loans[0].due_at <= now:
+            missing = math.ceil(COLLECT_RATIO * demand) + 1 - pool.supply - pool.pending
+            if missing <= 0 or len(self._calls) >= MAX_LOANS_PER_SECOND:
+                break
+            loan = heapq.heappop(pool.loans)
+            if not self._is_useful(pool, loan, now):
+                continue
+            if loan.owner not in requests:
+                self._calls.append(now)
+            most = min(loan.count, missing)
+            pool.pending += most
+            requests.setdefault(loan.owner, []).append(LoanRequest(server, born, most, loan.frame))
+        self._drop_old_loans(pool, now)
+
+    def _is_useful(self, pool, loan, now):
+        """Returns whether an owner can lend, and needs its permits less than others."""
+        if loan.owner in pool.askers or now - loan.due_at > FRAME - MIN_TIME_LEFT:
+            return False
+        return self._unreachable_until.get(loan.owner, now) <= now
+
+    def _drop_old_loans(self, pool, now):
+        while pool.loans and now - pool.loans[0].due_at > FRAME:
+            heapq.heappop(pool.loans)
+
+    def _forget(self, pool, now):
+        for name, asker in list(pool.askers.items()):
+            if now - asker.asked_at > ASK_LIFETIME:
+                del pool.askers[name]
+        while pool.collected and now - pool.collected[0][0] > COLLECTED_WINDOW:
+            pool.supply -= pool.collected.popleft()[1]
+        pool.held = [held for held in pool.held if held.ends > now]
--- a/cicadapond/credits/_schedule.py
+++ b/cicadapond/credits/_schedule.py
@@ -9,6 +9,7 @@
 processes at the same moment.
 """
 
+import collections
 import datetime
 import math
 import typing
@@ -22,6 +23,22 @@
 MAX_FRAMES_AHEAD = 3
 
 
+def permit_owners(
+    server: str, processes: typing.Sequence[str], rate: float, frame: int
+) -> collections.Counter[str]:
+    """Returns how many permits of a frame each process owns; processes without one are left out.
+
+    Args:
+      server: The server's name.
+      processes: The sorted names of all processes that send to the server.
+      rate: The server's limit in requests per second.
+      frame: The frame, as `frame_of` numbers them.
+    """
+    first, end = _permit_numbers(rate, frame)
+    offset, count = zlib.crc32(server.encode()), len(processes)
+    return collections.Counter(processes[(number - offset) % count] for number in range(first, end))
+
+
 class PermitSchedule:
     """The permits of one process for one server.
 
@@ -43,8 +60,7 @@
           rate: The server's limit in requests per second.
           frame: The frame, as `frame_of` numbers them.
         """
-        per_frame = max(rate, MIN_RATE) * FRAME.total_seconds()
-        first, end = math.floor(frame * per_frame), math.floor((frame + 1) * per_frame)
+        first, end = _permit_numbers(rate, frame)
         return self._own_below(end) - self._own_below(first)
 
     def frames_until_permit(self, rate: float, frame: int) -> int | None:
@@ -62,6 +78,12 @@
         return (number - self._place + self._count - 1) // self._count
 
 
+def _permit_numbers(rate, frame):
+    """Returns the number of the first permit of a frame, and that of the next frame."""
+    per_frame = max(rate, MIN_RATE) * FRAME.total_seconds()
+    return math.floor(frame * per_frame), math.floor((frame + 1) * per_frame)
+
+
 def frame_of(now: datetime.datetime) -> int:
     """Returns the number of the frame at a UTC time."""
     return math.floor(now.timestamp() / FRAME.total_seconds())
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -17,7 +17,7 @@
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
 from cicadapond.gateway._sharing import CopyGroup, copy_times
 from cicadapond.gateway._time import TrueClock
-from cicadapond.kernel import TaskGroup
+from cicadapond.kernel import Ok, TaskGroup
 from cicadapond.peer import (
     Digest,
     Member,
@@ -144,6 +144,7 @@
         self._view: _View | None = None
         self._sequence = 0
         self._registered = 1
+        self._handlers: dict[str, typing.Callable] = {}
         self.cut_off_services: typing.Callable[[], tuple[str, ...]] = tuple
         self.usage = UsageLedger()
 
@@ -175,12 +176,25 @@
         metrics = self._parts.metrics
         peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
         peer.subscribe(self._receive)
+        for topic, handler in self._handlers.items():
+            peer.register_handler(topic, handler)
         peer.start()
         self._peer = peer
         self._joined_at = self._clock.monotonic()
         self._zone_reports = ZoneReports(self._own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
         self._tasks.start(peer)
 
+    def register_handler(self, topic: str, handler: typing.Callable) -> None:
+        """Sets what answers the queries of other processes about a topic, before they can come."""
+        self._handlers[topic] = handler
+
+    async def query(self, process: str, topic: str, payload, timeout: datetime.timedelta):
+        """Returns another process's answer to a query; None if none comes in time."""
+        if self._peer is None:
+            return None
+        outcome = await self._peer.query_often(process, topic, payload, timeout)
+        return outcome.value if isinstance(outcome, Ok) else None
+
     async def report_last(self) -> None:
         """Reports what this process has done since its last report."""
         if self._peer is not None:
@@ -220,6 +234,10 @@
         """Returns the names of the live processes by data centre, this one included."""
         return self._current_view().live_by_zone
 
+    def live(self) -> tuple[str, ...]:
+        """Returns the sorted names of the live processes, this one included."""
+        return tuple(sorted(name for names in self.live_by_zone().values() for name in names))
+
     def quota_share(self) -> float:
         """Returns the share of quotas available to this process and those heard from lately."""
         now = self._clock.monotonic()
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -27,6 +27,7 @@
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._permits import TOPIC, ClusterCalls, PermitExchange
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._rollout_codec import RolloutCodec
@@ -123,6 +124,16 @@
             self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
+        self._permits = PermitExchange(
+            cfg.name,
+            self.parts.advisories,
+            ClusterCalls(self._cluster),
+            self._cluster.live,
+            clock,
+            log,
+            metrics,
+        )
+        self._cluster.register_handler(TOPIC, self._permits.answer)
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
@@ -238,6 +249,7 @@
         self._follow(table, configuration)
         self._follow(self._adapters.server_table, self._servers)
         self._tasks.keep_running(self._cluster.run, "cluster")
+        self._tasks.start(self._permits, restarts=True)
         self._tasks.keep_running(self._housekeep, "housekeeping")
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
@@ -314,6 +326,7 @@
             "servers": [attrs.asdict(entry) for entry in self.parts.registry.all()],
             "lease": self._lease.state(),
             "advisories": self.parts.advisories.state(),
+            "permits": self._permits.state(),
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
             "rollouts": self.parts.rollouts.state(),
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -191,8 +191,12 @@
         """
         parts = self._parts
         begun = parts.clock.monotonic()
+        wanted = False
         while True:
             servers = self._state.servers.candidates()
+            if not servers and not wanted:
+                wanted = True
+                parts.advisories.want(self._state.servers.limited())
             if not servers and self._can_wait_for_permit():
                 await parts.clock.sleep(HOLD_POLL_INTERVAL)
                 continue
