--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -218,7 +218,9 @@
         frame = frame_of(self._clock.now())
         share = schedule.permits(known.advisory.rate_limit, frame)
         ledger = known.ledger
-        return bool(ledger.own_left(share, frame) or ledger.borrowed_left(self._clock.monotonic()))
+        if ledger.own_left(share, frame):
+            return True
+        return ledger.has_borrowed and bool(ledger.borrowed_left(self._clock.monotonic()))
 
     def _places(self, entry):
         """Returns how many requests this process may have at a brittle server."""
@@ -328,11 +330,11 @@
         known = self._known.get(ask.server)
         if known is None or known.advisory.born != ask.born:
             return 0
-        permits = reply.permits if reply is not None else ()
+        permits, now = reply.permits if reply is not None else (), self._clock.monotonic()
         for each in permits:
-            known.ledger.receive(each.count, sent_at + each.left)
+            known.ledger.receive(each.count, sent_at + each.left, now)
         if not permits and again is not None:
-            known.ledger.give_up(self._clock.monotonic() + again)
+            known.ledger.give_up(now + again)
         return sum(each.count for each in permits)
 
     def lend(self, request: LoanRequest) -> LendReply | None:
--- a/cicadapond/credits/_keeper.py
+++ b/cicadapond/credits/_keeper.py
@@ -46,6 +46,10 @@
 # An owner that did not answer is not asked for this long.
 OWNER_RETRY_DELAY = datetime.timedelta(seconds=3)
 
+# The frames of more owners than this are learned anew; there are 420 processes at the design size,
+# whose names change if hosts are replaced.
+MAX_PHASES = 2000
+
 Owners = typing.Callable[[str, int, int], typing.Mapping[str, int] | None]
 
 
@@ -138,6 +142,9 @@
         requests: dict[str, list[LoanRequest]] = {}
         while self._calls and now - self._calls[0] > FRAME:
             self._calls.popleft()
+        self._unreachable_until = {
+            owner: until for owner, until in self._unreachable_until.items() if until > now
+        }
         for key, pool in list(self._pools.items()):
             self._forget(pool, now)
             if not pool.askers:
@@ -201,6 +208,8 @@
 
     def _add(self, owner, pool, reply, sent_at, now):
         ends = sent_at + reply.permits.left
+        if len(self._phases) >= MAX_PHASES:
+            self._phases.clear()
         self._phases[owner] = reply.frame, ends
         count = reply.permits.count
         if count:
--- a/cicadapond/credits/_ledger.py
+++ b/cicadapond/credits/_ledger.py
@@ -53,6 +53,11 @@
         self._enter(frame)
         self._used += 1
 
+    @property
+    def has_borrowed(self) -> bool:
+        """Whether permits were borrowed, which may have ended; a cheap check for each send."""
+        return bool(self._borrowed)
+
     def borrowed_left(self, now: datetime.timedelta) -> int:
         """Returns how many borrowed permits are valid."""
         return sum(each.count for each in self._borrowed if each.ends > now)
@@ -135,8 +140,9 @@
         self._lent += count
         return count
 
-    def receive(self, count: int, ends: datetime.timedelta) -> None:
+    def receive(self, count: int, ends: datetime.timedelta, now: datetime.timedelta) -> None:
         """Adds borrowed permits that end at a monotonic time."""
+        self._borrowed = [each for each in self._borrowed if each.count and each.ends > now]
         self._borrowed.append(_Borrowed(count, ends))
         self._borrowed.sort(key=lambda each: each.ends)
 
--- a/cicadapond/credits/credits_test.py
+++ b/cicadapond/credits/credits_test.py
@@ -74,7 +74,7 @@
 
 def test_a_borrowed_permit_ends_at_its_time_also_after_a_suspension():
     ledger = PermitLedger()
-    ledger.receive(2, seconds(6))
+    ledger.receive(2, seconds(6), seconds(5))
     assert ledger.take(0, 7, seconds(5.9))
     assert ledger.borrowed_left(seconds(6)) == 0 and not ledger.take(0, 7, seconds(6))
 
--- a/cicadapond/gateway/_permits.py
+++ b/cicadapond/gateway/_permits.py
@@ -207,6 +207,7 @@
         now, live = self._clock.monotonic(), tuple(self._live())
         if self._ranked[0] != live:
             self._ranked = (live, {})
+            self._forget(now)
         ranked = self._ranked[1].get((server, part))
         if ranked is None:
             ranked = rank(f"{TOPIC} {server} {part}", live)[:KEEPER_CANDIDATES]
@@ -219,6 +220,15 @@
         self._keepers[server, part] = (keeper, logged_at)
         return keeper
 
+    def _forget(self, now):
+        """Drops what is remembered of processes and servers that may be gone."""
+        for times in (self._unreachable_until, self._next_ask):
+            for name in [name for name, until in times.items() if until <= now]:
+                del times[name]
+        known = self._advisories.state()
+        self._next_part = {s: part for s, part in self._next_part.items() if s in known}
+        self._keepers = {key: each for key, each in self._keepers.items() if key[0] in known}
+
     # As keeper
 
     def _ask_owners(self):
