Find the owners of a high limit's permits without a loop over them

A limit of 1e15 requests a second kept the process in a loop as soon as any process asked it for permits. Each owner's whole rounds are now computed. Test: test_the_owners_of_a_very_high_limit_are_found_at_once (did not end).

--- a/cicadapond/credits/_schedule.py
+++ b/cicadapond/credits/_schedule.py
@@ -39,7 +39,11 @@
     """
     first, end = _permit_numbers(rate, frame)
     offset, count = zlib.crc32(server.encode()), len(processes)
-    return collections.Counter(processes[(number - offset) % count] for number in range(first, end))
+    # Limits may be far higher than the number of processes: only the last round is dealt singly.
+    rounds, rest = divmod(end - first, count)
+    owned = collections.Counter(dict.fromkeys(processes, rounds) if rounds else {})
+    owned.update(processes[(number - offset) % count] for number in range(first, first + rest))
+    return owned
 
 
 def keeper_parts(processes: int, rate: float) -> int:
