Reject numbers in permit messages that cannot be right

An infinite number raised OverflowError, which closed the connection of the caller or ended the call; a frame of 10**18 could end the exchange's task. Permits that last longer than a frame are an error.

--- a/cicadapond/credits/_messages.py
+++ b/cicadapond/credits/_messages.py
@@ -9,9 +9,13 @@
 
 import attrs
 
+from cicadapond.credits._schedule import FRAME
+
 MAX_SERVERS_PER_CALL = 64
 # More than any limit that a server states; a larger count in a message is an error.
 MAX_COUNT = 1_000_000
+# Frames are seconds since 1970; a larger number in a message is an error.
+MAX_FRAME = 10**11
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # The clocks of two hosts run at rates that differ by some 100 ppm, which is 0.1 ms in a frame; the
 # margin also covers the rounding.
@@ -120,7 +124,14 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        Ask(_text(server), int(born), _count(wanted), _count(demand), _count(part), _parts(parts))
+        Ask(
+            _text(server),
+            _integer(born),
+            _count(wanted),
+            _count(demand),
+            _count(part),
+            _parts(parts),
+        )
         for server, born, wanted, demand, part, parts in items[:MAX_SERVERS_PER_CALL]
     ]
 
@@ -144,7 +155,7 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        LoanRequest(_text(server), int(born), _count(most))
+        LoanRequest(_text(server), _integer(born), _count(most))
         for server, born, most in items[:MAX_SERVERS_PER_CALL]
     ]
 
@@ -156,17 +167,32 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        LendReply(_text(server), int(frame), _permits(count, left))
+        LendReply(_text(server), _frame(frame), _permits(count, left))
         for server, frame, count, left in items[:MAX_SERVERS_PER_CALL]
     ]
 
 
 def _permits(count, left_ms):
-    return Permits(_count(count), _count(left_ms) * _MILLISECOND)
+    left = _count(left_ms) * _MILLISECOND
+    if left > FRAME:
+        raise ValueError(f"permits for longer than a frame: {left_ms} ms")
+    return Permits(_count(count), left)
+
+
+def _integer(value):
+    if not isinstance(value, int):
+        raise TypeError(f"not an integer: {value!r}")
+    return value
+
+
+def _frame(value):
+    if not 0 <= _integer(value) <= MAX_FRAME:
+        raise ValueError(f"not a frame: {value!r}")
+    return value
 
 
 def _count(value):
-    if not isinstance(value, int) or not 0 <= value <= MAX_COUNT:
+    if not 0 <= _integer(value) <= MAX_COUNT:
         raise ValueError(f"not a count: {value!r}")
     return value
 
