Count loans once, and only as many as were asked for

Two pools of a server, or of two starts of it, could ask an owner in one call; the last of the replies was then added to both. One request of a call is now about each server. A count above the one asked for is cut. A frame number that is far off no longer stops the loans, collects them in memory or raises in the task; the estimate is used for it.

--- a/cicadapond/credits/_keeper.py
+++ b/cicadapond/credits/_keeper.py
@@ -176,6 +176,7 @@
         now = self._clock.monotonic()
         if replies is None:
             self._unreachable_until[owner] = now + OWNER_RETRY_DELAY
+        # One request of a call is about each server, see `_take_due`.
         found = {reply.server: reply for reply in replies or ()}
         total = 0
         for request in requests:
@@ -186,9 +187,9 @@
             reply = found.get(request.server)
             if reply is None:
                 continue
-            total += self._add(owner, pool, reply, sent_at, now)
-            if reply.frame < request.frame:  # the owner's clock is behind
-                due_at = self._frame_begin(owner, request.frame, now)
+            total += self._add(owner, pool, request, reply, sent_at, now)
+            due_at = self._frame_begin(owner, request.frame, now)
+            if reply.frame < request.frame and due_at > now:  # the owner's clock is behind
                 loan = _Loan(due_at, request.frame, owner, request.most)
                 heapq.heappush(pool.loans, loan)
         return total
@@ -206,12 +207,12 @@
             for (server, _, part, parts), pool in sorted(self._pools.items())
         }
 
-    def _add(self, owner, pool, reply, sent_at, now):
+    def _add(self, owner, pool, request, reply, sent_at, now):
         ends = sent_at + reply.permits.left
         if len(self._phases) >= MAX_PHASES:
             self._phases.clear()
         self._phases[owner] = reply.frame, ends
-        count = reply.permits.count
+        count = min(reply.permits.count, request.most)
         if count:
             pool.held.append(_Held(ends, count))
             pool.held.sort(key=lambda held: held.ends)
@@ -273,14 +274,20 @@
                 heapq.heappush(pool.loans, _Loan(due_at, frame, owner, count))
 
     def _frame_begin(self, owner, frame, estimate):
-        """Returns when an owner's frame has begun; the estimate if its clock is not known."""
+        """Returns when an owner's frame has begun.
+
+        The estimate if its clock is not known, or was far off when it last replied: it may have
+        been corrected since, and whatever frame is on there has permits.
+        """
         if owner not in self._phases:
             return estimate
         known, ends = self._phases[owner]
-        return ends + (frame - known - 1) * FRAME + FRAME_MARGIN
+        begins = ends + (frame - known - 1) * FRAME + FRAME_MARGIN
+        return begins if abs(begins - estimate) <= FRAME else estimate
 
     def _take_due(self, key, pool, now, requests):
         demand = sum(each.demand for each in pool.askers.values())
+        deferred = []
         while pool.loans and pool.loans[0].due_at <= now:
             missing = math.ceil(COLLECT_RATIO * demand) + 1 - pool.supply - pool.pending
             if missing <= 0 or len(self._calls) >= MAX_LOANS_PER_SECOND:
@@ -288,6 +295,10 @@
             loan = heapq.heappop(pool.loans)
             if not self._is_useful(pool, loan, now):
                 continue
+            if any(request.server == key[0] for request in requests.get(loan.owner, ())):
+                # Replies name only the server, so another pool's loan has to wait for the next call.
+                deferred.append(loan)
+                continue
             if loan.owner not in requests:
                 self._calls.append(now)
             most = min(loan.count, missing)
@@ -295,6 +306,8 @@
             requests.setdefault(loan.owner, []).append(
                 LoanRequest(*key[:2], most, loan.frame, key[2:])
             )
+        for loan in deferred:
+            heapq.heappush(pool.loans, loan)
         self._drop_old_loans(pool, now)
 
     def _is_useful(self, pool, loan, now):
--- a/cicadapond/credits/credits_test.py
+++ b/cicadapond/credits/credits_test.py
@@ -1,5 +1,7 @@
 """Tests of how permits are lent, kept and divided, in virtual time and without messages."""
 
+import zlib
+
 import attrs
 import pytest
 from hypothesis import given
@@ -54,6 +56,13 @@
         assert owned[name] == PermitSchedule("e", name, names).permits(rate, frame)
 
 
+def test_the_owners_of_a_very_high_limit_are_found_at_once():
+    """Guards against a loop over the permits, which stops the process for a limit of 1e15."""
+    owned = permit_owners("e", NAMES, 1e15, 1_780_000_000)
+    for name in NAMES:
+        assert owned[name] == PermitSchedule("e", name, NAMES).permits(1e15, 1_780_000_000)
+
+
 def test_what_is_lent_is_not_used_by_the_owner():
     ledger, now = PermitLedger(), seconds(5)
     assert ledger.lend(5, 7, seconds(1), 3, now) == 3
@@ -154,6 +163,13 @@
         [["e", 1, 10**9]],
         [["e", [[1, -5]]]],
         [["e", 1, "5", 4]],
+        [["e", float("inf"), 1, 2, 0, 1]],
+        [["e", float("inf"), 1]],
+        [["e", float("inf"), 1, 4]],
+        [["e", 10**18, 1, 4]],
+        [["e", [[1, 1001]]]],
+        [["e", 1, 5, 1001]],
+        {"e": 1},
     ],
 )
 def test_a_malformed_message_is_an_error(read, items):
@@ -184,3 +200,49 @@
         asked += known.due()
         clock.advance(seconds(1.2))
     assert sorted(asked) == sorted(owned)
+
+
+def test_a_reply_is_counted_once_if_an_owner_is_asked_for_two_pools():
+    """Guards against a loan that is issued twice while processes see different limits."""
+    clock, owned = ManualClock(), 4
+    known = keeper(clock, owned)
+    for parts, part, demand in ((1, 0, 0), (2, zlib.crc32(b"owner") % 2, 10)):
+        known.ask("p", attrs.evolve(ask(9), part=part, parts=parts, demand=demand))
+    for _ in range(3):
+        requests, sent_at = known.due().get("owner", []), clock.monotonic()
+        replies = []
+        for request in requests:
+            count = min(request.most, owned, 3)
+            owned -= count
+            replies.append(LendReply("e", frame_of(clock.now()), Permits(count, seconds(0.9))))
+        known.lent("owner", requests, replies, sent_at)
+        clock.advance(seconds(0.02))
+    held = sum(pool["held"] for pool in known.state().values())
+    assert held == 4 - owned > 0
+
+
+def test_an_owner_cannot_lend_more_than_it_was_asked_for():
+    """Guards against permits that no schedule deals, from a faulty owner."""
+    clock = ManualClock()
+    known = keeper(clock, owned=2)
+    known.ask("p", ask(9))
+    assert collect(known, clock, 1000) == 2
+
+
+@pytest.mark.parametrize("offset", [-(10**9), -3600, 3600, 10**9])
+def test_an_owner_with_a_wrong_clock_is_asked_once_a_frame(offset):
+    """Guards against a frame number in a reply that stops the loans, or collects them for hours."""
+    clock = ManualClock()
+    known = keeper(clock)
+    calls = 0
+    for _ in range(200):
+        known.ask("p", ask(50, demand=100))
+        requests, sent_at = known.due().get("owner", []), clock.monotonic()
+        calls += bool(requests)
+        if requests:
+            reply = LendReply("e", frame_of(clock.now()) + offset, Permits(1, seconds(0.5)))
+            known.lent("owner", requests, [reply], sent_at)
+        clock.advance(seconds(0.05))
+    assert 8 <= calls <= 12
+    (pool,) = known._pools.values()
+    assert len(pool.loans) <= 2
