Use no borrowed permit that ended, was not asked for, or names another server

A permit that ended between the check and the count was used, as the result of the count was ignored. A reply for another server, or with more permits than were asked for, was taken. Requests that a pause holds back borrowed permits, which then expired unused. Loans asked of unknown servers were remembered for ever.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -254,7 +254,9 @@
                 known.ledger.use_unlimited(frame)
             else:
                 share = self._schedule(entry.name).permits(limit, frame)
-                known.ledger.take(share, frame, self._clock.monotonic())
+                # A permit may have ended since the check above.
+                if not known.ledger.take(share, frame, self._clock.monotonic()):
+                    return False
         self._pauses.take(entry.name, entry.born)
         return True
 
@@ -284,7 +286,9 @@
         processes = self._processes()
         if self.on_want is None or processes is None or len(processes) < 2:
             return
-        found = [self._find(entry) for entry in entries]
+        # A borrowed permit would expire unused at a server that pauses.
+        ready = [each for each in entries if not self._pauses.remaining(each.name, each.born)]
+        found = [self._find(entry) for entry in ready]
         limited = [known for known in found if known and known.advisory.rate_limit is not None]
         if limited:
             self._wants += 1
@@ -314,7 +318,7 @@
         ask: Ask,
         reply: AskReply | None,
         sent_at: datetime.timedelta,
-        again: datetime.timedelta,
+        again: datetime.timedelta | None,
     ) -> int:
         """Adds what was borrowed.
 
@@ -330,20 +334,24 @@
         known = self._known.get(ask.server)
         if known is None or known.advisory.born != ask.born:
             return 0
-        permits, now = reply.permits if reply is not None else (), self._clock.monotonic()
+        is_meant = reply is not None and reply.server == ask.server
+        permits, now = reply.permits if is_meant else (), self._clock.monotonic()
+        total = 0
         for each in permits:
-            known.ledger.receive(each.count, sent_at + each.left, now)
+            count = min(each.count, ask.wanted - total)
+            known.ledger.receive(count, sent_at + each.left, now)
+            total += count
         if not permits and again is not None:
             known.ledger.give_up(now + again)
-        return sum(each.count for each in permits)
+        return total
 
     def lend(self, request: LoanRequest) -> LendReply | None:
         """Gives up permits of the frame that is on; None if the server's limit is not known."""
-        known, schedule = self._known.get(request.server), self._schedule(request.server)
-        if known is None or schedule is None or known.advisory.born != request.born:
+        known = self._known.get(request.server)
+        if known is None or known.advisory.born != request.born:
             return None
-        limit = known.advisory.rate_limit
-        if limit is None:
+        limit, schedule = known.advisory.rate_limit, self._schedule(request.server)
+        if limit is None or schedule is None:
             return None
         wall, now = self._clock.now(), self._clock.monotonic()
         frame = frame_of(wall)
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -122,6 +122,67 @@
     assert sum(known.take(ENTRY) for _ in range(9)) <= 1
 
 
+class SteppingClock(ManualClock):
+    """A clock that moves with each reading, as time passes between two of them."""
+
+    def monotonic(self):
+        self.advance(seconds(0.01))
+        return super().monotonic()
+
+
+def test_a_permit_that_ends_while_it_is_taken_is_not_used():
+    """Guards against a send whose permit was valid at the check before, but not when counted."""
+    clock = SteppingClock()
+    known = borrowing(clock)
+    while known.take(ENTRY):
+        pass
+    ask, reply = Ask("e", 0, 1, 1), AskReply("e", (Permits(1, seconds(0.035)),))
+    outcomes = set()
+    for late_ms in range(40):
+        sent_at = ManualClock.monotonic(clock) - seconds(late_ms / 1000)
+        known.receive(ask, reply, sent_at, None)
+        (permits,) = known._known["e"].ledger._borrowed
+        is_sent = known.take(ENTRY)
+        assert is_sent == (permits.count == 0), late_ms
+        outcomes.add(is_sent)
+        known._known["e"].ledger.drop_borrowed()
+    assert outcomes == {True, False}
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        AskReply("other", (Permits(1, seconds(1)),)),
+        AskReply("e", (Permits(1, seconds(1)), Permits(50, seconds(1)))),
+    ],
+)
+def test_a_process_uses_no_more_borrowed_permits_than_it_asked_for(reply):
+    """Guards against a faulty keeper, whose reply names another server or too many permits."""
+    known = borrowing(ManualClock())
+    while known.take(ENTRY):
+        pass
+    known.receive(Ask("e", 0, 2, 1), reply, seconds(0), None)
+    assert sum(known.take(ENTRY) for _ in range(99)) == (2 if reply.server == "e" else 0)
+
+
+def test_nothing_is_borrowed_for_a_server_that_pauses():
+    """Guards against permits that are lent to a process that may not use them."""
+    known = borrowing(ManualClock())
+    while known.take(ENTRY):
+        pass
+    known.record(ENTRY, attrs.evolve(LIMITED, retry_after=seconds(5)))
+    known.want([ENTRY])
+    assert not known.asks(seconds(0.25))
+
+
+def test_requests_for_loans_of_unknown_servers_are_not_remembered():
+    """Guards against memory that grows with each server that has gone."""
+    known = borrowing(ManualClock())
+    for number in range(100):
+        known.lend(LoanRequest(f"gone-{number}", 0, 1))
+    assert len(known._schedules) <= 1
+
+
 def test_a_request_waits_for_a_borrowed_permit_but_not_once_there_are_none():
     clock = ManualClock()
     known = borrowing(clock)
--- a/cicadapond/gateway/_permits.py
+++ b/cicadapond/gateway/_permits.py
@@ -198,7 +198,8 @@
             sent_at = self._clock.monotonic()
             found = await self._call(keeper, payload, read_ask_reply)
             if found is not None:
-                return sum(self._advisories.receive(ask, reply, sent_at, None) for reply in found)
+                reply = next((each for each in found if each.server == ask.server), None)
+                return self._advisories.receive(ask, reply, sent_at, None)
             self._unreachable_until[keeper] = self._clock.monotonic() + KEEPER_RETRY_DELAY
         return 0
 
