Let a fall of a limit end the permits that are held or on their way

A process that had heard of a lower limit dropped its borrowed permits, but still took those that a keeper held, or that a call brought, from owners under the higher limit. Calls name the limit; owners lend nothing dealt under a higher one, keepers have a pool for each limit, and a reply to a call from before the fall is dropped.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -310,7 +310,7 @@
             if wanted:
                 parts = keeper_parts(len(self._processes() or ()), limit)
                 demand = known.ledger.demand(now)
-                found.append(Ask(server, known.advisory.born, wanted, demand, parts=parts))
+                found.append(Ask(server, known.advisory.born, limit, wanted, demand, parts=parts))
         return found
 
     def receive(
@@ -334,6 +334,8 @@
         known = self._known.get(ask.server)
         if known is None or known.advisory.born != ask.born:
             return 0
+        if _is_lower(known.advisory.rate_limit, ask.limit):
+            return 0  # the limit has fallen during the call
         is_meant = reply is not None and reply.server == ask.server
         permits, now = reply.permits if is_meant else (), self._clock.monotonic()
         total = 0
@@ -346,12 +348,15 @@
         return total
 
     def lend(self, request: LoanRequest) -> LendReply | None:
-        """Gives up permits of the frame that is on; None if the server's limit is not known."""
+        """Gives up permits of the frame that is on.
+
+        None if the server's limit is not known here, or a lower one to those that ask.
+        """
         known = self._known.get(request.server)
         if known is None or known.advisory.born != request.born:
             return None
         limit, schedule = known.advisory.rate_limit, self._schedule(request.server)
-        if limit is None or schedule is None:
+        if limit is None or schedule is None or limit > request.limit:
             return None
         wall, now = self._clock.now(), self._clock.monotonic()
         frame = frame_of(wall)
--- a/cicadapond/credits/_keeper.py
+++ b/cicadapond/credits/_keeper.py
@@ -85,7 +85,7 @@
 
 @attrs.define
 class _Pool:
-    """What a keeper knows of one start of a server, and of one part of the owners."""
+    """What a keeper knows of one start of a server and its limit, and of one part of the owners."""
 
     askers: dict[str, _Asker] = attrs.field(factory=dict)
     held: list[_Held] = attrs.field(factory=list)
@@ -114,7 +114,7 @@
         self._process = process
         self._owners = owners
         # By server, start, part and number of parts.
-        self._pools: dict[tuple[str, int, int, int], _Pool] = {}
+        self._pools: dict[tuple[str, int, float, int, int], _Pool] = {}
         # An owner's frame and its end on this process's monotonic clock.
         self._phases: dict[str, tuple[int, datetime.timedelta]] = {}
         self._unreachable_until: dict[str, datetime.timedelta] = {}
@@ -127,7 +127,9 @@
     def ask(self, process: str, ask: Ask) -> AskReply:
         """Records what a process needs, and issues permits to it."""
         now = self._clock.monotonic()
-        pool = self._pools.setdefault((ask.server, ask.born, ask.part, ask.parts), _Pool())
+        pool = self._pools.setdefault(
+            (ask.server, ask.born, ask.limit, ask.part, ask.parts), _Pool()
+        )
         self._forget(pool, now)
         asker = pool.askers.get(process)
         if asker is None:
@@ -180,7 +182,7 @@
         found = {reply.server: reply for reply in replies or ()}
         total = 0
         for request in requests:
-            pool = self._pools.get((request.server, request.born, *request.part))
+            pool = self._pools.get((request.server, request.born, request.limit, *request.part))
             if pool is None:
                 continue
             pool.pending -= request.most
@@ -198,13 +200,13 @@
         """Returns the pools, for a dump."""
         now = self._clock.monotonic()
         return {
-            f"{server} {part + 1}/{parts}": {
+            f"{server} {limit:g}/s {part + 1}/{parts}": {
                 "demand": round(sum(asker.demand for asker in pool.askers.values()), 1),
                 "askers": len(pool.askers),
                 "held": sum(held.count for held in pool.held if held.ends > now),
                 "lent_last_second": pool.supply,
             }
-            for (server, _, part, parts), pool in sorted(self._pools.items())
+            for (server, _, limit, part, parts), pool in sorted(self._pools.items())
         }
 
     def _add(self, owner, pool, request, reply, sent_at, now):
@@ -260,7 +262,7 @@
 
     def _plan(self, key, pool, now):
         """Plans the loans of each frame when some owner's clock may have reached it."""
-        server, born, part, parts = key
+        server, born, _, part, parts = key
         wall = self._clock.now()
         for frame in (frame_of(wall), frame_of(wall + MAX_CLOCK_DIFFERENCE)):
             if frame <= pool.planned_until:
@@ -296,7 +298,7 @@
             if not self._is_useful(pool, loan, now):
                 continue
             if any(request.server == key[0] for request in requests.get(loan.owner, ())):
-                # Replies name only the server, so another pool's loan has to wait for the next call.
+                # Replies name only the server, so the loan waits for the next call.
                 deferred.append(loan)
                 continue
             if loan.owner not in requests:
@@ -304,7 +306,7 @@
             most = min(loan.count, missing)
             pool.pending += most
             requests.setdefault(loan.owner, []).append(
-                LoanRequest(*key[:2], most, loan.frame, key[2:])
+                LoanRequest(*key[:3], most, loan.frame, key[3:])
             )
         for loan in deferred:
             heapq.heappush(pool.loans, loan)
--- a/cicadapond/credits/_messages.py
+++ b/cicadapond/credits/_messages.py
@@ -41,6 +41,8 @@
     Attributes:
       server: The server's name.
       born: Its start.
+      limit: The limit in requests per second that the process knows; permits that were dealt under
+        a higher one are of no use to it.
       wanted: How many permits the process would use now.
       demand: The requests a second that its callers have for the server.
       part: Which owners it is about, of as many `parts` as a busy server's owners are divided into.
@@ -49,6 +51,7 @@
 
     server: str
     born: int
+    limit: float
     wanted: int
     demand: float
     part: int = 0
@@ -57,7 +60,8 @@
     def as_list(self) -> list:
         """Returns it in the form in which it is sent."""
         demand = math.ceil(self.demand)
-        return [self.server, self.born, self.wanted, demand, self.part, self.parts]
+        limit = _compact(self.limit)
+        return [self.server, self.born, limit, self.wanted, demand, self.part, self.parts]
 
     def divide(self, first: int) -> "list[Ask]":
         """Divides it among the parts, beginning with one of them; as many as permits are wanted."""
@@ -87,7 +91,7 @@
 
 @attrs.frozen
 class LoanRequest:
-    """How many permits of the frame that is on an owner is asked for.
+    """How many permits of the frame that is on an owner is asked for, dealt under at most a limit.
 
     What only the keeper needs is not sent: `frame` is the one that should be on there, as far as it
     knows, and `part` the part and the number of parts for which it asks.
@@ -95,13 +99,14 @@
 
     server: str
     born: int
+    limit: float
     most: int
     frame: int = 0
     part: tuple[int, int] = (0, 1)
 
     def as_list(self) -> list:
         """Returns it in the form in which it is sent."""
-        return [self.server, self.born, self.most]
+        return [self.server, self.born, _compact(self.limit), self.most]
 
 
 @attrs.frozen
@@ -127,12 +132,13 @@
         Ask(
             _text(server),
             _integer(born),
+            _limit(limit),
             _count(wanted),
             _count(demand),
             _count(part),
             _parts(parts),
         )
-        for server, born, wanted, demand, part, parts in items[:MAX_SERVERS_PER_CALL]
+        for server, born, limit, wanted, demand, part, parts in items[:MAX_SERVERS_PER_CALL]
     ]
 
 
@@ -155,8 +161,8 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        LoanRequest(_text(server), _integer(born), _count(most))
-        for server, born, most in items[:MAX_SERVERS_PER_CALL]
+        LoanRequest(_text(server), _integer(born), _limit(limit), _count(most))
+        for server, born, limit, most in items[:MAX_SERVERS_PER_CALL]
     ]
 
 
@@ -197,6 +203,17 @@
     return value
 
 
+def _limit(value):
+    if not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+        raise ValueError(f"not a limit: {value!r}")
+    return float(value)
+
+
+def _compact(limit):
+    """Returns a number that is equal, and takes fewer bytes if it is whole and small."""
+    return int(limit) if limit <= MAX_COUNT and limit == int(limit) else limit
+
+
 def _parts(value):
     if not _count(value):
         raise ValueError("there is no part")
