Close connections for frequent queries also after the last query

Idle ones were closed only by the next query, so a process that had asked others kept up to one connection to each of them. The task's tick closes them. Test: test_a_connection_for_frequent_queries_is_closed_when_the_queries_end (failed).

--- a/cicadapond/peer/_asking.py
+++ b/cicadapond/peer/_asking.py
@@ -142,7 +142,7 @@
 
         A connection on which an answer was late is closed, so that no answer is taken for another.
         """
-        self._close_idle()
+        self.close_idle()
         link = None
         try:
             async with asyncio.timeout(timeout.total_seconds()):
@@ -179,7 +179,8 @@
         link.used_at = self._clock.monotonic()
         return link
 
-    def _close_idle(self):
+    def close_idle(self) -> None:
+        """Closes the connections that were not used for a while."""
         oldest = self._clock.monotonic() - KEPT_IDLE_TIME
         for endpoint, link in list(self._links.items()):
             if link.is_closed or (link.used_at < oldest and not link.is_waiting):
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -192,6 +192,7 @@
             self._membership.tick(self._clock.monotonic())
             self._flush_outputs()
             self._reconcile()
+            self._kept_queries.close_idle()
             await self._clock.sleep(TICK_INTERVAL)
 
     async def leave(self) -> None:
--- a/cicadapond/peer/peer_test.py
+++ b/cicadapond/peer/peer_test.py
@@ -324,6 +324,22 @@
     await world.tasks.stop()
 
 
+@virtual
+async def test_a_connection_for_frequent_queries_is_closed_when_the_queries_end():
+    """Guards against idle connections to all processes that are left after the last query."""
+    world = World(per_zone=1)
+    world.start()
+    await world.sleep(8)
+    asking = world.peers["yqr-0"]
+    world.peers["yxe-0"].register_handler("same", lambda payload: payload)
+    links = len(world.network.links)
+    assert await asking.query_often("yxe-0", "same", 1, seconds(0.1)) == Ok(1)
+    assert len(world.network.links) > links
+    await world.sleep(7)
+    assert len(world.network.links) <= links
+    await world.tasks.stop()
+
+
 @virtual
 async def test_a_late_answer_is_not_taken_for_that_of_the_next_query():
     world = World(per_zone=1)
