Wait after a call about permits that fails, and bound the ranked keepers

An error in a call was followed by the next call in the next tick, with a line in the log for each. The keepers' candidates were kept for every server since the last change of the members.

--- a/cicadapond/gateway/_permits.py
+++ b/cicadapond/gateway/_permits.py
@@ -44,6 +44,8 @@
 MAX_FURTHER_PARTS = 2
 # A keeper that has changed, or none, is logged at most this often for each server.
 KEEPER_LOG_INTERVAL = datetime.timedelta(seconds=10)
+# The candidates of more servers and parts than this are ranked anew, as some servers have gone.
+MAX_RANKED = 5000
 
 
 class PermitCalls(abc.ABC):
@@ -170,7 +172,7 @@
         """Asks the keepers of as many parts as permits are wanted; of all the others if in vain."""
         first = self._next_part.get(ask.server, 0)
         self._next_part[ask.server] = (first + ask.wanted) % ask.parts
-        asks = ask.divide(first)
+        asks, got = ask.divide(first), 0
         try:
             got = sum(await asyncio.gather(*map(self._ask_part, asks)))
             if not got and len(asks) < ask.parts:
@@ -181,10 +183,10 @@
                 got = sum(await asyncio.gather(*map(self._ask_part, rest)))
         finally:
             self._asking.discard(ask.server)
-        now = self._clock.monotonic()
-        if not got:
-            self._advisories.receive(ask, None, now, ASK_INTERVAL)
-        self._next_ask[ask.server] = now + (MIN_ASK_INTERVAL if got else ASK_INTERVAL)
+            now = self._clock.monotonic()
+            if not got:
+                self._advisories.receive(ask, None, now, ASK_INTERVAL)
+            self._next_ask[ask.server] = now + (MIN_ASK_INTERVAL if got else ASK_INTERVAL)
         self._metrics.count("permits_asked", ask.wanted)
         self._metrics.count("permits_borrowed", got)
 
@@ -206,7 +208,7 @@
     def _keeper_of(self, server, part):
         """Returns the first process by rank that is not known to be out of reach."""
         now, live = self._clock.monotonic(), tuple(self._live())
-        if self._ranked[0] != live:
+        if self._ranked[0] != live or len(self._ranked[1]) >= MAX_RANKED:
             self._ranked = (live, {})
             self._forget(now)
         ranked = self._ranked[1].get((server, part))
--- a/cicadapond/gateway/permits_test.py
+++ b/cicadapond/gateway/permits_test.py
@@ -12,7 +12,7 @@
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.credits import PermitSchedule, frame_of, permit_owners
 from cicadapond.data import Endpoint
-from cicadapond.gateway._permits import TOPIC, PermitCalls, PermitExchange
+from cicadapond.gateway._permits import MAX_RANKED, TOPIC, PermitCalls, PermitExchange
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.gateway.run_test import Log
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
@@ -400,3 +400,49 @@
     world = play_callers(60, 20.0, old=old, skew_s=0.0)
     world.check_limit()
     assert 0.8 * 0.5 <= world.used(8.0, 12.0) <= 0.51
+
+
+def lone_exchange(calls):
+    """Returns the exchange of one of two processes, and the statements that it knows."""
+    clock = HostClock(0.0, 0.0)
+    advisories = ServerAdvisories(clock, "p-0", lambda: ("p-0", "p-1"))
+    advisories.record(ENTRY, ResponseHead(200, (), rate_limit=1.0))
+    live = ("p-1",)
+    exchange = PermitExchange("p-0", advisories, calls, lambda: live, clock, Log(), Metrics())
+    return exchange, advisories
+
+
+def test_a_call_that_fails_is_not_repeated_at_once():
+    """Guards against a call in each tick, and a line in the log for each, after an error."""
+
+    class FailingCalls(PermitCalls):
+        count = 0
+
+        async def call(self, process, payload, timeout):
+            self.count += 1
+            raise OSError("no sockets are left")
+
+    async def main():
+        calls = FailingCalls()
+        exchange, advisories = lone_exchange(calls)
+        running = asyncio.ensure_future(exchange.run())
+        for _ in range(100):
+            advisories.want([ENTRY])
+            await asyncio.sleep(0.01)
+        running.cancel()
+        await exchange.close()
+        return calls.count
+
+    assert 1 <= run_virtual(main()) <= 10
+
+
+def test_the_keepers_of_servers_that_have_gone_are_not_remembered():
+    """Guards against memory that grows with each server while the processes stay the same."""
+
+    async def main():
+        exchange, _ = lone_exchange(None)
+        for number in range(3 * MAX_RANKED):
+            exchange._keeper_of(f"gone-{number}", 0)
+        return len(exchange._ranked[1]), len(exchange._keepers)
+
+    assert max(run_virtual(main())) <= MAX_RANKED
