Do not tell refused callers to return within the time of a borrowed permit

Retry-After was computed with the 20 ms in which a keeper answers, so callers refused while others waited for permits returned after 0 to 0.5 s instead of at the next own permit. Test: test_callers_refused_while_others_wait_for_borrowed_permits_do_not_return_at_once (0.45 s instead of at least 1 s).

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -263,8 +263,21 @@
     def time_until_permit(self, entry: ServerEntry) -> datetime.timedelta | None:
         """Returns the time until this process may send to a server that it may not send to now.
 
-        None if its limit admits nothing for a long time.
+        A permit may be borrowed by then.  None if its limit admits nothing for a long time.
         """
+        known = self._find(entry)
+        if (
+            known is not None
+            and known.advisory.rate_limit is not None
+            and self.on_want is not None
+            and not self._pauses.remaining(entry.name, entry.born)
+            and known.ledger.may_borrow(self._clock.monotonic())
+        ):
+            return BORROW_TIME
+        return self.time_until_own_permit(entry)
+
+    def time_until_own_permit(self, entry: ServerEntry) -> datetime.timedelta | None:
+        """Returns the time as `time_until_permit`, but does not count on borrowed permits."""
         pause = self._pauses.remaining(entry.name, entry.born)
         if pause:
             return pause
@@ -273,8 +286,6 @@
             return None
         if known.advisory.rate_limit is None:
             return PLACE_POLL_INTERVAL if known.advisory.brittle is not None else None
-        if self.on_want is not None and known.ledger.is_hopeful(self._clock.monotonic()):
-            return BORROW_TIME
         now = self._clock.now()
         ahead = schedule.frames_until_permit(known.advisory.rate_limit, frame_of(now))
         return time_until_frame(frame_of(now) + ahead, now) if ahead is not None else None
--- a/cicadapond/credits/_ledger.py
+++ b/cicadapond/credits/_ledger.py
@@ -83,11 +83,11 @@
         if self._nothing_until is None or now >= self._nothing_until:
             self._wants.append(now)
 
-    def is_hopeful(self, now: datetime.timedelta) -> bool:
+    def may_borrow(self, now: datetime.timedelta) -> bool:
         """Returns whether a request that found no permit may get a borrowed one shortly."""
         _drop_before(self._wants, now - WANT_LIFETIME)
-        is_known = self._nothing_until is not None and now < self._nothing_until
-        return bool(self._wants) and not is_known
+        has_nothing = self._nothing_until is not None and now < self._nothing_until
+        return bool(self._wants) and not has_nothing
 
     def give_up(self, until: datetime.timedelta) -> None:
         """Records that there is nothing to borrow until a monotonic time."""
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -51,7 +51,7 @@
 
     def time_until_permit(self) -> datetime.timedelta | None:
         """Returns the time until one of the `limited` accepts a request, None if it is long."""
-        return self._time_until_permit(self.limited())
+        return self._soonest(self._parts.advisories.time_until_permit, self.limited())
 
     def retry_after(self, request_id: str) -> datetime.timedelta | None:
         """Returns when to come back if no server of the service accepts requests now.
@@ -65,7 +65,9 @@
         if not usable or len(limited) < len(usable):
             return None
         spread = zlib.crc32(request_id.encode()) / 2**32 * RETRY_SPREAD
-        return (self._time_until_permit(limited) or UNKNOWN_RETRY_AFTER) + spread
+        # A borrowed permit may come sooner, but requests wait for it here already.
+        wait = self._soonest(self._parts.advisories.time_until_own_permit, limited)
+        return (wait or UNKNOWN_RETRY_AFTER) + spread
 
     async def find_version(self, first_request_id: str | None) -> bool:
         """Finds the software version at which a continued stream goes on.
@@ -110,6 +112,6 @@
     def _limited(self, servers):
         return [entry for entry in servers if not self._parts.advisories.may_send(entry)]
 
-    def _time_until_permit(self, servers):
-        waits = map(self._parts.advisories.time_until_permit, servers)
+    def _soonest(self, time_until, servers):
+        waits = map(time_until, servers)
         return min((wait for wait in waits if wait is not None), default=None)
