--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -352,9 +352,10 @@
         total = 0
         for each in permits:
             count = min(each.count, ask.wanted - total)
-            known.ledger.receive(count, sent_at + each.left, now)
-            total += count
-        if not permits and again is not None:
+            if count:
+                known.ledger.receive(count, sent_at + each.left, now)
+                total += count
+        if not total and again is not None:
             known.ledger.give_up(now + again)
         return total
 
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -186,6 +186,14 @@
     assert not known.asks(seconds(0.25))
 
 
+def test_a_reply_with_many_empty_permits_is_not_kept():
+    """Guards against a reply that fills the memory, and is sorted again with each of its parts."""
+    known = borrowing(ManualClock())
+    reply = AskReply("e", (Permits(0, seconds(1)),) * 500 + (Permits(1, seconds(1)),) * 500)
+    assert known.receive(Ask("e", 0, 2.0, 2, 1), reply, seconds(0), None) == 2
+    assert len(known._known["e"].ledger._borrowed) <= 2
+
+
 def test_requests_for_loans_of_unknown_servers_are_not_remembered():
     """Guards against memory that grows with each server that has gone."""
     known = borrowing(ManualClock())
