--- a/cicadapond/credits/_keeper.py
+++ b/cicadapond/credits/_keeper.py
@@ -21,7 +21,7 @@
 # A process that has not asked for this long needs nothing more.
 ASK_LIFETIME = datetime.timedelta(seconds=1)
 # Permits with less time left than this are issued also to those who had their share of the frame,
-# lest they expire unused.
+# so that they do not expire unused.
 SPENDING_TIME = FRAME / 2
 # By how many seconds of its demand a process may be ahead of the others and still get permits
 # early in a frame: what it asks for at once.
@@ -54,7 +54,7 @@
 
 
 @attrs.define
-class _Asker:
+class _Borrower:
     """A process that asks: its demand, when it asked last, and how much of its demand it got.
 
     `level` is in seconds of its demand, counted from the least that others had when it came.
@@ -87,7 +87,7 @@
 class _Pool:
     """What a keeper knows of one start of a server and its limit, and of one part of the owners."""
 
-    askers: dict[str, _Asker] = attrs.field(factory=dict)
+    borrowers: dict[str, _Borrower] = attrs.field(factory=dict)
     held: list[_Held] = attrs.field(factory=list)
     loans: list[_Loan] = attrs.field(factory=list)
     planned_until: int = 0
@@ -131,12 +131,12 @@
             (ask.server, ask.born, ask.limit, ask.part, ask.parts), _Pool()
         )
         self._forget(pool, now)
-        asker = pool.askers.get(process)
-        if asker is None:
-            level = min((each.level for each in pool.askers.values()), default=0.0)
-            asker = pool.askers[process] = _Asker(ask.demand, now, level)
-        asker.demand, asker.asked_at = ask.demand, now
-        return AskReply(ask.server, self._issue(pool, asker, ask.wanted, now))
+        borrower = pool.borrowers.get(process)
+        if borrower is None:
+            level = min((each.level for each in pool.borrowers.values()), default=0.0)
+            borrower = pool.borrowers[process] = _Borrower(ask.demand, now, level)
+        borrower.demand, borrower.asked_at = ask.demand, now
+        return AskReply(ask.server, self._issue(pool, borrower, ask.wanted, now))
 
     def due(self) -> dict[str, list[LoanRequest]]:
         """Returns what to ask the owners for now; each must be followed by `lent`."""
@@ -149,7 +149,7 @@
         }
         for key, pool in list(self._pools.items()):
             self._forget(pool, now)
-            if not pool.askers:
+            if not pool.borrowers:
                 if not pool.pending:
                     del self._pools[key]
                 continue
@@ -201,8 +201,8 @@
         now = self._clock.monotonic()
         return {
             f"{server} {limit:g}/s {part + 1}/{parts}": {
-                "demand": round(sum(asker.demand for asker in pool.askers.values()), 1),
-                "askers": len(pool.askers),
+                "demand": round(sum(borrower.demand for borrower in pool.borrowers.values()), 1),
+                "borrowers": len(pool.borrowers),
                 "held": sum(held.count for held in pool.held if held.ends > now),
                 "lent_last_second": pool.supply,
             }
@@ -222,12 +222,12 @@
             pool.supply += count
         return count
 
-    def _issue(self, pool, asker, wanted, now):
+    def _issue(self, pool, borrower, wanted, now):
         """Takes permits from the pool, those that end first."""
-        demand = sum(each.demand for each in pool.askers.values())
+        demand = sum(each.demand for each in pool.borrowers.values())
         total = sum(each.count for each in pool.held)
-        share = math.ceil(total * asker.demand / demand) if demand else 1
-        fair = self._fair_count(pool, asker)
+        share = math.ceil(total * borrower.demand / demand) if demand else 1
+        fair = self._fair_count(pool, borrower)
         issued = []
         for held in pool.held:
             left = held.ends - now
@@ -241,24 +241,24 @@
                 issued.append(Permits(count, left))
         pool.held = [held for held in pool.held if held.count]
         got = sum(permits.count for permits in issued)
-        others = [each.level for each in pool.askers.values() if each is not asker]
-        asker.level += got / max(asker.demand, MIN_DEMAND)
+        others = [each.level for each in pool.borrowers.values() if each is not borrower]
+        borrower.level += got / max(borrower.demand, MIN_DEMAND)
         if others:
-            asker.level = min(asker.level, min(others) + MAX_LEAD)
+            borrower.level = min(borrower.level, min(others) + MAX_LEAD)
         return tuple(issued)
 
-    def _fair_count(self, pool, asker):
+    def _fair_count(self, pool, borrower):
         """Returns how many permits a process may get until the others had as much of their demand.
 
         All that there are if nobody else asks.
         """
-        others = [each.level for each in pool.askers.values() if each is not asker]
+        others = [each.level for each in pool.borrowers.values() if each is not borrower]
         if not others:
             return sum(each.count for each in pool.held)
-        lead = asker.level - min(others)
+        lead = borrower.level - min(others)
         if lead > FAIR_LEAD:
             return 0
-        return max(1, math.floor((FAIR_LEAD - lead) * asker.demand))
+        return max(1, math.floor((FAIR_LEAD - lead) * borrower.demand))
 
     def _plan(self, key, pool, now):
         """Plans the loans of each frame when some owner's clock may have reached it."""
@@ -288,7 +288,7 @@
         return begins if abs(begins - estimate) <= FRAME else estimate
 
     def _take_due(self, key, pool, now, requests):
-        demand = sum(each.demand for each in pool.askers.values())
+        demand = sum(each.demand for each in pool.borrowers.values())
         deferred = []
         while pool.loans and pool.loans[0].due_at <= now:
             missing = math.ceil(COLLECT_RATIO * demand) + 1 - pool.supply - pool.pending
@@ -314,7 +314,7 @@
 
     def _is_useful(self, pool, loan, now):
         """Returns whether an owner can lend, and needs its permits less than others."""
-        if loan.owner in pool.askers or now - loan.due_at > FRAME - MIN_TIME_LEFT:
+        if loan.owner in pool.borrowers or now - loan.due_at > FRAME - MIN_TIME_LEFT:
             return False
         return self._unreachable_until.get(loan.owner, now) <= now
 
@@ -323,9 +323,9 @@
             heapq.heappop(pool.loans)
 
     def _forget(self, pool, now):
-        for name, asker in list(pool.askers.items()):
-            if now - asker.asked_at > ASK_LIFETIME:
-                del pool.askers[name]
+        for name, borrower in list(pool.borrowers.items()):
+            if now - borrower.asked_at > ASK_LIFETIME:
+                del pool.borrowers[name]
         while pool.collected and now - pool.collected[0][0] > COLLECTED_WINDOW:
             pool.supply -= pool.collected.popleft()[1]
         pool.held = [held for held in pool.held if held.ends > now]
