--- a/cicadapond/credits/_schedule.py
+++ b/cicadapond/credits/_schedule.py
@@ -19,6 +19,8 @@
 # A server that states a lower limit still gets requests at this rate, as only an answer tells that
 # the limit has ended.
 MIN_RATE = 0.25
+# Higher limits count as this one, as the permits are numbered from 1970 on in floating point.
+MAX_RATE = 1e12
 # How far ahead the next permit is searched.
 MAX_FRAMES_AHEAD = 3
 # A keeper asks at most about so many owners a second: with the processes that ask it, its calls
@@ -102,7 +104,7 @@
 
 def _permit_numbers(rate, frame):
     """Returns the number of the first permit of a frame, and that of the next frame."""
-    per_frame = max(rate, MIN_RATE) * FRAME.total_seconds()
+    per_frame = min(max(rate, MIN_RATE), MAX_RATE) * FRAME.total_seconds()
     return math.floor(frame * per_frame), math.floor((frame + 1) * per_frame)
 
 
--- a/cicadapond/credits/credits_test.py
+++ b/cicadapond/credits/credits_test.py
@@ -63,6 +63,13 @@
         assert owned[name] == PermitSchedule("e", name, NAMES).permits(1e15, 1_780_000_000)
 
 
+def test_the_highest_limit_that_a_server_can_state_is_no_error():
+    """Guards against a limit that fails each request, and ends the exchange's task."""
+    schedule = PermitSchedule("e", "p-0", NAMES)
+    assert schedule.permits(1e308, 1_780_000_000) >= 10**9
+    assert permit_owners("e", NAMES, 1e308, 1_780_000_000)["p-0"] >= 10**9
+
+
 def test_what_is_lent_is_not_used_by_the_owner():
     ledger, now = PermitLedger(), seconds(5)
     assert ledger.lend(5, 7, seconds(1), 3, now) == 3
