--- a/cicadapond/gateway/permits_test.py
+++ b/cicadapond/gateway/permits_test.py
@@ -402,6 +402,32 @@
     assert 0.8 * 0.5 <= world.used(8.0, 12.0) <= 0.51
 
 
+@pytest.mark.parametrize("fall_s", [4.15, 4.3, 4.5, 4.7])
+def test_no_permit_of_a_higher_limit_is_used_after_the_limit_has_fallen(fall_s):
+    """Guards against permits that a keeper holds, or that are on their way, at the fall."""
+
+    async def main():
+        world = World(200.0)
+        world.extra_delay_s = 0.1
+        for number in range(40):
+            world.start(f"p-{number:02}")
+        for number in range(4):
+            world.hosts[f"p-{number:02}"].rate = 60.0
+        await asyncio.sleep(fall_s)
+        lower = ResponseHead(200, (), rate_limit=4.0)
+        for host in world.hosts.values():
+            host.advisories.record(ENTRY, lower)
+        await asyncio.sleep(1)
+        world.end()
+        return world
+
+    world = run_virtual(main())
+    assert world.used(2.0, 4.0) >= 0.5
+    frame = frame_of(VIRTUAL_EPOCH) + 4
+    owned = sum(permit_owners(ENTRY.name, world.names, 4.0, frame).values())
+    assert sum(fall_s < at < 5.0 for at, _ in world.requests) <= owned
+
+
 def lone_exchange(calls):
     """Returns the exchange of one of two processes, and the statements that it knows."""
     clock = HostClock(0.0, 0.0)
