Do not take a backlog for more demand

Cause: requests that wait count as requests in progress, so that during 4 s of overload the slots in demand grew from 9.8 to 17.9 engines; on-demand orders followed one or two engines at a time and came when the backlog was over.

Change: DemandMeter.begin_answer and end_answer tell it how many answers are being generated and how long they take. The slots in demand are the requests in progress, but at most the rate of arrivals times the time in a slot, or the answers being generated if those are more.

Not covered: prefill is counted when a request is sent, so prompts that are rejected unsent are no demand.

--- a/cicadapond/experiments/_orders_world.py
+++ b/cicadapond/experiments/_orders_world.py
@@ -208,6 +208,9 @@
         self._now = 0.0
         self._engines: list[Engine] = []
         self._meter_ends: list[float] = []
+        # (time, duration) of answers that begin, and of those that end.
+        self._answer_begins: list[tuple[float, float]] = []
+        self._answer_ends: list[tuple[float, float]] = []
         self._result = Result()
         # What each process sent to an engine since the engine was last heard of.
         self._sent: list[dict[str, _SentWork]] = [{} for _ in range(deployment.processes)]
@@ -233,6 +236,7 @@
             while self._meter_ends and self._meter_ends[0] <= self._now:
                 heapq.heappop(self._meter_ends)
                 self._meter.end("pool")
+            self._meter_answers()
             self._arrive()
             if step % round(OBSERVATION_INTERVAL_S / STEP_S) == 0:
                 self._orderer.observe(self._entries(), self._demand())
@@ -253,6 +257,14 @@
             self._clock.advance(seconds(STEP_S))
         return self._result
 
+    def _meter_answers(self):
+        while self._answer_begins and self._answer_begins[0][0] <= self._now:
+            began, took_s = heapq.heappop(self._answer_begins)
+            self._meter.begin_answer("pool")
+            heapq.heappush(self._answer_ends, (began + took_s, took_s))
+        while self._answer_ends and self._answer_ends[0][0] <= self._now:
+            self._meter.end_answer("pool", seconds(heapq.heappop(self._answer_ends)[1]))
+
     def _start(self, zone, is_reclaimable, count, ready_at):
         for _ in range(count):
             self._made += 1
@@ -341,6 +353,7 @@
             heapq.heappop(engine.ends)
         heapq.heappush(engine.ends, end)
         heapq.heappush(self._meter_ends, end)
+        heapq.heappush(self._answer_begins, (began, end - began))
         request = Request(value, now, end, began - now <= kind.objective_s)
         engine.requests = [each for each in engine.requests if each.end > now]
         engine.requests.append(request)
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -55,6 +55,8 @@
     def _record_begin(self, head):
         if head.load is not None:
             self._parts.placer.update_load(self._state.in_flight.server, head.load)
+        if self._state.in_flight.begun_at is None:
+            self._parts.demand.begin_answer(self._state.service)
         self._parts.placer.mark_answer_begun(self._state.in_flight)
         self._state.count_usage()
         self._state.crash_watch.begin_answer()
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -144,6 +144,10 @@
             if stream is not None:
                 parts.evacuation.end_attempt(stream)
             parts.placer.mark_ended(self._state.in_flight, took)
+            begun_at = self._state.in_flight.begun_at
+            if begun_at is not None:
+                took_answer = parts.clock.monotonic() - begun_at
+                parts.demand.end_answer(self._state.service, took_answer)
             self._state.observer.end(outcome)
         self._state.log(
             "attempt",
--- a/cicadapond/scaling/_demand.py
+++ b/cicadapond/scaling/_demand.py
@@ -4,6 +4,9 @@
 slots.  Short answers to long prompts use up the first, long answers the second.  Requests in the
 slots are counted instead of computed from their sizes, so that requests that wait because no slot
 is free count too: in an overload the demand must not fall.
+
+Load condition: a backlog.  Requests that wait count only as far as they arrive faster than the
+slots are left, else each second of waiting would look like more demand.
 """
 
 import datetime
@@ -138,6 +141,37 @@
             total.advance(0.0, now)
 
 
+class _Answers:
+    """The answers of one service that are being generated, and how long those that ended took."""
+
+    def __init__(self, now: datetime.timedelta):
+        self._count = 0
+        self._running = _Mean(0.0, now)
+        self._ended = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
+        self._took_s = _Mean(0.0, now, TOKEN_TIME_HALF_LIFE)
+
+    def change(self, by: int, now: datetime.timedelta) -> None:
+        self._running.advance(self._count, now)
+        self._count += by
+
+    def add(self, took_s: float, now: datetime.timedelta) -> None:
+        for total, amount in ((self._ended, 1.0), (self._took_s, took_s)):
+            total.advance(0.0, now)
+            total.value += amount
+
+    def running(self, now: datetime.timedelta) -> float:
+        self._running.advance(self._count, now)
+        return self._running.value
+
+    def stay_s(self, now: datetime.timedelta) -> float | None:
+        """Returns the mean time in seconds, None if too few answers ended lately."""
+        self._ended.advance(0.0, now)
+        self._took_s.advance(0.0, now)
+        if self._ended.value < MIN_PROMPTS:
+            return None
+        return self._took_s.value / self._ended.value
+
+
 class DemandMeter:
     """Measures demand by service.
 
@@ -152,6 +186,8 @@
         self._mean_in_progress: dict[str, _Mean] = {}
         # By service: the lasting mean of the requests in progress, and the sum of those begun.
         self._lasting: dict[str, tuple[_Mean, _Mean]] = {}
+        self._arrivals: dict[str, _Mean] = {}
+        self._answers: dict[str, _Answers] = {}
 
     def add_prefill(self, service: str, work: datetime.timedelta, tokens: int = 0) -> None:
         """Counts the prefill of one request and the tokens of its prompt, cached ones included."""
@@ -165,11 +201,26 @@
         """Counts a request that waits for a slot or occupies one, until `end`."""
         self._change(service, 1)
         self._lasting[service][1].value += 1.0
+        now = self._clock.monotonic()
+        arrivals = self._arrivals.setdefault(service, _Mean(0.0, now))
+        arrivals.advance(0.0, now)
+        arrivals.value += 1.0
 
     def end(self, service: str) -> None:
         """Ends what `begin` began."""
         self._change(service, -1)
 
+    def begin_answer(self, service: str) -> None:
+        """Counts a request that generates its answer, until `end_answer`."""
+        now = self._clock.monotonic()
+        self._answers.setdefault(service, _Answers(now)).change(1, now)
+
+    def end_answer(self, service: str, took: datetime.timedelta) -> None:
+        """Ends what `begin_answer` began that long ago."""
+        now = self._clock.monotonic()
+        self._answers[service].change(-1, now)
+        self._answers[service].add(took.total_seconds(), now)
+
     def prefilling_engines(self) -> dict[str, float]:
         """Returns, for each service, how many engines its requests keep busy with prefill."""
         now = self._clock.monotonic()
@@ -192,10 +243,29 @@
         return in_progress.value / per_s
 
     def requests_in_progress(self) -> dict[str, float]:
-        """Returns, for each service, the mean number of requests that use or await a slot."""
+        """Returns, for each service, the mean number of requests that use or need a slot.
+
+        Those that wait count only as far as they arrive faster than answers end: in a backlog the
+        number of slots that are needed is the rate of arrivals times the time in a slot.
+        """
         for service in self._in_progress:
             self._change(service, 0)
-        return {service: mean.value for service, mean in self._mean_in_progress.items()}
+        return {
+            service: min(mean.value, self._needed_slots(service))
+            for service, mean in self._mean_in_progress.items()
+        }
+
+    def _needed_slots(self, service):
+        now = self._clock.monotonic()
+        answers, arrivals = self._answers.get(service), self._arrivals.get(service)
+        stay_s = answers.stay_s(now) if answers is not None else None
+        prompts = self.prompt_times(service)
+        if stay_s is None or prompts is None:
+            return math.inf
+        arrivals.advance(0.0, now)
+        per_s = arrivals.value / (HALF_LIFE.total_seconds() / math.log(2.0))
+        prefilling = per_s * prompts.mean_s
+        return prefilling + max(answers.running(now), per_s * stay_s)
 
     def _change(self, service, by):
         now = self._clock.monotonic()
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -266,3 +266,27 @@
     before = meter.requests_in_progress()["pool"]
     clock.advance(seconds(3))
     assert meter.requests_in_progress()["pool"] > before
+
+
+def test_a_backlog_does_not_look_like_ever_more_demand():
+    """During 4 s of overload the slots in demand grew from 9.8 to 17.9 engines, and all came."""
+    clock = ManualClock()
+    meter = DemandMeter(clock)
+    waiting, ends = 0, []
+    for step in range(600):
+        # 10 answers of 1 s begin per second; after 20 s only 5 of them find a slot.
+        meter.add_prefill("pool", seconds(0.02), 1000)
+        meter.begin("pool")
+        waiting += 1
+        if step < 200 or step % 2:
+            waiting -= 1
+            meter.begin_answer("pool")
+            ends.append(step + 10)
+        while ends and ends[0] <= step:
+            ends.pop(0)
+            meter.end_answer("pool", seconds(1))
+            meter.end("pool")
+        clock.advance(seconds(0.1))
+        if step in (199, 280, 599):
+            assert 9 < meter.requests_in_progress()["pool"] < 11.5
+    assert waiting > 150
