Send no order that the listed servers fulfil already

Cause: each new holder of the lease sent an order for every data centre and kind, also where the servers were there.

Change: without an own earlier order, one is due only if the listed servers differ from it or some are leaving. Servers that an earlier holder ordered beyond that are corrected once they are listed.

--- a/cicadapond/scaling/_order_book.py
+++ b/cicadapond/scaling/_order_book.py
@@ -115,7 +115,10 @@
         """
         sent = self._sent.get(_target(order))
         if sent is None:
-            return Due.FIRST
+            # Servers that an earlier holder ordered and that have not started yet are not listed;
+            # once they are, the numbers differ.
+            is_fulfilled = listed.serving == order.count and not listed.leaving
+            return None if is_fulfilled else Due.FIRST
         now = self._clock.monotonic()
         if sent.outcome is not Outcome.ACCEPTED:
             return Due.RETRY if self._may_retry(order, now) else None
--- a/cicadapond/scaling/order_book_test.py
+++ b/cicadapond/scaling/order_book_test.py
@@ -64,6 +64,16 @@
     assert due(book, A, serving=0) is Due.MISSING
 
 
+def test_a_new_holder_sends_no_order_that_the_listed_servers_fulfil():
+    """Each change of the holder cost a call for every data centre and kind."""
+    book = OrderBook(ManualClock())
+    assert due(book, A, serving=4) is None
+    assert due(book, A, serving=4, leaving=1) is Due.FIRST
+    assert due(book, A, serving=3) is Due.FIRST
+    # One that the last holder ordered too many has started.
+    assert due(book, A, serving=5) is Due.FIRST
+
+
 def test_declined_orders_are_tried_for_one_data_centre_at_a_time():
     """Each data centre repeated its order every 3 s for 40 s."""
     clock = ManualClock()
