Look up the engine that keeps a part without a scan of all engines

A placement went through all 600 engines for those that keep the part. It now takes the first of the ranked ones that may be used.

--- a/cicadapond/residency/_cached_parts.py
+++ b/cicadapond/residency/_cached_parts.py
@@ -137,10 +137,14 @@
     def holders(self, parts, servers):
         if self._following(servers[0].service) is None:
             return ()
+        # The one that all processes prefer: if they drew at random, each copy would be used seldom
+        # and soon be evicted.
+        for source in self._sources(self._zone, parts):
+            for entry in servers:
+                if entry.name == source.name and entry.born == source.born:
+                    return (entry,)
         found = self._directory.holders(parts[-1], servers)
         near = [entry for entry in found if entry.zone == self._zone]
-        # Those that all processes prefer: if they drew at random, each copy would be used seldom
-        # and soon be evicted.
         return tuple(self._directory.first(parts[-1], near or found, MAX_HOLDERS))
 
     def fetch(self, entry, parts, cached):
@@ -148,9 +152,10 @@
         if following is None or following.token_ms is None or not parts:
             return None
         now = self._clock.monotonic() / _MILLISECOND
+        # Transfers between data centres take twice as long and their bytes are expensive.
+        sources = [each for each in self._sources(entry.zone, parts) if each.name != entry.name]
         found = [
-            self._transfer(each, parts, cached, following, now)
-            for each in self._sources(entry, parts)
+            self._transfer(each, parts, cached, following, now) for each in sources[:MAX_SOURCES]
         ]
         return min(filter(None, found), key=lambda each: each.expected_ms, default=None)
 
@@ -165,19 +170,15 @@
         self._directory.remove(engine)
         self._busy_until.pop(engine, None)
 
-    def _sources(self, entry, parts):
-        """Returns a few engines of the same data centre that keep the last part.
-
-        Transfers between data centres take twice as long and their bytes are expensive.
-        """
+    def _sources(self, zone, parts):
+        """Returns a few engines of a data centre that keep the last part, the preferred first."""
         ranked, now = self._directory.ranked(parts[-1]), self._clock.monotonic()
         if ranked is not self._sources_of[0] or now != self._sources_of[1]:
             self._sources_of = ranked, now, {}
         by_zone = self._sources_of[2]
-        if entry.zone not in by_zone:
-            by_zone[entry.zone] = self._sources_in(entry.zone, ranked, parts[-1])
-        others = [source for source in by_zone[entry.zone] if source.name != entry.name]
-        return [source for source in others[:MAX_SOURCES] if self._find(source.name) is not None]
+        if zone not in by_zone:
+            by_zone[zone] = self._sources_in(zone, ranked, parts[-1])
+        return [source for source in by_zone[zone] if self._find(source.name) is not None]
 
     def _sources_in(self, zone, ranked, part):
         found = []
