Count preemption in the choice of an engine and in the queue

No estimate accounted for it, and the queue sent long requests to full engines as long as their objective permitted, where each short one preempted one.

The virtual engine can preempt now (off by default, so that the existing tests play the engines that they did). Where engines state their pace, the choice of an urgent request adds a part of the prefill that a preempted one needs again, and requests that others would preempt wait in the queue while the engines are full on average, sooner for accounts above their share. Engines without a pace are placed on as before.

--- a/cicadapond/experiments/_load_world.py
+++ b/cicadapond/experiments/_load_world.py
@@ -305,6 +305,14 @@
         ratio = statistics.median(e / a for e, a in found)
         return statistics.median(expected), statistics.median(actual), ratio
 
+    def preempted(self, begin_ms: float = 0.0, end_ms: float = 1e9) -> int:
+        """Returns how many requests that arrived in an interval were preempted."""
+        return sum(
+            bool(call.run is not None and call.run.preemptions)
+            for call in self.calls
+            if begin_ms <= call.at < end_ms
+        )
+
     def share_abroad(self) -> float:
         """Returns the share of the requests that were sent to another data centre."""
         sent = [call for call in self.calls if call.placement is not None]
--- a/cicadapond/experiments/_virtual_engine.py
+++ b/cicadapond/experiments/_virtual_engine.py
@@ -1,8 +1,9 @@
 """A model of an engine under load on virtual time, for measuring estimates and queues; no I/O.
 
 It prefills one prompt after the other, in chunks between the decode steps of its batch.  A batch
-has a limited number of slots; the more urgent of the waiting requests are admitted first.  Times
-are milliseconds of virtual time.
+has a limited number of slots; the more urgent of the waiting requests are admitted first, and
+preempt the least urgent running one, the latest first, if slots or memory run out.  A preempted
+request waits again and is then prefilled anew.  Times are milliseconds of virtual time.
 """
 
 import heapq
@@ -24,7 +25,8 @@
     """The speed and size of an engine.
 
     `prefill_rate` is in tokens per millisecond, `stride` the tokens per event, `kv_tokens` the
-    memory.  A `slowness` of 2 makes every step take twice as long.
+    memory.  A `slowness` of 2 makes every step take twice as long.  `preempts` tells whether urgent
+    requests preempt others.
     """
 
     slots: int = 16
@@ -33,6 +35,7 @@
     stride: int = 9
     kv_tokens: int = 739_197
     slowness: float = 1.0
+    preempts: bool = False
 
 
 @attrs.define(eq=False)
@@ -47,6 +50,8 @@
     prefill_left: int = 0
     tokens: int = 0
     is_cancelled: bool = False
+    number: int = 0
+    preemptions: int = 0
 
 
 class VirtualEngine:
@@ -77,7 +82,8 @@
 
     def submit(self, run: Run, now: float) -> None:
         """Queues a request."""
-        heapq.heappush(self._waiting, (run.priority, next(self._numbers), run))
+        run.number = next(self._numbers)
+        heapq.heappush(self._waiting, (run.priority, run.number, run))
         if not self._is_stepping:
             self._is_stepping = True
             self._schedule(now, self._step)
@@ -90,17 +96,41 @@
         return lost
 
     def _admit(self):
-        while self._waiting and len(self._active) < self.cfg.slots:
+        while self._waiting:
             run = self._waiting[0][2]
-            used = sum(active.generation.tokens for active in self._active)
-            if self._active and used + run.generation.tokens > self.cfg.kv_tokens:
-                return
-            heapq.heappop(self._waiting)
             if run.is_cancelled:
-                continue
+                heapq.heappop(self._waiting)
+            elif self._has_room(run):
+                heapq.heappop(self._waiting)
+                self._begin(run)
+            elif not self._preempt_for(run):
+                return
+
+    def _has_room(self, run):
+        if not self._active:
+            return True
+        used = sum(active.generation.tokens for active in self._active)
+        fits = used + run.generation.tokens <= self.cfg.kv_tokens
+        return fits and len(self._active) < self.cfg.slots
+
+    def _begin(self, run):
+        prompt_tokens = run.generation.prompt_tokens
+        if run.preemptions:  # its blocks were given away, and what it generated is prefilled too
+            run.prefill_left = prompt_tokens + run.tokens
+        else:
             cached = self._cache.cached_tokens(run.generation.parts)
-            run.prefill_left = max(1, run.generation.prompt_tokens - cached)
-            self._active.append(run)
+            run.prefill_left = max(1, prompt_tokens - cached)
+        self._active.append(run)
+
+    def _preempt_for(self, run):
+        """Preempts the least urgent running request if it is less urgent than `run`."""
+        last = max(self._active, key=lambda active: (active.priority, active.number))
+        if not self.cfg.preempts or last.priority <= run.priority:
+            return False
+        self._active.remove(last)
+        last.preemptions += 1
+        heapq.heappush(self._waiting, (last.priority, last.number, last))
+        return True
 
     def _step(self, now):
         self._active = [run for run in self._active if not run.is_cancelled]
--- a/cicadapond/experiments/estimates_test.py
+++ b/cicadapond/experiments/estimates_test.py
@@ -55,6 +55,16 @@
     assert queued.share_in_time(2000, 5000) > polled.share_in_time(2000, 5000)
 
 
+def test_few_long_requests_are_preempted_at_twice_the_load():
+    """At twice the load 42% of the long requests were preempted when the queue sent them."""
+    load = Load("2x", rate=lambda now, kind: 2.0 if 2000 <= now < 5000 else 1.0)
+    cfg = WorldSettings(duration_ms=6000.0, figures=EngineFigures(preempts=True))
+    world = World(load, cfg, 1, QueueHold).run()
+    offered = sum(call.kind is LONG for call in world.calls)
+    assert world.preempted() < 0.37 * offered
+    assert world.share_in_time(2000, 5000, "short") > 0.93
+
+
 def test_a_hot_account_takes_little_from_others():
     """Polled holds served the others' long requests as badly as the hot account's: 44% and 41%."""
     world = World(hot_account(0.75, 4.0), WorldSettings(duration_ms=6000.0), 1, QueueHold).run()
--- a/cicadapond/placing/_candidate.py
+++ b/cicadapond/placing/_candidate.py
@@ -8,6 +8,11 @@
 from cicadapond.placing._call_times import CallTimes
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 
+# A preempted request is prefilled again, which delays others there as well, and it waits for a slot
+# again.  With a weight of 2.0 urgent requests gave up cached prefixes for it, and fewer were in
+# time.
+PREEMPTION_WEIGHT = 0.3
+
 
 @attrs.frozen
 class Estimate:
@@ -52,7 +57,12 @@
 
 @attrs.frozen
 class Candidate:
-    """A server and what a request would meet there; `prompt` is None for a plain service."""
+    """A server and what a request would meet there.
+
+    `expected_ms` includes `cost_ms`, what its choice costs beside the delay: that of leaving the
+    data centre and that of preempting another request.  `occupancy` is as
+    `ServiceView.occupancy` returns it.
+    """
 
     expected_ms: float
     entry: ServerEntry
@@ -60,6 +70,7 @@
     estimate: Estimate
     in_flight: float
     cost_ms: float = 0.0
+    occupancy: float = 0.0
 
 
 @attrs.frozen
@@ -67,7 +78,8 @@
     """What counts for a request at all servers of a service.
 
     `calls` is for plain services only, the rest for engines; `waiting_ahead` is as
-    `SlotTimes.waiting_ahead` returns it for the request's priority.
+    `SlotTimes.waiting_ahead` returns it for the request's priority, `less_urgent_share` and
+    `preemption_ms` as `SlotTimes.preemption` does, `urgent_share` as `SlotTimes.urgent_share`.
     """
 
     mean_others: float
@@ -79,6 +91,37 @@
     memory: int | None = None
     mean_tokens: float = 0.0
     tokens: int = 0
+    less_urgent_share: float = 0.0
+    preemption_ms: float = 0.0
+    urgent_share: float = 0.0
+
+    def occupancy(self, in_flight: float, slots: int) -> float:
+        """Returns how full the service's engines are, as a share of their slots or memory.
+
+        It is 0 for requests that none would preempt.
+
+        Args:
+          in_flight: The mean number of requests at an engine.
+          slots: The slots of an engine.
+        """
+        if not self.urgent_share:
+            return 0.0
+        room = slots
+        if self.memory is not None:
+            room = min(room, self.memory / max(1.0, self.mean_tokens))
+        return in_flight / room
+
+    def harm_ms(self, running: float, full: float) -> float:
+        """Returns the expected cost of preempting a less urgent request at an engine.
+
+        Args:
+          running: How many requests run there.
+          full: How likely it is that it has no room for one more.
+        """
+        if not self.less_urgent_share:
+            return 0.0
+        found = 1.0 - (1.0 - self.less_urgent_share) ** running
+        return PREEMPTION_WEIGHT * full * found * self.preemption_ms
 
     def lacking_memory(self, used: float) -> float:
         """Returns how many requests must end at an engine until its memory holds one more.
--- a/cicadapond/placing/_learned.py
+++ b/cicadapond/placing/_learned.py
@@ -11,7 +11,7 @@
 from cicadapond.gateway.data import Generation
 from cicadapond.placing._call_times import CallTimes
 from cicadapond.placing._candidate import InFlightRequest, ServiceView
-from cicadapond.placing._first_event import FirstEventModel
+from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._server_load import ServerLoad
 from cicadapond.placing._slot_wait import SlotTimes
 
@@ -60,6 +60,7 @@
         generation: Generation | None,
         priority: int,
         mean_others: float,
+        preempts: bool,
     ) -> ServiceView:
         """Returns what counts for a request at all servers of a service and version.
 
@@ -69,6 +70,7 @@
           generation: The request's size, None for a plain service.
           priority: Its priority at the engines.
           mean_others: The mean number of others' requests at a server.
+          preempts: Whether engines preempt less urgent requests for more urgent ones.
         """
         if generation is None:
             return ServiceView(mean_others, calls=self._calls(service))
@@ -83,6 +85,8 @@
             self._memory(service),
             slot_times.mean_tokens or generation.tokens,
             generation.tokens,
+            *(slot_times.preemption(priority) if preempts else (0.0, 0.0)),
+            slot_times.urgent_share(priority) if preempts else 0.0,
         )
 
     def record_prefill(self, service: str, prefill_ms: float) -> None:
@@ -130,7 +134,11 @@
         """
         if request.begun_at is not None:
             held_ms = (now - request.begun_at) / _MILLISECOND + request.work_ms
-            self._slots(request.service).record(request.priority, held_ms, request.tokens)
+            prompt = Prompt(request.tokens, 0)
+            model = self.model(request.service, request.priority, request.version)
+            self._slots(request.service).record(
+                request.priority, held_ms, request.tokens, model.prefill_ms(prompt)
+            )
         estimate = request.estimate
         if load is None or took is None or estimate is None or estimate.prompt is not None:
             return
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -8,7 +8,8 @@
 
 Under overload the same wait must not be counted twice: while a prompt waits for a slot, the prompts
 before it are prefilled, so that the longer of the two counts.  Prompts that wait behind it because
-they are less urgent do not count at all.
+they are less urgent do not count at all.  Engines preempt less urgent requests for more urgent ones
+when slots or memory run out; what that costs counts in the choice, where engines state their pace.
 
 The processes agree without communication on the home engine of a shared prefix, by rendezvous
 hashing; a home engine counts as having the prefix cached.  They report to each other how much
@@ -39,7 +40,7 @@
     ServerLoad,
     ServiceOthers,
 )
-from cicadapond.placing._slot_wait import expected_excess
+from cicadapond.placing._slot_wait import expected_excess, full_probability
 from cicadapond.zones import ZoneCosts
 
 # A prefill of at least this length is reported to the other processes at once.
@@ -138,7 +139,7 @@
 
         Of many servers only a few are compared, and not the same each time; None if there is none.
         """
-        found = self._best(servers, generation, priority)
+        found = self.choose(servers, generation, priority)
         return (found.expected_ms - found.cost_ms, found.entry) if found is not None else None
 
     def place(
@@ -148,7 +149,7 @@
         priority: int = 0,
     ) -> Placement | None:
         """Chooses a server and counts the request there; returns None if there is no server."""
-        chosen = self._best(servers, generation, priority)
+        chosen = self.choose(servers, generation, priority)
         if chosen is None:
             return None
         entry, now = chosen.entry, self._clock.monotonic()
@@ -164,14 +165,23 @@
             load.own_tokens += request.tokens
             self._learned.record_prefill(entry.service, chosen.work_ms)
         load.in_flight.add(request)
+        self._others[entry.service].own += 1
         departure = "own"
         if self._costs_of(entry.service) is not None:
             departure = self._zone_costs.record_placed(entry.service, entry.zone)
         expected = (chosen.expected_ms - chosen.cost_ms) * _MILLISECOND
         return Placement(entry, expected, request, departure, chosen.in_flight)
 
-    def _best(self, servers, generation, priority):
-        """Returns the best candidate, of a few servers if other processes place requests too."""
+    def choose(
+        self,
+        servers: typing.Sequence[ServerEntry],
+        generation: Generation | None,
+        priority: int = 0,
+    ) -> Candidate | None:
+        """Returns the best candidate, of a few servers if other processes place requests too.
+
+        It is None if there is no server.
+        """
         if not servers:
             return None
         now = self._clock.monotonic() / _MILLISECOND
@@ -194,7 +204,7 @@
         now = self._clock.monotonic() / _MILLISECOND
         loads = [self._load(entry) for entry in servers]
         views = {
-            of: self._learned.view(*of, generation, priority, self._others[of[0]].mean(now))
+            of: self._view(*of, generation, priority, now)
             for of in {(entry.service, entry.version) for entry in servers}
         }
         prompts = {}
@@ -209,6 +219,7 @@
             if generation is None:
                 work_ms = view.calls.expected_ms(entry.name, now)
                 wait = _call_wait(entry, in_flight)
+                harm_ms = occupancy = 0.0
                 expected = work_ms * wait
                 estimate = Estimate(None, 0.0, wait, in_flight < entry.slots, pace)
             else:
@@ -228,15 +239,24 @@
                 ahead_ms = view.ahead_ms(queued_ms, max(excess, lacking), ending)
                 expected = view.model.predict(entry.name, work_ms, ahead_ms, running)
                 has_slot = in_flight < entry.slots and lacking <= 0.0
+                full = 1.0 if lacking > 0.0 else full_probability(in_flight, others, entry.slots)
+                harm_ms = view.harm_ms(running, full)
+                mean_in_flight = self._others[entry.service].mean_with_own(now)
+                occupancy = view.occupancy(mean_in_flight, entry.slots)
                 estimate = Estimate(prompt, ahead_ms, running, has_slot, pace)
             expected *= pace
-            cost_ms = 0.0
+            cost_ms = harm_ms
             if zone_costs is not None:
-                distance_ms, cost_ms = zone_costs[entry.zone]
-                expected += distance_ms + cost_ms
+                distance_ms, leaving_ms = zone_costs[entry.zone]
+                cost_ms += leaving_ms
+                expected += distance_ms
             elif entry.zone != self._zone:
                 expected += OTHER_ZONE_COST_MS
-            candidates.append(Candidate(expected, entry, work_ms, estimate, in_flight, cost_ms))
+            candidates.append(
+                Candidate(
+                    expected + cost_ms, entry, work_ms, estimate, in_flight, cost_ms, occupancy
+                )
+            )
         candidates.sort(key=lambda found: (found.expected_ms, found.entry.name))
         return candidates
 
@@ -276,6 +296,7 @@
         self._learned.record_ended(request, load, self._clock.monotonic(), took)
         if load is not None and request in load.in_flight:
             load.in_flight.discard(request)
+            self._others[request.service].own -= 1
             load.own_tokens -= request.tokens
         self.on_change(request)
 
@@ -350,6 +371,7 @@
         if load is not None:
             others = self._others[self._services.pop(server)]
             others.servers -= 1
+            others.own -= len(load.in_flight)
             others.in_flight -= load.others_count()
         self._learned.remove(server)
 
@@ -382,6 +404,11 @@
             self._others.setdefault(entry.service, ServiceOthers()).servers += 1
         return load
 
+    def _view(self, service, version, generation, priority, now):
+        mean_others = self._others[service].mean(now)
+        preempts = service in self._paced_services
+        return self._learned.view(service, version, generation, priority, mean_others, preempts)
+
     def _homes(self, servers, generation):
         """Returns the servers where a prompt's last shared part belongs.
 
--- a/cicadapond/placing/_server_load.py
+++ b/cicadapond/placing/_server_load.py
@@ -233,9 +233,13 @@
 
 @attrs.define
 class ServiceOthers:
-    """The requests of other processes at the servers of one service, as last reported."""
+    """The requests of other processes at the servers of one service, as last reported.
+
+    `own` is the number of this process's requests there.
+    """
 
     servers: int = 0
+    own: int = 0
     in_flight: int = 0
     heard_at: float = 0.0
 
@@ -244,3 +248,11 @@
         if not self.servers or now - self.heard_at >= MAX_IN_FLIGHT_AGE_MS:
             return 0.0
         return self.in_flight / self.servers
+
+    def mean_with_own(self, now: float) -> float:
+        """Returns the mean of all processes' requests over the servers.
+
+        Unlike the number at the engine that seems emptiest it is right on average, however often it
+        is asked.
+        """
+        return self.mean(now) + self.own / max(1, self.servers)
--- a/cicadapond/placing/_slot_wait.py
+++ b/cicadapond/placing/_slot_wait.py
@@ -26,6 +26,7 @@
 
     mean_ms: float = INITIAL_SLOT_MS
     _token_ms: float = 0.0
+    _harm_ms: dict[int, float] = attrs.field(factory=dict)
     _used_ms: dict[int, float] = attrs.field(factory=dict)
 
     @property
@@ -34,8 +35,17 @@
         total_ms = sum(self._used_ms.values())
         return self._token_ms / total_ms if total_ms else 0.0
 
-    def record(self, priority: int, held_ms: float, tokens: int) -> None:
-        """Records how long a request occupied a slot, and its tokens in memory."""
+    def record(self, priority: int, held_ms: float, tokens: int, prefill_ms: float) -> None:
+        """Records a request that has ended.
+
+        Args:
+          priority: Its priority.
+          held_ms: How long it occupied a slot.
+          tokens: Its tokens in memory.
+          prefill_ms: How long it would take to prefill all of them again.
+        """
+        harm_ms = self._harm_ms.get(priority, prefill_ms)
+        self._harm_ms[priority] = harm_ms + SLOT_TIME_GAIN * (prefill_ms - harm_ms)
         self._token_ms = self._token_ms * SLOT_SHARE_DECAY + tokens * held_ms
         self.mean_ms += SLOT_TIME_GAIN * (held_ms - self.mean_ms)
         for known in self._used_ms:
@@ -58,6 +68,35 @@
         share = ahead_ms / total
         return share / (1.0 - share)
 
+    def preemption(self, priority: int) -> tuple[float, float]:
+        """Returns what a request of a priority would preempt at a full engine.
+
+        Returns:
+          The share of the slot time that less urgent requests used lately, and the mean prefill
+          that one of them would need again, in milliseconds.
+        """
+        total_ms = sum(self._used_ms.values())
+        less_urgent = {known: used for known, used in self._used_ms.items() if known > priority}
+        used_ms = sum(less_urgent.values())
+        if not used_ms:
+            return 0.0, 0.0
+        harm_ms = sum(used * self._harm_ms[known] for known, used in less_urgent.items())
+        return used_ms / total_ms, harm_ms / used_ms
+
+    def urgent_share(self, priority: int) -> float:
+        """Returns the share of the slot time that more urgent requests used lately."""
+        urgent_ms = sum(used for known, used in self._used_ms.items() if known < priority)
+        return urgent_ms / sum(self._used_ms.values()) if urgent_ms else 0.0
+
+
+def full_probability(count: float, others: float, slots: int) -> float:
+    """Returns how likely it is that an engine has no free slot; as `expected_excess` otherwise."""
+    excess = count + 0.5 - slots
+    deviation = OTHERS_DEVIATION * math.sqrt(others)
+    if abs(excess) >= 4.0 * deviation:
+        return float(excess > 0.0)
+    return 1.0 / (1.0 + math.exp(-excess / deviation))
+
 
 def expected_excess(count: float, others: float, slots: int) -> float:
     """Returns how many requests must end at an engine until one more has a slot.
--- a/cicadapond/placing/estimates_test.py
+++ b/cicadapond/placing/estimates_test.py
@@ -72,6 +72,28 @@
     assert expected_ms(placer, None, server=PLAIN) < 45
 
 
+def test_an_urgent_request_avoids_an_engine_where_it_would_preempt_another():
+    """Short requests at full engines preempted long ones, 302 of 2,343 in a day."""
+    clock = ManualClock()
+    placer = Placer(clock, "a")
+    for _ in range(20):
+        run(placer, clock, LONG, 1, 0.15, 1.2)
+        run(placer, clock, SHORT, 0, 0.07, 0.06)
+    other = attrs.evolve(ENGINE, name="e-1")
+    placer.place([other], LONG, 1)
+    for _ in range(16):
+        placer.mark_answer_begun(placer.place([ENGINE], LONG, 1).request)
+    for _ in range(7):
+        placer.mark_answer_begun(placer.place([other], LONG, 1).request)
+    clock.advance(seconds(1))
+    placer.update_load("e-1", LoadHeader(8, 0, 16, pace=1.0))
+    full, free = (placer.choose([entry], SHORT, 0) for entry in (ENGINE, other))
+    assert full.cost_ms > 10.0
+    assert free.cost_ms == 0.0
+    assert placer.choose([ENGINE, other], SHORT, 0).entry == other
+    assert full.expected_ms - full.cost_ms < 522.0, "it still goes there if there is no other"
+
+
 def call(placer, clock, servers, times_s):
     """Makes one call after the other; returns how many each server got."""
     counts = dict.fromkeys(times_s, 0)
--- a/cicadapond/queueing/_queue.py
+++ b/cicadapond/queueing/_queue.py
@@ -3,7 +3,8 @@
 It answers overload: engines that are given all that comes begin every answer late.  A request is
 sent while its answer can begin within its objective.  Those that cannot wait here, as they would
 only delay others, and go when an engine has nothing queued; a late answer is worth little, but the
-engines must not idle.  A request that will not be served within its time limit is rejected at once.
+engines must not idle.  Nor is a request sent to full engines that would preempt it for others.  A
+request that will not be served within its time limit is rejected at once.
 
 The order is by rank, then by the work that the client account was given lately, then by the slack
 to the objective.  Events wake the queue: an answer that begins or ends, a load report, a digest.
@@ -28,6 +29,11 @@
 MAX_WAIT = datetime.timedelta(milliseconds=1200)
 # An engine counts as free for late requests if its queue is at most this share of their objective.
 FREE_SHARE = 0.25
+# Requests that others would preempt wait here while the service's engines are fuller than this: of
+# 1,382 long requests 483 were preempted at twice the load without it, and 321 with it.  It is the
+# mean over the engines, since a request that looks again and again finds one that seems empty and
+# is not.
+MAX_OCCUPANCY = 1.0
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -133,16 +139,21 @@
 
     def _decide(self, waiting, now, must_queue):
         servers = waiting.servers()
-        best = self._placer.best(servers, waiting.generation, waiting.priority)
+        best = self._placer.choose(servers, waiting.generation, waiting.priority)
         if best is None:
             return Admission(Decision.SEND, "no server to wait for")
-        expected_ms, entry = best
+        expected_ms, entry = best.expected_ms - best.cost_ms, best.entry
         forecast = expected_ms * self._forecast(waiting.priority).ratio(now) * _MILLISECOND
         if now + forecast >= waiting.deadline:
             return self._reject("it would not be served in time", forecast)
         slack = waiting.received_at + waiting.objective - now
         # Under load an account that was given more than its share waits before the others do.
-        weighted = forecast * self._usage.excess(waiting.account, now)
+        excess = self._usage.excess(waiting.account, now)
+        if best.occupancy * excess > MAX_OCCUPANCY:
+            if now >= self.latest(waiting):
+                return self._reject("the engines were full", forecast)
+            return Admission(Decision.WAIT, "it would be preempted", forecast)
+        weighted = forecast * excess
         if weighted <= slack and not must_queue:
             return self._send(waiting, "in time", forecast, entry, expected_ms, now)
         if slack < forecast <= FREE_SHARE * waiting.objective:
--- a/cicadapond/queueing/queueing_test.py
+++ b/cicadapond/queueing/queueing_test.py
@@ -81,6 +81,27 @@
     assert len(bench.refused) == 1
 
 
+def test_a_request_that_would_be_preempted_waits_while_the_engines_are_full():
+    """Long requests were sent to full engines within their objective, and preempted there."""
+    bench = Bench()
+    for priority in (0, 1) * 20:
+        request = bench.placer.place([ENGINE], SIZE, priority).request
+        bench.clock.advance(seconds(0.1))
+        bench.placer.mark_answer_begun(request)
+        bench.clock.advance(seconds(0.1))
+        bench.placer.mark_ended(request)
+    bench.placer.update_load("e-0", LoadHeader(0, 0, 16, pace=1.0))
+    running = [bench.placer.place([ENGINE], SIZE, 1).request for _ in range(17)]
+    for request in running:
+        bench.placer.mark_answer_begun(request)
+    bench.clock.advance(seconds(5))
+    assert bench.submit("urgent", 0).decision is Decision.SEND
+    assert bench.submit("long", 1).decision is Decision.WAIT
+    bench.placer.mark_ended(running[0])
+    bench.queue.wake()
+    assert bench.sent == ["long"]
+
+
 @pytest.mark.parametrize(("limit", "waiting", "longest"), [(10.0, 40, 1.2), (3.0, 12, 0.9)])
 def test_a_request_that_finds_no_engine_is_rejected_early(limit, waiting, longest):
     """Callers were kept waiting for half of their time limit, and then rejected."""
