--- a/cicadapond/credits/_messages.py
+++ b/cicadapond/credits/_messages.py
@@ -120,7 +120,14 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        Ask(_text(server), int(born), _count(wanted), _count(demand), _count(part), _parts(parts))
+        Ask(
+            _text(server),
+            _number(born),
+            _count(wanted),
+            _count(demand),
+            _count(part),
+            _parts(parts),
+        )
         for server, born, wanted, demand, part, parts in items[:MAX_SERVERS_PER_CALL]
     ]
 
@@ -144,7 +151,7 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        LoanRequest(_text(server), int(born), _count(most))
+        LoanRequest(_text(server), _number(born), _count(most))
         for server, born, most in items[:MAX_SERVERS_PER_CALL]
     ]
 
@@ -156,7 +163,7 @@
       TypeError, ValueError: If it is malformed.
     """
     return [
-        LendReply(_text(server), int(frame), _permits(count, left))
+        LendReply(_text(server), _number(frame), _permits(count, left))
         for server, frame, count, left in items[:MAX_SERVERS_PER_CALL]
     ]
 
@@ -171,6 +178,12 @@
     return value
 
 
+def _number(value):
+    if not isinstance(value, int):
+        raise TypeError(f"not a number: {value!r}")
+    return value
+
+
 def _parts(value):
     if not _count(value):
         raise ValueError("there is no part")
--- a/cicadapond/credits/credits_test.py
+++ b/cicadapond/credits/credits_test.py
@@ -154,6 +154,8 @@
         [["e", 1, 10**9]],
         [["e", [[1, -5]]]],
         [["e", 1, "5", 4]],
+        [["e", float("inf"), 1, 2]],
+        [["e", float("inf"), 1, 2, 0, 1]],
     ],
 )
 def test_a_malformed_message_is_an_error(read, items):
--- a/cicadapond/gateway/permits_test.py
+++ b/cicadapond/gateway/permits_test.py
@@ -400,3 +400,17 @@
     world = play_callers(60, 20.0, old=old, skew_s=0.0)
     world.check_limit()
     assert 0.8 * 0.5 <= world.used(8.0, 12.0) <= 0.51
+
+
+@pytest.mark.parametrize(
+    "payload", [None, 7, [], ["ask"], ["ask", 1, []], ["lend", [[1]]], ["x", []]]
+)
+def test_a_malformed_call_is_counted_and_gets_an_empty_answer(payload):
+    async def main():
+        world = World(10.0)
+        world.start("p")
+        answer = world.hosts["p"].exchange.answer(payload)
+        world.end()
+        return answer, world.metrics.counter("permit_calls_malformed")
+
+    assert run_virtual(main()) == ([], 1)
