--- a/cicadapond/credits/_schedule.py
+++ b/cicadapond/credits/_schedule.py
@@ -16,6 +16,7 @@
 import zlib
 
 FRAME = datetime.timedelta(seconds=1)
+_FRAME_S = FRAME.total_seconds()
 # A server that states a lower limit still gets requests at this rate, as only an answer tells that
 # the limit has ended.
 MIN_RATE = 0.25
@@ -98,13 +99,13 @@
 
 def _permit_numbers(rate, frame):
     """Returns the number of the first permit of a frame, and that of the next frame."""
-    per_frame = max(rate, MIN_RATE) * FRAME.total_seconds()
+    per_frame = max(rate, MIN_RATE) * _FRAME_S
     return math.floor(frame * per_frame), math.floor((frame + 1) * per_frame)
 
 
 def frame_of(now: datetime.datetime) -> int:
     """Returns the number of the frame at a UTC time."""
-    return math.floor(now.timestamp() / FRAME.total_seconds())
+    return math.floor(now.timestamp() / _FRAME_S)
 
 
 def time_until_frame(frame: int, now: datetime.datetime) -> datetime.timedelta:
