--- a/cicadapond/gateway/permits_test.py
+++ b/cicadapond/gateway/permits_test.py
@@ -472,3 +472,17 @@
         return len(exchange._ranked[1]), len(exchange._keepers)
 
     assert max(run_virtual(main())) <= MAX_RANKED
+
+
+@pytest.mark.parametrize(
+    "payload", [None, 7, [], ["ask"], ["ask", 1, []], ["lend", [[1]]], ["x", []]]
+)
+def test_a_malformed_call_is_counted_and_gets_an_empty_answer(payload):
+    async def main():
+        world = World(10.0)
+        world.start("p")
+        answer = world.hosts["p"].exchange.answer(payload)
+        world.end()
+        return answer, world.metrics.counter("permit_calls_malformed")
+
+    assert run_virtual(main()) == ([], 1)
