Keep earlier builds from a new version, and begin no trial while they run

A process now reports that it takes part; while others are heard that do not, WAITING goes on and ends ROLLED_BACK with that reason at the time limit. On behalf of the servers of versions that get no requests a limit is told in the form that obeys, and lifted at COMPLETED. Processes of this build ignore it.

Ruled out: telling that the servers leave, which earlier builds cannot take back.

Not run: a soak with processes of both builds.

--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -15,6 +15,7 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import RelayPeer
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
+from cicadapond.gateway._rollout_holds import concerns_earlier_builds
 from cicadapond.gateway._sharing import CopyGroup, copy_times
 from cicadapond.gateway._time import TrueClock
 from cicadapond.kernel import TaskGroup
@@ -234,6 +235,15 @@
             return SHARE_BEFORE_JOINING
         return min(1.0, max(1, heard) / self.count())
 
+    def without_rollouts(self) -> int:
+        """Returns how many processes heard from lately do not take part in rollouts."""
+        now = self._clock.monotonic()
+        return sum(
+            max(0, summary.report.processes - summary.report.participants)
+            for summary in self._summaries.values()
+            if now - summary.received_at <= SILENCE_THRESHOLD
+        )
+
     def relay_peers(self, service: str) -> tuple[RelayPeer, ...]:
         """Returns the live processes that do not say that a service is out of their reach."""
         if len(self._cfg.peers) < 2:
@@ -399,11 +409,12 @@
                 for service in in_progress
             },
             engines=parts.placer.engine_work(),
-            advisories=parts.advisories.reported(),
+            advisories=parts.advisories.reported() | parts.rollouts.announced(),
             origins=parts.origins.reported(),
             crash_evidence=parts.crashes.observed(),
             cut_off={self._cfg.name: services} if services else {},
             rollouts=parts.rollouts.reported(),
+            participants=int(parts.rollouts.takes_part),
         )
 
     def _zone_total(self, now):
@@ -466,7 +477,7 @@
         self._parts.origins.apply(zone, summary.origins)
         for server, advisory in summary.advisories.items():
             entry = self._parts.registry.find(server)
-            if entry is not None:
+            if entry is not None and not concerns_earlier_builds(advisory):
                 self._parts.advisories.merge(entry, advisory)
                 if advisory.is_leaving and advisory.born == entry.born:
                     self._parts.registry.mark_closed(entry)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -131,6 +131,7 @@
         self.parts.links.on_change = self._cluster.publish_soon
         if self._rollouts is not None:
             self._rollouts.publish_soon = self._cluster.publish_soon
+            self._rollouts.absent = self._cluster.without_rollouts
         self._cluster.cut_off_services = self.parts.links.cut_off_services
         self._relay_pool = ConnectionPool(clock, metrics)
         self.parts.relay = Relay(
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -41,6 +41,7 @@
       sequence: The number of the report; it grows with each one of the same sender.
       configuration: The lowest version of the configuration in force.
       processes: How many processes it covers.
+      participants: How many of them take part in rollouts; builds up to 7419c1c do not say so.
       lineage: Identifies the succession of hubs whose counts of usage continue each other, "" in
         the report of a process.
       spending: Units of quota spent, by window and client account.
@@ -70,6 +71,7 @@
     crash_evidence: CrashEvidence = CrashEvidence()
     cut_off: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
     rollouts: Totals = attrs.field(factory=dict)
+    participants: int = 0
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -96,6 +98,8 @@
         for trait, successes in self.crash_evidence.successes.items():
             items[f"k {trait}"] = [successes.count, _to_ms(successes.last)]
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
+        if self.participants:
+            items["q"] = self.participants
         items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
         return items
 
@@ -105,6 +109,7 @@
     if "" not in items:
         return None
     fields = {kind: {} for kind in "suxdeaockrv"}
+    participants = 0
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -130,6 +135,8 @@
                     fields[kind][name] = Successes(int(count), _from_ms(last_ms))
                 case "r":
                     fields[kind][name] = tuple(map(str, value))
+                case "q":
+                    participants = int(value)
                 case "v":
                     fields[kind][name] = tuple(map(int, value))
         return Report(
@@ -147,6 +154,7 @@
             crash_evidence=CrashEvidence(fields["c"], fields["k"]),
             cut_off=fields["r"],
             rollouts=fields["v"],
+            participants=participants,
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
@@ -302,6 +310,9 @@
                 for process, services in run.report.cut_off.items()
             },
             rollouts=self._rollouts.sums(now),
+            participants=sum(
+                run.report.participants for run in counted if now - run.heard <= self._silence
+            ),
         )
 
     def _end_earlier_runs(self, run):
--- a/cicadapond/gateway/_rollout_gate.py
+++ b/cicadapond/gateway/_rollout_gate.py
@@ -4,6 +4,7 @@
 import datetime
 import typing
 
+from cicadapond.advisories import Advisory
 from cicadapond.gateway._cloud import ServerOrder
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.placing import Placement
@@ -32,7 +33,13 @@
 
 
 class RolloutGate(abc.ABC):
-    """The rollouts of this process as the steps of a request see them."""
+    """The rollouts of this process as the steps of a request see them.
+
+    Attributes:
+      takes_part: Whether this process keeps the bounds of rollouts.
+    """
+
+    takes_part = True
 
     @abc.abstractmethod
     def allowed(self, service: str, route: str, servers: Servers) -> list[ServerEntry]:
@@ -99,6 +106,10 @@
     def reported(self) -> dict[str, tuple[int, ...]]:
         """Returns this run's totals, to report to the other processes."""
 
+    def announced(self) -> dict[str, Advisory]:
+        """Returns what earlier builds are to be told on behalf of servers, by server."""
+        return {}
+
     @abc.abstractmethod
     def apply(self, zone: str, totals: typing.Mapping[str, tuple[int, ...]]) -> None:
         """Takes the sum of the totals of a data centre's processes, perhaps with this one's."""
@@ -111,6 +122,7 @@
 class NoRollouts(RolloutGate):
     """The gate of a deployment without rollouts: all servers of a service are equal."""
 
+    takes_part = False
     _OBSERVER = AttemptObserver()
 
     def allowed(self, service, route, servers):
--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -12,6 +12,7 @@
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._rollout_baseline import Baseline
 from cicadapond.gateway._rollout_gate import RolloutGate
+from cicadapond.gateway._rollout_holds import VersionHolds
 from cicadapond.gateway._rollout_observer import VersionObserver
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.kernel import Clock, Metrics
@@ -43,6 +44,7 @@
       is_loaded: Whether the states were read.  Before that no request is sent, as any version may
         have been rolled back.
       publish_soon: Called when the other processes should hear of the evidence at once.
+      absent: Returns how many live processes do not take part in rollouts.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.rollouts = rollouts
         self.is_loaded = False
         self.publish_soon: typing.Callable[[], None] = lambda: None
+        self.absent: typing.Callable[[], int] = lambda: 0
         self._registry = registry
         self._placer = placer
         self._clock = clock
@@ -71,6 +74,7 @@
         self._pending: set[VersionObserver] = set()
         # By service, the version of the order's row of which this process has stopped.
         self._stopped: dict[str, int] = {}
+        self._holds = VersionHolds(clock)
         self._floors: dict[tuple[str, str, bool], int] = {}
 
     # Orders and states as they are heard
@@ -191,6 +195,7 @@
                 self._log_verdict(service)
             else:
                 self._release_floors(service)
+        self._holds.update(self._held_servers())
 
     def view(self, service: str):
         """Returns what the holder needs to know of a service."""
@@ -203,9 +208,10 @@
             # Servers of a version that was rolled back serve nothing.
             if entry.version == to or not self.rollouts.is_stopped(entry):
                 counts[entry.version == to] += 1
-        return self.rollouts.view(
+        view = self.rollouts.view(
             service, counts[False], counts[True], in_flight[False], in_flight[True]
         )
+        return attrs.evolve(view, absent=self.absent())
 
     # Crashes, orders of servers
 
@@ -269,6 +275,9 @@
     def reported(self):
         return self.rollouts.reported()
 
+    def announced(self):
+        return self._holds.told()
+
     def apply(self, zone, totals):
         self.rollouts.apply(zone, totals)
 
@@ -291,6 +300,20 @@
             for service in self.services()
         }
 
+    def _held_servers(self):
+        """Returns the servers that processes of earlier builds should not send to."""
+        if not self.is_loaded or not self.absent():
+            return []
+        found = []
+        for service in self.services():
+            usable = self._registry.usable(service)
+            to = self._newest(service) if self._is_running(service) else None
+            held = [each for each in usable if each.version == to or self.rollouts.is_stopped(each)]
+            # Never all: the version in service may have been ordered again.
+            if len(held) < len(usable):
+                found += held
+        return found
+
     def _newest(self, service):
         """Returns the version of the order in force, else of the last one; None without any."""
         order, state = self._orders.get(service), self.row(service).state
@@ -355,4 +378,5 @@
     """Returns what tells one step of a rollout from the next."""
     if state is None:
         return None
-    return (state.order.row_version, state.phase, state.share, state.shifted)
+    waits_for = state.reason if state.phase is Phase.WAITING else ""
+    return (state.order.row_version, state.phase, state.share, state.shifted, waits_for)
--- a/cicadapond/gateway/rollout_parts_test.py
+++ b/cicadapond/gateway/rollout_parts_test.py
@@ -5,10 +5,13 @@
 import attrs
 import pytest
 
+from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Broken, StreamWhole, Whole
 from cicadapond.gateway import ServerOrder
+from cicadapond.gateway._reports import Report, ZoneReports, read_report
+from cicadapond.gateway._rollout_holds import concerns_earlier_builds
 from cicadapond.gateway._rollout_tables import OperatorTable, StateTable
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
@@ -366,3 +369,40 @@
         assert carrying() == ["a", "b"]
     process.order(Phase.COMPLETED, version=9)
     assert carrying() == ["n"]
+
+
+def test_earlier_builds_are_kept_from_a_version_until_it_is_completed():
+    # Guards against the 292 requests that processes of 0fc5517 sent to a bad version that was
+    # allowed 80.  They obey statements of servers as here: form and rules are the same since.
+    clock = ManualClock()
+    process, earlier = Process(clock), ServerAdvisories(clock, "old", lambda: ("new", "old"))
+    process.rollouts.absent, process.rollouts.is_loaded = lambda: 1, True
+    process.order(Phase.WAITING)
+    hub = ZoneReports("new/1", seconds(3), seconds(20))
+
+    def sends(name, times=40):
+        process.rollouts.step()
+        report = Report(round(clock.now().timestamp()), advisories=process.rollouts.announced())
+        hub.record("new/1", read_report(report.as_items()), clock.monotonic())
+        told = read_report(hub.total({}, clock.monotonic()).as_items()).advisories
+        entry = process.registry.find(name)
+        if name in told:
+            earlier.merge(entry, told[name])
+        sent = 0
+        for _ in range(times):
+            clock.advance(seconds(0.25))
+            sent += earlier.take(entry)
+        return sent
+
+    assert (sends("a"), sends("b")) == (40, 40)
+    assert sends("n") <= 2
+    assert all(map(concerns_earlier_builds, process.rollouts.announced().values()))
+    process.rollouts.set_state("pool", 7, process.state(Phase.COMPLETED))
+    assert sends("n") == 40
+    process.rollouts.set_state("pool", 8, process.state(Phase.ROLLED_BACK))
+    assert sends("n") <= 2
+    process.rollouts.absent = lambda: 0
+    assert sends("n") == 40
+    clock.advance(seconds(31))
+    process.rollouts.step()
+    assert not process.rollouts.announced()
--- a/cicadapond/rollout/_data.py
+++ b/cicadapond/rollout/_data.py
@@ -197,6 +197,7 @@
         processes.
       sent_new: What was sent to the new version since the order, in all processes.
       durations: The mean duration of responses of the old version in seconds, by route.
+      absent: The live processes that do not take part in rollouts, as they run an earlier build.
       seen_at: When this process first saw the order, None if unknown.
     """
 
@@ -209,6 +210,7 @@
     sent_new: int = 0
     durations: typing.Mapping[str, float] = attrs.field(factory=dict)
     seen_at: datetime.datetime | None = None
+    absent: int = 0
 
 
 def _text(value):
--- a/cicadapond/rollout/_next_state.py
+++ b/cicadapond/rollout/_next_state.py
@@ -103,6 +103,8 @@
 def _at_limit(state, view, now):
     if state.phase is Phase.WAITING:
         reason = "no engine" if view.new_servers == 0 else "no time for a trial"
+        if view.absent:
+            reason = _absent_reason(view)
         return _moved(state, Phase.ROLLED_BACK, reason, view, now)
     if now >= state.ends_at:
         return _moved(state, Phase.ROLLED_BACK, "time limit", view, now)
@@ -117,9 +119,17 @@
 def _wait(state, view, plan, now):
     if view.new_servers == 0 or now - state.started_at < MIN_WAIT:
         return state
+    if view.absent:
+        # They send to all versions alike: a trial would add to what the version gets from them.
+        reason = _absent_reason(view)
+        return state if state.reason == reason else attrs.evolve(state, reason=reason)
     return _moved(state, Phase.TRIAL, "", view, now, share=plan.share)
 
 
+def _absent_reason(view):
+    return f"{view.absent} processes do not take part in rollouts"
+
+
 def _advance(state, view, plan: Plan, now):
     is_good = view.judgement.verdict is Verdict.GOOD and view.new_servers > 0
     if is_good and state.shifted == (ALL_ROUTES,):
--- a/cicadapond/rollout/next_state_test.py
+++ b/cicadapond/rollout/next_state_test.py
@@ -139,3 +139,17 @@
     # Guards against an error in each request of the service for a time limit out of range.
     broken += [{**state.as_row(), "duration_s": each} for each in (1e13, -5.0, 0, None)]
     assert [RolloutState.read_row(row) for row in broken] == [None] * len(broken)
+
+
+def test_the_trial_waits_until_all_processes_take_part():
+    # Guards against a trial on top of what earlier builds send, which know no rollouts.
+    mixed = attrs.evolve(VIEW, absent=2)
+    state = step(ORDER, state_in(Phase.WAITING), 3, mixed)
+    assert (state.phase, state.reason) == (
+        Phase.WAITING,
+        "2 processes do not take part in rollouts",
+    )
+    assert step(ORDER, state, 3.25, mixed) is state
+    assert step(ORDER, state, 3.5).phase is Phase.TRIAL
+    ended = step(ORDER, state, 14.1, mixed)
+    assert (ended.phase, ended.reason) == (Phase.ROLLED_BACK, state.reason)
