--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -46,6 +46,7 @@
       sequence: The number of the report; it grows with each one of the same sender.
       configuration: The lowest version of the configuration in force.
       processes: How many processes it covers.
+      participants: How many of them take part in rollouts; builds up to 7419c1c do not say so.
       lineage: Identifies the succession of hubs whose counts of usage continue each other, "" in
         the report of a process.
       spending: Units of quota spent, by window and client account.
@@ -79,6 +80,7 @@
     rollouts: Totals = attrs.field(factory=dict)
     held: typing.Mapping[str, HeldParts] = attrs.field(factory=dict)
     shared_parts: typing.Mapping[int, bytes] = attrs.field(factory=dict)
+    participants: int = 0
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
@@ -105,6 +107,8 @@
         for trait, successes in self.crash_evidence.successes.items():
             items[f"k {trait}"] = [successes.count, _to_ms(successes.last)]
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
+        if self.participants:
+            items["q"] = self.participants
         items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
         for engine, held in self.held.items():
             items[f"h {engine}"] = [held.born, len(held.buckets)]
@@ -121,6 +125,7 @@
     if "" not in items:
         return None
     fields = {kind: {} for kind in "suxdeaockrvhbp"}
+    participants = 0
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -146,6 +151,8 @@
                     fields[kind][name] = Successes(int(count), _from_ms(last_ms))
                 case "r":
                     fields[kind][name] = tuple(map(str, value))
+                case "q":
+                    participants = int(value)
                 case "v":
                     fields[kind][name] = tuple(map(int, value))
                 case "h":
@@ -173,6 +180,7 @@
             rollouts=fields["v"],
             held=_read_held(fields["h"], fields["b"]),
             shared_parts=fields["p"],
+            participants=participants,
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
@@ -348,6 +356,9 @@
             rollouts=self._rollouts.sums(now),
             held=_latest_held(counted),
             shared_parts=merge_groups(run.report.shared_parts for run in counted),
+            participants=sum(
+                run.report.participants for run in counted if now - run.heard <= self._silence
+            ),
         )
 
     def _end_earlier_runs(self, run):
