Do not retry declined orders that the listed servers fulfil

Cause: a declined order whose number fell to that of the listed servers was sent again; it was accepted, as no server was missing, and the first accepted order makes all declined ones due at once.

Change: an order that was not accepted is forgotten when the listed servers fulfil it.

--- a/cicadapond/scaling/_order_book.py
+++ b/cicadapond/scaling/_order_book.py
@@ -114,11 +114,14 @@
           boot: How long a server takes to start.
         """
         sent = self._sent.get(_target(order))
+        is_accepted = sent is not None and sent.outcome is Outcome.ACCEPTED
+        # Servers that an earlier holder or an unanswered call ordered and that have not started yet
+        # are not listed; once they are, the numbers differ.
+        if not is_accepted and listed.serving == order.count and not listed.leaving:
+            self._sent.pop(_target(order), None)
+            return None
         if sent is None:
-            # Servers that an earlier holder ordered and that have not started yet are not listed;
-            # once they are, the numbers differ.
-            is_fulfilled = listed.serving == order.count and not listed.leaving
-            return None if is_fulfilled else Due.FIRST
+            return Due.FIRST
         now = self._clock.monotonic()
         if sent.outcome is not Outcome.ACCEPTED:
             return Due.RETRY if self._may_retry(order, now) else None
--- a/cicadapond/scaling/order_book_test.py
+++ b/cicadapond/scaling/order_book_test.py
@@ -74,6 +74,17 @@
     assert due(book, A, serving=5) is Due.FIRST
 
 
+def test_a_declined_order_that_is_no_longer_needed_holds_up_no_other():
+    """It was retried, accepted as no server was missing, and the others were then all tried."""
+    clock = ManualClock()
+    book = book_with(clock, Outcome.DECLINED, listed=2)
+    clock.advance(seconds(2))
+    lower = ServerOrder("pool", "a", True, 2)
+    assert due(book, lower, serving=2) is None
+    assert book.declined("pool") == ("b",)
+    assert due(book, B, serving=2) is Due.RETRY
+
+
 def test_declined_orders_are_tried_for_one_data_centre_at_a_time():
     """Each data centre repeated its order every 3 s for 40 s."""
     clock = ManualClock()
