--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -75,6 +75,7 @@
         origins=quiet,
         crashes=quiet,
         rollouts=NoRollouts(),
+        engine_watch=None,
     )
     return Cluster(parts, None, clock, None, random.Random(1))
 
