--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -12,9 +12,10 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway._copies import CopyExchange
 from cicadapond.gateway._discovery import ProcessDiscovery
+from cicadapond.gateway._own_report import own_report
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import RelayPeer
-from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
+from cicadapond.gateway._reports import Report, ZoneReports, read_report
 from cicadapond.gateway._rollout_holds import concerns_earlier_builds
 from cicadapond.gateway._sharing import CopyGroup, copy_times
 from cicadapond.gateway._time import TrueClock
@@ -399,7 +400,7 @@
     def _digest(self):
         now = self._clock.monotonic()
         self._sequence += 1
-        report = self._report()
+        report = own_report(self._parts, self._sequence, self._cfg.name, self.cut_off_services())
         self._zone_reports.record(self._own_run(), report, now)
         summary = {}
         if self.has_settled() and self._peer.is_primary_hub():
@@ -412,33 +413,6 @@
             summary=summary,
         )
 
-    def _report(self):
-        parts = self._parts
-        prefilling = parts.demand.prefilling_engines()
-        in_progress = parts.demand.requests_in_progress()
-        services = self.cut_off_services()
-        watch = parts.engine_watch
-        held, shared_parts = watch.reported() if watch is not None else ({}, {})
-        return Report(
-            self._sequence,
-            parts.active_configuration.version or 0,
-            spending=parts.quotas.spending(),
-            usage=parts.usage.counts(),
-            demand={
-                service: ServiceDemand(prefilling.get(service, 0.0), in_progress[service])
-                for service in in_progress
-            },
-            engines=parts.placer.engine_work(),
-            advisories=parts.advisories.reported() | parts.rollouts.announced(),
-            origins=parts.origins.reported(),
-            crash_evidence=parts.crashes.observed(),
-            cut_off={self._cfg.name: services} if services else {},
-            rollouts=parts.rollouts.reported(),
-            held=held,
-            shared_parts=shared_parts,
-            participants=int(parts.rollouts.takes_part),
-        )
-
     def _zone_total(self, now):
         for member in self._members():
             if member.zone == self._cfg.zone:
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -67,7 +67,6 @@
         is_first_start=is_first_start,
     )
     parts = types.SimpleNamespace(
-        engine_watch=None,
         cfg=cfg,
         log=Log(),
         metrics=None,
