--- a/cicadapond/placing/_call_times.py
+++ b/cicadapond/placing/_call_times.py
@@ -20,11 +20,12 @@
 # A call counts as at most this multiple of the mean; one slow call says little.
 MAX_CALL_RATIO = 4.0
 # A call that took this multiple of the mean, after what was measured before had become this light,
-# is one more vain try; each doubles the half-lives, up to MAX_VAIN_TRIES: 2 to 4% of the calls went
-# to a server that is always 2.4 times slower without it.
+# is one more retry that found the server still slow.  Each doubles the half-lives, up to
+# MAX_SLOW_RETRIES: without it, 2 to 4% of the calls went to a server that is always 2.4 times
+# slower.
 SLOW_RATIO = 1.5
-VAIN_TRY_WEIGHT = 0.5
-MAX_VAIN_TRIES = 3
+RETRY_WEIGHT = 0.5
+MAX_SLOW_RETRIES = 3
 # The weight of the mean of the service in the estimate of a server, in calls.
 PRIOR_CALLS = 1.0
 # That mean counts as this much shorter, so that of servers that seem equal the one that was
@@ -40,7 +41,7 @@
     mean_ms: float
     calls: int
     at: float
-    vain_tries: int = 0
+    slow_retries: int = 0
 
 
 class CallTimes:
@@ -73,9 +74,9 @@
             return
         weight = self._weight(found, now)
         if call_ms < SLOW_RATIO * self._mean_ms:
-            found.vain_tries = 0
-        elif weight < VAIN_TRY_WEIGHT:
-            found.vain_tries = min(MAX_VAIN_TRIES, found.vain_tries + 1)
+            found.slow_retries = 0
+        elif weight < RETRY_WEIGHT:
+            found.slow_retries = min(MAX_SLOW_RETRIES, found.slow_retries + 1)
         found.weight = weight + 1.0
         found.mean_ms += (call_ms - found.mean_ms) / found.weight
         found.calls, found.at = self._calls, now
@@ -87,4 +88,4 @@
     def _weight(self, found, now):
         rounds = (self._calls - found.calls) / len(self._servers)
         half_lives = rounds / HALF_LIFE_ROUNDS + (now - found.at) / HALF_LIFE_MS
-        return found.weight * 0.5 ** (half_lives / 2**found.vain_tries)
+        return found.weight * 0.5 ** (half_lives / 2**found.slow_retries)
