--- a/cicadapond/gateway/_permits.py
+++ b/cicadapond/gateway/_permits.py
@@ -169,7 +169,7 @@
         return bool(asks)
 
     async def _ask(self, ask):
-        """Asks the keepers of as many parts as permits are wanted; of all the others if these grant nothing."""
+        """Asks the keepers of as many parts as permits are wanted, then those of all others."""
         first = self._next_part.get(ask.server, 0)
         self._next_part[ask.server] = (first + ask.wanted) % ask.parts
         asks, got = ask.divide(first), 0
