Keep the room of reclaimable servers that are starting

Cause: on-demand servers could take all of a data centre's maximum that was not running yet.

Change: the room of on-demand servers is what the running and the starting reclaimable ones leave.

The new test fails before.

--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -231,7 +231,8 @@
         # A server that runs or starts is not exchanged for one in a cheaper data centre, which
         # would take the boot time to replace it.
         kept = {zone: max(current[zone], last.counts.get(zone, 0)) for zone in zones}
-        room = {zone: max(0, scaling.maximum - running[zone]) for zone in zones}
+        # Reclaimable servers that are starting keep their room: on-demand ones would replace them.
+        room = {zone: max(0, scaling.maximum - expected[zone]) for zone in zones}
         counts = _distribute(needed, zones, scaling, kept, room)
         self._last_plans[service.name] = _LastPlan(needed, counts, now)
         return counts
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -212,6 +212,15 @@
     assert sum(plan(planner, servers(on_demand="aa"), 1.2)[1].values()) == 3
 
 
+def test_on_demand_servers_leave_the_room_of_reclaimable_ones_that_are_starting():
+    """They took it, so that orders for cheap servers were lowered while these were starting."""
+    planner = planner_with_known_demand(ManualClock())
+    current, arriving = servers("abc", "a"), {"a": 2, "b": 2, "c": 2}
+    orders = planner.plan(POOL, ZONES, current, Demand(8.0, 0.0), WAITING, arriving)
+    reclaimable = {order.zone: order.count for order in orders if order.reclaimable}
+    assert all(count >= 3 for count in reclaimable.values()), reclaimable
+
+
 def test_no_servers_are_ordered_for_a_service_without_bounds():
     planner = CapacityPlanner(ManualClock())
     assert planner.plan(Service("plain", 10), ZONES, [], Demand(5.0, 0.0), WAITING) == []
