--- a/cicadapond/provider/__init__.py
+++ b/cicadapond/provider/__init__.py
@@ -28,6 +28,7 @@
 )
 from cicadapond.provider._budget import BudgetedTables, BudgetSettings
 from cicadapond.provider._classes import StoreClass
+from cicadapond.provider._era import VERSIONS_PER_ERA, era_of, number_of, version_in_era
 from cicadapond.provider._rate import RateLimit
 from cicadapond.provider._settings import AdapterSettings, PlatformSettings
 from cicadapond.provider._sweep import SweepPlan, TableSweep
@@ -54,11 +55,15 @@
     "SweepPlan",
     "TableService",
     "TableSweep",
+    "VERSIONS_PER_ERA",
     "WeightStore",
     "Write",
     "cloud_apis",
+    "era_of",
     "host_lists",
+    "number_of",
     "object_stores",
     "table_services",
+    "version_in_era",
     "weight_stores",
 ]
