--- a/cicadapond/forwarding/_client.py
+++ b/cicadapond/forwarding/_client.py
@@ -16,10 +16,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete response."""
+    """A complete response; equal to another one if status and body are equal.
+
+    The names of the headers are in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(default=(), compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,8 +106,8 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 host = (b"host", self._name.encode())
                 conn.send(method, target.encode(), (host, *headers), body)
-                status, _ = await conn.read_head()
-                reply = Reply(status, await conn.read_full_body(MAX_BODY_BYTES))
+                status, received = await conn.read_head()
+                reply = Reply(status, await conn.read_full_body(MAX_BODY_BYTES), tuple(received))
                 if reply == conn.last_reply and not self._answers_repeat:
                     raise BrokenResponseError("the answer repeats the one before")
                 conn.last_reply = reply
--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -63,6 +63,8 @@
         self._merge_own = merge_own
         self._next: int | None = None
         self._has_loaded = False
+        # Whether the counts to report were stored just now, or found in the store.
+        self._has_stored = False
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports all windows that are due, as long as the lease is held."""
@@ -82,6 +84,7 @@
                 "usage_reported",
                 window=self._next,
                 counts=counts,
+                counts_from="stored" if self._has_stored else "found",
                 fencing=grant.fencing,
                 outcome=type(outcome).__name__,
             )
@@ -125,7 +128,9 @@
         writes = [Write(*row_key, counts, expected=0)]
         if window % RETAINED_WINDOWS == 0:
             writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
-        match await self._tables.transact(tuple(writes)):
+        outcome = await self._tables.transact(tuple(writes))
+        self._has_stored = isinstance(outcome, Ok)
+        match outcome:
             case Ok():
                 return counts
             case Conflict(current=current) if row_key in current:
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -17,9 +17,9 @@
 )
 
 
-def platform_adapters(cfg, clock, metrics) -> PlatformAdapters:
+def platform_adapters(cfg, clock, log, metrics) -> PlatformAdapters:
     """Returns the platform adapters of one process."""
-    store = PlatformStore(HttpClient(cfg.store, clock, metrics))
+    store = PlatformStore(HttpClient(cfg.store, clock, metrics), log, metrics)
     # The cloud's answers are all alike, so that a late copy could not be told from an answer.
     cloud = None
     if cfg.cloud:
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -147,5 +147,5 @@
     """Returns a node and its log."""
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(settings.name, sys.stdout.fileno(), clock, metrics)
-    adapters = platform_adapters(settings, clock, metrics)
+    adapters = platform_adapters(settings, clock, log, metrics)
     return Node(settings, adapters, clock, log, metrics, rng), log
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import typing
 
 from cicadapond.gateway import HeaderCodec, Malformed
 from cicadapond.gateway.data import (
@@ -11,6 +12,7 @@
     PromptPart,
     ResponseHead,
 )
+from cicadapond.provider import VERSIONS_PER_ERA
 
 REQUEST_ID = b"x-cicadapond-attempt-id"
 DEADLINE = b"x-cicadapond-deadline-ms"
@@ -40,11 +42,15 @@
 LEAVING = b"server-leaving"
 # The requests that an engine may turn away in a second for want of room before it crashes.
 BRITTLE = b"server-brittle"
+# How often the store has been restored from an older copy.
+STORE_ERA = b"store-era"
 KEY_SCHEME = "token"
 # The requests running, those waiting, and the slots, with which a report of a load begins.
 LOAD_COUNTS = 3
 # Counts of back ends are far smaller; longer ones could not be converted or represented.
 MAX_COUNT_DIGITS = 9
+# Versions that include an era must fit into the 64 bits of msgpack.
+MAX_STORE_ERA = 2**63 // VERSIONS_PER_ERA - 1
 
 OWN_PREFIX = b"x-cicadapond-"
 MISDIRECTED = 421
@@ -277,6 +283,19 @@
     return rate if rate is not None and math.isfinite(rate) and rate >= 0.0 else None
 
 
+def parse_store_era(
+    headers: typing.Sequence[tuple[bytes, bytes]],
+) -> int | Malformed | None:
+    """Returns the era of a response of the store, None if the response does not tell it."""
+    values = [value for name, value in headers if name == STORE_ERA]
+    if not values:
+        return None
+    era = _parse_count(values[0])
+    if len(values) > 1 or era is None or era > MAX_STORE_ERA:
+        return Malformed(f"the store's era {values!r} is no number up to {MAX_STORE_ERA}")
+    return era
+
+
 def _parse_brittle(raw):
     return _parse_count(raw) if raw is not None else None
 
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -8,8 +8,11 @@
 
 import msgpack
 
+from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import HttpClient, NoConnection, Reply, ReplyLost
-from cicadapond.kernel import AnswerLost, Conflict, Ok, Unavailable
+from cicadapond.kernel import AnswerLost, Conflict, Metrics, Ok, Unavailable
+from cicadapond.platform._era import StoreEra
+from cicadapond.platform._headers import parse_store_era
 from cicadapond.provider import (
     ChangeFeed,
     Changes,
@@ -41,10 +44,13 @@
 
     Args:
       client: The HTTP client for the store's address.
+      log: The event log.
+      metrics: The metrics.
     """
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, log: EventLog, metrics: Metrics):
         self._client = client
+        self._era = StoreEra(log, metrics)
 
     async def transact(self, writes):
         body = {
@@ -67,7 +73,7 @@
         reply = await self._client.call(
             "POST", "/rows-tx", _JSON, json.dumps(body).encode(), CALL_TIMEOUT
         )
-        payload = _parse_reply(reply)
+        payload = self._parse(reply)
         if isinstance(payload, ReplyLost):
             return AnswerLost(payload.reason)
         if isinstance(payload, Unavailable):
@@ -110,9 +116,9 @@
     async def changes(self, table, since, wait):
         query = {"table": table, "since_revision": since, "wait_ms": wait // _MILLISECOND}
         reply = await self._get("/rows-feed", query, wait + FEED_TIMEOUT_MARGIN)
+        payload = self._parse(reply)
         if isinstance(reply, Reply) and reply.status == 410:
             return HistoryLost()
-        payload = _parse_reply(reply)
         if isinstance(payload, ReplyLost):
             return Unavailable(payload.reason)
         if isinstance(payload, Unavailable):
@@ -120,13 +126,20 @@
         rows = tuple(_raw_rows(payload))
         return Ok(Changes(rows, payload["ver"], payload["now_ms"] * _MILLISECOND))
 
+    def _parse(self, reply):
+        payload = _parse_reply(reply)
+        if isinstance(reply, Reply):
+            version = payload["ver"] if isinstance(payload, dict) else None
+            self._era.observe(parse_store_era(reply.headers), version)
+        return payload
+
     async def _range(self, table, first, end, limit):
         query = {"table": table, "part": PART, "limit": limit}
         if first:
             query["from"] = first
         if end is not None:
             query["to"] = end
-        payload = _parse_reply(await self._get("/rows-get", query, CALL_TIMEOUT))
+        payload = self._parse(await self._get("/rows-get", query, CALL_TIMEOUT))
         return Unavailable(payload.reason) if isinstance(payload, ReplyLost) else payload
 
     async def _get(self, path, query, timeout):
--- a/cicadapond/platform/rollouts_test.py
+++ b/cicadapond/platform/rollouts_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cicadapond.forwarding import HttpClient, Reply
+from cicadapond.kernel import Metrics
 from cicadapond.platform import PlatformRolloutCodec, PlatformStore, read_settings
 from cicadapond.platform.standin import Fleet, FleetSettings
 from cicadapond.provider import Write
@@ -68,7 +69,7 @@
     client = _Recorder()
     own = Write("rollouts", "pool", {"phase": "trial"}, expected=2)
     status = CODEC.status_write("pool", "v2", Phase.TRIAL)
-    asyncio.run(PlatformStore(client).transact((own, status)))
+    asyncio.run(PlatformStore(client, None, Metrics()).transact((own, status)))
     rows = {
         row["table"]: (row["part"], row["key"], base64.b64decode(row["value"]))
         for row in client.body["writes"]
