--- a/cicadapond/platform/standin/_store.py
+++ b/cicadapond/platform/standin/_store.py
@@ -28,10 +28,20 @@
         return address | {"value": view(self) if view is not None else self.value}
 
 
+@attrs.frozen
+class StoreCopy:
+    """The rows of a store, and its newest version, as of a moment."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
 class StoreModel:
     """The rows, and the faults in force.
 
     Attributes:
+      version: The newest version.
+      era: How often it has been restored from a copy; responses tell it if it is not 0.
       is_down: Every call is answered 503 and has no effect.
       drops_responses: Writes are carried out, but their responses are not sent.
       clock_step_ms: Offset of its steady clock, negative if it has been set back.
@@ -44,6 +54,7 @@
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._changed = asyncio.Event()
         self.version = 0
+        self.era = 0
         self.is_down = False
         self.drops_responses = False
         self.clock_step_ms = 0
@@ -73,10 +84,24 @@
         for table, part, key, raw in writes:
             value = base64.b64encode(raw).decode() if raw is not None else None
             self._rows[table, part, key] = StoredRow(table, part, key, value, self.version)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._notify()
         return None
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of all rows, for `restore`."""
+        return StoreCopy(tuple(self._rows.values()), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy: later writes are lost, and their versions are given out again."""
+        self._rows = {(row.table, row.part, row.key): row for row in copy.rows}
+        self.version = copy.version
+        self.era += 1
+        self._notify()
+
+    def has_history(self, since: int) -> bool:
+        """Returns whether the changes after a version are known."""
+        return self.oldest_version <= since <= self.version
+
     def rows(self, table: str, first: str, end: str | None) -> list[StoredRow]:
         """Returns the rows of a table with `first` <= key < `end`, sorted by key."""
         found = [
@@ -93,6 +118,8 @@
         try:
             async with asyncio.timeout(min(wait_ms, MAX_WAIT_MS) / 1000):
                 while not (changed_rows := self._changed_since(table, since)):
+                    if not self.has_history(since):
+                        return []
                     await self._changed.wait()
         except TimeoutError:
             # A change may have arrived at the same time, and the response carries its version.
@@ -103,6 +130,10 @@
         """Returns the time of the store's steady clock."""
         return round(self._clock.monotonic().total_seconds() * 1000) + self.clock_step_ms
 
+    def _notify(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _changed_since(self, table, since):
         changed_rows = [r for r in self._rows.values() if r.table == table and r.version > since]
         return sorted(changed_rows, key=lambda row: row.version)
@@ -118,10 +149,16 @@
         self._model.calls[path] = self._model.calls.get(path, 0) + 1
         if self._model.is_down:
             self.set_status(503)
+            self._tell_era()
             self.finish()
 
+    def _tell_era(self):
+        if self._model.era:
+            self.set_header("Store-Era", str(self._model.era))
+
     def answer(self, status, **fields):
         self.set_status(status)
+        self._tell_era()
         self.write({"ver": self._model.version, "now_ms": self._model.now_ms(), **fields})
 
 
@@ -160,12 +197,14 @@
 class _FeedHandler(_Handler):
     async def get(self):
         since = int(self.get_argument("since_revision"))
-        if since < self._model.oldest_version:
-            self.answer(410)
-            return
         wait_ms = int(self.get_argument("wait_ms", "0"))
-        changed_rows = await self._model.changes(self.get_argument("table"), since, wait_ms)
-        self.answer(200, rows=[row.as_json(self._view) for row in changed_rows])
+        changed_rows = []
+        if self._model.has_history(since):
+            changed_rows = await self._model.changes(self.get_argument("table"), since, wait_ms)
+        if self._model.has_history(since):
+            self.answer(200, rows=[row.as_json(self._view) for row in changed_rows])
+        else:
+            self.answer(410)
 
 
 def store_application(model: StoreModel, view=None) -> tornado.web.Application:
