--- /dev/null
+++ b/cicadapond/lease/restore_test.py
@@ -0,0 +1,235 @@
+"""The lease of a store that is restored from an older copy: its row and its versions go back."""
+
+import asyncio
+import random
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapond.kernel import AnswerLost, Conflict, Metrics, Ok, VirtualClock, run_virtual, seconds
+from cicadapond.lease import LeaseTask
+from cicadapond.lease.lease_test import ALTERNATION, CFG, Fenced, Table, holders
+from cicadapond.provider import era_of, number_of, version_in_era
+
+
+class RestoredTable(Table):
+    """A store that goes back to a copy; its client learns of that only from the answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.copy = self.row
+        self.era = 0
+
+    def restore(self):
+        self.row = self.copy
+        self.era += 1
+
+    def _shown(self, row):
+        return attrs.evolve(row, version=version_in_era(self.era, row.version))
+
+    async def read(self, keys):
+        outcome = await super().read(keys)
+        return Ok({keys[0]: self._shown(self.row)}) if isinstance(outcome, Ok) else outcome
+
+    async def transact(self, writes):
+        first = attrs.evolve(writes[0], expected=number_of(writes[0].expected))
+        match await super().transact((first,)):
+            case Ok() if era_of(writes[0].expected) < self.era:
+                return AnswerLost("the store was restored meanwhile")
+            case Ok(value=versions):
+                return Ok({key: version_in_era(self.era, each) for key, each in versions.items()})
+            case Conflict(current=current):
+                return Conflict({key: self._shown(row) for key, row in current.items()})
+            case outcome:
+                return outcome
+
+
+async def steps(clock, tasks, duration):
+    """Steps tasks in turn for some seconds; returns the fencing numbers that were granted."""
+    granted, end = [], clock.monotonic() + seconds(duration)
+    while clock.monotonic() < end:
+        for task in tasks:
+            await task.step()
+        held = [task.grant() for task in tasks if task.grant() is not None]
+        assert len(held) <= 1
+        granted.append(held[0].fencing if held else None)
+        await clock.sleep(seconds(0.3))
+    return granted
+
+
+async def a_lost_takeover(clock, table, tasks):
+    """The second process takes the lease from the first; the copy shows the first as its holder."""
+    first, second = tasks[:2]
+    await first.step()
+    table.copy = table.row
+    assert set(await steps(clock, [second], 6)) == {None, 2}
+
+
+def test_no_fencing_number_is_given_out_again_after_a_restore():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        tasks = holders(table, clock)
+        await a_lost_takeover(clock, table, tasks)
+        table.restore()
+        granted = await steps(clock, tasks[2:], 6)
+        assert granted[-1] > 2
+
+    run_virtual(main())
+
+
+def test_an_earlier_holder_does_not_act_again_after_a_restore():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        tasks = holders(table, clock)
+        await a_lost_takeover(clock, table, tasks)
+        table.restore()
+        granted = await steps(clock, tasks[:1], 6)
+        assert granted.count(None) * seconds(0.3) >= CFG.term
+        assert granted[-1] > 2
+
+    run_virtual(main())
+
+
+def test_the_present_holder_goes_on_without_a_gap_after_a_restore():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        tasks = holders(table, clock)
+        await a_lost_takeover(clock, table, tasks)
+        for _ in range(2):
+            table.restore()
+            assert set(await steps(clock, tasks, 6)) == {2}
+        table.copy = RestoredTable().row
+        table.restore()
+        assert set(await steps(clock, tasks, 6)) == {2}
+
+    run_virtual(main())
+
+
+def test_a_lease_that_is_missing_from_the_copy_is_taken_after_a_term_with_a_higher_number():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        tasks = holders(table, clock)
+        await a_lost_takeover(clock, table, tasks)
+        table.copy = RestoredTable().row
+        table.restore()
+        granted = await steps(clock, tasks[2:], 6)
+        assert granted.count(None) * seconds(0.3) >= CFG.term
+        assert granted[-1] > 2
+
+    run_virtual(main())
+
+
+def test_a_holder_that_was_replaced_waits_after_a_restore_and_the_release_of_its_successor():
+    """Guards against A, B, A: the copy does not show that the first held the lease just before."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        first, second, third = holders(table, clock)
+        await third.step()
+        await third.release()
+        table.copy = table.row
+        await first.step()
+        table.restore()
+        # The first is frozen right after a last renewal was lost; the second takes over.
+        assert (await steps(clock, [second], 5.5))[-1] is not None
+        await second.release()
+        await first.step()
+        assert first.grant() is None
+
+    run_virtual(main())
+
+
+def test_a_holder_whose_build_knows_no_eras_is_respected_while_it_renews():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        (task,) = holders(table, clock, 1)
+        old = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 8, "term_ms": 4000}
+        table.era = 1
+        for number in range(1, 12):
+            table.row = attrs.evolve(table.row, version=number, value={**old, "waited_ms": 0})
+            assert await steps(clock, [task], 0.9) == [None] * 3
+        granted = await steps(clock, [task], 6)
+        assert granted[-1] > 8
+
+    run_virtual(main())
+
+
+EVENTS = ("lost", "late", "out", "heal", "pause", "stop", "kill", "copy", "restore")
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(EVENTS), st.integers(0, 2), st.floats(0.05, 2)), max_size=25
+    ),
+    st.integers(0, 9),
+)
+def test_no_interleaving_with_restores_gives_a_number_twice_or_alternates_holders(events, seed):
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        cloud, rng = Fenced(clock), random.Random(seed)
+        paused, grants, owners = [0.0] * 3, [None] * 3, {}
+
+        async def order(number, fencing):
+            await asyncio.sleep(rng.uniform(0, CFG.order_limit.total_seconds()))
+            cloud.take(number, fencing)
+
+        async def keep(number, start):
+            name, own = f"c{number}", random.Random(f"{number}{start}")
+            task = LeaseTask(CFG, "yqr", name, table, clock, Metrics(), own)
+            grants[number] = task.grant
+            try:
+                while True:
+                    await asyncio.sleep(max(0.3, paused[number]))
+                    paused[number] = 0.0
+                    await task.step()
+                    grant = task.grant()
+                    if grant is not None:
+                        assert owners.setdefault(grant.fencing, name) == name
+                        asyncio.ensure_future(order(number, grant.fencing))
+            except asyncio.CancelledError as exc:
+                if "stop" in exc.args:
+                    await task.release()
+                raise
+
+        async def watch():
+            while True:
+                assert sum(grant is not None and grant() is not None for grant in grants) <= 1
+                await asyncio.sleep(0.05)
+
+        running = [asyncio.ensure_future(keep(number, 0)) for number in range(3)]
+        watching = asyncio.ensure_future(watch())
+        for start, (event, number, wait) in enumerate(events, 1):
+            if event in ("lost", "late", "out"):
+                table.faults.append(event)
+            elif event == "heal":
+                table.faults.clear()
+            elif event == "pause":
+                paused[number] = 2 * wait
+            elif event == "copy":
+                table.copy = table.row
+            elif event == "restore":
+                table.restore()
+            else:
+                grants[number] = None
+                running[number].cancel(event)
+                await asyncio.gather(running[number], return_exceptions=True)
+                running[number] = asyncio.ensure_future(keep(number, start))
+            await asyncio.sleep(wait)
+        table.faults.clear()
+        await asyncio.sleep(12)
+        assert not any(task.done() for task in (*running, watching))
+        assert cloud.taken[-1][0] > clock.monotonic() - seconds(2)
+        turns = cloud.turns()
+        for (first, _, until), _, (third, again, _) in zip(
+            turns, turns[1:], turns[2:], strict=False
+        ):
+            assert first != third or again - until > ALTERNATION
+        fencings = [fencing for _, _, fencing in cloud.taken]
+        assert fencings == sorted(fencings)
+        assert sorted(owners) == list(owners)
+        for task in (*running, watching):
+            task.cancel()
+
+    run_virtual(main())
