--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -6,6 +6,7 @@
 import json
 import urllib.parse
 
+import attrs
 import msgpack
 
 from cicadapond.eventlog import EventLog
@@ -21,6 +22,9 @@
     Row,
     TableService,
     Write,
+    era_of,
+    number_of,
+    version_in_era,
 )
 
 OPERATOR_TABLE = "op"
@@ -39,9 +43,38 @@
 _JSON = ((b"content-type", b"application/json"),)
 
 
+@attrs.frozen
+class _Answer:
+    """A response of the store with status 200 or 412; the versions in its body lack its era."""
+
+    status: int
+    era: int
+    payload: dict
+
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return version_in_era(self.era, self.payload["ver"])
+
+    @property
+    def service_time(self) -> datetime.timedelta:
+        """The store's monotonic clock."""
+        return self.payload["now_ms"] * _MILLISECOND
+
+    def rows(self):
+        """Returns each row with its version."""
+        return [
+            (row, version_in_era(self.era, row.get("ver", 0)))
+            for row in self.payload.get("rows", ())
+        ]
+
+
 class PlatformStore(TableService, ChangeFeed):
     """The store, accessed over HTTP.
 
+    All versions that it returns and takes include the store's era.  What was sent and answered in
+    different eras is in doubt, and so is an answer that arrives when a newer era is known.
+
     Args:
       client: The HTTP client for the store's address.
       log: The event log.
@@ -52,12 +85,19 @@
         self._client = client
         self._era = StoreEra(log, metrics)
 
+    def era(self):
+        return self._era.current or 0
+
     async def transact(self, writes):
+        conditions = [write for write in writes if write.expected is not None]
+        for write in conditions:
+            self._era.hear(era_of(write.expected))
+        sent_in = self._era.current
+        if any(write.expected and era_of(write.expected) < self.era() for write in conditions):
+            return await self._conflict(conditions)
         body = {
             "expected_revision": [
-                _row_address(write) | {"ver": write.expected}
-                for write in writes
-                if write.expected is not None
+                _row_address(write) | {"ver": number_of(write.expected)} for write in conditions
             ],
             "writes": [
                 _row_address(write) | {"value": _encode_value(write)}
@@ -70,68 +110,81 @@
                 if write.value is None and not write.check_only
             ],
         }
-        reply = await self._client.call(
-            "POST", "/rows-tx", _JSON, json.dumps(body).encode(), CALL_TIMEOUT
-        )
-        payload = self._parse(reply)
-        if isinstance(payload, ReplyLost):
-            return AnswerLost(payload.reason)
-        if isinstance(payload, Unavailable):
-            return payload
-        if reply.status == 412:
-            return Conflict(_rows_by_key(payload))
-        return Ok({(write.table, write.key): payload["ver"] for write in writes})
+        answer = await self._call("POST", "/rows-tx", _JSON, json.dumps(body).encode())
+        match answer:
+            case _Answer(status=412):
+                return Conflict(_rows_by_key(answer))
+            case _Answer() if conditions and sent_in is not None and answer.era > sent_in:
+                return AnswerLost("the store was restored meanwhile")
+            case _Answer():
+                return Ok({(write.table, write.key): answer.version for write in writes})
+            case ReplyLost():
+                return AnswerLost(answer.reason)
+        return _as_unavailable(answer)
+
+    async def _conflict(self, conditions):
+        """Returns the conflict that expected versions of an earlier era are, or an outage."""
+        current = {}
+        for table in {write.table for write in conditions}:
+            keys = tuple((table, write.key) for write in conditions if write.table == table)
+            outcome = await self.read(keys)
+            if not isinstance(outcome, Ok):
+                return outcome
+            current |= {key: row for key, row in outcome.value.items() if row.version}
+        return Conflict(current)
 
     async def read(self, keys):
         tables = {table for table, _ in keys}
         if len(tables) != 1:
             return Unavailable("one read cannot cover rows of several tables")
         names = sorted(key for _, key in keys)
-        payload = await self._range(*tables, names[0], _just_after(names[-1]), PAGE_ROWS)
-        if isinstance(payload, Unavailable):
-            return payload
-        rows = {(row.table, row.key): row for row in _decoded_rows(payload)}
+        answer = await self._range(*tables, names[0], _just_after(names[-1]), PAGE_ROWS)
+        if isinstance(answer, Unavailable):
+            return answer
+        rows = _rows_by_key(answer)
         return Ok({key: rows.get(key, Row(*key, 0, None)) for key in keys})
 
     async def scan(self, table, prefix="", after="", limit=1000):
         first = max(prefix, _just_after(after) if after else "")
-        payload = await self._range(table, first, None, min(limit, PAGE_ROWS))
-        if isinstance(payload, Unavailable):
-            return payload
-        return Ok(tuple(row for row in _decoded_rows(payload) if row.key.startswith(prefix)))
+        answer = await self._range(table, first, None, min(limit, PAGE_ROWS))
+        if isinstance(answer, Unavailable):
+            return answer
+        return Ok(tuple(row for row in _decoded_rows(answer) if row.key.startswith(prefix)))
 
     async def snapshot(self, table):
         rows, first, version = [], "", None
         while True:
-            payload = await self._range(table, first, None, PAGE_ROWS)
-            if isinstance(payload, Unavailable):
-                return payload
-            rows.extend(_raw_rows(payload))
+            answer = await self._range(table, first, None, PAGE_ROWS)
+            if isinstance(answer, Unavailable):
+                return answer
             # Rows of later pages may be newer than this version; the feed repeats their changes.
-            version = payload["ver"] if version is None else version
-            if not payload.get("has_more"):
-                return Ok(Changes(tuple(rows), version, payload["now_ms"] * _MILLISECOND))
+            version = answer.version if version is None else version
+            if era_of(version) != answer.era:
+                return Unavailable("the store was restored between two pages of a table")
+            rows.extend(_raw_rows(answer))
+            if not answer.payload.get("has_more"):
+                return Ok(Changes(tuple(rows), version, answer.service_time))
             first = _just_after(rows[-1].key)
 
     async def changes(self, table, since, wait):
-        query = {"table": table, "since_revision": since, "wait_ms": wait // _MILLISECOND}
-        reply = await self._get("/rows-feed", query, wait + FEED_TIMEOUT_MARGIN)
-        payload = self._parse(reply)
-        if isinstance(reply, Reply) and reply.status == 410:
+        self._era.hear(era_of(since))
+        if era_of(since) < self.era():
             return HistoryLost()
-        if isinstance(payload, ReplyLost):
-            return Unavailable(payload.reason)
-        if isinstance(payload, Unavailable):
-            return payload
-        rows = tuple(_raw_rows(payload))
-        return Ok(Changes(rows, payload["ver"], payload["now_ms"] * _MILLISECOND))
-
-    def _parse(self, reply):
-        payload = _parse_reply(reply)
-        if isinstance(reply, Reply):
-            version = payload["ver"] if isinstance(payload, dict) else None
-            self._era.observe(parse_store_era(reply.headers), version)
-        return payload
+        query = {
+            "table": table,
+            "since_revision": number_of(since),
+            "wait_ms": wait // _MILLISECOND,
+        }
+        answer = await self._get("/rows-feed", query, wait + FEED_TIMEOUT_MARGIN)
+        match answer:
+            case HistoryLost():
+                return answer
+            case _Answer(era=era) if era > era_of(since):
+                return HistoryLost()
+            case _Answer():
+                rows = tuple(_raw_rows(answer))
+                return Ok(Changes(rows, answer.version, answer.service_time))
+        return _as_unavailable(answer)
 
     async def _range(self, table, first, end, limit):
         query = {"table": table, "part": PART, "limit": limit}
@@ -139,21 +192,44 @@
             query["from"] = first
         if end is not None:
             query["to"] = end
-        payload = self._parse(await self._get("/rows-get", query, CALL_TIMEOUT))
-        return Unavailable(payload.reason) if isinstance(payload, ReplyLost) else payload
+        answer = await self._get("/rows-get", query, CALL_TIMEOUT)
+        return answer if isinstance(answer, _Answer) else _as_unavailable(answer)
 
     async def _get(self, path, query, timeout):
-        target = f"{path}?{urllib.parse.urlencode(query)}"
-        return await self._client.call("GET", target, (), b"", timeout)
+        return await self._call("GET", f"{path}?{urllib.parse.urlencode(query)}", timeout=timeout)
 
+    async def _call(self, method, target, headers=(), body=b"", timeout=CALL_TIMEOUT):
+        """Returns an `_Answer`, or the outcome of a call that brought none."""
+        sent_in = self._era.current
+        reply = await self._client.call(method, target, headers, body, timeout)
+        if not isinstance(reply, Reply):
+            return reply
+        payload = _parse_reply(reply)
+        version = payload["ver"] if isinstance(payload, dict) else None
+        era = self._era.observe(parse_store_era(reply.headers), version, sent_in)
+        if era < self._era.current and isinstance(payload, dict | HistoryLost):
+            reason = "the answer is older than the restore of the store"
+            return ReplyLost(reason) if reply.status == 200 else Unavailable(reason)
+        return _Answer(reply.status, era, payload) if isinstance(payload, dict) else payload
 
-def _parse_reply(reply) -> dict | Unavailable | ReplyLost:
-    """Returns the body of a reply with status 200 or 412, else the outcome that the reply means."""
-    match reply:
+
+def _as_unavailable(outcome) -> Unavailable:
+    """Returns the outcome of a call that may simply be made again."""
+    match outcome:
         case NoConnection():
             return Unavailable("no connection to the store")
-        case ReplyLost():
-            return reply
+        case ReplyLost(reason=reason):
+            return Unavailable(reason)
+        case HistoryLost():
+            return Unavailable("the store answered 410")
+    return outcome
+
+
+def _parse_reply(reply: Reply) -> dict | HistoryLost | Unavailable | ReplyLost:
+    """Returns the body of a reply with status 200 or 412, else the outcome that it means."""
+    match reply:
+        case Reply(status=410):
+            return HistoryLost()
         case Reply(status=429):
             return Unavailable("the store answered 429: rate limit exceeded", CALL_TIMEOUT)
         case Reply(status=200 | 412, body=body):
@@ -188,21 +264,21 @@
         return None
 
 
-def _raw_rows(payload):
-    for row in payload.get("rows", ()):
+def _raw_rows(answer):
+    for row, version in answer.rows():
         deleted = row.get("deleted", False)
         try:
             value = None if deleted else base64.b64decode(row["value"], validate=True)
         except (binascii.Error, TypeError, KeyError):
             value = b""  # not decodable, so the table's decoder reports a finding
-        yield RawRow(row["key"], row.get("ver", 0), value)
+        yield RawRow(row["key"], version, value)
 
 
-def _decoded_rows(payload):
-    for row in payload.get("rows", ()):
+def _decoded_rows(answer):
+    for row, version in answer.rows():
         if not row.get("deleted") and row.get("value") is not None:
             value = _decode_value(row["table"], row["value"])
-            yield Row(row["table"], row["key"], row["ver"], value)
+            yield Row(row["table"], row["key"], version, value)
 
 
 def _decode_value(table, raw):
@@ -216,8 +292,8 @@
         return None
 
 
-def _rows_by_key(payload):
-    return {(row.table, row.key): row for row in _decoded_rows(payload)}
+def _rows_by_key(answer):
+    return {(row.table, row.key): row for row in _decoded_rows(answer)}
 
 
 def _just_after(key):
--- a/cicadapond/platform/era_test.py
+++ b/cicadapond/platform/era_test.py
@@ -30,9 +30,9 @@
 def test_a_malformed_era_is_logged_once_and_the_known_one_stays(values):
     log = Log()
     era = StoreEra(log, Metrics())
-    era.observe(3, 10)
+    era.observe(3, 10, None)
     for _ in range(2):
-        era.observe(era_of(*values), 11)
+        assert era.observe(era_of(*values), 11, 3) == 3
     assert [event for event, _ in log.lines] == ["store_era_unreadable"]
     assert era.current == 3
 
@@ -41,7 +41,7 @@
     log, metrics = Log(), Metrics()
     era = StoreEra(log, metrics)
     for told, version in ((None, 5), (None, 40), (1, 30), (1, 31), (None, 32), (0, 33)):
-        era.observe(told, version)
+        era.observe(told, version, era.current)
     fields = {"era": 1, "last_era": 0, "version": 30, "last_version": 40}
     assert log.lines == [("store_restored", fields)]
     assert metrics.counter("store_restores") == 1
@@ -49,5 +49,5 @@
 
 def test_the_first_response_tells_the_era_and_no_restore():
     log = Log()
-    StoreEra(log, Metrics()).observe(7, 1)
+    StoreEra(log, Metrics()).observe(7, 1, None)
     assert log.lines == []
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -106,6 +106,10 @@
 class ChangeFeed(abc.ABC):
     """Tables written by other systems, followed through their changes."""
 
+    def era(self) -> int:
+        """Returns the newest era of the service that is known; see `era_of`."""
+        return 0
+
     @abc.abstractmethod
     async def snapshot(self, table: str) -> Ok[Changes] | Unavailable:
         """Reads all rows of a table."""
