--- a/cicadapond/platform/standin/_store.py
+++ b/cicadapond/platform/standin/_store.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import base64
+import datetime
 import json
+import typing
+import urllib.parse
 
 import attrs
 import tornado.web
 
+from cicadapond.forwarding import HttpClient, NoConnection, Reply
+from cicadapond.kernel import Clock
+
 MAX_WAIT_MS = 30_000
+ERA_HEADER = "Store-Era"
 
 
 @attrs.define
@@ -139,72 +146,78 @@
         return sorted(changed_rows, key=lambda row: row.version)
 
 
-class _Handler(tornado.web.RequestHandler):
-    def initialize(self, model, view):
-        self._model = model
-        self._view = view
+async def respond(
+    model: StoreModel, path: str, arguments: typing.Mapping[str, str], body: bytes, view=None
+) -> tuple[int, dict]:
+    """Returns the status of the response to a call, and its body, empty if it has none.
 
-    def prepare(self):
-        path = self.request.path
-        self._model.calls[path] = self._model.calls.get(path, 0) + 1
-        if self._model.is_down:
-            self.set_status(503)
-            self._tell_era()
-            self.finish()
+    Args:
+      model: The store.
+      path: The path of the call.
+      arguments: The arguments of its query.
+      body: Its body.
+      view: See `store_application`.
+    """
+    model.calls[path] = model.calls.get(path, 0) + 1
+    if model.is_down:
+        return 503, {}
+    status, rows, more = await _CALLS[path](model, arguments, body)
+    shown = [row.as_json(view) for row in rows]
+    return status, {"ver": model.version, "now_ms": model.now_ms(), "rows": shown} | more
 
-    def _tell_era(self):
-        if self._model.era:
-            self.set_header("Store-Era", str(self._model.era))
 
-    def answer(self, status, **fields):
-        self.set_status(status)
-        self._tell_era()
-        self.write({"ver": self._model.version, "now_ms": self._model.now_ms(), **fields})
+async def _transact(model, arguments, body):
+    call = json.loads(body)
+    conditions = [(c["table"], c["part"], c["key"], c["ver"]) for c in call["expected_revision"]]
+    writes = [
+        (w["table"], w["part"], w["key"], base64.b64decode(w["value"])) for w in call["writes"]
+    ]
+    writes += [(r["table"], r["part"], r["key"], None) for r in call["remove"]]
+    conflicting_rows = model.transact(conditions, writes)
+    if conflicting_rows is None:
+        return 200, [], {}
+    return 412, [row for row in conflicting_rows if row.value is not None], {}
 
 
-class _TransactionHandler(_Handler):
-    def post(self):
-        body = json.loads(self.request.body)
-        conditions = [
-            (c["table"], c["part"], c["key"], c["ver"]) for c in body["expected_revision"]
-        ]
-        writes = [
-            (w["table"], w["part"], w["key"], base64.b64decode(w["value"])) for w in body["writes"]
-        ]
-        writes += [(r["table"], r["part"], r["key"], None) for r in body["remove"]]
-        conflicting_rows = self._model.transact(conditions, writes)
-        if self._model.drops_responses:
-            self.request.connection.stream.close()
-            return
-        if conflicting_rows is None:
-            self.answer(200)
-        else:
-            self.answer(
-                412,
-                rows=[row.as_json(self._view) for row in conflicting_rows if row.value is not None],
-            )
+async def _range(model, arguments, body):
+    limit = int(arguments.get("limit", "500"))
+    in_range = model.rows(arguments["table"], arguments.get("from", ""), arguments.get("to"))
+    return 200, in_range[:limit], {"has_more": len(in_range) > limit}
 
 
-class _RangeHandler(_Handler):
-    def get(self):
-        limit = int(self.get_argument("limit", "500"))
-        first, end = self.get_argument("from", "", False), self.get_argument("to", None, False)
-        in_range = self._model.rows(self.get_argument("table"), first, end)
-        rows = [row.as_json(self._view) for row in in_range[:limit]]
-        self.answer(200, rows=rows, has_more=len(in_range) > limit)
+async def _feed(model, arguments, body):
+    since, wait_ms = int(arguments["since_revision"]), int(arguments.get("wait_ms", "0"))
+    changed_rows = []
+    if model.has_history(since):
+        changed_rows = await model.changes(arguments["table"], since, wait_ms)
+    return (200, changed_rows, {}) if model.has_history(since) else (410, [], {})
 
 
-class _FeedHandler(_Handler):
+_CALLS = {"/rows-tx": _transact, "/rows-get": _range, "/rows-feed": _feed}
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, model, view):
+        self._model = model
+        self._view = view
+
     async def get(self):
-        since = int(self.get_argument("since_revision"))
-        wait_ms = int(self.get_argument("wait_ms", "0"))
-        changed_rows = []
-        if self._model.has_history(since):
-            changed_rows = await self._model.changes(self.get_argument("table"), since, wait_ms)
-        if self._model.has_history(since):
-            self.answer(200, rows=[row.as_json(self._view) for row in changed_rows])
-        else:
-            self.answer(410)
+        await self._respond()
+
+    async def post(self):
+        await self._respond()
+
+    async def _respond(self):
+        model, path = self._model, self.request.path
+        arguments = {name: self.get_argument(name, strip=False) for name in self.request.arguments}
+        status, fields = await respond(model, path, arguments, self.request.body, self._view)
+        if path == "/rows-tx" and model.drops_responses and status != 503:
+            self.request.connection.stream.close()
+            return
+        self.set_status(status)
+        if model.era:
+            self.set_header(ERA_HEADER, str(model.era))
+        self.finish(fields or None)
 
 
 def store_application(model: StoreModel, view=None) -> tornado.web.Application:
@@ -217,10 +230,32 @@
     """
     arguments = {"model": model, "view": view}
     return tornado.web.Application(
-        [
-            ("/rows-tx", _TransactionHandler, arguments),
-            ("/rows-get", _RangeHandler, arguments),
-            ("/rows-feed", _FeedHandler, arguments),
-        ],
-        log_function=lambda handler: None,
+        [(path, _Handler, arguments) for path in _CALLS], log_function=lambda handler: None
     )
+
+
+class StoreClient(HttpClient):
+    """Calls a stand-in of the store without sockets, for tests on virtual time.
+
+    Args:
+      model: The store.
+      clock: The clock.
+      delay: How long a call takes, beside its wait.
+    """
+
+    def __init__(self, model: StoreModel, clock: Clock, delay: datetime.timedelta):
+        self._model = model
+        self._clock = clock
+        self._delay = delay
+        self.is_cut = False
+
+    async def call(self, method, target, headers, body, timeout, send_by=None):
+        await self._clock.sleep(self._delay)
+        if self.is_cut:
+            return NoConnection()
+        path, _, query = target.partition("?")
+        arguments = dict(urllib.parse.parse_qsl(query))
+        status, fields = await respond(self._model, path, arguments, body)
+        era = self._model.era
+        told = ((ERA_HEADER.lower().encode(), b"%d" % era),) if era else ()
+        return Reply(status, json.dumps(fields).encode(), told)
