--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -4,6 +4,12 @@
 has seen the row unchanged for a full term by its own clock.  Clocks of different processes are
 never compared: the holder's term starts before its write is sent, the challenger's wait starts
 after its read has returned.
+
+The table service may be restored from an older copy, which raises its era.  The row then shows an
+earlier state, and what came after it may be lost, so a row that was written in an earlier era gives
+nobody the lease.  Only a process with a valid grant knows that no later holder was there, as
+everybody else waits a full term after first seeing the row in the new era; it writes its own row
+again.
 """
 
 import datetime
@@ -11,11 +17,14 @@
 import attrs
 
 from cicadapond.kernel import setting
-from cicadapond.provider import Row, Write
+from cicadapond.provider import Row, Write, era_of
 
 TABLE = "leases"
 # Writes whose time of sending is kept, for those that are seen in the row only later.
 MAX_REMEMBERED_TOKENS = 16
+# The fencing numbers that are given out in an era start at this multiple of it, above all that may
+# have been given out and lost before.
+FENCING_PER_ERA = 2**24
 _SECOND = datetime.timedelta(seconds=1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
@@ -89,8 +98,11 @@
         self._is_unchanged = False
         self._write_count = 0
         self._sent_at: dict[str, datetime.timedelta] = {}
+        self._era = 0
+        self._era_seen_at = datetime.timedelta()
+        self._highest_fencing = 0
         self._held_until: datetime.timedelta | None = None
-        self._held_fencing: int | None = None
+        self._held: dict | None = None
         self._held_since = datetime.timedelta()
         self._unfenced_from = datetime.timedelta()
 
@@ -104,11 +116,20 @@
         value = self._value()
         return value.get("holder") if value else None
 
+    @property
+    def era(self) -> int:
+        """The era of the table service at the last read of the row."""
+        return self._era
+
+    def era_age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns for how long at least this process or a holder has known the present era."""
+        return now - self._era_seen_at
+
     def grant(self, now: datetime.timedelta) -> Grant | None:
         """Returns the current grant, None if there is none or it has ended."""
-        if self._held_until is None or now >= self._held_until or not self._is_mine():
+        if self._held_until is None or now >= self._held_until:
             return None
-        return Grant(self._value()["fencing"], self._held_until, self._unfenced_from)
+        return Grant(self._held["fencing"], self._held_until, self._unfenced_from)
 
     def observe(self, row: Row, now: datetime.timedelta) -> None:
         """Updates the state from a read of the row.
@@ -121,22 +142,36 @@
         if not self._is_unchanged:
             self._version_seen_at = now
         self._row = row
-        if not self._is_mine():
+        self._observe_era(now)
+        if row.value is not None:
+            self._highest_fencing = max(self._highest_fencing, row.value["fencing"])
+        if self._is_mine():
+            sent_at = self._sent_at.get(row.value["token"])
+            if sent_at is not None:
+                self._extend(sent_at, row.value)
+        elif not self.must_write_again(now):
             self._held_until = None
-            return
-        sent_at = self._sent_at.get(row.value["token"])
-        if sent_at is not None:
-            self._extend(sent_at, row.value)
+
+    def must_write_again(self, now: datetime.timedelta) -> bool:
+        """Returns whether this process holds the lease, but a restore has undone its last write."""
+        if self.grant(now) is None or not self._is_restored():
+            return False
+        value = self._value()
+        # Another holder's number that is as high comes from a build that knows no eras.
+        return (
+            value is None
+            or value["instance"] == self._instance
+            or value["fencing"] < self._held["fencing"]
+        )
 
     def lapses_at(self) -> datetime.timedelta | None:
         """Returns the monotonic time at which the lease can be taken if it is not renewed.
 
         None if the last two reads of the row differed, or one of them is still to come.
         """
-        value = self._value()
-        if value is None or not self._is_unchanged:
+        if not self._is_unchanged or (self._value() is None and not self._is_restored()):
             return None
-        return self._version_seen_at + value["term_ms"] * _MILLISECOND
+        return self._version_seen_at + self._term()
 
     def next_write(self, now: datetime.timedelta) -> Write | None:
         """Returns the conditional write that takes or renews the lease, None if neither is allowed.
@@ -147,19 +182,22 @@
             return None
         value = self._value()
         if self._is_mine():
-            return self._write(value["fencing"], now, value["waited_ms"])
-        if value is None:
-            return self._write(1, now, 0)
-        waited = now - self._version_seen_at
-        term = value["term_ms"] * _MILLISECOND
-        # A released lease can be taken at once, except by a recent holder, which waits until its
-        # own earlier orders are a full term old: otherwise its old and new orders would enclose
-        # those of the holders in between.
-        if value.get("released") and not self._held_recently(value):
-            return self._write(value["fencing"] + 1, now, 0)
-        if waited <= term:
+            return self._renewal(value, now)
+        if self.must_write_again(now):
+            return self._renewal(self._held, now)
+        if not self._is_restored():
+            if value is None:
+                return self._write(self._next_fencing(), now, 0, [])
+            # A released lease can be taken at once, except by a recent holder, which waits until
+            # its own earlier orders are a full term old: otherwise its old and new orders would
+            # enclose those of the holders in between.
+            if value.get("released") and not self._held_recently(value):
+                return self._write(self._next_fencing(), now, 0, self._recent_before(value))
+        if now - self._version_seen_at <= self._term():
             return None
-        return self._write(value["fencing"] + 1, now, self.cfg.order_limit // _MILLISECOND)
+        recent = None if self._is_restored() else self._recent_before(value)
+        unfenced_wait_ms = self.cfg.order_limit // _MILLISECOND
+        return self._write(self._next_fencing(), now, unfenced_wait_ms, recent)
 
     def write_applied(self, write: Write, version: int, now: datetime.timedelta) -> None:
         """Updates the state after a write from `next_write` has taken effect."""
@@ -189,12 +227,41 @@
     def _value(self):
         return self._row.value if self._row is not None else None
 
+    def _is_restored(self):
+        """Returns whether the row is from before a restore of the table service."""
+        value = self._value()
+        return self._era > (value.get("era", 0) if value else 0)
+
     def _is_mine(self):
         value = self._value()
         mine = value is not None and value["instance"] == self._instance
-        return mine and not value.get("released")
+        return mine and not value.get("released") and not self._is_restored()
+
+    def _observe_era(self, now):
+        if era_of(self._row.version) != self._era:
+            self._era = era_of(self._row.version)
+            self._era_seen_at = now
+        value = self._value()
+        if value is not None and not self._is_restored():
+            age = value.get("era_age_ms", 0) * _MILLISECOND
+            self._era_seen_at = min(self._era_seen_at, now - age)
 
-    def _write(self, fencing, now, unfenced_wait_ms):
+    def _term(self):
+        """Returns how long the row must stay unchanged before the lease is taken."""
+        value = self._value()
+        if value is None:
+            return self.cfg.term
+        term = value["term_ms"] * _MILLISECOND
+        return max(term, self.cfg.term) if self._is_restored() else term
+
+    def _next_fencing(self):
+        return max(self._highest_fencing + 1, self._era * FENCING_PER_ERA)
+
+    def _renewal(self, value, now):
+        recent = [] if now - self._held_since > self.cfg.term else value.get("recent")
+        return self._write(value["fencing"], now, value["waited_ms"], recent)
+
+    def _write(self, fencing, now, unfenced_wait_ms, recent):
         self._write_count += 1
         token = f"{self._instance}/{self._write_count}"
         self._sent_at[token] = now
@@ -207,8 +274,11 @@
             "fencing": fencing,
             "term_ms": self.cfg.term // _MILLISECOND,
             "waited_ms": unfenced_wait_ms,
-            "recent": self._recent_holders(fencing, now),
         }
+        if recent is not None:
+            value["recent"] = recent
+        if self._era:
+            value |= {"era": self._era, "era_age_ms": self.era_age(now) // _MILLISECOND}
         return Write(*self.key, value, expected=self._row.version)
 
     def _held_recently(self, value):
@@ -219,22 +289,15 @@
         recent = value.get("recent")
         return recent is None or self._holder in recent
 
-    def _recent_holders(self, fencing, now):
+    def _recent_before(self, value):
         """Returns the earlier holders whose last orders may be less than a term old."""
-        value = self._value()
-        if value is None:
-            return []
-        if value["fencing"] != fencing:
-            recent = [*value.get("recent", ()), value["holder"]]
-            return [holder for holder in dict.fromkeys(recent) if holder != self._holder]
-        if now - self._held_since > self.cfg.term:
-            return []
-        return value.get("recent", [])
+        recent = [*value.get("recent", ()), value["holder"]]
+        return [holder for holder in dict.fromkeys(recent) if holder != self._holder]
 
     def _extend(self, sent_at, value):
-        if self._held_fencing != value["fencing"]:
+        if self._held is None or self._held["fencing"] != value["fencing"]:
             self._unfenced_from = sent_at + value["waited_ms"] * _MILLISECOND
-            self._held_fencing = value["fencing"]
             self._held_since = sent_at
+        self._held = value
         end = sent_at + self.cfg.term - self.cfg.margin
         self._held_until = max(self._held_until or end, end)
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -81,6 +81,9 @@
         write = self.lease.next_write(now)
         if write is not None:
             await self._write(write)
+        now = self._clock.monotonic()
+        if self.lease.must_write_again(now):
+            await self._write(self.lease.next_write(now))
         self._log_change()
 
     def stop_acting(self) -> None:
@@ -124,6 +127,9 @@
             case Conflict(current=current) if self.lease.key in current:
                 self._metrics.count("lease_write_failures", outcome="Conflict")
                 self.lease.observe(current[self.lease.key], self._clock.monotonic())
+            case Conflict():  # without the row if that is missing from a restored copy
+                self._metrics.count("lease_write_failures", outcome="Conflict")
+                await self._read()
             case _:
                 self._metrics.count("lease_write_failures", outcome=type(outcome).__name__)
 
