--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -13,6 +13,8 @@
 # After a term without a renewal, when the row is read to take the lease.
 LAPSE_READ_DELAY = datetime.timedelta(milliseconds=100)
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=300)
+# After a renewal that failed, as the grant soon ends.
+RENEWAL_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 
 
 class LeaseTask(Task):
@@ -54,6 +56,7 @@
         self._challenge_interval = poll_interval or (lambda: cfg.renewal)
         self._extra_writes = extra_writes
         self._fencing: int | None = None
+        self._has_written = True
 
     def grant(self) -> Grant | None:
         """Returns the current grant or None; to be checked right before each order."""
@@ -117,6 +120,7 @@
 
     async def _write(self, write):
         outcome = await self._tables.transact((write, *self._extra_writes()))
+        self._has_written = isinstance(outcome, Ok)
         match outcome:
             case Ok(versions):
                 version = versions[write.table, write.key]
@@ -145,7 +149,7 @@
 
     def _poll_interval(self) -> datetime.timedelta:
         if self.grant() is not None:
-            return self._cfg.renewal
+            return self._cfg.renewal if self._has_written else RENEWAL_RETRY_INTERVAL
         interval = self._challenge_interval()
         lapses_at = self.lease.lapses_at()
         if lapses_at is None:
--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from cicadapond.kernel import AnswerLost, Conflict, Metrics, Ok, VirtualClock, run_virtual, seconds
-from cicadapond.lease import LeaseTask
+from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.lease.lease_test import ALTERNATION, CFG, Fenced, Table, holders
 from cicadapond.provider import era_of, number_of, version_in_era
 
@@ -233,3 +233,26 @@
             task.cancel()
 
     run_virtual(main())
+
+
+def test_a_holder_goes_on_without_a_gap_while_the_store_is_away_for_a_moment():
+    """Guards against a lapse: the next renewal came only after the grant had ended."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        cfg = LeaseSettings(term=seconds(3), margin=seconds(0.9), order_limit=seconds(0.8))
+        task = LeaseTask(cfg, "yqr", "c0", table, clock, Metrics(), random.Random(0))
+        running = asyncio.ensure_future(task.run())
+        for _ in range(3):
+            await asyncio.sleep(0.6)
+            table.copy = table.row
+            table.faults.append("out")
+            await asyncio.sleep(1.2)
+            table.faults.clear()
+            table.restore()
+            for _ in range(12):
+                await asyncio.sleep(0.1)
+                assert task.grant() is not None
+        running.cancel()
+
+    run_virtual(main())
