--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -1,16 +1,19 @@
 """Keeps a local copy of a table that other processes write.
 
-Calls to the store are made one at a time; each answer confirms that the copy is current.
+Calls to the store are made one at a time; each answer confirms that the copy is current.  When the
+store proves to be restored from an older copy, the table is read anew as a whole: by the readers of
+shared copies at once, by the other processes at times spread over a while.
 """
 
 import abc
 import datetime
+import random
 
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._sharing import CopyGroup, NoSharing, RecentChanges
 from cicadapond.gateway._time import StoreClock
 from cicadapond.kernel import Clock, Metrics, Ok, Task
-from cicadapond.provider import ChangeFeed, Changes, HistoryLost
+from cicadapond.provider import ChangeFeed, Changes, HistoryLost, era_of
 
 # Maximum duration of a long poll for a change.
 MAX_FEED_WAIT = datetime.timedelta(milliseconds=2300)
@@ -23,6 +26,12 @@
 OUTAGE_THRESHOLD = datetime.timedelta(milliseconds=1200)
 FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
 MAX_BACKOFF = datetime.timedelta(milliseconds=800)
+# Over how long the processes other than the readers spread their calls after a restore.  It is
+# shorter where a copy gets too old meanwhile, but not below the minimum.
+MAX_REREAD_SPREAD = datetime.timedelta(milliseconds=1500)
+MIN_REREAD_SPREAD = datetime.timedelta(milliseconds=400)
+# The age that a copy may reach in that time, in waits of the feed.
+REREAD_AGE_WAITS = 2
 ZERO = datetime.timedelta()
 
 
@@ -43,7 +52,7 @@
         Args:
           changes: The rows, with the version and the store's time of the answer.
           is_snapshot: Whether they are the whole table.
-          after_outage: Whether they come after an outage of the store.
+          after_outage: Whether they come after an outage or a restore of the store.
         """
 
     @abc.abstractmethod
@@ -63,6 +72,7 @@
       log: The event log.
       metrics: The metrics.
       group: The processes that share copies of the table, None to share with none.
+      rng: Source of jitter.
     """
 
     def __init__(
@@ -75,6 +85,7 @@
         log: EventLog,
         metrics: Metrics,
         group: CopyGroup | None = None,
+        rng: random.Random | None = None,
     ):
         self.name = f"follow {table}"
         self._table = table
@@ -84,10 +95,13 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._rng = rng or random.Random()
         self._group = group or NoSharing()
         self._recent_changes = RecentChanges(clock)
         self._store_clock = StoreClock()
         self._version: int | None = None
+        # The era of the rows applied last.
+        self._era: int | None = None
         self._failures = 0
         self._answered_at: datetime.timedelta | None = None
         self._current_as_of: datetime.timedelta | None = None
@@ -96,6 +110,8 @@
     async def run(self):
         self._version = None  # after an unexpected error, changes may be missing
         while True:
+            if self._is_position_void():
+                await self._prepare_reread()
             wait = await self._receive_shared_copy() if self._uses_shared_copies() else self._wait
             if wait is not None:
                 await self._call_store(wait)
@@ -110,8 +126,8 @@
             case Ok(changes):
                 self._apply(changes, called_at)
             case HistoryLost():
-                self._log.write("history_lost", table=self._table, version=self._version)
-                self._version = None
+                if not self._is_position_void():
+                    self._lose_position()
             case _:
                 await self._back_off(outcome)
 
@@ -124,11 +140,30 @@
             wait = min(wait, self._group.times.reader_wait)
         return await self._feed.changes(self._table, self._version, wait)
 
+    def _is_position_void(self):
+        """Returns whether the store was restored since it gave out the version of this copy."""
+        return self._version is not None and era_of(self._version) < self._feed.era()
+
+    def _lose_position(self):
+        self._log.write("history_lost", table=self._table, version=self._version)
+        self._version = None
+
+    async def _prepare_reread(self):
+        """Makes the next call read the whole table, and waits until it is due."""
+        self._lose_position()
+        if self._group.is_reader(self._table):
+            return
+        due = self._current_as_of + REREAD_AGE_WAITS * self._wait
+        spread = max(MIN_REREAD_SPREAD, min(MAX_REREAD_SPREAD, due - self._clock.monotonic()))
+        await self._clock.sleep(self._rng.random() * spread)
+
     def _apply(self, changes, called_at):
         is_snapshot = self._version is None
-        after_outage = False
+        era = era_of(changes.version)
+        after_outage = self._era is not None and era > self._era
+        self._era = era
         if self._failures:
-            after_outage = (
+            after_outage = after_outage or (
                 self._answered_at is not None and called_at - self._answered_at > OUTAGE_THRESHOLD
             )
             self._log.write(
@@ -177,6 +212,9 @@
         """Applies a copy from another process; returns the same as `_receive_shared_copy`."""
         if copy.version < self._version:
             return None
+        if era_of(copy.version) > era_of(self._version):
+            self._feed.hear_era(era_of(copy.version))
+            return None
         now = self._clock.monotonic()
         since = self._store_clock.local_time_of(copy.service_time, now)
         if copy.floor > self._version or since is None:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -384,6 +384,7 @@
                 self._log,
                 self._metrics,
                 self._cluster.copies,
+                self._rng,
             ),
             restarts=True,
         )
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -88,6 +88,9 @@
     def era(self):
         return self._era.current or 0
 
+    def hear_era(self, era):
+        self._era.hear(era)
+
     async def transact(self, writes):
         conditions = [write for write in writes if write.expected is not None]
         for write in conditions:
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -110,6 +110,10 @@
         """Returns the newest era of the service that is known; see `era_of`."""
         return 0
 
+    def hear_era(self, era: int) -> None:
+        """Records an era of the service that another process tells."""
+        return None
+
     @abc.abstractmethod
     async def snapshot(self, table: str) -> Ok[Changes] | Unavailable:
         """Reads all rows of a table."""
