--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -412,6 +412,7 @@
             summary = total.as_items()
         return Digest(
             copies=self._copies.published(),
+            restored_copies=self._copies.published_restored(),
             report=report.as_items(),
             summary=summary,
         )
@@ -432,7 +433,8 @@
 
     def _receive(self, member):
         digest = member.digest
-        self._copies.receive(member.name, member.zone, digest.copies)
+        for copies in (digest.copies, digest.restored_copies):
+            self._copies.receive(member.name, member.zone, copies)
         if member.zone == self._cfg.zone:
             report = read_report(digest.report)
             if report is not None:
--- a/cicadapond/gateway/_copies.py
+++ b/cicadapond/gateway/_copies.py
@@ -12,6 +12,7 @@
 from cicadapond.gateway._sharing import CopyGroup, CopyInbox, CopyTimes, SharedCopy, read_copy
 from cicadapond.kernel import Clock
 from cicadapond.peer import owner
+from cicadapond.provider import era_of
 
 # With fewer processes than this, each reads for itself: a few calls less are not worth a process's
 # dependence on others.
@@ -52,15 +53,24 @@
         self._inboxes: dict[str, CopyInbox] = collections.defaultdict(CopyInbox)
         self._received: dict[tuple[str, str], list] = {}
         self._received_at: dict[str, datetime.timedelta] = {}
+        # The newest era of the copies.
+        self._era = 0
         self._ranked_for: typing.Mapping[str, tuple[str, ...]] | None = None
         self._ranked: dict[str, tuple[str, str | None]] = {}
 
     def published(self) -> dict[str, list]:
-        """Returns the copies to send to the others, by table."""
+        """Returns the copies to send to the others, by table, if the store was never restored."""
+        return self._published_copies(lambda era: era == 0)
+
+    def published_restored(self) -> dict[str, list]:
+        """Returns the copies of a store that has been restored, which earlier builds cannot use."""
+        return self._published_copies(lambda era: era > 0)
+
+    def _published_copies(self, holds):
         return {
             table: copy.as_list()
             for table, copy in self._published.items()
-            if self.is_reader(table)
+            if holds(era_of(copy.version)) and self.is_reader(table)
         }
 
     def receive(self, process: str, zone: str, copies: typing.Mapping[str, list]) -> None:
@@ -73,6 +83,9 @@
             if copy is None:
                 self._log.write("copy_unreadable", table=table, process=process)
                 continue
+            if era_of(copy.version) < self._era:
+                continue  # of a process that does not know of the restore
+            self._era = era_of(copy.version)
             self._inboxes[table].put(copy)
             if process == self._reader(table) or zone != self._zone:
                 self._received_at[table] = self._clock.monotonic()
@@ -103,6 +116,7 @@
 
     def publish_copy(self, table, copy):
         self._published[table] = copy
+        self._era = max(self._era, era_of(copy.version))
         self._publish_soon()
 
     async def receive_copy(self, table, limit):
--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -60,7 +60,7 @@
     """What a process sends of its copy of a table.
 
     Attributes:
-      version: The version of the store up to which the copy is complete.
+      version: The version of the store, with its era, up to which the copy is complete.
       floor: The rows are all those that changed after this version.
       service_time: The store's monotonic clock when the copy was current.
       rows: The changed rows, in order of their versions.
--- a/cicadapond/gateway/copies_test.py
+++ b/cicadapond/gateway/copies_test.py
@@ -8,6 +8,7 @@
 from cicadapond.gateway._copies import MIN_PROCESSES_TO_SHARE, CopyExchange
 from cicadapond.gateway._sharing import CopyTimes, SharedCopy, copy_times
 from cicadapond.kernel import VirtualClock, run_virtual, seconds
+from cicadapond.provider import version_in_era
 
 TABLE = "servers"
 ZONES = ("a", "b", "c")
@@ -166,3 +167,33 @@
     assert times.reader_wait < times.deputy_age < times.max_age
     # A call to the store after the longest wait still returns in time.
     assert times.max_age + seconds(0.5) <= seconds(drain_s)
+
+
+def test_copies_of_a_restored_store_are_apart_from_those_that_earlier_builds_read():
+    async def script(world):
+        (reader,) = world.readers()
+        exchange = world.exchanges[reader]
+        exchange.publish_copy(TABLE, SharedCopy(7, 0, seconds(1)))
+        assert TABLE in exchange.published() and not exchange.published_restored()
+        exchange.publish_copy(TABLE, SharedCopy(version_in_era(1, 3), 0, seconds(2)))
+        assert TABLE in exchange.published_restored() and not exchange.published()
+
+    play(script)
+
+
+def test_deputies_take_over_from_a_reader_that_does_not_know_of_a_restore():
+    """A reader of an earlier build goes on to send copies, with versions of the era before."""
+
+    async def script(world):
+        await publish_for(world, 3)
+        (reader,) = world.readers()
+        restored = SharedCopy(version_in_era(1, 3), 0, seconds(2)).as_list()
+        for name, exchange in world.exchanges.items():
+            if name != reader:
+                exchange.receive("x", "x", {TABLE: restored})
+                assert await exchange.receive_copy(TABLE, seconds(0.01)) is not None
+        await publish_for(world, TIMES.deputy_age.total_seconds() + 0.5, first_version=50)
+        deputies = set(world.readers()) - {reader}
+        assert {world.zone(name) for name in deputies} == set(ZONES)
+
+    play(script)
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -38,6 +38,9 @@
       convicted: Hashes of quarantined poison requests, with the wall-clock end of the quarantine.
       suspects: Hashes of requests suspected of causing a crash, with their crash count.
       copies: What this process reads from the table service on behalf of others, by table.
+      restored_copies: The same of a table service that has been restored; earlier builds, which
+        cannot compare its versions, ignore it.
+      restore: What it knows of restores of the table service, and keeps in spite of them.
       report: What this process tells about its own work, in the embedding program's own format.
       summary: What it tells everybody about the work of its data centre, in that format.
     """
@@ -50,6 +53,8 @@
     convicted: typing.Mapping[str, datetime.datetime] = attrs.field(factory=dict)
     suspects: typing.Mapping[str, int] = attrs.field(factory=dict)
     copies: typing.Mapping[str, list] = attrs.field(factory=dict)
+    restored_copies: typing.Mapping[str, list] = attrs.field(factory=dict)
+    restore: typing.Mapping[str, int] = attrs.field(factory=dict)
     report: typing.Mapping[str, object] = attrs.field(factory=dict)
     summary: typing.Mapping[str, object] = attrs.field(factory=dict)
 
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -29,15 +29,24 @@
     SUSPECTS = 6
     SERVING = 7
     COPIES = 12
+    RESTORED_COPIES = 13
     REPORT = 14
     SUMMARY = 15
+    RESTORE = 16
 
 
 # Changes in these sections are flooded: each relay that receives one sends it on to all other data
 # centres it is connected to.  Other changes come only from relays of the member's data centre.
 FLOODED = frozenset((Section.LEAVING, Section.DRAINS, Section.CONVICTED, Section.SUSPECTS))
 # Changes in these sections are sent at once; others wait for their interval.
-URGENT = FLOODED | {Section.REVISION, Section.COPIES, Section.REPORT, Section.SUMMARY}
+URGENT = FLOODED | {
+    Section.REVISION,
+    Section.COPIES,
+    Section.RESTORED_COPIES,
+    Section.REPORT,
+    Section.SUMMARY,
+    Section.RESTORE,
+}
 # An in-flight count is sent when it becomes or ceases to be zero, and when it changes by the larger
 # of this number and this share of its old value.
 MIN_COUNT_CHANGE = 2
@@ -202,6 +211,8 @@
         }
         self._replace(True, Section.SERVING, serving, changed)
         self._replace(True, Section.COPIES, digest.copies, changed)
+        self._replace(True, Section.RESTORED_COPIES, digest.restored_copies, changed)
+        self._replace(True, Section.RESTORE, digest.restore, changed)
         self._replace(False, Section.REPORT, digest.report, changed)
         self._replace(True, Section.SUMMARY, digest.summary, changed)
         self._publish_counts(digest, changed)
@@ -210,10 +221,9 @@
 
     def _replace(self, wide, section, values, changed, differs=None):
         document = self.wide if wide else self.local
-        for (item_section, key), (_, value) in list(document.items.items()):
-            if item_section == section and value is not None and key not in values:
-                document.put(section, key, None)
-                changed.append((wide, section, key))
+        for key in [key for key in document.values.get(section, _EMPTY) if key not in values]:
+            document.put(section, key, None)
+            changed.append((wide, section, key))
         for key, value in values.items():
             known = document.items.get((section, key), (0, None))[1]
             if differs(known, value, key) if differs else known != value:
@@ -287,6 +297,8 @@
             },
             suspects=sections[Section.SUSPECTS],
             copies=sections[Section.COPIES],
+            restored_copies=sections[Section.RESTORED_COPIES],
+            restore=sections[Section.RESTORE],
             report=sections[Section.REPORT],
             summary=sections[Section.SUMMARY],
         )
--- a/cicadapond/peer/documents_test.py
+++ b/cicadapond/peer/documents_test.py
@@ -1,9 +1,12 @@
 """Tests that a document's values are its items that are not deleted, at the owner and in copies."""
 
+import datetime
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadapond.peer._documents import Document
+from cicadapond.peer import Digest
+from cicadapond.peer._documents import DigestWriter, Document, read_digest
 
 KEYS = st.tuples(st.integers(0, 2), st.sampled_from("abcd"))
 
@@ -35,3 +38,15 @@
             assert non_empty_values(copy) == non_empty_values(own)
         assert non_empty_values(own) == values_of_items(own)
         assert non_empty_values(copy) == values_of_items(copy)
+
+
+def test_earlier_builds_see_nothing_of_a_restored_table_service():
+    """They read the sections of this release by number, and leave others alone."""
+    read_by_earlier_builds = {0, 1, 2, 3, 4, 5, 6, 7, 12, 14, 15}
+    writer = DigestWriter(datetime.timedelta(), lambda server: False)
+    writer.publish(Digest(), datetime.timedelta())
+    restored = Digest(restored_copies={"servers": [1 << 44, 0, 1, []]}, restore={"era": 1})
+    changed = writer.publish(restored, datetime.timedelta())
+    assert len(changed) == 2
+    assert not {section for _, section, _ in changed} & read_by_earlier_builds
+    assert read_digest(writer.local, writer.wide) == restored
