--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -8,16 +8,24 @@
 from cicadapond.continuation import ORIGIN_RETENTION
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.provider import era_of
 
 # After an outage of the store, running servers whose entries expired are listed again within two
 # seconds.
 RELIST_TIMEOUT = datetime.timedelta(milliseconds=1800)
+# An entry that comes back with an older copy of the store stays unused for this long, unless its
+# server writes it again.  If the server has left, the platform removes the entry before, after
+# three heartbeat intervals of silence.
+RETURNED_ENTRY_TIMEOUT = datetime.timedelta(seconds=6)
 # How many starts that accept no more requests are remembered; the oldest are dropped first.
 MAX_CLOSED = 4096
+# The same for starts whose entries were removed.
+MAX_REMOVED = 4096
 # The same for the software of starts.
 MAX_STARTS = 4096
 # Streams that a server began before it went may be continued for this long.
 SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
+_NEVER = datetime.timedelta.min
 
 
 @attrs.frozen
@@ -44,6 +52,12 @@
         # Starts that accept no more requests.  Kept after their entry is gone, as an entry that
         # lapsed while the store was away comes back.
         self._closed: dict[str, int] = {}
+        # The era of the last snapshot.
+        self._era: int | None = None
+        # The starts whose entries were removed, by name.
+        self._removed: dict[str, int] = {}
+        # Until when an entry that came back with an older copy is not used.
+        self._returned: dict[str, datetime.timedelta] = {}
         # The service and the software version of each start, also of those that have gone.
         self._software: dict[str, tuple[str, str]] = {}
         # When the last server of a service and software version went.
@@ -87,12 +101,15 @@
         known = self._entries.get(entry.name)
         if known is None or known.born != entry.born or known.is_leaving:
             return False
+        if self._clock.monotonic() < self._returned.get(entry.name, _NEVER):
+            return False
         return self._closed.get(entry.name) != entry.born
 
     def put(self, entry: ServerEntry, version: int) -> ServerChange | None:
         """Adds or updates an entry; returns the change, None if there is none."""
         if not self._is_newer(entry.name, version):
             return None
+        self._returned.pop(entry.name, None)
         known = self._entries.get(entry.name)
         if known is not None:
             self._record_gone(known)
@@ -130,12 +147,28 @@
         after_outage: bool,
     ) -> list[ServerChange]:
         """Applies a snapshot of the server table; returns the changes."""
-        changes = [self.put(entry, at) for entry, at in entries.values()]
+        era = era_of(version)
+        is_older_copy = self._era is not None and era > self._era
+        self._era = era
+        put = self._put_back if is_older_copy else self.put
+        changes = [put(entry, at) for entry, at in entries.values()]
         for name in list(self._entries):
             if name not in entries:
                 changes.append(self.remove(name, version, after_outage))
         return [change for change in changes if change is not None]
 
+    def _put_back(self, entry, version):
+        """Adds or updates an entry from an older copy, which may be out of date."""
+        known = self._entries.get(entry.name)
+        if known is not None and known.born > entry.born:
+            return None
+        if known is not None and known.born == entry.born and known.is_leaving:
+            self.mark_closed(known)
+        change = self.put(entry, version)
+        if known is None and self._removed.get(entry.name) == entry.born:
+            self._returned[entry.name] = self._clock.monotonic() + RETURNED_ENTRY_TIMEOUT
+        return change
+
     def mark_closed(self, entry: ServerEntry) -> None:
         """Records that this start of a server accepts no more requests, whatever the table says.
 
@@ -159,7 +192,12 @@
     def _drop(self, name):
         entry = self._entries.pop(name, None)
         self._removal_due.pop(name, None)
+        self._returned.pop(name, None)
         if entry is not None:
+            self._removed.pop(name, None)
+            self._removed[name] = entry.born
+            while len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
             if not entry.born:  # a later start under this name cannot be told from this one
                 self._closed.pop(name, None)
             self._record_gone(entry)
--- /dev/null
+++ b/cicadapond/gateway/servers_test.py
@@ -0,0 +1,87 @@
+"""Tests of the registry of servers when their table goes back to an older copy."""
+
+import attrs
+
+from cicadapond.data import Endpoint
+from cicadapond.gateway._servers import RELIST_TIMEOUT, RETURNED_ENTRY_TIMEOUT, ServerRegistry
+from cicadapond.gateway.data import ServerEntry
+from cicadapond.kernel import ManualClock, seconds
+from cicadapond.provider import version_in_era
+
+READY = ServerEntry("e", "pool", Endpoint("::1", 1), "a", 6, born=100)
+LEAVING = attrs.evolve(READY, is_leaving=True)
+RESTARTED = attrs.evolve(READY, born=200)
+OTHER = attrs.evolve(READY, name="other")
+
+
+class World:
+    def __init__(self, *entries):
+        self.clock = ManualClock()
+        self.registry = ServerRegistry(self.clock)
+        self.registry.replace({each.name: (each, 50) for each in entries}, 50, False)
+
+    def go_back(self, *entries, number=10):
+        """Applies the table of a store that was restored."""
+        version = version_in_era(1, number)
+        listed = {each.name: (each, version) for each in entries}
+        self.registry.replace(listed, version, after_outage=True)
+
+    def usable(self):
+        return [entry.name for entry in self.registry.usable("pool")]
+
+
+def test_a_server_that_is_missing_from_the_copy_stays_until_it_should_be_listed_again():
+    world = World(READY, OTHER)
+    world.go_back(OTHER)
+    assert world.usable() == ["e", "other"]
+    world.registry.put(READY, version_in_era(1, 11))
+    world.clock.advance(RELIST_TIMEOUT)
+    assert world.usable() == ["e", "other"]
+    world.go_back(OTHER, number=12)
+    world.clock.advance(RELIST_TIMEOUT)
+    assert world.usable() == ["other"]
+
+
+def test_changes_after_the_copy_are_applied_although_their_versions_are_lower():
+    world = World(READY)
+    world.go_back(READY)
+    world.registry.put(LEAVING, version_in_era(1, 11))
+    assert world.usable() == []
+
+
+def test_a_server_that_was_leaving_is_not_used_when_the_copy_lists_it_as_ready():
+    world = World(LEAVING)
+    world.go_back(READY)
+    world.clock.advance(seconds(60))
+    assert world.usable() == []
+    world.registry.put(RESTARTED, version_in_era(1, 11))
+    assert world.usable() == ["e"]
+
+
+def test_a_server_that_was_gone_is_not_used_when_the_copy_lists_it():
+    world = World(READY, OTHER)
+    world.registry.remove("e", 51, after_outage=False)
+    world.go_back(READY, OTHER)
+    assert world.usable() == ["other"]
+    world.registry.remove("e", version_in_era(1, 11), after_outage=False)
+    assert world.usable() == ["other"]
+
+
+def test_a_server_that_was_gone_is_used_when_it_writes_its_entry_or_keeps_it():
+    for written in (True, False):
+        world = World(READY)
+        world.registry.remove("e", 51, after_outage=False)
+        world.go_back(READY)
+        assert world.usable() == []
+        if written:
+            world.registry.put(READY, version_in_era(1, 11))
+        else:
+            world.clock.advance(RETURNED_ENTRY_TIMEOUT)
+        assert world.usable() == ["e"]
+
+
+def test_an_earlier_start_in_the_copy_does_not_replace_a_later_one():
+    world = World(RESTARTED)
+    world.go_back(READY)
+    assert world.usable() == ["e"]
+    assert world.registry.find("e").born == RESTARTED.born
