--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -113,6 +113,8 @@
     Attributes:
       usage: The usage of all processes.
       cut_off_services: Returns the services that this process does not reach, to report them.
+      restore_state: Returns what to tell the others in spite of a restore of the store.
+      receive_restore_state: Takes what another process tells of that.
     """
 
     def __init__(
@@ -148,6 +150,8 @@
         self._registered = 1
         self._handlers: dict[str, typing.Callable] = {}
         self.cut_off_services: typing.Callable[[], tuple[str, ...]] = tuple
+        self.restore_state: typing.Callable[[], typing.Mapping[str, int]] = dict
+        self.receive_restore_state: typing.Callable = lambda process, state: None
         self.usage = UsageLedger()
 
     @property
@@ -413,6 +417,7 @@
         return Digest(
             copies=self._copies.published(),
             restored_copies=self._copies.published_restored(),
+            restore=self.restore_state(),
             report=report.as_items(),
             summary=summary,
         )
@@ -435,6 +440,7 @@
         digest = member.digest
         for copies in (digest.copies, digest.restored_copies):
             self._copies.receive(member.name, member.zone, copies)
+        self.receive_restore_state(member.name, digest.restore)
         if member.zone == self._cfg.zone:
             report = read_report(digest.report)
             if report is not None:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -13,6 +13,7 @@
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._cluster import Cluster
+from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
 from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._duties import (
     DutyTask,
@@ -138,6 +139,8 @@
             metrics,
         )
         self._cluster.register_handler(TOPIC, self._permits.answer)
+        decode = adapters.decode_configuration
+        self._keeper = ConfigurationKeeper(self.parts, adapters.feed, decode, self._cluster, rng)
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
         self.parts.publish_soon = self._cluster.publish_soon
@@ -278,7 +281,8 @@
         await self._frontend.listen()
         table, key = self._adapters.configuration_row
         decode = self._adapters.decode_configuration
-        configuration = ConfigurationTable(self.parts, key, decode)
+        configuration = ConfigurationTable(self.parts, key, decode, self._keeper)
+        self._tasks.start(self._keeper, restarts=True)
         if self._rollouts is not None:
             configuration = self._start_rollouts(configuration)
         self._follow(table, configuration)
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -1,6 +1,7 @@
 """Followers of the two tables that others write: the configuration and the backend servers."""
 
 from cicadapond.eventlog import EventLog
+from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
 from cicadapond.gateway._follow import TableFollower
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._time import TrueClock
@@ -13,28 +14,31 @@
       parts: The components of this process.
       key: The configuration's key in its table.
       decode: Decodes a row's value; returns the configuration, None if invalid, and findings.
+      keeper: Knows the newest configuration, also when the store holds an older one.
     """
 
-    def __init__(self, parts: Parts, key: str, decode):
+    def __init__(self, parts: Parts, key: str, decode, keeper: ConfigurationKeeper):
         self._parts = parts
         self._key = key
         self._decode = decode
+        self._keeper = keeper
 
     def apply_changes(self, changes, is_snapshot, after_outage):
         for row in changes.rows:
             if row.key == self._key and row.value is not None:
-                self._apply(row.value)
+                self._read(row)
 
     def confirm_current(self, since):
-        self._parts.active_configuration.confirm_current(since)
-
-    def _apply(self, raw):
+        if not self._keeper.is_behind():
+            self._parts.active_configuration.confirm_current(since)
+
+    def _read(self, row):
+        cfg, findings = self._decode(row.value)
+        if cfg is not None:
+            self._keeper.read(cfg, row.value, row.version)
+            return
         log: EventLog = self._parts.log
-        cfg, findings = self._decode(raw)
-        if cfg is None:
-            log.write("configuration_unreadable", findings=[str(found) for found in findings])
-        elif self._parts.active_configuration.apply(cfg):
-            log.write("configuration_applied", version=cfg.version, routes=len(cfg.routes))
+        log.write("configuration_unreadable", findings=[str(found) for found in findings])
 
 
 class ServerTable(TableFollower):
--- a/cicadapond/platform/_era.py
+++ b/cicadapond/platform/_era.py
@@ -3,6 +3,7 @@
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway import Malformed
 from cicadapond.kernel import Metrics
+from cicadapond.provider import MAX_ERA
 
 
 class StoreEra:
@@ -49,7 +50,7 @@
 
     def hear(self, era: int) -> None:
         """Records an era that another process tells."""
-        if era:
+        if 0 < era <= MAX_ERA:
             self._raise_to(era, None)
 
     def _raise_to(self, era, version):
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -12,7 +12,7 @@
     PromptPart,
     ResponseHead,
 )
-from cicadapond.provider import VERSIONS_PER_ERA
+from cicadapond.provider import MAX_ERA
 
 REQUEST_ID = b"x-cicadapond-attempt-id"
 DEADLINE = b"x-cicadapond-deadline-ms"
@@ -49,8 +49,6 @@
 LOAD_COUNTS = 3
 # Counts of back ends are far smaller; longer ones could not be converted or represented.
 MAX_COUNT_DIGITS = 9
-# Versions that include an era must fit into the 64 bits of msgpack.
-MAX_STORE_ERA = 2**63 // VERSIONS_PER_ERA - 1
 
 OWN_PREFIX = b"x-cicadapond-"
 MISDIRECTED = 421
@@ -291,8 +289,8 @@
     if not values:
         return None
     era = _parse_count(values[0])
-    if len(values) > 1 or era is None or era > MAX_STORE_ERA:
-        return Malformed(f"the store's era {values!r} is no number up to {MAX_STORE_ERA}")
+    if len(values) > 1 or era is None or era > MAX_ERA:
+        return Malformed(f"the store's era {values!r} is no number up to {MAX_ERA}")
     return era
 
 
--- a/cicadapond/platform/era_test.py
+++ b/cicadapond/platform/era_test.py
@@ -4,7 +4,8 @@
 
 from cicadapond.kernel import Metrics
 from cicadapond.platform._era import StoreEra
-from cicadapond.platform._headers import MAX_STORE_ERA, parse_store_era
+from cicadapond.platform._headers import parse_store_era
+from cicadapond.provider import MAX_ERA
 
 
 class Log:
@@ -25,7 +26,7 @@
 
 
 @pytest.mark.parametrize(
-    "values", [(b"",), (b"-1",), (b"1.5",), (b"x",), (b"1", b"2"), (b"%d" % (MAX_STORE_ERA + 1),)]
+    "values", [(b"",), (b"-1",), (b"1.5",), (b"x",), (b"1", b"2"), (b"%d" % (MAX_ERA + 1),)]
 )
 def test_a_malformed_era_is_logged_once_and_the_known_one_stays(values):
     log = Log()
--- a/cicadapond/provider/__init__.py
+++ b/cicadapond/provider/__init__.py
@@ -28,7 +28,7 @@
 )
 from cicadapond.provider._budget import BudgetedTables, BudgetSettings
 from cicadapond.provider._classes import StoreClass
-from cicadapond.provider._era import VERSIONS_PER_ERA, era_of, number_of, version_in_era
+from cicadapond.provider._era import MAX_ERA, VERSIONS_PER_ERA, era_of, number_of, version_in_era
 from cicadapond.provider._rate import RateLimit
 from cicadapond.provider._settings import AdapterSettings, PlatformSettings
 from cicadapond.provider._sweep import SweepPlan, TableSweep
@@ -44,6 +44,7 @@
     "CloudHost",
     "HistoryLost",
     "HostList",
+    "MAX_ERA",
     "ObjectStore",
     "PlatformSettings",
     "Price",
--- a/cicadapond/provider/_era.py
+++ b/cicadapond/provider/_era.py
@@ -8,6 +8,8 @@
 # The service's own versions stay below this; eras below 512 keep the sum within 53 bits, which
 # JSON readers represent exactly.
 VERSIONS_PER_ERA = 2**44
+# Versions are sent between processes in 64 bits.
+MAX_ERA = 2**63 // VERSIONS_PER_ERA - 1
 
 
 def era_of(version: int) -> int:
