--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -4,12 +4,14 @@
 import datetime
 import typing
 
+import attrs
+
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
 from cicadapond.lease import LeaseTask
-from cicadapond.provider import Row, TableService, Write
-from cicadapond.usage import UsageLedger, UsageWindows
+from cicadapond.provider import Row, TableService, Write, era_of, version_in_era
+from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 STEP_INTERVAL = datetime.timedelta(milliseconds=500)
 USAGE_TABLE = "usage"
@@ -26,20 +28,35 @@
 # reported them.
 LOOKBACK_WINDOWS = 3
 RETAINED_WINDOWS = 12
+# The clocks of two processes differ by less than this.
+CLOCK_TOLERANCE = datetime.timedelta(seconds=1)
+
+
+@attrs.frozen
+class _Withheld:
+    """A window that is not reported, as a second report could have other counts."""
+
+    reason: str
 
 
 class UsageReporter:
     """Reports each usage window; its counts are stored first, so that repeated reports are equal.
 
+    The store may lose them when it is restored from an older copy.  A holder that knows the stored
+    counts stores them again; one that does not withholds each window that another one may have
+    stored before the restore.
+
     Args:
       cloud: Receives the reports.
       tables: Stores the counts to report, so that every holder sends the same ones.
       usage: This process's counts.
       ledger: The counts of all processes, stopped ones included.
+      stored: The counts that are known to have been stored.
       clock: The clock.
       log: The event log; gets one line per report.
       merge_own: Adds this process's own counts to the ledger where nobody else does.
       settle: How long after the end of a window its counts are stored.
+      publish_soon: Tells the other processes soon which counts are stored.
     """
 
     def __init__(
@@ -48,52 +65,88 @@
         tables: TableService,
         usage: UsageWindows,
         ledger: UsageLedger,
+        stored: StoredCounts,
         clock: Clock,
         log: EventLog,
         merge_own: typing.Callable[[], None] = lambda: None,
         settle: datetime.timedelta = MAX_SETTLE_TIME,
+        publish_soon: typing.Callable[[], None] = lambda: None,
     ):
         self._settle = settle
         self._cloud = cloud
         self._tables = tables
         self._usage = usage
         self._ledger = ledger
+        self._stored = stored
         self._clock = clock
         self._log = log
         self._merge_own = merge_own
+        self._publish_soon = publish_soon
+        # The windows to store and to report next.
         self._next: int | None = None
+        self._next_report: int | None = None
         self._has_loaded = False
+        self._fencing: int | None = None
+        self._held_since: datetime.datetime | None = None
+        self._era = 0
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports all windows that are due, as long as the lease is held."""
+        grant, held = lease.grant(), lease.held_check()
+        if grant is None or held is None:
+            return
         newest = self._usage.number(self._clock.now() - self._settle) - 1
-        if self._next is None:
-            self._next = newest - LOOKBACK_WINDOWS + 1
+        self._look_back(newest, grant.fencing, era_of(held.expected))
         if not self._has_loaded and not await self._load_known_usage():
             return
         while self._next <= newest:
-            counts = await self._store_counts(self._next)
-            grant = lease.grant()
-            if counts is None or grant is None:
-                return
-            holder = Holder(name, grant.fencing, grant.end)
-            outcome = await self._cloud.report_usage(holder, self._next, counts)
-            self._log.write(
-                "usage_reported",
-                window=self._next,
-                counts=counts,
-                fencing=grant.fencing,
-                outcome=type(outcome).__name__,
-            )
-            if not isinstance(outcome, Ok | Declined):
+            stored = await self._store_counts(self._next, lease)
+            if stored is None:
                 return
+            if self._next >= self._next_report:
+                if not await self._report(self._next, stored, lease, name):
+                    return
+                self._next_report = self._next + 1
             self._next += 1
 
     def restart(self) -> None:
         """Resets the reporting state while this process does not hold the lease."""
         self._next = None
+        self._fencing = None
         self._has_loaded = False
 
+    def _look_back(self, newest, fencing, era):
+        """Goes back to the windows whose rows may be missing: for a new holder, and a new era."""
+        if fencing != self._fencing:
+            self.restart()
+            self._fencing = fencing
+            self._held_since = self._clock.now()
+        first = newest - LOOKBACK_WINDOWS + 1
+        if self._next is None:
+            self._next = self._next_report = first
+        elif era != self._era:
+            self._next = min(self._next, first)
+        self._era = era
+
+    async def _report(self, window, stored, lease, name):
+        """Reports the stored counts of a window; returns whether that is settled."""
+        if isinstance(stored, _Withheld):
+            self._log.write("usage_withheld", window=window, reason=stored.reason, era=self._era)
+            return True
+        grant = lease.grant()
+        if grant is None:
+            return False
+        holder = Holder(name, grant.fencing, grant.end)
+        outcome = await self._cloud.report_usage(holder, window, stored)
+        self._log.write(
+            "usage_reported",
+            window=window,
+            counts=stored,
+            fencing=grant.fencing,
+            outcome=type(outcome).__name__,
+        )
+        return isinstance(outcome, Ok | Declined)
+
     def known_usage_writes(self) -> tuple[Write, ...]:
         """Returns the writes to make with each lease renewal: all counts known to this process."""
         if not self._has_loaded:
@@ -111,34 +164,75 @@
                 self._has_loaded = True
         return self._has_loaded
 
-    async def _store_counts(self, window):
+    async def _store_counts(self, window, lease):
         """Stores a window's counts unless some are stored already.
 
         Every `RETAINED_WINDOWS` windows it also deletes old rows.
 
         Returns:
-          The stored counts, None if the store does not answer.
+          The stored counts; `_Withheld`; None if the store does not answer or the lease has passed
+          on.
         """
-        self._merge_own()
-        counts = self._ledger.total(window)
+        held = lease.held_check()
+        if held is None:
+            return None
         row_key = (USAGE_TABLE, _key(window))
-        writes = [Write(*row_key, counts, expected=0)]
+        known = self._stored.find(window)
+        if known is None and self._may_be_lost(window, era_of(held.expected), lease):
+            return await self._find_stored(window, row_key)
+        self._merge_own()
+        counts = self._ledger.total(window) if known is None else known
+        absent = version_in_era(era_of(held.expected), 0)
+        # Conditional on the row of the lease, as a write that was sent before a restore must not
+        # take effect after it.
+        writes = [held, Write(*row_key, counts, expected=absent)]
         if window % RETAINED_WINDOWS == 0:
             writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
         match await self._tables.transact(tuple(writes)):
             case Ok():
-                return counts
+                found = counts
             case Conflict(current=current) if row_key in current:
-                return current[row_key].value
-            case Conflict() | AnswerLost():
-                return await self._read(row_key)
-        return None
+                found = current[row_key].value
+            case AnswerLost():
+                row = await self._read(row_key)
+                found = row.value if row is not None else None
+            case _:
+                return None
+        return self._check(window, found)
+
+    async def _find_stored(self, window, row_key):
+        """Returns what is stored for a window that may have been reported before the restore."""
+        row = await self._read(row_key)
+        if row is None:
+            return None
+        if row.value is None:
+            return _Withheld("it may have been reported before the store was restored")
+        return self._check(window, row.value)
+
+    def _check(self, window, found):
+        """Returns what a row holds unless other counts of its window are known to be stored."""
+        if found is None:
+            return None
+        if self._stored.find(window) is None:
+            self._stored.record(window, found)
+            self._publish_soon()
+        if self._stored.find(window) != found:
+            return _Withheld("other counts were stored before")
+        return found
+
+    def _may_be_lost(self, window, era, lease):
+        """Returns whether another holder may have stored a window before the last restore."""
+        if era == 0:
+            return False
+        now = self._clock.now()
+        settled = self._usage.end(window) + self._settle
+        unseen = min(now - lease.era_age(), self._held_since) + CLOCK_TOLERANCE
+        return settled <= unseen
 
-    async def _read(self, row_key):
+    async def _read(self, row_key) -> Row | None:
         match await self._tables.read((row_key,)):
             case Ok(value=rows):
-                row: Row = rows[row_key]
-                return row.value
+                return rows[row_key]
         return None
 
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -448,10 +448,12 @@
                 self._adapters.tables,
                 self.parts.usage,
                 self._cluster.usage,
+                self.parts.stored_usage,
                 self._clock,
                 self._log,
                 self._cluster.merge_own_usage,
                 settle_time(cfg.bounds.usage_report_delay),
+                self._cluster.publish_soon,
             )
             self._reporter = reporter
         if cfg.duties.orders_servers:
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -22,7 +22,7 @@
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import DemandMeter
-from cicadapond.usage import UsageWindows
+from cicadapond.usage import StoredCounts, UsageWindows
 
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._queues import ServiceQueues
@@ -40,7 +40,7 @@
     interval allows; `relay` leads to servers that this process does not reach, None if there are
     no other processes; `evacuation` moves streams off leaving engines, None to move none; `queues`
     are those in front of the engines; `engine_watch` follows which prompt parts the engines keep,
-    None to guess it.
+    None to guess it; `stored_usage` are the counts of usage that lease holders have stored.
     """
 
     cfg: GatewaySettings
@@ -63,6 +63,7 @@
     demand: DemandMeter
     links: ServerLinks
     rollouts: RolloutGate = attrs.field(factory=NoRollouts)
+    stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
     quota_share: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -24,9 +24,10 @@
     seconds,
 )
 from cicadapond.lease import LeaseSettings, LeaseTask
+from cicadapond.provider import Write
 from cicadapond.scaling import Listed
 from cicadapond.standin import DirectTables, TableModel
-from cicadapond.usage import UsageLedger, UsageWindows
+from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 WINDOW = seconds(5)
 
@@ -72,6 +73,11 @@
     def grant(self):
         return Grant(self.fencing) if self.fencing is not None else None
 
+    def held_check(self):
+        if self.fencing is None:
+            return None
+        return Write("leases", "duties", expected=0, check_only=True)
+
 
 @attrs.define
 class World:
@@ -82,14 +88,15 @@
     ledger: UsageLedger
     log: Log = attrs.field(factory=Log)
 
-    def reporter(self, ledger=None, usage=None, run="a/1"):
+    def reporter(self, ledger=None, usage=None, run="a/1", stored=None, tables=None):
         usage = self.usage if usage is None else usage
         ledger = self.ledger if ledger is None else ledger
         return UsageReporter(
             self.cloud,
-            DirectTables(self.tables),
+            tables or DirectTables(self.tables),
             usage,
             ledger,
+            stored or StoredCounts(),
             self.clock,
             Log(),
             lambda: ledger.merge(run, usage.counts()),
--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -1,9 +1,13 @@
 """Usage reports while the store goes back to an older copy, which lacks what was stored since."""
 
+import asyncio
 import copy
+import itertools
 import random
 
 import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cicadapond.gateway.duties_test import (
     WINDOW,
@@ -13,8 +17,8 @@
 )
 from cicadapond.kernel import AnswerLost, Conflict, Ok, VirtualClock, run_virtual, seconds
 from cicadapond.provider import era_of, number_of, version_in_era
-from cicadapond.standin import TableModel
-from cicadapond.usage import UsageLedger, UsageWindows
+from cicadapond.standin import DirectTables, TableModel
+from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 
 class RestoredModel(TableModel):
@@ -61,9 +65,13 @@
     def __init__(self, world, name):
         self.world = world
         self.ledger = UsageLedger()
-        self.lease = lease_task(world, name)
+        self.tables = DirectTables(world.tables)
+        self.lease = lease_task(world, name, self.tables)
         self.name = name
-        self.reporter = world.reporter(self.ledger, UsageWindows(WINDOW), f"{name}/1")
+        self.stored = StoredCounts()
+        self.reporter = world.reporter(
+            self.ledger, UsageWindows(WINDOW), f"{name}/1", self.stored, self.tables
+        )
         self.log = self.reporter._log
 
     def hears(self, window, count):
@@ -179,3 +187,97 @@
         assert sent(world)[window] == {"acme": 5}
 
     play(script)
+
+
+def test_a_write_in_transit_during_a_restore_does_not_store_other_counts():
+    """Guards against ONE: the row is missing in the copy, so the write would take effect."""
+
+    async def script(world, first, second):
+        window = await a_lost_report(world, first)
+        second.hears(window, 7)
+        while second.lease.grant() is None:
+            await second.lease.step()
+            await world.clock.sleep(seconds(0.5))
+        world.tables.restore()
+        for _ in range(3):
+            await second.reporter.step(second.lease, "b")
+        assert world.tables.row("usage", f"{window:012d}").value is None
+        assert sent(world)[window] == {"acme": 5}
+
+    play(script)
+
+
+def test_the_present_holder_reports_what_it_could_not_store_before_the_restore():
+    """Guards against a window that is withheld although only this process could report it."""
+
+    async def script(world, first, second):
+        await first.run(5)
+        world.tables.take_copy()
+        window = max(sent(world)) + 1
+        while world.usage.end(window) + seconds(3.2) > world.clock.now():
+            await first.run(0.5)
+        first.tables.reachable = False
+        await first.run(1.3)
+        assert window not in sent(world)
+        world.tables.restore()
+        first.tables.reachable = True
+        await first.run(2)
+        assert window in sent(world)
+        assert first.withheld() == []
+
+    play(script)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("copy", "restore", "pause", "cut", "kill", "unanswered")),
+            st.integers(0, 2),
+            st.floats(0.1, 4),
+        ),
+        max_size=20,
+    )
+)
+def test_no_interleaving_with_restores_reports_a_window_with_two_counts(events):
+    async def script(world, *_):
+        names, count = ("a", "b", "c"), itertools.count(1)
+        found = [Process(world, name) for name in names]
+        paused = [0.0] * 3
+        world.tables.take_copy()
+
+        async def keep(number):
+            while True:
+                process = found[number]
+                window = world.usage.number(world.clock.now())
+                for back in range(4):
+                    process.hears(window - back, next(count))
+                await process.run(0.4)
+                await asyncio.sleep(paused[number])
+                paused[number] = 0.0
+
+        running = [asyncio.ensure_future(keep(number)) for number in range(3)]
+        for event, number, wait in events:
+            if event == "copy":
+                world.tables.take_copy()
+            elif event == "restore":
+                world.tables.restore()
+            elif event == "pause":
+                paused[number] = 2 * wait
+            elif event == "cut":
+                found[number].tables.reachable = not found[number].tables.reachable
+            elif event == "kill":
+                found[number] = Process(world, names[number])
+            elif event == "unanswered":
+                world.cloud.outcomes = [AnswerLost("lost")] * 3
+            await asyncio.sleep(wait)
+        for process in found:
+            process.tables.reachable = True
+        reported = max(sent(world), default=0)
+        await asyncio.sleep(25)
+        assert max(sent(world)) >= reported + 3
+        assert not any(task.done() for task in running)
+        for task in running:
+            task.cancel()
+
+    play(script)
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -66,6 +66,10 @@
         """Returns the check to include in transactions that only the holder may make."""
         return self.lease.held_check()
 
+    def era_age(self) -> datetime.timedelta:
+        """Returns for how long at least this process or a holder has known the store's era."""
+        return self.lease.era_age(self._clock.monotonic())
+
     async def run(self):
         while True:
             await self.step()
