Log what becomes of the time for which a server wants nothing

The users saw BUDGET broken: a server that had asked for three seconds of rest got three and four requests of one process within 1.8 s. Only server_pauses was logged, with the length asked for, so that it could not be told whether a pause was replaced, shortened or dropped, or not looked at.

Each change is logged now with the server, its start and the lengths: server_pause_begun, _extended, _shortened and _dropped. No decision is changed.

--- a/cicadapond/advisories/__init__.py
+++ b/cicadapond/advisories/__init__.py
@@ -7,6 +7,7 @@
 concerns one process.  No I/O.
 """
 
+from cicadapond.advisories._pauses import PauseChange, PauseEvent
 from cicadapond.advisories._record import Advisory, AdvisoryChange, ServerAdvisories
 
-__all__ = ["Advisory", "AdvisoryChange", "ServerAdvisories"]
+__all__ = ["Advisory", "AdvisoryChange", "PauseChange", "PauseEvent", "ServerAdvisories"]
--- a/cicadapond/advisories/_pauses.py
+++ b/cicadapond/advisories/_pauses.py
@@ -1,6 +1,8 @@
 """Servers that refused a request and want nothing more of this process for a while; no I/O."""
 
 import datetime
+import enum
+import typing
 import zlib
 
 import attrs
@@ -14,6 +16,36 @@
 NO_PAUSE = datetime.timedelta()
 
 
+class PauseEvent(enum.Enum):
+    """What became of the time for which a server wants nothing."""
+
+    BEGUN = "begun"
+    EXTENDED = "extended"
+    SHORTENED = "shortened"
+    DROPPED = "dropped"
+
+
+@attrs.frozen
+class PauseChange:
+    """A change of a server's pause.
+
+    Attributes:
+      server: The server's name.
+      born: Its start.
+      event: What changed.
+      asked: The length that the server asked for, None if it asked for nothing.
+      before: The time that was left before.
+      after: The time that is left now.
+    """
+
+    server: str
+    born: int
+    event: PauseEvent
+    asked: datetime.timedelta | None
+    before: datetime.timedelta
+    after: datetime.timedelta
+
+
 @attrs.define
 class _Pause:
     until: datetime.timedelta
@@ -26,18 +58,28 @@
     Args:
       clock: Gives the time.
       process: This process's name.
+
+    Attributes:
+      on_change: Is called with each change.
     """
 
     def __init__(self, clock: Clock, process: str):
         self._clock = clock
         self._process = process
+        self.on_change: typing.Callable[[PauseChange], None] = lambda change: None
         self._pauses: dict[tuple[str, int], _Pause] = {}
 
     def begin(self, server: str, born: int, length: datetime.timedelta) -> None:
         """Records that a server wants nothing for a time."""
         share = zlib.crc32(f"{server} {self._process}".encode()) / 2**32
-        until = self._clock.monotonic() + length * (1 + RETURN_SPREAD * share)
-        self._pauses[server, born] = _Pause(until)
+        before = self._left(server, born)
+        after = length * (1 + RETURN_SPREAD * share)
+        self._pauses[server, born] = _Pause(self._clock.monotonic() + after)
+        if not before:
+            event = PauseEvent.BEGUN
+        else:
+            event = PauseEvent.SHORTENED if after < before else PauseEvent.EXTENDED
+        self.on_change(PauseChange(server, born, event, length, before, after))
 
     def answered(self, server: str, born: int) -> None:
         """Records that a server accepted a request, which ends a pause whose time is over."""
@@ -64,4 +106,15 @@
     def remove(self, server: str) -> None:
         """Drops the pauses of a server that is gone."""
         for key in [key for key in self._pauses if key[0] == server]:
+            left = self._left(*key)
             del self._pauses[key]
+            if left:
+                change = PauseChange(*key, PauseEvent.DROPPED, None, left, NO_PAUSE)
+                self.on_change(change)
+
+    def _left(self, server, born):
+        """Returns the time until a pause is over, whether or not a request was sent after it."""
+        pause = self._pauses.get((server, born))
+        if pause is None:
+            return NO_PAUSE
+        return max(NO_PAUSE, pause.until - self._clock.monotonic())
--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cicadapond.advisories._pauses import Pauses
+from cicadapond.advisories._pauses import PauseChange, Pauses
 from cicadapond.advisories._places import deal_places
 from cicadapond.credits import (
     FRAME,
@@ -128,6 +128,10 @@
         self.on_want: typing.Callable[[], None] | None = None
         self._wants = 0
 
+    def watch_pauses(self, on_change: typing.Callable[[PauseChange], None]) -> None:
+        """Calls `on_change` with each change of the time for which a server wants nothing."""
+        self._pauses.on_change = on_change
+
     # Statements
 
     def get(self, entry: ServerEntry) -> Advisory | None:
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadapond.advisories import Advisory, ServerAdvisories
+from cicadapond.advisories import Advisory, PauseEvent, ServerAdvisories
 from cicadapond.credits import Ask, AskReply, LoanRequest, Permits, PermitSchedule
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import ResponseHead, ServerEntry
@@ -18,6 +18,7 @@
 ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8)
 LIMITED = ResponseHead(200, (), rate_limit=2.0)
 UNLIMITED = ResponseHead(200, ())
+REFUSAL = ResponseHead(503, (), not_executed=True)
 MAX_CLOCK_DIFFERENCE_FRAMES = 0.3
 
 
@@ -229,6 +230,20 @@
     assert known.lend(LoanRequest("e", 0, 2.0, 5)) is None
 
 
+def test_each_change_of_a_pause_is_told_with_its_lengths():
+    """Guards against a log that does not tell whether a pause was replaced or dropped."""
+    clock, changes = ManualClock(), []
+    known = advisories(clock)
+    known.watch_pauses(changes.append)
+    for length in (2, 3):
+        known.record(ENTRY, attrs.evolve(REFUSAL, retry_after=seconds(length)))
+    assert [change.event for change in changes] == [PauseEvent.BEGUN, PauseEvent.EXTENDED]
+    assert [change.asked for change in changes] == [seconds(2), seconds(3)]
+    assert changes[0].before == seconds(0)
+    assert changes[1].before == changes[0].after >= seconds(2)
+    assert {(change.server, change.born) for change in changes} == {("e", 0)}
+
+
 def test_a_limit_ends_with_the_first_answer_without_it():
     known = advisories(ManualClock())
     assert known.record(ENTRY, LIMITED).after.rate_limit == 2.0
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -27,6 +27,7 @@
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._pause_log import log_pauses
 from cicadapond.gateway._permits import TOPIC, ClusterCalls, PermitExchange
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
@@ -127,6 +128,7 @@
         if cfg.zone_costs is not ZoneCostUse.OFF:
             self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
+        log_pauses(self.parts.advisories, log)
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self._permits = PermitExchange(
             cfg.name,
