Add a failing test of a pause that a later, shorter one replaces

A server asked for 3 s; the answer to a request that was under way then asked for 1 s, 0 s, or came from a brittle server, whose pause this process computes (0.5 s here). The server gets requests again after that time.

--- /dev/null
+++ b/cicadapond/advisories/pauses_test.py
@@ -0,0 +1,41 @@
+"""Tests that a server which wants nothing for a time is left alone until that time is over."""
+
+import attrs
+import pytest
+
+from cicadapond.advisories import ServerAdvisories
+from cicadapond.data import Endpoint
+from cicadapond.gateway.data import ResponseHead, ServerEntry
+from cicadapond.kernel import ManualClock, seconds
+
+ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8, born=7)
+ANSWER = ResponseHead(200, ())
+REFUSAL = ResponseHead(503, (), not_executed=True)
+ASKS_FOR_3S = attrs.evolve(REFUSAL, retry_after=seconds(3))
+
+
+def after_refusal():
+    """Returns a clock and what a process knows of a server that has just asked for 3 s."""
+    clock = ManualClock()
+    known = ServerAdvisories(clock, "p")
+    known.record(ENTRY, ASKS_FOR_3S)
+    return clock, known
+
+
+@pytest.mark.parametrize(
+    "later",
+    [
+        pytest.param(attrs.evolve(REFUSAL, retry_after=seconds(1)), id="shorter"),
+        pytest.param(attrs.evolve(REFUSAL, retry_after=seconds(0)), id="zero"),
+        pytest.param(attrs.evolve(REFUSAL, brittle=4), id="brittle"),
+    ],
+)
+def test_a_later_shorter_pause_does_not_end_one_that_runs(later):
+    """Guards against BUDGET: the answer to a request under way replaced the time asked for."""
+    clock, known = after_refusal()
+    clock.advance(seconds(0.1))
+    known.record(ENTRY, later)
+    clock.advance(seconds(2.8))
+    assert not known.may_send(ENTRY) and not known.take(ENTRY)
+    clock.advance(seconds(1))
+    assert known.take(ENTRY)
