Let a server's pause last until the latest time that it asked for

Callers' requests went to a server again before the time that it had asked for was over, and were turned away (BUDGET). Each answer with a time replaced the one before: the answer to a request that was under way, or the pause that this process computes for a server that bears few refusals, ended a longer pause that the server had asked for.

A pause now ends at the latest of the times asked for. A later word that asks for less is logged as server_pause_kept; a pause is never shortened, so that event is gone. Ruled out by reading: an answer without a time ends only a pause whose time is over.

--- a/cicadapond/advisories/_pauses.py
+++ b/cicadapond/advisories/_pauses.py
@@ -17,11 +17,14 @@
 
 
 class PauseEvent(enum.Enum):
-    """What became of the time for which a server wants nothing."""
+    """What became of the time for which a server wants nothing.
+
+    It is kept if a later word asks for less than is left.
+    """
 
     BEGUN = "begun"
     EXTENDED = "extended"
-    SHORTENED = "shortened"
+    KEPT = "kept"
     DROPPED = "dropped"
 
 
@@ -70,15 +73,15 @@
         self._pauses: dict[tuple[str, int], _Pause] = {}
 
     def begin(self, server: str, born: int, length: datetime.timedelta) -> None:
-        """Records that a server wants nothing for a time."""
+        """Records that a server wants nothing for a time; a pause that lasts longer goes on."""
         share = zlib.crc32(f"{server} {self._process}".encode()) / 2**32
         before = self._left(server, born)
-        after = length * (1 + RETURN_SPREAD * share)
+        after = max(before, length * (1 + RETURN_SPREAD * share))
         self._pauses[server, born] = _Pause(self._clock.monotonic() + after)
         if not before:
             event = PauseEvent.BEGUN
         else:
-            event = PauseEvent.SHORTENED if after < before else PauseEvent.EXTENDED
+            event = PauseEvent.EXTENDED if after > before else PauseEvent.KEPT
         self.on_change(PauseChange(server, born, event, length, before, after))
 
     def answered(self, server: str, born: int) -> None:
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -235,10 +235,11 @@
     clock, changes = ManualClock(), []
     known = advisories(clock)
     known.watch_pauses(changes.append)
-    for length in (2, 3):
+    for length in (2, 3, 1):
         known.record(ENTRY, attrs.evolve(REFUSAL, retry_after=seconds(length)))
-    assert [change.event for change in changes] == [PauseEvent.BEGUN, PauseEvent.EXTENDED]
-    assert [change.asked for change in changes] == [seconds(2), seconds(3)]
+    events = [change.event for change in changes]
+    assert events == [PauseEvent.BEGUN, PauseEvent.EXTENDED, PauseEvent.KEPT]
+    assert [change.asked for change in changes] == [seconds(2), seconds(3), seconds(1)]
     assert changes[0].before == seconds(0)
     assert changes[1].before == changes[0].after >= seconds(2)
     assert {(change.server, change.born) for change in changes} == {("e", 0)}
