Add a failing test of a pause that is lost with the server's entry

ServerAdvisories.remove is called when an entry is gone from the server table; entries lapse while servers are away from the store, and come back under the same start. A server that asked for 3 s gets requests at once then. A second test bounds what is remembered; it passes before the mend, and guards it.

--- a/cicadapond/advisories/pauses_test.py
+++ b/cicadapond/advisories/pauses_test.py
@@ -39,3 +39,25 @@
     assert not known.may_send(ENTRY) and not known.take(ENTRY)
     clock.advance(seconds(1))
     assert known.take(ENTRY)
+
+
+def test_a_server_whose_entry_lapses_keeps_its_pause():
+    """Guards against BUDGET: the entry came back under the same start, and requests with it."""
+    clock, known = after_refusal()
+    known.remove("e")
+    clock.advance(seconds(2.9))
+    assert not known.may_send(ENTRY) and not known.take(ENTRY)
+    assert known.may_send(attrs.evolve(ENTRY, born=8)), "another start asked for nothing"
+    clock.advance(seconds(1))
+    assert [known.take(ENTRY), known.take(ENTRY)] == [True, False]
+
+
+def test_pauses_that_are_over_are_not_remembered():
+    """Guards against memory that grows with each server that has gone."""
+    clock, known = after_refusal()
+    for number in range(1000):
+        entry = attrs.evolve(ENTRY, name=f"e-{number}")
+        known.record(entry, ASKS_FOR_3S)
+        known.remove(entry.name)
+        clock.advance(seconds(1))
+    assert len(known._pauses._pauses) <= 100
