Keep a server's pause when its entry lapses

Requests went at once to a server that had asked for a pause if its entry was gone from the server table for a moment, as after a time away from the store; it turned them away (BUDGET). The pause was dropped with the entry, and the entry came back under the same start.

A pause belongs to a server's name and start, and ends with its time only. What is over is dropped when the next pause begins: 30 s after the server could have got a request and got none.

--- a/cicadapond/advisories/_pauses.py
+++ b/cicadapond/advisories/_pauses.py
@@ -13,6 +13,8 @@
 RETURN_SPREAD = 0.25
 # After a pause one request is sent; if nothing comes back for this long, another one.
 PROBE_TIMEOUT = datetime.timedelta(seconds=1)
+# A server that got no request since its pause was over gets all at once after this time.
+RETENTION = datetime.timedelta(seconds=30)
 NO_PAUSE = datetime.timedelta()
 
 
@@ -25,7 +27,6 @@
     BEGUN = "begun"
     EXTENDED = "extended"
     KEPT = "kept"
-    DROPPED = "dropped"
 
 
 @attrs.frozen
@@ -36,7 +37,7 @@
       server: The server's name.
       born: Its start.
       event: What changed.
-      asked: The length that the server asked for, None if it asked for nothing.
+      asked: The length that was asked for now.
       before: The time that was left before.
       after: The time that is left now.
     """
@@ -44,7 +45,7 @@
     server: str
     born: int
     event: PauseEvent
-    asked: datetime.timedelta | None
+    asked: datetime.timedelta
     before: datetime.timedelta
     after: datetime.timedelta
 
@@ -58,6 +59,8 @@
 class Pauses:
     """The pauses that servers asked this process for, by server and start.
 
+    A pause outlasts the server's entry, which may lapse and come back under the same start.
+
     Args:
       clock: Gives the time.
       process: This process's name.
@@ -75,6 +78,7 @@
     def begin(self, server: str, born: int, length: datetime.timedelta) -> None:
         """Records that a server wants nothing for a time; a pause that lasts longer goes on."""
         share = zlib.crc32(f"{server} {self._process}".encode()) / 2**32
+        self._drop_old()
         before = self._left(server, born)
         after = max(before, length * (1 + RETURN_SPREAD * share))
         self._pauses[server, born] = _Pause(self._clock.monotonic() + after)
@@ -106,14 +110,11 @@
         if pause is not None:
             pause.probed_at = self._clock.monotonic()
 
-    def remove(self, server: str) -> None:
-        """Drops the pauses of a server that is gone."""
-        for key in [key for key in self._pauses if key[0] == server]:
-            left = self._left(*key)
-            del self._pauses[key]
-            if left:
-                change = PauseChange(*key, PauseEvent.DROPPED, None, left, NO_PAUSE)
-                self.on_change(change)
+    def _drop_old(self):
+        oldest = self._clock.monotonic() - RETENTION
+        for key, pause in list(self._pauses.items()):
+            if max(pause.until, pause.probed_at or NO_PAUSE) < oldest:
+                del self._pauses[key]
 
     def _left(self, server, born):
         """Returns the time until a pause is over, whether or not a request was sent after it."""
--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -181,10 +181,9 @@
         }
 
     def remove(self, server: str) -> None:
-        """Drops what a server that is gone said."""
+        """Drops what a server that is gone said, but for a pause, which ends with its time."""
         self._known.pop(server, None)
         self._schedules.pop(server, None)
-        self._pauses.remove(server)
 
     def state(self) -> dict:
         """Returns the statements in force, for a dump."""
--- a/cicadapond/gateway/_pause_log.py
+++ b/cicadapond/gateway/_pause_log.py
@@ -13,7 +13,7 @@
             "server_pause_" + change.event.value,
             server=change.server,
             start=change.born,
-            asked_ms=milliseconds(change.asked) if change.asked is not None else None,
+            asked_ms=milliseconds(change.asked),
             left_before_ms=milliseconds(change.before),
             left_ms=milliseconds(change.after),
         )
