Add a failing test of statements that are lost with the server's entry

A server's limit and its word that it is brittle are dropped with its entry, which may lapse and come back under the same start.

--- a/cicadapond/advisories/pauses_test.py
+++ b/cicadapond/advisories/pauses_test.py
@@ -61,3 +61,26 @@
         known.remove(entry.name)
         clock.advance(seconds(1))
     assert len(known._pauses._pauses) <= 100
+
+
+@pytest.mark.parametrize("statement", [{"rate_limit": 0.5}, {"brittle": 4}])
+def test_a_server_whose_entry_lapses_keeps_what_it_stated(statement):
+    """Guards against requests beyond a limit, or beyond the places at a brittle server."""
+    known = ServerAdvisories(
+        ManualClock(), "p", in_flight=lambda server: 9, servers=lambda service: [ENTRY]
+    )
+    known.record(ENTRY, attrs.evolve(ANSWER, **statement))
+    while known.take(ENTRY):
+        pass
+    known.remove("e")
+    assert known.reported() == {} and known.state() == {}
+    assert not known.take(ENTRY) and known.get(ENTRY) is not None
+
+
+def test_a_start_that_is_not_told_from_a_later_one_keeps_no_statement():
+    """Guards against a new server that is taken for one that leaves, as both have no start."""
+    known = ServerAdvisories(ManualClock(), "p")
+    entry = attrs.evolve(ENTRY, born=0)
+    known.record(entry, attrs.evolve(ANSWER, is_leaving=True))
+    known.remove("e")
+    assert known.get(entry) is None
