Keep what a server stated when its entry lapses

A server whose entry was gone from the table for a moment, and came back under the same start, got requests beyond the limit that it had stated, and more than its places though it had said that it is brittle, until its next answer. Its statements were dropped with the entry.

They are set aside now, and taken up when an entry of the same start is asked for; at most those of 1,024 servers, the oldest dropped first. Nothing of them is reported or shown meanwhile. Without a start, a later server under the name cannot be told from this one, so that nothing is kept then, as in ServerRegistry.

test_a_process_that_started_later_knows_the_limits used remove() to make a process forget, which it no longer does for the same start; it restarts the process now, which is stricter.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -37,6 +37,8 @@
 BORROW_TIME = datetime.timedelta(milliseconds=20)
 # How long the end of a limit is reported: processes that hear of it later find out by an answer.
 ENDED_LIMIT_REPORTED = datetime.timedelta(seconds=10)
+# Of how many servers that are gone the statements are kept; the oldest are dropped first.
+MAX_GONE = 1024
 
 
 @attrs.frozen
@@ -123,6 +125,8 @@
         self._servers = servers
         self._shares: dict[str, _Shares] = {}
         self._known: dict[str, _Known] = {}
+        # Kept after the entry is gone, as an entry that lapsed comes back under the same start.
+        self._gone: dict[str, _Known] = {}
         self._schedules: dict[str, _Schedule] = {}
         self._pauses = Pauses(clock, process)
         self.on_want: typing.Callable[[], None] | None = None
@@ -181,9 +185,15 @@
         }
 
     def remove(self, server: str) -> None:
-        """Drops what a server that is gone said, but for a pause, which ends with its time."""
-        self._known.pop(server, None)
+        """Sets aside what a server that is gone said, until an entry of the same start is seen."""
+        known = self._known.pop(server, None)
         self._schedules.pop(server, None)
+        # Without a start, a later server under this name cannot be told from this one.
+        if known is not None and known.advisory.born:
+            self._gone.pop(server, None)
+            self._gone[server] = known
+            while len(self._gone) > MAX_GONE:
+                del self._gone[next(iter(self._gone))]
 
     def state(self) -> dict:
         """Returns the statements in force, for a dump."""
@@ -204,6 +214,8 @@
 
     def may_send(self, entry: ServerEntry) -> bool:
         """Returns whether the server's statements let this process send another request now."""
+        if entry.name in self._gone:
+            self._restore(entry)
         return self._is_permitted(entry, self._find(entry), self._in_flight(entry.name))
 
     def _is_permitted(self, entry, known, in_flight):
@@ -394,9 +406,15 @@
         return permit_owners(server, processes, limit, frame) if limit is not None else None
 
     def _find(self, entry):
-        known = self._known.get(entry.name)
+        known = self._known.get(entry.name) or self._gone.get(entry.name)
         return known if known is not None and known.advisory.born == entry.born else None
 
+    def _restore(self, entry):
+        """Takes up what a server had said whose entry is listed again."""
+        known = self._gone.pop(entry.name)
+        if known.advisory.born == entry.born:
+            self._known[entry.name] = known
+
     def _put(self, entry, advisory, is_own):
         known = self._find(entry)
         if known is None:
--- a/cicadapond/advisories/pauses_test.py
+++ b/cicadapond/advisories/pauses_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from cicadapond.advisories import ServerAdvisories
+from cicadapond.advisories._record import MAX_GONE
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
@@ -84,3 +85,13 @@
     known.record(entry, attrs.evolve(ANSWER, is_leaving=True))
     known.remove("e")
     assert known.get(entry) is None
+
+
+def test_statements_of_servers_that_have_gone_are_bounded():
+    """Guards against memory that grows with each server that has gone."""
+    known = ServerAdvisories(ManualClock(), "p")
+    for number in range(MAX_GONE + 100):
+        entry = attrs.evolve(ENTRY, name=f"e-{number}")
+        known.record(entry, attrs.evolve(ANSWER, rate_limit=1.0))
+        known.remove(entry.name)
+    assert len(known._gone) == MAX_GONE and not known._known
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -78,6 +78,14 @@
         """Returns the ids of all requests that any server started."""
         return [each for server in self.fleet.servers.values() for each in server.model.ids()]
 
+    async def restart(self, number: int) -> None:
+        """Ends a node, as a crash would, and starts it again."""
+        await self.nodes[number].abort()
+        self.nodes[number] = node = self._make_node(number)
+        await node.start()
+        self.node = self.nodes[0]
+        await self.until(node.is_ready)
+
     async def restart_all(self) -> None:
         """Ends all nodes at once, as a crash would, and starts them again."""
         for node in self.nodes:
--- a/cicadapond/gateway/statements_test.py
+++ b/cicadapond/gateway/statements_test.py
@@ -80,10 +80,10 @@
         (entry,) = system.node.parts.registry.usable("plain")
         system.engine("s-0").rate_limit = 3.0
         assert (await system.caller(0).exchange("p-1", "/post/a")).status == 200
+        await system.until(lambda: system.nodes[1].parts.advisories.get(entry) is not None)
+        await system.restart(1)
         second = system.nodes[1].parts.advisories
         await system.until(lambda: second.get(entry) is not None)
-        second.remove("s-0")  # as after a restart
-        await system.until(lambda: second.get(entry) is not None)
         assert second.get(entry).rate_limit == 3.0
 
     run(check, tmp_path)
