--- a/cicadapond/advisories/pauses_test.py
+++ b/cicadapond/advisories/pauses_test.py
@@ -95,3 +95,30 @@
         known.record(entry, attrs.evolve(ANSWER, rate_limit=1.0))
         known.remove(entry.name)
     assert len(known._gone) == MAX_GONE and not known._known
+
+
+def test_after_a_pause_one_request_is_sent_until_it_is_answered():
+    """Guards against BUDGET: requests that wait for the end of a pause all go at once."""
+    clock, known = after_refusal()
+    clock.advance(seconds(4))
+    assert [known.take(ENTRY) for _ in range(5)] == [True, False, False, False, False]
+    clock.advance(seconds(0.9))
+    assert not known.take(ENTRY)
+    known.record(ENTRY, ASKS_FOR_3S)
+    clock.advance(seconds(2.9))
+    assert not known.take(ENTRY)
+
+
+def test_late_refusals_of_requests_after_a_pause_begin_a_new_one():
+    """Guards against BUDGET: a refusal that comes late, after more requests have been sent."""
+    clock, known = after_refusal()
+    clock.advance(seconds(4))
+    assert known.take(ENTRY)
+    clock.advance(seconds(1.1))
+    assert known.take(ENTRY)
+    clock.advance(seconds(1.1))
+    known.record(ENTRY, ASKS_FOR_3S)
+    clock.advance(seconds(0.4))
+    known.record(ENTRY, ASKS_FOR_3S)
+    clock.advance(seconds(2.9))
+    assert not known.take(ENTRY)
