Send no run back to its engine while that wants nothing

A run that was stopped to be moved goes back to its engine if no other engine takes its copy.

It is refused then like any other request, and the request goes on as if no engine had taken the copy. A stated limit is still not applied, as the run was counted when it began.

--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -218,8 +218,12 @@
             self._restore(entry)
         return self._is_permitted(entry, self._find(entry), self._in_flight(entry.name))
 
+    def is_paused(self, entry: ServerEntry) -> bool:
+        """Returns whether a server wants nothing at the moment."""
+        return bool(self._pauses.remaining(entry.name, entry.born))
+
     def _is_permitted(self, entry, known, in_flight):
-        if self._pauses.remaining(entry.name, entry.born):
+        if self.is_paused(entry):
             return False
         if known is None:
             return True
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -318,7 +318,8 @@
             return "the client account can no longer be checked"
         if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
-        if not goes_back and not self._parts.advisories.take(entry):
+        advisories = self._parts.advisories
+        if advisories.is_paused(entry) if goes_back else not advisories.take(entry):
             return "the server accepts no more at the moment"
         if memory is None:
             self._state.send_count += 1
