Take a row of the server table without its start for the start that is known

A row that another writer left may lack fields. Without `born` a known server was taken for another start: a pause, a limit and the word that it leaves no longer held for it, until its own next row.

The registry keeps the known start for such a row.

--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -96,6 +96,9 @@
         known = self._entries.get(entry.name)
         if known is not None:
             self._record_gone(known)
+            if not entry.born:
+                # A row without the start is no sign of another one, of which nothing is known.
+                entry = attrs.evolve(entry, born=known.born)
         self._entries[entry.name] = entry
         self._software[entry.start] = (entry.service, entry.version)
         while len(self._software) > MAX_STARTS:
