--- a/cicadapond/gateway/_rollout_tables.py
+++ b/cicadapond/gateway/_rollout_tables.py
@@ -33,6 +33,7 @@
         self._log = log
 
     def apply_changes(self, changes, is_snapshot, after_outage):
+        self._rollouts.set_orders_version(changes.version)
         listed = set()
         for row in changes.rows:
             service = self._codec.service_of(row.key)
@@ -41,7 +42,6 @@
                 self._apply(service, row)
         if is_snapshot:
             self._rollouts.keep_orders(listed)
-        self._rollouts.set_orders_version(changes.version)
         self._configuration.apply_changes(changes, is_snapshot, after_outage)
 
     def confirm_current(self, since):
@@ -81,6 +81,8 @@
                 if state is None:
                     self._log.write("rollout_state_unreadable", service=row.key)
             self._rollouts.set_state(row.key, row.version, state)
+        if is_snapshot:
+            self._rollouts.keep_states({row.key for row in changes.rows}, changes.version)
         self._rollouts.is_loaded = True
 
     def confirm_current(self, since):
--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import datetime
 import typing
 
 import attrs
@@ -17,15 +18,27 @@
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.placing import Placer
+from cicadapond.provider import era_of
 from cicadapond.rollout import Observation, Phase, RolloutOrder, Rollouts, RolloutState, Verdict
 
+# After a restore of the store, the orders known from before it are kept for so long if the operator
+# has not written them again.
+REWRITE_TIME = datetime.timedelta(seconds=15)
+
 
 @attrs.frozen
 class StateRow:
-    """The row of a service's rollout; `state` is None if the row is unreadable or absent."""
+    """The row of a service's rollout.
+
+    Attributes:
+      version: The row's version, 0 if it is absent.
+      state: The newest known state; None if there is none or it is unreadable.
+      is_stored: Whether the row holds it.  It does not after a restore from an older copy.
+    """
 
     version: int = 0
     state: RolloutState | None = None
+    is_stored: bool = True
 
 
 class ServiceRollouts(RolloutGate):
@@ -66,9 +79,12 @@
         self._log = log
         self._metrics = metrics
         self._baseline = Baseline(placer)
+        # The orders as the store has them, and those in force.
+        self._stored_orders: dict[str, RolloutOrder] = {}
         self._orders: dict[str, RolloutOrder] = {}
         # The version of the store up to which the orders are known.
         self._orders_version = 0
+        self._orders_kept_until = datetime.timedelta()
         self._rows: dict[str, StateRow] = {}
         self._old_versions: dict[str, str] = {}
         self._pending: set[VersionObserver] = set()
@@ -81,7 +97,7 @@
 
     def services(self) -> list[str]:
         """Returns the services with an order or the state of one, sorted."""
-        return sorted(self._orders.keys() | self._rows.keys())
+        return sorted(self._orders.keys() | self._stored_orders.keys() | self._rows.keys())
 
     def order(self, service: str) -> RolloutOrder | None:
         """Returns the order in force for a service."""
@@ -93,13 +109,23 @@
 
     def set_order(self, service: str, order: RolloutOrder | None) -> None:
         """Applies an order that was read, None if it was withdrawn."""
-        if order == self._orders.get(service):
+        if order is None:
+            self._stored_orders.pop(service, None)
+        else:
+            self._stored_orders[service] = order
+        self._update_order(service)
+
+    def _update_order(self, service):
+        order, known = self._order_in_force(service), self._orders.get(service)
+        if order == known:
             return
         if order is None:
             del self._orders[service]
             self._log.write("rollout_withdrawn", service=service)
         else:
             self._orders[service] = order
+            if known is not None and order.repeats(known) and service in self._stopped:
+                self._stopped[service] = order.row_version
             self._log.write(
                 "rollout_ordered",
                 service=service,
@@ -109,13 +135,33 @@
             )
         self.rollouts.set_order(service, order)
 
+    def _order_in_force(self, service):
+        """Returns the stored order, or a newer one that the store has lost by a restore."""
+        stored, state = self._stored_orders.get(service), self.row(service).state
+        if self._clock.monotonic() >= self._orders_kept_until:
+            return stored
+        known = self._orders.get(service)
+        if known is not None and self._was_lost(known, stored):
+            return known
+        if state is not None and self._was_lost(state.order, stored):
+            return None if state.phase.has_ended else state.order
+        return stored
+
+    def _was_lost(self, order, stored):
+        if era_of(order.row_version) >= era_of(self._orders_version):
+            return False
+        return stored is None or stored.was_replaced_by(order)
+
     def keep_orders(self, services: typing.Collection[str]) -> None:
         """Withdraws the orders of all other services, after a read of the whole table."""
-        for service in [each for each in self._orders if each not in services]:
-            self.set_order(service, None)
+        for service in self.services():
+            if service not in services:
+                self.set_order(service, None)
 
     def set_orders_version(self, version: int) -> None:
         """Records that the orders are complete up to a version of the store."""
+        if era_of(version) > era_of(self._orders_version):
+            self._orders_kept_until = self._clock.monotonic() + REWRITE_TIME
         self._orders_version = max(self._orders_version, version)
 
     def set_state(self, service: str, version: int, state: RolloutState | None) -> None:
@@ -123,8 +169,14 @@
         known = self.row(service)
         if version <= known.version:
             return
+        is_doubtful = era_of(version) > era_of(known.version) or not known.is_stored
+        is_older = state is None or (known.state is not None and state.precedes(known.state))
+        if is_doubtful and known.state is not None and is_older:
+            self._set_lost(service, version)
+            return
         self._rows[service] = StateRow(version, state)
         self.rollouts.set_state(service, state)
+        self._update_order(service)
         if state is not None and _step(state) != _step(known.state):
             self._log.write(
                 "rollout_phase",
@@ -139,6 +191,20 @@
             )
             self._metrics.gauge("rollout_share", state.share, service=service)
 
+    def keep_states(self, services: typing.Collection[str], version: int) -> None:
+        """Notes which rows the store has, after a read of the whole table at a version."""
+        for service, row in self._rows.items():
+            if service not in services and era_of(version) > era_of(row.version):
+                self._set_lost(service, 0)
+
+    def _set_lost(self, service, version):
+        """Notes that the store has lost the newest state; its row has this version now."""
+        known = self.row(service)
+        if known.is_stored and known.state is not None:
+            phase = known.state.phase.value
+            self._log.write("rollout_state_lost", service=service, phase=phase)
+        self._rows[service] = StateRow(version, known.state, is_stored=known.state is None)
+
     def is_decidable(self, service: str) -> bool:
         """Returns whether enough is known to decide how a service's rollout goes on.
 
@@ -190,6 +256,7 @@
         for observer in tuple(self._pending):
             observer.check_overdue()
         for service in self.services():
+            self._update_order(service)
             self._find_old_version(service)
             if self.is_running(service):
                 self._log_verdict(service)
@@ -324,7 +391,8 @@
         order, row = self._orders.get(service), self.row(service)
         if row.state is None:
             return order is not None
-        if order is not None and order.row_version > row.state.order.row_version:
+        is_later = order is not None and order.row_version > row.state.order.row_version
+        if is_later and not order.repeats(row.state.order):
             return True
         return not row.state.phase.has_ended
 
--- a/cicadapond/rollout/_data.py
+++ b/cicadapond/rollout/_data.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from cicadapond.provider import era_of, number_of
+
 # The name that stands for all routes of a service in `RolloutState.shifted`.
 ALL_ROUTES = "*"
 
@@ -44,6 +46,24 @@
         """Returns whether both orders have the same content."""
         return (self.service, self.to, self.duration) == (other.service, other.to, other.duration)
 
+    def repeats(self, earlier: "RolloutOrder") -> bool:
+        """Returns whether this is an order that was heard earlier.
+
+        After a restore of the store the row of an order has another version, as the operator writes
+        it again or as versions of another era differ.
+        """
+        if self.row_version == earlier.row_version:
+            return True
+        return self._is_of_later_era(earlier) and self.asks_the_same(earlier)
+
+    def was_replaced_by(self, known: "RolloutOrder") -> bool:
+        """Returns whether a known order is newer, although it was heard before a restore."""
+        is_older = number_of(self.row_version) < number_of(known.row_version)
+        return self._is_of_later_era(known) and is_older and not self.asks_the_same(known)
+
+    def _is_of_later_era(self, other):
+        return era_of(self.row_version) > era_of(other.row_version)
+
 
 @attrs.frozen
 class RolloutState:
@@ -82,6 +102,16 @@
         """The time limit of the order."""
         return self.started_at + self.order.duration
 
+    def precedes(self, other: "RolloutState") -> bool:
+        """Returns whether a service had this state before another one."""
+        if not self.order.repeats(other.order):
+            return self.order.row_version < other.order.row_version
+        if self.phase.has_ended or other.phase.has_ended:
+            return not self.phase.has_ended
+        phases = list(Phase)
+        found, known = phases.index(self.phase), phases.index(other.phase)
+        return (found, self.phase_since) < (known, other.phase_since)
+
     def as_row(self) -> dict:
         """Returns the state as a value that `read_row` reads and JSON can represent."""
         return {
--- a/cicadapond/rollout/_next_state.py
+++ b/cicadapond/rollout/_next_state.py
@@ -52,8 +52,8 @@
     if state is None or state.phase.has_ended:
         if order is None:
             return state
-        if state is not None and state.order.row_version == order.row_version:
-            return state
+        if state is not None and order.repeats(state.order):
+            return state if order == state.order else attrs.evolve(state, order=order)
         return _begin(order, state, view, now)
     if order is None:
         return _moved(state, Phase.ROLLED_BACK, "withdrawn", view, now)
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -55,6 +55,10 @@
         if order is None:
             self._orders.pop(service, None)
             self._seen_at.pop(service, None)
+        elif known is not None and order.repeats(known):
+            self._orders[service] = order
+            if service in self._serving_orders:
+                self._serving_orders[service] = order
         elif order != known:
             if self._serves_alone(service, order.to):
                 self._serving_orders[service] = order
@@ -224,7 +228,7 @@
         order = self._orders.get(service)
         barred = barred_versions(order, state)
         has_state = state is not None and order is not None
-        has_state = has_state and state.order.row_version == order.row_version
+        has_state = has_state and order.repeats(state.order)
         if order is not None and order == self._serving_orders.get(service) and not has_state:
             barred -= {order.to}
         unread = self._unread.get(service)
--- a/cicadapond/standin/_tables.py
+++ b/cicadapond/standin/_tables.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import bisect
+import copy
 import random
 
 import attrs
 import msgpack
 
 from cicadapond.kernel import Clock, Conflict, Ok, Unavailable
-from cicadapond.provider import Row, TableService, Write
+from cicadapond.provider import Row, TableService, Write, version_in_era
 from cicadapond.standin._faults import StorageServer, StorageTiming
 
 
@@ -38,12 +39,28 @@
         self.server = StorageServer(timing or StorageTiming(), clock, rng)
         self._tables: dict[str, _Table] = {}
         self._version = 0
+        self._era = 0
 
     @property
     def faults(self):
         """The faults that are active now."""
         return self.server.faults
 
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return version_in_era(self._era, self._version)
+
+    def take_copy(self):
+        """Returns a copy of all rows, to restore the service from."""
+        return copy.deepcopy(self._tables), self._version
+
+    def restore(self, taken) -> None:
+        """Goes back to a copy: what was written since is gone, and its versions are reused."""
+        tables, self._version = taken
+        self._tables = copy.deepcopy(tables)
+        self._era += 1
+
     async def transact(self, writes: tuple[Write, ...]):
         """Serves a transaction with limits, latency and faults; outcomes as `TableService`."""
         cost = -(-len(writes) // self.server.timing.rows_per_write)
@@ -74,7 +91,8 @@
         found = self._tables.get(table, _Table()).rows.get(key)
         if found is None:
             return Row(table, key, 0, None)
-        return Row(table, key, found[0], msgpack.unpackb(found[1], strict_map_key=False))
+        version = version_in_era(self._era, found[0])
+        return Row(table, key, version, msgpack.unpackb(found[1], strict_map_key=False))
 
     def rows(self, table: str, prefix: str = "", after: str = "", limit: int = 1000):
         """Returns the current rows of a table, ordered by key."""
@@ -102,7 +120,7 @@
         if not present:
             bisect.insort(table.keys, write.key)
         table.rows[write.key] = (self._version, msgpack.packb(write.value))
-        return self._version
+        return self.version
 
 
 class DirectTables(TableService):
