--- a/cicadapond/gateway/_discovery.py
+++ b/cicadapond/gateway/_discovery.py
@@ -1,6 +1,8 @@
 """How gateway processes find each other: a row of each in the store."""
 
 import datetime
+import random
+import typing
 
 from cicadapond.data import Endpoint
 from cicadapond.eventlog import EventLog
@@ -8,10 +10,12 @@
 from cicadapond.gateway.data import GatewaySettings
 from cicadapond.kernel import Ok
 from cicadapond.peer import hubs
-from cicadapond.provider import TableService, Write
+from cicadapond.provider import TableService, Write, era_of
 
 PROCESS_TABLE = "processes"
 REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
+# The share of the store's writes by which all processes together write their rows again.
+REWRITE_SHARE = 0.25
 
 
 class ProcessDiscovery:
@@ -22,28 +26,29 @@
       tables: Holds the rows.
       clock: Corrected by the readings in the rows.
       log: The event log.
+      rng: Spreads writes over time.
     """
 
-    def __init__(self, cfg: GatewaySettings, tables: TableService, clock: TrueClock, log: EventLog):
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        tables: TableService,
+        clock: TrueClock,
+        log: EventLog,
+        rng: random.Random,
+    ):
         self._cfg = cfg
         self._tables = tables
         self._clock = clock
         self._log = log
+        self._rng = rng
+        # The era of the store in which the row was written.
+        self._era = 0
 
     async def register(self) -> dict[str, dict]:
         """Writes this process's row and returns the readable rows of all processes by name."""
         while True:
-            reading = self._clock.store_epoch()
-            written = None
-            if reading is not None:
-                endpoint = self._cfg.peers[0]
-                own = {
-                    "peer": [endpoint.host, endpoint.port],
-                    "zone": self._cfg.zone,
-                    "reading": reading,
-                }
-                written = await self._tables.transact((Write(PROCESS_TABLE, self._cfg.name, own),))
-            if isinstance(written, Ok):
+            if await self._write():
                 found = await self._tables.scan(PROCESS_TABLE)
                 if isinstance(found, Ok):
                     rows = {r.key: r.value for r in found.value if isinstance(r.value, dict)}
@@ -51,6 +56,38 @@
                     return rows
             await self._clock.sleep(REGISTER_RETRY_INTERVAL)
 
+    async def keep_registered(self, processes: typing.Callable[[], int]) -> None:
+        """Writes the row again each time that the store was restored, until cancelled.
+
+        Args:
+          processes: Returns how many processes do so at a time.
+        """
+        while True:
+            await self._clock.sleep(REGISTER_RETRY_INTERVAL)
+            if self._tables.era > self._era:
+                rate = REWRITE_SHARE * self._cfg.store_writes_per_second
+                delay_s = self._rng.uniform(0.0, processes() / rate)
+                await self._clock.sleep(datetime.timedelta(seconds=delay_s))
+                await self._write()
+
+    async def _write(self):
+        """Writes this process's row; returns whether it was written."""
+        reading = self._clock.store_epoch()
+        if reading is None:
+            return False
+        endpoint = self._cfg.peers[0]
+        own = {
+            "peer": [endpoint.host, endpoint.port],
+            "zone": self._cfg.zone,
+            "reading": reading,
+        }
+        key = (PROCESS_TABLE, self._cfg.name)
+        match await self._tables.transact((Write(*key, own),)):
+            case Ok(value=versions):
+                self._era = era_of(versions[key])
+                return True
+        return False
+
     def seeds(self, rows: dict[str, dict]) -> tuple[Endpoint, ...]:
         """Returns where to look for the others: likely hubs, those of this data centre first."""
         by_zone: dict[str, list[str]] = {}
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -52,6 +52,10 @@
         self._client = client
         self._era = StoreEra(log, metrics)
 
+    @property
+    def era(self):
+        return self._era.current or 0
+
     async def transact(self, writes):
         body = {
             "expected_revision": [
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -51,6 +51,14 @@
 class TableService(abc.ABC):
     """Transactions with conditional writes over tables of rows."""
 
+    @property
+    def era(self) -> int:
+        """How often the service was restored from an older copy, as far as is known.
+
+        What was written in an earlier era may be lost.
+        """
+        return 0
+
     @abc.abstractmethod
     async def transact(
         self, writes: tuple[Write, ...]
--- a/cicadapond/standin/_tables.py
+++ b/cicadapond/standin/_tables.py
@@ -46,6 +46,11 @@
         """The faults that are active now."""
         return self.server.faults
 
+    @property
+    def era(self) -> int:
+        """How often the service was restored."""
+        return self._era
+
     @property
     def version(self) -> int:
         """The newest version."""
@@ -136,6 +141,10 @@
         self.model = model
         self.reachable = True
 
+    @property
+    def era(self):
+        return self.model.era
+
     async def transact(self, writes):
         return await self._send(self.model.transact(tuple(writes)))
 
