--- a/cicadapond/gateway/_crash_causes.py
+++ b/cicadapond/gateway/_crash_causes.py
@@ -48,13 +48,18 @@
         self._process = process
         self._clock = clock
         self._log = log
+        # Of the store's present era; what was stored before may be lost.
         self._stored: dict[str, datetime.datetime] = {}
+        self._era = 0
 
     async def run(self) -> None:
         """Reads and then writes causes until cancelled."""
         while not await self._read():
             await self._clock.sleep(INTERVAL)
         while True:
+            if self._tables.era > self._era:
+                self._era = self._tables.era
+                self._stored.clear()
             for trait, at in self._crashes.culprits().items():
                 stored = self._stored.get(trait)
                 is_new = stored is None or at - stored >= REFRESH_AGE
@@ -66,6 +71,7 @@
         found = await self._tables.scan(TABLE)
         if not isinstance(found, Ok):
             return False
+        self._era = self._tables.era
         oldest = self._clock.now() - BLAME_RETENTION
         for row in found.value:
             at = datetime.datetime.fromtimestamp(row.value["at_ms"] / 1000, datetime.UTC)
--- a/cicadapond/gateway/own_rows_test.py
+++ b/cicadapond/gateway/own_rows_test.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+import datetime
 import random
 import types
 
 import pytest
 
 from cicadapond.data import Endpoint
+from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._discovery import PROCESS_TABLE, ProcessDiscovery
 from cicadapond.kernel import VirtualClock, run_virtual, seconds
 from cicadapond.standin import DirectTables, TableModel
@@ -68,6 +70,12 @@
         self.start(discovery.keep_registered(lambda: count))
         return discovery.seeds(rows)
 
+    def start_causes(self, name, culprits, sharers):
+        crashes = types.SimpleNamespace(culprits=lambda: culprits, restore=lambda stored: None)
+        cluster = types.SimpleNamespace(sharers=lambda: sharers)
+        causes = CrashCauses(crashes, self.tables, cluster, name, self.clock, Log())
+        self.start(causes.run())
+
 
 def run(check):
     async def main():
@@ -109,3 +117,19 @@
         assert len(world.model.rows(PROCESS_TABLE)) == 1
 
     run(check)
+
+
+def test_what_is_blamed_for_crashes_is_stored_again_after_a_restore():
+    async def check(world):
+        copy, at = world.model.take_copy(), datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+        names = ("a", "b", "c")
+        for name in names:
+            world.start_causes(name, {"part bad": at}, names)
+        await world.clock.sleep(seconds(2))
+        before = [row.value for row in world.model.rows("crash_causes")]
+        world.model.restore(copy)
+        assert not world.model.rows("crash_causes")
+        await world.clock.sleep(seconds(2))
+        assert [row.value for row in world.model.rows("crash_causes")] == before != []
+
+    run(check)
