--- a/cicadapond/gateway/_crash_causes.py
+++ b/cicadapond/gateway/_crash_causes.py
@@ -57,8 +57,8 @@
         while not await self._read():
             await self._clock.sleep(INTERVAL)
         while True:
-            if self._tables.era > self._era:
-                self._era = self._tables.era
+            if self._tables.era() > self._era:
+                self._era = self._tables.era()
                 self._stored.clear()
             for trait, at in self._crashes.culprits().items():
                 stored = self._stored.get(trait)
@@ -71,7 +71,7 @@
         found = await self._tables.scan(TABLE)
         if not isinstance(found, Ok):
             return False
-        self._era = self._tables.era
+        self._era = self._tables.era()
         oldest = self._clock.now() - BLAME_RETENTION
         for row in found.value:
             at = datetime.datetime.fromtimestamp(row.value["at_ms"] / 1000, datetime.UTC)
--- a/cicadapond/gateway/_discovery.py
+++ b/cicadapond/gateway/_discovery.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway.data import GatewaySettings
 from cicadapond.kernel import Ok
 from cicadapond.peer import hubs
-from cicadapond.provider import TableService, Write, era_of
+from cicadapond.provider import TableService, Write
 
 PROCESS_TABLE = "processes"
 REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
@@ -64,7 +64,7 @@
         """
         while True:
             await self._clock.sleep(REGISTER_RETRY_INTERVAL)
-            if self._tables.era > self._era:
+            if self._tables.era() > self._era:
                 rate = REWRITE_SHARE * self._cfg.store_writes_per_second
                 delay_s = self._rng.uniform(0.0, processes() / rate)
                 await self._clock.sleep(datetime.timedelta(seconds=delay_s))
@@ -81,12 +81,12 @@
             "zone": self._cfg.zone,
             "reading": reading,
         }
-        key = (PROCESS_TABLE, self._cfg.name)
-        match await self._tables.transact((Write(*key, own),)):
-            case Ok(value=versions):
-                self._era = era_of(versions[key])
-                return True
-        return False
+        era = self._tables.era()
+        outcome = await self._tables.transact((Write(PROCESS_TABLE, self._cfg.name, own),))
+        if not isinstance(outcome, Ok):
+            return False
+        self._era = era
+        return True
 
     def seeds(self, rows: dict[str, dict]) -> tuple[Endpoint, ...]:
         """Returns where to look for the others: likely hubs, those of this data centre first."""
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -51,9 +51,8 @@
 class TableService(abc.ABC):
     """Transactions with conditional writes over tables of rows."""
 
-    @property
     def era(self) -> int:
-        """How often the service was restored from an older copy, as far as is known.
+        """Returns the newest era of the service that is known; see `era_of`.
 
         What was written in an earlier era may be lost.
         """
@@ -114,6 +113,10 @@
 class ChangeFeed(abc.ABC):
     """Tables written by other systems, followed through their changes."""
 
+    def era(self) -> int:
+        """Returns the newest era of the service that is known; see `era_of`."""
+        return 0
+
     @abc.abstractmethod
     async def snapshot(self, table: str) -> Ok[Changes] | Unavailable:
         """Reads all rows of a table."""
--- a/cicadapond/provider/_budget.py
+++ b/cicadapond/provider/_budget.py
@@ -239,9 +239,8 @@
         self._inner = inner
         self._class = store_class
 
-    @property
     def era(self):
-        return self._inner.era
+        return self._inner.era()
 
     async def transact(self, writes):
         return await self._budget.write(self._class, lambda: self._inner.transact(writes))
--- a/cicadapond/standin/_tables.py
+++ b/cicadapond/standin/_tables.py
@@ -46,9 +46,8 @@
         """The faults that are active now."""
         return self.server.faults
 
-    @property
     def era(self) -> int:
-        """How often the service was restored."""
+        """Returns how often the service was restored."""
         return self._era
 
     @property
@@ -141,9 +140,8 @@
         self.model = model
         self.reachable = True
 
-    @property
     def era(self):
-        return self.model.era
+        return self.model.era()
 
     async def transact(self, writes):
         return await self._send(self.model.transact(tuple(writes)))
