--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -12,7 +12,7 @@
 from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._parts import EventFault
 from cicadapond.platform.standin._rollouts import RolloutModel, VersionDefect
-from cicadapond.platform.standin._store import StoreModel, store_application
+from cicadapond.platform.standin._store import StoreCopy, StoredRow, StoreModel, store_application
 
 __all__ = [
     "STREAM_PREFIX",
@@ -27,7 +27,9 @@
     "FleetSettings",
     "RolloutModel",
     "MoveFault",
+    "StoreCopy",
     "StoreModel",
+    "StoredRow",
     "VersionDefect",
     "cloud_application",
     "store_application",
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -276,6 +276,8 @@
     served = sum(map(_is_served, late))
     if late and served < MIN_SERVED_SHARE * len(late):
         yield Violation("recovery", "all", f"{served} of {len(late)} requests served")
+    for process in history.not_ready:
+        yield Violation("recovery", f"process {process}", "not ready at the end")
 
 
 def _overlaps(spans, begin, end):
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -35,6 +35,7 @@
     CRASHING_PROMPTS = "prompts with one part crash each engine that begins to answer them"
     ENGINE_RECLAIMED = "an engine is withdrawn with short notice, and its streams are moved"
     BRITTLE = "the servers let nobody wait, and crash if they turn too many requests away"
+    STORE_RESTORED = "the store is away for a moment and comes back from a copy some seconds old"
 
 
 PLANNED = (
@@ -58,6 +59,10 @@
 LONG_FAULTS = (Fault.LINKS_LOST, Fault.SERVER_HOLDS, Fault.CRASHING_PROMPTS, Fault.BRITTLE)
 MEAN_LONG_FAULT_GAP_S = 7.0
 MIN_LONG_FAULT_S, MAX_LONG_FAULT_S = 6.0, 10.0
+# Drawn apart, and only where they are asked for.
+RESTORES = (Fault.STORE_RESTORED,)
+MEAN_RESTORE_GAP_S = 8.0
+MIN_COPY_AGE_S, MAX_COPY_AGE_S = 0.5, 6.0
 FIRST_FAULT_S = 3.0  # leaves time for all processes to start serving
 MIN_GAP_S, MEAN_GAP_S = 0.2, 1.6
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 5.0
@@ -77,11 +82,15 @@
     pick: float
 
 
-def make_plan(seed: int, length: float) -> list[Injection]:
-    """Returns the injections of a seed during `length` seconds, in order of time."""
+def make_plan(seed: int, length: float, restores: bool = False) -> list[Injection]:
+    """Returns the injections of a seed during `length` seconds, in order of time.
+
+    With `restores` the store is restored beside the other faults.
+    """
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
-    faults = [fault for fault in Fault if fault not in STATEMENTS + LONG_FAULTS + RECLAIMS]
+    apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES
+    faults = [fault for fault in Fault if fault not in apart]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
     while at < length:
@@ -98,6 +107,10 @@
     kinds = long_faults.sample(LONG_FAULTS, k=2)
     bounds = (MIN_LONG_FAULT_S, MAX_LONG_FAULT_S)
     plan += _apart(long_faults, kinds, MEAN_LONG_FAULT_GAP_S, bounds, length)
+    if restores:
+        rng = random.Random(f"restores {seed}")
+        bounds = (MIN_COPY_AGE_S, MAX_COPY_AGE_S)
+        plan += _apart(rng, RESTORES, MEAN_RESTORE_GAP_S, bounds, length)
     return sorted(plan, key=lambda injection: injection.at)
 
 
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -127,7 +127,9 @@
       unexpected_exits: Processes that exited unprompted or by an error: (process, status).
       double_runs: When an engine began a request on which another one went on working.
       moved: How many runs engines moved away.
+      restores: How often the store was restored.
       faults_ended_at: When the last injection had ended.
+      not_ready: The processes that were not ready at the end.
     """
 
     calls: list[CallRecord] = attrs.field(factory=list)
@@ -149,4 +151,6 @@
     unexpected_exits: list[tuple[int, int]] = attrs.field(factory=list)
     double_runs: list[tuple[float, str]] = attrs.field(factory=list)
     moved: int = 0
+    restores: int = 0
     faults_ended_at: float = 0.0
+    not_ready: list[int] = attrs.field(factory=list)
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -11,10 +11,11 @@
 from cicadapond.platform.standin import EngineFault, Fleet, FleetSettings
 from cicadapond.soak._callers import CRASHING_PART, Balancer, CallerLoop
 from cicadapond.soak._checks import CONTACT_S, RECOVERY_S, Violation, check
-from cicadapond.soak._plan import PLANNED, Injection, make_plan
+from cicadapond.soak._plan import PLANNED, RESTORES, Injection, make_plan
 from cicadapond.soak._process import GatewayProcess
 from cicadapond.soak._proxy import NetworkFault, Proxy
 from cicadapond.soak._records import BrittleTime, Cut, History, Hold, Run, StatedLimit
+from cicadapond.soak._restore import go_back, write_again
 from cicadapond.soak._rollouts import RolloutLoop
 
 START_TIMEOUT_S = 30.0
@@ -34,6 +35,9 @@
 BRITTLE_LIMIT = 3
 SOFTWARE_VERSIONS = ("v1", "v2")
 MAX_STATED_LIMIT = 4.0
+MIN_AWAY_S, MAX_AWAY_S = 0.2, 1.0
+# When the operator and the servers have noticed that their writes are lost.
+MIN_REWRITE_S, MAX_REWRITE_S = 1.0, 2.0
 
 
 @attrs.frozen
@@ -46,6 +50,7 @@
       directory: Where the processes' settings and logs are written.
       processes: Number of gateway processes.
       callers: Number of callers.
+      restores: Whether the store is restored from older copies.
     """
 
     seed: int
@@ -53,6 +58,7 @@
     directory: pathlib.Path
     processes: int = 3
     callers: int = 8
+    restores: bool = False
 
     @property
     def rolls_out(self) -> bool:
@@ -80,6 +86,7 @@
         self._processes = [
             GatewayProcess(number, cfg.directory, self.history) for number in range(cfg.processes)
         ]
+        self._balancer = Balancer([each.ports["readiness"] for each in self._processes])
         self._busy: set[int] = set()
         # By name, one for each process, as a process may lose links that others keep.
         self._proxies: dict[str, list[Proxy]] = {}
@@ -89,6 +96,7 @@
         self._models = []
         self._keys = ["demo-key", "key-0"]
         self._removed_keys: list[str] = []
+        self._is_restoring = False
         self._running: list[asyncio.Task] = []
 
     async def run(self) -> None:
@@ -103,12 +111,15 @@
                 servers = (self._start_server, self._stop_server)
                 rollouts = RolloutLoop(self._fleet, rng, self.history, *servers)
                 injected.append(asyncio.ensure_future(rollouts.run(started_at + self._cfg.length)))
-            for injection in make_plan(self._cfg.seed, self._cfg.length):
+            for injection in make_plan(self._cfg.seed, self._cfg.length, self._cfg.restores):
                 await asyncio.sleep(max(0.0, started_at + injection.at - loop.time()))
                 injected.append(asyncio.ensure_future(self._inject(injection)))
             await asyncio.gather(*injected)
             self.history.faults_ended_at = loop.time()
             await asyncio.sleep(FAULT_FREE_S)
+            ready = self._balancer.ready()
+            numbers = range(self._cfg.processes)
+            self.history.not_ready = [number for number in numbers if number not in ready]
         finally:
             await self._stop()
 
@@ -127,7 +138,7 @@
             text = fleet.settings_text(process.ports, f"edge-{process.number}", process.number)
             process.path.write_text(text, encoding="utf-8")
             await process.start()
-        balancer = Balancer([process.ports["readiness"] for process in self._processes])
+        balancer = self._balancer
         self._start_task(balancer.run())
         async with asyncio.timeout(START_TIMEOUT_S):
             while len(balancer.ready()) < len(self._processes):
@@ -201,7 +212,7 @@
         begin = asyncio.get_running_loop().time()
         await getattr(self, f"_inject_{fault.name.lower()}")(injection)
         end = asyncio.get_running_loop().time()
-        if fault not in PLANNED:
+        if fault not in PLANNED + RESTORES:
             self.history.fault_spans.append((begin, end + RESIDUAL_EFFECT_S))
 
     def _reserve_process(self, injection):
@@ -286,6 +297,25 @@
         self._fleet.store.oldest_version = self._fleet.store.version
         self._reset_connections("store")
 
+    async def _inject_store_restored(self, injection):
+        if self._is_restoring:
+            return
+        self._is_restoring = True
+        store, loop, pick = self._fleet.store, asyncio.get_running_loop(), injection.pick
+        copy = store.copy()
+        await asyncio.sleep(injection.duration)
+        begin = loop.time()
+        store.is_down = True
+        self._reset_connections("store")
+        await asyncio.sleep(MIN_AWAY_S + pick * (MAX_AWAY_S - MIN_AWAY_S))
+        lost = go_back(store, copy)
+        store.is_down = False
+        self.history.restores += 1
+        await asyncio.sleep(MIN_REWRITE_S + pick * (MAX_REWRITE_S - MIN_REWRITE_S))
+        write_again(store, copy, lost)
+        self.history.fault_spans.append((begin, loop.time() + RESIDUAL_EFFECT_S))
+        self._is_restoring = False
+
     async def _inject_store_clock(self, injection):
         self._fleet.store.clock_step_ms -= round(1000 * injection.duration)
         self._reset_connections("store")
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -17,6 +17,9 @@
 _PROCESSES = flags.DEFINE_integer("processes", 3, "Number of gateway processes.", 1, 100)
 _CALLERS = flags.DEFINE_integer("callers", 8, "Number of callers.", 1, 200)
 _AT_ONCE = flags.DEFINE_integer("at_once", 1, "Number of seeds to run in parallel.", 1, 16)
+_RESTORES = flags.DEFINE_boolean(
+    "restores", False, "Whether the store is restored from older copies among the faults."
+)
 _DIRECTORY = flags.DEFINE_string(
     "directory", None, "Directory for logs; by default a new temporary one."
 )
@@ -31,12 +34,14 @@
         async with limit:
             directory = base / f"seed-{seed}"
             directory.mkdir(parents=True, exist_ok=True)
-            cfg = SoakSettings(seed, _LENGTH.value, directory, _PROCESSES.value, _CALLERS.value)
+            sizes = (_PROCESSES.value, _CALLERS.value)
+            cfg = SoakSettings(seed, _LENGTH.value, directory, *sizes, _RESTORES.value)
             history, violations = await run_soak(cfg)
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
         print(
             f"seed {seed}: {len(history.calls)} requests, {served} served, "
-            f"{_outcomes(history)}{history.moved} moved, {len(violations)} violations",
+            f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
+            f"{len(violations)} violations",
             flush=True,
         )
         for violation in violations:
@@ -51,8 +56,12 @@
     "cicadapond-soak",
     "Runs gateway processes under random faults from outside, and checks what callers, servers and"
     " the platform saw.",
-    flags=("seeds", "length", "processes", "callers", "at_once", "directory"),
-    examples=("cicadapond-soak --seeds=1-4", "cicadapond-soak --seeds=301 --length=60"),
+    flags=("seeds", "length", "processes", "callers", "at_once", "restores", "directory"),
+    examples=(
+        "cicadapond-soak --seeds=1-4",
+        "cicadapond-soak --seeds=5 --restores",
+        "cicadapond-soak --seeds=301 --length=60",
+    ),
     exit_codes={0: "all promises held", 1: "a promise was broken, or a process failed"},
 )
 
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -6,7 +6,8 @@
 import attrs
 import pytest
 
-from cicadapond.platform.standin import Answer, stream_event
+from cicadapond.kernel import ManualClock
+from cicadapond.platform.standin import Answer, StoreModel, stream_event
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._plan import parse_seeds
@@ -21,6 +22,7 @@
     Run,
     StatedLimit,
 )
+from cicadapond.soak._restore import go_back, write_again
 from cicadapond.soak._run import Soak
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
@@ -122,6 +124,7 @@
             "recovery",
             history(calls=[call(status=503, sent_at=90.0)], runs=[], faults_ended_at=50.0),
         ),
+        ("recovery", history(not_ready=[1])),
     ],
 )
 def test_each_broken_guarantee_is_found_once(guarantee, found):
@@ -153,10 +156,35 @@
 def test_plans_are_reproducible_and_every_fault_can_be_injected():
     assert make_plan(3, 60.0) == make_plan(3, 60.0)
     assert make_plan(3, 60.0) != make_plan(4, 60.0)
-    assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0)} == set(Fault)
+    assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0, True)} == set(Fault)
+    planned = [each for each in make_plan(3, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
+    assert planned == make_plan(3, 60.0)
     assert all(hasattr(Soak, f"_inject_{fault.name.lower()}") for fault in Fault)
 
 
+def test_after_a_restore_only_what_is_still_lost_of_others_rows_is_written_again():
+    store = StoreModel(ManualClock())
+    store.put("servers", "left", {})
+    store.put("servers", "changed", {"state": "ready"})
+    copy = store.copy()
+    store.put("servers", "left", None)
+    store.put("servers", "changed", {"state": "draining"})
+    store.put("servers", "brief", {})
+    store.put("servers", "brief", None)
+    store.put("op", "config", {"version": 2})
+    store.put("processes", "edge-0", {})
+    before = store.copy()
+    lost = go_back(store, copy)
+    assert [row.key for row in lost] == ["left", "changed", "config"]
+    store.put("op", "config", {"version": 3})
+    write_again(store, copy, lost)
+    values = {row.key: row.value for row in before.rows if row.value is not None}
+    found = {row.key: row.value for row in store.copy().rows if row.value is not None}
+    assert found.keys() == {"changed", "config"}
+    assert found["changed"] == values["changed"]
+    assert found["config"] != values["config"]
+
+
 def test_seeds_are_read_as_a_list_or_a_range():
     assert parse_seeds("3") == [3]
     assert parse_seeds("1,5") == [1, 5]
