--- a/cicadapond/ctl/_views.py
+++ b/cicadapond/ctl/_views.py
@@ -83,6 +83,16 @@
     ]
 
 
+def store(name: str, state: dict) -> Rows:
+    """Returns a row with what a gateway knows of the store, and what it waits to write again."""
+    if "store_era" not in state:
+        return []
+    rollouts_of = state.get("rollouts", {}).items()
+    lost = [service for service, rollout in rollouts_of if not rollout.get("is_stored", True)]
+    age = _rounded_seconds(state["configuration_age"])
+    return [(name, state["store_era"], state["configuration"], age, " ".join(lost))]
+
+
 VIEWS = {
     "hosts": View(
         "the backend servers that entries know",
@@ -123,6 +133,11 @@
         ),
         rollouts,
     ),
+    "store": View(
+        "how often the store was restored, as each gateway knows",
+        ("process", "era", "configuration", "its age s", "rollouts not stored"),
+        store,
+    ),
     "lease": View(
         "who holds the lease of each data centre",
         ("process", "data centre", "holder", "held here", "fencing", "left s"),
--- a/cicadapond/ctl/views_test.py
+++ b/cicadapond/ctl/views_test.py
@@ -64,6 +64,15 @@
     assert rows == [dict(zip(VIEWS["lease"].columns, ("c", *lease.values()), strict=True))]
 
 
+def test_the_store_view_shows_a_process_that_has_not_heard_of_a_restore():
+    state = {"store_era": 1, "configuration": 7, "configuration_age": 0.52}
+    lost = {"pool": {"is_stored": False}, "plain": {"is_stored": True}}
+    states = {"edge-1": state | {"rollouts": lost}, "edge-2": state | {"store_era": 0}, "e": {}}
+    rows = json.loads(rendered(states, "store", as_json=True))
+    assert [(row["process"], row["era"]) for row in rows] == [("edge-1", 1), ("edge-2", 0)]
+    assert [row["rollouts not stored"] for row in rows] == ["pool", ""]
+
+
 def test_rollouts_show_the_evidence_and_the_reason_of_the_verdict():
     counts = {"answers": 80, "failed": 9, "timed": 70, "slow": 5}
     rollout = {
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -361,6 +361,7 @@
             "configuration": self.parts.active_configuration.version,
             "configuration_age": age,
             "servers": [attrs.asdict(entry) for entry in self.parts.registry.all()],
+            "store_era": self._adapters.tables.era(),
             "lease": self._lease.state(),
             "advisories": self.parts.advisories.state(),
             "permits": self._permits.state(),
--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -359,6 +359,7 @@
                 "share": state.share if state else None,
                 "shifted": list(state.shifted) if state else [],
                 "reason": state.reason if state else None,
+                "is_stored": self.row(service).is_stored,
                 "judged": dict(state.judged) if state else {},
                 "verdict": (judgement := self.rollouts.judgement(service)).verdict.value,
                 "verdict_reason": judgement.reason,
--- a/cicadapond/gateway/state_test.py
+++ b/cicadapond/gateway/state_test.py
@@ -13,6 +13,7 @@
             await system.until(lambda: "z1" in system.node.state()["cluster"]["zones"])
             state = json.loads(json.dumps(to_jsonable(system.node.state())))
             cluster = state["cluster"]
+            assert state["store_era"] == 0
             assert cluster["processes"] == 1
             assert cluster["quota_share"] == 1.0
             assert cluster["zones"]["z1"]["live"] == cluster["zones"]["z1"]["heard"] == 1
