--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -456,6 +456,7 @@
         is_own_zone = zone == self._cfg.zone
         self._parts.quotas.apply_spending(zone, summary.spending, includes_own=is_own_zone)
         self.usage.merge(f"{zone} {summary.lineage}", summary.usage)
+        self._parts.stored_usage.merge(summary.stored_usage)
         self._parts.crashes.apply(zone, summary.crash_evidence)
         self._parts.rollouts.apply(zone, summary.rollouts)
         if self._parts.engine_watch is not None:
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -17,7 +17,7 @@
 from cicadapond.gateway._run_totals import RunTotals, Totals
 from cicadapond.placing import EngineWork
 from cicadapond.residency import HeldParts, merge_groups
-from cicadapond.usage import UsageLedger
+from cicadapond.usage import StoredCounts, UsageLedger
 
 # A process tells of an engine in at most so many buckets.
 MAX_BUCKETS = 64
@@ -62,6 +62,8 @@
         opaque key.
       held: What engines keep of shared prompt parts, by engine.
       shared_parts: Hashes of the prompt parts that requests share, by group.
+      stored_usage: Usage that lease holders have stored, to be reported, by window and client
+        account.
     """
 
     sequence: int = 0
@@ -81,12 +83,14 @@
     held: typing.Mapping[str, HeldParts] = attrs.field(factory=dict)
     shared_parts: typing.Mapping[int, bytes] = attrs.field(factory=dict)
     participants: int = 0
+    stored_usage: Windows = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
         """Returns the report in the form in which it is sent between processes."""
         items = {"": [self.sequence, self.configuration, self.processes, self.lineage]}
         items |= {f"s {number}": dict(counts) for number, counts in self.spending.items()}
         items |= {f"u {number}": dict(counts) for number, counts in self.usage.items()}
+        items |= {f"w {number}": dict(counts) for number, counts in self.stored_usage.items()}
         for run, windows in self.departed.items():
             items[f"x {run}"] = {str(number): dict(counts) for number, counts in windows.items()}
         for service, demand in self.demand.items():
@@ -124,7 +128,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {kind: {} for kind in "suxdeaockrvhbp"}
+    fields = {kind: {} for kind in "suwxdeaockrvhbp"}
     participants = 0
     try:
         sequence, configuration, processes, lineage = items[""]
@@ -133,6 +137,8 @@
             match kind:
                 case "s" | "u":
                     fields[kind][int(name)] = value
+                case "w":
+                    fields[kind][int(name)] = {str(key): int(n) for key, n in value.items()}
                 case "x":
                     fields[kind][name] = {int(number): counts for number, counts in value.items()}
                 case "d":
@@ -181,6 +187,7 @@
             held=_read_held(fields["h"], fields["b"]),
             shared_parts=fields["p"],
             participants=participants,
+            stored_usage=fields["w"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
         return None
@@ -330,6 +337,9 @@
                 known = advisories.get(server)
                 if known is None or (advisory.born, advisory.said_at) > (known.born, known.said_at):
                     advisories[server] = advisory
+        stored = StoredCounts()
+        for run in self._runs.values():
+            stored.merge(run.report.stored_usage)
         ended = {name for name, run in self._runs.items() if run.ended}
         departed = (self._usage.sources() - self._runs.keys()) | ended
         return Report(
@@ -359,6 +369,7 @@
             participants=sum(
                 run.report.participants for run in counted if now - run.heard <= self._silence
             ),
+            stored_usage=stored.counts(),
         )
 
     def _end_earlier_runs(self, run):
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+import attrs
 import pytest
 
 from cicadapond.data import Endpoint
@@ -18,6 +19,7 @@
 from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.peer import Digest, Member, MemberState
+from cicadapond.usage import StoredCounts
 
 
 @pytest.mark.parametrize("processes", [1, 2, 6, 30, 61, 78, 420])
@@ -76,6 +78,7 @@
         crashes=quiet,
         rollouts=NoRollouts(),
         engine_watch=None,
+        stored_usage=StoredCounts(),
     )
     return Cluster(parts, None, clock, None, random.Random(1))
 
@@ -165,3 +168,15 @@
         assert reporters[-1] == "b1"
 
     run(check)
+
+
+def test_counts_that_a_holder_of_another_data_centre_stored_are_remembered():
+    def check():
+        joined = cluster(ManualClock(), is_first_start=False)
+        told = Report(lineage="x/1", stored_usage={7: {"acme": 5}})
+        joined._apply_summary("b0", "b", told)
+        joined._apply_summary("b0", "b", attrs.evolve(told, stored_usage={}))
+        assert joined._parts.stored_usage.find(7) == {"acme": 5}
+        assert joined._parts.stored_usage.own() == {}  # each holder tells its own
+
+    run(check)
--- a/cicadapond/gateway/reports_test.py
+++ b/cicadapond/gateway/reports_test.py
@@ -189,3 +189,22 @@
     assert total.total({}, seconds(1)).origins == {
         7: {"v1": b"aaaaaabbbbbbcccccc", "v2": b"dddddd"}
     }
+
+
+def test_what_a_holder_has_stored_is_told_to_all_also_after_its_end():
+    """Guards against a window that the next holder withholds, as its row was lost."""
+    total = zone_reports("h/1")
+    stored = {number: {"acme": number} for number in range(20, 24)}
+    total.record("a/1", attrs.evolve(report(1), stored_usage=stored), seconds(0))
+    total.record("b/1", attrs.evolve(report(1), stored_usage={24: {"acme": 1}}), seconds(0))
+    total.record_ended("a/1")
+    summary = total.total({}, seconds(1))
+    assert summary.stored_usage == {21: {"acme": 21}} | {
+        number: {"acme": number} for number in (22, 23)
+    } | {24: {"acme": 1}}
+    assert read_report(summary.as_items()) == summary
+    # Builds that know no eras ignore the kind, and expect four fields in the head.
+    items = attrs.evolve(report(1), stored_usage={20: {"acme": 7}}).as_items()
+    assert len(items[""]) == 4
+    assert items.keys() - report(1).as_items().keys() == {"w 20"}
+    assert read_report(items | {"w 20": {"acme": "many"}}) is None
--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -138,6 +138,20 @@
     play(script)
 
 
+def test_a_new_holder_reports_what_it_was_told_of_before_the_restore():
+    async def script(world, first, second):
+        window = await a_lost_report(world, first)
+        second.hears(window, 7)
+        second.stored.merge(first.stored.own())
+        world.tables.restore()
+        await second.run(8)
+        assert sent(world)[window] == {"acme": 5}
+        assert window not in second.withheld()
+        assert world.tables.row("usage", f"{window:012d}").value == {"acme": 5}
+
+    play(script)
+
+
 def test_a_holder_that_lost_its_grant_reports_what_it_reported_before_the_restore():
     """Guards against ONE: the same process looked back, with counts that had grown."""
 
