--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
 from cicadapond.lease import LeaseTask
-from cicadapond.provider import Row, TableService, Write, era_of, version_in_era
+from cicadapond.provider import Row, TableService, Write, era_of
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 STEP_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -89,6 +89,8 @@
         self._fencing: int | None = None
         self._held_since: datetime.datetime | None = None
         self._era = 0
+        # Whether the counts to report were stored just now, or found in the store.
+        self._has_stored = False
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports all windows that are due, as long as the lease is held."""
@@ -142,6 +144,7 @@
             "usage_reported",
             window=window,
             counts=stored,
+            counts_from="stored" if self._has_stored else "found",
             fencing=grant.fencing,
             outcome=type(outcome).__name__,
         )
@@ -182,13 +185,14 @@
             return await self._find_stored(window, row_key)
         self._merge_own()
         counts = self._ledger.total(window) if known is None else known
-        absent = version_in_era(era_of(held.expected), 0)
         # Conditional on the row of the lease, as a write that was sent before a restore must not
         # take effect after it.
-        writes = [held, Write(*row_key, counts, expected=absent)]
+        writes = [held, Write(*row_key, counts, expected=0)]
         if window % RETAINED_WINDOWS == 0:
             writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
-        match await self._tables.transact(tuple(writes)):
+        outcome = await self._tables.transact(tuple(writes))
+        self._has_stored = isinstance(outcome, Ok)
+        match outcome:
             case Ok():
                 found = counts
             case Conflict(current=current) if row_key in current:
@@ -202,6 +206,7 @@
 
     async def _find_stored(self, window, row_key):
         """Returns what is stored for a window that may have been reported before the restore."""
+        self._has_stored = False
         row = await self._read(row_key)
         if row is None:
             return None
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -106,6 +106,14 @@
 class ChangeFeed(abc.ABC):
     """Tables written by other systems, followed through their changes."""
 
+    def era(self) -> int:
+        """Returns the newest era of the service that is known; see `era_of`."""
+        return 0
+
+    def hear_era(self, era: int) -> None:
+        """Records an era of the service that another process tells."""
+        return None
+
     @abc.abstractmethod
     async def snapshot(self, table: str) -> Ok[Changes] | Unavailable:
         """Reads all rows of a table."""
