--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
 from cicadapond.lease import LeaseTask
-from cicadapond.provider import Row, TableService, Write, era_of, version_in_era
+from cicadapond.provider import Row, TableService, Write, era_of
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 STEP_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -86,11 +86,11 @@
         self._next: int | None = None
         self._next_report: int | None = None
         self._has_loaded = False
-        # Whether the counts to report were stored just now, or found in the store.
-        self._has_stored = False
         self._fencing: int | None = None
         self._held_since: datetime.datetime | None = None
         self._era = 0
+        # Whether the counts to report were stored just now, or found in the store.
+        self._has_stored = False
 
     async def step(self, lease: LeaseTask, name: str) -> None:
         """Reports all windows that are due, as long as the lease is held."""
@@ -185,10 +185,9 @@
             return await self._find_stored(window, row_key)
         self._merge_own()
         counts = self._ledger.total(window) if known is None else known
-        absent = version_in_era(era_of(held.expected), 0)
         # Conditional on the row of the lease, as a write that was sent before a restore must not
         # take effect after it.
-        writes = [held, Write(*row_key, counts, expected=absent)]
+        writes = [held, Write(*row_key, counts, expected=0)]
         if window % RETAINED_WINDOWS == 0:
             writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
         outcome = await self._tables.transact(tuple(writes))
