--- a/cicadapond/gateway/_rollouts.py
+++ b/cicadapond/gateway/_rollouts.py
@@ -136,21 +136,23 @@
         self.rollouts.set_order(service, order)
 
     def _order_in_force(self, service):
-        """Returns the stored order, or a newer one that the store has lost by a restore."""
+        """Returns the stored order, or one from before a restore that takes its place."""
         stored, state = self._stored_orders.get(service), self.row(service).state
         if self._clock.monotonic() >= self._orders_kept_until:
             return stored
         known = self._orders.get(service)
-        if known is not None and self._was_lost(known, stored):
+        if known is not None and self._is_kept(known, stored):
             return known
-        if state is not None and self._was_lost(state.order, stored):
-            return None if state.phase.has_ended else state.order
-        return stored
+        if state is None or not self._is_kept(state.order, stored):
+            return stored
+        repeats = stored is not None and stored.repeats(state.order)
+        return state.order if repeats or not state.phase.has_ended else None
 
-    def _was_lost(self, order, stored):
+    def _is_kept(self, order, stored):
+        """Returns whether a known order is the one that the operator has written last."""
         if era_of(order.row_version) >= era_of(self._orders_version):
             return False
-        return stored is None or stored.was_replaced_by(order)
+        return stored is None or stored.was_replaced_by(order) or stored.repeats(order)
 
     def keep_orders(self, services: typing.Collection[str]) -> None:
         """Withdraws the orders of all other services, after a read of the whole table."""
