--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -166,9 +166,7 @@
         await self._publish()
 
     async def _join(self):
-        discovery = ProcessDiscovery(
-            self._cfg, self._tables, self._clock, self._parts.log, self._rng
-        )
+        discovery = ProcessDiscovery(self._parts, self._tables, self._clock, self._rng)
         rows = await discovery.register()
         self._tasks.keep_running(lambda: discovery.keep_registered(self.count), "process row")
         self._registered = len(rows)
--- a/cicadapond/gateway/_discovery.py
+++ b/cicadapond/gateway/_discovery.py
@@ -5,9 +5,8 @@
 import typing
 
 from cicadapond.data import Endpoint
-from cicadapond.eventlog import EventLog
+from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.data import GatewaySettings
 from cicadapond.kernel import Ok
 from cicadapond.peer import hubs
 from cicadapond.provider import TableService, Write
@@ -22,25 +21,17 @@
     """Writes the row of this process and reads those of the others.
 
     Args:
-      cfg: The settings of this process.
+      parts: The components of this process.
       tables: Holds the rows.
       clock: Corrected by the readings in the rows.
-      log: The event log.
       rng: Spreads writes over time.
     """
 
-    def __init__(
-        self,
-        cfg: GatewaySettings,
-        tables: TableService,
-        clock: TrueClock,
-        log: EventLog,
-        rng: random.Random,
-    ):
-        self._cfg = cfg
+    def __init__(self, parts: Parts, tables: TableService, clock: TrueClock, rng: random.Random):
+        self._cfg = parts.cfg
         self._tables = tables
         self._clock = clock
-        self._log = log
+        self._log = parts.log
         self._rng = rng
         # The era of the store in which the row was written.
         self._era = 0
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -406,15 +406,12 @@
             self._exposure_bounds(),
             self._clock,
             self._log,
-            self._repair_turn,
+            lambda service: rank(service, self._cluster.live()).index(self._cfg.name),
         )
         self._tasks.keep_running(task.watch, "rollout watch")
         self._tasks.start(task, restarts=True)
         return OperatorTable(configuration, rollouts, codec, self._log)
 
-    def _repair_turn(self, service):
-        return rank(service, self._cluster.live()).index(self._cfg.name)
-
     # Crashes of servers
 
     def _tries_trait(self, trait):
--- a/cicadapond/gateway/own_rows_test.py
+++ b/cicadapond/gateway/own_rows_test.py
@@ -64,8 +64,8 @@
             peers=(Endpoint("::1", number),),
             store_writes_per_second=WRITES_PER_SECOND,
         )
-        rng = random.Random(number)
-        discovery = ProcessDiscovery(cfg, self.tables, self.clock, Log(), rng)
+        parts, rng = types.SimpleNamespace(cfg=cfg, log=Log()), random.Random(number)
+        discovery = ProcessDiscovery(parts, self.tables, self.clock, rng)
         rows = await discovery.register()
         self.start(discovery.keep_registered(lambda: count))
         return discovery.seeds(rows)
