--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -78,6 +78,10 @@
         """Returns the ids of all requests that any server started."""
         return [each for server in self.fleet.servers.values() for each in server.model.ids()]
 
+    def listed_versions(self) -> set[str]:
+        """Returns the software versions of the servers that any node lists."""
+        return {entry.version for node in self.nodes for entry in node.parts.registry.all()}
+
     async def restart_all(self) -> None:
         """Ends all nodes at once, as a crash would, and starts them again."""
         for node in self.nodes:
