--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -10,11 +10,27 @@
     drop_old_buckets,
     merge_buckets,
 )
+from cicadapond.continuation._stored import (
+    VERSIONS_REFRESH,
+    BucketRows,
+    StoredOrigins,
+    VersionHistory,
+    bucket_key,
+    read_rows,
+    versions_row,
+)
 
 __all__ = [
     "ORIGIN_RETENTION",
+    "VERSIONS_REFRESH",
+    "BucketRows",
     "Buckets",
+    "StoredOrigins",
     "StreamOrigins",
+    "VersionHistory",
+    "bucket_key",
     "drop_old_buckets",
     "merge_buckets",
+    "read_rows",
+    "versions_row",
 ]
--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -115,6 +115,11 @@
         """Applies what a data centre told of its streams; what it told before still holds."""
         merge_buckets(self._received.setdefault(zone, {}), buckets)
 
+    def told(self, source: str) -> Buckets:
+        """Returns what a data centre told of its streams."""
+        self._forget()
+        return self._received.get(source, {})
+
     def _bucket(self):
         return math.floor(self._clock.now().timestamp() / BUCKET.total_seconds())
 
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -155,6 +155,11 @@
         """The processes as a group that shares copies of tables."""
         return self._copies
 
+    @property
+    def zone(self) -> str:
+        """The data centre of this process."""
+        return self._cfg.zone
+
     async def run(self) -> None:
         """Joins the other processes and publishes digests until cancelled."""
         if self._peer is None:
@@ -183,7 +188,7 @@
         peer.start()
         self._peer = peer
         self._joined_at = self._clock.monotonic()
-        self._zone_reports = ZoneReports(self._own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
+        self._zone_reports = ZoneReports(self.own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
         self._tasks.start(peer)
 
     def register_handler(self, topic: str, handler: typing.Callable) -> None:
@@ -218,6 +223,10 @@
             return False
         return self._clock.monotonic() - self._joined_at >= SUMMARY_DELAY
 
+    def speaks_for_zone(self) -> bool:
+        """Whether this process tells the sums of its data centre."""
+        return self.has_settled() and self._peer.is_primary_hub()
+
     # Values derived from what was received
 
     def count(self) -> int:
@@ -329,7 +338,7 @@
     def merge_own_usage(self) -> None:
         """Adds this process's own counts where no hub tells those of its data centre."""
         if self._cfg.zone not in self._summaries and self._peer is not None:
-            self.usage.merge(f"{self._cfg.zone} {self._own_run()}", self._parts.usage.counts())
+            self.usage.merge(f"{self._cfg.zone} {self.own_run()}", self._parts.usage.counts())
 
     def publish_soon(self) -> None:
         """Publishes the next digest as soon as the minimum interval allows."""
@@ -385,7 +394,8 @@
     def _has_share(self, member, now):
         return member.state is MemberState.ALIVE or now - member.last_heard < SHARE_RETENTION
 
-    def _own_run(self):
+    def own_run(self) -> str:
+        """Returns what names this run of the process; only after it has joined the others."""
         return f"{self._cfg.name}/{start_time_ms(self._peer.incarnation)}"
 
     # Exchange of digests
@@ -404,9 +414,9 @@
         now = self._clock.monotonic()
         self._sequence += 1
         report = own_report(self._parts, self._sequence, self._cfg.name, self.cut_off_services())
-        self._zone_reports.record(self._own_run(), report, now)
+        self._zone_reports.record(self.own_run(), report, now)
         summary = {}
-        if self.has_settled() and self._peer.is_primary_hub():
+        if self.speaks_for_zone():
             total = self._zone_total(now)
             self._apply_summary(self._cfg.name, self._cfg.zone, total)
             summary = total.as_items()
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -109,7 +109,9 @@
         found = parts.origins.find(first_request_id) if first_request_id is not None else None
         if found is not None:
             return found
-        versions = parts.registry.software_versions(self._service)
+        if parts.version_history is not None and not parts.version_history.is_loaded:
+            return None
+        versions = parts.software_versions(self._service)
         if len(versions) == 1 and parts.origins.versions() <= versions:
             return next(iter(versions))
         return None
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -8,7 +8,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
-from cicadapond.continuation import StreamOrigins
+from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._cloud import Cloud
@@ -26,6 +26,7 @@
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
+from cicadapond.gateway._origin_store import OriginStore
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._permits import TOPIC, ClusterCalls, PermitExchange
 from cicadapond.gateway._queues import ServiceQueues
@@ -157,6 +158,7 @@
         self._crash_causes = CrashCauses(
             self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
         )
+        self._origin_store = OriginStore(self.parts, adapters.tables, self._cluster)
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
@@ -229,6 +231,7 @@
             queues=queues,
             rollouts=rollouts,
             engine_watch=watch,
+            version_history=VersionHistory(clock),
         )
 
     def _make_engine_watch(self, registry):
@@ -288,6 +291,7 @@
         self._tasks.keep_running(self._housekeep, "housekeeping")
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
+        self._tasks.keep_running(self._origin_store.run, "origin store")
         if self.parts.engine_watch is not None:
             self._tasks.keep_running(self.parts.engine_watch.run, "engine watch")
         if self._zone_costs is not None:
--- /dev/null
+++ b/cicadapond/gateway/_origin_store.py
@@ -0,0 +1,138 @@
+"""Keeps in the store which versions began the streams, so that it outlasts a stop of all processes.
+
+Processes tell each other of their streams, but forget them if all of them stop at the same time.
+One process of each data centre, a hub, writes for all of it: the versions in service when they
+change, and the streams only while there are several versions of a service.
+"""
+
+import datetime
+
+from cicadapond.continuation import (
+    VERSIONS_REFRESH,
+    BucketRows,
+    bucket_key,
+    read_rows,
+    versions_row,
+)
+from cicadapond.gateway._cluster import Cluster
+from cicadapond.gateway._parts import Parts
+from cicadapond.kernel import Ok
+from cicadapond.provider import TableService, Write
+
+TABLE = "origins"
+# As whose streams a process knows those that it has read, beside those that data centres tell.
+SOURCE = "store"
+# A stream is stored so long after it was told.  Grows with the data centres, for all of which the
+# store takes 400 writes/s.
+WRITE_INTERVAL = datetime.timedelta(milliseconds=200)
+WRITE_INTERVAL_PER_ZONE = datetime.timedelta(milliseconds=20)
+READ_RETRY_INTERVAL = datetime.timedelta(milliseconds=100)
+READ_PAGE = 500
+# A transaction takes 100 rows.
+MAX_WRITES = 60
+MAX_REMOVALS = 30
+# Rows whose streams are too old are removed with the next write, or by themselves when so many are
+# due.
+REMOVALS_WITHOUT_WRITE = 20
+
+
+class OriginStore:
+    """Reads the origins of streams at the start, and writes those of a data centre as its hub.
+
+    Args:
+      parts: The components of this process.
+      tables: The store.
+      cluster: The processes; knows whether this one is its data centre's hub.
+    """
+
+    def __init__(self, parts: Parts, tables: TableService, cluster: Cluster):
+        self._parts = parts
+        self._tables = tables
+        self._cluster = cluster
+        self._clock = parts.clock
+        self._rows: BucketRows | None = None
+        self._leftover: dict[str, int] = {}
+        self._unneeded: tuple[str, ...] = ()
+        self._versions: dict[str, set[str]] = {}
+        self._versions_written_at: datetime.timedelta | None = None
+
+    async def run(self) -> None:
+        """Reads and then writes until cancelled."""
+        while not await self._read():
+            await self._clock.sleep(READ_RETRY_INTERVAL)
+        while True:
+            zones = len(self._cluster.live_by_zone())
+            await self._clock.sleep(max(WRITE_INTERVAL, zones * WRITE_INTERVAL_PER_ZONE))
+            if self._cluster.speaks_for_zone():
+                await self._write()
+
+    async def _read(self):
+        rows, after = [], ""
+        while True:
+            page = await self._tables.scan(TABLE, after=after, limit=READ_PAGE)
+            if not isinstance(page, Ok):
+                return False
+            rows += page.value
+            if len(page.value) < READ_PAGE:
+                break
+            after = page.value[-1].key
+        found = read_rows((row.key, row.value) for row in rows)
+        self._leftover, self._unneeded = found.expiring, found.expired
+        self._parts.origins.apply(SOURCE, found.buckets)
+        self._parts.version_history.load(found.versions)
+        if rows:
+            self._parts.log.write(
+                "origins_read",
+                rows=len(rows),
+                versions={service: sorted(each) for service, each in found.versions.items()},
+            )
+        return True
+
+    async def _write(self):
+        if self._rows is None:
+            self._rows = BucketRows(self._cluster.own_run())
+            self._rows.expire(self._leftover)
+        versions = self._versions_in_service()
+        if versions is None:
+            return
+        now = self._clock.now()
+        buckets = {}
+        if any(len(found) > 1 for found in versions.values()):
+            told = self._parts.origins.told(self._cluster.zone)
+            buckets = self._rows.changed(told, MAX_WRITES)
+        expired = self._rows.expired(now, MAX_REMOVALS)
+        writes = [
+            Write(TABLE, bucket_key(self._cluster.own_run(), number), found)
+            for number, found in buckets.items()
+        ]
+        is_due = self._versions_are_due(versions)
+        if is_due:
+            writes.append(Write(TABLE, self._cluster.own_run(), versions_row(versions, now)))
+        if not writes and len(expired) < REMOVALS_WITHOUT_WRITE:
+            return
+        unneeded = self._unneeded[: MAX_REMOVALS - len(expired)]
+        writes += [Write(TABLE, key) for key in (*expired, *unneeded)]
+        written = await self._tables.transact(tuple(writes))
+        if not isinstance(written, Ok):
+            self._parts.metrics.count("origin_write_failures", outcome=type(written).__name__)
+            return
+        self._rows.record_written(buckets)
+        self._rows.record_removed(expired)
+        self._unneeded = self._unneeded[len(unneeded) :]
+        if is_due:
+            self._versions, self._versions_written_at = versions, self._clock.monotonic()
+
+    def _versions_are_due(self, versions):
+        if self._versions_written_at is None or versions != self._versions:
+            return True
+        return self._clock.monotonic() - self._versions_written_at >= VERSIONS_REFRESH
+
+    def _versions_in_service(self):
+        """Returns the versions whose streams may be taken up, None if the services are not known.
+
+        Services without servers too, as they had some lately.
+        """
+        table = self._parts.active_configuration.table
+        if table is None:
+            return None
+        return {service: self._parts.software_versions(service) for service in table.cfg.services}
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -7,7 +7,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
-from cicadapond.continuation import StreamOrigins
+from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._header_codec import HeaderCodec
@@ -40,7 +40,8 @@
     interval allows; `relay` leads to servers that this process does not reach, None if there are
     no other processes; `evacuation` moves streams off leaving engines, None to move none; `queues`
     are those in front of the engines; `engine_watch` follows which prompt parts the engines keep,
-    None to guess it.
+    None to guess it; `version_history` tells which versions were in service before this process
+    started, None if that is not kept.
     """
 
     cfg: GatewaySettings
@@ -71,4 +72,12 @@
     evacuation: StreamMoves | None = None
     queues: "ServiceQueues | None" = None
     engine_watch: "EngineWatch | None" = None
+    version_history: VersionHistory | None = None
     stopping_since: datetime.timedelta | None = None
+
+    def software_versions(self, service: str) -> set[str]:
+        """Returns the versions of a service that may have begun streams which callers take up."""
+        versions = self.registry.software_versions(service)
+        if self.version_history is not None:
+            versions |= self.version_history.versions(service)
+        return versions
--- /dev/null
+++ b/cicadapond/gateway/origin_store_test.py
@@ -0,0 +1,135 @@
+"""Tests of what the hub of a data centre keeps in the store of streams' origins."""
+
+import asyncio
+import types
+
+from cicadapond.continuation import StreamOrigins, VersionHistory, read_rows
+from cicadapond.gateway._origin_store import TABLE, OriginStore
+from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.provider import Row
+
+
+class Tables:
+    """The store, which can be away, with the number of calls that write."""
+
+    def __init__(self):
+        self.rows, self.is_away, self.calls = {}, False, 0
+
+    async def scan(self, table, prefix="", after="", limit=1000):
+        if self.is_away:
+            return Unavailable("away")
+        keys = [key for key in sorted(self.rows) if key > after][:limit]
+        return Ok(tuple(Row(table, key, 1, self.rows[key]) for key in keys))
+
+    async def transact(self, writes):
+        self.calls += 1
+        if self.is_away:
+            return Unavailable("away")
+        for write in writes:
+            assert write.table == TABLE
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = write.value
+        return Ok({})
+
+
+class Process:
+    """The store's part of a process, as the hub of its data centre."""
+
+    def __init__(self, clock, tables, run, versions):
+        self.versions = {"s": set(versions)}
+        table = types.SimpleNamespace(cfg=types.SimpleNamespace(services=self.versions))
+        self.parts = types.SimpleNamespace(
+            clock=clock,
+            origins=StreamOrigins(clock),
+            version_history=VersionHistory(clock),
+            active_configuration=types.SimpleNamespace(table=table),
+            software_versions=lambda service: set(self.versions[service]),
+            log=types.SimpleNamespace(write=lambda *args, **fields: None),
+            metrics=Metrics(),
+        )
+        cluster = types.SimpleNamespace(
+            zone="a",
+            live_by_zone=lambda: {"a": (run,)},
+            speaks_for_zone=lambda: True,
+            own_run=lambda: run,
+        )
+        self.store = OriginStore(self.parts, tables, cluster)
+
+    def begin(self, clock, stream, version):
+        self.parts.origins.begin(stream, version)
+        self.parts.origins.break_off(stream)
+        self.parts.origins.apply("a", self.parts.origins.reported())
+
+
+def play(script):
+    """Runs a script, which gets the clock, the store and a function that starts a process."""
+
+    async def main():
+        clock, tables, tasks = VirtualClock(), Tables(), []
+
+        def start(run, *versions):
+            process = Process(clock, tables, run, versions)
+            tasks.append(asyncio.ensure_future(process.store.run()))
+            return process
+
+        await script(clock, tables, start)
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+def test_streams_are_stored_only_while_there_are_several_versions():
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1")
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(10))
+        assert tables.calls <= 3 and set(tables.rows) == {"a-1/1"}
+        process.versions["s"].add("v2")
+        await clock.sleep(seconds(0.5))
+        assert read_rows(tables.rows.items()).versions == {"s": {"v1", "v2"}}
+        assert len(tables.rows) == 2, "also the streams that began before"
+
+    play(script)
+
+
+def test_a_process_that_starts_after_all_ended_knows_versions_and_streams():
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(1))
+        later = start("a-1/2", "v2")
+        await clock.sleep(seconds(0.1))
+        assert later.parts.origins.find("one") == "v1"
+        assert later.parts.version_history.versions("s") == {"v1", "v2"}
+
+    play(script)
+
+
+def test_while_the_store_is_away_at_the_start_nothing_counts_as_known():
+    async def script(clock, tables, start):
+        tables.is_away = True
+        process = start("a-1/1", "v1")
+        await clock.sleep(seconds(5))
+        assert not process.parts.version_history.is_loaded
+        tables.is_away = False
+        await clock.sleep(seconds(0.5))
+        assert process.parts.version_history.is_loaded
+
+    play(script)
+
+
+def test_rows_do_not_pile_up():
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        for number in range(200):
+            process.begin(clock, f"s-{number}", "v1")
+            await clock.sleep(seconds(0.25))
+        assert len(tables.rows) <= 130
+        process.versions["s"] = {"v2"}
+        await clock.sleep(seconds(40))
+        assert len(tables.rows) == 1
+
+    play(script)
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -113,12 +113,13 @@
     """Guards against what is told between processes only, and so lost when all end at once."""
 
     async def check(system):
+        await system.until_joined()
         system.engine("z").events, system.engine("z").event_interval_s = 60, 0.03
         caller = system.caller()
         await caller.stream("s-1")
         await system.until(system.ran)
         await system.add_engine("a", "v1")
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(0.6)
         await system.restart_all()
         again = system.caller(1)
         await again.stream("t-1", last_event_id="5", resumes="s-1")
@@ -133,12 +134,13 @@
     """Guards against taking the one version that is listed for the only one that there was."""
 
     async def check(system):
+        await system.until_joined()
         caller = system.caller()
         system.engine("a").events, system.engine("a").event_interval_s = 60, 0.05
         await caller.stream("s-1")
         await system.until(system.ran)
         await system.add_engine("b", "v2")
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(0.6)
         system.fleet.unlist_server("a")
         await system.until(lambda: system.listed_versions() == {"v2"})
         await system.restart_all()
@@ -152,7 +154,8 @@
 
 def test_a_stream_of_unknown_origin_goes_on_after_a_restart_if_one_version_was_in_service(tmp_path):
     async def check(system):
-        await asyncio.sleep(1.0)
+        await system.until_joined()
+        await asyncio.sleep(0.6)
         await system.restart_all()
         caller = system.caller()
         await caller.stream("t-1", last_event_id="2", resumes="s-1")
