--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -143,6 +143,7 @@
             parts.log.write(
                 "over_quota",
                 request=req.id,
+                resumes=req.resumes,
                 account=account.name,
                 rate=account.rate,
                 burst=account.burst,
