--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -136,7 +136,7 @@
             )
             return
         # The process that passed the request on has taken its quota.
-        wait = self._take_quota(req, verdict.account) if max_attempts is None else None
+        wait = self._take_quota(req, verdict) if max_attempts is None else None
         if wait is not None:
             account = verdict.account
             level = parts.quotas.level(account.name)
@@ -184,13 +184,22 @@
         limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
         return now + limit < abort_at
 
-    def _take_quota(self, req, account):
+    def _take_quota(self, req, verdict):
+        account = verdict.account
         if account is None:
             return None
         units = 1.0
         if account.counts_tokens:
             units = req.generation.tokens if req.generation else account.default_tokens
-        return self._parts.quotas.take(account, units, self._parts.quota_share())
+        quotas, share = self._parts.quotas, self._parts.quota_share()
+        wait = quotas.take(account, units, share)
+        if wait is None or req.last_event_id is None or not verdict.route.resumable:
+            return wait
+        own_share = min(share, 1.0 / self._parts.processes())
+        if not quotas.take_to_continue(account, units, own_share):
+            return wait
+        self._parts.metrics.count("continued_over_quota")
+        return None
 
     async def _refuse(self, req, verdict, reply):
         match verdict:
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -222,7 +222,7 @@
             retry_limiter=RetryLimiter(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, clock
             ),
-            quotas=QuotaShares(clock, cfg.is_first_start),
+            quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
             crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
             demand=DemandMeter(clock),
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -350,6 +350,21 @@
 # Settings of a process
 
 
+@attrs.frozen
+class QuotaOverage:
+    """How much more than its quota an account may be admitted.
+
+    Attributes:
+      share: The share of what the quota admits within the window, burst included.
+      tolerance: What may be admitted in addition to that, in units.
+      window: The length of any window in which it is measured.
+    """
+
+    share: float = 0.0
+    tolerance: float = 0.0
+    window: datetime.timedelta = ZERO
+
+
 @attrs.frozen
 class Bounds:
     """Limits that the deployment imposes.
@@ -361,6 +376,7 @@
       grace: The time from SIGTERM to SIGKILL.
       retry_ratio: The retries allowed per request to a service, over `retry_window`.
       retry_slack: The retries allowed in addition.
+      quota_overage: By how much accounts may exceed their quotas.
       lease: The shortest term of the duty lease: within it a duty must not pass to another process
         and back.
       usage_window: The length of the period that a usage report covers.
@@ -383,6 +399,7 @@
     exposure_share: float = 0.1
     exposure_tolerance: float = 50.0
     rollback: datetime.timedelta = datetime.timedelta(seconds=5)
+    quota_overage: QuotaOverage = QuotaOverage()
 
 
 @attrs.frozen
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -8,9 +8,9 @@
 EVENTS = 4
 
 
-def run(check, tmp_path, versions, processes=1):
+def run(check, tmp_path, versions, processes=1, **changes):
     async def main():
-        cfg = FleetSettings(engines=0, services=0)
+        cfg = FleetSettings(engines=0, services=0, **changes)
         async with deployment(tmp_path, cfg, processes) as system:
             async with asyncio.timeout(20):
                 for name, version in versions.items():
@@ -163,3 +163,20 @@
         assert answer.is_complete and versions_of(system, "t-1") == ["v1"]
 
     run(check, tmp_path, {"a": "v1"})
+
+
+def test_a_stream_goes_on_while_its_accounts_quota_is_used_up(tmp_path):
+    """Guards against streams that were never finished, as new requests had used the quota up."""
+
+    async def check(system):
+        all_tokens = {"x_cicadapond_token_count": "900,100"}
+        for request_id, status in (("n-1", 200), ("n-2", 429)):
+            caller = system.caller()
+            await caller.stream(request_id, **all_tokens)
+            assert (await caller.read_response()).status == status
+        again = system.caller()
+        await again.stream("t-1", last_event_id="2", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and answer.event_ids() == [3, 4]
+
+    run(check, tmp_path, {"a": "v1"}, quota_per_s=1000.0)
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -4,7 +4,7 @@
 import pathlib
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Bounds, Duties, GatewaySettings
+from cicadapond.gateway.data import Bounds, Duties, GatewaySettings, QuotaOverage
 from cicadapond.kernel import Findings, Place
 from cicadapond.platform._reader import parse_endpoint
 
@@ -149,6 +149,11 @@
         retry_ratio=file.number("bounds.retry_ratio"),
         retry_window=file.seconds("bounds.retry_window_s"),
         retry_slack=file.number("bounds.retry_slack"),
+        quota_overage=QuotaOverage(
+            file.number("bounds.quota_overage", 0.0),
+            file.number("bounds.quota_tolerance", 0.0),
+            file.seconds("bounds.quota_window_s", 0.0),
+        ),
         lease=file.milliseconds("bounds.lease_ms", 3000.0),
         usage_window=file.seconds("bounds.report_window_s", 5.0),
         usage_report_delay=file.seconds("bounds.usage_delay_s", 10.0),
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -235,6 +235,9 @@
             "cloud.address": f"{HOST}:{self._advertised_port('cloud', view)}",
             "cloud.duties": "usage_report,autoscale",
             "cloud.duty_per_s": "50",
+            "bounds.quota_window_s": "8",
+            "bounds.quota_overage": "0.1",
+            "bounds.quota_tolerance": "100",
             "unknown.field": "is ignored",
         }
         if self.cfg.rolls_out:
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -10,18 +10,24 @@
 For each process that has not reported lately, an equal fraction of rate and burst is reserved,
 and that process does the same; so the total also holds during a network partition.  A process
 that restarts begins with a fraction of the burst only, as it does not know what was spent before.
+
+The deployment may tolerate some more than the quota.  That much is kept for requests that continue
+a stream, which would otherwise be lost after its beginning was paid for; they are charged like all
+others, so that new requests make up for them.
 """
 
+import collections
 import datetime
 import typing
 
 import attrs
 
-from cicadapond.gateway.data import ClientAccount
+from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.kernel import Clock
 from cicadapond.usage import UsageWindows
 
 ZERO = datetime.timedelta()
+NO_OVERAGE = QuotaOverage()
 MAX_WAIT = datetime.timedelta(seconds=60)
 # The initial level after a restart, as a fraction of the burst.
 RESTART_LEVEL_FRACTION = 0.25
@@ -31,6 +37,8 @@
 REPORTED_WINDOWS = 8
 # Spending reported in older windows is ignored, as it was applied before.
 MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
+# The rest of what is tolerated allows for spending that is reported late.
+CONTINUING_SHARE_OF_TOLERANCE = 0.5
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
 
@@ -56,9 +64,13 @@
     Args:
       clock: The clock.
       begins_full: Whether nothing can have been spent before, as at the first start of the system.
+      overage: What is kept for requests that continue a stream.
     """
 
-    def __init__(self, clock: Clock, begins_full: bool):
+    def __init__(self, clock: Clock, begins_full: bool, overage: QuotaOverage = NO_OVERAGE):
+        self._overage = overage
+        # When and how much of the overage this process used in the last window, by account.
+        self._used_overage: dict[str, collections.deque[tuple[datetime.timedelta, float]]] = {}
         self._clock = clock
         self._begins_full = begins_full
         self._buckets: dict[str, _Bucket] = {}
@@ -134,9 +146,39 @@
         if bucket.level < needed:
             wait_seconds = (needed - bucket.level) / (bucket.rate * fraction)
             return min(datetime.timedelta(seconds=wait_seconds), MAX_WAIT)
+        self._spend(bucket, account, units)
+        return None
+
+    def take_to_continue(self, account: ClientAccount, units: float, fraction: float) -> bool:
+        """Takes units for a request that continues a stream and is over its account's quota.
+
+        Args:
+          account: The account.
+          units: What the request costs.
+          fraction: The fraction of the overage that this process alone may use.
+
+        Returns:
+          Whether the overage suffices.
+        """
+        now = self._clock.monotonic()
+        used = self._used_overage.setdefault(account.name, collections.deque())
+        while used and now - used[0][0] >= self._overage.window:
+            used.popleft()
+        limit = self._overage_limit(account) * fraction
+        if sum(each for _, each in used) + units > limit:
+            return False
+        used.append((now, units))
+        self._spend(self._bucket(account, fraction), account, units)
+        return True
+
+    def _overage_limit(self, account):
+        admitted = account.rate * self._overage.window.total_seconds() + account.burst
+        tolerance = CONTINUING_SHARE_OF_TOLERANCE * self._overage.tolerance
+        return self._overage.share * admitted + tolerance
+
+    def _spend(self, bucket, account, units):
         bucket.level -= units
         self._own.count(account.name, self._clock.now(), round(units))
-        return None
 
     def _bucket(self, account, fraction):
         bucket = self._buckets.get(account.name)
--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadapond.gateway.data import ClientAccount
+from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.quotas import SPENDING_WINDOW, QuotaShares
 from cicadapond.usage import UsageWindows
@@ -129,6 +129,40 @@
     assert shares.take(lower, UNITS, 1.0) == datetime.timedelta(seconds=0.5)
 
 
+OVERAGE = QuotaOverage(0.1, 60.0, seconds(WINDOW_S))
+
+
+def test_streams_are_continued_beyond_the_quota_up_to_the_overage():
+    clock = ManualClock()
+    shares = QuotaShares(clock, begins_full=True, overage=OVERAGE)
+    spent = []
+    for step in range(80):
+        while shares.take(ACCOUNT, UNITS, 1.0) is None:
+            spent.append((step * STEP_S, UNITS))
+        clock.advance(seconds(STEP_S))
+    continued = 0
+    while shares.take_to_continue(ACCOUNT, UNITS, 1.0):
+        spent.append((79 * STEP_S, UNITS))
+        continued += 1
+    assert continued == 12
+    assert _most_in_a_window(spent) <= 1.1 * (RATE * WINDOW_S + BURST) + 60.0
+    # New requests make up for it; what is used of the overage is back after the window.
+    clock.advance(seconds(1))
+    assert shares.take(ACCOUNT, UNITS, 1.0) is not None
+    assert not shares.take_to_continue(ACCOUNT, UNITS, 1.0)
+    clock.advance(seconds(WINDOW_S - 1))
+    assert shares.take_to_continue(ACCOUNT, UNITS, 1.0)
+
+
+def test_each_process_uses_its_part_of_the_overage():
+    shares = QuotaShares(ManualClock(), True, OVERAGE)
+    assert sum(shares.take_to_continue(ACCOUNT, UNITS, 0.5) for _ in range(99)) == 6
+
+
+def test_without_a_tolerated_overage_nothing_is_admitted_beyond_the_quota():
+    assert not QuotaShares(ManualClock(), True).take_to_continue(ACCOUNT, UNITS, 1.0)
+
+
 class _Process:
     def __init__(self, name, clock):
         self.name = name
