--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -86,6 +86,10 @@
         self.node = self.nodes[0]
         await self.until(node.is_ready)
 
+    def listed_versions(self) -> set[str]:
+        """Returns the software versions of the servers that any node lists."""
+        return {entry.version for node in self.nodes for entry in node.parts.registry.all()}
+
     async def restart_all(self) -> None:
         """Ends all nodes at once, as a crash would, and starts them again."""
         for node in self.nodes:
