--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -100,13 +100,6 @@
         self.node = self.nodes[0]
         await self.until(lambda: all(node.is_ready() for node in self.nodes))
 
-    async def restart(self, number: int) -> None:
-        """Ends a node at once, as a crash would, and starts it again."""
-        await self.nodes[number].abort()
-        self.nodes[number] = self._make_node(number)
-        await self.nodes[number].start()
-        self.node = self.nodes[0]
-
     async def until_joined(self) -> None:
         """Waits until all nodes know each other as alive."""
 
