--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -2,7 +2,8 @@
 
 Calls to the store are made one at a time; each answer confirms that the copy is current.  When the
 store proves to be restored from an older copy, the table is read anew as a whole: by the readers of
-shared copies at once, by the other processes at times spread over a while.
+shared copies at once, by the other processes at times spread over a while, unless a reader sends
+them the whole table, which it does if that is small.
 """
 
 import abc
@@ -151,13 +152,16 @@
         self._version = None
 
     async def _prepare_reread(self):
-        """Makes the next call read the whole table, and waits until it is due."""
+        """Makes the next call read the whole table, and waits until it is due.
+
+        A copy of the whole table that comes from another process meanwhile takes its place.
+        """
         self._lose_position()
         if self._group.is_reader(self._table):
             return
-        due = self._current_as_of + REREAD_AGE_WAITS * self._wait
-        spread = max(MIN_REREAD_SPREAD, min(MAX_REREAD_SPREAD, due - self._clock.monotonic()))
-        await self._clock.sleep(self._rng.random() * spread)
+        oldest = self._current_as_of + REREAD_AGE_WAITS * self._wait
+        spread = min(MAX_REREAD_SPREAD, oldest - self._clock.monotonic())
+        await self._receive_whole_copy(self._rng.random() * max(MIN_REREAD_SPREAD, spread))
 
     def _apply(self, changes, called_at):
         is_snapshot = self._version is None
@@ -212,28 +216,44 @@
 
     def _apply_shared_copy(self, copy):
         """Applies a copy from another process; returns the same as `_receive_shared_copy`."""
-        if copy.version < self._version:
+        era = era_of(copy.version)
+        self._feed.hear_era(era)
+        if era < self._feed.era():
             return None
-        if era_of(copy.version) > era_of(self._version):
-            self._feed.hear_era(era_of(copy.version))
+        is_reread = self._version is None or era > era_of(self._version)
+        if (is_reread and not copy.is_whole) or (not is_reread and copy.version < self._version):
             return None
         now = self._clock.monotonic()
         since = self._store_clock.local_time_of(copy.service_time, now)
-        if copy.floor > self._version or since is None:
+        if since is None or (not is_reread and copy.floor > self._version):
             return ZERO
-        rows = tuple(row for row in copy.rows if row.version > self._version)
+        if is_reread:
+            rows = tuple(row for row in copy.rows if row.value is not None)
+        else:
+            rows = tuple(row for row in copy.rows if row.version > self._version)
         changes = Changes(rows, copy.version, copy.service_time)
-        self._version = copy.version
+        self._version, self._era = copy.version, era
         self._answered_at = now
         self._metrics.count("feed_copies", table=self._table)
-        if rows:
-            self._follower.apply_changes(changes, is_snapshot=False, after_outage=False)
+        if rows or is_reread:
+            self._follower.apply_changes(changes, is_reread, after_outage=is_reread)
         self._failures = 0
         self._confirm_current(since)
-        self._recent_changes.update(changes, is_snapshot=False)
+        self._recent_changes.update(changes, is_reread)
         self._log_source_change(True)
         return None
 
+    async def _receive_whole_copy(self, limit):
+        """Waits for a copy of the whole table, as long as this process need not read it itself."""
+        due = self._clock.monotonic() + limit
+        while self._version is None and not self._group.is_reader(self._table):
+            left = due - self._clock.monotonic()
+            if left <= ZERO:
+                return
+            copy = await self._group.receive_copy(self._table, left)
+            if copy is not None:
+                self._apply_shared_copy(copy)
+
     def _log_source_change(self, used_shared_copy):
         if used_shared_copy != self._used_shared_copy:
             self._used_shared_copy = used_shared_copy
@@ -247,10 +267,13 @@
         is_reader = self._group.is_reader(self._table)
         limit = MAX_READER_BACKOFF if is_reader else MAX_BACKOFF
         pause = min(FIRST_BACKOFF * 2 ** min(self._failures - 1, 8), limit)
-        if self._version is None or is_reader:
+        if is_reader or (self._version is None and not self._feed.era()):
             await self._clock.sleep(pause)
             return
         # The store may turn away this process and serve others, whose copies are as good.
+        if self._version is None:
+            await self._receive_whole_copy(pause)
+            return
         copy = await self._group.receive_copy(self._table, pause)
         if copy is not None:
             self._apply_shared_copy(copy)
--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -15,7 +15,7 @@
 import attrs
 
 from cicadapond.kernel import Clock
-from cicadapond.provider import Changes, RawRow
+from cicadapond.provider import Changes, RawRow, era_of, number_of, version_in_era
 
 # How long a change is resent, for processes that missed a message.
 RESEND_PERIOD = datetime.timedelta(seconds=3)
@@ -23,6 +23,8 @@
 # between processes holds 64 KB.
 MAX_COPY_BYTES = 6 * 1024
 MAX_NEW_BYTES = 40 * 1024
+# The limit on a whole table of a restored store; two tables that are sent at once fit in a message.
+MAX_WHOLE_BYTES = 24 * 1024
 ROW_OVERHEAD_BYTES = 16
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
@@ -61,7 +63,8 @@
 
     Attributes:
       version: The version of the store, with its era, up to which the copy is complete.
-      floor: The rows are all those that changed after this version.
+      floor: The rows are all those that changed after this version.  The start of an era above 0
+        stands for the whole table, as every row then has a version of that era.
       service_time: The store's monotonic clock when the copy was current.
       rows: The changed rows, in order of their versions.
     """
@@ -71,6 +74,11 @@
     service_time: datetime.timedelta
     rows: tuple[RawRow, ...] = ()
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the rows are the whole table."""
+        return self.floor > 0 and number_of(self.floor) == 0
+
     def as_list(self) -> list:
         """Returns the copy in the form in which it is sent between processes."""
         rows = [[row.key, row.version, row.value] for row in self.rows]
@@ -107,7 +115,9 @@
         if is_snapshot:
             self._recent.clear()
             self._floor = changes.version
-        else:
+            if era_of(changes.version) and _size(changes.rows) <= MAX_WHOLE_BYTES:
+                self._floor = version_in_era(era_of(changes.version), 0)
+        if not is_snapshot or self._floor < changes.version:
             for row in sorted(changes.rows, key=lambda row: row.version):
                 self._recent.pop(row.key, None)
                 self._recent[row.key] = (row, now)
@@ -126,10 +136,11 @@
             self._floor = max(self._floor, row.version)
 
     def _size(self):
-        return sum(
-            len(row.key) + len(row.value or b"") + ROW_OVERHEAD_BYTES
-            for row, _ in self._recent.values()
-        )
+        return _size(row for row, _ in self._recent.values())
+
+
+def _size(rows):
+    return sum(len(row.key) + len(row.value or b"") + ROW_OVERHEAD_BYTES for row in rows)
 
 
 class CopyGroup(abc.ABC):
--- a/cicadapond/gateway/restored_follow_test.py
+++ b/cicadapond/gateway/restored_follow_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, TableFollower, feed_wait
+from cicadapond.gateway._sharing import MAX_WHOLE_BYTES
 from cicadapond.gateway.follow_test import REVOCATION, Log
 from cicadapond.gateway.sharing_test import LinkedGroup
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
@@ -82,11 +83,11 @@
         return self.clock.monotonic() - begun
 
 
-def play(script, **sizes):
+def play(script, row_bytes=1, **sizes):
     async def main():
         world = World(**sizes)
         for key in "ab":
-            world.model.put(TABLE, key, {})
+            world.model.put(TABLE, key, bytes(row_bytes))
         await world.clock.sleep(seconds(1))
         await script(world)
         for process in world.processes:
@@ -162,7 +163,7 @@
         copies = [process.copy.applied for process in world.processes]
         assert all(applied[-1][1] for applied in copies)
 
-    play(script, processes=processes, readers=readers)
+    play(script, row_bytes=MAX_WHOLE_BYTES, processes=processes, readers=readers)
 
 
 @pytest.mark.parametrize("away_s", [4, 5.5, 7])
@@ -190,3 +191,31 @@
         assert sum(world.model.calls.values()) <= 4  # of the two readers
 
     play(script, processes=10, readers=2)
+
+
+def test_a_process_that_the_store_turns_away_goes_on_with_the_copy_of_a_restored_table():
+    async def script(world):
+        cut = world.processes[-1]
+        cut.client.is_cut = True
+        await world.clock.sleep(seconds(3))
+        go_back(world, later_writes=5)
+        await world.clock.sleep(REVOCATION + seconds(1))
+        assert cut.copy.values.keys() == world.rows()
+        assert cut.copy.applied[-1] == (True, True)
+        assert cut.copy.age.may_use_keys()
+        world.model.put(TABLE, "a", None)
+        await world.clock.sleep(seconds(0.2))
+        assert cut.copy.values.keys() == world.rows()
+
+    play(script, processes=10, readers=2)
+
+
+def test_a_small_restored_table_is_read_by_the_readers_alone():
+    async def script(world):
+        world.model.calls.clear()
+        go_back(world, later_writes=5)
+        await world.clock.sleep(seconds(3))
+        assert all(process.copy.values.keys() == world.rows() for process in world.processes)
+        assert world.model.calls["/rows-get"] == 2
+
+    play(script, processes=10, readers=2)
--- a/cicadapond/gateway/sharing_test.py
+++ b/cicadapond/gateway/sharing_test.py
@@ -34,7 +34,7 @@
     Log,
 )
 from cicadapond.kernel import ManualClock, Metrics, VirtualClock, run_virtual, seconds
-from cicadapond.provider import Changes, RawRow
+from cicadapond.provider import Changes, RawRow, version_in_era
 from cicadapond.routes import ActiveConfiguration
 
 BOUND = seconds(5)
@@ -100,6 +100,23 @@
     assert (later.floor, later.version, later.rows) == (7, 9, ())
 
 
+@pytest.mark.parametrize("era, size, is_whole", [(1, 10, True), (0, 10, False), (1, 30_000, False)])
+def test_a_small_table_of_a_restored_store_is_sent_as_a_whole_for_a_while(era, size, is_whole):
+    clock = ManualClock()
+    writer = RecentChanges(clock)
+    first, second = version_in_era(era, 7), version_in_era(era, 8)
+    rows = (RawRow("k", first, bytes(size)),)
+    copy = writer.update(Changes(rows, first, seconds(1)), is_snapshot=True)
+    assert copy.is_whole == is_whole
+    assert copy.rows == (rows if is_whole else ())
+    removal = (RawRow("k", second, None),)
+    copy = writer.update(Changes(removal, second, seconds(1)), is_snapshot=False)
+    assert copy.is_whole == is_whole and copy.rows == removal
+    clock.advance(RESEND_PERIOD + seconds(0.1))
+    copy = writer.update(Changes((), second, seconds(5)), is_snapshot=False)
+    assert not copy.is_whole and copy.floor == second
+
+
 @pytest.mark.parametrize("value", [None, [], [1, 2], [1, 2, 3, [["k"]]], ["a", 1, 1, []]])
 def test_a_malformed_copy_is_rejected(value):
     assert read_copy(value) is None
