--- a/cicadapond/gateway/_configuration_keeper.py
+++ b/cicadapond/gateway/_configuration_keeper.py
@@ -24,6 +24,8 @@
 # How long a process that starts hears the others after it has settled: they learn of the restore
 # from it at the latest, and then tell what they keep.
 HEARING_TIME = datetime.timedelta(milliseconds=800)
+# A process that cannot join the others, as the store does not take its writes, waits for this long.
+MAX_JOINING_TIME = datetime.timedelta(seconds=8)
 ERA, KEPT = "era", "configuration"
 
 
@@ -63,6 +65,7 @@
         self._kept_by_others: dict[str, int] = {}
         self._told: typing.Mapping[str, int] = {}
         self._settled_at: datetime.timedelta | None = None
+        self._first_read_at: datetime.timedelta | None = None
         cluster.register_handler(TOPIC, self.answer)
         cluster.restore_state = self.state
         cluster.receive_restore_state = self.receive
@@ -81,6 +84,8 @@
           raw: Its row's value.
           row_version: Its row's version.
         """
+        if self._first_read_at is None:
+            self._first_read_at = self._parts.clock.monotonic()
         self._take(cfg, raw)
         if cfg.version >= self._newest.cfg.version:
             self._row_version = max(self._row_version, row_version)
@@ -161,9 +166,12 @@
     def _has_heard_others(self):
         if not self._feed.era():
             return True
-        if self._settled_at is None or self._ahead():
+        if self._ahead():
             return False
-        return self._parts.clock.monotonic() - self._settled_at >= HEARING_TIME
+        now = self._parts.clock.monotonic()
+        if self._settled_at is not None:
+            return now - self._settled_at >= HEARING_TIME
+        return self._first_read_at is not None and now - self._first_read_at >= MAX_JOINING_TIME
 
     def _known_version(self):
         return self._newest.cfg.version if self._newest is not None else 0
--- a/cicadapond/gateway/configuration_keeper_test.py
+++ b/cicadapond/gateway/configuration_keeper_test.py
@@ -177,6 +177,20 @@
     play(script)
 
 
+def test_a_process_that_cannot_join_the_others_uses_the_copy_in_the_end():
+    async def script(world):
+        process = world.start("a")
+        process.has_settled = lambda: False
+        for _ in range(80):
+            process.reads(OLD, version_in_era(1, 20))
+            assert not process.active.version
+            await world.clock.sleep(seconds(0.1))
+        await world.clock.sleep(seconds(0.5))
+        assert process.accepts("good")
+
+    play(script)
+
+
 def test_nothing_is_kept_once_the_operator_has_written_again():
     async def script(world):
         process = world.start("a")
