--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -4,6 +4,7 @@
 import binascii
 import datetime
 import json
+import operator
 import urllib.parse
 
 import attrs
@@ -238,7 +239,7 @@
         case Reply(status=200 | 412, body=body):
             try:
                 payload = json.loads(body)
-                payload["ver"], payload["now_ms"]
+                operator.index(payload["ver"]), payload["now_ms"]
                 return payload
             except (ValueError, TypeError, KeyError) as exc:
                 return ReplyLost(f"the store's reply is malformed: {exc!r}")
--- a/cicadapond/platform/store_test.py
+++ b/cicadapond/platform/store_test.py
@@ -186,6 +186,16 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("fields", [{"ver": "9"}, {"ver": None}])
+def test_an_answer_with_a_malformed_version_counts_as_lost(fields):
+    async def main():
+        made, _ = store(reply(era=1, **fields), reply(era=1, **fields))
+        assert isinstance(await made.read((KEY,)), Unavailable)
+        assert isinstance(await made.transact((Write(*KEY, 1),)), AnswerLost)
+
+    asyncio.run(main())
+
+
 def test_an_era_is_also_learned_from_a_version_that_another_process_told():
     async def main():
         made, client = store(reply(), reply(rows=[ROW]))
