--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -131,18 +131,21 @@
             return None
         return Grant(self._held["fencing"], self._held_until, self._unfenced_from)
 
-    def observe(self, row: Row, now: datetime.timedelta) -> None:
+    def observe(self, row: Row, now: datetime.timedelta, service_era: int = 0) -> None:
         """Updates the state from a read of the row.
 
         Args:
           row: The row.
           now: The monotonic time after the answer was received.
+          service_era: The table service's era, which the version of an absent row does not tell.
         """
-        self._is_unchanged = self._row is not None and row.version == self._row.version
+        era = era_of(row.version) if row.value is not None else service_era
+        known = self._row.version if self._row is not None else None
+        self._is_unchanged = (self._era, known) == (era, row.version)
         if not self._is_unchanged:
             self._version_seen_at = now
         self._row = row
-        self._observe_era(now)
+        self._observe_era(era, now)
         if row.value is not None:
             self._highest_fencing = max(self._highest_fencing, row.value["fencing"])
         if self._is_mine():
@@ -237,9 +240,9 @@
         mine = value is not None and value["instance"] == self._instance
         return mine and not value.get("released") and not self._is_restored()
 
-    def _observe_era(self, now):
-        if era_of(self._row.version) != self._era:
-            self._era = era_of(self._row.version)
+    def _observe_era(self, era, now):
+        if era != self._era:
+            self._era = era
             self._era_seen_at = now
         value = self._value()
         if value is not None and not self._is_restored():
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -119,7 +119,7 @@
         if not isinstance(outcome, Ok):
             self._metrics.count("lease_read_failures")
             return False
-        self.lease.observe(outcome.value[self.lease.key], self._clock.monotonic())
+        self._observe(outcome.value[self.lease.key])
         return True
 
     async def _write(self, write):
@@ -134,13 +134,16 @@
                 await self._read()
             case Conflict(current=current) if self.lease.key in current:
                 self._metrics.count("lease_write_failures", outcome="Conflict")
-                self.lease.observe(current[self.lease.key], self._clock.monotonic())
+                self._observe(current[self.lease.key])
             case Conflict():  # without the row if that is missing from a restored copy
                 self._metrics.count("lease_write_failures", outcome="Conflict")
                 await self._read()
             case _:
                 self._metrics.count("lease_write_failures", outcome=type(outcome).__name__)
 
+    def _observe(self, row):
+        self.lease.observe(row, self._clock.monotonic(), self._tables.era())
+
     def _log_change(self):
         grant = self.grant()
         fencing = grant.fencing if grant else None
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -51,6 +51,13 @@
 class TableService(abc.ABC):
     """Transactions with conditional writes over tables of rows."""
 
+    def era(self) -> int:
+        """Returns the newest era of the service that is known; see `era_of`.
+
+        What was written in an earlier era may be lost.
+        """
+        return 0
+
     @abc.abstractmethod
     async def transact(
         self, writes: tuple[Write, ...]
--- a/cicadapond/provider/_budget.py
+++ b/cicadapond/provider/_budget.py
@@ -239,6 +239,9 @@
         self._inner = inner
         self._class = store_class
 
+    def era(self):
+        return self._inner.era()
+
     async def transact(self, writes):
         return await self._budget.write(self._class, lambda: self._inner.transact(writes))
 
