--- a/cicadapond/gateway/rollouts_test.py
+++ b/cicadapond/gateway/rollouts_test.py
@@ -1,6 +1,7 @@
 """Tests on sockets: rollouts keep their bounds and their time, whatever ends meanwhile."""
 
 import asyncio
+import base64
 import contextlib
 import itertools
 import json
@@ -186,6 +187,33 @@
     run(check, tmp_path)
 
 
+def test_a_version_that_was_rolled_back_gets_nothing_after_the_store_has_lost_the_verdict(tmp_path):
+    async def check(system, traffic):
+        store, key = system.fleet.store, f"rollout/{SERVICE}"
+        model = rollout(system, VersionDefect(share=0.8))
+        running = asyncio.ensure_future(model.run())
+        await system.until(lambda: phase(system.node) == "trial", DURATION_S)
+        copy = store.copy()
+        await system.until(lambda: model.state == "rolled_back", DURATION_S)
+        running.cancel()  # the new servers stay listed
+        received = model.requests()
+        (order,) = [row for row in store.rows("op", key, None) if row.key == key]
+        store.restore(copy)
+        await asyncio.sleep(1.0)
+        store.put("op", key, base64.b64decode(order.value))
+
+        def stored():
+            return json.loads(base64.b64decode(store.rows("status", key, None)[0].value))["state"]
+
+        await system.until(lambda: stored() == "rolled_back")
+        before = len(traffic.statuses)
+        await system.until(lambda: len(traffic.statuses) > before + 200)
+        assert [phase(node) for node in system.nodes] == ["rolled_back"] * 2
+        assert model.requests() == received
+
+    run(check, tmp_path)
+
+
 def test_a_process_stops_sending_by_itself_while_the_store_is_down(tmp_path):
     async def check(system, traffic):
         model = rollout(system, VersionDefect(share=0.8, starts_after_s=0.3))
