--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -187,6 +187,7 @@
             peer.register_handler(topic, handler)
         peer.start()
         self._peer = peer
+        self._tasks.keep_running(lambda: discovery.search(self.is_alone, peer.set_seeds), "search")
         self._joined_at = self._clock.monotonic()
         self._zone_reports = ZoneReports(self._own_run(), SILENCE_THRESHOLD, SHARE_RETENTION)
         self._tasks.start(peer)
--- a/cicadapond/gateway/_discovery.py
+++ b/cicadapond/gateway/_discovery.py
@@ -15,6 +15,10 @@
 REGISTER_RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 # The share of the store's writes by which all processes together write their rows again.
 REWRITE_SHARE = 0.25
+# How often a process that has found no other one reads the rows again, and for how long: after a
+# restore of the store they are missing until their processes have written them again.
+SEARCH_INTERVAL = datetime.timedelta(seconds=1)
+SEARCH_TIME = datetime.timedelta(seconds=15)
 
 
 class ProcessDiscovery:
@@ -39,14 +43,37 @@
     async def register(self) -> dict[str, dict]:
         """Writes this process's row and returns the readable rows of all processes by name."""
         while True:
-            if await self._write():
-                found = await self._tables.scan(PROCESS_TABLE)
-                if isinstance(found, Ok):
-                    rows = {r.key: r.value for r in found.value if isinstance(r.value, dict)}
-                    self._correct_clock(rows)
-                    return rows
+            rows = await self._read() if await self._write() else None
+            if rows is not None:
+                self._correct_clock(rows)
+                return rows
             await self._clock.sleep(REGISTER_RETRY_INTERVAL)
 
+    async def search(
+        self,
+        is_alone: typing.Callable[[], bool],
+        set_seeds: typing.Callable[[tuple[Endpoint, ...]], None],
+    ) -> None:
+        """Looks for others for a while if their rows may have been missing at the start.
+
+        Args:
+          is_alone: Returns whether no other process is alive, as far as is known.
+          set_seeds: Receives where to look for them, as `seeds` returns it.
+        """
+        begun = self._clock.monotonic()
+        while self._tables.era() and self._clock.monotonic() - begun < SEARCH_TIME:
+            await self._clock.sleep(SEARCH_INTERVAL)
+            rows = await self._read() if is_alone() else None
+            if rows:
+                set_seeds(self.seeds(rows))
+
+    async def _read(self):
+        """Returns the readable rows of all processes by name, None if the store does not answer."""
+        found = await self._tables.scan(PROCESS_TABLE)
+        if not isinstance(found, Ok):
+            return None
+        return {row.key: row.value for row in found.value if isinstance(row.value, dict)}
+
     async def keep_registered(self, processes: typing.Callable[[], int]) -> None:
         """Writes the row again each time that the store was restored, until cancelled.
 
--- a/cicadapond/gateway/own_rows_test.py
+++ b/cicadapond/gateway/own_rows_test.py
@@ -56,7 +56,7 @@
     def start(self, coroutine):
         self.tasks.append(asyncio.ensure_future(coroutine))
 
-    async def start_process(self, number, count):
+    async def start_process(self, number, count, is_alone=lambda: False, set_seeds=None):
         name = f"p{number}"
         cfg = types.SimpleNamespace(
             name=name,
@@ -68,6 +68,7 @@
         discovery = ProcessDiscovery(parts, self.tables, self.clock, rng)
         rows = await discovery.register()
         self.start(discovery.keep_registered(lambda: count))
+        self.start(discovery.search(is_alone, set_seeds))
         return discovery.seeds(rows)
 
     def start_causes(self, name, culprits, sharers):
@@ -105,6 +106,19 @@
     run(check)
 
 
+def test_a_process_that_starts_before_the_rows_are_back_finds_the_others_once_they_are():
+    async def check(world):
+        empty, found = world.model.take_copy(), []
+        for number in range(3):
+            await world.start_process(number, 300)
+        world.model.restore(empty)
+        assert not await world.start_process(3, 300, lambda: True, found.append)
+        await world.clock.sleep(RECOVERY)
+        assert {endpoint.port for endpoint in found[-1]} == {0, 1, 2}
+
+    run(check)
+
+
 def test_a_row_that_could_not_be_written_again_is_tried_again():
     async def check(world):
         empty = world.model.take_copy()
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -93,6 +93,10 @@
     def subscribe(self, listener):
         self._listeners.append(listener)
 
+    def set_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
+        """Sets the addresses that are dialled while no live process is known there."""
+        self.cfg = attrs.evolve(self.cfg, seeds=seeds)
+
     def last_heard_from_zone(self, zone):
         return self._membership.zone_last_heard.get(zone) if self._membership else None
 
--- a/cicadapond/peer/peer_test.py
+++ b/cicadapond/peer/peer_test.py
@@ -106,6 +106,22 @@
     await world.tasks.stop()
 
 
+@virtual
+async def test_a_process_that_was_given_no_seeds_finds_the_others_once_it_gets_some():
+    world = World()
+    known, world.seeds = world.seeds, ()
+    world.start("yqr-0")
+    await world.sleep(8)
+    world.seeds = known[1:]
+    world.start(*(name for name in world.names if name != "yqr-0"))
+    await world.sleep(8)
+    assert not world.view("yqr-0").keys() - {"yqr-0"}
+    world.peers["yqr-0"].set_seeds(known[1:])
+    await world.sleep(8)
+    assert world.everyone_sees()
+    await world.tasks.stop()
+
+
 @virtual
 async def test_many_that_start_at_once_know_each_other_within_ten_seconds():
     zones = ("yqr", "yxe", "ywg", "yyc")
