--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -15,7 +15,7 @@
     World,
     lease_task,
 )
-from cicadapond.kernel import AnswerLost, Conflict, Ok, VirtualClock, run_virtual, seconds
+from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, VirtualClock, run_virtual, seconds
 from cicadapond.provider import era_of, number_of, version_in_era
 from cicadapond.standin import DirectTables, TableModel
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
@@ -228,6 +228,109 @@
     play(script)
 
 
+def hold_back(process, until):
+    """Makes the usage writes of a process wait, as in a frozen process; returns those writes."""
+    held_back, transact = [], process.tables.transact
+
+    async def wait(writes):
+        if any(write.table == "usage" for write in writes):
+            held_back.append(writes)
+            await until()
+        return await transact(writes)
+
+    process.tables.transact = wait
+    return held_back
+
+
+async def a_report_in_place_of(world, first, second, until):
+    """The second process reports a window while the first one's write of its counts waits.
+
+    Returns:
+      The window, the writes and the task that waits.
+    """
+    await first.run(5)
+    window = max(sent(world)) + 1
+    first.hears(window, 5)
+    held_back = hold_back(first, until)
+    while not held_back:
+        running = asyncio.ensure_future(first.run(0.5))
+        await asyncio.sleep(0.5)
+    world.tables.take_copy()
+    second.hears(window, 7)
+    await second.run(6)
+    assert sent(world)[window] == {"acme": 7}
+    world.tables.restore()
+    return window, held_back[0], running
+
+
+def test_counts_that_a_late_write_stores_after_a_restore_are_not_reported():
+    """Guards against ONE: the lease's row in the copy is the one that the write expects."""
+
+    async def script(world, first, second):
+        never = asyncio.Event().wait
+        window, late, running = await a_report_in_place_of(world, first, second, never)
+        running.cancel()
+        await world.tables.transact(late)
+        assert world.tables.row("usage", f"{window:012d}").value == {"acme": 5}
+        await Process(world, "c").run(12)
+        assert sent(world)[window] == {"acme": 7}
+
+    play(script)
+
+
+def test_a_frozen_holder_that_wakes_after_a_restore_does_not_report_what_it_then_stores():
+    """Guards against ONE: the frozen process took its own late write for what was reported."""
+
+    async def script(world, first, second):
+        woken = asyncio.Event()
+        window, _, running = await a_report_in_place_of(world, first, second, woken.wait)
+        woken.set()
+        await running
+        await first.run(12)
+        assert sent(world)[window] == {"acme": 7}
+
+    play(script)
+
+
+class AheadClock(Clock):
+    """A clock whose time of day is ahead."""
+
+    def __init__(self, clock, ahead):
+        self._clock = clock
+        self._ahead = ahead
+
+    def now(self):
+        return self._clock.now() + self._ahead
+
+    def monotonic(self):
+        return self._clock.monotonic()
+
+    async def sleep(self, duration):
+        await self._clock.sleep(duration)
+
+
+def test_a_window_is_not_reported_again_if_the_clock_of_the_last_holder_was_seconds_ahead():
+    """Guards against ONE: its counts were stored before the window had settled for the others."""
+
+    async def script(world, *_):
+        ahead = AheadClock(world.clock, seconds(4))
+        first = Process(attrs.evolve(world, clock=ahead), "a")
+        second = Process(world, "b")
+        await first.run(5)
+        for _ in range(8):
+            world.tables.take_copy()
+            reported = max(sent(world))
+            await first.run(0.5)
+            if max(sent(world)) > reported:
+                break
+        second.hears(reported + 1, 7)
+        world.tables.restore()
+        await second.run(15)
+        assert max(sent(world)) > reported + 1
+
+    play(script)
+
+
 @settings(max_examples=60, deadline=None)
 @given(
     st.lists(
