--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -179,16 +179,17 @@
         held = lease.held_check()
         if held is None:
             return None
+        era = era_of(held.expected)
         row_key = (USAGE_TABLE, _key(window))
         known = self._stored.find(window)
-        if known is None and self._may_be_lost(window, era_of(held.expected), lease):
-            return await self._find_stored(window, row_key)
+        if known is None and self._may_be_lost(window, era, lease):
+            # A row proves nothing: an earlier holder's late write may have taken effect since.
+            return _Withheld("it may have been reported before the store was restored")
         self._merge_own()
         counts = self._ledger.total(window) if known is None else known
-        absent = version_in_era(era_of(held.expected), 0)
         # Conditional on the row of the lease, as a write that was sent before a restore must not
         # take effect after it.
-        writes = [held, Write(*row_key, counts, expected=absent)]
+        writes = [held, Write(*row_key, counts, expected=version_in_era(era, 0))]
         if window % RETAINED_WINDOWS == 0:
             writes += [Write(USAGE_TABLE, _key(window - back)) for back in _old_windows()]
         outcome = await self._tables.transact(tuple(writes))
@@ -197,23 +198,20 @@
             case Ok():
                 found = counts
             case Conflict(current=current) if row_key in current:
-                found = current[row_key].value
+                found = self._value_in_era(current[row_key], era)
             case AnswerLost():
-                row = await self._read(row_key)
-                found = row.value if row is not None else None
+                found = self._value_in_era(await self._read(row_key), era)
             case _:
                 return None
         return self._check(window, found)
 
-    async def _find_stored(self, window, row_key):
-        """Returns what is stored for a window that may have been reported before the restore."""
-        self._has_stored = False
-        row = await self._read(row_key)
-        if row is None:
-            return None
-        if row.value is None:
-            return _Withheld("it may have been reported before the store was restored")
-        return self._check(window, row.value)
+    @staticmethod
+    def _value_in_era(row, era):
+        """Returns the value of a row, None if it was not read in the era of the lease's last row.
+
+        The lease may have passed on before the restore that raised the era.
+        """
+        return row.value if row is not None and era_of(row.version) == era else None
 
     def _check(self, window, found):
         """Returns what a row holds unless other counts of its window are known to be stored."""
