--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -28,8 +28,8 @@
 # reported them.
 LOOKBACK_WINDOWS = 3
 RETAINED_WINDOWS = 12
-# The clocks of two processes differ by less than this.
-CLOCK_TOLERANCE = datetime.timedelta(seconds=1)
+# The clocks of two processes differ by less than this, as they may jump by seconds.
+CLOCK_TOLERANCE = datetime.timedelta(seconds=5)
 
 
 @attrs.frozen
