--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, Task
 from cicadapond.lease import LeaseTask
-from cicadapond.provider import Row, TableService, Write, era_of
+from cicadapond.provider import Row, TableService, Write, era_of, version_in_era
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
 STEP_INTERVAL = datetime.timedelta(milliseconds=500)
