--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -347,6 +347,23 @@
         await second.run(15)
         assert max(sent(world)) > reported + 1
 
+
+def test_a_process_that_starts_long_after_a_restore_withholds_nothing():
+    """Guards against a lost window with each holder that starts while the store has an era."""
+
+    async def script(world, first, second):
+        world.tables.take_copy()
+        world.tables.restore()
+        await first.run(20)
+        reported = max(sent(world))
+        while reported == max(sent(world)):
+            await first.run(0.5)
+        await world.clock.sleep(seconds(8))  # the next window settles without a holder
+        third = Process(world, "c")
+        await third.run(12)
+        assert third.withheld() == []
+        assert sorted(sent(world)) == list(range(min(sent(world)), max(sent(world)) + 1))
+
     play(script)
 
 
