--- a/cicadapond/rollout/_judge.py
+++ b/cicadapond/rollout/_judge.py
@@ -157,6 +157,10 @@
         ] = collections.deque()
         self._counted_bad = 0.0
         self._bad_reason = ""
+        # By way that fails: when evidence of all routes was discounted, and how much.
+        self._discounted: dict[BadWay, collections.deque[tuple[datetime.timedelta, float]]] = (
+            collections.defaultdict(collections.deque)
+        )
 
     @property
     def outcomes(self) -> int:
@@ -194,7 +198,7 @@
             if name not in weights:
                 rates = self._old_rates(old, name, now)
                 weights[name] = [way.weights(rates) for way in BAD_WAYS]
-            self._step(key, group, added, weights[name], factors)
+            self._step(key, group, added, weights[name], factors, now)
         self._check_count(evidence)
         self._last = evidence
         every = self._groups.get(ALL)
@@ -262,7 +266,7 @@
         total = sum(classes)
         return _OldRates(min(MAX_FAILURE_RATE, rate), tuple(count / total for count in classes))
 
-    def _step(self, key, group, added, weights, factors):
+    def _step(self, key, group, added, weights, factors, now):
         for index, way in enumerate(BAD_WAYS):
             if way.shift:
                 ratio = sum(map(operator.mul, added.classes, weights[index]))
@@ -270,7 +274,10 @@
                 succeeded, failed = weights[index]
                 ratio = added.failed * failed + (added.answers - added.failed) * succeeded
             if ratio > 0:
-                ratio *= factors[1 if way.shift else 0]
+                factor = factors[1 if way.shift else 0]
+                if key == ALL and not way.shift:
+                    self._discounted[way].append((now, (1 - factor) * ratio))
+                ratio *= factor
             group.ratios[index] += ratio
             if not way.may_prove:
                 continue
@@ -291,6 +298,13 @@
         if self._counted_bad >= MANY_BAD_RATIO * usual * new.answers:
             self._bad_reason = f"{self._counted_bad:.0f} bad responses of {new.answers}"
 
+    def _withheld(self, way):
+        """Returns the evidence that was discounted so lately that its cause may still act."""
+        found = self._discounted[way]
+        while found and found[0][0] <= self._history[-1][0] - CLUMP_TIME:
+            found.popleft()
+        return sum(amount for _, amount in found)
+
     def _doubt(self, is_shifting):
         """Returns why the version is not good yet, "" if it is."""
         for group in self._groups.values():
@@ -300,6 +314,9 @@
                     return f"suspicion of {way.text}: likelihood ratio exp({level:.1f})"
         if ALL not in self._groups:
             return "nothing seen yet"
+        for way, level in zip(BAD_WAYS, self._groups[ALL].levels, strict=True):
+            if level + self._withheld(way) >= FAILED_SUSPICION_LEVEL:
+                return f"{way.text}: one engine's failures of the last second may go on"
         before = self._history[0][2] if len(self._history) > 1 else NO_RATIOS
         for way, ratio, known in zip(BAD_WAYS, self._groups[ALL].ratios, before, strict=True):
             if ratio - known > (SHIFT_LEVEL if is_shifting else GOOD_LEVEL):
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -367,6 +367,26 @@
     assert process.judgement("chat").verdict is not Verdict.BAD
 
 
+def test_a_version_whose_engine_has_just_begun_to_fail_is_not_good_yet():
+    # Guards against the completion of a version that turns bad in the second before it.
+    clock = ManualClock()
+    process = process_in(Phase.SHIFT, clock, shifted=(ALL_ROUTES,))
+    for _ in range(25):
+        observe(process, "v1", 23)
+        observe(process, "v2", 2)
+        clock.advance(seconds(0.1))
+    assert process.judgement("chat").verdict is Verdict.GOOD
+    observe(process, "v2", 15, is_bad=True)
+    observe(process, "v2", 10)
+    clock.advance(seconds(0.26))
+    assert process.judgement("chat").verdict is Verdict.CONTINUE
+    # A crash ends; what it failed does not keep the version from being good for long.
+    for _ in range(10):
+        observe(process, "v2", 2)
+        clock.advance(seconds(0.26))
+    assert process.judgement("chat").verdict is Verdict.GOOD
+
+
 def test_slow_responses_of_the_new_version_only_count_against_it():
     clock = ManualClock()
     process, other = (process_in(Phase.TRIAL, clock, seed=number) for number in (1, 2))
