--- a/cicadapond/advisories/_pauses.py
+++ b/cicadapond/advisories/_pauses.py
@@ -1,6 +1,8 @@
 """Servers that refused a request and want nothing more of this process for a while; no I/O."""
 
 import datetime
+import enum
+import typing
 import zlib
 
 import attrs
@@ -11,9 +13,43 @@
 RETURN_SPREAD = 0.25
 # After a pause one request is sent; if nothing comes back for this long, another one.
 PROBE_TIMEOUT = datetime.timedelta(seconds=1)
+# A server that got no request since its pause was over gets all at once after this time.
+RETENTION = datetime.timedelta(seconds=30)
 NO_PAUSE = datetime.timedelta()
 
 
+class PauseEvent(enum.Enum):
+    """What became of the time for which a server wants nothing.
+
+    It is kept if a later word asks for less than is left.
+    """
+
+    BEGUN = "begun"
+    EXTENDED = "extended"
+    KEPT = "kept"
+
+
+@attrs.frozen
+class PauseChange:
+    """A change of a server's pause.
+
+    Attributes:
+      server: The server's name.
+      born: Its start.
+      event: What changed.
+      asked: The length that was asked for now.
+      before: The time that was left before.
+      after: The time that is left now.
+    """
+
+    server: str
+    born: int
+    event: PauseEvent
+    asked: datetime.timedelta
+    before: datetime.timedelta
+    after: datetime.timedelta
+
+
 @attrs.define
 class _Pause:
     until: datetime.timedelta
@@ -23,21 +59,34 @@
 class Pauses:
     """The pauses that servers asked this process for, by server and start.
 
+    A pause outlasts the server's entry, which may lapse and come back under the same start.
+
     Args:
       clock: Gives the time.
       process: This process's name.
+
+    Attributes:
+      on_change: Is called with each change.
     """
 
     def __init__(self, clock: Clock, process: str):
         self._clock = clock
         self._process = process
+        self.on_change: typing.Callable[[PauseChange], None] = lambda change: None
         self._pauses: dict[tuple[str, int], _Pause] = {}
 
     def begin(self, server: str, born: int, length: datetime.timedelta) -> None:
-        """Records that a server wants nothing for a time."""
+        """Records that a server wants nothing for a time; a pause that lasts longer goes on."""
         share = zlib.crc32(f"{server} {self._process}".encode()) / 2**32
-        until = self._clock.monotonic() + length * (1 + RETURN_SPREAD * share)
-        self._pauses[server, born] = _Pause(until)
+        self._drop_old()
+        before = self._left(server, born)
+        after = max(before, length * (1 + RETURN_SPREAD * share))
+        self._pauses[server, born] = _Pause(self._clock.monotonic() + after)
+        if not before:
+            event = PauseEvent.BEGUN
+        else:
+            event = PauseEvent.EXTENDED if after > before else PauseEvent.KEPT
+        self.on_change(PauseChange(server, born, event, length, before, after))
 
     def answered(self, server: str, born: int) -> None:
         """Records that a server accepted a request, which ends a pause whose time is over."""
@@ -61,7 +110,15 @@
         if pause is not None:
             pause.probed_at = self._clock.monotonic()
 
-    def remove(self, server: str) -> None:
-        """Drops the pauses of a server that is gone."""
-        for key in [key for key in self._pauses if key[0] == server]:
-            del self._pauses[key]
+    def _drop_old(self):
+        oldest = self._clock.monotonic() - RETENTION
+        for key, pause in list(self._pauses.items()):
+            if max(pause.until, pause.probed_at or NO_PAUSE) < oldest:
+                del self._pauses[key]
+
+    def _left(self, server, born):
+        """Returns the time until a pause is over, whether or not a request was sent after it."""
+        pause = self._pauses.get((server, born))
+        if pause is None:
+            return NO_PAUSE
+        return max(NO_PAUSE, pause.until - self._clock.monotonic())
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -8,9 +8,9 @@
 EVENTS = 4
 
 
-def run(check, tmp_path, versions, processes=1):
+def run(check, tmp_path, versions, processes=1, **changes):
     async def main():
-        cfg = FleetSettings(engines=0, services=0)
+        cfg = FleetSettings(engines=0, services=0, **changes)
         async with deployment(tmp_path, cfg, processes) as system:
             async with asyncio.timeout(20):
                 for name, version in versions.items():
@@ -107,3 +107,76 @@
         assert answer.status == 503 and not system.ran()
 
     run(check, tmp_path, {"a": "v1", "b": "v2"})
+
+
+def test_a_stream_goes_on_after_all_processes_were_killed(tmp_path):
+    """Guards against what is told between processes only, and so lost when all end at once."""
+
+    async def check(system):
+        await system.until_joined()
+        system.engine("z").events, system.engine("z").event_interval_s = 60, 0.03
+        caller = system.caller()
+        await caller.stream("s-1")
+        await system.until(system.ran)
+        await system.add_engine("a", "v1")
+        await asyncio.sleep(0.6)
+        await system.restart_all()
+        again = system.caller(1)
+        await again.stream("t-1", last_event_id="5", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and answer.event_ids() == list(range(6, 61))
+        assert versions_of(system, "t-1") == ["v2"]
+
+    run(check, tmp_path, {"z": "v2"}, processes=2)
+
+
+def test_a_stream_of_a_version_that_went_before_all_were_killed_is_not_joined_to_another(tmp_path):
+    """Guards against taking the one version that is listed for the only one that there was."""
+
+    async def check(system):
+        await system.until_joined()
+        caller = system.caller()
+        system.engine("a").events, system.engine("a").event_interval_s = 60, 0.05
+        await caller.stream("s-1")
+        await system.until(system.ran)
+        await system.add_engine("b", "v2")
+        await asyncio.sleep(0.6)
+        system.fleet.unlist_server("a")
+        await system.until(lambda: system.listed_versions() == {"v2"})
+        await system.restart_all()
+        again = system.caller()
+        await again.stream("t-1", last_event_id="2", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.status == 503 and versions_of(system, "t-1") == []
+
+    run(check, tmp_path, {"a": "v1"})
+
+
+def test_a_stream_of_unknown_origin_goes_on_after_a_restart_if_one_version_was_in_service(tmp_path):
+    async def check(system):
+        await system.until_joined()
+        await asyncio.sleep(0.6)
+        await system.restart_all()
+        caller = system.caller()
+        await caller.stream("t-1", last_event_id="2", resumes="s-1")
+        answer = await caller.read_response()
+        assert answer.is_complete and versions_of(system, "t-1") == ["v1"]
+
+    run(check, tmp_path, {"a": "v1"})
+
+
+def test_a_stream_goes_on_while_its_accounts_quota_is_used_up(tmp_path):
+    """Guards against streams that were never finished, as new requests had used the quota up."""
+
+    async def check(system):
+        all_tokens = {"x_cicadapond_token_count": "900,100"}
+        for request_id, status in (("n-1", 200), ("n-2", 429)):
+            caller = system.caller()
+            await caller.stream(request_id, **all_tokens)
+            assert (await caller.read_response()).status == status
+        again = system.caller()
+        await again.stream("t-1", last_event_id="2", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and answer.event_ids() == [3, 4]
+
+    run(check, tmp_path, {"a": "v1"}, quota_per_s=1000.0)
