--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -89,6 +89,7 @@
         self._fencing: int | None = None
         self._held_since: datetime.datetime | None = None
         self._era = 0
+        self._written_era = 0
         # Whether the counts to report were stored just now, or found in the store.
         self._has_stored = False
 
@@ -117,6 +118,20 @@
         self._fencing = None
         self._has_loaded = False
 
+    async def write_again(self) -> None:
+        """Stores once in each era what this process stored before, if the rows are missing.
+
+        For a process without the lease: the next holder may not know of these counts.
+        """
+        era = self._tables.era()
+        if era == self._written_era:
+            return
+        for window, counts in self._stored.own().items():
+            write = Write(USAGE_TABLE, _key(window), counts, expected=0)
+            if not isinstance(await self._tables.transact((write,)), Ok | Conflict):
+                return
+        self._written_era = era
+
     def _look_back(self, newest, fencing, era):
         """Goes back to the windows whose rows may be missing: for a new holder, and a new era."""
         if fencing != self._fencing:
@@ -293,6 +308,8 @@
                 for part in (self._reporter, self._orderer):
                     if part is not None:
                         part.restart()
+                if self._reporter is not None:
+                    await self._reporter.write_again()
             elif grant.may_order(self._clock.monotonic(), self._checks_fencing):
                 async with self._step_in_progress:
                     await self._step()
--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -89,6 +89,7 @@
             await self.lease.step()
             if self.lease.grant() is None:
                 self.reporter.restart()
+                await self.reporter.write_again()
             else:
                 await self.reporter.step(self.lease, self.name)
             await self.world.clock.sleep(seconds(0.5))
@@ -208,6 +209,26 @@
     play(script)
 
 
+def test_a_process_without_the_lease_writes_again_what_it_stored_before_the_restore():
+    """Guards against a next holder that was told nothing, or whose build knows no eras."""
+
+    async def script(world, first, second):
+        window = await a_lost_report(world, first)
+        first.hears(window, 9)
+        await world.clock.sleep(seconds(4))
+        assert first.lease.grant() is None
+        world.tables.restore()
+        await first.run(0.5)
+        assert first.lease.grant() is None
+        assert world.tables.row("usage", f"{window:012d}").value == {"acme": 5}
+        second.hears(window, 7)
+        await second.run(8)
+        assert sent(world)[window] == {"acme": 5}
+        assert window not in second.withheld()
+
+    play(script)
+
+
 def test_a_write_in_transit_during_a_restore_does_not_store_other_counts():
     """Guards against ONE: the row is missing in the copy, so the write would take effect."""
 
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -116,11 +116,6 @@
         value = self._value()
         return value.get("holder") if value else None
 
-    @property
-    def era(self) -> int:
-        """The era of the table service at the last read of the row."""
-        return self._era
-
     def era_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns for how long at least this process or a holder has known the present era."""
         return now - self._era_seen_at
