--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -8,7 +8,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import CrashTracker
-from cicadapond.continuation import StreamOrigins
+from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._cloud import Cloud
@@ -27,7 +27,9 @@
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
+from cicadapond.gateway._origin_store import OriginStore
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._pause_log import log_pauses
 from cicadapond.gateway._permits import TOPIC, ClusterCalls, PermitExchange
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
@@ -128,6 +130,7 @@
         if cfg.zone_costs is not ZoneCostUse.OFF:
             self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
+        log_pauses(self.parts.advisories, log)
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self._permits = PermitExchange(
             cfg.name,
@@ -160,6 +163,7 @@
         self._crash_causes = CrashCauses(
             self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
         )
+        self._origin_store = OriginStore(self.parts, adapters.tables, self._cluster)
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
@@ -223,7 +227,7 @@
             retry_limiter=RetryLimiter(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, clock
             ),
-            quotas=QuotaShares(clock, cfg.is_first_start),
+            quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
             crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
             demand=DemandMeter(clock),
@@ -232,6 +236,7 @@
             queues=queues,
             rollouts=rollouts,
             engine_watch=watch,
+            version_history=VersionHistory(clock),
         )
 
     def _make_engine_watch(self, registry):
@@ -292,6 +297,7 @@
         self._tasks.keep_running(self._housekeep, "housekeeping")
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
+        self._tasks.keep_running(self._origin_store.run, "origin store")
         if self.parts.engine_watch is not None:
             self._tasks.keep_running(self.parts.engine_watch.run, "engine watch")
         if self._zone_costs is not None:
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -78,6 +78,18 @@
         """Returns the ids of all requests that any server started."""
         return [each for server in self.fleet.servers.values() for each in server.model.ids()]
 
+    async def restart(self, number: int) -> None:
+        """Ends a node, as a crash would, and starts it again."""
+        await self.nodes[number].abort()
+        self.nodes[number] = node = self._make_node(number)
+        await node.start()
+        self.node = self.nodes[0]
+        await self.until(node.is_ready)
+
+    def listed_versions(self) -> set[str]:
+        """Returns the software versions of the servers that any node lists."""
+        return {entry.version for node in self.nodes for entry in node.parts.registry.all()}
+
     async def restart_all(self) -> None:
         """Ends all nodes at once, as a crash would, and starts them again."""
         for node in self.nodes:
@@ -88,13 +100,6 @@
         self.node = self.nodes[0]
         await self.until(lambda: all(node.is_ready() for node in self.nodes))
 
-    async def restart(self, number: int) -> None:
-        """Ends a node at once, as a crash would, and starts it again."""
-        await self.nodes[number].abort()
-        self.nodes[number] = self._make_node(number)
-        await self.nodes[number].start()
-        self.node = self.nodes[0]
-
     async def until_joined(self) -> None:
         """Waits until all nodes know each other as alive."""
 
