--- a/cicadapond/journal/_rows.py
+++ b/cicadapond/journal/_rows.py
@@ -139,7 +139,7 @@
 
 def decode_owner(row: Row) -> OwnerRow | None:
     """Returns the decoded row, None if it is absent."""
-    if row.version == 0:
+    if row.value is None:
         return None
     interval = datetime.timedelta(seconds=row.value["interval"])
     return OwnerRow(row.value["batch"], interval, row.value["fenced"])
@@ -158,7 +158,7 @@
 
 def decode_request(row: Row) -> RequestRow | None:
     """Returns the decoded row, None if it is absent."""
-    if row.version == 0:
+    if row.value is None:
         return None
     fields = dict(row.value)
     request = fields["request"]
--- a/cicadapond/ledger/_row.py
+++ b/cicadapond/ledger/_row.py
@@ -66,7 +66,7 @@
 
 def decode_row(row: Row) -> LedgerRow | None:
     """Returns the decoded row, or None if it is absent."""
-    if row.version == 0:
+    if row.value is None:
         return None
     value = row.value
     return LedgerRow(
--- a/cicadapond/platform/_store.py
+++ b/cicadapond/platform/_store.py
@@ -133,7 +133,7 @@
             outcome = await self.read(keys)
             if not isinstance(outcome, Ok):
                 return outcome
-            current |= {key: row for key, row in outcome.value.items() if row.version}
+            current |= {key: row for key, row in outcome.value.items() if row.value is not None}
         return Conflict(current)
 
     async def read(self, keys):
@@ -144,8 +144,8 @@
         answer = await self._range(*tables, names[0], _just_after(names[-1]), PAGE_ROWS)
         if isinstance(answer, Unavailable):
             return answer
-        rows = _rows_by_key(answer)
-        return Ok({key: rows.get(key, Row(*key, 0, None)) for key in keys})
+        rows, absent = _rows_by_key(answer), version_in_era(answer.era, 0)
+        return Ok({key: rows.get(key, Row(*key, absent, None)) for key in keys})
 
     async def scan(self, table, prefix="", after="", limit=1000):
         first = max(prefix, _just_after(after) if after else "")
--- a/cicadapond/provider/_api.py
+++ b/cicadapond/provider/_api.py
@@ -22,7 +22,8 @@
 class Row:
     """A row as stored in the table service.
 
-    `version` increases with each write of the row; an absent row has version 0 and value None.
+    `version` increases with each write of the row; an absent row has version 0 of the service's era
+    and value None.
     `value` is any object that msgpack can encode.
     """
 
