--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -16,7 +16,7 @@
     lease_task,
 )
 from cicadapond.kernel import AnswerLost, Clock, Conflict, Ok, VirtualClock, run_virtual, seconds
-from cicadapond.provider import era_of, number_of, version_in_era
+from cicadapond.provider import Write, era_of, number_of, version_in_era
 from cicadapond.standin import DirectTables, TableModel
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
@@ -228,6 +228,71 @@
     play(script)
 
 
+def test_a_former_holder_does_not_report_what_its_successor_reported_before_the_restore():
+    """Guards against ONE: it judged the window by when it held the lease for the first time."""
+
+    async def script(world, first, second):
+        await first.run(5)
+        world.tables.take_copy()
+        await second.run(4)
+        window = max(sent(world)) + 1
+        second.hears(window, 7)
+        first.hears(window, 9)
+        while window not in sent(world):
+            await second.run(0.5)
+        world.tables.restore()
+        await first.run(12)
+        assert window in first.withheld()
+        assert sent(world)[window] == {"acme": 7}
+
+    play(script)
+
+
+def test_a_new_holder_does_not_report_a_window_that_was_reported_between_two_restores():
+    """Guards against ONE: the copy tells how long the holder had known the era before."""
+
+    async def script(world, first, second):
+        world.tables.take_copy()
+        world.tables.restore()
+        await first.run(20)
+        window = await a_lost_report(world, first)
+        second.hears(window, 7)
+        world.tables.restore()
+        await second.run(12)
+        assert sent(world)[window] == {"acme": 5}
+
+    play(script)
+
+
+def test_a_new_holder_reports_what_settled_long_after_the_restore():
+    """Guards against a withheld window: the new holder saw the new era only after its end."""
+
+    async def script(world, first, second):
+        world.tables.take_copy()
+        world.tables.restore()
+        await first.run(20)
+        reported = max(sent(world))
+        await world.clock.sleep(seconds(6))
+        await second.run(8)
+        assert max(sent(world)) > reported + 1
+        assert second.withheld() == []
+
+    play(script)
+
+
+def test_a_row_with_other_counts_than_were_reported_before_the_restore_is_not_reported():
+    async def script(world, first, second):
+        window = await a_lost_report(world, first)
+        await world.clock.sleep(seconds(4))
+        world.tables.restore()
+        world.tables.apply((Write("usage", f"{window:012d}", {"acme": 4}),))
+        await first.run(8)
+        assert sent(world)[window] == {"acme": 5}
+        assert window in first.withheld()
+
+    play(script)
+
+
 def hold_back(process, until):
     """Makes the usage writes of a process wait, as in a frozen process; returns those writes."""
     held_back, transact = [], process.tables.transact
--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -155,6 +156,39 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("fencing", [2, 3])
+def test_a_holder_yields_to_one_of_an_earlier_build_whose_number_is_not_lower(fencing):
+    """Guards against a fencing number of two holders: such a build takes a missing row at once."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        tasks = holders(table, clock)
+        await a_lost_takeover(clock, table, tasks)
+        other = {"holder": "old", "instance": "old-1", "token": "t", "term_ms": 4000}
+        value = {**other, "fencing": fencing, "waited_ms": 0}
+        table.copy = attrs.evolve(table.row, version=table.row.version + 1, value=value)
+        table.restore()
+        await tasks[1].step()
+        assert tasks[1].grant() is None
+        assert table.row.value == value
+
+    run_virtual(main())
+
+
+def test_a_row_of_a_shorter_term_is_taken_after_a_full_term_if_later_rows_may_be_lost():
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        (task,) = holders(table, clock, 1)
+        other = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 1, "waited_ms": 0}
+        table.copy = attrs.evolve(table.row, version=5, value={**other, "term_ms": 1000})
+        table.restore()
+        granted = await steps(clock, [task], 6)
+        assert granted.count(None) * seconds(0.3) >= CFG.term
+        assert granted[-1] is not None
+
+    run_virtual(main())
+
+
 EVENTS = ("lost", "late", "out", "heal", "pause", "stop", "kill", "copy", "restore")
 
 
