--- a/cicadapond/gateway/rollout_parts_test.py
+++ b/cicadapond/gateway/rollout_parts_test.py
@@ -21,7 +21,7 @@
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.placing import Placer
 from cicadapond.platform import PlatformRolloutCodec
-from cicadapond.provider import Changes, RawRow
+from cicadapond.provider import Changes, RawRow, version_in_era
 from cicadapond.rollout import (
     ExposureBounds,
     Phase,
@@ -277,6 +277,14 @@
     assert rollouts.is_decidable("pool")
 
 
+def test_a_verdict_is_not_forgotten_when_the_store_holds_an_earlier_state_again():
+    process = Process(ManualClock())
+    rollouts = process.rollouts
+    rollouts.set_state("pool", 12, process.state(Phase.ROLLED_BACK))
+    rollouts.set_state("pool", version_in_era(1, 9), process.state(Phase.TRIAL))
+    assert rollouts.row("pool").state.phase is Phase.ROLLED_BACK
+
+
 def test_orders_and_states_are_read_from_their_tables():
     process = Process(ManualClock())
     log, rollouts = process.log, process.rollouts
--- a/cicadapond/rollout/next_state_test.py
+++ b/cicadapond/rollout/next_state_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cicadapond.kernel import seconds
+from cicadapond.provider import version_in_era
 from cicadapond.rollout import (
     ALL_ROUTES,
     ExposureBounds,
@@ -77,6 +78,11 @@
     assert (again.phase, again.barred, again.order.row_version) == (expected, (), 9)
 
 
+def test_an_ended_order_that_is_read_from_a_restored_store_does_not_begin_anew():
+    restored = attrs.evolve(ORDER, row_version=version_in_era(1, ORDER.row_version))
+    assert step(restored, state_in(Phase.ROLLED_BACK), 20).phase is Phase.ROLLED_BACK
+
+
 def test_without_a_good_judgement_the_order_is_rolled_back_before_its_time_limit():
     doubtful = attrs.evolve(VIEW, judgement=Judgement(Verdict.CONTINUE, "few outcomes"))
     state = state_in(Phase.TRIAL)
