--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -26,6 +26,10 @@
 # Short, as another process accepts the caller's next connection.
 STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
 NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+# How long a stream that is continued waits for its account's quota.  After a restart all callers
+# are back within this time, and new requests would take whatever is there.
+MAX_QUOTA_HOLD = datetime.timedelta(seconds=1)
+QUOTA_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
 # Used until the first configuration has been read.
 DEFAULT_LIMITS = RequestLimits(
     header_bytes=16 * 1024,
@@ -136,7 +140,7 @@
             )
             return
         # The process that passed the request on has taken its quota.
-        wait = self._take_quota(req, verdict) if max_attempts is None else None
+        wait = await self._take_quota(req, verdict) if max_attempts is None else None
         if wait is not None:
             account = verdict.account
             level = parts.quotas.level(account.name)
@@ -184,24 +188,37 @@
         limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
         return now + limit < abort_at
 
-    def _take_quota(self, req, verdict):
+    async def _take_quota(self, req, verdict):
+        """Returns None once the request is within its account's quota, else when it may be."""
         account = verdict.account
         if account is None:
             return None
         units = 1.0
         if account.counts_tokens:
             units = req.generation.tokens if req.generation else account.default_tokens
-        quotas, share = self._parts.quotas, self._parts.quota_share()
-        wait = quotas.take(account, units, share)
-        if wait is None or req.last_event_id is None or not verdict.route.resumable:
-            return wait
-        own_share = min(share, 1.0 / self._parts.processes())
-        if not quotas.take_to_continue(account, units, own_share):
-            # The rest of the quota and of the overage is at processes that are not heard yet, and
-            # the caller, which has few tries, comes to another one.
-            return share * wait
-        self._parts.metrics.count("continued_over_quota")
-        return None
+        if req.last_event_id is not None and verdict.route.resumable:
+            return await self._take_quota_to_continue(account, units)
+        return self._parts.quotas.take(account, units, self._parts.quota_share())
+
+    async def _take_quota_to_continue(self, account, units):
+        """Does the same for a stream, which waits for a moment before it uses the overage."""
+        parts = self._parts
+        held_until = parts.clock.monotonic() + MAX_QUOTA_HOLD
+        while True:
+            share = parts.quota_share()
+            wait = parts.quotas.take(account, units, share, continues=True)
+            if wait is None or parts.clock.monotonic() + wait > held_until:
+                break
+            await parts.clock.sleep(min(wait, QUOTA_POLL_INTERVAL))
+        if wait is None:
+            return None
+        own_share = min(share, 1.0 / parts.processes())
+        if parts.quotas.take_to_continue(account, units, own_share):
+            parts.metrics.count("continued_over_quota")
+            return None
+        # The rest of the quota and of the overage is at processes that are not heard yet, and the
+        # caller, which has few tries, comes to another one.
+        return share * wait
 
     async def _refuse(self, req, verdict, reply):
         match verdict:
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -124,7 +124,7 @@
         self._forget_old_windows()
 
     def take(
-        self, account: ClientAccount, units: float, fraction: float
+        self, account: ClientAccount, units: float, fraction: float, continues: bool = False
     ) -> datetime.timedelta | None:
         """Takes units from an account's quota.
 
@@ -133,6 +133,9 @@
           units: What the request costs, in the units of the account's burst and rate per second.
           fraction: The fraction of the quota that this process and those it receives reports from
             may spend: all of it, less an equal fraction for each process that does not report.
+          continues: Whether the request continues a stream.  It may overdraw the bucket as soon as
+            there is something in it; small new requests would otherwise keep it below what large
+            streams need, until their callers give up.
 
         Returns:
           None if the request is within the quota, else the time until it may be.
@@ -142,7 +145,7 @@
         bucket = self._bucket(account, fraction)
         bucket.refill(self._clock.monotonic(), fraction)
         # A request that costs more than the bucket holds is admitted when the bucket is full.
-        needed = min(units, bucket.burst * fraction)
+        needed = 1.0 if continues else min(units, bucket.burst * fraction)
         if bucket.level < needed:
             wait_seconds = (needed - bucket.level) / (bucket.rate * fraction)
             return min(datetime.timedelta(seconds=wait_seconds), MAX_WAIT)
--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -129,6 +129,20 @@
     assert shares.take(lower, UNITS, 1.0) == datetime.timedelta(seconds=0.5)
 
 
+def test_a_stream_goes_on_although_new_requests_leave_less_than_it_needs():
+    clock = ManualClock()
+    shares = QuotaShares(clock, begins_full=True)
+    for _ in range(9):
+        assert shares.take(ACCOUNT, UNITS, 1.0) is None
+    assert shares.take(ACCOUNT, 5 * UNITS, 1.0) is not None
+    assert shares.take(ACCOUNT, 5 * UNITS, 1.0, continues=True) is None
+    # 40 units are owed, and paid back before anything else is admitted.
+    assert shares.take(ACCOUNT, 5 * UNITS, 1.0, continues=True) == seconds(0.41)
+    clock.advance(seconds(0.45))
+    assert shares.take(ACCOUNT, UNITS, 1.0) is not None
+    assert shares.take(ACCOUNT, UNITS, 1.0, continues=True) is None
+
+
 OVERAGE = QuotaOverage(0.1, 60.0, seconds(WINDOW_S))
 
 
