--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -136,7 +136,7 @@
         assert shares.take(ACCOUNT, UNITS, 1.0) is None
     assert shares.take(ACCOUNT, 5 * UNITS, 1.0) is not None
     assert shares.take(ACCOUNT, 5 * UNITS, 1.0, continues=True) is None
-    # 40 units are owed, and paid back before anything else is admitted.
+    # The bucket is overdrawn by 40 units, which refill before anything else is admitted.
     assert shares.take(ACCOUNT, 5 * UNITS, 1.0, continues=True) == seconds(0.41)
     clock.advance(seconds(0.45))
     assert shares.take(ACCOUNT, UNITS, 1.0) is not None
