--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -127,7 +127,7 @@
         if era == self._written_era:
             return
         for window, counts in self._stored.own().items():
-            write = Write(USAGE_TABLE, _key(window), counts, expected=0)
+            write = Write(USAGE_TABLE, _key(window), counts, expected=version_in_era(era, 0))
             if not isinstance(await self._tables.transact((write,)), Ok | Conflict):
                 return
         self._written_era = era
