--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -242,3 +242,10 @@
     seen, violations = asyncio.run(run_soak(SoakSettings(8, 6.0, tmp_path)))
     assert violations == []
     assert len(seen.runs) > 100
+
+
+def test_a_run_in_which_a_window_was_reported_twice_after_a_restore_has_no_violations(tmp_path):
+    cfg = SoakSettings(14, 25.0, tmp_path, restores=True)
+    seen, violations = asyncio.run(run_soak(cfg))
+    assert violations == []
+    assert seen.restores == 3
