--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -167,11 +167,7 @@
             request.received_at,
             max_attempts,
         )
-        try:
-            await run.run()
-        except asyncio.CancelledError:
-            parts.log.write("caller_left", request=req.id, route=verdict.route.name)
-            raise
+        await run.run()
 
     def _may_accept(self, req, route):
         """Returns whether to accept a request, as this process may be stopping.
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -26,6 +26,7 @@
 from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Frontend
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
+from cicadapond.gateway._loop_watch import watch_loop
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
 from cicadapond.gateway._origin_store import OriginStore
 from cicadapond.gateway._parts import Parts
@@ -295,6 +296,9 @@
         self._tasks.keep_running(self._cluster.run, "cluster")
         self._tasks.start(self._permits, restarts=True)
         self._tasks.keep_running(self._housekeep, "housekeeping")
+        self._tasks.keep_running(
+            lambda: watch_loop(self._clock, self._log, self._metrics), "loop watch"
+        )
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
         self._tasks.keep_running(self._origin_store.run, "origin store")
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -57,6 +57,8 @@
       in_flight: The attempt in progress as placement knows it.
       has_head: Whether the attempt in progress has brought the head of a response.
       server: The server of the last attempt.
+      attempt_begun_at: When that attempt began, None before the first one.
+      is_sending: Whether it is in progress.
       observer: Learns what the last attempt shows of its server's version.
       relayed: Its stream in the attempt in progress or the last one, None if it cannot be moved.
     """
@@ -97,6 +99,8 @@
         self.in_flight: InFlightRequest | None = None
         self.has_head = False
         self.server: ServerEntry | None = None
+        self.attempt_begun_at: datetime.timedelta | None = None
+        self.is_sending = False
         self.observer = AttemptObserver()
         self.relayed: RelayedStream | None = None
         self._usage_counted = False
@@ -136,6 +140,23 @@
             self._usage_counted = True
             self.parts.usage.count(self.account.name, self.parts.clock.now())
 
+    def log_caller_left(self) -> None:
+        """Logs that the caller left, and where the attempt in progress was."""
+        now = self.parts.clock.monotonic()
+        sent_at = self.attempt_begun_at
+        self.log(
+            "caller_left",
+            server=self.server.name if self.server is not None else None,
+            is_sending=self.is_sending,
+            has_head=self.has_head,
+            sends=self.send_count,
+            last_event=self.last_event_id,
+            moving=self.relayed is not None and self.relayed.moving is not None,
+            relaying=self.is_relaying,
+            attempt_ms=milliseconds(now - sent_at) if sent_at is not None else None,
+            took_ms=milliseconds(now - self.received_at),
+        )
+
     def log(self, event: str, **fields) -> None:
         """Writes an event of this request to the log."""
         self.parts.log.write(
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -6,6 +6,7 @@
 `_final_answer`.  They share a `RequestState`.
 """
 
+import asyncio
 import datetime
 
 from cicadapond.gateway._caller import Reply
@@ -73,6 +74,9 @@
             final = await self._try_servers()
         except DeadlineExceededError:
             final = self._retries.timeout_outcome()
+        except asyncio.CancelledError:
+            self._state.log_caller_left()
+            raise
         finally:
             parts.demand.end(self._state.service)
             if self._state.relayed is not None:
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -117,7 +117,8 @@
         )
         if placement.fetch_from is not None:
             parts.metrics.count("fetches", service=self._state.service)
-        started = parts.clock.monotonic()
+        started = self._state.attempt_begun_at = parts.clock.monotonic()
+        self._state.is_sending = True
         self._state.crash_watch.begin_attempt()
         self._state.has_head = False
         self._state.observer = parts.rollouts.observe(self._state.route.name, placement)
@@ -155,6 +156,7 @@
                 took_answer = parts.clock.monotonic() - begun_at
                 parts.demand.end_answer(self._state.service, took_answer)
             self._state.observer.end(outcome)
+        self._state.is_sending = False
         self._state.log(
             "attempt",
             server=entry.name,
@@ -172,6 +174,7 @@
             moving_to=stream.destination.name if stream and stream.destination else None,
             moved_from=memory.source.name if memory is not None else None,
             fetch_from=placement.fetch_from.name if placement.fetch_from is not None else None,
+            leaving_ms=self._leaving_ms(entry, started),
             **self._crash_evidence(outcome),
         )
         return outcome, entry
@@ -249,6 +252,11 @@
             return None
         return milliseconds(self._state.in_flight.begun_at - started)
 
+    def _leaving_ms(self, entry, started):
+        """Returns how long the server was known to be leaving when the attempt began."""
+        since = self._parts.registry.leaving_since(entry)
+        return milliseconds(started - since) if since is not None else None
+
     def _can_wait_for_permit(self):
         """Returns whether a limited server may be sent this request well within its objective."""
         wait = self._state.servers.time_until_permit()
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -30,7 +30,10 @@
 
 @attrs.frozen
 class ServerChange:
-    """The effect of an update; `kind` is "joined", "changed", "leaving" or "gone"."""
+    """The effect of an update; `kind` is "joined", "changed", "leaving", "expiring" or "gone".
+
+    An expiring entry was removed and is still used for a while, as it may come back.
+    """
 
     name: str
     kind: str
@@ -60,6 +63,8 @@
         self._returned: dict[str, datetime.timedelta] = {}
         # The service and the software version of each start, also of those that have gone.
         self._software: dict[str, tuple[str, str]] = {}
+        # When each start of a server first said that it leaves.
+        self._leaving_since: dict[str, datetime.timedelta] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
 
@@ -96,6 +101,10 @@
         """Returns the service and the software version of a start, None if it is not known."""
         return self._software.get(start)
 
+    def leaving_since(self, entry: ServerEntry) -> datetime.timedelta | None:
+        """Returns when this process heard that a start of a server leaves, None if it does not."""
+        return self._leaving_since.get(entry.start)
+
     def takes_requests(self, entry: ServerEntry) -> bool:
         """Returns whether this start of a server still accepts new requests."""
         known = self._entries.get(entry.name)
@@ -120,6 +129,8 @@
         self._software[entry.start] = (entry.service, entry.version)
         while len(self._software) > MAX_STARTS:
             del self._software[next(iter(self._software))]
+        if entry.is_leaving:
+            self._record_leaving(entry)
         self._removal_due.pop(entry.name, None)
         if known is None:
             return ServerChange(entry.name, "leaving" if entry.is_leaving else "joined", entry)
@@ -140,7 +151,7 @@
             return None
         if after_outage:
             self._removal_due.setdefault(name, self._clock.monotonic() + RELIST_TIMEOUT)
-            return None
+            return ServerChange(name, "expiring", self._entries[name])
         return self._drop(name)
 
     def replace(
@@ -177,6 +188,7 @@
 
         It said so itself, or another start answers at its address.
         """
+        self._record_leaving(entry)
         self._closed[entry.name] = entry.born
         while len(self._closed) > MAX_CLOSED:
             del self._closed[next(iter(self._closed))]
@@ -201,10 +213,16 @@
             self._removed[name] = entry.born
             while len(self._removed) > MAX_REMOVED:
                 del self._removed[next(iter(self._removed))]
+            self._record_leaving(entry)
             if not entry.born:  # a later start under this name cannot be told from this one
                 self._closed.pop(name, None)
             self._record_gone(entry)
         return ServerChange(name, "gone", entry)
 
+    def _record_leaving(self, entry):
+        self._leaving_since.setdefault(entry.start, self._clock.monotonic())
+        while len(self._leaving_since) > MAX_STARTS:
+            del self._leaving_since[next(iter(self._leaving_since))]
+
     def _record_gone(self, entry):
         self._gone_versions[entry.service, entry.version] = self._clock.monotonic()
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -95,6 +95,8 @@
             reclaimable=entry.is_reclaimable if entry else None,
             version=entry.version if entry else None,
         )
+        if change.kind == "expiring":
+            return
         if change.kind in ("leaving", "gone"):
             self._parts.pool.drop_server(change.name)
         if self._parts.evacuation is not None and entry is not None:
