--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -252,8 +252,14 @@
             return None
         return milliseconds(self._state.in_flight.begun_at - started)
 
+    def _is_past_drain(self, entry):
+        """Returns whether a server may have been leaving for longer than it accepts requests."""
+        since = self._parts.registry.leaving_since(entry)
+        drain = self._parts.cfg.bounds.drain
+        return since is not None and self._parts.clock.monotonic() - since >= drain
+
     def _leaving_ms(self, entry, started):
-        """Returns how long the server was known to be leaving when the attempt began."""
+        """Returns how long the server may have been leaving when the attempt began."""
         since = self._parts.registry.leaving_since(entry)
         return milliseconds(started - since) if since is not None else None
 
@@ -318,6 +324,8 @@
         goes_back = memory is not None and memory.source.start == entry.start
         if not goes_back and not self._parts.registry.takes_requests(entry):
             return "the server is leaving"
+        if goes_back and self._is_past_drain(entry):
+            return "the engine that stopped the run has been leaving for too long"
         if self._parts.rollouts.is_stopped(entry):
             return "the server's version gets no requests"
         if memory is None and self._stops_too_soon(entry):
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -63,7 +63,8 @@
         self._returned: dict[str, datetime.timedelta] = {}
         # The service and the software version of each start, also of those that have gone.
         self._software: dict[str, tuple[str, str]] = {}
-        # When each start of a server first said that it leaves.
+        self._current_as_of: datetime.timedelta | None = None
+        # Since when each start of a server may be leaving.
         self._leaving_since: dict[str, datetime.timedelta] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
@@ -102,9 +103,16 @@
         return self._software.get(start)
 
     def leaving_since(self, entry: ServerEntry) -> datetime.timedelta | None:
-        """Returns when this process heard that a start of a server leaves, None if it does not."""
+        """Returns since when a start of a server may be leaving, None if it does not leave.
+
+        The store has it from then on or from a later time, up to when this process heard of it.
+        """
         return self._leaving_since.get(entry.start)
 
+    def confirm_current(self, since: datetime.timedelta) -> None:
+        """Records that the entries were those of the store at this monotonic time."""
+        self._current_as_of = max(since, self._current_as_of or since)
+
     def takes_requests(self, entry: ServerEntry) -> bool:
         """Returns whether this start of a server still accepts new requests."""
         known = self._entries.get(entry.name)
@@ -220,7 +228,9 @@
         return ServerChange(name, "gone", entry)
 
     def _record_leaving(self, entry):
-        self._leaving_since.setdefault(entry.start, self._clock.monotonic())
+        now = self._clock.monotonic()
+        since = self._current_as_of if self._current_as_of is not None else now
+        self._leaving_since.setdefault(entry.start, min(since, now))
         while len(self._leaving_since) > MAX_STARTS:
             del self._leaving_since[next(iter(self._leaving_since))]
 
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -70,7 +70,7 @@
         self.is_loaded = True
 
     def confirm_current(self, since):
-        return None
+        self._parts.registry.confirm_current(since)
 
     def _apply_row(self, row, after_outage):
         registry = self._parts.registry
--- a/cicadapond/gateway/pauses_test.py
+++ b/cicadapond/gateway/pauses_test.py
@@ -1,5 +1,7 @@
 """Tests that no way to a server passes by the time for which it wants nothing, in virtual time."""
 
+import types
+
 import attrs
 
 from cicadapond.data import Endpoint
@@ -21,6 +23,7 @@
 from cicadapond.platform import PlatformHeaderCodec
 
 ENTRY = ServerEntry("s-0", "s", Endpoint("::1", 1), "z", 8, born=7)
+DRAIN = seconds(2)
 REFUSAL = ResponseHead(503, (), not_executed=True, retry_after=seconds(3))
 
 
@@ -46,7 +49,9 @@
 
 def make_parts_and_server(clock):
     server = Server(ENTRY)
-    return make_parts("p", ("p",), {"s-0": server}, clock), server
+    parts = make_parts("p", ("p",), {"s-0": server}, clock)
+    parts.cfg = types.SimpleNamespace(bounds=types.SimpleNamespace(drain=DRAIN))
+    return parts, server
 
 
 def make_sending(parts):
@@ -75,6 +80,26 @@
     run_virtual(main())
 
 
+def test_a_run_does_not_go_back_to_its_engine_after_the_bound_on_its_leaving():
+    """Guards against DRAIN: the time was taken from when this process heard of the leaving."""
+
+    async def main():
+        clock = VirtualClock()
+        parts, server = make_parts_and_server(clock)
+        parts.registry.confirm_current(clock.monotonic())
+        await clock.sleep(seconds(0.5))
+        parts.registry.put(attrs.evolve(ENTRY, is_leaving=True), 99)
+        sending, memory = make_sending(parts), MemoryHandle(ENTRY, "h-1")
+        await clock.sleep(DRAIN - seconds(0.6))
+        outcome, _ = await sending.continue_at(ENTRY, memory)
+        assert isinstance(outcome, Whole) and len(server.received) == 1
+        await clock.sleep(seconds(0.1))
+        outcome, _ = await sending.continue_at(ENTRY, memory)
+        assert isinstance(outcome, NotSent) and len(server.received) == 1
+
+    run_virtual(main())
+
+
 def test_a_request_whose_connection_was_made_after_the_refusal_is_not_sent():
     """Guards against BUDGET: a request that was admitted before the pause and sent in it."""
 
