--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -85,7 +85,8 @@
     ) -> Outcome:
         """Sends a request once.
 
-        On cancellation the connection is closed, which makes the server stop.
+        An attempt that is given up or cancelled resets its connection: the server stops, and bytes
+        that it has not received never reach it.
 
         Args:
           req: The request.
@@ -114,7 +115,7 @@
         try:
             return await self._exchange(conn, req, dispatch, sink, silence)
         except BaseException:
-            conn.close()
+            conn.reset()
             raise
 
     async def _exchange(self, conn, req, dispatch, sink, silence):
@@ -132,10 +133,10 @@
             else:
                 outcome = await _read_full_response(conn, head)
         except BrokenResponseError as exc:
-            conn.close()
+            conn.reset()
             return progress.to_broken(str(exc), exc.was_silent)
         except TimeoutError:
-            conn.close()
+            conn.reset()
             return progress.to_broken("the server is silent", was_silent=True)
         if progress.head.closes_connection:
             conn.close()
