--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -44,6 +44,10 @@
 MIN_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
 MAX_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
 MIN_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=3)
+# The share of the machine's link for updates to the other processes; requests need the rest, also
+# on the hubs, which send each update to all processes of their data centre.
+UPDATE_LINK_SHARE = 0.25
+BYTES_PER_MEGABIT = 125_000
 # A process that is not alive keeps its share of limits for this long after it was last heard from.
 SHARE_RETENTION = datetime.timedelta(seconds=20)
 # The last report of a process reaches the hubs within this time; after it has left, it counts for
@@ -184,6 +188,7 @@
             relay_beat=PEER_BEAT_INTERVAL,
             hubs=HUBS_PER_ZONE,
             seed_dials=MAX_SEED_DIALS,
+            update_rate=UPDATE_LINK_SHARE * BYTES_PER_MEGABIT * self._cfg.link_mbps,
         )
         metrics = self._parts.metrics
         peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -452,6 +452,7 @@
       store: The endpoint of the platform's store.
       cloud: The endpoint of the platform's cloud API, None if no duty needs it.
       max_descriptors: The limit on open file descriptors.
+      link_mbps: The bandwidth of the machine's link in megabits per second, 0 if it is not known.
       is_first_start: Whether the whole system starts for the first time.
       zone_costs: For which services the cost of leaving the data centre is planned.
       rolls_out: Whether the system shifts the traffic of services to new server versions.
@@ -472,6 +473,7 @@
     cloud: Endpoint | None = None
     metrics: Endpoint | None = None
     max_descriptors: int = 1024
+    link_mbps: float = 0.0
     is_first_start: bool = False
     zone_costs: ZoneCostUse = ZoneCostUse.OFF
     rolls_out: bool = False
--- a/cicadapond/peer/_documents.py
+++ b/cicadapond/peer/_documents.py
@@ -47,6 +47,9 @@
     Section.SUMMARY,
     Section.RESTORE,
 }
+# While a process sends more than its link is meant to carry, changes in these sections are held and
+# merged; they change all the time, and a later one replaces an earlier one.
+HELD = frozenset((Section.REPORT, Section.SUMMARY))
 # An in-flight count is sent when it becomes or ceases to be zero, and when it changes by the larger
 # of this number and this share of its old value.
 MIN_COUNT_CHANGE = 2
--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -10,7 +10,7 @@
 import zlib
 
 from cicadapond.peer._api import MemberState
-from cicadapond.peer._documents import FLOODED, URGENT, DigestWriter
+from cicadapond.peer._documents import FLOODED, HELD, URGENT, DigestWriter
 from cicadapond.peer._records import (
     LIVE,
     NOTHING_KNOWN,
@@ -49,6 +49,8 @@
         self.changed: dict[str, None] = {}  # ordered, so that runs are deterministic
         self.incarnation = 0
         self.state = MemberState.ALIVE
+        # Whether updates wait, as this process has sent as much as it may.
+        self.holds_updates = False
         self._rng = rng
         self._metrics = metrics
         self._writer = writer
@@ -154,6 +156,8 @@
         known = pending.documents.get((name, wide), base)
         pending.documents[name, wide] = min(known, base)
         pending.urgent |= section in URGENT
+        if section in URGENT and section not in HELD:
+            pending.prompt.add((name, wide))
 
     def _flush_local(self) -> int:
         """Sends what is pending for this data centre; returns the number of items sent.
@@ -162,7 +166,7 @@
         """
         links = self._local_links()
         own = (self.cfg.name, False)
-        if not self.cfg.hubs or own not in self._local_pending.documents:
+        if not self.cfg.hubs or self.holds_updates or own not in self._local_pending.documents:
             return self._flush(self._local_pending, links) * len(links)
         base = self._local_pending.documents.pop(own)
         messages = self._build_updates([], [(*own, base, self._writer.local)])
@@ -174,14 +178,11 @@
     def _flush(self, pending, names) -> int:
         """Sends the pending updates; returns the number of items in them."""
         names = tuple(names)
-        members = [self._identity_of(name) for name in pending.members if self._identity_of(name)]
+        member_names, taken = pending.take(self.holds_updates)
+        members = [self._identity_of(name) for name in member_names if self._identity_of(name)]
         documents = [
-            (name, wide, base, self._document(name, wide))
-            for (name, wide), base in pending.documents.items()
+            (name, wide, base, self._document(name, wide)) for (name, wide), base in taken.items()
         ]
-        pending.members.clear()
-        pending.documents.clear()
-        pending.urgent = False
         if not names:
             return 0
         known_documents = [entry for entry in documents if entry[3] is not None]
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -140,9 +140,9 @@
 
     def outputs(self) -> list:
         """Returns the outputs since the last call, urgent updates included."""
-        if self._local_pending.urgent:
+        if self._is_due(self._local_pending):
             self._flush_local()
-        if self._wide_pending.urgent:
+        if self._is_due(self._wide_pending):
             self._flush(self._wide_pending, self._foreign_links())
         outputs, self._outputs = self._outputs, []
         return outputs
@@ -152,6 +152,9 @@
         """Whether updates are pending that must not wait for the next heartbeat."""
         return self._local_pending.urgent or self._wide_pending.urgent
 
+    def _is_due(self, pending):
+        return pending.urgent and (not self.holds_updates or pending.has_prompt())
+
     # Connections
 
     def wanted_links(self) -> dict[str, Endpoint]:
--- a/cicadapond/peer/_records.py
+++ b/cicadapond/peer/_records.py
@@ -100,12 +100,41 @@
 
 @attrs.define
 class PendingUpdates:
-    """Updates queued for one group of connections: its own data centre, or the others."""
+    """Updates queued for one group of connections: its own data centre, or the others.
+
+    Attributes:
+      members: The names of members whose entries changed.
+      documents: By (name, wide) of a changed document, the version above which it is sent.
+      prompt: The documents that are sent even while others are held.
+      urgent: Whether any of them must not wait for the next heartbeat.
+    """
 
     members: dict = attrs.field(factory=dict)
     documents: dict = attrs.field(factory=dict)
+    prompt: set = attrs.field(factory=set)
     urgent: bool = False
 
+    def has_prompt(self) -> bool:
+        """Returns whether something is to be sent even while updates are held."""
+        return bool(self.members or self.prompt)
+
+    def take(self, held: bool) -> tuple[list, dict]:
+        """Removes and returns the members and documents to send now.
+
+        Args:
+          held: Whether to leave all but the prompt documents.
+        """
+        members = list(self.members)
+        taken = {
+            key: base for key, base in self.documents.items() if not held or key in self.prompt
+        }
+        for key in taken:
+            del self.documents[key]
+        self.members.clear()
+        self.prompt.clear()
+        self.urgent = self.urgent and bool(self.documents)
+        return members, taken
+
 
 # Order of membership entries and versions
 
--- a/cicadapond/peer/_settings.py
+++ b/cicadapond/peer/_settings.py
@@ -32,6 +32,8 @@
         its relays.  If it is 0, every process connects to every other one of its data centre.
       seed_dials: How many seeds are dialled at the same time, 0 for all.
       wide_loads: The shortest interval at which changed loads are sent to other data centres.
+      update_rate: The bytes of updates that this process sends in a second, 0 for no limit.  Those
+        that wait are merged.
     """
 
     name: str
@@ -49,3 +51,4 @@
     wide_loads: datetime.timedelta = 10 * _SECOND
     seed_dials: int = setting(default=0, check=at_least(0))
     hubs: int = setting(default=0, check=at_least(0))
+    update_rate: float = setting(default=0.0, check=at_least(0.0))
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -15,10 +15,12 @@
 from cicadapond.peer._membership import Membership, Redial
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._transport import Link, Transport
-from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, Query, decode, encode
+from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, Query, Update, decode, encode
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=250)
 URGENT_DELAY = datetime.timedelta(milliseconds=20)
+# Updates are held for no longer than this, whatever was sent before.
+MAX_UPDATE_PAUSE = datetime.timedelta(seconds=1)
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=200)
 MAX_BACKOFF = datetime.timedelta(seconds=2)
 
@@ -73,6 +75,9 @@
         self._outbound_by_name: dict[str, _Outbound] = {}
         self._listeners: list[typing.Callable[[Member], None]] = []
         self._flush_timer: asyncio.TimerHandle | None = None
+        # Until when updates are held, and what sends them then.
+        self._updates_due = datetime.timedelta()
+        self._hold_timer: asyncio.TimerHandle | None = None
         self._handlers: dict[str, typing.Callable] = {}
         self._closed = False
         self._failed_dials: dict[Endpoint, int] = {}
@@ -193,7 +198,9 @@
         self.start()
         await self._clock.sleep(TICK_INTERVAL * self._rng.random())
         while True:
-            self._membership.tick(self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._membership.holds_updates = now < self._updates_due
+            self._membership.tick(now)
             self._flush_outputs()
             self._reconcile()
             self._kept_queries.close_idle()
@@ -213,6 +220,8 @@
         self._closed = True
         if self._flush_timer is not None:
             self._flush_timer.cancel()
+        if self._hold_timer is not None:
+            self._hold_timer.cancel()
         dialling = [out.dialling for out in self._outbound.values() if out.dialling]
         for attempt in dialling:
             attempt.cancel()
@@ -236,20 +245,42 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush_timer = None
+        now = self._clock.monotonic()
+        self._membership.holds_updates = now < self._updates_due
+        update_bytes = 0
         bodies: dict[str, list[bytes]] = {}
         for output in self._membership.outputs():
             if isinstance(output, Redial):
                 self._disconnect(self._outbound_by_name.get(output.name))
                 continue
             body = encode(output.message)
+            if isinstance(output.message, Update):
+                update_bytes += len(body) * len(output.names)
             for name in output.names:
                 bodies.setdefault(name, []).append(body)
         for name, frames in bodies.items():
             out = self._outbound_by_name.get(name)
             if out is not None and out.link is not None:
                 self._send(out.link, frames)
+        self._hold_updates(update_bytes, now)
         self._notify()
 
+    def _hold_updates(self, sent_bytes, now):
+        """Holds further updates for as long as those just sent take of the permitted rate."""
+        if self.cfg.update_rate and sent_bytes:
+            pause = datetime.timedelta(seconds=sent_bytes / self.cfg.update_rate)
+            due = max(now, self._updates_due) + pause
+            self._updates_due = min(due, now + MAX_UPDATE_PAUSE)
+        if self._membership.urgent and self._hold_timer is None and not self._closed:
+            delay = max(URGENT_DELAY, self._updates_due - now)
+            self._metrics.count("peer_updates_held")
+            loop = asyncio.get_running_loop()
+            self._hold_timer = loop.call_later(delay.total_seconds(), self._send_held)
+
+    def _send_held(self):
+        self._hold_timer = None
+        self._flush_outputs()
+
     def _send(self, link, bodies):
         for body in bodies:
             if len(body) > MAX_MESSAGE_BYTES:
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -1,11 +1,15 @@
 """Tests of large data centres, whose processes connect only to a few hubs."""
 
+import collections
+from unittest import mock
+
 import pytest
 
 from cicadapond.kernel import seconds
 from cicadapond.peer import Digest, MemberState
 from cicadapond.peer._topology import hubs
-from cicadapond.peer.peer_test import World, virtual
+from cicadapond.peer._transport import MemoryLink
+from cicadapond.peer.peer_test import ZONES, World, virtual
 
 SETTINGS = {"hubs": 2, "seed_dials": 6}
 STARTUP_S = 6
@@ -152,3 +156,35 @@
     await world.sleep(1)
     assert all(world.digest(primary, name).report == {"a": 1} for name in senders)
     await world.tasks.stop()
+
+
+@virtual
+async def test_a_hub_does_not_saturate_its_link_with_updates():
+    """Guards against GONE and DRAIN: nothing else passed the link of a hub for seconds."""
+    rate, per_zone = 100_000.0, 20
+    world, sent = World(per_zone), collections.Counter()
+    send = MemoryLink.send
+
+    def counted(link, bodies):
+        sent[link.local] += sum(map(len, bodies))
+        send(link, bodies)
+
+    with mock.patch.object(MemoryLink, "send", counted):
+        world.start(**SETTINGS, update_rate=rate)
+        await world.sleep(8)
+        (hub,) = [name for name in world.names[:per_zone] if world.peers[name].is_primary_hub()]
+        before = sent[world.endpoint(hub)]
+        for number in range(100):
+            for zone in ZONES:
+                items = {f"e {engine}": [number, engine] for engine in range(100)}
+                world.peers[f"{zone}-0"].publish(Digest(summary=items))
+            await world.sleep(0.1)
+        carried = sent[world.endpoint(hub)] - before
+    assert carried <= 1.2 * rate * 10
+    await world.sleep(1)
+    last = {f"e {engine}": [99, engine] for engine in range(100)}
+    for name in world.names:
+        assert all(
+            name == f"{zone}-0" or world.digest(name, f"{zone}-0").summary == last for zone in ZONES
+        )
+    await world.tasks.stop()
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -127,6 +127,7 @@
         metrics=Endpoint(ip, metrics_port) if metrics_port else None,
         is_first_start=file.flag("bootstrap"),
         max_descriptors=int(file.number("limits.max_fds", 1024.0)),
+        link_mbps=file.number("limits.bandwidth_mbps", 0.0),
         rolls_out=ROLLOUT_CONTRACT in file.texts("contracts"),
     )
 
