--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -205,7 +205,8 @@
         connecting.add_done_callback(_abandon)
         connecting.cancel()
         return None
-    with contextlib.suppress(OSError):
+    # ValueError and OverflowError come of addresses that no socket takes.
+    with contextlib.suppress(OSError, ValueError, OverflowError):
         return connecting.result()[1]
     return None
 
--- a/cicadapond/gateway/reported_failures_test.py
+++ b/cicadapond/gateway/reported_failures_test.py
@@ -1,6 +1,9 @@
 """Failures that operators of similar systems reported, brought about on sockets."""
 
 import asyncio
+import json
+
+import pytest
 
 from cicadapond.gateway.harness import deployment
 from cicadapond.platform.standin import EngineFault, FleetSettings
@@ -152,6 +155,31 @@
     run(check, tmp_path)
 
 
+ODD_FIELDS = {
+    "huge number": {"slots": 10**400},
+    "zero byte": {"address": "a\0b:1"},
+    "half a surrogate pair": {"address": "\ud800:1"},
+    "long label": {"address": f"{'x' * 64}:1"},
+}
+
+
+@pytest.mark.parametrize("kind", ODD_FIELDS)
+def test_requests_are_answered_although_an_odd_entry_is_listed(tmp_path, kind):
+    """Guards against LOST: requests that chose such a server ended without an answer."""
+
+    async def check(system):
+        entry = {"service": "plain", "zone": "z1", "slots": 1, "address": "127.0.0.1:9"}
+        entry |= {"state": "ready", "version": "v1", "sequence": 1}
+        system.fleet.store.put("servers", "odd-1", json.dumps(entry | ODD_FIELDS[kind]).encode())
+        await system.add_engine("e-new", "v1")
+        for number in range(12):
+            answer = await system.caller().exchange(f"g-{number}", "/peek/a", method="GET")
+            assert answer.status == 200
+        assert not system.node._tasks.failed
+
+    run(check, tmp_path)
+
+
 def test_an_unexpected_error_in_a_follower_does_not_end_it(tmp_path):
     async def check(system):
         table = system.node._servers
--- a/cicadapond/platform/_reader.py
+++ b/cicadapond/platform/_reader.py
@@ -1,11 +1,15 @@
 """Reads fields of decoded JSON with type checks; errors are recorded as findings."""
 
 import datetime
+import ipaddress
 
 from cicadapond.data import Endpoint
 from cicadapond.kernel import Findings, Place
 
 _MISSING = object()
+# Larger numbers are no count, size or time of anything, and cannot be calculated with safely.
+MAX_NUMBER = 2**53
+MAX_DURATION = datetime.timedelta(days=36500)
 
 
 class UnreadableError(Exception):
@@ -29,8 +33,11 @@
             self._fail("is not an object")
 
     def text(self, name: str, default=_MISSING) -> str:
-        """Returns a string."""
-        return self._get(name, str, default)
+        """Returns a string that can be encoded."""
+        value = self._get(name, str, default)
+        if value is not default and not is_encodable(value):
+            self._fail(f"{name!r} cannot be encoded")
+        return value
 
     def flag(self, name: str, default=_MISSING) -> bool:
         """Returns a Boolean."""
@@ -46,21 +53,15 @@
     def number(self, name: str, default=_MISSING) -> float:
         """Returns a number."""
         value = self._number(name, default)
-        return value if value is default else self._convert(name, float, value)
+        return value if value is default else float(value)
 
     def milliseconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in milliseconds."""
-        value = self._number(name, default)
-        if value is default:
-            return value
-        return self._convert(name, lambda each: datetime.timedelta(milliseconds=each), value)
+        return self._duration(name, datetime.timedelta(milliseconds=1), default)
 
     def seconds(self, name: str, default=_MISSING) -> datetime.timedelta:
         """Returns a duration that is given in seconds."""
-        value = self._number(name, default)
-        if value is default:
-            return value
-        return self._convert(name, lambda each: datetime.timedelta(seconds=each), value)
+        return self._duration(name, datetime.timedelta(seconds=1), default)
 
     def endpoint(self, name: str) -> Endpoint:
         """Returns an address of the form IP:PORT."""
@@ -74,13 +75,15 @@
         values = self._get(name, list, _MISSING)
         if not all(isinstance(value, str) for value in values):
             self._fail(f"{name!r} has elements that are not strings")
+        if not all(map(is_encodable, values)):
+            self._fail(f"{name!r} has elements that cannot be encoded")
         return tuple(values)
 
     def numbers(self, name: str) -> dict[str, float]:
         """Returns an object whose values are numbers."""
         values = self._get(name, dict, _MISSING)
-        if not all(_is_number(value) for value in values.values()):
-            self._fail(f"{name!r} has values that are not numbers")
+        if not all(_is_number(value) and _is_in_range(value) for value in values.values()):
+            self._fail(f"{name!r} has values that are not numbers, or out of range")
         return {key: float(value) for key, value in values.items()}
 
     def inner(self, name: str) -> "Reader":
@@ -108,11 +111,13 @@
         """
         self._fail(message)
 
-    def _convert(self, name, convert, value):
-        try:
-            return convert(value)
-        except (OverflowError, ValueError):
+    def _duration(self, name, unit, default):
+        value = self._number(name, default)
+        if value is default:
+            return value
+        if abs(value) > MAX_DURATION / unit:
             self._fail(f"{name!r} is out of range")
+        return value * unit
 
     def _number(self, name, default):
         if name not in self._value and default is not _MISSING:
@@ -120,6 +125,8 @@
         value = self._get(name, (int, float), default)
         if not _is_number(value):
             self._fail(f"{name!r} is not a number")
+        if not _is_in_range(value):
+            self._fail(f"{name!r} is out of range")
         return value
 
     def _get(self, name, kind, default):
@@ -137,11 +144,28 @@
 
 def parse_endpoint(text: str) -> Endpoint | None:
     """Returns the address in a text of the form IP:PORT, or None if it has another form."""
-    host, colon, port = text.rpartition(":")
-    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536):
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
         return None
     return Endpoint(host, int(port))
 
 
+def is_encodable(text: str) -> bool:
+    """Returns whether a text can be sent, which one with half a surrogate pair cannot."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _is_in_range(value):
+    return abs(value) <= MAX_NUMBER  # false for NaN
+
+
 def _is_number(value):
     return isinstance(value, int | float) and not isinstance(value, bool)
--- a/cicadapond/platform/_servers.py
+++ b/cicadapond/platform/_servers.py
@@ -28,6 +28,8 @@
 
 
 def _server(name, reader):
+    if not (name.isascii() and name.isprintable() and name and " " not in name):
+        reader.fail("its name cannot be sent in a header")
     state = reader.text("state")
     if state not in (READY, DRAINING):
         reader.fail(f"'state' has the unknown value {state!r}")
--- a/cicadapond/platform/unreadable_test.py
+++ b/cicadapond/platform/unreadable_test.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import hypothesis.strategies as st
 import pytest
 from hypothesis import example, given, settings
@@ -52,6 +53,47 @@
         assert (entry is None) == bool(findings)
 
 
+UNUSABLE_ENTRIES = (
+    {"slots": 10**400},
+    {"slots": 2**60},
+    {"leaves_ms": 8e16},
+    *({"address": f"{host}:80"} for host in ("a\0b", "\ud800", "x" * 64, "host", "256.0.0.1", "")),
+    *({"address": f"127.0.0.1:{port}"} for port in ("0", "65536", "9" * 5000, "-1", "٣")),
+    *({field: "a\ud800"} for field in ("service", "zone", "version")),
+)
+
+
+@pytest.mark.parametrize("fields", UNUSABLE_ENTRIES, ids=lambda fields: next(iter(fields)))
+def test_an_entry_whose_values_nothing_can_use_names_no_server(fields):
+    """Guards against LOST: it was listed, and each request that chose it ended in an error."""
+    entry, findings = decode_server("s-1", json.dumps(ENTRY | fields).encode())
+    assert entry is None and findings
+
+
+@pytest.mark.parametrize("name", ["a\nb", "\ud800", "a b", "ü"])
+def test_an_entry_whose_name_cannot_be_a_header_names_no_server(name):
+    entry, findings = decode_server(name, json.dumps(ENTRY).encode())
+    assert entry is None and findings
+
+
+def test_numbers_beyond_any_use_in_the_configuration_are_findings():
+    fleet = Fleet(FleetSettings(max_event_gap_ms=100), None)
+    written = {}
+    fleet.store.put = lambda table, key, value: written.update(value)
+    fleet.configure()
+    for path in list(fields_of(written)):
+        for value in (10**400, 8e16, float("nan"), "a\ud800"):
+            changed = json.loads(json.dumps(written))
+            holder = changed
+            for key in path[:-1]:
+                holder = holder[key]
+            holder[path[-1]] = value
+            cfg, findings = decode_configuration(json.dumps(changed).encode())
+            assert (cfg is None) == bool(findings), (path, value)
+            if cfg is not None:
+                json.dumps(attrs.asdict(cfg), default=str).encode()
+
+
 def fields_of(value, path=()):
     """Returns the paths of all values in decoded JSON."""
     inner = value.items() if isinstance(value, dict) else enumerate(value)
