--- a/cicadapond/gateway/_discovery.py
+++ b/cicadapond/gateway/_discovery.py
@@ -1,6 +1,8 @@
 """How gateway processes find each other: a row of each in the store."""
 
 import datetime
+import ipaddress
+import math
 import random
 import typing
 
@@ -72,7 +74,12 @@
         found = await self._tables.scan(PROCESS_TABLE)
         if not isinstance(found, Ok):
             return None
-        return {row.key: row.value for row in found.value if isinstance(row.value, dict)}
+        rows = {row.key: row.value for row in found.value}
+        readable = {name: value for name, value in rows.items() if _is_row(value)}
+        if len(readable) < len(rows):
+            unreadable = sorted(ascii(name) for name in rows.keys() - readable.keys())
+            self._log.write("process_rows_unreadable", rows=unreadable)
+        return readable
 
     async def keep_registered(self, processes: typing.Callable[[], int]) -> None:
         """Writes the row again each time that the store was restored, until cancelled.
@@ -111,7 +118,7 @@
         by_zone: dict[str, list[str]] = {}
         for name, value in rows.items():
             if name != self._cfg.name:
-                by_zone.setdefault(value.get("zone", ""), []).append(name)
+                by_zone.setdefault(value["zone"], []).append(name)
         ranked = [
             (position, zone != self._cfg.zone, zone, name)
             for zone, names in by_zone.items()
@@ -120,8 +127,24 @@
         return tuple(Endpoint(*rows[name]["peer"]) for *_, name in sorted(ranked))
 
     def _correct_clock(self, rows):
-        readings = [value["reading"] for value in rows.values() if value.get("reading")]
+        readings = [value["reading"] for value in rows.values()]
         correction = self._clock.correct(readings)
         if correction is not None:
             by_ms = round(correction.total_seconds() * 1000)
             self._log.write("clock_corrected", by_ms=by_ms)
+
+
+def _is_row(value):
+    """Returns whether a value is a process's row; another writer may have put anything there."""
+    match value:
+        case {"peer": [str(host), int(port)], "zone": str(), "reading": int() | float() as reading}:
+            return _is_address(host, port) and math.isfinite(reading)
+    return False
+
+
+def _is_address(host, port):
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 <= port < 65536
--- a/cicadapond/gateway/reported_failures_test.py
+++ b/cicadapond/gateway/reported_failures_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import msgpack
 import pytest
 
 from cicadapond.gateway.harness import deployment
@@ -211,3 +212,26 @@
         assert answer.status == 200 and not system.node._tasks.failed
 
     run(check, tmp_path)
+
+
+ODD_ROWS = {
+    "no address": {"zone": "z1", "reading": 1.0},
+    "an odd address": {"peer": ["a\0b", "x"], "zone": "z1", "reading": 1.0},
+    "an odd zone": {"peer": ["127.0.0.1", 9], "zone": ["z"], "reading": 1.0},
+    "an odd reading": {"peer": ["127.0.0.1", 9], "zone": "z1", "reading": "soon"},
+}
+
+
+@pytest.mark.parametrize("kind", ODD_ROWS)
+def test_a_process_joins_the_others_although_the_row_of_one_is_odd(tmp_path, kind):
+    """Guards against LOST: an odd row ended what joins the others, again and again."""
+
+    async def check(system):
+        for number in range(3):  # clocks are compared from three readings on
+            row = msgpack.packb(ODD_ROWS[kind])
+            system.fleet.store.put("processes", f"odd-{number}", row)
+        await system.restart(1)
+        await system.until_joined()
+        assert not any(node._tasks.failed for node in system.nodes)
+
+    run(check, tmp_path, processes=2)
