--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -22,6 +22,8 @@
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_STALE_RESPONSES = 2
+# A connection with so many refusals is not used any longer, as it keeps their ids.
+MAX_REFUSALS = 64
 MISDIRECTED = 421
 # Statuses that tell a caller that the request was not executed.  They are not passed on unless the
 # server marked the request as not executed: the status alone does not prove it.
@@ -103,6 +105,9 @@
         """
         server = dispatch.server
         conn = self._pool.take_idle(server.name, recent_only=not repeatable)
+        if conn is not None and req.id in conn.refused_ids:
+            conn.close()
+            conn = None
         if conn is None:
             timeout = min(CONNECT_TIMEOUT, dispatch.time_left)
             conn = await self._pool.connect(server.name, server.endpoint, timeout)
@@ -138,19 +143,27 @@
         except TimeoutError:
             conn.reset()
             return progress.to_broken("the server is silent", was_silent=True)
-        if progress.head.closes_connection:
+        if isinstance(outcome, Refused):
+            conn.refused_ids.add(req.id)
+        if progress.head.closes_connection or len(conn.refused_ids) >= MAX_REFUSALS:
             conn.close()
         else:
             self._pool.release(dispatch.server.name, conn)
         return outcome
 
     async def _read_matching_head(self, conn, req):
-        """Returns the head of the response, skipping late responses to earlier requests."""
+        """Returns the head of the response, skipping late responses to earlier requests.
+
+        A refusal without an id may be that of an earlier request on this connection, if there was
+        one.
+        """
+        is_first = conn.requests_sent == 1
         for _ in range(MAX_STALE_RESPONSES + 1):
             status, headers = await conn.read_head()
             head = self._header_codec.parse_response_head(status, headers)
             conn.keep_alive_timeout = head.keep_alive_timeout
-            if head.request_id == req.id or (head.request_id is None and head.not_executed):
+            is_refusal_without_id = head.request_id is None and head.not_executed
+            if head.request_id == req.id or (is_refusal_without_id and is_first):
                 return head
             await conn.skip_response(MAX_RESPONSE_BYTES)
         raise BrokenResponseError("answers to other requests only")
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -39,6 +39,10 @@
         self._is_unusable = False
         self.last_used_at = now
         self.keep_alive_timeout: datetime.timedelta | None = None
+        # How many requests were sent, and the ids of those that the server refused; it may write a
+        # refusal once more later.
+        self.requests_sent = 0
+        self.refused_ids: set[str] = set()
         # What the last exchange brought, for clients that compare answers.
         self.last_reply: object = None
 
@@ -73,6 +77,7 @@
 
     def send(self, method: str, target: bytes, headers, body: bytes) -> None:
         """Sends a request with its content length, in a single write."""
+        self.requests_sent += 1
         self._channel.on_closed = None
         self._channel.on_data = None
         if self._http.our_state is h11.DONE:
