--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -40,11 +40,17 @@
     GARBAGE = "the answer is not valid HTTP"
     FOREIGN = "the answer belongs to another request"
     UNFRAMED_WITHIN_EVENT = "the stream has no length and ends within its second event"
+    BARE_ERROR = "it runs and fails, and the answer has no header of this protocol"
+    NO_EVENTS = "the stream ends before its first event"
     ENDLESS_INTERIM = "informational responses follow each other until the connection is closed"
     ENDLESS_HEAD = "the head of the answer goes on until the connection is closed"
     ENDLESS_BODY = "the body of the answer, or an event of it, does"
 
 
+# Faults that show in place of a stream as in place of another answer.
+_PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN)
+
+
 @attrs.define
 class EngineModel:
     """A backend server.
@@ -238,7 +244,10 @@
             await asyncio.sleep(defect.delay_s)
         if fault is not None and fault.name in _ENDLESS_CHUNK:
             return await self._send_endlessly(request_id, fields, fault)
-        if "x-cicadapond-token-count" in fields:
+        if fault is EngineFault.BARE_ERROR:
+            self._writer.write(b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 6\r\n\r\nfailed")
+            return False
+        if "x-cicadapond-token-count" in fields and fault not in _PLAIN_FAULTS:
             return await self._stream(request_id, fields, fault)
         await asyncio.sleep(self._model.processing_time_s)
         return await self._plain(request_id, fault)
@@ -327,6 +336,8 @@
             await self._writer.drain()
             await self._crash(by_prompt=True)
             return False
+        if fault is EngineFault.NO_EVENTS:
+            return self._end()
         run = self._model.memory.begin(request_id)
         try:
             return await self._write_events(run, first, fault)
