--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -13,6 +13,7 @@
 from cicadapond.peer import _asking
 from cicadapond.peer._api import Digest, Member, MemberState, Peers
 from cicadapond.peer._membership import Membership, Redial
+from cicadapond.peer._pacing import PacedSender
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._transport import Link, Transport
 from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, Query, Update, decode, encode
@@ -21,6 +22,8 @@
 URGENT_DELAY = datetime.timedelta(milliseconds=20)
 # Updates are held for no longer than this, whatever was sent before.
 MAX_UPDATE_PAUSE = datetime.timedelta(seconds=1)
+# What is not held may take this multiple of the rate of updates for a while.
+PACE_FACTOR = 2.0
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=200)
 MAX_BACKOFF = datetime.timedelta(seconds=2)
 
@@ -78,6 +81,7 @@
         # Until when updates are held, and what sends them then.
         self._updates_due = datetime.timedelta()
         self._hold_timer: asyncio.TimerHandle | None = None
+        self._sender = PacedSender(PACE_FACTOR * cfg.update_rate, clock)
         self._handlers: dict[str, typing.Callable] = {}
         self._closed = False
         self._failed_dials: dict[Endpoint, int] = {}
@@ -222,6 +226,7 @@
             self._flush_timer.cancel()
         if self._hold_timer is not None:
             self._hold_timer.cancel()
+        self._sender.close()
         dialling = [out.dialling for out in self._outbound.values() if out.dialling]
         for attempt in dialling:
             attempt.cancel()
@@ -261,7 +266,7 @@
         for name, frames in bodies.items():
             out = self._outbound_by_name.get(name)
             if out is not None and out.link is not None:
-                self._send(out.link, frames)
+                self._send(out.link, frames, self._sender.send)
         self._hold_updates(update_bytes, now)
         self._notify()
 
@@ -281,11 +286,15 @@
         self._hold_timer = None
         self._flush_outputs()
 
-    def _send(self, link, bodies):
+    def _send(self, link, bodies, send=None):
         for body in bodies:
             if len(body) > MAX_MESSAGE_BYTES:
                 self._metrics.count("peer_messages_too_long")
-        link.send([body for body in bodies if len(body) <= MAX_MESSAGE_BYTES])
+        fitting = [body for body in bodies if len(body) <= MAX_MESSAGE_BYTES]
+        if send is not None:
+            send(link, fitting)
+        else:
+            link.send(fitting)
 
     def _notify(self):
         changed, self._membership.changed = self._membership.changed, {}
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -188,3 +188,29 @@
             name == f"{zone}-0" or world.digest(name, f"{zone}-0").summary == last for zone in ZONES
         )
     await world.tasks.stop()
+
+
+@virtual
+async def test_a_large_change_leaves_room_on_the_link_of_a_hub():
+    """Guards against GONE and DRAIN: a new configuration filled the link."""
+    rate, per_zone = 100_000.0, 20
+    world, sent = World(per_zone), collections.Counter()
+    send = MemoryLink.send
+
+    def counted(link, bodies):
+        sent[link.local, int(world.clock.monotonic() / seconds(0.1))] += sum(map(len, bodies))
+        send(link, bodies)
+
+    world.start(**SETTINGS, update_rate=rate)
+    await world.sleep(8)
+    (hub,) = [name for name in world.names[:per_zone] if world.peers[name].is_primary_hub()]
+    with mock.patch.object(MemoryLink, "send", counted):
+        copies = {"op": [1, 0, 0, [["config", 1, b"x" * 20_000]]]}
+        world.peers["ywg-0"].publish(Digest(copies=copies))
+        await world.sleep(5)
+    most = max(count for (address, _), count in sent.items() if address == world.endpoint(hub))
+    assert most <= 2 * 2 * rate * 0.1 + 32 * 1024
+    assert all(
+        name == "ywg-0" or world.digest(name, "ywg-0").copies == copies for name in world.names
+    )
+    await world.tasks.stop()
