--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -17,11 +17,12 @@
 from cicadapond.kernel import Clock
 from cicadapond.provider import Changes, RawRow, era_of, number_of, version_in_era
 
-# How long a change is resent, for processes that missed a message.
-RESEND_PERIOD = datetime.timedelta(seconds=3)
+# How long a change is resent, for processes that missed a message; one that missed more calls the
+# store.
+RESEND_PERIOD = datetime.timedelta(milliseconds=600)
 # The limits on the changes of one copy: on those that are resent, and on those sent once; a message
 # between processes holds 64 KB.
-MAX_COPY_BYTES = 6 * 1024
+MAX_COPY_BYTES = 3 * 1024
 MAX_NEW_BYTES = 40 * 1024
 # The limit on a whole table of a restored store; two tables that are sent at once fit in a message.
 MAX_WHOLE_BYTES = 24 * 1024
