--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -11,6 +11,7 @@
 from cicadapond.containment import CrashEvidence, merge_evidence
 from cicadapond.data import Endpoint
 from cicadapond.gateway._copies import CopyExchange
+from cicadapond.gateway._digest_pace import digest_intervals, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
 from cicadapond.gateway._parts import Parts
@@ -37,17 +38,6 @@
 HUBS_PER_ZONE = 2
 MAX_SEED_DIALS = 6
 PEER_BEAT_INTERVAL = datetime.timedelta(milliseconds=400)
-# Digests are published at the maximum interval, and sooner after a change, but never below the
-# minimum interval.  Both grow with the number of processes of the data centre, so that its hubs
-# receive at most about 80 digests a second while nothing changes.
-MAX_DIGEST_INTERVAL = datetime.timedelta(milliseconds=400)
-MIN_DIGEST_INTERVAL = datetime.timedelta(milliseconds=10)
-MAX_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=13)
-MIN_DIGEST_INTERVAL_PER_PROCESS = datetime.timedelta(milliseconds=3)
-# The share of the machine's link for updates to the other processes; requests need the rest, also
-# on the hubs, which send each update to all processes of their data centre.
-UPDATE_LINK_SHARE = 0.25
-BYTES_PER_MEGABIT = 125_000
 # A process that is not alive keeps its share of limits for this long after it was last heard from.
 SHARE_RETENTION = datetime.timedelta(seconds=20)
 # The last report of a process reaches the hubs within this time; after it has left, it counts for
@@ -71,17 +61,6 @@
 IDLE_POLL_INTERVAL = datetime.timedelta(seconds=60)
 
 
-def digest_intervals(neighbours: int) -> tuple[datetime.timedelta, datetime.timedelta]:
-    """Returns the minimum and the maximum time between two digests of a process.
-
-    Args:
-      neighbours: How many processes of a data centre send digests to its hubs.
-    """
-    shortest = max(MIN_DIGEST_INTERVAL, neighbours * MIN_DIGEST_INTERVAL_PER_PROCESS)
-    longest = max(MAX_DIGEST_INTERVAL, neighbours * MAX_DIGEST_INTERVAL_PER_PROCESS)
-    return shortest, longest
-
-
 @attrs.frozen
 class _Summary:
     """The last summary of a data centre, from one of its hubs."""
@@ -188,7 +167,7 @@
             relay_beat=PEER_BEAT_INTERVAL,
             hubs=HUBS_PER_ZONE,
             seed_dials=MAX_SEED_DIALS,
-            update_rate=UPDATE_LINK_SHARE * BYTES_PER_MEGABIT * self._cfg.link_mbps,
+            update_rate=update_rate(self._cfg.link_mbps),
         )
         metrics = self._parts.metrics
         peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -13,8 +13,8 @@
     SILENCE_THRESHOLD,
     SUMMARY_DELAY,
     Cluster,
-    digest_intervals,
 )
+from cicadapond.gateway._digest_pace import digest_intervals, update_rate
 from cicadapond.gateway._reports import Report
 from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.kernel import ManualClock, seconds
@@ -34,6 +34,11 @@
     assert digest_intervals(6) == (seconds(0.018), seconds(0.4))
 
 
+def test_updates_leave_most_of_a_link_to_requests():
+    assert update_rate(10.0) == 0.25 * 10e6 / 8
+    assert update_rate(0.0) == 0.0
+
+
 class Log:
     def write(self, event, **fields):
         return None
