--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -55,6 +55,12 @@
     assert cfg.duties.reports_usage and cfg.duties.orders_servers
 
 
+def test_the_bandwidth_of_the_machines_link_is_read(tmp_path):
+    path = settings_file(tmp_path, lambda text: text + "\nlimits.bandwidth_mbps=10.0\n")
+    cfg, findings = read_settings(path, metrics_port=0)
+    assert not list(findings) and cfg.link_mbps == 10.0
+
+
 def test_all_findings_of_settings_are_reported_with_their_lines(tmp_path):
     def corrupt(text):
         text = text.replace("bounds.grace_s=8", "bounds.grace_s=long")
