--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -16,7 +16,15 @@
 from cicadapond.peer._pacing import PacedSender
 from cicadapond.peer._settings import PeerSettings
 from cicadapond.peer._transport import Link, Transport
-from cicadapond.peer._wire import MAX_MESSAGE_BYTES, Hello, Query, Update, decode, encode
+from cicadapond.peer._wire import (
+    MAX_MESSAGE_BYTES,
+    Hello,
+    Query,
+    Update,
+    decode,
+    encode,
+    encode_bounded,
+)
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=250)
 URGENT_DELAY = datetime.timedelta(milliseconds=20)
@@ -258,11 +266,11 @@
             if isinstance(output, Redial):
                 self._disconnect(self._outbound_by_name.get(output.name))
                 continue
-            body = encode(output.message)
+            encoded = encode_bounded(output.message)
             if isinstance(output.message, Update):
-                update_bytes += len(body) * len(output.names)
+                update_bytes += sum(map(len, encoded)) * len(output.names)
             for name in output.names:
-                bodies.setdefault(name, []).append(body)
+                bodies.setdefault(name, []).extend(encoded)
         for name, frames in bodies.items():
             out = self._outbound_by_name.get(name)
             if out is not None and out.link is not None:
@@ -455,7 +463,7 @@
     def _handle_message(self, link, name, message, now):
         replies = self._membership.receive(name, message, now)
         if replies:
-            self._send(link, [encode(reply) for reply in replies])
+            self._send(link, [body for reply in replies for body in encode_bounded(reply)])
         membership = self._membership
         if membership.changed or membership.urgent:
             self._schedule_flush()
--- a/cicadapond/peer/_wire.py
+++ b/cicadapond/peer/_wire.py
@@ -149,6 +149,37 @@
 _STATES = frozenset(("alive", "suspect", "left", "dead"))
 
 
+def encode_bounded(message) -> list[bytes]:
+    """Returns a message as bytes of at most `MAX_MESSAGE_BYTES`, an update as several if need be.
+
+    A single item that is larger is returned as it is.
+    """
+    body = encode(message)
+    halves = _halves(message) if len(body) > MAX_MESSAGE_BYTES else None
+    if halves is None:
+        return [body]
+    return [each for half in halves for each in encode_bounded(half)]
+
+
+def _halves(message):
+    """Returns the two halves of an update, in order; None if it cannot be split."""
+    match message:
+        case Update(members=[], changes=[change]) if len(change.items) > 1:
+            middle = len(change.items) // 2
+            first, second = change.items[:middle], change.items[middle:]
+            between = first[-1][2]  # the version of the last item
+            return (
+                Update([], [attrs.evolve(change, items=first, top=between)]),
+                Update([], [attrs.evolve(change, items=second, base=between)]),
+            )
+        case Update(members=members, changes=changes) if len(changes) > 1:
+            middle = len(changes) // 2
+            return Update(members, changes[:middle]), Update([], changes[middle:])
+        case Update(members=[_, *_] as members, changes=[_] as changes):
+            return Update(members, []), Update([], changes)
+    return None
+
+
 def encode(message) -> bytes:
     """Returns a message as bytes."""
     match message:
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -214,3 +214,19 @@
         name == "ywg-0" or world.digest(name, "ywg-0").copies == copies for name in world.names
     )
     await world.tasks.stop()
+
+
+@virtual
+async def test_a_summary_of_many_large_items_reaches_all():
+    """Guards against wrong usage: a message above the limit was dropped, again and again."""
+    world = World(6)
+    world.start(**SETTINGS)
+    await world.sleep(8)
+    summary = {f"c {number}": [number, ["x" * 40] * 50] for number in range(60)} | {"u 1": {"a": 7}}
+    world.peers["ywg-0"].publish(Digest(summary=summary))
+    await world.sleep(5)
+    assert all(
+        name == "ywg-0" or world.digest(name, "ywg-0").summary == summary for name in world.names
+    )
+    assert world.metrics.counter("peer_messages_too_long") == 0
+    await world.tasks.stop()
--- a/cicadapond/peer/wire_test.py
+++ b/cicadapond/peer/wire_test.py
@@ -19,6 +19,7 @@
 )
 from cicadapond.peer._documents import DigestWriter, Document, read_digest
 from cicadapond.peer._wire import (
+    MAX_MESSAGE_BYTES,
     Ack,
     Change,
     Heartbeat,
@@ -29,6 +30,7 @@
     Update,
     decode,
     encode,
+    encode_bounded,
 )
 
 ME = Identity("a", "yqr", "entry", "10.0.0.1", 7000, 5, "alive")
@@ -130,3 +132,23 @@
     server.close()
     await server.wait_closed()
     return Endpoint("127.0.0.1", port)
+
+
+@given(sizes=st.lists(st.integers(0, 30_000), min_size=1, max_size=30), split=st.integers(0, 30))
+@settings(deadline=None, max_examples=30)
+def test_a_large_update_is_sent_in_parts_that_bring_a_copy_up_to_date(sizes, split):
+    source, copy = Document(), Document()
+    for number, size in enumerate(sizes):
+        source.put(15, f"c {number}", "x" * size)
+    items = source.since(0)
+    parts = (items[:split], items[split:]) if 0 < split < len(items) else (items,)
+    changes, base = [], 0
+    for part in parts:
+        changes.append(Change("m", 1, True, 0, base, part[-1][2], part))
+        base = part[-1][2]
+    bodies = encode_bounded(Update([], changes))
+    assert all(len(body) <= MAX_MESSAGE_BYTES for body in bodies)
+    for body in bodies:
+        for change in decode(body).changes:
+            copy.apply(change.floor, change.base, change.top, change.items)
+    assert copy.version == source.version and copy.values == source.values
