--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -51,6 +51,8 @@
         self.state = MemberState.ALIVE
         # Whether updates wait, as this process has sent as much as it may.
         self.holds_updates = False
+        # Whether all updates wait, as what was to be sent before has not left yet.
+        self.is_congested = False
         self._rng = rng
         self._metrics = metrics
         self._writer = writer
@@ -164,6 +166,8 @@
 
         This process's own local document goes only to the hubs, if there are any.
         """
+        if self.is_congested:
+            return 0
         links = self._local_links()
         own = (self.cfg.name, False)
         if not self.cfg.hubs or self.holds_updates or own not in self._local_pending.documents:
@@ -177,6 +181,8 @@
 
     def _flush(self, pending, names) -> int:
         """Sends the pending updates; returns the number of items in them."""
+        if self.is_congested:
+            return 0
         names = tuple(names)
         member_names, taken = pending.take(self.holds_updates)
         members = [self._identity_of(name) for name in member_names if self._identity_of(name)]
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -153,6 +153,8 @@
         return self._local_pending.urgent or self._wide_pending.urgent
 
     def _is_due(self, pending):
+        if self.is_congested:
+            return False
         return pending.urgent and (not self.holds_updates or pending.has_prompt())
 
     # Connections
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -30,6 +30,7 @@
 URGENT_DELAY = datetime.timedelta(milliseconds=20)
 # Updates are held for no longer than this, whatever was sent before.
 MAX_UPDATE_PAUSE = datetime.timedelta(seconds=1)
+CONGESTION_POLL = datetime.timedelta(milliseconds=50)
 # What is not held may take this multiple of the rate of updates for a while.
 PACE_FACTOR = 2.0
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=200)
@@ -211,7 +212,7 @@
         await self._clock.sleep(TICK_INTERVAL * self._rng.random())
         while True:
             now = self._clock.monotonic()
-            self._membership.holds_updates = now < self._updates_due
+            self._limit_updates(now)
             self._membership.tick(now)
             self._flush_outputs()
             self._reconcile()
@@ -259,7 +260,7 @@
             self._flush_timer.cancel()
             self._flush_timer = None
         now = self._clock.monotonic()
-        self._membership.holds_updates = now < self._updates_due
+        self._limit_updates(now)
         update_bytes = 0
         bodies: dict[str, list[bytes]] = {}
         for output in self._membership.outputs():
@@ -278,6 +279,10 @@
         self._hold_updates(update_bytes, now)
         self._notify()
 
+    def _limit_updates(self, now):
+        self._membership.holds_updates = now < self._updates_due
+        self._membership.is_congested = self._sender.is_behind
+
     def _hold_updates(self, sent_bytes, now):
         """Holds further updates for as long as those just sent take of the permitted rate."""
         if self.cfg.update_rate and sent_bytes:
@@ -285,7 +290,8 @@
             due = max(now, self._updates_due) + pause
             self._updates_due = min(due, now + MAX_UPDATE_PAUSE)
         if self._membership.urgent and self._hold_timer is None and not self._closed:
-            delay = max(URGENT_DELAY, self._updates_due - now)
+            waits = CONGESTION_POLL if self._sender.is_behind else self._updates_due - now
+            delay = max(URGENT_DELAY, waits)
             self._metrics.count("peer_updates_held")
             loop = asyncio.get_running_loop()
             self._hold_timer = loop.call_later(delay.total_seconds(), self._send_held)
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -230,3 +230,20 @@
     )
     assert world.metrics.counter("peer_messages_too_long") == 0
     await world.tasks.stop()
+
+
+@virtual
+async def test_copies_that_change_faster_than_a_link_carries_them_stay_current():
+    """Guards against DRAIN: what waited to be sent grew, and with it the age of the copies."""
+    world = World(20)
+    world.start(**SETTINGS, update_rate=100_000.0)
+    await world.sleep(8)
+    for number in range(140):
+        copies = {"servers": [number, 0, 0, [["s", number, b"x" * 4_000]]]}
+        world.peers["ywg-0"].publish(Digest(copies=copies))
+        await world.sleep(0.07)
+    await world.sleep(1.5)
+    assert all(
+        name == "ywg-0" or world.digest(name, "ywg-0").copies == copies for name in world.names
+    )
+    await world.tasks.stop()
