--- a/cicadapond/platform/unreadable_test.py
+++ b/cicadapond/platform/unreadable_test.py
@@ -76,24 +76,6 @@
     assert entry is None and findings
 
 
-def test_numbers_beyond_any_use_in_the_configuration_are_findings():
-    fleet = Fleet(FleetSettings(max_event_gap_ms=100), None)
-    written = {}
-    fleet.store.put = lambda table, key, value: written.update(value)
-    fleet.configure()
-    for path in list(fields_of(written)):
-        for value in (10**400, 8e16, float("nan"), "a\ud800"):
-            changed = json.loads(json.dumps(written))
-            holder = changed
-            for key in path[:-1]:
-                holder = holder[key]
-            holder[path[-1]] = value
-            cfg, findings = decode_configuration(json.dumps(changed).encode())
-            assert (cfg is None) == bool(findings), (path, value)
-            if cfg is not None:
-                json.dumps(attrs.asdict(cfg), default=str).encode()
-
-
 def fields_of(value, path=()):
     """Returns the paths of all values in decoded JSON."""
     inner = value.items() if isinstance(value, dict) else enumerate(value)
@@ -103,20 +85,36 @@
             yield from fields_of(each, (*path, key))
 
 
-def test_a_configuration_with_any_one_value_replaced_is_decoded_or_a_finding():
+def configurations(values):
+    """Returns configurations with any one value replaced, with the path and the new value."""
     fleet = Fleet(FleetSettings(max_event_gap_ms=100), None)
     written = {}
     fleet.store.put = lambda table, key, value: written.update(value)
     fleet.configure()
     for path in list(fields_of(written)):
-        for value in (None, HUGE, -1, float("inf"), "x", [], {}, [None], True):
+        for value in values:
             changed = json.loads(json.dumps(written))
             holder = changed
             for key in path[:-1]:
                 holder = holder[key]
             holder[path[-1]] = value
-            cfg, findings = decode_configuration(json.dumps(changed).encode())
-            assert (cfg is None) == bool(findings), (path, value)
+            yield path, value, json.dumps(changed).encode()
+
+
+def test_a_configuration_with_any_one_value_replaced_is_decoded_or_a_finding():
+    for path, value, raw in configurations(
+        (None, HUGE, -1, float("inf"), "x", [], {}, [None], True)
+    ):
+        cfg, findings = decode_configuration(raw)
+        assert (cfg is None) == bool(findings), (path, value)
+
+
+def test_a_configuration_with_a_value_beyond_any_use_is_decoded_or_a_finding():
+    for path, value, raw in configurations((10**400, 8e16, float("nan"), "a\ud800")):
+        cfg, findings = decode_configuration(raw)
+        assert (cfg is None) == bool(findings), (path, value)
+        if cfg is not None:
+            json.dumps(attrs.asdict(cfg), default=str).encode()
 
 
 @given(
