--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -195,7 +195,7 @@
     async def report_last(self) -> None:
         """Reports what this process has done since its last report."""
         if self._peer is not None:
-            self._peer.publish(self._digest())
+            self._peer.publish(self._digest(), at_once=True)
             await self._clock.sleep(FINAL_REPORT_DELAY)
 
     async def leave(self) -> None:
--- a/cicadapond/peer/_api.py
+++ b/cicadapond/peer/_api.py
@@ -87,11 +87,15 @@
         """Returns all known members except this process, dead ones until they are forgotten."""
 
     @abc.abstractmethod
-    def publish(self, digest: Digest) -> None:
+    def publish(self, digest: Digest, at_once: bool = False) -> None:
         """Replaces this process's own digest.
 
         Changes in urgent sections reach the live members concerned in under 2 s, others at their
         intervals.
+
+        Args:
+          digest: The digest.
+          at_once: Whether to send all changes now, whatever was sent before, as the last ones.
         """
 
     @abc.abstractmethod
@@ -145,7 +149,7 @@
     def members(self):
         return ()
 
-    def publish(self, digest):
+    def publish(self, digest, at_once=False):
         return None
 
     def subscribe(self, listener):
--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -102,11 +102,14 @@
             return ()
         return tuple(record.member() for record in self._membership.records.values())
 
-    def publish(self, digest):
+    def publish(self, digest, at_once=False):
         self._digest = digest
         if self._membership is not None:
             self._membership.publish(digest, self._clock.monotonic())
-            self._schedule_flush()
+            if at_once:
+                self._flush_outputs(at_once=True)
+            else:
+                self._schedule_flush()
 
     def subscribe(self, listener):
         self._listeners.append(listener)
@@ -224,7 +227,7 @@
         if self._membership is None:
             return
         self._membership.leave()
-        self._flush_outputs()
+        self._flush_outputs(at_once=True)
         await self._clock.sleep(2 * URGENT_DELAY)
 
     async def close(self):
@@ -255,12 +258,13 @@
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(URGENT_DELAY.total_seconds(), self._flush_outputs)
 
-    def _flush_outputs(self):
+    def _flush_outputs(self, at_once=False):
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush_timer = None
         now = self._clock.monotonic()
-        self._limit_updates(now)
+        self._limit_updates(now, at_once)
+        send = _send_now if at_once else self._sender.send
         update_bytes = 0
         bodies: dict[str, list[bytes]] = {}
         for output in self._membership.outputs():
@@ -275,13 +279,13 @@
         for name, frames in bodies.items():
             out = self._outbound_by_name.get(name)
             if out is not None and out.link is not None:
-                self._send(out.link, frames, self._sender.send)
+                self._send(out.link, frames, send)
         self._hold_updates(update_bytes, now)
         self._notify()
 
-    def _limit_updates(self, now):
-        self._membership.holds_updates = now < self._updates_due
-        self._membership.is_congested = self._sender.is_behind
+    def _limit_updates(self, now, at_once=False):
+        self._membership.holds_updates = not at_once and now < self._updates_due
+        self._membership.is_congested = not at_once and self._sender.is_behind
 
     def _hold_updates(self, sent_bytes, now):
         """Holds further updates for as long as those just sent take of the permitted rate."""
@@ -300,15 +304,11 @@
         self._hold_timer = None
         self._flush_outputs()
 
-    def _send(self, link, bodies, send=None):
+    def _send(self, link, bodies, send):
         for body in bodies:
             if len(body) > MAX_MESSAGE_BYTES:
                 self._metrics.count("peer_messages_too_long")
-        fitting = [body for body in bodies if len(body) <= MAX_MESSAGE_BYTES]
-        if send is not None:
-            send(link, fitting)
-        else:
-            link.send(fitting)
+        send(link, [body for body in bodies if len(body) <= MAX_MESSAGE_BYTES])
 
     def _notify(self):
         changed, self._membership.changed = self._membership.changed, {}
@@ -469,7 +469,12 @@
     def _handle_message(self, link, name, message, now):
         replies = self._membership.receive(name, message, now)
         if replies:
-            self._send(link, [body for reply in replies for body in encode_bounded(reply)])
+            bodies = [body for reply in replies for body in encode_bounded(reply)]
+            self._send(link, bodies, _send_now)
         membership = self._membership
         if membership.changed or membership.urgent:
             self._schedule_flush()
+
+
+def _send_now(link, bodies):
+    link.send(bodies)
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -247,3 +247,22 @@
         name == "ywg-0" or world.digest(name, "ywg-0").copies == copies for name in world.names
     )
     await world.tasks.stop()
+
+
+@virtual
+async def test_the_last_report_of_a_hub_is_not_held():
+    """Guards against wrong usage: a process ended before what it had held was sent."""
+    world = World(6)
+    world.start(**SETTINGS, update_rate=10_000.0)
+    await world.sleep(8)
+    (hub,) = hub_names(world, "yqr")[:1]
+    world.peers[hub].publish(Digest(summary={"u 1": {"a": "x" * 5_000}}))
+    await world.sleep(0.05)
+    last = {"u 1": {"a": 7}}
+    world.peers[hub].publish(Digest(summary=last), at_once=True)
+    await world.sleep(0.06)
+    assert all(name == hub or world.digest(name, hub).summary == last for name in world.names[:6])
+    await world.peers[hub].leave()
+    await world.sleep(0.05)
+    assert all(hub not in world.view(name) for name in world.names[:6] if name != hub)
+    await world.tasks.stop()
