--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,7 @@
 CONTACT_S = 3.0
 RESTARTS = 3
 # From the start of the process to the change of its settings.
-CHANGE_AFTER_S = 0.25
+CHANGE_AFTER_S = 0.15
 GRACE_S = 8.0
 READY_LIMIT_S = 10.0
 POST_GAP_S, POST_LIMIT_S = 0.2, 3.0
--- a/review/harness.py
+++ b/review/harness.py
@@ -220,6 +220,13 @@
     return gateway, answer, took
 
 
+async def _run(case, record):
+    """Runs a case; SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await case(record)
+
+
 def main(case, directory: pathlib.Path) -> None:
     """Runs a case and exits with its result.
 
@@ -229,8 +236,8 @@
     """
     record = Record(directory)
     try:
-        is_broken = asyncio.run(case(record))
-    except Exception as exc:
+        is_broken = asyncio.run(_run(case, record))
+    except (Exception, asyncio.CancelledError) as exc:
         record.write(f"the case could not run: {exc!r}")
         print(f"the case could not run: {exc!r}")
         sys.exit(NOT_RUN)
