--- a/cicadapond/gateway/_duties.py
+++ b/cicadapond/gateway/_duties.py
@@ -161,6 +161,7 @@
             counts=stored,
             counts_from="stored" if self._has_stored else "found",
             fencing=grant.fencing,
+            era=self._era,
             outcome=type(outcome).__name__,
         )
         return isinstance(outcome, Ok | Declined)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -504,5 +504,8 @@
                     "lease_held" if held else "lease_lost",
                     lease=LEASE_NAME,
                     fencing=held.fencing if held else None,
+                    era=self._adapters.tables.era(),
+                    holder=self._lease.lease.holder(),
+                    instance=self._lease.lease.instance(),
                 )
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -116,6 +116,11 @@
         value = self._value()
         return value.get("holder") if value else None
 
+    def instance(self) -> str | None:
+        """Returns the run of the process that held the lease at the last read of the row."""
+        value = self._value()
+        return value.get("instance") if value else None
+
     def era_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns for how long at least this process or a holder has known the present era."""
         return now - self._era_seen_at
