--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -10,6 +10,7 @@
 
 from cicadapond.containment import CrashEvidence, merge_evidence
 from cicadapond.data import Endpoint
+from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
 from cicadapond.gateway._copies import CopyExchange
 from cicadapond.gateway._digest_pace import digest_intervals, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
@@ -28,7 +29,6 @@
     PeerSettings,
     PeerTask,
     TcpTransport,
-    rank,
     start_time_ms,
 )
 from cicadapond.provider import TableService
@@ -55,10 +55,6 @@
 SHARE_BEFORE_JOINING = 0.1
 # The members are counted anew at this interval, as every request needs their number.
 MEMBERSHIP_CACHE_TIME = datetime.timedelta(milliseconds=200)
-# How often the candidates for a duty check whether they can take it over, by their rank.  They are
-# ordered by rendezvous hash, one of each data centre first.
-CANDIDATE_POLL_INTERVALS = tuple(datetime.timedelta(seconds=each) for each in (1, 2, 4, 6, 8))
-IDLE_POLL_INTERVAL = datetime.timedelta(seconds=60)
 
 
 @attrs.frozen
@@ -241,12 +237,7 @@
 
     def quota_share(self) -> float:
         """Returns the share of quotas available to this process and those heard from lately."""
-        now = self._clock.monotonic()
-        heard = sum(
-            summary.report.processes
-            for summary in self._summaries.values()
-            if now - summary.received_at <= SILENCE_THRESHOLD
-        )
+        heard = sum(report.processes for report in self._recent_summaries())
         if self._cfg.is_first_start and not self.has_settled():
             return 1.0  # nobody has spent anything yet
         if self._joined_at is None:
@@ -255,12 +246,24 @@
 
     def without_rollouts(self) -> int:
         """Returns how many processes heard from lately do not take part in rollouts."""
-        now = self._clock.monotonic()
         return sum(
-            max(0, summary.report.processes - summary.report.participants)
+            max(0, report.processes - report.participants) for report in self._recent_summaries()
+        )
+
+    def _restore_followers(self):
+        """Returns how many processes heard from lately follow restores; None if all of them do."""
+        reports = self._recent_summaries()
+        if all(report.restore_followers >= report.processes for report in reports):
+            return None
+        return sum(report.restore_followers for report in reports)
+
+    def _recent_summaries(self):
+        now = self._clock.monotonic()
+        return [
+            summary.report
             for summary in self._summaries.values()
             if now - summary.received_at <= SILENCE_THRESHOLD
-        )
+        ]
 
     def relay_peers(self, service: str) -> tuple[RelayPeer, ...]:
         """Returns the live processes that do not say that a service is out of their reach."""
@@ -314,16 +317,8 @@
         """Returns how often this process checks whether it can take over a duty."""
         if not self.has_settled():
             return IDLE_POLL_INTERVAL
-        first, others = [], []
-        by_zone = self.live_by_zone()
-        for zone in rank(duty, by_zone):
-            ranked = rank(duty, by_zone[zone])
-            first.append(ranked[0])
-            others += ranked[1:]
-        candidates = (first + others)[: len(CANDIDATE_POLL_INTERVALS)]
-        if self._cfg.name not in candidates:
-            return IDLE_POLL_INTERVAL
-        return CANDIDATE_POLL_INTERVALS[candidates.index(self._cfg.name)]
+        followers = self._restore_followers()
+        return poll_interval(duty, self._cfg.name, self.live_by_zone(), followers)
 
     def merge_own_usage(self) -> None:
         """Adds this process's own counts where no hub tells those of its data centre."""
--- a/cicadapond/gateway/_own_report.py
+++ b/cicadapond/gateway/_own_report.py
@@ -37,5 +37,6 @@
         held=held,
         shared_parts=shared_parts,
         participants=int(parts.rollouts.takes_part),
+        restore_followers=1,
         stored_usage=parts.stored_usage.own(),
     )
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -47,6 +47,8 @@
       configuration: The lowest version of the configuration in force.
       processes: How many processes it covers.
       participants: How many of them take part in rollouts; builds up to 7419c1c do not say so.
+      restore_followers: How many of them keep the lease from builds that do not follow restores of
+        the store; builds up to 9175507 do not say so.
       lineage: Identifies the succession of hubs whose counts of usage continue each other, "" in
         the report of a process.
       spending: Units of quota spent, by window and client account.
@@ -83,6 +85,7 @@
     held: typing.Mapping[str, HeldParts] = attrs.field(factory=dict)
     shared_parts: typing.Mapping[int, bytes] = attrs.field(factory=dict)
     participants: int = 0
+    restore_followers: int = 0
     stored_usage: Windows = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
@@ -113,6 +116,8 @@
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
         if self.participants:
             items["q"] = self.participants
+        if self.restore_followers:
+            items["f"] = self.restore_followers
         items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
         for engine, held in self.held.items():
             items[f"h {engine}"] = [held.born, len(held.buckets)]
@@ -129,7 +134,7 @@
     if "" not in items:
         return None
     fields = {kind: {} for kind in "suwxdeaockrvhbp"}
-    participants = 0
+    participants = restore_followers = 0
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -159,6 +164,8 @@
                     fields[kind][name] = tuple(map(str, value))
                 case "q":
                     participants = int(value)
+                case "f":
+                    restore_followers = int(value)
                 case "v":
                     fields[kind][name] = tuple(map(int, value))
                 case "h":
@@ -187,6 +194,7 @@
             held=_read_held(fields["h"], fields["b"]),
             shared_parts=fields["p"],
             participants=participants,
+            restore_followers=restore_followers,
             stored_usage=fields["w"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
@@ -340,12 +348,13 @@
         stored = StoredCounts()
         for run in self._runs.values():
             stored.merge(run.report.stored_usage)
+        heard = [run.report for run in counted if now - run.heard <= self._silence]
         ended = {name for name, run in self._runs.items() if run.ended}
         departed = (self._usage.sources() - self._runs.keys()) | ended
         return Report(
             self._sequence,
             min((run.report.configuration for run in counted), default=0),
-            sum(now - run.heard <= self._silence for run in counted),
+            len(heard),
             self._lineage,
             spending=self._spending.totals(),
             usage=usage.totals(),
@@ -366,9 +375,8 @@
             rollouts=self._rollouts.sums(now),
             held=_latest_held(counted),
             shared_parts=merge_groups(run.report.shared_parts for run in counted),
-            participants=sum(
-                run.report.participants for run in counted if now - run.heard <= self._silence
-            ),
+            participants=sum(report.participants for report in heard),
+            restore_followers=sum(report.restore_followers for report in heard),
             stored_usage=stored.counts(),
         )
 
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -10,6 +10,11 @@
 nobody the lease.  Only a process with a valid grant knows that no later holder was there, as
 everybody else waits a full term after first seeing the row in the new era; it writes its own row
 again.
+
+Builds without `lapse_ms` in their rows, called earlier builds here, do not all follow restores.
+They forget what the lost part held, so the others keep the lease from them: they take it as soon as
+they see it held by one, wait longer before it passes to one, and give out numbers far apart, so
+that one which such a build counts on from a lost row is lower than the last one in use.
 """
 
 import datetime
@@ -25,6 +30,10 @@
 # The fencing numbers that are given out in an era start at this multiple of it, above all that may
 # have been given out and lost before.
 FENCING_PER_ERA = 2**24
+# Fencing numbers are multiples of this; earlier builds add one to the number of the row they read.
+FENCING_STEP = 2**10
+# An earlier build takes the lease this many terms after its last renewal, later than all others.
+EARLIER_BUILD_TERMS = 4
 _SECOND = datetime.timedelta(seconds=1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
@@ -67,15 +76,19 @@
         numbers.  If the lease was taken after a full term, it is `order_limit` after the write, so
         that the previous holder's last order is no longer in transit; for a released or new lease,
         it is the time of the write.
+      start: The first monotonic instant for any order; a term after the write if the lease was
+        taken from an earlier build, whose grant has ended by then.
     """
 
     fencing: int
     end: datetime.timedelta
     unfenced_from: datetime.timedelta
+    start: datetime.timedelta = datetime.timedelta()
 
     def may_order(self, now: datetime.timedelta, checks_fencing: bool) -> bool:
         """Returns whether an order may be started now; to be checked right before each order."""
-        return now < self.end and (checks_fencing or now >= self.unfenced_from)
+        start = self.start if checks_fencing else max(self.start, self.unfenced_from)
+        return start <= now < self.end
 
 
 class LeaseState:
@@ -105,6 +118,7 @@
         self._held: dict | None = None
         self._held_since = datetime.timedelta()
         self._unfenced_from = datetime.timedelta()
+        self._acts_from = datetime.timedelta()
 
     @property
     def key(self) -> tuple[str, str]:
@@ -121,6 +135,11 @@
         value = self._value()
         return value.get("instance") if value else None
 
+    def is_held_by_earlier_build(self) -> bool:
+        """Returns whether the row that was read last is of a build that may not follow restores."""
+        value = self._value()
+        return value is not None and "lapse_ms" not in value
+
     def era_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns for how long at least this process or a holder has known the present era."""
         return now - self._era_seen_at
@@ -129,7 +148,8 @@
         """Returns the current grant, None if there is none or it has ended."""
         if self._held_until is None or now >= self._held_until:
             return None
-        return Grant(self._held["fencing"], self._held_until, self._unfenced_from)
+        held = self._held["fencing"]
+        return Grant(held, self._held_until, self._unfenced_from, self._acts_from)
 
     def observe(self, row: Row, now: datetime.timedelta, service_era: int = 0) -> None:
         """Updates the state from a read of the row.
@@ -194,13 +214,17 @@
             # A released lease can be taken at once, except by a recent holder, which waits until
             # its own earlier orders are a full term old: otherwise its old and new orders would
             # enclose those of the holders in between.
-            if value.get("released") and not self._held_recently(value):
+            if _is_released(value) and not self._held_recently(value):
                 return self._write(self._next_fencing(), now, 0, self._recent_before(value))
-        if now - self._version_seen_at <= self._term():
-            return None
         recent = None if self._is_restored() else self._recent_before(value)
-        unfenced_wait_ms = self.cfg.order_limit // _MILLISECOND
-        return self._write(self._next_fencing(), now, unfenced_wait_ms, recent)
+        if now - self._version_seen_at > self._term():
+            unfenced_wait_ms = self.cfg.order_limit // _MILLISECOND
+            return self._write(self._next_fencing(), now, unfenced_wait_ms, recent)
+        if self._may_take_from_earlier_build(now):
+            # Its grant ends within a term, and what it has sent by then arrives within that term.
+            wait_ms = self._term() // _MILLISECOND
+            return self._write(self._next_fencing(), now, wait_ms, recent, wait_ms)
+        return None
 
     def write_applied(self, write: Write, version: int, now: datetime.timedelta) -> None:
         """Updates the state after a write from `next_write` has taken effect."""
@@ -224,7 +248,8 @@
         self.stop_acting()
         if not self._is_mine():
             return None
-        value = {**self._value(), "released": True}
+        # Earlier builds, which look for "released", wait until the lease has lapsed.
+        value = {**self._value(), "ended": True}
         return Write(*self.key, value, expected=self._row.version)
 
     def _value(self):
@@ -238,7 +263,17 @@
     def _is_mine(self):
         value = self._value()
         mine = value is not None and value["instance"] == self._instance
-        return mine and not value.get("released") and not self._is_restored()
+        return mine and not _is_released(value) and not self._is_restored()
+
+    def _may_take_from_earlier_build(self, now):
+        """Returns whether the lease can be taken although its holder renews it.
+
+        After a restore a later holder that follows restores may still have a grant, and writes its
+        row again by the end of it.
+        """
+        if not self.is_held_by_earlier_build() or _is_released(self._value()):
+            return False
+        return not self._is_restored() or now - self._era_seen_at > self._term()
 
     def _observe_era(self, era, now):
         if era != self._era:
@@ -254,17 +289,19 @@
         value = self._value()
         if value is None:
             return self.cfg.term
-        term = value["term_ms"] * _MILLISECOND
+        term = value.get("lapse_ms", value["term_ms"]) * _MILLISECOND
         return max(term, self.cfg.term) if self._is_restored() else term
 
     def _next_fencing(self):
-        return max(self._highest_fencing + 1, self._era * FENCING_PER_ERA)
+        above = (self._highest_fencing // FENCING_STEP + 1) * FENCING_STEP
+        return max(above, self._era * FENCING_PER_ERA)
 
     def _renewal(self, value, now):
         recent = [] if now - self._held_since > self.cfg.term else value.get("recent")
-        return self._write(value["fencing"], now, value["waited_ms"], recent)
+        quiet_ms = value.get("quiet_ms", 0)
+        return self._write(value["fencing"], now, value["waited_ms"], recent, quiet_ms)
 
-    def _write(self, fencing, now, unfenced_wait_ms, recent):
+    def _write(self, fencing, now, unfenced_wait_ms, recent, quiet_ms=0):
         self._write_count += 1
         token = f"{self._instance}/{self._write_count}"
         self._sent_at[token] = now
@@ -275,9 +312,12 @@
             "instance": self._instance,
             "token": token,
             "fencing": fencing,
-            "term_ms": self.cfg.term // _MILLISECOND,
+            "term_ms": EARLIER_BUILD_TERMS * self.cfg.term // _MILLISECOND,
+            "lapse_ms": self.cfg.term // _MILLISECOND,
             "waited_ms": unfenced_wait_ms,
         }
+        if quiet_ms:
+            value["quiet_ms"] = quiet_ms
         if recent is not None:
             value["recent"] = recent
         if self._era:
@@ -300,7 +340,12 @@
     def _extend(self, sent_at, value):
         if self._held is None or self._held["fencing"] != value["fencing"]:
             self._unfenced_from = sent_at + value["waited_ms"] * _MILLISECOND
-            self._held_since = sent_at
+            self._acts_from = sent_at + value.get("quiet_ms", 0) * _MILLISECOND
+            self._held_since = self._acts_from
         self._held = value
         end = sent_at + self.cfg.term - self.cfg.margin
         self._held_until = max(self._held_until or end, end)
+
+
+def _is_released(value):
+    return bool(value.get("ended") or value.get("released"))
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -109,6 +109,7 @@
         return {
             "name": self.lease.name,
             "holder": self.lease.holder(),
+            "earlier_build": self.lease.is_held_by_earlier_build(),
             "held_here": grant is not None,
             "fencing": grant.fencing if grant else None,
             "left": grant.end - self._clock.monotonic() if grant else None,
@@ -158,6 +159,8 @@
         if self.grant() is not None:
             return self._cfg.renewal if self._has_written else RENEWAL_RETRY_INTERVAL
         interval = self._challenge_interval()
+        if self.lease.is_held_by_earlier_build():
+            interval = min(interval, self._cfg.renewal)
         lapses_at = self.lease.lapses_at()
         if lapses_at is None:
             return interval
