--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -4,6 +4,8 @@
 while several software versions run side by side.
 """
 
+import asyncio
+import contextlib
 import datetime
 import zlib
 
@@ -97,18 +99,27 @@
         parts = self._parts
         begun = parts.clock.monotonic()
         while True:
-            self.version = self._known_version(first_request_id)
+            self.version = parts.origins.find(first_request_id) if first_request_id else None
+            only = self._only_version() if self.version is None else None
+            if only is not None and parts.registry.knows_all_versions(begun):
+                self.version = only
             if self.version is not None:
                 return True
-            if parts.clock.monotonic() - begun >= MAX_ORIGIN_WAIT:
+            left = begun + MAX_ORIGIN_WAIT - parts.clock.monotonic()
+            if left <= datetime.timedelta():
                 return False
-            await parts.clock.sleep(ORIGIN_POLL_INTERVAL)
-
-    def _known_version(self, first_request_id):
+            if only is not None:
+                # The stream may have begun at a version that is not known here yet.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(left.total_seconds()):
+                        await parts.refresh_servers()
+                if parts.registry.knows_all_versions(begun):
+                    continue
+            await parts.clock.sleep(min(left, ORIGIN_POLL_INTERVAL))
+
+    def _only_version(self):
+        """Returns the one version that was in service lately, as far as is known; else None."""
         parts = self._parts
-        found = parts.origins.find(first_request_id) if first_request_id is not None else None
-        if found is not None:
-            return found
         if parts.version_history is not None and not parts.version_history.is_loaded:
             return None
         versions = parts.software_versions(self._service)
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -7,6 +7,7 @@
 """
 
 import abc
+import asyncio
 import datetime
 import random
 
@@ -109,6 +110,16 @@
         self._answered_at: datetime.timedelta | None = None
         self._current_as_of: datetime.timedelta | None = None
         self._used_shared_copy = False
+        self._refresh: asyncio.Future[None] | None = None
+
+    async def refresh(self) -> None:
+        """Reads the changes up to now, beside a call that waits for some.
+
+        Those who ask while a call is in progress share it.  Failures are counted as a metric.
+        """
+        if self._refresh is None or self._refresh.done():
+            self._refresh = asyncio.ensure_future(self._read_changes())
+        await asyncio.shield(self._refresh)
 
     async def run(self):
         self._version = None  # after an unexpected error, changes may be missing
@@ -134,6 +145,16 @@
             case _:
                 await self._back_off(outcome)
 
+    async def _read_changes(self):
+        version, called_at = self._version, self._clock.monotonic()
+        if version is None or self._is_position_void():
+            return
+        outcome = await self._feed.changes(self._table, version, ZERO)
+        self._metrics.count("feed_refreshes", table=self._table, outcome=type(outcome).__name__)
+        is_continued = self._version is not None and era_of(self._version) == era_of(version)
+        if isinstance(outcome, Ok) and is_continued:
+            self._apply(outcome.value, called_at)
+
     async def _fetch(self, wait):
         if self._version is None:
             return await self._feed.snapshot(self._table)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -292,7 +292,8 @@
         if self._rollouts is not None:
             configuration = self._start_rollouts(configuration)
         self._follow(table, configuration)
-        self._follow(self._adapters.server_table, self._servers)
+        servers = self._follow(self._adapters.server_table, self._servers)
+        self.parts.refresh_servers = servers.refresh
         self._tasks.keep_running(self._cluster.run, "cluster")
         self._tasks.start(self._permits, restarts=True)
         self._tasks.keep_running(self._housekeep, "housekeeping")
@@ -389,20 +390,19 @@
         }
 
     def _follow(self, table, follower):
-        self._tasks.start(
-            FollowTask(
-                table,
-                self._adapters.feed,
-                follower,
-                feed_wait(self._cfg.bounds.max_revocation_delay),
-                self._clock,
-                self._log,
-                self._metrics,
-                self._cluster.copies,
-                self._rng,
-            ),
-            restarts=True,
+        task = FollowTask(
+            table,
+            self._adapters.feed,
+            follower,
+            feed_wait(self._cfg.bounds.max_revocation_delay),
+            self._clock,
+            self._log,
+            self._metrics,
+            self._cluster.copies,
+            self._rng,
         )
+        self._tasks.start(task, restarts=True)
+        return task
 
     def _start_rollouts(self, configuration):
         """Starts the rollouts; returns the follower of the operator's table, which has orders."""
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -29,20 +29,24 @@
     from cicadapond.gateway._residency import EngineWatch
 
 
+async def _refresh_nothing() -> None:
+    """Stands for a table that is not followed."""
+
+
 @attrs.define
 class Parts:
     """The components of one process.
 
     `processes` returns how many processes share limits, this one included; `quota_share` the
     share of quotas available to this process and those it has heard from lately; `check_server`
-    checks whether a server whose connection broke is down; `publish_soon` sends the other processes
-    this one's report (prefill totals, statements of servers, streams) as soon as the minimum digest
-    interval allows; `relay` leads to servers that this process does not reach, None if there are
-    no other processes; `evacuation` moves streams off leaving engines, None to move none; `queues`
-    are those in front of the engines; `engine_watch` follows which prompt parts the engines keep,
-    None to guess it; `stored_usage` are the counts of usage that lease holders have stored;
-    `version_history` tells which versions were in service before this process started, None if that
-    is not kept.
+    checks whether a server whose connection broke is down; `refresh_servers` reads the changes of
+    the server table up to now; `publish_soon` sends the other processes this one's report (prefill
+    totals, statements of servers, streams) as soon as the minimum digest interval allows; `relay`
+    leads to servers that this process does not reach, None if there are no other processes;
+    `evacuation` moves streams off leaving engines, None to move none; `queues` are those in front
+    of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
+    `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
+    which versions were in service before this process started, None if that is not kept.
     """
 
     cfg: GatewaySettings
@@ -69,6 +73,7 @@
     processes: typing.Callable[[], int] = lambda: 1
     quota_share: typing.Callable[[], float] = lambda: 1.0
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
+    refresh_servers: typing.Callable[[], typing.Awaitable[None]] = _refresh_nothing
     publish_soon: typing.Callable[[], None] = lambda: None
     relay: Relay | None = None
     evacuation: StreamMoves | None = None
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -25,6 +25,8 @@
 MAX_STARTS = 4096
 # Streams that a server began before it went may be continued for this long.
 SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
+# A server is listed for longer than this, so that a table read anew after it shows each one.
+MIN_LISTED_TIME = datetime.timedelta(seconds=4)
 _NEVER = datetime.timedelta.min
 
 
@@ -68,6 +70,8 @@
         self._leaving_since: dict[str, datetime.timedelta] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
+        # Until when servers of which no entry was seen may have begun streams.
+        self._unseen_until = _NEVER
 
     def usable(self, service: str) -> list[ServerEntry]:
         """Returns the servers of a service that accept new requests."""
@@ -94,6 +98,16 @@
             if of_service == service and gone_at >= oldest
         }
 
+    def knows_all_versions(self, since: datetime.timedelta) -> bool:
+        """Returns whether `software_versions` has all versions that were listed before a time.
+
+        Args:
+          since: The monotonic time.
+        """
+        if self._current_as_of is None or self._current_as_of < since:
+            return False
+        return self._clock.monotonic() >= self._unseen_until
+
     def find(self, name: str) -> ServerEntry | None:
         """Returns a known server, also a leaving one, or None."""
         return self._entries.get(name)
@@ -155,7 +169,10 @@
           after_outage: Whether the store had an outage, during which the entry may have
             expired although the server still runs; the removal is delayed then.
         """
-        if not self._is_newer(name, version) or name not in self._entries:
+        if not self._is_newer(name, version):
+            return None
+        if name not in self._entries:
+            self._record_unseen()
             return None
         if after_outage:
             self._removal_due.setdefault(name, self._clock.monotonic() + RELIST_TIMEOUT)
@@ -172,6 +189,9 @@
         era = era_of(version)
         is_older_copy = self._era is not None and era > self._era
         self._era = era
+        read_at = self._current_as_of
+        if read_at is not None and self._clock.monotonic() - read_at > MIN_LISTED_TIME:
+            self._record_unseen()
         put = self._put_back if is_older_copy else self.put
         changes = [put(entry, at) for entry, at in entries.values()]
         for name in list(self._entries):
@@ -234,5 +254,9 @@
         while len(self._leaving_since) > MAX_STARTS:
             del self._leaving_since[next(iter(self._leaving_since))]
 
+    def _record_unseen(self):
+        """Records that servers may have been listed and removed between two reads of the table."""
+        self._unseen_until = self._clock.monotonic() + SOFTWARE_VERSION_RETENTION
+
     def _record_gone(self, entry):
         self._gone_versions[entry.service, entry.version] = self._clock.monotonic()
--- a/cicadapond/gateway/servers_test.py
+++ b/cicadapond/gateway/servers_test.py
@@ -3,7 +3,13 @@
 import attrs
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway._servers import RELIST_TIMEOUT, RETURNED_ENTRY_TIMEOUT, ServerRegistry
+from cicadapond.gateway._servers import (
+    MIN_LISTED_TIME,
+    RELIST_TIMEOUT,
+    RETURNED_ENTRY_TIMEOUT,
+    SOFTWARE_VERSION_RETENTION,
+    ServerRegistry,
+)
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.provider import version_in_era
@@ -85,3 +91,21 @@
     world.go_back(READY)
     assert world.usable() == ["e"]
     assert world.registry.find("e").born == RESTARTED.born
+
+
+def test_versions_are_not_all_known_while_unseen_servers_may_have_come_and_gone():
+    """Guards against streams of servers that were listed only while the table was not read."""
+    world = World(READY)
+    registry, clock = world.registry, world.clock
+    assert not registry.knows_all_versions(clock.monotonic())
+    registry.confirm_current(clock.monotonic())
+    assert registry.knows_all_versions(clock.monotonic())
+    registry.remove("never seen", 51, after_outage=False)
+    assert not registry.knows_all_versions(clock.monotonic())
+    clock.advance(SOFTWARE_VERSION_RETENTION)
+    registry.confirm_current(clock.monotonic())
+    assert registry.knows_all_versions(clock.monotonic())
+    clock.advance(2 * MIN_LISTED_TIME)
+    registry.replace({"e": (READY, 60)}, 60, after_outage=True)
+    registry.confirm_current(clock.monotonic())
+    assert not registry.knows_all_versions(clock.monotonic())
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -165,6 +165,31 @@
     run(check, tmp_path, {"a": "v1"})
 
 
+def test_a_process_that_is_behind_does_not_take_a_new_version_for_the_one_it_knows(tmp_path):
+    """Guards against reading an unknown origin as the only version in an outdated server table."""
+
+    async def check(system):
+        behind = system.nodes[1].parts
+        behind.registry.put = lambda entry, version: None
+        behind.registry.confirm_current = lambda since: None
+        behind.origins.apply = lambda zone, buckets: None
+        new = await system.fleet.add_server("z", "pool", version="v2", events=60)
+        new.event_interval_s = 0.05
+        system.engine("a").faults = [EngineFault.FULL] * 10
+        await system.until(lambda: system.listed_versions() == {"v1", "v2"})
+        first = system.caller(0)
+        await first.stream("s-1")
+        await system.until(lambda: new.ids() == ["s-1"])
+        system.engine("a").faults = []
+        await asyncio.sleep(0.4)
+        again = system.caller(1)
+        await again.stream("t-1", last_event_id="2", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.status == 503 and versions_of(system, "t-1") == []
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
 def test_a_stream_goes_on_while_its_accounts_quota_is_used_up(tmp_path):
     """Guards against streams that were never finished, as new requests had used the quota up."""
 
