--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -169,6 +169,11 @@
         }
         return CrashEvidence(dict(self._observed), successes)
 
+    def crashed_at(self, server: str) -> datetime.datetime | None:
+        """Returns when any process noticed first that a start of a server crashed, if one did."""
+        crash = self._known.get(server)
+        return crash.at if crash is not None else None
+
     def known_crashes(self) -> dict[str, Crash]:
         """Returns the crashes that any process observed, by start of a server."""
         self._expire()
--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -5,6 +5,7 @@
 
 from cicadapond.continuation._origins import (
     ORIGIN_RETENTION,
+    UNKNOWN_VERSION,
     Buckets,
     StreamOrigins,
     drop_old_buckets,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "ORIGIN_RETENTION",
+    "UNKNOWN_VERSION",
     "VERSIONS_REFRESH",
     "BucketRows",
     "Buckets",
--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -23,6 +23,12 @@
 # With 100,000 known streams, one lookup in 3 billion finds another stream.
 HASH_BYTES = 6
 
+# Told as the version of a stream if it is not sure which start of a server wrote it.  No server has
+# this version, so that processes of earlier builds send such a stream to none.
+UNKNOWN_VERSION = "\0"
+# A stream whose version is not sure is told so after this time, unless it becomes sure before.
+MAX_UNSURE_AGE = datetime.timedelta(seconds=4)
+
 # The hashes of streams, concatenated, by version and by the number of the bucket.
 Buckets = typing.Mapping[int, typing.Mapping[str, bytes]]
 
@@ -31,8 +37,14 @@
 class _Origin:
     version: str
     begun_at: datetime.timedelta
+    is_sure: typing.Callable[[], bool]
     is_due: bool = False
-    is_told: bool = False
+    is_broken: bool = False
+    is_complete: bool = False
+    told_version: str | None = None
+
+    def known_version(self) -> str:
+        return self.version if self.is_sure() else UNKNOWN_VERSION
 
 
 class StreamOrigins:
@@ -48,11 +60,20 @@
         self._told: dict[int, dict[str, bytes]] = {}
         self._received: dict[str, dict[int, dict[str, bytes]]] = {}
 
-    def begin(self, request_id: str, version: str) -> None:
-        """Records that a stream's first event has come from a server of a version."""
+    def begin(
+        self, request_id: str, version: str, is_sure: typing.Callable[[], bool] = lambda: True
+    ) -> None:
+        """Records that a stream's first event has come from a server of a version.
+
+        Args:
+          request_id: The id of the request.
+          version: The version.
+          is_sure: Returns whether it is, by what has become known, that of the server's start that
+            wrote the event.
+        """
         self._forget()
         if request_id not in self._own:
-            self._own[request_id] = _Origin(version, self._clock.monotonic())
+            self._own[request_id] = _Origin(version, self._clock.monotonic(), is_sure)
 
     def is_due(self, request_id: str) -> bool:
         """Returns, once for each stream, whether it has become time to tell of it."""
@@ -66,38 +87,44 @@
         """Records that a stream has come to its end, so that it need not be told any more."""
         origin = self._own.get(request_id)
         if origin is not None:
-            origin.is_told = True
+            origin.is_complete = True
 
     def break_off(self, request_id: str) -> None:
         """Records that a stream has broken off: its caller may take it up at once."""
         origin = self._own.get(request_id)
         if origin is not None:
-            origin.is_due = True
+            origin.is_due = origin.is_broken = True
 
     def find(self, request_id: str) -> str | None:
-        """Returns the version that began a stream, None if it is not known.
+        """Returns the version that began a stream, None if nothing is known of it.
 
         Args:
           request_id: The id of the request that brought the first event.
+
+        Returns:
+          `UNKNOWN_VERSION` if the stream is known, and it is not sure at which version it began.
         """
         origin = self._own.get(request_id)
         if origin is not None:
-            return origin.version
+            return origin.known_version()
         wanted = _hash(request_id)
-        for buckets in self._received.values():
-            for versions in buckets.values():
-                for version, hashes in versions.items():
-                    if _contains(hashes, wanted):
-                        return version
-        return None
+        found = {
+            version
+            for buckets in self._received.values()
+            for versions in buckets.values()
+            for version, hashes in versions.items()
+            if _contains(hashes, wanted)
+        }
+        return found.pop() if len(found) == 1 else UNKNOWN_VERSION if found else None
 
     def versions(self) -> set[str]:
-        """Returns the versions that began any stream that was told lately."""
+        """Returns the versions that began any stream that was told lately, as far as is known."""
         self._forget()
         own = {origin.version for origin in self._own.values()}
-        return own.union(
+        found = own.union(
             *(versions for buckets in self._received.values() for versions in buckets.values())
         )
+        return found - {UNKNOWN_VERSION}
 
     def reported(self) -> dict[int, dict[str, bytes]]:
         """Returns what the other processes should know of this one's streams."""
@@ -105,10 +132,11 @@
         now = self._clock.monotonic()
         bucket = self._bucket()
         for request_id, origin in self._own.items():
-            if not origin.is_told and (origin.is_due or now - origin.begun_at >= MIN_TOLD_AGE):
-                origin.is_told = origin.is_due = True
+            version = self._to_tell(origin, now - origin.begun_at)
+            if version is not None:
+                origin.is_due, origin.told_version = True, version
                 versions = self._told.setdefault(bucket, {})
-                versions[origin.version] = versions.get(origin.version, b"") + _hash(request_id)
+                versions[version] = versions.get(version, b"") + _hash(request_id)
         return {number: dict(versions) for number, versions in self._told.items()}
 
     def apply(self, zone: str, buckets: Buckets) -> None:
@@ -120,6 +148,18 @@
         self._forget()
         return self._received.get(source, {})
 
+    def _to_tell(self, origin, age):
+        """Returns the version to tell of a stream now, None for nothing new."""
+        if origin.is_complete or not (origin.is_due or age >= MIN_TOLD_AGE):
+            return None
+        if origin.told_version == UNKNOWN_VERSION:
+            return None
+        version = origin.known_version()
+        if version == UNKNOWN_VERSION and origin.told_version is None:
+            is_awaited = not origin.is_broken and age < MAX_UNSURE_AGE
+            return None if is_awaited else version
+        return version if version != origin.told_version else None
+
     def _bucket(self):
         return math.floor(self._clock.now().timestamp() / BUCKET.total_seconds())
 
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -9,6 +9,7 @@
 import datetime
 import zlib
 
+from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import ServerEntry
 
@@ -103,6 +104,8 @@
             only = self._only_version() if self.version is None else None
             if only is not None and parts.registry.knows_all_versions(begun):
                 self.version = only
+            if self.version == UNKNOWN_VERSION:
+                return False
             if self.version is not None:
                 return True
             left = begun + MAX_ORIGIN_WAIT - parts.clock.monotonic()
@@ -129,7 +132,13 @@
 
     def _usable(self):
         usable = self._parts.registry.usable(self._service)
-        usable = [entry for entry in usable if self.version in (None, entry.version)]
+        if self.version is not None:
+            now = self._parts.clock.now()
+            usable = [
+                entry
+                for entry in usable
+                if entry.version == self.version and self._parts.starts.is_version_sure(entry, now)
+            ]
         return self._parts.rollouts.without_stopped(usable)
 
     def _untried(self):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -41,6 +41,7 @@
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
@@ -207,6 +208,7 @@
         self._rollouts = self._make_rollouts(registry, placer)
         rollouts = self._rollouts or NoRollouts()
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
+        crashes = CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version)
         return Parts(
             cfg=cfg,
             clock=clock,
@@ -230,7 +232,8 @@
             ),
             quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
-            crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
+            crashes=crashes,
+            starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
             check_server=self._check_server,
@@ -446,6 +449,7 @@
             self.parts.crashes.record_server_up(entry.start)
             self._log.write("server_out_of_reach", server=entry.start)
         elif conn is None:
+            self.parts.starts.record_down(entry)
             suspects = self.parts.crashes.record_server_down(entry.start)
             self._log.write("server_down", server=entry.start, suspects=list(suspects))
             self.parts.publish_soon()
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -15,6 +15,7 @@
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._rollout_gate import NoRollouts, RolloutGate
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._stream_moves import StreamMoves
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
 from cicadapond.kernel import Clock, Metrics
@@ -68,6 +69,7 @@
     crashes: CrashTracker
     demand: DemandMeter
     links: ServerLinks
+    starts: ServerStarts
     rollouts: RolloutGate = attrs.field(factory=NoRollouts)
     stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -9,6 +9,7 @@
 import asyncio
 import datetime
 
+from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._caller import Reply
 from cicadapond.gateway._continuing import Continuing
 from cicadapond.gateway._evaluation import Evaluation
@@ -118,6 +119,8 @@
 
         If another process passed its beginning on, that process tells.
         """
-        if not self._state.reply.has_begun or self._state.servers.version is not None:
+        if not self._state.reply.has_begun:
             return True
+        if self._state.servers.version is not None:
+            return self._parts.origins.find(self._state.origin_id) != UNKNOWN_VERSION
         return await self._state.servers.find_version(self._state.origin_id)
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -70,6 +70,8 @@
         self._leaving_since: dict[str, datetime.timedelta] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
+        # The entry of the start that followed another one under the same name.
+        self._next_starts: dict[str, ServerEntry] = {}
         # Until when servers of which no entry was seen may have begun streams.
         self._unseen_until = _NEVER
 
@@ -104,9 +106,18 @@
         Args:
           since: The monotonic time.
         """
-        if self._current_as_of is None or self._current_as_of < since:
-            return False
-        return self._clock.monotonic() >= self._unseen_until
+        return self.is_current_as_of(since) and self._clock.monotonic() >= self._unseen_until
+
+    def is_current_as_of(self, time: datetime.timedelta) -> bool:
+        """Returns whether the entries are those of the store at a monotonic time or later."""
+        return self._current_as_of is not None and self._current_as_of >= time
+
+    def later_starts(self, entry: ServerEntry) -> typing.Iterator[ServerEntry]:
+        """Yields the entries of the starts that followed under a server's name, oldest first."""
+        following = self._next_starts.get(entry.start)
+        while following is not None:
+            yield following
+            following = self._next_starts.get(following.start)
 
     def find(self, name: str) -> ServerEntry | None:
         """Returns a known server, also a leaving one, or None."""
@@ -147,6 +158,11 @@
             if not entry.born:
                 # A row without the start is no sign of another one, of which nothing is known.
                 entry = attrs.evolve(entry, born=known.born)
+        before = known.born if known is not None else self._removed.get(entry.name)
+        if before is not None and entry.born > before:
+            self._next_starts[f"{entry.name}/{before}"] = entry
+            while len(self._next_starts) > MAX_STARTS:
+                del self._next_starts[next(iter(self._next_starts))]
         self._entries[entry.name] = entry
         self._software[entry.start] = (entry.service, entry.version)
         while len(self._software) > MAX_STARTS:
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -15,6 +15,7 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway.data import (
     CallerRequest,
     Configuration,
@@ -174,6 +175,7 @@
     for number, server in enumerate(servers.values()):
         registry.put(server.entry, number + 1)
     health, pool, placer = ServerHealth(clock, "z"), _Pool(), Placer(clock, "z")
+    crashes = CrashTracker(clock)
     return Parts(
         cfg=None,
         clock=clock,
@@ -193,7 +195,8 @@
         retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
         quotas=QuotaShares(clock, True),
         usage=UsageWindows(seconds(5)),
-        crashes=CrashTracker(clock),
+        crashes=crashes,
+        starts=ServerStarts(clock, registry, crashes),
         demand=DemandMeter(clock),
         links=ServerLinks(registry, health, pool, clock, Log(), Metrics()),
     )
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -13,6 +13,7 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway.data import (
     CallerRequest,
     Configuration,
@@ -144,7 +145,7 @@
             entry = ServerEntry(f"s-{number}", "s", Endpoint("::1", 1), "z", 8)
             registry.put(entry, number + 1)
         attempt = ScriptedAttempt(script, clock, 5 if kind is RouteKind.STREAM else 0)
-        health, pool = ServerHealth(clock, "z"), _Pool()
+        health, pool, crashes = ServerHealth(clock, "z"), _Pool(), CrashTracker(clock)
         parts = Parts(
             cfg=None,
             clock=clock,
@@ -162,7 +163,8 @@
             retry_limiter=RetryLimiter(0.2, 50, seconds(10), clock),
             quotas=QuotaShares(clock, True),
             usage=UsageWindows(seconds(5)),
-            crashes=CrashTracker(clock),
+            crashes=crashes,
+            starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, Log(), metrics),
         )
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -1,6 +1,7 @@
 """Streams stay at the software version that began them, in one answer and over several."""
 
 import asyncio
+import time
 
 from cicadapond.gateway.harness import deployment
 from cicadapond.platform.standin import EngineFault, FleetSettings
@@ -60,6 +61,32 @@
     run(check, tmp_path, {"z": "v2"})
 
 
+def test_a_stream_of_a_server_upgraded_under_its_name_does_not_go_on_at_the_version_before(
+    tmp_path,
+):
+    """Guards against taking the version from the entry of the server's earlier start."""
+
+    async def check(system):
+        server = system.fleet.servers["z"]
+        await server.stop()
+        server.model.version, server.born = "v2", round(time.time() * 1000)
+        server.model.event_interval_s, server.model.faults = 0.3, [EngineFault.RESET]
+        await server.start(system.fleet.port("z"))
+        caller = system.caller()
+        await caller.stream("s-1")
+        await system.until(system.ran)
+        await system.add_engine("a", "v1")
+        system.fleet.list_server("z", "pool")
+        await system.until(lambda: system.listed_versions() == {"v1", "v2"})
+        first = await caller.read_response()
+        again = system.caller()
+        await again.stream("t-1", last_event_id="1", resumes="s-1")
+        assert not first.is_complete and (await again.read_response()).status == 503
+        assert versions_of(system, "s-1", "t-1") == ["v2"]
+
+    run(check, tmp_path, {"z": "v1"})
+
+
 def test_a_stream_that_its_caller_takes_up_goes_on_at_its_version(tmp_path):
     async def check(system):
         for number in range(6):
