--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -32,9 +32,10 @@
 
 @attrs.frozen
 class ServerChange:
-    """The effect of an update; `kind` is "joined", "changed", "leaving", "expiring" or "gone".
+    """The effect of an update.
 
-    An expiring entry was removed and is still used for a while, as it may come back.
+    `kind` is "joined", "changed", "restarted", "leaving", "expiring" or "gone".  An expiring entry
+    was removed and is still used for a while, as it may come back.
     """
 
     name: str
@@ -174,6 +175,8 @@
             return ServerChange(entry.name, "leaving" if entry.is_leaving else "joined", entry)
         if entry.is_leaving and not known.is_leaving:
             return ServerChange(entry.name, "leaving", entry)
+        if entry.born != known.born and known.born:
+            return ServerChange(entry.name, "restarted", entry)
         return ServerChange(entry.name, "changed", entry) if known != entry else None
 
     def remove(self, name: str, version: int, after_outage: bool) -> ServerChange | None:
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -97,6 +97,8 @@
         )
         if change.kind == "expiring":
             return
+        if change.kind == "restarted":
+            self._parts.health.remove(change.name)
         if change.kind in ("leaving", "gone"):
             self._parts.pool.drop_server(change.name)
         if self._parts.evacuation is not None and entry is not None:
--- a/cicadapond/gateway/servers_test.py
+++ b/cicadapond/gateway/servers_test.py
@@ -1,5 +1,7 @@
 """Tests of the registry of servers when their table goes back to an older copy."""
 
+from unittest import mock
+
 import attrs
 
 from cicadapond.data import Endpoint
@@ -10,9 +12,11 @@
     SOFTWARE_VERSION_RETENTION,
     ServerRegistry,
 )
+from cicadapond.gateway._tables import ServerTable
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
-from cicadapond.provider import version_in_era
+from cicadapond.placing import ServerHealth
+from cicadapond.provider import Changes, RawRow, version_in_era
 
 READY = ServerEntry("e", "pool", Endpoint("::1", 1), "a", 6, born=100)
 LEAVING = attrs.evolve(READY, is_leaving=True)
@@ -109,3 +113,17 @@
     registry.replace({"e": (READY, 60)}, 60, after_outage=True)
     registry.confirm_current(clock.monotonic())
     assert not registry.knows_all_versions(clock.monotonic())
+
+
+def test_a_server_that_has_started_again_does_not_rest_for_failures_of_its_earlier_start():
+    """Guards against leaving out a sound start because of the health of the one before."""
+    world, health = World(READY, OTHER), ServerHealth(ManualClock(), "a")
+    parts = mock.Mock(registry=world.registry, health=health, evacuation=None, engine_watch=None)
+    table = ServerTable(parts, mock.Mock(), lambda key, value: (value, ()))
+    while not health.record_failure("e", ("other",)):
+        pass
+    health.mark_unreachable(READY)
+    for row, entry in ((51, attrs.evolve(READY, slots=7)), (52, RESTARTED)):
+        assert health.usable([READY, OTHER]) == [OTHER]
+        table.apply_changes(Changes((RawRow("e", row, entry),), row, seconds(0)), False, False)
+    assert health.usable([READY, OTHER]) == [READY, OTHER]
