--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -99,6 +99,7 @@
             return
         if change.kind == "restarted":
             self._parts.health.remove(change.name)
+            self._parts.placer.mark_restarted(change.name)
         if change.kind in ("leaving", "gone"):
             self._parts.pool.drop_server(change.name)
         if self._parts.evacuation is not None and entry is not None:
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -393,6 +393,13 @@
             others.in_flight -= load.others_count()
         self._learned.remove(server)
 
+    def mark_restarted(self, server: str) -> None:
+        """Forgets the prompt parts that a server's earlier start cached."""
+        load = self._loads.get(server)
+        if load is not None:
+            load.prefix_cache = PrefixCacheModel()
+            self.on_change(None)
+
     def in_flight(self, server: str) -> int:
         """Returns how many requests this process and those heard lately have at a server."""
         load = self._loads.get(server)
--- a/cicadapond/placing/placing_test.py
+++ b/cicadapond/placing/placing_test.py
@@ -43,6 +43,17 @@
     assert len(placed) == 1
 
 
+def test_the_parts_that_an_earlier_start_cached_are_forgotten():
+    """Guards against prompts that are placed by what a server held before it started again."""
+    placer = Placer(ManualClock(), "a")
+    work_ms = []
+    for _ in range(3):
+        work_ms.append(placer.place(ENGINES[:1], prompt("p", 1)).request.work_ms)
+        if len(work_ms) == 2:
+            placer.mark_restarted("e-0")
+    assert work_ms[1] < work_ms[0] == work_ms[2]
+
+
 def test_processes_agree_on_the_home_of_a_prefix_without_communication():
     for prefix in range(20):
         generation = prompt(prefix, "own")
