--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -15,6 +15,7 @@
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
 from cicadapond.gateway._crash_causes import CrashCauses
+from cicadapond.gateway._crash_check import CrashCheck
 from cicadapond.gateway._duties import (
     DutyTask,
     UsageReporter,
@@ -69,8 +70,6 @@
     renewal=datetime.timedelta(milliseconds=1000),
 )
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=1)
-CRASH_CHECK_DELAY = datetime.timedelta(milliseconds=60)
-CRASH_CHECK_TIMEOUT = datetime.timedelta(milliseconds=500)
 STOP_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
@@ -127,11 +126,11 @@
         self._metrics = metrics
         self._rng = rng
         self._tasks = TaskGroup()
-        self._checking: set[str] = set()
         self._zone_costs: ZoneCosts | None = None
         if cfg.zone_costs is not ZoneCostUse.OFF:
             self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
+        self.parts.check_server = CrashCheck(self.parts, self._tasks).begin
         log_pauses(self.parts.advisories, log)
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self._permits = PermitExchange(
@@ -236,7 +235,6 @@
             starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
-            check_server=self._check_server,
             queues=queues,
             rollouts=rollouts,
             engine_watch=watch,
@@ -432,32 +430,6 @@
         sharers = self._cluster.sharers()
         return sharers is not None and rank(trait, sharers)[0] == self._cfg.name
 
-    def _check_server(self, entry):
-        if entry.name not in self._checking:
-            self._checking.add(entry.name)
-            self._tasks.spawn(self._check(entry), "check server")
-
-    async def _check(self, entry):
-        try:
-            await self._clock.sleep(CRASH_CHECK_DELAY)
-            conn = await self.parts.pool.connect(entry.name, entry.endpoint, CRASH_CHECK_TIMEOUT)
-        finally:
-            self._checking.discard(entry.name)
-        if conn is None:
-            self.parts.links.failed(entry)
-        if conn is None and self.parts.links.explain_failures(entry.service):
-            self.parts.crashes.record_server_up(entry.start)
-            self._log.write("server_out_of_reach", server=entry.start)
-        elif conn is None:
-            self.parts.starts.record_down(entry)
-            suspects = self.parts.crashes.record_server_down(entry.start)
-            self._log.write("server_down", server=entry.start, suspects=list(suspects))
-            self.parts.publish_soon()
-        else:
-            conn.close()
-            self.parts.links.worked(entry)
-            self.parts.crashes.record_server_up(entry.start)
-
     # Duties
 
     def _duty_task(self):
