--- a/cicadapond/gateway/_crash_check.py
+++ b/cicadapond/gateway/_crash_check.py
@@ -24,9 +24,9 @@
         self._checking: set[str] = set()
 
     def begin(self, entry: ServerEntry) -> None:
-        """Begins to check a server, unless it is being checked."""
-        if entry.name not in self._checking:
-            self._checking.add(entry.name)
+        """Begins to check a start of a server, unless it is being checked."""
+        if entry.start not in self._checking:
+            self._checking.add(entry.start)
             self._tasks.spawn(self._check(entry), "check server")
 
     async def _check(self, entry):
@@ -35,7 +35,7 @@
             await parts.clock.sleep(CRASH_CHECK_DELAY)
             conn = await parts.pool.connect(entry.name, entry.endpoint, CRASH_CHECK_TIMEOUT)
         finally:
-            self._checking.discard(entry.name)
+            self._checking.discard(entry.start)
         if conn is None:
             parts.links.failed(entry)
         if conn is None and parts.links.explain_failures(entry.service):
