--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -4,9 +4,12 @@
 while several software versions run side by side.
 """
 
+import asyncio
+import contextlib
 import datetime
 import zlib
 
+from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import ServerEntry
 
@@ -97,18 +100,29 @@
         parts = self._parts
         begun = parts.clock.monotonic()
         while True:
-            self.version = self._known_version(first_request_id)
+            self.version = parts.origins.find(first_request_id) if first_request_id else None
+            only = self._only_version() if self.version is None else None
+            if only is not None and parts.registry.knows_all_versions(begun):
+                self.version = only
+            if self.version == UNKNOWN_VERSION:
+                return False
             if self.version is not None:
                 return True
-            if parts.clock.monotonic() - begun >= MAX_ORIGIN_WAIT:
+            left = begun + MAX_ORIGIN_WAIT - parts.clock.monotonic()
+            if left <= datetime.timedelta():
                 return False
-            await parts.clock.sleep(ORIGIN_POLL_INTERVAL)
-
-    def _known_version(self, first_request_id):
+            if only is not None:
+                # The stream may have begun at a version that is not known here yet.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(left.total_seconds()):
+                        await parts.refresh_servers()
+                if parts.registry.knows_all_versions(begun):
+                    continue
+            await parts.clock.sleep(min(left, ORIGIN_POLL_INTERVAL))
+
+    def _only_version(self):
+        """Returns the one version that was in service lately, as far as is known; else None."""
         parts = self._parts
-        found = parts.origins.find(first_request_id) if first_request_id is not None else None
-        if found is not None:
-            return found
         if parts.version_history is not None and not parts.version_history.is_loaded:
             return None
         versions = parts.software_versions(self._service)
@@ -118,7 +132,13 @@
 
     def _usable(self):
         usable = self._parts.registry.usable(self._service)
-        usable = [entry for entry in usable if self.version in (None, entry.version)]
+        if self.version is not None:
+            now = self._parts.clock.now()
+            usable = [
+                entry
+                for entry in usable
+                if entry.version == self.version and self._parts.starts.is_version_sure(entry, now)
+            ]
         return self._parts.rollouts.without_stopped(usable)
 
     def _untried(self):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -15,6 +15,7 @@
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
 from cicadapond.gateway._crash_causes import CrashCauses
+from cicadapond.gateway._crash_check import CrashCheck
 from cicadapond.gateway._duties import (
     DutyTask,
     UsageReporter,
@@ -41,6 +42,7 @@
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
@@ -68,8 +70,6 @@
     renewal=datetime.timedelta(milliseconds=1000),
 )
 HOUSEKEEPING_INTERVAL = datetime.timedelta(seconds=1)
-CRASH_CHECK_DELAY = datetime.timedelta(milliseconds=60)
-CRASH_CHECK_TIMEOUT = datetime.timedelta(milliseconds=500)
 STOP_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
@@ -126,11 +126,11 @@
         self._metrics = metrics
         self._rng = rng
         self._tasks = TaskGroup()
-        self._checking: set[str] = set()
         self._zone_costs: ZoneCosts | None = None
         if cfg.zone_costs is not ZoneCostUse.OFF:
             self._zone_costs = ZoneCosts(clock, cfg.zone)
         self.parts = self._make_parts()
+        self.parts.check_server = CrashCheck(self.parts, self._tasks).begin
         log_pauses(self.parts.advisories, log)
         self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
         self._permits = PermitExchange(
@@ -207,6 +207,7 @@
         self._rollouts = self._make_rollouts(registry, placer)
         rollouts = self._rollouts or NoRollouts()
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
+        crashes = CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version)
         return Parts(
             cfg=cfg,
             clock=clock,
@@ -230,10 +231,10 @@
             ),
             quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
-            crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
+            crashes=crashes,
+            starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
-            check_server=self._check_server,
             queues=queues,
             rollouts=rollouts,
             engine_watch=watch,
@@ -292,7 +293,8 @@
         if self._rollouts is not None:
             configuration = self._start_rollouts(configuration)
         self._follow(table, configuration)
-        self._follow(self._adapters.server_table, self._servers)
+        servers = self._follow(self._adapters.server_table, self._servers)
+        self.parts.refresh_servers = servers.refresh
         self._tasks.keep_running(self._cluster.run, "cluster")
         self._tasks.start(self._permits, restarts=True)
         self._tasks.keep_running(self._housekeep, "housekeeping")
@@ -389,20 +391,19 @@
         }
 
     def _follow(self, table, follower):
-        self._tasks.start(
-            FollowTask(
-                table,
-                self._adapters.feed,
-                follower,
-                feed_wait(self._cfg.bounds.max_revocation_delay),
-                self._clock,
-                self._log,
-                self._metrics,
-                self._cluster.copies,
-                self._rng,
-            ),
-            restarts=True,
+        task = FollowTask(
+            table,
+            self._adapters.feed,
+            follower,
+            feed_wait(self._cfg.bounds.max_revocation_delay),
+            self._clock,
+            self._log,
+            self._metrics,
+            self._cluster.copies,
+            self._rng,
         )
+        self._tasks.start(task, restarts=True)
+        return task
 
     def _start_rollouts(self, configuration):
         """Starts the rollouts; returns the follower of the operator's table, which has orders."""
@@ -429,31 +430,6 @@
         sharers = self._cluster.sharers()
         return sharers is not None and rank(trait, sharers)[0] == self._cfg.name
 
-    def _check_server(self, entry):
-        if entry.name not in self._checking:
-            self._checking.add(entry.name)
-            self._tasks.spawn(self._check(entry), "check server")
-
-    async def _check(self, entry):
-        try:
-            await self._clock.sleep(CRASH_CHECK_DELAY)
-            conn = await self.parts.pool.connect(entry.name, entry.endpoint, CRASH_CHECK_TIMEOUT)
-        finally:
-            self._checking.discard(entry.name)
-        if conn is None:
-            self.parts.links.failed(entry)
-        if conn is None and self.parts.links.explain_failures(entry.service):
-            self.parts.crashes.record_server_up(entry.start)
-            self._log.write("server_out_of_reach", server=entry.start)
-        elif conn is None:
-            suspects = self.parts.crashes.record_server_down(entry.start)
-            self._log.write("server_down", server=entry.start, suspects=list(suspects))
-            self.parts.publish_soon()
-        else:
-            conn.close()
-            self.parts.links.worked(entry)
-            self.parts.crashes.record_server_up(entry.start)
-
     # Duties
 
     def _duty_task(self):
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -25,14 +25,17 @@
 MAX_STARTS = 4096
 # Streams that a server began before it went may be continued for this long.
 SOFTWARE_VERSION_RETENTION = ORIGIN_RETENTION
+# A server is listed for longer than this, so that a table read anew after it shows each one.
+MIN_LISTED_TIME = datetime.timedelta(seconds=4)
 _NEVER = datetime.timedelta.min
 
 
 @attrs.frozen
 class ServerChange:
-    """The effect of an update; `kind` is "joined", "changed", "leaving", "expiring" or "gone".
+    """The effect of an update.
 
-    An expiring entry was removed and is still used for a while, as it may come back.
+    `kind` is "joined", "changed", "restarted", "leaving", "expiring" or "gone".  An expiring entry
+    was removed and is still used for a while, as it may come back.
     """
 
     name: str
@@ -68,6 +71,10 @@
         self._leaving_since: dict[str, datetime.timedelta] = {}
         # When the last server of a service and software version went.
         self._gone_versions: dict[tuple[str, str], datetime.timedelta] = {}
+        # The entry of the start that followed another one under the same name.
+        self._next_starts: dict[str, ServerEntry] = {}
+        # Until when servers of which no entry was seen may have begun streams.
+        self._unseen_until = _NEVER
 
     def usable(self, service: str) -> list[ServerEntry]:
         """Returns the servers of a service that accept new requests."""
@@ -94,6 +101,25 @@
             if of_service == service and gone_at >= oldest
         }
 
+    def knows_all_versions(self, since: datetime.timedelta) -> bool:
+        """Returns whether `software_versions` has all versions that were listed before a time.
+
+        Args:
+          since: The monotonic time.
+        """
+        return self.is_current_as_of(since) and self._clock.monotonic() >= self._unseen_until
+
+    def is_current_as_of(self, time: datetime.timedelta) -> bool:
+        """Returns whether the entries are those of the store at a monotonic time or later."""
+        return self._current_as_of is not None and self._current_as_of >= time
+
+    def later_starts(self, entry: ServerEntry) -> typing.Iterator[ServerEntry]:
+        """Yields the entries of the starts that followed under a server's name, oldest first."""
+        following = self._next_starts.get(entry.start)
+        while following is not None:
+            yield following
+            following = self._next_starts.get(following.start)
+
     def find(self, name: str) -> ServerEntry | None:
         """Returns a known server, also a leaving one, or None."""
         return self._entries.get(name)
@@ -133,6 +159,11 @@
             if not entry.born:
                 # A row without the start is no sign of another one, of which nothing is known.
                 entry = attrs.evolve(entry, born=known.born)
+        before = known.born if known is not None else self._removed.get(entry.name)
+        if before is not None and entry.born > before:
+            self._next_starts[f"{entry.name}/{before}"] = entry
+            while len(self._next_starts) > MAX_STARTS:
+                del self._next_starts[next(iter(self._next_starts))]
         self._entries[entry.name] = entry
         self._software[entry.start] = (entry.service, entry.version)
         while len(self._software) > MAX_STARTS:
@@ -144,6 +175,8 @@
             return ServerChange(entry.name, "leaving" if entry.is_leaving else "joined", entry)
         if entry.is_leaving and not known.is_leaving:
             return ServerChange(entry.name, "leaving", entry)
+        if entry.born != known.born and known.born:
+            return ServerChange(entry.name, "restarted", entry)
         return ServerChange(entry.name, "changed", entry) if known != entry else None
 
     def remove(self, name: str, version: int, after_outage: bool) -> ServerChange | None:
@@ -155,7 +188,10 @@
           after_outage: Whether the store had an outage, during which the entry may have
             expired although the server still runs; the removal is delayed then.
         """
-        if not self._is_newer(name, version) or name not in self._entries:
+        if not self._is_newer(name, version):
+            return None
+        if name not in self._entries:
+            self._record_unseen()
             return None
         if after_outage:
             self._removal_due.setdefault(name, self._clock.monotonic() + RELIST_TIMEOUT)
@@ -172,6 +208,9 @@
         era = era_of(version)
         is_older_copy = self._era is not None and era > self._era
         self._era = era
+        read_at = self._current_as_of
+        if read_at is not None and self._clock.monotonic() - read_at > MIN_LISTED_TIME:
+            self._record_unseen()
         put = self._put_back if is_older_copy else self.put
         changes = [put(entry, at) for entry, at in entries.values()]
         for name in list(self._entries):
@@ -234,5 +273,9 @@
         while len(self._leaving_since) > MAX_STARTS:
             del self._leaving_since[next(iter(self._leaving_since))]
 
+    def _record_unseen(self):
+        """Records that servers may have been listed and removed between two reads of the table."""
+        self._unseen_until = self._clock.monotonic() + SOFTWARE_VERSION_RETENTION
+
     def _record_gone(self, entry):
         self._gone_versions[entry.service, entry.version] = self._clock.monotonic()
