--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -14,6 +14,7 @@
 from cicadapond.gateway._header_codec import Malformed
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay import ATTEMPTS_HEADER
+from cicadapond.gateway._retries import STOPPING_RETRY_AFTER
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
@@ -21,10 +22,10 @@
 LISTEN_BACKLOG = 1024
 # The load balancer sends new connections until two readiness checks, one second apart, have failed.
 BALANCER_DELAY = datetime.timedelta(seconds=3)
-# The share of the grace period after which requests in progress are aborted.
+# The shares of the grace period after which requests in progress are ended with an answer, and
+# connections that are still in use are aborted.
+ANSWER_SHARE = 0.9
 GRACE_SHARE = 0.93
-# Short, as another process accepts the caller's next connection.
-STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
 NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 # How long a stream that is continued waits for its account's quota.  After a restart all callers
 # are back within this time, and new requests would take whatever is there.
@@ -49,6 +50,7 @@
     def __init__(self, parts: Parts):
         self._parts = parts
         self._connections: set[CallerConnection] = set()
+        self._runs: set[RequestRun] = set()
         self._server: asyncio.Server | None = None
         self._relay_server: asyncio.Server | None = None
 
@@ -73,6 +75,11 @@
         """How many connections have a request in progress."""
         return sum(not conn.is_idle for conn in self._connections)
 
+    def end_requests(self) -> None:
+        """Ends all requests in progress, each with an answer that tells whether it may have run."""
+        for run in self._runs:
+            run.end()
+
     def close(self) -> None:
         """Stops accepting and closes all connections."""
         for server in (self._server, self._relay_server):
@@ -135,9 +142,7 @@
             await self._refuse(req, verdict, reply)
             return
         if not self._may_accept(req, verdict.route):
-            await self._answer_locally(
-                req, reply, 503, "this process is ending", STOPPING_RETRY_AFTER
-            )
+            await self._refuse_stopping(req, reply)
             return
         # The process that passed the request on has taken its quota.
         wait = await self._take_quota(req, verdict) if max_attempts is None else None
@@ -158,6 +163,9 @@
                 req, reply, 429, "the client account's quota is used up", wait
             )
             return
+        if self._ends_requests():
+            await self._refuse_stopping(req, reply)
+            return
         run = RequestRun(
             parts,
             req,
@@ -167,22 +175,36 @@
             request.received_at,
             max_attempts,
         )
-        await run.run()
+        self._runs.add(run)
+        try:
+            await run.run()
+        finally:
+            self._runs.discard(run)
 
     def _may_accept(self, req, route):
         """Returns whether to accept a request, as this process may be stopping.
 
         While the load balancer may still send new connections, every request is accepted, as most
         finish in time; after that, only one whose time limit ends before requests in progress are
-        aborted.
+        ended.
         """
         stopping_since = self._parts.stopping_since
-        now = self._parts.clock.monotonic()
-        if stopping_since is None or now - stopping_since < BALANCER_DELAY:
+        if stopping_since is None:
             return True
-        abort_at = stopping_since + self._parts.cfg.bounds.grace * GRACE_SHARE
+        now = self._parts.clock.monotonic()
+        if now - stopping_since < BALANCER_DELAY:
+            return not self._ends_requests()
         limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
-        return now + limit < abort_at
+        return now + limit < self._answers_end_at()
+
+    def _answers_end_at(self):
+        return self._parts.stopping_since + self._parts.cfg.bounds.grace * ANSWER_SHARE
+
+    def _ends_requests(self):
+        """Returns whether requests in progress are ended, as the grace period is almost over."""
+        if self._parts.stopping_since is None:
+            return False
+        return self._parts.clock.monotonic() >= self._answers_end_at()
 
     async def _take_quota(self, req, verdict):
         """Returns None once the request is within its account's quota, else when it may be."""
@@ -203,7 +225,7 @@
         while True:
             share = parts.quota_share()
             wait = parts.quotas.take(account, units, share, continues=True)
-            if wait is None or parts.clock.monotonic() + wait > held_until:
+            if wait is None or parts.clock.monotonic() + wait > held_until or self._ends_requests():
                 break
             await parts.clock.sleep(min(wait, QUOTA_POLL_INTERVAL))
         if wait is None:
@@ -225,6 +247,9 @@
             case NotReady(reason=reason):
                 await self._answer_locally(req, reply, 503, reason, NOT_READY_RETRY_AFTER)
 
+    async def _refuse_stopping(self, req, reply):
+        await self._answer_locally(req, reply, 503, "this process is ending", STOPPING_RETRY_AFTER)
+
     async def _answer_locally(self, req, reply, status, reason, retry_after):
         age = self._parts.active_configuration.age()
         self._parts.metrics.count("requests", status=status)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -23,7 +23,7 @@
 from cicadapond.gateway._engine_calls import EngineCalls
 from cicadapond.gateway._evacuation import Evacuation
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
-from cicadapond.gateway._front import BALANCER_DELAY, GRACE_SHARE, Frontend
+from cicadapond.gateway._front import ANSWER_SHARE, BALANCER_DELAY, GRACE_SHARE, Frontend
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._loop_watch import watch_loop
@@ -337,10 +337,12 @@
             if self._duties is not None:
                 await self._duties.finish()
             await self._lease.release()
-        limit = self._cfg.bounds.grace * GRACE_SHARE
-        while (waited := self._clock.monotonic() - begun) < limit:
+        grace = self._cfg.bounds.grace
+        while (waited := self._clock.monotonic() - begun) < GRACE_SHARE * grace:
             if waited >= BALANCER_DELAY and not self._frontend.busy:
                 break
+            if waited >= ANSWER_SHARE * grace:
+                self._frontend.end_requests()
             await self._clock.sleep(STOP_POLL_INTERVAL)
         # No await between the last check of `busy` and the close, so that no request can begin.
         aborted = self._frontend.busy
--- a/cicadapond/gateway/_passing_on.py
+++ b/cicadapond/gateway/_passing_on.py
@@ -66,7 +66,7 @@
         parts.demand.end(self._state.service)  # the other process counts it
         try:
             async with asyncio.timeout(left.total_seconds()) as timeout:
-                return await parts.relay.attempt.run(
+                outcome = await parts.relay.attempt.run(
                     self._state.req,
                     dispatch,
                     self._sink,
@@ -74,6 +74,8 @@
                     self._state.route.repeatable,
                     self._check_relay,
                 )
+            self._state.is_unanswered = False
+            return outcome
         except TimeoutError:
             if not timeout.expired():
                 raise
@@ -86,6 +88,7 @@
         if not self._parts.active_configuration.still_allowed(self._state.req):
             return "the client account can no longer be checked"
         self._state.send_count += 1
+        self._state.is_unanswered = True
         return None
 
     def _evaluate_relayed(self, outcome):
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -50,6 +50,7 @@
       is_relaying: Whether the attempt in progress is one of another process.
       was_refused_elsewhere: Whether another process refused it.
       may_have_run: Whether a server may have run it.
+      is_unanswered: Whether it was sent and the outcome of that attempt is not known yet.
       last_event_id: The id of the last event of its stream that was passed on.
       origin_id: The id by which the stream is known if its caller continues it.
       fallback: A complete answer with a server error, returned if nothing better follows.
@@ -92,6 +93,7 @@
         self.is_relaying = False
         self.was_refused_elsewhere = False
         self.may_have_run = False
+        self.is_unanswered = False
         self.last_event_id = req.last_event_id
         self.origin_id = req.resumes or req.id
         self.fallback: Whole | None = None
--- a/cicadapond/gateway/_retries.py
+++ b/cicadapond/gateway/_retries.py
@@ -27,8 +27,11 @@
 CALLER_GAP_LIMIT_OBJECTIVES = 4
 CALLER_GAP_LIMIT_PAUSES = 8
 CALLER_GAP_LIMIT_SHARE = 0.85
-# Retry-After values: for a transient shortage, and when no request could be sent to any server.
+# Retry-After values: for a transient shortage, for a process that is ending, and when no request
+# could be sent to any server.
 SHORT_RETRY_AFTER = datetime.timedelta(milliseconds=250)
+# Short, as another process accepts the caller's next connection.
+STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
 NO_SERVER_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
@@ -123,3 +126,11 @@
         if self._state.send_count:
             return Unknown("the time limit passed", status=504)
         return NotRun("no server could take it within its time", None)
+
+    def stopped_outcome(self):
+        """Returns the outcome of a request that is ended because this process stops."""
+        if self._state.fallback is not None:
+            return self._state.fallback
+        if self._state.may_have_run or self._state.is_unanswered:
+            return Unknown("this process is ending", status=504)
+        return NotRun("this process is ending", STOPPING_RETRY_AFTER)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -58,6 +58,8 @@
         self._continuing = Continuing(self._state, self._sending)
         self._passing_on = PassingOn(self._state, self._retries, sink)
         self._evaluation = Evaluation(self._state, self._retries)
+        self._stop_timeout = asyncio.timeout(None)
+        self._is_trying = False
 
     async def run(self) -> None:
         """Serves the request; the final response has been sent when this returns."""
@@ -71,9 +73,18 @@
             parts.rollouts.record_request(self._state.service, self._state.route.name)
         parts.demand.begin(self._state.service)
         try:
-            final = await self._try_servers()
+            async with self._stop_timeout:
+                self._is_trying = True
+                try:
+                    final = await self._try_servers()
+                finally:
+                    self._is_trying = False
         except DeadlineExceededError:
             final = self._retries.timeout_outcome()
+        except TimeoutError:
+            if not self._stop_timeout.expired():
+                raise
+            final = self._retries.stopped_outcome()
         except asyncio.CancelledError:
             self._state.log_caller_left()
             raise
@@ -83,6 +94,12 @@
                 parts.evacuation.release(self._state.relayed)
         await FinalAnswer(self._state).send(final)
 
+    def end(self) -> None:
+        """Ends the request at once, with an answer that tells whether it may have run."""
+        if self._is_trying:
+            self._is_trying = False
+            self._stop_timeout.reschedule(asyncio.get_running_loop().time())
+
     async def _try_servers(self):
         if self._state.continues_stream() and not await self._state.servers.find_version(
             self._state.req.resumes
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -136,6 +136,7 @@
                     self._state.route.repeatable,
                     lambda: self._check_send(entry, memory),
                 )
+            self._state.is_unanswered = False
             if isinstance(outcome, Whole):
                 took = parts.clock.monotonic() - started
         except TimeoutError:
@@ -339,6 +340,7 @@
             return "the server accepts no more at the moment"
         if memory is None:
             self._state.send_count += 1
+        self._state.is_unanswered = True
         self._parts.rollouts.record_sent(entry, self._state.route.name)
         self._state.observer.sent()
         return None
--- /dev/null
+++ b/cicadapond/gateway/shutdown_test.py
@@ -0,0 +1,78 @@
+"""The end of the grace period of a graceful shutdown, on sockets."""
+
+import asyncio
+import datetime
+
+import pytest
+
+from cicadapond.gateway._passing_on import PassingOn
+from cicadapond.gateway._sending import Sending
+from cicadapond.gateway.harness import deployment
+from cicadapond.platform.standin import EngineFault, FleetSettings
+from cicadapond.quotas import QuotaShares
+
+GRACE_S = 2.0
+LONG_TIMEOUT_MS = 20_000
+
+
+def run(check, tmp_path, processes=1):
+    async def main():
+        cfg = FleetSettings(grace_s=GRACE_S, quota_per_s=1000.0)
+        async with deployment(tmp_path, cfg, processes) as system, asyncio.timeout(20):
+            version = system.fleet.configure(routes=system.fleet.routes(LONG_TIMEOUT_MS))
+            active = [node.parts.active_configuration for node in system.nodes]
+            await system.until(lambda: all(each.version == version for each in active))
+            await check(system)
+
+    asyncio.run(main())
+
+
+async def stop_during(system, request_id, path, **arguments):
+    """Stops the first process while it handles a request; returns the answer."""
+    caller = system.caller()
+    await caller.send(request_id, path, x_cicadapond_deadline_ms=None, **arguments)
+    await asyncio.sleep(0.2)
+    answer, _ = await asyncio.gather(caller.read_response(), system.node.stop())
+    caller.abort()
+    return answer
+
+
+async def wait_for_a_server(sending):
+    await asyncio.sleep(10 * GRACE_S)
+
+
+@pytest.mark.parametrize("processes", [1, 2])
+def test_no_request_at_a_server_is_cut_without_an_answer_at_the_end_of_the_grace(
+    tmp_path, monkeypatch, processes
+):
+    async def check(system):
+        if processes > 1:
+            await system.until_joined()
+            is_due = lambda passing_on: not passing_on._state.was_passed_on  # noqa: E731
+            monkeypatch.setattr(PassingOn, "is_due", is_due)
+        system.fail_next(EngineFault.SILENT)
+        answer = await stop_during(system, "p-1", "/post/a")
+        assert (answer.status, answer.is_complete) == (504, True)
+        assert system.ran() == ["p-1"]
+
+    run(check, tmp_path, processes)
+
+
+@pytest.mark.parametrize("held_for", ["server", "quota"])
+def test_no_held_request_is_cut_without_a_refusal_at_the_end_of_the_grace(
+    tmp_path, monkeypatch, held_for
+):
+    async def check(system):
+        monkeypatch.setattr(Sending, "run", wait_for_a_server)
+        if held_for == "quota":
+            soon, long = datetime.timedelta(milliseconds=1), datetime.timedelta(seconds=10)
+            monkeypatch.setattr("cicadapond.gateway._front.MAX_QUOTA_HOLD", long)
+            take = QuotaShares.take
+            monkeypatch.setattr(QuotaShares, "take", lambda *args, **kw: take(*args, **kw) or soon)
+            monkeypatch.setattr(QuotaShares, "take_to_continue", lambda *_: False)
+        headers = {"last_event_id": "3", "x_cicadapond_token_count": "100,20"}
+        answer = await stop_during(system, "s-1", "/stream/x", **headers)
+        assert (answer.status, answer.is_complete) == (429 if held_for == "quota" else 503, True)
+        assert answer.headers["connection"] == "close" and "retry-after" in answer.headers
+
+    run(check, tmp_path)
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -32,6 +32,7 @@
       max_event_gap_ms: The stream route's `target_itl_ms`, None to leave it out.
       moves: Whether the engines move running requests between each other.
       tells_parts: Whether the engines tell which prompt parts they keep.
+      grace_s: The time from SIGTERM to SIGKILL, in seconds.
     """
 
     engines: int = 2
@@ -45,6 +46,7 @@
     exposure_tolerance: float = 50.0
     moves: bool = False
     tells_parts: bool = False
+    grace_s: float = 8.0
 
 
 class Fleet:
@@ -180,7 +182,7 @@
         }
         configuration = {
             "version": self._version,
-            "routes": self._routes(),
+            "routes": self.routes(),
             "services": [
                 {
                     "name": MODEL_SERVICE,
@@ -222,7 +224,7 @@
             "bootstrap": "true",
             "limits.max_fds": "4100",
             "bounds.drain_ms": "2000",
-            "bounds.grace_s": "8",
+            "bounds.grace_s": f"{self.cfg.grace_s:g}",
             "bounds.config_apply_ms": "2000",
             "bounds.revoke_strict": "true",
             "bounds.revoke_ms": "5000",
@@ -251,7 +253,8 @@
         """Returns curl's arguments for a streaming request to this deployment."""
         return curl_headers(self.cfg.key)
 
-    def _routes(self):
+    def routes(self, timeout_ms: int | None = None) -> list[dict]:
+        """Returns the routes, all with one time-out if it is given."""
         stream = {
             "name": "stream",
             "hostname": CALLERS_HOST,
@@ -276,7 +279,10 @@
             "max_attempts": 2,
         }
         peek = post | {"name": "peek", "prefix": LOOKUP_PREFIX, "route_type": "idempotent"}
-        return [stream, post, peek]
+        routes = [stream, post, peek]
+        if timeout_ms is not None:
+            routes = [route | {"timeout_ms": timeout_ms} for route in routes]
+        return routes
 
     def _engine(self):
         if not self.cfg.moves and not self.cfg.tells_parts:
