--- a/cicadapond/ctl/main.py
+++ b/cicadapond/ctl/main.py
@@ -42,7 +42,7 @@
     load_settings,
     setting,
 )
-from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
+from cicadapond.kernel._help import Command, ProgramHelp, run_command
 from cicadapond.provider import AdapterSettings, table_services
 from cicadapond.routing import routers
 from cicadapond.stream import moving_policies
@@ -255,7 +255,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_with_help(HELP, _main)
+    run_command(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/demo/main.py
+++ b/cicadapond/demo/main.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 
@@ -29,7 +30,7 @@
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import LoopClock, Metrics, Ok, load_plugins, seconds
 from cicadapond.kernel._help import ProgramHelp, run_with_help
-from cicadapond.kernel._program import stop_on_signals
+from cicadapond.kernel._signals import stop_on_signals
 from cicadapond.platform.standin import STREAM_PREFIX
 from cicadapond.provider import table_services
 from cicadapond.standin.main import StandinProcess
@@ -77,7 +78,7 @@
     Raises:
       DemoError: If it cannot start.
     """
-    stop = stop_on_signals()
+    stop = _stop_on_signals()
     logging.getLogger("tornado.access").setLevel(logging.WARNING)
     load_plugins("cicadapond.plugins")
     standins = StandinProcess(demo_standins(first_port))
@@ -162,7 +163,7 @@
     Args:
       duration: Seconds to run, 0 for no end.
     """
-    stop = stop_on_signals()
+    stop = _stop_on_signals()
     with tempfile.TemporaryDirectory() as folder:
         async with deployment(pathlib.Path(folder)) as setup:
             print(f"ready http://{LOOPBACK}:{setup.port}{STREAM_PREFIX}; a stream:")
@@ -184,6 +185,13 @@
         asyncio.run(run_demo(_HTTP_PORT.value, _SECONDS.value))
 
 
+def _stop_on_signals():
+    """Returns an event that is set by a signal to stop, and when the terminal closes."""
+    stop = stop_on_signals()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, stop.set)
+    return stop
+
+
 def run() -> None:
     """Runs the program."""
     run_with_help(HELP, _main)
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import random
-import signal
 import sys
 
 import attrs
@@ -23,6 +22,7 @@
     ProgramHelp,
     run_with_help,
 )
+from cicadapond.kernel._signals import stop_on_signals
 from cicadapond.platform import SETTINGS_VARIABLE, read_settings
 
 SETTINGS_POLL_S = 2.0
@@ -77,7 +77,10 @@
 
 
 async def _serve(cfg, path):
-    stop, reload = _signals()
+    reload = asyncio.Event()
+    stop = stop_on_signals(reload.set)
+    if stop.is_set():
+        return
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
     log.write("started", zone=cfg.zone, pid=os.getpid())
@@ -93,16 +96,6 @@
     log.flush()
 
 
-def _signals():
-    """Returns two events, set by SIGTERM or SIGINT and by SIGHUP respectively."""
-    loop = asyncio.get_running_loop()
-    stop, reload = asyncio.Event(), asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
-    return stop, reload
-
-
 async def _until_stopped(node, path, stop, reload):
     """Waits for a stop signal.
 
--- a/cicadapond/kernel/_help.py
+++ b/cicadapond/kernel/_help.py
@@ -13,6 +13,8 @@
 import attrs
 from absl import app, flags
 
+from cicadapond.kernel._signals import use_default_actions
+
 HELP_ARGUMENTS = ("--help", "-help", "-h", "help")
 WIDTH = 100
 EXIT_SETTINGS = 2
@@ -124,6 +126,17 @@
     app.run(main)
 
 
+def run_command(page: ProgramHelp, main: typing.Callable[[list[str]], None]) -> None:
+    """Runs a program that ends by itself, as `run_with_help`; signals have their default actions.
+
+    Args:
+      page: The help page.
+      main: Receives the arguments that are no flags, the program's name first.
+    """
+    use_default_actions()
+    run_with_help(page, main)
+
+
 def _flag_row(name):
     flag = flags.FLAGS[name]
     default = "" if flag.default in (None, False, "") else f"={flag.default_as_str.strip(chr(39))}"
--- a/cicadapond/kernel/_program.py
+++ b/cicadapond/kernel/_program.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import signal
 import sys
 
 from absl import flags, logging
@@ -16,6 +15,7 @@
     run_with_help,
 )
 from cicadapond.kernel._settings import SettingsError, load_settings
+from cicadapond.kernel._signals import stop_on_signals
 
 _CONFIG = flags.DEFINE_string("config", None, "The settings file, JSON with comments.")
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings, report every finding and exit.")
@@ -66,13 +66,6 @@
 
 
 async def _serve_until_signal(cfg, serve):
-    await serve(cfg, stop_on_signals())
-
-
-def stop_on_signals() -> asyncio.Event:
-    """Returns an event that is set on SIGTERM or SIGINT; must be called on the running loop."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
-    return stop
+    stop = stop_on_signals()
+    if not stop.is_set():
+        await serve(cfg, stop)
--- a/cicadapond/load/main.py
+++ b/cicadapond/load/main.py
@@ -17,7 +17,7 @@
 
 from cicadapond.experiments import experiments
 from cicadapond.kernel import load_plugins
-from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
+from cicadapond.kernel._help import Command, ProgramHelp, run_command
 from cicadapond.load._arrivals import ArrivalSettings, arrivals
 from cicadapond.load._mix import mixes
 from cicadapond.load._plot import plot_reports
@@ -139,7 +139,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_with_help(HELP, _main)
+    run_command(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/scenario/main.py
+++ b/cicadapond/scenario/main.py
@@ -13,7 +13,7 @@
 from absl import flags
 
 from cicadapond.kernel import Findings, SettingsError
-from cicadapond.kernel._help import Command, ProgramHelp, run_with_help
+from cicadapond.kernel._help import Command, ProgramHelp, run_command
 from cicadapond.scenario._parser import parse_scenario
 from cicadapond.scenario._runner import check_script, run_script
 from cicadapond.scenario._script import Script
@@ -103,7 +103,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_with_help(HELP, _main)
+    run_command(HELP, _main)
 
 
 if __name__ == "__main__":
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -74,7 +74,7 @@
         except TimeoutError:
             await self.kill()
         status = self._running.returncode
-        # Before its "started" line a process has no SIGTERM handler yet, and no work to finish.
+        # While the interpreter starts, a process has no SIGTERM handler yet, and no work to finish.
         if status != 0 and (status != -signal.SIGTERM or self._has_started()):
             self._history.unexpected_exits.append((self.number, status))
 
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -8,7 +8,7 @@
 
 from absl import flags
 
-from cicadapond.kernel._help import ProgramHelp, run_with_help
+from cicadapond.kernel._help import ProgramHelp, run_command
 from cicadapond.soak._plan import parse_seeds
 from cicadapond.soak._run import SoakSettings, run_soak
 
@@ -83,7 +83,7 @@
 
 def run() -> None:
     """Runs the program."""
-    run_with_help(HELP, _main)
+    run_command(HELP, _main)
 
 
 if __name__ == "__main__":
