--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -331,12 +331,7 @@
         """Shuts down gracefully: reports not ready, then finishes requests within the grace."""
         begun = self.parts.stopping_since = self._clock.monotonic()
         self._log.write("stopping", busy=self._frontend.busy)
-        if self._lease_runner is not None:
-            self._lease_runner.cancel()
-            self._lease.stop_acting()
-            if self._duties is not None:
-                await self._duties.finish()
-            await self._lease.release()
+        releasing = asyncio.ensure_future(self._release_duties())
         grace = self._cfg.bounds.grace
         while (waited := self._clock.monotonic() - begun) < GRACE_SHARE * grace:
             if waited >= BALANCER_DELAY and not self._frontend.busy:
@@ -347,6 +342,7 @@
         # No await between the last check of `busy` and the close, so that no request can begin.
         aborted = self._frontend.busy
         self._frontend.close()
+        await releasing
         await self._cluster.report_last()
         writes = self._extra_lease_writes()
         if writes and self._cluster.is_alone():
@@ -357,6 +353,15 @@
         self._relay_pool.close()
         self._log.write("stopped", broken_off=aborted)
 
+    async def _release_duties(self):
+        if self._lease_runner is None:
+            return
+        self._lease_runner.cancel()
+        self._lease.stop_acting()
+        if self._duties is not None:
+            await self._duties.finish()
+        await self._lease.release()
+
     async def abort(self) -> None:
         """Stops at once, as a crash would."""
         self._frontend.close()
--- a/cicadapond/gateway/shutdown_test.py
+++ b/cicadapond/gateway/shutdown_test.py
@@ -8,6 +8,7 @@
 from cicadapond.gateway._passing_on import PassingOn
 from cicadapond.gateway._sending import Sending
 from cicadapond.gateway.harness import deployment
+from cicadapond.lease import LeaseTask
 from cicadapond.platform.standin import EngineFault, FleetSettings
 from cicadapond.quotas import QuotaShares
 
@@ -58,6 +59,18 @@
     run(check, tmp_path, processes)
 
 
+def test_no_request_is_cut_because_the_release_of_the_duties_takes_the_whole_grace(
+    tmp_path, monkeypatch
+):
+    async def check(system):
+        monkeypatch.setattr(LeaseTask, "release", lambda _: asyncio.sleep(GRACE_S))
+        system.fail_next(EngineFault.SILENT)
+        answer = await stop_during(system, "p-1", "/post/a")
+        assert (answer.status, answer.is_complete) == (504, True)
+
+    run(check, tmp_path)
+
+
 @pytest.mark.parametrize("held_for", ["server", "quota"])
 def test_no_held_request_is_cut_without_a_refusal_at_the_end_of_the_grace(
     tmp_path, monkeypatch, held_for
