--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -22,6 +22,9 @@
 LISTEN_BACKLOG = 1024
 # The load balancer sends new connections until two readiness checks, one second apart, have failed.
 BALANCER_DELAY = datetime.timedelta(seconds=3)
+# For how long a process that stops accepts requests whatever their time limit.  Shorter than the
+# delay, as a busy process learns of its signal late.
+OPEN_STOP_DELAY = datetime.timedelta(milliseconds=2500)
 # The shares of the grace period after which requests in progress are ended with an answer, and
 # connections that are still in use are aborted.
 ANSWER_SHARE = 0.9
@@ -184,15 +187,14 @@
     def _may_accept(self, req, route):
         """Returns whether to accept a request, as this process may be stopping.
 
-        While the load balancer may still send new connections, every request is accepted, as most
-        finish in time; after that, only one whose time limit ends before requests in progress are
-        ended.
+        Shortly after the signal every request is accepted, as most finish in time; after that,
+        only one whose time limit ends before requests in progress are ended.
         """
         stopping_since = self._parts.stopping_since
         if stopping_since is None:
             return True
         now = self._parts.clock.monotonic()
-        if now - stopping_since < BALANCER_DELAY:
+        if now - stopping_since < OPEN_STOP_DELAY:
             return not self._ends_requests()
         limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
         return now + limit < self._answers_end_at()
