--- a/cicadapond/plugins/_storage_client.py
+++ b/cicadapond/plugins/_storage_client.py
@@ -9,6 +9,7 @@
 import tornado.httpclient
 
 from cicadapond.kernel import AnswerLost, Unavailable
+from cicadapond.plugins._fetching import fetch_complete
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 REQUEST_TIMEOUT_SECONDS = 5.0
@@ -65,7 +66,7 @@
             prepare_curl_callback=functools.partial(_choose_connection, fresh=write),
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await fetch_complete(self._client, request)
         except tornado.curl_httpclient.CurlError as exc:
             outcome_type = Unavailable if exc.errno in _NOT_SENT_ERRORS else AnswerLost
             return outcome_type(f"{method} {path}: {exc}")
--- a/cicadapond/plugins/engine_sse.py
+++ b/cicadapond/plugins/engine_sse.py
@@ -31,6 +31,7 @@
     Token,
 )
 from cicadapond.kernel import AnswerLost, Ok, Unavailable, seconds
+from cicadapond.plugins._fetching import fetch_complete
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 2.0
@@ -58,7 +59,7 @@
     """Returns the response; without one, one with status STATUS_NO_RESPONSE and the error."""
     client = _EngineClient(max_clients=MAX_CLIENTS)
     try:
-        return await client.fetch(request, raise_error=False)
+        return await fetch_complete(client, request)
     except tornado.httpclient.HTTPError as exc:
         return tornado.httpclient.HTTPResponse(request, STATUS_NO_RESPONSE, error=exc)
 
--- a/cicadapond/plugins/service_http.py
+++ b/cicadapond/plugins/service_http.py
@@ -17,6 +17,7 @@
 from cicadapond.backend import NotSent, PlainService, plain_services
 from cicadapond.data import BackendServer, LoadReport, ServiceResponse
 from cicadapond.kernel import Ok, Unavailable, Unknown
+from cicadapond.plugins._fetching import fetch_complete
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 REPORT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -103,14 +104,15 @@
             prepare_curl_callback=_Attempt(self._clock, REPORT_TIMEOUT, False).prepare,
         )
         try:
-            response = await _shared_client().fetch(request)
+            response = await fetch_complete(_shared_client(), request)
+            response.rethrow()
             return Ok(_parse_report(self.server.name, json.loads(response.body)))
         except (tornado.httpclient.HTTPError, ValueError, KeyError, TypeError) as exc:
             return Unavailable(f"{self.server.name}: {exc}")
 
     async def _fetch(self, call, request, attempt):
         try:
-            response = await _shared_client().fetch(request, raise_error=False)
+            response = await fetch_complete(_shared_client(), request)
         except tornado.httpclient.HTTPError as exc:
             if not attempt.sent:
                 return NotSent(f"{self.server.name}: {exc}")
