--- a/cicadapond/gateway/relay_test.py
+++ b/cicadapond/gateway/relay_test.py
@@ -165,3 +165,21 @@
         assert answer.versions() == {"v1"}
 
     run(check, tmp_path, engines=0)
+
+
+@pytest.mark.parametrize("fault", [EngineFault.CUT_HEAD, EngineFault.CUT_INTERIM])
+@pytest.mark.parametrize("node", [CUT, LINKED])
+def test_a_head_that_is_cut_off_is_no_answer_also_through_another_process(tmp_path, node, fault):
+    """Guards against MIXED and ORDER: a cut head was passed on as a whole 200."""
+
+    async def check(system):
+        await system.until_joined()
+        cut_off(system.nodes[CUT], "refuses")
+        await notice(system)
+        for kind in ("plain", "lookup", "stream"):
+            system.fail_next(*[fault] * 8)
+            answer = await ask(system, f"c-{kind}", kind, node)
+            assert system.ran().count(f"c-{kind}") >= 1
+            assert answer.status != 200 and answer.body != b"", (kind, answer)
+
+    run(check, tmp_path)
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -15,8 +15,9 @@
 
 READ_BYTES = 64 * 1024
 TRICKLE_INTERVAL_S = 0.2
+_INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
 _ENDLESS_CHUNK = {
-    "ENDLESS_INTERIM": b"HTTP/1.1 102 Processing\r\n\r\n" * 64,
+    "ENDLESS_INTERIM": _INTERIM * 64,
     "ENDLESS_HEAD": b"x-filler: " + b"a" * 1024 + b"\r\n",
     "ENDLESS_BODY": b"data: " + b"a" * 4096 + b"\n",
 }
@@ -31,6 +32,8 @@
     RESET = "it runs and the connection is reset"
     SILENT = "it runs and no response is sent"
     TRUNCATED = "the answer ends within its body"
+    CUT_HEAD = "the answer ends before the blank line after its head"
+    CUT_INTERIM = "it does so after informational responses"
     UNFRAMED = "the answer has no length and ends with the connection"
     UNFRAMED_RESET = "the answer has no length and the connection is reset before its end"
     EXTRA = "a second answer to it follows immediately"
@@ -48,7 +51,8 @@
 
 
 # Faults that show in place of a stream as in place of another answer.
-_PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN)
+_CUT_HEADS = {EngineFault.CUT_HEAD: b"", EngineFault.CUT_INTERIM: _INTERIM * 2}
+_PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN, *_CUT_HEADS)
 
 
 @attrs.define
@@ -278,6 +282,10 @@
             case EngineFault.GARBAGE:
                 self._writer.write(b"\x00\x01 not an answer\r\n\r\n")
                 return False
+            case EngineFault.CUT_HEAD | EngineFault.CUT_INTERIM:
+                response = _raw_response(request_id, b"")
+                self._writer.write(_CUT_HEADS[fault] + response[: response.index(b"\r\n\r\n") + 2])
+                return False
             case EngineFault.FOREIGN:
                 return self._respond(200, "another", b"not yours", [_signature("another")])
             case EngineFault.TRUNCATED | EngineFault.UNFRAMED | EngineFault.UNFRAMED_RESET:
