--- a/cicadapond/plugins/engine_sse.py
+++ b/cicadapond/plugins/engine_sse.py
@@ -39,6 +39,7 @@
 STREAM_TIMEOUT_SECONDS = datetime.timedelta(days=1).total_seconds()
 MAX_CLIENTS = 4096
 MAX_EVENT_BYTES = 1_000_000
+EVENT_END = b"\n\n"
 STATUS_OK = 200
 STATUS_NO_RESPONSE = 599
 STATUS_CONFLICT = 409
@@ -190,7 +191,8 @@
         self._call = call
         self._events = collections.deque()
         self._arrived = asyncio.Event()
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
         self._ended = False
         self._closed = False
         self._curl = None
@@ -233,10 +235,15 @@
         return Broken(epoch, FailureKind.TRUNCATED, "the stream ended without its end")
 
     def _receive(self, chunk):
-        *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
-        for block in blocks:
+        self._buffer += chunk
+        while (end := self._buffer.find(EVENT_END, self._searched)) >= 0:
+            block = bytes(memoryview(self._buffer)[:end])
+            del self._buffer[: end + len(EVENT_END)]
+            self._searched = 0
             if block.startswith(b"data: "):
                 self._push(self._parse(block.removeprefix(b"data: ")))
+        # Each byte is searched once, but for one that may begin the end of an event.
+        self._searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             self._push(self._malformed(f"an event of more than {MAX_EVENT_BYTES} bytes"))
 
--- a/cicadapond/plugins/engine_sse_test.py
+++ b/cicadapond/plugins/engine_sse_test.py
@@ -179,3 +179,31 @@
             await server.close_all_connections()
 
     asyncio.run(main())
+
+
+class CountingBuffer(bytearray):
+    """Records how many bytes are searched each time."""
+
+    def __init__(self):
+        super().__init__()
+        self.searched = []
+
+    def find(self, part, start):
+        self.searched.append(len(self) - start)
+        return super().find(part, start)
+
+
+def test_each_byte_of_an_event_is_searched_once_and_events_may_come_in_pieces():
+    """Guards against CONFIG: the work for an event grew with the square of its pieces."""
+
+    async def main():
+        stream = make_adapter(free_endpoint().port).generate(make_call())
+        stream._buffer = buffer = CountingBuffer()
+        data = b'data: {"e": 1, "n": 0, "t": "%s", "s": "s"}\n\n' % (b"a" * 4096)
+        for byte in data * 2:
+            stream._receive(bytes((byte,)))
+        assert texts(await stream.read()) == ["a" * 4096] * 2
+        assert max(buffer.searched) <= 2
+        stream.close()
+
+    asyncio.run(main())
