--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -29,6 +29,7 @@
     structure,
 )
 from cicadapond.kernel._task import Mailbox, Task, TaskGroup
+from cicadapond.kernel._turns import STEPS_PER_TURN, Turns
 from cicadapond.kernel._virtual import (
     DeadlockError,
     VirtualClock,
@@ -55,9 +56,11 @@
     "Ok",
     "Place",
     "Registry",
+    "STEPS_PER_TURN",
     "SettingsError",
     "Task",
     "TaskGroup",
+    "Turns",
     "Unavailable",
     "Unknown",
     "VirtualClock",
--- a/cicadapond/peer/_tcp.py
+++ b/cicadapond/peer/_tcp.py
@@ -11,6 +11,7 @@
 import tornado.iostream
 import tornado.tcpserver
 
+from cicadapond.kernel import Turns
 from cicadapond.peer._transport import Link, Transport
 from cicadapond.peer._wire import MAX_MESSAGE_BYTES
 
@@ -27,6 +28,7 @@
         self._stream = stream
         self._metrics = metrics
         self._buffer = bytearray()
+        self._turns = Turns()
         self._closed = False
         stream.max_write_buffer_size = MAX_UNSENT_BYTES
         stream.set_nodelay(True)
@@ -37,13 +39,15 @@
         try:
             while not self._closed:
                 self._buffer += await self._stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-                self._dispatch_messages()
+                await self._dispatch_messages()
+                # A read returns at once while the peer sends faster than this process reads.
+                await asyncio.sleep(0)
         except tornado.iostream.StreamClosedError:
             return
         finally:
             self._stream.close()
 
-    def _dispatch_messages(self):
+    async def _dispatch_messages(self):
         buffer = self._buffer
         start = 0
         while len(buffer) - start >= _LENGTH.size and not self._closed:
@@ -59,6 +63,7 @@
             start = end
             if self.on_message is not None:
                 self.on_message(body)
+            await self._turns.step()
         del buffer[:start]
 
     def send(self, bodies):
