--- a/cicadapond/forwarding/__init__.py
+++ b/cicadapond/forwarding/__init__.py
@@ -1,7 +1,12 @@
 """Forwarding of requests to backend servers: connections, single attempts and their outcomes."""
 
 from cicadapond.forwarding._attempt import Attempt, ResponseSink, SilenceTimeouts
-from cicadapond.forwarding._channel import Channel, ChannelClosedError, open_channel
+from cicadapond.forwarding._channel import (
+    MAX_UNREAD_BYTES,
+    Channel,
+    ChannelClosedError,
+    open_channel,
+)
 from cicadapond.forwarding._client import Expired, HttpClient, NoConnection, Reply, ReplyLost
 from cicadapond.forwarding._connection import BrokenResponseError, ServerConnection
 from cicadapond.forwarding._events import Event, EventSplitter
@@ -10,6 +15,7 @@
 from cicadapond.forwarding._retry_limiter import RetryLimiter
 
 __all__ = [
+    "MAX_UNREAD_BYTES",
     "ResponseSink",
     "Attempt",
     "Broken",
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -6,12 +6,15 @@
 
 import h11
 
-from cicadapond.forwarding import Channel, ChannelClosedError
+from cicadapond.forwarding import MAX_UNREAD_BYTES, Channel, ChannelClosedError
 from cicadapond.gateway.data import RequestLimits
+from cicadapond.kernel import Turns
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
 # closing at once would reset the connection before the caller receives the response.
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
+# With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
+MAX_FRAMING_FACTOR = 8
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
 
 
@@ -109,6 +112,8 @@
         self._answering: asyncio.Task | None = None
         self._serving: asyncio.Task | None = None
         self._is_serving = False
+        self._turns = Turns()
+        self._received_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -187,7 +192,9 @@
 
     async def _read_body(self, limits):
         body = bytearray()
+        begun_at = self._received_bytes
         while True:
+            await self._turns.step()
             try:
                 async with asyncio.timeout(limits.idle_timeout.total_seconds()):
                     event = await self._next_event()
@@ -198,6 +205,9 @@
                     body += data
                     if len(body) > limits.body_bytes:
                         raise RequestError(413, "request body too long")
+                    framed = self._received_bytes - begun_at
+                    if framed > MAX_FRAMING_FACTOR * limits.body_bytes + MAX_UNREAD_BYTES:
+                        raise RequestError(413, "request body with its framing too long")
                 case h11.EndOfMessage():
                     return bytes(body)
                 case _:
@@ -206,7 +216,9 @@
     async def _next_event(self):
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
-                self._http.receive_data(await self.read())
+                data = await self.read()
+                self._received_bytes += len(data)
+                self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise RequestError(exc.error_status_hint, str(exc)) from exc
         return event
