--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -67,10 +67,10 @@
 class Process:
     """A process that may hold the lease, and what it knows."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, tables=None):
         self.world = world
         self.ledger = UsageLedger()
-        self.tables = DirectTables(world.tables)
+        self.tables = tables or DirectTables(world.tables)
         self.lease = lease_task(world, name, self.tables)
         self.name = name
         self.stored = StoredCounts()
