--- a/cicadapond/gateway/mixed_builds_test.py
+++ b/cicadapond/gateway/mixed_builds_test.py
@@ -88,10 +88,8 @@
 class EarlierProcess(Process):
     """A process of an earlier build; it adds one to the fencing number that it reads."""
 
-    tables_type = EarlierTables
-
     def __init__(self, world, name):
-        super().__init__(world, name)
+        super().__init__(world, name, EarlierTables(world.tables))
         lease = self.lease.lease
         lease._next_fencing = lambda: ((lease._value() or {}).get("fencing", 0)) + 1
 
--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -67,13 +67,12 @@
 class Process:
     """A process that may hold the lease, and what it knows."""
 
-    tables_type = DirectTables
     starts = itertools.count()
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, tables=None):
         self.world = world
         self.ledger = UsageLedger()
-        self.tables = self.tables_type(world.tables)
+        self.tables = tables or DirectTables(world.tables)
         self.lease = lease_task(world, name, self.tables, next(self.starts))
         self.name = name
         self.stored = StoredCounts()
