--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -88,7 +88,7 @@
         if self._state.continues_stream() and not await self._state.servers.find_version(
             self._state.req.resumes
         ):
-            self._state.log("origin_unknown", resumes=self._state.req.resumes)
+            self._log_origin_unknown(self._state.req.resumes)
             return NotRun(
                 "the software version that began the stream is not known", SHORT_RETRY_AFTER
             )
@@ -101,7 +101,7 @@
                 if final is not None:
                     return final
             if not await self._knows_version():
-                self._state.log("origin_unknown", resumes=self._state.origin_id)
+                self._log_origin_unknown(self._state.origin_id)
                 return self._retries.failure_outcome()
             outcome, entry = await self._sending.run()
             if isinstance(outcome, NotRun):
@@ -114,6 +114,15 @@
                 break
         return self._retries.failure_outcome()
 
+    def _log_origin_unknown(self, first_request_id):
+        may_be_another_start = (
+            first_request_id is not None
+            and self._parts.origins.find(first_request_id) == UNKNOWN_VERSION
+        )
+        self._state.log(
+            "origin_unknown", resumes=first_request_id, may_be_another_start=may_be_another_start
+        )
+
     async def _knows_version(self):
         """Returns whether it is known at which software version a stream in progress goes on.
 
