--- a/cicadapond/drain/example_test.py
+++ b/cicadapond/drain/example_test.py
@@ -32,10 +32,10 @@
 def test_the_lease_example(capsys):
     run_virtual(example("lease"))
     assert capsys.readouterr().out.splitlines() == [
-        "anna may act, fencing number 1",
+        "anna may act, fencing number 1024",
         "bert may not act",
         "anna may not act",
-        "bert may act, fencing number 2",
+        "bert may act, fencing number 2048",
     ]
 
 
