--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -12,7 +12,7 @@
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.gateway import HeaderCodec
 from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead
-from cicadapond.kernel import Clock
+from cicadapond.kernel import Clock, Turns
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
 # down or unreachable.
@@ -21,6 +21,9 @@
 # is no stream, and one event of a stream.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
+# The pieces that an event may come in, and its bytes with their framing.
+MAX_EVENT_PIECES = 32 * 1024
+MAX_FRAMED_EVENT_BYTES = 2 * MAX_EVENT_BYTES
 MAX_STALE_RESPONSES = 2
 # A connection with so many refusals is not used any longer, as it keeps their ids.
 MAX_REFUSALS = 64
@@ -139,10 +142,10 @@
                 outcome = await _read_full_response(conn, head)
         except BrokenResponseError as exc:
             conn.reset()
-            return progress.to_broken(str(exc), exc.was_silent)
+            return progress.to_broken(str(exc), conn, exc.was_silent, exc.is_malformed)
         except TimeoutError:
             conn.reset()
-            return progress.to_broken("the server is silent", was_silent=True)
+            return progress.to_broken("the server is silent", conn, was_silent=True)
         if isinstance(outcome, Refused):
             conn.refused_ids.add(req.id)
         if progress.head.closes_connection or len(conn.refused_ids) >= MAX_REFUSALS:
@@ -166,10 +169,11 @@
             if head.request_id == req.id or (is_refusal_without_id and is_first):
                 return head
             await conn.skip_response(MAX_RESPONSE_BYTES)
-        raise BrokenResponseError("answers to other requests only")
+        raise BrokenResponseError("answers to other requests only", is_malformed=True)
 
     async def _relay_stream(self, conn, dispatch, sink, silence, progress):
-        splitter = EventSplitter()
+        splitter, turns = EventSplitter(), Turns()
+        size = _EventSize(conn)
         server = dispatch.server
         # Bytes that complete no event do not count as progress: a stalled server may go on sending
         # some now and then.
@@ -178,14 +182,16 @@
             data = await self._read_chunk(conn, server, silence, progress, waiting_since)
             if data is None:
                 break
-            for event in splitter.feed(data):
+            splitter.feed(data)
+            while (event := splitter.next_event()) is not None:
                 if progress.events == 0:
                     await sink.begin(progress.head)
                 await sink.event(event)
                 progress.record_event(event)
                 waiting_since = self._clock.monotonic()
-            if splitter.buffered_bytes > MAX_EVENT_BYTES:
-                raise BrokenResponseError(f"an event of more than {MAX_EVENT_BYTES} bytes")
+                size.begin_event()
+                await turns.step()
+            size.check(splitter.buffered_bytes)
         # A run that was stopped after its last event has nothing left where it goes on.  Without
         # framing, the same would be seen if the server died.
         may_be_empty = dispatch.memory is not None and conn.is_reusable
@@ -250,9 +256,41 @@
         if event.id is not None:
             self.last_event_id = event.id
 
-    def to_broken(self, reason, was_silent):
-        was_closed = not was_silent
-        return Broken(reason, self.head, self.last_event_id, self.events, was_closed, was_silent)
+    def to_broken(self, reason, conn, was_silent, is_malformed=False):
+        return Broken(
+            reason,
+            self.head,
+            self.last_event_id,
+            self.events,
+            was_closed=not was_silent,
+            was_silent=was_silent,
+            is_malformed=is_malformed,
+            received_bytes=conn.received_bytes,
+        )
+
+
+class _EventSize:
+    """Bounds what is received of one event, whatever the server writes between its bytes."""
+
+    def __init__(self, conn):
+        self._conn = conn
+        self.begin_event()
+
+    def begin_event(self):
+        self._first_byte = self._conn.received_bytes
+        self._first_piece = self._conn.received_pieces
+
+    def check(self, buffered_bytes):
+        """Raises BrokenResponseError if the event is too large."""
+        if buffered_bytes > MAX_EVENT_BYTES:
+            excess = f"{MAX_EVENT_BYTES} bytes"
+        elif self._conn.received_pieces - self._first_piece > MAX_EVENT_PIECES:
+            excess = f"{MAX_EVENT_PIECES} pieces"
+        elif self._conn.received_bytes - self._first_byte > MAX_FRAMED_EVENT_BYTES:
+            excess = f"{MAX_FRAMED_EVENT_BYTES} bytes with framing"
+        else:
+            return
+        raise BrokenResponseError(f"an event of more than {excess}", is_malformed=True)
 
 
 async def _read_full_response(conn, head):
@@ -260,9 +298,11 @@
     if head.not_executed:
         return Refused(f"status {head.status}", is_misdirected=head.status == MISDIRECTED)
     if (head.status < 300 and not head.is_signed) or head.is_encoded:
-        raise BrokenResponseError(f"an answer {head.status} that the server does not vouch for")
+        reason = f"an answer {head.status} that the server does not vouch for"
+        raise BrokenResponseError(reason, is_malformed=True)
     if head.status in NOT_EXECUTED_STATUSES:
-        raise BrokenResponseError(f"an answer {head.status} without word that nothing ran")
+        reason = f"an answer {head.status} without word that nothing ran"
+        raise BrokenResponseError(reason, is_malformed=True)
     return Whole(head, body)
 
 
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -6,9 +6,13 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._channel import Channel, ChannelClosedError, open_channel
+from cicadapond.kernel import STEPS_PER_TURN, Turns
 
 # Informational responses before a response; a server that sends more does not end.
 MAX_INFORMATIONAL_RESPONSES = 16
+# A whole body may come in so many pieces, and take this multiple of its limit with its framing.
+MAX_BODY_PIECES = 128 * 1024
+MAX_FRAMING_FACTOR = 2
 
 
 class BrokenResponseError(Exception):
@@ -16,11 +20,13 @@
 
     Attributes:
       was_silent: Whether the connection timed out because the server acknowledged nothing.
+      is_malformed: Whether bytes were received that are no answer, rather than too few.
     """
 
-    def __init__(self, reason: str, was_silent: bool = False):
+    def __init__(self, reason: str, was_silent: bool = False, is_malformed: bool = False):
         super().__init__(reason)
         self.was_silent = was_silent
+        self.is_malformed = is_malformed
 
 
 class ServerConnection:
@@ -29,6 +35,10 @@
     Args:
       channel: The TCP connection.
       now: The monotonic time at which it was made.
+
+    Attributes:
+      received_bytes: How many bytes were received since the last request was sent.
+      received_pieces: In how many pieces the body came that was read since then.
     """
 
     def __init__(self, channel: Channel, now: datetime.timedelta):
@@ -37,6 +47,12 @@
         self._request = None
         self._body = b""
         self._is_unusable = False
+        self._has_ended = False
+        # What follows the pieces of a body that were returned together: a parsed event or an error.
+        self._following: object = None
+        self._turns = Turns()
+        self.received_bytes = 0
+        self.received_pieces = 0
         self.last_used_at = now
         self.keep_alive_timeout: datetime.timedelta | None = None
         # How many requests were sent, and the ids of those that the server refused; it may write a
@@ -78,6 +94,7 @@
     def send(self, method: str, target: bytes, headers, body: bytes) -> None:
         """Sends a request with its content length, in a single write."""
         self.requests_sent += 1
+        self.received_bytes = self.received_pieces = 0
         self._channel.on_closed = None
         self._channel.on_data = None
         if self._http.our_state is h11.DONE:
@@ -107,33 +124,57 @@
                 return event.status_code, list(event.headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenResponseError(f"{type(event).__name__} in place of an answer")
-        raise BrokenResponseError("informational responses only")
+        raise BrokenResponseError("informational responses only", is_malformed=True)
 
     async def read_body(self) -> bytes | None:
         """Returns the next bytes of the response body, None after the last.
 
+        Pieces that have been received are returned together.
+
         Raises:
           BrokenResponseError: If the response is truncated.
         """
-        event = await self._next_event()
-        match event:
-            case h11.Data(data=data):
-                return bytes(data)
-            case h11.EndOfMessage():
-                return None
+        event, self._following = self._following, None
+        if event is None:
+            event = await self._next_event()
+        if isinstance(event, BrokenResponseError):
+            raise event
+        pieces = []
+        while isinstance(event, h11.Data):
+            pieces.append(event.data)
+            if len(pieces) == STEPS_PER_TURN:
+                break
+            event = self._parse_ahead()
+        if pieces:
+            if not isinstance(event, h11.Data) and event is not h11.NEED_DATA:
+                self._following = event
+            self.received_pieces += len(pieces)
+            await self._turns.step(len(pieces))
+            return b"".join(pieces)
+        if isinstance(event, h11.EndOfMessage):
+            return None
         raise BrokenResponseError(f"{type(event).__name__} within an answer")
 
     async def read_full_body(self, limit: int) -> bytes:
         """Returns the complete body of the response.
 
         Raises:
-          BrokenResponseError: If it is truncated or longer than `limit` bytes.
+          BrokenResponseError: If it is truncated or longer than `limit` bytes, or takes too many
+            pieces or too much framing for that.
         """
         body = bytearray()
+        first_piece, first_byte = self.received_pieces, self.received_bytes
         while (data := await self.read_body()) is not None:
             body += data
             if len(body) > limit:
-                raise BrokenResponseError(f"an answer of more than {limit} bytes")
+                reason = f"an answer of more than {limit} bytes"
+                raise BrokenResponseError(reason, is_malformed=True)
+            if self.received_pieces - first_piece > MAX_BODY_PIECES:
+                reason = f"an answer in more than {MAX_BODY_PIECES} pieces"
+                raise BrokenResponseError(reason, is_malformed=True)
+            if self.received_bytes - first_byte > MAX_FRAMING_FACTOR * limit:
+                reason = f"an answer of more than {MAX_FRAMING_FACTOR * limit} bytes with framing"
+                raise BrokenResponseError(reason, is_malformed=True)
         return bytes(body)
 
     async def skip_response(self, limit: int) -> None:
@@ -170,18 +211,30 @@
             while (event := self._http.next_event()) is h11.NEED_DATA:
                 self._http.receive_data(await self._receive())
         except h11.RemoteProtocolError as exc:
-            self._is_unusable = True
-            raise BrokenResponseError(f"not HTTP: {exc}") from exc
+            raise self._not_http(exc) from exc
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             self._is_unusable = True
             raise BrokenResponseError("closed without an answer")
         return event
 
+    def _parse_ahead(self):
+        """Returns what follows in the bytes received: an event, NEED_DATA or an error."""
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            return self._not_http(exc)
+
+    def _not_http(self, exc):
+        self._is_unusable = True
+        return BrokenResponseError(f"not HTTP: {exc}", is_malformed=not self._has_ended)
+
     async def _receive(self):
         try:
-            return await self._channel.read()
+            data = await self._channel.read()
+            self.received_bytes += len(data)
+            return data
         except ChannelClosedError as exc:
-            self._is_unusable = True
+            self._is_unusable = self._has_ended = True
             if exc.was_reset:
                 raise BrokenResponseError(str(exc), exc.was_silent) from exc
             return b""
--- a/cicadapond/forwarding/_events.py
+++ b/cicadapond/forwarding/_events.py
@@ -4,7 +4,10 @@
 
 import attrs
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
+# A blank line ends an event that has begun; blank lines before it belong to it.
+_EVENT_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
+# The longest part of the end of an event that may be followed by the rest of it.
+_MAX_PARTIAL_END_BYTES = 4
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -17,21 +20,31 @@
 
 
 class EventSplitter:
-    """Collects received bytes and returns complete events; an incomplete one stays buffered."""
+    """Collects received bytes and returns complete events; an incomplete one stays buffered.
+
+    Each byte is searched once, however many pieces it comes in.
+    """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
-    def feed(self, data: bytes) -> list[Event]:
-        """Adds received bytes and returns the events that are now complete."""
+    def feed(self, data: bytes) -> None:
+        """Adds received bytes."""
         self._buffer += data
-        events = []
-        start = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            events.append(_parse_event(self._buffer[start : match.end()]))
-            start = match.end()
-        self._buffer = self._buffer[start:]
-        return events
+
+    def next_event(self) -> Event | None:
+        """Removes and returns the next complete event, None if there is none."""
+        match = _EVENT_END.search(self._buffer, self._searched)
+        if match is None:
+            self._searched = max(0, len(self._buffer) - _MAX_PARTIAL_END_BYTES)
+            return None
+        end = match.end()
+        del match  # it would lock the buffer
+        raw = bytes(memoryview(self._buffer)[:end])
+        del self._buffer[:end]
+        self._searched = 0
+        return _parse_event(raw)
 
     @property
     def buffered_bytes(self) -> int:
--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -53,6 +53,8 @@
         crashed.
       was_silent: Whether it failed because the server or the network sent nothing in time.
       was_stopped: Whether the server stopped the run because it was asked to, which is no fault.
+      is_malformed: Whether bytes were received that are no answer, rather than too few.
+      received_bytes: How many bytes of the answer were received.
     """
 
     reason: str
@@ -62,6 +64,8 @@
     was_closed: bool = False
     was_silent: bool = False
     was_stopped: bool = False
+    is_malformed: bool = False
+    received_bytes: int = 0
 
 
 Outcome = NotSent | Refused | Whole | StreamWhole | Broken
--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -1,6 +1,7 @@
 """Sockets: answers that are cut off at each byte, by a close or a reset."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -57,15 +58,15 @@
     """Returns the last outcome when a server answers so on one connection, then ends it."""
 
     async def serve(reader, writer):
-        for part in parts:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(part)
-            await writer.drain()
-        if resets:
-            await asyncio.sleep(0.02)
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.close()
+        with contextlib.closing(writer), contextlib.suppress(asyncio.IncompleteReadError):
+            for part in parts:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(part)
+                await writer.drain()
+            if resets:
+                await asyncio.sleep(0.02)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     entry = ServerEntry("s-0", "s", Endpoint(*server.sockets[0].getsockname()[:2]), "z", 8)
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -12,6 +12,7 @@
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
+from cicadapond.gateway._malformed_answers import MalformedAnswers
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._rollout_gate import NoRollouts, RolloutGate
 from cicadapond.gateway._servers import ServerRegistry
@@ -76,6 +77,12 @@
     engine_watch: "EngineWatch | None" = None
     version_history: VersionHistory | None = None
     stopping_since: datetime.timedelta | None = None
+    malformed_answers: MalformedAnswers = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: MalformedAnswers(self.clock, self.log, self.metrics), takes_self=True
+        ),
+    )
 
     def software_versions(self, service: str) -> set[str]:
         """Returns the versions of a service that may have begun streams which callers take up."""
--- a/cicadapond/gateway/_passing_on.py
+++ b/cicadapond/gateway/_passing_on.py
@@ -40,7 +40,10 @@
             self._state.reason = "this process does not reach a server either"
             return self._retries.failure_outcome()
         for target in self._parts.relay.targets(self._state.service, self._state.req.id):
+            started = self._parts.clock.monotonic()
             outcome = await self._relay_to(target)
+            took = self._parts.clock.monotonic() - started
+            self._parts.malformed_answers.record(target, outcome, took)
             self._state.log("relayed", target=target.name, outcome=type(outcome).__name__)
             final = self._evaluate_relayed(outcome)
             if final is not None:
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -157,6 +157,7 @@
                 parts.demand.end_answer(self._state.service, took_answer)
             self._state.observer.end(outcome)
         self._state.is_sending = False
+        parts.malformed_answers.record(entry, outcome, parts.clock.monotonic() - started)
         self._state.log(
             "attempt",
             server=entry.name,
