--- a/cicadapond/gateway/relay_test.py
+++ b/cicadapond/gateway/relay_test.py
@@ -183,3 +183,23 @@
             assert answer.status != 200 and answer.body != b"", (kind, answer)
 
     run(check, tmp_path)
+
+
+@pytest.mark.parametrize("fault", [EngineFault.ENDLESS_BODY, EngineFault.ENDLESS_HEAD])
+def test_an_answer_without_end_is_no_answer_also_through_another_process(tmp_path, fault):
+    """Guards against CONFIG and MIXED: it ends, and looks complete at no process."""
+
+    async def check(system):
+        await system.until_joined()
+        cut_off(system.nodes[CUT], "refuses")
+        await notice(system)
+        for kind in ("plain", "stream"):
+            system.fail_next(*[fault] * 8)
+            answer = await ask(system, f"e-{kind}", kind)
+            assert system.ran().count(f"e-{kind}") >= 1
+            assert answer.status in (502, 504) and answer.is_complete, (kind, answer)
+            system.fail_next()
+            assert (await ask(system, f"f-{kind}", kind)).status == 200
+        assert system.nodes[LINKED].parts.metrics.total("server_answers_malformed") >= 2
+
+    run(check, tmp_path)
