--- a/cicadapond/containment/__init__.py
+++ b/cicadapond/containment/__init__.py
@@ -6,13 +6,14 @@
 """
 
 from cicadapond.containment._crashes import BLAME_RETENTION, CrashTracker
-from cicadapond.containment._culprits import CRASH_LIMIT, find_culprits
+from cicadapond.containment._culprits import CRASH_LIMIT, SEPARATOR, find_culprits
 from cicadapond.containment._evidence import Crash, CrashEvidence, Successes, merge_evidence
 from cicadapond.containment._traits import fingerprint_of, traits_of
 
 __all__ = [
     "BLAME_RETENTION",
     "CRASH_LIMIT",
+    "SEPARATOR",
     "Crash",
     "CrashEvidence",
     "CrashTracker",
--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cicadapond.containment._culprits import find_culprits
+from cicadapond.containment._culprits import SEPARATOR, Cause, crashes_of, find_culprits
 from cicadapond.containment._evidence import Crash, CrashEvidence, Successes
 from cicadapond.kernel import Clock
 
@@ -27,6 +27,14 @@
 # last crash or trial, and each further one after twice the time of the one before.  Without trials
 # a trait that was blamed wrongly could never be cleared; a trial of the right one costs a server.
 FIRST_TRIAL_DELAY = datetime.timedelta(seconds=60)
+# The delay of the first trial of a cause that no success tells from the rest of the crashes.
+EARLY_TRIAL_DELAY = datetime.timedelta(seconds=5)
+# Requests with some of the traits of a cause are sent on trial by one process, and by twice as many
+# after each of these times, since the one that comes first may get no such request.
+TRIAL_ROUND = datetime.timedelta(seconds=1.5)
+MAX_TRIAL_ROUNDS = 10
+# A trial of which nothing was heard for this long is made again.
+TRIAL_TIMEOUT = datetime.timedelta(seconds=5)
 # How often the evidence is weighed anew.
 EVALUATION_INTERVAL = datetime.timedelta(milliseconds=250)
 
@@ -61,13 +69,29 @@
     last: datetime.datetime
 
 
+@attrs.define
+class _Distinction:
+    """The trials that tell which trait of a cause crashes servers.
+
+    Attributes:
+      since: When they began.
+      crashed_at: When the last crash was that the cause explains.
+      sent_at: When this process sent the last one, None if it sent none.
+    """
+
+    since: datetime.datetime
+    crashed_at: datetime.datetime
+    sent_at: datetime.datetime | None = None
+
+
 class CrashTracker:
     """Finds by which traits requests crash servers.
 
     Args:
       clock: The clock; its wall-clock time is compared with that of other processes.
       zone: This process's data centre.
-      tries: Returns whether this process is the one that sends requests with a trait on trial.
+      tries: Returns whether this process is among those, up to a number, that send requests with
+        a cause on trial.
       explained: Returns those of the crashed starts of servers that no request is to blame for.
     """
 
@@ -75,7 +99,7 @@
         self,
         clock: Clock,
         zone: str = "",
-        tries: typing.Callable[[str], bool] = lambda trait: False,
+        tries: typing.Callable[[str, int], bool] = lambda cause, count: False,
         explained: typing.Callable[
             [typing.Collection[str]], typing.Collection[str]
         ] = lambda servers: (),
@@ -85,6 +109,7 @@
         self._zone = zone
         self._tries = tries
         self._trials: dict[str, _Trials] = {}
+        self._distinctions: dict[str, _Distinction] = {}
         self._broken_connections: dict[str, list[_BrokenConnection]] = {}
         self._observed: dict[str, Crash] = {}
         self._known: dict[str, Crash] = {}
@@ -93,31 +118,69 @@
         self._successes: dict[str, _SuccessCount] = {}
         self._successes_pruned_at = clock.monotonic()
         self._zone_successes: dict[str, typing.Mapping[str, Successes]] = {}
-        self._culprits: dict[str, datetime.datetime] = {}
+        self._culprits: dict[str, Cause] = {}
         self._blamed: dict[str, datetime.datetime] = {}
+        # Those of the blamed traits that were told from others by successes or by many crashes.
+        self._confirmed: set[str] = set()
         # Causes that were stored before this process started.
         self._restored: dict[str, datetime.datetime] = {}
         self._evaluated_at: datetime.timedelta | None = None
 
     def find_cause(self, traits: typing.Sequence[str]) -> str | None:
-        """Returns the trait because of which a request must not be sent, None if it may be."""
+        """Returns the name of the cause because of which a request must not be sent, or None."""
         if not self._known and not self._restored:
             return None
         self._evaluate()
-        return next((trait for trait in traits if trait in self._culprits), None)
+        suspected = [cause for cause in self._culprits.values() if cause.suspects(traits)]
+        found = min(suspected, key=lambda cause: not cause.convicts(traits), default=None)
+        return found.name if found is not None else None
+
+    def convicts(self, name: str, traits: typing.Collection[str]) -> bool:
+        """Returns whether a request is known to crash servers, and not only suspected."""
+        cause = self._culprits.get(name)
+        return cause is not None and cause.convicts(traits)
 
-    def begin_trial(self, trait: str) -> bool:
-        """Returns whether to send one request with a blamed trait on trial; counts the trial."""
-        now, crashed_at = self._clock.now(), self._culprits.get(trait)
-        if crashed_at is None:
+    def begin_trial(self, name: str, traits: typing.Collection[str]) -> bool:
+        """Returns whether to send one request on trial; counts the trial.
+
+        Args:
+          name: The cause because of which the request is not sent otherwise.
+          traits: The traits of the request.
+        """
+        cause = self._culprits.get(name)
+        if cause is None:
             return False
-        trials = self._trials.get(trait, _Trials(0, crashed_at))
-        delay = FIRST_TRIAL_DELAY * 2**trials.count
-        if now < max(crashed_at, trials.last) + delay or not self._tries(trait):
+        if not cause.convicts(traits):
+            return self._begin_distinction(cause)
+        now = self._clock.now()
+        trials = self._trials.get(name, _Trials(0, cause.at))
+        if self._is_confirmed(cause) or trials.count:
+            due, count = max(cause.at, trials.last) + FIRST_TRIAL_DELAY * 2**trials.count, 1
+        else:
+            due = cause.at + EARLY_TRIAL_DELAY
+            count = _processes_that_try(now - due)
+        if now < due or not self._tries(name, count):
             return False
-        self._trials[trait] = _Trials(trials.count + 1, now)
+        self._trials[name] = _Trials(trials.count + 1, now)
         return True
 
+    def _begin_distinction(self, cause):
+        now, known = self._clock.now(), self._distinctions.get(cause.name)
+        if known is None or known.crashed_at != cause.at:
+            known = self._distinctions[cause.name] = _Distinction(now, cause.at)
+        if known.sent_at is not None and now - known.sent_at < TRIAL_TIMEOUT:
+            return False
+        if not self._tries(cause.name, _processes_that_try(now - known.since)):
+            return False
+        known.sent_at = now
+        return True
+
+    def cancel_trial(self, name: str) -> None:
+        """Takes back the last trial because of a cause, as no server could take the request."""
+        if name in self._distinctions:
+            self._distinctions[name].sent_at = None
+        self._trials.pop(name, None)
+
     def record_broken_connection(self, traits: tuple[str, ...], server: str) -> None:
         """Records that a request's connection broke before its response was complete.
 
@@ -164,8 +227,9 @@
     def observed(self) -> CrashEvidence:
         """Returns what this process observed itself, to report to the others."""
         self._expire()
+        suspected = self._suspected.union(*(name.split(SEPARATOR) for name in self._restored))
         successes = {
-            trait: self._own_successes(trait) for trait in self._suspected & self._successes.keys()
+            trait: self._own_successes(trait) for trait in suspected & self._successes.keys()
         }
         return CrashEvidence(dict(self._observed), successes)
 
@@ -180,16 +244,38 @@
         self._learn(evidence.crashes)
 
     def culprits(self) -> dict[str, datetime.datetime]:
-        """Returns the traits that are blamed now, with the time of their last crash."""
+        """Returns the names of what is blamed now, with the time of the last crash of each."""
         if not self._known and not self._restored:
             return {}
         self._evaluate()
-        return dict(self._culprits)
+        return {name: cause.at for name, cause in self._culprits.items()}
+
+    def is_confirmed(self, name: str) -> bool:
+        """Returns whether a cause that is blamed now needs no early trial."""
+        cause = self._culprits.get(name)
+        return cause is not None and self._is_confirmed(cause)
+
+    def is_cleared(self, name: str, at: datetime.datetime) -> bool:
+        """Returns whether a request succeeded that had a trait of a cause, after a time."""
+        return any(self._successes_of(trait).last > at for trait in name.split(SEPARATOR))
+
+    def restore(
+        self,
+        causes: typing.Mapping[str, datetime.datetime],
+        unconfirmed: typing.Collection[str] = (),
+    ) -> None:
+        """Adds what was blamed before this process started.
 
-    def restore(self, causes: typing.Mapping[str, datetime.datetime]) -> None:
-        """Adds traits that were blamed before this process started, with their last crash."""
+        Args:
+          causes: The names of the causes, with the time of the last crash of each.
+          unconfirmed: Those that no successes told from the rest of the crashes.
+        """
         self._restored |= causes
-        self._blamed |= causes
+        for name, at in causes.items():
+            if SEPARATOR not in name:
+                self._blamed[name] = at
+                if name not in unconfirmed:
+                    self._confirmed.add(name)
         self._evaluated_at = None
 
     def _learn(self, crashes):
@@ -210,12 +296,19 @@
         for trait, at in list(self._blamed.items()):
             if self._successes_of(trait).last > at:
                 del self._blamed[trait]
-                self._restored.pop(trait, None)
+                self._confirmed.discard(trait)
         explained = self._explained(self._known.keys())
         crashes = [crash for server, crash in self._known.items() if server not in explained]
-        found = find_culprits(crashes, self._successes_of, self._blamed)
-        self._culprits = self._restored | found
-        self._blamed |= self._culprits
+        crashes += [crash for name, at in self._restored.items() for crash in crashes_of(name, at)]
+        self._culprits = find_culprits(crashes, self._successes_of, self._blamed)
+        for cause in self._culprits.values():
+            if cause.is_sole:
+                self._blamed[cause.name] = cause.at
+                if cause.is_confirmed:
+                    self._confirmed.add(cause.name)
+
+    def _is_confirmed(self, cause):
+        return cause.is_confirmed or cause.name in self._confirmed
 
     def _successes_of(self, trait):
         """Returns what all processes tell; this one is in its zone's report, or ahead of it."""
@@ -252,8 +345,17 @@
             for server in [k for k, crash in crashes.items() if crash.at <= now - CRASH_RETENTION]:
                 del crashes[server]
                 self._suspected = {trait for each in self._known.values() for trait in each.traits}
-        for trait in [k for k, at in self._restored.items() if at <= now - CRASH_RETENTION]:
-            del self._restored[trait]
+        for name in [k for k, at in self._restored.items() if at <= now - CRASH_RETENTION]:
+            del self._restored[name]
         for trait in [k for k, at in self._blamed.items() if at <= now - BLAME_RETENTION]:
             del self._blamed[trait]
-            self._trials.pop(trait, None)
+            self._confirmed.discard(trait)
+        for name in self._trials.keys() - self._culprits.keys() - self._blamed.keys():
+            del self._trials[name]
+        for name in self._distinctions.keys() - self._culprits.keys():
+            del self._distinctions[name]
+
+
+def _processes_that_try(elapsed):
+    """Returns how many processes may send a request on trial so long after the first one may."""
+    return 2 ** max(0, min(elapsed // TRIAL_ROUND, MAX_TRIAL_ROUNDS))
--- a/cicadapond/containment/_evidence.py
+++ b/cicadapond/containment/_evidence.py
@@ -8,6 +8,9 @@
 
 import attrs
 
+# Before all crashes.
+NEVER = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+
 
 @attrs.frozen
 class Crash:
@@ -26,7 +29,7 @@
     """Requests with one trait that were answered lately: how many, and when the last began."""
 
     count: int = 0
-    last: datetime.datetime = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+    last: datetime.datetime = NEVER
 
     def merged_with(self, other: "Successes") -> "Successes":
         """Returns the successes that two processes saw."""
--- a/cicadapond/containment/crashes_test.py
+++ b/cicadapond/containment/crashes_test.py
@@ -15,6 +15,7 @@
 )
 from cicadapond.containment._crashes import (
     CRASH_RETENTION,
+    EARLY_TRIAL_DELAY,
     EVALUATION_INTERVAL,
     FIRST_TRIAL_DELAY,
 )
@@ -73,6 +74,84 @@
     assert set(tracker.culprits()) == {"part bad"}
 
 
+def make_shared_crashes(*neighbour):
+    """Returns a tracker that tries, after crashes with no success of any request."""
+    clock = ManualClock()
+    tracker = CrashTracker(clock, "z", tries=lambda cause, count: True)
+    for number in range(3):
+        crash(tracker, clock, (f"request {number}", "part bad", "part aa"), neighbour)
+    return tracker, clock
+
+
+def test_a_part_that_all_prompts_share_is_not_blamed_by_its_name_after_a_quiet_time():
+    tracker, clock = make_shared_crashes()
+    poison, sound = ("request p", "part bad", "part aa"), ("request s", "part c", "part aa")
+    (cause,) = tracker.culprits()
+    assert tracker.convicts(cause, poison)
+    assert tracker.find_cause(sound) == cause and not tracker.convicts(cause, sound)
+    assert not tracker.begin_trial(cause, poison)
+    assert tracker.begin_trial(cause, sound)
+    assert not tracker.begin_trial(cause, sound)
+    succeed(tracker, clock, *sound)
+    clock.advance(EVALUATION_INTERVAL)
+    assert tracker.find_cause(sound) is None
+    assert tracker.find_cause(poison) == "part bad"
+
+
+def test_a_trial_that_reached_no_server_is_made_again():
+    tracker, _ = make_shared_crashes()
+    (cause,) = tracker.culprits()
+    assert tracker.begin_trial(cause, ("part aa",))
+    tracker.cancel_trial(cause)
+    assert tracker.begin_trial(cause, ("part aa",))
+
+
+def test_crashes_of_trials_tell_the_part_that_crashes_servers_from_its_neighbours():
+    tracker, clock = make_shared_crashes("part c")
+    (cause,) = tracker.culprits()
+    for _ in range(2):
+        assert not tracker.convicts(cause, ("part bad", "part aa"))
+        crash(tracker, clock, ("request p", "part bad"))
+    assert tracker.find_cause(("part bad",)) == "part bad"
+    assert tracker.find_cause(("part aa", "part c")) is None
+
+
+def test_a_part_is_tried_within_seconds_if_nothing_tells_it_from_other_reasons():
+    clock = ManualClock()
+    tracker = CrashTracker(clock, "z", tries=lambda cause, count: True)
+    sent = 0
+    for _ in range(12):
+        crash(tracker, clock, ("part aa",))
+        for _ in range(6):
+            blamed = tracker.find_cause(("part aa",)) is not None
+            sent += blamed and tracker.begin_trial("part aa", ("part aa",))
+            clock.advance(EARLY_TRIAL_DELAY / 5)
+    assert sent == 1
+
+
+def test_what_all_processes_forgot_is_not_blamed_in_place_of_a_stored_cause():
+    tracker, clock = make_shared_crashes()
+    late = CrashTracker(clock, "z", tries=lambda cause, count: True)
+    late.restore(tracker.culprits(), unconfirmed=tracker.culprits().keys())
+    (cause,) = late.culprits()
+    assert late.convicts(cause, ("part bad", "part aa"))
+    assert late.begin_trial(cause, ("part aa",))
+    succeed(late, clock, "part aa")
+    clock.advance(EVALUATION_INTERVAL)
+    assert set(late.culprits()) == {"part bad"}
+    assert late.is_cleared(cause, tracker.culprits()[cause])
+
+
+def test_a_cause_that_an_earlier_build_stored_is_tried_within_seconds():
+    clock = ManualClock()
+    tracker = CrashTracker(clock, "z", tries=lambda cause, count: True)
+    tracker.restore({"part aa": clock.now(), "part bad": clock.now()}, unconfirmed=("part aa",))
+    clock.advance(EARLY_TRIAL_DELAY)
+    assert tracker.find_cause(("part aa",)) == "part aa"
+    assert tracker.begin_trial("part aa", ("part aa",))
+    assert not tracker.begin_trial("part bad", ("part bad",))
+
+
 def test_servers_that_go_down_at_once_are_one_crash():
     tracker, clock = make()
     at = clock.now()
@@ -160,16 +239,19 @@
 
 def test_one_process_tries_a_blamed_part_once_and_then_more_seldom():
     clock = ManualClock()
-    tracker = CrashTracker(clock, "z", tries=lambda trait: trait == "part bad")
+    tracker = CrashTracker(clock, "z", tries=lambda cause, count: cause == "part bad")
     idle = CrashTracker(clock, "z")
     for _ in range(3):
-        crash(tracker, clock, ("part bad",))
+        crash(tracker, clock, ("part bad", "part first"))
+    succeed(tracker, clock, "part first")
     idle.apply("z", tracker.observed())
     sent = []
     for second in range(200):
         clock.advance(seconds(1))
         for each in (idle, tracker):
-            if each.find_cause(("part bad",)) == "part bad" and each.begin_trial("part bad"):
+            if each.find_cause(("part bad",)) == "part bad" and each.begin_trial(
+                "part bad", ("part bad",)
+            ):
                 sent.append((second, each))
         if second == 100:  # the trial of another process, say
             crash(tracker, clock, ("part bad",))
@@ -179,13 +261,13 @@
 
 def test_a_successful_trial_clears_a_part_that_was_blamed_wrongly():
     clock = ManualClock()
-    tracker = CrashTracker(clock, "z", tries=lambda trait: True)
+    tracker = CrashTracker(clock, "z", tries=lambda cause, count: True)
     for _ in range(3):
         crash(tracker, clock, ("part sound",))
     clock.advance(FIRST_TRIAL_DELAY)
     assert tracker.find_cause(("part sound",)) == "part sound"
-    assert tracker.begin_trial("part sound")
-    assert not tracker.begin_trial("part sound")
+    assert tracker.begin_trial("part sound", ("part sound",))
+    assert not tracker.begin_trial("part sound", ("part sound",))
     assert tracker.find_cause(("part sound",)) == "part sound"
     succeed(tracker, clock, "part sound")
     clock.advance(EVALUATION_INTERVAL)
--- a/cicadapond/gateway/_crash_causes.py
+++ b/cicadapond/gateway/_crash_causes.py
@@ -1,11 +1,15 @@
 """Keeps in the store what is blamed for crashes, so that it outlasts a stop of all processes.
 
-Processes tell each other of crashes, but forget them if all of them stop at the same time.
+Processes tell each other of crashes, but forget them if all of them stop at the same time.  They
+forget the successes of sound requests too, so a row tells whether these had confirmed the cause.
+Earlier builds did not ask for that, and their rows do not tell it.
 """
 
 import datetime
 
-from cicadapond.containment import BLAME_RETENTION, CrashTracker
+import attrs
+
+from cicadapond.containment import BLAME_RETENTION, SEPARATOR, CrashTracker
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.kernel import Clock, Ok
@@ -17,6 +21,8 @@
 INTERVAL = datetime.timedelta(milliseconds=300)
 # A cause whose last crash is so much later than stored is written again.
 REFRESH_AGE = datetime.timedelta(seconds=30)
+# Causes of more traits are not stored: requests seldom have all of them.
+MAX_TRAITS = 8
 # So many processes write each cause, as one of them may end just then.
 WRITERS = 2
 
@@ -49,7 +55,7 @@
         self._clock = clock
         self._log = log
         # Of the store's present era; what was stored before may be lost.
-        self._stored: dict[str, datetime.datetime] = {}
+        self._stored: dict[str, _Row] = {}
         self._era = 0
 
     async def run(self) -> None:
@@ -60,11 +66,13 @@
             if self._tables.era() > self._era:
                 self._era = self._tables.era()
                 self._stored.clear()
-            for trait, at in self._crashes.culprits().items():
-                stored = self._stored.get(trait)
-                is_new = stored is None or at - stored >= REFRESH_AGE
-                if is_new and self._is_writer(trait):
-                    await self._write(trait, at)
+            for cause, at in self._crashes.culprits().items():
+                row = _Row(at, self._crashes.is_confirmed(cause))
+                if row.replaces(self._stored.get(cause)) and self._is_writer(cause):
+                    await self._write(cause, row)
+            for cause, row in list(self._stored.items()):
+                if self._crashes.is_cleared(cause, row.at) and self._is_writer(cause):
+                    await self._delete(cause)
             await self._clock.sleep(INTERVAL)
 
     async def _read(self):
@@ -78,19 +86,44 @@
             if at < oldest:
                 await self._tables.transact((Write(TABLE, row.key, None),))
                 continue
-            self._stored[row.key] = at
+            self._stored[row.key] = _Row(at, bool(row.value.get("confirmed")))
+        unconfirmed = {cause for cause, row in self._stored.items() if not row.is_confirmed}
         if self._stored:
-            self._log.write("crash_causes_read", causes=sorted(self._stored))
-        self._crashes.restore(self._stored)
+            self._log.write(
+                "crash_causes_read", causes=sorted(self._stored), unconfirmed=sorted(unconfirmed)
+            )
+        self._crashes.restore({cause: row.at for cause, row in self._stored.items()}, unconfirmed)
         return True
 
-    async def _write(self, trait, at):
-        row = {"at_ms": round(at.timestamp() * 1000)}
-        written = await self._tables.transact((Write(TABLE, trait, row),))
+    async def _write(self, cause, row):
+        value = {"at_ms": round(row.at.timestamp() * 1000), "confirmed": row.is_confirmed}
+        written = await self._tables.transact((Write(TABLE, cause, value),))
+        if isinstance(written, Ok):
+            self._stored[cause] = row
+            self._log.write("crash_cause_stored", cause=cause, confirmed=row.is_confirmed)
+
+    async def _delete(self, cause):
+        written = await self._tables.transact((Write(TABLE, cause, None),))
         if isinstance(written, Ok):
-            self._stored[trait] = at
-            self._log.write("crash_cause_stored", cause=trait)
+            del self._stored[cause]
+            self._log.write("crash_cause_cleared", cause=cause)
 
-    def _is_writer(self, trait):
+    def _is_writer(self, cause):
         sharers = self._cluster.sharers()
-        return sharers is not None and self._process in rank(trait, sharers)[:WRITERS]
+        if sharers is None or cause.count(SEPARATOR) >= MAX_TRAITS:
+            return False
+        return self._process in rank(cause, sharers)[:WRITERS]
+
+
+@attrs.frozen
+class _Row:
+    """A cause in the store: when the last crash was, and whether sound requests confirmed it."""
+
+    at: datetime.datetime
+    is_confirmed: bool
+
+    def replaces(self, stored: "_Row | None") -> bool:
+        """Returns whether the store has to be told of this."""
+        if stored is None or self.at - stored.at >= REFRESH_AGE:
+            return True
+        return self.is_confirmed and not stored.is_confirmed
--- a/cicadapond/gateway/_crash_watch.py
+++ b/cicadapond/gateway/_crash_watch.py
@@ -22,7 +22,7 @@
 
     Attributes:
       traits: The traits of the request.
-      is_on_trial: Whether it is sent although one of its traits is blamed.
+      is_on_trial: Whether it is sent although it may crash servers.
     """
 
     def __init__(
@@ -35,16 +35,27 @@
         self._is_sound = False
         self.traits = traits_of(req, account)
         self.is_on_trial = False
+        self._tried_cause: str | None = None
 
     def find_cause(self) -> str | None:
-        """Returns the trait because of which the request must not be sent, None if it may be."""
+        """Returns the cause because of which the request must not be sent, None if it may be."""
         return None if self.is_on_trial else self._crashes.find_cause(self.traits)
 
     def begin_trial(self, cause: str) -> bool:
         """Returns whether the request is sent all the same, once, to see if it still crashes."""
-        self.is_on_trial = self._crashes.begin_trial(cause)
+        self.is_on_trial = self._crashes.begin_trial(cause, self.traits)
+        self._tried_cause = cause
         return self.is_on_trial
 
+    def cancel_trial(self) -> None:
+        """Lets another request be sent on trial, as this one reached no server."""
+        if self.is_on_trial:
+            self._crashes.cancel_trial(self._tried_cause)
+
+    def is_convicted(self, cause: str) -> bool:
+        """Returns whether the request is known to crash servers, and not only suspected."""
+        return self._crashes.convicts(cause, self.traits)
+
     def begin_attempt(self) -> None:
         """Records that the request is about to be sent to a server."""
         self._writing_since, self._is_sound = None, False
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -230,7 +230,7 @@
             ),
             quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
-            crashes=CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version),
+            crashes=CrashTracker(clock, cfg.zone, self._tries_cause, rollouts.crashes_of_version),
             demand=DemandMeter(clock),
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
             check_server=self._check_server,
@@ -424,10 +424,10 @@
 
     # Crashes of servers
 
-    def _tries_trait(self, trait):
-        """Returns whether this process is the one that tries requests that crashed servers."""
+    def _tries_cause(self, cause, count):
+        """Returns whether this process is among those that try requests that crashed servers."""
         sharers = self._cluster.sharers()
-        return sharers is not None and rank(trait, sharers)[0] == self._cfg.name
+        return sharers is not None and self._cfg.name in rank(cause, sharers)[:count]
 
     def _check_server(self, entry):
         if entry.name not in self._checking:
--- a/cicadapond/gateway/_retries.py
+++ b/cicadapond/gateway/_retries.py
@@ -30,6 +30,8 @@
 # Retry-After values: for a transient shortage, and when no request could be sent to any server.
 SHORT_RETRY_AFTER = datetime.timedelta(milliseconds=250)
 NO_SERVER_RETRY_AFTER = datetime.timedelta(seconds=1)
+# A request on trial takes about this long to show whether requests like it crash servers.
+SUSPECT_RETRY_AFTER = datetime.timedelta(seconds=1.5)
 
 
 class Retries:
@@ -55,13 +57,17 @@
         return None
 
     def contained_outcome(self):
-        """Returns the outcome if the request crashes servers, else None."""
+        """Returns the outcome if the request crashes servers, or may do so, else None."""
         cause = self._state.crash_watch.find_cause()
         if cause is None:
             return None
         if not self._state.send_count and self._state.crash_watch.begin_trial(cause):
             self._state.log("trial", cause=cause)
             return None
+        if not self._state.crash_watch.is_convicted(cause):
+            self._parts.metrics.count("requests_suspected", service=self._state.service)
+            self._state.log("suspected", cause=cause)
+            return NotRun("this request may crash servers", SUSPECT_RETRY_AFTER)
         self._parts.metrics.count("requests_contained", service=self._state.service)
         self._state.log("contained", cause=cause)
         return Failed("this request crashes servers", status=500)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -79,6 +79,8 @@
             raise
         finally:
             parts.demand.end(self._state.service)
+            if not self._state.send_count:
+                self._state.crash_watch.cancel_trial()
             if self._state.relayed is not None:
                 parts.evacuation.release(self._state.relayed)
         await FinalAnswer(self._state).send(final)
--- a/cicadapond/gateway/containment_test.py
+++ b/cicadapond/gateway/containment_test.py
@@ -57,7 +57,7 @@
         await system.add_engine("mended", "v1")
         assert (await ask(system, "late", "aa:60,bad:30,z:10")).status == 500
         trials = iter((True,))
-        crashes.begin_trial = lambda trait: next(trials, False)
+        crashes.begin_trial = lambda cause, traits: next(trials, False)
         assert (await ask(system, "trial", "aa:60,bad:30,z:10")).is_complete
         await system.until(lambda: not crashes.culprits(), CONTACT_S)
         assert (await ask(system, "later", "aa:60,bad:30,z:10")).is_complete
@@ -65,26 +65,55 @@
     run(check, tmp_path, processes=1)
 
 
+def test_prompts_that_share_the_first_part_with_crashing_ones_are_served_after_a_quiet_time(
+    tmp_path,
+):
+    async def check(system):
+        await crash_engines(system, is_quiet=True)
+        await start_engine(system, "survivor")
+        answers, number = [], 0
+        while not answers or not all(answer.is_complete for answer in answers):
+            answers = [
+                await ask(system, f"sound-{number}-{node}", f"aa:60,good:30,y{number}:10", node)
+                for node in (0, 1)
+            ]
+            assert all(answer.status in (200, 503) for answer in answers)
+            number += 1
+            await asyncio.sleep(0.2)
+        late = [await ask(system, f"late-{node}", "aa:60,bad:30,z:10", node) for node in (0, 1)]
+        assert [answer.status for answer in late] == [500, 500]
+        assert not any(
+            engine_id.startswith("late") for engine_id in system.engine("survivor").ids()
+        )
+
+    run(check, tmp_path, processes=2)
+
+
 async def start_engine(system, name):
     await system.add_engine(name, "v1")
     system.engine(name).crashing_parts = frozenset({"bad"})
 
 
-async def crash_engines(system):
-    """Crashes engines until all nodes know by which part of prompts."""
+async def crash_engines(system, is_quiet=False):
+    """Crashes engines until all nodes know by which part of prompts.
+
+    Sound prompts are sent in between, unless it is quiet.
+    """
     for number in range(MAX_CRASHES):
         if any(node.state()["crash_causes"] for node in system.nodes):
             break
-        await crash_engine(system, f"e-{number}", number % len(system.nodes))
+        await crash_engine(system, f"e-{number}", number % len(system.nodes), is_quiet)
     await system.until(
         lambda: all(node.state()["crash_causes"] for node in system.nodes), CONTACT_S
     )
 
 
-async def crash_engine(system, name, node):
+async def crash_engine(system, name, node, is_quiet):
     """Crashes an engine by a prompt that shares one part with the other crashing prompts only."""
     await start_engine(system, name)
-    assert (await ask(system, f"sound-{name}", f"aa:60,good-{name}:30,y:10", node)).is_complete
+    if not is_quiet:
+        parts = f"aa:60,good-{name}:30,y:10"
+        assert (await ask(system, f"sound-{name}", parts, node)).is_complete
     await ask(system, f"bad-{name}", f"aa:60,bad:30,own-{name}:10", node)
     system.fleet.unlist_server(name)
     await system.until(lambda: all(not node.parts.registry.all() for node in system.nodes))
--- a/cicadapond/gateway/own_rows_test.py
+++ b/cicadapond/gateway/own_rows_test.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from cicadapond.containment import CrashTracker
 from cicadapond.data import Endpoint
 from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._discovery import PROCESS_TABLE, ProcessDiscovery
 from cicadapond.kernel import VirtualClock, run_virtual, seconds
+from cicadapond.provider import Write
 from cicadapond.standin import DirectTables, TableModel
 
 WRITES_PER_SECOND = 100.0
@@ -71,8 +73,7 @@
         self.start(discovery.search(is_alone, set_seeds))
         return discovery.seeds(rows)
 
-    def start_causes(self, name, culprits, sharers):
-        crashes = types.SimpleNamespace(culprits=lambda: culprits, restore=lambda stored: None)
+    def start_causes(self, name, crashes, sharers):
         cluster = types.SimpleNamespace(sharers=lambda: sharers)
         causes = CrashCauses(crashes, self.tables, cluster, name, self.clock, Log())
         self.start(causes.run())
@@ -133,12 +134,37 @@
     run(check)
 
 
+def test_a_cause_of_crashes_that_a_sound_request_cleared_is_not_blamed_after_a_restart():
+    async def check(world):
+        at = world.clock.now()
+        old = {"at_ms": round(at.timestamp() * 1000)}
+        await world.tables.transact((Write("crash_causes", "part old", old),))
+        tracker = CrashTracker(world.clock, "z")
+        for server in ("s-1/1", "s-2/1", "s-3/1"):
+            await world.clock.sleep(seconds(0.1))
+            tracker.record_broken_connection(("part aa", "part bad"), server)
+            tracker.record_server_down(server)
+        world.start_causes("a", tracker, ("a",))
+        await world.clock.sleep(seconds(1))
+        stored = {row.key: row.value["confirmed"] for row in world.model.rows("crash_causes")[:1]}
+        assert stored == {"part aa,part bad": False}
+        assert tracker.find_cause(("part old",)) and not tracker.is_confirmed("part old")
+        tracker.record_success(("part aa", "part old"), world.clock.now())
+        await world.clock.sleep(seconds(1))
+        rows = {row.key: row.value["confirmed"] for row in world.model.rows("crash_causes")}
+        assert rows == {"part bad": True}
+
+    run(check)
+
+
 def test_what_is_blamed_for_crashes_is_stored_again_after_a_restore():
     async def check(world):
         copy, at = world.model.take_copy(), datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
         names = ("a", "b", "c")
         for name in names:
-            world.start_causes(name, {"part bad": at}, names)
+            tracker = CrashTracker(world.clock, "z")
+            tracker.restore({"part bad": at})
+            world.start_causes(name, tracker, names)
         await world.clock.sleep(seconds(2))
         before = [row.value for row in world.model.rows("crash_causes")]
         world.model.restore(copy)
