--- a/cicadapond/containment/_traits.py
+++ b/cicadapond/containment/_traits.py
@@ -28,9 +28,14 @@
 
 
 def fingerprint_of(req: CallerRequest, account: str | None) -> str:
-    """Returns a hash of a request's method, target, client account and body, but not its id."""
+    """Returns a hash of what a request asks for and its client account, but not of its id.
+
+    Requests with the same body may have different prompts, of which only the parts are known.
+    """
     digest = hashlib.blake2b(digest_size=12)
-    for part in (req.method.encode(), req.target, (account or "").encode(), req.body):
+    parts = req.generation.parts if req.generation is not None else ()
+    names = (part.name.encode() for part in parts)
+    for part in (req.method.encode(), req.target, (account or "").encode(), req.body, *names):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return digest.hexdigest()
--- a/cicadapond/containment/crashes_test.py
+++ b/cicadapond/containment/crashes_test.py
@@ -19,7 +19,7 @@
     EVALUATION_INTERVAL,
     FIRST_TRIAL_DELAY,
 )
-from cicadapond.gateway.data import CallerRequest
+from cicadapond.gateway.data import CallerRequest, Generation, PromptPart
 from cicadapond.kernel import ManualClock, seconds
 
 SERVERS = (f"s-{number}/1" for number in itertools.count())
@@ -313,3 +313,16 @@
     assert fingerprint_of(first, "acme") == fingerprint_of(again, "acme")
     assert fingerprint_of(first, "acme") != fingerprint_of(other, "acme")
     assert fingerprint_of(first, "acme") != fingerprint_of(first, "else")
+
+
+def test_sound_prompts_with_the_body_of_a_crashing_one_are_not_taken_for_the_same_request():
+    prompts = [
+        CallerRequest(
+            name, "POST", b"/a", "h", "/a", (), body=b"x", generation=Generation(9, 1, parts)
+        )
+        for name, parts in (
+            ("1", (PromptPart("aa", 8), PromptPart("bad", 1))),
+            ("2", (PromptPart("aa", 8), PromptPart("good", 1))),
+        )
+    ]
+    assert fingerprint_of(prompts[0], "acme") != fingerprint_of(prompts[1], "acme")
