--- a/cicadapond/containment/_culprits.py
+++ b/cicadapond/containment/_culprits.py
@@ -123,9 +123,13 @@
     """Returns a suspect as a cause, together with what explains its crashes nearly as well."""
     leaders = _leaders(first, crashes, evidence)
     traits, is_contrasted = set(leaders), False
+    by_crashes = {}
     for leader in leaders:
         since = successes(leader).last
         own = [crash for crash in crashes if leader in crash.traits and crash.at > since]
+        # Leaders of the same crashes have the same rivals.
+        by_crashes[tuple(id(crash) for crash in own)] = leader, own
+    for leader, own in by_crashes.values():
         fewest = _incidents(leader, own) - SOLE_CAUSE_MARGIN
         for trait in _comparable(first, own, evidence) - leaders:
             if _incidents(trait, own) <= fewest:
