--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -207,7 +207,7 @@
         self._rollouts = self._make_rollouts(registry, placer)
         rollouts = self._rollouts or NoRollouts()
         current_for = feed_wait(bounds.max_revocation_delay) + FEED_DELAY_ALLOWANCE
-        crashes = CrashTracker(clock, cfg.zone, self._tries_trait, rollouts.crashes_of_version)
+        crashes = CrashTracker(clock, cfg.zone, self._tries_cause, rollouts.crashes_of_version)
         return Parts(
             cfg=cfg,
             clock=clock,
@@ -432,10 +432,10 @@
 
     # Crashes of servers
 
-    def _tries_trait(self, trait):
-        """Returns whether this process is the one that tries requests that crashed servers."""
+    def _tries_cause(self, cause, count):
+        """Returns whether this process is among those that try requests that crashed servers."""
         sharers = self._cluster.sharers()
-        return sharers is not None and rank(trait, sharers)[0] == self._cfg.name
+        return sharers is not None and self._cfg.name in rank(cause, sharers)[:count]
 
     # Duties
 
