--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -215,7 +215,9 @@
             # its own earlier orders are a full term old: otherwise its old and new orders would
             # enclose those of the holders in between.
             if _is_released(value) and not self._held_recently(value):
-                return self._write(self._next_fencing(), now, 0, self._recent_before(value))
+                # An earlier build's grant may last until the end of the last holder's quiet term.
+                recent, quiet_ms = self._recent_before(value), value.get("quiet_ms", 0)
+                return self._write(self._next_fencing(), now, 0, recent, quiet_ms)
         recent = None if self._is_restored() else self._recent_before(value)
         if now - self._version_seen_at > self._term():
             unfenced_wait_ms = self.cfg.order_limit // _MILLISECOND
@@ -298,7 +300,7 @@
 
     def _renewal(self, value, now):
         recent = [] if now - self._held_since > self.cfg.term else value.get("recent")
-        quiet_ms = value.get("quiet_ms", 0)
+        quiet_ms = value.get("quiet_ms", 0) if now < self._acts_from else 0
         return self._write(value["fencing"], now, value["waited_ms"], recent, quiet_ms)
 
     def _write(self, fencing, now, unfenced_wait_ms, recent, quiet_ms=0):
--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -177,6 +177,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_no_holder_acts_beside_an_earlier_build_after_a_release_in_the_quiet_term(is_restarted):
+    """Guards against ONE: the grant that the last holder waited for had not ended."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        first, second = holders(table, clock, 2)
+        old = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 8, "waited_ms": 0}
+        table.row = attrs.evolve(table.row, version=1, value={**old, "term_ms": 4000})
+        await first.step()
+        await first.release()
+        follower = holders(table, clock, 1)[0] if is_restarted else second
+        await follower.step()
+        while clock.monotonic() < CFG.term - seconds(0.1):
+            await follower.step()
+            grant = follower.grant()
+            assert grant is None or not grant.may_order(clock.monotonic(), checks_fencing=True)
+            await clock.sleep(seconds(0.1))
+        await steps(clock, [follower], 2)
+        assert follower.grant().may_order(clock.monotonic(), checks_fencing=True)
+        # Whoever follows later need not wait.
+        await follower.release()
+        (third,) = holders(table, clock, 3)[2:]
+        await third.step()
+        assert third.grant().may_order(clock.monotonic(), checks_fencing=True)
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fencing", [2 * FENCING_STEP, 2 * FENCING_STEP + 1])
 def test_a_holder_yields_to_one_of_an_earlier_build_whose_number_is_not_lower(fencing):
     """Guards against a fencing number of two holders: such a build takes a missing row at once."""
