--- a/cicadapond/controller/task_test.py
+++ b/cicadapond/controller/task_test.py
@@ -1,12 +1,17 @@
 """Tests of the controller's task on a small fleet: lease, lost answers, outages, and a backlog."""
 
+import asyncio
+import random
+
 import pytest
 
 from cicadapond.capacity import UTILISATION_TARGET
 from cicadapond.experiments._fleet import FleetSimulation
 from cicadapond.experiments.waves import DECODE_STEP_SECONDS, OFFERS, SLOTS, wave_intent
-from cicadapond.kernel import run_virtual, seconds
-from cicadapond.standin import CloudTiming, WeightSettings
+from cicadapond.kernel import Metrics, run_virtual, seconds
+from cicadapond.lease import LeaseSettings, LeaseTask
+from cicadapond.provider import Write
+from cicadapond.standin import CloudTiming, DirectTables, TableModel, WeightSettings
 from cicadapond.standin._engine import EngineSettings, EngineTiming
 
 REPLICAS = 3
@@ -69,6 +74,30 @@
     assert run(scenario) == (0, REPLICAS)
 
 
+def test_nothing_is_ordered_while_the_grant_of_an_earlier_build_lasts():
+    """Guards against two that act at once: the lease is taken before that grant has ended."""
+
+    async def scenario(world):
+        earlier = {"holder": "a", "instance": "a-1", "token": "a-1/1", "fencing": 3, "waited_ms": 0}
+        row = Write("leases", "yqr", {**earlier, "term_ms": STARTUP_TIME // seconds(0.001)})
+        tables = TableModel(world.clock, random.Random(1))
+        tables.apply((row,))
+        cfg = LeaseSettings(term=STARTUP_TIME)
+        world.lease = LeaseTask(
+            cfg, "yqr", "b", DirectTables(tables), world.clock, Metrics(), random.Random(1)
+        )
+        await world.lease.step()
+        await world.start()
+        renewing = asyncio.ensure_future(world.lease.run())
+        await world.clock.sleep(STARTUP_TIME - seconds(1))
+        before = world.cloud.counts["bought"]
+        await world.clock.sleep(STARTUP_TIME)
+        renewing.cancel()
+        return before, world.cloud.counts["bought"]
+
+    assert run(scenario) == (0, REPLICAS)
+
+
 def test_servers_keep_running_while_the_cloud_is_unavailable_and_missing_ones_follow():
     async def scenario(world):
         await world.start()
--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -76,19 +76,15 @@
         numbers.  If the lease was taken after a full term, it is `order_limit` after the write, so
         that the previous holder's last order is no longer in transit; for a released or new lease,
         it is the time of the write.
-      start: The first monotonic instant for any order; a term after the write if the lease was
-        taken from an earlier build, whose grant has ended by then.
     """
 
     fencing: int
     end: datetime.timedelta
     unfenced_from: datetime.timedelta
-    start: datetime.timedelta = datetime.timedelta()
 
     def may_order(self, now: datetime.timedelta, checks_fencing: bool) -> bool:
         """Returns whether an order may be started now; to be checked right before each order."""
-        start = self.start if checks_fencing else max(self.start, self.unfenced_from)
-        return start <= now < self.end
+        return now < self.end and (checks_fencing or now >= self.unfenced_from)
 
 
 class LeaseState:
@@ -145,11 +141,18 @@
         return now - self._era_seen_at
 
     def grant(self, now: datetime.timedelta) -> Grant | None:
-        """Returns the current grant, None if there is none or it has ended."""
-        if self._held_until is None or now >= self._held_until:
+        """Returns the current grant, None if there is none, or it has ended or not begun.
+
+        It begins a term after the write if the lease was taken from an earlier build, whose grant
+        has ended by then.
+        """
+        if not self.is_held(now) or now < self._acts_from:
             return None
-        held = self._held["fencing"]
-        return Grant(held, self._held_until, self._unfenced_from, self._acts_from)
+        return Grant(self._held["fencing"], self._held_until, self._unfenced_from)
+
+    def is_held(self, now: datetime.timedelta) -> bool:
+        """Returns whether this process holds the lease, though its grant may not have begun."""
+        return self._held_until is not None and now < self._held_until
 
     def observe(self, row: Row, now: datetime.timedelta, service_era: int = 0) -> None:
         """Updates the state from a read of the row.
@@ -177,7 +180,7 @@
 
     def must_write_again(self, now: datetime.timedelta) -> bool:
         """Returns whether this process holds the lease, but a restore has undone its last write."""
-        if self.grant(now) is None or not self._is_restored():
+        if not self.is_held(now) or not self._is_restored():
             return False
         value = self._value()
         # Another holder's number that is as high comes from a build that knows no eras.
--- a/cicadapond/lease/_task.py
+++ b/cicadapond/lease/_task.py
@@ -82,7 +82,8 @@
 
     async def step(self) -> None:
         """Writes the row if the lease can be taken or renewed; reads it first unless it is held."""
-        if self.grant() is None and not await self._read():
+        is_held = self.lease.is_held(self._clock.monotonic())
+        if not is_held and not await self._read():
             return
         now = self._clock.monotonic()
         write = self.lease.next_write(now)
@@ -156,7 +157,7 @@
             self._fencing = fencing
 
     def _poll_interval(self) -> datetime.timedelta:
-        if self.grant() is not None:
+        if self.lease.is_held(self._clock.monotonic()):
             return self._cfg.renewal if self._has_written else RENEWAL_RETRY_INTERVAL
         interval = self._challenge_interval()
         if self.lease.is_held_by_earlier_build():
--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -161,17 +161,17 @@
         table.restores = era
         renewing = CFG.term if era else seconds(0)
         began = clock.monotonic()
-        while task.grant() is None:
+        while table.row.value["instance"] == "old-1":
             table.row = attrs.evolve(table.row, version=table.row.version + 1)
             await task.step()
             await clock.sleep(seconds(0.9))
         taken_after = clock.monotonic() - began
         assert renewing <= taken_after <= renewing + 3 * seconds(0.9)
-        grant = task.grant()
-        assert grant.fencing >= FENCING_STEP
-        assert grant.start >= clock.monotonic() - seconds(0.9) + CFG.term - seconds(0.01)
-        assert not grant.may_order(grant.start - seconds(0.1), checks_fencing=True)
-        await steps(clock, [task], 5)
+        assert table.row.value["fencing"] >= FENCING_STEP
+        # The grant begins a term after the write, not later; nothing is ordered before.
+        quiet = CFG.term - seconds(0.9)
+        assert set(await steps(clock, [task], quiet.total_seconds() - 0.4)) == {None}
+        await steps(clock, [task], 0.8)
         assert task.grant().may_order(clock.monotonic(), checks_fencing=False)
 
     run_virtual(main())
@@ -192,8 +192,7 @@
         await follower.step()
         while clock.monotonic() < CFG.term - seconds(0.1):
             await follower.step()
-            grant = follower.grant()
-            assert grant is None or not grant.may_order(clock.monotonic(), checks_fencing=True)
+            assert follower.grant() is None
             await clock.sleep(seconds(0.1))
         await steps(clock, [follower], 2)
         assert follower.grant().may_order(clock.monotonic(), checks_fencing=True)
