--- a/cicadapond/lease/_state.py
+++ b/cicadapond/lease/_state.py
@@ -76,19 +76,15 @@
         numbers.  If the lease was taken after a full term, it is `order_limit` after the write, so
         that the previous holder's last order is no longer in transit; for a released or new lease,
         it is the time of the write.
-      start: The first monotonic instant for any order; a term after the write if the lease was
-        taken from an earlier build, whose grant has ended by then.
     """
 
     fencing: int
     end: datetime.timedelta
     unfenced_from: datetime.timedelta
-    start: datetime.timedelta = datetime.timedelta()
 
     def may_order(self, now: datetime.timedelta, checks_fencing: bool) -> bool:
         """Returns whether an order may be started now; to be checked right before each order."""
-        start = self.start if checks_fencing else max(self.start, self.unfenced_from)
-        return start <= now < self.end
+        return now < self.end and (checks_fencing or now >= self.unfenced_from)
 
 
 class LeaseState:
@@ -145,11 +141,18 @@
         return now - self._era_seen_at
 
     def grant(self, now: datetime.timedelta) -> Grant | None:
-        """Returns the current grant, None if there is none or it has ended."""
-        if self._held_until is None or now >= self._held_until:
+        """Returns the current grant, None if there is none, or it has ended or not begun.
+
+        It begins a term after the write if the lease was taken from an earlier build, whose grant
+        has ended by then.
+        """
+        if not self.is_held(now) or now < self._acts_from:
             return None
-        held = self._held["fencing"]
-        return Grant(held, self._held_until, self._unfenced_from, self._acts_from)
+        return Grant(self._held["fencing"], self._held_until, self._unfenced_from)
+
+    def is_held(self, now: datetime.timedelta) -> bool:
+        """Returns whether this process holds the lease, though its grant may not have begun."""
+        return self._held_until is not None and now < self._held_until
 
     def observe(self, row: Row, now: datetime.timedelta, service_era: int = 0) -> None:
         """Updates the state from a read of the row.
@@ -177,7 +180,7 @@
 
     def must_write_again(self, now: datetime.timedelta) -> bool:
         """Returns whether this process holds the lease, but a restore has undone its last write."""
-        if self.grant(now) is None or not self._is_restored():
+        if not self.is_held(now) or not self._is_restored():
             return False
         value = self._value()
         # Another holder's number that is as high comes from a build that knows no eras.
@@ -215,7 +218,9 @@
             # its own earlier orders are a full term old: otherwise its old and new orders would
             # enclose those of the holders in between.
             if _is_released(value) and not self._held_recently(value):
-                return self._write(self._next_fencing(), now, 0, self._recent_before(value))
+                # An earlier build's grant may last until the end of the last holder's quiet term.
+                recent, quiet_ms = self._recent_before(value), value.get("quiet_ms", 0)
+                return self._write(self._next_fencing(), now, 0, recent, quiet_ms)
         recent = None if self._is_restored() else self._recent_before(value)
         if now - self._version_seen_at > self._term():
             unfenced_wait_ms = self.cfg.order_limit // _MILLISECOND
@@ -298,7 +303,7 @@
 
     def _renewal(self, value, now):
         recent = [] if now - self._held_since > self.cfg.term else value.get("recent")
-        quiet_ms = value.get("quiet_ms", 0)
+        quiet_ms = value.get("quiet_ms", 0) if now < self._acts_from else 0
         return self._write(value["fencing"], now, value["waited_ms"], recent, quiet_ms)
 
     def _write(self, fencing, now, unfenced_wait_ms, recent, quiet_ms=0):
--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -161,22 +161,50 @@
         table.restores = era
         renewing = CFG.term if era else seconds(0)
         began = clock.monotonic()
-        while task.grant() is None:
+        while table.row.value["instance"] == "old-1":
             table.row = attrs.evolve(table.row, version=table.row.version + 1)
             await task.step()
             await clock.sleep(seconds(0.9))
         taken_after = clock.monotonic() - began
         assert renewing <= taken_after <= renewing + 3 * seconds(0.9)
-        grant = task.grant()
-        assert grant.fencing >= FENCING_STEP
-        assert grant.start >= clock.monotonic() - seconds(0.9) + CFG.term - seconds(0.01)
-        assert not grant.may_order(grant.start - seconds(0.1), checks_fencing=True)
-        await steps(clock, [task], 5)
+        assert table.row.value["fencing"] >= FENCING_STEP
+        # The grant begins a term after the write, not later; nothing is ordered before.
+        quiet = CFG.term - seconds(0.9)
+        assert set(await steps(clock, [task], quiet.total_seconds() - 0.4)) == {None}
+        await steps(clock, [task], 0.8)
         assert task.grant().may_order(clock.monotonic(), checks_fencing=False)
 
     run_virtual(main())
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_no_holder_acts_beside_an_earlier_build_after_a_release_in_the_quiet_term(is_restarted):
+    """Guards against ONE: the grant that the last holder waited for had not ended."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        first, second = holders(table, clock, 2)
+        old = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 8, "waited_ms": 0}
+        table.row = attrs.evolve(table.row, version=1, value={**old, "term_ms": 4000})
+        await first.step()
+        await first.release()
+        follower = holders(table, clock, 1)[0] if is_restarted else second
+        await follower.step()
+        while clock.monotonic() < CFG.term - seconds(0.1):
+            await follower.step()
+            assert follower.grant() is None
+            await clock.sleep(seconds(0.1))
+        await steps(clock, [follower], 2)
+        assert follower.grant().may_order(clock.monotonic(), checks_fencing=True)
+        # Whoever follows later need not wait.
+        await follower.release()
+        (third,) = holders(table, clock, 3)[2:]
+        await third.step()
+        assert third.grant().may_order(clock.monotonic(), checks_fencing=True)
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fencing", [2 * FENCING_STEP, 2 * FENCING_STEP + 1])
 def test_a_holder_yields_to_one_of_an_earlier_build_whose_number_is_not_lower(fencing):
     """Guards against a fencing number of two holders: such a build takes a missing row at once."""
