--- a/cicadapond/lease/restore_test.py
+++ b/cicadapond/lease/restore_test.py
@@ -186,7 +186,8 @@
         first, second = holders(table, clock, 2)
         old = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 8, "waited_ms": 0}
         table.row = attrs.evolve(table.row, version=1, value={**old, "term_ms": 4000})
-        await first.step()
+        for _ in range(2):  # takes the lease, and renews it
+            await first.step()
         await first.release()
         follower = holders(table, clock, 1)[0] if is_restarted else second
         await follower.step()
@@ -205,6 +206,44 @@
     run_virtual(main())
 
 
+def test_a_holder_that_was_replaced_by_this_build_does_not_act_again_around_its_successor():
+    """Guards against A, B, A: the successor began to act a term after it had taken the lease."""
+
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        first, upgraded, third = holders(table, clock)
+        old = {"holder": "c1", "instance": "old-1", "token": "t", "fencing": 8, "waited_ms": 0}
+        table.row = attrs.evolve(table.row, version=1, value={**old, "term_ms": 4000})
+        assert (await steps(clock, [first], 4.8))[-1] is not None
+        await first.release()
+        for task in (upgraded, third):
+            await task.step()
+        assert upgraded.grant() is None
+        assert third.grant() is not None
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("era", [0, 1])
+def test_a_process_that_checks_seldom_takes_the_lease_from_an_earlier_build_and_keeps_it(era):
+    async def main():
+        clock, table = VirtualClock(), RestoredTable()
+        old = {"holder": "old", "instance": "old-1", "token": "t", "fencing": 8, "waited_ms": 0}
+        table.row = attrs.evolve(table.row, version=1, value={**old, "term_ms": 4000})
+        table.restores = era
+        rng = random.Random(0)
+        task = LeaseTask(CFG, "yqr", "c0", table, clock, Metrics(), rng, lambda: seconds(60))
+        running = asyncio.ensure_future(task.run())
+        for step in range(200):
+            if table.row.value["instance"] == "old-1" and step % 9 == 0:
+                table.row = attrs.evolve(table.row, version=table.row.version + 1)
+            await asyncio.sleep(0.1)
+            assert task.grant() is not None or step < 10 * (era + 1) * 4 + 20
+        running.cancel()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fencing", [2 * FENCING_STEP, 2 * FENCING_STEP + 1])
 def test_a_holder_yields_to_one_of_an_earlier_build_whose_number_is_not_lower(fencing):
     """Guards against a fencing number of two holders: such a build takes a missing row at once."""
