--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cicadapond.data import Endpoint
+from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, MIXED_POLL_INTERVAL
 from cicadapond.gateway._cluster import (
     HUB_CHANGE_DELAY,
     SILENCE_THRESHOLD,
@@ -94,8 +95,11 @@
     joined._registered = rows
 
 
-def hear(joined, zone, processes, hub="0", usage=0):
-    report = Report(processes=processes, lineage="x/1", usage={7: {"acme": usage}})
+def hear(joined, zone, processes, hub="0", usage=0, restore_followers=0):
+    usage = {7: {"acme": usage}}
+    report = Report(
+        processes=processes, lineage="x/1", usage=usage, restore_followers=restore_followers
+    )
     joined._apply_summary(f"{zone}{hub}", zone, report)
 
 
@@ -185,3 +189,20 @@
         assert joined._parts.stored_usage.own() == {}  # each holder tells its own
 
     run(check)
+
+
+def test_more_processes_check_for_a_duty_while_some_do_not_follow_restores():
+    """Guards against ONE in an upgrade: only builds that forget after a restore are candidates."""
+
+    def check():
+        clock = ManualClock()
+        joined = cluster(clock, is_first_start=False)
+        join(joined, names=[f"a{number}" for number in range(1, 30)], rows=30)
+        clock.advance(SUMMARY_DELAY * 2)
+        assert joined.has_settled()
+        duty = next(d for d in map(str, range(99)) if joined.poll_interval(d) == IDLE_POLL_INTERVAL)
+        for followers, interval in ((3, MIXED_POLL_INTERVAL), (30, IDLE_POLL_INTERVAL)):
+            hear(joined, "a", 30, restore_followers=followers)
+            assert joined.poll_interval(duty) == interval
+
+    run(check)
