--- a/cicadapond/gateway/mixed_builds_test.py
+++ b/cicadapond/gateway/mixed_builds_test.py
@@ -39,7 +39,7 @@
 
 
 class EarlierTables(DirectTables):
-    """The store as an earlier build sees it: without eras, and later fields of the lease."""
+    """The store as an earlier build sees it: no eras, and no newer fields of the lease."""
 
     def era(self):
         return 0
@@ -213,6 +213,28 @@
     play(script)
 
 
+def test_an_earlier_build_does_not_take_the_lease_while_restores_follow_each_other():
+    """Guards against ONE in an upgrade: the others wait for a term after each restore."""
+
+    async def script(world):
+        builds = (EarlierProcess, Process, Process)
+        found = [build(world, name) for build, name in zip(builds, "abc", strict=True)]
+        running = Counting(world, found)
+        await asyncio.sleep(8)
+        world.tables.take_copy()
+        found[1:] = [Process(world, name) for name in "bc"]
+        for _ in range(3):
+            world.tables.restore()
+            for _ in range(13):
+                await asyncio.sleep(0.2)
+                assert found[0].lease.grant() is None
+        await asyncio.sleep(5)
+        assert any(process.lease.grant() for process in found[1:])
+        running.stop()
+
+    play(script)
+
+
 @settings(max_examples=60, deadline=None)
 @given(
     st.lists(
