--- a/cicadapond/gateway/pauses_test.py
+++ b/cicadapond/gateway/pauses_test.py
@@ -123,6 +123,8 @@
     (entry,) = parts.registry.usable("s")
     assert not parts.advisories.may_send(entry)
     assert parts.advisories.get(entry).rate_limit == 0.0
-    parts.registry.put(attrs.evolve(ENTRY, born=8), 100)
+    clock.advance(seconds(1))
+    born = round(1000 * clock.now().timestamp())
+    parts.registry.put(attrs.evolve(ENTRY, born=born), 100)
     (entry,) = parts.registry.usable("s")
     assert parts.advisories.may_send(entry), "another start asked for nothing"
