--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -148,6 +148,10 @@
             return progress.to_broken("the server is silent", conn, was_silent=True)
         if isinstance(outcome, Refused):
             conn.refused_ids.add(req.id)
+        elif not conn.is_framed and not await self._is_running(dispatch.server):
+            # A process that is killed closes its connections in an orderly way too.
+            conn.reset()
+            return progress.to_broken("the server ended", conn, was_silent=False)
         if progress.head.closes_connection or len(conn.refused_ids) >= MAX_REFUSALS:
             conn.close()
         else:
@@ -234,6 +238,10 @@
             return None
         return max(0.0, (since + limit - self._clock.monotonic()).total_seconds())
 
+    async def _is_running(self, server):
+        """Returns whether a server goes on after it has ended an answer with its connection."""
+        return await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT)
+
     async def _is_reachable(self, server):
         """Returns whether a server accepts a new connection."""
         conn = await self._pool.connect(server.name, server.endpoint, CONNECT_TIMEOUT)
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -39,6 +39,7 @@
     Attributes:
       received_bytes: How many bytes were received since the last request was sent.
       received_pieces: In how many pieces the body came that was read since then.
+      is_framed: Whether the response has a length or chunks; else it ends with the connection.
     """
 
     def __init__(self, channel: Channel, now: datetime.timedelta):
@@ -53,6 +54,7 @@
         self._turns = Turns()
         self.received_bytes = 0
         self.received_pieces = 0
+        self.is_framed = True
         self.last_used_at = now
         self.keep_alive_timeout: datetime.timedelta | None = None
         # How many requests were sent, and the ids of those that the server refused; it may write a
@@ -81,6 +83,11 @@
             or self._http.their_state is not h11.DONE
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection."""
+        return not self._channel.is_closed
+
     @property
     def is_clean(self) -> bool:
         """Whether an idle connection is open and no unsolicited data has been received."""
@@ -121,6 +128,8 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self.is_framed = not names.isdisjoint((b"content-length", b"transfer-encoding"))
                 return event.status_code, list(event.headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenResponseError(f"{type(event).__name__} in place of an answer")
--- a/cicadapond/forwarding/_pool.py
+++ b/cicadapond/forwarding/_pool.py
@@ -16,6 +16,8 @@
 # A request that must not be retried uses a connection that was used this recently, or a new one.
 RECENT_USE_LIMIT = datetime.timedelta(milliseconds=1500)
 MAX_IDLE_PER_SERVER = 24
+# The sockets of a process that is killed are closed one after the other within this time.
+CLOSING_TIME = datetime.timedelta(milliseconds=20)
 
 
 class ConnectionPool:
@@ -69,6 +71,35 @@
         self._metrics.count("server_connections_opened", outcome=outcome)
         return conn
 
+    async def is_running(
+        self, server: str, endpoint: Endpoint, timeout: datetime.timedelta
+    ) -> bool:
+        """Returns whether a server goes on after it has closed a connection.
+
+        An idle connection that stays open shows it, or a new one.
+        """
+        idle = self._idle.get(server)
+        if idle:
+            conn = idle[-1]
+            await self._clock.sleep(CLOSING_TIME)
+            if conn.is_open:
+                return True
+        conn = await self.connect(server, endpoint, timeout)
+        if conn is None:
+            return False
+        try:
+            await self._clock.sleep(CLOSING_TIME)
+            if conn.is_open:
+                return True
+        finally:
+            conn.close()
+        # A server that ends resets what it has not accepted yet; one that goes on resets
+        # connections beyond its limit, and is connected to again.
+        conn = await self.connect(server, endpoint, timeout)
+        if conn is not None:
+            conn.close()
+        return conn is not None
+
     def release(self, server: str, conn: ServerConnection) -> None:
         """Returns a connection to the pool, or closes it if it is unusable or the pool is full."""
         idle = self._idle.setdefault(server, collections.deque())
--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -10,6 +10,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import (
     Attempt,
+    Broken,
     ConnectionPool,
     ResponseSink,
     SilenceTimeouts,
@@ -54,8 +55,8 @@
         pass
 
 
-async def outcome_of(parts, resets=False):
-    """Returns the last outcome when a server answers so on one connection, then ends it."""
+async def outcome_of(parts, resets=False, dies=False):
+    """Returns the last outcome when a server answers so on one connection and ends it, or dies."""
 
     async def serve(reader, writer):
         with contextlib.closing(writer), contextlib.suppress(asyncio.IncompleteReadError):
@@ -63,6 +64,8 @@
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(part)
                 await writer.drain()
+            if dies:
+                server.close()
             if resets:
                 await asyncio.sleep(0.02)
                 sock = writer.get_extra_info("socket")
@@ -131,3 +134,8 @@
             assert not isinstance(outcome, Whole | StreamWhole), cut
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", UNFRAMED)
+def test_an_unframed_answer_is_not_whole_if_its_server_died(name):
+    assert isinstance(asyncio.run(outcome_of([UNFRAMED[name]], dies=True)), Broken)
--- /dev/null
+++ b/cicadapond/gateway/unframed_test.py
@@ -0,0 +1,52 @@
+"""End-to-end tests on sockets: answers without a length or chunks, which end with the connection.
+
+The end of such an answer looks like that of a server that is killed.
+"""
+
+import asyncio
+
+import pytest
+
+from cicadapond.gateway.harness import deployment
+from cicadapond.platform.standin import EngineFault, FleetSettings
+
+EVENTS, INTERVAL_S = 40, 0.02
+
+
+def run(check, tmp_path, resumable=True):
+    async def main():
+        cfg = FleetSettings(engines=3, services=2, resumable=resumable, moves=True)
+        async with deployment(tmp_path, cfg) as system:
+            for engine in system.engines():
+                engine.events, engine.event_interval_s = EVENTS, INTERVAL_S
+            async with asyncio.timeout(20):
+                await check(system)
+
+    asyncio.run(main())
+
+
+async def begin(system):
+    """Sends a stream; returns its caller and the name of its engine once it has made events."""
+    system.fail_next(EngineFault.UNFRAMED)
+    caller = system.caller()
+    await caller.stream("s-1", x_cicadapond_token_count=f"100,{EVENTS}")
+    await system.until(lambda: engine_of(system))
+    return caller, engine_of(system)
+
+
+def engine_of(system):
+    runs = [(run, each.name) for each in system.engines() for run in each.memory.runs.values()]
+    return next((name for run, name in runs if run.events >= 5), None)
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_stream_is_not_whole_when_its_engine_is_killed(tmp_path, resumable):
+    async def check(system):
+        caller, engine = await begin(system)
+        await system.fleet.servers[engine].stop(resets=False)
+        answer = await caller.read_response()
+        ids = answer.event_ids()
+        assert ids == list(range(1, len(ids) + 1))
+        assert answer.is_complete == resumable and (len(ids) == EVENTS) == resumable
+
+    run(check, tmp_path, resumable)
