--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -201,7 +201,7 @@
         may_be_empty = dispatch.memory is not None and conn.is_reusable
         if splitter.is_within_event or (progress.events == 0 and not may_be_empty):
             raise BrokenResponseError("the stream ended within an event")
-        return StreamWhole(progress.events)
+        return StreamWhole(progress.events, conn.is_framed)
 
     async def _read_chunk(self, conn, server, silence, progress, waiting_since):
         """Returns the next bytes of a stream, None at its end.
--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -35,9 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamWhole:
-    """A stream that was relayed to its end; `events` counts its events."""
+    """A stream that was relayed to its end.
+
+    Attributes:
+      events: How many events it had.
+      is_framed: Whether the server marked the end, other than by closing the connection.
+    """
 
     events: int
+    is_framed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cicadapond/gateway/_continuing.py
+++ b/cicadapond/gateway/_continuing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cicadapond.forwarding import Broken, NotSent, Refused
+from cicadapond.forwarding import Broken, NotSent, Refused, StreamWhole
 from cicadapond.gateway._engine_calls import KeptAtSource, Moved, MoveDeclined
 from cicadapond.gateway._request import RequestState
 from cicadapond.gateway._sending import Sending
@@ -32,7 +32,7 @@
           The outcome of the last engine, and that engine.  If the run was or may have been stopped
           and cannot go on, the outcome is one that is no fault of the engine.
         """
-        while isinstance(outcome, Broken):
+        while _may_be_stopped(outcome):
             stream = self._state.relayed
             if stream is None or stream.moving is None:
                 break
@@ -40,7 +40,7 @@
             if isinstance(result, MoveDeclined) and result.has_no_run:
                 break
             self._state.may_have_run = True
-            stopped = dataclasses.replace(outcome, was_stopped=True)
+            stopped = _stopped(outcome)
             if not isinstance(result, Moved | KeptAtSource):
                 return stopped, entry
             further = await self._continue(stream, result)
@@ -71,3 +71,16 @@
             "stream_move_failed", server=stream.server.name, reason="no engine took the copy"
         )
         return None
+
+
+def _may_be_stopped(outcome):
+    """Returns whether an answer may have ended because its run was stopped."""
+    return isinstance(outcome, Broken) or (
+        isinstance(outcome, StreamWhole) and not outcome.is_framed
+    )
+
+
+def _stopped(outcome):
+    if isinstance(outcome, StreamWhole):
+        outcome = Broken("closed without an end", events=outcome.events)
+    return dataclasses.replace(outcome, was_stopped=True)
--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -1,16 +1,17 @@
 """End-to-end tests on sockets: answers without a length or chunks, which end with the connection.
 
-The end of such an answer looks like that of a server that is killed.
+The end of such an answer looks like that of a server that is killed, or that stops the run.
 """
 
 import asyncio
 
 import pytest
 
-from cicadapond.gateway.harness import deployment
+from cicadapond.gateway.harness import MODEL_SERVICE, deployment
 from cicadapond.platform.standin import EngineFault, FleetSettings
 
 EVENTS, INTERVAL_S = 40, 0.02
+NOTICE_S = 0.5
 
 
 def run(check, tmp_path, resumable=True):
@@ -50,3 +51,14 @@
         assert answer.is_complete == resumable and (len(ids) == EVENTS) == resumable
 
     run(check, tmp_path, resumable)
+
+
+def test_a_stream_is_not_whole_when_its_run_is_stopped_for_a_move(tmp_path):
+    async def check(system):
+        caller, engine = await begin(system)
+        system.fleet.list_server(engine, MODEL_SERVICE, "draining", leaves_in_s=NOTICE_S)
+        answer = await caller.read_response()
+        assert system.engine(engine).memory.moves == ["s-1"]
+        assert answer.is_complete and answer.event_ids() == list(range(1, EVENTS + 1))
+
+    run(check, tmp_path, resumable=False)
