--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -53,6 +53,18 @@
     run(check, tmp_path, resumable)
 
 
+def test_a_stream_whose_engine_ends_after_the_last_event_is_whole(tmp_path):
+    async def check(system):
+        for engine in system.engines():
+            engine.events, engine.event_interval_s = 5, 0.1
+        caller, engine = await begin(system)
+        await system.fleet.servers[engine].stop(resets=False)
+        answer = await caller.read_response()
+        assert answer.is_complete and answer.event_ids() == [1, 2, 3, 4, 5]
+
+    run(check, tmp_path)
+
+
 def test_a_stream_is_not_whole_when_its_run_is_stopped_for_a_move(tmp_path):
     async def check(system):
         caller, engine = await begin(system)
