--- a/cicadapond/gateway/_retries.py
+++ b/cicadapond/gateway/_retries.py
@@ -80,6 +80,8 @@
             return True
         if self._state.send_count >= self._state.max_attempts:
             return False
+        if self._state.reply.has_begun and self._state.last_event_id is None:
+            return False  # no server could tell where to go on
         if self._state.may_have_run and (
             not self._state.route.repeatable or self._state.crash_watch.is_on_trial
         ):
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -102,11 +102,11 @@
             return await self._stream(dispatch, sink, None)
         if step == "error":
             return Whole(ERROR_HEAD, b"failed")
-        if step == "events":
-            return await self._stream(dispatch, sink, 2)
+        if step in ("events", "events without ids"):
+            return await self._stream(dispatch, sink, 2, has_ids=step == "events")
         return Broken(step, was_closed=step == "reset", was_silent=step == "silent")
 
-    async def _stream(self, dispatch, sink, count):
+    async def _stream(self, dispatch, sink, count, has_ids=True):
         if self.total_events == 0:
             return Whole(OK_HEAD, b"body") if count is None else Broken("cut", OK_HEAD)
         first = int(dispatch.last_event_id or "0") + 1
@@ -114,7 +114,7 @@
         for number in range(first, last + 1):
             if number == first:
                 await sink.begin(OK_HEAD)
-            await sink.event(Event(b"%d," % number, str(number)))
+            await sink.event(Event(b"%d," % number, str(number) if has_ids else None))
         if count is None:
             return StreamWhole(self.total_events)
         return Broken("cut", OK_HEAD, str(last), last - first + 1, was_closed=True)
@@ -212,6 +212,11 @@
         assert reply.is_broken or len(numbers) == 5
 
 
+def test_a_stream_whose_events_have_no_ids_is_not_begun_again():
+    sends, reply, _ = play(RouteKind.STREAM, True, 3, ["events without ids", "whole"])
+    assert len(sends) == 1 and reply.body == b"1,2," and reply.is_broken
+
+
 def test_without_servers_the_request_is_refused_at_once():
     sends, reply, elapsed = play(RouteKind.NON_IDEMPOTENT, False, 2, ["whole"], servers=0)
     assert sends == [] and reply.status == 503
