--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -174,6 +174,8 @@
             version=entry.version,
             resumes=self._state.req.resumes,
             after_event=dispatch.last_event_id,
+            events=getattr(outcome, "events", None),
+            is_framed=getattr(outcome, "is_framed", None),
             moving_to=stream.destination.name if stream and stream.destination else None,
             moved_from=memory.source.name if memory is not None else None,
             fetch_from=placement.fetch_from.name if placement.fetch_from is not None else None,
