--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -114,6 +114,7 @@
             priority=self._state.priority(),
             memory=memory,
             fetch_from=placement.fetch_from,
+            may_be_over=self._state.may_be_over,
         )
         if placement.fetch_from is not None:
             parts.metrics.count("fetches", service=self._state.service)
@@ -173,6 +174,8 @@
             version=entry.version,
             resumes=self._state.req.resumes,
             after_event=dispatch.last_event_id,
+            events=getattr(outcome, "events", None),
+            is_framed=getattr(outcome, "is_framed", None),
             moving_to=stream.destination.name if stream and stream.destination else None,
             moved_from=memory.source.name if memory is not None else None,
             fetch_from=placement.fetch_from.name if placement.fetch_from is not None else None,
