--- a/cicadapond/eventlog/_log.py
+++ b/cicadapond/eventlog/_log.py
@@ -7,7 +7,9 @@
 import asyncio
 import collections
 import os
+import select
 import stat
+import time
 
 import structlog
 
@@ -17,6 +19,7 @@
 MAX_LINES_PER_SECOND = 2000
 FLUSH_INTERVAL_S = 0.1
 WRITE_BYTES = 64 * 1024
+CLOSE_TIMEOUT_S = 0.2
 
 
 class EventLog:
@@ -87,6 +90,16 @@
             else:
                 self._queue[0] = line[written:]
 
+    def close(self) -> None:
+        """Writes queued lines as `flush`, and waits for the reader for up to `CLOSE_TIMEOUT_S`."""
+        deadline = time.monotonic() + CLOSE_TIMEOUT_S
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        self.flush()
+        while self._queue and (left_s := deadline - time.monotonic()) > 0:
+            poll.poll(left_s * 1000)
+            self.flush()
+
     def _add_context(self, logger, name, event_dict):
         event_dict["at"] = self._clock.now().isoformat(timespec="milliseconds")
         if self._dropped:
--- a/cicadapond/experiments/chunks.py
+++ b/cicadapond/experiments/chunks.py
@@ -31,6 +31,9 @@
 class _Codec(HeaderCodec):
     """Takes each answer for that to the request."""
 
+    def request_id(self, headers):
+        raise NotImplementedError
+
     def parse_request(self, method, target, headers, body):
         raise NotImplementedError
 
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import datetime
+import typing
 
 import h11
 
@@ -16,6 +17,7 @@
 # With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
 MAX_FRAMING_FACTOR = 8
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
+Headers = typing.Sequence[tuple[bytes, bytes]]
 
 
 class RequestError(Exception):
@@ -42,8 +44,21 @@
         """Responds to a request; cancelled if the caller disconnects."""
 
     @abc.abstractmethod
-    def on_rejected(self, exc: RequestError) -> list[tuple[bytes, bytes]]:
-        """Records a request that cannot be read; returns the headers of its response."""
+    def on_rejected(self, headers: Headers, exc: RequestError) -> list[tuple[bytes, bytes]]:
+        """Records a request that cannot be read; returns the headers of its response.
+
+        Args:
+          headers: The headers of the request, empty if they were not read.
+          exc: Why it cannot be read.
+        """
+
+    @abc.abstractmethod
+    def on_unfinished(self, headers: Headers, exc: ChannelClosedError) -> None:
+        """Records a request whose connection was closed before its body had been received."""
+
+    @abc.abstractmethod
+    def on_failed(self, headers: Headers, exc: Exception) -> None:
+        """Records an unexpected error, after which the connection is aborted."""
 
 
 class ReceivedRequest:
@@ -114,12 +129,18 @@
         self._is_serving = False
         self._turns = Turns()
         self._received_bytes = 0
+        self._headers: Headers = ()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress, and no byte of one has been received."""
         return not (self._is_serving or self.has_unread)
 
+    @property
+    def request_headers(self) -> Headers:
+        """The headers of the request in progress, empty if none have been read."""
+        return self._headers
+
     def connection_made(self, transport):
         super().connection_made(transport)
         limit = self._handler.limits().header_bytes
@@ -137,11 +158,16 @@
         try:
             while await self._serve_one():
                 self._http.start_next_cycle()
+                self._headers = ()
             self.close()
         except ChannelClosedError:
             self.close()
         except RequestError as exc:
             await self._reject(exc)
+        except Exception as exc:
+            self._handler.on_failed(self._headers, exc)
+            self.abort()
+            raise
         except BaseException:
             self.abort()
             raise
@@ -177,10 +203,15 @@
             raise RequestError(408, "request head not received in time") from None
         if not isinstance(head, h11.Request):
             raise ChannelClosedError("caller disconnected", was_reset=False)
+        self._headers = [(bytes(name), bytes(value)) for name, value in head.headers]
         _check_head(head, limits)
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        body = await self._read_body(limits)
+        try:
+            body = await self._read_body(limits)
+        except ChannelClosedError as exc:
+            self._handler.on_unfinished(self._headers, exc)
+            raise
         return ReceivedRequest(head, body, received_at)
 
     async def _wait_for_bytes(self, timeout):
@@ -247,7 +278,7 @@
             self.write(data)
 
     async def _reject(self, exc):
-        headers = self._handler.on_rejected(exc)
+        headers = self._handler.on_rejected(self._headers, exc)
         if self._http.our_state in (h11.IDLE, *RESPONSE_STATES) and not self.is_closed:
             framed = [*headers, (b"content-length", b"0"), (b"connection", b"close")]
             self._write(h11.Response(status_code=exc.status, headers=framed))
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -17,6 +17,7 @@
 from cicadapond.gateway._retries import STOPPING_RETRY_AFTER
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway.data import RequestLimits
+from cicadapond.kernel import raised_at
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
 LISTEN_BACKLOG = 1024
@@ -89,7 +90,11 @@
             if server is not None:
                 server.close()
         for conn in list(self._connections):
-            conn.close() if conn.is_idle else conn.abort()
+            if conn.is_idle:
+                conn.close()
+                continue
+            self._parts.log.write("broken_off", request=self._request_id(conn.request_headers))
+            conn.abort()
 
     def _accept(self):
         conn = _TrackedConnection(self, self._parts.clock, self._connections)
@@ -105,48 +110,75 @@
     def is_stopping(self):
         return self._parts.stopping_since is not None
 
-    def on_rejected(self, exc: RequestError):
+    def on_rejected(self, headers, exc):
         self._parts.metrics.count("requests", status=exc.status)
-        self._parts.log.write("request_unreadable", status=exc.status, reason=str(exc))
+        self._parts.log.write(
+            "request_unreadable",
+            request=self._request_id(headers),
+            status=exc.status,
+            reason=str(exc),
+        )
         return self._parts.header_codec.local_response_headers(None, None)
 
+    def on_unfinished(self, headers, exc):
+        self._parts.metrics.count("callers_left")
+        self._parts.log.write(
+            "request_unfinished", request=self._request_id(headers), reason=str(exc)
+        )
+
+    def on_failed(self, headers, exc):
+        self._parts.log.write(
+            "request_failed",
+            request=self._request_id(headers),
+            reason=repr(exc),
+            raised_at=raised_at(exc),
+        )
+
+    def _request_id(self, headers):
+        return self._parts.header_codec.request_id(headers)
+
     async def handle(self, request: ReceivedRequest, reply: Reply) -> None:
-        await self._handle_safely(request, reply, None)
+        await self._handle_logged(request, reply, None)
 
     async def handle_relayed(self, request: ReceivedRequest, reply: Reply) -> None:
         """Responds to a request that another process passed on."""
         attempts = dict(request.headers).get(ATTEMPTS_HEADER, b"1")
         request.headers = [each for each in request.headers if each[0] != ATTEMPTS_HEADER]
         max_attempts = int(attempts) if attempts.isdigit() else 1
-        await self._handle_safely(request, reply, max_attempts)
+        await self._handle_logged(request, reply, max_attempts)
 
-    async def _handle_safely(self, request, reply, max_attempts):
+    async def _handle_logged(self, request, reply, max_attempts):
+        req = self._parts.header_codec.parse_request(
+            request.method, request.target, request.headers, request.body
+        )
+        if isinstance(req, Malformed):
+            raise RequestError(req.status, req.reason)
+        run = None
         try:
-            await self._handle(request, reply, max_attempts)
+            run = await self._admit(request, req, reply, max_attempts)
+            if run is not None:
+                self._runs.add(run)
+                await run.run()
         except asyncio.CancelledError:
             self._parts.metrics.count("callers_left")
+            if run is not None:
+                run.log_caller_left()
+            else:
+                self._parts.log.write("caller_left", request=req.id, sends=0)
             raise
-        except RequestError:
-            raise
-        except Exception as exc:
-            self._parts.log.write("request_failed", reason=repr(exc))
-            reply.abort()
-            raise
+        finally:
+            self._runs.discard(run)
 
-    async def _handle(self, request, reply, max_attempts):
+    async def _admit(self, request, req, reply, max_attempts):
+        """Returns the run of a request, None if it was refused."""
         parts = self._parts
-        req = parts.header_codec.parse_request(
-            request.method, request.target, request.headers, request.body
-        )
-        if isinstance(req, Malformed):
-            raise RequestError(req.status, req.reason)
         verdict = parts.active_configuration.find(req)
         if not isinstance(verdict, Admitted):
             await self._refuse(req, verdict, reply)
-            return
+            return None
         if not self._may_accept(req, verdict.route):
             await self._refuse_stopping(req, reply)
-            return
+            return None
         # The process that passed the request on has taken its quota.
         wait = await self._take_quota(req, verdict) if max_attempts is None else None
         if wait is not None:
@@ -165,11 +197,11 @@
             await self._answer_locally(
                 req, reply, 429, "the client account's quota is used up", wait
             )
-            return
+            return None
         if self._ends_requests():
             await self._refuse_stopping(req, reply)
-            return
-        run = RequestRun(
+            return None
+        return RequestRun(
             parts,
             req,
             verdict.route,
@@ -178,11 +210,6 @@
             request.received_at,
             max_attempts,
         )
-        self._runs.add(run)
-        try:
-            await run.run()
-        finally:
-            self._runs.discard(run)
 
     def _may_accept(self, req, route):
         """Returns whether to accept a request, as this process may be stopping.
@@ -278,8 +305,14 @@
     def is_stopping(self):
         return self._frontend.is_stopping()
 
-    def on_rejected(self, exc):
-        return self._frontend.on_rejected(exc)
+    def on_rejected(self, headers, exc):
+        return self._frontend.on_rejected(headers, exc)
+
+    def on_unfinished(self, headers, exc):
+        self._frontend.on_unfinished(headers, exc)
+
+    def on_failed(self, headers, exc):
+        self._frontend.on_failed(headers, exc)
 
     async def handle(self, request, reply):
         await self._frontend.handle_relayed(request, reply)
--- a/cicadapond/gateway/_header_codec.py
+++ b/cicadapond/gateway/_header_codec.py
@@ -22,6 +22,10 @@
 class HeaderCodec(abc.ABC):
     """Translates the headers of one platform; takes no decisions."""
 
+    @abc.abstractmethod
+    def request_id(self, headers: Headers) -> str | None:
+        """Returns the id of a caller's request, for the log; None if it has none."""
+
     @abc.abstractmethod
     def parse_request(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -47,7 +47,7 @@
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
 from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
-from cicadapond.kernel import Metrics, TaskGroup
+from cicadapond.kernel import Metrics, TaskGroup, raised_at
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.peer import rank
 from cicadapond.placing import Placer, ServerHealth
@@ -125,7 +125,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._tasks = TaskGroup()
+        self._tasks = TaskGroup(self._log_failure)
         self._zone_costs: ZoneCosts | None = None
         if cfg.zone_costs is not ZoneCostUse.OFF:
             self._zone_costs = ZoneCosts(clock, cfg.zone)
@@ -329,10 +329,14 @@
             active_configuration.table.cfg.accounts is None or active_configuration.may_use_keys()
         )
 
-    async def stop(self) -> None:
-        """Shuts down gracefully: reports not ready, then finishes requests within the grace."""
+    async def stop(self, reason: str | None = None) -> None:
+        """Shuts down gracefully: reports not ready, then finishes requests within the grace.
+
+        Args:
+          reason: Why, for the log.
+        """
         begun = self.parts.stopping_since = self._clock.monotonic()
-        self._log.write("stopping", busy=self._frontend.busy)
+        self._log.write("stopping", reason=reason, busy=self._frontend.busy)
         releasing = asyncio.ensure_future(self._release_duties())
         grace = self._cfg.bounds.grace
         while (waited := self._clock.monotonic() - begun) < GRACE_SHARE * grace:
@@ -464,6 +468,9 @@
             self._lease, cfg.name, reporter, orderer, self._clock, cfg.duties.checks_fencing
         )
 
+    def _log_failure(self, name, exc):
+        self._log.write("task_failed", task=name, reason=repr(exc), raised_at=raised_at(exc))
+
     async def _hold_lease(self):
         while not self._cluster.has_settled():
             await self._clock.sleep(STOP_POLL_INTERVAL)
--- a/cicadapond/gateway/_relay.py
+++ b/cicadapond/gateway/_relay.py
@@ -89,6 +89,9 @@
     def __init__(self, codec: HeaderCodec):
         self._codec = codec
 
+    def request_id(self, headers):
+        return self._codec.request_id(headers)
+
     def parse_request(self, method, target, headers, body):
         return self._codec.parse_request(method, target, headers, body)
 
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -86,9 +86,6 @@
             if not self._stop_timeout.expired():
                 raise
             final = self._retries.stopped_outcome()
-        except asyncio.CancelledError:
-            self._state.log_caller_left()
-            raise
         finally:
             parts.demand.end(self._state.service)
             if not self._state.send_count:
@@ -103,6 +100,10 @@
             self._is_trying = False
             self._stop_timeout.reschedule(asyncio.get_running_loop().time())
 
+    def log_caller_left(self) -> None:
+        """Logs that the caller left, and where the attempt in progress was."""
+        self._state.log_caller_left()
+
     async def _try_servers(self):
         if self._state.continues_stream() and not await self._state.servers.find_version(
             self._state.req.resumes
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -10,7 +10,7 @@
 from absl import flags, logging
 
 from cicadapond.admin import admin_application
-from cicadapond.eventlog import EventLog
+from cicadapond.eventlog import EventLog, log_end
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
@@ -84,16 +84,16 @@
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
     log.write("started", zone=cfg.zone, pid=os.getpid())
-    adapters = platform_adapters(cfg, clock, log, metrics)
-    node = Node(cfg, adapters, clock, log, metrics, random.Random())
-    await node.start()
-    application = admin_application(metrics, node.state, node.is_ready)
-    _listen(application, cfg.readiness)
-    if cfg.metrics is not None:
-        _listen(application, cfg.metrics)
-    await _until_stopped(node, path, stop, reload)
-    await node.stop()
-    log.flush()
+    with log_end(log):
+        adapters = platform_adapters(cfg, clock, log, metrics)
+        node = Node(cfg, adapters, clock, log, metrics, random.Random())
+        await node.start()
+        application = admin_application(metrics, node.state, node.is_ready)
+        _listen(application, cfg.readiness)
+        if cfg.metrics is not None:
+            _listen(application, cfg.metrics)
+        await _until_stopped(node, path, stop, reload)
+        await node.stop(stop.signal_name)
 
 
 async def _until_stopped(node, path, stop, reload):
--- a/cicadapond/gateway/upload_test.py
+++ b/cicadapond/gateway/upload_test.py
@@ -21,9 +21,15 @@
     def is_stopping(self):
         return False
 
-    def on_rejected(self, exc):
+    def on_rejected(self, headers, exc):
         return [(b"reason", str(exc).encode())]
 
+    def on_unfinished(self, headers, exc):
+        pass
+
+    def on_failed(self, headers, exc):
+        pass
+
     async def handle(self, request, reply):
         await reply.send_complete(200, (), b"%d" % len(request.body))
 
--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -28,7 +28,7 @@
     setting,
     structure,
 )
-from cicadapond.kernel._task import Mailbox, Task, TaskGroup
+from cicadapond.kernel._task import Mailbox, Task, TaskGroup, raised_at
 from cicadapond.kernel._turns import STEPS_PER_TURN, Turns
 from cicadapond.kernel._virtual import (
     DeadlockError,
@@ -72,6 +72,7 @@
     "matches",
     "one_of",
     "parse_jsonc",
+    "raised_at",
     "run_virtual",
     "seconds",
     "setting",
--- a/cicadapond/kernel/_signals.py
+++ b/cicadapond/kernel/_signals.py
@@ -1,6 +1,7 @@
 """What signals do in a program, once it has started."""
 
 import asyncio
+import functools
 import os
 import signal
 
@@ -9,19 +10,36 @@
 from cicadapond import _start_signals
 
 
-def stop_on_signals(on_hangup=None) -> asyncio.Event:
+class StopEvent(asyncio.Event):
+    """An event that is set on SIGTERM or SIGINT.
+
+    Attributes:
+      signal_name: The name of the first such signal, None before.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.signal_name: str | None = None
+
+    def set_by(self, number: signal.Signals) -> None:
+        """Sets the event because of a signal."""
+        self.signal_name = self.signal_name or number.name
+        self.set()
+
+
+def stop_on_signals(on_hangup=None) -> StopEvent:
     """Takes the signals over on the running loop, with those that came while the program started.
 
     Args:
       on_hangup: Called on SIGHUP; by default that is logged and has no effect.
 
     Returns:
-      An event that is set on SIGTERM or SIGINT.
+      The event that SIGTERM or SIGINT sets.
     """
-    stop = asyncio.Event()
+    stop = StopEvent()
     handlers = {
-        signal.SIGTERM: stop.set,
-        signal.SIGINT: stop.set,
+        signal.SIGTERM: functools.partial(stop.set_by, signal.SIGTERM),
+        signal.SIGINT: functools.partial(stop.set_by, signal.SIGINT),
         signal.SIGHUP: on_hangup or _log_hangup,
     }
     loop = asyncio.get_running_loop()
--- a/cicadapond/kernel/_task.py
+++ b/cicadapond/kernel/_task.py
@@ -8,12 +8,23 @@
 import abc
 import asyncio
 import collections
+import os
+import traceback
+import typing
 
 from absl import logging
 
 # Between the end of a task by an unexpected error and its next run.
 RESTART_DELAY_S = 0.5
 MAX_RECORDED_FAILURES = 100
+# The innermost frames of a traceback that a log line has.
+MAX_LOGGED_FRAMES = 4
+
+
+def raised_at(exc: BaseException) -> list[str]:
+    """Returns where an exception was raised, the innermost frame last, for a log line."""
+    frames = traceback.extract_tb(exc.__traceback__)[-MAX_LOGGED_FRAMES:]
+    return [f"{os.path.basename(each.filename)}:{each.lineno} {each.name}" for each in frames]
 
 
 class Mailbox:
@@ -74,9 +85,14 @@
 
 
 class TaskGroup:
-    """Runs the tasks of one process and stops them together."""
+    """Runs the tasks of one process and stops them together.
+
+    Args:
+      on_failure: Called with the name of a task and the exception that it raised.
+    """
 
-    def __init__(self):
+    def __init__(self, on_failure: typing.Callable[[str, Exception], None] | None = None):
+        self._on_failure = on_failure
         self._running: dict[asyncio.Task, Task | None] = {}
         self.failed: list[str] = []
 
@@ -140,6 +156,8 @@
             self.failed.append(f"{name}: {exc!r}")
             del self.failed[:-MAX_RECORDED_FAILURES]
             logging.exception("task %s failed", name)
+            if self._on_failure is not None:
+                self._on_failure(name, exc)
             if failures is not None:
                 failures.append(exc)
             return None
--- a/cicadapond/kernel/task_test.py
+++ b/cicadapond/kernel/task_test.py
@@ -27,11 +27,13 @@
 def play(restarts):
     async def main():
         clock = VirtualClock()
-        tasks, task = TaskGroup(), Failing(2, clock)
+        told = []
+        tasks, task = TaskGroup(lambda name, exc: told.append(name)), Failing(2, clock)
         tasks.start(task, restarts)
         await clock.sleep(seconds(10))
         running = len(tasks)
         await tasks.stop()
+        assert told == [task.name] * len(tasks.failed)
         return task, tasks, running
 
     return run_virtual(main())
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -88,6 +88,10 @@
 class PlatformHeaderCodec(HeaderCodec):
     """Parses and builds the platform's headers."""
 
+    def request_id(self, headers):
+        raw = dict(headers).get(REQUEST_ID)
+        return raw.decode("latin-1") if raw is not None else None
+
     def parse_request(self, method, target, headers, body):
         fields = {}
         for name, value in headers:
