--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -1,13 +1,9 @@
 """Stand-ins that implement the platform's protocol, with fault injection, for tests and demo."""
 
-from cicadapond.platform.standin._caller import Answer, Caller
+from cicadapond.platform.standin._caller import CALLERS_HOST, Answer, Caller, Pace, Upload
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
-from cicadapond.platform.standin._engine import (
-    EngineFault,
-    EngineModel,
-    EngineServer,
-    stream_event,
-)
+from cicadapond.platform.standin._endless import EndlessAnswer
+from cicadapond.platform.standin._engine import EngineFault, EngineModel, EngineServer
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._parts import EventFault
@@ -19,12 +15,15 @@
     StoreModel,
     store_application,
 )
+from cicadapond.platform.standin._streams import StreamShape, stream_event
 
 __all__ = [
+    "CALLERS_HOST",
     "STREAM_PREFIX",
     "Answer",
     "Caller",
     "CloudModel",
+    "EndlessAnswer",
     "EngineFault",
     "EngineModel",
     "EngineServer",
@@ -33,10 +32,13 @@
     "FleetSettings",
     "RolloutModel",
     "MoveFault",
+    "Pace",
     "StoreClient",
     "StoreCopy",
     "StoreModel",
     "StoredRow",
+    "StreamShape",
+    "Upload",
     "VersionDefect",
     "cloud_application",
     "store_application",
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import hashlib
 import json
 import socket
 import struct
@@ -9,9 +10,11 @@
 import attrs
 import h11
 
+from cicadapond.platform.standin._endless import EndlessAnswer
 from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH, EngineMemory
 from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH, EngineParts
 from cicadapond.platform.standin._rollouts import VersionDefect
+from cicadapond.platform.standin._streams import StreamShape, stream_event
 
 READ_BYTES = 64 * 1024
 TRICKLE_INTERVAL_S = 0.2
@@ -82,6 +85,9 @@
       execution_times: When each of them began, by the event loop's clock in seconds, in the same
         order.
       cancelled_streams: The ids of streams that it stopped because the caller had disconnected.
+      hashes_bodies: Whether it records the SHA-256 digest of a body in place of the body.
+      broken_off: The ids of requests whose answers it broke off or spoiled itself.
+      endless: Answers without end that it gives to all requests, by turns.
       endless_bytes: How many bytes of answers without end it has sent.
       memory: Its memory, from which runs are moved to other engines.
       parts: The prompt parts that it keeps.
@@ -108,6 +114,9 @@
     cancelled_streams: list[str] = attrs.field(factory=list)
     execution_times: list[float] = attrs.field(factory=list)
 
+    hashes_bodies: bool = False
+    broken_off: set[str] = attrs.field(factory=set)
+    endless: tuple[EndlessAnswer, ...] = ()
     endless_bytes: int = 0
     memory: EngineMemory = attrs.field(
         default=attrs.Factory(lambda self: EngineMemory(self.name), takes_self=True)
@@ -130,6 +139,7 @@
         self.on_crash = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._in_progress: list[str] = []
 
     async def start(self, port: int = 0) -> int:
         """Listens on loopback; returns the port."""
@@ -139,6 +149,7 @@
     async def stop(self) -> None:
         """Resets all connections, as in a crash."""
         self._server.close()
+        self.model.broken_off.update(self._in_progress)
         self.model.memory.copies.clear()
         self.model.parts.restart()
         for writer in list(self._writers):
@@ -157,7 +168,9 @@
         self._writers.add(writer)
         try:
             delayed = []
-            while await _Exchange(self.model, reader, writer, delayed, self._crash).run():
+            while await _Exchange(
+                self.model, reader, writer, delayed, self._crash, self._in_progress
+            ).run():
                 pass
         except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
             pass  # the caller disconnected, which is a normal end here
@@ -167,8 +180,9 @@
 
 
 class _Exchange:
-    def __init__(self, model, reader, writer, delayed, crash):
+    def __init__(self, model, reader, writer, delayed, crash, in_progress):
         self._model = model
+        self._in_progress = in_progress
         self._crash = crash
         self._delayed_responses = delayed
         self._reader = reader
@@ -236,11 +250,26 @@
         return True
 
     async def _execute(self, head, body, fields, request_id, fault):
+        self._in_progress.append(request_id)
+        try:
+            return await self._answer(head, body, fields, request_id, fault)
+        finally:
+            self._in_progress.remove(request_id)
+
+    async def _answer(self, head, body, fields, request_id, fault):
         target = head.target.decode()
         self._model.execution_times.append(asyncio.get_running_loop().time())
+        recorded = hashlib.sha256(body).digest() if self._model.hashes_bodies else body
         self._model.executed_requests.append(
-            (request_id, head.method.decode(), target, fields, body)
+            (request_id, head.method.decode(), target, fields, recorded)
         )
+        if fault is not None:
+            self._model.broken_off.add(request_id)
+        if self._model.endless:
+            count = len(self._model.executed_requests)
+            answer = self._model.endless[count % len(self._model.endless)]
+            self._model.endless_bytes += await answer.send(self._writer, request_id)
+            return False
         defect = self._model.defect
         if defect is not None and defect.strikes(target, self._model.running):
             if not defect.delay_s:
@@ -252,7 +281,7 @@
             self._writer.write(b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 6\r\n\r\nfailed")
             return False
         if "x-cicadapond-token-count" in fields and fault not in _PLAIN_FAULTS:
-            return await self._stream(request_id, fields, fault)
+            return await self._stream(request_id, fields, fault, StreamShape.of(target))
         await asyncio.sleep(self._model.processing_time_s)
         return await self._plain(request_id, fault)
 
@@ -328,7 +357,7 @@
             await asyncio.sleep(0)
         return False
 
-    async def _stream(self, request_id, fields, fault):
+    async def _stream(self, request_id, fields, fault, shape):
         first = int(fields.get("last-event-id", "0")) + 1
         await self._model.parts.prefill(fields)
         headers = [
@@ -348,18 +377,18 @@
             return self._end()
         run = self._model.memory.begin(request_id)
         try:
-            return await self._write_events(run, first, fault)
+            return await self._write_events(run, first, fault, shape)
         finally:
             self._model.memory.end(run)
 
-    async def _write_events(self, run, first, fault):
+    async def _write_events(self, run, first, fault, shape):
         request_id = run.id
-        for number in range(first, self._model.events + 1):
+        for number in range(first, (shape.events or self._model.events) + 1):
             if run.is_stopped:
                 await self._writer.drain()
                 return False
             run.events = number
-            event = stream_event(number, request_id, self._model.version)
+            event = stream_event(number, request_id, self._model.version, shape.event_bytes)
             ends_within = fault in (EngineFault.WITHIN_EVENT, EngineFault.UNFRAMED_WITHIN_EVENT)
             if ends_within and number == first + 1:
                 self._send(h11.Data(data=event[:-5]))
@@ -373,7 +402,7 @@
                 await asyncio.sleep(0.02)
                 _reset(self._writer)
                 return False
-            await self._pause(request_id)
+            await self._pause(request_id, shape.interval_s)
         if run.is_stopped:
             return False
         return self._end() and fault is not EngineFault.UNFRAMED
@@ -384,8 +413,9 @@
             await self._pause(request_id)
             await asyncio.sleep(TRICKLE_INTERVAL_S)
 
-    async def _pause(self, request_id):
-        await asyncio.sleep(self._model.event_interval_s)
+    async def _pause(self, request_id, interval_s=None):
+        interval_s = self._model.event_interval_s if interval_s is None else interval_s
+        await asyncio.sleep(interval_s)
         if self._writer.transport.is_closing():
             self._model.cancelled_streams.append(request_id)
             raise ConnectionResetError("the caller disconnected")
@@ -423,11 +453,6 @@
         return True
 
 
-def stream_event(number: int, request_id: str, version: str) -> bytes:
-    """Returns an event of a stream, which names the software version in its type."""
-    return f"event: {version}\nid: {number}\ndata: piece {number} of {request_id}\n\n".encode()
-
-
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     if not writer.transport.is_closing():
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -171,46 +171,54 @@
     def configure(self, keys: tuple[str, ...] | None = None, **changes) -> int:
         """Writes the next version of the configuration; returns its number."""
         self._version += 1
-        account = {
-            "name": self.cfg.account,
-            "api_keys": list(keys if keys is not None else (self.cfg.key,)),
-            "priority": 1,
-            "unit": "token_stream",
-            "uncached_tokens": 200,
-            "rate_per_s": self.cfg.quota_per_s,
-            "burst": self.cfg.quota_per_s,
-        }
         configuration = {
             "version": self._version,
             "routes": self.routes(),
-            "services": [
-                {
-                    "name": MODEL_SERVICE,
-                    "max_connections": 50,
-                    "scaling": _scaling(),
-                    "engine": self._engine(),
-                },
-                {"name": PLAIN_SERVICE, "max_connections": 50},
-            ],
+            "services": self.services(),
             "limits": {
                 "max_header_bytes": 8192,
                 "max_body_bytes": 65536,
                 "header_timeout_ms": 500,
                 "idle_timeout_ms": 3000,
             },
-            "tenants": [account],
+            "tenants": [self.account(keys if keys is not None else (self.cfg.key,))],
             **changes,
         }
         self.store.put("op", "config", configuration)
         return self._version
 
-    def settings_text(self, ports: dict[str, int], name: str = "edge-1", view: int = 0) -> str:
+    def account(self, keys: tuple[str, ...]) -> dict:
+        """Returns the client account, with its keys."""
+        return {
+            "name": self.cfg.account,
+            "api_keys": list(keys),
+            "priority": 1,
+            "unit": "token_stream",
+            "uncached_tokens": 200,
+            "rate_per_s": self.cfg.quota_per_s,
+            "burst": self.cfg.quota_per_s,
+        }
+
+    def services(self) -> list[dict]:
+        """Returns the services, that of the engines first."""
+        pool = {
+            "name": MODEL_SERVICE,
+            "max_connections": 50,
+            "scaling": _scaling(),
+            "engine": self._engine(),
+        }
+        return [pool, {"name": PLAIN_SERVICE, "max_connections": 50}]
+
+    def settings_text(
+        self, ports: dict[str, int], name: str = "edge-1", view: int = 0, **limits: int
+    ) -> str:
         """Returns the settings file of a gateway process.
 
         Args:
           ports: Its ports by name: frontend, readiness, and peers, the first of four.
           name: The process's name.
           view: The ports that it sees, as `relay` sets them.
+          limits: The process's limits: memory_mb, max_fds.
         """
         values = {
             "node_name": name,
@@ -223,6 +231,7 @@
             "port_range": f"{ports['peers']},{ports['peers'] + 3}",
             "bootstrap": "true",
             "limits.max_fds": "4100",
+            **{f"limits.{limit}": str(value) for limit, value in limits.items()},
             "bounds.drain_ms": "2000",
             "bounds.grace_s": f"{self.cfg.grace_s:g}",
             "bounds.config_apply_ms": "2000",
--- a/cicadapond/soak/__init__.py
+++ b/cicadapond/soak/__init__.py
@@ -1,9 +1,9 @@
 """Randomised soak test: gateway processes on loopback, with faults injected from outside."""
 
-from cicadapond.soak._checks import Violation, check
-from cicadapond.soak._plan import Fault, Injection, make_plan
-from cicadapond.soak._records import CallRecord, History
-from cicadapond.soak._run import SoakSettings, run_soak
+from cicadapond.soak._checks import check
+from cicadapond.soak._plan import Fault, Injection, SoakSettings, make_plan
+from cicadapond.soak._records import CallRecord, History, Violation
+from cicadapond.soak._run import run_soak
 
 __all__ = [
     "CallRecord",
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -2,9 +2,9 @@
 
 import collections
 
-import attrs
-
-from cicadapond.soak._records import PLAIN, CallRecord, History
+from cicadapond.soak._configuration_checks import handled_as_configured, unchanged_requests
+from cicadapond.soak._lost import is_excused, late_answers, lost_requests, memory_excesses
+from cicadapond.soak._records import LONG, PROBE, RUN_ONCE, CallRecord, History, Violation, overlaps
 from cicadapond.soak._rollouts import check_rollouts
 
 # Limits of the deployment under test (platform.standin).
@@ -37,18 +37,6 @@
 MIN_SERVED_SHARE = 0.9
 
 
-@attrs.frozen
-class Violation:
-    """A guarantee that was not met."""
-
-    guarantee: str
-    subject: str
-    detail: str
-
-    def __str__(self):
-        return f"{self.guarantee}: {self.subject}: {self.detail}"
-
-
 def check(history: History) -> list[Violation]:
     """Returns all violations found."""
     checks = (
@@ -70,22 +58,30 @@
         _planned_stops,
         _unexpected_exits,
         _recovery,
+        lost_requests,
+        late_answers,
+        memory_excesses,
+        handled_as_configured,
+        unchanged_requests,
     )
     return [violation for find in checks for violation in find(history)]
 
 
 def _at_most_once(history):
-    plain = {call.id for call in history.calls if call.kind == PLAIN}
-    counts = collections.Counter(run.id for run in history.runs)
-    for request in sorted(plain):
+    kinds = {call.id: call.kind for call in history.calls if call.kind in RUN_ONCE}
+    counts = collections.Counter(run.id for run in history.runs if not run.is_moved)
+    for request in sorted(kinds):
         if counts[request] > 1:
             yield Violation("runs at most once", request, f"{counts[request]} runs")
+    for run in history.runs:
+        if run.is_resumed and not run.is_moved and kinds.get(run.id) == LONG:
+            yield Violation("runs at most once", run.id, "resumed, though its route forbids it")
 
 
 def _one_engine_at_a_time(history):
     for at, request in history.double_runs:
         # Without a path to an engine it cannot be told to stop.
-        if not _overlaps(history.fault_spans, at - EXCUSE_LOOKBACK_S, at + OVERLAP_S):
+        if not overlaps(history.fault_spans, at - EXCUSE_LOOKBACK_S, at + OVERLAP_S):
             yield Violation("one engine at a time", request, "two engines worked on it")
 
 
@@ -118,7 +114,7 @@
         drained = history.drained.get(run.server)
         if drained is None or run.at <= drained + DRAIN_S + DELIVERY_SLACK_S:
             continue
-        if not _overlaps(history.fault_spans, drained - EXCUSE_LOOKBACK_S, run.at):
+        if not overlaps(history.fault_spans, drained - EXCUSE_LOOKBACK_S, run.at):
             late = run.at - drained
             yield Violation("leaving servers", run.id, f"runs {late:.2f} s after {run.server} left")
 
@@ -126,7 +122,7 @@
 def _stated_limits(history):
     processes = {call.id: call.process for call in history.calls}
     for limit in history.limits:
-        if _overlaps(history.fault_spans, limit.begin - EXCUSE_LOOKBACK_S, limit.end):
+        if overlaps(history.fault_spans, limit.begin - EXCUSE_LOOKBACK_S, limit.end):
             continue
         times, told = [], {}
         for run in sorted(history.runs, key=lambda run: run.at):
@@ -153,7 +149,7 @@
     sent = sorted(run.at for run in history.runs if run.id in history.crashing_ids)
     sent = [at for at in sent if at > late]
     # A crash is told by processes that may be killed, and reported by links that may be cut.
-    if _overlaps(history.fault_spans, crashes[0] - EXCUSE_LOOKBACK_S, late + CONTACT_S):
+    if overlaps(history.fault_spans, crashes[0] - EXCUSE_LOOKBACK_S, late + CONTACT_S):
         return
     if len(sent) > MAX_PROMPTS_AFTER_CRASHES:
         yield Violation("crashing prompts", "all", f"{len(sent)} sent after {MAX_CRASHES} crashes")
@@ -163,7 +159,7 @@
     for cut in history.cuts:
         begin = cut.begin + CONTACT_S
         others = [span for span in history.fault_spans if span[0] != cut.begin]
-        if _overlaps(others, begin - EXCUSE_LOOKBACK_S, cut.end):
+        if overlaps(others, begin - EXCUSE_LOOKBACK_S, cut.end):
             continue
         if any(first <= cut.end and begin <= last for _, first, last in history.planned_stops):
             continue
@@ -191,18 +187,17 @@
             call = calls.get(run.id)
             if run.server != hold.server or call is None or run.at > hold.end:
                 continue
-            overlaps = call.ended_at >= hold.begin and not call.timed_out
-            if not overlaps or call.is_complete or call.id in history.crashing_ids:
+            if call.is_complete or call.ended_at < hold.begin or is_excused(call, history):
                 continue
-            begin = min(call.sent_at, hold.begin) - EXCUSE_LOOKBACK_S
-            if not _overlaps(history.fault_spans, begin, call.ended_at):
+            begin = hold.begin - EXCUSE_LOOKBACK_S
+            if not overlaps(history.fault_spans, begin, call.ended_at):
                 yield Violation("silent servers", call.id, f"cut off, {hold.server} was silent")
 
 
 def _brittle_servers(history):
     for time in history.brittle_times:
         begin = time.begin - EXCUSE_LOOKBACK_S
-        if _overlaps(history.fault_spans, begin, time.end):
+        if overlaps(history.fault_spans, begin, time.end):
             continue
         crashes = [at for at in time.crashes if time.begin <= at <= time.end]
         if len(crashes) > MAX_BRITTLE_CRASHES + MAX_BRITTLE_CRASH_SHARE * time.servers:
@@ -245,11 +240,11 @@
 def _planned_stops(history):
     ran = {run.id for run in history.runs}
     for call in history.calls:
-        if call.is_complete or call.timed_out or not _overlaps_planned_stop(call, history):
+        if call.is_complete or not _overlaps_planned_stop(call, history):
             continue
         if call.id not in ran and call.ended_at <= call.sent_at + DELIVERY_SLACK_S:
             continue  # sent as the connection was being closed, and never read
-        if not _overlaps(history.fault_spans, call.sent_at - EXCUSE_LOOKBACK_S, call.ended_at):
+        if not is_excused(call, history):
             yield Violation("planned stops", call.id, f"cut off at process {call.process}")
 
 
@@ -272,13 +267,12 @@
         if call.sent_at > history.faults_ended_at + RECOVERY_S
         and call.key not in history.keys_removed
         and call.id not in history.crashing_ids
+        and call.key not in history.limited_keys
+        and call.kind != PROBE
+        and not call.has_left
     ]
     served = sum(map(_is_served, late))
     if late and served < MIN_SERVED_SHARE * len(late):
         yield Violation("recovery", "all", f"{served} of {len(late)} requests served")
     for process in history.not_ready:
         yield Violation("recovery", f"process {process}", "not ready at the end")
-
-
-def _overlaps(spans, begin, end):
-    return any(first <= end and begin <= last for first, last in spans)
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -1,6 +1,7 @@
 """Fault plans: overlapping injections drawn from a seed."""
 
 import enum
+import pathlib
 import random
 
 import attrs
@@ -36,6 +37,15 @@
     ENGINE_RECLAIMED = "an engine is withdrawn with short notice, and its streams are moved"
     BRITTLE = "the servers let nobody wait, and crash if they turn too many requests away"
     STORE_RESTORED = "the store is away for a moment and comes back from a copy some seconds old"
+    CHANGE = "a configuration changes routes, accounts or limits"
+    CHANGES = "configurations change them in quick succession"
+    HANG_UPS = "processes get SIGHUP one after the other, some twice"
+    ROLL = "processes are stopped and restarted one after the other"
+    JOIN = "a process is added"
+    RETIRE = "a process is stopped for good"
+    LOSE = "a process is killed for good"
+    REPLACE = "a process is added and another one is stopped for good"
+    ENDLESS_ANSWERS = "many requests at once are at servers that send without end"
 
 
 PLANNED = (
@@ -48,10 +58,31 @@
     Fault.SERVER_HOLDS,
     Fault.ENGINE_RECLAIMED,
 )
+# Drawn apart, in each run.
+CHANGES = (
+    *(Fault.CHANGE,) * 6,
+    *(Fault.CHANGES,) * 2,
+    Fault.HANG_UPS,
+    Fault.ROLL,
+    Fault.JOIN,
+    Fault.RETIRE,
+    Fault.REPLACE,
+)
+MEAN_CHANGE_GAP_S = 1.2
+MIN_CHANGES_S, MAX_CHANGES_S = 0.5, 3.0
+ENDLESS = (Fault.ENDLESS_ANSWERS,)
+MEAN_ENDLESS_GAP_S = 10.0
+MIN_ENDLESS_S, MAX_ENDLESS_S = 3.0, 5.0
+# What may cut nobody else's requests off.
+CUTS_NOTHING = PLANNED + CHANGES + ENDLESS
+# Of these seeds, one is without unplanned faults.
+PLANNED_ONLY_EVERY = 3
 # Drawn apart, so that they come beside any of the others.
 STATEMENTS = (Fault.SERVER_LIMITS,)
 MEAN_STATEMENT_GAP_S = 6.0
 MIN_STATEMENT_S, MAX_STATEMENT_S = 4.0, 12.0
+LOSSES = (Fault.LOSE,)
+MEAN_LOSS_GAP_S = 15.0
 RECLAIMS = (Fault.ENGINE_RECLAIMED,)
 MEAN_RECLAIM_GAP_S = 2.5
 MIN_NOTICE_S, MAX_NOTICE_S = 0.3, 0.9  # shorter than what the streams say to last
@@ -82,14 +113,78 @@
     pick: float
 
 
+@attrs.frozen
+class SoakSettings:
+    """Settings of one soak.
+
+    Attributes:
+      seed: Seed of the fault plan, the limits and the callers.
+      length: Period during which faults are injected, in seconds.
+      directory: Where the processes' settings and logs are written.
+      processes: Number of gateway processes at the beginning.
+      callers: Number of callers that send plain requests and short streams.
+      restores: Whether the store is restored from older copies.
+      stream_callers: Number of callers that send mostly long streams.
+      endless_requests: How many requests are at servers that send without end at once.
+      streams_per_engine: How many streams an engine for long ones runs at once.
+    """
+
+    seed: int
+    length: float
+    directory: pathlib.Path
+    processes: int = 3
+    callers: int = 8
+    restores: bool = False
+    stream_callers: int = 12
+    endless_requests: int = 60
+    streams_per_engine: int = 64
+
+    @property
+    def is_planned_only(self) -> bool:
+        """Whether there are planned changes only, so that nothing excuses a cut."""
+        return is_planned_only(self.seed) and not self.restores
+
+    @property
+    def rolls_out(self) -> bool:
+        """Whether versions are rolled out, which half of the other seeds do."""
+        return self.seed % 2 == 0 and not self.is_planned_only
+
+
+def is_planned_only(seed: int) -> bool:
+    """Returns whether a seed injects planned changes only."""
+    return seed % PLANNED_ONLY_EVERY == 0
+
+
 def make_plan(seed: int, length: float, restores: bool = False) -> list[Injection]:
     """Returns the injections of a seed during `length` seconds, in order of time.
 
     With `restores` the store is restored beside the other faults.
     """
+    plan = _planned_changes(seed, length)
+    if restores or not is_planned_only(seed):
+        plan += _other_injections(seed, length, restores)
+    return sorted(plan, key=lambda injection: injection.at)
+
+
+def _planned_changes(seed, length):
+    changes = random.Random(f"changes {seed}")
+    bounds = (MIN_CHANGES_S, MAX_CHANGES_S)
+    plan = _apart(changes, CHANGES, MEAN_CHANGE_GAP_S, bounds, length)
+    endless = random.Random(f"endless {seed}")
+    bounds = (MIN_ENDLESS_S, MAX_ENDLESS_S)
+    plan += _apart(endless, ENDLESS, MEAN_ENDLESS_GAP_S, bounds, length)
+    if is_planned_only(seed):
+        planned = random.Random(f"planned {seed}")
+        bounds = (MIN_DURATION_S, MAX_DURATION_S)
+        kinds = tuple(fault for fault in PLANNED if fault not in RECLAIMS)
+        plan += _apart(planned, kinds, MEAN_GAP_S, bounds, length)
+    return plan
+
+
+def _other_injections(seed, length, restores):
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
-    apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES
+    apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES + CHANGES + ENDLESS + LOSSES
     faults = [fault for fault in Fault if fault not in apart]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
@@ -107,11 +202,13 @@
     kinds = long_faults.sample(LONG_FAULTS, k=2)
     bounds = (MIN_LONG_FAULT_S, MAX_LONG_FAULT_S)
     plan += _apart(long_faults, kinds, MEAN_LONG_FAULT_GAP_S, bounds, length)
+    losses = random.Random(f"losses {seed}")
+    plan += _apart(losses, LOSSES, MEAN_LOSS_GAP_S, bounds, length)
     if restores:
         rng = random.Random(f"restores {seed}")
         bounds = (MIN_COPY_AGE_S, MAX_COPY_AGE_S)
         plan += _apart(rng, RESTORES, MEAN_RESTORE_GAP_S, bounds, length)
-    return sorted(plan, key=lambda injection: injection.at)
+    return plan
 
 
 def _apart(rng, faults, mean_gap, durations, length):
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -5,7 +5,8 @@
 import signal
 import sys
 
-from cicadapond.soak._records import History
+from cicadapond.soak._limits import Enforcer, ProcessLimits
+from cicadapond.soak._records import History, MemoryExcess
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
 PROGRAM = "cicadapond.gateway.main"
@@ -15,10 +16,20 @@
 
 
 class GatewayProcess:
-    """A gateway process, with signals and exit checks; it can be started again after it exited."""
+    """A gateway process, with signals and exit checks; it can be started again after it exited.
 
-    def __init__(self, number: int, directory: pathlib.Path, history: History):
+    Args:
+      number: Its number, new for each process.
+      directory: Where its settings and its log are written.
+      history: Receives what is noticed of it.
+      limits: What it may use.
+    """
+
+    def __init__(
+        self, number: int, directory: pathlib.Path, history: History, limits: ProcessLimits
+    ):
         self.number = number
+        self.limits = limits
         self.ports = {name: free_endpoint().port for name in ("frontend", "readiness")}
         self.ports["peers"] = free_port_range(PEER_PORTS)
         self.path = directory / f"edge-{number}.conf"
@@ -27,11 +38,14 @@
         self._running: asyncio.subprocess.Process | None = None
         self._exit_task: asyncio.Task | None = None
         self._expects_exit = False
+        self._is_paused = False
+        self._is_over = False
         self._log_offset = 0
 
     async def start(self) -> None:
         """Starts the process; its output goes to its log."""
-        self._expects_exit = False
+        self._expects_exit = self._is_paused = self._is_over = False
+        self._history.starts.append((self.number, asyncio.get_running_loop().time()))
         with open(self._log, "ab") as log:
             self._log_offset = log.tell()
             self._running = await asyncio.create_subprocess_exec(
@@ -47,10 +61,39 @@
         self._exit_task = asyncio.ensure_future(self._wait(self._running))
 
     async def _wait(self, running):
+        enforcer = Enforcer(running.pid, self.limits, lambda: self._is_paused, self._end_excess)
+        enforcing = asyncio.ensure_future(enforcer.run())
         status = await running.wait()
+        enforcing.cancel()
+        peaks = self._history.peak_mb
+        peaks[self.number] = max(enforcer.peak_mb, peaks.get(self.number, 0.0))
         if not self._expects_exit:
             self._history.unexpected_exits.append((self.number, status))
 
+    def _end_excess(self, resident_mb):
+        """Kills the process as its machine does when it holds too much memory."""
+        if not self._is_over:
+            self._is_over = self._expects_exit = True
+            at, limit = asyncio.get_running_loop().time(), self.limits.memory_mb
+            excess = MemoryExcess(self.number, at, resident_mb, limit)
+            self._history.memory_excesses.append(excess)
+            self.send(signal.SIGKILL)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether it has been started and has exited."""
+        return self._running is not None and self._running.returncode is not None
+
+    def pause(self) -> None:
+        """Suspends the process."""
+        self._is_paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets the process go on."""
+        self._is_paused = False
+        self.send(signal.SIGCONT)
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
         if self._running.returncode is None:
@@ -66,7 +109,7 @@
     async def stop(self) -> None:
         """Stops the process gracefully; an exit by a signal or with an error is unexpected."""
         self._expects_exit = True
-        self.send(signal.SIGCONT)
+        self.resume()
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
@@ -75,7 +118,7 @@
             await self.kill()
         status = self._running.returncode
         # While the interpreter starts, a process has no SIGTERM handler yet, and no work to finish.
-        if status != 0 and (status != -signal.SIGTERM or self._has_started()):
+        if status != 0 and not self._is_over and (status != -signal.SIGTERM or self._has_started()):
             self._history.unexpected_exits.append((self.number, status))
 
     def _has_started(self):
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -2,7 +2,13 @@
 
 import attrs
 
+from cicadapond.platform.standin import StreamShape
+
 PLAIN, LOOKUP, STREAM = "plain", "lookup", "stream"
+# Requests on routes that change: plain ones, streams that cannot be resumed, and lookups on routes
+# that are added and removed.
+VARYING, LONG, PROBE = "varying", "long", "probe"
+STREAMS, RUN_ONCE = (STREAM, LONG), (PLAIN, VARYING, LONG)
 
 
 @attrs.define
@@ -17,6 +23,14 @@
       resumes: The id of the request that brought the first event of the stream that this one
         continues, None if it begins one.
       versions: The software versions that the events received came from.
+      method: Its method.
+      target: Its target.
+      digest: The SHA-256 digest of its body, None if it is not compared.
+      shape: How long its stream is.
+      time_limit: The time that it allows, in seconds.
+      sent_whole_at: When its last byte was sent, None if not all were.
+      has_left: Whether the caller left before the end, or closed its side of the connection, which
+        counts as leaving.
     """
 
     id: str
@@ -31,15 +45,96 @@
     is_correct: bool = True
     resumes: str | None = None
     versions: set[str] = attrs.field(factory=set)
+    method: str = "POST"
+    target: str = "/"
+    digest: bytes | None = None
+    shape: StreamShape = StreamShape(4, 0.05)
+    time_limit: float = 3.0
+    sent_whole_at: float | None = None
+    has_left: bool = False
+
+    @property
+    def was_given_up(self) -> bool:
+        """Whether the caller ended it."""
+        return self.timed_out or self.has_left
+
+    @property
+    def prefix(self) -> str:
+        """The prefix of the route that it is meant for."""
+        return f"/{self.target.split('/')[1]}/"
 
 
 @attrs.frozen
 class Run:
-    """One request that a server began to run, at a time in seconds on the event loop's clock."""
+    """One request that a server began to run, at a time in seconds on the event loop's clock.
+
+    Attributes:
+      service: The server's service.
+      is_moved: Whether it goes on with a run that began at another server.
+      is_resumed: Whether it begins after the first event.
+      content: Method, target and the digest of the body, as they arrived.
+    """
 
     id: str
     server: str
     at: float
+    service: str = ""
+    is_moved: bool = False
+    is_resumed: bool = False
+    content: tuple[str, str, bytes] | None = None
+
+
+@attrs.frozen
+class ConfigurationRecord:
+    """A configuration, written at a time in seconds on the event loop's clock.
+
+    Attributes:
+      services: The services that a route may use, by its prefix.
+      timeouts: The routes' time-outs, in seconds.
+      keys: The keys of all accounts.
+    """
+
+    version: int
+    at: float
+    services: dict[str, frozenset[str]]
+    timeouts: dict[str, float]
+    keys: frozenset[str]
+
+
+@attrs.frozen
+class PlannedChange:
+    """A change around which no request may be cut, from `begin` to `end`, in seconds.
+
+    Attributes:
+      process: The process that it concerns, None for all.
+    """
+
+    what: str
+    begin: float
+    end: float
+    process: int | None = None
+
+
+@attrs.frozen
+class Violation:
+    """A guarantee that was not met."""
+
+    guarantee: str
+    subject: str
+    detail: str
+
+    def __str__(self):
+        return f"{self.guarantee}: {self.subject}: {self.detail}"
+
+
+@attrs.frozen
+class MemoryExcess:
+    """A process held more memory than its machine has, at a time in seconds."""
+
+    process: int
+    at: float
+    resident_mb: float
+    limit_mb: int
 
 
 @attrs.frozen
@@ -122,6 +217,15 @@
       crashing_ids: The requests whose prompts crash engines.
       crashing_share: The share of prompts that crash engines now.
       prompt_crashes: When engines crashed by them.
+      broken_off: The ids of requests whose answers a server broke off or spoiled.
+      configurations: The configurations, in order.
+      changes: The planned changes.
+      limited_keys: The keys of accounts whose quota is below what callers send.
+      memory_excesses: When processes held more memory than they may; they were killed then.
+      starts: When processes were started: (process, at).
+      restored_spans: When the store was restored until its rows were written again: (from, to).
+      endless_requests: How many requests were sent to servers that send without end.
+      peak_mb: The highest resident memory of each process.
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
       unexpected_exits: Processes that exited unprompted or by an error: (process, status).
@@ -146,6 +250,15 @@
     crashing_ids: set[str] = attrs.field(factory=set)
     crashing_share: float = 0.0
     prompt_crashes: list[float] = attrs.field(factory=list)
+    broken_off: set[str] = attrs.field(factory=set)
+    configurations: list[ConfigurationRecord] = attrs.field(factory=list)
+    changes: list[PlannedChange] = attrs.field(factory=list)
+    limited_keys: set[str] = attrs.field(factory=set)
+    memory_excesses: list[MemoryExcess] = attrs.field(factory=list)
+    starts: list[tuple[int, float]] = attrs.field(factory=list)
+    restored_spans: list[tuple[float, float]] = attrs.field(factory=list)
+    endless_requests: int = 0
+    peak_mb: dict[int, float] = attrs.field(factory=dict)
     planned_stops: list[tuple[int, float, float]] = attrs.field(factory=list)
     fault_spans: list[tuple[float, float]] = attrs.field(factory=list)
     unexpected_exits: list[tuple[int, int]] = attrs.field(factory=list)
@@ -154,3 +267,13 @@
     restores: int = 0
     faults_ended_at: float = 0.0
     not_ready: list[int] = attrs.field(factory=list)
+
+    def configurations_between(self, begin: float, end: float) -> list[ConfigurationRecord]:
+        """Returns the configurations that were the newest at some time from `begin` to `end`."""
+        before = [each for each in self.configurations if each.at <= begin][-1:]
+        return before + [each for each in self.configurations if begin < each.at <= end]
+
+
+def overlaps(spans: list[tuple[float, float]], begin: float, end: float) -> bool:
+    """Returns whether one of the spans has a moment from `begin` to `end`."""
+    return any(first <= end and begin <= last for first, last in spans)
--- a/cicadapond/soak/_rollouts.py
+++ b/cicadapond/soak/_rollouts.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cicadapond.platform.standin import Fleet, RolloutModel, VersionDefect
-from cicadapond.soak._records import STREAM, History, RolloutRecord
+from cicadapond.soak._records import LOOKUP, PLAIN, STREAM, History, RolloutRecord
 
 DURATION_S = 9.0
 ENGINES = 3
@@ -18,6 +18,7 @@
 # How long after its limit a rollout may lack its outcome, while faults go on.
 OUTCOME_TIMEOUT_S = 30.0
 MODEL_SERVICE, PLAIN_SERVICE = "pool", "plain"
+_KINDS = {MODEL_SERVICE: (STREAM,), PLAIN_SERVICE: (PLAIN, LOOKUP)}
 # Limits of the deployment under test (platform.standin).
 EXPOSURE_SHARE, EXPOSURE_TOLERANCE = 0.1, 50
 BAD_RESPONSES, ROLLBACK_S = 50, 5.0
@@ -124,8 +125,7 @@
     # A server that is replaced keeps its name before a dot.
     runs = [run.at for run in history.runs if run.server.partition(".")[0] in record.servers]
     asked = sum(
-        record.ordered_at <= call.sent_at <= limit
-        and (call.kind == STREAM) == (record.service == MODEL_SERVICE)
+        record.ordered_at <= call.sent_at <= limit and call.kind in _KINDS[record.service]
         for call in history.calls
     )
     allowed = EXPOSURE_SHARE * asked + EXPOSURE_TOLERANCE
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -9,13 +9,20 @@
 from absl import flags
 
 from cicadapond.kernel._help import ProgramHelp, run_command
-from cicadapond.soak._plan import parse_seeds
-from cicadapond.soak._run import SoakSettings, run_soak
+from cicadapond.soak._configuration_checks import probed_routes
+from cicadapond.soak._plan import SoakSettings, parse_seeds
+from cicadapond.soak._run import run_soak
 
 _SEEDS = flags.DEFINE_string("seeds", "1", "Seeds separated by commas, or FIRST-LAST.")
 _LENGTH = flags.DEFINE_float("length", 25.0, "Seconds during which faults are injected.", 1.0)
-_PROCESSES = flags.DEFINE_integer("processes", 3, "Number of gateway processes.", 1, 100)
+_PROCESSES = flags.DEFINE_integer("processes", 3, "Number of gateway processes.", 1, 200)
 _CALLERS = flags.DEFINE_integer("callers", 8, "Number of callers.", 1, 200)
+_STREAM_CALLERS = flags.DEFINE_integer(
+    "stream_callers", 12, "Number of callers that send mostly long streams.", 0, 400
+)
+_ENDLESS = flags.DEFINE_integer(
+    "endless", 60, "How many requests are at once at servers that send without end.", 0, 200
+)
 _AT_ONCE = flags.DEFINE_integer("at_once", 1, "Number of seeds to run in parallel.", 1, 16)
 _RESTORES = flags.DEFINE_boolean(
     "restores", False, "Whether the store is restored from older copies among the faults."
@@ -34,13 +41,25 @@
         async with limit:
             directory = base / f"seed-{seed}"
             directory.mkdir(parents=True, exist_ok=True)
-            sizes = (_PROCESSES.value, _CALLERS.value)
-            cfg = SoakSettings(seed, _LENGTH.value, directory, *sizes, _RESTORES.value)
+            cfg = SoakSettings(
+                seed,
+                _LENGTH.value,
+                directory,
+                _PROCESSES.value,
+                _CALLERS.value,
+                _RESTORES.value,
+                _STREAM_CALLERS.value,
+                _ENDLESS.value,
+            )
             history, violations = await run_soak(cfg)
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
+        found, missing = probed_routes(history)
         print(
             f"seed {seed}: {len(history.calls)} requests, {served} served, "
             f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
+            f"{len(history.configurations)} configurations, {found} probes served and {missing} "
+            f"without a route, {history.endless_requests} endless answers, "
+            f"at most {max(history.peak_mb.values()):.0f} MB, "
             f"{len(violations)} violations",
             flush=True,
         )
@@ -56,7 +75,17 @@
     "cicadapond-soak",
     "Runs gateway processes under random faults from outside, and checks what callers, servers and"
     " the platform saw.",
-    flags=("seeds", "length", "processes", "callers", "at_once", "restores", "directory"),
+    flags=(
+        "seeds",
+        "length",
+        "processes",
+        "callers",
+        "stream_callers",
+        "endless",
+        "at_once",
+        "restores",
+        "directory",
+    ),
     examples=(
         "cicadapond-soak --seeds=1-4",
         "cicadapond-soak --seeds=5 --restores",
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -10,7 +10,9 @@
 from cicadapond.platform.standin import Answer, StoreModel, stream_event
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
-from cicadapond.soak._plan import parse_seeds
+from cicadapond.soak._injections import FaultInjector
+from cicadapond.soak._plan import CUTS_NOTHING, parse_seeds
+from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._proxy import NetworkFault, Proxy
 from cicadapond.soak._records import (
     PLAIN,
@@ -23,7 +25,6 @@
     StatedLimit,
 )
 from cicadapond.soak._restore import go_back, write_again
-from cicadapond.soak._run import Soak
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
 RUN = Run("r-1", "s-0", 10.05)
@@ -157,9 +158,11 @@
     assert make_plan(3, 60.0) == make_plan(3, 60.0)
     assert make_plan(3, 60.0) != make_plan(4, 60.0)
     assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0, True)} == set(Fault)
-    planned = [each for each in make_plan(3, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
-    assert planned == make_plan(3, 60.0)
-    assert all(hasattr(Soak, f"_inject_{fault.name.lower()}") for fault in Fault)
+    assert {each.fault for each in make_plan(3, 600.0)} <= set(CUTS_NOTHING)
+    others = [each for each in make_plan(4, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
+    assert others == make_plan(4, 60.0)
+    injected = {*dir(FaultInjector), *dir(ChangeInjector)}
+    assert all(f"inject_{fault.name.lower()}" in injected for fault in Fault)
 
 
 def test_after_a_restore_only_what_is_still_lost_of_others_rows_is_written_again():
