--- a/cicadapond/soak/_lost.py
+++ b/cicadapond/soak/_lost.py
@@ -72,7 +72,8 @@
             continue
         if overlaps(history.fault_spans, call.sent_at - EXCUSE_LOOKBACK_S, call.ended_at):
             continue
-        took_s, allowed_s = call.ended_at - call.sent_at, time_allowed(call, history)
+        began_at = call.sent_at if call.sent_whole_at is None else call.sent_whole_at
+        took_s, allowed_s = call.ended_at - began_at, time_allowed(call, history)
         lasting += took_s >= allowed_s
         late += took_s >= allowed_s + LATE_S
         if call.timed_out:
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -1,5 +1,8 @@
 """Records of a soak, made by callers, servers and the platform, on which the checks are run."""
 
+import json
+import pathlib
+
 import attrs
 
 from cicadapond.platform.standin import StreamShape
@@ -270,12 +273,27 @@
     faults_ended_at: float = 0.0
     not_ready: list[int] = attrs.field(factory=list)
 
+    def write(self, path: pathlib.Path) -> None:
+        """Writes everything to a file, one JSON object a line with its kind."""
+        with open(path, "w", encoding="utf-8") as file:
+            for name, value in attrs.asdict(self, recurse=False).items():
+                value = list(value.items()) if isinstance(value, dict) else value
+                for each in value if isinstance(value, list) else [value]:
+                    found = attrs.asdict(each) if attrs.has(type(each)) else each
+                    file.write(json.dumps({"kind": name, "value": found}, default=_plain) + "\n")
+
     def configurations_between(self, begin: float, end: float) -> list[ConfigurationRecord]:
         """Returns the configurations that were the newest at some time from `begin` to `end`."""
         before = [each for each in self.configurations if each.at <= begin][-1:]
         return before + [each for each in self.configurations if begin < each.at <= end]
 
 
+def _plain(value):
+    if isinstance(value, bytes):
+        return value.hex()
+    return sorted(value) if isinstance(value, set | frozenset) else str(value)
+
+
 def overlaps(spans: list[tuple[float, float]], begin: float, end: float) -> bool:
     """Returns whether one of the spans has a moment from `begin` to `end`."""
     return any(first <= end and begin <= last for first, last in spans)
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -13,6 +13,8 @@
 from cicadapond.soak._plan import SoakSettings, parse_seeds
 from cicadapond.soak._run import run_soak
 
+HISTORY_NAME = "history.jsonl"
+
 _SEEDS = flags.DEFINE_string("seeds", "1", "Seeds separated by commas, or FIRST-LAST.")
 _LENGTH = flags.DEFINE_float("length", 25.0, "Seconds during which faults are injected.", 1.0)
 _PROCESSES = flags.DEFINE_integer("processes", 3, "Number of gateway processes.", 1, 200)
@@ -52,6 +54,7 @@
                 _ENDLESS.value,
             )
             history, violations = await run_soak(cfg)
+            history.write(directory / HISTORY_NAME)
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
         found, missing = probed_routes(history)
         print(
