--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -13,6 +13,8 @@
 # A whole body may come in so many pieces, and take this multiple of its limit with its framing.
 MAX_BODY_PIECES = 128 * 1024
 MAX_FRAMING_FACTOR = 2
+# Statuses whose responses end with their head.
+BODILESS_STATUSES = (204, 304)
 
 
 class BrokenResponseError(Exception):
@@ -39,7 +41,7 @@
     Attributes:
       received_bytes: How many bytes were received since the last request was sent.
       received_pieces: In how many pieces the body came that was read since then.
-      is_framed: Whether the response has a length or chunks; else it ends with the connection.
+      is_framed: Whether the response's end is marked; else it ends with the connection.
     """
 
     def __init__(self, channel: Channel, now: datetime.timedelta):
@@ -128,13 +130,18 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                names = {name for name, _ in event.headers}
-                self.is_framed = not names.isdisjoint((b"content-length", b"transfer-encoding"))
+                self.is_framed = self._has_framing(event)
                 return event.status_code, list(event.headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenResponseError(f"{type(event).__name__} in place of an answer")
         raise BrokenResponseError("informational responses only", is_malformed=True)
 
+    def _has_framing(self, response):
+        if response.status_code in BODILESS_STATUSES or self._request.method == b"HEAD":
+            return True
+        names = {name for name, _ in response.headers}
+        return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+
     async def read_body(self) -> bytes | None:
         """Returns the next bytes of the response body, None after the last.
 
--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -139,3 +139,8 @@
 @pytest.mark.parametrize("name", UNFRAMED)
 def test_an_unframed_answer_is_not_whole_if_its_server_died(name):
     assert isinstance(asyncio.run(outcome_of([UNFRAMED[name]], dies=True)), Broken)
+
+
+def test_an_answer_without_a_body_does_not_depend_on_its_server_going_on():
+    answer = OWN.replace(b"200 OK", b"204 No Content") + b"\r\n"
+    assert isinstance(asyncio.run(outcome_of([answer], dies=True)), Whole)
