--- a/cicadapond/gateway/_evacuation.py
+++ b/cicadapond/gateway/_evacuation.py
@@ -129,7 +129,7 @@
 
     def _wake(self):
         if self._loop is None or self._loop.done():
-            self._loop = self._tasks.spawn(self._run(), "stream moves")
+            self._loop = self._tasks.keep_running(self._run, "stream moves")
 
     async def _run(self):
         while leaving := self._leaving_streams():
@@ -155,8 +155,10 @@
         views = {key: each for key, each in views.items() if each[0] is not None}
         if not views:
             return
+        # The current configuration may lack the service of a stream that still runs.
+        limits = next(reversed(views.values()))[1].limits
         planner = MovePlanner(self._times.setdefault(service, TransferTimes()), self._rng)
-        rooms = self._rooms(service, [view for view, _ in views.values()])
+        rooms = self._rooms(service, limits, [view for view, _ in views.values()])
         for move in planner.choose([view for view, _ in views.values()], rooms, self._in_progress):
             stream = views[move.stream.id][1]
             stream.tries += 1
@@ -186,9 +188,8 @@
             is_resumable=stream.is_resumable,
         )
 
-    def _rooms(self, service, views) -> list[EngineRoom]:
+    def _rooms(self, service, limits, views) -> list[EngineRoom]:
         parts = self._parts
-        engine = parts.active_configuration.table.cfg.services[service].engine
         now = self._clock.monotonic()
         usable = [
             entry
@@ -200,8 +201,8 @@
         rooms = []
         for entry in usable:
             running = parts.placer.estimated_in_flight(entry)
-            slots = min(entry.slots, engine.slots)
-            rooms.append(EngineRoom(entry, slots - running, engine.tokens - running * mean_size))
+            slots = min(entry.slots, limits.slots)
+            rooms.append(EngineRoom(entry, slots - running, limits.tokens - running * mean_size))
         return rooms
 
     async def _move(self, stream, move) -> MoveResult:
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -295,7 +295,7 @@
         stream = RelayedStream(
             id=state.req.id,
             server=entry,
-            moves=engine.moves,
+            limits=engine,
             generation=state.req.generation,
             deadline=state.deadline,
             is_resumable=state.route.resumable,
--- a/cicadapond/gateway/_stream_moves.py
+++ b/cicadapond/gateway/_stream_moves.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cicadapond.gateway._engine_calls import MoveResult
-from cicadapond.gateway.data import Generation, MemoryMoves, ServerEntry
+from cicadapond.gateway.data import EngineLimits, Generation, MemoryMoves, ServerEntry
 from cicadapond.kernel import Clock
 
 
@@ -19,7 +19,7 @@
     Attributes:
       id: The request's id.
       server: The engine.
-      moves: How the engines of its service move memory.
+      limits: The capacity of its service's engines when the attempt began; they move memory.
       generation: The size of the request.
       deadline: The monotonic time at which the request must be answered.
       is_resumable: Whether another engine may take the stream up without its memory.
@@ -40,7 +40,7 @@
 
     id: str
     server: ServerEntry
-    moves: MemoryMoves
+    limits: EngineLimits
     generation: Generation
     deadline: datetime.timedelta
     is_resumable: bool
@@ -58,6 +58,11 @@
     moving: "asyncio.Task[MoveResult] | None" = None
     destination: ServerEntry | None = None
 
+    @property
+    def moves(self) -> MemoryMoves:
+        """How the engines of its service move memory."""
+        return self.limits.moves
+
     def record_event(self, event_id: str | None, clock: Clock) -> None:
         """Records that an event was passed on."""
         now = clock.monotonic()
--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -99,6 +99,22 @@
     run(check, tmp_path)
 
 
+@pytest.mark.parametrize("services", [[], [{"name": MODEL_SERVICE, "max_connections": 50}]])
+def test_a_stream_outlives_its_engine_and_the_service_in_the_configuration(tmp_path, services):
+    """Guards against LOST: the moves ended with an error, and engines with all of their streams."""
+
+    async def check(system):
+        caller, source = await begin(system)
+        version = system.fleet.configure(services=services)
+        configuration = system.node.parts.active_configuration
+        await system.until(lambda: configuration.version == version)
+        ending = asyncio.ensure_future(withdraw(system, source))
+        assert_whole(await caller.read_response())
+        await ending
+
+    run(check, tmp_path)
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
