--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -115,6 +115,30 @@
     run(check, tmp_path)
 
 
+@pytest.mark.parametrize("taken", ["key", "route", "confirmation"])
+def test_a_stream_outlives_its_engine_and_its_key_or_route(tmp_path, monkeypatch, taken):
+    """Guards against LOST: a run was stopped to be moved, and then refused as a new request is."""
+
+    async def check(system):
+        caller, source = await begin(system)
+        configuration = system.node.parts.active_configuration
+        if taken == "confirmation":  # the store is away for longer than keys may be used
+            monkeypatch.setattr(configuration, "may_use_keys", lambda: False)
+        else:
+            routes = system.fleet.routes()[1 if taken == "route" else 0 :]
+            keys = ("another-key",) if taken == "key" else None
+            version = system.fleet.configure(keys, routes=routes)
+            await system.until(lambda: configuration.version == version)
+        ending = asyncio.ensure_future(withdraw(system, source))
+        assert_whole(await caller.read_response())
+        await caller.stream("s-2")
+        answer = await caller.read_response()
+        assert answer.status == {"key": 401, "route": 404, "confirmation": 503}[taken]
+        await ending
+
+    run(check, tmp_path)
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
