--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -196,11 +196,8 @@
             await self._wait_for_bytes(limits.idle_timeout)
         received_at = self._clock.monotonic()
         self._is_serving = True
-        try:
-            async with asyncio.timeout(limits.header_timeout.total_seconds()):
-                head = await self._next_event()
-        except TimeoutError:
-            raise RequestError(408, "request head not received in time") from None
+        late = RequestError(408, "request head not received in time")
+        head = await self._next_event_within(limits.header_timeout, late)
         if not isinstance(head, h11.Request):
             raise ChannelClosedError("caller disconnected", was_reset=False)
         self._headers = [(bytes(name), bytes(value)) for name, value in head.headers]
@@ -217,21 +214,20 @@
     async def _wait_for_bytes(self, timeout):
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                self._http.receive_data(await self.read())
+                data = await self.read()
         except TimeoutError:
-            raise ChannelClosedError("idle timeout", was_reset=False) from None
+            if not self.has_unread:
+                raise ChannelClosedError("idle timeout", was_reset=False) from None
+            data = await self.read()
+        self._http.receive_data(data)
 
     async def _read_body(self, limits):
         body = bytearray()
         begun_at = self._received_bytes
+        late = RequestError(408, "request body not received in time")
         while True:
             await self._turns.step()
-            try:
-                async with asyncio.timeout(limits.idle_timeout.total_seconds()):
-                    event = await self._next_event()
-            except TimeoutError:
-                raise RequestError(408, "request body not received in time") from None
-            match event:
+            match await self._next_event_within(limits.idle_timeout, late):
                 case h11.Data(data=data):
                     body += data
                     if len(body) > limits.body_bytes:
@@ -244,6 +240,21 @@
                 case _:
                     raise ChannelClosedError("caller disconnected", was_reset=False)
 
+    async def _next_event_within(self, timeout, late):
+        """Returns the next event; raises `late` if it has not been received in time.
+
+        An event loop that was behind runs the time-out before it reads what has been received.
+        """
+        timeout_s = timeout.total_seconds()
+        while True:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._next_event()
+            except TimeoutError:
+                if not self.has_unread:
+                    raise late from None
+                timeout_s = 0.0
+
     async def _next_event(self):
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
