--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -255,8 +255,12 @@
             # The engine's other requests break, and others get more of them.
             self.history.fault_spans.append((now, now + RESTART_S + RESIDUAL_EFFECT_S))
         if model.name in self.services:
-            service = self.services[model.name]
-            self.start_task(self.fleet.restart_server(model.name, service, SERVER_RESTART_S))
+            self.start_task(self._restart_server(model.name))
+
+    async def _restart_server(self, name):
+        await asyncio.sleep(SERVER_RESTART_S)
+        if name in self.services:  # it has not been ended meanwhile
+            await self.fleet.restart_server(name, self.services[name], 0.0)
 
     async def start_server(self, name: str, service: str, version: str, defect) -> None:
         """Starts a server and lists it."""
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 import tempfile
+import traceback
 
 from absl import flags
 
@@ -53,7 +54,12 @@
                 _STREAM_CALLERS.value,
                 _ENDLESS.value,
             )
-            history, violations = await run_soak(cfg)
+            try:
+                history, violations = await run_soak(cfg)
+            except Exception:  # other seeds go on
+                failed += 1
+                print(f"seed {seed}: the soak itself failed\n{traceback.format_exc()}", flush=True)
+                return
             history.write(directory / HISTORY_NAME)
         served = sum(call.is_complete and call.status == 200 for call in history.calls)
         found, missing = probed_routes(history)
