--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -146,14 +146,17 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         return self._server.sockets[0].getsockname()[1]
 
-    async def stop(self) -> None:
-        """Resets all connections, as in a crash."""
+    async def stop(self, resets: bool = True) -> None:
+        """Ends all connections: by resets, as a host that is lost, or as a killed process does."""
         self._server.close()
         self.model.broken_off.update(self._in_progress)
         self.model.memory.copies.clear()
         self.model.parts.restart()
         for writer in list(self._writers):
-            _reset(writer)
+            if resets:
+                _reset(writer)
+            else:
+                writer.transport.close()
         await asyncio.sleep(0)
 
     async def _crash(self, by_prompt):
@@ -188,6 +191,7 @@
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(h11.SERVER)
+        self._is_unframed = False
 
     async def run(self):
         """Serves one request; returns whether the connection can be reused."""
@@ -366,9 +370,12 @@
             ("content-type", "text/event-stream"),
             *self._advisories(),
         ]
-        if fault not in (EngineFault.UNFRAMED, EngineFault.UNFRAMED_WITHIN_EVENT):
+        self._is_unframed = fault in (EngineFault.UNFRAMED, EngineFault.UNFRAMED_WITHIN_EVENT)
+        if self._is_unframed:
+            self._write_unframed_head(headers)
+        else:
             headers.append(("transfer-encoding", "chunked"))
-        self._send(h11.Response(status_code=200, headers=headers))
+            self._send(h11.Response(status_code=200, headers=headers))
         if self._model.crashing_parts & _part_names(fields):
             await self._writer.drain()
             await self._crash(by_prompt=True)
@@ -391,21 +398,32 @@
             event = stream_event(number, request_id, self._model.version, shape.event_bytes)
             ends_within = fault in (EngineFault.WITHIN_EVENT, EngineFault.UNFRAMED_WITHIN_EVENT)
             if ends_within and number == first + 1:
-                self._send(h11.Data(data=event[:-5]))
+                self._write_event(event[:-5])
                 await self._writer.drain()
                 return False
             if fault is EngineFault.TRICKLE and number == first + 1:
                 return await self._trickle(request_id)
-            self._send(h11.Data(data=event))
+            self._write_event(event)
             if fault is EngineFault.RESET and number == first + 1:
                 await self._writer.drain()
                 await asyncio.sleep(0.02)
                 _reset(self._writer)
                 return False
             await self._pause(request_id, shape.interval_s)
-        if run.is_stopped:
+        if run.is_stopped or self._is_unframed:
             return False
-        return self._end() and fault is not EngineFault.UNFRAMED
+        return self._end()
+
+    def _write_unframed_head(self, headers):
+        # h11 would add chunks.
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        self._writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+
+    def _write_event(self, event):
+        if self._is_unframed:
+            self._writer.write(event)
+        else:
+            self._send(h11.Data(data=event))
 
     async def _trickle(self, request_id):
         while True:
