--- a/cicadapond/forwarding/_pool.py
+++ b/cicadapond/forwarding/_pool.py
@@ -18,6 +18,8 @@
 MAX_IDLE_PER_SERVER = 24
 # The sockets of a process that is killed are closed one after the other within this time.
 CLOSING_TIME = datetime.timedelta(milliseconds=20)
+# What is read for the first time after a pause of this process is read within this time.
+PAUSE_EFFECT_TIME = datetime.timedelta(milliseconds=200)
 
 
 class ConnectionPool:
@@ -35,6 +37,7 @@
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, collections.deque[ServerConnection]] = {}
+        self._paused_at: datetime.timedelta | None = None
         self.on_connect: typing.Callable[[str, datetime.timedelta], None] = lambda name, took: None
 
     def take_idle(self, server: str, recent_only: bool) -> ServerConnection | None:
@@ -76,8 +79,10 @@
     ) -> bool:
         """Returns whether a server goes on after it has closed a connection.
 
-        An idle connection that stays open shows it, or a new one.
+        An idle connection that stays open shows it, or a new one.  After a pause of this process a
+        new one shows nothing, as the server may have ended and started again meanwhile.
         """
+        begun = self._clock.monotonic()
         idle = self._idle.get(server)
         if idle:
             conn = idle[-1]
@@ -89,6 +94,8 @@
             return False
         try:
             await self._clock.sleep(CLOSING_TIME)
+            if self._paused_at is not None and begun - self._paused_at <= PAUSE_EFFECT_TIME:
+                return False
             if conn.is_open:
                 return True
         finally:
@@ -100,6 +107,10 @@
             conn.close()
         return conn is not None
 
+    def record_pause(self) -> None:
+        """Records that this process has just been delayed for some time."""
+        self._paused_at = self._clock.monotonic()
+
     def release(self, server: str, conn: ServerConnection) -> None:
         """Returns a connection to the pool, or closes it if it is unusable or the pool is full."""
         idle = self._idle.setdefault(server, collections.deque())
--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -55,7 +55,7 @@
         pass
 
 
-async def outcome_of(parts, resets=False, dies=False):
+async def outcome_of(parts, resets=False, dies=False, paused=False):
     """Returns the last outcome when a server answers so on one connection and ends it, or dies."""
 
     async def serve(reader, writer):
@@ -64,6 +64,8 @@
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(part)
                 await writer.drain()
+            if paused:
+                pool.record_pause()
             if dies:
                 server.close()
             if resets:
@@ -139,3 +141,7 @@
 @pytest.mark.parametrize("name", UNFRAMED)
 def test_an_unframed_answer_is_not_whole_if_its_server_died(name):
     assert isinstance(asyncio.run(outcome_of([UNFRAMED[name]], dies=True)), Broken)
+
+
+def test_an_unframed_answer_is_not_whole_if_its_server_may_have_started_again_in_a_pause():
+    assert isinstance(asyncio.run(outcome_of([UNFRAMED["stream"]], paused=True)), Broken)
--- a/cicadapond/gateway/_loop_watch.py
+++ b/cicadapond/gateway/_loop_watch.py
@@ -1,6 +1,7 @@
 """Measures how late the event loop runs, which delays all that this process does."""
 
 import datetime
+import typing
 
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._request import milliseconds
@@ -11,10 +12,18 @@
 LOGGED_DELAY = datetime.timedelta(milliseconds=200)
 
 
-async def watch_loop(clock: Clock, log: EventLog, metrics: Metrics) -> None:
+async def watch_loop(
+    clock: Clock, log: EventLog, metrics: Metrics, on_delay: typing.Callable[[], None]
+) -> None:
     """Records the delay of a periodic timer until cancelled.
 
     A machine that stood still is seen as a delay too.
+
+    Args:
+      clock: The clock.
+      log: The event log.
+      metrics: The metrics.
+      on_delay: Called after a delay that is logged.
     """
     while True:
         due = clock.monotonic() + INTERVAL
@@ -23,3 +32,4 @@
         metrics.record("loop_delay", max(delay, datetime.timedelta()))
         if delay >= LOGGED_DELAY:
             log.write("loop_delayed", delay_ms=milliseconds(delay))
+            on_delay()
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -299,7 +299,8 @@
         self._tasks.start(self._permits, restarts=True)
         self._tasks.keep_running(self._housekeep, "housekeeping")
         self._tasks.keep_running(
-            lambda: watch_loop(self._clock, self._log, self._metrics), "loop watch"
+            lambda: watch_loop(self._clock, self._log, self._metrics, self.parts.pool.record_pause),
+            "loop watch",
         )
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
--- a/cicadapond/gateway/loop_watch_test.py
+++ b/cicadapond/gateway/loop_watch_test.py
@@ -30,13 +30,16 @@
 def test_a_late_event_loop_is_logged_once_for_each_delay():
     async def main():
         clock, log, test_clock = LateClock(), Log(), VirtualClock()
-        task = asyncio.ensure_future(watch_loop(clock, log, Metrics()))
+        delays = []
+        task = asyncio.ensure_future(
+            watch_loop(clock, log, Metrics(), lambda: delays.append(clock.monotonic()))
+        )
         await test_clock.sleep(seconds(1))
         assert not log.lines
         clock.late = 2 * LOGGED_DELAY
         await test_clock.sleep(seconds(1))
         task.cancel()
-        assert log.lines == [("loop_delayed", {"delay_ms": 400.0})]
+        assert log.lines == [("loop_delayed", {"delay_ms": 400.0})] and len(delays) == 1
 
     run_virtual(main())
 
