--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -1,7 +1,6 @@
 """A stand-in of the platform's backend servers, with fault injection."""
 
 import asyncio
-import enum
 import hashlib
 import json
 import socket
@@ -11,6 +10,7 @@
 import h11
 
 from cicadapond.platform.standin._endless import EndlessAnswer
+from cicadapond.platform.standin._engine_faults import EngineFault
 from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH, EngineMemory
 from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH, EngineParts
 from cicadapond.platform.standin._rollouts import VersionDefect
@@ -27,32 +27,6 @@
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
-class EngineFault(enum.Enum):
-    """A fault that is injected into one request."""
-
-    FULL = "it is refused without being executed"
-    ERROR = "it runs and fails"
-    RESET = "it runs and the connection is reset"
-    SILENT = "it runs and no response is sent"
-    TRUNCATED = "the answer ends within its body"
-    CUT_HEAD = "the answer ends before the blank line after its head"
-    CUT_INTERIM = "it does so after informational responses"
-    UNFRAMED = "the answer has no length and ends with the connection"
-    UNFRAMED_RESET = "the answer has no length and the connection is reset before its end"
-    EXTRA = "a second answer to it follows immediately"
-    LATE_EXTRA = "a second answer to it is sent before the answer to the next request"
-    WITHIN_EVENT = "the stream stops within its second event"
-    TRICKLE = "the stream stalls within its second event, and sends a byte of it now and then"
-    GARBAGE = "the answer is not valid HTTP"
-    FOREIGN = "the answer belongs to another request"
-    UNFRAMED_WITHIN_EVENT = "the stream has no length and ends within its second event"
-    BARE_ERROR = "it runs and fails, and the answer has no header of this protocol"
-    NO_EVENTS = "the stream ends before its first event"
-    ENDLESS_INTERIM = "informational responses follow each other until the connection is closed"
-    ENDLESS_HEAD = "the head of the answer goes on until the connection is closed"
-    ENDLESS_BODY = "the body of the answer, or an event of it, does"
-
-
 # Faults that show in place of a stream as in place of another answer.
 _CUT_HEADS = {EngineFault.CUT_HEAD: b"", EngineFault.CUT_INTERIM: _INTERIM * 2}
 _PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN, *_CUT_HEADS)
@@ -370,7 +344,8 @@
             ("content-type", "text/event-stream"),
             *self._advisories(),
         ]
-        self._is_unframed = fault in (EngineFault.UNFRAMED, EngineFault.UNFRAMED_WITHIN_EVENT)
+        unframed = (EngineFault.UNFRAMED, EngineFault.UNFRAMED_WITHIN_EVENT)
+        self._is_unframed = shape.is_unframed or fault in unframed
         if self._is_unframed:
             self._write_unframed_head(headers)
         else:
@@ -427,7 +402,7 @@
 
     async def _trickle(self, request_id):
         while True:
-            self._send(h11.Data(data=b":"))
+            self._write_event(b":")
             await self._pause(request_id)
             await asyncio.sleep(TRICKLE_INTERVAL_S)
 
--- a/cicadapond/platform/standin/_streams.py
+++ b/cicadapond/platform/standin/_streams.py
@@ -13,11 +13,13 @@
       events: Number of events, None for as many as the server sends by default.
       interval_s: The time between events, in seconds, None for the server's default.
       event_bytes: How many bytes of filler each event has.
+      is_unframed: Whether it has neither length nor chunks, and ends with the connection.
     """
 
     events: int | None = None
     interval_s: float | None = None
     event_bytes: int = 0
+    is_unframed: bool = False
 
     @classmethod
     def of(cls, target: str) -> "StreamShape":
@@ -25,11 +27,13 @@
         query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
         if "events" not in query:
             return cls()
-        return cls(int(query["events"]), int(query["gap"]) / 1000, int(query["bytes"]))
+        events, gap_s, size = int(query["events"]), int(query["gap"]) / 1000, int(query["bytes"])
+        return cls(events, gap_s, size, "unframed" in query)
 
     def query(self) -> str:
         """Returns the query that asks for it."""
-        return f"?events={self.events}&gap={round(1000 * self.interval_s)}&bytes={self.event_bytes}"
+        gap_ms, framing = round(1000 * self.interval_s), "&unframed=1" if self.is_unframed else ""
+        return f"?events={self.events}&gap={gap_ms}&bytes={self.event_bytes}{framing}"
 
 
 def stream_event(number: int, request_id: str, version: str, filler: int = 0) -> bytes:
--- a/cicadapond/soak/_callers.py
+++ b/cicadapond/soak/_callers.py
@@ -5,6 +5,8 @@
 import itertools
 import random
 
+import attrs
+
 from cicadapond.platform.standin import Answer, Caller, stream_event
 from cicadapond.soak._balancer import Balancer
 from cicadapond.soak._operator import Operator
@@ -14,6 +16,7 @@
 MEAN_REQUEST_GAP_S = 0.08
 # A caller waits so much longer than the time that its request allows.
 EXTRA_WAIT_S = 3.0
+MAX_TAKE_UPS = 5
 CRASHING_PART = "bad"
 
 
@@ -59,18 +62,24 @@
                     self._rng, self._weights, self._operator.probe_prefixes()
                 )
                 call, answer = await self._exchange(f"{self._name}-{number}", behaviour)
-                is_cut = not answer.is_complete and not call.has_left
-                if call.kind == STREAM and is_cut and answer.event_ids():
+                if call.kind == STREAM:
                     await self._take_up(call, behaviour, answer)
         finally:
             self._disconnect()
 
     async def _take_up(self, call, behaviour, answer):
-        """Continues a stream that broke off, on a new connection."""
-        if self._connect():
-            await self._exchange(f"{call.id}-again", behaviour, call, answer.event_ids()[-1])
+        """Continues a stream that broke off on new connections, some times."""
+        last, number = 0, 0
+        while not answer.is_complete and not call.has_left and number < MAX_TAKE_UPS:
+            last = (whole_event_ids(answer) or [last])[-1]
+            if not last or not self._connect():
+                return
+            number += 1
+            request_id = f"{call.resumes or call.id}-again-{number}"
+            call, answer = await self._exchange(request_id, behaviour, call, last)
 
     def _connect(self):
+        self._disconnect()
         ready = self._balancer.ready()
         if not ready:
             return False
@@ -163,6 +172,12 @@
         )
 
 
+def whole_event_ids(answer: Answer) -> list[int]:
+    """Returns the ids of the events that came whole, in order."""
+    whole = answer.body.rpartition(b"\n\n")[0]
+    return attrs.evolve(answer, body=whole).event_ids()
+
+
 def is_expected_answer(call: CallRecord, answer: Answer, last_event: int = 0) -> bool:
     """Returns whether the body received belongs to the request, in order.
 
--- a/cicadapond/soak/_injections.py
+++ b/cicadapond/soak/_injections.py
@@ -23,6 +23,7 @@
 CRASHING_SHARE = 0.1
 BRITTLE_LIMIT = 3
 MAX_STATED_LIMIT = 4.0
+MIN_DOWN_S, MAX_DOWN_S = 0.3, 2.3
 MIN_AWAY_S, MAX_AWAY_S = 0.2, 1.0
 # When the operator and the servers have noticed that their writes are lost.
 MIN_REWRITE_S, MAX_REWRITE_S = 1.0, 2.0
@@ -204,6 +205,25 @@
             await proxy.start()
         self._cut_off.discard(process)
 
+    async def inject_server_killed(self, injection):
+        name, deployment = self._pick_server(injection), self._deployment
+        server = self._fleet.servers[name]
+        if server.has_crashed:
+            return
+        server.has_crashed = True
+        proxies = [*deployment.proxies[name].values()]
+        for proxy in proxies:
+            proxy.stop_listening()
+        await server.stop(resets=False)
+        await asyncio.sleep(self._rng.uniform(MIN_DOWN_S, MAX_DOWN_S))
+        if name not in deployment.services:
+            return  # it has been ended for good meanwhile
+        if not deployment.cfg.rolls_out:
+            server.model.version = self._rng.choice(SOFTWARE_VERSIONS)
+        await self._fleet.restart_server(name, deployment.services[name], 0.0)
+        for proxy in proxies:
+            await proxy.start()
+
     async def inject_server_holds(self, injection):
         name = self._pick_server(injection)
         begin = self._now()
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -44,6 +44,7 @@
     JOIN = "a process is added"
     RETIRE = "a process is stopped for good"
     LOSE = "a process is killed for good"
+    SERVER_KILLED = "a server's process is killed and started again, with another version"
     REPLACE = "a process is added and another one is stopped for good"
     ENDLESS_ANSWERS = "many requests at once are at servers that send without end"
 
@@ -81,8 +82,8 @@
 STATEMENTS = (Fault.SERVER_LIMITS,)
 MEAN_STATEMENT_GAP_S = 6.0
 MIN_STATEMENT_S, MAX_STATEMENT_S = 4.0, 12.0
-LOSSES = (Fault.LOSE,)
-MEAN_LOSS_GAP_S = 15.0
+LOSSES = (Fault.LOSE, Fault.SERVER_KILLED, Fault.SERVER_KILLED)
+MEAN_LOSS_GAP_S = 6.0
 RECLAIMS = (Fault.ENGINE_RECLAIMED,)
 MEAN_RECLAIM_GAP_S = 2.5
 MIN_NOTICE_S, MAX_NOTICE_S = 0.3, 0.9  # shorter than what the streams say to last
--- a/cicadapond/soak/_proxy.py
+++ b/cicadapond/soak/_proxy.py
@@ -42,7 +42,9 @@
         self._connections: set[_Link] = set()
 
     async def start(self) -> int:
-        """Listens on loopback; returns the port."""
+        """Listens on loopback, unless it does already; returns the port."""
+        if self._server is not None and self._server.is_serving():
+            return self._port
         self._server = await asyncio.start_server(self._serve, HOST, self._port)
         return self._port
 
--- a/cicadapond/soak/_requests.py
+++ b/cicadapond/soak/_requests.py
@@ -13,11 +13,12 @@
 WEIGHTS = {PLAIN: 0.4, LOOKUP: 0.3, STREAM: 0.3, VARYING: 0.15, PROBE: 0.1}
 STREAM_WEIGHTS = {STREAM: 0.3, LONG: 0.7}
 _PREFIXES = {PLAIN: "/post/", LOOKUP: "/peek/", STREAM: "/stream/"}
-_EVENTS = {STREAM: (3, 8), LONG: (8, 64)}
+_EVENTS = {STREAM: (3, 24), LONG: (8, 64)}
 _MIN_GAP_S, _MAX_GAP_S = 0.02, 0.08
 _EVENT_BYTES = (0, 60, 360, 4000)
 TIME_LIMITS_S = {LONG: 12.0}
 DEFAULT_TIME_LIMIT_S = 3.0
+_UNFRAMED_SHARE = 0.4
 _MAX_PIECES = 12
 _PAUSED_SHARE, _MAX_PAUSE_S = 0.3, 0.05
 _SLOW_SHARE, _SLOW_READ_BYTES = 0.1, 4096
@@ -76,7 +77,8 @@
     target, shape = prefix + "x", StreamShape(4, 0.05)
     if kind in STREAMS:
         gap_s = round(rng.uniform(_MIN_GAP_S, _MAX_GAP_S), 3)
-        shape = StreamShape(rng.randint(*_EVENTS[kind]), gap_s, rng.choice(_EVENT_BYTES))
+        events, size = rng.randint(*_EVENTS[kind]), rng.choice(_EVENT_BYTES)
+        shape = StreamShape(events, gap_s, size, rng.random() < _UNFRAMED_SHARE)
         target += shape.query()
     upload = Upload((b"",)) if kind in (LOOKUP, PROBE) else draw_upload(rng)
     stay_s = rng.uniform(0.0, _MAX_STAY_S) if rng.random() < _LEAVING_SHARE else None
