--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -35,9 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamWhole:
-    """A stream that was relayed to its end; `events` counts its events."""
+    """A stream that was relayed to its end.
+
+    Attributes:
+      events: How many events it had.
+      is_framed: Whether the server marked the end, other than by closing the connection.
+    """
 
     events: int
+    is_framed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +61,7 @@
       was_stopped: Whether the server stopped the run because it was asked to, which is no fault.
       is_malformed: Whether bytes were received that are no answer, rather than too few.
       received_bytes: How many bytes of the answer were received.
+      may_be_whole: Whether nothing is missing as far as its bytes tell.
     """
 
     reason: str
@@ -66,6 +73,7 @@
     was_stopped: bool = False
     is_malformed: bool = False
     received_bytes: int = 0
+    may_be_whole: bool = False
 
 
 Outcome = NotSent | Refused | Whole | StreamWhole | Broken
