--- a/cicadapond/soak/_balancer.py
+++ b/cicadapond/soak/_balancer.py
@@ -43,14 +43,14 @@
         client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
         try:
             while True:
-                probes = (self._probe(client, number) for number in list(self._ports))
-                await asyncio.gather(*probes)
+                ports = [(number, readiness) for number, (_, readiness) in self._ports.items()]
+                await asyncio.gather(*(self._probe(client, *each) for each in ports))
                 await asyncio.sleep(READY_POLL_S)
         finally:
             client.close()
 
-    async def _probe(self, client, number):
-        url = f"http://127.0.0.1:{self._ports[number][1]}/readyz"
+    async def _probe(self, client, number, port):
+        url = f"http://127.0.0.1:{port}/readyz"
         try:
             await client.fetch(url, request_timeout=READY_TIMEOUT_S)
             misses = 0
