--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -5,7 +5,6 @@
 import pathlib
 import sys
 import tempfile
-import traceback
 
 from absl import flags
 
@@ -36,50 +35,63 @@
 
 
 async def _run_seeds(seeds, base):
+    """Runs each seed in a process of its own, as servers and callers of one need a core."""
     limit = asyncio.Semaphore(_AT_ONCE.value)
-    failed = 0
 
     async def run_seed(seed):
-        nonlocal failed
         async with limit:
-            directory = base / f"seed-{seed}"
-            directory.mkdir(parents=True, exist_ok=True)
-            cfg = SoakSettings(
-                seed,
-                _LENGTH.value,
-                directory,
-                _PROCESSES.value,
-                _CALLERS.value,
-                _RESTORES.value,
-                _STREAM_CALLERS.value,
-                _ENDLESS.value,
+            arguments = [f"--{flag.name}={str(flag.value).lower()}" for flag in _PASSED_ON]
+            running = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cicadapond.soak.main",
+                f"--seeds={seed}",
+                f"--directory={base}",
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
             )
-            try:
-                history, violations = await run_soak(cfg)
-            except Exception:  # other seeds go on
-                failed += 1
-                print(f"seed {seed}: the soak itself failed\n{traceback.format_exc()}", flush=True)
-                return
-            history.write(directory / HISTORY_NAME)
-        served = sum(call.is_complete and call.status == 200 for call in history.calls)
-        found, missing = probed_routes(history)
-        print(
-            f"seed {seed}: {len(history.calls)} requests, {served} served, "
-            f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
-            f"{len(history.configurations)} configurations, {found} probes served and {missing} "
-            f"without a route, {history.endless_requests} endless answers, "
-            f"{len(history.own_pauses)} pauses of the soak, "
-            f"at most {max(history.peak_mb.values()):.0f} MB, "
-            f"{len(violations)} violations",
-            flush=True,
-        )
-        for violation in violations:
-            print(f"  {violation}", flush=True)
-        failed += bool(violations)
-
-    await asyncio.gather(*(run_seed(seed) for seed in seeds))
-    return failed
+            output, _ = await running.communicate()
+        lines = output.decode().splitlines(keepends=True)
+        print("".join(line for line in lines if not line.startswith(_LOGS)), end="", flush=True)
+        return running.returncode
+
+    return any(await asyncio.gather(*(run_seed(seed) for seed in seeds)))
+
+
+async def _run_seed(seed, base):
+    directory = base / f"seed-{seed}"
+    directory.mkdir(parents=True, exist_ok=True)
+    cfg = SoakSettings(
+        seed,
+        _LENGTH.value,
+        directory,
+        _PROCESSES.value,
+        _CALLERS.value,
+        _RESTORES.value,
+        _STREAM_CALLERS.value,
+        _ENDLESS.value,
+    )
+    history, violations = await run_soak(cfg)
+    history.write(directory / HISTORY_NAME)
+    served = sum(call.is_complete and call.status == 200 for call in history.calls)
+    found, missing = probed_routes(history)
+    print(
+        f"seed {seed}: {len(history.calls)} requests, {served} served, "
+        f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
+        f"{len(history.configurations)} configurations, {found} probes served and {missing} "
+        f"without a route, {history.endless_requests} endless answers, "
+        f"{len(history.own_pauses)} pauses of the soak, "
+        f"at most {max(history.peak_mb.values()):.0f} MB, "
+        f"{len(violations)} violations",
+        flush=True,
+    )
+    for violation in violations:
+        print(f"  {violation}", flush=True)
+    return bool(violations)
+
 
+_PASSED_ON = (_LENGTH, _PROCESSES, _CALLERS, _STREAM_CALLERS, _ENDLESS, _RESTORES)
+_LOGS = "logs: "
 
 HELP = ProgramHelp(
     "cicadapond-soak",
@@ -115,8 +127,9 @@
 
 def _main(argv):
     base = pathlib.Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="cicadapond-soak-"))
-    failed = asyncio.run(_run_seeds(parse_seeds(_SEEDS.value), base))
-    print(f"logs: {base}")
+    seeds = parse_seeds(_SEEDS.value)
+    failed = asyncio.run(_run_seed(*seeds, base) if len(seeds) == 1 else _run_seeds(seeds, base))
+    print(f"{_LOGS}{base}")
     sys.exit(1 if failed else 0)
 
 
