--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -131,15 +131,16 @@
         conn.send(req.method, req.target, headers, req.body)
         progress = _Progress()
         try:
-            async with asyncio.timeout(_seconds(silence.first)):
-                head = await self._read_matching_head(conn, req)
-            if head.status != MISDIRECTED:
-                sink.head(head)
-            progress.head = head
-            if _is_stream(head):
-                outcome = await self._relay_stream(conn, dispatch, sink, silence, progress)
-            else:
-                outcome = await _read_full_response(conn, head)
+            async with conn.bounded(dispatch.server.start):
+                async with asyncio.timeout(_seconds(silence.first)):
+                    head = await self._read_matching_head(conn, req)
+                if head.status != MISDIRECTED:
+                    sink.head(head)
+                progress.head = head
+                if _is_stream(head):
+                    outcome = await self._relay_stream(conn, dispatch, sink, silence, progress)
+                else:
+                    outcome = await _read_full_response(conn, head)
         except BrokenResponseError as exc:
             conn.reset()
             return progress.to_broken(str(exc), conn, exc.was_silent, exc.is_malformed)
@@ -183,7 +184,10 @@
             if data is None:
                 break
             splitter.feed(data)
-            while (event := splitter.next_event()) is not None:
+            event = splitter.next_event()
+            conn.mark_waiting(event is not None)
+            conn.keep(splitter.buffered_bytes)
+            while event is not None:
                 if progress.events == 0:
                     await sink.begin(progress.head)
                 await sink.event(event)
@@ -191,6 +195,9 @@
                 waiting_since = self._clock.monotonic()
                 size.begin_event()
                 await turns.step()
+                event = splitter.next_event()
+            conn.keep(splitter.buffered_bytes)
+            conn.mark_waiting(False)
             size.check(splitter.buffered_bytes)
         # A run that was stopped after its last event has nothing left where it goes on.  Without
         # framing, the same would be seen if the server died.
--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -12,9 +12,10 @@
 import struct
 
 from cicadapond.data import Endpoint
+from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
 
 READ_CHUNK_BYTES = 64 * 1024
-# Above this, reading pauses so that the peer has to wait.
+# Above this, reading pauses so that the peer has to wait; earlier if the process is at its bound.
 MAX_UNREAD_BYTES = 256 * 1024
 # A peer that acknowledges nothing for this long is considered gone.  A sound one may be silent for
 # a second or more.  With this option set, Linux gives up keep-alive probes too once nothing was
@@ -48,14 +49,28 @@
 class Channel(asyncio.Protocol):
     """One TCP connection.
 
+    Args:
+      memory: Counts the bytes that the connection and its owner hold.
+      kind: What the received bytes are.
+
     Attributes:
+      account: The received bytes that the owner keeps.
+      kind: What they are, unless they wait for a caller.
       on_closed: Called once when the connection has been closed by either side.
       on_data: Called when data has been received.
     """
 
-    def __init__(self):
+    def __init__(self, memory: MemoryBudget | None = None, kind: Kind = Kind.ANSWERS):
+        memory = memory or MemoryBudget()
+        self.kind = kind
+        self.account = memory.open(kind)
+        self.account.on_change = self._adjust_reading
+        self._unread_account = memory.open(Kind.UNREAD)
+        self._unsent_account = memory.open(Kind.UNSENT)
         self._transport: asyncio.Transport | None = None
         self._unread = bytearray()
+        # How many bytes were read that may still be in a parser.
+        self._unparsed_bytes = 0
         self._data_waiter: asyncio.Future | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -72,12 +87,14 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             _set_options(sock)
+        # At zero a buffer that was over the limit is counted down to its end.
+        transport.set_write_buffer_limits(high=RESERVE_BYTES, low=0)
+        self._adjust_reading()
 
     def data_received(self, data):
         self._unread += data
-        if len(self._unread) > MAX_UNREAD_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        self._unread_account.set(len(self._unread) + self._unparsed_bytes)
+        self._adjust_reading()
         self._wake_reader()
         if self.on_data is not None:
             self.on_data()
@@ -87,12 +104,16 @@
         return False
 
     def connection_lost(self, exc):
+        self._unsent_account.close()
+        if not self.account.held and not self._unread_account.held:
+            self._close_accounts()
         self._mark_closed(exc)
 
     def pause_writing(self):
         self._writable.clear()
 
     def resume_writing(self):
+        self._unsent_account.set(self._transport.get_write_buffer_size())
         self._writable.set()
 
     # Used by client and server connections
@@ -125,15 +146,25 @@
             await self._data_waiter
         data = bytes(self._unread)
         self._unread.clear()
-        if self._reading_paused:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        self._unparsed_bytes += len(data)
+        self._adjust_reading()
         return data
 
+    def mark_parsed(self) -> None:
+        """Tells that the parser needs more data: what was read is kept by the owner, or gone."""
+        self._unparsed_bytes = 0
+
+    def keep(self, kept_bytes: int) -> None:
+        """Tells how many of the bytes that were read the owner keeps."""
+        self._unread_account.set(len(self._unread) + self._unparsed_bytes)
+        self.account.set(kept_bytes)
+        self._adjust_reading()
+
     def write(self, data: bytes) -> None:
         """Writes without waiting; data for a closed connection is dropped."""
         if not self._closed:
             self._transport.write(data)
+            self._unsent_account.set(self._transport.get_write_buffer_size())
 
     async def drain(self) -> None:
         """Waits until the write buffer is below its limit."""
@@ -141,11 +172,13 @@
 
     def close(self) -> None:
         """Closes once all written bytes have been sent."""
+        self._close_accounts()
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Closes at once, so that the peer sees an incomplete response as broken."""
+        self._close_accounts()
         if self._transport is not None:
             self._transport.abort()
 
@@ -158,6 +191,31 @@
         if sock is not None and sock.fileno() >= 0:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
+    def _close_accounts(self):
+        self.account.close()
+        self._unread_account.close()
+
+    def _waiting_bytes(self):
+        """Returns how many held bytes reading more would add to."""
+        return len(self._unread) + self._unparsed_bytes + self.account.held
+
+    def _adjust_reading(self):
+        """Pauses reading, or goes on with it."""
+        if self._transport is None:
+            return
+        is_full = self.account.budget.is_full
+        max_unread = RESERVE_BYTES if self.account.budget.is_filling else MAX_UNREAD_BYTES
+        must_pause = len(self._unread) > max_unread or (
+            is_full and self._waiting_bytes() > RESERVE_BYTES
+        )
+        self._transport.max_size = min(max_unread, READ_CHUNK_BYTES)
+        if must_pause and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        elif self._reading_paused and not must_pause:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
     def _closed_error(self):
         if self._error is None:
             return ChannelClosedError("connection closed by the peer", was_reset=False)
@@ -179,19 +237,27 @@
             self._data_waiter.set_result(None)
 
 
-async def open_channel(endpoint: Endpoint, timeout: datetime.timedelta) -> Channel | None:
+async def open_channel(
+    endpoint: Endpoint,
+    timeout: datetime.timedelta,
+    memory: MemoryBudget | None = None,
+    kind: Kind = Kind.ANSWERS,
+) -> Channel | None:
     """Connects to an address.
 
     Args:
       endpoint: The address.
       timeout: The connect time-out.
+      memory: Counts the bytes that the connection holds.
+      kind: What the received bytes are.
 
     Returns:
       The connection, None if it could not be made; then nothing was sent.
     """
     loop = asyncio.get_running_loop()
     connecting = loop.create_task(
-        loop.create_connection(Channel, endpoint.host, endpoint.port), name="connect"
+        loop.create_connection(lambda: Channel(memory, kind), endpoint.host, endpoint.port),
+        name="connect",
     )
     try:
         await asyncio.wait((connecting,), timeout=max(0.0, timeout.total_seconds()))
--- a/cicadapond/forwarding/_client.py
+++ b/cicadapond/forwarding/_client.py
@@ -8,6 +8,7 @@
 from cicadapond.forwarding._connection import BrokenResponseError
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.memory import Kind, MemoryBudget
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
 REFUSALS = (429, 500, 502, 503, 504)
@@ -55,6 +56,7 @@
         that looks like its own answer.
       answers_repeat: Whether two equal answers in succession are usual and a late copy of one does
         no harm, so that the connection is kept.
+      memory: Counts the bytes of its answers; the default has no bound.
     """
 
     def __init__(
@@ -64,13 +66,14 @@
         metrics: Metrics,
         reuses_connections: bool = True,
         answers_repeat: bool = False,
+        memory: MemoryBudget | None = None,
     ):
         self._endpoint = endpoint
         self._clock = clock
         self._reuses_connections = reuses_connections
         self._answers_repeat = answers_repeat
         self._name = str(endpoint)
-        self._pool = ConnectionPool(clock, metrics)
+        self._pool = ConnectionPool(clock, metrics, memory, Kind.CALLS)
 
     async def call(
         self,
@@ -103,7 +106,7 @@
             conn.close()
             return Expired()
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()), conn.bounded(self._name):
                 host = (b"host", self._name.encode())
                 conn.send(method, target.encode(), (host, *headers), body)
                 status, received = await conn.read_head()
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 connection to a server, with one request on it at a time."""
 
+import asyncio
 import datetime
 
 import h11
@@ -7,6 +8,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._channel import Channel, ChannelClosedError, open_channel
 from cicadapond.kernel import STEPS_PER_TURN, Turns
+from cicadapond.memory import Account, Kind, MemoryBudget
 
 # Informational responses before a response; a server that sends more does not end.
 MAX_INFORMATIONAL_RESPONSES = 16
@@ -63,9 +65,16 @@
         self.last_reply: object = None
 
     @classmethod
-    async def connect(cls, endpoint: Endpoint, timeout: datetime.timedelta, clock):
+    async def connect(
+        cls,
+        endpoint: Endpoint,
+        timeout: datetime.timedelta,
+        clock,
+        memory: MemoryBudget,
+        kind: Kind,
+    ):
         """Returns a new connection, None if none could be made."""
-        channel = await open_channel(endpoint, timeout)
+        channel = await open_channel(endpoint, timeout, memory, kind)
         return cls(channel, clock.monotonic()) if channel is not None else None
 
     @property
@@ -88,6 +97,8 @@
 
     def watch_idle(self, on_disturbed) -> None:
         """Calls `on_disturbed` when the idle connection closes or receives unsolicited data."""
+        self._channel.mark_parsed()
+        self._channel.keep(0)
         self._channel.on_closed = on_disturbed
         self._channel.on_data = on_disturbed
 
@@ -112,6 +123,24 @@
             data += self._http.send(h11.Data(data=body))
         return data + (self._http.send(h11.EndOfMessage()) or b"")
 
+    def bounded(self, group: str) -> "BoundedExchange":
+        """Returns a context in which the answer may be given up to bound the memory.
+
+        It raises BrokenResponseError if that happens.
+
+        Args:
+          group: Whose answer it is; those of a group are given up together.
+        """
+        return BoundedExchange(self._channel.account, group)
+
+    def keep(self, kept_bytes: int) -> None:
+        """Tells how many bytes of the answer are kept, besides those in this connection."""
+        self._channel.keep(kept_bytes)
+
+    def mark_waiting(self, waits: bool) -> None:
+        """Tells whether what is held waits for a caller, rather than for the rest of the answer."""
+        self._channel.account.become(Kind.WAITING if waits else self._channel.kind)
+
     async def read_head(self) -> tuple[int, list]:
         """Returns the status and headers of the response.
 
@@ -166,6 +195,7 @@
         first_piece, first_byte = self.received_pieces, self.received_bytes
         while (data := await self.read_body()) is not None:
             body += data
+            self.keep(len(body))
             if len(body) > limit:
                 reason = f"an answer of more than {limit} bytes"
                 raise BrokenResponseError(reason, is_malformed=True)
@@ -187,6 +217,7 @@
         """
         self._is_unusable = True
         await self.read_full_body(limit)
+        self.keep(0)
         unparsed, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         # The new parser has to know of the request, which was sent before.
@@ -209,6 +240,7 @@
     async def _next_event(self):
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
+                self._channel.mark_parsed()
                 self._http.receive_data(await self._receive())
         except h11.RemoteProtocolError as exc:
             raise self._not_http(exc) from exc
@@ -220,7 +252,10 @@
     def _parse_ahead(self):
         """Returns what follows in the bytes received: an event, NEED_DATA or an error."""
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._channel.mark_parsed()
+            return event
         except h11.RemoteProtocolError as exc:
             return self._not_http(exc)
 
@@ -238,3 +273,34 @@
             if exc.was_reset:
                 raise BrokenResponseError(str(exc), exc.was_silent) from exc
             return b""
+
+
+class BoundedExchange:
+    """An asynchronous context that ends if its account is given up.
+
+    Args:
+      account: The account of the connection.
+      group: Whose answer it is.
+    """
+
+    def __init__(self, account: Account, group: str):
+        self._account = account
+        self._group = group
+        self._timeout = asyncio.timeout(None)
+        self._reason = ""
+
+    async def __aenter__(self):
+        await self._timeout.__aenter__()
+        self._account.group = self._group
+        self._account.on_give_up = self._give_up
+
+    async def __aexit__(self, exc_type, exc, traceback):
+        self._account.on_give_up = None
+        try:
+            return await self._timeout.__aexit__(exc_type, exc, traceback)
+        except TimeoutError:
+            raise BrokenResponseError(self._reason, is_malformed=True) from None
+
+    def _give_up(self, reason):
+        self._reason = reason
+        self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/cicadapond/forwarding/_pool.py
+++ b/cicadapond/forwarding/_pool.py
@@ -7,6 +7,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._connection import ServerConnection
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.memory import Kind, MemoryBudget
 
 # For servers that advertise no keep-alive time, and the upper limit for the others.
 MAX_IDLE_TIME = datetime.timedelta(seconds=4)
@@ -24,14 +25,24 @@
     Args:
       clock: The clock.
       metrics: Receives the counts of connections opened and reused.
+      memory: Counts the bytes that the connections hold; the default has no bound.
+      kind: What they receive.
 
     Attributes:
       on_connect: Called with the server's name and how long it took to connect to it.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics):
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        memory: MemoryBudget | None = None,
+        kind: Kind = Kind.ANSWERS,
+    ):
         self._clock = clock
         self._metrics = metrics
+        self._memory = memory or MemoryBudget()
+        self._kind = kind
         self._idle: dict[str, collections.deque[ServerConnection]] = {}
         self.on_connect: typing.Callable[[str, datetime.timedelta], None] = lambda name, took: None
 
@@ -62,7 +73,9 @@
     ) -> ServerConnection | None:
         """Returns a new connection to a server, None if none could be made."""
         begun = self._clock.monotonic()
-        conn = await ServerConnection.connect(endpoint, timeout, self._clock)
+        conn = await ServerConnection.connect(
+            endpoint, timeout, self._clock, self._memory, self._kind
+        )
         if conn is not None:
             self.on_connect(server, self._clock.monotonic() - begun)
         outcome = "made" if conn is not None else "failed"
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -9,21 +9,37 @@
 from cicadapond.forwarding import MAX_UNREAD_BYTES, Channel, ChannelClosedError
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import Turns
+from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
 # closing at once would reset the connection before the caller receives the response.
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 # With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
 MAX_FRAMING_FACTOR = 8
+# After this time there is room again for a request, unless callers read slowly.
+NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
 
 
 class RequestError(Exception):
-    """A request that cannot be read; answered with `status`, then the connection is closed."""
+    """A request that cannot be read; answered with `status`, then the connection is closed.
 
-    def __init__(self, status: int, reason: str):
+    Attributes:
+      retry_after: After how long the caller may retry, None to say nothing.
+      head: The head of the request, None if it was not read.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after: datetime.timedelta | None = None,
+        head: h11.Request | None = None,
+    ):
         super().__init__(reason)
         self.status = status
+        self.retry_after = retry_after
+        self.head = head
 
 
 class RequestHandler(abc.ABC):
@@ -102,16 +118,18 @@
     Args:
       handler: Handles its requests.
       clock: The clock.
+      memory: Counts the bytes that the connection holds; the default has no bound.
     """
 
-    def __init__(self, handler: RequestHandler, clock):
-        super().__init__()
+    def __init__(self, handler: RequestHandler, clock, memory: MemoryBudget | None = None):
+        super().__init__(memory, Kind.REQUESTS)
         self._handler = handler
         self._clock = clock
         self._http: h11.Connection | None = None
         self._answering: asyncio.Task | None = None
         self._serving: asyncio.Task | None = None
         self._is_serving = False
+        self._reads_body = False
         self._turns = Turns()
         self._received_bytes = 0
 
@@ -161,6 +179,7 @@
         finally:
             self._answering = None
             self._is_serving = False
+            self.keep(0)
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         return both_done and not self.is_closed
 
@@ -178,9 +197,16 @@
         if not isinstance(head, h11.Request):
             raise ChannelClosedError("caller disconnected", was_reset=False)
         _check_head(head, limits)
+        self._check_room(head, _content_length(head))
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        body = await self._read_body(limits)
+        self._reads_body = True
+        try:
+            body = await self._read_body(head, limits)
+        finally:
+            self._reads_body = False
+        self.mark_parsed()
+        self.keep(len(body))
         return ReceivedRequest(head, body, received_at)
 
     async def _wait_for_bytes(self, timeout):
@@ -190,8 +216,20 @@
         except TimeoutError:
             raise ChannelClosedError("idle timeout", was_reset=False) from None
 
-    async def _read_body(self, limits):
+    def _check_room(self, head, more_bytes):
+        """Raises RequestError if the bodies of requests would take too much memory."""
+        if more_bytes > RESERVE_BYTES and not self.account.budget.fits_request(more_bytes):
+            raise RequestError(503, "no memory is left for its body", NO_ROOM_RETRY_AFTER, head)
+
+    async def _read_body(self, head, limits):
         body = bytearray()
+        try:
+            return await self._read_body_into(body, head, limits)
+        except RequestError:
+            body.clear()  # the error refers to it while the connection lingers
+            raise
+
+    async def _read_body_into(self, body, head, limits):
         begun_at = self._received_bytes
         while True:
             await self._turns.step()
@@ -199,10 +237,17 @@
                 async with asyncio.timeout(limits.idle_timeout.total_seconds()):
                     event = await self._next_event()
             except TimeoutError:
+                if self.account.budget.is_full:
+                    reason = "no memory was left to read its body"
+                    raise RequestError(503, reason, NO_ROOM_RETRY_AFTER, head) from None
                 raise RequestError(408, "request body not received in time") from None
             match event:
                 case h11.Data(data=data):
                     body += data
+                    self.keep(len(body))
+                    if len(body) > RESERVE_BYTES and not self.account.budget.fits_request(0):
+                        reason = "no memory is left for the rest of its body"
+                        raise RequestError(503, reason, NO_ROOM_RETRY_AFTER, head)
                     if len(body) > limits.body_bytes:
                         raise RequestError(413, "request body too long")
                     framed = self._received_bytes - begun_at
@@ -213,9 +258,15 @@
                 case _:
                     raise ChannelClosedError("caller disconnected", was_reset=False)
 
+    def _waiting_bytes(self):
+        # A body that is complete waits for nothing, and the connection has to be read to notice a
+        # caller that leaves.
+        return super()._waiting_bytes() if self._reads_body else len(self._unread)
+
     async def _next_event(self):
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
+                self.mark_parsed()
                 data = await self.read()
                 self._received_bytes += len(data)
                 self._http.receive_data(data)
@@ -259,11 +310,18 @@
         try:
             async with asyncio.timeout(LINGER_TIMEOUT.total_seconds()):
                 while True:
+                    self.mark_parsed()
+                    self.keep(0)
                     await self.read()
         except (TimeoutError, ChannelClosedError):
             return
 
 
+def _content_length(head):
+    """Returns the length that a request states for its body in bytes, 0 if it states none."""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+
+
 def _check_head(head, limits):
     """Raises RequestError if the head is too long or servers might interpret it differently.
 
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -67,7 +67,7 @@
         if len(self._parts.cfg.peers) > 1:
             relay, handler = self._parts.cfg.peers[1], _RelayedRequests(self)
             self._relay_server = await loop.create_server(
-                lambda: _TrackedConnection(handler, self._parts.clock, self._connections),
+                lambda: _TrackedConnection(handler, self._parts, self._connections),
                 relay.host,
                 relay.port,
                 backlog=LISTEN_BACKLOG,
@@ -92,7 +92,7 @@
             conn.close() if conn.is_idle else conn.abort()
 
     def _accept(self):
-        conn = _TrackedConnection(self, self._parts.clock, self._connections)
+        conn = _TrackedConnection(self, self._parts, self._connections)
         self._parts.metrics.count("caller_connections")
         return conn
 
@@ -107,8 +107,21 @@
 
     def on_rejected(self, exc: RequestError):
         self._parts.metrics.count("requests", status=exc.status)
-        self._parts.log.write("request_unreadable", status=exc.status, reason=str(exc))
-        return self._parts.header_codec.local_response_headers(None, None)
+        request_id = self._id_of(exc.head)
+        self._parts.log.write(
+            "request_unreadable", request=request_id, status=exc.status, reason=str(exc)
+        )
+        return self._parts.header_codec.local_response_headers(request_id, exc.retry_after)
+
+    def _id_of(self, head):
+        """Returns the id of a request whose body was not read, None if it has none."""
+        if head is None:
+            return None
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        req = self._parts.header_codec.parse_request(
+            bytes(head.method), bytes(head.target), headers, b""
+        )
+        return None if isinstance(req, Malformed) else req.id
 
     async def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         await self._handle_safely(request, reply, None)
@@ -288,8 +301,8 @@
 class _TrackedConnection(CallerConnection):
     """A caller's connection that registers itself in the set of open connections."""
 
-    def __init__(self, handler, clock, connections):
-        super().__init__(handler, clock)
+    def __init__(self, handler, parts, connections):
+        super().__init__(handler, parts.clock, parts.memory)
         self._connections = connections
 
     def connection_made(self, transport):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -28,6 +28,7 @@
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._loop_watch import watch_loop
+from cicadapond.gateway._memory_report import report_memory
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
 from cicadapond.gateway._origin_store import OriginStore
 from cicadapond.gateway._parts import Parts
@@ -49,6 +50,7 @@
 from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics, TaskGroup
 from cicadapond.lease import LeaseSettings, LeaseTask
+from cicadapond.memory import Kind, MemoryBudget
 from cicadapond.peer import rank
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.provider import TableService
@@ -81,10 +83,11 @@
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
     Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
-    which prompt parts they keep.
+    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes.
     """
 
     header_codec: HeaderCodec
+    memory: MemoryBudget
     tables: TableService
     feed: object
     cloud: Cloud | None
@@ -157,7 +160,7 @@
             self._rollouts.publish_soon = self._cluster.publish_soon
             self._rollouts.absent = self._cluster.without_rollouts
         self._cluster.cut_off_services = self.parts.links.cut_off_services
-        self._relay_pool = ConnectionPool(clock, metrics)
+        self._relay_pool = ConnectionPool(clock, metrics, adapters.memory, Kind.RELAYED)
         self.parts.relay = Relay(
             adapters.header_codec, self._relay_pool, clock, cfg.zone, self._cluster.relay_peers
         )
@@ -188,7 +191,7 @@
 
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
-        pool = ConnectionPool(clock, self._metrics)
+        pool = ConnectionPool(clock, self._metrics, self._adapters.memory)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
         watch = self._make_engine_watch(registry)
         placer = Placer(
@@ -234,6 +237,7 @@
             crashes=crashes,
             starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
+            memory=self._adapters.memory,
             links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
             queues=queues,
             rollouts=rollouts,
@@ -301,6 +305,7 @@
         self._tasks.keep_running(
             lambda: watch_loop(self._clock, self._log, self._metrics), "loop watch"
         )
+        self._tasks.keep_running(lambda: report_memory(self.parts), "memory report")
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
         self._tasks.keep_running(self._origin_store.run, "origin store")
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -20,6 +20,7 @@
 from cicadapond.gateway._stream_moves import StreamMoves
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.memory import MemoryBudget
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import ActiveConfiguration
@@ -48,7 +49,8 @@
     `evacuation` moves streams off leaving engines, None to move none; `queues` are those in front
     of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
     `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
-    which versions were in service before this process started, None if that is not kept.
+    which versions were in service before this process started, None if that is not kept;
+    `memory` bounds what the process holds of others' bytes.
     """
 
     cfg: GatewaySettings
@@ -71,6 +73,7 @@
     demand: DemandMeter
     links: ServerLinks
     starts: ServerStarts
+    memory: MemoryBudget = attrs.field(factory=MemoryBudget)
     rollouts: RolloutGate = attrs.field(factory=NoRollouts)
     stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -2,6 +2,7 @@
 
 from cicadapond.forwarding import HttpClient
 from cicadapond.gateway._node import PlatformAdapters
+from cicadapond.memory import MemoryBudget, bound_of
 from cicadapond.platform import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -19,13 +20,16 @@
 
 def platform_adapters(cfg, clock, log, metrics) -> PlatformAdapters:
     """Returns the platform adapters of one process."""
-    store = PlatformStore(HttpClient(cfg.store, clock, metrics), log, metrics)
+    memory = MemoryBudget(bound_of(cfg.memory_bytes))
+    store = PlatformStore(HttpClient(cfg.store, clock, metrics, memory=memory), log, metrics)
     # The cloud's answers are all alike, so that a late copy could not be told from an answer.
     cloud = None
     if cfg.cloud:
-        cloud = PlatformCloud(HttpClient(cfg.cloud, clock, metrics, reuses_connections=False))
+        client = HttpClient(cfg.cloud, clock, metrics, reuses_connections=False, memory=memory)
+        cloud = PlatformCloud(client)
     return PlatformAdapters(
         header_codec=PlatformHeaderCodec(),
+        memory=memory,
         tables=store,
         feed=store,
         cloud=cloud,
@@ -34,6 +38,6 @@
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
         rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
-        engine_calls=PlatformEngineCalls(clock, metrics),
-        part_calls=PlatformPartCalls(clock, metrics),
+        engine_calls=PlatformEngineCalls(clock, metrics, memory),
+        part_calls=PlatformPartCalls(clock, metrics, memory),
     )
--- a/cicadapond/gateway/data.py
+++ b/cicadapond/gateway/data.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cicadapond.data import Endpoint
+from cicadapond.memory import DEFAULT_MEMORY_BYTES
 
 ZERO = datetime.timedelta()
 
@@ -453,6 +454,7 @@
       cloud: The endpoint of the platform's cloud API, None if no duty needs it.
       max_descriptors: The limit on open file descriptors.
       link_mbps: The bandwidth of the machine's link in megabits per second, 0 if it is not known.
+      memory_bytes: The memory of the machine; a process that takes more is killed.
       is_first_start: Whether the whole system starts for the first time.
       zone_costs: For which services the cost of leaving the data centre is planned.
       rolls_out: Whether the system shifts the traffic of services to new server versions.
@@ -474,6 +476,7 @@
     metrics: Endpoint | None = None
     max_descriptors: int = 1024
     link_mbps: float = 0.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     is_first_start: bool = False
     zone_costs: ZoneCostUse = ZoneCostUse.OFF
     rolls_out: bool = False
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -14,6 +14,7 @@
     MoveUnknown,
 )
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.memory import MemoryBudget
 
 MOVE_PATH = "/kv-move"
 HANDLE_PATH = "/kv-handle/"
@@ -28,11 +29,13 @@
     Args:
       clock: The clock.
       metrics: Receives the counts of connections.
+      memory: Counts the bytes of answers; the default has no bound.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics):
+    def __init__(self, clock: Clock, metrics: Metrics, memory: MemoryBudget | None = None):
         self._clock = clock
         self._metrics = metrics
+        self._memory = memory
         self._clients: dict[Endpoint, HttpClient] = {}
 
     async def move(self, source, request_id, destination, timeout):
@@ -64,7 +67,7 @@
     def _client(self, endpoint):
         client = self._clients.get(endpoint)
         if client is None:
-            client = HttpClient(endpoint, self._clock, self._metrics)
+            client = HttpClient(endpoint, self._clock, self._metrics, memory=self._memory)
             self._clients[endpoint] = client
         return client
 
--- a/cicadapond/platform/_part_calls.py
+++ b/cicadapond/platform/_part_calls.py
@@ -6,6 +6,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import HttpClient, NoConnection, ReplyLost
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.memory import MemoryBudget
 from cicadapond.residency import (
     CallsExceeded,
     NoAnswer,
@@ -33,11 +34,13 @@
     Args:
       clock: The clock.
       metrics: Receives the counts of connections.
+      memory: Counts the bytes of answers; the default has no bound.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics):
+    def __init__(self, clock: Clock, metrics: Metrics, memory: MemoryBudget | None = None):
         self._clock = clock
         self._metrics = metrics
+        self._memory = memory
         self._clients: dict[Endpoint, HttpClient] = {}
 
     async def events(self, server, since, wait):
@@ -58,7 +61,13 @@
         client = self._clients.get(server.endpoint)
         if client is None:
             # Engines without changes answer alike; changes that are read twice do no harm.
-            client = HttpClient(server.endpoint, self._clock, self._metrics, answers_repeat=True)
+            client = HttpClient(
+                server.endpoint,
+                self._clock,
+                self._metrics,
+                answers_repeat=True,
+                memory=self._memory,
+            )
             self._clients[server.endpoint] = client
         headers = ((TARGET, server.name.encode()), *headers)
         reply = await client.call("GET", target, headers, b"", timeout)
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -6,12 +6,14 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway.data import Bounds, Duties, GatewaySettings, QuotaOverage
 from cicadapond.kernel import Findings, Place
+from cicadapond.memory import DEFAULT_MEMORY_BYTES
 from cicadapond.platform._reader import parse_endpoint
 
 SETTINGS_VARIABLE = "CICADAPOND_CONFIG"
 USAGE_DUTY = "usage_report"
 SCALING_DUTY = "autoscale"
 ROLLOUT_CONTRACT = "rollout"
+MEGABYTE = 1_000_000
 
 
 def read_settings(path: str, metrics_port: int) -> tuple[GatewaySettings | None, Findings]:
@@ -128,6 +130,9 @@
         is_first_start=file.flag("bootstrap"),
         max_descriptors=int(file.number("limits.max_fds", 1024.0)),
         link_mbps=file.number("limits.bandwidth_mbps", 0.0),
+        memory_bytes=int(
+            file.number("limits.memory_mb", DEFAULT_MEMORY_BYTES / MEGABYTE) * MEGABYTE
+        ),
         rolls_out=ROLLOUT_CONTRACT in file.texts("contracts"),
     )
 
