--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -71,6 +71,7 @@
         self._unread = bytearray()
         # How many bytes were read that may still be in a parser.
         self._unparsed_bytes = 0
+        self._read_bytes = 0
         self._data_waiter: asyncio.Future | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -203,12 +204,15 @@
         """Pauses reading, or goes on with it."""
         if self._transport is None:
             return
-        is_full = self.account.budget.is_full
-        max_unread = RESERVE_BYTES if self.account.budget.is_filling else MAX_UNREAD_BYTES
-        must_pause = len(self._unread) > max_unread or (
-            is_full and self._waiting_bytes() > RESERVE_BYTES
-        )
-        self._transport.max_size = min(max_unread, READ_CHUNK_BYTES)
+        budget = self.account.budget
+        if budget.is_filling:
+            self._read_at_most(RESERVE_BYTES)
+            must_pause = len(self._unread) > RESERVE_BYTES or (
+                budget.is_full and self._waiting_bytes() > RESERVE_BYTES
+            )
+        else:
+            self._read_at_most(READ_CHUNK_BYTES)
+            must_pause = len(self._unread) > MAX_UNREAD_BYTES
         if must_pause and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
@@ -216,6 +220,11 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
+    def _read_at_most(self, read_bytes):
+        if read_bytes != self._read_bytes:
+            self._read_bytes = read_bytes
+            self._transport.max_size = read_bytes  # of one call to the operating system
+
     def _closed_error(self):
         if self._error is None:
             return ChannelClosedError("connection closed by the peer", was_reset=False)
--- a/cicadapond/forwarding/_events.py
+++ b/cicadapond/forwarding/_events.py
@@ -9,8 +9,10 @@
 _EVENT_END = re.compile(rb"\n(?:(?<=[^\r\n]\n)|(?<=[^\r\n]\r\n))\r?\n")
 # The longest part of the end of an event that may be followed by the rest of it.
 _MAX_PARTIAL_END_BYTES = 2
+_NEWLINE = b"\r\n"
 _NEWLINES = re.compile(rb"[\r\n]*")
 _ID_FIELD = b"id:"
+_LATER_ID_FIELD = b"\nid:"
 _EVENT_ID = re.compile(rb"id:[ ]?([^\r\n]*)")
 
 
@@ -39,9 +41,8 @@
 
     def next_event(self) -> Event | None:
         """Removes and returns the next complete event, None if there is none."""
-        if not self._has_begun:
-            self._searched = _NEWLINES.match(self._buffer, self._searched).end()
-            self._has_begun = self._searched < len(self._buffer)
+        if not self._has_begun and not self._skip_blank_lines():
+            return None
         match = _EVENT_END.search(self._buffer, self._searched)
         if match is None:
             searched = len(self._buffer) - _MAX_PARTIAL_END_BYTES
@@ -55,6 +56,16 @@
         self._has_begun = False
         return _parse_event(raw)
 
+    def _skip_blank_lines(self):
+        """Passes over the blank lines before an event; returns whether it has begun."""
+        buffer = self._buffer
+        if not buffer:
+            return False
+        if buffer[0] in _NEWLINE:
+            self._searched = _NEWLINES.match(buffer, self._searched).end()
+        self._has_begun = self._searched < len(buffer)
+        return self._has_begun
+
     @property
     def buffered_bytes(self) -> int:
         """The size of the incomplete event that is buffered."""
@@ -67,6 +78,9 @@
 
 
 def _parse_event(raw):
-    at = 0 if raw.startswith(_ID_FIELD) else raw.find(b"\n" + _ID_FIELD) + 1
-    id_match = _EVENT_ID.match(raw, at)
-    return Event(raw, id_match.group(1).decode("latin-1").strip() if id_match else None)
+    at = 0
+    if not raw.startswith(_ID_FIELD):
+        at = raw.find(_LATER_ID_FIELD) + 1
+        if not at:
+            return Event(raw, None)
+    return Event(raw, _EVENT_ID.match(raw, at).group(1).decode("latin-1").strip())
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -107,6 +107,10 @@
         """Ends the response."""
         self._conn.finish()
 
+    def hold(self, answer_bytes: int) -> None:
+        """Tells that so many bytes of an answer are held until this response ends."""
+        self._conn.keep(self._conn.account.held + answer_bytes)
+
     def abort(self) -> None:
         """Aborts the connection, so that the caller sees an incomplete response."""
         self._conn.abort()
--- a/cicadapond/gateway/_evaluation.py
+++ b/cicadapond/gateway/_evaluation.py
@@ -64,6 +64,7 @@
             return outcome
         self._server_failed(entry)
         self._state.fallback = outcome
+        self._state.reply.hold(len(outcome.body))
         can_repeat = self._state.route.kind is RouteKind.IDEMPOTENT
         return None if can_repeat else outcome
 
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -69,6 +69,9 @@
     def finish(self):
         self.ends += 1
 
+    def hold(self, answer_bytes):
+        pass
+
     def abort(self):
         self.ends += 1
         self.is_broken = True
--- a/cicadapond/memory/_budget.py
+++ b/cicadapond/memory/_budget.py
@@ -130,7 +130,7 @@
     @property
     def is_filling(self) -> bool:
         """Whether connections must not be read while more than the reserve is unread."""
-        return self.held_bytes > FILLING_SHARE * self.bound_bytes
+        return self.held_bytes > self.bound_bytes * FILLING_SHARE
 
     def open(self, kind: Kind) -> Account:
         """Returns a new account."""
