--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -68,7 +68,7 @@
         if len(self._parts.cfg.peers) > 1:
             relay, handler = self._parts.cfg.peers[1], _RelayedRequests(self)
             self._relay_server = await loop.create_server(
-                lambda: _TrackedConnection(handler, self._parts.clock, self._connections),
+                lambda: _TrackedConnection(handler, self._parts, self._connections),
                 relay.host,
                 relay.port,
                 backlog=LISTEN_BACKLOG,
@@ -97,7 +97,7 @@
             conn.abort()
 
     def _accept(self):
-        conn = _TrackedConnection(self, self._parts.clock, self._connections)
+        conn = _TrackedConnection(self, self._parts, self._connections)
         self._parts.metrics.count("caller_connections")
         return conn
 
@@ -112,13 +112,11 @@
 
     def on_rejected(self, headers, exc):
         self._parts.metrics.count("requests", status=exc.status)
+        request_id = self._request_id(headers)
         self._parts.log.write(
-            "request_unreadable",
-            request=self._request_id(headers),
-            status=exc.status,
-            reason=str(exc),
+            "request_unreadable", request=request_id, status=exc.status, reason=str(exc)
         )
-        return self._parts.header_codec.local_response_headers(None, None)
+        return self._parts.header_codec.local_response_headers(request_id, exc.retry_after)
 
     def on_unfinished(self, headers, exc):
         self._parts.metrics.count("callers_left")
@@ -321,8 +319,8 @@
 class _TrackedConnection(CallerConnection):
     """A caller's connection that registers itself in the set of open connections."""
 
-    def __init__(self, handler, clock, connections):
-        super().__init__(handler, clock)
+    def __init__(self, handler, parts, connections):
+        super().__init__(handler, parts.clock, parts.memory)
         self._connections = connections
 
     def connection_made(self, transport):
