--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -284,13 +284,10 @@
     def _enter_stream(self, entry):
         """Returns the stream of an attempt if its engine can move it, None otherwise."""
         state, parts = self._state, self._parts
-        tries = 0
+        tries, engine = 0, self._engine_limits()
         if state.relayed is not None:
-            tries = state.relayed.tries
+            tries, engine = state.relayed.tries, state.relayed.limits
             parts.evacuation.release(state.relayed)
-        table = parts.active_configuration.table
-        service = table.cfg.services.get(state.service) if table is not None else None
-        engine = service.engine if service is not None else None
         if parts.evacuation is None or engine is None or engine.moves is None:
             return None
         if state.route.kind is not RouteKind.STREAM or state.req.generation is None:
@@ -309,6 +306,12 @@
         parts.evacuation.enter(stream)
         return stream
 
+    def _engine_limits(self):
+        """Returns the capacity of the engines of the request's service, None if it is not known."""
+        table = self._parts.active_configuration.table
+        service = table.cfg.services.get(self._state.service) if table is not None else None
+        return service.engine if service is not None else None
+
     def _stops_too_soon(self, entry):
         """Returns whether a rollout has come so near to its completion that the request waits."""
         state = self._state
--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -139,6 +139,31 @@
     run(check, tmp_path)
 
 
+def test_a_moved_stream_is_moved_again_without_its_service(tmp_path):
+    """Guards against LOST: a run that was moved once was cut at the end of its second engine."""
+
+    async def check(system):
+        caller, source = await begin(system)
+        version = system.fleet.configure(services=[])
+        configuration = system.node.parts.active_configuration
+        await system.until(lambda: configuration.version == version)
+        first = asyncio.ensure_future(withdraw(system, source))
+        second = await next_engine(system, source)
+        last = asyncio.ensure_future(withdraw(system, second))
+        assert_whole(await caller.read_response())
+        assert count(system, "streams_moved", service=MODEL_SERVICE) == 2
+        await asyncio.gather(first, last)
+
+    run(check, tmp_path)
+
+
+async def next_engine(system, source):
+    """Returns the engine to which a run was moved, once it has made events there."""
+    others = [each for each in system.engines() if each.name != source]
+    await system.until(lambda: any(runs(each) for each in others))
+    return next(each.name for each in others if runs(each))
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
