--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -325,7 +325,7 @@
 
         A run that goes on from a copy is no further attempt, and may go back to the engine that
         stopped it although that leaves.  It was allowed when it began, and would have gone on there
-        whatever became of its key and its route.
+        whatever became of its key, its route and its version.
 
         Returns:
           The reason, None if the request may be sent.
@@ -335,7 +335,7 @@
             return "the server is leaving"
         if goes_back and self._is_past_drain(entry):
             return "the engine that stopped the run has been leaving for too long"
-        if self._parts.rollouts.is_stopped(entry):
+        if memory is None and self._parts.rollouts.is_stopped(entry):
             return "the server's version gets no requests"
         if memory is None and self._stops_too_soon(entry):
             return "the server is about to stop"
--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -164,6 +164,19 @@
     return next(each.name for each in others if runs(each))
 
 
+def test_a_stream_outlives_its_engine_when_its_version_gets_no_requests(tmp_path, monkeypatch):
+    """Guards against LOST: a run was stopped to be moved, and then refused as a new request is."""
+
+    async def check(system):
+        caller, source = await begin(system)
+        monkeypatch.setattr(system.node.parts.rollouts, "is_stopped", lambda entry: True)
+        ending = asyncio.ensure_future(withdraw(system, source))
+        assert_whole(await caller.read_response())
+        await ending
+
+    run(check, tmp_path)
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
