--- a/cicadapond/gateway/_passing_on.py
+++ b/cicadapond/gateway/_passing_on.py
@@ -88,7 +88,7 @@
             self._state.is_relaying = False
 
     def _check_relay(self):
-        if not self._parts.active_configuration.still_allowed(self._state.req):
+        if not self._state.is_still_allowed():
             return "the client account can no longer be checked"
         self._state.send_count += 1
         self._state.is_unanswered = True
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -134,6 +134,13 @@
             rank = ACCOUNT_RANK_STEP * max(0, self.account.rank) + min(rank, LOWEST_ROUTE_RANK)
         return min(LOWEST_PRIORITY, rank)
 
+    def is_still_allowed(self) -> bool:
+        """Returns whether the request may still be sent, by its key and its route.
+
+        A stream whose first events its caller has goes on, as it would have at its server.
+        """
+        return self.reply.has_begun or self.parts.active_configuration.still_allowed(self.req)
+
     def continues_stream(self) -> bool:
         """Returns whether its caller has received a part of its stream before."""
         return self.route.kind is RouteKind.STREAM and self.req.last_event_id is not None
--- a/cicadapond/gateway/_retries.py
+++ b/cicadapond/gateway/_retries.py
@@ -53,7 +53,7 @@
         contained = self.contained_outcome()
         if contained is not None:
             return self.failure_outcome() if self._state.may_have_run else contained
-        if not self._parts.active_configuration.still_allowed(self._state.req):
+        if not self._state.is_still_allowed():
             if self._state.may_have_run:
                 return self.failure_outcome()
             return NotRun("the client account can no longer be checked", SHORT_RETRY_AFTER)
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -324,8 +324,8 @@
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
 
         A run that goes on from a copy is no further attempt, and may go back to the engine that
-        stopped it although that leaves.  It was allowed when it began, and would have gone on there
-        whatever became of its key, its route and its version.
+        stopped it although that leaves.  It would have gone on there whatever became of its
+        version.
 
         Returns:
           The reason, None if the request may be sent.
@@ -339,7 +339,7 @@
             return "the server's version gets no requests"
         if memory is None and self._stops_too_soon(entry):
             return "the server is about to stop"
-        if memory is None and not self._parts.active_configuration.still_allowed(self._state.req):
+        if not self._state.is_still_allowed():
             return "the client account can no longer be checked"
         if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -177,6 +177,25 @@
     run(check, tmp_path)
 
 
+@pytest.mark.parametrize("taken", ["key", "route"])
+def test_a_resumable_stream_whose_move_fails_outlives_its_key_or_route(tmp_path, taken):
+    """Guards against LOST: a run was stopped to be moved, and its stream not begun elsewhere."""
+
+    async def check(system):
+        caller, source = await begin(system)
+        configuration = system.node.parts.active_configuration
+        routes = system.fleet.routes()[1 if taken == "route" else 0 :]
+        keys = ("another-key",) if taken == "key" else None
+        version = system.fleet.configure(keys, routes=routes)
+        await system.until(lambda: configuration.version == version)
+        system.engine(source).memory.faults = [MoveFault.FOREIGN]
+        ending = asyncio.ensure_future(withdraw(system, source))
+        assert_whole(await caller.read_response())
+        await ending
+
+    run(check, tmp_path, resumable=True)
+
+
 def test_without_the_setting_nothing_is_moved(tmp_path):
     async def check(system):
         system.fleet.cfg = FleetSettings(engines=3, resumable=False)
