--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import datetime
+import typing
 
 import attrs
 
@@ -11,7 +12,7 @@
 from cicadapond.forwarding._outcome import Broken, NotSent, Outcome, Refused, StreamWhole, Whole
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.gateway import HeaderCodec
-from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead
+from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
 from cicadapond.kernel import Clock, Turns
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
@@ -72,12 +73,21 @@
       header_codec: Writes and reads headers.
       pool: The pool of connections to servers.
       clock: The clock.
+      reaches_others: Returns whether other servers of a server's service can be reached; if not,
+        lost links look like the server's end.  None if that does not matter.
     """
 
-    def __init__(self, header_codec: HeaderCodec, pool: ConnectionPool, clock: Clock):
+    def __init__(
+        self,
+        header_codec: HeaderCodec,
+        pool: ConnectionPool,
+        clock: Clock,
+        reaches_others: typing.Callable[[ServerEntry], typing.Awaitable[bool]] | None = None,
+    ):
         self._header_codec = header_codec
         self._pool = pool
         self._clock = clock
+        self._reaches_others = reaches_others
 
     async def run(
         self,
@@ -241,8 +251,13 @@
         return max(0.0, (since + limit - self._clock.monotonic()).total_seconds())
 
     async def _is_running(self, server):
-        """Returns whether a server goes on after it has ended an answer with its connection."""
-        return await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT)
+        """Returns whether a server goes on after it has ended an answer with its connection.
+
+        A process that has lost its links to all servers cannot tell, and takes the end as sent.
+        """
+        if await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT):
+            return True
+        return self._reaches_others is not None and not await self._reaches_others(server)
 
     async def _is_reachable(self, server):
         """Returns whether a server accepts a new connection."""
--- a/cicadapond/gateway/_links.py
+++ b/cicadapond/gateway/_links.py
@@ -15,6 +15,8 @@
 PROBE_INTERVAL = datetime.timedelta(milliseconds=400)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=250)
 SERVERS_PER_PROBE = 2
+# So many other servers out of reach show that the links are lost, rather than one server.
+MAX_OTHERS_TRIED = 3
 
 
 class ServerLinks:
@@ -85,6 +87,20 @@
         """Returns whether lost links explain that connections to the service's servers broke."""
         return self._reach.explains_failures(service, self._names(service))
 
+    async def reaches_others(self, entry: ServerEntry) -> bool:
+        """Returns whether other servers of a server's service accept connections, if any.
+
+        If they do not, lost links explain that the server does not either.
+        """
+        others = [each for each in self._registry.usable(entry.service) if each.name != entry.name]
+        self._probes += 1
+        first = self._probes % len(others) if others else 0
+        tried = (others[first:] + others[:first])[:MAX_OTHERS_TRIED]
+        for other in tried:
+            if await self._probe_server(other):
+                return True
+        return not tried
+
     def cut_off_services(self) -> tuple[str, ...]:
         """Returns the services that this process does not reach."""
         return tuple(sorted(self._cut_off))
@@ -110,9 +126,10 @@
         conn = await self._pool.connect(entry.name, entry.endpoint, PROBE_TIMEOUT)
         if conn is None:
             self.failed(entry)
-            return
+            return False
         conn.close()
         self.worked(entry)
+        return True
 
     def _update(self, service):
         was_cut_off, is_cut_off = service in self._cut_off, self.is_cut_off(service)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -190,6 +190,8 @@
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
         pool = ConnectionPool(clock, self._metrics)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
+        links = ServerLinks(registry, health, pool, clock, self._log, self._metrics)
+        codec = self._adapters.header_codec
         watch = self._make_engine_watch(registry)
         placer = Placer(
             clock,
@@ -213,7 +215,7 @@
             clock=clock,
             log=self._log,
             metrics=self._metrics,
-            header_codec=self._adapters.header_codec,
+            header_codec=codec,
             active_configuration=ActiveConfiguration(
                 clock, bounds.max_revocation_delay, current_for
             ),
@@ -225,7 +227,7 @@
             ),
             origins=StreamOrigins(clock),
             pool=pool,
-            attempt=Attempt(self._adapters.header_codec, pool, clock),
+            attempt=Attempt(codec, pool, clock, links.reaches_others),
             retry_limiter=RetryLimiter(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, clock
             ),
@@ -234,7 +236,7 @@
             crashes=crashes,
             starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
-            links=ServerLinks(registry, health, pool, clock, self._log, self._metrics),
+            links=links,
             queues=queues,
             rollouts=rollouts,
             engine_watch=watch,
--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -92,3 +92,18 @@
         assert (answer.status, answer.is_complete, answer.body) == (200, True, b"")
 
     run(check, tmp_path, processes=processes)
+
+
+def test_a_stream_is_whole_if_its_process_reaches_no_engine_any_more(tmp_path):
+    """Guards against LOST: connections live on in some partitions while new ones are refused."""
+
+    async def check(system):
+        async def connect(server, endpoint, timeout):
+            return None
+
+        caller, _ = await begin(system)
+        system.node.parts.pool.connect = connect
+        answer = await caller.read_response()
+        assert answer.is_complete and answer.event_ids() == list(range(1, EVENTS + 1))
+
+    run(check, tmp_path, resumable=False)
