--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -2,8 +2,8 @@
 
 import abc
 import asyncio
-import dataclasses
 import datetime
+import typing
 
 import attrs
 
@@ -12,7 +12,7 @@
 from cicadapond.forwarding._outcome import Broken, NotSent, Outcome, Refused, StreamWhole, Whole
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.gateway import HeaderCodec
-from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead
+from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
 from cicadapond.kernel import Clock, Turns
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
@@ -73,12 +73,21 @@
       header_codec: Writes and reads headers.
       pool: The pool of connections to servers.
       clock: The clock.
+      reaches_others: Returns whether other servers of a server's service can be reached; if not,
+        lost links look like the server's end.  None if that does not matter.
     """
 
-    def __init__(self, header_codec: HeaderCodec, pool: ConnectionPool, clock: Clock):
+    def __init__(
+        self,
+        header_codec: HeaderCodec,
+        pool: ConnectionPool,
+        clock: Clock,
+        reaches_others: typing.Callable[[ServerEntry], typing.Awaitable[bool]] | None = None,
+    ):
         self._header_codec = header_codec
         self._pool = pool
         self._clock = clock
+        self._reaches_others = reaches_others
 
     async def run(
         self,
@@ -153,8 +162,7 @@
         elif not conn.is_framed and not await self._is_running(dispatch.server):
             # A process that is killed closes its connections in an orderly way too.
             conn.reset()
-            broken = progress.to_broken("the server ended", conn, was_silent=False)
-            return dataclasses.replace(broken, may_be_whole=True)
+            return progress.to_broken("the server ended", conn, was_silent=False)
         if progress.head.closes_connection or len(conn.refused_ids) >= MAX_REFUSALS:
             conn.close()
         else:
@@ -205,12 +213,13 @@
             conn.keep(splitter.buffered_bytes)
             conn.mark_waiting(False)
             size.check(splitter.buffered_bytes)
-        # A run that was stopped after its last event, or whose server ended then, has nothing left
-        # where it goes on.  Without framing, the same would be seen if the server died.
-        may_be_over = dispatch.memory is not None or dispatch.may_be_over
-        may_be_empty = may_be_over and conn.is_reusable
+        # A stream that ended or was stopped after its last event has nothing left where it goes on.
+        # Without framing, the same would be seen if the server died.
+        may_be_empty = dispatch.last_event_id is not None and conn.is_framed
         if splitter.is_within_event or (progress.events == 0 and not may_be_empty):
             raise BrokenResponseError("the stream ended within an event")
+        if progress.events == 0:
+            await sink.begin(progress.head)
         return StreamWhole(progress.events, conn.is_framed)
 
     async def _read_chunk(self, conn, server, silence, progress, waiting_since):
@@ -249,8 +258,13 @@
         return max(0.0, (since + limit - self._clock.monotonic()).total_seconds())
 
     async def _is_running(self, server):
-        """Returns whether a server goes on after it has ended an answer with its connection."""
-        return await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT)
+        """Returns whether a server goes on after it has ended an answer with its connection.
+
+        A process that has lost its links to all servers cannot tell, and takes the end as sent.
+        """
+        if await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT):
+            return True
+        return self._reaches_others is not None and not await self._reaches_others(server)
 
     async def _is_reachable(self, server):
         """Returns whether a server accepts a new connection."""
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -52,7 +52,6 @@
       may_have_run: Whether a server may have run it.
       is_unanswered: Whether it was sent and the outcome of that attempt is not known yet.
       last_event_id: The id of the last event of its stream that was passed on.
-      may_be_over: Whether its stream may have no further events.
       origin_id: The id by which the stream is known if its caller continues it.
       fallback: A complete answer with a server error, returned if nothing better follows.
       reason: Why the last attempt failed.
@@ -96,7 +95,6 @@
         self.may_have_run = False
         self.is_unanswered = False
         self.last_event_id = req.last_event_id
-        self.may_be_over = False
         self.origin_id = req.resumes or req.id
         self.fallback: Whole | None = None
         self.reason = "nothing was tried"
@@ -134,6 +132,13 @@
             rank = ACCOUNT_RANK_STEP * max(0, self.account.rank) + min(rank, LOWEST_ROUTE_RANK)
         return min(LOWEST_PRIORITY, rank)
 
+    def is_still_allowed(self) -> bool:
+        """Returns whether the request may still be sent, by its key and its route.
+
+        A stream whose first events its caller has goes on, as it would have at its server.
+        """
+        return self.reply.has_begun or self.parts.active_configuration.still_allowed(self.req)
+
     def continues_stream(self) -> bool:
         """Returns whether its caller has received a part of its stream before."""
         return self.route.kind is RouteKind.STREAM and self.req.last_event_id is not None
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -114,7 +114,6 @@
             priority=self._state.priority(),
             memory=memory,
             fetch_from=placement.fetch_from,
-            may_be_over=self._state.may_be_over,
         )
         if placement.fetch_from is not None:
             parts.metrics.count("fetches", service=self._state.service)
@@ -284,13 +283,10 @@
     def _enter_stream(self, entry):
         """Returns the stream of an attempt if its engine can move it, None otherwise."""
         state, parts = self._state, self._parts
-        tries = 0
+        tries, engine = 0, self._engine_limits()
         if state.relayed is not None:
-            tries = state.relayed.tries
+            tries, engine = state.relayed.tries, state.relayed.limits
             parts.evacuation.release(state.relayed)
-        table = parts.active_configuration.table
-        service = table.cfg.services.get(state.service) if table is not None else None
-        engine = service.engine if service is not None else None
         if parts.evacuation is None or engine is None or engine.moves is None:
             return None
         if state.route.kind is not RouteKind.STREAM or state.req.generation is None:
@@ -309,6 +305,12 @@
         parts.evacuation.enter(stream)
         return stream
 
+    def _engine_limits(self):
+        """Returns the capacity of the engines of the request's service, None if it is not known."""
+        table = self._parts.active_configuration.table
+        service = table.cfg.services.get(self._state.service) if table is not None else None
+        return service.engine if service is not None else None
+
     def _stops_too_soon(self, entry):
         """Returns whether a rollout has come so near to its completion that the request waits."""
         state = self._state
@@ -321,8 +323,8 @@
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
 
         A run that goes on from a copy is no further attempt, and may go back to the engine that
-        stopped it although that leaves.  It was allowed when it began, and would have gone on there
-        whatever became of its key and its route.
+        stopped it although that leaves.  It would have gone on there whatever became of its
+        version.
 
         Returns:
           The reason, None if the request may be sent.
@@ -332,11 +334,11 @@
             return "the server is leaving"
         if goes_back and self._is_past_drain(entry):
             return "the engine that stopped the run has been leaving for too long"
-        if self._parts.rollouts.is_stopped(entry):
+        if memory is None and self._parts.rollouts.is_stopped(entry):
             return "the server's version gets no requests"
         if memory is None and self._stops_too_soon(entry):
             return "the server is about to stop"
-        if memory is None and not self._parts.active_configuration.still_allowed(self._state.req):
+        if not self._state.is_still_allowed():
             return "the client account can no longer be checked"
         if self._state.deadline - self._parts.clock.monotonic() < MIN_TIME_LEFT:
             return "no time is left"
