--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -95,17 +95,21 @@
         if origin is not None:
             origin.is_due = origin.is_broken = True
 
-    def find(self, request_id: str) -> str | None:
+    def find(self, request_id: str, is_in_progress: bool = False) -> str | None:
         """Returns the version that began a stream, None if nothing is known of it.
 
+        A request that was passed on to a second process, as the first was silent, may have begun at
+        both; which of them its caller heard is not known here.
+
         Args:
           request_id: The id of the request that brought the first event.
+          is_in_progress: Whether the caller hears the stream from this process.
 
         Returns:
           `UNKNOWN_VERSION` if the stream is known, and it is not sure at which version it began.
         """
         origin = self._own.get(request_id)
-        if origin is not None:
+        if origin is not None and is_in_progress:
             return origin.known_version()
         wanted = _hash(request_id)
         found = {
@@ -115,6 +119,9 @@
             for version, hashes in versions.items()
             if _contains(hashes, wanted)
         }
+        if origin is not None:
+            # This process may have told that the version was not sure, and be sure now.
+            found = found - {UNKNOWN_VERSION} | {origin.known_version()}
         return found.pop() if len(found) == 1 else UNKNOWN_VERSION if found else None
 
     def versions(self) -> set[str]:
--- a/cicadapond/continuation/continuation_test.py
+++ b/cicadapond/continuation/continuation_test.py
@@ -3,7 +3,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cicadapond.continuation import StreamOrigins, drop_old_buckets, merge_buckets
+from cicadapond.continuation import (
+    UNKNOWN_VERSION,
+    StreamOrigins,
+    drop_old_buckets,
+    merge_buckets,
+)
 from cicadapond.continuation._origins import HASH_BYTES
 from cicadapond.kernel import ManualClock, seconds
 
@@ -46,6 +51,16 @@
     assert origins.find("s") == "v1"
 
 
+def test_a_stream_that_began_at_two_processes_is_continued_at_neither_version():
+    clock = ManualClock()
+    here, there = StreamOrigins(clock), StreamOrigins(clock)
+    here.begin("s", "v1")
+    there.begin("s", "v2")
+    clock.advance(seconds(0.1))
+    here.apply("z", there.reported())
+    assert here.find("s") == UNKNOWN_VERSION and here.find("s", is_in_progress=True) == "v1"
+
+
 def test_streams_are_forgotten_after_their_callers_have_given_up():
     clock = ManualClock()
     here, there = StreamOrigins(clock), StreamOrigins(clock)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -150,5 +150,6 @@
         if not self._state.reply.has_begun:
             return True
         if self._state.servers.version is not None:
-            return self._parts.origins.find(self._state.origin_id) != UNKNOWN_VERSION
+            origins = self._parts.origins
+            return origins.find(self._state.origin_id, is_in_progress=True) != UNKNOWN_VERSION
         return await self._state.servers.find_version(self._state.origin_id)
