--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -145,3 +145,8 @@
 
 def test_an_unframed_answer_is_not_whole_if_its_server_may_have_started_again_in_a_pause():
     assert isinstance(asyncio.run(outcome_of([UNFRAMED["stream"]], paused=True)), Broken)
+
+
+def test_an_answer_without_a_body_does_not_depend_on_its_server_going_on():
+    answer = OWN.replace(b"200 OK", b"204 No Content") + b"\r\n"
+    assert isinstance(asyncio.run(outcome_of([answer], dies=True)), Whole)
