--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -28,6 +28,8 @@
 SUPERVISION_S = 0.2
 # The shortest time limit of a process's calls is 0.4 s.
 WATCH_S, MAX_OWN_PAUSE_S = 0.05, 0.25
+# A process that waits so long for processors that others use has less than its share.
+STARVED_WINDOW_S, MAX_STARVED_SHARE = 1.0, 0.25
 # How long a fault may have effects after its end: calls and probes that still time out.
 RESIDUAL_EFFECT_S = 2.0
 EXTRA_SERVING_S = 3.0  # a leaving server serves longer than required (DRAIN_S)
@@ -218,13 +220,24 @@
                     await self.restart(process, asyncio.sleep(0))
 
     async def _watch_own_pauses(self):
-        """Records when the soak itself stands still, and with it all servers and callers."""
+        """Records when the machine is too busy for the soak itself, or for a process."""
+        starved, checked_at = {}, self.now()
         while True:
             before = self.now()
             await asyncio.sleep(WATCH_S)
             if (end := self.now()) > before + WATCH_S + MAX_OWN_PAUSE_S:
-                self.history.own_pauses.append((before, end))
-                self.history.fault_spans.append((before, end + RESIDUAL_EFFECT_S))
+                self._excuse(before, end)
+            if end < checked_at + STARVED_WINDOW_S:
+                continue
+            now_starved = {number: each.starved_s for number, each in self.processes.items()}
+            most = max(value - starved.get(number, value) for number, value in now_starved.items())
+            if most > MAX_STARVED_SHARE * (end - checked_at):
+                self._excuse(checked_at, end)
+            starved, checked_at = now_starved, end
+
+    def _excuse(self, begin, end):
+        self.history.own_pauses.append((begin, end))
+        self.history.fault_spans.append((begin, end + RESIDUAL_EFFECT_S))
 
     # Servers
 
--- a/cicadapond/soak/_limits.py
+++ b/cicadapond/soak/_limits.py
@@ -61,6 +61,10 @@
       limits: Its limits.
       is_paused: Whether the process is suspended for another reason, and must not be continued.
       on_excess: Called with the resident memory in MB when there is too much.
+
+    Attributes:
+      peak_mb: The highest resident memory, in MB.
+      starved_s: How long it has waited for a processor that others used, in seconds.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         on_excess: typing.Callable[[float], None],
     ):
         self.peak_mb = 0.0
+        self.starved_s = 0.0
         self._pid = pid
         self._limits = limits
         self._is_paused = is_paused
@@ -85,10 +90,11 @@
             resource.prlimit(self._pid, resource.RLIMIT_DATA, (data, data))
             resource.prlimit(self._pid, resource.RLIMIT_NOFILE, (files, files))
             while True:
-                begin, used = loop.time(), _processor_time(self._pid)
+                begin = loop.time()
+                used, self.starved_s = _processor_time(self._pid)
                 self._check_memory()
                 while (now := loop.time()) < begin + PERIOD_S:
-                    spent = _processor_time(self._pid) - used
+                    spent = _processor_time(self._pid)[0] - used
                     if not self._is_held and spent >= self._limits.cpu_share * PERIOD_S:
                         self._is_held = True
                         os.kill(self._pid, signal.SIGSTOP)
@@ -112,9 +118,10 @@
 
 
 def _processor_time(pid):
-    """Returns the processor time that a process has used, in seconds."""
-    spent = 0
+    """Returns the time on a processor, and that of waiting for one, of a process in seconds."""
+    spent, waited = 0, 0
     for path in pathlib.Path(f"/proc/{pid}/task").iterdir():
         with contextlib.suppress(FileNotFoundError, ProcessLookupError):  # the thread has ended
-            spent += int((path / "schedstat").read_text(encoding="ascii").split()[0])
-    return spent / 1e9
+            fields = (path / "schedstat").read_text(encoding="ascii").split()
+            spent, waited = spent + int(fields[0]), waited + int(fields[1])
+    return spent / 1e9, waited / 1e9
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -13,6 +13,8 @@
 PEER_PORTS = 2
 # The platform's time from SIGTERM to SIGKILL, and some more for the process to exit.
 GRACE_S = 9.0
+# A process that has waited so long for processors that others used may end late.
+MAX_STARVED_S = 1.0
 
 
 class GatewayProcess:
@@ -40,6 +42,7 @@
         self._expects_exit = False
         self._is_paused = False
         self._is_over = False
+        self._enforcer: Enforcer | None = None
         self._log_offset = 0
 
     async def start(self) -> None:
@@ -62,6 +65,7 @@
 
     async def _wait(self, running):
         enforcer = Enforcer(running.pid, self.limits, lambda: self._is_paused, self._end_excess)
+        self._enforcer = enforcer
         enforcing = asyncio.ensure_future(enforcer.run())
         status = await running.wait()
         enforcing.cancel()
@@ -94,6 +98,11 @@
         self._is_paused = False
         self.send(signal.SIGCONT)
 
+    @property
+    def starved_s(self) -> float:
+        """How long it has waited for a processor that others used, in seconds."""
+        return 0.0 if self._enforcer is None else self._enforcer.starved_s
+
     def handles(self, number: signal.Signals) -> bool:
         """Returns whether it handles a signal; it does not while its interpreter starts."""
         try:
@@ -118,6 +127,7 @@
     async def stop(self) -> None:
         """Stops the process gracefully; an exit by a signal or with an error is unexpected."""
         self._expects_exit = True
+        before = self.starved_s
         self.resume()
         self.send(signal.SIGTERM)
         try:
@@ -125,6 +135,8 @@
                 await asyncio.shield(self._exit_task)
         except TimeoutError:
             await self.kill()
+            if self.starved_s > before + MAX_STARVED_S:
+                return
         status = self._running.returncode
         # While the interpreter starts, a process has no SIGTERM handler yet, and no work to finish.
         if status != 0 and not self._is_over and (status != -signal.SIGTERM or self._has_started()):
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -228,7 +228,7 @@
       starts: When processes were started: (process, at).
       restored_spans: When the store was restored until its rows were written again: (from, to).
       endless_requests: How many requests were sent to servers that send without end.
-      own_pauses: When the soak itself stood still, as its machine is busy: (from, to).
+      own_pauses: When the machine was too busy for the soak itself or a process: (from, to).
       peak_mb: The highest resident memory of each process.
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
