--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import attrs
+
 from cicadapond.soak._configuration_checks import handled_as_configured, unchanged_requests
 from cicadapond.soak._lost import is_excused, late_answers, lost_requests, memory_excesses
 from cicadapond.soak._records import LONG, PROBE, RUN_ONCE, CallRecord, History, Violation, overlaps
@@ -11,6 +13,8 @@
 REVOCATION_S = 5.0
 DRAIN_S = 2.0
 RECOVERY_S = 12.0
+# How long a fault may have effects after its end: calls and probes that still time out.
+RESIDUAL_EFFECT_S = 2.0
 # Longest time from sending a request until it is read at the other end.
 DELIVERY_SLACK_S = 0.2
 # An unplanned fault excuses a violation if it was active at any time from this long before the
@@ -61,10 +65,13 @@
         lost_requests,
         late_answers,
         memory_excesses,
-        handled_as_configured,
         unchanged_requests,
     )
-    return [violation for find in checks for violation in find(history)]
+    busy = [(first, last + RESIDUAL_EFFECT_S) for first, last in history.busy_spans]
+    excused = attrs.evolve(history, fault_spans=history.fault_spans + busy)
+    found = [violation for find in checks for violation in find(excused)]
+    # Here a busy machine is given more time, and excuses nothing.
+    return found + list(handled_as_configured(history))
 
 
 def _at_most_once(history):
--- a/cicadapond/soak/_configuration_checks.py
+++ b/cicadapond/soak/_configuration_checks.py
@@ -35,16 +35,19 @@
             continue
         newest, excused = max(indices), _is_excused(call, history)
         following = history.configurations[newest + 1 :]
-        bound = call.sent_at - CONFIGURATION_S - DELIVERY_SLACK_S
-        if following and following[0].at < bound and not excused:
-            late = call.sent_at - following[0].at
+        late = call.sent_at - following[0].at if following else 0.0
+        allowed = CONFIGURATION_S + DELIVERY_SLACK_S
+        if following and not excused:
+            allowed += history.busy_s(following[0].at, call.sent_at)
+        if late > allowed and not excused:
             yield Violation("configurations", call.id, f"{detail}: {late:.1f} s out of date")
         lifetime = max((at for at in starts[call.process] if at <= call.sent_at), default=0.0)
         before = seen.setdefault((call.process, lifetime), [])
         newer = [
             version
             for ended_at, version in before
-            if version > newest and ended_at + BACK_S < call.sent_at
+            if version > newest
+            and ended_at + BACK_S + history.busy_s(ended_at, call.sent_at) < call.sent_at
         ]
         if newer and not _is_restored(call, history):
             versions = (history.configurations[each].version for each in (max(newer), newest))
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -9,6 +9,7 @@
 from cicadapond.platform.standin import EndlessAnswer, Fleet, FleetSettings
 from cicadapond.soak._balancer import Balancer
 from cicadapond.soak._callers import CRASHING_PART
+from cicadapond.soak._checks import RESIDUAL_EFFECT_S
 from cicadapond.soak._limits import draw_limits
 from cicadapond.soak._operator import (
     AROUND_CHANGE_S,
@@ -30,8 +31,6 @@
 WATCH_S, MAX_OWN_PAUSE_S = 0.05, 0.25
 # A process that waits so long for processors that others use has less than its share.
 STARVED_WINDOW_S, MAX_STARVED_SHARE = 1.0, 0.25
-# How long a fault may have effects after its end: calls and probes that still time out.
-RESIDUAL_EFFECT_S = 2.0
 EXTRA_SERVING_S = 3.0  # a leaving server serves longer than required (DRAIN_S)
 # Requests take long enough that some are in progress at each fault.
 WORK_S, PAUSE_S = 0.03, 0.05
@@ -226,19 +225,15 @@
             before = self.now()
             await asyncio.sleep(WATCH_S)
             if (end := self.now()) > before + WATCH_S + MAX_OWN_PAUSE_S:
-                self._excuse(before, end)
+                self.history.busy_spans.append((before, end))
             if end < checked_at + STARVED_WINDOW_S:
                 continue
             now_starved = {number: each.starved_s for number, each in self.processes.items()}
             most = max(value - starved.get(number, value) for number, value in now_starved.items())
             if most > MAX_STARVED_SHARE * (end - checked_at):
-                self._excuse(checked_at, end)
+                self.history.busy_spans.append((checked_at, end))
             starved, checked_at = now_starved, end
 
-    def _excuse(self, begin, end):
-        self.history.own_pauses.append((begin, end))
-        self.history.fault_spans.append((begin, end + RESIDUAL_EFFECT_S))
-
     # Servers
 
     async def _start_proxy(self, name, port, process):
--- a/cicadapond/soak/_injections.py
+++ b/cicadapond/soak/_injections.py
@@ -4,11 +4,10 @@
 import random
 
 from cicadapond.platform.standin import EngineFault
-from cicadapond.soak._checks import CONTACT_S
+from cicadapond.soak._checks import CONTACT_S, RESIDUAL_EFFECT_S
 from cicadapond.soak._deployment import (
     EXTRA_SERVING_S,
     POOL,
-    RESIDUAL_EFFECT_S,
     SOFTWARE_VERSIONS,
     WAITING_ROOM,
     Deployment,
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -228,7 +228,7 @@
       starts: When processes were started: (process, at).
       restored_spans: When the store was restored until its rows were written again: (from, to).
       endless_requests: How many requests were sent to servers that send without end.
-      own_pauses: When the machine was too busy for the soak itself or a process: (from, to).
+      busy_spans: When the machine was too busy for the soak itself or a process: (from, to).
       peak_mb: The highest resident memory of each process.
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
@@ -262,7 +262,7 @@
     starts: list[tuple[int, float]] = attrs.field(factory=list)
     restored_spans: list[tuple[float, float]] = attrs.field(factory=list)
     endless_requests: int = 0
-    own_pauses: list[tuple[float, float]] = attrs.field(factory=list)
+    busy_spans: list[tuple[float, float]] = attrs.field(factory=list)
     peak_mb: dict[int, float] = attrs.field(factory=dict)
     planned_stops: list[tuple[int, float, float]] = attrs.field(factory=list)
     fault_spans: list[tuple[float, float]] = attrs.field(factory=list)
@@ -273,6 +273,11 @@
     faults_ended_at: float = 0.0
     not_ready: list[int] = attrs.field(factory=list)
 
+    def busy_s(self, begin: float, end: float) -> float:
+        """Returns for how long the machine was too busy from `begin` to `end`, in seconds."""
+        spans = ((max(first, begin), min(last, end)) for first, last in self.busy_spans)
+        return sum(max(0.0, last - first) for first, last in spans)
+
     def write(self, path: pathlib.Path) -> None:
         """Writes everything to a file, one JSON object a line with its kind."""
         with open(path, "w", encoding="utf-8") as file:
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -4,8 +4,8 @@
 import random
 
 from cicadapond.soak._callers import CallerLoop
-from cicadapond.soak._checks import RECOVERY_S, check
-from cicadapond.soak._deployment import RESIDUAL_EFFECT_S, Deployment
+from cicadapond.soak._checks import RECOVERY_S, RESIDUAL_EFFECT_S, check
+from cicadapond.soak._deployment import Deployment
 from cicadapond.soak._injections import FaultInjector
 from cicadapond.soak._plan import CUTS_NOTHING, RESTORES, Injection, SoakSettings, make_plan
 from cicadapond.soak._planned import ChangeInjector
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -80,7 +80,7 @@
         f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
         f"{len(history.configurations)} configurations, {found} probes served and {missing} "
         f"without a route, {history.endless_requests} endless answers, "
-        f"{len(history.own_pauses)} times of a busy machine, "
+        f"{len(history.busy_spans)} times of a busy machine, "
         f"at most {max(history.peak_mb.values()):.0f} MB, "
         f"{len(violations)} violations",
         flush=True,
