--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -61,6 +61,14 @@
     assert not list(findings) and cfg.link_mbps == 10.0
 
 
+def test_the_memory_of_the_machine_is_read(tmp_path):
+    path = settings_file(tmp_path, lambda text: text + "\nlimits.memory_mb=300\n")
+    cfg, findings = read_settings(path, metrics_port=0)
+    assert not list(findings) and cfg.memory_bytes == 300_000_000
+    cfg, _ = read_settings(settings_file(tmp_path), metrics_port=0)
+    assert cfg.memory_bytes == 256_000_000
+
+
 def test_all_findings_of_settings_are_reported_with_their_lines(tmp_path):
     def corrupt(text):
         text = text.replace("bounds.grace_s=8", "bounds.grace_s=long")
