--- a/cicadapond/experiments/memory.py
+++ b/cicadapond/experiments/memory.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import re
 import sys
@@ -13,7 +12,7 @@
 
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import LoopClock
-from cicadapond.platform.standin import Caller, Fleet, FleetSettings
+from cicadapond.platform.standin import Caller, EndlessAnswer, Fleet, FleetSettings
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
 MACHINE_MEMORY_MB = 160
@@ -35,24 +34,10 @@
     "an event of lines": (b"200 OK", STREAM, b"data: and so on\n" * 256),
     "whole events": (b"200 OK", STREAM, b"data: " + b"a" * 4000 + b"\n\n"),
 }
-REQUEST_ID = re.compile(rb"(?im)^x-cicadapond-attempt-id: *([^\r\n]*)")
 PEAK = re.compile(r"VmHWM:\s*(\d+) kB")
 RESIDENT = re.compile(r"VmRSS:\s*(\d+) kB")
 
 
-async def _serve(kind, reader, writer):
-    status, headers, piece = kind
-    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-        head = await reader.readuntil(b"\r\n\r\n")
-        found = REQUEST_ID.search(head)
-        own = b"x-cicadapond-attempt-id: %s\r\nx-cicadapond-response-signature: s\r\n"
-        writer.write(b"HTTP/1.1 " + status + b"\r\n" + own % found.group(1) + headers + b"\r\n")
-        while True:
-            writer.write(piece)
-            await writer.drain()
-    writer.transport.abort()
-
-
 def _is_ready(port):
     try:
         with urllib.request.urlopen(f"http://127.0.0.1:{port}/readyz", timeout=1) as answer:
@@ -70,9 +55,7 @@
 async def _run(kind, is_stream, directory):
     fleet = Fleet(FleetSettings(), LoopClock())
     await fleet.start()
-    faulty = await asyncio.start_server(
-        lambda reader, writer: _serve(kind, reader, writer), "127.0.0.1", 0, backlog=1024
-    )
+    faulty = await asyncio.start_server(EndlessAnswer(*kind).serve, "127.0.0.1", 0, backlog=1024)
     prefix, service = ("e", "pool") if is_stream else ("s", "plain")
     for number in range(2):
         fleet.relay(f"{prefix}-{number}", faulty.sockets[0].getsockname()[1])
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadapond.platform.standin._caller import Answer, Caller
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
+from cicadapond.platform.standin._endless import EndlessAnswer
 from cicadapond.platform.standin._engine import (
     EngineFault,
     EngineModel,
@@ -25,6 +26,7 @@
     "Answer",
     "Caller",
     "CloudModel",
+    "EndlessAnswer",
     "EngineFault",
     "EngineModel",
     "EngineServer",
