--- a/cicadapond/experiments/memory.py
+++ b/cicadapond/experiments/memory.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import re
 import sys
@@ -13,7 +12,7 @@
 
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import LoopClock
-from cicadapond.platform.standin import Caller, Fleet, FleetSettings
+from cicadapond.platform.standin import Caller, EndlessAnswer, Fleet, FleetSettings
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
 MACHINE_MEMORY_MB = 160
@@ -21,38 +20,18 @@
 SOUND_COUNT = 40
 READY_TIMEOUT_S = 20.0
 TRIAL_TIMEOUT_S = 60.0
-CHUNK = b"1000\r\n" + b"a" * 4096 + b"\r\n"
-# The status line, the framing and media type, and what follows without end.
-PLAIN_KINDS = {
-    "length": (b"200 OK", b"content-length: 999999999\r\n", b"a" * 4096),
-    "chunks": (b"200 OK", b"transfer-encoding: chunked\r\n", CHUNK),
-    "neither": (b"200 OK", b"", b"a" * 4096),
-    "of a 500": (b"500 Failed", b"transfer-encoding: chunked\r\n", CHUNK),
-}
-STREAM = b"content-type: text/event-stream\r\n"
-STREAM_KINDS = {
-    "one event": (b"200 OK", STREAM, b"a" * 4096),
-    "an event of lines": (b"200 OK", STREAM, b"data: and so on\n" * 256),
-    "whole events": (b"200 OK", STREAM, b"data: " + b"a" * 4000 + b"\n\n"),
-}
-REQUEST_ID = re.compile(rb"(?im)^x-cicadapond-attempt-id: *([^\r\n]*)")
+# Answers of a plain service, and streams.
+PLAIN_KINDS = (
+    EndlessAnswer.LENGTH,
+    EndlessAnswer.CHUNKS,
+    EndlessAnswer.UNFRAMED,
+    EndlessAnswer.ERROR,
+)
+STREAM_KINDS = (EndlessAnswer.EVENT, EndlessAnswer.COMMENTS, EndlessAnswer.EVENTS)
 PEAK = re.compile(r"VmHWM:\s*(\d+) kB")
 RESIDENT = re.compile(r"VmRSS:\s*(\d+) kB")
 
 
-async def _serve(kind, reader, writer):
-    status, headers, piece = kind
-    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-        head = await reader.readuntil(b"\r\n\r\n")
-        found = REQUEST_ID.search(head)
-        own = b"x-cicadapond-attempt-id: %s\r\nx-cicadapond-response-signature: s\r\n"
-        writer.write(b"HTTP/1.1 " + status + b"\r\n" + own % found.group(1) + headers + b"\r\n")
-        while True:
-            writer.write(piece)
-            await writer.drain()
-    writer.transport.abort()
-
-
 def _is_ready(port):
     try:
         with urllib.request.urlopen(f"http://127.0.0.1:{port}/readyz", timeout=1) as answer:
@@ -70,9 +49,7 @@
 async def _run(kind, is_stream, directory):
     fleet = Fleet(FleetSettings(), LoopClock())
     await fleet.start()
-    faulty = await asyncio.start_server(
-        lambda reader, writer: _serve(kind, reader, writer), "127.0.0.1", 0, backlog=1024
-    )
+    faulty = await asyncio.start_server(kind.serve, "127.0.0.1", 0, backlog=1024)
     prefix, service = ("e", "pool") if is_stream else ("s", "plain")
     for number in range(2):
         fleet.relay(f"{prefix}-{number}", faulty.sockets[0].getsockname()[1])
@@ -128,9 +105,9 @@
     def run(self, seeds):
         rows = []
         for kinds, is_stream in ((PLAIN_KINDS, False), (STREAM_KINDS, True)):
-            for name, kind in kinds.items():
+            for kind in kinds:
                 with tempfile.TemporaryDirectory() as directory:
-                    rows.append((name, *asyncio.run(_run(kind, is_stream, directory))))
+                    rows.append((kind.value, *asyncio.run(_run(kind, is_stream, directory))))
         columns = ("answers", "idle, MB", "peak, MB", "sound requests served")
         title = f"Resident memory with {ENDLESS_COUNT} answers without end at once"
         return (Table(title, columns, tuple(rows)),)
--- a/cicadapond/platform/standin/_endless.py
+++ b/cicadapond/platform/standin/_endless.py
@@ -1,12 +1,15 @@
 """Answers of a stand-in engine that go on until the connection is closed."""
 
 import asyncio
+import contextlib
 import enum
+import re
 
 CHUNK_BYTES = 32 * 1024
 # Leaves the event loop time for others, while many of them are sent at once.
 CHUNK_INTERVAL_S = 0.02
 
+_REQUEST_ID = re.compile(rb"(?im)^x-cicadapond-attempt-id: *([^\r\n]*)")
 _FILLER = b"a" * CHUNK_BYTES
 _STREAM = b"content-type: text/event-stream\r\n"
 
@@ -24,8 +27,28 @@
     COMMENTS = "comments of a stream"
     EVENTS = "whole events"
 
-    async def send(self, writer: asyncio.StreamWriter, request_id: str) -> int:
-        """Sends the answer until the connection is closed; returns the number of bytes."""
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answers the first request of a connection without pauses, as a server of its own."""
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self.send(writer, _REQUEST_ID.search(head).group(1).decode(), interval_s=0.0)
+        finally:
+            writer.transport.abort()
+
+    async def send(
+        self,
+        writer: asyncio.StreamWriter,
+        request_id: str,
+        interval_s: float = CHUNK_INTERVAL_S,
+    ) -> int:
+        """Sends the answer until the connection is closed; returns the number of bytes.
+
+        Args:
+          writer: The connection.
+          request_id: The id of the request.
+          interval_s: The pause after each piece, in seconds.
+        """
         prefix, piece = _pieces(self, request_id)
         sent = 0
         writer.write(prefix)
@@ -34,7 +57,7 @@
                 writer.write(piece)
                 sent += len(piece)
                 await writer.drain()
-                await asyncio.sleep(CHUNK_INTERVAL_S)
+                await asyncio.sleep(interval_s)
         except ConnectionError:
             pass  # the caller closed it, which is a normal end here
         return sent
