--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -13,7 +13,7 @@
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.gateway import HeaderCodec
 from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
-from cicadapond.kernel import Clock, Turns
+from cicadapond.kernel import Clock, Turns, late_timeout
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
 # down or unreachable.
@@ -141,7 +141,7 @@
         conn.send(req.method, req.target, headers, req.body)
         progress = _Progress()
         try:
-            async with asyncio.timeout(_seconds(silence.first)):
+            async with late_timeout(_seconds(silence.first)):
                 head = await self._read_matching_head(conn, req)
             if head.status != MISDIRECTED:
                 sink.head(head)
@@ -229,7 +229,7 @@
           TimeoutError: If the server completes no event within the time-out.
         """
         if progress.events == 0 or silence.between is None:
-            async with asyncio.timeout(self._left(silence.first, waiting_since)):
+            async with late_timeout(self._left(silence.first, waiting_since)):
                 return await conn.read_body()
         pending_read = asyncio.ensure_future(conn.read_body())
         try:
--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -7,6 +7,7 @@
 from cicadapond.kernel._clock import BootClock, Clock, LoopClock, ManualClock
 from cicadapond.kernel._findings import Finding, Findings, Place
 from cicadapond.kernel._jsonc import Node, parse_jsonc
+from cicadapond.kernel._late_timeout import late_timeout
 from cicadapond.kernel._metrics import Metrics
 from cicadapond.kernel._outcome import (
     AnswerLost,
@@ -69,6 +70,7 @@
     "between",
     "load_plugins",
     "load_settings",
+    "late_timeout",
     "matches",
     "one_of",
     "parse_jsonc",
