--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -54,7 +54,7 @@
 
     @abc.abstractmethod
     def on_unfinished(self, headers: Headers, exc: ChannelClosedError) -> None:
-        """Records a request whose connection was closed before its body had been received."""
+        """Records a request whose connection was closed before `handle` began."""
 
     @abc.abstractmethod
     def on_failed(self, headers: Headers, exc: Exception) -> None:
@@ -127,6 +127,7 @@
         self._answering: asyncio.Task | None = None
         self._serving: asyncio.Task | None = None
         self._is_serving = False
+        self._has_begun_answer = False
         self._turns = Turns()
         self._received_bytes = 0
         self._headers: Headers = ()
@@ -176,13 +177,17 @@
         request = await self._read_request()
         self._is_serving = True
         reply = Reply(self)
-        self._answering = asyncio.ensure_future(self._handler.handle(request, reply))
+        self._has_begun_answer = False
+        self._answering = asyncio.ensure_future(self._answer(request, reply))
         if self.is_closed:
             self._answering.cancel()
         try:
             await asyncio.wait((self._answering,))
             if self._answering.cancelled():
-                raise ChannelClosedError("caller disconnected", was_reset=False)
+                exc = ChannelClosedError("caller disconnected", was_reset=False)
+                if not self._has_begun_answer:
+                    self._handler.on_unfinished(self._headers, exc)
+                raise exc
             self._answering.result()
         finally:
             self._answering = None
@@ -190,6 +195,10 @@
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         return both_done and not self.is_closed
 
+    async def _answer(self, request, reply):
+        self._has_begun_answer = True
+        await self._handler.handle(request, reply)
+
     async def _read_request(self):
         limits = self._handler.limits()
         if not self.has_unread and not self._http.trailing_data[0]:
--- a/cicadapond/gateway/request_ends_test.py
+++ b/cicadapond/gateway/request_ends_test.py
@@ -64,6 +64,17 @@
     assert line["request"] == "p-1" and line["reason"]
 
 
+def test_a_caller_that_leaves_with_the_last_byte_of_its_request_is_named(tmp_path, capfd):
+    async def check(system):
+        _, writer = await asyncio.open_connection("127.0.0.1", system.port)
+        writer.write(HEAD + b"content-length: 2\r\n\r\n12")
+        writer.close()
+        await asyncio.sleep(0.2)
+
+    (line,) = lines_of(check, tmp_path, capfd, "request_unfinished")
+    assert line["request"] == "p-1"
+
+
 @pytest.mark.parametrize("place", [(Frontend, "_take_quota"), (FinalAnswer, "send")])
 def test_a_caller_that_leaves_before_a_run_or_after_it_is_named(
     tmp_path, capfd, monkeypatch, place
