--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -332,13 +332,11 @@
     async def stop(self, reason: str | None = None) -> None:
         """Shuts down gracefully: reports not ready, then finishes requests within the grace.
 
-        Args:
-          reason: Why, for the log.
+        `reason` is for the log.
         """
         begun = self.parts.stopping_since = self._clock.monotonic()
         self._log.write("stopping", reason=reason, busy=self._frontend.busy)
-        releasing = asyncio.ensure_future(self._release_duties())
-        grace = self._cfg.bounds.grace
+        releasing, grace = asyncio.ensure_future(self._release_duties()), self._cfg.bounds.grace
         while (waited := self._clock.monotonic() - begun) < GRACE_SHARE * grace:
             if waited >= BALANCER_DELAY and not self._frontend.busy:
                 break
