--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -1,6 +1,8 @@
 """A gateway process of a soak."""
 
 import asyncio
+import contextlib
+import os
 import pathlib
 import signal
 import sys
@@ -115,7 +117,9 @@
     def send(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
         if self._running.returncode is None:
-            self._running.send_signal(number)
+            # The one of `subprocess` would also wait for the process, whose status is then lost.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._running.pid, number)
 
     async def kill(self) -> None:
         """Kills the process, if it runs, and waits until it has exited."""
