--- a/cicadapond/soak/_planned.py
+++ b/cicadapond/soak/_planned.py
@@ -12,6 +12,7 @@
 
 MIN_STEP_S, MAX_STEP_S = 0.0, 0.4
 MAX_CHANGES = 12
+MAX_ROLL_STEPS = 8
 HANG_UP_GAP_S = 0.15
 # Of the processes at the beginning, so many may be missing or added.
 MAX_DIFFERENCE = 2
@@ -49,13 +50,16 @@
             await asyncio.sleep(HANG_UP_GAP_S)
 
     async def inject_roll(self, injection: Injection) -> None:
-        """Stops and restarts half of the processes or more, one after the other."""
-        deployment = self._deployment
-        count = len(deployment.processes)
-        for _ in range(self._rng.randint((count + 1) // 2, count)):
-            process = deployment.reserve_process(self._rng.random())
-            if process is not None:
-                await deployment.restart(process, deployment.stop_process(process))
+        """Stops and restarts half of the processes or more, one or a few at a time."""
+        count = len(self._deployment.processes)
+        at_once = 1 + count // MAX_ROLL_STEPS
+        for _ in range(0, self._rng.randint((count + 1) // 2, count), at_once):
+            await asyncio.gather(*(self._restart_one() for _ in range(at_once)))
+
+    async def _restart_one(self):
+        process = self._deployment.reserve_process(self._rng.random())
+        if process is not None:
+            await self._deployment.restart(process, self._deployment.stop_process(process))
 
     async def inject_join(self, injection: Injection) -> None:
         """Adds a process."""
