--- a/cicadapond/gateway/memory_bound_test.py
+++ b/cicadapond/gateway/memory_bound_test.py
@@ -23,9 +23,15 @@
     def is_stopping(self):
         return False
 
-    def on_rejected(self, exc):
+    def on_rejected(self, headers, exc):
         return [(b"reason", str(exc).encode()), (b"retry-after", str(exc.retry_after).encode())]
 
+    def on_unfinished(self, headers, exc):
+        raise AssertionError("no upload ends early")
+
+    def on_failed(self, headers, exc):
+        raise AssertionError("no upload fails")
+
     async def handle(self, request, reply):
         await reply.send_complete(200, (), b"%d" % len(request.body))
 
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -9,6 +9,7 @@
 from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._parts import EventFault
 from cicadapond.platform.standin._rollouts import RolloutModel, VersionDefect
+from cicadapond.platform.standin._routes import send_to, services_of, split
 from cicadapond.platform.standin._store import (
     StoreClient,
     StoreCopy,
@@ -42,6 +43,9 @@
     "Upload",
     "VersionDefect",
     "cloud_application",
+    "send_to",
+    "services_of",
+    "split",
     "store_application",
     "stream_event",
 ]
--- a/cicadapond/soak/_operator.py
+++ b/cicadapond/soak/_operator.py
@@ -4,7 +4,7 @@
 import random
 import typing
 
-from cicadapond.platform.standin import CALLERS_HOST, Fleet
+from cicadapond.platform.standin import CALLERS_HOST, Fleet, send_to, services_of, split
 from cicadapond.soak._records import LONG, VARYING, ConfigurationRecord, History, PlannedChange
 
 # How long after a configuration no request may be cut.
@@ -152,7 +152,7 @@
             ConfigurationRecord(
                 version,
                 began_at,
-                {route["prefix"]: frozenset(_services(route)) for route in routes},
+                {route["prefix"]: frozenset(services_of(route)) for route in routes},
                 {route["prefix"]: route["timeout_ms"] / 1000 for route in routes},
                 frozenset(key for account in tenants for key in account["api_keys"]),
             )
@@ -163,16 +163,12 @@
 
     def _change_route(self):
         route, pair = self._pick_route()
-        service = _services(route)[0]
-        route.pop("traffic_split", None)
-        route["service"] = pair[1] if service == pair[0] else pair[0]
+        send_to(route, pair[1] if services_of(route)[0] == pair[0] else pair[0])
 
     def _change_weights(self):
         route, pair = self._pick_route()
-        route.pop("service", None)
         weight = round(self._rng.uniform(0.05, 0.95), 2)
-        weights = zip(pair, (weight, round(1 - weight, 2)), strict=True)
-        route["traffic_split"] = [{"service": name, "weight": share} for name, share in weights]
+        split(route, dict(zip(pair, (weight, round(1 - weight, 2)), strict=True)))
 
     def _change_timeout(self):
         route = self._rng.choice((self._varying, self._long))
@@ -209,9 +205,9 @@
             self._count += 1
             name = f"extra-{self._count}"
             fields = {"name": name, "prefix": f"/{name}/", "route_type": "idempotent"}
-            service = self._rng.choice(PLAIN_PAIR)
-            self._extra.append(self._varying | fields | {"service": service})
-            self._extra[-1].pop("traffic_split", None)
+            route = self._varying | fields
+            send_to(route, self._rng.choice(PLAIN_PAIR))
+            self._extra.append(route)
 
     def _change_remove_routes(self):
         kept = self._rng.choice((0.0, 0.5, 0.9))
@@ -225,9 +221,3 @@
     def _pick_route(self):
         route = self._rng.choice((self._varying, self._long, *self._extra[-1:]))
         return route, POOL_PAIR if route is self._long else PLAIN_PAIR
-
-
-def _services(route):
-    if "traffic_split" in route:
-        return [each["service"] for each in route["traffic_split"]]
-    return [route["service"]]
