--- /dev/null
+++ b/cicadapond/gateway/_adapters.py
@@ -0,0 +1,36 @@
+"""The ways of a gateway process to the platform, as its program passes them to `Node`."""
+
+import attrs
+
+from cicadapond.gateway._cloud import Cloud
+from cicadapond.gateway._engine_calls import EngineCalls
+from cicadapond.gateway._header_codec import HeaderCodec
+from cicadapond.gateway._rollout_codec import RolloutCodec
+from cicadapond.memory import MemoryBudget
+from cicadapond.provider import TableService
+from cicadapond.residency import PartCalls
+
+
+@attrs.frozen
+class PlatformAdapters:
+    """The adapters through which a gateway process reaches the platform.
+
+    `decode_configuration` and `decode_server` decode rows that others write to the store;
+    `configuration_row` is the table and key of the configuration, `server_table` the table of
+    backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
+    Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
+    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes.
+    """
+
+    header_codec: HeaderCodec
+    memory: MemoryBudget
+    tables: TableService
+    feed: object
+    cloud: Cloud | None
+    decode_configuration: object
+    decode_server: object
+    configuration_row: tuple[str, str]
+    server_table: str
+    rollout_codec: RolloutCodec | None = None
+    engine_calls: EngineCalls | None = None
+    part_calls: PartCalls | None = None
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -11,7 +11,7 @@
 from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
-from cicadapond.gateway._cloud import Cloud
+from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
 from cicadapond.gateway._crash_causes import CrashCauses
@@ -21,11 +21,9 @@
     UsageReporter,
     settle_time,
 )
-from cicadapond.gateway._engine_calls import EngineCalls
 from cicadapond.gateway._evacuation import Evacuation
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
 from cicadapond.gateway._front import ANSWER_SHARE, BALANCER_DELAY, GRACE_SHARE, Frontend
-from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._loop_watch import watch_loop
 from cicadapond.gateway._memory_report import report_memory
@@ -37,7 +35,6 @@
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._residency import EngineWatch
-from cicadapond.gateway._rollout_codec import RolloutCodec
 from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.gateway._rollout_tables import STATE_TABLE, OperatorTable, StateTable
 from cicadapond.gateway._rollout_task import RolloutTask
@@ -50,12 +47,10 @@
 from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics, TaskGroup, raised_at
 from cicadapond.lease import LeaseSettings, LeaseTask
-from cicadapond.memory import Kind, MemoryBudget
+from cicadapond.memory import Kind
 from cicadapond.peer import rank
 from cicadapond.placing import Placer, ServerHealth
-from cicadapond.provider import TableService
 from cicadapond.quotas import QuotaShares
-from cicadapond.residency import PartCalls
 from cicadapond.rollout import ExposureBounds, Rollouts
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import DemandMeter
@@ -75,31 +70,6 @@
 STOP_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
-@attrs.frozen
-class PlatformAdapters:
-    """The adapters through which a gateway process reaches the platform.
-
-    `decode_configuration` and `decode_server` decode rows that others write to the store;
-    `configuration_row` is the table and key of the configuration, `server_table` the table of
-    backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
-    Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
-    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes.
-    """
-
-    header_codec: HeaderCodec
-    memory: MemoryBudget
-    tables: TableService
-    feed: object
-    cloud: Cloud | None
-    decode_configuration: object
-    decode_server: object
-    configuration_row: tuple[str, str]
-    server_table: str
-    rollout_codec: RolloutCodec | None = None
-    engine_calls: EngineCalls | None = None
-    part_calls: PartCalls | None = None
-
-
 class Node:
     """A gateway process.
 
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -1,7 +1,7 @@
 """Builds the adapters through which a gateway process reaches the platform."""
 
 from cicadapond.forwarding import HttpClient
-from cicadapond.gateway._node import PlatformAdapters
+from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.memory import MemoryBudget, bound_of
 from cicadapond.platform import (
     CONFIGURATION_KEY,
