--- a/cicadapond/gateway/_continuing.py
+++ b/cicadapond/gateway/_continuing.py
@@ -43,6 +43,8 @@
             stopped = _stopped(outcome)
             if not isinstance(result, Moved | KeptAtSource):
                 return stopped, entry
+            # It stopped between two events, or after the last one.
+            stopped = dataclasses.replace(stopped, may_be_whole=True)
             further = await self._continue(stream, result)
             if further is None:
                 return stopped, entry
@@ -82,5 +84,5 @@
 
 def _stopped(outcome):
     if isinstance(outcome, StreamWhole):
-        outcome = Broken("closed without an end", events=outcome.events)
+        outcome = Broken("closed without an end", events=outcome.events, may_be_whole=True)
     return dataclasses.replace(outcome, was_stopped=True)
--- a/cicadapond/gateway/_evaluation.py
+++ b/cicadapond/gateway/_evaluation.py
@@ -93,6 +93,7 @@
         """
         self._state.may_have_run = True
         self._state.reason = f"its engine left and it could not be moved: {outcome.reason}"
+        self._state.may_be_over = outcome.may_be_whole
         self._state.servers.tried.add(entry.name)
         self._state.count_usage()
         return None if self._state.route.repeatable else self._retries.failure_outcome()
--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from cicadapond.gateway._sending import Sending
 from cicadapond.gateway.harness import MODEL_SERVICE, deployment
-from cicadapond.platform.standin import EngineFault, FleetSettings
+from cicadapond.platform.standin import EngineFault, FleetSettings, MoveFault
 
 EVENTS, INTERVAL_S = 40, 0.02
 NOTICE_S = 0.5
@@ -76,6 +77,24 @@
     run(check, tmp_path, resumable=False)
 
 
+def test_a_stream_is_whole_that_was_stopped_after_its_last_event_and_cannot_be_moved(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(Sending, "_is_past_drain", lambda self, entry: True)
+
+    async def check(system):
+        for engine in system.engines():
+            engine.events, engine.event_interval_s = 5, 0.2
+        caller, engine = await begin(system)
+        system.engine(engine).memory.faults = [MoveFault.NO_ROOM]
+        system.fleet.list_server(engine, MODEL_SERVICE, "draining", leaves_in_s=NOTICE_S)
+        answer = await caller.read_response()
+        assert system.engine(engine).memory.moves == ["s-1"]
+        assert answer.is_complete and answer.event_ids() == [1, 2, 3, 4, 5]
+
+    run(check, tmp_path)
+
+
 def test_a_stream_is_whole_if_its_process_reaches_no_engine_any_more(tmp_path):
     """Guards against LOST: connections live on in some partitions while new ones are refused."""
 
