--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -385,7 +385,7 @@
                 _reset(self._writer)
                 return False
             await self._pause(request_id, shape.interval_s)
-        if run.is_stopped or self._is_unframed:
+        if run.is_stopped:
             return False
         return self._end()
 
@@ -442,6 +442,9 @@
         self._writer.write(self._http.send(event))
 
     def _end(self):
+        """Ends an answer; returns whether the connection can be used again."""
+        if self._is_unframed:
+            return False
         self._send(h11.EndOfMessage())
         return True
 
