--- a/cicadapond/gateway/evacuation_test.py
+++ b/cicadapond/gateway/evacuation_test.py
@@ -115,14 +115,14 @@
     run(check, tmp_path)
 
 
-@pytest.mark.parametrize("taken", ["key", "route", "confirmation"])
+@pytest.mark.parametrize("taken", ["key", "route", "freshness"])
 def test_a_stream_outlives_its_engine_and_its_key_or_route(tmp_path, monkeypatch, taken):
     """Guards against LOST: a run was stopped to be moved, and then refused as a new request is."""
 
     async def check(system):
         caller, source = await begin(system)
         configuration = system.node.parts.active_configuration
-        if taken == "confirmation":  # the store is away for longer than keys may be used
+        if taken == "freshness":  # the store is away for longer than keys may be used
             monkeypatch.setattr(configuration, "may_use_keys", lambda: False)
         else:
             routes = system.fleet.routes()[1 if taken == "route" else 0 :]
@@ -133,7 +133,7 @@
         assert_whole(await caller.read_response())
         await caller.stream("s-2")
         answer = await caller.read_response()
-        assert answer.status == {"key": 401, "route": 404, "confirmation": 503}[taken]
+        assert answer.status == {"key": 401, "route": 404, "freshness": 503}[taken]
         await ending
 
     run(check, tmp_path)
