--- a/cicadapond/forwarding/__init__.py
+++ b/cicadapond/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwarding of requests to backend servers: connections, single attempts and their outcomes."""
 
-from cicadapond.forwarding._attempt import Attempt, ResponseSink, SilenceTimeouts
+from cicadapond.forwarding._attempt import AnswerCosts, Attempt, ResponseSink, SilenceTimeouts
 from cicadapond.forwarding._channel import (
     MAX_UNREAD_BYTES,
     Channel,
@@ -17,6 +17,7 @@
 __all__ = [
     "MAX_UNREAD_BYTES",
     "ResponseSink",
+    "AnswerCosts",
     "Attempt",
     "Broken",
     "BrokenResponseError",
--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -4,6 +4,7 @@
 import asyncio
 import dataclasses
 import datetime
+import math
 import typing
 
 import attrs
@@ -14,7 +15,7 @@
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.gateway import HeaderCodec
 from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
-from cicadapond.kernel import Clock, Turns, late_timeout
+from cicadapond.kernel import Clock, late_timeout
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
 # down or unreachable.
@@ -23,6 +24,10 @@
 # is no stream, and one event of a stream.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
+# If the last answer of a server was too costly, an event of its next one is costly from this
+# processor time on, and may take this much.
+SUSPECT_FREE_COST_S = 0.0005
+MAX_SUSPECT_COST_S = 0.002
 # The pieces that an event may come in, and its bytes with their framing.
 MAX_EVENT_PIECES = 32 * 1024
 MAX_FRAMED_EVENT_BYTES = 2 * MAX_EVENT_BYTES
@@ -51,6 +56,27 @@
         """Receives the next complete event."""
 
 
+class AnswerCosts(abc.ABC):
+    """Learns which servers send answers that cost much and bring nothing."""
+
+    @abc.abstractmethod
+    def begin(self, server: ServerEntry) -> bool:
+        """Records that a request is being sent; returns whether the last answer was too costly."""
+
+    @abc.abstractmethod
+    def record_costly(self, server: ServerEntry, cost: datetime.timedelta) -> None:
+        """Records an answer that was given up and had cost much.
+
+        Args:
+          server: The server.
+          cost: The processor time since its last event, or since its beginning.
+        """
+
+    @abc.abstractmethod
+    def record_whole(self, server: ServerEntry) -> None:
+        """Records a complete answer."""
+
+
 @attrs.frozen
 class SilenceTimeouts:
     """How long a server may send nothing before the attempt times out; None means no limit.
@@ -76,6 +102,7 @@
       clock: The clock.
       reaches_others: Returns whether other servers of a server's service can be reached; if not,
         lost links look like the server's end.  None if that does not matter.
+      costs: Learns of costly answers, None if nobody does.
     """
 
     def __init__(
@@ -84,11 +111,13 @@
         pool: ConnectionPool,
         clock: Clock,
         reaches_others: typing.Callable[[ServerEntry], typing.Awaitable[bool]] | None = None,
+        costs: AnswerCosts | None = None,
     ):
         self._header_codec = header_codec
         self._pool = pool
         self._clock = clock
         self._reaches_others = reaches_others
+        self._costs = costs
 
     async def run(
         self,
@@ -131,15 +160,31 @@
         if reason is not None:
             self._pool.release(server.name, conn)
             return NotSent(reason)
+        outcome = None
         try:
-            return await self._exchange(conn, req, dispatch, sink, silence)
+            outcome = await self._exchange(conn, req, dispatch, sink, silence)
+            return outcome
         except BaseException:
             conn.reset()
             raise
+        finally:
+            self._record_cost(conn, server, outcome)
+
+    def _record_cost(self, conn, server, outcome):
+        if self._costs is None:
+            return
+        if isinstance(outcome, StreamWhole | Whole):
+            self._costs.record_whole(server)
+        elif conn.meter.is_costly:
+            cost = datetime.timedelta(seconds=conn.meter.fruitless_s)
+            self._costs.record_costly(server, cost)
 
     async def _exchange(self, conn, req, dispatch, sink, silence):
         headers = self._header_codec.server_headers(req, dispatch)
         conn.send(req.method, req.target, headers, req.body)
+        is_suspect = self._costs is not None and self._costs.begin(dispatch.server)
+        if is_suspect:
+            conn.meter.free_cost_s = SUSPECT_FREE_COST_S
         progress = _Progress()
         try:
             async with conn.bounded(dispatch.server.start):
@@ -149,7 +194,10 @@
                     sink.head(head)
                 progress.head = head
                 if _is_stream(head):
-                    outcome = await self._relay_stream(conn, dispatch, sink, silence, progress)
+                    size = _EventSize(conn, MAX_SUSPECT_COST_S if is_suspect else math.inf)
+                    outcome = await self._relay_stream(
+                        conn, dispatch, sink, silence, progress, size
+                    )
                 else:
                     outcome = await _read_full_response(conn, head)
         except BrokenResponseError as exc:
@@ -157,7 +205,10 @@
             return progress.to_broken(str(exc), conn, exc.was_silent, exc.is_malformed)
         except TimeoutError:
             conn.reset()
-            return progress.to_broken("the server is silent", conn, was_silent=True)
+            reason, is_costly = "the server is silent", conn.meter.is_costly
+            if is_costly:
+                reason = "the answer costs more than it brings"
+            return progress.to_broken(reason, conn, was_silent=True, is_malformed=is_costly)
         if isinstance(outcome, Refused):
             conn.refused_ids.add(req.id)
         elif not conn.is_framed and not await self._is_running(dispatch.server):
@@ -188,9 +239,8 @@
             await conn.skip_response(MAX_RESPONSE_BYTES)
         raise BrokenResponseError("answers to other requests only", is_malformed=True)
 
-    async def _relay_stream(self, conn, dispatch, sink, silence, progress):
-        splitter, turns = EventSplitter(), Turns()
-        size = _EventSize(conn)
+    async def _relay_stream(self, conn, dispatch, sink, silence, progress, size):
+        splitter, meter = EventSplitter(), conn.meter
         server = dispatch.server
         # Bytes that complete no event do not count as progress: a stalled server may go on sending
         # some now and then.
@@ -199,6 +249,7 @@
             data = await self._read_chunk(conn, server, silence, progress, waiting_since)
             if data is None:
                 break
+            meter.begin_work()
             splitter.feed(data)
             event = splitter.next_event()
             conn.mark_waiting(event is not None)
@@ -207,11 +258,14 @@
                 if progress.events == 0:
                     await sink.begin(progress.head)
                 await sink.event(event)
+                meter.end_result()
                 progress.record_event(event)
                 waiting_since = self._clock.monotonic()
                 size.begin_event()
-                await turns.step()
+                await meter.step()
+                meter.begin_work()
                 event = splitter.next_event()
+            meter.end_work()
             conn.keep(splitter.buffered_bytes)
             conn.mark_waiting(False)
             size.check(splitter.buffered_bytes)
@@ -303,10 +357,16 @@
 
 
 class _EventSize:
-    """Bounds what is received of one event, whatever the server writes between its bytes."""
+    """Bounds what one event takes, whatever the server writes between its bytes.
+
+    Args:
+      conn: The connection.
+      max_cost_s: The processor time that it may take, in seconds.
+    """
 
-    def __init__(self, conn):
+    def __init__(self, conn, max_cost_s):
         self._conn = conn
+        self._max_cost_s = max_cost_s
         self.begin_event()
 
     def begin_event(self):
@@ -317,6 +377,8 @@
         """Raises BrokenResponseError if the event is too large."""
         if buffered_bytes > MAX_EVENT_BYTES:
             excess = f"{MAX_EVENT_BYTES} bytes"
+        elif self._conn.meter.fruitless_s > self._max_cost_s:
+            excess = f"{1000 * self._max_cost_s:.0f} ms of work"
         elif self._conn.received_pieces - self._first_piece > MAX_EVENT_PIECES:
             excess = f"{MAX_EVENT_PIECES} pieces"
         elif self._conn.received_bytes - self._first_byte > MAX_FRAMED_EVENT_BYTES:
--- a/cicadapond/forwarding/_connection.py
+++ b/cicadapond/forwarding/_connection.py
@@ -7,7 +7,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._channel import Channel, ChannelClosedError, open_channel
-from cicadapond.kernel import STEPS_PER_TURN, Turns
+from cicadapond.kernel import STEPS_PER_TURN, ProcessorShare, WorkMeter
 from cicadapond.memory import Account, Kind, MemoryBudget
 
 # Informational responses before a response; a server that sends more does not end.
@@ -39,14 +39,21 @@
     Args:
       channel: The TCP connection.
       now: The monotonic time at which it was made.
+      processor: Gives turns to costly answers.
 
     Attributes:
+      meter: Measures the work on the answer in progress.
       received_bytes: How many bytes were received since the last request was sent.
       received_pieces: In how many pieces the body came that was read since then.
       is_framed: Whether the response's end is marked; else it ends with the connection.
     """
 
-    def __init__(self, channel: Channel, now: datetime.timedelta):
+    def __init__(
+        self,
+        channel: Channel,
+        now: datetime.timedelta,
+        processor: ProcessorShare | None = None,
+    ):
         self._channel = channel
         self._http = h11.Connection(h11.CLIENT)
         self._request = None
@@ -55,7 +62,8 @@
         self._has_ended = False
         # What follows the pieces of a body that were returned together: a parsed event or an error.
         self._following: object = None
-        self._turns = Turns()
+        self._processor = processor
+        self.meter = WorkMeter(processor)
         self.received_bytes = 0
         self.received_pieces = 0
         self.is_framed = True
@@ -76,10 +84,11 @@
         clock,
         memory: MemoryBudget,
         kind: Kind,
+        processor: ProcessorShare | None = None,
     ):
         """Returns a new connection, None if none could be made."""
         channel = await open_channel(endpoint, timeout, memory, kind)
-        return cls(channel, clock.monotonic()) if channel is not None else None
+        return cls(channel, clock.monotonic(), processor) if channel is not None else None
 
     @property
     def is_reusable(self) -> bool:
@@ -115,6 +124,7 @@
         """Sends a request with its content length, in a single write."""
         self.requests_sent += 1
         self.received_bytes = self.received_pieces = 0
+        self.meter = WorkMeter(self._processor)
         self._channel.on_closed = None
         self._channel.on_data = None
         if self._http.our_state is h11.DONE:
@@ -179,6 +189,7 @@
         Raises:
           BrokenResponseError: If the response is truncated.
         """
+        self.meter.begin_work()
         event, self._following = self._following, None
         if event is None:
             event = await self._next_event()
@@ -194,8 +205,9 @@
             if not isinstance(event, h11.Data) and event is not h11.NEED_DATA:
                 self._following = event
             self.received_pieces += len(pieces)
-            await self._turns.step(len(pieces))
-            return b"".join(pieces)
+            data = b"".join(pieces)
+            await self.meter.end_pieces(len(pieces), len(data))
+            return data
         if isinstance(event, h11.EndOfMessage):
             return None
         raise BrokenResponseError(f"{type(event).__name__} within an answer")
@@ -281,7 +293,9 @@
 
     async def _receive(self):
         try:
+            self.meter.end_work()
             data = await self._channel.read()
+            self.meter.begin_work()
             self.received_bytes += len(data)
             return data
         except ChannelClosedError as exc:
--- a/cicadapond/forwarding/_pool.py
+++ b/cicadapond/forwarding/_pool.py
@@ -6,7 +6,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._connection import ServerConnection
-from cicadapond.kernel import Clock, Metrics
+from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import Kind, MemoryBudget
 
 # For servers that advertise no keep-alive time, and the upper limit for the others.
@@ -31,6 +31,7 @@
       metrics: Receives the counts of connections opened and reused.
       memory: Counts the bytes that the connections hold; the default has no bound.
       kind: What they receive.
+      processor: Gives turns to costly answers; by default each takes them for itself.
 
     Attributes:
       on_connect: Called with the server's name and how long it took to connect to it.
@@ -42,11 +43,13 @@
         metrics: Metrics,
         memory: MemoryBudget | None = None,
         kind: Kind = Kind.ANSWERS,
+        processor: ProcessorShare | None = None,
     ):
         self._clock = clock
         self._metrics = metrics
         self._memory = memory or MemoryBudget()
         self._kind = kind
+        self._processor = processor
         self._idle: dict[str, collections.deque[ServerConnection]] = {}
         self._paused_at: datetime.timedelta | None = None
         self.on_connect: typing.Callable[[str, datetime.timedelta], None] = lambda name, took: None
@@ -79,7 +82,7 @@
         """Returns a new connection to a server, None if none could be made."""
         begun = self._clock.monotonic()
         conn = await ServerConnection.connect(
-            endpoint, timeout, self._clock, self._memory, self._kind
+            endpoint, timeout, self._clock, self._memory, self._kind, self._processor
         )
         if conn is not None:
             self.on_connect(server, self._clock.monotonic() - begun)
--- a/cicadapond/forwarding/endless_answer_test.py
+++ b/cicadapond/forwarding/endless_answer_test.py
@@ -10,6 +10,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import (
+    AnswerCosts,
     Attempt,
     Broken,
     ConnectionPool,
@@ -19,7 +20,7 @@
     Whole,
 )
 from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
-from cicadapond.kernel import STEPS_PER_TURN, LoopClock, Metrics, seconds
+from cicadapond.kernel import STEPS_PER_TURN, LoopClock, Metrics, _processor_share, seconds
 from cicadapond.platform import PlatformHeaderCodec
 
 OWN = b"HTTP/1.1 200 OK\r\nX-Cicadapond-Attempt-Id: r-1\r\nX-Cicadapond-Response-Signature: s\r\n"
@@ -62,7 +63,37 @@
         self.events += 1
 
 
-async def attempt_at(serve, sink, limit_s):
+class Costs(AnswerCosts):
+    """Collects the costs of answers."""
+
+    def __init__(self, suspects=()):
+        self.found = []
+        self._suspects = suspects
+
+    def begin(self, server):
+        return server.name in self._suspects
+
+    def record_costly(self, server, cost):
+        self.found.append((server.name, cost))
+
+    def record_whole(self, server):
+        self.found.append((server.name, None))
+
+
+class SlowMachine:
+    """The time on a machine where each turn of work takes long."""
+
+    def __init__(self):
+        self._now = 0.0
+
+    def perf_counter(self):
+        self._now += 0.005
+        return self._now
+
+    thread_time = perf_counter
+
+
+async def attempt_at(serve, sink, limit_s, silence=None, costs=None):
     """Returns the outcome of a request to a server."""
 
     async def handle(reader, writer):
@@ -78,11 +109,17 @@
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     entry = ServerEntry("s-0", "s", Endpoint(*server.sockets[0].getsockname()[:2]), "z", 8)
     clock = LoopClock()
-    attempt = Attempt(PlatformHeaderCodec(), ConnectionPool(clock, Metrics()), clock)
+    pool = ConnectionPool(clock, Metrics())
+    attempt = Attempt(PlatformHeaderCodec(), pool, clock, costs=costs)
     req = CallerRequest("r-1", "GET", b"/x", "h", "/x", ((b"host", b"h"),))
     async with server, asyncio.timeout(limit_s):
         return await attempt.run(
-            req, Dispatch(entry, seconds(limit_s)), sink, SilenceTimeouts(), False, lambda: None
+            req,
+            Dispatch(entry, seconds(limit_s)),
+            sink,
+            silence or SilenceTimeouts(),
+            False,
+            lambda: None,
         )
 
 
@@ -184,6 +221,32 @@
     assert asyncio.run(main()) >= pieces * steps_per_piece / STEPS_PER_TURN
 
 
+@pytest.mark.parametrize("suspects", [(), ("s-0",)])
+def test_an_event_without_end_takes_few_turns_and_counts_against_its_server(monkeypatch, suspects):
+    """Guards against CONFIG: on a slow machine, an answer without end took most of the time.
+
+    It was ended by the time-out of its first event, as if its server had been silent.
+    """
+    monkeypatch.setattr(_processor_share, "time", SlowMachine())
+    begin, piece = ENDLESS["event"]
+
+    async def serve(writer):
+        writer.write(begin)
+        while True:
+            writer.write(piece * STEPS_PER_TURN)
+            await writer.drain()
+
+    costs = Costs(suspects)
+    silence = SilenceTimeouts(first=seconds(0.5))
+    outcome = asyncio.run(attempt_at(serve, Sink(), 60, silence, costs))
+    assert isinstance(outcome, Broken) and outcome.is_malformed
+    # What is spent on a suspected server ends the answer before its time-out does.
+    assert outcome.was_silent != bool(suspects)
+    ((server, cost),) = costs.found
+    # A turn takes 10 ms here, and a pause of nine times as long follows.
+    assert server == "s-0" and cost <= seconds(0.01 * 8)
+
+
 def test_a_sound_answer_in_single_bytes_is_not_cut():
     """Guards against LOST: the bounds are on work, not on the pace of a server."""
     body = bytes(itertools.islice(itertools.cycle(range(256)), 20_000))
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -9,7 +9,7 @@
 
 from cicadapond.forwarding import MAX_UNREAD_BYTES, Channel, ChannelClosedError
 from cicadapond.gateway.data import RequestLimits
-from cicadapond.kernel import Turns
+from cicadapond.kernel import ProcessorShare, WorkMeter
 from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
@@ -135,9 +135,16 @@
       handler: Handles its requests.
       clock: The clock.
       memory: Counts the bytes that the connection holds; the default has no bound.
+      processor: Gives turns to costly uploads.
     """
 
-    def __init__(self, handler: RequestHandler, clock, memory: MemoryBudget | None = None):
+    def __init__(
+        self,
+        handler: RequestHandler,
+        clock,
+        memory: MemoryBudget | None = None,
+        processor: ProcessorShare | None = None,
+    ):
         super().__init__(memory, Kind.REQUESTS)
         self._handler = handler
         self._clock = clock
@@ -147,7 +154,8 @@
         self._is_serving = False
         self._reads_body = False
         self._has_begun_answer = False
-        self._turns = Turns()
+        self._processor = processor
+        self._meter = WorkMeter(processor)
         self._received_bytes = 0
         self._headers: Headers = ()
 
@@ -235,6 +243,7 @@
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         self._reads_body = True
+        self._meter = WorkMeter(self._processor)
         try:
             body = await self._read_body(limits)
         except ChannelClosedError as exc:
@@ -273,7 +282,7 @@
         begun_at = self._received_bytes
         late = RequestError(408, "request body not received in time")
         while True:
-            await self._turns.step()
+            self._meter.begin_work()
             try:
                 event = await self._next_event_within(limits.idle_timeout, late)
             except RequestError as exc:
@@ -293,6 +302,7 @@
                     framed = self._received_bytes - begun_at
                     if framed > MAX_FRAMING_FACTOR * limits.body_bytes + MAX_UNREAD_BYTES:
                         raise RequestError(413, "request body with its framing too long")
+                    await self._meter.end_pieces(1, len(data))
                 case h11.EndOfMessage():
                     return bytes(body)
                 case _:
@@ -303,6 +313,9 @@
 
         An event loop that was behind runs the time-out before it reads what has been received.
         """
+        event = self._parse_next()
+        if event is not h11.NEED_DATA:
+            return event
         timeout_s = timeout.total_seconds()
         while True:
             try:
@@ -319,15 +332,21 @@
         return super()._waiting_bytes() if self._reads_body else len(self._unread)
 
     async def _next_event(self):
+        while (event := self._parse_next()) is h11.NEED_DATA:
+            self.mark_parsed()
+            self._meter.end_work()
+            data = await self.read()
+            self._meter.begin_work()
+            self._received_bytes += len(data)
+            self._http.receive_data(data)
+        return event
+
+    def _parse_next(self):
+        """Returns the next event of what has been received, NEED_DATA if more is needed."""
         try:
-            while (event := self._http.next_event()) is h11.NEED_DATA:
-                self.mark_parsed()
-                data = await self.read()
-                self._received_bytes += len(data)
-                self._http.receive_data(data)
+            return self._http.next_event()
         except h11.RemoteProtocolError as exc:
             raise RequestError(exc.error_status_hint, str(exc)) from exc
-        return event
 
     # Writing responses
 
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -476,6 +476,10 @@
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
         self._parts.origins.apply(zone, summary.origins)
+        for server, answers in summary.costly.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None:
+                self._parts.costly_servers.merge(entry, answers)
         for server, advisory in summary.advisories.items():
             entry = self._parts.registry.find(server)
             if entry is not None and not concerns_earlier_builds(advisory):
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -320,7 +320,7 @@
     """A caller's connection that registers itself in the set of open connections."""
 
     def __init__(self, handler, parts, connections):
-        super().__init__(handler, parts.clock, parts.memory)
+        super().__init__(handler, parts.clock, parts.memory, parts.processor)
         self._connections = connections
 
     def connection_made(self, transport):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -14,6 +14,7 @@
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._configuration_keeper import ConfigurationKeeper
+from cicadapond.gateway._costly_servers import CostlyServers
 from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._crash_check import CrashCheck
 from cicadapond.gateway._duties import (
@@ -45,7 +46,7 @@
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
 from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
-from cicadapond.kernel import Metrics, TaskGroup, raised_at
+from cicadapond.kernel import Metrics, ProcessorShare, TaskGroup, raised_at
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.memory import Kind
 from cicadapond.peer import rank
@@ -126,11 +127,14 @@
         if adapters.engine_calls is not None:
             self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
         self.parts.links.on_change = self._cluster.publish_soon
+        self.parts.costly_servers.on_change = self._cluster.publish_soon
         if self._rollouts is not None:
             self._rollouts.publish_soon = self._cluster.publish_soon
             self._rollouts.absent = self._cluster.without_rollouts
         self._cluster.cut_off_services = self.parts.links.cut_off_services
-        self._relay_pool = ConnectionPool(clock, metrics, adapters.memory, Kind.RELAYED)
+        self._relay_pool = ConnectionPool(
+            clock, metrics, adapters.memory, Kind.RELAYED, self.parts.processor
+        )
         self.parts.relay = Relay(
             adapters.header_codec, self._relay_pool, clock, cfg.zone, self._cluster.relay_peers
         )
@@ -161,10 +165,12 @@
 
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
-        pool = ConnectionPool(clock, self._metrics, self._adapters.memory)
+        processor = ProcessorShare()
+        pool = ConnectionPool(clock, self._metrics, self._adapters.memory, processor=processor)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
         links = ServerLinks(registry, health, pool, clock, self._log, self._metrics)
         codec = self._adapters.header_codec
+        costly_servers = CostlyServers(health, clock, self._log, self._metrics, self._rng)
         watch = self._make_engine_watch(registry)
         placer = Placer(
             clock,
@@ -200,7 +206,7 @@
             ),
             origins=StreamOrigins(clock),
             pool=pool,
-            attempt=Attempt(codec, pool, clock, links.reaches_others),
+            attempt=Attempt(codec, pool, clock, links.reaches_others, costly_servers),
             retry_limiter=RetryLimiter(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, clock
             ),
@@ -209,7 +215,9 @@
             crashes=crashes,
             starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
+            costly_servers=costly_servers,
             memory=self._adapters.memory,
+            processor=processor,
             links=links,
             queues=queues,
             rollouts=rollouts,
--- a/cicadapond/gateway/_own_report.py
+++ b/cicadapond/gateway/_own_report.py
@@ -32,6 +32,7 @@
         advisories=parts.advisories.reported() | parts.rollouts.announced(),
         origins=parts.origins.reported(),
         crash_evidence=parts.crashes.observed(),
+        costly=parts.costly_servers.reported(),
         cut_off={process: tuple(cut_off)} if cut_off else {},
         rollouts=parts.rollouts.reported(),
         held=held,
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -1,6 +1,7 @@
 """The components of one gateway process, passed as one object to modules that use several."""
 
 import datetime
+import random
 import typing
 
 import attrs
@@ -10,6 +11,7 @@
 from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
+from cicadapond.gateway._costly_servers import CostlyServers
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._malformed_answers import MalformedAnswers
@@ -19,7 +21,7 @@
 from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._stream_moves import StreamMoves
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
-from cicadapond.kernel import Clock, Metrics
+from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import MemoryBudget
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.quotas import QuotaShares
@@ -50,7 +52,8 @@
     of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
     `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
     which versions were in service before this process started, None if that is not kept;
-    `memory` bounds what the process holds of others' bytes.
+    `memory` bounds what the process holds of others' bytes, and `processor` the time that it
+    spends on costly ones.
     """
 
     cfg: GatewaySettings
@@ -74,6 +77,7 @@
     links: ServerLinks
     starts: ServerStarts
     memory: MemoryBudget = attrs.field(factory=MemoryBudget)
+    processor: ProcessorShare = attrs.field(factory=ProcessorShare)
     rollouts: RolloutGate = attrs.field(factory=NoRollouts)
     stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
@@ -87,6 +91,14 @@
     engine_watch: "EngineWatch | None" = None
     version_history: VersionHistory | None = None
     stopping_since: datetime.timedelta | None = None
+    costly_servers: CostlyServers = attrs.field(
+        default=attrs.Factory(
+            lambda self: CostlyServers(
+                self.health, self.clock, self.log, self.metrics, random.Random()
+            ),
+            takes_self=True,
+        )
+    )
     malformed_answers: MalformedAnswers = attrs.field(
         init=False,
         default=attrs.Factory(
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -14,6 +14,7 @@
 from cicadapond.advisories import Advisory
 from cicadapond.containment import Crash, CrashEvidence, Successes, merge_evidence
 from cicadapond.continuation import Buckets, drop_old_buckets, merge_buckets
+from cicadapond.gateway._costly_servers import CostlyAnswers
 from cicadapond.gateway._run_totals import RunTotals, Totals
 from cicadapond.placing import EngineWork
 from cicadapond.residency import HeldParts, merge_groups
@@ -59,6 +60,7 @@
       advisories: What servers said of themselves, by server.
       origins: Streams in progress lately, by the version that began them.
       crash_evidence: Crashes of servers, and successes that speak against suspicion.
+      costly: Costly answers of servers, by server; builds up to 9d21365 do not say so.
       cut_off: The services whose servers a process does not reach, by the process's name.
       rollouts: What was sent to old and new versions, and what came of it: running totals by an
         opaque key.
@@ -80,6 +82,7 @@
     advisories: typing.Mapping[str, Advisory] = attrs.field(factory=dict)
     origins: Buckets = attrs.field(factory=dict)
     crash_evidence: CrashEvidence = CrashEvidence()
+    costly: typing.Mapping[str, CostlyAnswers] = attrs.field(factory=dict)
     cut_off: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
     rollouts: Totals = attrs.field(factory=dict)
     held: typing.Mapping[str, HeldParts] = attrs.field(factory=dict)
@@ -113,6 +116,8 @@
             items[f"c {server}"] = [_to_ms(crash.at), sorted(crash.traits)]
         for trait, successes in self.crash_evidence.successes.items():
             items[f"k {trait}"] = [successes.count, _to_ms(successes.last)]
+        for server, answers in self.costly.items():
+            items[f"m {server}"] = [answers.born, answers.count, _to_ms(answers.last_at)]
         items |= {f"r {process}": list(services) for process, services in self.cut_off.items()}
         if self.participants:
             items["q"] = self.participants
@@ -133,7 +138,7 @@
     """Decodes a report; returns None if there is none or it is malformed."""
     if "" not in items:
         return None
-    fields = {kind: {} for kind in "suwxdeaockrvhbp"}
+    fields = {kind: {} for kind in "suwxdeaockmrvhbp"}
     participants = restore_followers = 0
     try:
         sequence, configuration, processes, lineage = items[""]
@@ -160,6 +165,9 @@
                 case "k":
                     count, last_ms = value
                     fields[kind][name] = Successes(int(count), _from_ms(last_ms))
+                case "m":
+                    born, count, last_ms = value
+                    fields[kind][name] = CostlyAnswers(int(born), int(count), _from_ms(last_ms))
                 case "r":
                     fields[kind][name] = tuple(map(str, value))
                 case "q":
@@ -189,6 +197,7 @@
             advisories=fields["a"],
             origins=fields["o"],
             crash_evidence=CrashEvidence(fields["c"], fields["k"]),
+            costly=fields["m"],
             cut_off=fields["r"],
             rollouts=fields["v"],
             held=_read_held(fields["h"], fields["b"]),
@@ -367,6 +376,7 @@
             advisories=advisories,
             origins={number: dict(versions) for number, versions in self._origins.items()},
             crash_evidence=merge_evidence(run.report.crash_evidence for run in counted),
+            costly=_latest_costly(counted),
             cut_off={
                 process: services
                 for run in counted
@@ -392,6 +402,17 @@
                 del self._runs[name]
 
 
+def _latest_costly(runs):
+    """Returns the last costly answer of each server that the processes tell of."""
+    found: dict[str, CostlyAnswers] = {}
+    for run in runs:
+        for server, answers in run.report.costly.items():
+            known = found.get(server)
+            if known is None or (answers.born, answers.last_at) > (known.born, known.last_at):
+                found[server] = answers
+    return found
+
+
 def _latest_held(runs):
     """Returns what the processes last told of each engine's latest start."""
     found: dict[str, HeldParts] = {}
--- a/cicadapond/gateway/_tables.py
+++ b/cicadapond/gateway/_tables.py
@@ -112,4 +112,5 @@
         if change.kind == "gone":
             self._parts.placer.remove(change.name)
             self._parts.health.remove(change.name)
+            self._parts.costly_servers.remove(change.name)
             self._parts.advisories.remove(change.name)
--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -18,6 +18,7 @@
     Unavailable,
     Unknown,
 )
+from cicadapond.kernel._processor_share import ProcessorShare, WorkMeter
 from cicadapond.kernel._registry import Registry, load_plugins
 from cicadapond.kernel._settings import (
     SettingsError,
@@ -56,6 +57,7 @@
     "NotRun",
     "Ok",
     "Place",
+    "ProcessorShare",
     "Registry",
     "STEPS_PER_TURN",
     "SettingsError",
@@ -66,6 +68,7 @@
     "Unknown",
     "VirtualClock",
     "VirtualLoop",
+    "WorkMeter",
     "at_least",
     "between",
     "load_plugins",
--- a/cicadapond/placing/_health.py
+++ b/cicadapond/placing/_health.py
@@ -119,6 +119,20 @@
         record.consecutive_failures = 0
         return True
 
+    def suspend(self, server: str, duration: datetime.timedelta) -> None:
+        """Ejects a server from now on, for as long as there are enough others.
+
+        Args:
+          server: The server's name.
+          duration: For how long.
+        """
+        record = self._record(server)
+        record.ejected_until = max(record.ejected_until, self._clock.monotonic() + duration)
+
+    def end_suspension(self, server: str) -> None:
+        """Takes a server in again that was ejected or suspended."""
+        self._record(server).ejected_until = self._clock.monotonic()
+
     def usable(self, servers: list) -> list:
         """Returns the servers that are neither unreachable nor ejected.
 
