--- a/cicadapond/_start_signals.py
+++ b/cicadapond/_start_signals.py
@@ -1,11 +1,12 @@
 """Signals that arrive while a program is imported, until it takes them over.
 
 The package imports this module before all others, as by default SIGHUP and SIGTERM end a process
-that is still importing, and SIGINT leaves a traceback.  So it imports little itself.
+that is still importing, and SIGINT leaves a traceback.  So it imports little itself.  What a start
+does before that is covered by `launch`.
 """
 
+import _signal as signal  # `signal` imports other modules
 import os
-import signal
 import sys
 
 PACKAGE = "cicadapond"
@@ -20,7 +21,7 @@
     SIGTERM ends the process at once, with 0: nothing has been begun.
     """
     for number in _HELD:
-        if signal.getsignal(number) is not signal.SIG_IGN:
+        if signal.getsignal(number) != signal.SIG_IGN:
             signal.signal(number, _receive)
 
 
@@ -29,7 +30,7 @@
     for number, default in zip(
         _HELD, (signal.SIG_DFL, signal.default_int_handler, signal.SIG_DFL), strict=True
     ):
-        if signal.getsignal(number) is _receive:
+        if signal.getsignal(number) == _receive:
             signal.signal(number, default)
     received = frozenset(_received)
     _received.clear()
--- a/cicadapond/kernel/_signals.py
+++ b/cicadapond/kernel/_signals.py
@@ -30,6 +30,8 @@
 def stop_on_signals(on_hangup=None) -> StopEvent:
     """Takes the signals over on the running loop, with those that came while the program started.
 
+    Once the current task has ended, a program ignores them, so that none ends it while it exits.
+
     Args:
       on_hangup: Called on SIGHUP; by default that is logged and has no effect.
 
@@ -45,11 +47,22 @@
     loop = asyncio.get_running_loop()
     for number, handler in handlers.items():
         loop.add_signal_handler(number, handler)
+    if _start_signals.is_own_program():
+        asyncio.current_task().add_done_callback(lambda _: _ignore(loop, handlers))
     for number in _start_signals.release():
         handlers[number]()
     return stop
 
 
+def _ignore(loop, numbers):
+    """Ignores signals from now on, also when the loop closes and gives up its handlers."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for number in numbers:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+
+
 def use_default_actions() -> None:
     """Gives signals their default actions; an interrupt that came before ends the process."""
     if signal.SIGINT in _start_signals.release():
