--- a/cicadapond/forwarding/_client.py
+++ b/cicadapond/forwarding/_client.py
@@ -7,7 +7,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding._connection import BrokenResponseError
 from cicadapond.forwarding._pool import ConnectionPool
-from cicadapond.kernel import Clock, Metrics
+from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import Kind, MemoryBudget
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
@@ -57,6 +57,7 @@
       answers_repeat: Whether two equal answers in succession are usual and a late copy of one does
         no harm, so that the connection is kept.
       memory: Counts the bytes of its answers; the default has no bound.
+      processor: Gives turns to costly answers.
     """
 
     def __init__(
@@ -67,13 +68,14 @@
         reuses_connections: bool = True,
         answers_repeat: bool = False,
         memory: MemoryBudget | None = None,
+        processor: ProcessorShare | None = None,
     ):
         self._endpoint = endpoint
         self._clock = clock
         self._reuses_connections = reuses_connections
         self._answers_repeat = answers_repeat
         self._name = str(endpoint)
-        self._pool = ConnectionPool(clock, metrics, memory, Kind.CALLS)
+        self._pool = ConnectionPool(clock, metrics, memory, Kind.CALLS, processor)
 
     async def call(
         self,
--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -6,6 +6,7 @@
 from cicadapond.gateway._engine_calls import EngineCalls
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._rollout_codec import RolloutCodec
+from cicadapond.kernel import ProcessorShare
 from cicadapond.memory import MemoryBudget
 from cicadapond.provider import TableService
 from cicadapond.residency import PartCalls
@@ -19,11 +20,13 @@
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
     Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
-    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes.
+    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes, and
+    `processor` the time that it spends on costly ones.
     """
 
     header_codec: HeaderCodec
     memory: MemoryBudget
+    processor: ProcessorShare
     tables: TableService
     feed: object
     cloud: Cloud | None
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -46,7 +46,7 @@
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
 from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
-from cicadapond.kernel import Metrics, ProcessorShare, TaskGroup, raised_at
+from cicadapond.kernel import Metrics, TaskGroup, raised_at
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.memory import Kind
 from cicadapond.peer import rank
@@ -133,7 +133,7 @@
             self._rollouts.absent = self._cluster.without_rollouts
         self._cluster.cut_off_services = self.parts.links.cut_off_services
         self._relay_pool = ConnectionPool(
-            clock, metrics, adapters.memory, Kind.RELAYED, self.parts.processor
+            clock, metrics, adapters.memory, Kind.RELAYED, adapters.processor
         )
         self.parts.relay = Relay(
             adapters.header_codec, self._relay_pool, clock, cfg.zone, self._cluster.relay_peers
@@ -165,8 +165,8 @@
 
     def _make_parts(self):
         cfg, clock, bounds = self._cfg, self._clock, self._cfg.bounds
-        processor = ProcessorShare()
-        pool = ConnectionPool(clock, self._metrics, self._adapters.memory, processor=processor)
+        memory, processor = self._adapters.memory, self._adapters.processor
+        pool = ConnectionPool(clock, self._metrics, memory, processor=processor)
         registry, health = ServerRegistry(clock), ServerHealth(clock, cfg.zone)
         links = ServerLinks(registry, health, pool, clock, self._log, self._metrics)
         codec = self._adapters.header_codec
@@ -216,7 +216,7 @@
             starts=ServerStarts(clock, registry, crashes),
             demand=DemandMeter(clock),
             costly_servers=costly_servers,
-            memory=self._adapters.memory,
+            memory=memory,
             processor=processor,
             links=links,
             queues=queues,
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -2,6 +2,7 @@
 
 from cicadapond.forwarding import HttpClient
 from cicadapond.gateway._adapters import PlatformAdapters
+from cicadapond.kernel import ProcessorShare
 from cicadapond.memory import MemoryBudget, bound_of
 from cicadapond.platform import (
     CONFIGURATION_KEY,
@@ -20,7 +21,7 @@
 
 def platform_adapters(cfg, clock, log, metrics) -> PlatformAdapters:
     """Returns the platform adapters of one process."""
-    memory = MemoryBudget(bound_of(cfg.memory_bytes))
+    memory, processor = MemoryBudget(bound_of(cfg.memory_bytes)), ProcessorShare()
     store = PlatformStore(HttpClient(cfg.store, clock, metrics, memory=memory), log, metrics)
     # The cloud's answers are all alike, so that a late copy could not be told from an answer.
     cloud = None
@@ -30,6 +31,7 @@
     return PlatformAdapters(
         header_codec=PlatformHeaderCodec(),
         memory=memory,
+        processor=processor,
         tables=store,
         feed=store,
         cloud=cloud,
@@ -38,6 +40,6 @@
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
         rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
-        engine_calls=PlatformEngineCalls(clock, metrics, memory),
-        part_calls=PlatformPartCalls(clock, metrics, memory),
+        engine_calls=PlatformEngineCalls(clock, metrics, memory, processor),
+        part_calls=PlatformPartCalls(clock, metrics, memory, processor),
     )
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -13,7 +13,7 @@
     MoveResult,
     MoveUnknown,
 )
-from cicadapond.kernel import Clock, Metrics
+from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import MemoryBudget
 
 MOVE_PATH = "/kv-move"
@@ -30,12 +30,20 @@
       clock: The clock.
       metrics: Receives the counts of connections.
       memory: Counts the bytes of answers; the default has no bound.
+      processor: Gives turns to costly answers.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics, memory: MemoryBudget | None = None):
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        memory: MemoryBudget | None = None,
+        processor: ProcessorShare | None = None,
+    ):
         self._clock = clock
         self._metrics = metrics
         self._memory = memory
+        self._processor = processor
         self._clients: dict[Endpoint, HttpClient] = {}
 
     async def move(self, source, request_id, destination, timeout):
@@ -67,7 +75,9 @@
     def _client(self, endpoint):
         client = self._clients.get(endpoint)
         if client is None:
-            client = HttpClient(endpoint, self._clock, self._metrics, memory=self._memory)
+            client = HttpClient(
+                endpoint, self._clock, self._metrics, memory=self._memory, processor=self._processor
+            )
             self._clients[endpoint] = client
         return client
 
--- a/cicadapond/platform/_part_calls.py
+++ b/cicadapond/platform/_part_calls.py
@@ -5,7 +5,7 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import HttpClient, NoConnection, ReplyLost
-from cicadapond.kernel import Clock, Metrics
+from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import MemoryBudget
 from cicadapond.residency import (
     CallsExceeded,
@@ -35,12 +35,20 @@
       clock: The clock.
       metrics: Receives the counts of connections.
       memory: Counts the bytes of answers; the default has no bound.
+      processor: Gives turns to costly answers.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics, memory: MemoryBudget | None = None):
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        memory: MemoryBudget | None = None,
+        processor: ProcessorShare | None = None,
+    ):
         self._clock = clock
         self._metrics = metrics
         self._memory = memory
+        self._processor = processor
         self._clients: dict[Endpoint, HttpClient] = {}
 
     async def events(self, server, since, wait):
@@ -67,6 +75,7 @@
                 self._metrics,
                 answers_repeat=True,
                 memory=self._memory,
+                processor=self._processor,
             )
             self._clients[server.endpoint] = client
         headers = ((TARGET, server.name.encode()), *headers)
