--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -65,7 +65,7 @@
 
     @abc.abstractmethod
     def record_costly(self, server: ServerEntry, cost: datetime.timedelta) -> None:
-        """Records an answer that was given up and had cost much.
+        """Records an answer that is costly: an event in progress, or an answer that was given up.
 
         Args:
           server: The server.
@@ -175,7 +175,13 @@
             return
         if isinstance(outcome, StreamWhole | Whole):
             self._costs.record_whole(server)
-        elif conn.meter.is_costly:
+        else:
+            self._record_if_costly(conn, server)
+
+    def _record_if_costly(self, conn, server):
+        """Records a costly answer once."""
+        if self._costs is not None and conn.meter.is_costly and not conn.meter.is_reported:
+            conn.meter.is_reported = True
             cost = datetime.timedelta(seconds=conn.meter.fruitless_s)
             self._costs.record_costly(server, cost)
 
@@ -269,6 +275,8 @@
             conn.keep(splitter.buffered_bytes)
             conn.mark_waiting(False)
             size.check(splitter.buffered_bytes)
+            # Others would be sent there until the time-out shows that no event comes.
+            self._record_if_costly(conn, server)
         # A run that was stopped after its last event, or whose server ended then, has nothing left
         # where it goes on.  Without framing, the same would be seen if the server died.
         may_be_over = dispatch.memory is not None or dispatch.may_be_over
--- a/cicadapond/kernel/_processor_share.py
+++ b/cicadapond/kernel/_processor_share.py
@@ -70,6 +70,7 @@
 
     Attributes:
       free_cost_s: From what processor time without a result on the input is costly, in seconds.
+      is_reported: Whether somebody was told that the input is costly.
       fruitless_s: The processor time since the last result, in seconds, as far as it was measured.
     """
 
@@ -84,6 +85,7 @@
         self._burst_left_s = RESULT_BURST_S
         self._earned_at = 0.0
         self.free_cost_s = FREE_COST_S
+        self.is_reported = False
         self.fruitless_s = 0.0
 
     @property
