--- a/cicadapond/platform/standin/_endless.py
+++ b/cicadapond/platform/standin/_endless.py
@@ -11,6 +11,7 @@
 
 _REQUEST_ID = re.compile(rb"(?im)^x-cicadapond-attempt-id: *([^\r\n]*)")
 _FILLER = b"a" * CHUNK_BYTES
+_SMALL_CHUNKS = b"10\r\ndata: and so on \r\n" * (CHUNK_BYTES // 16)
 _STREAM = b"content-type: text/event-stream\r\n"
 
 
@@ -26,6 +27,7 @@
     EVENT = "one event"
     COMMENTS = "comments of a stream"
     EVENTS = "whole events"
+    PIECES = "one event in small chunks"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers the first request of a connection without pauses, as a server of its own."""
@@ -86,6 +88,8 @@
             return chunked + _STREAM + b"\r\n" + _chunk(b"id: 1\ndata: "), _chunk(_FILLER)
         case EndlessAnswer.COMMENTS:
             return chunked + _STREAM + b"\r\n", _chunk(b":" + _FILLER + b"\n")
+        case EndlessAnswer.PIECES:
+            return chunked + _STREAM + b"\r\n" + _chunk(b"id: 1\ndata: "), _SMALL_CHUNKS
     return chunked + _STREAM + b"\r\n", _chunk(b"id: 1\ndata: " + _FILLER + b"\n\n")
 
 
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cicadapond.soak._compared_times import disturbed_times
 from cicadapond.soak._configuration_checks import handled_as_configured, unchanged_requests
 from cicadapond.soak._lost import is_excused, late_answers, lost_requests, memory_excesses
 from cicadapond.soak._records import LONG, PROBE, RUN_ONCE, CallRecord, History, Violation, overlaps
@@ -66,6 +67,7 @@
         late_answers,
         memory_excesses,
         unchanged_requests,
+        disturbed_times,
     )
     busy = [(first, last + RESIDUAL_EFFECT_S) for first, last in history.busy_spans]
     excused = attrs.evolve(history, fault_spans=history.fault_spans + busy)
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -11,6 +11,7 @@
 from cicadapond.soak._callers import CRASHING_PART
 from cicadapond.soak._checks import RESIDUAL_EFFECT_S
 from cicadapond.soak._limits import draw_limits
+from cicadapond.soak._neighbours import Neighbours
 from cicadapond.soak._operator import (
     AROUND_CHANGE_S,
     ENDLESS_SERVICE,
@@ -62,6 +63,7 @@
             self.fleet, history, random.Random(f"operator {cfg.seed}"), lambda: self.now()
         )
         self.balancer = Balancer()
+        self.neighbours = Neighbours(cfg.neighbours, random.Random(f"core {cfg.seed}"))
         self.processes: dict[int, GatewayProcess] = {}
         # The processes with a fault or change in progress.
         self.busy: set[int] = set()
@@ -98,6 +100,7 @@
         model = await fleet.add_server(ENDLESS_SERVER, ENDLESS_SERVICE)
         model.endless = tuple(EndlessAnswer)
         self.operator.write("first")
+        await self.neighbours.start()
         await asyncio.gather(*(self.add_process() for _ in range(self.cfg.processes)))
         self.start_task(self.balancer.run())
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -116,6 +119,7 @@
         for proxies in self.proxies.values():
             for proxy in proxies.values():
                 await proxy.stop()
+        await self.neighbours.stop()
         await self.fleet.stop()
         self._collect()
         failures = [exc for exc in ended if isinstance(exc, Exception)]
@@ -154,7 +158,9 @@
         """Starts one more process, with limits and ports of its own."""
         number, fleet = next(self._numbers), self.fleet
         limits = draw_limits(random.Random(f"limits {self.cfg.seed} {number}"))
-        process = GatewayProcess(number, self.cfg.directory, self.history, limits)
+        process = GatewayProcess(
+            number, self.cfg.directory, self.history, limits, self.neighbours.share_core
+        )
         await self._start_proxy("store", fleet.add_store_view(number), number)
         self.processes[number] = process
         self.busy.add(number)
@@ -186,8 +192,11 @@
 
     def hang_up(self, process: GatewayProcess) -> None:
         """Sends SIGHUP to a process after a change of its settings file, if it handles that yet."""
-        if not process.handles(signal.SIGHUP):
-            return
+        if process.handles(signal.SIGHUP):
+            self.change_settings(process)
+
+    def change_settings(self, process: GatewayProcess) -> None:
+        """Changes the settings file of a process and sends it SIGHUP."""
         begin = self.now()
         text = process.path.read_text(encoding="utf-8")
         process.path.write_text(f"{text}changed.at={begin}\n", encoding="utf-8")
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -46,6 +46,7 @@
     LOSE = "a process is killed for good"
     SERVER_KILLED = "a server's process is killed and started again, with another version"
     REPLACE = "a process is added and another one is stopped for good"
+    EARLY_HANG_UP = "a process is restarted, and gets SIGHUP while it starts"
     ENDLESS_ANSWERS = "many requests at once are at servers that send without end"
 
 
@@ -71,11 +72,13 @@
 )
 MEAN_CHANGE_GAP_S = 1.2
 MIN_CHANGES_S, MAX_CHANGES_S = 0.5, 3.0
+EARLY = (Fault.EARLY_HANG_UP,)
+MEAN_EARLY_GAP_S = 6.0
 ENDLESS = (Fault.ENDLESS_ANSWERS,)
 MEAN_ENDLESS_GAP_S = 10.0
 MIN_ENDLESS_S, MAX_ENDLESS_S = 4.0, 6.0
 # What may cut nobody else's requests off.
-CUTS_NOTHING = PLANNED + CHANGES + ENDLESS
+CUTS_NOTHING = PLANNED + CHANGES + ENDLESS + EARLY
 # Of these seeds, one is without unplanned faults.
 PLANNED_ONLY_EVERY = 3
 # Drawn apart, so that they come beside any of the others.
@@ -128,6 +131,9 @@
       stream_callers: Number of callers that send mostly long streams.
       endless_requests: How many requests at least are at servers that send without end at once; up
         to twice as many are.
+      neighbours: How many busy processes share a core with the gateway processes, which then all
+        share one; with none, each takes whichever core is free.
+      compares_times: Whether times are compared with and without costly answers in the end.
       streams_per_engine: How many streams an engine for long ones runs at once.
     """
 
@@ -140,6 +146,8 @@
     stream_callers: int = 12
     endless_requests: int = 60
     streams_per_engine: int = 64
+    neighbours: int = 0
+    compares_times: bool = False
 
     @property
     def is_planned_only(self) -> bool:
@@ -175,6 +183,8 @@
     endless = random.Random(f"endless {seed}")
     bounds = (MIN_ENDLESS_S, MAX_ENDLESS_S)
     plan += _apart(endless, ENDLESS, MEAN_ENDLESS_GAP_S, bounds, length)
+    early = random.Random(f"early {seed}")
+    plan += _apart(early, EARLY, MEAN_EARLY_GAP_S, (0.0, 1.0), length)
     if is_planned_only(seed):
         planned = random.Random(f"planned {seed}")
         bounds = (MIN_DURATION_S, MAX_DURATION_S)
@@ -186,7 +196,7 @@
 def _other_injections(seed, length, restores):
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
-    apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES + CHANGES + ENDLESS + LOSSES
+    apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES + CHANGES + ENDLESS + EARLY + LOSSES
     faults = [fault for fault in Fault if fault not in apart]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
--- a/cicadapond/soak/_planned.py
+++ b/cicadapond/soak/_planned.py
@@ -5,7 +5,7 @@
 import random
 
 from cicadapond.platform.standin import Caller
-from cicadapond.soak._deployment import Deployment
+from cicadapond.soak._deployment import RESTART_S, Deployment
 from cicadapond.soak._operator import ENDLESS_PREFIXES, Change
 from cicadapond.soak._plan import Injection
 from cicadapond.soak._records import PlannedChange
@@ -17,6 +17,9 @@
 # Of the processes at the beginning, so many may be missing or added.
 MAX_DIFFERENCE = 2
 ENDLESS_DEADLINE_MS = 5000
+# A process gets SIGHUP so long after an interpreter has run beside it, and up to how much later, as
+# multiples of the time that this took.
+EARLY_FACTOR, EARLY_SPREAD = 0.5, 3.0
 
 
 class ChangeInjector:
@@ -61,6 +64,27 @@
         if process is not None:
             await self._deployment.restart(process, self._deployment.stop_process(process))
 
+    async def inject_early_hang_up(self, injection: Injection) -> None:
+        """Restarts a process and changes its settings while it starts.
+
+        What the interpreter needs to run a first line is measured by another one that is started
+        beside it, as no process can take a signal before.
+        """
+        deployment = self._deployment
+        process = deployment.reserve_process(injection.pick)
+        if process is None:
+            return
+        await deployment.stop_process(process)
+        await asyncio.sleep(RESTART_S)
+        begin = deployment.now()
+        await process.start()
+        await deployment.neighbours.run_interpreter()
+        started = deployment.now() - begin
+        await asyncio.sleep(started * (EARLY_FACTOR + injection.duration * EARLY_SPREAD))
+        deployment.change_settings(process)
+        deployment.history.early_changes += 1
+        deployment.busy.discard(process.number)
+
     async def inject_join(self, injection: Injection) -> None:
         """Adds a process."""
         if len(self._deployment.processes) < self._deployment.cfg.processes + MAX_DIFFERENCE:
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -6,12 +6,14 @@
 import pathlib
 import signal
 import sys
+import typing
 
+import cicadapond
 from cicadapond.soak._limits import Enforcer, ProcessLimits
 from cicadapond.soak._records import History, MemoryExcess
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
-PROGRAM = "cicadapond.gateway.main"
+PROGRAM = pathlib.Path(cicadapond.__file__).with_name("launch.py")
 PEER_PORTS = 2
 # The platform's time from SIGTERM to SIGKILL, and some more for the process to exit.
 GRACE_S = 9.0
@@ -27,10 +29,16 @@
       directory: Where its settings and its log are written.
       history: Receives what is noticed of it.
       limits: What it may use.
+      on_start: Called with its process id at each start.
     """
 
     def __init__(
-        self, number: int, directory: pathlib.Path, history: History, limits: ProcessLimits
+        self,
+        number: int,
+        directory: pathlib.Path,
+        history: History,
+        limits: ProcessLimits,
+        on_start: typing.Callable[[int], None] = lambda pid: None,
     ):
         self.number = number
         self.limits = limits
@@ -39,30 +47,32 @@
         self.path = directory / f"edge-{number}.conf"
         self._log = directory / f"edge-{number}.log"
         self._history = history
+        self._on_start = on_start
         self._running: asyncio.subprocess.Process | None = None
         self._exit_task: asyncio.Task | None = None
         self._expects_exit = False
         self._is_paused = False
         self._is_over = False
         self._enforcer: Enforcer | None = None
-        self._log_offset = 0
 
     async def start(self) -> None:
         """Starts the process; its output goes to its log."""
         self._expects_exit = self._is_paused = self._is_over = False
         self._history.starts.append((self.number, asyncio.get_running_loop().time()))
         with open(self._log, "ab") as log:
-            self._log_offset = log.tell()
             self._running = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
+                "-S",
                 PROGRAM,
+                "gateway",
                 f"--settings={self.path}",
                 "--residency=on",
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
             )
+        self._on_start(self._running.pid)
         self._exit_task = asyncio.ensure_future(self._wait(self._running))
 
     async def _wait(self, running):
@@ -131,7 +141,7 @@
     async def stop(self) -> None:
         """Stops the process gracefully; an exit by a signal or with an error is unexpected."""
         self._expects_exit = True
-        before = self.starved_s
+        before, handled = self.starved_s, self.handles(signal.SIGTERM)
         self.resume()
         self.send(signal.SIGTERM)
         try:
@@ -142,11 +152,6 @@
             if self.starved_s > before + MAX_STARVED_S:
                 return
         status = self._running.returncode
-        # While the interpreter starts, a process has no SIGTERM handler yet, and no work to finish.
-        if status != 0 and not self._is_over and (status != -signal.SIGTERM or self._has_started()):
+        # While the interpreter starts, a process cannot handle SIGTERM yet.
+        if status != 0 and not self._is_over and (status != -signal.SIGTERM or handled):
             self._history.unexpected_exits.append((self.number, status))
-
-    def _has_started(self):
-        with open(self._log, "rb") as log:
-            log.seek(self._log_offset)
-            return b'"started"' in log.read()
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -140,6 +140,15 @@
     limit_mb: int
 
 
+@attrs.frozen
+class ComparedTimes:
+    """The deployment served without costly answers until `middle`, and with them until `end`."""
+
+    begin: float
+    middle: float
+    end: float
+
+
 @attrs.frozen
 class StatedLimit:
     """A server stated a limit of `rate` requests a second from `begin` to `end`, in seconds."""
@@ -236,6 +245,8 @@
       double_runs: When an engine began a request on which another one went on working.
       moved: How many runs engines moved away.
       restores: How often the store was restored.
+      early_changes: How many processes got SIGHUP while they started.
+      compared_times: When times with and without costly answers were measured.
       faults_ended_at: When the last injection had ended.
       not_ready: The processes that were not ready at the end.
     """
@@ -270,6 +281,8 @@
     double_runs: list[tuple[float, str]] = attrs.field(factory=list)
     moved: int = 0
     restores: int = 0
+    early_changes: int = 0
+    compared_times: list[ComparedTimes] = attrs.field(factory=list)
     faults_ended_at: float = 0.0
     not_ready: list[int] = attrs.field(factory=list)
 
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -5,6 +5,7 @@
 
 from cicadapond.soak._callers import CallerLoop
 from cicadapond.soak._checks import RECOVERY_S, RESIDUAL_EFFECT_S, check
+from cicadapond.soak._costly_answers import compare_times
 from cicadapond.soak._deployment import Deployment
 from cicadapond.soak._injections import FaultInjector
 from cicadapond.soak._plan import CUTS_NOTHING, RESTORES, Injection, SoakSettings, make_plan
@@ -51,6 +52,8 @@
             await asyncio.sleep(FAULT_FREE_S)
             ready = deployment.balancer.ready()
             self.history.not_ready = sorted(set(deployment.processes) - set(ready))
+            if cfg.compares_times:
+                await compare_times(deployment)
         finally:
             await deployment.stop()
 
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -9,7 +9,9 @@
 from absl import flags
 
 from cicadapond.kernel._help import ProgramHelp, run_command
+from cicadapond.soak._compared_times import medians
 from cicadapond.soak._configuration_checks import probed_routes
+from cicadapond.soak._neighbours import draw_neighbours
 from cicadapond.soak._plan import SoakSettings, parse_seeds
 from cicadapond.soak._run import run_soak
 
@@ -29,6 +31,16 @@
 _RESTORES = flags.DEFINE_boolean(
     "restores", False, "Whether the store is restored from older copies among the faults."
 )
+_NEIGHBOURS = flags.DEFINE_integer(
+    "neighbours",
+    -1,
+    "How many busy processes share one core with all gateway processes; -1 to draw it by the seed.",
+    -1,
+    40,
+)
+_COMPARE = flags.DEFINE_boolean(
+    "compare", True, "Whether times are compared with and without costly answers in the end."
+)
 _DIRECTORY = flags.DEFINE_string(
     "directory", None, "Directory for logs; by default a new temporary one."
 )
@@ -70,6 +82,8 @@
         _RESTORES.value,
         _STREAM_CALLERS.value,
         _ENDLESS.value,
+        neighbours=draw_neighbours(seed) if _NEIGHBOURS.value < 0 else _NEIGHBOURS.value,
+        compares_times=_COMPARE.value,
     )
     history, violations = await run_soak(cfg)
     history.write(directory / HISTORY_NAME)
@@ -80,6 +94,8 @@
         f"{_outcomes(history)}{history.moved} moved, {history.restores} restores, "
         f"{len(history.configurations)} configurations, {found} probes served and {missing} "
         f"without a route, {history.endless_requests} endless answers, "
+        f"{history.early_changes} early changes, "
+        f"{cfg.neighbours} neighbours, {_factors(history)}"
         f"{len(history.busy_spans)} times of a busy machine, "
         f"at most {max(history.peak_mb.values()):.0f} MB, "
         f"{len(violations)} violations",
@@ -90,7 +106,16 @@
     return bool(violations)
 
 
-_PASSED_ON = (_LENGTH, _PROCESSES, _CALLERS, _STREAM_CALLERS, _ENDLESS, _RESTORES)
+_PASSED_ON = (
+    _LENGTH,
+    _PROCESSES,
+    _CALLERS,
+    _STREAM_CALLERS,
+    _ENDLESS,
+    _NEIGHBOURS,
+    _COMPARE,
+    _RESTORES,
+)
 _LOGS = "logs: "
 
 HELP = ProgramHelp(
@@ -104,6 +129,8 @@
         "callers",
         "stream_callers",
         "endless",
+        "neighbours",
+        "compare",
         "at_once",
         "restores",
         "directory",
@@ -125,6 +152,11 @@
     return "".join(f"{count} {outcome}, " for outcome, count in sorted(counts.items()))
 
 
+def _factors(history):
+    """Returns by what factor costly answers slowed other requests, "" if not compared."""
+    return "".join(f"factor {found.factor:.2f} of the median, " for found in medians(history))
+
+
 def _main(argv):
     base = pathlib.Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="cicadapond-soak-"))
     seeds = parse_seeds(_SEEDS.value)
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -18,6 +18,7 @@
     PLAIN,
     STREAM,
     BrittleTime,
+    ComparedTimes,
     Cut,
     Hold,
     RolloutRecord,
@@ -247,6 +248,28 @@
     assert len(seen.runs) > 100
 
 
+@pytest.mark.parametrize(("disturbed_s", "found"), [(0.14, 0), (0.16, 1)])
+def test_times_that_grow_with_costly_answers_are_a_violation(disturbed_s, found):
+    calls = [call(sent_at=at / 10, ended_at=at / 10 + 0.1) for at in range(60)]
+    calls += [call(sent_at=6 + at / 10, ended_at=6 + at / 10 + disturbed_s) for at in range(60)]
+    times = history(calls=calls, busy_spans=[(0.0, 12.0)])
+    times.compared_times.append(ComparedTimes(0.0, 6.0, 12.0))
+    assert len([each for each in check(times) if each.guarantee == "costly answers"]) == found
+
+
+def test_each_plan_restarts_processes_whose_settings_change_at_once():
+    for seed in range(9):
+        assert Fault.EARLY_HANG_UP in [each.fault for each in make_plan(seed, 60.0)]
+
+
+def test_a_short_run_beside_busy_processes_has_no_violations(tmp_path):
+    """Guards against CONFIG and FAULT on machines that give a process a share of a core."""
+    cfg = SoakSettings(9849, 6.0, tmp_path, neighbours=2, compares_times=True)
+    seen, violations = asyncio.run(run_soak(cfg))
+    assert violations == []
+    assert seen.compared_times and seen.early_changes
+
+
 def test_a_run_in_which_a_window_was_reported_twice_after_a_restore_has_no_violations(tmp_path):
     cfg = SoakSettings(14, 25.0, tmp_path, restores=True)
     seen, violations = asyncio.run(run_soak(cfg))
