--- a/cicadapond/soak/_proxy.py
+++ b/cicadapond/soak/_proxy.py
@@ -115,8 +115,8 @@
         self._writers.append(target_writer)
         client_writer = self._writers[0]
         await asyncio.gather(
-            self._forward(client_reader, target_writer, False),
-            self._forward(target_reader, client_writer, True),
+            self._forward(client_reader, client_writer, target_writer, False),
+            self._forward(target_reader, target_writer, client_writer, True),
             return_exceptions=True,
         )
         for writer in self._writers:
@@ -129,13 +129,17 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
             writer.transport.abort()
 
-    async def _forward(self, reader, writer, is_response):
+    async def _forward(self, reader, sender, writer, is_response):
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._proxy.apply_delay()
                 while self._proxy.holds(self, is_response):
                     if writer.transport.is_closing():
                         return
+                    if sender.transport.is_closing():
+                        # Bytes that are held up are lost if their sender resets the connection.
+                        self.reset()
+                        return
                     await asyncio.sleep(POLL_S)
                 writer.write(data)
                 await writer.drain()
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import attrs
 import pytest
@@ -13,7 +15,7 @@
 from cicadapond.soak._injections import FaultInjector
 from cicadapond.soak._plan import CUTS_NOTHING, parse_seeds
 from cicadapond.soak._planned import ChangeInjector
-from cicadapond.soak._proxy import NetworkFault, Proxy
+from cicadapond.soak._proxy import POLL_S, NetworkFault, Proxy
 from cicadapond.soak._records import (
     PLAIN,
     STREAM,
@@ -242,6 +244,38 @@
     asyncio.run(main())
 
 
+def test_bytes_that_are_held_up_are_lost_if_their_sender_resets_the_connection():
+    """Guards against a request that reaches a server after its attempt was given up."""
+
+    async def main():
+        received, ended = [], asyncio.Event()
+
+        async def serve(reader, writer):
+            with contextlib.suppress(ConnectionError):
+                received.append(await reader.read())
+            writer.close()
+            ended.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        proxy = Proxy(server.sockets[0].getsockname()[1])
+        _, writer = await asyncio.open_connection("127.0.0.1", await proxy.start())
+        proxy.set(NetworkFault.HOLD)
+        writer.write(b"request")
+        await writer.drain()
+        await asyncio.sleep(2 * POLL_S)
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+        async with asyncio.timeout(10):
+            await ended.wait()
+        proxy.set(NetworkFault.NONE)
+        await proxy.stop()
+        server.close()
+        return received
+
+    assert asyncio.run(main()) == []
+
+
 def test_a_short_run_of_real_processes_has_no_violations(tmp_path):
     seen, violations = asyncio.run(run_soak(SoakSettings(8, 6.0, tmp_path)))
     assert violations == []
