--- a/cicadapond/kernel/_processor_share.py
+++ b/cicadapond/kernel/_processor_share.py
@@ -15,7 +15,7 @@
 COSTLY_SHARE = 0.1
 # An input is costly if it has taken so much of the processor without a result.
 FREE_COST_S = 0.002
-# Pieces of at least this size on average are results.
+# Pieces of at least this size on average cost little for what they bring.
 MIN_PIECE_BYTES = 256
 # Results may take so much of the processor at once, and this share of the time on average.
 RESULT_BURST_S = 0.05
@@ -111,14 +111,16 @@
     async def end_pieces(self, pieces: int, size: int) -> None:
         """Ends the work on received pieces, as `step` does for each of them.
 
+        That on pieces that are large enough counts for nothing: limits of bytes bound it.
+
         Args:
           pieces: How many they are.
           size: How many bytes they have together.
         """
-        before = self.fruitless_s
+        before = self.fruitless_s, self._burst_left_s
         self.end_work()
         if size >= MIN_PIECE_BYTES * pieces:
-            self.fruitless_s = before
+            self.fruitless_s, self._burst_left_s = before
         await self.step(pieces)
 
     async def step(self, steps: int = 1) -> None:
--- a/cicadapond/kernel/processor_share_test.py
+++ b/cicadapond/kernel/processor_share_test.py
@@ -95,3 +95,20 @@
         return asyncio.get_running_loop().time()
 
     assert run_virtual(main()) >= 0.9 * work.cost_s / _processor_share.RESULT_SHARE
+
+
+@pytest.mark.parametrize(("size", "waits"), [(1024, False), (16, True)])
+def test_only_small_pieces_are_costly(monkeypatch, size, waits):
+    """Guards against slow uploads of callers that send chunks of a kilobyte."""
+    work = Work()
+    monkeypatch.setattr(_processor_share, "time", work)
+
+    async def main():
+        meter = WorkMeter()
+        for _ in range(4096):
+            meter.begin_work()
+            work.cost_s += 0.0002
+            await meter.end_pieces(1, size)
+        return asyncio.get_running_loop().time()
+
+    assert (run_virtual(main()) > 0.0) == waits
