--- a/cicadapond/soak/_neighbours.py
+++ b/cicadapond/soak/_neighbours.py
@@ -30,20 +30,24 @@
     async def start(self) -> None:
         """Starts them."""
         for _ in range(self._count):
-            process = await asyncio.create_subprocess_exec(sys.executable, "-S", "-c", _BUSY)
-            self._running.append(process)
-            self.share_core(process.pid)
+            self._running.append(await self._start(_BUSY))
 
-    def share_core(self, pid: int) -> None:
-        """Moves a process to the core of the busy ones, if there are any."""
+    def _start(self, code):
+        return asyncio.create_subprocess_exec(
+            sys.executable, "-S", "-c", code, preexec_fn=self.share_core
+        )
+
+    def share_core(self) -> None:
+        """Moves the calling process to the core of the busy ones, if there are any.
+
+        Called before it runs its program, as a start on a free core would be a faster one.
+        """
         if self._count:
-            os.sched_setaffinity(pid, {self._core})
+            os.sched_setaffinity(0, {self._core})
 
     async def run_interpreter(self) -> None:
         """Runs an interpreter that does nothing, on the core of the busy processes."""
-        process = await asyncio.create_subprocess_exec(sys.executable, "-S", "-c", "")
-        self.share_core(process.pid)
-        await process.wait()
+        await (await self._start("")).wait()
 
     async def stop(self) -> None:
         """Ends them."""
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -29,7 +29,7 @@
       directory: Where its settings and its log are written.
       history: Receives what is noticed of it.
       limits: What it may use.
-      on_start: Called with its process id at each start.
+      prepare: Called in the new process before it runs the program.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         directory: pathlib.Path,
         history: History,
         limits: ProcessLimits,
-        on_start: typing.Callable[[int], None] = lambda pid: None,
+        prepare: typing.Callable[[], None] | None = None,
     ):
         self.number = number
         self.limits = limits
@@ -47,7 +47,7 @@
         self.path = directory / f"edge-{number}.conf"
         self._log = directory / f"edge-{number}.log"
         self._history = history
-        self._on_start = on_start
+        self._prepare = prepare
         self._running: asyncio.subprocess.Process | None = None
         self._exit_task: asyncio.Task | None = None
         self._expects_exit = False
@@ -71,8 +71,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=self._prepare,
             )
-        self._on_start(self._running.pid)
         self._exit_task = asyncio.ensure_future(self._wait(self._running))
 
     async def _wait(self, running):
