--- a/cicadapond/soak/_planned.py
+++ b/cicadapond/soak/_planned.py
@@ -19,7 +19,7 @@
 ENDLESS_DEADLINE_MS = 5000
 # A process gets SIGHUP so long after an interpreter has run beside it, and up to how much later, as
 # multiples of the time that this took.
-EARLY_FACTOR, EARLY_SPREAD = 1.0, 2.5
+EARLY_FACTOR, EARLY_SPREAD = 0.5, 1.0
 
 
 class ChangeInjector:
--- a/cicadapond/soak/_proxy.py
+++ b/cicadapond/soak/_proxy.py
@@ -50,7 +50,8 @@
 
     def stop_listening(self) -> None:
         """Refuses new connections until `start`; open ones go on."""
-        self._server.close()
+        if self._server is not None:  # else it has not begun to listen
+            self._server.close()
 
     def set(self, fault: NetworkFault) -> None:
         """Sets the fault to inject from now on; a connection that was silenced stays silent."""
