--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -198,7 +198,8 @@
 
     def _level_before_first_use(self, account, fraction):
         """Returns the level of a bucket that others have drawn from but not yet this process."""
-        level = account.burst * (1.0 if self._begins_full else RESTART_LEVEL_FRACTION)
+        initial = 1.0 if self._begins_full else RESTART_LEVEL_FRACTION
+        level = account.burst * fraction * initial
         newest = self._own.number(self._clock.now())
         oldest = min(self._others, default=newest)
         for number in range(oldest, newest + 1):
--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -66,6 +66,15 @@
     assert all(shares.take(ACCOUNT, 5.0, 1.0) is not None for shares in processes)
 
 
+def test_processes_that_restart_together_begin_with_a_part_of_one_burst():
+    """Guards against QUOTA: each of them began with a quarter of the whole burst."""
+    clock, spent = ManualClock(), 0.0
+    for shares in [QuotaShares(clock, begins_full=False) for _ in range(40)]:
+        while shares.take(ACCOUNT, 0.1, 1 / 40) is None:
+            spent += 0.1
+    assert spent <= BURST
+
+
 def test_spending_is_charged_once_however_often_and_by_whomever_it_is_reported():
     clock = ManualClock()
     shares = QuotaShares(clock, begins_full=True)
