--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -11,7 +11,7 @@
 and that process does the same; so the total also holds during a network partition.  A process
 that restarts begins with a fraction of the burst only, as it does not know what was spent before.
 
-The deployment may tolerate some more than the quota.  That much is kept for requests that continue
+The deployment may tolerate some more than the quota.  Half of it is kept for requests that continue
 a stream, which would otherwise be lost after its beginning was paid for; they are charged like all
 others, so that new requests make up for them.
 """
@@ -38,7 +38,7 @@
 # Spending reported in older windows is ignored, as it was applied before.
 MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
 # The rest of what is tolerated allows for spending that is reported late.
-CONTINUING_SHARE_OF_TOLERANCE = 0.5
+CONTINUING_SHARE_OF_OVERAGE = 0.5
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
 
@@ -164,6 +164,8 @@
           Whether the overage suffices.
         """
         now = self._clock.monotonic()
+        if not self._begins_full and now - self._started_at < self._overage.window:
+            return False  # the run before may have used all of it
         used = self._used_overage.setdefault(account.name, collections.deque())
         while used and now - used[0][0] >= self._overage.window:
             used.popleft()
@@ -176,8 +178,9 @@
 
     def _overage_limit(self, account):
         admitted = account.rate * self._overage.window.total_seconds() + account.burst
-        tolerance = CONTINUING_SHARE_OF_TOLERANCE * self._overage.tolerance
-        return self._overage.share * admitted + tolerance
+        return CONTINUING_SHARE_OF_OVERAGE * (
+            self._overage.share * admitted + self._overage.tolerance
+        )
 
     def _spend(self, bucket, account, units):
         bucket.level -= units
