--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -16,6 +16,7 @@
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._process_view import OwnProcess, ProcessView, next_view
 from cicadapond.gateway._relay import RelayPeer
 from cicadapond.gateway._reports import Report, ServiceDemand, ZoneReports, read_report
 from cicadapond.gateway._rollout_holds import concerns_earlier_builds
@@ -66,19 +67,6 @@
     report: Report
 
 
-@attrs.frozen
-class _View:
-    """The members as of a moment: names by data centre, this process included.
-
-    `sharers` are the sorted names of those that may send requests to servers.
-    """
-
-    at: datetime.timedelta
-    count: int
-    sharers: tuple[str, ...]
-    live_by_zone: dict[str, tuple[str, ...]]
-
-
 class Cluster:
     """The gateway processes that this process knows of.
 
@@ -124,7 +112,7 @@
         )
         self._zone_reports: ZoneReports | None = None
         self._summaries: dict[str, _Summary] = {}
-        self._view: _View | None = None
+        self._view: ProcessView | None = None
         self._sequence = 0
         self._registered = 1
         self._handlers: dict[str, typing.Callable] = {}
@@ -235,6 +223,25 @@
         """Returns the sorted names of the live processes, this one included."""
         return tuple(sorted(name for names in self.live_by_zone().values() for name in names))
 
+    def live_by_age(self) -> tuple[str, ...]:
+        """Returns the names of the live processes, the one that runs for longest first."""
+        return self._current_view().live_by_age
+
+    def live_since(self) -> datetime.timedelta:
+        """Returns since when these are the same, and this process has not been suspended."""
+        return self._current_view().unchanged_since
+
+    def grant_share(self) -> float:
+        """Returns the share of quotas that may be granted by the processes that hear each other."""
+        count = self.count()
+        if not self.has_settled():
+            return 1.0 / count
+        return min(self.quota_share(), len(self.live_by_age()) / count)
+
+    def all_take_grants(self) -> bool:
+        """Returns whether no process of an earlier build is heard, which takes quotas by itself."""
+        return all(report.grant_takers >= report.processes for report in self._recent_summaries())
+
     def quota_share(self) -> float:
         """Returns the share of quotas available to this process and those heard from lately."""
         heard = sum(report.processes for report in self._recent_summaries())
@@ -352,33 +359,16 @@
     def _current_view(self):
         now = self._clock.monotonic()
         known = self._view
-        if known is not None and now - known.at < MEMBERSHIP_CACHE_TIME:
-            return known
-        members = self._members()
-        live: dict[str, tuple[str, ...]] = {self._cfg.zone: (self._cfg.name,)}
-        for member in members:
-            if member.state is MemberState.ALIVE:
-                live[member.zone] = (*live.get(member.zone, ()), member.name)
-        if known is not None and known.live_by_zone == live:
-            live = known.live_by_zone  # the same object, by which others notice changes
-        count = 1 + sum(self._has_share(member, now) for member in members)
-        if not self.has_settled():
-            count = max(count, self._registered)
-        others = {
-            member.name
-            for member in members
-            if member.state is not MemberState.LEFT and self._has_share(member, now)
-        }
-        sharers = tuple(sorted({self._cfg.name, *others}))
-        self._view = _View(now, count, sharers, live)
+        if known is None or now - known.at >= MEMBERSHIP_CACHE_TIME:
+            started_ms = start_time_ms(self._peer.incarnation) if self._peer is not None else 0
+            own = OwnProcess(self._cfg.name, self._cfg.zone, started_ms)
+            least = 0 if self.has_settled() else self._registered
+            self._view = next_view(known, self._members(), own, now, SHARE_RETENTION, least)
         return self._view
 
     def _members(self) -> tuple[Member, ...]:
         return self._peer.members() if self._peer is not None else ()
 
-    def _has_share(self, member, now):
-        return member.state is MemberState.ALIVE or now - member.last_heard < SHARE_RETENTION
-
     def own_run(self) -> str:
         """Returns what names this run of the process; only after it has joined the others."""
         return f"{self._cfg.name}/{start_time_ms(self._peer.incarnation)}"
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -189,7 +189,8 @@
                 account=account.name,
                 rate=account.rate,
                 burst=account.burst,
-                level=round(level),
+                level=round(level) if level is not None else None,
+                wait_ms=round(wait.total_seconds() * 1000),
                 part=parts.quota_share(),
             )
             await self._answer_locally(
@@ -243,20 +244,20 @@
             units = req.generation.tokens if req.generation else account.default_tokens
         if req.last_event_id is not None and verdict.route.resumable:
             return await self._take_quota_to_continue(account, units)
-        return self._parts.quotas.take(account, units, self._parts.quota_share())
+        return await self._parts.quota_admission.take(account, units)
 
     async def _take_quota_to_continue(self, account, units):
         """Does the same for a stream, which waits for a moment before it uses the overage."""
         parts = self._parts
         held_until = parts.clock.monotonic() + MAX_QUOTA_HOLD
         while True:
-            share = parts.quota_share()
-            wait = parts.quotas.take(account, units, share, continues=True)
+            wait = await parts.quota_admission.take(account, units, continues=True)
             if wait is None or parts.clock.monotonic() + wait > held_until or self._ends_requests():
                 break
             await parts.clock.sleep(min(wait, QUOTA_POLL_INTERVAL))
         if wait is None:
             return None
+        share = parts.quota_share()
         own_share = min(share, 1.0 / parts.processes())
         if parts.quotas.take_to_continue(account, units, own_share):
             parts.metrics.count("continued_over_quota")
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -34,6 +34,8 @@
 from cicadapond.gateway._pause_log import log_pauses
 from cicadapond.gateway._permits import TOPIC, ClusterCalls, PermitExchange
 from cicadapond.gateway._queues import ServiceQueues
+from cicadapond.gateway._quota_grants import TOPIC as QUOTA_TOPIC
+from cicadapond.gateway._quota_grants import ClusterQuotaCalls, QuotaAdmission
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._residency import EngineWatch
 from cicadapond.gateway._rollout_gate import NoRollouts
@@ -121,6 +123,17 @@
         self._keeper = ConfigurationKeeper(self.parts, adapters.feed, decode, self._cluster, rng)
         self.parts.processes = self._cluster.count
         self.parts.quota_share = self._cluster.quota_share
+        self.parts.quota_admission = QuotaAdmission(
+            cfg.name,
+            self.parts.quotas,
+            self._cluster,
+            ClusterQuotaCalls(self._cluster),
+            self.parts.active_configuration.find_account,
+            clock,
+            log,
+            metrics,
+        )
+        self._cluster.register_handler(QUOTA_TOPIC, self.parts.quota_admission.answer)
         self.parts.publish_soon = self._cluster.publish_soon
         if self.parts.engine_watch is not None:
             self.parts.engine_watch.live_by_zone = self._cluster.live_by_zone
@@ -376,6 +389,7 @@
             "lease": self._lease.state(),
             "advisories": self.parts.advisories.state(),
             "permits": self._permits.state(),
+            "quotas": self.parts.quota_admission.state(),
             "cut_off": self.parts.links.cut_off_services(),
             "crash_causes": self.parts.crashes.culprits(),
             "rollouts": self.parts.rollouts.state(),
--- a/cicadapond/gateway/_own_report.py
+++ b/cicadapond/gateway/_own_report.py
@@ -39,5 +39,6 @@
         shared_parts=shared_parts,
         participants=int(parts.rollouts.takes_part),
         restore_followers=1,
+        grant_takers=1,
         stored_usage=parts.stored_usage.own(),
     )
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -31,6 +31,7 @@
 
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._queues import ServiceQueues
+    from cicadapond.gateway._quota_grants import QuotaAdmission
     from cicadapond.gateway._residency import EngineWatch
 
 
@@ -43,7 +44,8 @@
     """The components of one process.
 
     `processes` returns how many processes share limits, this one included; `quota_share` the
-    share of quotas available to this process and those it has heard from lately; `check_server`
+    share of quotas available to this process and those it has heard from lately; `quota_admission`
+    takes the quotas, None until the node is complete; `check_server`
     checks whether a server whose connection broke is down; `refresh_servers` reads the changes of
     the server table up to now; `publish_soon` sends the other processes this one's report (prefill
     totals, statements of servers, streams) as soon as the minimum digest interval allows; `relay`
@@ -82,6 +84,7 @@
     stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
     quota_share: typing.Callable[[], float] = lambda: 1.0
+    quota_admission: "QuotaAdmission | None" = None
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
     refresh_servers: typing.Callable[[], typing.Awaitable[None]] = _refresh_nothing
     publish_soon: typing.Callable[[], None] = lambda: None
--- a/cicadapond/gateway/_reports.py
+++ b/cicadapond/gateway/_reports.py
@@ -50,6 +50,7 @@
       participants: How many of them take part in rollouts; builds up to 7419c1c do not say so.
       restore_followers: How many of them keep the lease from builds that do not follow restores of
         the store; builds up to 9175507 do not say so.
+      grant_takers: How many of them take quotas by grants; builds up to 8852417 do not say so.
       lineage: Identifies the succession of hubs whose counts of usage continue each other, "" in
         the report of a process.
       spending: Units of quota spent, by window and client account.
@@ -89,6 +90,7 @@
     shared_parts: typing.Mapping[int, bytes] = attrs.field(factory=dict)
     participants: int = 0
     restore_followers: int = 0
+    grant_takers: int = 0
     stored_usage: Windows = attrs.field(factory=dict)
 
     def as_items(self) -> dict[str, object]:
@@ -123,6 +125,8 @@
             items["q"] = self.participants
         if self.restore_followers:
             items["f"] = self.restore_followers
+        if self.grant_takers:
+            items["g"] = self.grant_takers
         items |= {f"v {key}": list(totals) for key, totals in self.rollouts.items()}
         for engine, held in self.held.items():
             items[f"h {engine}"] = [held.born, len(held.buckets)]
@@ -139,7 +143,7 @@
     if "" not in items:
         return None
     fields = {kind: {} for kind in "suwxdeaockmrvhbp"}
-    participants = restore_followers = 0
+    participants = restore_followers = grant_takers = 0
     try:
         sequence, configuration, processes, lineage = items[""]
         for key, value in items.items():
@@ -174,6 +178,8 @@
                     participants = int(value)
                 case "f":
                     restore_followers = int(value)
+                case "g":
+                    grant_takers = int(value)
                 case "v":
                     fields[kind][name] = tuple(map(int, value))
                 case "h":
@@ -204,6 +210,7 @@
             shared_parts=fields["p"],
             participants=participants,
             restore_followers=restore_followers,
+            grant_takers=grant_takers,
             stored_usage=fields["w"],
         )
     except (AttributeError, OSError, OverflowError, TypeError, ValueError):
@@ -387,6 +394,7 @@
             shared_parts=merge_groups(run.report.shared_parts for run in counted),
             participants=sum(report.participants for report in heard),
             restore_followers=sum(report.restore_followers for report in heard),
+            grant_takers=sum(report.grant_takers for report in heard),
             stored_usage=stored.counts(),
         )
 
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -240,6 +240,7 @@
     async def check(system):
         parts = system.node.parts
         parts.quota_share, parts.processes = (lambda: 0.25), (lambda: 100)
+        system.node._cluster.grant_share = lambda: 0.25
         waits = []
         for request_id, resumed in (("n-1", {}), ("n-2", {}), ("t-1", {"last_event_id": "2"})):
             caller = system.caller()
--- a/cicadapond/quotas/__init__.py
+++ b/cicadapond/quotas/__init__.py
@@ -1,5 +1,13 @@
 """Quotas of client accounts, enforced jointly by all processes that admit requests."""
 
-from cicadapond.quotas._shares import SPENDING_WINDOW, QuotaShares
+from cicadapond.quotas._coordinators import coordinators, parts_of
+from cicadapond.quotas._shares import SPENDING_WINDOW, WHOLE, GrantPart, QuotaShares
 
-__all__ = ["SPENDING_WINDOW", "QuotaShares"]
+__all__ = [
+    "GrantPart",
+    "QuotaShares",
+    "SPENDING_WINDOW",
+    "WHOLE",
+    "coordinators",
+    "parts_of",
+]
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -1,11 +1,16 @@
 """Client account quotas shared among the processes that admit requests; no I/O.
 
 A quota is a token bucket that all processes draw from: it fills at the account's rate up to its
-burst.  Each process estimates the level from what it admitted itself and from what the others
-spent, which is reported by data centre and by short windows of UTC time.  Spending that is reported
-late can make the level negative, and later requests wait until it covers them again; so the total
-exceeds the quota only by what has not been reported yet.  The spending of one window only grows, so
-that reports may be lost, repeated, or come from another process than before.
+burst.  One process, its coordinator, grants what is taken from it, so that the total is bounded
+whatever the others have not heard of yet; the quota of a large account in a large deployment is
+divided into parts with a coordinator each.  A new coordinator begins with an empty bucket, as it
+does not know what the one before granted.
+
+Besides, each process estimates the level from what it spent itself and from what the others
+spent, which is reported by data centre and by short windows of UTC time.  A coordinator grants
+nothing that this level does not cover: processes of earlier builds, or two coordinators after a
+partition, spend what it has not granted.  The spending of one window only grows, so that reports
+may be lost, repeated, or come from another process than before.
 
 For each process that has not reported lately, an equal fraction of rate and burst is reserved,
 and that process does the same; so the total also holds during a network partition.  A process
@@ -37,7 +42,7 @@
 REPORTED_WINDOWS = 8
 # Spending reported in older windows is ignored, as it was applied before.
 MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
-# The rest of what is tolerated allows for spending that is reported late.
+# The rest of what is tolerated allows for two coordinators that do not know of each other.
 CONTINUING_SHARE_OF_OVERAGE = 0.5
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
@@ -57,6 +62,22 @@
         if self.level < self.burst * fraction:
             self.level = min(self.burst * fraction, self.level + elapsed * self.rate * fraction)
 
+    def limit_to(self, account: ClientAccount) -> None:
+        """Applies the account's present rate and burst."""
+        self.rate, self.burst = account.rate, account.burst
+        self.level = min(self.level, account.burst)
+
+
+@attrs.frozen
+class GrantPart:
+    """One of the equal parts of an account's quota, each of which one process grants."""
+
+    number: int = 0
+    parts: int = 1
+
+
+WHOLE = GrantPart()
+
 
 class QuotaShares:
     """Decides which requests are within their account's quota.
@@ -74,6 +95,7 @@
         self._clock = clock
         self._begins_full = begins_full
         self._buckets: dict[str, _Bucket] = {}
+        self._granted: dict[tuple[str, GrantPart], _Bucket] = {}
         self._own = UsageWindows(SPENDING_WINDOW, OWN_WINDOWS)
         self._others: dict[int, dict[tuple[str, str], float]] = {}
         self._started_at = clock.monotonic()
@@ -90,6 +112,16 @@
         bucket = self._buckets.get(account)
         return bucket.level if bucket is not None else None
 
+    def levels(self) -> dict[str, dict[str, int]]:
+        """Returns the levels of all buckets in units by account, for a dump.
+
+        "heard" is what follows from reports, the others are the parts that this process grants.
+        """
+        found = {name: {"heard": round(bucket.level)} for name, bucket in self._buckets.items()}
+        for (name, part), bucket in self._granted.items():
+            found.setdefault(name, {})[f"{part.number} of {part.parts}"] = round(bucket.level)
+        return found
+
     def apply_spending(
         self,
         source: str,
@@ -126,7 +158,25 @@
     def take(
         self, account: ClientAccount, units: float, fraction: float, continues: bool = False
     ) -> datetime.timedelta | None:
-        """Takes units from an account's quota.
+        """Takes units from an account's quota, where no other process grants any.
+
+        The arguments and the result are those of `grant`.
+        """
+        wait = self.grant(account, units, fraction, continues)
+        if wait is None:
+            self.spend(account, units, fraction)
+        return wait
+
+    def grant(
+        self,
+        account: ClientAccount,
+        units: float,
+        fraction: float,
+        continues: bool = False,
+        part: GrantPart = WHOLE,
+        tenure: datetime.timedelta | None = None,
+    ) -> datetime.timedelta | None:
+        """Grants units of an account's quota to a request, at whichever process it is.
 
         Args:
           account: The account.
@@ -136,22 +186,46 @@
           continues: Whether the request continues a stream.  It may overdraw the bucket as soon as
             there is something in it; small new requests would otherwise keep it below what large
             streams need, until their callers give up.
+          part: Which part of the quota this process grants.
+          tenure: For how long it is known that only this process granted that part, if it is used
+            for the first time; None if there is no other process.
 
         Returns:
           None if the request is within the quota, else the time until it may be.
         """
         if account.rate <= 0.0:
             return None
-        bucket = self._bucket(account, fraction)
-        bucket.refill(self._clock.monotonic(), fraction)
+        now = self._clock.monotonic()
+        heard = self._bucket(account, fraction)
+        heard.refill(now, fraction)
+        bucket = self._grant_bucket(account, fraction / part.parts, part, tenure, heard.level)
         # A request that costs more than the bucket holds is admitted when the bucket is full.
-        needed = 1.0 if continues else min(units, bucket.burst * fraction)
-        if bucket.level < needed:
-            wait_seconds = (needed - bucket.level) / (bucket.rate * fraction)
+        needed = 1.0 if continues else min(units, account.burst * fraction / part.parts)
+        # What others spent without a grant of this process shows in their reports only.
+        wait_seconds = max(
+            (needed - bucket.level) / (account.rate * fraction / part.parts),
+            (needed - heard.level) / (account.rate * fraction),
+        )
+        if wait_seconds > 0.0:
             return min(datetime.timedelta(seconds=wait_seconds), MAX_WAIT)
-        self._spend(bucket, account, units)
+        bucket.level -= units
         return None
 
+    def spend(self, account: ClientAccount, units: float, fraction: float) -> None:
+        """Records units that this process spent of what was granted to it; arguments as above."""
+        if account.rate > 0.0:
+            self._spend(self._bucket(account, fraction), account, units)
+
+    def withdraw(self, keeps: typing.Callable[[str, GrantPart], bool]) -> None:
+        """Forgets what was granted of the parts that others grant now.
+
+        Args:
+          keeps: Returns whether this process still grants a part of an account's quota.
+        """
+        for name, part in list(self._granted):
+            if not keeps(name, part):
+                del self._granted[name, part]
+
     def take_to_continue(self, account: ClientAccount, units: float, fraction: float) -> bool:
         """Takes units for a request that continues a stream and is over its account's quota.
 
@@ -182,6 +256,21 @@
             self._overage.share * admitted + self._overage.tolerance
         )
 
+    def _grant_bucket(self, account, fraction, part, tenure, heard):
+        """Returns the bucket of one part of an account's quota, which only grants of it empty."""
+        now, depth = self._clock.monotonic(), account.burst * fraction
+        bucket = self._granted.get((account.name, part))
+        if bucket is None:
+            # The process that granted this part before may have emptied it.
+            level = min(heard, depth)
+            if tenure is not None:
+                level = min(level, account.rate * fraction * tenure.total_seconds())
+            bucket = _Bucket(account.rate, account.burst, level, now)
+            self._granted[account.name, part] = bucket
+        bucket.refill(now, fraction)
+        bucket.limit_to(account)
+        return bucket
+
     def _spend(self, bucket, account, units):
         bucket.level -= units
         self._own.count(account.name, self._clock.now(), round(units))
@@ -195,8 +284,7 @@
             self._buckets[account.name] = bucket
         elif (bucket.rate, bucket.burst) != (account.rate, account.burst):
             bucket.refill(now, fraction)
-            bucket.rate, bucket.burst = account.rate, account.burst
-            bucket.level = min(bucket.level, account.burst)
+            bucket.limit_to(account)
         return bucket
 
     def _level_before_first_use(self, account, fraction):
--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -7,7 +7,7 @@
 
 from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.kernel import ManualClock, seconds
-from cicadapond.quotas import SPENDING_WINDOW, QuotaShares
+from cicadapond.quotas import SPENDING_WINDOW, GrantPart, QuotaShares
 from cicadapond.usage import UsageWindows
 
 RATE, BURST, WINDOW_S, UNITS = 100.0, 100.0, 8.0, 10.0
@@ -192,6 +192,21 @@
     assert shares.take_to_continue(ACCOUNT, UNITS, 1.0)
 
 
+def test_a_part_of_a_quota_grants_its_part_only():
+    shares = QuotaShares(ManualClock(), begins_full=True)
+    half = GrantPart(1, 2)
+    granted = sum(shares.grant(ACCOUNT, UNITS, 1.0, part=half) is None for _ in range(20))
+    assert granted == 5
+
+
+def test_what_was_granted_is_forgotten_where_another_process_grants_now():
+    clock = ManualClock()
+    shares = QuotaShares(clock, begins_full=True)
+    assert shares.grant(ACCOUNT, UNITS, 1.0, tenure=seconds(1)) is None
+    shares.withdraw(lambda account, part: False)
+    assert shares.grant(ACCOUNT, UNITS, 1.0, tenure=seconds(0)) == seconds(0.1)
+
+
 def test_without_a_tolerated_overage_nothing_is_admitted_beyond_the_quota():
     assert not QuotaShares(ManualClock(), True).take_to_continue(ACCOUNT, UNITS, 1.0)
 
--- a/cicadapond/routes/_active_configuration.py
+++ b/cicadapond/routes/_active_configuration.py
@@ -6,7 +6,7 @@
 
 import datetime
 
-from cicadapond.gateway.data import CallerRequest, Configuration
+from cicadapond.gateway.data import CallerRequest, ClientAccount, Configuration
 from cicadapond.kernel import Clock
 from cicadapond.routes._table import Admitted, BadKey, NoRoute, NotReady, RoutingTable, Verdict
 
@@ -79,6 +79,10 @@
                 return NotReady("the client accounts may be out of date", age)
         return verdict
 
+    def find_account(self, name: str) -> ClientAccount | None:
+        """Returns a client account by its name, None if there is none."""
+        return self._table.find_account(name) if self._table is not None else None
+
     def may_use_keys(self) -> bool:
         """Returns whether requests with a key may be sent now."""
         if self._revocation_bound is None:
--- a/cicadapond/routes/_table.py
+++ b/cicadapond/routes/_table.py
@@ -51,6 +51,7 @@
         for route in sorted(cfg.routes, key=lambda route: -len(route.prefix)):
             self._routes.setdefault(route.host, []).append(route)
         self._accounts = {key: account for account in cfg.accounts or () for key in account.keys}
+        self._accounts_by_name = {account.name: account for account in cfg.accounts or ()}
 
     def find(self, req: CallerRequest) -> Admitted | NoRoute | BadKey:
         """Returns the route with the longest prefix of the path, if the key permits it."""
@@ -62,6 +63,10 @@
             return BadKey()
         return Admitted(route, account)
 
+    def find_account(self, name: str) -> ClientAccount | None:
+        """Returns the client account of a name, None if there is none."""
+        return self._accounts_by_name.get(name)
+
     def _longest_match(self, host, path):
         for route in self._routes.get(host, ()):
             if path.startswith(route.prefix):
