--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(PY) -m ruff check --quiet cicadapond
 
 test: $(VENV)/.installed
-	$(PY) -m pytest -n 4
+	$(PY) -m pytest -n 4 -m "not alone"
+	$(PY) -m pytest -m alone
 
 check: lint test
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -33,6 +33,7 @@
       moves: Whether the engines move running requests between each other.
       tells_parts: Whether the engines tell which prompt parts they keep.
       grace_s: The time from SIGTERM to SIGKILL, in seconds.
+      body_bytes: The largest body that callers may send.
     """
 
     engines: int = 2
@@ -47,6 +48,7 @@
     moves: bool = False
     tells_parts: bool = False
     grace_s: float = 8.0
+    body_bytes: int = 65536
 
 
 class Fleet:
@@ -177,7 +179,7 @@
             "services": self.services(),
             "limits": {
                 "max_header_bytes": 8192,
-                "max_body_bytes": 65536,
+                "max_body_bytes": self.cfg.body_bytes,
                 "header_timeout_ms": 500,
                 "idle_timeout_ms": 3000,
             },
