--- a/cicadapond/admin/__init__.py
+++ b/cicadapond/admin/__init__.py
@@ -2,5 +2,6 @@
 
 from cicadapond.admin._application import admin_application
 from cicadapond.admin._dump import to_jsonable
+from cicadapond.admin._server import AdminServer
 
-__all__ = ["admin_application", "to_jsonable"]
+__all__ = ["AdminServer", "admin_application", "to_jsonable"]
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -6,10 +6,9 @@
 import sys
 
 import attrs
-import tornado.httpserver
 from absl import flags, logging
 
-from cicadapond.admin import admin_application
+from cicadapond.admin import AdminServer, admin_application
 from cicadapond.eventlog import EventLog, log_end
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
@@ -71,7 +70,7 @@
 
 
 def _listen(application, endpoint):
-    server = tornado.httpserver.HTTPServer(application)
+    server = AdminServer(application)
     server.listen(endpoint.port, endpoint.host)
     return server
 
