--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -1,15 +1,18 @@
 """HTTP/1.1 connection of one caller: reads requests one at a time and sends the responses."""
 
-import abc
 import asyncio
 import datetime
-import typing
 
 import h11
 
 from cicadapond.forwarding import MAX_UNREAD_BYTES, Channel, ChannelClosedError
-from cicadapond.gateway.data import RequestLimits
-from cicadapond.kernel import ProcessorShare, WorkMeter
+from cicadapond.gateway._caller_requests import (
+    Headers,
+    ReceivedRequest,
+    RequestError,
+    RequestHandler,
+)
+from cicadapond.kernel import FreeWork, ProcessorShare, WorkMeter
 from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
@@ -20,75 +23,6 @@
 # After this time there is room again for a request, unless callers read slowly.
 NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
-Headers = typing.Sequence[tuple[bytes, bytes]]
-
-
-class RequestError(Exception):
-    """A request that cannot be read; answered with `status`, then the connection is closed.
-
-    Attributes:
-      retry_after: After how long the caller may retry, None to say nothing.
-    """
-
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        retry_after: datetime.timedelta | None = None,
-    ):
-        super().__init__(reason)
-        self.status = status
-        self.retry_after = retry_after
-
-
-class RequestHandler(abc.ABC):
-    """Handles the requests of all connections."""
-
-    @abc.abstractmethod
-    def limits(self) -> RequestLimits:
-        """Returns the request limits in force."""
-
-    @abc.abstractmethod
-    def is_stopping(self) -> bool:
-        """Whether connections are closed after the response in progress."""
-
-    @abc.abstractmethod
-    async def handle(self, request: "ReceivedRequest", reply: "Reply") -> None:
-        """Responds to a request; cancelled if the caller disconnects."""
-
-    @abc.abstractmethod
-    def on_rejected(self, headers: Headers, exc: RequestError) -> list[tuple[bytes, bytes]]:
-        """Records a request that cannot be read; returns the headers of its response.
-
-        Args:
-          headers: The headers of the request, empty if they were not read.
-          exc: Why it cannot be read.
-        """
-
-    @abc.abstractmethod
-    def on_unfinished(self, headers: Headers, exc: ChannelClosedError) -> None:
-        """Records a request whose connection was closed before `handle` began."""
-
-    @abc.abstractmethod
-    def on_failed(self, headers: Headers, exc: Exception) -> None:
-        """Records an unexpected error, after which the connection is aborted."""
-
-
-class ReceivedRequest:
-    """A complete request as received; header names are in lower case.
-
-    Args:
-      event: Its head.
-      body: Its body.
-      received_at: The monotonic time at which its first byte was received.
-    """
-
-    def __init__(self, event: h11.Request, body: bytes, received_at: datetime.timedelta):
-        self.method = bytes(event.method)
-        self.target = bytes(event.target)
-        self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        self.body = body
-        self.received_at = received_at
 
 
 class Reply:
@@ -136,6 +70,7 @@
       clock: The clock.
       memory: Counts the bytes that the connection holds; the default has no bound.
       processor: Gives turns to costly uploads.
+      free: What uploads may take of the processor before they are costly.
     """
 
     def __init__(
@@ -144,8 +79,10 @@
         clock,
         memory: MemoryBudget | None = None,
         processor: ProcessorShare | None = None,
+        free: FreeWork | None = None,
     ):
         super().__init__(memory, Kind.REQUESTS)
+        self._free = free
         self._handler = handler
         self._clock = clock
         self._http: h11.Connection | None = None
@@ -155,7 +92,7 @@
         self._reads_body = False
         self._has_begun_answer = False
         self._processor = processor
-        self._meter = WorkMeter(processor)
+        self._meter = WorkMeter(processor, free)
         self._received_bytes = 0
         self._headers: Headers = ()
 
@@ -243,7 +180,7 @@
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         self._reads_body = True
-        self._meter = WorkMeter(self._processor)
+        self._meter = WorkMeter(self._processor, self._free)
         try:
             body = await self._read_body(limits)
         except ChannelClosedError as exc:
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -3,13 +3,8 @@
 import asyncio
 import datetime
 
-from cicadapond.gateway._caller import (
-    CallerConnection,
-    ReceivedRequest,
-    Reply,
-    RequestError,
-    RequestHandler,
-)
+from cicadapond.gateway._caller import CallerConnection, Reply
+from cicadapond.gateway._caller_requests import ReceivedRequest, RequestError, RequestHandler
 from cicadapond.gateway._final_answer import send_local_answer
 from cicadapond.gateway._header_codec import Malformed
 from cicadapond.gateway._parts import Parts
@@ -17,7 +12,7 @@
 from cicadapond.gateway._retries import STOPPING_RETRY_AFTER
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway.data import RequestLimits
-from cicadapond.kernel import raised_at
+from cicadapond.kernel import FreeWork, raised_at
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
 LISTEN_BACKLOG = 1024
@@ -54,6 +49,7 @@
     def __init__(self, parts: Parts):
         self._parts = parts
         self._connections: set[CallerConnection] = set()
+        self._free_uploads = FreeWork()
         self._runs: set[RequestRun] = set()
         self._server: asyncio.Server | None = None
         self._relay_server: asyncio.Server | None = None
@@ -97,7 +93,7 @@
             conn.abort()
 
     def _accept(self):
-        conn = _TrackedConnection(self, self._parts, self._connections)
+        conn = _TrackedConnection(self, self._parts, self._connections, self._free_uploads)
         self._parts.metrics.count("caller_connections")
         return conn
 
@@ -320,8 +316,8 @@
 class _TrackedConnection(CallerConnection):
     """A caller's connection that registers itself in the set of open connections."""
 
-    def __init__(self, handler, parts, connections):
-        super().__init__(handler, parts.clock, parts.memory, parts.processor)
+    def __init__(self, handler, parts, connections, free=None):
+        super().__init__(handler, parts.clock, parts.memory, parts.processor, free)
         self._connections = connections
 
     def connection_made(self, transport):
--- a/cicadapond/gateway/memory_bound_test.py
+++ b/cicadapond/gateway/memory_bound_test.py
@@ -3,7 +3,8 @@
 import asyncio
 import tracemalloc
 
-from cicadapond.gateway._caller import CallerConnection, RequestHandler
+from cicadapond.gateway._caller import CallerConnection
+from cicadapond.gateway._caller_requests import RequestHandler
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import LoopClock, seconds
--- a/cicadapond/gateway/upload_test.py
+++ b/cicadapond/gateway/upload_test.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cicadapond.gateway._caller import CallerConnection, RequestHandler
+from cicadapond.gateway._caller import CallerConnection
+from cicadapond.gateway._caller_requests import RequestHandler
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import STEPS_PER_TURN, LoopClock, seconds
 
--- a/cicadapond/kernel/__init__.py
+++ b/cicadapond/kernel/__init__.py
@@ -18,7 +18,7 @@
     Unavailable,
     Unknown,
 )
-from cicadapond.kernel._processor_share import ProcessorShare, WorkMeter
+from cicadapond.kernel._processor_share import FreeWork, ProcessorShare, WorkMeter
 from cicadapond.kernel._registry import Registry, load_plugins
 from cicadapond.kernel._settings import (
     SettingsError,
@@ -57,6 +57,7 @@
     "NotRun",
     "Ok",
     "Place",
+    "FreeWork",
     "ProcessorShare",
     "Registry",
     "STEPS_PER_TURN",
--- a/cicadapond/kernel/_processor_share.py
+++ b/cicadapond/kernel/_processor_share.py
@@ -15,6 +15,13 @@
 COSTLY_SHARE = 0.1
 # An input is costly if it has taken so much of the processor without a result.
 FREE_COST_S = 0.002
+# What all inputs that share `FreeWork` may take of the processor before each of them is costly at
+# once, as a share of the time and at the same moment.
+FREE_SHARE = 0.1
+FREE_BURST_S = 0.1
+# From what processor time on an input is costly while nothing of that is left, and its turns then.
+SCARCE_COST_S = 0.0002
+SCARCE_STEPS = 8
 # Pieces of at least this size on average cost little for what they bring.
 MIN_PIECE_BYTES = 256
 # Results may take so much of the processor at once, and this share of the time on average.
@@ -60,13 +67,47 @@
                 self._late_s = max(0.0, loop.time() - self._next_turn_at)
 
 
+class FreeWork:
+    """What the inputs of many peers may together take of the processor before they are costly.
+
+    Args:
+      share: The share of the time, between 0 and 1.
+      burst_s: How much of it may be used at once, in seconds.
+    """
+
+    def __init__(self, share: float = FREE_SHARE, burst_s: float = FREE_BURST_S):
+        self._share = share
+        self._burst_s = burst_s
+        self._left_s = burst_s
+        self._filled_at = -math.inf
+
+    def use(self, cost_s: float) -> None:
+        """Records processor time that an input took."""
+        self._fill()
+        self._left_s -= cost_s
+
+    @property
+    def is_left(self) -> bool:
+        """Whether anything is left of it."""
+        self._fill()
+        return self._left_s > 0.0
+
+    def _fill(self):
+        now = asyncio.get_running_loop().time()
+        earned_s = self._share * (now - self._filled_at)
+        self._left_s = min(self._burst_s, max(self._left_s, -self._burst_s) + earned_s)
+        self._filled_at = now
+
+
 class WorkMeter:
     """Measures the work on the input of one peer, and makes it wait if it is costly.
 
-    Nothing is measured in the first turn, which is all that most inputs need.
+    Nothing is measured in the first turn, which is all that most inputs need, unless many peers may
+    send such inputs at once.
 
     Args:
       processor: Gives turns to the costly inputs of the process; the default is for this one alone.
+      free: What the inputs of all those peers may take before this one is costly.
 
     Attributes:
       free_cost_s: From what processor time without a result on the input is costly, in seconds.
@@ -74,10 +115,11 @@
       fruitless_s: The processor time since the last result, in seconds, as far as it was measured.
     """
 
-    def __init__(self, processor: ProcessorShare | None = None):
+    def __init__(self, processor: ProcessorShare | None = None, free: FreeWork | None = None):
         self._processor = processor or ProcessorShare()
-        self._steps_left = STEPS_PER_TURN
-        self._is_measuring = False
+        self._free = free
+        self._steps_left = self._steps_per_turn()
+        self._is_measuring = free is not None
         self._is_working = False
         self._begun_at_s = 0.0  # by the clock
         self._begun_cost_s = 0.0  # the thread's processor time then
@@ -91,7 +133,7 @@
     @property
     def is_costly(self) -> bool:
         """Whether the work since the last result was made to wait."""
-        return self.fruitless_s > self.free_cost_s
+        return self.fruitless_s > (self.free_cost_s if self._has_free_work() else SCARCE_COST_S)
 
     def begin_work(self) -> None:
         """Begins a stretch of work in which nothing is awaited."""
@@ -133,7 +175,7 @@
         self._steps_left -= steps
         if self._steps_left > 0:
             return
-        self._steps_left = STEPS_PER_TURN
+        self._steps_left = self._steps_per_turn()
         turn_s, self._turn_s = self._turn_s, 0.0
         now = asyncio.get_running_loop().time()
         if self._is_measuring:
@@ -156,3 +198,11 @@
         self._turn_s += min(limit_s, time.perf_counter() - self._begun_at_s)
         self.fruitless_s += cost_s
         self._burst_left_s -= cost_s
+        if self._free is not None:
+            self._free.use(cost_s)
+
+    def _has_free_work(self):
+        return self._free is None or self._free.is_left
+
+    def _steps_per_turn(self):
+        return STEPS_PER_TURN if self._has_free_work() else SCARCE_STEPS
--- a/cicadapond/kernel/processor_share_test.py
+++ b/cicadapond/kernel/processor_share_test.py
@@ -6,6 +6,7 @@
 
 from cicadapond.kernel import (
     STEPS_PER_TURN,
+    FreeWork,
     ProcessorShare,
     WorkMeter,
     _processor_share,
@@ -112,3 +113,23 @@
         return asyncio.get_running_loop().time()
 
     assert (run_virtual(main()) > 0.0) == waits
+
+
+def test_many_inputs_share_what_is_free_before_they_are_costly(monkeypatch):
+    """Guards against many uploads that each take the processor for less than is costly."""
+    work = Work()
+    monkeypatch.setattr(_processor_share, "time", work)
+
+    async def main():
+        free, processor, waited = FreeWork(burst_s=0.001), ProcessorShare(), 0
+        for _ in range(50):
+            meter = WorkMeter(processor, free)
+            before = asyncio.get_running_loop().time()
+            for _ in range(STEPS_PER_TURN):
+                meter.begin_work()
+                work.cost_s += TURN_S / STEPS_PER_TURN
+                await meter.end_pieces(1, 1)
+            waited += asyncio.get_running_loop().time() > before
+        return waited
+
+    assert run_virtual(main()) >= 40
