--- a/cicadapond/forwarding/__init__.py
+++ b/cicadapond/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from cicadapond.forwarding._attempt import AnswerCosts, Attempt, ResponseSink, SilenceTimeouts
 from cicadapond.forwarding._channel import (
     MAX_UNREAD_BYTES,
+    READ_CHUNK_BYTES,
     Channel,
     ChannelClosedError,
     open_channel,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "MAX_UNREAD_BYTES",
+    "READ_CHUNK_BYTES",
     "ResponseSink",
     "AnswerCosts",
     "Attempt",
--- a/cicadapond/forwarding/_channel.py
+++ b/cicadapond/forwarding/_channel.py
@@ -12,7 +12,7 @@
 import struct
 
 from cicadapond.data import Endpoint
-from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
+from cicadapond.memory import Kind, MemoryBudget
 
 READ_CHUNK_BYTES = 64 * 1024
 # Above this, reading pauses so that the peer has to wait; earlier if the process is at its bound.
@@ -60,6 +60,8 @@
       on_data: Called when data has been received.
     """
 
+    _max_unread_bytes = MAX_UNREAD_BYTES
+
     def __init__(self, memory: MemoryBudget | None = None, kind: Kind = Kind.ANSWERS):
         memory = memory or MemoryBudget()
         self.kind = kind
@@ -89,7 +91,8 @@
         if sock is not None:
             _set_options(sock)
         # At zero a buffer that was over the limit is counted down to its end.
-        transport.set_write_buffer_limits(high=RESERVE_BYTES, low=0)
+        reserve = self.account.budget.reserve_bytes
+        transport.set_write_buffer_limits(high=reserve, low=0)
         self._adjust_reading()
 
     def data_received(self, data):
@@ -206,13 +209,14 @@
             return
         budget = self.account.budget
         if budget.is_filling:
-            self._read_at_most(RESERVE_BYTES)
-            must_pause = len(self._unread) > RESERVE_BYTES or (
-                budget.is_full and self._waiting_bytes() > RESERVE_BYTES
+            reserve = budget.reserve_bytes
+            self._read_at_most(reserve)
+            must_pause = len(self._unread) > reserve or (
+                budget.is_full and self._waiting_bytes() > reserve
             )
         else:
-            self._read_at_most(READ_CHUNK_BYTES)
-            must_pause = len(self._unread) > MAX_UNREAD_BYTES
+            self._read_at_most(self._read_chunk_bytes())
+            must_pause = len(self._unread) > self._max_unread_bytes
         if must_pause and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
@@ -220,6 +224,10 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
+    def _read_chunk_bytes(self):
+        """Returns how many bytes to read at once while there is room."""
+        return READ_CHUNK_BYTES
+
     def _read_at_most(self, read_bytes):
         if read_bytes != self._read_bytes:
             self._read_bytes = read_bytes
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from cicadapond.forwarding import MAX_UNREAD_BYTES, Channel, ChannelClosedError
+from cicadapond.forwarding import MAX_UNREAD_BYTES, READ_CHUNK_BYTES, Channel, ChannelClosedError
 from cicadapond.gateway._caller_requests import (
     Headers,
     ReceivedRequest,
@@ -13,11 +13,13 @@
     RequestHandler,
 )
 from cicadapond.kernel import FreeWork, ProcessorShare, WorkMeter
-from cicadapond.memory import RESERVE_BYTES, Kind, MemoryBudget
+from cicadapond.memory import Kind, MemoryBudget
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
 # closing at once would reset the connection before the caller receives the response.
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
+# What a caller may send before it is read.
+MAX_UNREAD_CALLER_BYTES = 64 * 1024
 # With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
 MAX_FRAMING_FACTOR = 8
 # After this time there is room again for a request, unless callers read slowly.
@@ -73,6 +75,8 @@
       free: What uploads may take of the processor before they are costly.
     """
 
+    _max_unread_bytes = MAX_UNREAD_CALLER_BYTES
+
     def __init__(
         self,
         handler: RequestHandler,
@@ -83,6 +87,9 @@
     ):
         super().__init__(memory, Kind.REQUESTS)
         self._free = free
+        # Set once everything that arrives is discarded, as its request was refused.
+        self._is_refused = False
+        self._end_timer: asyncio.TimerHandle | None = None
         self._handler = handler
         self._clock = clock
         self._http: h11.Connection | None = None
@@ -99,7 +106,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress, and no byte of one has been received."""
-        return not (self._is_serving or self.has_unread)
+        return self._is_refused or not (self._is_serving or self.has_unread)
 
     @property
     def request_headers(self) -> Headers:
@@ -108,11 +115,27 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        limit = self._handler.limits().header_bytes
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
         self.on_closed = self._caller_left
         self._serving = asyncio.ensure_future(self._serve())
 
+    def connection_lost(self, exc):
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        super().connection_lost(exc)
+
+    def data_received(self, data):
+        if not self._is_refused:
+            super().data_received(data)
+
+    def _end_after(self, delay, end):
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._end_timer = loop.call_later(delay.total_seconds(), end)
+
+    def _read_chunk_bytes(self):
+        return min(READ_CHUNK_BYTES, self.account.budget.read_bytes)
+
     def _caller_left(self):
         if self._answering is not None:
             self._answering.cancel()
@@ -128,13 +151,14 @@
         except ChannelClosedError:
             self.close()
         except RequestError as exc:
-            await self._reject(exc)
+            self._refuse(exc)
         except Exception as exc:
             self._handler.on_failed(self._headers, exc)
             self.abort()
             raise
         except BaseException:
-            self.abort()
+            if not self._is_refused:
+                self.abort()
             raise
 
     async def _serve_one(self):
@@ -166,8 +190,10 @@
 
     async def _read_request(self):
         limits = self._handler.limits()
-        if not self.has_unread and not self._http.trailing_data[0]:
+        if not self.has_unread and (self._http is None or not self._http.trailing_data[0]):
             await self._wait_for_bytes(limits.idle_timeout)
+        elif self._http is None:
+            self._begin_parsing(await self.read())
         received_at = self._clock.monotonic()
         self._is_serving = True
         late = RequestError(408, "request head not received in time")
@@ -200,13 +226,24 @@
             if not self.has_unread:
                 raise ChannelClosedError("idle timeout", was_reset=False) from None
             data = await self.read()
+        self._begin_parsing(data)
+
+    def _begin_parsing(self, data):
+        if self._http is None:  # silent connections need no parser
+            limit = self._handler.limits().header_bytes
+            self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
         self._http.receive_data(data)
 
     def _check_room(self, more_bytes):
         """Raises RequestError if the bodies of requests would take too much memory."""
-        if more_bytes > RESERVE_BYTES and not self.account.budget.fits_request(more_bytes):
+        if not self._finds_room(more_bytes, more_bytes):
             raise RequestError(503, "no memory is left for its body", NO_ROOM_RETRY_AFTER)
 
+    def _finds_room(self, body_bytes, more_bytes):
+        """Returns whether a body of so many bytes may hold so many more."""
+        budget = self.account.budget
+        return body_bytes <= budget.reserve_bytes or budget.fits_request(more_bytes)
+
     async def _read_body(self, limits):
         body = bytearray()
         try:
@@ -231,7 +268,7 @@
                 case h11.Data(data=data):
                     body += data
                     self.keep(len(body))
-                    if len(body) > RESERVE_BYTES and not self.account.budget.fits_request(0):
+                    if not self._finds_room(len(body), 0):
                         reason = "no memory is left for the rest of its body"
                         raise RequestError(503, reason, NO_ROOM_RETRY_AFTER)
                     if len(body) > limits.body_bytes:
@@ -308,24 +345,27 @@
         if data:
             self.write(data)
 
-    async def _reject(self, exc):
+    def _refuse(self, exc):
+        """Sends the answer to a request that was not read, and discards the rest of it."""
+        if self._is_refused:
+            return
         headers = self._handler.on_rejected(self._headers, exc)
-        if self._http.our_state in (h11.IDLE, *RESPONSE_STATES) and not self.is_closed:
-            framed = [*headers, (b"content-length", b"0"), (b"connection", b"close")]
-            self._write(h11.Response(status_code=exc.status, headers=framed))
-            self._write(h11.EndOfMessage())
-            await self._linger()
-        self.close()
-
-    async def _linger(self):
-        try:
-            async with asyncio.timeout(LINGER_TIMEOUT.total_seconds()):
-                while True:
-                    self.mark_parsed()
-                    self.keep(0)
-                    await self.read()
-        except (TimeoutError, ChannelClosedError):
+        self._is_refused = True
+        can_answer = self._http is None or self._http.our_state in (h11.IDLE, *RESPONSE_STATES)
+        if not can_answer or self.is_closed:
+            self.close()
             return
+        if self._http is None:
+            self._http = h11.Connection(h11.SERVER)
+        framed = [*headers, (b"content-length", b"0"), (b"connection", b"close")]
+        self._write(h11.Response(status_code=exc.status, headers=framed))
+        self._write(h11.EndOfMessage())
+        # Its parser keeps what it was given.
+        self._http = None
+        self._unread.clear()
+        self.mark_parsed()
+        self.keep(0)
+        self._end_after(LINGER_TIMEOUT, self.close)
 
 
 def _content_length(head):
--- a/cicadapond/memory/_budget.py
+++ b/cicadapond/memory/_budget.py
@@ -21,6 +21,12 @@
 MIN_BOUND_BYTES = 16 * 1024 * 1024
 # Each connection may hold this much also at the bound, so that heads and small messages pass.
 RESERVE_BYTES = 16 * 1024
+# All connections together may hold this share of the bound in that way, so that the reserve of each
+# is smaller if there are many; it is never too small for a usual head.
+RESERVES_SHARE = 1 / 4
+MIN_RESERVE_BYTES = 4 * 1024
+# The accounts of a connection: what its owner keeps, what is unread and what is unsent.
+ACCOUNTS_PER_CONNECTION = 3
 # Reading goes on once so much of the bound is left, as each change concerns all connections.
 RESUME_SHARE = 7 / 8
 # From this share on, no more than the reserve waits unread in a connection: what waits for slow
@@ -132,6 +138,17 @@
         """Whether connections must not be read while more than the reserve is unread."""
         return self.held_bytes > self.bound_bytes * FILLING_SHARE
 
+    @property
+    def reserve_bytes(self) -> int:
+        """How many bytes a connection may hold also at the bound."""
+        return min(RESERVE_BYTES, self.read_bytes)
+
+    @property
+    def read_bytes(self) -> int:
+        """How many bytes all connections may each read at once before any of them is counted."""
+        connections = max(1, len(self._accounts) // ACCOUNTS_PER_CONNECTION)
+        return max(MIN_RESERVE_BYTES, int(RESERVES_SHARE * self.bound_bytes / connections))
+
     def open(self, kind: Kind) -> Account:
         """Returns a new account."""
         account = Account(self, kind)
