--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -7,7 +7,7 @@
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._rollout_codec import RolloutCodec
 from cicadapond.kernel import ProcessorShare
-from cicadapond.memory import MemoryBudget
+from cicadapond.memory import CallerSlots, MemoryBudget
 from cicadapond.provider import TableService
 from cicadapond.residency import PartCalls
 
@@ -20,8 +20,9 @@
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
     Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
-    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes, and
-    `processor` the time that it spends on costly ones.
+    which prompt parts they keep.  `memory` bounds what the process holds of others' bytes,
+    `processor` the time that it spends on costly ones, and `caller_slots` its connections with
+    callers, None for any number of them.
     """
 
     header_codec: HeaderCodec
@@ -37,3 +38,4 @@
     rollout_codec: RolloutCodec | None = None
     engine_calls: EngineCalls | None = None
     part_calls: PartCalls | None = None
+    caller_slots: CallerSlots | None = None
--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import sys
 
 import h11
 
@@ -13,7 +14,7 @@
     RequestHandler,
 )
 from cicadapond.kernel import FreeWork, ProcessorShare, WorkMeter
-from cicadapond.memory import Kind, MemoryBudget
+from cicadapond.memory import CallerSlot, CallerSlots, CallerState, Kind, MemoryBudget
 
 # After rejecting a request that was not fully read, the rest is read and discarded for this long:
 # closing at once would reset the connection before the caller receives the response.
@@ -73,6 +74,7 @@
       memory: Counts the bytes that the connection holds; the default has no bound.
       processor: Gives turns to costly uploads.
       free: What uploads may take of the processor before they are costly.
+      slots: The connections of all callers, None if their number is not limited.
     """
 
     _max_unread_bytes = MAX_UNREAD_CALLER_BYTES
@@ -84,9 +86,12 @@
         memory: MemoryBudget | None = None,
         processor: ProcessorShare | None = None,
         free: FreeWork | None = None,
+        slots: CallerSlots | None = None,
     ):
         super().__init__(memory, Kind.REQUESTS)
         self._free = free
+        self._slots = slots if slots is not None else CallerSlots(clock, sys.maxsize)
+        self._slot: CallerSlot | None = None
         # Set once everything that arrives is discarded, as its request was refused.
         self._is_refused = False
         self._end_timer: asyncio.TimerHandle | None = None
@@ -115,10 +120,16 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        self._slot = self._slots.open(self)
+        if self._slot is None:
+            self.abort()
+            return
         self.on_closed = self._caller_left
         self._serving = asyncio.ensure_future(self._serve())
 
     def connection_lost(self, exc):
+        if self._slot is not None:
+            self._slots.close(self._slot)
         if self._end_timer is not None:
             self._end_timer.cancel()
         super().connection_lost(exc)
@@ -163,6 +174,7 @@
 
     async def _serve_one(self):
         request = await self._read_request()
+        self._slots.become(self._slot, CallerState.SERVED)
         self._is_serving = True
         reply = Reply(self)
         self._has_begun_answer = False
@@ -181,6 +193,7 @@
             self._answering = None
             self._is_serving = False
             self.keep(0)
+            self._slots.become(self._slot, CallerState.IDLE)
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         return both_done and not self.is_closed
 
@@ -194,6 +207,7 @@
             await self._wait_for_bytes(limits.idle_timeout)
         elif self._http is None:
             self._begin_parsing(await self.read())
+        self._slots.become(self._slot, CallerState.READING)
         received_at = self._clock.monotonic()
         self._is_serving = True
         late = RequestError(408, "request head not received in time")
@@ -365,6 +379,7 @@
         self._unread.clear()
         self.mark_parsed()
         self.keep(0)
+        self._slots.become(self._slot, CallerState.REFUSED)
         self._end_after(LINGER_TIMEOUT, self.close)
 
 
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import socket
 
 from cicadapond.gateway._caller import CallerConnection, Reply
 from cicadapond.gateway._caller_requests import ReceivedRequest, RequestError, RequestHandler
@@ -16,6 +17,8 @@
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
 LISTEN_BACKLOG = 1024
+# So many connections are accepted before those beyond the limit are closed.
+ACCEPTED_AT_ONCE = 32
 # The load balancer sends new connections until two readiness checks, one second apart, have failed.
 BALANCER_DELAY = datetime.timedelta(seconds=3)
 # For how long a process that stops accepts requests whatever their time limit.  Shorter than the
@@ -49,6 +52,7 @@
     def __init__(self, parts: Parts):
         self._parts = parts
         self._connections: set[CallerConnection] = set()
+        self._slots = parts.caller_slots
         self._free_uploads = FreeWork()
         self._runs: set[RequestRun] = set()
         self._server: asyncio.Server | None = None
@@ -58,9 +62,9 @@
         """Starts accepting connections."""
         endpoint = self._parts.cfg.frontend
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, endpoint.host, endpoint.port, backlog=LISTEN_BACKLOG
-        )
+        sock = socket.create_server((endpoint.host, endpoint.port), backlog=LISTEN_BACKLOG)
+        self._server = await loop.create_server(self._accept, sock=sock, backlog=ACCEPTED_AT_ONCE)
+        sock.listen(LISTEN_BACKLOG)
         if len(self._parts.cfg.peers) > 1:
             relay, handler = self._parts.cfg.peers[1], _RelayedRequests(self)
             self._relay_server = await loop.create_server(
@@ -93,7 +97,9 @@
             conn.abort()
 
     def _accept(self):
-        conn = _TrackedConnection(self, self._parts, self._connections, self._free_uploads)
+        conn = _TrackedConnection(
+            self, self._parts, self._connections, self._free_uploads, self._slots
+        )
         self._parts.metrics.count("caller_connections")
         return conn
 
@@ -316,8 +322,8 @@
 class _TrackedConnection(CallerConnection):
     """A caller's connection that registers itself in the set of open connections."""
 
-    def __init__(self, handler, parts, connections, free=None):
-        super().__init__(handler, parts.clock, parts.memory, parts.processor, free)
+    def __init__(self, handler, parts, connections, free=None, slots=None):
+        super().__init__(handler, parts.clock, parts.memory, parts.processor, free, slots)
         self._connections = connections
 
     def connection_made(self, transport):
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -231,6 +231,7 @@
             costly_servers=costly_servers,
             memory=memory,
             processor=processor,
+            caller_slots=self._adapters.caller_slots,
             links=links,
             queues=queues,
             rollouts=rollouts,
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -22,7 +22,7 @@
 from cicadapond.gateway._stream_moves import StreamMoves
 from cicadapond.gateway.data import GatewaySettings, ServerEntry
 from cicadapond.kernel import Clock, Metrics, ProcessorShare
-from cicadapond.memory import MemoryBudget
+from cicadapond.memory import CallerSlots, MemoryBudget
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import ActiveConfiguration
@@ -54,8 +54,8 @@
     of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
     `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
     which versions were in service before this process started, None if that is not kept;
-    `memory` bounds what the process holds of others' bytes, and `processor` the time that it
-    spends on costly ones.
+    `memory` bounds what the process holds of others' bytes, `processor` the time that it spends on
+    costly ones, and `caller_slots` its connections with callers, None for any number of them.
     """
 
     cfg: GatewaySettings
@@ -80,6 +80,7 @@
     starts: ServerStarts
     memory: MemoryBudget = attrs.field(factory=MemoryBudget)
     processor: ProcessorShare = attrs.field(factory=ProcessorShare)
+    caller_slots: CallerSlots | None = None
     rollouts: RolloutGate = attrs.field(factory=NoRollouts)
     stored_usage: StoredCounts = attrs.field(factory=StoredCounts)
     processes: typing.Callable[[], int] = lambda: 1
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -1,9 +1,11 @@
 """Builds the adapters through which a gateway process reaches the platform."""
 
+import resource
+
 from cicadapond.forwarding import HttpClient
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.kernel import ProcessorShare
-from cicadapond.memory import MemoryBudget, bound_of
+from cicadapond.memory import CallerSlots, MemoryBudget, bound_of, max_connections
 from cicadapond.platform import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -22,6 +24,8 @@
 def platform_adapters(cfg, clock, log, metrics) -> PlatformAdapters:
     """Returns the platform adapters of one process."""
     memory, processor = MemoryBudget(bound_of(cfg.memory_bytes)), ProcessorShare()
+    descriptors = min(cfg.max_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    slots = CallerSlots(clock, max_connections(memory.bound_bytes, descriptors))
     store = PlatformStore(HttpClient(cfg.store, clock, metrics, memory=memory), log, metrics)
     # The cloud's answers are all alike, so that a late copy could not be told from an answer.
     cloud = None
@@ -32,6 +36,7 @@
         header_codec=PlatformHeaderCodec(),
         memory=memory,
         processor=processor,
+        caller_slots=slots,
         tables=store,
         feed=store,
         cloud=cloud,
--- a/cicadapond/memory/__init__.py
+++ b/cicadapond/memory/__init__.py
@@ -8,12 +8,17 @@
     MemoryBudget,
     bound_of,
 )
+from cicadapond.memory._callers import CallerSlot, CallerSlots, CallerState, max_connections
 
 __all__ = [
     "Account",
+    "CallerSlot",
+    "CallerSlots",
+    "CallerState",
     "DEFAULT_MEMORY_BYTES",
     "Kind",
     "MemoryBudget",
     "RESERVE_BYTES",
     "bound_of",
+    "max_connections",
 ]
