--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -21,10 +21,15 @@
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 # What a caller may send before it is read.
 MAX_UNREAD_CALLER_BYTES = 64 * 1024
+# A body may take this multiple of the idle time-out, and the time that its largest size takes at
+# this pace.
+MAX_IDLE_TIMES = 10
+MIN_BODY_BYTES_PER_S = 1024
 # With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
 MAX_FRAMING_FACTOR = 8
 # After this time there is room again for a request, unless callers read slowly.
 NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+ZERO = datetime.timedelta()
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
 
 
@@ -138,11 +143,10 @@
         if not self._is_refused:
             super().data_received(data)
 
-    def _end_after(self, delay, end):
-        if self._end_timer is not None:
-            self._end_timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._end_timer = loop.call_later(delay.total_seconds(), end)
+    def give_up_body(self, reason):
+        """Refuses the request whose body is being read, and releases what was read."""
+        self._serving.cancel()
+        self._refuse(RequestError(503, reason, NO_ROOM_RETRY_AFTER))
 
     def _read_chunk_bytes(self):
         return min(READ_CHUNK_BYTES, self.account.budget.read_bytes)
@@ -256,7 +260,10 @@
     def _finds_room(self, body_bytes, more_bytes):
         """Returns whether a body of so many bytes may hold so many more."""
         budget = self.account.budget
-        return body_bytes <= budget.reserve_bytes or budget.fits_request(more_bytes)
+        if body_bytes <= budget.reserve_bytes or budget.fits_request(more_bytes):
+            return True
+        fits = self._slots.make_room(lambda: budget.fits_request(more_bytes))
+        return fits and not self._is_refused
 
     async def _read_body(self, limits):
         body = bytearray()
@@ -269,10 +276,14 @@
     async def _read_body_into(self, body, limits):
         begun_at = self._received_bytes
         late = RequestError(408, "request body not received in time")
+        ends_at = self._clock.monotonic() + _longest_body_time(limits)
         while True:
             self._meter.begin_work()
+            left = ends_at - self._clock.monotonic()
+            if left <= ZERO:
+                raise late
             try:
-                event = await self._next_event_within(limits.idle_timeout, late)
+                event = await self._next_event_within(min(limits.idle_timeout, left), late)
             except RequestError as exc:
                 if exc is late and self.account.budget.is_full:
                     reason = "no memory was left to read its body"
@@ -282,6 +293,7 @@
                 case h11.Data(data=data):
                     body += data
                     self.keep(len(body))
+                    self._slot.held = len(body)
                     if not self._finds_room(len(body), 0):
                         reason = "no memory is left for the rest of its body"
                         raise RequestError(503, reason, NO_ROOM_RETRY_AFTER)
@@ -380,7 +392,14 @@
         self.mark_parsed()
         self.keep(0)
         self._slots.become(self._slot, CallerState.REFUSED)
-        self._end_after(LINGER_TIMEOUT, self.close)
+        loop = asyncio.get_running_loop()
+        self._end_timer = loop.call_later(LINGER_TIMEOUT.total_seconds(), self.close)
+
+
+def _longest_body_time(limits):
+    """Returns for how long a caller may send a body."""
+    at_least_pace = datetime.timedelta(seconds=limits.body_bytes / MIN_BODY_BYTES_PER_S)
+    return MAX_IDLE_TIMES * limits.idle_timeout + at_least_pace
 
 
 def _content_length(head):
--- a/cicadapond/memory/_callers.py
+++ b/cicadapond/memory/_callers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from cicadapond.kernel import Clock
+from cicadapond.memory._budget import RESERVE_BYTES
 
 # Bytes of the memory bound for each connection: its own reserve, and its objects.
 BYTES_PER_CONNECTION = 16 * 1024
@@ -20,6 +21,9 @@
 # The share of the other descriptors for callers; servers, processes and the store need the rest.
 CALLERS_SHARE = 1 / 2
 MIN_CONNECTIONS = 16
+# A body that has been read for less than this is not given up for another one: most are complete
+# sooner.
+MIN_READING_TIME = datetime.timedelta(seconds=1)
 
 
 def max_connections(bound_bytes: int, descriptors: int) -> int:
@@ -49,6 +53,9 @@
     def abort(self) -> None:
         """Closes it at once."""
 
+    def give_up_body(self, reason: str) -> None:
+        """Refuses the request whose body is being read, and releases what was read."""
+
 
 @attrs.define(eq=False)
 class CallerSlot:
@@ -57,11 +64,13 @@
     Attributes:
       state: What the connection is at.
       since: Since when.
+      held: How many bytes of an incomplete body it holds.
     """
 
     conn: GivesUp
     state: CallerState
     since: datetime.timedelta
+    held: int = 0
 
 
 class CallerSlots:
@@ -106,7 +115,7 @@
         if slot not in self._slots[slot.state]:
             return  # it was given up
         del self._slots[slot.state][slot]
-        slot.state, slot.since = state, self._clock.monotonic()
+        slot.state, slot.since, slot.held = state, self._clock.monotonic(), 0
         self._slots[state][slot] = None
 
     def close(self, slot: CallerSlot) -> None:
@@ -117,6 +126,30 @@
         """Returns how many connections are in a state."""
         return len(self._slots[state])
 
+    def make_room(self, fits: typing.Callable[[], bool]) -> bool:
+        """Gives up incomplete bodies until something fits, those first that hold most for longest.
+
+        Args:
+          fits: Returns whether it fits now.
+
+        Returns:
+          Whether it fits.
+        """
+        now = self._clock.monotonic()
+        bodies = [
+            slot
+            for slot in self._slots[CallerState.READING]
+            if slot.held > RESERVE_BYTES and now - slot.since >= MIN_READING_TIME
+        ]
+        bodies.sort(key=lambda slot: slot.held * (now - slot.since))
+        while not fits():
+            if not bodies:
+                return False
+            slot = bodies.pop()
+            self.given_up[slot.state] += 1
+            slot.conn.give_up_body("its memory is needed for other requests")
+        return True
+
     def _first_to_give_up(self):
         for state in CallerState:
             if state is not CallerState.SERVED and self._slots[state]:
--- a/cicadapond/memory/callers_test.py
+++ b/cicadapond/memory/callers_test.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cicadapond.kernel import ManualClock
+from cicadapond.kernel import ManualClock, seconds
 from cicadapond.memory import (
     RESERVE_BYTES,
     CallerSlots,
@@ -28,6 +28,10 @@
     def abort(self):
         self.ended = "aborted"
 
+    def give_up_body(self, reason):
+        self.ended = "refused"
+        self._slots.become(self.slot, CallerState.REFUSED)
+
 
 def test_the_number_of_connections_follows_from_memory_and_descriptors():
     assert max_connections(40 * MB, 100_000) == 40 * MB // (16 * 1024)
@@ -59,6 +63,29 @@
     assert second.ended == "aborted" and first.ended is None
 
 
+def test_incomplete_bodies_make_room_and_fresh_ones_stay():
+    """Guards against uploads that never end and refuse all others for want of memory."""
+    clock, left = ManualClock(), [3]
+    slots = CallerSlots(clock, 10)
+    conns = [Conn(slots) for _ in range(5)]
+    for number, conn in enumerate(conns):
+        slots.become(conn.slot, CallerState.READING)
+        conn.slot.held = RESERVE_BYTES * (number + 1)
+    clock.advance(seconds(2))
+    fresh = Conn(slots)
+    slots.become(fresh.slot, CallerState.READING)
+    fresh.slot.held = MB
+
+    def fits():
+        return sum(conn.ended == "refused" for conn in conns) >= left[0]
+
+    assert slots.make_room(fits)
+    assert [conn.ended for conn in conns] == [None, None, "refused", "refused", "refused"]
+    left[0] = 9
+    assert not slots.make_room(fits)
+    assert fresh.ended is None and conns[0].ended is None
+
+
 @given(st.lists(st.tuples(st.sampled_from(list(CallerState)), st.booleans()), max_size=60))
 def test_there_are_never_more_connections_than_allowed(steps):
     slots = CallerSlots(ManualClock(), 4)
