--- a/cicadapond/controller/main.py
+++ b/cicadapond/controller/main.py
@@ -3,10 +3,9 @@
 import random
 
 import attrs
-import tornado.httpserver
 from absl import logging
 
-from cicadapond.admin import admin_application
+from cicadapond.admin import AdminServer, admin_application
 from cicadapond.backend import engines
 from cicadapond.controller._node import ROLE, ControllerNode, ControllerServices
 from cicadapond.controller._parts import ControlSettings
@@ -73,7 +72,7 @@
         self.node = ControllerNode(
             cfg, self._make_external_services(rng), self.clock, self.metrics, rng
         )
-        self._admin = tornado.httpserver.HTTPServer(
+        self._admin = AdminServer(
             admin_application(self.metrics, self.state, lambda: self.node.document.ready)
         )
 
--- a/cicadapond/entry/_http_base.py
+++ b/cicadapond/entry/_http_base.py
@@ -29,11 +29,15 @@
 REQUEST_ID = "Cicadapond-Request-Id"
 OUTCOME = "Cicadapond-Outcome"
 EVENT_STREAM = "text/event-stream"
+BODY_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
 @attrs.define
 class CallerParts:
-    """The state that the handlers share; one object per process."""
+    """The state that the handlers share; one object per process.
+
+    `held_body_bytes` are those of the bodies of all requests that are not finished.
+    """
 
     core: EntryCore
     clock: Clock
@@ -41,6 +45,7 @@
     limits: HttpLimits
     in_flight: InFlight
     stopping: bool = False
+    held_body_bytes: int = 0
     _account_index: AccountIndex = attrs.field(factory=lambda: AccountIndex({}))
 
     def account(self, authorization: str | None) -> str | None:
@@ -91,13 +96,28 @@
             self._refuse_long_body()
 
     def data_received(self, chunk):
-        """Buffers a chunk of the body, or refuses the request once the body is over the limit."""
-        self._body_size += len(chunk)
-        if self._body_size <= self.parts.limits.max_body_bytes:
-            self._chunks.append(chunk)
-        elif not self._finished:
-            self._chunks.clear()
+        """Buffers a chunk of the body, or refuses the request once there is no room for it."""
+        if self._finished:
+            return
+        limits = self.parts.limits
+        if self._body_size + len(chunk) > limits.max_body_bytes:
             self._refuse_long_body()
+        elif self.parts.held_body_bytes + len(chunk) > limits.max_held_body_bytes:
+            self.refuse(NotRun("no memory is left for its body", BODY_RETRY_AFTER))
+            self.finish()
+        else:
+            self._chunks.append(chunk)
+            self._body_size += len(chunk)
+            self.parts.held_body_bytes += len(chunk)
+
+    def on_finish(self):
+        """Releases the body."""
+        self._release_body()
+
+    def _release_body(self):
+        self.parts.held_body_bytes -= self._body_size
+        self._body_size = 0
+        self._chunks.clear()
 
     def _refuse_long_body(self):
         limit = self.parts.limits.max_body_bytes
@@ -134,6 +154,8 @@
         """Cancels the work of a caller that has disconnected."""
         super().on_connection_close()
         self._caller_gone = True
+        if self._work is None:
+            self._release_body()
         if self._work is not None and not self.continues_without_caller:
             self._work.cancel()
 
--- a/cicadapond/entry/_settings.py
+++ b/cicadapond/entry/_settings.py
@@ -16,10 +16,13 @@
 
 @attrs.frozen
 class HttpLimits:
-    """Limits of one caller's connection.
+    """Limits of callers' connections.
 
     Attributes:
       max_body_bytes: A longer body is answered with 413.
+      max_held_body_bytes: What the bodies of all requests may hold together; one for which there is
+        no room is answered with 503.
+      max_connections: How many connections callers may have open; further ones are closed.
       header_timeout: From the connection's last answer to the end of the next request's headers.
       body_timeout: From the end of the headers to the end of the body.
       write_timeout: How long a caller may read nothing before its connection is closed.
@@ -33,6 +36,8 @@
     """
 
     max_body_bytes: int = setting(default=1 << 20, check=at_least(1))
+    max_held_body_bytes: int = setting(default=64 << 20, check=at_least(1))
+    max_connections: int = setting(default=2000, check=at_least(1))
     header_timeout: datetime.timedelta = 20 * _SECOND
     body_timeout: datetime.timedelta = 30 * _SECOND
     write_timeout: datetime.timedelta = 60 * _SECOND
--- a/cicadapond/entry/http_test.py
+++ b/cicadapond/entry/http_test.py
@@ -13,8 +13,8 @@
 
 from cicadapond.data import Completion, Finished, ServiceResponse, Token
 from cicadapond.document import AccountIntent, ApplicationIntent, Intent, ModelIntent
+from cicadapond.entry._caller_server import CallerServer
 from cicadapond.entry._durable import DurableRequest
-from cicadapond.entry._http import caller_application
 from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
 from cicadapond.entry._settings import HttpLimits
@@ -96,12 +96,7 @@
         self.parts = CallerParts(core, LoopClock(), Metrics(), limits, InFlight())
 
     async def __aenter__(self):
-        self._server = tornado.httpserver.HTTPServer(
-            caller_application(self.parts),
-            idle_connection_timeout=self.parts.limits.header_timeout.total_seconds(),
-            body_timeout=self.parts.limits.body_timeout.total_seconds(),
-            max_body_size=1 << 40,
-        )
+        self._server = CallerServer(self.parts)
         socket, self.port = tornado.testing.bind_unused_port()
         self._server.add_socket(socket)
         self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
@@ -377,3 +372,37 @@
     assert ask("/v1/requests/r-1", core, method="GET").code == 404
     headers = AUTHORIZED | {"Last-Event-ID": "x"}
     assert ask("/v1/requests/r-1", core, method="GET", headers=headers).code == 400
+
+
+def test_bodies_of_all_callers_together_are_bounded():
+    """Guards against a bound for each body that is none for the process."""
+
+    async def main():
+        limits = attrs.evolve(LIMITS, max_body_bytes=1000, max_held_body_bytes=1500)
+        async with Served(FakeCore(), limits) as served:
+            head = b"POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n"
+            head += b"Authorization: %s\r\n\r\n" % AUTHORIZED["Authorization"].encode()
+            first = await served.connect()
+            first[1].write(head + b"x" * 999)
+            while not served.parts.held_body_bytes:
+                await asyncio.sleep(0.01)
+            second = await served.connect()
+            second[1].write(head + b"x" * 999)
+            assert b" 503 " in await second[0].readline()
+            first[1].close()
+            while served.parts.held_body_bytes:
+                await asyncio.sleep(0.01)
+            second[1].close()
+
+    asyncio.run(main())
+
+
+def test_connections_beyond_the_limit_are_closed():
+    async def main():
+        async with Served(FakeCore(), attrs.evolve(LIMITS, max_connections=2)) as served:
+            connections = [await served.connect() for _ in range(3)]
+            assert await connections[2][0].read() == b""
+            for _, writer in connections:
+                writer.close()
+
+    asyncio.run(main())
--- a/cicadapond/entry/main.py
+++ b/cicadapond/entry/main.py
@@ -5,13 +5,12 @@
 import pathlib
 import random
 
-import tornado.httpserver
 from absl import logging
 
-from cicadapond.admin import admin_application
+from cicadapond.admin import AdminServer, admin_application
 from cicadapond.document import parse_document
+from cicadapond.entry._caller_server import CallerServer
 from cicadapond.entry._external_services import make_external_services
-from cicadapond.entry._http import caller_application
 from cicadapond.entry._http_base import CallerParts
 from cicadapond.entry._in_flight import InFlight
 from cicadapond.entry._node import EntryNode
@@ -26,7 +25,6 @@
 
 
 GC_THRESHOLDS = (20_000, 20, 20)  # allocations, then collections of the next younger generation
-MAX_BODY_BYTES = 1 << 40  # the handlers answer 413 at a much lower limit and buffer no more
 
 
 class EntryProcess:
@@ -53,8 +51,8 @@
         self._caller_parts = CallerParts(
             self.node.core, self.clock, self.metrics, cfg.http_limits, self.in_flight
         )
-        self._http_server = _caller_server(cfg.http_limits, self._caller_parts)
-        self._admin_server = tornado.httpserver.HTTPServer(
+        self._http_server = CallerServer(self._caller_parts)
+        self._admin_server = AdminServer(
             admin_application(self.metrics, self.state, lambda: self._ready)
         )
 
@@ -105,15 +103,6 @@
             logging.error("%d requests still in flight after %s s", self.in_flight.count, limit)
 
 
-def _caller_server(limits, parts):
-    return tornado.httpserver.HTTPServer(
-        caller_application(parts),
-        idle_connection_timeout=limits.header_timeout.total_seconds(),
-        body_timeout=limits.body_timeout.total_seconds(),
-        max_body_size=MAX_BODY_BYTES,
-    )
-
-
 def _read_document(cfg):
     findings = Findings()
     sections = {
