--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -73,8 +73,9 @@
 
 @attrs.define
 class _Refusal:
-    """The last refusal of an account's requests."""
+    """The last refusal of an account's requests; smaller ones may be within the quota all the same."""
 
+    units: float
     until: datetime.timedelta
     quota_at: datetime.timedelta
 
@@ -136,7 +137,7 @@
             return None
         now = self._clock.monotonic()
         refusal = self._refusals.get((account.name, continues))
-        if refusal is not None and now < refusal.until:
+        if refusal is not None and units >= refusal.units and now < refusal.until:
             return max(refusal.quota_at - now, refusal.until - now)
         wait = await self._ask_parts(account, units, continues)
         if wait is None:
@@ -146,7 +147,7 @@
         now = self._clock.monotonic()
         pause = min(wait, MAX_REFUSAL_TIME)
         pause = max(pause, MIN_REFUSAL_TIME, self._processes.count() * REFUSAL_TIME_PER_PROCESS)
-        self._refusals[account.name, continues] = _Refusal(now + pause, now + wait)
+        self._refusals[account.name, continues] = _Refusal(units, now + pause, now + wait)
         return max(wait, pause)
 
     def answer(self, payload: object) -> list:
--- a/cicadapond/gateway/quota_grants_test.py
+++ b/cicadapond/gateway/quota_grants_test.py
@@ -89,6 +89,8 @@
         wait = await asking.take(ACCOUNT, 50.0)
         assert wait == seconds(0.5) and len(fleet.calls) == 2
         assert await asking.take(ACCOUNT, 50.0) == wait and len(fleet.calls) == 2
+        # A smaller one may be within the quota.
+        assert await asking.take(ACCOUNT, 5.0) is not None and len(fleet.calls) == 3
         fleet.clock.advance(wait)
         assert await asking.take(ACCOUNT, 50.0) is None
 
