--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -13,10 +13,10 @@
 from cicadapond.quotas import GrantPart, QuotaShares, coordinators, parts_of
 
 TOPIC = "quota"
-# Calls take 2 to 4 ms; a host that is 2.5 times slower for 600 ms still answers within this time.
-CALL_TIMEOUT = datetime.timedelta(milliseconds=150)
-# A process that did not answer is not asked for this long.
-RETRY_DELAY = datetime.timedelta(seconds=3)
+# Calls take 2 to 4 ms; a host with little of a processor left answers within this time.
+CALL_TIMEOUT = datetime.timedelta(milliseconds=400)
+# A process that did not answer is not asked for this long; one that has ended leaves the live ones.
+RETRY_DELAY = datetime.timedelta(milliseconds=500)
 # How many coordinators that do not answer are tried for one request.
 MAX_TRIES = 2
 # How many processes are considered as coordinators of a part; some may be of an earlier build.
@@ -28,6 +28,8 @@
 MIN_REFUSAL_TIME = datetime.timedelta(milliseconds=40)
 REFUSAL_TIME_PER_PROCESS = datetime.timedelta(milliseconds=2)
 MAX_REFUSAL_TIME = datetime.timedelta(milliseconds=250)
+# What callers are told to wait if no coordinator answers: they come back to another process.
+MAX_WAIT_ALONE = datetime.timedelta(seconds=1)
 # The part that a process grants itself if it reaches no coordinator.
 NO_COORDINATOR = -1
 NO_TIME = datetime.timedelta()
@@ -73,7 +75,7 @@
 
 @attrs.define
 class _Refusal:
-    """The last refusal of an account's requests; smaller ones may be within the quota all the same."""
+    """The last refusal of an account's requests; smaller ones may still be within the quota."""
 
     units: float
     until: datetime.timedelta
@@ -218,7 +220,8 @@
         if self._processes.all_take_grants():
             share, tenure = share / self._processes.count(), NO_TIME
         part = GrantPart(NO_COORDINATOR, 1)
-        return self._shares.grant(account, units, share, continues, part, tenure)
+        wait = self._shares.grant(account, units, share, continues, part, tenure)
+        return min(wait, MAX_WAIT_ALONE) if wait is not None else None
 
     def _coordinators(self, account, number):
         self._follow_processes()
--- a/cicadapond/peer/_asking.py
+++ b/cicadapond/peer/_asking.py
@@ -20,6 +20,9 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 # A kept connection is closed if it was not used for this long; it takes some 10 KB at both ends.
 KEPT_IDLE_TIME = datetime.timedelta(seconds=5)
+# A connection on which a query waits for longer than this is not used any more.
+MAX_ANSWER_TIME = datetime.timedelta(seconds=1)
+LATE_LOOP_GRACE_S = 0.02
 
 
 async def send_query(
@@ -80,9 +83,13 @@
 class _KeptLink:
     """A connection on which queries are answered in order; ends at the first that is not."""
 
-    def __init__(self, link: Link):
+    def __init__(self, link: Link, clock: Clock):
         self._link = link
-        self._waiting: collections.deque[asyncio.Future] = collections.deque()
+        self._clock = clock
+        # The queries that are not answered yet, and when they were sent.
+        self._waiting: collections.deque[tuple[asyncio.Future, datetime.timedelta]] = (
+            collections.deque()
+        )
         self._parts = bytearray()
         self.is_closed = False
         self.used_at = datetime.timedelta()
@@ -93,17 +100,24 @@
     def is_waiting(self) -> bool:
         return bool(self._waiting)
 
-    async def query(self, query: Query) -> bytes | None:
-        """Returns the packed answer, None if the connection ended before."""
+    @property
+    def is_stuck(self) -> bool:
+        """Whether a query has had no answer for so long that none can be expected."""
+        if not self._waiting:
+            return False
+        return self._clock.monotonic() - self._waiting[0][1] >= MAX_ANSWER_TIME
+
+    def query(self, query: Query) -> asyncio.Future:
+        """Sends a query; the result is the packed answer, None if the connection ends before."""
         reply = asyncio.get_running_loop().create_future()
-        self._waiting.append(reply)
+        self._waiting.append((reply, self._clock.monotonic()))
         self._link.send([encode(query)])
-        return await reply
+        return reply
 
     def close(self) -> None:
         self.is_closed = True
         self._link.close()
-        for reply in self._waiting:
+        for reply, _ in self._waiting:
             if not reply.done():
                 reply.set_result(None)
         self._waiting.clear()
@@ -117,8 +131,8 @@
         self._parts.extend(message.part)
         if message.last:
             packed, self._parts = bytes(self._parts), bytearray()
-            reply = self._waiting.popleft()
-            if not reply.done():
+            reply, _ = self._waiting.popleft()
+            if not reply.done():  # else its answer comes too late
                 reply.set_result(packed)
 
 
@@ -140,18 +154,32 @@
     ) -> Ok[object] | Unavailable:
         """Sends a query to the process at an address, as `send_query`; answers come within a time.
 
-        A connection on which an answer was late is closed, so that no answer is taken for another.
+        Answers come in the order of the queries, so that a late one is not taken for another; the
+        connection is closed once one is so late that the process may be gone.
         """
         self.close_idle()
-        link = None
+        late = Unavailable(f"no answer from {endpoint} within {timeout.total_seconds():g} s")
+        ends_at = self._clock.monotonic() + timeout
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 link = await self._link(endpoint)
-                packed = await link.query(Query(topic, payload)) if link is not None else None
         except TimeoutError:
-            if link is not None:
+            return late
+        if link is None:
+            return Unavailable(f"no answer from {endpoint}")
+        reply = link.query(Query(topic, payload))
+        left_s = max(0.0, (ends_at - self._clock.monotonic()).total_seconds())
+        # An event loop that was behind runs the time-out before it reads what has been received.
+        for wait_s in (left_s, LATE_LOOP_GRACE_S):
+            await asyncio.wait((reply,), timeout=wait_s)
+            if reply.done():
+                break
+        else:
+            reply.cancel()
+            if link.is_stuck:
                 link.close()
-            return Unavailable(f"no answer from {endpoint} within {timeout.total_seconds():g} s")
+            return late
+        packed = reply.result()
         if packed is None:
             return Unavailable(f"no answer from {endpoint}")
         try:
@@ -173,7 +201,7 @@
                 return None
             link = self._links.get(endpoint)
             if link is None or link.is_closed:
-                link = self._links[endpoint] = _KeptLink(found)
+                link = self._links[endpoint] = _KeptLink(found, self._clock)
             else:
                 found.close()  # another query connected meanwhile
         link.used_at = self._clock.monotonic()
