--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -21,6 +21,8 @@
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 # What a caller may send before it is read.
 MAX_UNREAD_CALLER_BYTES = 64 * 1024
+# What the objects of a connection take.
+CONNECTION_BYTES = 8 * 1024
 # A body may take this multiple of the idle time-out, and the time that its largest size takes at
 # this pace.
 MAX_IDLE_TIMES = 10
@@ -94,6 +96,7 @@
         slots: CallerSlots | None = None,
     ):
         super().__init__(memory, Kind.REQUESTS)
+        self._open_account = self.account.budget.open(Kind.OPEN)
         self._free = free
         self._slots = slots if slots is not None else CallerSlots(clock, sys.maxsize)
         self._slot: CallerSlot | None = None
@@ -129,6 +132,7 @@
         if self._slot is None:
             self.abort()
             return
+        self._open_account.set(CONNECTION_BYTES)
         self.on_closed = self._caller_left
         self._serving = asyncio.ensure_future(self._serve())
 
@@ -137,11 +141,21 @@
             self._slots.close(self._slot)
         if self._end_timer is not None:
             self._end_timer.cancel()
+        self._open_account.close()
         super().connection_lost(exc)
 
     def data_received(self, data):
-        if not self._is_refused:
-            super().data_received(data)
+        if self._is_refused:
+            return
+        super().data_received(data)
+        budget = self.account.budget
+        if self._reading_paused and self._reads_body and budget.is_full:
+            self._slots.make_room(lambda: not budget.is_full, budget.reserve_bytes)
+
+    def _adjust_reading(self):
+        super()._adjust_reading()
+        if self._slot is not None:
+            self._slot.held = len(self._unread) + self._unparsed_bytes + self.account.held
 
     def give_up_body(self, reason):
         """Refuses the request whose body is being read, and releases what was read."""
@@ -262,14 +276,14 @@
         budget = self.account.budget
         if body_bytes <= budget.reserve_bytes or budget.fits_request(more_bytes):
             return True
-        fits = self._slots.make_room(lambda: budget.fits_request(more_bytes))
+        fits = self._slots.make_room(lambda: budget.fits_request(more_bytes), budget.reserve_bytes)
         return fits and not self._is_refused
 
     async def _read_body(self, limits):
         body = bytearray()
         try:
             return await self._read_body_into(body, limits)
-        except RequestError:
+        except BaseException:
             body.clear()  # the error refers to it while the connection lingers
             raise
 
@@ -293,7 +307,6 @@
                 case h11.Data(data=data):
                     body += data
                     self.keep(len(body))
-                    self._slot.held = len(body)
                     if not self._finds_room(len(body), 0):
                         reason = "no memory is left for the rest of its body"
                         raise RequestError(503, reason, NO_ROOM_RETRY_AFTER)
--- a/cicadapond/memory/_budget.py
+++ b/cicadapond/memory/_budget.py
@@ -48,7 +48,7 @@
     """What bytes are held for; the values are names of metrics.
 
     Unread bytes are those that no task has taken or parsed yet; waiting ones are answers that are
-    passed on to a caller as fast as it reads.
+    passed on to a caller as fast as it reads.  Those of open connections are their objects.
     """
 
     ANSWERS = "answers"
@@ -58,6 +58,7 @@
     UNREAD = "unread"
     WAITING = "waiting"
     UNSENT = "unsent"
+    OPEN = "open"
 
 
 # Bytes of answers of backend servers, of other processes, and of the platform's services.
--- a/cicadapond/memory/_callers.py
+++ b/cicadapond/memory/_callers.py
@@ -12,7 +12,6 @@
 import attrs
 
 from cicadapond.kernel import Clock
-from cicadapond.memory._budget import RESERVE_BYTES
 
 # Bytes of the memory bound for each connection: its own reserve, and its objects.
 BYTES_PER_CONNECTION = 16 * 1024
@@ -64,7 +63,7 @@
     Attributes:
       state: What the connection is at.
       since: Since when.
-      held: How many bytes of an incomplete body it holds.
+      held: How many bytes of a request that is being read it holds, parsed or not.
     """
 
     conn: GivesUp
@@ -126,11 +125,12 @@
         """Returns how many connections are in a state."""
         return len(self._slots[state])
 
-    def make_room(self, fits: typing.Callable[[], bool]) -> bool:
+    def make_room(self, fits: typing.Callable[[], bool], reserve_bytes: int) -> bool:
         """Gives up incomplete bodies until something fits, those first that hold most for longest.
 
         Args:
           fits: Returns whether it fits now.
+          reserve_bytes: What each connection may hold in any case.
 
         Returns:
           Whether it fits.
@@ -139,7 +139,7 @@
         bodies = [
             slot
             for slot in self._slots[CallerState.READING]
-            if slot.held > RESERVE_BYTES and now - slot.since >= MIN_READING_TIME
+            if slot.held > reserve_bytes and now - slot.since >= MIN_READING_TIME
         ]
         bodies.sort(key=lambda slot: slot.held * (now - slot.since))
         while not fits():
--- a/cicadapond/memory/callers_test.py
+++ b/cicadapond/memory/callers_test.py
@@ -79,10 +79,10 @@
     def fits():
         return sum(conn.ended == "refused" for conn in conns) >= left[0]
 
-    assert slots.make_room(fits)
+    assert slots.make_room(fits, RESERVE_BYTES)
     assert [conn.ended for conn in conns] == [None, None, "refused", "refused", "refused"]
     left[0] = 9
-    assert not slots.make_room(fits)
+    assert not slots.make_room(fits, RESERVE_BYTES)
     assert fresh.ended is None and conns[0].ended is None
 
 
