--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -8,6 +8,7 @@
 
 from cicadapond.forwarding import MAX_UNREAD_BYTES, READ_CHUNK_BYTES, Channel, ChannelClosedError
 from cicadapond.gateway._caller_requests import (
+    BodyBuffer,
     Headers,
     ReceivedRequest,
     RequestError,
@@ -280,7 +281,7 @@
         return fits and not self._is_refused
 
     async def _read_body(self, limits):
-        body = bytearray()
+        body = BodyBuffer()
         try:
             return await self._read_body_into(body, limits)
         except BaseException:
@@ -305,7 +306,7 @@
                 raise
             match event:
                 case h11.Data(data=data):
-                    body += data
+                    body.append(data)
                     self.keep(len(body))
                     if not self._finds_room(len(body), 0):
                         reason = "no memory is left for the rest of its body"
@@ -317,7 +318,7 @@
                         raise RequestError(413, "request body with its framing too long")
                     await self._meter.end_pieces(1, len(data))
                 case h11.EndOfMessage():
-                    return bytes(body)
+                    return body.join()
                 case _:
                     raise ChannelClosedError("caller disconnected", was_reset=False)
 
--- a/cicadapond/gateway/_caller_requests.py
+++ b/cicadapond/gateway/_caller_requests.py
@@ -81,3 +81,42 @@
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         self.body = body
         self.received_at = received_at
+
+
+class BodyBuffer:
+    """A body that is being received, in pieces of similar size.
+
+    One buffer that grows is moved again and again, and many of them leave gaps in the process's
+    memory that none of the next fits in.
+    """
+
+    PIECE_BYTES = 16 * 1024
+
+    def __init__(self):
+        self._pieces: list[bytes] = []
+        self._last = bytearray()
+        self._size = 0
+
+    def __len__(self):
+        return self._size
+
+    def append(self, data: bytes) -> None:
+        """Appends received bytes."""
+        self._size += len(data)
+        if not self._last and len(data) >= self.PIECE_BYTES:
+            self._pieces.append(bytes(data))
+            return
+        self._last += data
+        if len(self._last) >= self.PIECE_BYTES:
+            self._pieces.append(bytes(self._last))
+            self._last = bytearray()
+
+    def clear(self) -> None:
+        """Releases what was received."""
+        self._pieces.clear()
+        self._last.clear()
+        self._size = 0
+
+    def join(self) -> bytes:
+        """Returns the whole body."""
+        return b"".join((*self._pieces, self._last))
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -16,7 +16,8 @@
 from cicadapond.kernel import FreeWork, raised_at
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
 
-LISTEN_BACKLOG = 1024
+# What the system keeps until it is accepted; beyond it callers try again after seconds.
+LISTEN_BACKLOG = 4096
 # So many connections are accepted before those beyond the limit are closed.
 ACCEPTED_AT_ONCE = 32
 # The load balancer sends new connections until two readiness checks, one second apart, have failed.
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -214,7 +214,9 @@
     def spend(self, account: ClientAccount, units: float, fraction: float) -> None:
         """Records units that this process spent of what was granted to it; arguments as above."""
         if account.rate > 0.0:
-            self._spend(self._bucket(account, fraction), account, units)
+            bucket = self._bucket(account, fraction)
+            bucket.refill(self._clock.monotonic(), fraction)
+            self._spend(bucket, account, units)
 
     def withdraw(self, keeps: typing.Callable[[str, GrantPart], bool]) -> None:
         """Forgets what was granted of the parts that others grant now.
