--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -1,7 +1,9 @@
 """Takes client accounts' quotas: asks their coordinators, and grants where this process is one."""
 
 import abc
+import asyncio
 import datetime
+import math
 import typing
 
 import attrs
@@ -94,6 +96,7 @@
       clock: The clock; its monotonic time also runs while the host is suspended.
       log: The event log.
       metrics: Counts calls.
+      start: Runs a coroutine in the background.
     """
 
     def __init__(
@@ -106,7 +109,14 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        start: typing.Callable[[typing.Coroutine], object] = asyncio.ensure_future,
     ):
+        self._start = start
+        # Units that were granted and are not spent yet, by account; those being asked for.
+        self._credits: dict[str, float] = {}
+        self._refilling: set[str] = set()
+        # The smallest request of each account so far, in units.
+        self._smallest: dict[str, float] = {}
         self._process = process
         self._shares = shares
         self._processes = processes
@@ -137,14 +147,31 @@
         """
         if account.rate <= 0.0:
             return None
+        self._smallest[account.name] = min(units, self._smallest.get(account.name, units))
+        wait = self._refused_for(account, units, continues)
+        if wait is not None:
+            return wait
+        if not self._spends_credit(account, units):
+            wait = await self._ask_and_note(account, units, continues)
+            if wait is not None:
+                return wait
+        self._shares.spend(account, units, self._processes.grant_share())
+        self._refill_credit(account)
+        return None
+
+    def _refused_for(self, account, units, continues):
+        """Returns for how long no coordinator is asked again after a refusal, None if one is."""
         now = self._clock.monotonic()
         refusal = self._refusals.get((account.name, continues))
-        if refusal is not None and units >= refusal.units and now < refusal.until:
-            return max(refusal.quota_at - now, refusal.until - now)
+        if refusal is None or units < refusal.units or now >= refusal.until:
+            return None
+        return max(refusal.quota_at - now, refusal.until - now)
+
+    async def _ask_and_note(self, account, units, continues):
+        """Asks for units; returns None if they are granted, else the time until they may be."""
         wait = await self._ask_parts(account, units, continues)
         if wait is None:
             self._refusals.pop((account.name, continues), None)
-            self._shares.spend(account, units, self._processes.grant_share())
             return None
         now = self._clock.monotonic()
         pause = min(wait, MAX_REFUSAL_TIME)
@@ -175,6 +202,33 @@
             "levels": self._shares.levels(),
         }
 
+    # Credit: units granted in advance, so that most small requests wait for no other process
+
+    def _spends_credit(self, account, units):
+        """Takes units from the credit of an account, if there is enough."""
+        limit = self._shares.credit(account) / self._processes.count()
+        credit = min(self._credits.get(account.name, 0.0), limit)
+        if units > credit:
+            return False
+        self._credits[account.name] = credit - units
+        return True
+
+    def _refill_credit(self, account):
+        limit = self._shares.credit(account) / self._processes.count()
+        wanted = math.floor(limit - self._credits.get(account.name, 0.0))
+        if wanted < self._smallest[account.name] or account.name in self._refilling:
+            return
+        if self._refused_for(account, wanted, False) is None:
+            self._refilling.add(account.name)
+            self._start(self._refill(account, wanted))
+
+    async def _refill(self, account, wanted):
+        try:
+            if await self._ask_and_note(account, wanted, False) is None:
+                self._credits[account.name] = self._credits.get(account.name, 0.0) + wanted
+        finally:
+            self._refilling.discard(account.name)
+
     # As the process that has the request
 
     async def _ask_parts(self, account, units, continues):
--- a/cicadapond/gateway/quota_grants_test.py
+++ b/cicadapond/gateway/quota_grants_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cicadapond.gateway._quota_grants import RETRY_DELAY, QuotaAdmission, QuotaCalls
-from cicadapond.gateway.data import ClientAccount
+from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.gateway.harness import deployment
 from cicadapond.gateway.run_test import Log
 from cicadapond.kernel import ManualClock, Metrics, seconds
@@ -11,14 +11,16 @@
 from cicadapond.quotas import QuotaShares, coordinators, parts_of
 
 ACCOUNT = ClientAccount("acme", frozenset(), rate=100.0, burst=100.0)
+NO_OVERAGE = QuotaOverage()
 NAMES = ("p0", "p1", "p2", "p3")
 
 
 class Fleet:
     """Processes that all see each other, and those that answer no calls."""
 
-    def __init__(self):
+    def __init__(self, overage=NO_OVERAGE):
         self.clock = ManualClock()
+        self._overage = overage
         self.silent = set()
         self.calls = []
         self.is_same_build = True
@@ -26,7 +28,7 @@
         self.clock.advance(seconds(10))
 
     def _admission(self, name):
-        shares = QuotaShares(self.clock, begins_full=True)
+        shares = QuotaShares(self.clock, begins_full=True, overage=self._overage)
         calls = Calls(self)
         return QuotaAdmission(
             name, shares, self, calls, lambda _: ACCOUNT, self.clock, Log(), Metrics()
@@ -97,6 +99,27 @@
     run(check)
 
 
+def test_small_requests_wait_for_no_other_process_in_calm():
+    async def main():
+        # Each of the four processes may hold 25 units.
+        fleet = Fleet(QuotaOverage(0.5, 0.0, seconds(7)))
+        asking = next(fleet.admissions[name] for name in NAMES if name != coordinator())
+        for number in range(20):
+            fleet.clock.advance(seconds(0.2))
+            taking = asyncio.ensure_future(asking.take(ACCOUNT, 10.0))
+            calls = len(fleet.calls)
+            await asyncio.sleep(0)
+            # Only the first one is asked for before it is admitted.
+            assert await taking is None and (number == 0 or len(fleet.calls) == calls)
+            await asyncio.sleep(0.001)
+        # What is held was granted before.
+        fleet.silent = set(NAMES)
+        assert [await asking.take(ACCOUNT, 10.0) for _ in range(2)] == [None] * 2
+        assert await asking.take(ACCOUNT, 10.0) is not None
+
+    asyncio.run(main())
+
+
 def test_the_next_process_grants_if_the_coordinator_does_not_answer():
     async def check(fleet):
         first, second, *_ = coordinators("acme", 0, NAMES)
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -44,6 +44,8 @@
 MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
 # The rest of what is tolerated allows for two coordinators that do not know of each other.
 CONTINUING_SHARE_OF_OVERAGE = 0.5
+# What processes may hold of units that were granted and are spent later, in another window.
+CREDIT_SHARE_OF_OVERAGE = 0.25
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
 
@@ -245,18 +247,21 @@
         used = self._used_overage.setdefault(account.name, collections.deque())
         while used and now - used[0][0] >= self._overage.window:
             used.popleft()
-        limit = self._overage_limit(account) * fraction
+        limit = CONTINUING_SHARE_OF_OVERAGE * self._tolerated(account) * fraction
         if sum(each for _, each in used) + units > limit:
             return False
         used.append((now, units))
         self._spend(self._bucket(account, fraction), account, units)
         return True
 
-    def _overage_limit(self, account):
+    def credit(self, account: ClientAccount) -> float:
+        """Returns how many granted units of an account all processes may hold to spend later."""
+        return CREDIT_SHARE_OF_OVERAGE * self._tolerated(account)
+
+    def _tolerated(self, account):
+        """Returns how many units may be admitted in a window in addition to the quota."""
         admitted = account.rate * self._overage.window.total_seconds() + account.burst
-        return CONTINUING_SHARE_OF_OVERAGE * (
-            self._overage.share * admitted + self._overage.tolerance
-        )
+        return self._overage.share * admitted + self._overage.tolerance
 
     def _grant_bucket(self, account, fraction, part, tenure, heard):
         """Returns the bucket of one part of an account's quota, which only grants of it empty."""
--- a/cicadapond/quotas/rule_test.py
+++ b/cicadapond/quotas/rule_test.py
@@ -72,6 +72,15 @@
         return super().now() + self._skew
 
 
+def run_now(coro):
+    """Returns the result of a coroutine that waits for nothing."""
+    try:
+        coro.send(None)
+    except StopIteration as exc:
+        return exc.value
+    raise AssertionError("calls do not wait here")
+
+
 class Calls(QuotaCalls):
     """Carries calls at once, unless the process is down or cut off."""
 
@@ -113,6 +122,7 @@
             self.clock,
             Log(),
             Metrics(),
+            run_now,
         )
 
     def has_settled(self):
@@ -255,12 +265,8 @@
         return owed
 
     def admits(self, host, units):
-        taking = host.admission.take(self.play.account(self.now_s), units, self.play.continues)
-        try:
-            taking.send(None)
-        except StopIteration as exc:
-            return exc.value is None
-        raise AssertionError("calls do not wait here")
+        account = self.play.account(self.now_s)
+        return run_now(host.admission.take(account, units, self.play.continues)) is None
 
 
 def most_in_a_window(spent):
