--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -12,7 +12,7 @@
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway.data import ClientAccount
 from cicadapond.kernel import Clock, Metrics
-from cicadapond.quotas import GrantPart, QuotaShares, coordinators, parts_of
+from cicadapond.quotas import GrantPart, QuotaShares, Use, coordinators, parts_of
 
 TOPIC = "quota"
 # Calls take 2 to 4 ms; a host with little of a processor left answers within this time.
@@ -115,6 +115,8 @@
         # Units that were granted and are not spent yet, by account; those being asked for.
         self._credits: dict[str, float] = {}
         self._refilling: set[str] = set()
+        # When an account's credit may be asked for again, after a refusal.
+        self._refill_at: dict[str, datetime.timedelta] = {}
         # The smallest request of each account so far, in units.
         self._smallest: dict[str, float] = {}
         self._process = process
@@ -140,7 +142,7 @@
         Args:
           account: The account.
           units: What the request costs.
-          continues: Whether it continues a stream, as `QuotaShares.grant` takes it.
+          continues: Whether it continues a stream, as `Use.CONTINUE` tells.
 
         Returns:
           None if the request is within the quota, else the time until it may be.
@@ -152,9 +154,10 @@
         if wait is not None:
             return wait
         if not self._spends_credit(account, units):
-            wait = await self._ask_and_note(account, units, continues)
+            wait = await self._ask_parts(account, units, Use.CONTINUE if continues else Use.BEGIN)
             if wait is not None:
-                return wait
+                return self._note_refusal(account, units, continues, wait)
+            self._refusals.pop((account.name, continues), None)
         self._shares.spend(account, units, self._processes.grant_share())
         self._refill_credit(account)
         return None
@@ -167,12 +170,8 @@
             return None
         return max(refusal.quota_at - now, refusal.until - now)
 
-    async def _ask_and_note(self, account, units, continues):
-        """Asks for units; returns None if they are granted, else the time until they may be."""
-        wait = await self._ask_parts(account, units, continues)
-        if wait is None:
-            self._refusals.pop((account.name, continues), None)
-            return None
+    def _note_refusal(self, account, units, continues, wait):
+        """Records a refusal; returns for how long no such request is admitted."""
         now = self._clock.monotonic()
         pause = min(wait, MAX_REFUSAL_TIME)
         pause = max(pause, MIN_REFUSAL_TIME, self._processes.count() * REFUSAL_TIME_PER_PROCESS)
@@ -183,11 +182,11 @@
         """Answers a call of another process; one that cannot be answered gets an empty reply."""
         try:
             match payload:
-                case ["take", str(name), int(number), int(parts), float(units), bool(continues)]:
+                case ["take", str(name), int(number), int(parts), float(units), int(use)]:
                     account = self._find_account(name)
                     if account is None or parts < 1:
                         return []
-                    wait = self._grant(account, units, continues, GrantPart(number, parts))
+                    wait = self._grant(account, units, Use(use), GrantPart(number, parts))
                     return [0 if wait is None else max(1, wait // MILLISECOND)]
         except (TypeError, ValueError) as exc:
             self._log.write("quota_call_malformed", reason=str(exc))
@@ -218,42 +217,45 @@
         wanted = math.floor(limit - self._credits.get(account.name, 0.0))
         if wanted < self._smallest[account.name] or account.name in self._refilling:
             return
-        if self._refused_for(account, wanted, False) is None:
+        if self._clock.monotonic() >= self._refill_at.get(account.name, NO_TIME):
             self._refilling.add(account.name)
             self._start(self._refill(account, wanted))
 
     async def _refill(self, account, wanted):
         try:
-            if await self._ask_and_note(account, wanted, False) is None:
+            wait = await self._ask_parts(account, wanted, Use.ADVANCE)
+            if wait is None:
                 self._credits[account.name] = self._credits.get(account.name, 0.0) + wanted
+            else:
+                self._refill_at[account.name] = self._clock.monotonic() + MAX_REFUSAL_TIME
         finally:
             self._refilling.discard(account.name)
 
     # As the process that has the request
 
-    async def _ask_parts(self, account, units, continues):
+    async def _ask_parts(self, account, units, use):
         """Asks the coordinators of all parts in turn until one grants; returns the least wait."""
         parts = parts_of(account, self._processes.count())
         first, least = self._next_part % parts, None
         self._next_part += 1
         for number in range(first, first + parts):
-            wait = await self._ask(account, units, continues, GrantPart(number % parts, parts))
+            wait = await self._ask(account, units, use, GrantPart(number % parts, parts))
             if wait is None:
                 return None
             least = wait if least is None else min(least, wait)
         return least
 
-    async def _ask(self, account, units, continues, part):
+    async def _ask(self, account, units, use, part):
         """Asks the coordinator of a part, and the next ones if it does not answer."""
         unanswered = 0
         for place, process in enumerate(self._coordinators(account.name, part.number)):
             if process == self._process:
                 if place < DEPUTIES:
-                    return self._grant(account, units, continues, part)
+                    return self._grant(account, units, use, part)
                 continue
             if self._unreachable_until.get(process, NO_TIME) > self._clock.monotonic():
                 continue
-            payload = ["take", account.name, part.number, part.parts, float(units), continues]
+            payload = ["take", account.name, part.number, part.parts, float(units), use.value]
             reply = await self._calls.call(process, payload, CALL_TIMEOUT)
             self._metrics.count("quota_calls", answered=reply is not None)
             match reply:
@@ -265,16 +267,16 @@
             unanswered += 1
             if unanswered >= MAX_TRIES:
                 break
-        return self._grant_alone(account, units, continues)
+        return self._grant_alone(account, units, use)
 
-    def _grant_alone(self, account, units, continues):
+    def _grant_alone(self, account, units, use):
         """Grants from what only this process may spend while it reaches no coordinator."""
         self._metrics.count("quota_without_coordinator")
         share, tenure = self._processes.grant_share(), None
         if self._processes.all_take_grants():
             share, tenure = share / self._processes.count(), NO_TIME
         part = GrantPart(NO_COORDINATOR, 1)
-        wait = self._shares.grant(account, units, share, continues, part, tenure)
+        wait = self._shares.grant(account, units, share, use, part, tenure)
         return min(wait, MAX_WAIT_ALONE) if wait is not None else None
 
     def _coordinators(self, account, number):
@@ -287,7 +289,7 @@
 
     # As coordinator
 
-    def _grant(self, account, units, continues, part):
+    def _grant(self, account, units, use, part):
         if self._processes.count() == 1:
             tenure = None
         elif self._grants(account.name, part):
@@ -295,7 +297,7 @@
         else:
             tenure = NO_TIME
         share = self._processes.grant_share()
-        return self._shares.grant(account, units, share, continues, part, tenure)
+        return self._shares.grant(account, units, share, use, part, tenure)
 
     def _grants(self, account, part):
         """Returns whether this process is the first that should grant a part of a quota."""
--- a/cicadapond/gateway/quota_grants_test.py
+++ b/cicadapond/gateway/quota_grants_test.py
@@ -171,6 +171,7 @@
             ["take"],
             ["take", 1, 0, 1, 5.0, False],
             ["take", "a", 0, 0, 5.0, 0],
+            ["take", "a", 0, 1, 5.0, 9],
         ):
             assert answer(payload) == []
 
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -23,6 +23,7 @@
 
 import collections
 import datetime
+import enum
 import typing
 
 import attrs
@@ -46,6 +47,8 @@
 CONTINUING_SHARE_OF_OVERAGE = 0.5
 # What processes may hold of units that were granted and are spent later, in another window.
 CREDIT_SHARE_OF_OVERAGE = 0.25
+# The share of the burst that is left in the bucket when they are granted.
+LEFT_BY_ADVANCES = 0.5
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
 
@@ -81,6 +84,19 @@
 WHOLE = GrantPart()
 
 
+class Use(enum.Enum):
+    """What units of a quota are granted for; the values are used between processes.
+
+    A request that continues a stream may overdraw the bucket as soon as there is something in it:
+    small new requests would otherwise keep it below what large streams need, until their callers
+    give up.  Units that are held to be spent later leave enough for requests.
+    """
+
+    BEGIN = 0
+    CONTINUE = 1
+    ADVANCE = 2
+
+
 class QuotaShares:
     """Decides which requests are within their account's quota.
 
@@ -162,9 +178,10 @@
     ) -> datetime.timedelta | None:
         """Takes units from an account's quota, where no other process grants any.
 
-        The arguments and the result are those of `grant`.
+        `continues` tells whether the request continues a stream; the other arguments and the result
+        are those of `grant`.
         """
-        wait = self.grant(account, units, fraction, continues)
+        wait = self.grant(account, units, fraction, Use.CONTINUE if continues else Use.BEGIN)
         if wait is None:
             self.spend(account, units, fraction)
         return wait
@@ -174,7 +191,7 @@
         account: ClientAccount,
         units: float,
         fraction: float,
-        continues: bool = False,
+        use: Use = Use.BEGIN,
         part: GrantPart = WHOLE,
         tenure: datetime.timedelta | None = None,
     ) -> datetime.timedelta | None:
@@ -185,9 +202,7 @@
           units: What the request costs, in the units of the account's burst and rate per second.
           fraction: The fraction of the quota that this process and those it receives reports from
             may spend: all of it, less an equal fraction for each process that does not report.
-          continues: Whether the request continues a stream.  It may overdraw the bucket as soon as
-            there is something in it; small new requests would otherwise keep it below what large
-            streams need, until their callers give up.
+          use: What the units are for.
           part: Which part of the quota this process grants.
           tenure: For how long it is known that only this process granted that part, if it is used
             for the first time; None if there is no other process.
@@ -202,7 +217,14 @@
         heard.refill(now, fraction)
         bucket = self._grant_bucket(account, fraction / part.parts, part, tenure, heard.level)
         # A request that costs more than the bucket holds is admitted when the bucket is full.
-        needed = 1.0 if continues else min(units, account.burst * fraction / part.parts)
+        depth = account.burst * fraction / part.parts
+        match use:
+            case Use.BEGIN:
+                needed = min(units, depth)
+            case Use.CONTINUE:
+                needed = 1.0
+            case Use.ADVANCE:
+                needed = units + LEFT_BY_ADVANCES * depth
         # What others spent without a grant of this process shows in their reports only.
         wait_seconds = max(
             (needed - bucket.level) / (account.rate * fraction / part.parts),
