--- a/cicadapond/kernel/_processor_share.py
+++ b/cicadapond/kernel/_processor_share.py
@@ -19,6 +19,8 @@
 # once, as a share of the time and at the same moment.
 FREE_SHARE = 0.1
 FREE_BURST_S = 0.1
+# What a step of a turn counts that is not measured.
+UNMEASURED_STEP_S = 0.00002
 # From what processor time on an input is costly while nothing of that is left, and its turns then.
 SCARCE_COST_S = 0.0002
 SCARCE_STEPS = 8
@@ -102,8 +104,8 @@
 class WorkMeter:
     """Measures the work on the input of one peer, and makes it wait if it is costly.
 
-    Nothing is measured in the first turn, which is all that most inputs need, unless many peers may
-    send such inputs at once.
+    Nothing is measured in the first turn, which is all that most inputs need, unless nothing is
+    left of what many such inputs may take together.
 
     Args:
       processor: Gives turns to the costly inputs of the process; the default is for this one alone.
@@ -119,7 +121,7 @@
         self._processor = processor or ProcessorShare()
         self._free = free
         self._steps_left = self._steps_per_turn()
-        self._is_measuring = free is not None
+        self._is_measuring = not self._has_free_work()
         self._is_working = False
         self._begun_at_s = 0.0  # by the clock
         self._begun_cost_s = 0.0  # the thread's processor time then
@@ -176,6 +178,8 @@
         if self._steps_left > 0:
             return
         self._steps_left = self._steps_per_turn()
+        if not self._is_measuring and self._free is not None:
+            self._free.use(STEPS_PER_TURN * UNMEASURED_STEP_S)
         turn_s, self._turn_s = self._turn_s, 0.0
         now = asyncio.get_running_loop().time()
         if self._is_measuring:
