--- a/cicadapond/gateway/_caller.py
+++ b/cicadapond/gateway/_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import itertools
 import sys
 
 import h11
@@ -28,11 +29,12 @@
 # this pace.
 MAX_IDLE_TIMES = 10
 MIN_BODY_BYTES_PER_S = 1024
+# After so many pieces it is checked again; most bodies have fewer.
+PIECES_PER_CHECK = 8
 # With its framing a body may take this multiple of its limit; a chunk of one byte takes six.
 MAX_FRAMING_FACTOR = 8
 # After this time there is room again for a request, unless callers read slowly.
 NO_ROOM_RETRY_AFTER = datetime.timedelta(milliseconds=500)
-ZERO = datetime.timedelta()
 RESPONSE_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY)
 
 
@@ -291,14 +293,16 @@
     async def _read_body_into(self, body, limits):
         begun_at = self._received_bytes
         late = RequestError(408, "request body not received in time")
-        ends_at = self._clock.monotonic() + _longest_body_time(limits)
-        while True:
+        ends_at = None
+        for pieces in itertools.count(1):
             self._meter.begin_work()
-            left = ends_at - self._clock.monotonic()
-            if left <= ZERO:
-                raise late
+            if pieces % PIECES_PER_CHECK == 0:
+                now = self._clock.monotonic()
+                ends_at = ends_at or now + _longest_body_time(limits)
+                if now >= ends_at:
+                    raise late
             try:
-                event = await self._next_event_within(min(limits.idle_timeout, left), late)
+                event = await self._next_event_within(limits.idle_timeout, late)
             except RequestError as exc:
                 if exc is late and self.account.budget.is_full:
                     reason = "no memory was left to read its body"
--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -164,11 +164,11 @@
 
     def _refused_for(self, account, units, continues):
         """Returns for how long no coordinator is asked again after a refusal, None if one is."""
-        now = self._clock.monotonic()
         refusal = self._refusals.get((account.name, continues))
-        if refusal is None or units < refusal.units or now >= refusal.until:
+        if refusal is None or units < refusal.units:
             return None
-        return max(refusal.quota_at - now, refusal.until - now)
+        now = self._clock.monotonic()
+        return max(refusal.quota_at, refusal.until) - now if now < refusal.until else None
 
     def _note_refusal(self, account, units, continues, wait):
         """Records a refusal; returns for how long no such request is admitted."""
@@ -217,7 +217,8 @@
         wanted = math.floor(limit - self._credits.get(account.name, 0.0))
         if wanted < self._smallest[account.name] or account.name in self._refilling:
             return
-        if self._clock.monotonic() >= self._refill_at.get(account.name, NO_TIME):
+        refill_at = self._refill_at.get(account.name)
+        if refill_at is None or self._clock.monotonic() >= refill_at:
             self._refilling.add(account.name)
             self._start(self._refill(account, wanted))
 
--- a/cicadapond/memory/_callers.py
+++ b/cicadapond/memory/_callers.py
@@ -62,7 +62,7 @@
 
     Attributes:
       state: What the connection is at.
-      since: Since when.
+      since: When its last request began to be read; the time of the connection before that.
       held: How many bytes of a request that is being read it holds, parsed or not.
     """
 
@@ -114,7 +114,9 @@
         if slot not in self._slots[slot.state]:
             return  # it was given up
         del self._slots[slot.state][slot]
-        slot.state, slot.since, slot.held = state, self._clock.monotonic(), 0
+        slot.state, slot.held = state, 0
+        if state is CallerState.READING:
+            slot.since = self._clock.monotonic()
         self._slots[state][slot] = None
 
     def close(self, slot: CallerSlot) -> None:
