--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -238,6 +238,14 @@
             return 1.0 / count
         return min(self.quota_share(), len(self.live_by_age()) / count)
 
+    def reports_age(self) -> datetime.timedelta:
+        """Returns the age of the oldest summary of the data centres that have live processes."""
+        now = self._clock.monotonic()
+        zones = self.live_by_zone()
+        if not self._summaries.keys() >= zones.keys():
+            return datetime.timedelta.max
+        return max(now - self._summaries[zone].received_at for zone in zones)
+
     def all_take_grants(self) -> bool:
         """Returns whether no process of an earlier build is heard, which takes quotas by itself."""
         return all(report.grant_takers >= report.processes for report in self._recent_summaries())
--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -1,9 +1,8 @@
 """Takes client accounts' quotas: asks their coordinators, and grants where this process is one."""
 
 import abc
-import asyncio
+import collections
 import datetime
-import math
 import typing
 
 import attrs
@@ -32,6 +31,10 @@
 MAX_REFUSAL_TIME = datetime.timedelta(milliseconds=250)
 # What callers are told to wait if no coordinator answers: they come back to another process.
 MAX_WAIT_ALONE = datetime.timedelta(seconds=1)
+# If the reports of all data centres are at most so old, and an account's level by them is at least
+# this share of its burst, a process spends a little of it without a grant.
+MAX_REPORTS_AGE = datetime.timedelta(seconds=1)
+MIN_DIRECT_LEVEL = 0.5
 # The part that a process grants itself if it reaches no coordinator.
 NO_COORDINATOR = -1
 NO_TIME = datetime.timedelta()
@@ -74,6 +77,9 @@
     def all_take_grants(self) -> bool:
         """Returns whether no process is heard that takes quotas without grants."""
 
+    def reports_age(self) -> datetime.timedelta:
+        """Returns the age of the oldest report of a data centre with live processes."""
+
 
 @attrs.define
 class _Refusal:
@@ -96,7 +102,6 @@
       clock: The clock; its monotonic time also runs while the host is suspended.
       log: The event log.
       metrics: Counts calls.
-      start: Runs a coroutine in the background.
     """
 
     def __init__(
@@ -109,16 +114,9 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
-        start: typing.Callable[[typing.Coroutine], object] = asyncio.ensure_future,
     ):
-        self._start = start
-        # Units that were granted and are not spent yet, by account; those being asked for.
-        self._credits: dict[str, float] = {}
-        self._refilling: set[str] = set()
-        # When an account's credit may be asked for again, after a refusal.
-        self._refill_at: dict[str, datetime.timedelta] = {}
-        # The smallest request of each account so far, in units.
-        self._smallest: dict[str, float] = {}
+        # When and how much this process spent lately without a grant, by account.
+        self._direct: dict[str, collections.deque[tuple[datetime.timedelta, float]]] = {}
         self._process = process
         self._shares = shares
         self._processes = processes
@@ -149,17 +147,15 @@
         """
         if account.rate <= 0.0:
             return None
-        self._smallest[account.name] = min(units, self._smallest.get(account.name, units))
         wait = self._refused_for(account, units, continues)
         if wait is not None:
             return wait
-        if not self._spends_credit(account, units):
+        if not self._spends_directly(account, units):
             wait = await self._ask_parts(account, units, Use.CONTINUE if continues else Use.BEGIN)
             if wait is not None:
                 return self._note_refusal(account, units, continues, wait)
             self._refusals.pop((account.name, continues), None)
         self._shares.spend(account, units, self._processes.grant_share())
-        self._refill_credit(account)
         return None
 
     def _refused_for(self, account, units, continues):
@@ -201,39 +197,27 @@
             "levels": self._shares.levels(),
         }
 
-    # Credit: units granted in advance, so that most small requests wait for no other process
+    # As the process that has the request
 
-    def _spends_credit(self, account, units):
-        """Takes units from the credit of an account, if there is enough."""
-        limit = self._shares.credit(account) / self._processes.count()
-        credit = min(self._credits.get(account.name, 0.0), limit)
-        if units > credit:
+    def _spends_directly(self, account, units):
+        """Returns whether a request needs no grant, as its account is far below its quota."""
+        processes = self._processes
+        if processes.count() == 1 or processes.grant_share() < 1.0:
+            return False
+        if processes.reports_age() > MAX_REPORTS_AGE:
+            return False
+        if self._shares.heard_level(account) < MIN_DIRECT_LEVEL * account.burst:
+            return False
+        now = self._clock.monotonic()
+        spent = self._direct.setdefault(account.name, collections.deque())
+        while spent and now - spent[0][0] >= MAX_REPORTS_AGE:
+            spent.popleft()
+        limit = self._shares.direct_limit(account) / processes.count()
+        if sum(each for _, each in spent) + units > limit:
             return False
-        self._credits[account.name] = credit - units
+        spent.append((now, units))
         return True
 
-    def _refill_credit(self, account):
-        limit = self._shares.credit(account) / self._processes.count()
-        wanted = math.floor(limit - self._credits.get(account.name, 0.0))
-        if wanted < self._smallest[account.name] or account.name in self._refilling:
-            return
-        refill_at = self._refill_at.get(account.name)
-        if refill_at is None or self._clock.monotonic() >= refill_at:
-            self._refilling.add(account.name)
-            self._start(self._refill(account, wanted))
-
-    async def _refill(self, account, wanted):
-        try:
-            wait = await self._ask_parts(account, wanted, Use.ADVANCE)
-            if wait is None:
-                self._credits[account.name] = self._credits.get(account.name, 0.0) + wanted
-            else:
-                self._refill_at[account.name] = self._clock.monotonic() + MAX_REFUSAL_TIME
-        finally:
-            self._refilling.discard(account.name)
-
-    # As the process that has the request
-
     async def _ask_parts(self, account, units, use):
         """Asks the coordinators of all parts in turn until one grants; returns the least wait."""
         parts = parts_of(account, self._processes.count())
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -9,7 +9,8 @@
 Besides, each process estimates the level from what it spent itself and from what the others
 spent, which is reported by data centre and by short windows of UTC time.  A coordinator grants
 nothing that this level does not cover: processes of earlier builds, or two coordinators after a
-partition, spend what it has not granted.  The spending of one window only grows, so that reports
+partition, spend what it has not granted, and each process spends a little without a grant while the
+account is far below its quota.  The spending of one window only grows, so that reports
 may be lost, repeated, or come from another process than before.
 
 For each process that has not reported lately, an equal fraction of rate and burst is reserved,
@@ -45,10 +46,10 @@
 MAX_SPENDING_AGE = datetime.timedelta(seconds=12)
 # The rest of what is tolerated allows for two coordinators that do not know of each other.
 CONTINUING_SHARE_OF_OVERAGE = 0.5
-# What processes may hold of units that were granted and are spent later, in another window.
-CREDIT_SHARE_OF_OVERAGE = 0.25
-# The share of the burst that is left in the bucket when they are granted.
-LEFT_BY_ADVANCES = 0.5
+# What all processes may together spend of an account without a grant, until they hear of it: a
+# share of the burst and one of what is tolerated.
+DIRECT_SHARE_OF_BURST = 0.25
+DIRECT_SHARE_OF_OVERAGE = 0.25
 # A process remembers its own spending for longer than anybody else reports it.
 OWN_WINDOWS = 24
 
@@ -89,12 +90,11 @@
 
     A request that continues a stream may overdraw the bucket as soon as there is something in it:
     small new requests would otherwise keep it below what large streams need, until their callers
-    give up.  Units that are held to be spent later leave enough for requests.
+    give up.
     """
 
     BEGIN = 0
     CONTINUE = 1
-    ADVANCE = 2
 
 
 class QuotaShares:
@@ -223,8 +223,6 @@
                 needed = min(units, depth)
             case Use.CONTINUE:
                 needed = 1.0
-            case Use.ADVANCE:
-                needed = units + LEFT_BY_ADVANCES * depth
         # What others spent without a grant of this process shows in their reports only.
         wait_seconds = max(
             (needed - bucket.level) / (account.rate * fraction / part.parts),
@@ -276,9 +274,16 @@
         self._spend(self._bucket(account, fraction), account, units)
         return True
 
-    def credit(self, account: ClientAccount) -> float:
-        """Returns how many granted units of an account all processes may hold to spend later."""
-        return CREDIT_SHARE_OF_OVERAGE * self._tolerated(account)
+    def heard_level(self, account: ClientAccount) -> float:
+        """Returns the level of an account's bucket now, as reports tell it."""
+        bucket = self._bucket(account, 1.0)
+        bucket.refill(self._clock.monotonic(), 1.0)
+        return bucket.level
+
+    def direct_limit(self, account: ClientAccount) -> float:
+        """Returns how many units all processes may spend without a grant before they hear of it."""
+        tolerated = DIRECT_SHARE_OF_OVERAGE * self._tolerated(account)
+        return DIRECT_SHARE_OF_BURST * account.burst + tolerated
 
     def _tolerated(self, account):
         """Returns how many units may be admitted in a window in addition to the quota."""
