--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -34,7 +34,7 @@
 # If the reports of all data centres are at most so old, and an account's level by them is at least
 # this share of its burst, a process spends a little of it without a grant.
 MAX_REPORTS_AGE = datetime.timedelta(seconds=1)
-MIN_DIRECT_LEVEL = 0.5
+MIN_DIRECT_LEVEL = 0.25
 # The part that a process grants itself if it reaches no coordinator.
 NO_COORDINATOR = -1
 NO_TIME = datetime.timedelta()
