--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -14,8 +14,15 @@
 from cicadapond.quotas import GrantPart, QuotaShares, Use, coordinators, parts_of
 
 TOPIC = "quota"
-# Calls take 2 to 4 ms; a host with little of a processor left answers within this time.
-CALL_TIMEOUT = datetime.timedelta(milliseconds=400)
+# A call is given up after this multiple of what answers usually take, within bounds: they take some
+# milliseconds, and a hundred and more where hosts have little of a processor left.
+TIMEOUT_FACTOR = 6
+MIN_CALL_TIMEOUT = datetime.timedelta(milliseconds=100)
+MAX_CALL_TIMEOUT = datetime.timedelta(milliseconds=400)
+FIRST_ANSWER_TIME = datetime.timedelta(milliseconds=20)
+# The weight of the last answer, and the factor for one that did not come.
+ANSWER_WEIGHT = 0.2
+UNANSWERED_FACTOR = 1.5
 # A process that did not answer is not asked for this long; one that has ended leaves the live ones.
 RETRY_DELAY = datetime.timedelta(milliseconds=500)
 # How many coordinators that do not answer are tried for one request.
@@ -127,6 +134,7 @@
         self._metrics = metrics
         self._refusals: dict[tuple[str, bool], _Refusal] = {}
         self._unreachable_until: dict[str, datetime.timedelta] = {}
+        self._answer_time = FIRST_ANSWER_TIME
         self._next_part = 0
         self._live: tuple[str, ...] = ()
         self._live_since = NO_TIME
@@ -241,9 +249,7 @@
             if self._unreachable_until.get(process, NO_TIME) > self._clock.monotonic():
                 continue
             payload = ["take", account.name, part.number, part.parts, float(units), use.value]
-            reply = await self._calls.call(process, payload, CALL_TIMEOUT)
-            self._metrics.count("quota_calls", answered=reply is not None)
-            match reply:
+            match await self._call(process, payload):
                 case [0]:
                     return None
                 case [int(wait_ms)] if wait_ms > 0:
@@ -254,6 +260,19 @@
                 break
         return self._grant_alone(account, units, use)
 
+    async def _call(self, process, payload):
+        timeout = min(MAX_CALL_TIMEOUT, max(MIN_CALL_TIMEOUT, TIMEOUT_FACTOR * self._answer_time))
+        sent_at = self._clock.monotonic()
+        reply = await self._calls.call(process, payload, timeout)
+        if reply is not None:
+            took = self._clock.monotonic() - sent_at
+            self._answer_time += ANSWER_WEIGHT * (took - self._answer_time)
+        else:
+            longest = MAX_CALL_TIMEOUT / TIMEOUT_FACTOR
+            self._answer_time = min(longest, UNANSWERED_FACTOR * self._answer_time)
+        self._metrics.count("quota_calls", answered=reply is not None)
+        return reply
+
     def _grant_alone(self, account, units, use):
         """Grants from what only this process may spend while it reaches no coordinator."""
         self._metrics.count("quota_without_coordinator")
--- a/cicadapond/quotas/rule_test.py
+++ b/cicadapond/quotas/rule_test.py
@@ -204,16 +204,15 @@
         return set(self.rng.sample(range(len(self.hosts)), count))
 
     def _kill_and_start(self, kills):
-        for at, end, numbers in kills:
-            for number in numbers:
-                host = self.hosts[number]
-                if at <= self.now_s < end:
-                    if host.shares is not None:
-                        self._ended_s[number] = self.now_s
-                    host.shares = None
-                    self.heard.pop(number, None)
-                elif self.now_s >= end and host.shares is None:
-                    host.start(is_first=False)
+        down = {n for at, end, numbers in kills if at <= self.now_s < end for n in numbers}
+        for host in self.hosts:
+            if host.number in down:
+                if host.shares is not None:
+                    self._ended_s[host.number] = self.now_s
+                host.shares = None
+                self.heard.pop(host.number, None)
+            elif host.shares is None:
+                host.start(is_first=False)
         if all(host.shares is None for host in self.hosts):
             self._ledgers = [UsageLedger() for _ in range(ZONES)]
 
