--- a/cicadapond/kernel/_processor_share.py
+++ b/cicadapond/kernel/_processor_share.py
@@ -128,6 +128,7 @@
         self._turn_s = 0.0  # the length of the turn so far, by the clock
         self._burst_left_s = RESULT_BURST_S
         self._earned_at = 0.0
+        self._at_last_piece = 0.0, RESULT_BURST_S
         self.free_cost_s = FREE_COST_S
         self.is_reported = False
         self.fruitless_s = 0.0
@@ -151,6 +152,7 @@
         """Ends the work of passing on a result, which may have waited for its receiver."""
         self._add(MAX_STEP_S)
         self.fruitless_s = 0.0
+        self._at_last_piece = self.fruitless_s, self._burst_left_s
 
     async def end_pieces(self, pieces: int, size: int) -> None:
         """Ends the work on received pieces, as `step` does for each of them.
@@ -161,11 +163,12 @@
           pieces: How many they are.
           size: How many bytes they have together.
         """
-        before = self.fruitless_s, self._burst_left_s
         self.end_work()
         if size >= MIN_PIECE_BYTES * pieces:
-            self.fruitless_s, self._burst_left_s = before
+            # Also what was done since the last piece, as when more data was needed.
+            self.fruitless_s, self._burst_left_s = self._at_last_piece
         await self.step(pieces)
+        self._at_last_piece = self.fruitless_s, self._burst_left_s
 
     async def step(self, steps: int = 1) -> None:
         """Ends the work of a step, and lets other tasks run if the turn is over.
--- a/cicadapond/kernel/processor_share_test.py
+++ b/cicadapond/kernel/processor_share_test.py
@@ -133,3 +133,22 @@
         return waited
 
     assert run_virtual(main()) >= 40
+
+
+def test_large_pieces_do_not_wait_behind_a_crowd_of_small_ones(monkeypatch):
+    """Guards against ordinary uploads that hung for as long as a crowd of costly ones lived."""
+    work = Work()
+    monkeypatch.setattr(_processor_share, "time", work)
+
+    async def main():
+        free = FreeWork(burst_s=0.0)
+        meter = WorkMeter(ProcessorShare(), free)
+        for _ in range(STEPS_PER_TURN):
+            for _ in range(2):  # the second time, to parse the piece
+                meter.begin_work()
+                work.cost_s += TURN_S
+                meter.end_work()
+            await meter.end_pieces(1, 4096)
+        return asyncio.get_running_loop().time()
+
+    assert run_virtual(main()) == 0.0
