--- a/cicadapond/quotas/rule_test.py
+++ b/cicadapond/quotas/rule_test.py
@@ -182,7 +182,7 @@
         affected = [(at, at + lasts, self._draw(share)) for at, lasts, share in self.play.kills]
         silent = [(at, at + lasts, self._draw(share)) for at, lasts, share in self.play.losses]
         open_hosts = sorted(self._draw(self.play.spread)) or [0]
-        step, owed = 0, 0.0
+        step, due = 0, 0.0
         while self.now_s < self.play.length_s:
             self._kill_and_start(affected)
             if step % round(REPORT_INTERVAL_S / STEP_S) == 0:
@@ -191,8 +191,8 @@
                 self._report(lost)
             self._deliver()
             self._look()
-            owed += self.play.load * self.play.rate * STEP_S
-            owed = self._offer(owed, open_hosts)
+            due += self.play.load * self.play.rate * STEP_S
+            due = self._offer(due, open_hosts)
             step += 1
             self.now_s = step * STEP_S
             for host in self.hosts:
@@ -252,11 +252,11 @@
                     is_own = zone == host.zone and runs[host.number] == host.runs
                     host.shares.apply_spending(str(zone), windows, includes_own=is_own)
 
-    def _offer(self, owed, open_hosts):
-        """Sends requests for the units that callers are owed; returns the rest."""
-        while owed > 0:
+    def _offer(self, due, open_hosts):
+        """Sends requests for the units that callers are due; returns the rest."""
+        while due > 0:
             units = self.rng.choice(self.play.sizes)
-            owed -= units
+            due -= units
             host = self.hosts[self.rng.choice(open_hosts)]
             if host.shares is None:
                 continue
@@ -264,7 +264,7 @@
                 self.spent.append((self.now_s, units))
             else:
                 self.refused += 1
-        return owed
+        return due
 
     def admits(self, host, units):
         account = self.play.account(self.now_s)
@@ -369,7 +369,7 @@
         super().__init__(play)
         self._level = 0.0
 
-    def _offer(self, owed, open_hosts):
+    def _offer(self, due, open_hosts):
         full = SOUND_SHARE * self.play.burst
         self._level = min(full, self._level + SOUND_SHARE * self.play.rate * STEP_S)
         if self.now_s < 1.0 or (self._level < full and self.rng.random() < 0.6):
