--- a/review/engine.py
+++ b/review/engine.py
@@ -2,7 +2,8 @@
 
 id, port: its own.  events, interval_s: of each stream.  is_unframed: its answers have neither a
 length nor chunks and end with their channel.  crashes_on: the body of the request that crashes it
-once it begins to run it.  work_s: the time that a plain request takes.  slots: runs at once.
+once it begins to run it.  declines: the body of the plain request that it runs and answers 404,
+without a receipt.  work_s: the time that a plain request takes.  slots: runs at once.
 
 It writes one JSON list a line to standard output: [time, what, request id, more].
 """
@@ -80,6 +81,11 @@
     if "x-cicadapond-token-count" in fields:
         return await stream(reader, writer, request_id, int(fields.get("last-event-id", "0")))
     await asyncio.sleep(OPTIONS.get("work_s", 0.0225))
+    if OPTIONS.get("declines") and body == OPTIONS["declines"].encode():
+        text = b"no such shade"
+        writer.write(head_of(404, request_id, f"Content-Length: {len(text)}") + text)
+        tell("declines", request_id)
+        return True
     text = f"answer of {ID} to {request_id}".encode()
     framing = () if OPTIONS.get("is_unframed") else (f"Content-Length: {len(text)}",)
     writer.write(head_of(200, request_id, receipt(request_id), *framing) + text)
--- a/review/lab.py
+++ b/review/lab.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import base64
 import contextlib
 import json
 import os
@@ -68,9 +69,12 @@
 
 
 class Proxy:
-    """Passes connections on; `mode` is "pass", "hang" (nothing is passed on, in no direction, and
-    new connections are taken and left silent), "refuse" (open connections live on, new ones are
-    reset) or "reset" (all are reset)."""
+    """Passes connections on.
+
+    `mode` is "pass"; "hang": nothing is passed on, in no direction, and new connections are not
+    answered; "refuse": open connections live on, and new ones are refused; or "reset": open ones
+    are reset, and new ones are refused.
+    """
 
     def __init__(self, target):
         self._target = target
@@ -78,29 +82,55 @@
         self._pairs = set()
         self._freed = asyncio.Event()
         self._freed.set()
+        self._server = self._silent = None
+        self._fillers = []
         self.port = None
 
     async def start(self):
-        self._server = await asyncio.start_server(self._accept, HOST, 0, backlog=512)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = free_ports(1)
+        await self._listen()
         return self.port
 
-    def set(self, mode):
+    async def _listen(self):
+        self._server = await asyncio.start_server(self._accept, HOST, self.port, backlog=512)
+
+    async def set(self, mode):
         self.mode = mode
+        if mode == "pass":
+            self._stop_silence()
+            if self._server is None:
+                await self._listen()
+            self._freed.set()
+            return
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         if mode == "hang":
             self._freed.clear()
-        else:
-            self._freed.set()
+            self._begin_silence()
         if mode == "reset":
             for pair in list(self._pairs):
                 for writer in pair:
                     _reset(writer)
 
+    def _begin_silence(self):
+        """Listens with a queue that is full, so that the system drops what opens a connection."""
+        self._silent = socket.socket()
+        self._silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._silent.bind((HOST, self.port))
+        self._silent.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.port))
+            self._fillers.append(filler)
+
+    def _stop_silence(self):
+        for each in [*self._fillers, *([self._silent] if self._silent else [])]:
+            each.close()
+        self._fillers, self._silent = [], None
+
     async def _accept(self, reader, writer):
-        if self.mode in ("refuse", "reset"):
-            _reset(writer)
-            return
-        await self._freed.wait()
         try:
             there, back = await asyncio.open_connection(HOST, self._target)
         except OSError:
@@ -241,6 +271,22 @@
             await asyncio.sleep(0.1)
         self.lab.record.now(f"{self.name} is ready")
 
+    def view(self, row):
+        """Returns the value of a row as this gateway reads it: engines are at its proxies."""
+        if row.table != "servers":
+            return row.value
+        entry = json.loads(base64.b64decode(row.value))
+        proxy = self.engine_proxies.get(int(entry["address"].rpartition(":")[2]))
+        if proxy is not None:
+            entry["address"] = f"{HOST}:{proxy.port}"
+        return base64.b64encode(json.dumps(entry).encode()).decode()
+
+    async def cut_engines(self, mode):
+        """Sets the mode of the proxies before all engines."""
+        for proxy in self.engine_proxies.values():
+            await proxy.set(mode)
+        self.lab.record.now(f"{self.name} before all engines: {mode}")
+
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
@@ -311,13 +357,16 @@
         await self.engines[name].start()
         return self.engines[name]
 
-    async def add_gateway(self, name, zone, store_proxy=False, start=True):
+    async def add_gateway(self, name, zone, is_proxied=False, is_first=True):
+        """Starts a gateway; `is_proxied`: it reaches the engines and the store by proxies."""
         gateway = self.gateways[name] = Gateway(self, name, zone)
-        if store_proxy:
-            gateway.store_proxy = Proxy(self.store_port)
+        if is_proxied:
+            for engine in self.engines.values():
+                proxy = gateway.engine_proxies[engine.port] = Proxy(engine.port)
+                await proxy.start()
+            gateway.store_proxy = Proxy(self._serve(store_application(self.store, gateway.view)))
             await gateway.store_proxy.start()
-        if start:
-            await gateway.start()
+        await gateway.start(is_first)
         return gateway
 
     def settings(self, gateway, is_first):
