--- a/review/engine.py
+++ b/review/engine.py
@@ -2,7 +2,7 @@
 
 id, port: its own.  events, interval_s: of each stream.  is_unframed: its answers have neither a
 length nor chunks and end with their channel.  crashes_on: the body of the request that crashes it
-once it begins to run it.  declines: the body of the plain request that it runs and answers 404,
+once it begins to run it.  crashing_part: the part of a prompt that does so.  declines: the body of the plain request that it runs and answers 404,
 without a receipt.  work_s: the time that a plain request takes.  slots: runs at once.
 
 It writes one JSON list a line to standard output: [time, what, request id, more].
@@ -24,7 +24,8 @@
 
 
 def event(request_id, number):
-    return f"id: {number}\ndata: piece {number} of {request_id}\n\n".encode()
+    by = f" by {OPTIONS['version']}" if "version" in OPTIONS else ""
+    return f"id: {number}\ndata: piece {number} of {request_id}{by}\n\n".encode()
 
 
 async def read_request(reader):
@@ -72,6 +73,11 @@
                            "handles": 0}).encode()
         writer.write(head_of(200, "", f"Content-Length: {len(text)}") + text)
         return True
+    parts = fields.get("x-cicadapond-prefix-hash", "")
+    if OPTIONS.get("crashing_part") and OPTIONS["crashing_part"] in parts:
+        await asyncio.sleep(0.05)
+        tell("crashes", request_id)
+        os.kill(os.getpid(), signal.SIGKILL)
     if OPTIONS.get("crashes_on") and body == OPTIONS["crashes_on"].encode():
         await asyncio.sleep(0.03)
         tell("crashes", request_id)
--- a/review/lab.py
+++ b/review/lab.py
@@ -51,7 +51,7 @@
 
 def free_ports(count):
     """Returns consecutive free ports."""
-    for first in range(21000 + os.getpid() % 2000 * 4, 60000, count + 1):
+    for first in range(18000 + os.getpid() % 131 * 100, 32000, count + 1):
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(first, first + count):
@@ -59,7 +59,7 @@
                     sock.bind((HOST, port))
             except OSError:
                 continue
-            if first not in _TAKEN:
+            if _TAKEN.isdisjoint(range(first, first + count)):
                 _TAKEN.update(range(first, first + count))
                 return first
     raise CouldNotRun("no free ports")
@@ -174,13 +174,15 @@
         self.port = free_ports(1)
         self.process = None
         self.id = None
+        self.keeps_id = False
         self.starts = 0
         self._beating = None
         self._log = lab.folder / f"{name}.log"
 
     async def start(self):
         self.starts += 1
-        self.id = f"i-{self.name}-{self.starts}"
+        if not self.keeps_id or self.id is None:
+            self.id = f"i-{self.name}-{self.starts}"
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, str(ROOT / "review" / "engine.py"),
@@ -215,7 +217,8 @@
                 await asyncio.wait_for(self.process.wait(), HEARTBEAT_S)
         self.lab.record.now(f"engine {engine_id} has ended")
         await asyncio.sleep(3 * HEARTBEAT_S)
-        self.lab.store.put("servers", engine_id, None)
+        if not (self.is_alive and self.id == engine_id):
+            self.lab.store.put("servers", engine_id, None)
 
     async def keep_up(self, pause_s):
         """Starts it again whenever it has ended, after a pause."""
@@ -348,7 +351,7 @@
 
     def list_engine(self, engine, engine_id, born, sequence, state="ready", **more):
         entry = {"service": engine.service, "address": f"{HOST}:{engine.port}",
-                 "zone": engine.zone, "version": "v1", "slots": engine.options.get("slots", 16),
+                 "zone": engine.zone, "version": engine.options.get("version", "v1"), "slots": engine.options.get("slots", 16),
                  "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": born, **more}
         self.store.put("servers", engine_id, entry)
 
