--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,17 +1,17 @@
-"""A request crashes all engines of a service one after the other; what do other callers get?"""
+"""A gateway is partitioned from all engines; how often do orders run that come to it?"""
 
 import asyncio
+import collections
 
 import lab
 
-ENGINES, EVENTS, INTERVAL_S = 3, 40, 0.1
-POISON = "this request crashes the engine that runs it"
-BACK_AFTER_S = 3.0
-ROUTES = [{"name": "planogram-run", "hostname": lab.CALLERS_HOST, "prefix": "/lohu930/",
-           "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 800,
-           "target_itl_ms": 400, "priority": 1, "service": "shade-model", "max_attempts": 2,
-           "stream_resume": True}]
-SERVICES = [{"name": "shade-model", "max_connections": 360}]
+UNKNOWN = "order of a shade that the service does not know"
+BEFORE_S, CUT_S = 2.0, 6.0
+ROUTES = [{"name": "reorder-post", "hostname": lab.CALLERS_HOST, "prefix": "/pule252/",
+           "route_type": "non_idempotent", "timeout_ms": 1500, "target_latency_ms": 125,
+           "priority": 2, "service": "counter-app", "max_attempts": 2}]
+SERVICES = [{"name": "counter-app", "max_connections": 96}]
+MACHINES = {"edge-yqr-1": "yqr", "edge-yqr-2": "yqr", "edge-yxe-1": "yxe", "edge-ywg-1": "ywg"}
 
 
 async def case(record, folder):
@@ -19,55 +19,57 @@
     await deployment.start()
     deployment.configure()
     try:
-        for number in range(ENGINES):
-            engine = await deployment.add_engine(
-                f"e{number}", "shade-model", deployment.zones[number], events=EVENTS,
-                interval_s=INTERVAL_S, is_unframed=True, crashes_on=POISON)
-            deployment.spawn(engine.keep_up(BACK_AFTER_S))
-        gateway = await deployment.add_gateway("edge-yqr-1", "yqr")
-        await asyncio.sleep(1.0)
-        sound = [deployment.spawn(one_sound(record, gateway, f"sound{number:02d}"))
-                 for number in range(12)]
-        await asyncio.sleep(1.0)
+        for number, zone in enumerate(deployment.zones):
+            await deployment.add_engine(f"e{number}", "counter-app", zone, slots=6,
+                                        declines=UNKNOWN)
+        gateways = [await deployment.add_gateway(name, zone, is_proxied=True)
+                    for name, zone in MACHINES.items()]
+        await asyncio.sleep(3.0)
+        orders = [deployment.spawn(orders_at(record, gateway)) for gateway in gateways]
+        await asyncio.sleep(BEFORE_S)
         if lab.HAS_TROUBLE:
-            # It "comes again, with the same path, caller and body".
-            for number in range(4):
-                answer = await lab.ask(gateway.port, "POST", "/lohu930/2f", f"poison{number}",
-                                       lab.stream_headers(parts="5c1e07a2:400,aa:200"),
-                                       POISON.encode())
-                record.now(f"poison{number} is answered {answer.status} {answer.reason}")
-                await asyncio.sleep(0.1)
-        answers = await asyncio.gather(*sound)
+            await gateways[0].cut_engines("reset")
+        await asyncio.sleep(CUT_S)
+        if lab.HAS_TROUBLE:
+            await gateways[0].cut_engines("pass")
+        answers = dict(each for some in await asyncio.gather(*orders) for each in some)
         return judge(record, deployment, answers)
     finally:
         await deployment.stop()
 
 
-async def one_sound(record, gateway, name):
-    answer = await lab.ask(gateway.port, "POST", "/lohu930/2f", name,
-                           lab.stream_headers(output_tokens=EVENTS * 6,
-                                              parts=f"5c1e07a2:400,{name.encode().hex()}:200"),
-                           f"prompt of {name}".encode())
-    ids = answer.ids()
-    record.now(f"{name} is answered {answer.status}, receipt "
-               f"{answer.headers.get('x-cicadapond-response-signature')}, {len(ids)} events, last "
-               f"{ids[-1] if ids else None}, complete: {answer.is_complete} {answer.reason}")
-    return answer
+async def orders_at(record, gateway):
+    """Sends an order every 100 ms; each third is one that the service declines."""
+    orders = []
+    for number in range(int((BEFORE_S + CUT_S) * 10)):
+        body = UNKNOWN if number % 3 == 0 else f"order {number}"
+        orders.append(asyncio.ensure_future(
+            order(record, gateway, f"{gateway.name}-{number}", body.encode())))
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*orders)
+
+
+async def order(record, gateway, name, body):
+    record.now(f"{name} is sent: {body.decode()}")
+    answer = await lab.ask(gateway.port, "POST", "/pule252/2f", name, body=body, deadline_ms=1500)
+    record.now(f"{name} is answered {answer.status} {answer.reason} after {answer.took_s:.3f} s")
+    return name, answer
 
 
 def judge(record, deployment, answers):
+    runs = collections.defaultdict(list)
     for engine in deployment.engines.values():
-        for at, what, request_id, more in engine.events():
-            record.now(f"engine {more['engine']}: {what} {request_id} {more}")
-    crashes = sum(1 for engine in deployment.engines.values()
-                  for each in engine.events() if each[1] == "crashes")
-    record.now(f"{crashes} crashes")
-    cut = [answer for answer in answers if answer.is_complete and answer.status == 200
-           and answer.ids() != list(range(1, EVENTS + 1))]
-    record.now(f"{len(cut)} of {len(answers)} answers end as complete without their last piece")
-    if lab.HAS_TROUBLE and crashes < ENGINES:
-        raise lab.CouldNotRun("not all engines crashed")
-    return lab.BROKEN if cut else lab.HELD
+        for _, what, request_id, more in engine.events():
+            if what == "runs":
+                runs[request_id].append(more["engine"])
+    repeated = {name: at for name, at in runs.items() if len(at) > 1}
+    refused = [name for name, answer in answers.items()
+               if answer.status in (408, 421, 429, 503) and runs.get(name)]
+    for name in answers:
+        record.now(f"{name} ran at {runs.get(name, [])}, answered {answers[name].status}")
+    record.now(f"{len(answers)} orders; TWICE: {len(repeated)} ran more than once; "
+               f"REFUSED: {len(refused)} were answered 503 and have run")
+    return lab.BROKEN if repeated or refused else lab.HELD
 
 
 if __name__ == "__main__":
--- a/review/engine.py
+++ b/review/engine.py
@@ -120,7 +120,7 @@
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         tell("ends", request_id, events=OPTIONS.get("events", 40))
-        return False
+        return not is_unframed
     finally:
         left.cancel()
 
--- a/review/lab.py
+++ b/review/lab.py
@@ -174,7 +174,7 @@
         self.port = free_ports(1)
         self.process = None
         self.id = None
-        self.keeps_id = False
+        self.keeps_id = self.leaves = False
         self.starts = 0
         self._beating = None
         self._log = lab.folder / f"{name}.log"
@@ -212,7 +212,8 @@
         """Lists the engine as it would itself; its entry lapses after three silent heartbeats."""
         engine_id, born, sequence = self.id, round(time.time() * 1000), 0
         while self.is_alive:
-            self.lab.list_engine(self, engine_id, born, sequence := sequence + 1)
+            state = "draining" if self.leaves else "ready"
+            self.lab.list_engine(self, engine_id, born, sequence := sequence + 1, state)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.process.wait(), HEARTBEAT_S)
         self.lab.record.now(f"engine {engine_id} has ended")
@@ -346,6 +347,7 @@
             "tenants": [{"name": ACCOUNT, "api_keys": [KEY], "rate_per_s": 0, "burst": 0}],
             **changes,
         }
+        self.manifest = manifest
         self.store.put("op", "config", manifest)
         self.record.now(f"the operator writes manifest {self.version}")
 
