--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections
+import pathlib
 
 import lab
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 UNKNOWN = "order of a shade that the service does not know"
 BEFORE_S, CUT_S = 2.0, 6.0
 ROUTES = [{"name": "reorder-post", "hostname": lab.CALLERS_HOST, "prefix": "/pule252/",
@@ -73,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(__file__, case)
+    lab.run_case(RECORD, case)
--- a/review/lab.py
+++ b/review/lab.py
@@ -39,8 +39,8 @@
 class Record:
     """record.txt of a case: one line for each thing that was seen, with its time in seconds."""
 
-    def __init__(self, folder):
-        self._file = (pathlib.Path(folder) / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path):
+        self._file = pathlib.Path(path).open("w", encoding="utf-8")
         self._begun = time.monotonic()
         self.now("trouble is " + ("on" if HAS_TROUBLE else "off"))
 
@@ -493,9 +493,19 @@
     return headers
 
 
-def run_case(file, case):
-    """Runs a case, an async function of a record and a temporary folder, and exits."""
-    record = Record(pathlib.Path(file).resolve().parent)
+def record_runs(record, deployment):
+    """Writes which requests each engine ran."""
+    for engine in deployment.engines.values():
+        ran = [event[2] for event in engine.events() if event[1] == "runs"]
+        record.now(f"engine {engine.name} ran {len(ran)} requests: {' '.join(ran)}")
+
+
+def run_case(path, case):
+    """Runs a case, an async function of a record and a temporary folder, and exits.
+
+    The record is written to `path`.
+    """
+    record = Record(path)
     with tempfile.TemporaryDirectory() as folder:
         folder = pathlib.Path(folder)
         try:
