--- a/review/engine.py
+++ b/review/engine.py
@@ -131,4 +131,5 @@
         await server.serve_forever()
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/review/lab.py
+++ b/review/lab.py
@@ -185,7 +185,7 @@
             self.id = f"i-{self.name}-{self.starts}"
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, str(ROOT / "review" / "engine.py"),
+                sys.executable, str(ROOT / "review" / self.options.get("program", "engine.py")),
                 json.dumps({"id": self.id, "port": self.port, **self.options}),
                 stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL,
             )
@@ -521,3 +521,44 @@
                 (pathlib.Path(os.environ["KEEP_LOGS"]) / log.name).write_bytes(log.read_bytes())
     record.now(f"exit {result}")
     sys.exit(result)
+
+
+class KeptChannel:
+    """A client's channel that is used for one request after the other, and opened anew if closed."""
+
+    def __init__(self, port):
+        self._port = port
+        self._reader = self._writer = None
+        self.answered = 0
+
+    async def ask(self, method, path, attempt_id, headers=(), body=b"", deadline_ms=15000):
+        """Sends one request; returns the answer, which tells if the channel had been used before."""
+        answer, begun = Answer(), time.monotonic()
+        fields = [("Host", CALLERS_HOST), ("X-Cicadapond-Attempt-Id", attempt_id),
+                  ("X-Cicadapond-Deadline-Ms", str(deadline_ms)), ("Authorization", f"Token {KEY}"),
+                  *headers]
+        if body or method == "POST":
+            fields.append(("Content-Length", str(len(body))))
+        head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields)
+        answer.was_kept = self.answered > 0 and self._writer is not None
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                if self._writer is None:
+                    self._reader, self._writer = await asyncio.open_connection(HOST, self._port)
+                self._writer.write(head.encode() + b"\r\n" + body)
+                await _read_answer(self._reader, answer)
+                self.answered += 1
+        except TimeoutError:
+            answer.reason = "time limit"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+            answer.reason = f"closed: {type(exc).__name__}"
+        if not answer.is_complete or answer.headers.get("connection") == "close":
+            self.close()
+        answer.took_s = time.monotonic() - begun
+        return answer
+
+    def close(self):
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+        self.answered = 0
