--- a/review/lab.py
+++ b/review/lab.py
@@ -280,6 +280,8 @@
         if row.table != "servers":
             return row.value
         entry = json.loads(base64.b64decode(row.value))
+        if not isinstance(entry, dict) or not isinstance(entry.get("address"), str):
+            return row.value
         proxy = self.engine_proxies.get(int(entry["address"].rpartition(":")[2]))
         if proxy is not None:
             entry["address"] = f"{HOST}:{proxy.port}"
