--- a/review/lab.py
+++ b/review/lab.py
@@ -525,6 +525,10 @@
     sys.exit(result)
 
 
+# Clients reuse channels that have been idle for up to four fifths of `idle_timeout_ms`.
+MAX_IDLE_S = 0.8 * 12
+
+
 class KeptChannel:
     """A client's channel that is used for one request after the other, and opened anew if closed."""
 
@@ -532,10 +536,13 @@
         self._port = port
         self._reader = self._writer = None
         self.answered = 0
+        self._used_at = 0.0
 
     async def ask(self, method, path, attempt_id, headers=(), body=b"", deadline_ms=15000):
         """Sends one request; returns the answer, which tells if the channel had been used before."""
         answer, begun = Answer(), time.monotonic()
+        if begun - self._used_at > MAX_IDLE_S:
+            self.close()
         fields = [("Host", CALLERS_HOST), ("X-Cicadapond-Attempt-Id", attempt_id),
                   ("X-Cicadapond-Deadline-Ms", str(deadline_ms)), ("Authorization", f"Token {KEY}"),
                   *headers]
@@ -556,7 +563,8 @@
             answer.reason = f"closed: {type(exc).__name__}"
         if not answer.is_complete or answer.headers.get("connection") == "close":
             self.close()
-        answer.took_s = time.monotonic() - begun
+        self._used_at = time.monotonic()
+        answer.took_s = self._used_at - begun
         return answer
 
     def close(self):
