--- a/review/busy.py
+++ b/review/busy.py
@@ -3,6 +3,7 @@
 `busy.py JSON` with its options.  id, port: its own.  work_s: the time that a request takes.
 slots: how many run at once.  queue: how many more wait.  brittle: it says in all its answers that it
 falls over if it has to turn more than so many requests away within a second, and does so.
+retry_after: for how many seconds it wants nothing from a machine that it turns away.
 
 It writes one JSON list a line to standard output: [time, what, request id, more].
 """
@@ -51,7 +52,7 @@
         return
     if len(RUNNING) >= OPTIONS["slots"]:
         if len(WAITING) >= OPTIONS["queue"]:
-            turn_away(request_id, writer, fields)
+            turn_away(request_id, writer)
             return
         turn = asyncio.get_running_loop().create_future()
         WAITING.append(turn)
@@ -70,7 +71,7 @@
     engine.tell("ends", request_id)
 
 
-def turn_away(request_id, writer, fields):
+def turn_away(request_id, writer):
     now = time.monotonic()
     TURNED_AWAY.append(now)
     while now - TURNED_AWAY[0] > 1.0:
