Let tests cut a gateway node off from the others

PlatformAdapters has the maker of the transport between processes; PartitionedTransport holds back what its links send and receive, by direction, and dials nobody meanwhile.

--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -1,13 +1,16 @@
 """The ways of a gateway process to the platform, as its program passes them to `Node`."""
 
+import typing
+
 import attrs
 
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._engine_calls import EngineCalls
 from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._rollout_codec import RolloutCodec
-from cicadapond.kernel import ProcessorShare
+from cicadapond.kernel import Metrics, ProcessorShare
 from cicadapond.memory import CallerSlots, MemoryBudget
+from cicadapond.peer import TcpTransport, Transport
 from cicadapond.provider import TableService
 from cicadapond.residency import PartCalls
 
@@ -22,7 +25,8 @@
     Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
     which prompt parts they keep.  `memory` bounds what the process holds of others' bytes,
     `processor` the time that it spends on costly ones, and `caller_slots` its connections with
-    callers, None for any number of them.
+    callers, None for any number of them.  `make_transport` makes the transport to the other gateway
+    processes.
     """
 
     header_codec: HeaderCodec
@@ -39,3 +43,4 @@
     engine_calls: EngineCalls | None = None
     part_calls: PartCalls | None = None
     caller_slots: CallerSlots | None = None
+    make_transport: typing.Callable[[Metrics], Transport] = TcpTransport
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -10,6 +10,7 @@
 
 from cicadapond.containment import CrashEvidence, merge_evidence
 from cicadapond.data import Endpoint
+from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
 from cicadapond.gateway._copies import CopyExchange
 from cicadapond.gateway._digest_pace import digest_intervals, update_rate
@@ -29,10 +30,8 @@
     MemberState,
     PeerSettings,
     PeerTask,
-    TcpTransport,
     start_time_ms,
 )
-from cicadapond.provider import TableService
 from cicadapond.scaling import Demand
 from cicadapond.usage import UsageLedger
 
@@ -72,7 +71,8 @@
 
     Args:
       parts: The components of this process.
-      tables: Holds a row for each process, by which the processes discover each other.
+      adapters: Has the store, which holds a row for each process, by which the processes discover
+        each other, and the transport between them.
       clock: The clock of this process; corrected by the readings of the others.
       tasks: Runs the membership task.
       rng: Source of jitter.
@@ -87,14 +87,14 @@
     def __init__(
         self,
         parts: Parts,
-        tables: TableService,
+        adapters: PlatformAdapters,
         clock: TrueClock,
         tasks: TaskGroup,
         rng: random.Random,
     ):
         self._parts = parts
         self._cfg = parts.cfg
-        self._tables = tables
+        self._adapters = adapters
         self._clock = clock
         self._tasks = tasks
         self._rng = rng
@@ -138,7 +138,7 @@
         await self._publish()
 
     async def _join(self):
-        discovery = ProcessDiscovery(self._parts, self._tables, self._clock, self._rng)
+        discovery = ProcessDiscovery(self._parts, self._adapters.tables, self._clock, self._rng)
         rows = await discovery.register()
         self._tasks.keep_running(lambda: discovery.keep_registered(self.count), "process row")
         self._registered = len(rows)
@@ -154,7 +154,8 @@
             update_rate=update_rate(self._cfg.link_mbps),
         )
         metrics = self._parts.metrics
-        peer = PeerTask(cfg, TcpTransport(metrics), self._clock, metrics, self._rng)
+        transport = self._adapters.make_transport(metrics)
+        peer = PeerTask(cfg, transport, self._clock, metrics, self._rng)
         peer.subscribe(self._receive)
         for topic, handler in self._handlers.items():
             peer.register_handler(topic, handler)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -108,7 +108,7 @@
         self.parts = self._make_parts()
         self.parts.check_server = CrashCheck(self.parts, self._tasks).begin
         log_pauses(self.parts.advisories, log)
-        self._cluster = Cluster(self.parts, adapters.tables, clock, self._tasks, rng)
+        self._cluster = Cluster(self.parts, adapters, clock, self._tasks, rng)
         self._permits = PermitExchange(
             cfg.name,
             self.parts.advisories,
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -13,6 +13,7 @@
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway.data import ResidencyUse
 from cicadapond.kernel import Metrics
+from cicadapond.peer.partition import Partition, PartitionedTransport
 from cicadapond.platform import read_settings
 from cicadapond.platform.standin import Caller, EngineModel, Fleet, FleetSettings
 from cicadapond.standin._ports import free_endpoint, free_port_range
@@ -32,15 +33,24 @@
       nodes: The nodes.
       ports: The ports on which they accept callers.
       make_node: Makes a node by its number, again at the same ports after it has ended.
+      partitions: What cuts each node off from the others.
     """
 
-    def __init__(self, fleet: Fleet, nodes: list[Node], ports: list[int], make_node):
+    def __init__(
+        self,
+        fleet: Fleet,
+        nodes: list[Node],
+        ports: list[int],
+        make_node,
+        partitions: list[Partition],
+    ):
         self.fleet = fleet
         self.nodes = nodes
         self.node = nodes[0]
         self.port = ports[0]
         self._ports = ports
         self._make_node = make_node
+        self.partitions = partitions
 
     def curl_headers(self) -> str:
         """Returns curl's arguments for a request for a stream."""
@@ -123,8 +133,10 @@
     await fleet.start()
     logs, settings = [], [_settings(tmp_path, fleet, number) for number in range(processes)]
 
+    partitions = [Partition() for _ in range(processes)]
+
     def make_node(number):
-        node, log = _make_node(settings[number], random.Random(number))
+        node, log = _make_node(settings[number], random.Random(number), partitions[number])
         logs.append(log)
         return node
 
@@ -132,7 +144,7 @@
     for node in nodes:
         await node.start()
     ports = [cfg.frontend.port for cfg in settings]
-    system = Deployment(fleet, nodes, ports, make_node)
+    system = Deployment(fleet, nodes, ports, make_node, partitions)
     try:
         await system.until(lambda: all(node.is_ready() for node in nodes))
         yield system
@@ -155,9 +167,12 @@
     return attrs.evolve(settings, residency=use)
 
 
-def _make_node(settings, rng):
+def _make_node(settings, rng, partition):
     """Returns a node and its log."""
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(settings.name, sys.stdout.fileno(), clock, metrics)
-    adapters = platform_adapters(settings, clock, log, metrics)
+    adapters = attrs.evolve(
+        platform_adapters(settings, clock, log, metrics),
+        make_transport=lambda metrics: PartitionedTransport(metrics, partition),
+    )
     return Node(settings, adapters, clock, log, metrics, rng), log
