--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -59,6 +59,7 @@
         self._own: dict[str, _Origin] = {}
         self._told: dict[int, dict[str, bytes]] = {}
         self._received: dict[str, dict[int, dict[str, bytes]]] = {}
+        self._received_at: dict[str, datetime.timedelta] = {}
 
     def begin(
         self, request_id: str, version: str, is_sure: typing.Callable[[], bool] = lambda: True
@@ -149,6 +150,12 @@
     def apply(self, zone: str, buckets: Buckets) -> None:
         """Applies what a data centre told of its streams; what it told before still holds."""
         merge_buckets(self._received.setdefault(zone, {}), buckets)
+        self._received_at[zone] = self._clock.monotonic()
+
+    def ages(self) -> dict[str, datetime.timedelta]:
+        """Returns how long ago each data centre, or other source, last told of its streams."""
+        now = self._clock.monotonic()
+        return {source: now - at for source, at in self._received_at.items()}
 
     def told(self, source: str) -> Buckets:
         """Returns what a data centre told of its streams."""
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -18,7 +18,11 @@
 from cicadapond.gateway._passing_on import PassingOn
 from cicadapond.gateway._relay_protocol import PassedOn
 from cicadapond.gateway._relaying import AnswerRelay
-from cicadapond.gateway._request import DeadlineExceededError, RequestState
+from cicadapond.gateway._request import (
+    DeadlineExceededError,
+    RequestState,
+    milliseconds,
+)
 from cicadapond.gateway._retries import SHORT_RETRY_AFTER, Retries
 from cicadapond.gateway._sending import Sending
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route
@@ -139,12 +143,17 @@
         return self._retries.failure_outcome()
 
     def _log_origin_unknown(self, first_request_id):
+        origins, age = self._parts.origins, self._parts.registry.age()
         may_be_another_start = (
-            first_request_id is not None
-            and self._parts.origins.find(first_request_id) == UNKNOWN_VERSION
+            first_request_id is not None and origins.find(first_request_id) == UNKNOWN_VERSION
         )
         self._state.log(
-            "origin_unknown", resumes=first_request_id, may_be_another_start=may_be_another_start
+            "origin_unknown",
+            resumes=first_request_id,
+            may_be_another_start=may_be_another_start,
+            versions=sorted(self._parts.software_versions(self._state.service)),
+            told_ms={source: milliseconds(age) for source, age in origins.ages().items()},
+            servers_ms=milliseconds(age) if age is not None else None,
         )
 
     async def _knows_version(self):
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -62,6 +62,8 @@
             servers, self._state.req.generation, self._state.priority() or 0
         )
         if placement is None:
+            if self._state.servers.version is not None:
+                self._log_version_unserved()
             return NotSent("no server takes requests"), None
         if placement.departure != "own":
             parts.metrics.count(
@@ -276,6 +278,20 @@
         waited = self._parts.clock.monotonic() - self._state.received_at
         return wait is not None and waited + wait <= PERMIT_WAIT_SHARE * self._state.route.objective
 
+    def _log_version_unserved(self):
+        """Logs that no known server may go on with a stream at its version."""
+        registry, version = self._parts.registry, self._state.servers.version
+        age = registry.age()
+        usable = registry.usable(self._state.service)
+        self._state.log(
+            "version_unserved",
+            version=version,
+            resumes=self._state.req.resumes,
+            listed=sum(entry.version == version for entry in usable),
+            versions=sorted({entry.version for entry in usable}),
+            servers_ms=milliseconds(age) if age is not None else None,
+        )
+
     def _limited_outcome(self):
         """Refuses this request because of what the servers stated."""
         self._parts.metrics.count("requests_limited", service=self._state.service)
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -113,6 +113,12 @@
         """Returns whether the entries are those of the store at a monotonic time or later."""
         return self._current_as_of is not None and self._current_as_of >= time
 
+    def age(self) -> datetime.timedelta | None:
+        """Returns how long ago the entries were those of the store, None if never."""
+        if self._current_as_of is None:
+            return None
+        return self._clock.monotonic() - self._current_as_of
+
     def later_starts(self, entry: ServerEntry) -> typing.Iterator[ServerEntry]:
         """Yields the entries of the starts that followed under a server's name, oldest first."""
         following = self._next_starts.get(entry.start)
