Tell later processes when a suspected part last succeeded (LOST)

Cause: crashes are told again by all who heard of them, so that a process that starts later knows them; the successes that speak against a suspicion were told by the process that saw them alone.

A trait is blamed only for crashes after its last success. That time merges in any order, so it is now kept for CRASH_RETENTION and told again like the crashes; counts, which would add up, are not. The item's form is that of before.

The new test fails without it.

--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -119,6 +119,8 @@
         self._successes: dict[str, _SuccessCount] = {}
         self._successes_pruned_at = clock.monotonic()
         self._zone_successes: dict[str, typing.Mapping[str, Successes]] = {}
+        # The last success of each suspected trait, also at processes that have ended since.
+        self._last_successes: dict[str, datetime.datetime] = {}
         self._culprits: dict[str, Cause] = {}
         self._blamed: dict[str, datetime.datetime] = {}
         # Those of the blamed traits that were told from others by successes or by many crashes.
@@ -245,10 +247,23 @@
         self._expire()
         return dict(self._known)
 
+    def known(self) -> CrashEvidence:
+        """Returns what any process observed, of successes only when the last one was.
+
+        It may be told again by others than those who observed it.
+        """
+        last = {trait: Successes(0, at) for trait, at in self._last_successes.items()}
+        return CrashEvidence(self.known_crashes(), last)
+
     def apply(self, zone: str, evidence: CrashEvidence) -> None:
         """Adds what the processes of a data centre observed, this one perhaps included."""
         self._zone_successes[zone] = evidence.successes
         self._learn(evidence.crashes)
+        for trait, seen in evidence.successes.items():
+            known = self._last_successes.get(trait)
+            if known is None or seen.last > known:
+                self._last_successes[trait] = seen.last
+                self._evaluated_at = None
 
     def culprits(self) -> dict[str, datetime.datetime]:
         """Returns the names of what is blamed now, with the time of the last crash of each."""
@@ -325,7 +340,8 @@
         for zone, successes in self._zone_successes.items():
             if zone != self._zone and trait in successes:
                 total = total.merged_with(successes[trait])
-        return total
+        last = self._last_successes.get(trait, total.last)
+        return attrs.evolve(total, last=max(total.last, last))
 
     def _own_successes(self, trait):
         known = self._successes.get(trait)
@@ -352,8 +368,9 @@
             for server in [k for k, crash in crashes.items() if crash.at <= now - CRASH_RETENTION]:
                 del crashes[server]
                 self._suspected = {trait for each in self._known.values() for trait in each.traits}
-        for name in [k for k, at in self._restored.items() if at <= now - CRASH_RETENTION]:
-            del self._restored[name]
+        for expiring in (self._restored, self._last_successes):
+            for name in [k for k, at in expiring.items() if at <= now - CRASH_RETENTION]:
+                del expiring[name]
         for trait in [k for k, at in self._blamed.items() if at <= now - BLAME_RETENTION]:
             del self._blamed[trait]
             self._confirmed.discard(trait)
--- a/cicadapond/containment/crashes_test.py
+++ b/cicadapond/containment/crashes_test.py
@@ -283,6 +283,21 @@
     assert late.find_cause(("part bad",)) == "part bad"
 
 
+def test_a_shared_part_is_not_blamed_once_the_process_that_saw_its_success_has_ended():
+    """Guards against LOST: all prompts were refused after restarts of processes."""
+    observer, clock = make()
+    hub, late = CrashTracker(clock, "z"), CrashTracker(clock, "z")
+    for number in range(6):
+        crash(observer, clock, ("part shared", f"part own-{number}"))
+    succeed(observer, clock, "part shared")
+    hub.apply("z", observer.observed())
+    clock.advance(EVALUATION_INTERVAL)
+    hub.apply("z", CrashEvidence())
+    late.apply("z", hub.known())
+    for tracker in (hub, late):
+        assert tracker.find_cause(("part shared", "part next")) is None
+
+
 def test_a_restored_cause_is_contained_until_its_term_ends_or_it_succeeds():
     tracker, clock = make()
     tracker.restore({"part bad": clock.now(), "part sound": clock.now()})
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cicadapond.containment import CrashEvidence, merge_evidence
+from cicadapond.containment import merge_evidence
 from cicadapond.data import Endpoint
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
@@ -421,9 +421,8 @@
                     self._zone_reports.record_ended(run)
         lineage = self._zone_reports.lineage
         total = self._zone_reports.total(self.usage.counts(f"{self._cfg.zone} {lineage}"), now)
-        # Also crashes that were heard of, so that a process that starts later learns of them.
-        known = CrashEvidence(self._parts.crashes.known_crashes())
-        evidence = merge_evidence((total.crash_evidence, known))
+        # Also what was heard of, so that a process that starts later learns of it.
+        evidence = merge_evidence((total.crash_evidence, self._parts.crashes.known()))
         return attrs.evolve(total, crash_evidence=evidence)
 
     def _receive(self, member):
