--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -446,11 +446,12 @@
         zones = self._live_by_zone()
         own_members = zones.pop(self.cfg.zone)
         if not self.is_hub():
-            return {name: self.records[name].endpoint for name in self.own_hubs()}
+            names = self._hubs_to_dial(self.cfg.zone, own_members)
+            return {name: self.records[name].endpoint for name in names if name != self.cfg.name}
         names = [name for name in own_members if name != self.cfg.name]
         if self.cfg.hubs:
             for zone, members in zones.items():
-                names.extend(self._foreign_hubs(zone, members))
+                names.extend(self._hubs_to_dial(zone, members))
             return self._endpoints_with_a_dead_one(names)
         chosen = relays(self.cfg.zone, own_members, zones, self.cfg.relays)
         for zone, members in zones.items():
@@ -469,9 +470,15 @@
             names.append(self._rng.choice(dead))
         return {name: self.records[name].endpoint for name in names}
 
-    def _foreign_hubs(self, zone, members):
+    def _hubs_to_dial(self, zone, members):
+        """Returns the hubs of a data centre, and the unreachable members whose place they take.
+
+        Those must be dialled until they answer: each end of a lost connection counts the other one
+        as unreachable, and neither receives anything before one of them connects.
+        """
         reachable = [name for name in members if name not in self._unreachable]
-        return hubs(zone, reachable or members, self.cfg.hubs)
+        names = hubs(zone, reachable, self.cfg.hubs) + hubs(zone, members, self.cfg.hubs)
+        return list(dict.fromkeys(names))
 
     def _counterparts(self, zone, members, zones):
         """Returns the members of another data centre to connect to: its relays if reachable."""
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -125,6 +125,30 @@
     await world.tasks.stop()
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_hub_that_was_cut_off_receives_changes_soon_after_the_cut(seed):
+    """Guards against LOST: two hubs that each held the other for unreachable did not reconnect."""
+
+    @virtual
+    async def play():
+        world = World(per_zone=2, seed=seed)
+        world.start(**SETTINGS)
+        await world.sleep(STARTUP_S)
+        cut_off, *others = (hub_names(world, zone)[0] for zone in ZONES)
+        address = world.endpoint(cut_off)
+        world.network.cut(lambda a, b: (a == address) != (b == address))
+        await world.sleep(8)
+        world.network.heal()
+        await world.sleep(4)
+        for name in others:
+            world.peers[name].publish(Digest(summary={"b": 3}))
+        await world.sleep(0.5)
+        assert all(world.digest(cut_off, name).summary == {"b": 3} for name in others)
+        await world.tasks.stop()
+
+    play()
+
+
 @virtual
 async def test_a_process_with_many_dead_seeds_still_finds_the_others():
     world = World(per_zone=4)
