--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cicadapond.forwarding import ConnectionPool
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._engine_calls import EngineCalls
 from cicadapond.gateway._header_codec import HeaderCodec
@@ -26,7 +27,7 @@
     which prompt parts they keep.  `memory` bounds what the process holds of others' bytes,
     `processor` the time that it spends on costly ones, and `caller_slots` its connections with
     callers, None for any number of them.  `make_transport` makes the transport to the other gateway
-    processes.
+    processes, `make_relay_pool` the connections over which requests are passed on to them.
     """
 
     header_codec: HeaderCodec
@@ -44,3 +45,4 @@
     part_calls: PartCalls | None = None
     caller_slots: CallerSlots | None = None
     make_transport: typing.Callable[[Metrics], Transport] = TcpTransport
+    make_relay_pool: typing.Callable[..., ConnectionPool] = ConnectionPool
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -145,7 +145,7 @@
             self._rollouts.publish_soon = self._cluster.publish_soon
             self._rollouts.absent = self._cluster.without_rollouts
         self._cluster.cut_off_services = self.parts.links.cut_off_services
-        self._relay_pool = ConnectionPool(
+        self._relay_pool = adapters.make_relay_pool(
             clock, metrics, adapters.memory, Kind.RELAYED, adapters.processor
         )
         self.parts.relay = Relay(
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -1,15 +1,18 @@
 """cicadapond-gateway: serves callers on an edge machine of the users' platform."""
 
 import asyncio
+import functools
 import os
 import random
 import sys
+import typing
 
 import attrs
 from absl import flags, logging
 
 from cicadapond.admin import AdminServer, admin_application
 from cicadapond.eventlog import EventLog, log_end
+from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
@@ -75,7 +78,7 @@
     return server
 
 
-async def _serve(cfg, path):
+async def _serve(cfg, path, make_adapters):
     reload = asyncio.Event()
     stop = stop_on_signals(reload.set)
     if stop.is_set():
@@ -84,7 +87,7 @@
     log = EventLog(cfg.name, sys.stdout.fileno(), clock, metrics)
     log.write("started", zone=cfg.zone, pid=os.getpid())
     with log_end(log):
-        adapters = platform_adapters(cfg, clock, log, metrics)
+        adapters = make_adapters(cfg, clock, log, metrics)
         node = Node(cfg, adapters, clock, log, metrics, random.Random())
         await node.start()
         application = admin_application(metrics, node.state, node.is_ready)
@@ -124,7 +127,7 @@
         return None
 
 
-def _main(argv):
+def _main(make_adapters, argv):
     logging.use_absl_handler()
     path = _SETTINGS.value or os.environ.get(SETTINGS_VARIABLE)
     if not path:
@@ -136,12 +139,16 @@
     if _CHECK.value:
         print(f"{path}: settings are valid")
         return
-    asyncio.run(_serve(cfg, path))
+    asyncio.run(_serve(cfg, path, make_adapters))
 
 
-def run() -> None:
-    """Runs the program."""
-    run_with_help(HELP, _main)
+def run(make_adapters: typing.Callable[..., PlatformAdapters] = platform_adapters) -> None:
+    """Runs the program.
+
+    Args:
+      make_adapters: Makes the adapters to the platform, as `platform_adapters`.
+    """
+    run_with_help(HELP, functools.partial(_main, make_adapters))
 
 
 if __name__ == "__main__":
--- a/cicadapond/peer/partition.py
+++ b/cicadapond/peer/partition.py
@@ -23,16 +23,29 @@
     """Which messages between one process and the others are held back.
 
     Attributes:
-      held: The directions that are cut.
+      held: The directions that are cut on all connections.
     """
 
     def __init__(self):
         self.held = Direction.NONE
         self.links: set[HeldLink] = set()
+        self._held_by_port: dict[int, Direction] = {}
 
     def set(self, held: Direction) -> None:
         """Cuts these directions and restores the others."""
         self.held = held
+        self._release()
+
+    def set_ports(self, held: dict[int, Direction]) -> None:
+        """Cuts directions of the connections that were made to these ports, and of no others."""
+        self._held_by_port = held
+        self._release()
+
+    def held_to(self, port: int | None) -> Direction:
+        """Returns what is cut of a connection made to a port, None for one that was accepted."""
+        return self.held | self._held_by_port.get(port, Direction.NONE)
+
+    def _release(self):
         for link in list(self.links):
             link.release()
 
@@ -43,11 +56,13 @@
     Args:
       link: The connection.
       partition: Whether the process is cut off.
+      port: The port to which it was made, None if it was accepted.
     """
 
-    def __init__(self, link: Link, partition: Partition):
+    def __init__(self, link: Link, partition: Partition, port: int | None = None):
         self._link = link
         self._partition = partition
+        self._port = port
         self._unsent: list[bytes] = []
         self._unread: list[bytes] = []
         link.on_message, link.on_closed = self._receive, self._end
@@ -63,10 +78,11 @@
 
     def release(self) -> None:
         """Passes on what is not held back any more."""
-        if self._unsent and Direction.OUT not in self._partition.held:
+        held = self._partition.held_to(self._port)
+        if self._unsent and Direction.OUT not in held:
             bodies, self._unsent = self._unsent, []
             self._link.send(bodies)
-        if Direction.IN not in self._partition.held:
+        if Direction.IN not in held:
             while self._unread:
                 self.on_message(self._unread.pop(0))
 
@@ -96,8 +112,8 @@
         super().listen(endpoint, lambda link: on_accept(HeldLink(link, self._partition)))
 
     async def dial(self, endpoint):
-        if self._partition.held:
+        if self._partition.held_to(endpoint.port):
             await asyncio.sleep(CONNECT_TIMEOUT.total_seconds())
             return None
         link = await super().dial(endpoint)
-        return None if link is None else HeldLink(link, self._partition)
+        return None if link is None else HeldLink(link, self._partition, endpoint.port)
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -6,6 +6,7 @@
 import signal
 
 from cicadapond.kernel import BootClock
+from cicadapond.peer.partition import Direction
 from cicadapond.platform.standin import EndlessAnswer, Fleet, FleetSettings
 from cicadapond.soak._balancer import Balancer
 from cicadapond.soak._callers import CRASHING_PART
@@ -77,6 +78,8 @@
         self._all_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task] = []
         self._ended: list[GatewayProcess] = []
+        self._cut_off: dict[int, Direction] = {}
+        self._first_half: frozenset[int] = frozenset()
 
     @staticmethod
     def now() -> float:
@@ -163,6 +166,7 @@
         )
         await self._start_proxy("store", fleet.add_store_view(number), number)
         self.processes[number] = process
+        self._apply_cuts()
         self.busy.add(number)
         for name in list(self.services):
             if number not in self.proxies[name]:
@@ -243,6 +247,39 @@
                 self.history.busy_spans.append((checked_at, end))
             starved, checked_at = now_starved, end
 
+    def cut_off(self, number: int, held: Direction) -> None:
+        """Cuts a process off from the others, for what it sends, receives or both."""
+        self._cut_off[number] = held
+        self._apply_cuts()
+
+    def rejoin(self, number: int) -> None:
+        """Ends the cut of a process."""
+        self._cut_off.pop(number, None)
+        self._apply_cuts()
+
+    def set_halves(self, first: frozenset[int]) -> None:
+        """Cuts some processes off from the others, both as a whole; none for no cut."""
+        self._first_half = first
+        self._apply_cuts()
+
+    def _apply_cuts(self):
+        for number, process in self.processes.items():
+            held = {}
+            for other, target in self.processes.items():
+                cut = self._held_between(number, other)
+                if cut and other != number:
+                    held |= {port: cut for port in target.peer_ports}
+            process.cut(held)
+
+    def _held_between(self, number, other):
+        """Returns what is cut between two processes, as the first one sees it."""
+        theirs = self._cut_off.get(other, Direction.NONE)
+        reverse = {Direction.IN: Direction.OUT, Direction.OUT: Direction.IN}
+        held = self._cut_off.get(number, Direction.NONE) | reverse.get(theirs, theirs)
+        if (number in self._first_half) != (other in self._first_half):
+            held |= Direction.BOTH
+        return held
+
     # Servers
 
     async def _start_proxy(self, name, port, process):
--- a/cicadapond/soak/_process.py
+++ b/cicadapond/soak/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import signal
@@ -9,11 +10,13 @@
 import typing
 
 import cicadapond
+from cicadapond.peer.partition import Direction
 from cicadapond.soak._limits import Enforcer, ProcessLimits
 from cicadapond.soak._records import History, MemoryExcess
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
 PROGRAM = pathlib.Path(cicadapond.__file__).with_name("launch.py")
+PROGRAM_NAME = "gateway.partitioned"
 PEER_PORTS = 2
 # The platform's time from SIGTERM to SIGKILL, and some more for the process to exit.
 GRACE_S = 9.0
@@ -54,6 +57,7 @@
         self._is_paused = False
         self._is_over = False
         self._enforcer: Enforcer | None = None
+        self._cut_ports: dict[int, Direction] = {}
 
     async def start(self) -> None:
         """Starts the process; its output goes to its log."""
@@ -64,17 +68,28 @@
                 sys.executable,
                 "-S",
                 PROGRAM,
-                "gateway",
+                PROGRAM_NAME,
                 f"--settings={self.path}",
                 "--residency=on",
                 env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=log,
                 stderr=log,
                 preexec_fn=self._prepare,
             )
+        self.cut(self._cut_ports)
         self._exit_task = asyncio.ensure_future(self._wait(self._running))
 
+    def cut(self, ports: dict[int, Direction]) -> None:
+        """Cuts its connections to these ports of other processes, and restores all others.
+
+        They stay cut when it is started again.
+        """
+        self._cut_ports = ports
+        if self._running is not None and self._running.returncode is None:
+            names = {port: held.name for port, held in ports.items()}
+            self._running.stdin.write(json.dumps(names).encode() + b"\n")
+
     async def _wait(self, running):
         enforcer = Enforcer(running.pid, self.limits, lambda: self._is_paused, self._end_excess)
         self._enforcer = enforcer
@@ -95,6 +110,11 @@
             self._history.memory_excesses.append(excess)
             self.send(signal.SIGKILL)
 
+    @property
+    def peer_ports(self) -> range:
+        """The ports on which it accepts connections of other gateways."""
+        return range(self.ports["peers"], self.ports["peers"] + PEER_PORTS)
+
     @property
     def has_ended(self) -> bool:
         """Whether it has been started and has exited."""
