--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from cicadapond.continuation._origins import (
+    MIN_TOLD_AGE,
     ORIGIN_RETENTION,
     UNKNOWN_VERSION,
     Buckets,
@@ -22,6 +23,7 @@
 )
 
 __all__ = [
+    "MIN_TOLD_AGE",
     "ORIGIN_RETENTION",
     "UNKNOWN_VERSION",
     "VERSIONS_REFRESH",
--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -157,6 +157,21 @@
         now = self._clock.monotonic()
         return {source: now - at for source, at in self._received_at.items()}
 
+    def told_ages(self, request_id: str) -> dict[str, datetime.timedelta]:
+        """Returns how long ago each data centre, or other source, first told of a stream."""
+        wanted, newest = _hash(request_id), self._bucket()
+        return {
+            source: (newest - min(numbers)) * BUCKET
+            for source, buckets in self._received.items()
+            if (
+                numbers := [
+                    number
+                    for number, versions in buckets.items()
+                    if any(_contains(hashes, wanted) for hashes in versions.values())
+                ]
+            )
+        }
+
     def told(self, source: str) -> Buckets:
         """Returns what a data centre told of its streams."""
         self._forget()
--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -19,7 +19,8 @@
 class PlatformAdapters:
     """The adapters through which a gateway process reaches the platform.
 
-    `decode_configuration` and `decode_server` decode rows that others write to the store;
+    `decode_configuration` and `decode_server` decode rows that others write to the store, and
+    `decode_own_row` the value of one that the processes write, None if it cannot;
     `configuration_row` is the table and key of the configuration, `server_table` the table of
     backend servers.  `rollout_codec` translates the rows of rollouts, None if there are none.
     Without `engine_calls` no stream is moved between engines; without `part_calls` it is guessed
@@ -37,6 +38,7 @@
     cloud: Cloud | None
     decode_configuration: object
     decode_server: object
+    decode_own_row: typing.Callable[[bytes], object]
     configuration_row: tuple[str, str]
     server_table: str
     rollout_codec: RolloutCodec | None = None
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -10,11 +10,10 @@
 import zlib
 
 from cicadapond.continuation import UNKNOWN_VERSION
+from cicadapond.gateway._origin_lookup import OriginSearch
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import ServerEntry
 
-# How long a request that continues a stream waits for word of where it began.
-MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
 ORIGIN_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
 # Retry-After if no server accepts requests and none says when it will.
 UNKNOWN_RETRY_AFTER = datetime.timedelta(seconds=1)
@@ -85,40 +84,43 @@
         wait = self._soonest(self._parts.advisories.time_until_own_permit, limited)
         return (wait or UNKNOWN_RETRY_AFTER) + spread
 
-    async def find_version(self, first_request_id: str | None) -> bool:
+    async def find_version(
+        self, first_request_id: str | None, time_left: datetime.timedelta
+    ) -> bool:
         """Finds the software version at which a continued stream goes on.
 
-        Waits for a moment, as word of a stream that has just broken may be on its way.
+        Waits for a moment, as word of a stream that has just broken may be on its way, and looks it
+        up in the store.
 
         Args:
           first_request_id: The id of the request that brought the stream's first event, None if the
             caller does not say.
+          time_left: The time to the request's deadline.
 
         Returns:
           Whether the version is known.
         """
         parts = self._parts
-        begun = parts.clock.monotonic()
+        search = OriginSearch(parts, first_request_id, time_left)
         while True:
             self.version = parts.origins.find(first_request_id) if first_request_id else None
             only = self._only_version() if self.version is None else None
-            if only is not None and parts.registry.knows_all_versions(begun):
+            if only is not None and parts.registry.knows_all_versions(search.begun):
                 self.version = only
-            if self.version == UNKNOWN_VERSION:
-                return False
             if self.version is not None:
-                return True
-            left = begun + MAX_ORIGIN_WAIT - parts.clock.monotonic()
-            if left <= datetime.timedelta():
+                search.record(self.version)
+                return self.version != UNKNOWN_VERSION
+            if not search.goes_on():
+                search.record(None)
                 return False
             if only is not None:
                 # The stream may have begun at a version that is not known here yet.
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(left.total_seconds()):
+                    async with asyncio.timeout(search.peers_wait().total_seconds()):
                         await parts.refresh_servers()
-                if parts.registry.knows_all_versions(begun):
+                if parts.registry.knows_all_versions(search.begun):
                     continue
-            await parts.clock.sleep(min(left, ORIGIN_POLL_INTERVAL))
+            await parts.clock.sleep(ORIGIN_POLL_INTERVAL)
 
     def _only_version(self):
         """Returns the one version that was in service lately, as far as is known; else None."""
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -17,11 +17,7 @@
 from cicadapond.gateway._costly_servers import CostlyServers
 from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._crash_check import CrashCheck
-from cicadapond.gateway._duties import (
-    DutyTask,
-    UsageReporter,
-    settle_time,
-)
+from cicadapond.gateway._duties import DutyTask, UsageReporter, settle_time
 from cicadapond.gateway._evacuation import Evacuation
 from cicadapond.gateway._follow import FEED_DELAY_ALLOWANCE, FollowTask, feed_wait
 from cicadapond.gateway._front import ANSWER_SHARE, BALANCER_DELAY, GRACE_SHARE, Frontend
@@ -29,6 +25,7 @@
 from cicadapond.gateway._loop_watch import watch_loop
 from cicadapond.gateway._memory_report import report_memory
 from cicadapond.gateway._orders import ServerOrderer, ServiceOrders
+from cicadapond.gateway._origin_lookup import OriginLookup
 from cicadapond.gateway._origin_store import OriginStore
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._pause_log import log_pauses
@@ -155,6 +152,7 @@
             self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
         )
         self._origin_store = OriginStore(self.parts, adapters.tables, self._cluster)
+        self.parts.origin_lookup = OriginLookup(self.parts, adapters, self._cluster)
         self._servers = ServerTable(self.parts, clock, adapters.decode_server)
         self._frontend = Frontend(self.parts)
         self._lease = LeaseTask(
@@ -304,6 +302,7 @@
         self._tasks.keep_running(self.parts.links.probe, "link probes")
         self._tasks.keep_running(self._crash_causes.run, "crash causes")
         self._tasks.keep_running(self._origin_store.run, "origin store")
+        self._tasks.keep_running(self.parts.origin_lookup.run, "origin lookup")
         if self.parts.engine_watch is not None:
             self._tasks.keep_running(self.parts.engine_watch.run, "engine watch")
         if self._zone_costs is not None:
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -36,6 +36,15 @@
 REMOVALS_WITHOUT_WRITE = 20
 
 
+def write_interval(zones: int) -> datetime.timedelta:
+    """Returns the time between two writes of a hub.
+
+    Args:
+      zones: How many data centres there are.
+    """
+    return max(WRITE_INTERVAL, zones * WRITE_INTERVAL_PER_ZONE)
+
+
 class OriginStore:
     """Reads the origins of streams at the start, and writes those of a data centre as its hub.
 
@@ -61,8 +70,7 @@
         while not await self._read():
             await self._clock.sleep(READ_RETRY_INTERVAL)
         while True:
-            zones = len(self._cluster.live_by_zone())
-            await self._clock.sleep(max(WRITE_INTERVAL, zones * WRITE_INTERVAL_PER_ZONE))
+            await self._clock.sleep(write_interval(len(self._cluster.live_by_zone())))
             if self._cluster.speaks_for_zone():
                 await self._write()
 
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -30,6 +30,7 @@
 from cicadapond.usage import StoredCounts, UsageWindows
 
 if typing.TYPE_CHECKING:
+    from cicadapond.gateway._origin_lookup import OriginLookup
     from cicadapond.gateway._queues import ServiceQueues
     from cicadapond.gateway._quota_grants import QuotaAdmission
     from cicadapond.gateway._residency import EngineWatch
@@ -54,6 +55,7 @@
     of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
     `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
     which versions were in service before this process started, None if that is not kept;
+    `origin_lookup` reads the stored streams, None if there are none;
     `memory` bounds what the process holds of others' bytes, `processor` the time that it spends on
     costly ones, and `caller_slots` its connections with callers, None for any number of them.
     """
@@ -94,6 +96,7 @@
     queues: "ServiceQueues | None" = None
     engine_watch: "EngineWatch | None" = None
     version_history: VersionHistory | None = None
+    origin_lookup: "OriginLookup | None" = None
     stopping_since: datetime.timedelta | None = None
     costly_servers: CostlyServers = attrs.field(
         default=attrs.Factory(
--- a/cicadapond/gateway/_platform_adapters.py
+++ b/cicadapond/gateway/_platform_adapters.py
@@ -17,6 +17,7 @@
     PlatformRolloutCodec,
     PlatformStore,
     decode_configuration,
+    decode_own_row,
     decode_server,
 )
 
@@ -42,6 +43,7 @@
         cloud=cloud,
         decode_configuration=decode_configuration,
         decode_server=decode_server,
+        decode_own_row=decode_own_row,
         configuration_row=(OPERATOR_TABLE, CONFIGURATION_KEY),
         server_table=SERVER_TABLE,
         rollout_codec=PlatformRolloutCodec() if cfg.rolls_out else None,
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -114,7 +114,7 @@
 
     async def _try_servers(self):
         if self._state.continues_stream() and not await self._state.servers.find_version(
-            self._state.req.resumes
+            self._state.req.resumes, self._state.time_left()
         ):
             self._log_origin_unknown(self._state.req.resumes)
             return NotRun(
@@ -166,4 +166,6 @@
         if self._state.servers.version is not None:
             origins = self._parts.origins
             return origins.find(self._state.origin_id, is_in_progress=True) != UNKNOWN_VERSION
-        return await self._state.servers.find_version(self._state.origin_id)
+        return await self._state.servers.find_version(
+            self._state.origin_id, self._state.time_left()
+        )
--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -1,15 +1,25 @@
 """Streams that are taken up where nothing is heard of the process that began them."""
 
 import asyncio
+import types
 
+import msgpack
 import pytest
 
+from cicadapond.continuation import StreamOrigins, bucket_key
+from cicadapond.gateway._origin_lookup import MAX_ORIGIN_WAIT, OriginLookup, OriginSearch
 from cicadapond.gateway.harness import deployment
+from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
 from cicadapond.peer.partition import Direction
 from cicadapond.platform.standin import EngineFault, FleetSettings
+from cicadapond.provider import Changes, HistoryLost, RawRow, version_in_era
 
 PROCESSES = 3
-EVENTS = 60
+EVENTS = 40
+# A process of the size to design for, and how much of the store's reads it may use.
+MANY_PROCESSES = 420
+READS_PER_SECOND = 0.1 * 2000 / MANY_PROCESSES
+POLL = seconds(0.04)
 
 
 def run(check, tmp_path):
@@ -71,3 +81,138 @@
         assert "t-1" in system.engine("z").ids()
 
     run(check, tmp_path)
+
+
+class Feed:
+    """The store's feed of a table, which can be away and be restored."""
+
+    def __init__(self, clock):
+        self.clock, self.rows, self.calls = clock, [], []
+        self.is_away, self.lost_before, self.restored = False, 0, 0
+
+    def era(self):
+        return self.restored
+
+    def put(self, streams, version):
+        """Stores the streams that another process told of just now."""
+        other = StreamOrigins(self.clock)
+        for stream in streams:
+            other.begin(stream, version)
+            other.break_off(stream)
+        for number, versions in other.reported().items():
+            value = msgpack.packb(dict(versions))
+            self.rows.append(RawRow(bucket_key("q/1", number), len(self.rows) + 1, value))
+
+    async def snapshot(self, table):
+        return await self._answer("snapshot", self.rows)
+
+    async def changes(self, table, since, wait):
+        if since < version_in_era(self.restored, self.lost_before):
+            return HistoryLost()
+        return await self._answer("changes", self.rows[since % 2**32 :])
+
+    async def _answer(self, kind, rows):
+        self.calls.append((self.clock.monotonic(), kind))
+        await self.clock.sleep(seconds(0.005))
+        if self.is_away:
+            return Unavailable("away")
+        version = version_in_era(self.restored, len(self.rows))
+        return Ok(Changes(tuple(rows), version, seconds(0)))
+
+
+class Process:
+    """The lookups of one process."""
+
+    def __init__(self, clock, feed, processes):
+        self.clock = clock
+        self.parts = types.SimpleNamespace(
+            clock=clock,
+            origins=StreamOrigins(clock),
+            cfg=types.SimpleNamespace(store_reads_per_second=2000.0),
+            processes=lambda: processes,
+            log=types.SimpleNamespace(write=lambda *args, **fields: None),
+            metrics=Metrics(),
+        )
+        adapters = types.SimpleNamespace(feed=feed, decode_own_row=msgpack.unpackb)
+        cluster = types.SimpleNamespace(zone="a", live_by_zone=lambda: {"a": ("p",)})
+        self.parts.origin_lookup = OriginLookup(self.parts, adapters, cluster)
+
+    async def find(self, stream):
+        """Returns the version of a stream, and how long that took."""
+        search = OriginSearch(self.parts, stream, seconds(3))
+        while (version := self.parts.origins.find(stream)) is None and search.goes_on():
+            await self.clock.sleep(POLL)
+        return version, self.clock.monotonic() - search.begun
+
+
+def play(script, processes=6):
+    async def main():
+        clock = VirtualClock()
+        feed = Feed(clock)
+        process = Process(clock, feed, processes)
+        task = asyncio.ensure_future(process.parts.origin_lookup.run())
+        await script(clock, feed, process)
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_many_requests_share_the_reads_that_a_process_may_make():
+    async def script(clock, feed, process):
+        searches = []
+        for number in range(200):
+            searches.append(asyncio.ensure_future(process.find(f"s-{number}")))
+            await clock.sleep(seconds(0.05))
+        await asyncio.gather(*searches)
+        took = clock.monotonic().total_seconds()
+        assert 3 <= len(feed.calls) <= 3 + READS_PER_SECOND * took
+
+    play(script, MANY_PROCESSES)
+
+
+def test_a_stream_that_is_stored_while_its_caller_waits_is_found():
+    async def script(clock, feed, process):
+        search = asyncio.ensure_future(process.find("s-1"))
+        await clock.sleep(seconds(0.4))
+        feed.put(["s-1"], "v2")
+        version, took = await search
+        assert version == "v2" and took < seconds(0.75)
+        assert "snapshot" not in [kind for _, kind in feed.calls[1:]]
+
+    play(script)
+    play(script, processes=195)
+
+
+def test_a_store_that_does_not_answer_makes_nobody_wait_longer():
+    async def script(clock, feed, process):
+        feed.is_away = True
+        version, took = await process.find("s-1")
+        assert version is None and took <= MAX_ORIGIN_WAIT
+
+    play(script)
+
+
+def test_a_restored_store_tells_nothing_until_the_hubs_have_written_again():
+    """Guards against an older copy in which the version of a stream is still sure."""
+
+    async def script(clock, feed, process):
+        feed.put(["s-1"], "v1")
+        await process.find("s-0")
+        feed.put(["s-2"], "v1")
+        feed.restored = 1
+        assert (await process.find("s-2"))[0] is None
+        await clock.sleep(seconds(3))
+        assert (await process.find("s-2"))[0] == "v1"
+
+    play(script)
+
+
+def test_all_rows_are_read_again_after_the_history_was_lost():
+    async def script(clock, feed, process):
+        await process.find("s-0")
+        feed.put(["s-1"], "v2")
+        feed.lost_before = 1
+        assert (await process.find("s-1"))[0] == "v2"
+        assert feed.calls[-1][1] == "snapshot"
+
+    play(script)
--- a/cicadapond/platform/__init__.py
+++ b/cicadapond/platform/__init__.py
@@ -13,6 +13,7 @@
     OPERATOR_TABLE,
     SERVER_TABLE,
     PlatformStore,
+    decode_own_row,
 )
 
 __all__ = [
@@ -27,6 +28,7 @@
     "PlatformRolloutCodec",
     "PlatformStore",
     "decode_configuration",
+    "decode_own_row",
     "decode_server",
     "field_name",
     "read_settings",
