--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -151,6 +151,10 @@
             self._written[number] = _size(versions)
             self._expiring[bucket_key(self._run, number)] = number
 
+    def record_lost(self) -> None:
+        """Records that any of the rows may be missing, as after a restore of the store."""
+        self._written.clear()
+
     def expired(self, now: datetime.datetime, limit: int) -> list[str]:
         """Returns the keys of rows whose streams nobody takes up any more, at most `limit`."""
         oldest = (now.timestamp() - ORIGIN_RETENTION.total_seconds()) / BUCKET.total_seconds()
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -64,6 +64,8 @@
         self._unneeded: tuple[str, ...] = ()
         self._versions: dict[str, set[str]] = {}
         self._versions_written_at: datetime.timedelta | None = None
+        # The era of the store in which all that counts as written was written.
+        self._era = 0
 
     async def run(self) -> None:
         """Reads and then writes until cancelled."""
@@ -103,6 +105,10 @@
         versions = self._versions_in_service()
         if versions is None:
             return
+        if self._tables.era() > self._era:
+            self._era = self._tables.era()
+            self._rows.record_lost()
+            self._versions_written_at = None
         now = self._clock.now()
         buckets = {}
         if any(len(found) > 1 for found in versions.values()):
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -13,7 +13,10 @@
     """The store, which can be away, with the number of calls that write."""
 
     def __init__(self):
-        self.rows, self.is_away, self.calls = {}, False, 0
+        self.rows, self.is_away, self.calls, self.restores = {}, False, 0, 0
+
+    def era(self):
+        return self.restores
 
     async def scan(self, table, prefix="", after="", limit=1000):
         if self.is_away:
@@ -133,3 +136,20 @@
         assert len(tables.rows) == 1
 
     play(script)
+
+
+def test_streams_are_stored_again_after_the_store_went_back():
+    """Guards against rows that a hub takes for written and a restore has lost."""
+
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        copy = dict(tables.rows)
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(1))
+        tables.rows, tables.restores = copy, 1
+        await clock.sleep(seconds(0.5))
+        found = read_rows(tables.rows.items())
+        assert found.versions == {"s": {"v1", "v2"}}
+        assert [list(versions) for versions in found.buckets.values()] == [["v1"]]
+
+    play(script)
