--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -125,10 +125,13 @@
 
     Args:
       run: The run of the process.
+
+    Attributes:
+      run: The name under which to write.
     """
 
     def __init__(self, run: str):
-        self._run = run
+        self.run = run
         self._written: dict[int, int] = {}
         self._expiring: dict[str, int] = {}
 
@@ -149,7 +152,17 @@
         """Records that buckets were written."""
         for number, versions in buckets.items():
             self._written[number] = _size(versions)
-            self._expiring[bucket_key(self._run, number)] = number
+            self._expiring[bucket_key(self.run, number)] = number
+
+    def record_doubtful(self, buckets: Buckets, run: str) -> None:
+        """Records that a write of buckets may still be carried out.
+
+        Args:
+          buckets: The buckets.
+          run: Under what name to write from now on, so that it replaces nothing newer.
+        """
+        self._expiring |= {bucket_key(self.run, number): number for number in buckets}
+        self.run = run
 
     def record_lost(self) -> None:
         """Records that any of the rows may be missing, as after a restore of the store."""
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -16,7 +16,7 @@
 )
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._parts import Parts
-from cicadapond.kernel import Ok
+from cicadapond.kernel import AnswerLost, Ok
 from cicadapond.provider import TableService, Write
 
 TABLE = "origins"
@@ -31,6 +31,8 @@
 # A transaction takes 100 rows.
 MAX_WRITES = 60
 MAX_REMOVALS = 30
+# Separates a process's run from the number of writes before whose outcome it does not know.
+DOUBT_MARK = "~"
 # Rows whose streams are too old are removed with the next write, or by themselves when so many are
 # due.
 REMOVALS_WITHOUT_WRITE = 20
@@ -66,6 +68,7 @@
         self._versions_written_at: datetime.timedelta | None = None
         # The era of the store in which all that counts as written was written.
         self._era = 0
+        self._doubtful_writes = 0
 
     async def run(self) -> None:
         """Reads and then writes until cancelled."""
@@ -116,12 +119,12 @@
             buckets = self._rows.changed(told, MAX_WRITES)
         expired = self._rows.expired(now, MAX_REMOVALS)
         writes = [
-            Write(TABLE, bucket_key(self._cluster.own_run(), number), found)
+            Write(TABLE, bucket_key(self._rows.run, number), found)
             for number, found in buckets.items()
         ]
         is_due = self._versions_are_due(versions)
         if is_due:
-            writes.append(Write(TABLE, self._cluster.own_run(), versions_row(versions, now)))
+            writes.append(Write(TABLE, self._rows.run, versions_row(versions, now)))
         if not writes and len(expired) < REMOVALS_WITHOUT_WRITE:
             return
         unneeded = self._unneeded[: MAX_REMOVALS - len(expired)]
@@ -129,6 +132,8 @@
         written = await self._tables.transact(tuple(writes))
         if not isinstance(written, Ok):
             self._parts.metrics.count("origin_write_failures", outcome=type(written).__name__)
+            if isinstance(written, AnswerLost):
+                self._start_rows(buckets)
             return
         self._rows.record_written(buckets)
         self._rows.record_removed(expired)
@@ -136,6 +141,14 @@
         if is_due:
             self._versions, self._versions_written_at = versions, self._clock.monotonic()
 
+    def _start_rows(self, doubtful):
+        """Writes other rows from now on, as a late write may still replace the present ones."""
+        self._unneeded += (self._rows.run,)
+        self._versions_written_at = None
+        self._doubtful_writes += 1
+        run = f"{self._cluster.own_run()}{DOUBT_MARK}{self._doubtful_writes}"
+        self._rows.record_doubtful(doubtful, run)
+
     def _versions_are_due(self, versions):
         if self._versions_written_at is None or versions != self._versions:
             return True
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -5,7 +5,15 @@
 
 from cicadapond.continuation import StreamOrigins, VersionHistory, read_rows
 from cicadapond.gateway._origin_store import TABLE, OriginStore
-from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.kernel import (
+    AnswerLost,
+    Metrics,
+    Ok,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
 from cicadapond.provider import Row
 
 
@@ -14,6 +22,8 @@
 
     def __init__(self):
         self.rows, self.is_away, self.calls, self.restores = {}, False, 0, 0
+        # Calls without an answer that are carried out later, None to carry them out at once.
+        self.late = None
 
     def era(self):
         return self.restores
@@ -28,13 +38,19 @@
         self.calls += 1
         if self.is_away:
             return Unavailable("away")
+        if self.late is not None:
+            self.late += writes
+            return AnswerLost("no answer")
+        self.carry_out(writes)
+        return Ok({})
+
+    def carry_out(self, writes):
         for write in writes:
             assert write.table == TABLE
             if write.value is None:
                 self.rows.pop(write.key, None)
             else:
                 self.rows[write.key] = write.value
-        return Ok({})
 
 
 class Process:
@@ -153,3 +169,23 @@
         assert [list(versions) for versions in found.buckets.values()] == [["v1"]]
 
     play(script)
+
+
+def test_a_write_that_is_carried_out_late_replaces_no_newer_one():
+    """Guards against a row of streams in an older form, which its hub takes for written."""
+
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        await clock.sleep(seconds(0.5))
+        tables.late = []
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(0.15))
+        late, tables.late = tables.late, None
+        process.begin(clock, "two", "v1")
+        await clock.sleep(seconds(0.5))
+        tables.carry_out(late)
+        later = start("a-1/2", "v1", "v2")
+        await clock.sleep(seconds(0.1))
+        assert late and later.parts.origins.find("one") == later.parts.origins.find("two") == "v1"
+
+    play(script)
