--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -5,7 +5,15 @@
 
 from cicadapond.continuation import StreamOrigins, VersionHistory, read_rows
 from cicadapond.gateway._origin_store import TABLE, OriginStore
-from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.kernel import (
+    AnswerLost,
+    Metrics,
+    Ok,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
 from cicadapond.provider import Row
 
 
@@ -13,7 +21,12 @@
     """The store, which can be away, with the number of calls that write."""
 
     def __init__(self):
-        self.rows, self.is_away, self.calls = {}, False, 0
+        self.rows, self.is_away, self.calls, self.restores = {}, False, 0, 0
+        # Calls without an answer that are carried out later, None to carry them out at once.
+        self.late = None
+
+    def era(self):
+        return self.restores
 
     async def scan(self, table, prefix="", after="", limit=1000):
         if self.is_away:
@@ -25,13 +38,19 @@
         self.calls += 1
         if self.is_away:
             return Unavailable("away")
+        if self.late is not None:
+            self.late += writes
+            return AnswerLost("no answer")
+        self.carry_out(writes)
+        return Ok({})
+
+    def carry_out(self, writes):
         for write in writes:
             assert write.table == TABLE
             if write.value is None:
                 self.rows.pop(write.key, None)
             else:
                 self.rows[write.key] = write.value
-        return Ok({})
 
 
 class Process:
@@ -133,3 +152,40 @@
         assert len(tables.rows) == 1
 
     play(script)
+
+
+def test_streams_are_stored_again_after_the_store_went_back():
+    """Guards against rows that a hub takes for written and a restore has lost."""
+
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        copy = dict(tables.rows)
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(1))
+        tables.rows, tables.restores = copy, 1
+        await clock.sleep(seconds(0.5))
+        found = read_rows(tables.rows.items())
+        assert found.versions == {"s": {"v1", "v2"}}
+        assert [list(versions) for versions in found.buckets.values()] == [["v1"]]
+
+    play(script)
+
+
+def test_a_write_that_is_carried_out_late_replaces_no_newer_one():
+    """Guards against a row of streams in an older form, which its hub takes for written."""
+
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        await clock.sleep(seconds(0.5))
+        tables.late = []
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(0.15))
+        late, tables.late = tables.late, None
+        process.begin(clock, "two", "v1")
+        await clock.sleep(seconds(0.5))
+        tables.carry_out(late)
+        later = start("a-1/2", "v1", "v2")
+        await clock.sleep(seconds(0.1))
+        assert late and later.parts.origins.find("one") == later.parts.origins.find("two") == "v1"
+
+    play(script)
