--- a/cicadapond/peer/_exchange.py
+++ b/cicadapond/peer/_exchange.py
@@ -30,6 +30,8 @@
 MAX_UPDATE_MEMBERS = 400
 OWN_ZONE_SYNC_SHARE = 0.5
 MAX_ZONES_SYNCED_AT_ONCE = 3
+# Missing changes of one member are requested no more often than this.
+REQUEST_INTERVAL = datetime.timedelta(seconds=1)
 
 
 class Exchange(abc.ABC):
@@ -98,26 +100,29 @@
 
     # Documents
 
-    def _apply(self, sender, change, now):
+    def _apply(self, sender, change, now) -> bool:
+        """Applies a change of a document; returns whether earlier ones are missing."""
         record = self.records.get(change.name)
         if record is None or record.state not in LIVE:
-            return
+            return False
         if not same_start(change.incarnation, record.incarnation):
             self._metrics.count("peer_changes_of_other_incarnation")
-            return
+            return False
         document = record.wide if change.wide else record.local
         before = document.version
         changed = document.apply(change.floor, change.base, change.top, change.items)
-        if document.version < change.top:
+        has_gap = document.version < change.top
+        if has_gap:
             self._metrics.count("peer_gaps")
         if not changed:
-            return
+            return has_gap
         record.digest = None
         if record.zone != self.cfg.zone:
             record.last_heard = now
         self.changed[change.name] = None
         if change.wide:
             self._forward(sender, record, before, changed)
+        return has_gap
 
     def _forward(self, sender, record, before, changed):
         """Queues changes of another member for those who do not get them from the member itself."""
@@ -306,6 +311,18 @@
         chosen = self._rng.sample(differing, min(MAX_ZONES_SYNCED_AT_ONCE, len(differing)))
         return [Sync(zone, self._versions(zone, neighbour)) for zone in chosen]
 
+    def _requests_for_missing(self, names, sender, now):
+        """Returns requests to a sender for what is missing of some members' documents."""
+        neighbour = sender.name if sender.zone == self.cfg.zone else None
+        requests = []
+        for name in names:
+            record = self.records[name]
+            if now - record.requested_at >= REQUEST_INTERVAL:
+                record.requested_at = now
+                versions = self._versions(record.zone, neighbour)
+                requests.append(Sync(record.zone, {name: versions[name]}, listed_only=True))
+        return requests
+
     def _reply_to_sync(self, request, neighbour):
         mine = self._versions(request.zone, neighbour)
         if request.listed_only:
--- a/cicadapond/peer/_membership.py
+++ b/cicadapond/peer/_membership.py
@@ -215,8 +215,8 @@
             case Update(members, changes):
                 for identity in members:
                     self.merge(identity, now)
-                for change in changes:
-                    self._apply(record, change, now)
+                missing = [change.name for change in changes if self._apply(record, change, now)]
+                return self._requests_for_missing(missing, record, now)
             case Sync():
                 return self._reply_to_sync(message, self._neighbour(record))
             case Summary(checksums):
--- a/cicadapond/peer/_records.py
+++ b/cicadapond/peer/_records.py
@@ -42,7 +42,8 @@
     """What is known of one other process.
 
     `reported_alive_at` is the latest monotonic time at which another member, when probed, reported
-    contact with it, initially the time at which this start of the process became known.
+    contact with it, initially the time at which this start of the process became known;
+    `requested_at` is when missing changes of its documents were last requested.
     """
 
     name: str
@@ -55,6 +56,7 @@
     last_heard: datetime.timedelta
     reported_alive_at: datetime.timedelta = _ZERO
     probed_at: datetime.timedelta = _ZERO
+    requested_at: datetime.timedelta = _ZERO
     local: Document = attrs.field(factory=Document)
     wide: Document = attrs.field(factory=Document)
     digest: Digest | None = None
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -149,6 +149,22 @@
     play()
 
 
+@virtual
+async def test_changes_that_a_process_missed_are_requested_with_the_next_one():
+    """Guards against LOST: what it missed arrived only once versions happened to be compared."""
+    world = await started(per_zone=6)
+    cut_off, (publisher, _) = ordinary(world, "yqr")[0], hub_names(world, "yxe")
+    address = world.endpoint(cut_off)
+    world.network.cut(lambda a, b: (a == address) != (b == address))
+    world.peers[publisher].publish(Digest(summary={"a": 1}))
+    await world.sleep(0.5)
+    world.network.heal()
+    world.peers[publisher].publish(Digest(summary={"a": 1, "b": 2}))
+    await world.sleep(0.2)
+    assert world.digest(cut_off, publisher).summary == {"a": 1, "b": 2}
+    await world.tasks.stop()
+
+
 @virtual
 async def test_a_process_with_many_dead_seeds_still_finds_the_others():
     world = World(per_zone=4)
