--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -459,6 +459,18 @@
         self._parts.rollouts.apply(zone, summary.rollouts)
         if self._parts.engine_watch is not None:
             self._parts.engine_watch.apply(zone, summary.held, summary.shared_parts)
+        # Facts, unlike sums, are merged from whichever hub tells them.
+        self._parts.origins.apply(zone, summary.origins)
+        for server, answers in summary.costly.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None:
+                self._parts.costly_servers.merge(entry, answers)
+        for server, advisory in summary.advisories.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None and not concerns_earlier_builds(advisory):
+                self._parts.advisories.merge(entry, advisory)
+                if advisory.is_leaving and advisory.born == entry.born:
+                    self._parts.registry.mark_closed(entry)
         known = self._summaries.get(zone)
         now = self._clock.monotonic()
         if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
@@ -474,17 +486,6 @@
             )
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
-        self._parts.origins.apply(zone, summary.origins)
-        for server, answers in summary.costly.items():
-            entry = self._parts.registry.find(server)
-            if entry is not None:
-                self._parts.costly_servers.merge(entry, answers)
-        for server, advisory in summary.advisories.items():
-            entry = self._parts.registry.find(server)
-            if entry is not None and not concerns_earlier_builds(advisory):
-                self._parts.advisories.merge(entry, advisory)
-                if advisory.is_leaving and advisory.born == entry.born:
-                    self._parts.registry.mark_closed(entry)
 
 
 def _run_of(member):
--- a/cicadapond/gateway/cluster_test.py
+++ b/cicadapond/gateway/cluster_test.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from cicadapond.continuation import StreamOrigins
 from cicadapond.data import Endpoint
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, MIXED_POLL_INTERVAL
 from cicadapond.gateway._cluster import (
@@ -179,6 +180,22 @@
     run(check)
 
 
+def test_streams_are_learned_from_both_hubs_of_a_data_centre_that_is_split():
+    """Guards against LOST: what the hub that is not followed told of streams was dropped."""
+
+    def check():
+        joined = cluster(ManualClock(), is_first_start=False)
+        joined._parts.origins = StreamOrigins(joined._clock)
+        for hub, stream in (("b0", "s-0"), ("b1", "s-1")):
+            begun = StreamOrigins(joined._clock)
+            begun.begin(stream, "v2")
+            begun.break_off(stream)
+            joined._apply_summary(hub, "b", Report(lineage="x/1", origins=begun.reported()))
+        assert [joined._parts.origins.find(each) for each in ("s-0", "s-1")] == ["v2", "v2"]
+
+    run(check)
+
+
 def test_counts_that_a_holder_of_another_data_centre_stored_are_remembered():
     def check():
         joined = cluster(ManualClock(), is_first_start=False)
