--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -12,7 +12,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
-from cicadapond.gateway._copies import CopyExchange
+from cicadapond.gateway._copies import COPY_TOPIC, CopyExchange
 from cicadapond.gateway._digest_pace import digest_intervals, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
@@ -109,13 +109,14 @@
             self.live_by_zone,
             self.publish_soon,
             copy_times(self._cfg.bounds.drain),
+            self.query,
         )
         self._zone_reports: ZoneReports | None = None
         self._summaries: dict[str, _Summary] = {}
         self._view: ProcessView | None = None
         self._sequence = 0
         self._registered = 1
-        self._handlers: dict[str, typing.Callable] = {}
+        self._handlers: dict[str, typing.Callable] = {COPY_TOPIC: self._copies.answer}
         self.cut_off_services: typing.Callable[[], tuple[str, ...]] = tuple
         self.restore_state: typing.Callable[[], typing.Mapping[str, int]] = dict
         self.receive_restore_state: typing.Callable = lambda process, state: None
--- a/cicadapond/gateway/_copies.py
+++ b/cicadapond/gateway/_copies.py
@@ -1,7 +1,8 @@
 """Which process reads a table from the store on behalf of the others, and what it passes on.
 
 One process reads for all; the others take over if nothing comes from it, first one of each data
-centre, then everybody.  No I/O.
+centre, then everybody.  A process that has to read itself and does not reach the store asks another
+one.
 """
 
 import collections
@@ -9,14 +10,24 @@
 import typing
 
 from cicadapond.eventlog import EventLog
-from cicadapond.gateway._sharing import CopyGroup, CopyInbox, CopyTimes, SharedCopy, read_copy
+from cicadapond.gateway._sharing import (
+    ChangeHistory,
+    CopyGroup,
+    CopyInbox,
+    CopyTimes,
+    SharedCopy,
+    read_copy,
+)
 from cicadapond.kernel import Clock
-from cicadapond.peer import owner
+from cicadapond.peer import owner, rank
 from cicadapond.provider import era_of
 
 # With fewer processes than this, each reads for itself: a few calls less are not worth a process's
 # dependence on others.
 MIN_PROCESSES_TO_SHARE = 8
+# The topic of queries for a copy.
+COPY_TOPIC = "table copy"
+QUERY_TIMEOUT = datetime.timedelta(milliseconds=300)
 
 
 class CopyExchange(CopyGroup):
@@ -30,6 +41,8 @@
       live_by_zone: Returns the names of the live processes by data centre, this one included.
       publish_soon: Sends what `published` returns to the others soon.
       times: When the processes call the store.
+      query: Asks a process about a topic with a payload, for at most a time; returns its answer,
+        None without one.
     """
 
     def __init__(
@@ -41,6 +54,7 @@
         live_by_zone: typing.Callable[[], typing.Mapping[str, tuple[str, ...]]],
         publish_soon: typing.Callable[[], None],
         times: CopyTimes,
+        query: typing.Callable[..., typing.Awaitable[object]],
     ):
         self._name = name
         self._zone = zone
@@ -48,11 +62,15 @@
         self._log = log
         self._live_by_zone = live_by_zone
         self._publish_soon = publish_soon
+        self._query = query
         self.times = times
         self._published: dict[str, SharedCopy] = {}
         self._inboxes: dict[str, CopyInbox] = collections.defaultdict(CopyInbox)
         self._received: dict[tuple[str, str], list] = {}
         self._received_at: dict[str, datetime.timedelta] = {}
+        self._histories: dict[str, ChangeHistory] = {}
+        # How many queries found no copy; the next one goes to another process.
+        self._unanswered = 0
         # The newest era of the copies.
         self._era = 0
         self._ranked_for: typing.Mapping[str, tuple[str, ...]] | None = None
@@ -90,6 +108,17 @@
             if process == self._reader(table) or zone != self._zone:
                 self._received_at[table] = self._clock.monotonic()
 
+    def answer(self, payload) -> list | None:
+        """Returns the copy that another process asks for, None if there is none.
+
+        Args:
+          payload: The table, and the version of the other process's copy.
+        """
+        table, version = payload
+        history = self._histories.get(table)
+        copy = history.since(version) if history is not None else None
+        return copy.as_list() if copy is not None else None
+
     def state(self) -> dict:
         """Returns the reader of each table and the age of its last copy, for a dump."""
         now = self._clock.monotonic()
@@ -124,6 +153,23 @@
             limit = min(limit, max(datetime.timedelta(), self.times.deputy_age - self._age(table)))
         return await self._inboxes[table].get(limit)
 
+    def record_changes(self, table, changes, is_snapshot):
+        self._histories.setdefault(table, ChangeHistory(self._clock)).update(changes, is_snapshot)
+
+    async def fetch_copy(self, table, version):
+        live = self._live_by_zone()
+        near = [name for name in live[self._zone] if name != self._name]
+        far = [name for zone, names in live.items() if zone != self._zone for name in names]
+        others = [name for names in (near, far) for name in rank(self._name, names)]
+        if not others:
+            return None
+        process = others[self._unanswered % len(others)]
+        answer = await self._query(process, COPY_TOPIC, [table, version], QUERY_TIMEOUT)
+        copy = read_copy(answer)
+        if copy is None:
+            self._unanswered += 1
+        return copy
+
     def _age(self, table):
         """Returns how long ago a copy came that did not depend on this data centre's deputy."""
         now = self._clock.monotonic()
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -199,6 +199,7 @@
                 failures=self._failures,
                 version=changes.version,
             )
+            self._log_source_change(False)
         self._failures = 0
         self._answered_at = self._clock.monotonic()
         self._version = max(self._version or 0, changes.version)
@@ -206,6 +207,7 @@
             self._follower.apply_changes(changes, is_snapshot, after_outage)
         now = self._clock.monotonic()
         self._confirm_current(self._store_clock.answered_at(changes.service_time, called_at, now))
+        self._group.record_changes(self._table, changes, is_snapshot)
         copy = self._recent_changes.update(changes, is_snapshot)
         if self._group.is_reader(self._table) and self._group.has_receivers(self._table):
             self._group.publish_copy(self._table, copy)
@@ -260,10 +262,19 @@
             self._follower.apply_changes(changes, is_reread, after_outage=is_reread)
         self._failures = 0
         self._confirm_current(since)
+        self._group.record_changes(self._table, changes, is_reread)
         self._recent_changes.update(changes, is_reread)
         self._log_source_change(True)
         return None
 
+    async def _fetch_copy(self):
+        """Takes a copy from another process, as this one does not reach the store."""
+        copy = await self._group.fetch_copy(self._table, self._version or 0)
+        if copy is not None:
+            failures = self._failures
+            self._apply_shared_copy(copy)
+            self._failures = failures
+
     async def _receive_whole_copy(self, limit):
         """Waits for a copy of the whole table, as long as this process need not read it itself."""
         due = self._clock.monotonic() + limit
@@ -289,6 +300,8 @@
         limit = MAX_READER_BACKOFF if is_reader else MAX_BACKOFF
         pause = doubled(FIRST_BACKOFF, self._failures - 1, limit)
         if is_reader or (self._version is None and not self._feed.era()):
+            if is_reader:
+                await self._fetch_copy()
             await self._clock.sleep(pause)
             return
         # The store may turn away this process and serve others, whose copies are as good.
--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -27,6 +27,11 @@
 # The limit on a whole table of a restored store; two tables that are sent at once fit in a message.
 MAX_WHOLE_BYTES = 24 * 1024
 ROW_OVERHEAD_BYTES = 16
+# What a process keeps of each table for others that do not reach the store.
+HISTORY_PERIOD = datetime.timedelta(seconds=60)
+MAX_HISTORY_BYTES = 256 * 1024
+# A process that reads nothing new for longer than a call takes does not reach the store either.
+MAX_HISTORY_AGE = datetime.timedelta(seconds=4)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -168,6 +173,14 @@
     async def receive_copy(self, table: str, limit: datetime.timedelta) -> SharedCopy | None:
         """Waits for a copy from another process; returns None if none arrives in time."""
 
+    def record_changes(self, table: str, changes: Changes, is_snapshot: bool) -> None:
+        """Records what this process read, for others that cannot read it themselves."""
+        return None
+
+    async def fetch_copy(self, table: str, version: int) -> SharedCopy | None:
+        """Asks another process for the changes after a version; returns None without an answer."""
+        return None
+
 
 class NoSharing(CopyGroup):
     """A group of one process, which shares nothing."""
@@ -185,6 +198,63 @@
         return None
 
 
+class ChangeHistory:
+    """The changes of a table in a period, for processes that ask for them.
+
+    Args:
+      clock: The clock.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._floor = 0
+        self._last: Changes | None = None
+        self._updated_at = datetime.timedelta()
+        self._rows: collections.OrderedDict[str, tuple[RawRow, datetime.timedelta]] = (
+            collections.OrderedDict()
+        )
+        self._size = 0
+
+    def update(self, changes: Changes, is_snapshot: bool) -> None:
+        """Adds changes, or begins anew after a whole table."""
+        now = self._clock.monotonic()
+        if self._last is None or changes.service_time != self._last.service_time:
+            self._updated_at = now
+        self._last = changes
+        if is_snapshot:
+            self._rows.clear()
+            self._size = 0
+            self._floor = changes.version  # removals before are not known
+        else:
+            for row in sorted(changes.rows, key=lambda row: row.version):
+                self._drop(row.key)
+                self._rows[row.key] = (row, now)
+                self._size += _size([row])
+        while self._rows:
+            row, since = next(iter(self._rows.values()))
+            if now - since <= HISTORY_PERIOD and self._size <= MAX_HISTORY_BYTES:
+                break
+            self._drop(row.key)
+            self._floor = max(self._floor, row.version)
+
+    def since(self, version: int) -> SharedCopy | None:
+        """Returns the changes after a version.
+
+        None if some of them are not kept any more, or the table has not been read lately.
+        """
+        if self._last is None or version < self._floor:
+            return None
+        if self._clock.monotonic() - self._updated_at > MAX_HISTORY_AGE:
+            return None
+        rows = tuple(row for row, _ in self._rows.values() if row.version > version)
+        return SharedCopy(self._last.version, self._floor, self._last.service_time, rows)
+
+    def _drop(self, key):
+        row, _ = self._rows.pop(key, (None, None))
+        if row is not None:
+            self._size -= _size([row])
+
+
 class CopyInbox:
     """Queue of received copies of one table."""
 
--- a/cicadapond/gateway/copies_test.py
+++ b/cicadapond/gateway/copies_test.py
@@ -6,9 +6,12 @@
 import pytest
 
 from cicadapond.gateway._copies import MIN_PROCESSES_TO_SHARE, CopyExchange
+from cicadapond.gateway._follow import FollowTask, feed_wait
 from cicadapond.gateway._sharing import CopyTimes, SharedCopy, copy_times
-from cicadapond.kernel import VirtualClock, run_virtual, seconds
+from cicadapond.gateway.follow_test import CURRENT_FOR, REVOCATION, Feed, Follower
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.provider import version_in_era
+from cicadapond.routes import ActiveConfiguration
 
 TABLE = "servers"
 ZONES = ("a", "b", "c")
@@ -37,9 +40,19 @@
         for zone, names in self.live.items():
             for name in names:
                 self.exchanges[name] = CopyExchange(
-                    name, zone, self.clock, self.log, lambda: self.live, lambda: None, TIMES
+                    name,
+                    zone,
+                    self.clock,
+                    self.log,
+                    lambda: self.live,
+                    lambda: None,
+                    TIMES,
+                    self.query,
                 )
 
+    async def query(self, process, topic, payload, timeout):
+        return self.exchanges[process].answer(payload)
+
     def zone(self, name):
         return next(zone for zone, names in self.live.items() if name in names)
 
@@ -95,6 +108,39 @@
     play(script, per_zone=2)
 
 
+def test_a_process_without_the_store_takes_the_copies_of_a_few_others():
+    """Guards against LOST: it knew no new server, and soon refused all requests with keys."""
+
+    async def script(world):
+        feeds, copies, followers, tasks = [], [], [], []
+        for exchange in world.exchanges.values():
+            feeds.append(Feed(world.clock))
+            copies.append(ActiveConfiguration(world.clock, REVOCATION, CURRENT_FOR))
+            followers.append(Follower(copies[-1]))
+            wait = feed_wait(REVOCATION)
+            task = FollowTask(
+                TABLE, feeds[-1], followers[-1], wait, world.clock, world.log, Metrics(), exchange
+            )
+            tasks.append(asyncio.ensure_future(task.run()))
+        await world.clock.sleep(seconds(3))
+        feeds[0].is_down = True
+        for version in range(2, 12):
+            for feed in feeds[1:]:
+                feed.version = version
+            await world.clock.sleep(seconds(0.5))
+            assert followers[0].taken[-1][0] == version
+            await world.clock.sleep(seconds(1.5))
+            assert copies[0].age() < CURRENT_FOR + seconds(1)
+        for feed in feeds:
+            feed.is_down = True
+        await world.clock.sleep(REVOCATION)
+        assert not any(copy.may_use_keys() for copy in copies)
+        for task in tasks:
+            task.cancel()
+
+    play(script, per_zone=2)
+
+
 def test_one_deputy_of_each_other_data_centre_takes_over_from_a_silent_reader():
     async def script(world):
         await publish_for(world, 3)
--- a/cicadapond/gateway/sharing_test.py
+++ b/cicadapond/gateway/sharing_test.py
@@ -15,8 +15,11 @@
 )
 from cicadapond.gateway._sharing import (
     MAX_COPY_BYTES,
+    MAX_HISTORY_AGE,
+    MAX_HISTORY_BYTES,
     MAX_NEW_BYTES,
     RESEND_PERIOD,
+    ChangeHistory,
     CopyGroup,
     CopyInbox,
     CopyTimes,
@@ -76,6 +79,49 @@
             assert mine == table
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(0, 90_000)), max_size=3),
+            st.floats(0, 40),
+            st.booleans(),
+        ),
+        max_size=20,
+    )
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_a_process_that_asks_for_changes_has_the_complete_table(steps):
+    clock = ManualClock()
+    history, table, version, mine, my_version = ChangeHistory(clock), {}, 1, {}, 1
+    history.update(Changes((), version, seconds(1)), is_snapshot=True)
+    for changed, wait_s, asks in steps:
+        clock.advance(seconds(wait_s))
+        rows = []
+        for key, size in dict(changed).items():
+            version += 1
+            rows.append(RawRow(key, version, None if size == 0 else bytes(size)))
+            table[key] = rows[-1].value
+        history.update(Changes(tuple(rows), version, clock.monotonic()), is_snapshot=False)
+        copy = history.since(my_version) if asks else None
+        if copy is not None:
+            assert sum(len(row.value or b"") for row in copy.rows) <= MAX_HISTORY_BYTES
+            mine |= {row.key: row.value for row in copy.rows}
+            my_version = copy.version
+            assert mine == table
+
+
+def test_a_process_that_reads_nothing_any_more_gives_no_changes():
+    """Guards against processes without the store that take old copies from each other."""
+    clock = ManualClock()
+    history = ChangeHistory(clock)
+    history.update(Changes((), 1, seconds(1)), is_snapshot=True)
+    for _ in range(3):
+        assert history.since(1) is not None
+        clock.advance(MAX_HISTORY_AGE / 2)
+        history.update(Changes((), 1, seconds(1)), is_snapshot=False)
+    assert history.since(1) is None
+
+
 def test_a_large_change_is_sent_once_and_small_ones_are_resent():
     clock = ManualClock()
     writer = RecentChanges(clock)
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -4,6 +4,7 @@
 import time
 
 from cicadapond.gateway.harness import deployment
+from cicadapond.kernel import Unavailable
 from cicadapond.platform.standin import EngineFault, FleetSettings
 
 EVENTS = 4
@@ -217,6 +218,34 @@
     run(check, tmp_path, {"a": "v1"}, processes=2)
 
 
+def test_a_process_without_the_store_continues_streams_of_a_version_that_joined_since(tmp_path):
+    """Guards against refusing what the other processes' servers could serve."""
+
+    async def check(system):
+        async def lost(*args):
+            return Unavailable("no connection")
+
+        await system.until_joined()
+        feed = system.nodes[1]._adapters.feed
+        feed.changes = feed.snapshot = lost
+        await system.add_engine("b", "v1")  # ends the call in progress
+        await system.add_engine("z", "v2")
+        new = system.engine("z")
+        new.events, new.event_interval_s = 60, 0.03
+        for name in "ab":
+            system.engine(name).faults = [EngineFault.FULL] * 10
+        first = system.caller(0)
+        await first.stream("s-1")
+        await system.until(lambda: new.ids() == ["s-1"])
+        await asyncio.sleep(0.6)
+        again = system.caller(1)
+        await again.stream("t-1", last_event_id="5", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and versions_of(system, "t-1") == ["v2"]
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
 def test_a_stream_goes_on_while_its_accounts_quota_is_used_up(tmp_path):
     """Guards against streams that were never finished, as new requests had used the quota up."""
 
