--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -12,7 +12,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
-from cicadapond.gateway._copies import CopyExchange
+from cicadapond.gateway._copies import COPY_TOPIC, CopyExchange
 from cicadapond.gateway._digest_pace import digest_intervals, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
@@ -109,13 +109,14 @@
             self.live_by_zone,
             self.publish_soon,
             copy_times(self._cfg.bounds.drain),
+            self.query,
         )
         self._zone_reports: ZoneReports | None = None
         self._summaries: dict[str, _Summary] = {}
         self._view: ProcessView | None = None
         self._sequence = 0
         self._registered = 1
-        self._handlers: dict[str, typing.Callable] = {}
+        self._handlers: dict[str, typing.Callable] = {COPY_TOPIC: self._copies.answer}
         self.cut_off_services: typing.Callable[[], tuple[str, ...]] = tuple
         self.restore_state: typing.Callable[[], typing.Mapping[str, int]] = dict
         self.receive_restore_state: typing.Callable = lambda process, state: None
@@ -458,6 +459,18 @@
         self._parts.rollouts.apply(zone, summary.rollouts)
         if self._parts.engine_watch is not None:
             self._parts.engine_watch.apply(zone, summary.held, summary.shared_parts)
+        # Facts, unlike sums, are merged from whichever hub tells them.
+        self._parts.origins.apply(zone, summary.origins)
+        for server, answers in summary.costly.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None:
+                self._parts.costly_servers.merge(entry, answers)
+        for server, advisory in summary.advisories.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None and not concerns_earlier_builds(advisory):
+                self._parts.advisories.merge(entry, advisory)
+                if advisory.is_leaving and advisory.born == entry.born:
+                    self._parts.registry.mark_closed(entry)
         known = self._summaries.get(zone)
         now = self._clock.monotonic()
         if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
@@ -473,17 +486,6 @@
             )
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
-        self._parts.origins.apply(zone, summary.origins)
-        for server, answers in summary.costly.items():
-            entry = self._parts.registry.find(server)
-            if entry is not None:
-                self._parts.costly_servers.merge(entry, answers)
-        for server, advisory in summary.advisories.items():
-            entry = self._parts.registry.find(server)
-            if entry is not None and not concerns_earlier_builds(advisory):
-                self._parts.advisories.merge(entry, advisory)
-                if advisory.is_leaving and advisory.born == entry.born:
-                    self._parts.registry.mark_closed(entry)
 
 
 def _run_of(member):
