--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -17,6 +17,7 @@
 from cicadapond.standin._ports import free_endpoint
 
 HOST = "127.0.0.1"
+ZONE = "z1"
 MODEL_SERVICE, PLAIN_SERVICE = "pool", "plain"
 STREAM_PREFIX, PLAIN_PREFIX, LOOKUP_PREFIX = "/stream/", "/post/", "/peek/"
 
@@ -154,7 +155,7 @@
         entry = {
             "service": service,
             "address": f"{HOST}:{self._advertised_port(name)}",
-            "zone": "z1",
+            "zone": ZONE,
             "version": self.servers[name].model.version,
             "slots": self.servers[name].model.slots,
             "born": self.servers[name].born,
@@ -212,7 +213,13 @@
         return [pool, {"name": PLAIN_SERVICE, "max_connections": 50}]
 
     def settings_text(
-        self, ports: dict[str, int], name: str = "edge-1", view: int = 0, **limits: int
+        self,
+        ports: dict[str, int],
+        name: str = "edge-1",
+        view: int = 0,
+        zone: str = ZONE,
+        zones: tuple[str, ...] = (ZONE,),
+        **limits: int,
     ) -> str:
         """Returns the settings file of a gateway process.
 
@@ -220,14 +227,16 @@
           ports: Its ports by name: frontend, readiness, and peers, the first of four.
           name: The process's name.
           view: The ports that it sees, as `relay` sets them.
+          zone: Its data centre.
+          zones: All data centres.
           limits: The process's limits: memory_mb, max_fds.
         """
         values = {
             "node_name": name,
             "ip": HOST,
-            "zone": "z1",
+            "zone": zone,
             "region": "r",
-            "zones.z1": "r",
+            **{f"zones.{each}": "r" for each in zones},
             "listen.frontend": f"{HOST}:{ports['frontend']}",
             "listen.readiness": f"{HOST}:{ports['readiness']}",
             "port_range": f"{ports['peers']},{ports['peers'] + 3}",
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -171,7 +171,9 @@
         for name in list(self.services):
             if number not in self.proxies[name]:
                 await self._start_proxy(name, fleet.port(name), number)
-        text = fleet.settings_text(process.ports, f"edge-{number}", number, **limits.settings())
+        zones = tuple(f"z{each + 1}" for each in range(self.cfg.zones))
+        place, name = (number, zones[number % len(zones)], zones), f"edge-{number}"
+        text = fleet.settings_text(process.ports, name, *place, **limits.settings())
         process.path.write_text(text, encoding="utf-8")
         await process.start()
         self.balancer.add(number, process.ports["frontend"], process.ports["readiness"])
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -135,6 +135,7 @@
         share one; with none, each takes whichever core is free.
       compares_times: Whether times are compared with and without costly answers in the end.
       streams_per_engine: How many streams an engine for long ones runs at once.
+      zones: Number of data centres, over which the processes are spread.
     """
 
     seed: int
@@ -148,6 +149,7 @@
     streams_per_engine: int = 64
     neighbours: int = 0
     compares_times: bool = False
+    zones: int = 1
 
     @property
     def is_planned_only(self) -> bool:
