--- a/cicadapond/soak/_callers.py
+++ b/cicadapond/soak/_callers.py
@@ -11,12 +11,20 @@
 from cicadapond.soak._balancer import Balancer
 from cicadapond.soak._operator import Operator
 from cicadapond.soak._records import STREAM, STREAMS, CallRecord, History
-from cicadapond.soak._requests import WEIGHTS, Behaviour, draw_behaviour, draw_pace
+from cicadapond.soak._requests import (
+    WEIGHTS,
+    Behaviour,
+    draw_behaviour,
+    draw_left_stream,
+    draw_pace,
+)
 
 MEAN_REQUEST_GAP_S = 0.08
 # A caller waits so much longer than the time that its request allows.
 EXTRA_WAIT_S = 3.0
 MAX_TAKE_UPS = 5
+RESUMING_TRIES, RESUMING_GAP_S = 3, 0.3
+RESUMED_STAY_S = 1.5
 CRASHING_PART = "bad"
 
 
@@ -78,12 +86,12 @@
             request_id = f"{call.resumes or call.id}-again-{number}"
             call, answer = await self._exchange(request_id, behaviour, call, last)
 
-    def _connect(self):
+    def _connect(self, process=None):
         self._disconnect()
         ready = self._balancer.ready()
         if not ready:
             return False
-        self._process = self._rng.choice(ready)
+        self._process = self._rng.choice(ready) if process not in ready else process
         self._connection = Caller(self._balancer.port(self._process), draw_pace(self._rng))
         return True
 
@@ -172,6 +180,47 @@
         )
 
 
+class ResumingCaller(CallerLoop):
+    """A caller that leaves each stream and takes it up again, with some tries at one process.
+
+    Args:
+      disturbed: The processes at which it takes up half of its streams, if there are any.
+    """
+
+    def __init__(self, *args, disturbed: set[int]):
+        super().__init__(*args)
+        self._disturbed = disturbed
+
+    async def run(self) -> None:
+        """Sends streams until it is cancelled."""
+        try:
+            for number in itertools.count():
+                await asyncio.sleep(self._rng.expovariate(1 / MEAN_REQUEST_GAP_S))
+                if not self._connect():
+                    continue
+                behaviour = draw_left_stream(self._rng)
+                call, answer = await self._exchange(f"{self._name}-{number}", behaviour)
+                if not answer.is_complete:
+                    await self._take_up(call, behaviour, answer)
+        finally:
+            self._disconnect()
+
+    async def _take_up(self, call, behaviour, answer):
+        last = (whole_event_ids(answer) or [0])[-1]
+        disturbed = sorted(self._disturbed & set(self._balancer.ready()))
+        process = self._rng.choice(disturbed) if disturbed and self._rng.random() < 0.5 else None
+        behaviour = attrs.evolve(behaviour, stay_s=RESUMED_STAY_S)
+        for number in range(RESUMING_TRIES):
+            if not last or not self._connect(process):
+                return
+            process = self._process
+            request_id = f"{call.resumes or call.id}-again-{number + 1}"
+            call, answer = await self._exchange(request_id, behaviour, call, last)
+            if answer.status == 200:
+                return
+            await asyncio.sleep(RESUMING_GAP_S)
+
+
 def whole_event_ids(answer: Answer) -> list[int]:
     """Returns the ids of the events that came whole, in order."""
     whole = answer.body.rpartition(b"\n\n")[0]
--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -8,6 +8,7 @@
 from cicadapond.soak._configuration_checks import handled_as_configured, unchanged_requests
 from cicadapond.soak._lost import is_excused, late_answers, lost_requests, memory_excesses
 from cicadapond.soak._records import LONG, PROBE, RUN_ONCE, CallRecord, History, Violation, overlaps
+from cicadapond.soak._resumed import lost_streams
 from cicadapond.soak._rollouts import check_rollouts
 
 # Limits of the deployment under test (platform.standin).
@@ -71,7 +72,13 @@
     )
     busy = [(first, last + RESIDUAL_EFFECT_S) for first, last in history.busy_spans]
     excused = attrs.evolve(history, fault_spans=history.fault_spans + busy)
-    found = [violation for find in checks for violation in find(excused)]
+    found = list(lost_streams(excused))
+    spans = [
+        (each.begin, each.end + RESIDUAL_EFFECT_S) for each in history.partitions if each.is_excused
+    ]
+    history = attrs.evolve(history, fault_spans=history.fault_spans + spans)
+    excused = attrs.evolve(excused, fault_spans=excused.fault_spans + spans)
+    found += [violation for find in checks for violation in find(excused)]
     # Here a busy machine is given more time, and excuses nothing.
     return found + list(handled_as_configured(history))
 
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import signal
+import typing
 
 from cicadapond.kernel import BootClock
 from cicadapond.peer.partition import Direction
@@ -23,7 +24,7 @@
 from cicadapond.soak._plan import SoakSettings
 from cicadapond.soak._process import GatewayProcess
 from cicadapond.soak._proxy import Proxy
-from cicadapond.soak._records import History, PlannedChange, Run
+from cicadapond.soak._records import History, PlannedChange, Run, ServingTime
 
 START_TIMEOUT_S = 60.0
 START_POLL_S = 0.05
@@ -70,6 +71,7 @@
         self.busy: set[int] = set()
         # By name and process, as a process may lose links that others keep.
         self.proxies: dict[str, dict[int, Proxy]] = {}
+        self._serving: dict[str, ServingTime] = {}
         # The servers in operation, and their services.
         self.services: dict[str, str] = {}
         self.brittle_crashes: list[float] = []
@@ -78,6 +80,8 @@
         self._all_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task] = []
         self._ended: list[GatewayProcess] = []
+        # The processes that are cut off or suspended for seconds, which callers seek out.
+        self.disturbed: set[int] = set()
         self._cut_off: dict[int, Direction] = {}
         self._first_half: frozenset[int] = frozenset()
 
@@ -95,9 +99,10 @@
                 await fleet.start_server(f"{service}-{number}")
         services = {"e": POOL, "s": PLAIN}
         for number, (name, server) in enumerate(list(fleet.servers.items())):
-            server.model.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
             base = name.rpartition("-")[0]
             service = services.get(base, base)
+            if not (self.cfg.partitions and service == POOL):  # others join meanwhile
+                server.model.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
             await self._register(name, service, server.model)
             fleet.list_server(name, service)
         model = await fleet.add_server(ENDLESS_SERVER, ENDLESS_SERVICE)
@@ -295,15 +300,28 @@
         self.proxies.setdefault(name, {})
         self.services[name] = self._all_services[name] = service
         model.processing_time_s, model.event_interval_s = WORK_S, PAUSE_S
-        model.slots = self.cfg.streams_per_engine if service in POOL_PAIR else SLOTS
+        runs_many = service in POOL_PAIR or (self.cfg.partitions and service == POOL)
+        model.slots = self.cfg.streams_per_engine if runs_many else SLOTS
         model.waiting_room = WAITING_ROOM
         model.hashes_bodies = True
         model.crashing_parts = frozenset((CRASHING_PART,))
         self.fleet.servers[name].on_crash = self._on_crash
         self._models.append(model)
+        self._begin_serving(name)
+
+    def _begin_serving(self, name):
+        service, version = self.services[name], self.fleet.servers[name].model.version
+        self._serving[name] = time = ServingTime(service, version, self.now())
+        self.history.serving_times.append(time)
+
+    def _end_serving(self, name):
+        time = self._serving.pop(name, None)
+        if time is not None:
+            time.end = self.now()
 
     def _on_crash(self, model, by_prompt):
         now = self.now()
+        self._end_serving(model.name)
         if not by_prompt:
             self.brittle_crashes.append(now)
         else:
@@ -317,6 +335,35 @@
         await asyncio.sleep(SERVER_RESTART_S)
         if name in self.services:  # it has not been ended meanwhile
             await self.fleet.restart_server(name, self.services[name], 0.0)
+            self._begin_serving(name)
+
+    async def kill_server(
+        self, name: str, down_s: float, draw_version: typing.Callable[[], str]
+    ) -> None:
+        """Kills a server's process and starts it again under its name, unless it is down already.
+
+        Args:
+          name: The server.
+          down_s: How long it is down, in seconds.
+          draw_version: Returns the software version that it then has.
+        """
+        server = self.fleet.servers[name]
+        if server.has_crashed:
+            return
+        server.has_crashed = True
+        self._end_serving(name)
+        proxies = [*self.proxies[name].values()]
+        for proxy in proxies:
+            proxy.stop_listening()
+        await server.stop(resets=False)
+        await asyncio.sleep(down_s)
+        if name not in self.services:
+            return  # it has been ended for good meanwhile
+        server.model.version = draw_version()
+        await self.fleet.restart_server(name, self.services[name], 0.0)
+        for proxy in proxies:
+            await proxy.start()
+        self._begin_serving(name)
 
     async def start_server(self, name: str, service: str, version: str, defect) -> None:
         """Starts a server and lists it."""
@@ -338,6 +385,7 @@
         service = self.services.pop(name, None)
         if service is None:
             return
+        self._end_serving(name)
         if drains:
             self.fleet.list_server(name, service, "draining", **notice)
             self.history.drained[name] = self.now()
--- a/cicadapond/soak/_injections.py
+++ b/cicadapond/soak/_injections.py
@@ -208,22 +208,17 @@
 
     async def inject_server_killed(self, injection):
         name, deployment = self._pick_server(injection), self._deployment
-        server = self._fleet.servers[name]
-        if server.has_crashed:
+        model = self._fleet.servers[name].model
+        if self._fleet.servers[name].has_crashed:
             return
-        server.has_crashed = True
-        proxies = [*deployment.proxies[name].values()]
-        for proxy in proxies:
-            proxy.stop_listening()
-        await server.stop(resets=False)
-        await asyncio.sleep(self._rng.uniform(MIN_DOWN_S, MAX_DOWN_S))
-        if name not in deployment.services:
-            return  # it has been ended for good meanwhile
-        if not deployment.cfg.rolls_out:
-            server.model.version = self._rng.choice(SOFTWARE_VERSIONS)
-        await self._fleet.restart_server(name, deployment.services[name], 0.0)
-        for proxy in proxies:
-            await proxy.start()
+
+        def draw_version():
+            return (
+                model.version if deployment.cfg.rolls_out else self._rng.choice(SOFTWARE_VERSIONS)
+            )
+
+        down_s = self._rng.uniform(MIN_DOWN_S, MAX_DOWN_S)
+        await deployment.kill_server(name, down_s, draw_version)
 
     async def inject_server_holds(self, injection):
         name = self._pick_server(injection)
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -48,6 +48,16 @@
     REPLACE = "a process is added and another one is stopped for good"
     EARLY_HANG_UP = "a process is restarted, and gets SIGHUP while it starts"
     ENDLESS_ANSWERS = "many requests at once are at servers that send without end"
+    CUT_OFF = "a process is cut off from the other processes"
+    CUT_IN = "a process receives nothing from the other processes"
+    CUT_OUT = "what a process sends to the other processes does not arrive"
+    CUT_HUB = "the hub of a data centre is cut off from the other processes"
+    CUT_HALVES = "half of the processes are cut off from the other half"
+    CUT_STORE = "a process is cut off from the store"
+    CUT_ALL = "a process is cut off from the store and from the other processes"
+    LONG_PAUSE = "a process is suspended for some seconds, then resumed"
+    VERSION_JOINS = "engines of another software version join, and may leave soon"
+    VERSION_RESTARTS = "engines restart under their names with another software version"
 
 
 PLANNED = (
@@ -77,8 +87,25 @@
 ENDLESS = (Fault.ENDLESS_ANSWERS,)
 MEAN_ENDLESS_GAP_S = 10.0
 MIN_ENDLESS_S, MAX_ENDLESS_S = 4.0, 6.0
+# Cuts between processes excuse nothing.  What a process without the store, or a suspended one, may
+# fail to do is recorded with its process.
+PARTITIONS = (
+    Fault.CUT_OFF,
+    Fault.CUT_IN,
+    Fault.CUT_OUT,
+    Fault.CUT_HUB,
+    Fault.CUT_HALVES,
+    Fault.CUT_STORE,
+    Fault.CUT_ALL,
+    Fault.LONG_PAUSE,
+)
+MEAN_PARTITION_GAP_S = 5.0
+MIN_PARTITION_S, MAX_PARTITION_S = 3.0, 8.0
+VERSIONS = (Fault.VERSION_JOINS, Fault.VERSION_RESTARTS)
+MEAN_VERSION_GAP_S = 3.0
+MIN_VERSION_S, MAX_VERSION_S = 3.0, 12.0
 # What may cut nobody else's requests off.
-CUTS_NOTHING = PLANNED + CHANGES + ENDLESS + EARLY
+CUTS_NOTHING = PLANNED + CHANGES + ENDLESS + EARLY + PARTITIONS + VERSIONS
 # Of these seeds, one is without unplanned faults.
 PLANNED_ONLY_EVERY = 3
 # Drawn apart, so that they come beside any of the others.
@@ -136,6 +163,9 @@
       compares_times: Whether times are compared with and without costly answers in the end.
       streams_per_engine: How many streams an engine for long ones runs at once.
       zones: Number of data centres, over which the processes are spread.
+      partitions: Whether processes are cut off from each other or suspended for seconds, while
+        engines of several software versions come and go; versions are not rolled out then.
+      resuming_callers: Number of callers that leave streams and take them up at other processes.
     """
 
     seed: int
@@ -150,6 +180,8 @@
     neighbours: int = 0
     compares_times: bool = False
     zones: int = 1
+    partitions: bool = False
+    resuming_callers: int = 0
 
     @property
     def is_planned_only(self) -> bool:
@@ -159,7 +191,7 @@
     @property
     def rolls_out(self) -> bool:
         """Whether versions are rolled out, which half of the other seeds do."""
-        return self.seed % 2 == 0 and not self.is_planned_only
+        return self.seed % 2 == 0 and not self.is_planned_only and not self.partitions
 
 
 def is_planned_only(seed: int) -> bool:
@@ -167,12 +199,22 @@
     return seed % PLANNED_ONLY_EVERY == 0
 
 
-def make_plan(seed: int, length: float, restores: bool = False) -> list[Injection]:
+def make_plan(
+    seed: int, length: float, restores: bool = False, partitions: bool = False
+) -> list[Injection]:
     """Returns the injections of a seed during `length` seconds, in order of time.
 
-    With `restores` the store is restored beside the other faults.
+    With `restores` the store is restored beside the other faults; with `partitions` processes are
+    cut off from each other, and software versions come and go.
     """
     plan = _planned_changes(seed, length)
+    if partitions:
+        rng = random.Random(f"partitions {seed}")
+        bounds = (MIN_PARTITION_S, MAX_PARTITION_S)
+        plan += _apart(rng, PARTITIONS, MEAN_PARTITION_GAP_S, bounds, length)
+        rng = random.Random(f"versions {seed}")
+        bounds = (MIN_VERSION_S, MAX_VERSION_S)
+        plan += _apart(rng, VERSIONS, MEAN_VERSION_GAP_S, bounds, length)
     if restores or not is_planned_only(seed):
         plan += _other_injections(seed, length, restores)
     return sorted(plan, key=lambda injection: injection.at)
@@ -199,6 +241,7 @@
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
     apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES + CHANGES + ENDLESS + EARLY + LOSSES
+    apart += PARTITIONS + VERSIONS
     faults = [fault for fault in Fault if fault not in apart]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -1,6 +1,7 @@
 """Records of a soak, made by callers, servers and the platform, on which the checks are run."""
 
 import json
+import math
 import pathlib
 
 import attrs
@@ -168,6 +169,31 @@
     end: float
 
 
+@attrs.frozen
+class Partition:
+    """Processes were cut off or suspended from `begin` to `end`, in seconds.
+
+    Attributes:
+      is_excused: Whether they had no path to the store, or did not run.
+    """
+
+    what: str
+    processes: frozenset[int]
+    begin: float
+    end: float
+    is_excused: bool = False
+
+
+@attrs.define
+class ServingTime:
+    """An engine of a service served at a software version from `begin` to `end`, in seconds."""
+
+    service: str
+    version: str
+    begin: float
+    end: float = math.inf
+
+
 @attrs.frozen
 class Hold:
     """A server was silent from `begin` to `end`, in seconds, and went on."""
@@ -223,6 +249,8 @@
       holders: The processes that used a fencing number, by (subject, fencing number).
       limits: The limits that servers stated.
       cuts: Cuts of processes from all servers.
+      partitions: Cuts of processes from each other or from the store, and long suspensions.
+      serving_times: When engines served, and at which software version.
       holds: Silences of sound servers.
       brittle_times: Times in which the servers were brittle.
       rollouts: The rollouts of versions.
@@ -259,6 +287,8 @@
     holders: dict[tuple, set[str]] = attrs.field(factory=dict)
     limits: list[StatedLimit] = attrs.field(factory=list)
     cuts: list[Cut] = attrs.field(factory=list)
+    partitions: list[Partition] = attrs.field(factory=list)
+    serving_times: list[ServingTime] = attrs.field(factory=list)
     holds: list[Hold] = attrs.field(factory=list)
     brittle_times: list[BrittleTime] = attrs.field(factory=list)
     rollouts: list[RolloutRecord] = attrs.field(factory=list)
--- a/cicadapond/soak/_requests.py
+++ b/cicadapond/soak/_requests.py
@@ -25,6 +25,8 @@
 _MIN_READ_PAUSE_S, _MAX_READ_PAUSE_S = 0.01, 0.05
 _LEAVING_SHARE, _MAX_STAY_S = 0.05, 1.5
 _HALF_CLOSING_SHARE = 0.02
+_LEFT_EVENTS, _LEFT_GAP_S, _LEFT_LIMIT_S = 40, 0.1, 8.0
+_MIN_LEFT_STAY_S, _MAX_LEFT_STAY_S = 0.4, 1.4
 
 
 @attrs.frozen
@@ -87,6 +89,14 @@
     return Behaviour(kind, target, upload, shape, limit, stay_s, half_closes)
 
 
+def draw_left_stream(rng: random.Random) -> Behaviour:
+    """Returns a stream that its caller leaves before its end."""
+    shape = StreamShape(_LEFT_EVENTS, _LEFT_GAP_S)
+    stay_s = rng.uniform(_MIN_LEFT_STAY_S, _MAX_LEFT_STAY_S)
+    target = _PREFIXES[STREAM] + "x" + shape.query()
+    return Behaviour(STREAM, target, Upload((b"prompt",)), shape, _LEFT_LIMIT_S, stay_s)
+
+
 def draw_upload(rng: random.Random) -> Upload:
     """Returns a body of up to `MAX_SENT_BODY_BYTES` in pieces of varied size."""
     small, large = rng.randint(1, 2000), rng.randint(2000, MAX_SENT_BODY_BYTES)
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 
-from cicadapond.soak._callers import CallerLoop
+from cicadapond.soak._callers import CallerLoop, ResumingCaller
 from cicadapond.soak._checks import RECOVERY_S, RESIDUAL_EFFECT_S, check
 from cicadapond.soak._costly_answers import compare_times
 from cicadapond.soak._deployment import Deployment
 from cicadapond.soak._injections import FaultInjector
+from cicadapond.soak._partitions import PartitionInjector
 from cicadapond.soak._plan import CUTS_NOTHING, RESTORES, Injection, SoakSettings, make_plan
 from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._records import History, Violation
@@ -28,7 +29,8 @@
         self.history = History()
         self._cfg = cfg
         self._deployment = Deployment(cfg, self.history)
-        self._injectors = (FaultInjector(self._deployment), ChangeInjector(self._deployment))
+        kinds = (FaultInjector, ChangeInjector, PartitionInjector)
+        self._injectors = tuple(kind(self._deployment) for kind in kinds)
 
     async def run(self) -> None:
         """Runs the plan and a fault-free period after it, and fills the history."""
@@ -44,7 +46,7 @@
                 servers = (deployment.start_server, deployment.stop_server)
                 rollouts = RolloutLoop(deployment.fleet, rng, self.history, *servers)
                 injected.append(asyncio.ensure_future(rollouts.run(started_at + cfg.length)))
-            for injection in make_plan(cfg.seed, cfg.length, cfg.restores):
+            for injection in make_plan(cfg.seed, cfg.length, cfg.restores, cfg.partitions):
                 await asyncio.sleep(max(0.0, started_at + injection.at - loop.time()))
                 injected.append(asyncio.ensure_future(self._inject(injection)))
             await asyncio.gather(*injected)
@@ -67,6 +69,17 @@
                 name, deployment.balancer, deployment.operator, self.history, rng, each
             )
             deployment.start_task(caller.run())
+        for number in range(self._cfg.resuming_callers):
+            name = f"s{self._cfg.seed}-r{number}"
+            caller = ResumingCaller(
+                name,
+                deployment.balancer,
+                deployment.operator,
+                self.history,
+                random.Random(name),
+                disturbed=deployment.disturbed,
+            )
+            deployment.start_task(caller.run())
 
     async def _inject(self, injection: Injection):
         loop = asyncio.get_running_loop()
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -13,6 +13,7 @@
 from cicadapond.soak._configuration_checks import probed_routes
 from cicadapond.soak._neighbours import draw_neighbours
 from cicadapond.soak._plan import SoakSettings, parse_seeds
+from cicadapond.soak._resumed import resumed_streams
 from cicadapond.soak._run import run_soak
 
 HISTORY_NAME = "history.jsonl"
@@ -31,6 +32,16 @@
 _RESTORES = flags.DEFINE_boolean(
     "restores", False, "Whether the store is restored from older copies among the faults."
 )
+_PARTITIONS = flags.DEFINE_boolean(
+    "partitions",
+    False,
+    "Whether processes are cut off from each other, while engines of several software versions "
+    "come and go.",
+)
+_ZONES = flags.DEFINE_integer("zones", 1, "Number of data centres.", 1, 10)
+_RESUMING_CALLERS = flags.DEFINE_integer(
+    "resuming_callers", 0, "Number of callers that leave streams and take them up again.", 0, 400
+)
 _NEIGHBOURS = flags.DEFINE_integer(
     "neighbours",
     -1,
@@ -84,6 +95,9 @@
         _ENDLESS.value,
         neighbours=draw_neighbours(seed) if _NEIGHBOURS.value < 0 else _NEIGHBOURS.value,
         compares_times=_COMPARE.value,
+        zones=_ZONES.value,
+        partitions=_PARTITIONS.value,
+        resuming_callers=_RESUMING_CALLERS.value,
     )
     history, violations = await run_soak(cfg)
     history.write(directory / HISTORY_NAME)
@@ -96,7 +110,7 @@
         f"without a route, {history.endless_requests} endless answers, "
         f"{history.early_changes} early changes, "
         f"{cfg.neighbours} neighbours, {_factor(history)}"
-        f"{len(history.busy_spans)} times of a busy machine, "
+        f"{resumed_streams(history)}{len(history.busy_spans)} times of a busy machine, "
         f"at most {max(history.peak_mb.values()):.0f} MB, "
         f"{len(violations)} violations",
         flush=True,
@@ -115,6 +129,9 @@
     _NEIGHBOURS,
     _COMPARE,
     _RESTORES,
+    _PARTITIONS,
+    _ZONES,
+    _RESUMING_CALLERS,
 )
 _LOGS = "logs: "
 
@@ -133,12 +150,16 @@
         "compare",
         "at_once",
         "restores",
+        "partitions",
+        "zones",
+        "resuming_callers",
         "directory",
     ),
     examples=(
         "cicadapond-soak --seeds=1-4",
         "cicadapond-soak --seeds=5 --restores",
         "cicadapond-soak --seeds=301 --length=60",
+        "cicadapond-soak --seeds=3 --partitions --processes=6 --zones=3 --resuming_callers=16",
     ),
     exit_codes={0: "all promises held", 1: "a promise was broken, or a process failed"},
 )
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -13,7 +13,8 @@
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._injections import FaultInjector
-from cicadapond.soak._plan import CUTS_NOTHING, parse_seeds
+from cicadapond.soak._partitions import PartitionInjector
+from cicadapond.soak._plan import CUTS_NOTHING, PARTITIONS, VERSIONS, parse_seeds
 from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._proxy import POLL_S, NetworkFault, Proxy
 from cicadapond.soak._records import (
@@ -160,11 +161,15 @@
 def test_plans_are_reproducible_and_every_fault_can_be_injected():
     assert make_plan(3, 60.0) == make_plan(3, 60.0)
     assert make_plan(3, 60.0) != make_plan(4, 60.0)
-    assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0, True)} == set(Fault)
+    everything = [make_plan(seed, 30.0, True, True) for seed in range(40)]
+    assert {each.fault for plan in everything for each in plan} == set(Fault)
     assert {each.fault for each in make_plan(3, 600.0)} <= set(CUTS_NOTHING)
     others = [each for each in make_plan(4, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
     assert others == make_plan(4, 60.0)
-    injected = {*dir(FaultInjector), *dir(ChangeInjector)}
+    apart = PARTITIONS + VERSIONS
+    others = [each for each in make_plan(4, 60.0, False, True) if each.fault not in apart]
+    assert others == make_plan(4, 60.0)
+    injected = {*dir(FaultInjector), *dir(ChangeInjector), *dir(PartitionInjector)}
     assert all(f"inject_{fault.name.lower()}" in injected for fault in Fault)
 
 
