--- a/cicadapond/soak/_checks.py
+++ b/cicadapond/soak/_checks.py
@@ -72,7 +72,7 @@
     )
     busy = [(first, last + RESIDUAL_EFFECT_S) for first, last in history.busy_spans]
     excused = attrs.evolve(history, fault_spans=history.fault_spans + busy)
-    found = list(lost_streams(excused))
+    found = list(lost_streams(history))
     spans = [
         (each.begin, each.end + RESIDUAL_EFFECT_S) for each in history.partitions if each.is_excused
     ]
--- a/cicadapond/soak/_resumed.py
+++ b/cicadapond/soak/_resumed.py
@@ -125,6 +125,9 @@
         for each in history.partitions
         if each.is_excused and process in each.processes
     ]
+    disturbed += [
+        (each.begin, each.end) for each in history.stalls if each.process in (None, process)
+    ]
     disturbed += [(at, at) for number, at in history.starts if number == process]
     disturbed += [
         (first, last) for number, first, last in history.planned_stops if number == process
