--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -13,7 +13,8 @@
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._injections import FaultInjector
-from cicadapond.soak._plan import CUTS_NOTHING, parse_seeds
+from cicadapond.soak._partitions import PartitionInjector
+from cicadapond.soak._plan import CUTS_NOTHING, PARTITIONS, VERSIONS, parse_seeds
 from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._proxy import POLL_S, NetworkFault, Proxy
 from cicadapond.soak._records import (
@@ -160,11 +161,15 @@
 def test_plans_are_reproducible_and_every_fault_can_be_injected():
     assert make_plan(3, 60.0) == make_plan(3, 60.0)
     assert make_plan(3, 60.0) != make_plan(4, 60.0)
-    assert {each.fault for seed in range(40) for each in make_plan(seed, 30.0, True)} == set(Fault)
+    everything = [make_plan(seed, 30.0, True, True) for seed in range(40)]
+    assert {each.fault for plan in everything for each in plan} == set(Fault)
     assert {each.fault for each in make_plan(3, 600.0)} <= set(CUTS_NOTHING)
     others = [each for each in make_plan(4, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
     assert others == make_plan(4, 60.0)
-    injected = {*dir(FaultInjector), *dir(ChangeInjector)}
+    apart = PARTITIONS + VERSIONS
+    others = [each for each in make_plan(4, 60.0, False, True) if each.fault not in apart]
+    assert others == make_plan(4, 60.0)
+    injected = {*dir(FaultInjector), *dir(ChangeInjector), *dir(PartitionInjector)}
     assert all(f"inject_{fault.name.lower()}" in injected for fault in Fault)
 
 
@@ -304,6 +309,16 @@
     assert seen.compared_times and seen.early_changes
 
 
+def test_streams_go_on_while_processes_are_cut_off_and_versions_change(tmp_path):
+    """Guards against LOST and ORDER at a process that is out of step with the others."""
+    cfg = SoakSettings(
+        117, 9.0, tmp_path, processes=6, zones=3, partitions=True, resuming_callers=16
+    )
+    seen, violations = asyncio.run(run_soak(cfg))
+    assert violations == []
+    assert seen.partitions
+
+
 def test_a_run_in_which_a_window_was_reported_twice_after_a_restore_has_no_violations(tmp_path):
     cfg = SoakSettings(14, 25.0, tmp_path, restores=True)
     seen, violations = asyncio.run(run_soak(cfg))
