--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -9,6 +9,7 @@
     UNKNOWN_VERSION,
     Buckets,
     StreamOrigins,
+    bucket_number,
     drop_old_buckets,
     merge_buckets,
 )
@@ -16,8 +17,10 @@
     VERSIONS_REFRESH,
     BucketRows,
     StoredOrigins,
+    UntoldStreams,
     VersionHistory,
     bucket_key,
+    merged,
     read_rows,
     versions_row,
 )
@@ -31,10 +34,13 @@
     "Buckets",
     "StoredOrigins",
     "StreamOrigins",
+    "UntoldStreams",
     "VersionHistory",
     "bucket_key",
+    "bucket_number",
     "drop_old_buckets",
     "merge_buckets",
+    "merged",
     "read_rows",
     "versions_row",
 ]
--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -190,7 +190,7 @@
         return version if version != origin.told_version else None
 
     def _bucket(self):
-        return math.floor(self._clock.now().timestamp() / BUCKET.total_seconds())
+        return bucket_number(self._clock.now())
 
     def _forget(self):
         oldest = self._clock.monotonic() - ORIGIN_RETENTION
@@ -203,6 +203,11 @@
             drop_old_buckets(buckets, newest=self._bucket())
 
 
+def bucket_number(at: datetime.datetime) -> int:
+    """Returns the number of the bucket of a time."""
+    return math.floor(at.timestamp() / BUCKET.total_seconds())
+
+
 def merge_buckets(known: dict[int, dict[str, bytes]], told: Buckets) -> None:
     """Adds the streams that were told to those that are known."""
     for number, versions in told.items():
--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -120,6 +120,44 @@
     return {str(version): b"".join((hashes,)) for version, hashes in value.items()}
 
 
+class UntoldStreams:
+    """Which streams that a process reports are not told by its data centre's hub."""
+
+    def __init__(self):
+        # How large the buckets were when all of their streams had been told.
+        self._told_sizes: dict[int, int] = {}
+
+    def find(self, reported: Buckets, told: Buckets, before: int) -> Buckets:
+        """Returns the buckets that lack streams, with the streams of both.
+
+        Args:
+          reported: What the process reports to the hub.
+          told: What the hub tells of the data centre.
+          before: The number of the first bucket that the hub may not have told yet.
+        """
+        untold = {}
+        for number, versions in reported.items():
+            if number >= before or self._told_sizes.get(number) == _size(versions):
+                continue
+            known = told.get(number, {})
+            both = merged({number: known}, {number: versions})
+            if _size(both[number]) > _size(known):
+                untold |= both
+            else:
+                self._told_sizes[number] = _size(versions)
+        for number in [number for number in self._told_sizes if number not in reported]:
+            del self._told_sizes[number]
+        return untold
+
+
+def merged(*told: Buckets) -> Buckets:
+    """Returns the streams of all that was told."""
+    buckets: dict[int, dict[str, bytes]] = {}
+    for each in told:
+        merge_buckets(buckets, each)
+    return buckets
+
+
 class BucketRows:
     """Which rows of streams one process has written, and has to write or remove.
 
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -2,19 +2,25 @@
 
 Processes tell each other of their streams, but forget them if all of them stop at the same time.
 One process of each data centre, a hub, writes for all of it: the versions in service when they
-change, and the streams only while there are several versions of a service.
+change, and the streams only while there are several versions of a service.  A process whose streams
+the hub does not tell, as one of them is cut off or stands still, writes them itself.
 """
 
 import datetime
+import zlib
 
 from cicadapond.continuation import (
     VERSIONS_REFRESH,
     BucketRows,
+    UntoldStreams,
     bucket_key,
+    bucket_number,
+    merged,
     read_rows,
     versions_row,
 )
 from cicadapond.gateway._cluster import Cluster
+from cicadapond.gateway._digest_pace import digest_intervals
 from cicadapond.gateway._parts import Parts
 from cicadapond.kernel import AnswerLost, Ok
 from cicadapond.provider import TableService, Write
@@ -31,6 +37,10 @@
 # A transaction takes 100 rows.
 MAX_WRITES = 60
 MAX_REMOVALS = 30
+# The hub tells the streams of its data centre within this time and two digests.
+TELLING_ALLOWANCE = datetime.timedelta(milliseconds=100)
+# The share of the store's writes for processes that write streams which no hub tells.
+UNTOLD_WRITE_SHARE = 0.2
 # Separates a process's run from the number of writes before whose outcome it does not know.
 DOUBT_MARK = "~"
 # Rows whose streams are too old are removed with the next write, or by themselves when so many are
@@ -69,6 +79,8 @@
         # The era of the store in which all that counts as written was written.
         self._era = 0
         self._doubtful_writes = 0
+        self._untold_streams = UntoldStreams()
+        self._untold_due: datetime.timedelta | None = None
 
     async def run(self) -> None:
         """Reads and then writes until cancelled."""
@@ -77,7 +89,9 @@
         while True:
             await self._clock.sleep(write_interval(len(self._cluster.live_by_zone())))
             if self._cluster.speaks_for_zone():
-                await self._write()
+                await self._write_for_zone()
+            elif self._cluster.has_settled():
+                await self._write_untold()
 
     async def _read(self):
         rows, after = [], ""
@@ -101,31 +115,75 @@
             )
         return True
 
-    async def _write(self):
-        if self._rows is None:
-            self._rows = BucketRows(self._cluster.own_run())
-            self._rows.expire(self._leftover)
-        versions = self._versions_in_service()
+    async def _write_for_zone(self):
+        rows, versions = self._own_rows(), self._versions_in_service()
         if versions is None:
             return
+        rows.expire(self._leftover)
+        self._leftover = {}
+        streams = {}
+        if _has_several(versions):
+            origins = self._parts.origins
+            streams = merged(origins.told(self._cluster.zone), origins.reported())
+        due = versions if self._versions_are_due(versions) else None
+        await self._write(streams, due, REMOVALS_WITHOUT_WRITE)
+
+    async def _write_untold(self):
+        """Writes the streams of this process that the hub has not told in time."""
+        versions = self._versions_in_service()
+        streams = self._untold() if versions is not None and _has_several(versions) else {}
+        has_expired = self._rows is not None and self._rows.expired(self._clock.now(), 1)
+        if not streams and not has_expired:
+            self._untold_due = None
+            return
+        now = self._clock.monotonic()
+        rate = UNTOLD_WRITE_SHARE * self._parts.cfg.store_writes_per_second
+        interval = datetime.timedelta(seconds=self._parts.processes() / rate)
+        if self._untold_due is None:
+            # Many processes lose a hub at the same moment.
+            spread = zlib.crc32(self._cluster.own_run().encode()) / 2**32
+            self._untold_due = now + spread * interval
+        if now >= self._untold_due:
+            self._untold_due = now + interval
+            self._own_rows()
+            await self._write(streams, None, 1)
+
+    def _untold(self):
+        """Returns the buckets with streams of this process that the hub has not told in time."""
+        neighbours = len(self._cluster.live_by_zone()[self._cluster.zone])
+        shortest, _ = digest_intervals(neighbours)
+        before = bucket_number(self._clock.now() - TELLING_ALLOWANCE - 2 * shortest)
+        origins = self._parts.origins
+        told = origins.told(self._cluster.zone)
+        return self._untold_streams.find(origins.reported(), told, before)
+
+    def _own_rows(self):
+        if self._rows is None:
+            self._rows = BucketRows(self._cluster.own_run())
+        return self._rows
+
+    async def _write(self, streams, versions, least_removals):
+        """Writes rows that have changed, and removes those that are too old.
+
+        Args:
+          streams: The streams.
+          versions: The versions in service, None to write none.
+          least_removals: How many rows are removed by a call that writes none.
+        """
         if self._tables.era() > self._era:
             self._era = self._tables.era()
             self._rows.record_lost()
             self._versions_written_at = None
         now = self._clock.now()
-        buckets = {}
-        if any(len(found) > 1 for found in versions.values()):
-            told = self._parts.origins.told(self._cluster.zone)
-            buckets = self._rows.changed(told, MAX_WRITES)
+        buckets = self._rows.changed(streams, MAX_WRITES)
         expired = self._rows.expired(now, MAX_REMOVALS)
         writes = [
             Write(TABLE, bucket_key(self._rows.run, number), found)
             for number, found in buckets.items()
         ]
-        is_due = self._versions_are_due(versions)
-        if is_due:
+        if versions is not None:
             writes.append(Write(TABLE, self._rows.run, versions_row(versions, now)))
-        if not writes and len(expired) < REMOVALS_WITHOUT_WRITE:
+        if not writes and len(expired) < least_removals:
             return
         unneeded = self._unneeded[: MAX_REMOVALS - len(expired)]
         writes += [Write(TABLE, key) for key in (*expired, *unneeded)]
@@ -138,7 +196,7 @@
         self._rows.record_written(buckets)
         self._rows.record_removed(expired)
         self._unneeded = self._unneeded[len(unneeded) :]
-        if is_due:
+        if versions is not None:
             self._versions, self._versions_written_at = versions, self._clock.monotonic()
 
     def _start_rows(self, doubtful):
@@ -163,3 +221,8 @@
         if table is None:
             return None
         return {service: self._parts.software_versions(service) for service in table.cfg.services}
+
+
+def _has_several(versions):
+    """Returns whether a service has several versions."""
+    return any(len(found) > 1 for found in versions.values())
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -56,11 +56,13 @@
 class Process:
     """The store's part of a process, as the hub of its data centre."""
 
-    def __init__(self, clock, tables, run, versions):
+    def __init__(self, clock, tables, run, versions, hub=None, processes=3):
         self.versions = {"s": set(versions)}
         table = types.SimpleNamespace(cfg=types.SimpleNamespace(services=self.versions))
         self.parts = types.SimpleNamespace(
             clock=clock,
+            cfg=types.SimpleNamespace(store_writes_per_second=400.0),
+            processes=lambda: processes,
             origins=StreamOrigins(clock),
             version_history=VersionHistory(clock),
             active_configuration=types.SimpleNamespace(table=table),
@@ -71,15 +73,17 @@
         cluster = types.SimpleNamespace(
             zone="a",
             live_by_zone=lambda: {"a": (run,)},
-            speaks_for_zone=lambda: True,
+            has_settled=lambda: True,
+            speaks_for_zone=lambda: hub is None,
             own_run=lambda: run,
         )
         self.store = OriginStore(self.parts, tables, cluster)
 
-    def begin(self, clock, stream, version):
+    def begin(self, clock, stream, version, is_told=True):
         self.parts.origins.begin(stream, version)
         self.parts.origins.break_off(stream)
-        self.parts.origins.apply("a", self.parts.origins.reported())
+        if is_told:
+            self.parts.origins.apply("a", self.parts.origins.reported())
 
 
 def play(script):
@@ -88,8 +92,8 @@
     async def main():
         clock, tables, tasks = VirtualClock(), Tables(), []
 
-        def start(run, *versions):
-            process = Process(clock, tables, run, versions)
+        def start(run, *versions, **changes):
+            process = Process(clock, tables, run, versions, **changes)
             tasks.append(asyncio.ensure_future(process.store.run()))
             return process
 
@@ -189,3 +193,36 @@
         assert late and later.parts.origins.find("one") == later.parts.origins.find("two") == "v1"
 
     play(script)
+
+
+def test_a_process_stores_the_streams_that_its_hub_does_not_tell():
+    """Guards against a hub that is cut off or stands still, until the others notice."""
+
+    async def script(clock, tables, start):
+        process = start("a-2/1", "v1", "v2", hub="a-1")
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(5))
+        assert not tables.calls, "the hub told of it"
+        process.begin(clock, "two", "v1", is_told=False)
+        await clock.sleep(seconds(0.9))
+        later = start("a-3/1", "v1", "v2", hub="a-1")
+        await clock.sleep(seconds(0.1))
+        assert later.parts.origins.find("two") == "v1"
+        await clock.sleep(seconds(30))
+        assert not tables.rows
+
+    play(script)
+
+
+def test_many_processes_without_a_hub_write_within_their_share():
+    async def script(clock, tables, start):
+        processes = [
+            start(f"a-{number}/1", "v1", "v2", hub="a", processes=420) for number in range(42)
+        ]
+        for _ in range(40):
+            for process in processes:
+                process.begin(clock, f"s-{tables.calls}-{id(process)}", "v1", is_told=False)
+            await clock.sleep(seconds(0.25))
+        assert 0 < tables.calls <= 0.2 * 400 * 42 / 420 * 10 + 42
+
+    play(script)
