--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -10,11 +10,10 @@
 import zlib
 
 from cicadapond.continuation import UNKNOWN_VERSION
-from cicadapond.gateway._origin_lookup import OriginSearch
+from cicadapond.gateway._origin_lookup import ORIGIN_POLL_INTERVAL, OriginSearch
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway.data import ServerEntry
 
-ORIGIN_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
 # Retry-After if no server accepts requests and none says when it will.
 UNKNOWN_RETRY_AFTER = datetime.timedelta(seconds=1)
 # Callers that are refused together return spread over this time.
@@ -107,10 +106,13 @@
             only = self._only_version() if self.version is None else None
             if only is not None and parts.registry.knows_all_versions(search.begun):
                 self.version = only
-            if self.version is not None:
+            if self.version == UNKNOWN_VERSION:
                 search.record(self.version)
-                return self.version != UNKNOWN_VERSION
-            if not search.goes_on():
+                return False
+            if self.version is not None and not search.awaits_confirmation():
+                search.record(self.version)
+                return True
+            if self.version is None and not search.goes_on():
                 search.record(None)
                 return False
             if only is not None:
--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -9,7 +9,12 @@
 import datetime
 import typing
 
-from cicadapond.continuation import MIN_TOLD_AGE, ORIGIN_RETENTION, read_rows
+from cicadapond.continuation import (
+    MIN_TOLD_AGE,
+    ORIGIN_RETENTION,
+    UNKNOWN_VERSION,
+    read_rows,
+)
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._digest_pace import digest_intervals
 from cicadapond.gateway._origin_store import (
@@ -37,6 +42,9 @@
 LOOKUP_DELAY = datetime.timedelta(milliseconds=40)
 # How long a request waits for other processes to tell of its stream.
 MAX_ORIGIN_WAIT = datetime.timedelta(milliseconds=160)
+ORIGIN_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
+# A data centre that has told nothing for longer is not heard.
+SILENCE_THRESHOLD = datetime.timedelta(milliseconds=1500)
 # The share of the time left to a request that it waits for reads of the store.
 MAX_WAIT_SHARE = 0.25
 # After a restore, the hubs have written again what was lost within this time.
@@ -216,17 +224,43 @@
             return False
         return self._lookup.may_read(self._until)
 
+    def awaits_confirmation(self) -> bool:
+        """Returns whether the store may tell more of a stream of which others have told, and asks.
+
+        They may have told since that its version is not sure, and not be heard.
+        """
+        if self._lookup is None or self._lookup.has_read(self.begun):
+            return False
+        origins, now = self._parts.origins, self._parts.clock.monotonic()
+        told = origins.told_ages(self._request_id)
+        is_silent = any(
+            SILENCE_THRESHOLD < age < ORIGIN_RETENTION
+            for source, age in origins.ages().items()
+            if source != SOURCE
+        )
+        if not told or not (is_silent or set(told) == {SOURCE}):
+            return False
+        until = self.begun + MAX_ORIGIN_WAIT
+        if now + ORIGIN_POLL_INTERVAL > until or not self._lookup.may_read(until):
+            return False
+        self._has_asked = True
+        self._lookup.ask(self.begun)
+        return True
+
     def record(self, version: str | None) -> None:
         """Logs and counts what came of it.
 
         Args:
-          version: The version at which the stream began, None if it is not known.
+          version: The version at which the stream began, `UNKNOWN_VERSION` if that is not sure,
+            None if the stream is not known.
         """
         if not self._has_asked:
             return
         told = self._parts.origins.told_ages(self._request_id)
         if version is None:
             outcome = "absent" if self._lookup.has_read(self.begun) else "unread"
+        elif version == UNKNOWN_VERSION:
+            outcome = "unsure"
         else:
             outcome = "found" if set(told) == {SOURCE} else "told"
         self._parts.metrics.count("origin_lookups", outcome=outcome)
--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -6,8 +6,9 @@
 import msgpack
 import pytest
 
-from cicadapond.continuation import StreamOrigins, bucket_key
-from cicadapond.gateway._origin_lookup import MAX_ORIGIN_WAIT, OriginLookup, OriginSearch
+from cicadapond.continuation import UNKNOWN_VERSION, StreamOrigins, bucket_key
+from cicadapond.gateway._eligible import EligibleServers
+from cicadapond.gateway._origin_lookup import MAX_ORIGIN_WAIT, OriginLookup
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
 from cicadapond.peer.partition import Direction
@@ -19,7 +20,6 @@
 # A process of the size to design for, and how much of the store's reads it may use.
 MANY_PROCESSES = 420
 READS_PER_SECOND = 0.1 * 2000 / MANY_PROCESSES
-POLL = seconds(0.04)
 
 
 def run(check, tmp_path):
@@ -130,6 +130,9 @@
             origins=StreamOrigins(clock),
             cfg=types.SimpleNamespace(store_reads_per_second=2000.0),
             processes=lambda: processes,
+            registry=types.SimpleNamespace(knows_all_versions=lambda since: True),
+            version_history=None,
+            software_versions=lambda service: {"v1", "v2"},
             log=types.SimpleNamespace(write=lambda *args, **fields: None),
             metrics=Metrics(),
         )
@@ -139,10 +142,9 @@
 
     async def find(self, stream):
         """Returns the version of a stream, and how long that took."""
-        search = OriginSearch(self.parts, stream, seconds(3))
-        while (version := self.parts.origins.find(stream)) is None and search.goes_on():
-            await self.clock.sleep(POLL)
-        return version, self.clock.monotonic() - search.begun
+        begun, servers = self.clock.monotonic(), EligibleServers(self.parts, "pool")
+        is_known = await servers.find_version(stream, seconds(3))
+        return servers.version if is_known else None, self.clock.monotonic() - begun
 
 
 def play(script, processes=6):
@@ -216,3 +218,35 @@
         assert feed.calls[-1][1] == "snapshot"
 
     play(script)
+
+
+def test_a_version_read_before_is_confirmed_by_the_store_where_nobody_else_tells_of_it():
+    """Guards against a stream that others have told since to be of no sure version."""
+
+    async def script(clock, feed, process):
+        feed.put(["s-1", "s-2"], "v1")
+        assert (await process.find("s-1"))[0] == "v1"
+        await clock.sleep(seconds(1))
+        feed.put(["s-1"], UNKNOWN_VERSION)
+        assert (await process.find("s-1"))[0] is None
+        feed.is_away = True
+        version, took = await process.find("s-2")
+        assert version == "v1" and took <= MAX_ORIGIN_WAIT
+
+    play(script)
+
+
+def test_a_version_told_before_the_processes_were_cut_off_is_confirmed_by_the_store():
+    """Guards against the same where another data centre told of the stream, and is silent since."""
+
+    async def script(clock, feed, process):
+        told = StreamOrigins(clock)
+        told.begin("s-1", "v1")
+        told.break_off("s-1")
+        process.parts.origins.apply("b", told.reported())
+        assert await process.find("s-1") == ("v1", seconds(0)) and not feed.calls
+        await clock.sleep(seconds(2))
+        feed.put(["s-1"], UNKNOWN_VERSION)
+        assert (await process.find("s-1"))[0] is None
+
+    play(script)
