Keep the check for streams that no hub tells cheap

The services' versions, which take a pass over all servers, were counted by each process every 200 ms; now only if a stream was not told. A hub writes what is told of its data centre as before, and no row is written with fewer streams than it has.

--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -20,7 +20,6 @@
     UntoldStreams,
     VersionHistory,
     bucket_key,
-    merged,
     read_rows,
     versions_row,
 )
@@ -40,7 +39,6 @@
     "bucket_number",
     "drop_old_buckets",
     "merge_buckets",
-    "merged",
     "read_rows",
     "versions_row",
 ]
--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -140,7 +140,8 @@
             if number >= before or self._told_sizes.get(number) == _size(versions):
                 continue
             known = told.get(number, {})
-            both = merged({number: known}, {number: versions})
+            both: dict[int, dict[str, bytes]] = {number: dict(known)}
+            merge_buckets(both, {number: versions})
             if _size(both[number]) > _size(known):
                 untold |= both
             else:
@@ -150,14 +151,6 @@
         return untold
 
 
-def merged(*told: Buckets) -> Buckets:
-    """Returns the streams of all that was told."""
-    buckets: dict[int, dict[str, bytes]] = {}
-    for each in told:
-        merge_buckets(buckets, each)
-    return buckets
-
-
 class BucketRows:
     """Which rows of streams one process has written, and has to write or remove.
 
@@ -182,7 +175,7 @@
         changed = [
             number
             for number, versions in buckets.items()
-            if versions and self._written.get(number) != _size(versions)
+            if versions and self._written.get(number, 0) < _size(versions)
         ]
         return {number: dict(buckets[number]) for number in sorted(changed)[-limit:]}
 
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -15,7 +15,6 @@
     UntoldStreams,
     bucket_key,
     bucket_number,
-    merged,
     read_rows,
     versions_row,
 )
@@ -121,17 +120,16 @@
             return
         rows.expire(self._leftover)
         self._leftover = {}
-        streams = {}
-        if _has_several(versions):
-            origins = self._parts.origins
-            streams = merged(origins.told(self._cluster.zone), origins.reported())
+        has_several = _has_several(versions)
+        streams = self._parts.origins.told(self._cluster.zone) if has_several else {}
         due = versions if self._versions_are_due(versions) else None
         await self._write(streams, due, REMOVALS_WITHOUT_WRITE)
 
     async def _write_untold(self):
         """Writes the streams of this process that the hub has not told in time."""
-        versions = self._versions_in_service()
-        streams = self._untold() if versions is not None and _has_several(versions) else {}
+        streams = self._untold()
+        if streams and not _has_several(self._versions_in_service() or {}):
+            streams = {}
         has_expired = self._rows is not None and self._rows.expired(self._clock.now(), 1)
         if not streams and not has_expired:
             self._untold_due = None
