--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -120,6 +120,37 @@
     return {str(version): b"".join((hashes,)) for version, hashes in value.items()}
 
 
+class UntoldStreams:
+    """Which streams that a process reports are not told by its data centre's hub."""
+
+    def __init__(self):
+        # How large the buckets were when all of their streams had been told.
+        self._told_sizes: dict[int, int] = {}
+
+    def find(self, reported: Buckets, told: Buckets, before: int) -> Buckets:
+        """Returns the buckets that lack streams, with the streams of both.
+
+        Args:
+          reported: What the process reports to the hub.
+          told: What the hub tells of the data centre.
+          before: The number of the first bucket that the hub may not have told yet.
+        """
+        untold = {}
+        for number, versions in reported.items():
+            if number >= before or self._told_sizes.get(number) == _size(versions):
+                continue
+            known = told.get(number, {})
+            both: dict[int, dict[str, bytes]] = {number: dict(known)}
+            merge_buckets(both, {number: versions})
+            if _size(both[number]) > _size(known):
+                untold |= both
+            else:
+                self._told_sizes[number] = _size(versions)
+        for number in [number for number in self._told_sizes if number not in reported]:
+            del self._told_sizes[number]
+        return untold
+
+
 class BucketRows:
     """Which rows of streams one process has written, and has to write or remove.
 
@@ -144,7 +175,7 @@
         changed = [
             number
             for number, versions in buckets.items()
-            if versions and self._written.get(number) != _size(versions)
+            if versions and self._written.get(number, 0) < _size(versions)
         ]
         return {number: dict(buckets[number]) for number in sorted(changed)[-limit:]}
 
