--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -3,8 +3,9 @@
 from cicadapond.platform.standin._caller import CALLERS_HOST, Answer, Caller, Pace, Upload
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._endless import EndlessAnswer
-from cicadapond.platform.standin._engine import EngineModel, EngineServer
+from cicadapond.platform.standin._engine import EngineServer
 from cicadapond.platform.standin._engine_faults import Decline, EngineFault
+from cicadapond.platform.standin._engine_model import EngineModel
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._moves import MoveFault
 from cicadapond.platform.standin._parts import EventFault
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -6,17 +6,16 @@
 import socket
 import struct
 
-import attrs
 import h11
 
-from cicadapond.platform.standin._endless import EndlessAnswer
-from cicadapond.platform.standin._engine_faults import Decline, EngineFault
-from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH, EngineMemory
-from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH, EngineParts
-from cicadapond.platform.standin._rollouts import VersionDefect
+from cicadapond.platform.standin._engine_faults import EngineFault
+from cicadapond.platform.standin._engine_model import EngineModel
+from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH
+from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH
 from cicadapond.platform.standin._streams import StreamShape, stream_event
 
 READ_BYTES = 64 * 1024
+REPORT_PATH = "/report"
 TRICKLE_INTERVAL_S = 0.2
 EARLY_RESET_DELAY_S = 0.02
 _INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
@@ -33,78 +32,6 @@
 _PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN, *_CUT_HEADS)
 
 
-@attrs.define
-class EngineModel:
-    """A backend server.
-
-    Attributes:
-      name: The name of this instance, new at each start.
-      version: The version of its software.
-      events: Number of events in each stream.
-      event_interval_s: The time between events, in seconds.
-      processing_time_s: How long a plain request takes, in seconds.
-      rate_limit: The requests per second that it says to accept from all processes together, None
-        to state no limit.
-      is_leaving: Whether it says that it leaves.
-      retry_after_s: The Retry-After of its refusals in seconds, None for none.
-      refusals: When it refused a request so, by the event loop's clock in seconds, and the id.
-      slots: How many requests it runs at once.
-      waiting_room: How many more may wait, None for any number; further ones are turned away.
-      brittle: How many it says that it may turn away in a second; it crashes if there are more.
-      turned_away: When it turned requests away, by the event loop's clock in seconds.
-      defect: What is wrong with its version, None if nothing is.
-      crashing_parts: The parts of a prompt by which a request crashes it once it begins to answer.
-      decline: How it answers all requests that it runs, None to serve them.
-      faults: Faults to inject, one per request in order.
-      executed_requests: Every request that it began to execute: (id, method, target, headers,
-        body).
-      execution_times: When each of them began, by the event loop's clock in seconds, in the same
-        order.
-      cancelled_streams: The ids of streams that it stopped because the caller had disconnected.
-      hashes_bodies: Whether it records the SHA-256 digest of a body in place of the body.
-      broken_off: The ids of requests whose answers it broke off or spoiled itself.
-      endless: Answers without end that it gives to all requests, by turns.
-      endless_bytes: How many bytes of answers without end it has sent.
-      memory: Its memory, from which runs are moved to other engines.
-      parts: The prompt parts that it keeps.
-    """
-
-    name: str
-    version: str = "v1"
-    events: int = 4
-    event_interval_s: float = 0.0
-    processing_time_s: float = 0.0
-    rate_limit: float | None = None
-    is_leaving: bool = False
-    retry_after_s: float | None = None
-    refusals: list[tuple[float, str]] = attrs.field(factory=list)
-    slots: int = 6
-    waiting_room: int | None = None
-    brittle: int | None = None
-    running: int = 0
-    turned_away: list[float] = attrs.field(factory=list)
-    crashing_parts: frozenset[str] = frozenset()
-    defect: VersionDefect | None = None
-    decline: Decline | None = None
-    faults: list[EngineFault] = attrs.field(factory=list)
-    executed_requests: list[tuple] = attrs.field(factory=list)
-    cancelled_streams: list[str] = attrs.field(factory=list)
-    execution_times: list[float] = attrs.field(factory=list)
-
-    hashes_bodies: bool = False
-    broken_off: set[str] = attrs.field(factory=set)
-    endless: tuple[EndlessAnswer, ...] = ()
-    endless_bytes: int = 0
-    memory: EngineMemory = attrs.field(
-        default=attrs.Factory(lambda self: EngineMemory(self.name), takes_self=True)
-    )
-    parts: EngineParts = attrs.field(factory=EngineParts)
-
-    def ids(self) -> list[str]:
-        """Returns the ids of the requests in `executed_requests`, in order."""
-        return [request[0] for request in self.executed_requests]
-
-
 class EngineServer:
     """The HTTP server of a backend server."""
 
@@ -149,7 +76,7 @@
         try:
             delayed = []
             while await _Exchange(
-                self.model, reader, writer, delayed, self._crash, self._in_progress
+                self.model, reader, writer, delayed, self._crash, self._in_progress, self.born
             ).run():
                 pass
         except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
@@ -160,8 +87,9 @@
 
 
 class _Exchange:
-    def __init__(self, model, reader, writer, delayed, crash, in_progress):
+    def __init__(self, model, reader, writer, delayed, crash, in_progress, born):
         self._model = model
+        self._born = born
         self._in_progress = in_progress
         self._crash = crash
         self._delayed_responses = delayed
@@ -186,6 +114,8 @@
             return self._respond(200, request_id, b"", [])
         if head.target.decode().startswith((EVENTS_PATH, LIST_PATH)):
             return await self._tell_parts(head.target.decode(), fields)
+        if head.target.decode() == REPORT_PATH:
+            return await self._report()
         if "kv-from" in fields:
             if not self._model.memory.use_copy(fields["kv-from"], request_id):
                 return self._respond(503, request_id, b"", [("x-cicadapond-not-executed", "1")])
@@ -219,6 +149,12 @@
             return False
         return self._respond(answer[0], "", answer[1], [])
 
+    async def _report(self):
+        self._model.reports += 1
+        if not self._model.is_reporting:
+            await asyncio.sleep(3600)
+        return self._respond(200, "", self._model.report(self._born), [])
+
     async def _turns_away(self):
         """Returns whether there is no room for a request; a brittle server may crash by that."""
         model, now = self._model, asyncio.get_running_loop().time()
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -10,7 +10,8 @@
 
 from cicadapond.platform.standin._caller import CALLERS_HOST, curl_headers
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
-from cicadapond.platform.standin._engine import EngineModel, EngineServer
+from cicadapond.platform.standin._engine import EngineServer
+from cicadapond.platform.standin._engine_model import EngineModel
 from cicadapond.platform.standin._moves import EngineMemory
 from cicadapond.platform.standin._parts import EngineParts
 from cicadapond.platform.standin._store import StoreModel, store_application
