--- a/cicadapond/gateway/__init__.py
+++ b/cicadapond/gateway/__init__.py
@@ -8,6 +8,8 @@
     MoveDeclined,
     MoveResult,
     MoveUnknown,
+    NotReached,
+    StatedStart,
 )
 from cicadapond.gateway._header_codec import HeaderCodec, Malformed
 from cicadapond.gateway._rollout_codec import RolloutCodec
@@ -24,6 +26,8 @@
     "MoveResult",
     "MoveUnknown",
     "Moved",
+    "NotReached",
     "RolloutCodec",
     "ServerOrder",
+    "StatedStart",
 ]
--- a/cicadapond/gateway/_crash_check.py
+++ b/cicadapond/gateway/_crash_check.py
@@ -50,3 +50,5 @@
             conn.close()
             parts.links.worked(entry)
             parts.crashes.record_server_up(entry.start)
+            if parts.start_check is not None:  # it may have started again meanwhile
+                parts.start_check.check_soon(entry)
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -41,6 +41,7 @@
         self._route = route
         self.version: str | None = None
         self.tried: set[str] = set()
+        self._excluded: set[str] = set()
 
     def candidates(self) -> list[ServerEntry]:
         """Returns the untried servers that accept a request now and are in good health."""
@@ -85,6 +86,24 @@
         wait = self._soonest(self._parts.advisories.time_until_own_permit, limited)
         return (wait or UNKNOWN_RETRY_AFTER) + spread
 
+    def exclude_start(self, entry: ServerEntry) -> None:
+        """Leaves a start of a server out, as it may not be the one that answers."""
+        self._excluded.add(entry.start)
+
+    async def refresh_unserved(self, begun: datetime.timedelta) -> bool:
+        """Reads the changes of the server table if no known server has the stream's version.
+
+        Args:
+          begun: The monotonic time as of which the table is needed.
+
+        Returns:
+          Whether servers of the version are known now.
+        """
+        if self.version is None or self._usable():
+            return False
+        await self._parts.refresh_servers(begun)
+        return bool(self._usable())
+
     async def find_version(self, first_request_id: str | None) -> bool:
         """Finds the software version at which a continued stream goes on.
 
@@ -115,7 +134,7 @@
                 # The stream may have begun at a version that is not known here yet.
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(left.total_seconds()):
-                        await parts.refresh_servers()
+                        await parts.refresh_servers(begun)
                 if parts.registry.knows_all_versions(begun):
                     continue
             await parts.clock.sleep(min(left, ORIGIN_POLL_INTERVAL))
@@ -137,7 +156,9 @@
             usable = [
                 entry
                 for entry in usable
-                if entry.version == self.version and self._parts.starts.is_version_sure(entry, now)
+                if entry.version == self.version
+                and entry.start not in self._excluded
+                and self._parts.starts.is_version_sure(entry, now)
             ]
         return self._parts.rollouts.without_stopped(usable)
 
--- a/cicadapond/gateway/_engine_calls.py
+++ b/cicadapond/gateway/_engine_calls.py
@@ -1,4 +1,4 @@
-"""The calls to engines that move the memory of running requests, as an abstract class."""
+"""The calls to engines beside the requests of callers, as an abstract class."""
 
 import abc
 import datetime
@@ -54,6 +54,22 @@
 MoveResult = Moved | KeptAtSource | MoveDeclined | MoveUnknown
 
 
+@attrs.frozen
+class StatedStart:
+    """What a server says of its start.
+
+    Attributes:
+      born: When it started, in Unix milliseconds; None if it does not say, or not in time.
+    """
+
+    born: int | None
+
+
+@attrs.frozen
+class NotReached:
+    """No connection to the server could be made."""
+
+
 class EngineCalls(abc.ABC):
     """Calls to engines beside the requests of callers."""
 
@@ -78,6 +94,17 @@
     async def free(self, source: ServerEntry, handle: str) -> None:
         """Frees a copy that is not used, at both ends; a failure is ignored, as copies expire."""
 
+    @abc.abstractmethod
+    async def ask_start(
+        self, server: ServerEntry, timeout: datetime.timedelta
+    ) -> StatedStart | NotReached:
+        """Asks the server at the address of an entry when it started.
+
+        Args:
+          server: The entry.
+          timeout: How long the answer may take.
+        """
+
     @abc.abstractmethod
     def drop_server(self, server: ServerEntry) -> None:
         """Closes the connections to an engine that is gone."""
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -12,6 +12,7 @@
 import random
 
 from cicadapond.eventlog import EventLog
+from cicadapond.gateway._read_budget import ReadBudget
 from cicadapond.gateway._sharing import CopyGroup, NoSharing, RecentChanges
 from cicadapond.gateway._time import StoreClock
 from cicadapond.kernel import Clock, Metrics, Ok, Task, doubled
@@ -77,6 +78,7 @@
       metrics: The metrics.
       group: The processes that share copies of the table, None to share with none.
       rng: Source of jitter.
+      refresh_budget: Bounds the reads of `refresh`, None to leave them unbounded.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         metrics: Metrics,
         group: CopyGroup | None = None,
         rng: random.Random | None = None,
+        refresh_budget: ReadBudget | None = None,
     ):
         self.name = f"follow {table}"
         self._table = table
@@ -111,13 +114,23 @@
         self._current_as_of: datetime.timedelta | None = None
         self._used_shared_copy = False
         self._refresh: asyncio.Future[None] | None = None
+        self._refresh_budget = refresh_budget
 
-    async def refresh(self) -> None:
+    async def refresh(self, since: datetime.timedelta) -> None:
         """Reads the changes up to now, beside a call that waits for some.
 
-        Those who ask while a call is in progress share it.  Failures are counted as a metric.
+        Those who ask while a call is in progress share it.  Failures, and calls beyond the budget,
+        are counted as a metric.
+
+        Args:
+          since: The monotonic time as of which the copy is needed; nothing is read if it is.
         """
+        if self._current_as_of is not None and self._current_as_of >= since:
+            return
         if self._refresh is None or self._refresh.done():
+            if self._refresh_budget is not None and not self._refresh_budget.take():
+                self._metrics.count("feed_refreshes", table=self._table, outcome="OverBudget")
+                return
             self._refresh = asyncio.ensure_future(self._read_changes())
         await asyncio.shield(self._refresh)
 
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -36,6 +36,7 @@
 from cicadapond.gateway._queues import ServiceQueues
 from cicadapond.gateway._quota_grants import TOPIC as QUOTA_TOPIC
 from cicadapond.gateway._quota_grants import ClusterQuotaCalls, QuotaAdmission
+from cicadapond.gateway._read_budget import ReadBudget
 from cicadapond.gateway._relay import Relay
 from cicadapond.gateway._residency import EngineWatch
 from cicadapond.gateway._rollout_gate import NoRollouts
@@ -43,6 +44,7 @@
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
+from cicadapond.gateway._start_check import StartCheck
 from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
@@ -102,9 +104,8 @@
         self._metrics = metrics
         self._rng = rng
         self._tasks = TaskGroup(self._log_failure)
-        self._zone_costs: ZoneCosts | None = None
-        if cfg.zone_costs is not ZoneCostUse.OFF:
-            self._zone_costs = ZoneCosts(clock, cfg.zone)
+        has_costs = cfg.zone_costs is not ZoneCostUse.OFF
+        self._zone_costs = ZoneCosts(clock, cfg.zone) if has_costs else None
         self.parts = self._make_parts()
         self.parts.check_server = CrashCheck(self.parts, self._tasks).begin
         log_pauses(self.parts.advisories, log)
@@ -139,6 +140,7 @@
             self.parts.engine_watch.live_by_zone = self._cluster.live_by_zone
         if adapters.engine_calls is not None:
             self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
+            self.parts.start_check = StartCheck(self.parts, adapters.engine_calls, self._tasks)
         self.parts.links.on_change = self._cluster.publish_soon
         self.parts.costly_servers.on_change = self._cluster.publish_soon
         if self._rollouts is not None:
@@ -226,7 +228,7 @@
             quotas=QuotaShares(clock, cfg.is_first_start, bounds.quota_overage),
             usage=UsageWindows(bounds.usage_window),
             crashes=crashes,
-            starts=ServerStarts(clock, registry, crashes),
+            starts=ServerStarts(clock, registry, crashes, current_for),
             demand=DemandMeter(clock),
             costly_servers=costly_servers,
             memory=memory,
@@ -318,16 +320,13 @@
 
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
-        if self.parts.stopping_since is not None or not self._servers.is_loaded:
+        active = self.parts.active_configuration
+        is_loaded = self._servers.is_loaded and active.table is not None
+        if self.parts.stopping_since is not None or not is_loaded:
             return False
         if self._rollouts is not None and not self._rollouts.is_loaded:
             return False
-        active_configuration = self.parts.active_configuration
-        if active_configuration.table is None:
-            return False
-        return (
-            active_configuration.table.cfg.accounts is None or active_configuration.may_use_keys()
-        )
+        return active.table.cfg.accounts is None or active.may_use_keys()
 
     async def stop(self, reason: str | None = None) -> None:
         """Shuts down gracefully: reports not ready, then finishes requests within the grace.
@@ -411,6 +410,7 @@
             self._metrics,
             self._cluster.copies,
             self._rng,
+            ReadBudget(self._cfg.store_reads_per_second, self._cluster.count, self._clock),
         )
         self._tasks.start(task, restarts=True)
         return task
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -33,9 +33,10 @@
     from cicadapond.gateway._queues import ServiceQueues
     from cicadapond.gateway._quota_grants import QuotaAdmission
     from cicadapond.gateway._residency import EngineWatch
+    from cicadapond.gateway._start_check import StartCheck
 
 
-async def _refresh_nothing() -> None:
+async def _refresh_nothing(since: datetime.timedelta) -> None:
     """Stands for a table that is not followed."""
 
 
@@ -46,10 +47,11 @@
     `processes` returns how many processes share limits, this one included; `quota_share` the
     share of quotas available to this process and those it has heard from lately; `quota_admission`
     takes the quotas, None until the node is complete; `check_server`
-    checks whether a server whose connection broke is down; `refresh_servers` reads the changes of
-    the server table up to now; `publish_soon` sends the other processes this one's report (prefill
-    totals, statements of servers, streams) as soon as the minimum digest interval allows; `relay`
-    leads to servers that this process does not reach, None if there are no other processes;
+    checks whether a server whose connection broke is down; `start_check` asks servers which start
+    they are, None to ask none; `refresh_servers` reads the changes of the server table up to now,
+    unless they are known as of a time; `publish_soon` sends the other processes this one's report
+    (prefill totals, statements of servers, streams) as soon as the minimum digest interval allows;
+    `relay` leads to servers that this process does not reach, None if there are no other processes;
     `evacuation` moves streams off leaving engines, None to move none; `queues` are those in front
     of the engines; `engine_watch` follows which prompt parts the engines keep, None to guess it;
     `stored_usage` are the counts of usage that lease holders have stored; `version_history` tells
@@ -87,7 +89,10 @@
     quota_share: typing.Callable[[], float] = lambda: 1.0
     quota_admission: "QuotaAdmission | None" = None
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
-    refresh_servers: typing.Callable[[], typing.Awaitable[None]] = _refresh_nothing
+    refresh_servers: typing.Callable[[datetime.timedelta], typing.Awaitable[None]] = (
+        _refresh_nothing
+    )
+    start_check: "StartCheck | None" = None
     publish_soon: typing.Callable[[], None] = lambda: None
     relay: Relay | None = None
     evacuation: StreamMoves | None = None
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -62,15 +62,15 @@
         self._state.count_usage()
         self._state.crash_watch.begin_answer()
         self._state.observer.answer_begun()
-        starts, entry, now = self._parts.starts, self._state.server, self._parts.clock.now()
-        starts.record_answer(entry)
+        entry = self._state.server
+        answer = self._parts.starts.watch_answer(entry)
         if self._state.servers.version is None:
             self._state.servers.version = entry.version
         self._parts.origins.begin(
-            self._state.origin_id,
-            self._state.servers.version,
-            lambda: starts.is_version_sure(entry, now),
+            self._state.origin_id, self._state.servers.version, answer.is_sure
         )
+        if not answer.is_sure() and self._parts.start_check is not None:
+            self._parts.start_check.check_soon(entry)
 
     async def event(self, event):
         if event.id is not None:
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -13,6 +13,7 @@
     milliseconds,
 )
 from cicadapond.gateway._retries import Retries
+from cicadapond.gateway._start_check import StartState
 from cicadapond.gateway._stream_moves import RelayedStream
 from cicadapond.gateway.data import Dispatch, MemoryHandle, RouteKind, ServerEntry
 from cicadapond.kernel import NotRun
@@ -23,6 +24,8 @@
 HOLD_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
 # Interval at which a request that waits for the outcome of a rollout checks it.
 OUTCOME_POLL_INTERVAL = datetime.timedelta(milliseconds=20)
+# How many servers are asked for one attempt whether they are the starts that are listed.
+MAX_START_CHECKS = 4
 # A request waits for a server's limit to admit it if it still gets there within this share of its
 # objective; else it is refused at once.
 PERMIT_WAIT_SHARE = 0.5
@@ -57,10 +60,10 @@
             servers = await self._servers_after_hold()
         if not servers and self._state.servers.limited():
             return self._limited_outcome(), None
-        left = self._state.time_left()
-        placement = parts.placer.place(
-            servers, self._state.req.generation, self._state.priority() or 0
-        )
+        self._state.time_left()
+        placement, is_reached = await self._place(servers)
+        if not is_reached:
+            return NotSent("no connection"), placement.server
         if placement is None:
             if self._state.servers.version is not None:
                 self._log_version_unserved()
@@ -80,7 +83,35 @@
             parts.demand.add_prefill(self._state.service, work, tokens)
             if placement.request.work_ms >= LONG_PREFILL_MS:
                 parts.publish_soon()
-        return await self._send(placement, left)
+        return await self._send(placement, self._state.deadline - parts.clock.monotonic())
+
+    async def _place(self, servers):
+        """Chooses a server; one that must have a version is asked if it is the start listed.
+
+        Returns:
+          The placement, None if there is no server, and whether the server could be reached.
+        """
+        parts, state = self._parts, self._state
+        for _ in range(MAX_START_CHECKS):
+            if not servers and await state.servers.refresh_unserved(parts.clock.monotonic()):
+                servers = state.servers.candidates()
+            placement = parts.placer.place(servers, state.req.generation, state.priority() or 0)
+            if placement is None or state.servers.version is None or parts.start_check is None:
+                return placement, True
+            try:
+                start = await parts.start_check.check(placement.server)
+                state.time_left()
+            except BaseException:
+                parts.placer.mark_ended(placement.request)
+                raise
+            if start is StartState.CONFIRMED:
+                return placement, True
+            parts.placer.mark_ended(placement.request)
+            if start is StartState.NOT_REACHED:
+                return placement, False
+            state.servers.exclude_start(placement.server)
+            servers = state.servers.candidates()
+        return None, True
 
     async def continue_at(self, entry: ServerEntry, memory: MemoryHandle):
         """Sends a request whose run was stopped, to go on from a copy of its memory.
@@ -338,6 +369,12 @@
             state.service, state.route.name, [entry], left
         )
 
+    def _is_start_in_doubt(self, entry):
+        """Returns whether a stream that goes on at its version might go on at another one."""
+        if self._state.servers.version is None:
+            return False
+        return not self._parts.starts.is_version_sure(entry, self._parts.clock.now())
+
     def _check_send(self, entry, memory):
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
 
@@ -353,6 +390,8 @@
             return "the server is leaving"
         if goes_back and self._is_past_drain(entry):
             return "the engine that stopped the run has been leaving for too long"
+        if memory is None and self._is_start_in_doubt(entry):
+            return "the server may have started again"
         if memory is None and self._parts.rollouts.is_stopped(entry):
             return "the server's version gets no requests"
         if memory is None and self._stops_too_soon(entry):
--- /dev/null
+++ b/cicadapond/gateway/_start_check.py
@@ -0,0 +1,116 @@
+"""Finds out whether a server is still the start that is listed, by asking it.
+
+The server table may be old: the store is out of reach, this process stood still, or the entry of a
+new start is not written yet.
+"""
+
+import asyncio
+import datetime
+import enum
+
+from cicadapond.gateway._engine_calls import EngineCalls, NotReached
+from cicadapond.gateway._parts import Parts
+from cicadapond.gateway.data import ServerEntry
+from cicadapond.kernel import TaskGroup
+
+ANSWER_TIMEOUT = datetime.timedelta(milliseconds=250)
+# For how long an answer holds for further requests: shorter than any server takes to start again.
+MAX_ANSWER_AGE = datetime.timedelta(milliseconds=100)
+# How often a server is asked on behalf of streams that have begun there.
+ANSWER_INTERVAL = datetime.timedelta(milliseconds=200)
+
+
+class StartState(enum.Enum):
+    """What is known of the start that an entry names."""
+
+    CONFIRMED = "confirmed"
+    NOT_REACHED = "not reached"
+    UNKNOWN = "unknown"
+    SUPERSEDED = "superseded"
+
+
+class StartCheck:
+    """Asks servers which start they are.
+
+    Args:
+      parts: The components of this process.
+      calls: The calls to servers.
+      tasks: Runs the checks.
+    """
+
+    def __init__(self, parts: Parts, calls: EngineCalls, tasks: TaskGroup):
+        self._parts = parts
+        self._calls = calls
+        self._tasks = tasks
+        self._asking: dict[str, asyncio.Task[StartState]] = {}
+        # The starts that are asked on behalf of streams, and those to be asked once more.
+        self._watched: set[str] = set()
+        self._wanted: set[str] = set()
+
+    async def check(self, entry: ServerEntry) -> StartState:
+        """Returns whether a request that needs an entry's software may be sent by the entry.
+
+        A server that does not say is taken for the listed start if the table is as new as this
+        call.
+        """
+        parts, begun = self._parts, self._parts.clock.monotonic()
+        if parts.starts.is_confirmed(entry, parts.clock.now() - MAX_ANSWER_AGE):
+            return StartState.CONFIRMED
+        state = await self._ask(entry)
+        if state is StartState.UNKNOWN:
+            await parts.refresh_servers(begun)
+            if parts.registry.is_current_as_of(begun) and parts.registry.takes_requests(entry):
+                state = StartState.CONFIRMED
+        parts.metrics.count("start_checks", outcome=state.value)
+        if state is not StartState.CONFIRMED:
+            age = parts.registry.age()
+            parts.log.write(
+                "start_not_confirmed",
+                server=entry.start,
+                state=state.value,
+                servers_s=age.total_seconds() if age is not None else None,
+            )
+        return state
+
+    def check_soon(self, entry: ServerEntry) -> None:
+        """Asks a server on behalf of the streams that have begun there by now."""
+        self._wanted.add(entry.start)
+        if entry.start not in self._watched:
+            self._watched.add(entry.start)
+            self._tasks.spawn(self._watch(entry), "check start")
+
+    async def _watch(self, entry):
+        try:
+            while entry.start in self._wanted:
+                while entry.start in self._asking:  # it was asked before
+                    await asyncio.wait((self._asking[entry.start],))
+                self._wanted.discard(entry.start)
+                await self._ask(entry)
+                await self._parts.clock.sleep(ANSWER_INTERVAL)
+        finally:
+            self._watched.discard(entry.start)
+
+    async def _ask(self, entry):
+        """Asks a server; those who ask while a call is in progress share it."""
+        task = self._asking.get(entry.start)
+        if task is None:
+            task = self._tasks.spawn(self._call(entry), "ask for a start")
+            self._asking[entry.start] = task
+        return await asyncio.shield(task) or StartState.UNKNOWN
+
+    async def _call(self, entry):
+        parts = self._parts
+        asked_at = parts.clock.now()
+        try:
+            answer = await self._calls.ask_start(entry, ANSWER_TIMEOUT)
+        finally:
+            del self._asking[entry.start]
+        if isinstance(answer, NotReached):
+            return StartState.NOT_REACHED
+        if answer.born is None:
+            return StartState.UNKNOWN
+        parts.starts.record_stated(entry, answer.born, asked_at)
+        if parts.starts.is_confirmed(entry, asked_at):
+            return StartState.CONFIRMED
+        parts.log.write("server_is_another_start", server=entry.start, born=answer.born)
+        return StartState.SUPERSEDED
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -17,8 +17,11 @@
 MAX_LISTING_DELAY = datetime.timedelta(seconds=2)
 # By how much the clocks of a server and a process may differ.
 MAX_CLOCK_DIFFERENCE = datetime.timedelta(milliseconds=300)
+DEFAULT_MAX_TABLE_AGE = datetime.timedelta(seconds=3)
 # How many starts that answered after a crash are remembered; the oldest are dropped first.
 MAX_ANSWERED = 4096
+# The same for starts of which the server was asked.
+MAX_STATED = 4096
 
 
 @attrs.define
@@ -41,13 +44,29 @@
       clock: The clock; its wall-clock time is compared with the starts in the entries.
       registry: The known servers.
       crashes: Knows which starts crashed.
+      max_table_age: The age up to which the server table of a process in touch with the store is
+        current.
+
+    Attributes:
+      max_table_age: See above.
     """
 
-    def __init__(self, clock: Clock, registry: ServerRegistry, crashes: CrashTracker):
+    def __init__(
+        self,
+        clock: Clock,
+        registry: ServerRegistry,
+        crashes: CrashTracker,
+        max_table_age: datetime.timedelta = DEFAULT_MAX_TABLE_AGE,
+    ):
         self._clock = clock
         self._registry = registry
         self._crashes = crashes
         self._answered: dict[str, _Answered] = {}
+        # When a server was last asked and said that it is this start.
+        self._confirmed: dict[str, datetime.datetime] = {}
+        # When the start that answers in place of a listed one began, since 1970.
+        self._successors: dict[str, datetime.timedelta] = {}
+        self.max_table_age = max_table_age
 
     def record_answer(self, entry: ServerEntry) -> None:
         """Records that a server, chosen by an entry, has begun to answer."""
@@ -60,6 +79,49 @@
         """Records that a server was found down: what answered before may have been a new start."""
         self._answered.pop(entry.start, None)
 
+    def record_stated(self, entry: ServerEntry, born: int, asked_at: datetime.datetime) -> None:
+        """Records when the server at an entry's address says that it started.
+
+        Args:
+          entry: The entry.
+          born: The start, in Unix milliseconds.
+          asked_at: When it was asked, in UTC.
+        """
+        if born == entry.born:
+            _remember(self._confirmed, entry.start, asked_at)
+            self._successors.pop(entry.start, None)
+        elif born > entry.born:
+            began = datetime.timedelta(milliseconds=born)
+            first = min(began, self._successors.get(entry.start, began))
+            _remember(self._successors, entry.start, first)
+
+    def is_confirmed(self, entry: ServerEntry, since: datetime.datetime) -> bool:
+        """Returns whether a server, asked at a time or later, said that it is an entry's start."""
+        confirmed_at = self._confirmed.get(entry.start)
+        return confirmed_at is not None and confirmed_at >= since
+
+    def watch_answer(self, entry: ServerEntry) -> "AnswerVersion":
+        """Records that a server, chosen by an entry, has begun to answer.
+
+        Returns:
+          The software version of its answer.
+        """
+        self.record_answer(entry)
+        begun = self._clock.monotonic()
+        is_current = self._registry.is_current_as_of(begun - self.max_table_age)
+        return AnswerVersion(self, entry, self._clock.now(), begun, is_current)
+
+    def version_of(self, answer: "AnswerVersion") -> str | None:
+        """Returns the software version that wrote an answer, None if it is not sure."""
+        entry, at = answer.entry, answer.at
+        if self.is_confirmed(entry, at):
+            return entry.version
+        if not self.is_version_sure(entry, at):
+            return None
+        is_listed = self._registry.find(entry.name) is not None
+        is_reread = is_listed and self._registry.is_current_as_of(answer.begun)
+        return entry.version if answer.is_current or is_reread else None
+
     def is_version_sure(self, entry: ServerEntry, at: datetime.datetime) -> bool:
         """Returns whether the software that answered at a time was that of an entry.
 
@@ -70,14 +132,21 @@
         writer = entry
         for later in self._registry.later_starts(entry):
             born = datetime.timedelta(milliseconds=later.born) - MAX_CLOCK_DIFFERENCE
-            if datetime.timedelta(seconds=at.timestamp()) < born:
+            if _since_epoch(at) < born:
                 break
             if later.version != entry.version:
                 return False
             writer = later
+        if self._is_succeeded(writer, at):
+            return False
         crashed_at = self._crashes.crashed_at(writer.start)
         return crashed_at is None or at < crashed_at or self._is_still_listed(writer)
 
+    def _is_succeeded(self, entry, at):
+        """Returns whether a server said that another start had followed before a time."""
+        born = self._successors.get(entry.start)
+        return born is not None and _since_epoch(at) >= born - MAX_CLOCK_DIFFERENCE
+
     def _is_still_listed(self, entry):
         """Returns whether a start that seemed to have crashed goes on."""
         answered = self._answered.get(entry.start)
@@ -91,3 +160,38 @@
                 and self._registry.is_current_as_of(answered.at + MAX_LISTING_DELAY)
             )
         return answered.still_listed
+
+
+@attrs.define
+class AnswerVersion:
+    """The software version that wrote an answer, as far as it is known.
+
+    Attributes:
+      entry: The entry by which the server was chosen.
+      at: When the answer began, in UTC.
+      begun: The same as a monotonic time.
+      is_current: Whether the server table was current then.
+      version: The version that the answer is taken to be of.
+    """
+
+    _starts: ServerStarts
+    entry: ServerEntry
+    at: datetime.datetime
+    begun: datetime.timedelta
+    is_current: bool
+    version: str = attrs.field(default=attrs.Factory(lambda self: self.entry.version, True))
+
+    def is_sure(self) -> bool:
+        """Returns whether the answer is, by what has become known, of this version."""
+        return self._starts.version_of(self) == self.version
+
+
+def _since_epoch(at):
+    return datetime.timedelta(seconds=at.timestamp())
+
+
+def _remember(known, start, value):
+    known.pop(start, None)
+    known[start] = value
+    while len(known) > MAX_STATED:
+        del known[next(iter(known))]
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -4,17 +4,19 @@
 import contextlib
 import random
 import sys
+import time
 
 import attrs
 
 from cicadapond.eventlog import EventLog
+from cicadapond.forwarding import HttpClient, ReplyLost
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway.data import ResidencyUse
 from cicadapond.kernel import Metrics
 from cicadapond.peer.partition import Partition, PartitionedTransport
-from cicadapond.platform import read_settings
+from cicadapond.platform import PlatformStore, read_settings
 from cicadapond.platform.standin import Caller, EngineModel, Fleet, FleetSettings
 from cicadapond.standin._ports import free_endpoint, free_port_range
 
@@ -25,6 +27,26 @@
 POLL_S = 0.01
 
 
+class StoreLink(HttpClient):
+    """The connections of one node to the store, which can be cut.
+
+    Attributes:
+      is_cut: Whether calls end without an answer, those in progress too.
+      failures: How many calls did.
+    """
+
+    is_cut = False
+    failures = 0
+
+    async def call(self, *args, **kwargs):
+        if not self.is_cut:
+            reply = await super().call(*args, **kwargs)
+        if self.is_cut:
+            self.failures += 1
+            return ReplyLost("the store is out of reach")
+        return reply
+
+
 class Deployment:
     """Gateway nodes and the stand-ins around them.
 
@@ -34,6 +56,7 @@
       ports: The ports on which they accept callers.
       make_node: Makes a node by its number, again at the same ports after it has ended.
       partitions: What cuts each node off from the others.
+      store_links: The connections of each node to the store.
     """
 
     def __init__(
@@ -43,6 +66,7 @@
         ports: list[int],
         make_node,
         partitions: list[Partition],
+        store_links: list[StoreLink],
     ):
         self.fleet = fleet
         self.nodes = nodes
@@ -51,6 +75,7 @@
         self._ports = ports
         self._make_node = make_node
         self.partitions = partitions
+        self.store_links = store_links
 
     def curl_headers(self) -> str:
         """Returns curl's arguments for a request for a stream."""
@@ -78,6 +103,13 @@
             )
         )
 
+    async def restart_engine(self, name: str, version: str) -> None:
+        """Restarts an engine under its name with other software; its entry is not written yet."""
+        server = self.fleet.servers[name]
+        await server.stop()
+        server.model.version, server.born = version, round(time.time() * 1000)
+        await server.start(self.fleet.port(name))
+
     def fail_next(self, *faults) -> None:
         """Makes the next requests fail, one per fault, at whichever servers receive them."""
         shared = list(faults)
@@ -134,9 +166,12 @@
     logs, settings = [], [_settings(tmp_path, fleet, number) for number in range(processes)]
 
     partitions = [Partition() for _ in range(processes)]
+    store_links = [StoreLink(each.store, clock, Metrics()) for each in settings]
 
     def make_node(number):
-        node, log = _make_node(settings[number], random.Random(number), partitions[number])
+        node, log = _make_node(
+            settings[number], random.Random(number), partitions[number], store_links[number]
+        )
         logs.append(log)
         return node
 
@@ -144,7 +179,7 @@
     for node in nodes:
         await node.start()
     ports = [cfg.frontend.port for cfg in settings]
-    system = Deployment(fleet, nodes, ports, make_node, partitions)
+    system = Deployment(fleet, nodes, ports, make_node, partitions, store_links)
     try:
         await system.until(lambda: all(node.is_ready() for node in nodes))
         yield system
@@ -167,12 +202,15 @@
     return attrs.evolve(settings, residency=use)
 
 
-def _make_node(settings, rng, partition):
+def _make_node(settings, rng, partition, store_link):
     """Returns a node and its log."""
     clock, metrics = TrueClock(), Metrics()
     log = EventLog(settings.name, sys.stdout.fileno(), clock, metrics)
+    store = PlatformStore(store_link, log, metrics)
     adapters = attrs.evolve(
         platform_adapters(settings, clock, log, metrics),
+        tables=store,
+        feed=store,
         make_transport=lambda metrics: PartitionedTransport(metrics, partition),
     )
     return Node(settings, adapters, clock, log, metrics, rng), log
--- /dev/null
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -0,0 +1,150 @@
+"""Streams and a node whose server table is old, while an engine restarts under its name."""
+
+import asyncio
+
+import pytest
+
+from cicadapond.gateway.versions_test import run, versions_of
+from cicadapond.kernel import seconds
+from cicadapond.platform.standin import EngineFault
+
+TAKE_UPS = 4
+EVENTS = 60
+
+
+async def begin_stream(system, request_id, node=0):
+    """Begins a long stream at a node; returns its caller once all nodes know of it."""
+    for model in system.engines():
+        model.events, model.event_interval_s = EVENTS, 0.05
+    caller = system.caller(node)
+    await caller.stream(request_id)
+    await system.until(lambda: request_id in system.ran())
+    await system.until(lambda: all(node.parts.origins.find(request_id) for node in system.nodes))
+    return caller
+
+
+async def until_table_is_old(system, node):
+    parts = system.nodes[node].parts
+    parts.starts.max_table_age = seconds(0.2)
+    system.store_links[node].is_cut = True
+    await system.until(lambda: parts.registry.age() > parts.starts.max_table_age)
+
+
+async def take_up(system, node, *request_ids):
+    """Takes a stream up at a node several times at once; returns the answers."""
+    for model in system.engines():
+        model.event_interval_s = 0.0
+    callers = [system.caller(node) for _ in request_ids]
+    for caller, request_id in zip(callers, request_ids, strict=True):
+        await caller.stream(request_id, last_event_id="2", resumes="s-1")
+    return await asyncio.gather(*(caller.read_response() for caller in callers))
+
+
+def ids():
+    return [f"t-{number}" for number in range(TAKE_UPS)]
+
+
+@pytest.mark.parametrize("engines", [("a",), ("a", "b")])
+def test_a_stream_is_not_taken_up_at_an_engine_that_restarted_while_the_store_was_out_of_reach(
+    tmp_path, engines
+):
+    """Guards against sending by the entry of a server's earlier start."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        system.store_links[1].is_cut = True
+        await system.restart_engine("a", "v2")
+        answers = await take_up(system, 1, *ids())
+        assert "v2" not in versions_of(system, *ids())
+        expected = 200 if "b" in engines else 503
+        assert [answer.status for answer in answers] == [expected] * TAKE_UPS
+
+    run(check, tmp_path, dict.fromkeys(engines, "v1"), processes=2)
+
+
+def test_a_stream_is_not_taken_up_at_an_engine_that_restarted_while_the_process_stood_still(
+    tmp_path,
+):
+    """Guards against sending by a table that has not been read since the process goes on."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        stood_still = system.nodes[1].parts.registry
+        stood_still.put = lambda entry, version: None
+        stood_still.confirm_current = lambda since: None
+        await system.restart_engine("a", "v2")
+        system.fleet.list_server("a", "pool")
+        await system.until(lambda: system.listed_versions() == {"v1", "v2"})
+        answers = await take_up(system, 1, *ids())
+        assert versions_of(system, *ids()) == ["v1"] * TAKE_UPS
+        assert all(answer.is_complete for answer in answers)
+
+    run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
+
+
+def test_a_stream_that_begins_by_an_old_entry_is_not_told_as_of_its_version(tmp_path):
+    """Guards against joining it to streams of the version before, at any process."""
+
+    async def check(system):
+        await system.until_joined()
+        await until_table_is_old(system, 1)
+        await system.restart_engine("a", "v2")
+        system.engine("b").faults = [EngineFault.FULL]
+        await begin_stream(system, "s-1", node=1)
+        assert versions_of(system, "s-1") == ["v2"]
+        system.engine("a").faults, system.engine("b").faults = [EngineFault.FULL], []
+        (answer,) = await take_up(system, 0, "t-1")
+        assert answer.status == 503 and versions_of(system, "t-1") == []
+
+    run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
+
+
+def test_a_stream_that_begins_while_the_store_is_out_of_reach_can_be_taken_up(tmp_path):
+    """Guards against refusing streams of engines that have not restarted."""
+
+    async def check(system):
+        await system.until_joined()
+        await until_table_is_old(system, 1)
+        await begin_stream(system, "s-1", node=1)
+        assert system.nodes[0].parts.origins.find("s-1") == "v1"
+        for node in (0, 1):
+            (answer,) = await take_up(system, node, f"t-{node}")
+            assert answer.is_complete and versions_of(system, f"t-{node}") == ["v1"]
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
+def test_a_server_that_states_nothing_of_its_start_serves_by_a_table_that_is_current(tmp_path):
+    """Guards against refusing all streams of a server that answers no such question."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        system.engine("a").is_reporting = False
+        (answer,) = await take_up(system, 1, "t-1")
+        assert answer.is_complete
+        system.store_links[1].is_cut = True
+        (answer,) = await take_up(system, 1, "t-2")
+        assert answer.status == 503 and "t-2" not in system.ran()
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
+def test_a_stream_goes_on_at_a_server_that_joined_since_the_table_was_read(tmp_path):
+    """Guards against refusing it as unserved without reading the table."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        system.store_links[1].is_cut = True
+        await system.restart_engine("a", "v2")
+        await system.fleet.add_server("b", "pool", version="v1", events=EVENTS)
+        # A feed that waits would find the server out as well.
+        await system.until(lambda: system.store_links[1].failures)
+        system.store_links[1].is_cut = False
+        (answer,) = await take_up(system, 1, "t-1")
+        assert answer.is_complete and versions_of(system, "t-1") == ["v1"]
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -1,4 +1,4 @@
-"""Calls to engines that move the memory of running requests, in the platform's protocol."""
+"""Calls to engines beside the requests of callers, in the platform's protocol."""
 
 import datetime
 import json
@@ -12,15 +12,18 @@
     MoveDeclined,
     MoveResult,
     MoveUnknown,
+    NotReached,
+    StatedStart,
 )
 from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import MemoryBudget
 
 MOVE_PATH = "/kv-move"
 HANDLE_PATH = "/kv-handle/"
+REPORT_PATH = "/report"
 TARGET = b"x-cicadapond-target-instance"
 FREE_TIMEOUT = datetime.timedelta(milliseconds=500)
-NO_RUN, BUSY, NO_ROOM = 404, 409, 503
+OK, NO_RUN, BUSY, NO_ROOM = 200, 404, 409, 503
 
 
 class PlatformEngineCalls(EngineCalls):
@@ -67,6 +70,24 @@
         client = self._client(source.endpoint)
         await client.call("DELETE", HANDLE_PATH + handle, headers, b"", FREE_TIMEOUT)
 
+    async def ask_start(self, server, timeout):
+        # An answer on an earlier connection could be that of an earlier start.
+        client = HttpClient(
+            server.endpoint,
+            self._clock,
+            self._metrics,
+            reuses_connections=False,
+            memory=self._memory,
+            processor=self._processor,
+        )
+        headers = ((TARGET, server.name.encode()),)
+        reply = await client.call("GET", REPORT_PATH, headers, b"", timeout)
+        if isinstance(reply, NoConnection):
+            return NotReached()
+        if isinstance(reply, ReplyLost) or reply.status != OK:
+            return StatedStart(None)
+        return read_start(reply.body)
+
     def drop_server(self, server):
         client = self._clients.pop(server.endpoint, None)
         if client is not None:
@@ -85,7 +106,7 @@
 def read_answer(status: int, raw: bytes) -> MoveResult:
     """Returns what an engine's answer to a move means."""
     reason = f"the engine answered {status}"
-    if status not in (200, NO_ROOM):
+    if status not in (OK, NO_ROOM):
         if status >= 500:
             return MoveUnknown(reason)
         return MoveDeclined(reason, has_no_run=status == NO_RUN, is_busy=status == BUSY)
@@ -99,6 +120,12 @@
     return Moved(handle, events)
 
 
+def read_start(raw: bytes) -> StatedStart:
+    """Returns what an engine's report says of its start."""
+    born = _parse_object(raw).get("born")
+    return StatedStart(born if isinstance(born, int) and not isinstance(born, bool) else None)
+
+
 def _parse_object(raw):
     try:
         answer = json.loads(raw)
