--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -76,6 +76,12 @@
         if request_id not in self._own:
             self._own[request_id] = _Origin(version, self._clock.monotonic(), is_sure)
 
+    def correct(self, request_id: str, version: str) -> None:
+        """Records that a stream's first event came from a server of another version."""
+        origin = self._own.get(request_id)
+        if origin is not None:
+            origin.version = version
+
     def is_due(self, request_id: str) -> bool:
         """Returns, once for each stream, whether it has become time to tell of it."""
         origin = self._own.get(request_id)
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -2,6 +2,7 @@
 
 from cicadapond.forwarding import ResponseSink
 from cicadapond.gateway._request import RequestState, milliseconds
+from cicadapond.gateway._starts import AnswerVersion
 
 
 class AnswerRelay(ResponseSink):
@@ -14,6 +15,8 @@
     def __init__(self, state: RequestState):
         self._state = state
         self._parts = state.parts
+        # The answer that began the stream, while it is not sure which software wrote it.
+        self._unsettled: AnswerVersion | None = None
 
     def head(self, head):
         self._state.has_head = True
@@ -64,14 +67,23 @@
         self._state.observer.answer_begun()
         entry = self._state.server
         answer = self._parts.starts.watch_answer(entry)
+        is_sure = answer.is_sure()
         if self._state.servers.version is None:
             self._state.servers.version = entry.version
+            self._unsettled = None if is_sure else answer
         self._parts.origins.begin(
             self._state.origin_id, self._state.servers.version, answer.is_sure
         )
-        if not answer.is_sure() and self._parts.start_check is not None:
+        if not is_sure and self._parts.start_check is not None:
             self._parts.start_check.check_soon(entry)
 
+    def _settle_version(self):
+        """Takes the version of a stream's beginning once it is known, as another start wrote it."""
+        if self._unsettled.settle():
+            self._state.servers.version = self._unsettled.version
+            self._parts.origins.correct(self._state.origin_id, self._unsettled.version)
+            self._unsettled = None
+
     async def event(self, event):
         if event.id is not None:
             if self._state.last_event_id is not None and not _is_new_event(
@@ -80,6 +92,8 @@
                 self._parts.metrics.count("events_repeated")
                 return
             self._state.last_event_id = event.id
+        if self._unsettled is not None:
+            self._settle_version()
         if self._parts.origins.is_due(self._state.origin_id):
             self._parts.publish_soon()
         if not self._state.is_relaying:
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -87,8 +87,8 @@
           born: The start, in Unix milliseconds.
           asked_at: When it was asked, in UTC.
         """
+        _remember(self._confirmed, attrs.evolve(entry, born=born).start, asked_at)
         if born == entry.born:
-            _remember(self._confirmed, entry.start, asked_at)
             self._successors.pop(entry.start, None)
         elif born > entry.born:
             began = datetime.timedelta(milliseconds=born)
@@ -116,6 +116,10 @@
         entry, at = answer.entry, answer.at
         if self.is_confirmed(entry, at):
             return entry.version
+        for later in self._registry.later_starts(entry):
+            began = datetime.timedelta(milliseconds=later.born) + MAX_CLOCK_DIFFERENCE
+            if began <= _since_epoch(at) and self.is_confirmed(later, at):
+                return later.version
         if not self.is_version_sure(entry, at):
             return None
         is_listed = self._registry.find(entry.name) is not None
@@ -185,6 +189,13 @@
         """Returns whether the answer is, by what has become known, of this version."""
         return self._starts.version_of(self) == self.version
 
+    def settle(self) -> bool:
+        """Takes the version that has become known; returns whether one has."""
+        known = self._starts.version_of(self)
+        if known is not None:
+            self.version = known
+        return known is not None
+
 
 def _since_epoch(at):
     return datetime.timedelta(seconds=at.timestamp())
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cicadapond.gateway._starts import MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
 from cicadapond.kernel import seconds
 from cicadapond.platform.standin import EngineFault
@@ -101,6 +102,30 @@
     run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
 
 
+def test_a_stream_that_begins_before_its_server_is_listed_goes_on_at_the_servers_version(tmp_path):
+    """Guards against refusing it for good as of no known version."""
+
+    async def check(system):
+        await system.until_joined()
+        await until_table_is_old(system, 1)
+        await system.restart_engine("a", "v2")
+        await asyncio.sleep(2 * MAX_CLOCK_DIFFERENCE.total_seconds())
+        for model in system.engines():
+            model.events, model.event_interval_s = EVENTS, 0.05
+        caller = system.caller(1)
+        await caller.stream("s-1")
+        await system.until(lambda: "s-1" in system.ran())
+        await system.fleet.add_server("b", "pool", version="v1", events=EVENTS)
+        system.fleet.list_server("a", "pool")
+        system.store_links[1].is_cut = False
+        await system.until(lambda: system.nodes[0].parts.origins.find("s-1"))
+        answers = await take_up(system, 0, *ids())
+        assert all(answer.is_complete for answer in answers)
+        assert versions_of(system, "s-1", *ids()) == ["v2"] * (1 + TAKE_UPS)
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
 def test_a_stream_that_begins_while_the_store_is_out_of_reach_can_be_taken_up(tmp_path):
     """Guards against refusing streams of engines that have not restarted."""
 
