--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -144,6 +144,8 @@
         parts = self._parts
         if parts.version_history is not None and not parts.version_history.is_loaded:
             return None
+        if parts.starts.has_unlisted(self._service):
+            return None
         versions = parts.software_versions(self._service)
         if len(versions) == 1 and parts.origins.versions() <= versions:
             return next(iter(versions))
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -100,6 +100,13 @@
         confirmed_at = self._confirmed.get(entry.start)
         return confirmed_at is not None and confirmed_at >= since
 
+    def has_unlisted(self, service: str) -> bool:
+        """Returns whether a server of a service has started again and is not listed anew yet."""
+        return any(
+            entry.service == service and entry.start in self._successors
+            for entry in self._registry.all()
+        )
+
     def watch_answer(self, entry: ServerEntry) -> "AnswerVersion":
         """Records that a server, chosen by an entry, has begun to answer.
 
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -126,6 +126,25 @@
     run(check, tmp_path, {"a": "v1"}, processes=2)
 
 
+def test_an_unknown_stream_is_not_taken_for_one_of_the_only_version_before_a_server_is_listed(
+    tmp_path,
+):
+    """Guards against joining it to the version before while a new start is not listed."""
+
+    async def check(system):
+        await system.until_joined()
+        system.engine("b").faults = [EngineFault.FULL]
+        broken = await begin_stream(system, "w-1", node=1)
+        await system.restart_engine("a", "v2")
+        await system.until(lambda: system.nodes[1].parts.starts.has_unlisted("pool"))
+        system.engine("b").faults = []
+        (answer,) = await take_up(system, 1, "t-1")
+        assert answer.status == 503 and "t-1" not in system.ran()
+        broken.abort()
+
+    run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
+
+
 def test_a_stream_that_begins_while_the_store_is_out_of_reach_can_be_taken_up(tmp_path):
     """Guards against refusing streams of engines that have not restarted."""
 
