--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -133,6 +133,7 @@
             registry=types.SimpleNamespace(knows_all_versions=lambda since: True),
             version_history=None,
             software_versions=lambda service: {"v1", "v2"},
+            starts=types.SimpleNamespace(has_unlisted=lambda service: False),
             log=types.SimpleNamespace(write=lambda *args, **fields: None),
             metrics=Metrics(),
         )
