--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -24,7 +24,7 @@
 from cicadapond.soak._plan import SoakSettings
 from cicadapond.soak._process import GatewayProcess
 from cicadapond.soak._proxy import Proxy
-from cicadapond.soak._records import History, PlannedChange, Run, ServingTime, Stall
+from cicadapond.soak._records import History, PlannedChange, Run, ServingTime
 
 START_TIMEOUT_S = 60.0
 START_POLL_S = 0.05
@@ -246,18 +246,13 @@
             await asyncio.sleep(WATCH_S)
             if (end := self.now()) > before + WATCH_S + MAX_OWN_PAUSE_S:
                 self.history.busy_spans.append((before, end))
-                self.history.stalls.append(Stall(None, before, end))
+                self.history.own_pauses.append((before, end))
             if end < checked_at + STARVED_WINDOW_S:
                 continue
             now_starved = {number: each.starved_s for number, each in self.processes.items()}
-            stalled = [
-                Stall(number, checked_at, end)
-                for number, value in now_starved.items()
-                if value - starved.get(number, value) > MAX_STARVED_SHARE * (end - checked_at)
-            ]
-            if stalled:
+            most = max(value - starved.get(number, value) for number, value in now_starved.items())
+            if most > MAX_STARVED_SHARE * (end - checked_at):
                 self.history.busy_spans.append((checked_at, end))
-                self.history.stalls += stalled
             starved, checked_at = now_starved, end
 
     def cut_off(self, number: int, held: Direction) -> None:
--- a/cicadapond/soak/_partitions.py
+++ b/cicadapond/soak/_partitions.py
@@ -95,15 +95,25 @@
             return
         drains = self._rng.random() < 0.5
         await asyncio.sleep(injection.duration)
+        begin = deployment.now()
         await asyncio.gather(*(deployment.stop_server(name, drains) for name in names))
+        if not drains:
+            self._record_killed(injection, begin)
 
     async def inject_version_restarts(self, injection: Injection) -> None:
         """Restarts half of the engines under their names with another software version."""
         engines, version = self._engines(), self._rng.choice(ENGINE_VERSIONS)
+        begin = self._deployment.now()
         for name in self._rng.sample(engines, len(engines) // 2):
             if name in self._deployment.services:
                 down_s = self._rng.uniform(MIN_DOWN_S, MAX_DOWN_S)
                 await self._deployment.kill_server(name, down_s, lambda: version)
+        self._record_killed(injection, begin)
+
+    def _record_killed(self, injection, begin):
+        what, now = injection.fault.name.lower(), self._deployment.now()
+        killed = Partition(what, frozenset(), begin, now, is_excused=True)
+        self._deployment.history.partitions.append(killed)
 
     def _engines(self):
         services = self._deployment.services.items()
--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -174,6 +174,7 @@
     """Processes were cut off or suspended from `begin` to `end`, in seconds.
 
     Attributes:
+      processes: The processes, none if engines were killed.
       is_excused: Whether they had no path to the store, or did not run.
     """
 
@@ -184,19 +185,6 @@
     is_excused: bool = False
 
 
-@attrs.frozen
-class Stall:
-    """The soak itself, or one process, got too little of the machine; times are in seconds.
-
-    Attributes:
-      process: The process, None for the soak and with it all servers and callers.
-    """
-
-    process: int | None
-    begin: float
-    end: float
-
-
 @attrs.define
 class ServingTime:
     """An engine of a service served at a software version from `begin` to `end`, in seconds."""
@@ -279,7 +267,7 @@
       restored_spans: When the store was restored until its rows were written again: (from, to).
       endless_requests: How many requests were sent to servers that send without end.
       busy_spans: When the machine was too busy for the soak itself or a process: (from, to).
-      stalls: The same by process.
+      own_pauses: Those of them in which the soak itself stood still: (from, to).
       peak_mb: The highest resident memory of each process.
       planned_stops: Planned stops: (process, from, to).
       fault_spans: Times during which an unplanned fault may have had an effect: (from, to).
@@ -318,7 +306,7 @@
     restored_spans: list[tuple[float, float]] = attrs.field(factory=list)
     endless_requests: int = 0
     busy_spans: list[tuple[float, float]] = attrs.field(factory=list)
-    stalls: list[Stall] = attrs.field(factory=list)
+    own_pauses: list[tuple[float, float]] = attrs.field(factory=list)
     peak_mb: dict[int, float] = attrs.field(factory=dict)
     planned_stops: list[tuple[int, float, float]] = attrs.field(factory=list)
     fault_spans: list[tuple[float, float]] = attrs.field(factory=list)
--- a/cicadapond/soak/_resumed.py
+++ b/cicadapond/soak/_resumed.py
@@ -1,6 +1,6 @@
 """Checks that streams which callers take up again go on as often as new ones begin.
 
-Cuts between processes excuse nothing.
+Neither cuts between processes nor those that wait for processors excuse anything.
 """
 
 import collections
@@ -79,6 +79,8 @@
     last = max((call.ended_at for call in history.calls), default=0.0)
     yield _Group("all", processes, 0.0, last + 1.0)
     for each in history.partitions:
+        if not each.processes:
+            continue
         what = f"{each.what} of {sorted(each.processes)} at {each.begin:.1f}"
         others = processes - each.processes
         yield _Group(f"{what}, during it", each.processes, each.begin, each.end)
@@ -125,11 +127,9 @@
         for each in history.partitions
         if each.is_excused and process in each.processes
     ]
-    disturbed += [
-        (each.begin, each.end) for each in history.stalls if each.process in (None, process)
-    ]
     disturbed += [(at, at) for number, at in history.starts if number == process]
     disturbed += [
         (first, last) for number, first, last in history.planned_stops if number == process
     ]
-    return not overlaps(history.fault_spans + disturbed, begin - CONTACT_S, end)
+    spans = history.fault_spans + history.own_pauses + disturbed
+    return not overlaps(spans, begin - CONTACT_S, end)
--- a/cicadapond/soak/resumed_test.py
+++ b/cicadapond/soak/resumed_test.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cicadapond.soak import CallRecord, History, check
-from cicadapond.soak._records import STREAM, Partition, ServingTime, Stall
+from cicadapond.soak._records import STREAM, Partition, ServingTime
 
 BEGUN = CallRecord("r", STREAM, "k", 0, 10.0, 10.5, 200, versions={"v2"}, has_left=True)
 SERVING = [ServingTime("pool", "v2", 5.0) for _ in range(2)]
@@ -54,7 +54,7 @@
         history(partitions=[attrs.evolve(CUT, is_excused=True, end=8.5, begin=5.0)]),
         history(fault_spans=[(7.0, 8.5)]),
         history(planned_stops=[(1, 7.0, 8.5)]),
-        history(stalls=[Stall(1, 7.0, 8.5)]),
+        history(own_pauses=[(7.0, 8.5)]),
     ],
 )
 def test_documented_exceptions_are_no_violations(seen):
@@ -62,6 +62,6 @@
 
 
 def test_a_disturbance_excuses_no_longer_than_the_contact_time():
-    assert found(history(stalls=[Stall(0, 7.0, 8.5)], busy_spans=[(7.0, 8.5)]))
+    assert found(history(busy_spans=[(7.0, 8.5)]))
     ended = attrs.evolve(CUT, is_excused=True, begin=5.0, end=6.9)
     assert found(history(partitions=[ended])) == ["all", "cut_off of [1] at 5.0, after it"]
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -312,7 +312,7 @@
 def test_streams_go_on_while_processes_are_cut_off_and_versions_change(tmp_path):
     """Guards against LOST and ORDER at a process that is out of step with the others."""
     cfg = SoakSettings(
-        117, 9.0, tmp_path, processes=6, zones=3, partitions=True, resuming_callers=16
+        117, 9.0, tmp_path, processes=6, zones=3, partitions=True, resuming_callers=32
     )
     seen, violations = asyncio.run(run_soak(cfg))
     assert violations == []
