--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -311,6 +311,8 @@
         self._begin_serving(name)
 
     def _begin_serving(self, name):
+        if name not in self.services:
+            return  # it has been ended for good meanwhile
         service, version = self.services[name], self.fleet.servers[name].model.version
         self._serving[name] = time = ServingTime(service, version, self.now())
         self.history.serving_times.append(time)
