--- a/cicadapond/gateway/_copies.py
+++ b/cicadapond/gateway/_copies.py
@@ -114,10 +114,11 @@
         Args:
           payload: The table, and the version of the other process's copy.
         """
-        table, version = payload
-        history = self._histories.get(table)
-        copy = history.since(version) if history is not None else None
-        return copy.as_list() if copy is not None else None
+        match payload:
+            case [str(table), int(version)] if table in self._histories:
+                copy = self._histories[table].since(version)
+                return copy.as_list() if copy is not None else None
+        return None
 
     def state(self) -> dict:
         """Returns the reader of each table and the age of its last copy, for a dump."""
--- a/cicadapond/gateway/copies_test.py
+++ b/cicadapond/gateway/copies_test.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._sharing import CopyTimes, SharedCopy, copy_times
 from cicadapond.gateway.follow_test import CURRENT_FOR, REVOCATION, Feed, Follower
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
-from cicadapond.provider import version_in_era
+from cicadapond.provider import Changes, version_in_era
 from cicadapond.routes import ActiveConfiguration
 
 TABLE = "servers"
@@ -207,6 +207,17 @@
     play(script)
 
 
+def test_a_query_that_cannot_be_read_or_is_for_another_table_gets_no_copy():
+    async def script(world):
+        exchange = world.exchanges["a0"]
+        exchange.record_changes(TABLE, Changes((), 1, seconds(1)), is_snapshot=True)
+        assert exchange.answer([TABLE, 1]) == [1, 1, 1000, []]
+        for payload in (None, "x", 7, [], [TABLE], [TABLE, "1"], [[TABLE], 1], ["other", 1]):
+            assert exchange.answer(payload) is None
+
+    play(script)
+
+
 @pytest.mark.parametrize("drain_s", [2, 3, 4])
 def test_all_know_of_a_leaving_server_before_it_refuses_requests(drain_s):
     times = copy_times(seconds(drain_s))
