--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -1,9 +1,10 @@
 """Remembers the version that began each stream, and tells the other processes.
 
 A caller may take a broken stream up at any process, also after the process that began it has been
-killed.  So the processes tell each other of streams that have been in progress for a moment; most
-streams are over before and are never told.  A stream is told as a short hash of its first request's
-id, in buckets of time by version: a few bytes each, and a bucket is dropped as a whole.
+killed.  So the processes tell each other of streams that have been in progress for a moment, and of
+each from its first event on while several versions are in service; most streams are over before and
+are never told.  A stream is told as a short hash of its first request's id, in buckets of time by
+version: a few bytes each, and a bucket is dropped as a whole.
 """
 
 import datetime
@@ -17,7 +18,8 @@
 
 # Callers take a stream up within their time limit, which is shorter than this.
 ORIGIN_RETENTION = datetime.timedelta(seconds=20)
-# A stream that was in progress for less than this is told only if it breaks.
+# While one version is in service, a stream that was in progress for less than this is told only if
+# it breaks.
 MIN_TOLD_AGE = datetime.timedelta(milliseconds=100)
 BUCKET = datetime.timedelta(milliseconds=250)
 # With 100,000 known streams, one lookup in 3 billion finds another stream.
@@ -38,6 +40,8 @@
     version: str
     begun_at: datetime.timedelta
     is_sure: typing.Callable[[], bool]
+    is_resumable: bool = True
+    min_told_age: datetime.timedelta = MIN_TOLD_AGE
     is_due: bool = False
     is_broken: bool = False
     is_complete: bool = False
@@ -62,7 +66,12 @@
         self._received_at: dict[str, datetime.timedelta] = {}
 
     def begin(
-        self, request_id: str, version: str, is_sure: typing.Callable[[], bool] = lambda: True
+        self,
+        request_id: str,
+        version: str,
+        is_sure: typing.Callable[[], bool] = lambda: True,
+        is_resumable: bool = True,
+        has_other_versions: bool = False,
     ) -> None:
         """Records that a stream's first event has come from a server of a version.
 
@@ -71,17 +80,22 @@
           version: The version.
           is_sure: Returns whether it is, by what has become known, that of the server's start that
             wrote the event.
+          is_resumable: Whether its caller may take it up; the others are not told of it otherwise.
+          has_other_versions: Whether other versions of the service are known.
         """
         self._forget()
         if request_id not in self._own:
-            self._own[request_id] = _Origin(version, self._clock.monotonic(), is_sure)
+            min_told_age = datetime.timedelta() if has_other_versions else MIN_TOLD_AGE
+            self._own[request_id] = _Origin(
+                version, self._clock.monotonic(), is_sure, is_resumable, min_told_age
+            )
 
     def is_due(self, request_id: str) -> bool:
         """Returns, once for each stream, whether it has become time to tell of it."""
         origin = self._own.get(request_id)
-        if origin is None or origin.is_due:
+        if origin is None or origin.is_due or not origin.is_resumable:
             return False
-        origin.is_due = self._clock.monotonic() - origin.begun_at >= MIN_TOLD_AGE
+        origin.is_due = self._clock.monotonic() - origin.begun_at >= origin.min_told_age
         return origin.is_due
 
     def complete(self, request_id: str) -> None:
@@ -164,7 +178,9 @@
 
     def _to_tell(self, origin, age):
         """Returns the version to tell of a stream now, None for nothing new."""
-        if origin.is_complete or not (origin.is_due or age >= MIN_TOLD_AGE):
+        if origin.is_complete or not origin.is_resumable:
+            return None
+        if not origin.is_due and age < origin.min_told_age:
             return None
         if origin.told_version == UNKNOWN_VERSION:
             return None
--- a/cicadapond/continuation/continuation_test.py
+++ b/cicadapond/continuation/continuation_test.py
@@ -26,6 +26,28 @@
     assert here.find("short") == "v1"
 
 
+def test_a_stream_is_told_from_its_first_event_on_while_there_are_other_versions():
+    """Guards against streams that are not known after their process was killed."""
+    clock = ManualClock()
+    here, there = StreamOrigins(clock), StreamOrigins(clock)
+    here.begin("s", "v1", has_other_versions=True)
+    here.begin("complete", "v1", has_other_versions=True)
+    here.complete("complete")
+    assert here.is_due("s")
+    there.apply("z", here.reported())
+    assert there.find("s") == "v1" and there.find("complete") is None
+
+
+def test_a_stream_that_cannot_be_resumed_is_not_told():
+    clock = ManualClock()
+    here, there = StreamOrigins(clock), StreamOrigins(clock)
+    here.begin("s", "v1", is_resumable=False, has_other_versions=True)
+    clock.advance(seconds(0.1))
+    here.break_off("s")
+    there.apply("z", here.reported())
+    assert there.find("s") is None and here.find("s") == "v1"
+
+
 def test_a_broken_stream_is_told_at_once():
     clock = ManualClock()
     here, there = StreamOrigins(clock), StreamOrigins(clock)
--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -70,6 +70,8 @@
             self._state.origin_id,
             self._state.servers.version,
             lambda: starts.is_version_sure(entry, now),
+            is_resumable=self._state.route.resumable,
+            has_other_versions=len(self._parts.software_versions(entry.service)) > 1,
         )
 
     async def event(self, event):
--- a/cicadapond/gateway/versions_test.py
+++ b/cicadapond/gateway/versions_test.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 
+from cicadapond.continuation import _origins
 from cicadapond.gateway.harness import deployment
+from cicadapond.kernel import seconds
 from cicadapond.platform.standin import EngineFault, FleetSettings
 
 EVENTS = 4
@@ -126,6 +128,30 @@
     run(check, tmp_path, {"z": "v2"}, processes=2)
 
 
+def test_a_quick_stream_goes_on_after_its_process_was_killed(tmp_path, monkeypatch):
+    """Guards against refusals of streams whose process ended before it told where they began."""
+    monkeypatch.setattr(_origins, "MIN_TOLD_AGE", seconds(60))
+
+    async def check(system):
+        await system.until_joined()
+        for engine in system.engines():
+            engine.events, engine.event_interval_s = 60, 0.05
+        caller = system.caller(0)
+        await caller.stream("s-1")
+        origins = system.nodes[1].parts.origins
+        await system.until(lambda: origins.find("s-1") is not None, timeout_s=2)
+        await system.nodes[0].abort()
+        for engine in system.engines():
+            engine.event_interval_s = 0.0
+        again = system.caller(1)
+        await again.stream("t-1", last_event_id="1", resumes="s-1")
+        answer = await again.read_response()
+        assert answer.is_complete and answer.event_ids() == list(range(2, 61))
+        assert len(set(versions_of(system, "s-1", "t-1"))) == 1
+
+    run(check, tmp_path, {"a": "v1", "b": "v2"}, processes=2)
+
+
 def test_a_stream_of_unknown_version_is_refused_and_not_run(tmp_path):
     async def check(system):
         caller = system.caller()
