--- a/cicadapond/gateway/_relaying.py
+++ b/cicadapond/gateway/_relaying.py
@@ -72,7 +72,11 @@
             self._state.servers.version = entry.version
             self._unsettled = None if is_sure else answer
         self._parts.origins.begin(
-            self._state.origin_id, self._state.servers.version, answer.is_sure
+            self._state.origin_id,
+            self._state.servers.version,
+            answer.is_sure,
+            is_resumable=self._state.route.resumable,
+            has_other_versions=len(self._parts.software_versions(entry.service)) > 1,
         )
         if not is_sure and self._parts.start_check is not None:
             self._parts.start_check.check_soon(entry)
