--- a/cicadapond/continuation/__init__.py
+++ b/cicadapond/continuation/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from cicadapond.continuation._origins import (
+    BUCKET,
     MIN_TOLD_AGE,
     ORIGIN_RETENTION,
     UNKNOWN_VERSION,
@@ -25,6 +26,7 @@
 )
 
 __all__ = [
+    "BUCKET",
     "MIN_TOLD_AGE",
     "ORIGIN_RETENTION",
     "UNKNOWN_VERSION",
--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -16,12 +16,12 @@
     read_rows,
 )
 from cicadapond.gateway._adapters import PlatformAdapters
-from cicadapond.gateway._digest_pace import digest_intervals
 from cicadapond.gateway._origin_store import (
     READ_PAGE,
     SOURCE,
     TABLE,
     WRITE_INTERVAL,
+    telling_time,
     write_interval,
 )
 from cicadapond.gateway._parts import Parts
@@ -107,9 +107,9 @@
     def storing_time(self) -> datetime.timedelta:
         """Returns the time after which a stream that has broken is stored, if nothing fails."""
         zones = self._cluster.live_by_zone()
-        shortest, _ = digest_intervals(len(zones[self._cluster.zone]))
-        # The process that began it tells its hub, which may be writing.
-        return MIN_TOLD_AGE + 2 * shortest + write_interval(len(zones)) + 2 * CALL_ALLOWANCE
+        telling = telling_time(len(zones[self._cluster.zone]))
+        # The process that began it writes it if its hub has not told of it; it may be writing.
+        return MIN_TOLD_AGE + telling + write_interval(len(zones)) + 2 * CALL_ALLOWANCE
 
     async def run(self) -> None:
         """Reads whenever that is asked for and permitted, until cancelled."""
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -10,6 +10,7 @@
 import zlib
 
 from cicadapond.continuation import (
+    BUCKET,
     VERSIONS_REFRESH,
     BucketRows,
     UntoldStreams,
@@ -56,6 +57,16 @@
     return max(WRITE_INTERVAL, zones * WRITE_INTERVAL_PER_ZONE)
 
 
+def telling_time(neighbours: int) -> datetime.timedelta:
+    """Returns the time after which a process writes the streams that its hub has not told.
+
+    Args:
+      neighbours: How many processes of a data centre tell its hub.
+    """
+    shortest, _ = digest_intervals(neighbours)
+    return TELLING_ALLOWANCE + 2 * shortest + BUCKET
+
+
 class OriginStore:
     """Reads the origins of streams at the start, and writes those of a data centre as its hub.
 
@@ -149,8 +160,8 @@
     def _untold(self):
         """Returns the buckets with streams of this process that the hub has not told in time."""
         neighbours = len(self._cluster.live_by_zone()[self._cluster.zone])
-        shortest, _ = digest_intervals(neighbours)
-        before = bucket_number(self._clock.now() - TELLING_ALLOWANCE - 2 * shortest)
+        # Whole buckets, which were told in part later.
+        before = bucket_number(self._clock.now() - telling_time(neighbours) + BUCKET)
         origins = self._parts.origins
         told = origins.told(self._cluster.zone)
         return self._untold_streams.find(origins.reported(), told, before)
