--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -89,6 +89,7 @@
         # The era of the store in which all that counts as written was written.
         self._era = 0
         self._doubtful_writes = 0
+        self._is_speaking = False
         self._untold_streams = UntoldStreams()
         self._untold_due: datetime.timedelta | None = None
 
@@ -98,7 +99,9 @@
             await self._clock.sleep(READ_RETRY_INTERVAL)
         while True:
             await self._clock.sleep(write_interval(len(self._cluster.live_by_zone())))
-            if self._cluster.speaks_for_zone():
+            was_speaking, self._is_speaking = self._is_speaking, self._cluster.speaks_for_zone()
+            # What it told last as the hub, the next hub may not have heard yet.
+            if self._is_speaking or was_speaking:
                 await self._write_for_zone()
             elif self._cluster.has_settled():
                 await self._write_untold()
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -77,6 +77,7 @@
             speaks_for_zone=lambda: hub is None,
             own_run=lambda: run,
         )
+        self.cluster = cluster
         self.store = OriginStore(self.parts, tables, cluster)
 
     def begin(self, clock, stream, version, is_told=True):
@@ -226,3 +227,17 @@
         assert 0 < tables.calls <= 0.2 * 400 * 42 / 420 * 10 + 42
 
     play(script)
+
+
+def test_a_hub_stores_what_it_told_before_another_one_took_over():
+    """Guards against streams that a process has told itself as a hub, and the next one not yet."""
+
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1", "v2")
+        await clock.sleep(seconds(0.5))
+        process.begin(clock, "one", "v1")
+        process.cluster.speaks_for_zone = lambda: False
+        await clock.sleep(seconds(0.3))
+        assert len(read_rows(tables.rows.items()).buckets) == 1
+
+    play(script)
