--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -31,10 +31,11 @@
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._cluster import Cluster
 
-# The share of the store's reads that the lookups of all processes may use.
+# The share of the store's reads that the lookups of all processes may use, and for a while.
 READ_SHARE = 0.1
-# How many reads a process may make at once after a pause, besides the first.
-BURST_READS = 2
+PEAK_READ_SHARE = 0.4
+# How many reads a process may make at the peak rate after a pause, besides the first.
+BURST_READS = 16
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=100)
 # How long a call to the store takes; one that takes longer is not waited for.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
@@ -122,14 +123,15 @@
     def _next_read_at(self):
         """Returns from when on the next read is permitted."""
         self._observe_era()
-        permitted = self._paid_at - BURST_READS * self._interval()
+        permitted = self._paid_at - BURST_READS * self._interval(READ_SHARE)
         if self._called_at is not None:
-            permitted = max(permitted, self._called_at + MIN_READ_INTERVAL)
+            spacing = max(MIN_READ_INTERVAL, self._interval(PEAK_READ_SHARE))
+            permitted = max(permitted, self._called_at + spacing)
         return max(permitted, self._complete_from)
 
-    def _interval(self):
-        """Returns the time between two reads of this process at the permitted rate."""
-        rate = READ_SHARE * self._parts.cfg.store_reads_per_second
+    def _interval(self, share):
+        """Returns the time between two reads of this process if all use a share of the rate."""
+        rate = share * self._parts.cfg.store_reads_per_second
         return datetime.timedelta(seconds=self._parts.processes() / rate)
 
     def _observe_era(self):
@@ -179,7 +181,7 @@
 
     def _pay(self, reads):
         now = self._clock.monotonic()
-        self._paid_at = max(self._paid_at, now) + reads * self._interval()
+        self._paid_at = max(self._paid_at, now) + reads * self._interval(READ_SHARE)
 
 
 class OriginSearch:
