--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -25,17 +25,15 @@
     write_interval,
 )
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._shared_rate import RateShares, SharedRate
 from cicadapond.kernel import Ok
 from cicadapond.provider import ChangeFeed, HistoryLost, era_of
 
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._cluster import Cluster
 
-# The share of the store's reads that the lookups of all processes may use, and for a while.
-READ_SHARE = 0.1
-PEAK_READ_SHARE = 0.4
-# How many reads a process may make at the peak rate after a pause, besides the first.
-BURST_READS = 16
+# What the lookups of all processes may use of the store's reads.
+READ_SHARES = RateShares(lasting=0.1, peak=0.4, burst=16)
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=100)
 # How long a call to the store takes; one that takes longer is not waited for.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
@@ -78,8 +76,12 @@
         self._answered_as_of: datetime.timedelta | None = None
         self._is_reading = False
         self._has_failed = False
-        # When the reads so far will have been made up for at the permitted rate.
-        self._paid_at = ZERO
+        self._rate = SharedRate(
+            parts.clock,
+            parts.cfg.store_reads_per_second,
+            READ_SHARES,
+            lambda: parts.processes(),
+        )
         self._era: int | None = None
         # From when on a restored store has again what the hubs know.
         self._complete_from = ZERO
@@ -103,7 +105,7 @@
 
     def has_spare(self) -> bool:
         """Returns whether a read now would delay none that is asked for later."""
-        return self._paid_at <= self._clock.monotonic()
+        return self._rate.has_spare()
 
     def storing_time(self) -> datetime.timedelta:
         """Returns the time after which a stream that has broken is stored, if nothing fails."""
@@ -123,16 +125,10 @@
     def _next_read_at(self):
         """Returns from when on the next read is permitted."""
         self._observe_era()
-        permitted = self._paid_at - BURST_READS * self._interval(READ_SHARE)
+        permitted = max(self._rate.next_at(), self._complete_from)
         if self._called_at is not None:
-            spacing = max(MIN_READ_INTERVAL, self._interval(PEAK_READ_SHARE))
-            permitted = max(permitted, self._called_at + spacing)
-        return max(permitted, self._complete_from)
-
-    def _interval(self, share):
-        """Returns the time between two reads of this process if all use a share of the rate."""
-        rate = share * self._parts.cfg.store_reads_per_second
-        return datetime.timedelta(seconds=self._parts.processes() / rate)
+            permitted = max(permitted, self._called_at + MIN_READ_INTERVAL)
+        return permitted
 
     def _observe_era(self):
         era = self._feed.era()
@@ -145,7 +141,7 @@
         is_whole = self._needs_snapshot(now)
         self._called_at = self._begun_at = now
         self._is_reading = True
-        self._pay(1)
+        self._rate.record_call()
         try:
             if is_whole:
                 outcome = await self._feed.snapshot(TABLE)
@@ -173,16 +169,12 @@
         return not self.has_read(now - ORIGIN_RETENTION)
 
     def _apply(self, changes):
-        self._pay(len(changes.rows) // READ_PAGE)
+        self._rate.record_cost(len(changes.rows) // READ_PAGE)
         self._position = changes.version
         rows = ((row.key, row.value) for row in changes.rows if row.value is not None)
         found = read_rows((key, self._decode(value)) for key, value in rows)
         self._parts.origins.apply(SOURCE, found.buckets)
 
-    def _pay(self, reads):
-        now = self._clock.monotonic()
-        self._paid_at = max(self._paid_at, now) + reads * self._interval(READ_SHARE)
-
 
 class OriginSearch:
     """How long one request waits until it is known where its stream began.
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -22,6 +22,7 @@
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._digest_pace import digest_intervals
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._shared_rate import RateShares, SharedRate
 from cicadapond.kernel import AnswerLost, Ok
 from cicadapond.provider import TableService, Write
 
@@ -39,8 +40,8 @@
 MAX_REMOVALS = 30
 # The hub tells the streams of its data centre within this time and two digests.
 TELLING_ALLOWANCE = datetime.timedelta(milliseconds=100)
-# The share of the store's writes for processes that write streams which no hub tells.
-UNTOLD_WRITE_SHARE = 0.2
+# What all processes may use of the store's writes for streams that no hub tells.
+UNTOLD_WRITE_SHARES = RateShares(lasting=0.2, peak=0.5, burst=4)
 # Separates a process's run from the number of writes before whose outcome it does not know.
 DOUBT_MARK = "~"
 # Rows whose streams are too old are removed with the next write, or by themselves when so many are
@@ -92,6 +93,12 @@
         self._is_speaking = False
         self._untold_streams = UntoldStreams()
         self._untold_due: datetime.timedelta | None = None
+        self._untold_rate = SharedRate(
+            parts.clock,
+            parts.cfg.store_writes_per_second,
+            UNTOLD_WRITE_SHARES,
+            lambda: parts.processes(),
+        )
 
     async def run(self) -> None:
         """Reads and then writes until cancelled."""
@@ -149,16 +156,14 @@
             self._untold_due = None
             return
         now = self._clock.monotonic()
-        rate = UNTOLD_WRITE_SHARE * self._parts.cfg.store_writes_per_second
-        interval = datetime.timedelta(seconds=self._parts.processes() / rate)
         if self._untold_due is None:
             # Many processes lose a hub at the same moment.
             spread = zlib.crc32(self._cluster.own_run().encode()) / 2**32
-            self._untold_due = now + spread * interval
-        if now >= self._untold_due:
-            self._untold_due = now + interval
+            self._untold_due = now + spread * self._untold_rate.interval(UNTOLD_WRITE_SHARES.peak)
+        if now >= max(self._untold_due, self._untold_rate.next_at()):
             self._own_rows()
-            await self._write(streams, None, 1)
+            if await self._write(streams, None, 1):
+                self._untold_rate.record_call()
 
     def _untold(self):
         """Returns the buckets with streams of this process that the hub has not told in time."""
@@ -181,6 +186,9 @@
           streams: The streams.
           versions: The versions in service, None to write none.
           least_removals: How many rows are removed by a call that writes none.
+
+        Returns:
+          Whether that took a call.
         """
         if self._tables.era() > self._era:
             self._era = self._tables.era()
@@ -196,7 +204,7 @@
         if versions is not None:
             writes.append(Write(TABLE, self._rows.run, versions_row(versions, now)))
         if not writes and len(expired) < least_removals:
-            return
+            return False
         unneeded = self._unneeded[: MAX_REMOVALS - len(expired)]
         writes += [Write(TABLE, key) for key in (*expired, *unneeded)]
         written = await self._tables.transact(tuple(writes))
@@ -204,12 +212,13 @@
             self._parts.metrics.count("origin_write_failures", outcome=type(written).__name__)
             if isinstance(written, AnswerLost):
                 self._start_rows(buckets)
-            return
+            return True
         self._rows.record_written(buckets)
         self._rows.record_removed(expired)
         self._unneeded = self._unneeded[len(unneeded) :]
         if versions is not None:
             self._versions, self._versions_written_at = versions, self._clock.monotonic()
+        return True
 
     def _start_rows(self, doubtful):
         """Writes other rows from now on, as a late write may still replace the present ones."""
--- /dev/null
+++ b/cicadapond/gateway/_shared_rate.py
@@ -0,0 +1,76 @@
+"""The part of a rate limit that one of several processes may use, without asking the others."""
+
+import datetime
+import typing
+
+import attrs
+
+from cicadapond.kernel import Clock
+
+ZERO = datetime.timedelta()
+
+
+@attrs.frozen
+class RateShares:
+    """What all processes together may use of a rate limit.
+
+    Attributes:
+      lasting: The share of it in the long run.
+      peak: The share of it for a while.
+      burst: How many calls a process may make at the peak rate after a pause, besides the first.
+    """
+
+    lasting: float
+    peak: float
+    burst: int
+
+
+class SharedRate:
+    """When this process may make its next call; each process has an even part of the rate.
+
+    Args:
+      clock: The clock.
+      per_second: The limit for all processes, in calls a second.
+      shares: What they may use of it.
+      processes: Returns how many processes there are.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        per_second: float,
+        shares: RateShares,
+        processes: typing.Callable[[], int],
+    ):
+        self._clock = clock
+        self._per_second = per_second
+        self._shares = shares
+        self._processes = processes
+        # When the calls so far will have been made up for at the lasting rate.
+        self._paid_at = ZERO
+        self._called_at: datetime.timedelta | None = None
+
+    def next_at(self) -> datetime.timedelta:
+        """Returns from which monotonic time on the next call is permitted."""
+        permitted = self._paid_at - self._shares.burst * self.interval(self._shares.lasting)
+        if self._called_at is None:
+            return permitted
+        return max(permitted, self._called_at + self.interval(self._shares.peak))
+
+    def interval(self, share: float) -> datetime.timedelta:
+        """Returns the time between two calls of a process if all use a share of the limit."""
+        return datetime.timedelta(seconds=self._processes() / (share * self._per_second))
+
+    def has_spare(self) -> bool:
+        """Returns whether a call now would delay none that is made later."""
+        return self._paid_at <= self._clock.monotonic()
+
+    def record_call(self) -> None:
+        """Records that a call begins."""
+        self._called_at = self._clock.monotonic()
+        self.record_cost(1)
+
+    def record_cost(self, calls: int) -> None:
+        """Records that the last call counts as more calls than one."""
+        owed = max(self._paid_at, self._clock.monotonic())
+        self._paid_at = owed + calls * self.interval(self._shares.lasting)
