--- a/cicadapond/gateway/follow_test.py
+++ b/cicadapond/gateway/follow_test.py
@@ -15,6 +15,7 @@
     TableFollower,
     feed_wait,
 )
+from cicadapond.gateway._read_budget import MAX_BURST, ReadBudget
 from cicadapond.gateway._time import StoreClock
 from cicadapond.gateway.data import (
     CallerRequest,
@@ -25,7 +26,15 @@
     RouteKind,
     WeightedService,
 )
-from cicadapond.kernel import Metrics, Ok, Unavailable, VirtualClock, run_virtual, seconds
+from cicadapond.kernel import (
+    ManualClock,
+    Metrics,
+    Ok,
+    Unavailable,
+    VirtualClock,
+    run_virtual,
+    seconds,
+)
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost, RawRow
 from cicadapond.routes import ActiveConfiguration
 
@@ -286,3 +295,58 @@
             part.cancel()
 
     run_virtual(main())
+
+
+class Confirmations(Follower):
+    def confirm_current(self, since):
+        self.taken.append(since)
+
+
+def refreshed(script, budget=None):
+    """Runs a script with a follower that has read its table once and does not go on."""
+
+    async def main():
+        clock = VirtualClock()
+        feed, follower = FaultyFeed(clock), Confirmations(None)
+        task = FollowTask(
+            "t", feed, follower, seconds(1), clock, Log(), Metrics(), refresh_budget=budget
+        )
+        running = asyncio.ensure_future(task.run())
+        await clock.sleep(2 * ANSWER_DELAY)
+        running.cancel()
+        await script(clock, feed, follower, task)
+
+    run_virtual(main())
+
+
+def test_an_answer_that_is_read_after_a_pause_is_as_old_as_it_was_sent():
+    """Guards against servers that are used by a table older than it is taken for."""
+
+    async def script(clock, feed, follower, task):
+        begun, feed.faults = clock.monotonic(), [("late", 5.0)]
+        await task.refresh(begun)
+        assert follower.taken[-1] <= begun + 2 * ANSWER_DELAY
+
+    refreshed(script)
+
+
+def test_the_reads_that_requests_ask_for_are_bounded_for_all_processes_together():
+    """Guards against reads beyond the store's rate while many streams are taken up."""
+    budget = ReadBudget(2000.0, lambda: 400, ManualClock())
+
+    async def script(clock, feed, follower, task):
+        before = feed.calls
+        for _ in range(100):
+            await task.refresh(clock.monotonic())
+        assert feed.calls - before == MAX_BURST
+
+    refreshed(script, budget)
+
+
+def test_a_table_that_is_as_new_as_a_request_is_not_read_again():
+    async def script(clock, feed, follower, task):
+        before = feed.calls
+        await task.refresh(clock.monotonic() - 4 * ANSWER_DELAY)
+        assert feed.calls == before
+
+    refreshed(script)
