--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -107,7 +107,7 @@
             del self._asking[entry.start]
         if isinstance(answer, NotReached):
             return StartState.NOT_REACHED
-        if answer.born is None:
+        if answer.born is None or (answer.born and not entry.born):
             return StartState.UNKNOWN
         parts.starts.record_stated(entry, answer.born, asked_at)
         if parts.starts.is_confirmed(entry, asked_at):
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -22,6 +22,8 @@
 HANDLE_PATH = "/kv-handle/"
 REPORT_PATH = "/report"
 TARGET = b"x-cicadapond-target-instance"
+# What is beyond this is no time: the year 10,000.
+MAX_TIME_MS = 253_402_300_799_000
 FREE_TIMEOUT = datetime.timedelta(milliseconds=500)
 OK, NO_RUN, BUSY, NO_ROOM = 200, 404, 409, 503
 
@@ -123,7 +125,8 @@
 def read_start(raw: bytes) -> StatedStart:
     """Returns what an engine's report says of its start."""
     born = _parse_object(raw).get("born")
-    return StatedStart(born if isinstance(born, int) and not isinstance(born, bool) else None)
+    is_time = isinstance(born, int) and not isinstance(born, bool) and 0 <= born <= MAX_TIME_MS
+    return StatedStart(born if is_time else None)
 
 
 def _parse_object(raw):
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -26,7 +26,7 @@
     decode_server,
     read_settings,
 )
-from cicadapond.platform._engine_calls import read_answer
+from cicadapond.platform._engine_calls import read_answer, read_start
 from cicadapond.platform.standin import Fleet, FleetSettings
 
 HEADER_CODEC = PlatformHeaderCodec()
@@ -433,3 +433,20 @@
     status, body, expected
 ):
     assert read_answer(status, body) == expected
+
+
+@pytest.mark.parametrize(
+    "body, born",
+    [
+        (b'{"phase": "mixed", "born": 1796661204126}', 1796661204126),
+        (b'{"phase": "mixed"}', None),
+        (b'{"born": true}', None),
+        (b'{"born": 1796661204126.5}', None),
+        (b'{"born": -1}', None),
+        (b'{"born": 1' + b"0" * 400 + b"}", None),
+        (b"[1]", None),
+        (b"\x00", None),
+    ],
+)
+def test_a_report_tells_when_its_engine_started(body, born):
+    assert read_start(body).born == born
--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -138,6 +138,7 @@
         """Starts a backend server without writing its entry."""
         model = EngineModel(name, **changes)
         self.servers[name] = EngineServer(model)
+        self.servers[name].born = round(time.time() * 1000)
         self._ports[name] = await self.servers[name].start(free_endpoint().port)
         model.memory.peers = self._memories
         model.parts.peers = self._parts
