--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -211,6 +211,17 @@
         """Records that a server accepts connections, so its broken connections were no crash."""
         self._broken_connections.pop(server, None)
 
+    def record_server_restarted(self, server: str, at: datetime.datetime) -> None:
+        """Records that a start of a server has ended, for which no request is blamed.
+
+        Args:
+          server: The start.
+          at: When the next one began.
+        """
+        crash = Crash(min(at, self._clock.now()), frozenset())
+        self._observed[server] = crash.merged_with(self._observed.get(server, crash))
+        self._learn({server: crash})
+
     def record_success(self, traits: tuple[str, ...], began_at: datetime.datetime) -> None:
         """Records a request that a server answered without crashing.
 
@@ -236,10 +247,15 @@
         return CrashEvidence(dict(self._observed), successes)
 
     def crashed_at(self, server: str) -> datetime.datetime | None:
-        """Returns when any process noticed first that a start of a server crashed, if one did."""
+        """Returns when any process noticed first that a start of a server ended, if one did."""
         crash = self._known.get(server)
         return crash.at if crash is not None else None
 
+    def has_restarted(self, server: str) -> bool:
+        """Returns whether a start has ended, as far as is known without a crash."""
+        crash = self._known.get(server)
+        return crash is not None and not crash.traits
+
     def known_crashes(self) -> dict[str, Crash]:
         """Returns the crashes that any process observed, by start of a server."""
         self._expire()
@@ -304,8 +320,9 @@
             if self._successes_of(trait).last > at:
                 del self._blamed[trait]
                 self._confirmed.discard(trait)
-        explained = self._explained(self._known.keys())
-        crashes = [crash for server, crash in self._known.items() if server not in explained]
+        known = {server: crash for server, crash in self._known.items() if crash.traits}
+        explained = self._explained(known.keys())
+        crashes = [crash for server, crash in known.items() if server not in explained]
         crashes += [crash for name, at in self._restored.items() for crash in crashes_of(name, at)]
         self._culprits = find_culprits(crashes, self._successes_of, self._blamed)
         for cause in self._culprits.values():
--- a/cicadapond/gateway/_orders.py
+++ b/cicadapond/gateway/_orders.py
@@ -204,7 +204,7 @@
         """
         since = self._parts.clock.now() - service.scaling.boot
         crashes = self._parts.crashes.known_crashes()
-        crashed = {start for start, crash in crashes.items() if crash.at >= since}
+        crashed = {start for start, crash in crashes.items() if crash.traits and crash.at >= since}
         return [entry for entry in servers if entry.start not in crashed]
 
     def _demand(self, service, servers):
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -112,5 +112,9 @@
         parts.starts.record_stated(entry, answer.born, asked_at)
         if parts.starts.is_confirmed(entry, asked_at):
             return StartState.CONFIRMED
+        if answer.born > entry.born and parts.crashes.crashed_at(entry.start) is None:
+            began = datetime.datetime.fromtimestamp(answer.born / 1000, datetime.UTC)
+            parts.crashes.record_server_restarted(entry.start, began)
+            parts.publish_soon()
         parts.log.write("server_is_another_start", server=entry.start, born=answer.born)
         return StartState.SUPERSEDED
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -103,8 +103,9 @@
     def has_unlisted(self, service: str) -> bool:
         """Returns whether a server of a service has started again and is not listed anew yet."""
         return any(
-            entry.service == service and entry.start in self._successors
+            entry.start in self._successors or self._crashes.has_restarted(entry.start)
             for entry in self._registry.all()
+            if entry.service == service
         )
 
     def watch_answer(self, entry: ServerEntry) -> "AnswerVersion":
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._starts import MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
 from cicadapond.kernel import seconds
@@ -145,6 +146,27 @@
     run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
 
 
+def test_a_process_hears_of_a_restart_that_another_one_noticed(tmp_path):
+    """Guards against telling streams as of the version before the server is listed anew."""
+
+    async def check(system):
+        await system.until_joined()
+        system.engine("b").faults = [EngineFault.FULL]
+        broken = await begin_stream(system, "w-1", node=1)
+        await system.restart_engine("a", "v2")
+        await system.until(lambda: system.nodes[0].parts.starts.has_unlisted("pool"))
+        system.engine("b").faults = [EngineFault.FULL]
+        caller = system.caller(0)
+        await caller.stream("s-1")
+        await system.until(lambda: system.nodes[0].parts.origins.find("s-1"))
+        assert versions_of(system, "s-1") == ["v2"]
+        assert system.nodes[0].parts.origins.find("s-1") == UNKNOWN_VERSION
+        caller.abort()
+        broken.abort()
+
+    run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
+
+
 def test_a_stream_that_begins_while_the_store_is_out_of_reach_can_be_taken_up(tmp_path):
     """Guards against refusing streams of engines that have not restarted."""
 
