--- a/cicadapond/gateway/_crash_check.py
+++ b/cicadapond/gateway/_crash_check.py
@@ -25,6 +25,7 @@
 
     def begin(self, entry: ServerEntry) -> None:
         """Begins to check a start of a server, unless it is being checked."""
+        self._parts.starts.record_broken(entry)
         if entry.start not in self._checking:
             self._checking.add(entry.start)
             self._tasks.spawn(self._check(entry), "check server")
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -14,8 +14,6 @@
 from cicadapond.kernel import TaskGroup
 
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=250)
-# For how long an answer holds for further requests: shorter than any server takes to start again.
-MAX_ANSWER_AGE = datetime.timedelta(milliseconds=100)
 # How often a server is asked on behalf of streams that have begun there.
 ANSWER_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -54,7 +52,7 @@
         call.
         """
         parts, begun = self._parts, self._parts.clock.monotonic()
-        if parts.starts.is_confirmed(entry, parts.clock.now() - MAX_ANSWER_AGE):
+        if parts.starts.is_just_confirmed(entry):
             return StartState.CONFIRMED
         state = await self._ask(entry)
         if state is StartState.UNKNOWN:
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -18,6 +18,8 @@
 # By how much the clocks of a server and a process may differ.
 MAX_CLOCK_DIFFERENCE = datetime.timedelta(milliseconds=300)
 DEFAULT_MAX_TABLE_AGE = datetime.timedelta(seconds=3)
+# For how long a server's word holds for further requests: shorter than it takes to start again.
+MAX_ANSWER_AGE = datetime.timedelta(milliseconds=100)
 # How many starts that answered after a crash are remembered; the oldest are dropped first.
 MAX_ANSWERED = 4096
 # The same for starts of which the server was asked.
@@ -66,6 +68,8 @@
         self._confirmed: dict[str, datetime.datetime] = {}
         # When the start that answers in place of a listed one began, since 1970.
         self._successors: dict[str, datetime.timedelta] = {}
+        # When a connection to a start was last found broken.
+        self._broken: dict[str, datetime.datetime] = {}
         self.max_table_age = max_table_age
 
     def record_answer(self, entry: ServerEntry) -> None:
@@ -79,6 +83,10 @@
         """Records that a server was found down: what answered before may have been a new start."""
         self._answered.pop(entry.start, None)
 
+    def record_broken(self, entry: ServerEntry) -> None:
+        """Records that a connection to a server broke, which may have ended."""
+        _remember(self._broken, entry.start, self._clock.now())
+
     def record_stated(self, entry: ServerEntry, born: int, asked_at: datetime.datetime) -> None:
         """Records when the server at an entry's address says that it started.
 
@@ -100,6 +108,11 @@
         confirmed_at = self._confirmed.get(entry.start)
         return confirmed_at is not None and confirmed_at >= since
 
+    def is_just_confirmed(self, entry: ServerEntry) -> bool:
+        """Returns whether a server has said a moment ago, and since it last broke, the same."""
+        since = self._clock.now() - MAX_ANSWER_AGE
+        return self.is_confirmed(entry, max(since, self._broken.get(entry.start, since)))
+
     def has_unlisted(self, service: str) -> bool:
         """Returns whether a server of a service has started again and is not listed anew yet."""
         return any(
--- a/cicadapond/gateway/starts_test.py
+++ b/cicadapond/gateway/starts_test.py
@@ -7,7 +7,7 @@
 from cicadapond.continuation import UNKNOWN_VERSION, StreamOrigins
 from cicadapond.data import Endpoint
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway._starts import MAX_LISTING_DELAY, ServerStarts
+from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_LISTING_DELAY, ServerStarts
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 
@@ -95,6 +95,20 @@
     assert not world.starts.is_version_sure(OLD, world.clock.now())
 
 
+def test_a_servers_word_does_not_hold_after_a_connection_to_it_broke():
+    """Guards against sending streams to a start that began since."""
+    world = World()
+    world.starts.record_stated(OLD, OLD.born, world.clock.now())
+    assert world.starts.is_just_confirmed(OLD)
+    world.clock.advance(MAX_ANSWER_AGE / 2)
+    world.starts.record_broken(OLD)
+    assert not world.starts.is_just_confirmed(OLD)
+    world.starts.record_stated(OLD, OLD.born, world.clock.now())
+    assert world.starts.is_just_confirmed(OLD)
+    world.clock.advance(2 * MAX_ANSWER_AGE)
+    assert not world.starts.is_just_confirmed(OLD)
+
+
 def test_a_stream_that_is_told_with_two_versions_is_of_none():
     origins = StreamOrigins(ManualClock())
     for zone, version in (("a", "v1"), ("b", "v2")):
