--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -13,7 +13,7 @@
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
 from cicadapond.gateway._copies import CopyExchange
-from cicadapond.gateway._digest_pace import digest_intervals, update_rate
+from cicadapond.gateway._digest_pace import digest_intervals, shared_parts_rate, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
 from cicadapond.gateway._parts import Parts
@@ -32,6 +32,7 @@
     PeerTask,
     start_time_ms,
 )
+from cicadapond.residency import PacedValues
 from cicadapond.scaling import Demand
 from cicadapond.usage import UsageLedger
 
@@ -111,6 +112,7 @@
             copy_times(self._cfg.bounds.drain),
         )
         self._zone_reports: ZoneReports | None = None
+        self._shared_parts = PacedValues(clock)
         self._summaries: dict[str, _Summary] = {}
         self._view: ProcessView | None = None
         self._sequence = 0
@@ -424,7 +426,10 @@
         # Also crashes that were heard of, so that a process that starts later learns of them.
         known = CrashEvidence(self._parts.crashes.known_crashes())
         evidence = merge_evidence((total.crash_evidence, known))
-        return attrs.evolve(total, crash_evidence=evidence)
+        zones = self.live_by_zone()
+        rate = shared_parts_rate(self._cfg.link_mbps, len(zones[self._cfg.zone]), len(zones))
+        shared = self._shared_parts.update(total.shared_parts, rate)
+        return attrs.evolve(total, crash_evidence=evidence, shared_parts=shared)
 
     def _receive(self, member):
         digest = member.digest
--- a/cicadapond/gateway/_residency.py
+++ b/cicadapond/gateway/_residency.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cicadapond.eventlog import EventLog
+from cicadapond.gateway._digest_pace import held_parts_rate
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway.data import EngineLimits, GatewaySettings, ResidencyUse, ServerEntry
 from cicadapond.kernel import Clock, Metrics, TaskGroup, seconds
@@ -89,6 +90,8 @@
         rng: random.Random,
     ):
         self._use = cfg.residency
+        self._zone = cfg.zone
+        self._link_mbps = cfg.link_mbps
         self._calls = calls
         self._registry = registry
         self._clock = clock
@@ -231,7 +234,9 @@
         watcher.has_failed = False
         watcher.answered_at = self._clock.monotonic()
         kept = holdings.shared(self._shared)
-        watcher.held = watcher.publication.update(kept, self._engines)
+        neighbours = len(self.live_by_zone().get(self._zone, ()))
+        rate = held_parts_rate(self._link_mbps, neighbours)
+        watcher.held = watcher.publication.update(kept, self._engines, rate)
 
     def _record_failure(self, watcher, reason):
         if not watcher.has_failed:
--- a/cicadapond/gateway/residency_test.py
+++ b/cicadapond/gateway/residency_test.py
@@ -168,7 +168,7 @@
     clock, tasks = ManualClock(), Spawned()
     registry = ServerRegistry(clock)
     registry.put(ServerEntry("e-0", MODEL_SERVICE, Endpoint("::1", 1), "a", 6), 1)
-    cfg = types.SimpleNamespace(name="p-0", zone="a", residency=use)
+    cfg = types.SimpleNamespace(name="p-0", zone="a", link_mbps=0.0, residency=use)
     watch = EngineWatch(cfg, Silent(), registry, clock, Silent(), Metrics(), tasks, None)
     watch.live_by_zone = lambda: {"a": ("p-0",)}
     watch.engine_limits = lambda: {MODEL_SERVICE: limits}
--- a/cicadapond/residency/__init__.py
+++ b/cicadapond/residency/__init__.py
@@ -19,7 +19,7 @@
 from cicadapond.residency._directory import PartDirectory
 from cicadapond.residency._hashes import SharedParts, merge_groups, part_hash
 from cicadapond.residency._holdings import EngineHoldings
-from cicadapond.residency._publication import HeldParts, Publication
+from cicadapond.residency._publication import HeldParts, PacedValues, Publication
 from cicadapond.residency._watching import WatchPlan
 
 __all__ = [
@@ -32,6 +32,7 @@
     "HeldParts",
     "NoAnswer",
     "NothingKnown",
+    "PacedValues",
     "PartCalls",
     "PartDirectory",
     "PartChange",
--- a/cicadapond/residency/_publication.py
+++ b/cicadapond/residency/_publication.py
@@ -66,63 +66,95 @@
     return max(1, min(MAX_PARTS_PER_ENGINE, MAX_PARTS // max(1, engines)))
 
 
-class Publication:
-    """What this process tells of one engine that it watches.
+class PacedValues:
+    """Values of which changes are told as bytes allow, the one first that has waited longest.
 
     Args:
       clock: Gives the time.
-      born: The start time of the engine in Unix milliseconds.
     """
 
-    def __init__(self, clock: Clock, born: int):
+    def __init__(self, clock: Clock):
         self._clock = clock
-        self._born = born
         self._told: dict[int, bytes] = {}
         self._waiting: dict[int, bytes] = {}
-        self._buckets = 0
         self._allowance = math.inf
         self._updated_at = clock.monotonic()
 
-    def update(self, kept: typing.Mapping[int, int], engines: int) -> HeldParts:
+    def clear(self) -> None:
+        """Forgets what was told."""
+        self._told, self._waiting = {}, {}
+
+    def update(self, wanted: typing.Mapping[int, bytes], rate: float) -> dict[int, bytes]:
         """Returns what is told now.
 
-        A bucket that has changed is told as soon as the bytes allow, the one first that has waited
-        longest.
+        Args:
+          wanted: The values as they are.
+          rate: The bytes that may be told in a second, infinite for no limit.
+        """
+        for number in self._told.keys() - wanted.keys():
+            del self._told[number]
+        self._waiting = {
+            number: wanted[number] for number in self._waiting if number in wanted
+        } | wanted
+        for number, raw in wanted.items():
+            if raw == self._told.get(number):
+                del self._waiting[number]
+        self._grow(rate)
+        for number, raw in list(self._waiting.items()):
+            if self._allowance <= 0.0:
+                break
+            self._allowance -= _item_bytes(raw)
+            self._told[number] = raw
+            del self._waiting[number]
+        return dict(self._told)
+
+    def _grow(self, rate):
+        """Adds the bytes for the time since the last update; the first telling is whole."""
+        now = self._clock.monotonic()
+        elapsed, self._updated_at = (now - self._updated_at).total_seconds(), now
+        if math.inf in (rate, self._allowance):
+            self._allowance = sum(map(_item_bytes, self._waiting.values()))
+        else:
+            limit = max(self._allowance, rate * BURST.total_seconds())
+            self._allowance = min(limit, self._allowance + rate * elapsed)
+
+
+def _item_bytes(raw):
+    """Returns the bytes of an item of a report, as base64."""
+    return ITEM_BYTES + 4 * len(raw) / 3
+
+
+class Publication:
+    """What this process tells of one engine that it watches.
+
+    Args:
+      clock: Gives the time.
+      born: The start time of the engine in Unix milliseconds.
+    """
+
+    def __init__(self, clock: Clock, born: int):
+        self._born = born
+        self._told = PacedValues(clock)
+        self._buckets = 0
+
+    def update(
+        self, kept: typing.Mapping[int, int], engines: int, rate: float = BYTES_PER_SECOND
+    ) -> HeldParts:
+        """Returns what is told now; a bucket that has changed, as soon as the bytes allow.
 
         Args:
           kept: The tokens of shared parts that the engine keeps, the latest part first.
           engines: The engines of which all processes together tell.
+          rate: The bytes of this kind that a process may receive in a second, from all of them.
         """
         limit = parts_per_engine(engines)
         count = -(-limit // PARTS_PER_BUCKET)
         if count != self._buckets:
-            self._buckets, self._told, self._waiting = count, {}, {}
-        wanted = _encode(kept, limit, count)
-        for bucket, raw in wanted.items():
-            if raw == self._told.get(bucket):
-                self._waiting.pop(bucket, None)
-            else:
-                self._waiting[bucket] = raw  # one that waits already keeps its place
-        self._grow(engines)
-        for bucket, raw in list(self._waiting.items()):
-            if self._allowance <= 0.0:
-                break
-            self._allowance -= ITEM_BYTES + 4 * len(raw) / 3  # as base64
-            self._told[bucket] = raw
-            del self._waiting[bucket]
-        return HeldParts(self._born, tuple(self._told.get(each, b"") for each in range(count)))
-
-    def _grow(self, engines):
-        """Adds the bytes for the time since the last update; the first telling is whole."""
-        now = self._clock.monotonic()
-        rate = BYTES_PER_SECOND * min(1.0, FULL_SIZE / max(1, engines)) / max(1, engines)
-        if self._allowance == math.inf:
-            first = sum(ITEM_BYTES + 4 * len(raw) / 3 for raw in self._waiting.values())
-            self._allowance = first
-        elapsed = (now - self._updated_at).total_seconds()
-        limit = max(self._allowance, rate * BURST.total_seconds())
-        self._allowance = min(limit, self._allowance + rate * elapsed)
-        self._updated_at = now
+            self._buckets = count
+            self._told.clear()
+        rate = min(rate, BYTES_PER_SECOND) * min(1.0, FULL_SIZE / max(1, engines))
+        told = self._told.update(_encode(kept, limit, count), rate / max(1, engines))
+        return HeldParts(self._born, tuple(told.get(each, b"") for each in range(count)))
 
 
 def _encode(kept, limit, count):
--- a/cicadapond/residency/residency_test.py
+++ b/cicadapond/residency/residency_test.py
@@ -5,12 +5,14 @@
 import pytest
 
 from cicadapond.data import Endpoint
+from cicadapond.gateway._digest_pace import held_parts_rate, shared_parts_rate, update_rate
 from cicadapond.gateway.data import PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.residency import (
     EngineHoldings,
     Following,
     HeldParts,
+    PacedValues,
     PartChange,
     PartDirectory,
     PartEvents,
@@ -135,6 +137,32 @@
     assert sum(len(each.parts()) for each in told) <= MAX_PARTS
 
 
+def test_changing_parts_do_not_delay_other_news_on_a_slow_link():
+    """Guards against hubs whose updates were seconds late, as prompt parts filled their links."""
+    link_mbps, neighbours, zones, engines = 5.0, 21, 3, 60
+    held_rate = held_parts_rate(link_mbps, neighbours)
+    shared_rate = shared_parts_rate(link_mbps, neighbours, zones)
+    clock, rng = ManualClock(), random.Random(1)
+    publications = [Publication(clock, 1) for _ in range(engines)]
+    groups = [PacedValues(clock) for _ in range(zones)]
+    told, sent = {}, 0.0
+    for _ in range(120):
+        clock.advance(seconds(0.5))
+        now = {}
+        for number, publication in enumerate(publications):
+            kept = {rng.getrandbits(32): 5382 for _ in range(200)}
+            buckets = publication.update(kept, engines, held_rate).buckets
+            now |= {("held", number, bucket): raw for bucket, raw in enumerate(buckets)}
+        for zone in range(zones):
+            changing = {group: rng.randbytes(256) for group in range(16)}
+            values = groups[zone].update(changing, shared_rate)
+            now |= {("shared", zone, group): raw for group, raw in values.items()}
+        changed = [raw for key, raw in now.items() if key in told and raw != told[key]]
+        sent += sum(ITEM_BYTES + 4 * len(raw) / 3 for raw in changed)
+        told = now
+    assert 0 < neighbours * sent / 60 <= update_rate(link_mbps) / 3
+
+
 def test_a_change_is_told_within_seconds_at_the_usual_size():
     clock = ManualClock()
     publication = Publication(clock, 1)
