--- a/cicadapond/peer/_task.py
+++ b/cicadapond/peer/_task.py
@@ -89,6 +89,8 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         # Until when updates are held, and what sends them then.
         self._updates_due = datetime.timedelta()
+        # When updates were last not held.
+        self._all_sent_at = datetime.timedelta()
         self._hold_timer: asyncio.TimerHandle | None = None
         self._sender = PacedSender(PACE_FACTOR * cfg.update_rate, clock)
         self._handlers: dict[str, typing.Callable] = {}
@@ -276,6 +278,8 @@
                 update_bytes += sum(map(len, encoded)) * len(output.names)
             for name in output.names:
                 bodies.setdefault(name, []).extend(encoded)
+        if not self._membership.holds_updates and not self._membership.is_congested:
+            self._all_sent_at = now
         for name, frames in bodies.items():
             out = self._outbound_by_name.get(name)
             if out is not None and out.link is not None:
@@ -284,8 +288,10 @@
         self._notify()
 
     def _limit_updates(self, now, at_once=False):
-        self._membership.holds_updates = not at_once and now < self._updates_due
         self._membership.is_congested = not at_once and self._sender.is_behind
+        # What is never held would use up the rate for good.
+        until = min(self._updates_due, self._all_sent_at + MAX_UPDATE_PAUSE)
+        self._membership.holds_updates = not at_once and now < until
 
     def _hold_updates(self, sent_bytes, now):
         """Holds further updates for as long as those just sent take of the permitted rate."""
--- a/cicadapond/peer/hubs_test.py
+++ b/cicadapond/peer/hubs_test.py
@@ -249,6 +249,27 @@
     await world.tasks.stop()
 
 
+@virtual
+async def test_summaries_reach_all_while_copies_change_faster_than_a_link_carries_them():
+    """Guards against LOST: the summaries of other data centres were many seconds old."""
+    world = World(20)
+    world.start(**SETTINGS, update_rate=100_000.0)
+    await world.sleep(8)
+    summary, read_at = {"o 1": {"v1": b"x" * 6}}, {}
+    for number in range(100):
+        copies = {"servers": [number, 0, 0, [["s", number, b"x" * 4_000]]]}
+        world.peers["ywg-0"].publish(Digest(copies=copies))
+        if number == 20:
+            world.peers["yqr-0"].publish(Digest(summary=summary))
+        await world.sleep(0.07)
+        for name in world.names:
+            if name != "yqr-0" and world.digest(name, "yqr-0").summary == summary:
+                read_at.setdefault(name, number)
+    assert len(read_at) == len(world.names) - 1
+    assert max(read_at.values()) - 20 < 3.0 / 0.07
+    await world.tasks.stop()
+
+
 @virtual
 async def test_the_last_report_of_a_hub_is_not_held():
     """Guards against wrong usage: a process ended before what it had held was sent."""
