--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -13,7 +13,7 @@
 from cicadapond.gateway._adapters import PlatformAdapters
 from cicadapond.gateway._candidates import IDLE_POLL_INTERVAL, poll_interval
 from cicadapond.gateway._copies import COPY_TOPIC, CopyExchange
-from cicadapond.gateway._digest_pace import digest_intervals, update_rate
+from cicadapond.gateway._digest_pace import digest_intervals, shared_parts_rate, update_rate
 from cicadapond.gateway._discovery import ProcessDiscovery
 from cicadapond.gateway._own_report import own_report
 from cicadapond.gateway._parts import Parts
@@ -32,6 +32,7 @@
     PeerTask,
     start_time_ms,
 )
+from cicadapond.residency import PacedValues
 from cicadapond.scaling import Demand
 from cicadapond.usage import UsageLedger
 
@@ -112,6 +113,7 @@
             self.query,
         )
         self._zone_reports: ZoneReports | None = None
+        self._shared_parts = PacedValues(clock)
         self._summaries: dict[str, _Summary] = {}
         self._view: ProcessView | None = None
         self._sequence = 0
@@ -424,7 +426,10 @@
         total = self._zone_reports.total(self.usage.counts(f"{self._cfg.zone} {lineage}"), now)
         # Also what was heard of, so that a process that starts later learns of it.
         evidence = merge_evidence((total.crash_evidence, self._parts.crashes.known()))
-        return attrs.evolve(total, crash_evidence=evidence)
+        zones = self.live_by_zone()
+        rate = shared_parts_rate(self._cfg.link_mbps, len(zones[self._cfg.zone]), len(zones))
+        shared = self._shared_parts.update(total.shared_parts, rate)
+        return attrs.evolve(total, crash_evidence=evidence, shared_parts=shared)
 
     def _receive(self, member):
         digest = member.digest
