--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -235,11 +235,11 @@
         if not told or not (is_silent or set(told) == {SOURCE}):
             return False
         until = self.begun + MAX_ORIGIN_WAIT
-        if now + ORIGIN_POLL_INTERVAL > until or not self._lookup.may_read(until):
+        if now + ORIGIN_POLL_INTERVAL > until:
             return False
         self._has_asked = True
         self._lookup.ask(self.begun)
-        return True
+        return self._lookup.may_read(until)
 
     def record(self, version: str | None) -> None:
         """Logs and counts what came of it.
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -16,6 +16,7 @@
     UntoldStreams,
     bucket_key,
     bucket_number,
+    merge_buckets,
     read_rows,
     versions_row,
 )
@@ -42,6 +43,8 @@
 TELLING_ALLOWANCE = datetime.timedelta(milliseconds=100)
 # What all processes may use of the store's writes for streams that no hub tells.
 UNTOLD_WRITE_SHARES = RateShares(lasting=0.2, peak=0.5, burst=4)
+# A process that was the hub writes on for this time, as the next one may not hear it yet.
+HANDOVER_TIME = datetime.timedelta(seconds=2)
 # Separates a process's run from the number of writes before whose outcome it does not know.
 DOUBT_MARK = "~"
 # Rows whose streams are too old are removed with the next write, or by themselves when so many are
@@ -90,7 +93,7 @@
         # The era of the store in which all that counts as written was written.
         self._era = 0
         self._doubtful_writes = 0
-        self._is_speaking = False
+        self._speaks_until = datetime.timedelta()
         self._untold_streams = UntoldStreams()
         self._untold_due: datetime.timedelta | None = None
         self._untold_rate = SharedRate(
@@ -106,9 +109,10 @@
             await self._clock.sleep(READ_RETRY_INTERVAL)
         while True:
             await self._clock.sleep(write_interval(len(self._cluster.live_by_zone())))
-            was_speaking, self._is_speaking = self._is_speaking, self._cluster.speaks_for_zone()
-            # What it told last as the hub, the next hub may not have heard yet.
-            if self._is_speaking or was_speaking:
+            now = self._clock.monotonic()
+            if self._cluster.speaks_for_zone():
+                self._speaks_until = now + HANDOVER_TIME
+            if now < self._speaks_until:
                 await self._write_for_zone()
             elif self._cluster.has_settled():
                 await self._write_untold()
@@ -141,8 +145,13 @@
             return
         rows.expire(self._leftover)
         self._leftover = {}
-        has_several = _has_several(versions)
-        streams = self._parts.origins.told(self._cluster.zone) if has_several else {}
+        streams = {}
+        if _has_several(versions):
+            origins = self._parts.origins
+            streams = origins.told(self._cluster.zone)
+            if not self._cluster.speaks_for_zone():
+                streams = {number: dict(found) for number, found in streams.items()}
+                merge_buckets(streams, origins.reported())
         due = versions if self._versions_are_due(versions) else None
         await self._write(streams, due, REMOVALS_WITHOUT_WRITE)
 
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -235,7 +235,7 @@
     play(script)
 
 
-def test_a_hub_stores_what_it_told_before_another_one_took_over():
+def test_a_hub_stores_its_streams_until_the_next_one_hears_it():
     """Guards against streams that a process has told itself as a hub, and the next one not yet."""
 
     async def script(clock, tables, start):
@@ -243,7 +243,9 @@
         await clock.sleep(seconds(0.5))
         process.begin(clock, "one", "v1")
         process.cluster.speaks_for_zone = lambda: False
+        await clock.sleep(seconds(0.5))
+        process.begin(clock, "two", "v1", is_told=False)
         await clock.sleep(seconds(0.3))
-        assert len(read_rows(tables.rows.items()).buckets) == 1
+        assert len(read_rows(tables.rows.items()).buckets) == 2
 
     play(script)
