--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -60,7 +60,7 @@
             servers = await self._servers_after_hold()
         if not servers and self._state.servers.limited():
             return self._limited_outcome(), None
-        self._state.time_left()
+        self._state.time_left()  # raises if it is too late
         placement, is_reached = await self._place(servers)
         if not is_reached:
             return NotSent("no connection"), placement.server
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -10,6 +10,7 @@
 
 from cicadapond.gateway._engine_calls import EngineCalls, NotReached
 from cicadapond.gateway._parts import Parts
+from cicadapond.gateway._request import milliseconds
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import TaskGroup
 
@@ -66,7 +67,7 @@
                 "start_not_confirmed",
                 server=entry.start,
                 state=state.value,
-                servers_s=age.total_seconds() if age is not None else None,
+                servers_ms=milliseconds(age) if age is not None else None,
             )
         return state
 
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -46,11 +46,10 @@
       clock: The clock; its wall-clock time is compared with the starts in the entries.
       registry: The known servers.
       crashes: Knows which starts crashed.
-      max_table_age: The age up to which the server table of a process in touch with the store is
-        current.
+      max_table_age: The age that the server table reaches while the store answers.
 
     Attributes:
-      max_table_age: See above.
+      max_table_age: The same.
     """
 
     def __init__(
