--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -71,6 +71,9 @@
             await self.stop()
 
     async def _serve(self, reader, writer):
+        if not self._server.is_serving():  # accepted just before the server was stopped
+            _reset(writer)
+            return
         self.connections += 1
         self._writers.add(writer)
         try:
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -9,7 +9,13 @@
 import pytest
 
 from cicadapond.kernel import ManualClock
-from cicadapond.platform.standin import Answer, StoreModel, stream_event
+from cicadapond.platform.standin import (
+    Answer,
+    EngineModel,
+    EngineServer,
+    StoreModel,
+    stream_event,
+)
 from cicadapond.soak import CallRecord, Fault, History, SoakSettings, check, make_plan, run_soak
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._injections import FaultInjector
@@ -324,3 +330,21 @@
     seen, violations = asyncio.run(run_soak(cfg))
     assert violations == []
     assert seen.restores == 3
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_killed_engine_serves_no_connection_that_it_had_just_accepted(turns):
+    """Guards against streams with events of two versions that no gateway has caused."""
+
+    async def main():
+        server = EngineServer(EngineModel("s-0"))
+        with socket.create_connection(("127.0.0.1", await server.start())) as sock:
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await server.stop(resets=False)
+            with contextlib.suppress(ConnectionError):
+                sock.sendall(b"POST /stream/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.sleep(0.05)
+        return server.model.ids()
+
+    assert asyncio.run(main()) == []
