--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -35,8 +35,10 @@
 # What the lookups of all processes may use of the store's reads.
 READ_SHARES = RateShares(lasting=0.1, peak=0.4, burst=16)
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=100)
-# How long a call to the store takes; one that takes longer is not waited for.
+# How long a call to the store takes, and one of a store that has answered lately at most; one that
+# takes longer is not waited for.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
+SLOW_CALL_ALLOWANCE = datetime.timedelta(milliseconds=250)
 # A stream that another process tells of within this time is not looked up.
 LOOKUP_DELAY = datetime.timedelta(milliseconds=40)
 # How long a request waits for other processes to tell of its stream.
@@ -100,7 +102,10 @@
         if self._has_failed:
             return False
         if self._is_reading:
-            return self._clock.monotonic() - self._called_at < CALL_ALLOWANCE
+            now = self._clock.monotonic()
+            has_answered = self.has_read(now - ORIGIN_RETENTION)
+            allowance = SLOW_CALL_ALLOWANCE if has_answered else CALL_ALLOWANCE
+            return now - self._called_at < allowance
         return self._next_read_at() <= by
 
     def has_spare(self) -> bool:
