--- a/cicadapond/soak/_partitions.py
+++ b/cicadapond/soak/_partitions.py
@@ -147,7 +147,7 @@
     async def _hubs(self):
         """Returns the processes that are the hubs of their data centres, as one of them says."""
         deployment, client = self._deployment, tornado.httpclient.AsyncHTTPClient()
-        ready = deployment.balancer.ready()
+        ready = sorted(set(deployment.balancer.ready()) & set(deployment.processes))
         if not ready:
             return set()
         port = deployment.processes[ready[0]].ports["readiness"]
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -35,6 +35,7 @@
     StatedLimit,
 )
 from cicadapond.soak._restore import go_back, write_again
+from cicadapond.soak.main import HISTORY_NAME
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
 RUN = Run("r-1", "s-0", 10.05)
@@ -321,6 +322,7 @@
         117, 9.0, tmp_path, processes=6, zones=3, partitions=True, resuming_callers=32
     )
     seen, violations = asyncio.run(run_soak(cfg))
+    seen.write(tmp_path / HISTORY_NAME)
     assert violations == []
     assert seen.partitions
 
