--- a/cicadapond/gateway/_sharing.py
+++ b/cicadapond/gateway/_sharing.py
@@ -125,8 +125,10 @@
                 self._floor = version_in_era(era_of(changes.version), 0)
         if not is_snapshot or self._floor < changes.version:
             for row in sorted(changes.rows, key=lambda row: row.version):
-                self._recent.pop(row.key, None)
-                self._recent[row.key] = (row, now)
+                known = self._recent.get(row.key)
+                if is_snapshot or known is None or known[0].version < row.version:
+                    self._recent.pop(row.key, None)
+                    self._recent[row.key] = (row, now)
         self._drop_oldest(lambda since: now - since > RESEND_PERIOD or self._size() > MAX_NEW_BYTES)
         rows = tuple(row for row, _ in self._recent.values())
         copy = SharedCopy(changes.version, self._floor, changes.service_time, rows)
@@ -145,6 +147,13 @@
         return _size(row for row, _ in self._recent.values())
 
 
+def _is_overtaken(changes, last):
+    """Returns whether an answer comes after one that was current later, in the same era."""
+    if last is None or era_of(changes.version) != era_of(last.version):
+        return False
+    return changes.version < last.version
+
+
 def _size(rows):
     return sum(len(row.key) + len(row.value or b"") + ROW_OVERHEAD_BYTES for row in rows)
 
@@ -218,15 +227,20 @@
     def update(self, changes: Changes, is_snapshot: bool) -> None:
         """Adds changes, or begins anew after a whole table."""
         now = self._clock.monotonic()
+        is_overtaken = not is_snapshot and _is_overtaken(changes, self._last)
         if self._last is None or changes.service_time != self._last.service_time:
             self._updated_at = now
-        self._last = changes
+        if not is_overtaken:
+            self._last = changes
         if is_snapshot:
             self._rows.clear()
             self._size = 0
             self._floor = changes.version  # removals before are not known
         else:
             for row in sorted(changes.rows, key=lambda row: row.version):
+                known = self._rows.get(row.key)
+                if known is not None and known[0].version >= row.version:
+                    continue
                 self._drop(row.key)
                 self._rows[row.key] = (row, now)
                 self._size += _size([row])
--- a/cicadapond/gateway/sharing_test.py
+++ b/cicadapond/gateway/sharing_test.py
@@ -122,6 +122,18 @@
     assert history.since(1) is None
 
 
+def test_an_answer_that_was_overtaken_replaces_no_newer_rows():
+    """Guards against old rows for processes that do not reach the store."""
+    history, recent = ChangeHistory(ManualClock()), RecentChanges(ManualClock())
+    for version, value in ((5, b"old"), (7, b"new"), (6, b"late")):
+        changes = Changes((RawRow("k", version, value),), version, seconds(version))
+        history.update(changes, is_snapshot=version == 5)
+        copy = recent.update(changes, is_snapshot=False)
+    for found in (history.since(5), copy):
+        assert [row.value for row in found.rows] == [b"new"]
+    assert history.since(5).version == 7
+
+
 def test_a_large_change_is_sent_once_and_small_ones_are_resent():
     clock = ManualClock()
     writer = RecentChanges(clock)
