--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -158,16 +158,25 @@
     def _usable(self):
         usable = self._parts.registry.usable(self._service)
         if self.version is not None:
-            now = self._parts.clock.now()
-            usable = [
-                entry
-                for entry in usable
-                if entry.version == self.version
-                and entry.start not in self._excluded
-                and self._parts.starts.is_version_sure(entry, now)
-            ]
+            usable = self._of_version(usable)
         return self._parts.rollouts.without_stopped(usable)
 
+    def _of_version(self, servers):
+        """Returns the servers of the stream's version, those whose start is sure if there are any.
+
+        Others that only a crash speaks against are asked before the request is sent.
+        """
+        now, starts = self._parts.clock.now(), self._parts.starts
+        same = [
+            entry
+            for entry in servers
+            if entry.version == self.version and entry.start not in self._excluded
+        ]
+        sure = [entry for entry in same if starts.is_version_sure(entry, now)]
+        if sure or self._parts.start_check is None:
+            return sure
+        return [entry for entry in same if starts.may_be_sure(entry, now)]
+
     def _untried(self):
         return [entry for entry in self._usable() if entry.name not in self.tried]
 
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -373,7 +373,10 @@
         """Returns whether a stream that goes on at its version might go on at another one."""
         if self._state.servers.version is None:
             return False
-        return not self._parts.starts.is_version_sure(entry, self._parts.clock.now())
+        starts = self._parts.starts
+        if starts.is_just_confirmed(entry):
+            return False
+        return not starts.is_version_sure(entry, self._parts.clock.now())
 
     def _check_send(self, entry, memory):
         """Returns the reason why the request must not be sent now; if it may be, counts the send.
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -50,7 +50,7 @@
         """Returns whether a request that needs an entry's software may be sent by the entry.
 
         A server that does not say is taken for the listed start if the table is as new as this
-        call.
+        call, and no crash of that start is known.
         """
         parts, begun = self._parts, self._parts.clock.monotonic()
         if parts.starts.is_just_confirmed(entry):
@@ -58,7 +58,9 @@
         state = await self._ask(entry)
         if state is StartState.UNKNOWN:
             await parts.refresh_servers(begun)
-            if parts.registry.is_current_as_of(begun) and parts.registry.takes_requests(entry):
+            is_listed = parts.registry.is_current_as_of(begun)
+            is_listed = is_listed and parts.registry.takes_requests(entry)
+            if is_listed and parts.starts.is_version_sure(entry, parts.clock.now()):
                 state = StartState.CONFIRMED
         parts.metrics.count("start_checks", outcome=state.value)
         if state is not StartState.CONFIRMED:
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -153,18 +153,35 @@
           entry: The entry by which the server was chosen.
           at: When its answer began, in UTC.
         """
+        writer = self._listed_writer(entry, at)
+        if writer is None:
+            return False
+        crashed_at = self._crashes.crashed_at(writer.start)
+        return (
+            crashed_at is None
+            or at < crashed_at
+            or self.is_confirmed(writer, at)
+            or self._is_still_listed(writer)
+        )
+
+    def may_be_sure(self, entry: ServerEntry, at: datetime.datetime) -> bool:
+        """Returns whether nothing but a crash speaks against an entry's software at a time.
+
+        A crash may have been told wrongly, and the server itself knows.
+        """
+        return self._listed_writer(entry, at) is not None
+
+    def _listed_writer(self, entry, at):
+        """Returns the entry of the start that answered at a time by the table, None if another."""
         writer = entry
         for later in self._registry.later_starts(entry):
             born = datetime.timedelta(milliseconds=later.born) - MAX_CLOCK_DIFFERENCE
             if _since_epoch(at) < born:
                 break
             if later.version != entry.version:
-                return False
+                return None
             writer = later
-        if self._is_succeeded(writer, at):
-            return False
-        crashed_at = self._crashes.crashed_at(writer.start)
-        return crashed_at is None or at < crashed_at or self._is_still_listed(writer)
+        return None if self._is_succeeded(writer, at) else writer
 
     def _is_succeeded(self, entry, at):
         """Returns whether a server said that another start had followed before a time."""
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cicadapond.containment import Crash, CrashEvidence
 from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._starts import MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
@@ -214,3 +215,19 @@
         assert answer.is_complete and versions_of(system, "t-1") == ["v1"]
 
     run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
+def test_a_stream_goes_on_at_its_only_server_of_which_a_crash_was_told_wrongly(tmp_path):
+    """Guards against LOST: the server was left out for two minutes, and not asked."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        parts = system.nodes[1].parts
+        (entry,) = parts.registry.usable("pool")
+        crash = Crash(parts.clock.now(), frozenset({"part p"}))
+        parts.crashes.apply("x", CrashEvidence({entry.start: crash}))
+        (answer,) = await take_up(system, 1, "t-1")
+        assert answer.status == 200
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
