Take no success in the future for one after all crashes

A success time that a process with a clock ahead told, which is now told again after it has ended, would have cleared later crashes too (review). It counts as of when it is heard. The test failed before.

--- a/cicadapond/containment/_crashes.py
+++ b/cicadapond/containment/_crashes.py
@@ -275,10 +275,12 @@
         """Adds what the processes of a data centre observed, this one perhaps included."""
         self._zone_successes[zone] = evidence.successes
         self._learn(evidence.crashes)
+        now = self._clock.now()
         for trait, seen in evidence.successes.items():
+            last = min(seen.last, now)  # the clock of another process may be ahead
             known = self._last_successes.get(trait)
-            if known is None or seen.last > known:
-                self._last_successes[trait] = seen.last
+            if known is None or last > known:
+                self._last_successes[trait] = last
                 self._evaluated_at = None
 
     def culprits(self) -> dict[str, datetime.datetime]:
--- a/cicadapond/containment/crashes_test.py
+++ b/cicadapond/containment/crashes_test.py
@@ -298,6 +298,16 @@
         assert tracker.find_cause(("part shared", "part next")) is None
 
 
+def test_a_success_in_the_future_outlives_its_process_as_one_of_now():
+    tracker, clock = make()
+    ahead = Successes(1, clock.now() + datetime.timedelta(hours=1))
+    tracker.apply("z", CrashEvidence({}, {"part bad": ahead}))
+    tracker.apply("z", CrashEvidence())
+    for number in range(3):
+        crash(tracker, clock, ("part bad", f"part own-{number}"))
+    assert tracker.find_cause(("part bad",)) == "part bad"
+
+
 def test_a_restored_cause_is_contained_until_its_term_ends_or_it_succeeds():
     tracker, clock = make()
     tracker.restore({"part bad": clock.now(), "part sound": clock.now()})
