--- a/cicadapond/gateway/partitioned/main_test.py
+++ b/cicadapond/gateway/partitioned/commands_test.py
@@ -5,7 +5,7 @@
 import os
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.partitioned.main import Commands
+from cicadapond.gateway.partitioned._commands import Commands
 from cicadapond.kernel import ManualClock, Metrics
 from cicadapond.peer.partition import PartitionedTransport
 from cicadapond.standin._ports import free_endpoint
