--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -134,7 +134,7 @@
             if self.version is None and not search.goes_on():
                 search.record(None)
                 return False
-            if only is not None:
+            if only is not None and self.version is None:
                 # The stream may have begun at a version that is not known here yet.
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(search.peers_wait().total_seconds()):
@@ -151,7 +151,9 @@
         if parts.starts.has_unlisted(self._service):
             return None
         versions = parts.software_versions(self._service)
-        if len(versions) == 1 and parts.origins.versions() <= versions:
+        # Streams are told without their service.
+        others = parts.registry.software_versions_of_others(self._service)
+        if len(versions) == 1 and parts.origins.versions() <= versions | others:
             return next(iter(versions))
         return None
 
--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -224,9 +224,9 @@
         return self._lookup.may_read(self._until)
 
     def awaits_confirmation(self) -> bool:
-        """Returns whether the store may tell more of a stream of which others have told, and asks.
+        """Returns whether the store may tell that a stream's version is not sure, and asks.
 
-        They may have told since that its version is not sure, and not be heard.
+        Other processes may have told so and not be heard.
         """
         if self._lookup is None or self._lookup.has_read(self.begun):
             return False
@@ -237,7 +237,7 @@
             for source, age in origins.ages().items()
             if source != SOURCE
         )
-        if not told or not (is_silent or set(told) == {SOURCE}):
+        if not is_silent and set(told) != {SOURCE}:
             return False
         until = self.begun + MAX_ORIGIN_WAIT
         if now + ORIGIN_POLL_INTERVAL > until:
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -146,7 +146,7 @@
         rows.expire(self._leftover)
         self._leftover = {}
         streams = {}
-        if _has_several(versions):
+        if self._has_several(versions):
             origins = self._parts.origins
             streams = origins.told(self._cluster.zone)
             if not self._cluster.speaks_for_zone():
@@ -158,7 +158,7 @@
     async def _write_untold(self):
         """Writes the streams of this process that the hub has not told in time."""
         streams = self._untold()
-        if streams and not _has_several(self._versions_in_service() or {}):
+        if streams and not self._has_several(self._versions_in_service() or {}):
             streams = {}
         has_expired = self._rows is not None and self._rows.expired(self._clock.now(), 1)
         if not streams and not has_expired:
@@ -252,7 +252,9 @@
             return None
         return {service: self._parts.software_versions(service) for service in table.cfg.services}
 
-
-def _has_several(versions):
-    """Returns whether a service has several versions."""
-    return any(len(found) > 1 for found in versions.values())
+    def _has_several(self, versions):
+        """Returns whether a service has several versions, one of them perhaps not listed yet."""
+        starts = self._parts.starts
+        return any(
+            len(found) > 1 or starts.has_unlisted(service) for service, found in versions.items()
+        )
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -92,14 +92,18 @@
 
     def software_versions(self, service: str) -> set[str]:
         """Returns the software versions of a service's servers, also of those that went lately."""
+        return {version for of_service, version in self._known_software() if of_service == service}
+
+    def software_versions_of_others(self, service: str) -> set[str]:
+        """Returns the same of all other services together."""
+        return {version for of_service, version in self._known_software() if of_service != service}
+
+    def _known_software(self):
+        """Returns the service and the software version of all servers that went at most lately."""
         self._drop_overdue()
         oldest = self._clock.monotonic() - SOFTWARE_VERSION_RETENTION
-        listed = {entry.version for entry in self._entries.values() if entry.service == service}
-        return listed | {
-            version
-            for (of_service, version), gone_at in self._gone_versions.items()
-            if of_service == service and gone_at >= oldest
-        }
+        found = {(entry.service, entry.version) for entry in self._entries.values()}
+        return found | {key for key, gone_at in self._gone_versions.items() if gone_at >= oldest}
 
     def knows_all_versions(self, since: datetime.timedelta) -> bool:
         """Returns whether `software_versions` has all versions that were listed before a time.
--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -132,7 +132,10 @@
             origins=StreamOrigins(clock),
             cfg=types.SimpleNamespace(store_reads_per_second=2000.0),
             processes=lambda: processes,
-            registry=types.SimpleNamespace(knows_all_versions=lambda since: True),
+            registry=types.SimpleNamespace(
+                knows_all_versions=lambda since: True,
+                software_versions_of_others=lambda service: set(),
+            ),
             version_history=None,
             software_versions=lambda service: {"v1", "v2"},
             starts=types.SimpleNamespace(has_unlisted=lambda service: False),
@@ -268,3 +271,31 @@
         assert (await process.find("s-1"))[0] is None
 
     play(script)
+
+
+def test_the_store_is_asked_before_the_only_version_is_taken_where_others_are_silent():
+    """Guards against a stream of a server that others have seen start again unlisted."""
+
+    async def script(clock, feed, process):
+        process.parts.software_versions = lambda service: {"v1"}
+        process.parts.origins.apply("b", {})
+        feed.put(["s-1"], UNKNOWN_VERSION)
+        assert await process.find("s-1") == ("v1", seconds(0))
+        await clock.sleep(seconds(4))
+        assert (await process.find("s-1"))[0] is None
+        assert (await process.find("s-2"))[0] == "v1"
+
+    play(script)
+
+
+def test_a_version_of_another_service_does_not_hide_the_only_one():
+    """Guards against LOST beside a release of another service."""
+
+    async def script(clock, feed, process):
+        process.parts.software_versions = lambda service: {"v1"}
+        process.parts.origins.begin("of-another", "v2")
+        assert (await process.find("s-1"))[0] is None
+        process.parts.registry.software_versions_of_others = lambda service: {"v2"}
+        assert await process.find("s-1") == ("v1", seconds(0))
+
+    play(script)
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -61,6 +61,7 @@
 
     def __init__(self, clock, tables, run, versions, hub=None, processes=3):
         self.versions = {"s": set(versions)}
+        self.has_unlisted = False
         table = types.SimpleNamespace(cfg=types.SimpleNamespace(services=self.versions))
         self.parts = types.SimpleNamespace(
             clock=clock,
@@ -70,6 +71,7 @@
             version_history=VersionHistory(clock),
             active_configuration=types.SimpleNamespace(table=table),
             software_versions=lambda service: set(self.versions[service]),
+            starts=types.SimpleNamespace(has_unlisted=lambda service: self.has_unlisted),
             log=types.SimpleNamespace(write=lambda *args, **fields: None),
             metrics=Metrics(),
         )
@@ -123,6 +125,18 @@
     play(script)
 
 
+def test_streams_are_stored_once_a_server_has_started_again_and_is_not_listed():
+    async def script(clock, tables, start):
+        process = start("a-1/1", "v1")
+        process.begin(clock, "one", "v1")
+        await clock.sleep(seconds(1))
+        process.has_unlisted = True
+        await clock.sleep(seconds(0.5))
+        assert len(tables.rows) == 2
+
+    play(script)
+
+
 def test_a_process_that_starts_after_all_ended_knows_versions_and_streams():
     async def script(clock, tables, start):
         process = start("a-1/1", "v1", "v2")
