--- a/cicadapond/soak/_records.py
+++ b/cicadapond/soak/_records.py
@@ -12,6 +12,8 @@
 # Requests on routes that change: plain ones, streams that cannot be resumed, and lookups on routes
 # that are added and removed.
 VARYING, LONG, PROBE = "varying", "long", "probe"
+# The file in the directory of a run that has its records.
+HISTORY_NAME = "history.jsonl"
 STREAMS, RUN_ONCE = (STREAM, LONG), (PLAIN, VARYING, LONG)
 
 
--- a/cicadapond/soak/main.py
+++ b/cicadapond/soak/main.py
@@ -13,11 +13,10 @@
 from cicadapond.soak._configuration_checks import probed_routes
 from cicadapond.soak._neighbours import draw_neighbours
 from cicadapond.soak._plan import SoakSettings, parse_seeds
+from cicadapond.soak._records import HISTORY_NAME
 from cicadapond.soak._resumed import resumed_streams
 from cicadapond.soak._run import run_soak
 
-HISTORY_NAME = "history.jsonl"
-
 _SEEDS = flags.DEFINE_string("seeds", "1", "Seeds separated by commas, or FIRST-LAST.")
 _LENGTH = flags.DEFINE_float("length", 25.0, "Seconds during which faults are injected.", 1.0)
 _PROCESSES = flags.DEFINE_integer("processes", 3, "Number of gateway processes.", 1, 200)
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -24,6 +24,7 @@
 from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._proxy import POLL_S, NetworkFault, Proxy
 from cicadapond.soak._records import (
+    HISTORY_NAME,
     PLAIN,
     STREAM,
     BrittleTime,
@@ -35,7 +36,6 @@
     StatedLimit,
 )
 from cicadapond.soak._restore import go_back, write_again
-from cicadapond.soak.main import HISTORY_NAME
 
 CALL = CallRecord("r-1", PLAIN, "k", 0, 10.0, 10.1, 200, True)
 RUN = Run("r-1", "s-0", 10.05)
