--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -1,4 +1,4 @@
-"""Reads from the store where streams began, for callers who take up one that is not known here.
+"""Reads from the store where streams began, for callers who resume one that is not known here.
 
 The processes tell each other of their streams, and the hub of each data centre stores them.  A
 process that the others do not reach finds them in the store.  One call serves all requests that
