--- a/cicadapond/gateway/_shared_rate.py
+++ b/cicadapond/gateway/_shared_rate.py
@@ -72,5 +72,5 @@
 
     def record_cost(self, calls: int) -> None:
         """Records that the last call counts as more calls than one."""
-        owed = max(self._paid_at, self._clock.monotonic())
-        self._paid_at = owed + calls * self.interval(self._shares.lasting)
+        since = max(self._paid_at, self._clock.monotonic())
+        self._paid_at = since + calls * self.interval(self._shares.lasting)
