--- a/cicadapond/gateway/_engine_calls.py
+++ b/cicadapond/gateway/_engine_calls.py
@@ -60,9 +60,11 @@
 
     Attributes:
       born: When it started, in Unix milliseconds; None if it does not say, or not in time.
+      reason: Why it is not known, "" if it is.
     """
 
     born: int | None
+    reason: str = ""
 
 
 @attrs.frozen
--- a/cicadapond/gateway/_final_answer.py
+++ b/cicadapond/gateway/_final_answer.py
@@ -92,4 +92,9 @@
         took = self._parts.clock.monotonic() - self._state.received_at
         self._parts.metrics.record("request", took, kind=self._state.route.kind.value)
         self._parts.metrics.count("requests", status=status or "broken")
-        self._state.log("answered", status=status, reason=reason, took_ms=milliseconds(took))
+        fields = {}
+        if self._state.continues_stream():
+            waits_ms = self._state.waits.in_milliseconds()
+            fields = {"resumes": self._state.req.resumes, "waits_ms": waits_ms}
+        took_ms = milliseconds(took)
+        self._state.log("answered", status=status, reason=reason, took_ms=took_ms, **fields)
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -17,6 +17,7 @@
     STOPPING_RETRY_AFTER,
 )
 from cicadapond.gateway._run import RequestRun
+from cicadapond.gateway._waits import WaitTimes
 from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import FreeWork, raised_at
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
@@ -206,8 +207,10 @@
             reason = "this process has another configuration than the one that passed it on"
             await self._answer_locally(req, reply, 503, reason, SHORT_RETRY_AFTER, passed_on)
             return None
-        # The process that passed the request on has taken its quota.
-        wait = await self._take_quota(req, verdict) if passed_on is None else None
+        waits = WaitTimes(parts.clock)
+        with waits.measure("quota"):
+            # The process that passed the request on has taken its quota.
+            wait = await self._take_quota(req, verdict) if passed_on is None else None
         if wait is not None:
             account = verdict.account
             level = parts.quotas.level(account.name)
@@ -221,6 +224,7 @@
                 level=round(level) if level is not None else None,
                 wait_ms=round(wait.total_seconds() * 1000),
                 part=parts.quota_share(),
+                waits_ms=waits.in_milliseconds(),
             )
             await self._answer_locally(
                 req, reply, 429, "the client account's quota is used up", wait
@@ -237,6 +241,7 @@
             reply,
             request.received_at,
             passed_on,
+            waits,
         )
 
     def _may_accept(self, req, route):
@@ -316,6 +321,7 @@
         self._parts.log.write(
             "refused",
             request=req.id,
+            resumes=req.resumes,
             status=status,
             reason=reason,
             configuration=self._parts.active_configuration.version,
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -10,6 +10,7 @@
 from cicadapond.gateway._relay_protocol import PassedOn
 from cicadapond.gateway._rollout_gate import AttemptObserver
 from cicadapond.gateway._stream_moves import RelayedStream
+from cicadapond.gateway._waits import WaitTimes
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
@@ -38,9 +39,11 @@
       reply: Sends the response to the caller.
       received_at: The monotonic time at which the first byte of the request was received.
       passed_on: How another process passed it on, None if it comes from a caller.
+      waits: For what it has waited so far, None for nothing.
 
     Attributes:
       deadline: The monotonic time at which the request must be answered.
+      waits: For what, and how long, it has waited.
       passed_on: How another process passed it on, None if it comes from a caller.
       service: The service that runs it.
       crash_watch: What it tells of crashes of servers.
@@ -77,6 +80,7 @@
         reply: Reply,
         received_at: datetime.timedelta,
         passed_on: PassedOn | None = None,
+        waits: WaitTimes | None = None,
     ):
         self.parts = parts
         self.req = req
@@ -87,6 +91,7 @@
         limit = min(route.timeout, req.timeout) if req.timeout is not None else route.timeout
         self.deadline = received_at + limit
         self.passed_on = passed_on
+        self.waits = waits or WaitTimes(parts.clock)
         self.max_attempts = route.max_attempts
         if passed_on is not None:
             self.max_attempts = min(route.max_attempts, passed_on.max_attempts)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -25,6 +25,7 @@
 )
 from cicadapond.gateway._retries import SHORT_RETRY_AFTER, Retries
 from cicadapond.gateway._sending import Sending
+from cicadapond.gateway._waits import WaitTimes
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route
 from cicadapond.kernel import NotRun
 
@@ -43,6 +44,7 @@
       reply: Sends the response to the caller.
       received_at: The monotonic time at which the first byte of the request was received.
       passed_on: How another process passed it on, None if it comes from a caller.
+      waits: For what it has waited so far, None for nothing.
     """
 
     def __init__(
@@ -54,9 +56,10 @@
         reply: Reply,
         received_at: datetime.timedelta,
         passed_on: PassedOn | None = None,
+        waits: WaitTimes | None = None,
     ):
         self._parts = parts
-        self._state = RequestState(parts, req, route, account, reply, received_at, passed_on)
+        self._state = RequestState(parts, req, route, account, reply, received_at, passed_on, waits)
         sink = AnswerRelay(self._state)
         self._retries = Retries(self._state)
         self._sending = Sending(self._state, self._retries, sink)
@@ -113,9 +116,7 @@
         self._state.log_caller_left()
 
     async def _try_servers(self):
-        if self._state.continues_stream() and not await self._state.servers.find_version(
-            self._state.req.resumes, self._state.time_left()
-        ):
+        if self._state.continues_stream() and not await self._find_version(self._state.req.resumes):
             self._log_origin_unknown(self._state.req.resumes)
             return NotRun(
                 "the software version that began the stream is not known", SHORT_RETRY_AFTER
@@ -166,6 +167,8 @@
         if self._state.servers.version is not None:
             origins = self._parts.origins
             return origins.find(self._state.origin_id, is_in_progress=True) != UNKNOWN_VERSION
-        return await self._state.servers.find_version(
-            self._state.origin_id, self._state.time_left()
-        )
+        return await self._find_version(self._state.origin_id)
+
+    async def _find_version(self, first_request_id):
+        with self._state.waits.measure("lookup"):
+            return await self._state.servers.find_version(first_request_id, self._state.time_left())
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -50,18 +50,21 @@
         parts = self._parts
         await self._wait_for_rollout()
         if self._passes_queue():
-            admission = await parts.queues.admit(self._state)
+            with self._state.waits.measure("queue"):
+                admission = await parts.queues.admit(self._state)
             if admission.decision is Decision.REJECT:
                 return NotRun(admission.reason, admission.retry_after), None
             servers = self._state.servers.candidates()
             if admission.server in servers:
                 servers = [admission.server]
         else:
-            servers = await self._servers_after_hold()
+            with self._state.waits.measure("hold"):
+                servers = await self._servers_after_hold()
         if not servers and self._state.servers.limited():
             return self._limited_outcome(), None
         self._state.time_left()  # raises if it is too late
-        placement, is_reached = await self._place(servers)
+        with self._state.waits.measure("start_check"):
+            placement, is_reached = await self._place(servers)
         if not is_reached:
             return NotSent("no connection"), placement.server
         if placement is None:
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -8,6 +8,8 @@
 import datetime
 import enum
 
+import attrs
+
 from cicadapond.gateway._engine_calls import EngineCalls, NotReached
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._request import milliseconds
@@ -28,6 +30,19 @@
     SUPERSEDED = "superseded"
 
 
+@attrs.frozen
+class _Answer:
+    """What a server has said of its start.
+
+    Attributes:
+      state: What follows from it.
+      reason: Why that is not known, "" if it is.
+    """
+
+    state: StartState
+    reason: str = ""
+
+
 class StartCheck:
     """Asks servers which start they are.
 
@@ -41,7 +56,7 @@
         self._parts = parts
         self._calls = calls
         self._tasks = tasks
-        self._asking: dict[str, asyncio.Task[StartState]] = {}
+        self._asking: dict[str, asyncio.Task[_Answer]] = {}
         # The starts that are asked on behalf of streams, and those to be asked once more.
         self._watched: set[str] = set()
         self._wanted: set[str] = set()
@@ -55,7 +70,8 @@
         parts, begun = self._parts, self._parts.clock.monotonic()
         if parts.starts.is_just_confirmed(entry):
             return StartState.CONFIRMED
-        state = await self._ask(entry)
+        answer = await self._ask(entry)
+        state = answer.state
         if state is StartState.UNKNOWN:
             await parts.refresh_servers(begun)
             is_listed = parts.registry.is_current_as_of(begun)
@@ -69,6 +85,7 @@
                 "start_not_confirmed",
                 server=entry.start,
                 state=state.value,
+                reason=answer.reason,
                 servers_ms=milliseconds(age) if age is not None else None,
             )
         return state
@@ -97,7 +114,7 @@
         if task is None:
             task = self._tasks.spawn(self._call(entry), "ask for a start")
             self._asking[entry.start] = task
-        return await asyncio.shield(task) or StartState.UNKNOWN
+        return await asyncio.shield(task) or _Answer(StartState.UNKNOWN, "the call failed")
 
     async def _call(self, entry):
         parts = self._parts
@@ -107,15 +124,17 @@
         finally:
             del self._asking[entry.start]
         if isinstance(answer, NotReached):
-            return StartState.NOT_REACHED
-        if answer.born is None or (answer.born and not entry.born):
-            return StartState.UNKNOWN
+            return _Answer(StartState.NOT_REACHED)
+        if answer.born is None:
+            return _Answer(StartState.UNKNOWN, answer.reason)
+        if answer.born and not entry.born:
+            return _Answer(StartState.UNKNOWN, "its entry has no start")
         parts.starts.record_stated(entry, answer.born, asked_at)
         if parts.starts.is_confirmed(entry, asked_at):
-            return StartState.CONFIRMED
+            return _Answer(StartState.CONFIRMED)
         if answer.born > entry.born and parts.crashes.crashed_at(entry.start) is None:
             began = datetime.datetime.fromtimestamp(answer.born / 1000, datetime.UTC)
             parts.crashes.record_server_restarted(entry.start, began)
             parts.publish_soon()
         parts.log.write("server_is_another_start", server=entry.start, born=answer.born)
-        return StartState.SUPERSEDED
+        return _Answer(StartState.SUPERSEDED)
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -86,8 +86,10 @@
         reply = await client.call("GET", REPORT_PATH, headers, b"", timeout)
         if isinstance(reply, NoConnection):
             return NotReached()
-        if isinstance(reply, ReplyLost) or reply.status != OK:
-            return StatedStart(None)
+        if isinstance(reply, ReplyLost):
+            return StatedStart(None, reply.reason)
+        if reply.status != OK:
+            return StatedStart(None, f"the server answered {reply.status}")
         return read_start(reply.body)
 
     def drop_server(self, server):
@@ -126,7 +128,7 @@
     """Returns what an engine's report says of its start."""
     born = _parse_object(raw).get("born")
     is_time = isinstance(born, int) and not isinstance(born, bool) and 0 <= born <= MAX_TIME_MS
-    return StatedStart(born if is_time else None)
+    return StatedStart(born) if is_time else StatedStart(None, "the report has no start")
 
 
 def _parse_object(raw):
