--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -26,6 +26,7 @@
 )
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._shared_rate import RateShares, SharedRate
+from cicadapond.gateway._waits import milliseconds
 from cicadapond.kernel import Ok
 from cicadapond.provider import ChangeFeed, HistoryLost, era_of
 
@@ -110,6 +111,16 @@
             return now - self._called_at < allowance
         return self._next_read_at() <= by
 
+    def reading_time(self) -> datetime.timedelta | None:
+        """Returns how long the call in progress has lasted, None if there is none."""
+        return self._clock.monotonic() - self._called_at if self._is_reading else None
+
+    def read_age(self) -> datetime.timedelta | None:
+        """Returns how long ago the last call that was answered began, None if none was."""
+        if self._answered_as_of is None:
+            return None
+        return self._clock.monotonic() - self._answered_as_of
+
     def has_spare(self) -> bool:
         """Returns whether a read now would delay none that is asked for later."""
         return self._rate.has_spare()
@@ -160,6 +171,13 @@
             "origin_reads", outcome=type(outcome).__name__, whole=str(is_whole).lower()
         )
         self._has_failed = not isinstance(outcome, Ok | HistoryLost)
+        self._parts.log.write(
+            "origins_looked_up",
+            outcome=type(outcome).__name__,
+            whole=is_whole,
+            rows=len(outcome.value.rows) if isinstance(outcome, Ok) else None,
+            took_ms=milliseconds(self._clock.monotonic() - now),
+        )
         self._observe_era()
         if not isinstance(outcome, Ok) or now < self._complete_from:
             if not self._has_failed:
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._relay_protocol import PassedOn
 from cicadapond.gateway._rollout_gate import AttemptObserver
 from cicadapond.gateway._stream_moves import RelayedStream
-from cicadapond.gateway._waits import WaitTimes
+from cicadapond.gateway._waits import WaitTimes, milliseconds
 from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
@@ -216,8 +216,3 @@
             configuration=self.parts.active_configuration.version,
             **fields,
         )
-
-
-def milliseconds(duration: datetime.timedelta) -> float:
-    """Returns a duration in milliseconds, rounded for the log."""
-    return round(duration / datetime.timedelta(milliseconds=1), 1)
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -145,6 +145,9 @@
 
     def _log_origin_unknown(self, first_request_id):
         origins, age = self._parts.origins, self._parts.registry.age()
+        lookup = self._parts.origin_lookup
+        read_age = lookup.read_age() if lookup is not None else None
+        reading = lookup.reading_time() if lookup is not None else None
         may_be_another_start = (
             first_request_id is not None and origins.find(first_request_id) == UNKNOWN_VERSION
         )
@@ -153,6 +156,9 @@
             resumes=first_request_id,
             may_be_another_start=may_be_another_start,
             versions=sorted(self._parts.software_versions(self._state.service)),
+            read_ms=milliseconds(read_age) if read_age is not None else None,
+            reading_ms=milliseconds(reading) if reading is not None else None,
+            waits_ms=self._state.waits.in_milliseconds(),
             told_ms={source: milliseconds(age) for source, age in origins.ages().items()},
             servers_ms=milliseconds(age) if age is not None else None,
         )
--- a/cicadapond/gateway/_waits.py
+++ b/cicadapond/gateway/_waits.py
@@ -1,6 +1,5 @@
 """For what, and how long, one request has waited before it was sent."""
 
-import collections
 import contextlib
 import datetime
 import typing
@@ -8,6 +7,11 @@
 from cicadapond.kernel import Clock
 
 
+def milliseconds(duration: datetime.timedelta) -> float:
+    """Returns a duration in milliseconds, rounded for the log."""
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
+
+
 class WaitTimes:
     """The times that one request has spent in the steps before a server has it.
 
@@ -17,7 +21,7 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._spent: collections.Counter[str] = collections.Counter()
+        self._spent: dict[str, datetime.timedelta] = {}
 
     @contextlib.contextmanager
     def measure(self, step: str) -> typing.Iterator[None]:
@@ -27,8 +31,9 @@
             yield
         finally:
             took = self._clock.monotonic() - begun
-            self._spent[step] += took // datetime.timedelta(microseconds=100)
+            self._spent[step] = self._spent.get(step, datetime.timedelta()) + took
 
     def in_milliseconds(self) -> dict[str, float]:
         """Returns the time spent in each step, in milliseconds, without those that took none."""
-        return {step: tenths / 10 for step, tenths in self._spent.items() if tenths}
+        spent = {step: milliseconds(duration) for step, duration in self._spent.items()}
+        return {step: value for step, value in spent.items() if value}
