--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -6,12 +6,15 @@
 
 from cicadapond.containment import Crash, CrashEvidence
 from cicadapond.continuation import UNKNOWN_VERSION
+from cicadapond.gateway import _read_budget
 from cicadapond.gateway._starts import MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
 from cicadapond.kernel import seconds
 from cicadapond.platform.standin import EngineFault
 
 TAKE_UPS = 4
+# Each of so many processes may read the table about once a second for its requests.
+MANY_PROCESSES = 195
 EVENTS = 60
 
 
@@ -199,6 +202,27 @@
     run(check, tmp_path, {"a": "v1"}, processes=2)
 
 
+def test_streams_go_on_at_servers_that_state_no_start_beyond_the_reads_of_the_table(
+    tmp_path, monkeypatch
+):
+    """Guards against LOST: each request needed a read of its own, and was refused without."""
+    share = _read_budget.SHARE_OF_READS * 2 / MANY_PROCESSES
+    monkeypatch.setattr(_read_budget, "SHARE_OF_READS", share)
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        system.engine("a").states_start = False
+        taken_up = []
+        for number in range(40):
+            taken_up.append(asyncio.ensure_future(take_up(system, 1, f"t-{number}")))
+            await asyncio.sleep(0.05)
+        answers = [answer for (answer,) in await asyncio.gather(*taken_up)]
+        assert [answer.status for answer in answers] == [200] * len(answers)
+
+    run(check, tmp_path, {"a": "v1"}, processes=2)
+
+
 def test_a_stream_goes_on_at_a_server_that_joined_since_the_table_was_read(tmp_path):
     """Guards against refusing it as unserved without reading the table."""
 
--- a/cicadapond/platform/standin/_engine_model.py
+++ b/cicadapond/platform/standin/_engine_model.py
@@ -47,6 +47,7 @@
       parts: The prompt parts that it keeps.
       reports: How many reports of itself it was asked for.
       is_reporting: Whether it answers when it is asked for one.
+      states_start: Whether a report says when it started.
     """
 
     name: str
@@ -81,6 +82,7 @@
     parts: EngineParts = attrs.field(factory=EngineParts)
     reports: int = 0
     is_reporting: bool = True
+    states_start: bool = True
 
     def report(self, born: int) -> bytes:
         """Returns what it tells of itself.
@@ -89,7 +91,8 @@
           born: When it started, in Unix milliseconds.
         """
         fields = {"phase": "mixed", "models": [], "busy": False, "sequence": 1, "queued": 0}
-        return json.dumps(fields | {"active": self.running, "born": born}).encode()
+        fields |= {"active": self.running} | ({"born": born} if self.states_start else {})
+        return json.dumps(fields).encode()
 
     def ids(self) -> list[str]:
         """Returns the ids of the requests in `executed_requests`, in order."""
