--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -88,18 +88,23 @@
         """Leaves a start of a server out, as it may not be the one that answers."""
         self._excluded.add(entry.start)
 
-    async def refresh_unserved(self, begun: datetime.timedelta) -> bool:
+    def include_start(self, entry: ServerEntry) -> None:
+        """Takes back that a start of a server may not be the one that answers."""
+        self._excluded.discard(entry.start)
+
+    async def refresh_unserved(self, begun: datetime.timedelta, until: datetime.timedelta) -> bool:
         """Reads the changes of the server table if no known server has the stream's version.
 
         Args:
           begun: The monotonic time as of which the table is needed.
+          until: The monotonic time up to which to wait for it.
 
         Returns:
           Whether servers of the version are known now.
         """
         if self.version is None or self._usable():
             return False
-        await self._parts.refresh_servers(begun)
+        await self._parts.refresh_servers(begun, until)
         return bool(self._usable())
 
     async def find_version(
--- a/cicadapond/gateway/_follow.py
+++ b/cicadapond/gateway/_follow.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+import contextlib
 import datetime
 import random
 
@@ -38,6 +39,7 @@
 # The age that a copy may reach in that time, in waits of the feed.
 REREAD_AGE_WAITS = 2
 ZERO = datetime.timedelta()
+MIN_PAUSE = datetime.timedelta(milliseconds=1)
 
 
 def feed_wait(revocation: datetime.timedelta | None) -> datetime.timedelta:
@@ -113,26 +115,54 @@
         self._answered_at: datetime.timedelta | None = None
         self._current_as_of: datetime.timedelta | None = None
         self._used_shared_copy = False
-        self._refresh: asyncio.Future[None] | None = None
+        self._refresh: asyncio.Future[bool] | None = None
+        # Set, and replaced, whenever the copy is confirmed.
+        self._confirmed = asyncio.Event()
         self._refresh_budget = refresh_budget
 
-    async def refresh(self, since: datetime.timedelta) -> None:
+    async def refresh(
+        self, since: datetime.timedelta, until: datetime.timedelta | None = None
+    ) -> None:
         """Reads the changes up to now, beside a call that waits for some.
 
-        Those who ask while a call is in progress share it.  Failures, and calls beyond the budget,
+        Those who ask while a call is in progress share it.  Without a permitted call, the next one
+        or the next copy that comes anyway is waited for.  Failures, and calls beyond the budget,
         are counted as a metric.
 
         Args:
           since: The monotonic time as of which the copy is needed; nothing is read if it is.
+          until: The monotonic time up to which to wait; None to wait for one call, if permitted.
         """
-        if self._current_as_of is not None and self._current_as_of >= since:
-            return
-        if self._refresh is None or self._refresh.done():
-            if self._refresh_budget is not None and not self._refresh_budget.take():
-                self._metrics.count("feed_refreshes", table=self._table, outcome="OverBudget")
+        is_counted = False
+        while self._current_as_of is None or self._current_as_of < since:
+            reading = self._refresh
+            if reading is None or reading.done():
+                if self._refresh_budget is not None and not self._refresh_budget.take():
+                    if not is_counted:
+                        is_counted = True
+                        outcome = "OverBudget"
+                        self._metrics.count("feed_refreshes", table=self._table, outcome=outcome)
+                    if not await self._wait_for_copy(until):
+                        return
+                    continue
+                reading = self._refresh = asyncio.ensure_future(self._read_changes())
+            left = until - self._clock.monotonic() if until is not None else None
+            timeout = max(0.0, left.total_seconds()) if left is not None else None
+            # One that began before the time may not bring the copy that is needed.
+            done, _ = await asyncio.wait((reading,), timeout=timeout)
+            if not done or not reading.result():
                 return
-            self._refresh = asyncio.ensure_future(self._read_changes())
-        await asyncio.shield(self._refresh)
+
+    async def _wait_for_copy(self, until):
+        """Waits until the copy is confirmed or a call is permitted; returns whether in time."""
+        left = until - self._clock.monotonic() if until is not None else ZERO
+        if left <= ZERO:
+            return False
+        pause = min(left, self._refresh_budget.time_until_next())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(MIN_PAUSE, pause).total_seconds()):
+                await self._confirmed.wait()
+        return True
 
     async def run(self):
         self._version = None  # after an unexpected error, changes may be missing
@@ -161,12 +191,14 @@
     async def _read_changes(self):
         version, called_at = self._version, self._clock.monotonic()
         if version is None or self._is_position_void():
-            return
+            return False
         outcome = await self._feed.changes(self._table, version, ZERO)
         self._metrics.count("feed_refreshes", table=self._table, outcome=type(outcome).__name__)
         is_continued = self._version is not None and era_of(self._version) == era_of(version)
-        if isinstance(outcome, Ok) and is_continued:
-            self._apply(outcome.value, called_at)
+        if not isinstance(outcome, Ok) or not is_continued:
+            return False
+        self._apply(outcome.value, called_at)
+        return True
 
     async def _fetch(self, wait):
         if self._version is None:
@@ -228,6 +260,8 @@
     def _confirm_current(self, since):
         self._current_as_of = max(since, self._current_as_of or since)
         self._follower.confirm_current(since)
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
 
     # Copies from other processes
 
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -37,7 +37,21 @@
     from cicadapond.gateway._start_check import StartCheck
 
 
-async def _refresh_nothing(since: datetime.timedelta) -> None:
+class RefreshServers(typing.Protocol):
+    """Reads the changes of the server table, unless they are known as of a monotonic time."""
+
+    async def __call__(
+        self, since: datetime.timedelta, until: datetime.timedelta | None = None
+    ) -> None:
+        """Reads them.
+
+        Args:
+          since: The time as of which they are needed.
+          until: The time up to which to wait, None to wait for one call, if that is permitted.
+        """
+
+
+async def _refresh_nothing(since, until=None):
     """Stands for a table that is not followed."""
 
 
@@ -91,9 +105,7 @@
     quota_share: typing.Callable[[], float] = lambda: 1.0
     quota_admission: "QuotaAdmission | None" = None
     check_server: typing.Callable[[ServerEntry], None] = lambda entry: None
-    refresh_servers: typing.Callable[[datetime.timedelta], typing.Awaitable[None]] = (
-        _refresh_nothing
-    )
+    refresh_servers: RefreshServers = _refresh_nothing
     start_check: "StartCheck | None" = None
     publish_soon: typing.Callable[[], None] = lambda: None
     relay: Relay | None = None
--- a/cicadapond/gateway/_read_budget.py
+++ b/cicadapond/gateway/_read_budget.py
@@ -28,11 +28,23 @@
 
     def take(self) -> bool:
         """Returns whether one more read may be made now, and counts it."""
-        now = self._clock.monotonic()
-        rate = self._shared_rate / self._processes()
-        self._left = min(MAX_BURST, self._left + rate * (now - self._at).total_seconds())
-        self._at = now
+        self._refill()
         if self._left < 1:
             return False
         self._left -= 1
         return True
+
+    def time_until_next(self) -> datetime.timedelta:
+        """Returns the time until one more read may be made."""
+        self._refill()
+        missing = max(0.0, 1 - self._left)
+        return datetime.timedelta(seconds=missing / self._rate())
+
+    def _refill(self):
+        now = self._clock.monotonic()
+        passed = (now - self._at).total_seconds()
+        self._left = min(MAX_BURST, self._left + self._rate() * passed)
+        self._at = now
+
+    def _rate(self):
+        return self._shared_rate / self._processes()
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -26,6 +26,8 @@
 OUTCOME_POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 # How many servers are asked for one attempt whether they are the starts that are listed.
 MAX_START_CHECKS = 4
+# The share of the time left to a request that it waits for the server table.
+MAX_TABLE_WAIT_SHARE = 0.5
 # A request waits for a server's limit to admit it if it still gets there within this share of its
 # objective; else it is refused at once.
 PERMIT_WAIT_SHARE = 0.5
@@ -45,6 +47,9 @@
         self._parts = state.parts
         self._retries = retries
         self._sink = sink
+        # The servers that did not say which start they are, and when the last one was asked.
+        self._unstated: list[ServerEntry] = []
+        self._asked_at = datetime.timedelta()
 
     async def run(self):
         parts = self._parts
@@ -95,12 +100,18 @@
           The placement, None if there is no server, and whether the server could be reached.
         """
         parts, state = self._parts, self._state
+        until = parts.clock.monotonic() + MAX_TABLE_WAIT_SHARE * state.time_left()
         for _ in range(MAX_START_CHECKS):
-            if not servers and await state.servers.refresh_unserved(parts.clock.monotonic()):
-                servers = state.servers.candidates()
+            if not servers and not self._unstated:
+                now = parts.clock.monotonic()
+                if await state.servers.refresh_unserved(now, until):
+                    servers = state.servers.candidates()
             placement = parts.placer.place(servers, state.req.generation, state.priority() or 0)
+            if placement is None and self._unstated:
+                break
             if placement is None or state.servers.version is None or parts.start_check is None:
                 return placement, True
+            asked_at = parts.clock.monotonic()
             try:
                 start = await parts.start_check.check(placement.server)
                 state.time_left()
@@ -112,9 +123,25 @@
             parts.placer.mark_ended(placement.request)
             if start is StartState.NOT_REACHED:
                 return placement, False
+            if start is StartState.UNKNOWN:
+                self._unstated.append(placement.server)
+                self._asked_at = asked_at
             state.servers.exclude_start(placement.server)
             servers = state.servers.candidates()
-        return None, True
+        return await self._place_unstated(until), True
+
+    async def _place_unstated(self, until):
+        """Chooses one of the servers that did not say which start they are, once the table does."""
+        parts, state = self._parts, self._state
+        if not self._unstated:
+            return None
+        listed = await parts.start_check.listed(self._unstated, self._asked_at, until)
+        self._unstated.clear()
+        state.time_left()
+        for entry in listed:
+            state.servers.include_start(entry)
+        servers = [entry for entry in state.servers.candidates() if entry in listed]
+        return parts.placer.place(servers, state.req.generation, state.priority() or 0)
 
     async def continue_at(self, entry: ServerEntry, memory: MemoryHandle):
         """Sends a request whose run was stopped, to go on from a copy of its memory.
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -7,12 +7,14 @@
 import asyncio
 import datetime
 import enum
+import typing
 
 import attrs
 
 from cicadapond.gateway._engine_calls import EngineCalls, NotReached
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._request import milliseconds
+from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_STATED
 from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import TaskGroup
 
@@ -57,6 +59,8 @@
         self._calls = calls
         self._tasks = tasks
         self._asking: dict[str, asyncio.Task[_Answer]] = {}
+        # What servers that did not state their start answered last, and when they were asked.
+        self._unstated: dict[str, tuple[datetime.datetime, _Answer]] = {}
         # The starts that are asked on behalf of streams, and those to be asked once more.
         self._watched: set[str] = set()
         self._wanted: set[str] = set()
@@ -70,26 +74,48 @@
         parts, begun = self._parts, self._parts.clock.monotonic()
         if parts.starts.is_just_confirmed(entry):
             return StartState.CONFIRMED
-        answer = await self._ask(entry)
+        answer = self._recent_answer(entry) or await self._ask(entry)
         state = answer.state
-        if state is StartState.UNKNOWN:
-            await parts.refresh_servers(begun)
-            is_listed = parts.registry.is_current_as_of(begun)
-            is_listed = is_listed and parts.registry.takes_requests(entry)
-            if is_listed and parts.starts.is_version_sure(entry, parts.clock.now()):
-                state = StartState.CONFIRMED
+        if state is StartState.UNKNOWN and await self.listed((entry,), begun):
+            state = StartState.CONFIRMED
         parts.metrics.count("start_checks", outcome=state.value)
-        if state is not StartState.CONFIRMED:
-            age = parts.registry.age()
-            parts.log.write(
-                "start_not_confirmed",
-                server=entry.start,
-                state=state.value,
-                reason=answer.reason,
-                servers_ms=milliseconds(age) if age is not None else None,
-            )
+        if state in (StartState.NOT_REACHED, StartState.SUPERSEDED):
+            self._log_not_confirmed(entry, state, answer.reason)
         return state
 
+    async def listed(
+        self,
+        entries: typing.Sequence[ServerEntry],
+        asked_at: datetime.timedelta,
+        until: datetime.timedelta | None = None,
+    ) -> list[ServerEntry]:
+        """Returns the entries whose starts may be taken for those that answer, by the table.
+
+        A table that is older by less than it takes a server to start again tells as much.
+
+        Args:
+          entries: Entries of servers that did not say which start they are.
+          asked_at: The monotonic time at which they were asked.
+          until: The monotonic time up to which to wait for a read of the table; None to wait for
+            one call, if that is permitted.
+        """
+        parts, since = self._parts, asked_at - MAX_ANSWER_AGE
+        await parts.refresh_servers(since, until)
+        is_current = parts.registry.is_current_as_of(since)
+        now = parts.clock.now()
+        found = [
+            entry
+            for entry in entries
+            if is_current
+            and parts.registry.takes_requests(entry)
+            and parts.starts.is_version_sure(entry, now)
+        ]
+        for entry in entries if until is not None else ():
+            if entry not in found and entry.start in self._unstated:
+                reason = self._unstated[entry.start][1].reason
+                self._log_not_confirmed(entry, StartState.UNKNOWN, reason)
+        return found
+
     def check_soon(self, entry: ServerEntry) -> None:
         """Asks a server on behalf of the streams that have begun there by now."""
         self._wanted.add(entry.start)
@@ -108,6 +134,23 @@
         finally:
             self._watched.discard(entry.start)
 
+    def _log_not_confirmed(self, entry, state, reason):
+        age = self._parts.registry.age()
+        self._parts.log.write(
+            "start_not_confirmed",
+            server=entry.start,
+            state=state.value,
+            reason=reason,
+            servers_ms=milliseconds(age) if age is not None else None,
+        )
+
+    def _recent_answer(self, entry):
+        """Returns what a server that states no start answered a moment ago, None if nothing."""
+        if entry.start not in self._unstated:
+            return None
+        asked_at, answer = self._unstated[entry.start]
+        return answer if asked_at >= self._parts.starts.word_holds_since(entry) else None
+
     async def _ask(self, entry):
         """Asks a server; those who ask while a call is in progress share it."""
         task = self._asking.get(entry.start)
@@ -125,10 +168,13 @@
             del self._asking[entry.start]
         if isinstance(answer, NotReached):
             return _Answer(StartState.NOT_REACHED)
-        if answer.born is None:
-            return _Answer(StartState.UNKNOWN, answer.reason)
-        if answer.born and not entry.born:
-            return _Answer(StartState.UNKNOWN, "its entry has no start")
+        if answer.born is None or (answer.born and not entry.born):
+            unstated = _Answer(StartState.UNKNOWN, answer.reason or "its entry has no start")
+            self._unstated.pop(entry.start, None)
+            self._unstated[entry.start] = asked_at, unstated
+            while len(self._unstated) > MAX_STATED:
+                del self._unstated[next(iter(self._unstated))]
+            return unstated
         parts.starts.record_stated(entry, answer.born, asked_at)
         if parts.starts.is_confirmed(entry, asked_at):
             return _Answer(StartState.CONFIRMED)
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -109,8 +109,12 @@
 
     def is_just_confirmed(self, entry: ServerEntry) -> bool:
         """Returns whether a server has said a moment ago, and since it last broke, the same."""
+        return self.is_confirmed(entry, self.word_holds_since(entry))
+
+    def word_holds_since(self, entry: ServerEntry) -> datetime.datetime:
+        """Returns since when, in UTC, what a server has said of its start still holds."""
         since = self._clock.now() - MAX_ANSWER_AGE
-        return self.is_confirmed(entry, max(since, self._broken.get(entry.start, since)))
+        return max(since, self._broken.get(entry.start, since))
 
     def has_unlisted(self, service: str) -> bool:
         """Returns whether a server of a service has started again and is not listed anew yet."""
--- a/cicadapond/gateway/follow_test.py
+++ b/cicadapond/gateway/follow_test.py
@@ -343,6 +343,37 @@
     refreshed(script, budget)
 
 
+def test_a_request_beyond_the_permitted_reads_waits_for_the_next_one():
+    """Guards against refusals of requests that have time to wait."""
+
+    async def script(clock, feed, follower, task):
+        budget = ReadBudget(2000.0, lambda: 195, clock)
+        task._refresh_budget = budget
+        while budget.take():
+            pass
+        begun, before = clock.monotonic(), feed.calls
+        waits = [task.refresh(begun, begun + seconds(1.5)) for _ in range(50)]
+        await asyncio.gather(task.refresh(begun, begun + seconds(0.1)), *waits)
+        assert follower.taken[-1] >= begun and feed.calls == before + 1
+        assert clock.monotonic() - begun < seconds(1.1)
+
+    refreshed(script)
+
+
+def test_a_request_reads_again_after_a_read_that_began_before_it():
+    """Guards against refusals by a table that is some ms too old."""
+
+    async def script(clock, feed, follower, task):
+        first = asyncio.ensure_future(task.refresh(clock.monotonic()))
+        await clock.sleep(ANSWER_DELAY / 2)
+        begun = clock.monotonic()
+        await task.refresh(begun)
+        assert follower.taken[-1] >= begun
+        await first
+
+    refreshed(script)
+
+
 def test_a_table_that_is_as_new_as_a_request_is_not_read_again():
     async def script(clock, feed, follower, task):
         before = feed.calls
