--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -9,6 +9,8 @@
 import datetime
 import typing
 
+import attrs
+
 from cicadapond.continuation import (
     MIN_TOLD_AGE,
     ORIGIN_RETENTION,
@@ -36,10 +38,8 @@
 # What the lookups of all processes may use of the store's reads.
 READ_SHARES = RateShares(lasting=0.1, peak=0.4, burst=16)
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=100)
-# How long a call to the store takes, and at most one of all rows, or of a store that has answered
-# lately; one that takes longer is not waited for.
+# How long a call to the store takes that brings few rows.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
-SLOW_CALL_ALLOWANCE = datetime.timedelta(milliseconds=250)
 # A stream that another process tells of within this time is not looked up.
 LOOKUP_DELAY = datetime.timedelta(milliseconds=40)
 # How long a request waits for other processes to tell of its stream.
@@ -47,8 +47,10 @@
 ORIGIN_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
 # A data centre that has told nothing for longer is not heard.
 SILENCE_THRESHOLD = datetime.timedelta(milliseconds=1500)
-# The share of the time left to a request that it waits for reads of the store.
-MAX_WAIT_SHARE = 0.25
+# The share of the time left to a request that it waits for reads of the store, and that after which
+# what has been stored by then is read.
+MAX_WAIT_SHARE = 0.5
+EARLY_READ_SHARE = 0.25
 # After a restore, the hubs have written again what was lost within this time.
 REWRITE_TIME = datetime.timedelta(seconds=3)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -77,9 +79,8 @@
         self._called_at: datetime.timedelta | None = None
         self._begun_at: datetime.timedelta | None = None
         self._answered_as_of: datetime.timedelta | None = None
-        # Whether a call is in progress, and whether the last one was for all rows.
+        # Whether a call is in progress.
         self._is_reading = False
-        self._is_whole = False
         self._has_failed = False
         self._rate = SharedRate(
             parts.clock,
@@ -101,15 +102,14 @@
         return self._answered_as_of is not None and self._answered_as_of >= since
 
     def may_read(self, by: datetime.timedelta) -> bool:
-        """Returns whether the store seems to answer, and a read may begin by a monotonic time."""
+        """Returns whether the store seems to answer, and a read may begin by a monotonic time.
+
+        A call in progress may be slow, as it brings many rows over a slow link.  The first one that
+        fails shows that the store is out of reach.
+        """
         if self._has_failed:
             return False
-        if self._is_reading:
-            now = self._clock.monotonic()
-            may_be_slow = self._is_whole or self.has_read(now - ORIGIN_RETENTION)
-            allowance = SLOW_CALL_ALLOWANCE if may_be_slow else CALL_ALLOWANCE
-            return now - self._called_at < allowance
-        return self._next_read_at() <= by
+        return self._is_reading or self._next_read_at() <= by
 
     def reading_time(self) -> datetime.timedelta | None:
         """Returns how long the call in progress has lasted, None if there is none."""
@@ -156,7 +156,7 @@
 
     async def _read(self):
         now = self._clock.monotonic()
-        is_whole = self._is_whole = self._needs_snapshot(now)
+        is_whole = self._needs_snapshot(now)
         self._called_at = self._begun_at = now
         self._is_reading = True
         self._rate.record_call()
@@ -164,7 +164,7 @@
             if is_whole:
                 outcome = await self._feed.snapshot(TABLE)
             else:
-                outcome = await self._feed.changes(TABLE, self._position, ZERO)
+                outcome = await self._changes()
         finally:
             self._is_reading = False
         self._parts.metrics.count(
@@ -187,6 +187,19 @@
         self._apply(outcome.value)
         self._answered_as_of = now
 
+    async def _changes(self):
+        """Returns all changes since the last read, in one call for each page."""
+        rows, position = (), self._position
+        while True:
+            outcome = await self._feed.changes(TABLE, position, ZERO)
+            if not isinstance(outcome, Ok):
+                return outcome
+            page = outcome.value
+            rows += page.rows
+            if len(page.rows) < READ_PAGE or page.version <= position:
+                return Ok(attrs.evolve(page, rows=rows))
+            position = page.version
+
     def _needs_snapshot(self, now):
         """Returns whether to read all rows, as the changes are lost or mostly of old streams."""
         if self._position is None or era_of(self._position) < self._feed.era():
@@ -220,10 +233,12 @@
         self._has_asked = False
         self.begun = parts.clock.monotonic()
         self._until = self.begun + max(MAX_ORIGIN_WAIT, MAX_WAIT_SHARE * time_left)
-        # What a read that begins then does not find was not stored.
-        self._last_read = self._until - CALL_ALLOWANCE
+        early = self.begun + max(MAX_ORIGIN_WAIT, EARLY_READ_SHARE * time_left)
+        # What a read that begins at the second time does not find was not stored.
+        self._early_read, self._last_read = early - CALL_ALLOWANCE, self._until - CALL_ALLOWANCE
         if self._lookup is not None:
             stored_at = self.begun + self._lookup.storing_time()
+            self._early_read = min(self._early_read, stored_at)
             self._last_read = min(self._last_read, stored_at)
 
     def peers_wait(self) -> datetime.timedelta:
@@ -296,4 +311,6 @@
         """Returns the least time at which a read has to begin to be of use now."""
         if now >= self._last_read:
             return self._last_read
+        if now >= self._early_read:
+            return self._early_read
         return max(self.begun, now - WRITE_INTERVAL) if self._lookup.has_spare() else self.begun
