--- a/cicadapond/continuation/_stored.py
+++ b/cicadapond/continuation/_stored.py
@@ -127,13 +127,16 @@
         # How large the buckets were when all of their streams had been told.
         self._told_sizes: dict[int, int] = {}
 
-    def find(self, reported: Buckets, told: Buckets, before: int) -> Buckets:
-        """Returns the buckets that lack streams, with the streams of both.
+    def find(
+        self, reported: Buckets, told: Buckets, before: int, with_told: bool = False
+    ) -> Buckets:
+        """Returns the buckets that lack streams, with all that the process reports of them.
 
         Args:
           reported: What the process reports to the hub.
           told: What the hub tells of the data centre.
           before: The number of the first bucket that the hub may not have told yet.
+          with_told: Whether to add what the hub tells of these buckets.
         """
         untold = {}
         for number, versions in reported.items():
@@ -143,7 +146,7 @@
             both: dict[int, dict[str, bytes]] = {number: dict(known)}
             merge_buckets(both, {number: versions})
             if _size(both[number]) > _size(known):
-                untold |= both
+                untold[number] = both[number] if with_told else dict(versions)
             else:
                 self._told_sizes[number] = _size(versions)
         for number in [number for number in self._told_sizes if number not in reported]:
--- a/cicadapond/gateway/_origin_store.py
+++ b/cicadapond/gateway/_origin_store.py
@@ -181,7 +181,9 @@
         before = bucket_number(self._clock.now() - telling_time(neighbours) + BUCKET)
         origins = self._parts.origins
         told = origins.told(self._cluster.zone)
-        return self._untold_streams.find(origins.reported(), told, before)
+        # A process that was the hub has written rows with what is told, and replaces them.
+        was_hub = self._speaks_until > datetime.timedelta()
+        return self._untold_streams.find(origins.reported(), told, before, with_told=was_hub)
 
     def _own_rows(self):
         if self._rows is None:
--- a/cicadapond/gateway/origin_store_test.py
+++ b/cicadapond/gateway/origin_store_test.py
@@ -5,6 +5,7 @@
 import types
 
 from cicadapond.continuation import StreamOrigins, VersionHistory, read_rows
+from cicadapond.continuation._origins import HASH_BYTES
 from cicadapond.gateway._origin_store import TABLE, OriginStore
 from cicadapond.kernel import (
     AnswerLost,
@@ -233,6 +234,24 @@
     play(script)
 
 
+def test_a_process_does_not_store_the_streams_that_its_hub_tells_once_more():
+    """Guards against rows of each process that have all streams of its data centre."""
+
+    async def script(clock, tables, start):
+        process = start("a-2/1", "v1", "v2", hub="a-1")
+        others = StreamOrigins(clock)
+        for number in range(100):
+            others.begin(f"o-{number}", "v1")
+            others.break_off(f"o-{number}")
+        process.parts.origins.apply("a", others.reported())
+        process.begin(clock, "two", "v1", is_told=False)
+        await clock.sleep(seconds(0.9))
+        sizes = [len(hashes) for row in tables.rows.values() for hashes in row.values()]
+        assert sizes == [HASH_BYTES]
+
+    play(script)
+
+
 def test_many_processes_without_a_hub_write_within_their_share():
     async def script(clock, tables, start):
         processes = [
