--- a/cicadapond/gateway/__init__.py
+++ b/cicadapond/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
 from cicadapond.gateway._engine_calls import (
+    AnotherServer,
     EngineCalls,
     KeptAtSource,
     Moved,
@@ -15,6 +16,7 @@
 from cicadapond.gateway._rollout_codec import RolloutCodec
 
 __all__ = [
+    "AnotherServer",
     "Cloud",
     "Declined",
     "EngineCalls",
--- a/cicadapond/gateway/_engine_calls.py
+++ b/cicadapond/gateway/_engine_calls.py
@@ -67,6 +67,11 @@
     reason: str = ""
 
 
+@attrs.frozen
+class AnotherServer:
+    """The server at the address is not the one that was asked."""
+
+
 @attrs.frozen
 class NotReached:
     """No connection to the server could be made."""
@@ -99,7 +104,7 @@
     @abc.abstractmethod
     async def ask_start(
         self, server: ServerEntry, timeout: datetime.timedelta
-    ) -> StatedStart | NotReached:
+    ) -> StatedStart | AnotherServer | NotReached:
         """Asks the server at the address of an entry when it started.
 
         Args:
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cicadapond.gateway._engine_calls import EngineCalls, NotReached
+from cicadapond.gateway._engine_calls import AnotherServer, EngineCalls, NotReached
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._request import milliseconds
 from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_STATED
@@ -168,6 +168,11 @@
             del self._asking[entry.start]
         if isinstance(answer, NotReached):
             return _Answer(StartState.NOT_REACHED)
+        if isinstance(answer, AnotherServer):
+            parts.registry.mark_closed(entry)
+            parts.pool.drop_server(entry.name)
+            parts.log.write("server_is_another", server=entry.name)
+            return _Answer(StartState.SUPERSEDED, "another server has its address")
         if answer.born is None or (answer.born and not entry.born):
             unstated = _Answer(StartState.UNKNOWN, answer.reason or "its entry has no start")
             self._unstated.pop(entry.start, None)
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -228,6 +228,24 @@
     run(check, tmp_path, dict.fromkeys(("a", *down), "v1"), processes=2)
 
 
+def test_a_stream_is_not_sent_where_another_server_answers_the_question(tmp_path):
+    """Guards against an attempt at an address that has been given to another server."""
+
+    async def check(system):
+        await system.until_joined()
+        await begin_stream(system, "s-1")
+        model = system.engine("a")
+        model.name = "of-another-service"
+        parts = system.nodes[1].parts
+        for number in range(6):
+            (answer,) = await take_up(system, 1, f"t-{number}")
+            assert answer.status == 200
+        assert parts.metrics.counter("start_checks", outcome="superseded") == 1
+        assert [entry.name for entry in parts.registry.usable("pool")] == ["b"]
+
+    run(check, tmp_path, dict.fromkeys(("a", "b"), "v1"), processes=2)
+
+
 def test_a_stream_goes_on_at_a_server_that_joined_since_the_table_was_read(tmp_path):
     """Guards against refusing it as unserved without reading the table."""
 
--- a/cicadapond/platform/_engine_calls.py
+++ b/cicadapond/platform/_engine_calls.py
@@ -6,6 +6,7 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import HttpClient, NoConnection, ReplyLost
 from cicadapond.gateway import (
+    AnotherServer,
     EngineCalls,
     KeptAtSource,
     Moved,
@@ -25,7 +26,7 @@
 # What is beyond this is no time: the year 10,000.
 MAX_TIME_MS = 253_402_300_799_000
 FREE_TIMEOUT = datetime.timedelta(milliseconds=500)
-OK, NO_RUN, BUSY, NO_ROOM = 200, 404, 409, 503
+OK, NO_RUN, BUSY, MISDIRECTED, NO_ROOM = 200, 404, 409, 421, 503
 
 
 class PlatformEngineCalls(EngineCalls):
@@ -88,6 +89,8 @@
             return NotReached()
         if isinstance(reply, ReplyLost):
             return StatedStart(None, reply.reason)
+        if reply.status == MISDIRECTED:
+            return AnotherServer()
         if reply.status != OK:
             return StatedStart(None, f"the server answered {reply.status}")
         return read_start(reply.body)
