--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -36,6 +36,8 @@
       tells_parts: Whether the engines tell which prompt parts they keep.
       grace_s: The time from SIGTERM to SIGKILL, in seconds.
       body_bytes: The largest body that callers may send.
+      reads_per_s: How many reads a second the store takes from all processes, as their settings
+        say; more are not refused.
     """
 
     engines: int = 2
@@ -51,6 +53,7 @@
     tells_parts: bool = False
     grace_s: float = 8.0
     body_bytes: int = 65536
+    reads_per_s: int = 2000
 
 
 class Fleet:
@@ -255,7 +258,7 @@
             "bounds.retry_slack": "52",
             "platform.address": f"{HOST}:{self._advertised_port('store', view)}",
             "platform.writes_per_s": "400",
-            "platform.reads_per_s": "2000",
+            "platform.reads_per_s": str(self.cfg.reads_per_s),
             "cloud.address": f"{HOST}:{self._advertised_port('cloud', view)}",
             "cloud.duties": "usage_report,autoscale",
             "cloud.duty_per_s": "50",
--- a/cicadapond/soak/_deployment.py
+++ b/cicadapond/soak/_deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import signal
 import typing
@@ -40,6 +41,8 @@
 SLOTS, WAITING_ROOM = 3, 12
 SERVER_RESTART_S = 0.5
 SOFTWARE_VERSIONS = ("v1", "v2")
+# The store's reads a second, and the processes that share them in a large deployment.
+READS_PER_S, MANY_PROCESSES = 2000, 195
 POOL, PLAIN = "pool", "plain"
 ENDLESS_SERVER = "endless-0"
 
@@ -57,7 +60,12 @@
         self.history = history
         self.fleet = Fleet(
             FleetSettings(
-                engines=4, services=3, rolls_out=cfg.rolls_out, moves=True, tells_parts=True
+                engines=4,
+                services=3,
+                rolls_out=cfg.rolls_out,
+                moves=True,
+                tells_parts=True,
+                reads_per_s=self._reads_per_s(cfg),
             ),
             BootClock(),
         )
@@ -85,6 +93,13 @@
         self._cut_off: dict[int, Direction] = {}
         self._first_half: frozenset[int] = frozenset()
 
+    @staticmethod
+    def _reads_per_s(cfg):
+        """Returns so many reads that each process has those of a large deployment."""
+        if not cfg.partitions:
+            return READS_PER_S
+        return math.ceil(READS_PER_S * cfg.processes / MANY_PROCESSES)
+
     @staticmethod
     def now() -> float:
         """Returns the event loop's time."""
--- a/cicadapond/soak/_partitions.py
+++ b/cicadapond/soak/_partitions.py
@@ -110,6 +110,15 @@
                 await self._deployment.kill_server(name, down_s, lambda: version)
         self._record_killed(injection, begin)
 
+    async def inject_starts_unstated(self, injection: Injection) -> None:
+        """Makes the engines leave out of their reports when they started."""
+        models = [self._deployment.fleet.servers[name].model for name in self._engines()]
+        for model in models:
+            model.states_start = False
+        await asyncio.sleep(injection.duration)
+        for model in models:
+            model.states_start = True
+
     def _record_killed(self, injection, begin):
         what, now = injection.fault.name.lower(), self._deployment.now()
         killed = Partition(what, frozenset(), begin, now, is_excused=True)
--- a/cicadapond/soak/_plan.py
+++ b/cicadapond/soak/_plan.py
@@ -58,6 +58,7 @@
     LONG_PAUSE = "a process is suspended for some seconds, then resumed"
     VERSION_JOINS = "engines of another software version join, and may leave soon"
     VERSION_RESTARTS = "engines restart under their names with another software version"
+    STARTS_UNSTATED = "servers do not say when they started"
 
 
 PLANNED = (
@@ -104,8 +105,11 @@
 VERSIONS = (Fault.VERSION_JOINS, Fault.VERSION_RESTARTS)
 MEAN_VERSION_GAP_S = 3.0
 MIN_VERSION_S, MAX_VERSION_S = 3.0, 12.0
+# Drawn apart, beside the partitions.
+UNSTATED = (Fault.STARTS_UNSTATED,)
+MEAN_UNSTATED_GAP_S = 9.0
 # What may cut nobody else's requests off.
-CUTS_NOTHING = PLANNED + CHANGES + ENDLESS + EARLY + PARTITIONS + VERSIONS
+CUTS_NOTHING = PLANNED + CHANGES + ENDLESS + EARLY + PARTITIONS + VERSIONS + UNSTATED
 # Of these seeds, one is without unplanned faults.
 PLANNED_ONLY_EVERY = 3
 # Drawn apart, so that they come beside any of the others.
@@ -215,6 +219,8 @@
         rng = random.Random(f"versions {seed}")
         bounds = (MIN_VERSION_S, MAX_VERSION_S)
         plan += _apart(rng, VERSIONS, MEAN_VERSION_GAP_S, bounds, length)
+        rng = random.Random(f"unstated {seed}")
+        plan += _apart(rng, UNSTATED, MEAN_UNSTATED_GAP_S, bounds, length)
     if restores or not is_planned_only(seed):
         plan += _other_injections(seed, length, restores)
     return sorted(plan, key=lambda injection: injection.at)
@@ -241,7 +247,7 @@
     rng = random.Random(f"soak {seed}")
     # Few kinds of fault per run, so that the same ones overlap.
     apart = STATEMENTS + LONG_FAULTS + RECLAIMS + RESTORES + CHANGES + ENDLESS + EARLY + LOSSES
-    apart += PARTITIONS + VERSIONS
+    apart += PARTITIONS + VERSIONS + UNSTATED
     faults = [fault for fault in Fault if fault not in apart]
     faults = rng.sample(faults, k=rng.randint(3, 9))
     plan, at = [], FIRST_FAULT_S
--- a/cicadapond/soak/_requests.py
+++ b/cicadapond/soak/_requests.py
@@ -27,6 +27,9 @@
 _HALF_CLOSING_SHARE = 0.02
 _LEFT_EVENTS, _LEFT_GAP_S, _LEFT_LIMIT_S = 40, 0.1, 8.0
 _MIN_LEFT_STAY_S, _MAX_LEFT_STAY_S = 0.4, 1.4
+# Half of the streams that are left are short.
+_SHORT_LEFT_SHARE, _SHORT_LEFT_EVENTS = 0.5, 4
+_MIN_SHORT_STAY_S, _MAX_SHORT_STAY_S = 0.15, 0.35
 
 
 @attrs.frozen
@@ -91,10 +94,14 @@
 
 def draw_left_stream(rng: random.Random) -> Behaviour:
     """Returns a stream that its caller leaves before its end."""
-    shape = StreamShape(_LEFT_EVENTS, _LEFT_GAP_S)
-    stay_s = rng.uniform(_MIN_LEFT_STAY_S, _MAX_LEFT_STAY_S)
+    if rng.random() < _SHORT_LEFT_SHARE:
+        shape, limit = StreamShape(_SHORT_LEFT_EVENTS, _LEFT_GAP_S), DEFAULT_TIME_LIMIT_S
+        stay_s = rng.uniform(_MIN_SHORT_STAY_S, _MAX_SHORT_STAY_S)
+    else:
+        shape, limit = StreamShape(_LEFT_EVENTS, _LEFT_GAP_S), _LEFT_LIMIT_S
+        stay_s = rng.uniform(_MIN_LEFT_STAY_S, _MAX_LEFT_STAY_S)
     target = _PREFIXES[STREAM] + "x" + shape.query()
-    return Behaviour(STREAM, target, Upload((b"prompt",)), shape, _LEFT_LIMIT_S, stay_s)
+    return Behaviour(STREAM, target, Upload((b"prompt",)), shape, limit, stay_s)
 
 
 def draw_upload(rng: random.Random) -> Upload:
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -20,7 +20,7 @@
 from cicadapond.soak._callers import is_expected_answer
 from cicadapond.soak._injections import FaultInjector
 from cicadapond.soak._partitions import PartitionInjector
-from cicadapond.soak._plan import CUTS_NOTHING, PARTITIONS, VERSIONS, parse_seeds
+from cicadapond.soak._plan import CUTS_NOTHING, PARTITIONS, UNSTATED, VERSIONS, parse_seeds
 from cicadapond.soak._planned import ChangeInjector
 from cicadapond.soak._proxy import POLL_S, NetworkFault, Proxy
 from cicadapond.soak._records import (
@@ -173,7 +173,7 @@
     assert {each.fault for each in make_plan(3, 600.0)} <= set(CUTS_NOTHING)
     others = [each for each in make_plan(4, 60.0, True) if each.fault is not Fault.STORE_RESTORED]
     assert others == make_plan(4, 60.0)
-    apart = PARTITIONS + VERSIONS
+    apart = PARTITIONS + VERSIONS + UNSTATED
     others = [each for each in make_plan(4, 60.0, False, True) if each.fault not in apart]
     assert others == make_plan(4, 60.0)
     injected = {*dir(FaultInjector), *dir(ChangeInjector), *dir(PartitionInjector)}
