--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -38,6 +38,10 @@
 # What the lookups of all processes may use of the store's reads.
 READ_SHARES = RateShares(lasting=0.1, peak=0.4, burst=16)
 MIN_READ_INTERVAL = datetime.timedelta(milliseconds=100)
+# A call that fails after this time has had no answer; one that fails sooner may have lost its
+# connection alone.
+MIN_SILENCE = datetime.timedelta(milliseconds=500)
+MAX_FAILURES = 2
 # How long a call to the store takes that brings few rows.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
 # A stream that another process tells of within this time is not looked up.
@@ -81,7 +85,8 @@
         self._answered_as_of: datetime.timedelta | None = None
         # Whether a call is in progress.
         self._is_reading = False
-        self._has_failed = False
+        # How many calls in a row have failed; those without an answer count as all that are borne.
+        self._failures = 0
         self._rate = SharedRate(
             parts.clock,
             parts.cfg.store_reads_per_second,
@@ -105,9 +110,9 @@
         """Returns whether the store seems to answer, and a read may begin by a monotonic time.
 
         A call in progress may be slow, as it brings many rows over a slow link.  The first one that
-        fails shows that the store is out of reach.
+        has no answer shows that the store is out of reach.
         """
-        if self._has_failed:
+        if self._failures >= MAX_FAILURES:
             return False
         return self._is_reading or self._next_read_at() <= by
 
@@ -170,17 +175,21 @@
         self._parts.metrics.count(
             "origin_reads", outcome=type(outcome).__name__, whole=str(is_whole).lower()
         )
-        self._has_failed = not isinstance(outcome, Ok | HistoryLost)
+        took = self._clock.monotonic() - now
+        if isinstance(outcome, Ok | HistoryLost):
+            self._failures = 0
+        else:
+            self._failures += MAX_FAILURES if took >= MIN_SILENCE else 1
         self._parts.log.write(
             "origins_looked_up",
             outcome=type(outcome).__name__,
             whole=is_whole,
             rows=len(outcome.value.rows) if isinstance(outcome, Ok) else None,
-            took_ms=milliseconds(self._clock.monotonic() - now),
+            took_ms=milliseconds(took),
         )
         self._observe_era()
         if not isinstance(outcome, Ok) or now < self._complete_from:
-            if not self._has_failed:
+            if not self._failures:
                 self._position = None
             self._begun_at = None
             return
--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -237,6 +237,20 @@
     play(script)
 
 
+def test_a_call_whose_connection_was_reset_is_made_again():
+    """Guards against refusals by a store that is in reach."""
+
+    async def script(clock, feed, process):
+        feed.put(["s-1"], "v2")
+        feed.is_away, feed.delay = True, seconds(0.05)
+        search = asyncio.ensure_future(process.find("s-1"))
+        await clock.sleep(seconds(0.1))
+        feed.is_away, feed.delay = False, seconds(0.3)
+        assert (await search)[0] == "v2"
+
+    play(script)
+
+
 def test_a_store_that_stops_answering_is_waited_for_by_the_first_callers_only():
     """Guards against callers who all wait for a store that is out of reach."""
 
