--- a/cicadapond/gateway/_shared_rate.py
+++ b/cicadapond/gateway/_shared_rate.py
@@ -7,8 +7,6 @@
 
 from cicadapond.kernel import Clock
 
-ZERO = datetime.timedelta()
-
 
 @attrs.frozen
 class RateShares:
@@ -46,13 +44,17 @@
         self._per_second = per_second
         self._shares = shares
         self._processes = processes
-        # When the calls so far will have been made up for at the lasting rate.
-        self._paid_at = ZERO
+        # How many calls the lasting rate has not made up for yet.  Not kept as a time, as the number
+        # of processes changes.
+        self._debt = 0.0
+        self._counted_at = clock.monotonic()
         self._called_at: datetime.timedelta | None = None
 
     def next_at(self) -> datetime.timedelta:
         """Returns from which monotonic time on the next call is permitted."""
-        permitted = self._paid_at - self._shares.burst * self.interval(self._shares.lasting)
+        self._make_up()
+        missing = self._debt - self._shares.burst
+        permitted = self._clock.monotonic() + missing * self.interval(self._shares.lasting)
         if self._called_at is None:
             return permitted
         return max(permitted, self._called_at + self.interval(self._shares.peak))
@@ -63,7 +65,8 @@
 
     def has_spare(self) -> bool:
         """Returns whether a call now would delay none that is made later."""
-        return self._paid_at <= self._clock.monotonic()
+        self._make_up()
+        return not self._debt
 
     def record_call(self) -> None:
         """Records that a call begins."""
@@ -72,5 +75,11 @@
 
     def record_cost(self, calls: int) -> None:
         """Records that the last call counts as more calls than one."""
-        since = max(self._paid_at, self._clock.monotonic())
-        self._paid_at = since + calls * self.interval(self._shares.lasting)
+        self._make_up()
+        self._debt += calls
+
+    def _make_up(self):
+        now = self._clock.monotonic()
+        made_up = (now - self._counted_at) / self.interval(self._shares.lasting)
+        self._debt = max(0.0, self._debt - made_up)
+        self._counted_at = now
