--- a/cicadapond/gateway/_origin_lookup.py
+++ b/cicadapond/gateway/_origin_lookup.py
@@ -42,6 +42,8 @@
 # connection alone.
 MIN_SILENCE = datetime.timedelta(milliseconds=500)
 MAX_FAILURES = 2
+# After this time without a further failure, the store may be in reach again.
+MAX_FAILURE_AGE = datetime.timedelta(seconds=3)
 # How long a call to the store takes that brings few rows.
 CALL_ALLOWANCE = datetime.timedelta(milliseconds=100)
 # A stream that another process tells of within this time is not looked up.
@@ -87,6 +89,7 @@
         self._is_reading = False
         # How many calls in a row have failed; those without an answer count as all that are borne.
         self._failures = 0
+        self._failed_at = ZERO
         self._rate = SharedRate(
             parts.clock,
             parts.cfg.store_reads_per_second,
@@ -112,7 +115,8 @@
         A call in progress may be slow, as it brings many rows over a slow link.  The first one that
         has no answer shows that the store is out of reach.
         """
-        if self._failures >= MAX_FAILURES:
+        failure_age = self._clock.monotonic() - self._failed_at
+        if self._failures >= MAX_FAILURES and failure_age < MAX_FAILURE_AGE:
             return False
         return self._is_reading or self._next_read_at() <= by
 
@@ -180,6 +184,7 @@
             self._failures = 0
         else:
             self._failures += MAX_FAILURES if took >= MIN_SILENCE else 1
+            self._failed_at = self._clock.monotonic()
         self._parts.log.write(
             "origins_looked_up",
             outcome=type(outcome).__name__,
--- a/cicadapond/gateway/origin_lookup_test.py
+++ b/cicadapond/gateway/origin_lookup_test.py
@@ -251,6 +251,20 @@
     play(script)
 
 
+def test_a_store_that_was_out_of_reach_is_waited_for_again_some_time_later():
+    """Guards against refusals at the first take-ups after a cut."""
+
+    async def script(clock, feed, process):
+        feed.delay, feed.is_away = seconds(0.7), True
+        assert (await process.find("s-0"))[0] is None
+        await clock.sleep(seconds(5))
+        feed.is_away = False
+        feed.put(["s-1"], "v2")
+        assert (await process.find("s-1"))[0] == "v2"
+
+    play(script)
+
+
 def test_a_store_that_stops_answering_is_waited_for_by_the_first_callers_only():
     """Guards against callers who all wait for a store that is out of reach."""
 
