--- a/cicadapond/gateway/_shared_rate.py
+++ b/cicadapond/gateway/_shared_rate.py
@@ -44,8 +44,8 @@
         self._per_second = per_second
         self._shares = shares
         self._processes = processes
-        # How many calls the lasting rate has not made up for yet.  Not kept as a time, as the number
-        # of processes changes.
+        # How many calls the lasting rate has not made up for yet; as a time, it would depend on the
+        # number of processes when they were made.
         self._debt = 0.0
         self._counted_at = clock.monotonic()
         self._called_at: datetime.timedelta | None = None
