--- a/cicadapond/rollout/load_test.py
+++ b/cicadapond/rollout/load_test.py
@@ -6,15 +6,19 @@
 from cicadapond.experiments.rollouts import LOW_RATES, MANY_BAD, Play, draw
 from cicadapond.rollout import Phase
 
-PLAYS, MIN_COMPLETED = 200, 195
+PLAYS = 200
+# Of 200 good versions 195 are completed.  They are played in parts, by the first seed and how many
+# may be missed, as one test with all of them exceeds its time beside other work.
+GOOD_PARTS, PART = ((0, 1), (50, 1), (100, 1), (150, 2)), 50
 LOW_RATE_PLAYS = 100
 # Streams last 0.6 s; they wait for as long, and until the outcome is known.
 STREAM_PLAYS, MAX_HOLD_S = 40, 1.2
 
 
-def misses(is_bad, plays=PLAYS, **ranges):
+def misses(is_bad, plays=PLAYS, first=0, **ranges):
     """Plays all drawn versions; returns what went wrong, by seed."""
-    found = {seed: Play(draw(seed, is_bad, **ranges)).run().faults() for seed in range(plays)}
+    seeds = range(first, first + plays)
+    found = {seed: Play(draw(seed, is_bad, **ranges)).run().faults() for seed in seeds}
     return {seed: faults for seed, faults in found.items() if faults}
 
 
@@ -23,10 +27,11 @@
     assert not misses(is_bad=True)
 
 
-def test_drawn_good_versions_are_completed_in_time():
+@pytest.mark.parametrize(("first", "most"), GOOD_PARTS)
+def test_drawn_good_versions_are_completed_in_time(first, most):
     # Guards against rolling good versions back for noise, cold engines, crashes and reclaims.
-    found = misses(is_bad=False)
-    assert PLAYS - len(found) >= MIN_COMPLETED, found
+    found = misses(is_bad=False, plays=PART, first=first)
+    assert len(found) <= most, found
 
 
 def test_drawn_versions_at_low_rates_are_judged_in_time():
