--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -47,9 +47,8 @@
         self._parts = state.parts
         self._retries = retries
         self._sink = sink
-        # The servers that did not say which start they are, and when the last one was asked.
+        # The servers that did not say which start they are.
         self._unstated: list[ServerEntry] = []
-        self._asked_at = datetime.timedelta()
 
     async def run(self):
         parts = self._parts
@@ -111,7 +110,6 @@
                 break
             if placement is None or state.servers.version is None or parts.start_check is None:
                 return placement, True
-            asked_at = parts.clock.monotonic()
             try:
                 start = await parts.start_check.check(placement.server)
                 state.time_left()
@@ -125,7 +123,6 @@
                 return placement, False
             if start is StartState.UNKNOWN:
                 self._unstated.append(placement.server)
-                self._asked_at = asked_at
             state.servers.exclude_start(placement.server)
             servers = state.servers.candidates()
         return await self._place_unstated(until), True
@@ -135,7 +132,7 @@
         parts, state = self._parts, self._state
         if not self._unstated:
             return None
-        listed = await parts.start_check.listed(self._unstated, self._asked_at, until)
+        listed = await parts.start_check.listed(self._unstated, until)
         self._unstated.clear()
         state.time_left()
         for entry in listed:
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -21,6 +21,8 @@
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=250)
 # How often a server is asked on behalf of streams that have begun there.
 ANSWER_INTERVAL = datetime.timedelta(milliseconds=200)
+# How often a request that waits for the table tries again after a read that failed.
+RETRY_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class StartState(enum.Enum):
@@ -68,15 +70,15 @@
     async def check(self, entry: ServerEntry) -> StartState:
         """Returns whether a request that needs an entry's software may be sent by the entry.
 
-        A server that does not say is taken for the listed start if the table is as new as this
-        call, and no crash of that start is known.
+        A server that does not say is taken for the listed start if the table is of this moment, and
+        no crash of that start is known.
         """
-        parts, begun = self._parts, self._parts.clock.monotonic()
+        parts = self._parts
         if parts.starts.is_just_confirmed(entry):
             return StartState.CONFIRMED
         answer = self._recent_answer(entry) or await self._ask(entry)
         state = answer.state
-        if state is StartState.UNKNOWN and await self.listed((entry,), begun):
+        if state is StartState.UNKNOWN and await self.listed((entry,)):
             state = StartState.CONFIRMED
         parts.metrics.count("start_checks", outcome=state.value)
         if state in (StartState.NOT_REACHED, StartState.SUPERSEDED):
@@ -86,23 +88,27 @@
     async def listed(
         self,
         entries: typing.Sequence[ServerEntry],
-        asked_at: datetime.timedelta,
         until: datetime.timedelta | None = None,
     ) -> list[ServerEntry]:
         """Returns the entries whose starts may be taken for those that answer, by the table.
 
-        A table that is older by less than it takes a server to start again tells as much.
+        A table that is older by less than it takes a server to start again tells as much as one of
+        this moment.
 
         Args:
           entries: Entries of servers that did not say which start they are.
-          asked_at: The monotonic time at which they were asked.
           until: The monotonic time up to which to wait for a read of the table; None to wait for
             one call, if that is permitted.
         """
-        parts, since = self._parts, asked_at - MAX_ANSWER_AGE
-        await parts.refresh_servers(since, until)
-        is_current = parts.registry.is_current_as_of(since)
-        now = parts.clock.now()
+        parts, clock = self._parts, self._parts.clock
+        while True:
+            await parts.refresh_servers(clock.monotonic() - MAX_ANSWER_AGE, until)
+            # A copy that was waited for may be old when it comes.
+            is_current = parts.registry.is_current_as_of(clock.monotonic() - MAX_ANSWER_AGE)
+            if is_current or until is None or clock.monotonic() >= until:
+                break
+            await clock.sleep(RETRY_INTERVAL)
+        now = clock.now()
         found = [
             entry
             for entry in entries
--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -195,7 +195,8 @@
         system.engine("a").is_reporting = False
         (answer,) = await take_up(system, 1, "t-1")
         assert answer.is_complete
-        system.store_links[1].is_cut = True
+        for link in system.store_links:  # the other process would pass its copy on
+            link.is_cut = True
         registry = system.nodes[1].parts.registry
         await system.until(lambda: registry.age() > MAX_ANSWER_AGE)
         (answer,) = await take_up(system, 1, "t-2")
