Tell killed servers by the connections to the others of their service (MIXED)

All engines of a service had been killed, and a stream without a length ended as complete, 5 of 40 events in.

Cause: with no server in reach, the other connections to the same server tell a kill from lost links. The engine had this one stream only, so that its end was taken as sent.

Change: without another connection to the server, those to the other servers of the service tell. If all of them have ended too, the servers were killed together; in a partition they live on.

The test that a stream is whole in a partition that lets connections live on passes.

--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -118,8 +118,8 @@
         self._clock = clock
         self._reaches_others = reaches_others
         self._costs = costs
-        # The connections by which requests are in progress, by server.
-        self._in_use: dict[str, set[ServerConnection]] = {}
+        # The connections by which requests are in progress, with their servers, by service.
+        self._in_use: dict[str, dict[ServerConnection, str]] = {}
 
     async def run(
         self,
@@ -163,8 +163,8 @@
             self._pool.release(server.name, conn)
             return NotSent(reason)
         outcome = None
-        in_use = self._in_use.setdefault(server.name, set())
-        in_use.add(conn)
+        in_use = self._in_use.setdefault(server.service, {})
+        in_use[conn] = server.name
         try:
             outcome = await self._exchange(conn, req, dispatch, sink, silence)
             return outcome
@@ -172,9 +172,9 @@
             conn.reset()
             raise
         finally:
-            in_use.discard(conn)
-            if not in_use and self._in_use.get(server.name) is in_use:
-                del self._in_use[server.name]
+            del in_use[conn]
+            if not in_use and self._in_use.get(server.service) is in_use:
+                del self._in_use[server.service]
             self._record_cost(conn, server, outcome)
 
     def _record_cost(self, conn, server, outcome):
@@ -338,11 +338,17 @@
     async def _is_running(self, server, conn):
         """Returns whether a server goes on after it has ended an answer with its connection.
 
-        A process that has lost its links to all servers can tell only by its other connections to
-        this one, which a process that is killed closes at the same time.  If there are none, it
-        takes the end as sent.
+        A process that has lost its links to all servers can tell only by its other connections.
+        Those to this server end with it if it is killed.  If there are none, those to the other
+        servers of the service tell: if all of them have ended as well, the servers were killed
+        together.  Without any other connection, the end is taken as sent.
         """
-        others = [each for each in self._in_use.get(server.name, ()) if each is not conn]
+        in_use = {
+            each: name
+            for each, name in self._in_use.get(server.service, {}).items()
+            if each is not conn
+        }
+        others = [each for each, name in in_use.items() if name == server.name]
         if await self._pool.is_running(server.name, server.endpoint, CONNECT_TIMEOUT):
             return True
         await self._clock.sleep(CLOSING_TIME)
@@ -350,6 +356,8 @@
             return True
         if others or self._pool.has_just_ended(server.name):
             return False
+        if in_use and not any(each.is_open for each in in_use):
+            return False
         return self._reaches_others is not None and not await self._reaches_others(server)
 
     async def _is_reachable(self, server):
--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -13,12 +13,12 @@
 
 EVENTS, INTERVAL_S = 40, 0.02
 NOTICE_S = 0.5
-STREAMS = 12
+ENGINES, STREAMS = 3, 12
 
 
 def run(check, tmp_path, resumable=True):
     async def main():
-        cfg = FleetSettings(engines=3, services=2, resumable=resumable, moves=True)
+        cfg = FleetSettings(engines=ENGINES, services=2, resumable=resumable, moves=True)
         async with deployment(tmp_path, cfg) as system:
             for engine in system.engines():
                 engine.events, engine.event_interval_s = EVENTS, INTERVAL_S
@@ -111,17 +111,18 @@
     run(check, tmp_path, resumable=False)
 
 
-def test_no_stream_is_whole_when_all_engines_of_its_service_are_killed(tmp_path):
+@pytest.mark.parametrize("streams", [STREAMS, ENGINES])
+def test_no_stream_is_whole_when_all_engines_of_its_service_are_killed(tmp_path, streams):
     """Guards against MIXED: with no engine in reach, ends of killed engines were taken as sent."""
 
     async def check(system):
-        system.fail_next(*[EngineFault.UNFRAMED] * STREAMS)
-        callers = [system.caller() for _ in range(STREAMS)]
+        system.fail_next(*[EngineFault.UNFRAMED] * streams)
+        callers = [system.caller() for _ in range(streams)]
         for number, caller in enumerate(callers):
             await caller.stream(f"s-{number}", x_cicadapond_token_count=f"100,{EVENTS}")
         await system.until(
             lambda: sum(run.events >= 5 for each in system.engines() for run in runs_of(each))
-            == STREAMS
+            == streams
         )
         for server in system.fleet.servers.values():
             await server.stop(resets=False)
