--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -10,7 +10,7 @@
 from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
 from cicadapond.kernel import seconds
-from cicadapond.platform.standin import EngineFault
+from cicadapond.platform.standin import EngineFault, ReportFault
 
 TAKE_UPS = 4
 # Each of so many processes may read the table about once a second for its requests.
@@ -192,7 +192,7 @@
     async def check(system):
         await system.until_joined()
         await begin_stream(system, "s-1")
-        system.engine("a").is_reporting = False
+        system.engine("a").report_fault = ReportFault.SILENT
         (answer,) = await take_up(system, 1, "t-1")
         assert answer.is_complete
         for link in system.store_links:  # the other process would pass its copy on
@@ -205,9 +205,12 @@
     run(check, tmp_path, {"a": "v1"}, processes=2)
 
 
-@pytest.mark.parametrize("down", [(), ("b",)])
+@pytest.mark.parametrize(
+    ("fault", "down"),
+    [*((fault, ()) for fault in ReportFault), (ReportFault.UNSTATED, ("b",))],
+)
 def test_streams_go_on_at_servers_that_state_no_start_beyond_the_reads_of_the_table(
-    tmp_path, monkeypatch, down
+    tmp_path, monkeypatch, fault, down
 ):
     """Guards against LOST: each request needed a read of its own, and was refused without."""
     share = _read_budget.SHARE_OF_READS * 2 / MANY_PROCESSES
@@ -216,7 +219,7 @@
     async def check(system):
         await system.until_joined()
         await begin_stream(system, "s-1")
-        system.engine("a").states_start = False
+        system.engine("a").report_fault = fault
         for name in down:
             await system.fleet.servers[name].stop()
         taken_up = []
--- a/cicadapond/platform/standin/__init__.py
+++ b/cicadapond/platform/standin/__init__.py
@@ -4,7 +4,7 @@
 from cicadapond.platform.standin._cloud import CloudModel, cloud_application
 from cicadapond.platform.standin._endless import EndlessAnswer
 from cicadapond.platform.standin._engine import EngineServer
-from cicadapond.platform.standin._engine_faults import Decline, EngineFault
+from cicadapond.platform.standin._engine_faults import Decline, EngineFault, ReportFault
 from cicadapond.platform.standin._engine_model import EngineModel
 from cicadapond.platform.standin._fleet import STREAM_PREFIX, Fleet, FleetSettings
 from cicadapond.platform.standin._moves import MoveFault
@@ -37,6 +37,7 @@
     "RolloutModel",
     "MoveFault",
     "Pace",
+    "ReportFault",
     "StoreClient",
     "StoreCopy",
     "StoreModel",
--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from cicadapond.platform.standin._engine_faults import EngineFault
+from cicadapond.platform.standin._engine_faults import EngineFault, ReportFault
 from cicadapond.platform.standin._engine_model import EngineModel
 from cicadapond.platform.standin._moves import HANDLE_PATH, MOVE_PATH
 from cicadapond.platform.standin._parts import EVENTS_PATH, LIST_PATH
@@ -29,6 +29,9 @@
 
 # Faults that show in place of a stream as in place of another answer.
 _CUT_HEADS = {EngineFault.CUT_HEAD: b"", EngineFault.CUT_INTERIM: _INTERIM * 2}
+# Longer than gateways wait for a report.
+_REPORT_DELAYS_S = {ReportFault.LATE: 0.4, ReportFault.SILENT: 3600.0}
+_REPORT_STATUSES = {ReportFault.BUSY: 503, ReportFault.LIMITED: 429}
 _PLAIN_FAULTS = (EngineFault.ERROR, EngineFault.GARBAGE, EngineFault.FOREIGN, *_CUT_HEADS)
 
 
@@ -154,8 +157,10 @@
 
     async def _report(self):
         self._model.reports += 1
-        if not self._model.is_reporting:
-            await asyncio.sleep(3600)
+        fault = self._model.report_fault
+        if fault in _REPORT_STATUSES:
+            return self._respond(_REPORT_STATUSES[fault], "", b"", [])
+        await asyncio.sleep(_REPORT_DELAYS_S.get(fault, 0.0))
         return self._respond(200, "", self._model.report(self._born), [])
 
     async def _turns_away(self):
--- a/cicadapond/platform/standin/_engine_faults.py
+++ b/cicadapond/platform/standin/_engine_faults.py
@@ -34,6 +34,16 @@
     ENDLESS_BODY = "the body of the answer, or an event of it, does"
 
 
+class ReportFault(enum.Enum):
+    """A fault of all answers to the question what an engine says of itself."""
+
+    SILENT = "no answer is sent"
+    LATE = "the answer is late"
+    UNSTATED = "the answer does not say when the engine started"
+    BUSY = "the engine has no room to answer"
+    LIMITED = "the engine is asked too often"
+
+
 @attrs.frozen
 class Decline:
     """How an engine answers a request that it has run and declines.
--- a/cicadapond/platform/standin/_engine_model.py
+++ b/cicadapond/platform/standin/_engine_model.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cicadapond.platform.standin._endless import EndlessAnswer
-from cicadapond.platform.standin._engine_faults import Decline, EngineFault
+from cicadapond.platform.standin._engine_faults import Decline, EngineFault, ReportFault
 from cicadapond.platform.standin._moves import EngineMemory
 from cicadapond.platform.standin._parts import EngineParts
 from cicadapond.platform.standin._rollouts import VersionDefect
@@ -46,8 +46,7 @@
       memory: Its memory, from which runs are moved to other engines.
       parts: The prompt parts that it keeps.
       reports: How many reports of itself it was asked for.
-      is_reporting: Whether it answers when it is asked for one.
-      states_start: Whether a report says when it started.
+      report_fault: What is wrong with its reports, None if nothing is.
     """
 
     name: str
@@ -81,8 +80,7 @@
     )
     parts: EngineParts = attrs.field(factory=EngineParts)
     reports: int = 0
-    is_reporting: bool = True
-    states_start: bool = True
+    report_fault: ReportFault | None = None
 
     def report(self, born: int) -> bytes:
         """Returns what it tells of itself.
@@ -91,7 +89,9 @@
           born: When it started, in Unix milliseconds.
         """
         fields = {"phase": "mixed", "models": [], "busy": False, "sequence": 1, "queued": 0}
-        fields |= {"active": self.running} | ({"born": born} if self.states_start else {})
+        fields["active"] = self.running
+        if self.report_fault is not ReportFault.UNSTATED:
+            fields["born"] = born
         return json.dumps(fields).encode()
 
     def ids(self) -> list[str]:
--- a/cicadapond/soak/_partitions.py
+++ b/cicadapond/soak/_partitions.py
@@ -7,6 +7,7 @@
 import tornado.httpclient
 
 from cicadapond.peer.partition import Direction
+from cicadapond.platform.standin import ReportFault
 from cicadapond.soak._deployment import POOL, Deployment
 from cicadapond.soak._plan import Injection
 from cicadapond.soak._proxy import NetworkFault
@@ -111,13 +112,13 @@
         self._record_killed(injection, begin)
 
     async def inject_starts_unstated(self, injection: Injection) -> None:
-        """Makes the engines leave out of their reports when they started."""
+        """Makes the engines not say when they started, in one of several ways."""
         models = [self._deployment.fleet.servers[name].model for name in self._engines()]
         for model in models:
-            model.states_start = False
+            model.report_fault = list(ReportFault)[int(injection.pick * len(ReportFault))]
         await asyncio.sleep(injection.duration)
         for model in models:
-            model.states_start = True
+            model.report_fault = None
 
     def _record_killed(self, injection, begin):
         what, now = injection.fault.name.lower(), self._deployment.now()
