Let a stand-in server that starts again count as down until it listens

A fault of the soak, not of the product.

Change: a server is marked as up once it accepts connections.

--- a/cicadapond/platform/standin/_fleet.py
+++ b/cicadapond/platform/standin/_fleet.py
@@ -128,8 +128,8 @@
         await asyncio.sleep(delay_s)
         server = self.servers[name]
         server.born = round(time.time() * 1000)
-        server.has_crashed = False
         await server.start(self._ports[name])
+        server.has_crashed = False
         self.list_server(name, service)
 
     async def add_server(self, name: str, service: str, **changes) -> EngineModel:
