--- a/cicadapond/soak/_balancer.py
+++ b/cicadapond/soak/_balancer.py
@@ -7,6 +7,8 @@
 READY_POLL_S = 0.25
 READY_TIMEOUT_S = 0.5
 UNREADY_AFTER_MISSES = 2
+# Probes beyond these wait for each other, so that suspended processes make others seem unready.
+MAX_PROBES = 500
 
 
 class Balancer:
@@ -40,7 +42,7 @@
 
     async def run(self) -> None:
         """Probes all processes every `READY_POLL_S` until it is cancelled."""
-        client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        client = tornado.httpclient.AsyncHTTPClient(force_instance=True, max_clients=MAX_PROBES)
         try:
             while True:
                 ports = [(number, readiness) for number, (_, readiness) in self._ports.items()]
