--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -21,8 +21,8 @@
     permit_owners,
     time_until_frame,
 )
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import ResponseHead, ServerEntry
 
 # Where a request waits for a place at a brittle server, it looks again after this time.
 PLACE_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
--- a/cicadapond/advisories/advisories_test.py
+++ b/cicadapond/advisories/advisories_test.py
@@ -11,8 +11,8 @@
 from cicadapond.advisories import Advisory, PauseEvent, ServerAdvisories
 from cicadapond.credits import Ask, AskReply, LoanRequest, Permits, PermitSchedule
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import ResponseHead, ServerEntry
 
 START = ManualClock().now()
 ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8)
--- a/cicadapond/advisories/pauses_test.py
+++ b/cicadapond/advisories/pauses_test.py
@@ -6,8 +6,8 @@
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.advisories._record import MAX_GONE
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import ResponseHead, ServerEntry
 
 ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8, born=7)
 ANSWER = ResponseHead(200, ())
--- a/cicadapond/containment/_traits.py
+++ b/cicadapond/containment/_traits.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from cicadapond.gateway.data import CallerRequest
+from cicadapond.serving import CallerRequest
 
 REQUEST, PROMPT_PART = "request", "part"
 
--- a/cicadapond/containment/crashes_test.py
+++ b/cicadapond/containment/crashes_test.py
@@ -19,8 +19,8 @@
     EVALUATION_INTERVAL,
     FIRST_TRIAL_DELAY,
 )
-from cicadapond.gateway.data import CallerRequest, Generation, PromptPart
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import CallerRequest, Generation, PromptPart
 
 SERVERS = (f"s-{number}/1" for number in itertools.count())
 
--- a/cicadapond/ctl/_configuration_check.py
+++ b/cicadapond/ctl/_configuration_check.py
@@ -6,8 +6,8 @@
 
 from cicadapond.ctl._exit import Exit
 from cicadapond.ctl._output import Output
-from cicadapond.gateway.data import Configuration
 from cicadapond.platform import decode_configuration, field_name
+from cicadapond.serving import Configuration
 from cicadapond.validation import Severity, check_configuration, differences
 
 STANDARD_INPUT = "-"
--- a/cicadapond/evacuation/_notices.py
+++ b/cicadapond/evacuation/_notices.py
@@ -5,8 +5,8 @@
 
 import datetime
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import ServerEntry
 
 
 class LeavingNotices:
--- a/cicadapond/evacuation/_planner.py
+++ b/cicadapond/evacuation/_planner.py
@@ -13,7 +13,7 @@
 import attrs
 
 from cicadapond.evacuation._transfer import TransferTimes
-from cicadapond.gateway.data import MemoryMoves, ServerEntry
+from cicadapond.serving import MemoryMoves, ServerEntry
 
 # Moves that one process has in progress: in total, and on the link of one engine.  A link takes one
 # transfer after another and a moved stream is silent while it waits for its turn, so more of them
--- a/cicadapond/evacuation/_transfer.py
+++ b/cicadapond/evacuation/_transfer.py
@@ -6,7 +6,7 @@
 
 import datetime
 
-from cicadapond.gateway.data import MemoryMoves
+from cicadapond.serving import MemoryMoves
 
 # Between data centres memory takes this many times as long (platform protocol).
 OTHER_ZONE_FACTOR = 2.0
--- a/cicadapond/evacuation/wave_test.py
+++ b/cicadapond/evacuation/wave_test.py
@@ -18,8 +18,8 @@
     RunningStream,
     TransferTimes,
 )
-from cicadapond.gateway.data import MemoryMoves, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import MemoryMoves, ServerEntry
 
 MOVES = MemoryMoves(token_bytes=100_000, bandwidth_mbps=800_000, event_tokens=7)
 SLOTS, STREAMS_PER_ENGINE, TOKENS, SIZE = 64, 16, 12_000, 12_400
--- a/cicadapond/experiments/_load_world.py
+++ b/cicadapond/experiments/_load_world.py
@@ -15,10 +15,10 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.experiments._virtual_engine import EngineFigures, Run, VirtualEngine
-from cicadapond.gateway.data import Generation, PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock
 from cicadapond.kernel import seconds as in_seconds
 from cicadapond.placing import EngineWork, Placer
+from cicadapond.serving import Generation, PromptPart, ServerEntry
 
 ZONES = ("a", "b", "c")
 DIGEST_INTERVAL_MS, DIGEST_DELAY_MS = 500.0, 250.0
--- a/cicadapond/experiments/_orders_world.py
+++ b/cicadapond/experiments/_orders_world.py
@@ -13,10 +13,9 @@
 import attrs
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway import ServerOrder
-from cicadapond.gateway.data import EngineLimits, Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.scaling import Demand, DemandMeter, Waiting
+from cicadapond.serving import EngineLimits, Scaling, ServerEntry, ServerOrder, Service
 
 ZONES = ("a", "b", "c")
 BOOT_S = 4.0
--- a/cicadapond/experiments/_virtual_engine.py
+++ b/cicadapond/experiments/_virtual_engine.py
@@ -14,8 +14,8 @@
 
 import attrs
 
-from cicadapond.gateway.data import Generation, LoadHeader
 from cicadapond.placing import PrefixCacheModel
+from cicadapond.serving import Generation, LoadHeader
 
 # Tokens of a prompt that one step prefills, and how much each generating request lengthens it.
 CHUNK_TOKENS = 512
--- a/cicadapond/experiments/chunks.py
+++ b/cicadapond/experiments/chunks.py
@@ -9,10 +9,16 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
-from cicadapond.forwarding import Attempt, Broken, ConnectionPool, ResponseSink, SilenceTimeouts
-from cicadapond.gateway import HeaderCodec
-from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
+from cicadapond.forwarding import (
+    Attempt,
+    Broken,
+    ConnectionPool,
+    HeaderCodec,
+    ResponseSink,
+    SilenceTimeouts,
+)
 from cicadapond.kernel import LoopClock, Metrics, seconds
+from cicadapond.serving import CallerRequest, Dispatch, ResponseHead, ServerEntry
 
 CHUNK_BYTES = (1, 16, 4096)
 SENT_BYTES = (64_000, 160_000, 640_000)
--- a/cicadapond/experiments/decisions.py
+++ b/cicadapond/experiments/decisions.py
@@ -14,19 +14,6 @@
 from cicadapond.containment import Crash, Successes, find_culprits, traits_of
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
-from cicadapond.gateway.data import (
-    CallerRequest,
-    ClientAccount,
-    Configuration,
-    Generation,
-    PromptPart,
-    RequestLimits,
-    ResponseHead,
-    Route,
-    RouteKind,
-    ServerEntry,
-    WeightedService,
-)
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import EngineWork, Placer, ServerHealth
 from cicadapond.quotas import SPENDING_WINDOW, QuotaShares
@@ -39,6 +26,19 @@
     part_hash,
 )
 from cicadapond.routes import ActiveConfiguration
+from cicadapond.serving import (
+    CallerRequest,
+    ClientAccount,
+    Configuration,
+    Generation,
+    PromptPart,
+    RequestLimits,
+    ResponseHead,
+    Route,
+    RouteKind,
+    ServerEntry,
+    WeightedService,
+)
 from cicadapond.usage import UsageWindows
 
 # (processes, engines): the users' deployments today, after their growth, and the target size.
--- a/cicadapond/experiments/rollouts.py
+++ b/cicadapond/experiments/rollouts.py
@@ -14,7 +14,6 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.rollout import (
     ExposureBounds,
@@ -26,6 +25,7 @@
     next_state,
 )
 from cicadapond.rollout._evidence import add_totals
+from cicadapond.serving import ServerEntry
 
 SERVICE, OLD, NEW = "chat", "v1", "v2"
 BOUNDS = ExposureBounds()
--- a/cicadapond/experiments/zones.py
+++ b/cicadapond/experiments/zones.py
@@ -15,10 +15,10 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
-from cicadapond.gateway.data import Generation, LoadHeader, PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import EngineWork, Placer
 from cicadapond.scaling import Demand, DemandMeter
+from cicadapond.serving import Generation, LoadHeader, PromptPart, ServerEntry
 from cicadapond.zones import ZoneCosts, ZoneLoad
 
 ZONES = ("a", "b", "c")
--- a/cicadapond/forwarding/__init__.py
+++ b/cicadapond/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from cicadapond.forwarding._client import Expired, HttpClient, NoConnection, Reply, ReplyLost
 from cicadapond.forwarding._connection import BrokenResponseError, ServerConnection
 from cicadapond.forwarding._events import Event, EventSplitter
+from cicadapond.forwarding._header_codec import HeaderCodec, Headers, Malformed
 from cicadapond.forwarding._outcome import Broken, NotSent, Outcome, Refused, StreamWhole, Whole
 from cicadapond.forwarding._pool import ConnectionPool
 from cicadapond.forwarding._retry_limiter import RetryLimiter
@@ -27,6 +28,9 @@
     "ChannelClosedError",
     "ConnectionPool",
     "Event",
+    "HeaderCodec",
+    "Headers",
+    "Malformed",
     "EventSplitter",
     "Expired",
     "HttpClient",
--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -11,11 +11,11 @@
 
 from cicadapond.forwarding._connection import BrokenResponseError, ServerConnection
 from cicadapond.forwarding._events import Event, EventSplitter
+from cicadapond.forwarding._header_codec import HeaderCodec
 from cicadapond.forwarding._outcome import Broken, NotSent, Outcome, Refused, StreamWhole, Whole
 from cicadapond.forwarding._pool import CLOSING_TIME, ConnectionPool
-from cicadapond.gateway import HeaderCodec
-from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead, ServerEntry
 from cicadapond.kernel import Clock, late_timeout
+from cicadapond.serving import CallerRequest, Dispatch, ResponseHead, ServerEntry
 
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
 # down or unreachable.
--- a/cicadapond/gateway/_header_codec.py
+++ b/cicadapond/forwarding/_header_codec.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cicadapond.gateway.data import CallerRequest, Dispatch, ResponseHead
+from cicadapond.serving import CallerRequest, Dispatch, ResponseHead
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 
--- a/cicadapond/forwarding/_outcome.py
+++ b/cicadapond/forwarding/_outcome.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cicadapond.gateway.data import ResponseHead
+from cicadapond.serving import ResponseHead
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cicadapond/forwarding/cut_answer_test.py
+++ b/cicadapond/forwarding/cut_answer_test.py
@@ -17,9 +17,9 @@
     StreamWhole,
     Whole,
 )
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 HEADERS = ((b"host", b"h"),)
 OWN = b"HTTP/1.1 200 OK\r\nX-Cicadapond-Attempt-Id: r-1\r\nX-Cicadapond-Response-Signature: s\r\n"
--- a/cicadapond/forwarding/early_answer_test.py
+++ b/cicadapond/forwarding/early_answer_test.py
@@ -20,9 +20,9 @@
     Whole,
 )
 from cicadapond.forwarding.cut_answer_test import EVENTS, HEADERS, OWN, STREAM, Events
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 KB = 1024
 READ_FIRST = 20 * KB
--- a/cicadapond/forwarding/endless_answer_test.py
+++ b/cicadapond/forwarding/endless_answer_test.py
@@ -19,9 +19,9 @@
     SilenceTimeouts,
     Whole,
 )
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import STEPS_PER_TURN, LoopClock, Metrics, _processor_share, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 OWN = b"HTTP/1.1 200 OK\r\nX-Cicadapond-Attempt-Id: r-1\r\nX-Cicadapond-Response-Signature: s\r\n"
 STREAM = OWN + b"Content-Type: text/event-stream\r\n"
--- a/cicadapond/forwarding/given_up_test.py
+++ b/cicadapond/forwarding/given_up_test.py
@@ -7,9 +7,9 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Attempt, Broken, ConnectionPool, SilenceTimeouts
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 # More than the server's buffer holds, and less than the buffers of both ends.
 BODY = b"x" * 400_000
--- a/cicadapond/forwarding/late_loop_test.py
+++ b/cicadapond/forwarding/late_loop_test.py
@@ -9,9 +9,9 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Attempt, ConnectionPool, SilenceTimeouts, StreamWhole, Whole
 from cicadapond.forwarding.cut_answer_test import CHUNKED, FRAMED, HEADERS, STREAM, Events
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 TIMEOUT_S = 0.1
 HEAD = STREAM + CHUNKED
--- a/cicadapond/forwarding/memory_bound_test.py
+++ b/cicadapond/forwarding/memory_bound_test.py
@@ -19,10 +19,10 @@
     Whole,
 )
 from cicadapond.forwarding.endless_answer_test import CHUNKED, OWN, STREAM, Sink
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.memory import Kind, MemoryBudget
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 BOUND_BYTES = 6 * 1024 * 1024
 # The stand-ins' buffers, and copies of what one connection holds.
--- a/cicadapond/forwarding/repeated_refusal_test.py
+++ b/cicadapond/forwarding/repeated_refusal_test.py
@@ -15,9 +15,9 @@
     SilenceTimeouts,
     Whole,
 )
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 HEADERS = ((b"host", b"h"),)
 
--- a/cicadapond/gateway/__init__.py
+++ b/cicadapond/gateway/__init__.py
@@ -1,6 +1,6 @@
 """The gateway: forwards callers' requests to backend servers over the platform's protocols."""
 
-from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
+from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.gateway._engine_calls import (
     AnotherServer,
     EngineCalls,
@@ -12,7 +12,6 @@
     NotReached,
     StatedStart,
 )
-from cicadapond.gateway._header_codec import HeaderCodec, Malformed
 from cicadapond.gateway._rollout_codec import RolloutCodec
 
 __all__ = [
@@ -20,16 +19,13 @@
     "Cloud",
     "Declined",
     "EngineCalls",
-    "HeaderCodec",
     "Holder",
     "KeptAtSource",
-    "Malformed",
     "MoveDeclined",
     "MoveResult",
     "MoveUnknown",
     "Moved",
     "NotReached",
     "RolloutCodec",
-    "ServerOrder",
     "StatedStart",
 ]
--- a/cicadapond/gateway/_adapters.py
+++ b/cicadapond/gateway/_adapters.py
@@ -4,10 +4,9 @@
 
 import attrs
 
-from cicadapond.forwarding import ConnectionPool
+from cicadapond.forwarding import ConnectionPool, HeaderCodec
 from cicadapond.gateway._cloud import Cloud
 from cicadapond.gateway._engine_calls import EngineCalls
-from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._rollout_codec import RolloutCodec
 from cicadapond.kernel import Metrics, ProcessorShare
 from cicadapond.memory import CallerSlots, MemoryBudget
--- a/cicadapond/gateway/_caller_requests.py
+++ b/cicadapond/gateway/_caller_requests.py
@@ -7,7 +7,7 @@
 import h11
 
 from cicadapond.forwarding import ChannelClosedError
-from cicadapond.gateway.data import RequestLimits
+from cicadapond.serving import RequestLimits
 
 if typing.TYPE_CHECKING:
     from cicadapond.gateway._caller import Reply
--- a/cicadapond/gateway/_cloud.py
+++ b/cicadapond/gateway/_cloud.py
@@ -8,6 +8,7 @@
 import attrs
 
 from cicadapond.kernel import AnswerLost, Ok, Unavailable
+from cicadapond.serving import ServerOrder
 
 
 @attrs.frozen
@@ -22,16 +23,6 @@
     until: datetime.timedelta | None = None
 
 
-@attrs.frozen(order=True)
-class ServerOrder:
-    """How many servers of one kind a service is to have in a data centre."""
-
-    service: str
-    zone: str
-    reclaimable: bool
-    count: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
     """The platform declined the call: a newer holder has called, or no servers are available."""
--- a/cicadapond/gateway/_configuration_keeper.py
+++ b/cicadapond/gateway/_configuration_keeper.py
@@ -14,9 +14,9 @@
 
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import Configuration
 from cicadapond.kernel import Task
 from cicadapond.provider import ChangeFeed, era_of
+from cicadapond.serving import Configuration
 
 TOPIC = "configuration"
 STEP_INTERVAL = datetime.timedelta(milliseconds=200)
--- a/cicadapond/gateway/_continuing.py
+++ b/cicadapond/gateway/_continuing.py
@@ -6,7 +6,7 @@
 from cicadapond.gateway._engine_calls import KeptAtSource, Moved, MoveDeclined
 from cicadapond.gateway._request import RequestState
 from cicadapond.gateway._sending import Sending
-from cicadapond.gateway.data import MemoryHandle
+from cicadapond.serving import MemoryHandle
 
 
 class Continuing:
--- a/cicadapond/gateway/_costly_servers.py
+++ b/cicadapond/gateway/_costly_servers.py
@@ -12,9 +12,9 @@
 
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import AnswerCosts
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock, Metrics, doubled
 from cicadapond.placing import ServerHealth
+from cicadapond.serving import ServerEntry
 
 # A server is left out for longer after each costly answer, up to the longest time; then its next
 # answer shows whether it is sound again.  Each process adds up to the same time again, so that the
--- a/cicadapond/gateway/_crash_check.py
+++ b/cicadapond/gateway/_crash_check.py
@@ -3,8 +3,8 @@
 import datetime
 
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import TaskGroup
+from cicadapond.serving import ServerEntry
 
 CRASH_CHECK_DELAY = datetime.timedelta(milliseconds=60)
 CRASH_CHECK_TIMEOUT = datetime.timedelta(milliseconds=500)
--- a/cicadapond/gateway/_crash_watch.py
+++ b/cicadapond/gateway/_crash_watch.py
@@ -3,8 +3,8 @@
 import datetime
 
 from cicadapond.containment import CrashTracker, traits_of
-from cicadapond.gateway.data import CallerRequest, ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import CallerRequest, ServerEntry
 
 # What crashes servers does so when its answer begins: a server that has written an answer for this
 # long was not crashed by its request.
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -12,7 +12,7 @@
 from cicadapond.continuation import UNKNOWN_VERSION
 from cicadapond.gateway._origin_lookup import ORIGIN_POLL_INTERVAL, OriginSearch
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import ServerEntry
+from cicadapond.serving import ServerEntry
 
 # Retry-After if no server accepts requests and none says when it will.
 UNKNOWN_RETRY_AFTER = datetime.timedelta(seconds=1)
--- a/cicadapond/gateway/_engine_calls.py
+++ b/cicadapond/gateway/_engine_calls.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cicadapond.gateway.data import ServerEntry
+from cicadapond.serving import ServerEntry
 
 
 @attrs.frozen
--- a/cicadapond/gateway/_evaluation.py
+++ b/cicadapond/gateway/_evaluation.py
@@ -3,7 +3,7 @@
 from cicadapond.forwarding import Broken, NotSent, Refused, StreamWhole, Whole
 from cicadapond.gateway._request import RequestState
 from cicadapond.gateway._retries import Retries
-from cicadapond.gateway.data import RouteKind
+from cicadapond.serving import RouteKind
 
 
 class Evaluation:
--- a/cicadapond/gateway/_front.py
+++ b/cicadapond/gateway/_front.py
@@ -4,11 +4,10 @@
 import datetime
 import socket
 
-from cicadapond.forwarding import ChannelClosedError
+from cicadapond.forwarding import ChannelClosedError, Malformed
 from cicadapond.gateway._caller import CallerConnection, Reply
 from cicadapond.gateway._caller_requests import ReceivedRequest, RequestError, RequestHandler
 from cicadapond.gateway._final_answer import send_local_answer
-from cicadapond.gateway._header_codec import Malformed
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._relay_protocol import PassedOn
 from cicadapond.gateway._retries import (
@@ -18,9 +17,9 @@
 )
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._waits import WaitTimes
-from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import FreeWork, raised_at
 from cicadapond.routes import Admitted, BadKey, NoRoute, NotReady
+from cicadapond.serving import RequestLimits
 
 # What the system keeps until it is accepted; beyond it callers try again after seconds.
 LISTEN_BACKLOG = 4096
--- a/cicadapond/gateway/_links.py
+++ b/cicadapond/gateway/_links.py
@@ -7,9 +7,9 @@
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import ConnectionPool
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.placing import ServerHealth, ServiceReach
+from cicadapond.serving import ServerEntry
 
 # While a service is out of reach, servers are tried this often, a few at a time.
 PROBE_INTERVAL = datetime.timedelta(milliseconds=400)
--- a/cicadapond/gateway/_malformed_answers.py
+++ b/cicadapond/gateway/_malformed_answers.py
@@ -4,8 +4,8 @@
 
 from cicadapond.eventlog import EventLog
 from cicadapond.forwarding import Outcome
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock, Metrics
+from cicadapond.serving import ServerEntry
 
 # Each start of a server has at most one line in this time.
 LOG_INTERVAL = datetime.timedelta(seconds=1)
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -46,7 +46,7 @@
 from cicadapond.gateway._tables import ConfigurationTable, ServerTable
 from cicadapond.gateway._time import TrueClock
 from cicadapond.gateway._zone_flows import ZoneFlowTask
-from cicadapond.gateway.data import GatewaySettings, ResidencyUse, ZoneCostUse
+from cicadapond.gateway.settings import GatewaySettings, ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics, TaskGroup, raised_at
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.memory import Kind
--- a/cicadapond/gateway/_orders.py
+++ b/cicadapond/gateway/_orders.py
@@ -5,13 +5,13 @@
 import typing
 
 from cicadapond.eventlog import EventLog
-from cicadapond.gateway._cloud import Cloud, Declined, Holder, ServerOrder
+from cicadapond.gateway._cloud import Cloud, Declined, Holder
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock, Metrics, Ok
 from cicadapond.lease import LeaseTask
 from cicadapond.scaling import CapacityPlanner, Listed, OrderBook, Outcome, Waiting, total
+from cicadapond.serving import ServerEntry, ServerOrder, Service
 
 # The objective of a service that no route leads to; nothing is asked of it.
 DEFAULT_OBJECTIVE = datetime.timedelta(seconds=1)
--- a/cicadapond/gateway/_parts.py
+++ b/cicadapond/gateway/_parts.py
@@ -10,9 +10,8 @@
 from cicadapond.containment import CrashTracker
 from cicadapond.continuation import StreamOrigins, VersionHistory
 from cicadapond.eventlog import EventLog
-from cicadapond.forwarding import Attempt, ConnectionPool, RetryLimiter
+from cicadapond.forwarding import Attempt, ConnectionPool, HeaderCodec, RetryLimiter
 from cicadapond.gateway._costly_servers import CostlyServers
-from cicadapond.gateway._header_codec import HeaderCodec
 from cicadapond.gateway._links import ServerLinks
 from cicadapond.gateway._malformed_answers import MalformedAnswers
 from cicadapond.gateway._relay import Relay
@@ -20,13 +19,14 @@
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._starts import ServerStarts
 from cicadapond.gateway._stream_moves import StreamMoves
-from cicadapond.gateway.data import GatewaySettings, ServerEntry
+from cicadapond.gateway.settings import GatewaySettings
 from cicadapond.kernel import Clock, Metrics, ProcessorShare
 from cicadapond.memory import CallerSlots, MemoryBudget
 from cicadapond.placing import Placer, ServerHealth
 from cicadapond.quotas import QuotaShares
 from cicadapond.routes import ActiveConfiguration
 from cicadapond.scaling import DemandMeter
+from cicadapond.serving import ServerEntry
 from cicadapond.usage import StoredCounts, UsageWindows
 
 if typing.TYPE_CHECKING:
--- a/cicadapond/gateway/_passing_on.py
+++ b/cicadapond/gateway/_passing_on.py
@@ -7,7 +7,7 @@
 from cicadapond.gateway._relay_protocol import AMBIGUOUS_STATUSES
 from cicadapond.gateway._request import MIN_TIME_LEFT, DeadlineExceededError, RequestState
 from cicadapond.gateway._retries import Retries
-from cicadapond.gateway.data import Dispatch
+from cicadapond.serving import Dispatch
 
 # After so many servers in a row to which it got no connection, a request is passed on.
 MIN_FAILED_SERVERS = 2
--- a/cicadapond/gateway/_quota_grants.py
+++ b/cicadapond/gateway/_quota_grants.py
@@ -9,9 +9,9 @@
 
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._cluster import Cluster
-from cicadapond.gateway.data import ClientAccount
 from cicadapond.kernel import Clock, Metrics
 from cicadapond.quotas import GrantPart, QuotaShares, Use, coordinators, parts_of
+from cicadapond.serving import ClientAccount
 
 TOPIC = "quota"
 # A call is given up after this multiple of what answers usually take, within bounds: they take some
--- a/cicadapond/gateway/_relay.py
+++ b/cicadapond/gateway/_relay.py
@@ -11,11 +11,10 @@
 import attrs
 
 from cicadapond.data import Endpoint
-from cicadapond.forwarding import Attempt, ConnectionPool
-from cicadapond.gateway._header_codec import HeaderCodec
+from cicadapond.forwarding import Attempt, ConnectionPool, HeaderCodec
 from cicadapond.gateway._relay_protocol import STATEMENT_HEADER, RelayStatement, request_headers
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import ServerEntry
 
 # A request is passed on to at most so many processes.
 MAX_RELAYS = 2
--- a/cicadapond/gateway/_relay_protocol.py
+++ b/cicadapond/gateway/_relay_protocol.py
@@ -13,9 +13,9 @@
 
 import attrs
 
-from cicadapond.gateway._header_codec import Headers
-from cicadapond.gateway.data import ResponseHead, Route
+from cicadapond.forwarding import Headers
 from cicadapond.routes import choose_service
+from cicadapond.serving import ResponseHead, Route
 
 # How many attempts at servers are left to the other process.
 ATTEMPTS_HEADER = b"relay-attempts"
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -11,9 +11,9 @@
 from cicadapond.gateway._rollout_gate import AttemptObserver
 from cicadapond.gateway._stream_moves import RelayedStream
 from cicadapond.gateway._waits import WaitTimes, milliseconds
-from cicadapond.gateway.data import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 from cicadapond.placing import InFlightRequest
 from cicadapond.routes import choose_service
+from cicadapond.serving import CallerRequest, ClientAccount, Route, RouteKind, ServerEntry
 
 # With less time left than this, no server could respond.
 MIN_TIME_LEFT = datetime.timedelta(milliseconds=5)
--- a/cicadapond/gateway/_residency.py
+++ b/cicadapond/gateway/_residency.py
@@ -15,7 +15,7 @@
 from cicadapond.eventlog import EventLog
 from cicadapond.gateway._digest_pace import held_parts_rate
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import EngineLimits, GatewaySettings, ResidencyUse, ServerEntry
+from cicadapond.gateway.settings import GatewaySettings, ResidencyUse
 from cicadapond.kernel import Clock, Metrics, TaskGroup, seconds
 from cicadapond.residency import (
     CallsExceeded,
@@ -32,6 +32,7 @@
     SharedParts,
     WatchPlan,
 )
+from cicadapond.serving import EngineLimits, ServerEntry
 
 UPDATE_INTERVAL = seconds(0.5)
 # The time between two calls to an engine.  With 2 s in place of 1 s, 7% more shared tokens were
--- a/cicadapond/gateway/_rollout_gate.py
+++ b/cicadapond/gateway/_rollout_gate.py
@@ -5,9 +5,8 @@
 import typing
 
 from cicadapond.advisories import Advisory
-from cicadapond.gateway._cloud import ServerOrder
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.placing import Placement
+from cicadapond.serving import ServerEntry, ServerOrder
 
 Servers = typing.Sequence[ServerEntry]
 
--- a/cicadapond/gateway/_rollout_holds.py
+++ b/cicadapond/gateway/_rollout_holds.py
@@ -9,8 +9,8 @@
 import typing
 
 from cicadapond.advisories import Advisory
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import ServerEntry
 
 # Limits in requests per second that no server states.  Earlier builds take the first one for their
 # lowest, a request in four seconds of all processes together; the second one ends it.
--- a/cicadapond/gateway/_rollout_observer.py
+++ b/cicadapond/gateway/_rollout_observer.py
@@ -12,10 +12,10 @@
 from cicadapond.forwarding import Broken, StreamWhole, Whole
 from cicadapond.gateway._rollout_baseline import Baseline
 from cicadapond.gateway._rollout_gate import AttemptObserver
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.placing import Placement
 from cicadapond.rollout import Observation
+from cicadapond.serving import ServerEntry
 
 # A response that has taken so many times as long as expected is told at once.
 EARLY_SLOWNESS = 3.0
--- a/cicadapond/gateway/_run.py
+++ b/cicadapond/gateway/_run.py
@@ -26,8 +26,8 @@
 from cicadapond.gateway._retries import SHORT_RETRY_AFTER, Retries
 from cicadapond.gateway._sending import Sending
 from cicadapond.gateway._waits import WaitTimes
-from cicadapond.gateway.data import CallerRequest, ClientAccount, Route
 from cicadapond.kernel import NotRun
+from cicadapond.serving import CallerRequest, ClientAccount, Route
 
 # Server selections per request, including those after which nothing was sent.
 MAX_SERVER_CHOICES = 5
--- a/cicadapond/gateway/_sending.py
+++ b/cicadapond/gateway/_sending.py
@@ -15,10 +15,10 @@
 from cicadapond.gateway._retries import Retries
 from cicadapond.gateway._start_check import StartState
 from cicadapond.gateway._stream_moves import RelayedStream
-from cicadapond.gateway.data import Dispatch, MemoryHandle, RouteKind, ServerEntry
 from cicadapond.kernel import NotRun
 from cicadapond.placing import LONG_PREFILL_MS, should_hold
 from cicadapond.queueing import Decision
+from cicadapond.serving import Dispatch, MemoryHandle, RouteKind, ServerEntry
 
 # Interval at which a held request checks again for a server that can respond in time.
 HOLD_POLL_INTERVAL = datetime.timedelta(milliseconds=40)
--- a/cicadapond/gateway/_servers.py
+++ b/cicadapond/gateway/_servers.py
@@ -6,9 +6,9 @@
 import attrs
 
 from cicadapond.continuation import ORIGIN_RETENTION
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.provider import era_of
+from cicadapond.serving import ServerEntry
 
 # After an outage of the store, running servers whose entries expired are listed again within two
 # seconds.
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -15,8 +15,8 @@
 from cicadapond.gateway._parts import Parts
 from cicadapond.gateway._request import milliseconds
 from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_STATED
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import TaskGroup
+from cicadapond.serving import ServerEntry
 
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=250)
 # How often a server is asked on behalf of streams that have begun there.
--- a/cicadapond/gateway/_starts.py
+++ b/cicadapond/gateway/_starts.py
@@ -10,8 +10,8 @@
 
 from cicadapond.containment import CrashTracker
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import ServerEntry
 
 # A server's entry is written within this time of its first answer.
 MAX_LISTING_DELAY = datetime.timedelta(seconds=2)
--- a/cicadapond/gateway/_stream_moves.py
+++ b/cicadapond/gateway/_stream_moves.py
@@ -8,8 +8,8 @@
 import attrs
 
 from cicadapond.gateway._engine_calls import MoveResult
-from cicadapond.gateway.data import EngineLimits, Generation, MemoryMoves, ServerEntry
 from cicadapond.kernel import Clock
+from cicadapond.serving import EngineLimits, Generation, MemoryMoves, ServerEntry
 
 
 @attrs.define(eq=False)
--- a/cicadapond/gateway/_zone_flows.py
+++ b/cicadapond/gateway/_zone_flows.py
@@ -5,7 +5,7 @@
 from cicadapond.gateway._cluster import Cluster
 from cicadapond.gateway._orders import slots_per_server
 from cicadapond.gateway._parts import Parts
-from cicadapond.gateway.data import ZoneCostUse
+from cicadapond.gateway.settings import ZoneCostUse
 from cicadapond.kernel import Task, seconds
 from cicadapond.zones import ZoneCosts, ZoneLoad
 
--- a/cicadapond/gateway/caller_limits_test.py
+++ b/cicadapond/gateway/caller_limits_test.py
@@ -8,9 +8,9 @@
 
 from cicadapond.gateway._caller import CallerConnection
 from cicadapond.gateway._caller_requests import RequestHandler
-from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import LoopClock, seconds
 from cicadapond.memory import CallerSlots, CallerState, Kind, MemoryBudget
+from cicadapond.serving import RequestLimits
 
 KB = 1024
 HEAD = b"POST /x HTTP/1.1\r\nhost: h\r\n"
--- a/cicadapond/gateway/configuration_keeper_test.py
+++ b/cicadapond/gateway/configuration_keeper_test.py
@@ -8,11 +8,11 @@
 
 from cicadapond.gateway._configuration_keeper import HEARING_TIME, ConfigurationKeeper
 from cicadapond.gateway._tables import ConfigurationTable
-from cicadapond.gateway.data import CallerRequest
 from cicadapond.gateway.follow_test import CURRENT_FOR, REVOCATION, Log, configuration
 from cicadapond.kernel import VirtualClock, run_virtual, seconds
 from cicadapond.provider import ChangeFeed, Changes, RawRow, version_in_era
 from cicadapond.routes import ActiveConfiguration
+from cicadapond.serving import CallerRequest
 
 SETTLE_TIME = seconds(0.7)
 HEARD_AFTER = SETTLE_TIME + HEARING_TIME + seconds(0.4)
--- a/cicadapond/gateway/costly_servers_test.py
+++ b/cicadapond/gateway/costly_servers_test.py
@@ -14,9 +14,9 @@
     CostlyServers,
 )
 from cicadapond.gateway._reports import Report, read_report
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.placing import ServerHealth
+from cicadapond.serving import ServerEntry
 
 COST = seconds(0.01)
 COSTLY, SOUND = (ServerEntry(name, "pool", Endpoint("::1", 1), "z", 8, born=7) for name in "ab")
--- a/cicadapond/gateway/crash_check_test.py
+++ b/cicadapond/gateway/crash_check_test.py
@@ -7,8 +7,8 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.gateway._crash_check import CrashCheck
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import TaskGroup, VirtualClock, run_virtual
+from cicadapond.serving import ServerEntry
 
 EARLIER = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8, born=100)
 RESTARTED = attrs.evolve(EARLIER, born=200)
--- a/cicadapond/gateway/duties_test.py
+++ b/cicadapond/gateway/duties_test.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from cicadapond.gateway import Cloud, Declined, ServerOrder
+from cicadapond.gateway import Cloud, Declined
 from cicadapond.gateway._duties import (
     DutyTask,
     UsageReporter,
@@ -26,6 +26,7 @@
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.provider import Write
 from cicadapond.scaling import Listed
+from cicadapond.serving import ServerOrder
 from cicadapond.standin import DirectTables, TableModel
 from cicadapond.usage import StoredCounts, UsageLedger, UsageWindows
 
--- a/cicadapond/gateway/eligible_test.py
+++ b/cicadapond/gateway/eligible_test.py
@@ -5,8 +5,8 @@
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.data import Endpoint
 from cicadapond.gateway._eligible import EligibleServers
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import ResponseHead, ServerEntry
 
 ENTRY = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8)
 
--- a/cicadapond/gateway/follow_test.py
+++ b/cicadapond/gateway/follow_test.py
@@ -17,15 +17,6 @@
 )
 from cicadapond.gateway._read_budget import MAX_BURST, ReadBudget
 from cicadapond.gateway._time import StoreClock
-from cicadapond.gateway.data import (
-    CallerRequest,
-    ClientAccount,
-    Configuration,
-    RequestLimits,
-    Route,
-    RouteKind,
-    WeightedService,
-)
 from cicadapond.kernel import (
     ManualClock,
     Metrics,
@@ -37,6 +28,15 @@
 )
 from cicadapond.provider import ChangeFeed, Changes, HistoryLost, RawRow
 from cicadapond.routes import ActiveConfiguration
+from cicadapond.serving import (
+    CallerRequest,
+    ClientAccount,
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    WeightedService,
+)
 
 ANSWER_DELAY = seconds(0.02)
 REVOCATION = seconds(5)
--- a/cicadapond/gateway/harness.py
+++ b/cicadapond/gateway/harness.py
@@ -13,7 +13,7 @@
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.data import ResidencyUse
+from cicadapond.gateway.settings import ResidencyUse
 from cicadapond.kernel import Metrics
 from cicadapond.peer.partition import Partition, PartitionedTransport
 from cicadapond.platform import PlatformStore, read_settings
--- a/cicadapond/gateway/late_loop_test.py
+++ b/cicadapond/gateway/late_loop_test.py
@@ -6,9 +6,9 @@
 import pytest
 
 from cicadapond.gateway._caller import CallerConnection
-from cicadapond.gateway.data import RequestLimits
 from cicadapond.gateway.upload_test import BODY_BYTES, HEAD, Handler
 from cicadapond.kernel import LoopClock, seconds
+from cicadapond.serving import RequestLimits
 
 TIMEOUT_S = 0.1
 REQUEST = HEAD + b"1\r\na\r\n0\r\n\r\n"
--- a/cicadapond/gateway/limits_test.py
+++ b/cicadapond/gateway/limits_test.py
@@ -16,7 +16,14 @@
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._starts import ServerStarts
-from cicadapond.gateway.data import (
+from cicadapond.gateway.run_test import Log, Reply
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import ActiveConfiguration
+from cicadapond.scaling import DemandMeter
+from cicadapond.serving import (
     CallerRequest,
     Configuration,
     RequestLimits,
@@ -26,13 +33,6 @@
     ServerEntry,
     WeightedService,
 )
-from cicadapond.gateway.run_test import Log, Reply
-from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
-from cicadapond.placing import Placer, ServerHealth
-from cicadapond.platform import PlatformHeaderCodec
-from cicadapond.quotas import QuotaShares
-from cicadapond.routes import ActiveConfiguration
-from cicadapond.scaling import DemandMeter
 from cicadapond.usage import UsageWindows
 
 # The rule: in any window no more than this multiple of what the limit allows, and some more,
--- a/cicadapond/gateway/main.py
+++ b/cicadapond/gateway/main.py
@@ -16,7 +16,7 @@
 from cicadapond.gateway._node import Node
 from cicadapond.gateway._platform_adapters import platform_adapters
 from cicadapond.gateway._time import TrueClock
-from cicadapond.gateway.data import ResidencyUse, ZoneCostUse
+from cicadapond.gateway.settings import ResidencyUse, ZoneCostUse
 from cicadapond.kernel import Metrics
 from cicadapond.kernel._help import (
     EXIT_SETTINGS,
--- a/cicadapond/gateway/malformed_answers_test.py
+++ b/cicadapond/gateway/malformed_answers_test.py
@@ -7,10 +7,10 @@
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Broken, Whole
 from cicadapond.gateway._malformed_answers import LOG_INTERVAL, MalformedAnswers
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.platform.standin import EngineFault, FleetSettings
+from cicadapond.serving import ResponseHead, ServerEntry
 
 ENTRY = ServerEntry("e-1", "pool", Endpoint("::1", 1), "z", 8, born=7)
 MALFORMED = Broken("not HTTP", is_malformed=True, received_bytes=9)
--- a/cicadapond/gateway/memory_bound_test.py
+++ b/cicadapond/gateway/memory_bound_test.py
@@ -5,11 +5,11 @@
 
 from cicadapond.gateway._caller import CallerConnection
 from cicadapond.gateway._caller_requests import RequestHandler
-from cicadapond.gateway.data import RequestLimits
 from cicadapond.gateway.harness import deployment
 from cicadapond.kernel import LoopClock, seconds
 from cicadapond.memory import Kind, MemoryBudget
 from cicadapond.platform.standin import EngineFault, FleetSettings
+from cicadapond.serving import RequestLimits
 
 KB = 1024
 BODY_BYTES = 700 * KB
--- a/cicadapond/gateway/orders_test.py
+++ b/cicadapond/gateway/orders_test.py
@@ -4,13 +4,12 @@
 
 from cicadapond.containment import CrashTracker
 from cicadapond.data import Endpoint
-from cicadapond.gateway import ServerOrder
 from cicadapond.gateway._orders import ServiceOrders
 from cicadapond.gateway._rollout_gate import NoRollouts
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import EngineLimits, Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.scaling import Demand, DemandMeter
+from cicadapond.serving import EngineLimits, Scaling, ServerEntry, ServerOrder, Service
 
 POOL = Service("pool", 9, EngineLimits(8, 10**6), Scaling(1, 9, seconds(4), 0.18, {"a": 1.0}))
 
--- a/cicadapond/gateway/pauses_test.py
+++ b/cicadapond/gateway/pauses_test.py
@@ -10,17 +10,11 @@
 from cicadapond.gateway._request import RequestState
 from cicadapond.gateway._retries import Retries
 from cicadapond.gateway._sending import Sending
-from cicadapond.gateway.data import (
-    CallerRequest,
-    Generation,
-    MemoryHandle,
-    ResponseHead,
-    ServerEntry,
-)
 from cicadapond.gateway.limits_test import ROUTE, Server, make_parts
 from cicadapond.gateway.run_test import Reply
 from cicadapond.kernel import ManualClock, VirtualClock, run_virtual, seconds
 from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.serving import CallerRequest, Generation, MemoryHandle, ResponseHead, ServerEntry
 
 ENTRY = ServerEntry("s-0", "s", Endpoint("::1", 1), "z", 8, born=7)
 DRAIN = seconds(2)
--- a/cicadapond/gateway/permits_test.py
+++ b/cicadapond/gateway/permits_test.py
@@ -13,11 +13,11 @@
 from cicadapond.credits import PermitSchedule, frame_of, permit_owners
 from cicadapond.data import Endpoint
 from cicadapond.gateway._permits import MAX_RANKED, TOPIC, PermitCalls, PermitExchange
-from cicadapond.gateway.data import ResponseHead, ServerEntry
 from cicadapond.gateway.run_test import Log
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.kernel._clock import VIRTUAL_EPOCH
 from cicadapond.peer._wire import Query, QueryReply, encode
+from cicadapond.serving import ResponseHead, ServerEntry
 
 ENTRY = ServerEntry("engine-yqr-17", "s", Endpoint("::1", 1), "z", 8, born=1_780_000_000_000)
 MAX_SKEW_S = 0.3
--- a/cicadapond/gateway/queues_test.py
+++ b/cicadapond/gateway/queues_test.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from cicadapond.gateway.data import LoadHeader
 from cicadapond.gateway.harness import MODEL_SERVICE, deployment
+from cicadapond.serving import LoadHeader
 
 
 def load_engines(system, waiting, pace):
--- a/cicadapond/gateway/quota_grants_test.py
+++ b/cicadapond/gateway/quota_grants_test.py
@@ -4,12 +4,12 @@
 import datetime
 
 from cicadapond.gateway._quota_grants import RETRY_DELAY, QuotaAdmission, QuotaCalls
-from cicadapond.gateway.data import ClientAccount
 from cicadapond.gateway.harness import deployment
 from cicadapond.gateway.run_test import Log
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.platform.standin import FleetSettings
 from cicadapond.quotas import QuotaShares, coordinators, parts_of
+from cicadapond.serving import ClientAccount
 
 ACCOUNT = ClientAccount("acme", frozenset(), rate=100.0, burst=100.0)
 NAMES = ("p0", "p1", "p2", "p3")
--- a/cicadapond/gateway/residency_test.py
+++ b/cicadapond/gateway/residency_test.py
@@ -13,11 +13,12 @@
 from cicadapond.gateway._reports import Report, ZoneReports, read_report
 from cicadapond.gateway._residency import EngineWatch
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import EngineLimits, PartTelling, ResidencyUse, ServerEntry
 from cicadapond.gateway.harness import MODEL_SERVICE, deployment
+from cicadapond.gateway.settings import ResidencyUse
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.platform.standin import EventFault, FleetSettings
 from cicadapond.residency import HeldParts
+from cicadapond.serving import EngineLimits, PartTelling, ServerEntry
 
 PARTS = "aa:6000,own-{number}:40"
 HELD = {"e-0": HeldParts(7, (b"12345", b"", b"abcde")), "e-1": HeldParts(0, (b"",))}
--- a/cicadapond/gateway/rollout_parts_test.py
+++ b/cicadapond/gateway/rollout_parts_test.py
@@ -9,14 +9,12 @@
 from cicadapond.containment import CrashTracker
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import Broken, StreamWhole, Whole
-from cicadapond.gateway import ServerOrder
 from cicadapond.gateway._reports import Report, ZoneReports, read_report
 from cicadapond.gateway._rollout_holds import concerns_earlier_builds
 from cicadapond.gateway._rollout_tables import OperatorTable, StateTable
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import Generation, ResponseHead, ServerEntry
 from cicadapond.kernel import ManualClock, Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.placing import Placer
@@ -30,6 +28,7 @@
     RolloutState,
     next_state,
 )
+from cicadapond.serving import Generation, ResponseHead, ServerEntry, ServerOrder
 from cicadapond.standin import DirectTables, TableModel
 
 CODEC = PlatformRolloutCodec()
--- a/cicadapond/gateway/rollout_restore_test.py
+++ b/cicadapond/gateway/rollout_restore_test.py
@@ -11,13 +11,13 @@
 from cicadapond.gateway._rollout_task import RolloutTask
 from cicadapond.gateway._rollouts import ServiceRollouts
 from cicadapond.gateway._servers import ServerRegistry
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.lease import LeaseSettings, LeaseTask
 from cicadapond.placing import Placer
 from cicadapond.platform import PlatformRolloutCodec
 from cicadapond.provider import Changes, RawRow, Write
 from cicadapond.rollout import ExposureBounds, Phase, Rollouts, RolloutState
+from cicadapond.serving import ServerEntry
 from cicadapond.standin import DirectTables, TableModel
 
 LEASE = LeaseSettings(seconds(3), seconds(0.9), seconds(0.8), seconds(1))
--- a/cicadapond/gateway/run_test.py
+++ b/cicadapond/gateway/run_test.py
@@ -14,7 +14,13 @@
 from cicadapond.gateway._run import RequestRun
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._starts import ServerStarts
-from cicadapond.gateway.data import (
+from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
+from cicadapond.placing import Placer, ServerHealth
+from cicadapond.platform import PlatformHeaderCodec
+from cicadapond.quotas import QuotaShares
+from cicadapond.routes import ActiveConfiguration
+from cicadapond.scaling import DemandMeter
+from cicadapond.serving import (
     CallerRequest,
     Configuration,
     RequestLimits,
@@ -24,12 +30,6 @@
     ServerEntry,
     WeightedService,
 )
-from cicadapond.kernel import Metrics, VirtualClock, run_virtual, seconds
-from cicadapond.placing import Placer, ServerHealth
-from cicadapond.platform import PlatformHeaderCodec
-from cicadapond.quotas import QuotaShares
-from cicadapond.routes import ActiveConfiguration
-from cicadapond.scaling import DemandMeter
 from cicadapond.usage import UsageWindows
 
 # Statuses that tell a caller that the request was not executed.
--- a/cicadapond/gateway/servers_test.py
+++ b/cicadapond/gateway/servers_test.py
@@ -13,10 +13,10 @@
     ServerRegistry,
 )
 from cicadapond.gateway._tables import ServerTable
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import ServerHealth
 from cicadapond.provider import Changes, RawRow, version_in_era
+from cicadapond.serving import ServerEntry
 
 READY = ServerEntry("e", "pool", Endpoint("::1", 1), "a", 6, born=100)
 LEAVING = attrs.evolve(READY, is_leaving=True)
--- a/cicadapond/gateway/sharing_test.py
+++ b/cicadapond/gateway/sharing_test.py
@@ -28,7 +28,6 @@
     read_copy,
 )
 from cicadapond.gateway._time import BOUND_LIFETIME, StoreClock
-from cicadapond.gateway.data import CallerRequest
 from cicadapond.gateway.follow_test import (
     Configurations,
     FaultyFeed,
@@ -39,6 +38,7 @@
 from cicadapond.kernel import ManualClock, Metrics, VirtualClock, run_virtual, seconds
 from cicadapond.provider import Changes, RawRow, version_in_era
 from cicadapond.routes import ActiveConfiguration
+from cicadapond.serving import CallerRequest
 
 BOUND = seconds(5)
 
--- a/cicadapond/gateway/starts_test.py
+++ b/cicadapond/gateway/starts_test.py
@@ -8,8 +8,8 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_LISTING_DELAY, ServerStarts
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
+from cicadapond.serving import ServerEntry
 
 OLD = ServerEntry("e", "pool", Endpoint("::1", 1), "z", 8, born=1_000, version="v1")
 
--- a/cicadapond/gateway/upload_test.py
+++ b/cicadapond/gateway/upload_test.py
@@ -6,8 +6,8 @@
 
 from cicadapond.gateway._caller import CallerConnection
 from cicadapond.gateway._caller_requests import RequestHandler
-from cicadapond.gateway.data import RequestLimits
 from cicadapond.kernel import STEPS_PER_TURN, LoopClock, seconds
+from cicadapond.serving import RequestLimits
 
 BODY_BYTES = 20_000
 HEAD = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/cicadapond/gateway/zone_flows_test.py
+++ b/cicadapond/gateway/zone_flows_test.py
@@ -7,9 +7,10 @@
 from cicadapond.data import Endpoint
 from cicadapond.gateway._servers import ServerRegistry
 from cicadapond.gateway._zone_flows import ZoneFlowTask
-from cicadapond.gateway.data import EngineLimits, ServerEntry, Service, ZoneCostUse
+from cicadapond.gateway.settings import ZoneCostUse
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.scaling import Demand
+from cicadapond.serving import EngineLimits, ServerEntry, Service
 from cicadapond.zones import ZoneCosts
 
 ENGINES = Service("pool", 9, EngineLimits(8, 10**6))
--- a/cicadapond/placing/_candidate.py
+++ b/cicadapond/placing/_candidate.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.placing._call_times import CallTimes
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.residency import Fetch
+from cicadapond.serving import ServerEntry
 
 # A preempted request is prefilled again, which delays others there as well, and it waits for a slot
 # again.  With a weight of 2.0 urgent requests gave up cached prefixes for it, and fewer were in
--- a/cicadapond/placing/_health.py
+++ b/cicadapond/placing/_health.py
@@ -13,8 +13,8 @@
 
 import attrs
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock, doubled
+from cicadapond.serving import ServerEntry
 
 # Outcomes kept per server, and how long each counts.
 MAX_OUTCOMES_PER_SERVER = 24
--- a/cicadapond/placing/_learned.py
+++ b/cicadapond/placing/_learned.py
@@ -8,12 +8,12 @@
 import datetime
 import typing
 
-from cicadapond.gateway.data import Generation
 from cicadapond.placing._call_times import CallTimes
 from cicadapond.placing._candidate import InFlightRequest, ServiceView
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._server_load import ServerLoad
 from cicadapond.placing._slot_wait import SlotTimes
+from cicadapond.serving import Generation
 
 # The mean prefill of a service's prompts, before any was sent, and the weight of each.
 INITIAL_PREFILL_MS = 20.0
--- a/cicadapond/placing/_placer.py
+++ b/cicadapond/placing/_placer.py
@@ -21,7 +21,6 @@
 import random
 import typing
 
-from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.placing._candidate import (
     Candidate,
@@ -42,6 +41,7 @@
 )
 from cicadapond.placing._slot_wait import expected_excess, full_probability
 from cicadapond.residency import CachedParts, NothingKnown
+from cicadapond.serving import Generation, LoadHeader, ServerEntry
 from cicadapond.zones import ZoneCosts
 
 # A prefill of at least this length is reported to the other processes at once.
--- a/cicadapond/placing/_prefix_homes.py
+++ b/cicadapond/placing/_prefix_homes.py
@@ -3,7 +3,7 @@
 import hashlib
 import typing
 
-from cicadapond.gateway.data import ServerEntry
+from cicadapond.serving import ServerEntry
 
 # An odd number whose product with the difference of two hashes orders servers differently for each
 # prefix.
--- a/cicadapond/placing/_prefixes.py
+++ b/cicadapond/placing/_prefixes.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from cicadapond.gateway.data import Generation, PromptPart
+from cicadapond.serving import Generation, PromptPart
 
 # The share of an engine's KV memory that caches prompt parts; the rest serves running requests.
 CACHED_SHARE = 0.6
--- a/cicadapond/placing/_prompt_caches.py
+++ b/cicadapond/placing/_prompt_caches.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from cicadapond.gateway.data import Generation, ServerEntry
 from cicadapond.placing._first_event import FirstEventModel, Prompt
 from cicadapond.placing._prefix_homes import PrefixHomes
 from cicadapond.placing._prefixes import shared_parts
 from cicadapond.placing._server_load import ServerLoad
 from cicadapond.residency import FETCH_MARGIN, CachedParts, Fetch
+from cicadapond.serving import Generation, ServerEntry
 
 
 class PromptCaches:
--- a/cicadapond/placing/_sampling.py
+++ b/cicadapond/placing/_sampling.py
@@ -9,7 +9,7 @@
 import random
 import typing
 
-from cicadapond.gateway.data import ServerEntry
+from cicadapond.serving import ServerEntry
 
 # Engines that are compared, of the process's own data centre as long as it has so many.
 SAMPLE_SIZE = 2
--- a/cicadapond/placing/_server_load.py
+++ b/cicadapond/placing/_server_load.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from cicadapond.gateway.data import LoadHeader
 from cicadapond.placing._prefixes import PrefixCacheModel
+from cicadapond.serving import LoadHeader
 
 # What a server or other processes reported loses half of its weight in this time.
 LOAD_HALF_LIFE_MS = 400.0
--- a/cicadapond/placing/estimates_test.py
+++ b/cicadapond/placing/estimates_test.py
@@ -3,9 +3,9 @@
 import attrs
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import EngineWork, Placer
+from cicadapond.serving import Generation, LoadHeader, ServerEntry
 
 ENGINE = ServerEntry("e-0", "pool", Endpoint("::1", 1), "a", 16)
 PLAIN = ServerEntry("s-0", "calls", Endpoint("::1", 1), "a", 6)
--- a/cicadapond/placing/placing_test.py
+++ b/cicadapond/placing/placing_test.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Generation, LoadHeader, PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import EngineWork, Placer, PrefixCacheModel, ServerHealth
+from cicadapond.serving import Generation, LoadHeader, PromptPart, ServerEntry
 
 
 def entry(name, zone="a", slots=8):
--- a/cicadapond/placing/prompt_caches_test.py
+++ b/cicadapond/placing/prompt_caches_test.py
@@ -5,10 +5,10 @@
 import pytest
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Generation, PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock
 from cicadapond.placing import EngineWork, Placer
 from cicadapond.residency import CachedParts, Fetch
+from cicadapond.serving import Generation, PromptPart, ServerEntry
 
 SHARED = PromptPart("shared", 5382)
 PROMPT = Generation(6382, 400, (SHARED, PromptPart("own", 1000)))
--- a/cicadapond/placing/sampling_test.py
+++ b/cicadapond/placing/sampling_test.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.placing._sampling import sample_servers
+from cicadapond.serving import ServerEntry
 
 
 @pytest.mark.parametrize(("near", "far"), [(0, 5), (1, 300), (2, 0), (1, 0), (40, 40)])
--- a/cicadapond/platform/_configuration.py
+++ b/cicadapond/platform/_configuration.py
@@ -2,7 +2,9 @@
 
 import json
 
-from cicadapond.gateway.data import (
+from cicadapond.kernel import Findings, Place
+from cicadapond.platform._reader import Reader, UnreadableError
+from cicadapond.serving import (
     ClientAccount,
     Configuration,
     EngineLimits,
@@ -15,8 +17,6 @@
     Service,
     WeightedService,
 )
-from cicadapond.kernel import Findings, Place
-from cicadapond.platform._reader import Reader, UnreadableError
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -24,7 +24,7 @@
     "streaming": RouteKind.STREAM,
 }
 TOKEN_UNIT = "token_stream"
-# The platform's names of fields of `cicadapond.gateway.data` that are called differently there.
+# The platform's names of fields of `cicadapond.serving` that are called differently there.
 _FIELD_NAMES = {
     "accounts": "tenants",
     "objective": "target_latency_ms",
--- a/cicadapond/platform/_era.py
+++ b/cicadapond/platform/_era.py
@@ -1,7 +1,7 @@
 """The era of the store, as its responses tell it."""
 
 from cicadapond.eventlog import EventLog
-from cicadapond.gateway import Malformed
+from cicadapond.forwarding import Malformed
 from cicadapond.kernel import Metrics
 from cicadapond.provider import MAX_ERA
 
--- a/cicadapond/platform/_headers.py
+++ b/cicadapond/platform/_headers.py
@@ -4,15 +4,9 @@
 import math
 import typing
 
-from cicadapond.gateway import HeaderCodec, Malformed
-from cicadapond.gateway.data import (
-    CallerRequest,
-    Generation,
-    LoadHeader,
-    PromptPart,
-    ResponseHead,
-)
+from cicadapond.forwarding import HeaderCodec, Malformed
 from cicadapond.provider import MAX_ERA
+from cicadapond.serving import CallerRequest, Generation, LoadHeader, PromptPart, ResponseHead
 
 REQUEST_ID = b"x-cicadapond-attempt-id"
 DEADLINE = b"x-cicadapond-deadline-ms"
--- a/cicadapond/platform/_servers.py
+++ b/cicadapond/platform/_servers.py
@@ -2,9 +2,9 @@
 
 import json
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Findings, Place
 from cicadapond.platform._reader import Reader, UnreadableError
+from cicadapond.serving import ServerEntry
 
 READY = "ready"
 DRAINING = "draining"
--- a/cicadapond/platform/_settings.py
+++ b/cicadapond/platform/_settings.py
@@ -4,10 +4,11 @@
 import pathlib
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Bounds, Duties, GatewaySettings, QuotaOverage
+from cicadapond.gateway.settings import Bounds, Duties, GatewaySettings
 from cicadapond.kernel import Findings, Place
 from cicadapond.memory import DEFAULT_MEMORY_BYTES
 from cicadapond.platform._reader import parse_endpoint
+from cicadapond.serving import QuotaOverage
 
 SETTINGS_VARIABLE = "CICADAPOND_CONFIG"
 USAGE_DUTY = "usage_report"
--- a/cicadapond/platform/codec_test.py
+++ b/cicadapond/platform/codec_test.py
@@ -11,14 +11,8 @@
 
 import cicadapond
 from cicadapond.data import Endpoint
-from cicadapond.gateway import KeptAtSource, Malformed, Moved, MoveDeclined, MoveUnknown
-from cicadapond.gateway.data import (
-    Dispatch,
-    LoadHeader,
-    PromptPart,
-    RouteKind,
-    ServerEntry,
-)
+from cicadapond.forwarding import Malformed
+from cicadapond.gateway import KeptAtSource, Moved, MoveDeclined, MoveUnknown
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.platform import (
     PlatformHeaderCodec,
@@ -28,6 +22,7 @@
 )
 from cicadapond.platform._engine_calls import read_answer, read_start
 from cicadapond.platform.standin import Fleet, FleetSettings
+from cicadapond.serving import Dispatch, LoadHeader, PromptPart, RouteKind, ServerEntry
 
 HEADER_CODEC = PlatformHeaderCodec()
 PORTS = {"frontend": 8360, "readiness": 8365, "peers": 7500}
--- a/cicadapond/platform/parts_test.py
+++ b/cicadapond/platform/parts_test.py
@@ -8,12 +8,12 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.forwarding import HttpClient
-from cicadapond.gateway.data import CallerRequest, Dispatch, ServerEntry
 from cicadapond.kernel import LoopClock, Metrics
 from cicadapond.platform import PlatformHeaderCodec, PlatformPartCalls, decode_configuration
 from cicadapond.platform._part_calls import read_events, read_list
 from cicadapond.platform.standin import EngineModel, EngineServer, EventFault
 from cicadapond.residency import CallsExceeded, NoAnswer, PartChange
+from cicadapond.serving import CallerRequest, Dispatch, ServerEntry
 
 WAIT = datetime.timedelta(milliseconds=300)
 
--- a/cicadapond/queueing/_api.py
+++ b/cicadapond/queueing/_api.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cicadapond.gateway.data import Generation, ServerEntry
+from cicadapond.serving import Generation, ServerEntry
 
 
 class Decision(enum.Enum):
--- a/cicadapond/queueing/queueing_test.py
+++ b/cicadapond/queueing/queueing_test.py
@@ -5,11 +5,11 @@
 import pytest
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Generation, LoadHeader, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.placing import Placer
 from cicadapond.queueing import QUEUE_LIMIT, Decision, ServiceQueue, Waiting
 from cicadapond.queueing._forecast import ForecastRatio
+from cicadapond.serving import Generation, LoadHeader, ServerEntry
 
 ENGINE = ServerEntry("e-0", "pool", Endpoint("::1", 1), "a", 16)
 SIZE = Generation(1800, 30)
--- a/cicadapond/quotas/_coordinators.py
+++ b/cicadapond/quotas/_coordinators.py
@@ -8,8 +8,8 @@
 import math
 import typing
 
-from cicadapond.gateway.data import ClientAccount
 from cicadapond.peer import rank
+from cicadapond.serving import ClientAccount
 
 # A coordinator answers about so many processes.
 PROCESSES_PER_PART = 40
--- a/cicadapond/quotas/_shares.py
+++ b/cicadapond/quotas/_shares.py
@@ -29,8 +29,8 @@
 
 import attrs
 
-from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.kernel import Clock
+from cicadapond.serving import ClientAccount, QuotaOverage
 from cicadapond.usage import UsageWindows
 
 ZERO = datetime.timedelta()
--- a/cicadapond/quotas/rule_test.py
+++ b/cicadapond/quotas/rule_test.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from cicadapond.gateway._quota_grants import QuotaAdmission, QuotaCalls
-from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.gateway.run_test import Log
 from cicadapond.kernel import ManualClock, Metrics, seconds
 from cicadapond.quotas import QuotaShares
+from cicadapond.serving import ClientAccount, QuotaOverage
 from cicadapond.usage import UsageLedger
 
 WINDOW_S, OVERAGE, TOLERANCE = 8.0, 0.1, 140_000.0
--- a/cicadapond/quotas/shares_test.py
+++ b/cicadapond/quotas/shares_test.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadapond.gateway.data import ClientAccount, QuotaOverage
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.quotas import SPENDING_WINDOW, GrantPart, QuotaShares
+from cicadapond.serving import ClientAccount, QuotaOverage
 from cicadapond.usage import UsageWindows
 
 RATE, BURST, WINDOW_S, UNITS = 100.0, 100.0, 8.0, 10.0
--- a/cicadapond/residency/_cached_parts.py
+++ b/cicadapond/residency/_cached_parts.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-from cicadapond.gateway.data import Generation, PromptPart, ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.residency._directory import PartDirectory
 from cicadapond.residency._hashes import SharedParts
+from cicadapond.serving import Generation, PromptPart, ServerEntry
 
 # Engines that keep a part and are compared with others.  With two, each copy was used less and
 # evicted earlier: on virtual time about twice as much was prefilled again in a calm deployment.
--- a/cicadapond/residency/_calls.py
+++ b/cicadapond/residency/_calls.py
@@ -3,8 +3,8 @@
 import abc
 import datetime
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.residency._data import CallsExceeded, NoAnswer, PartEvents, PartList
+from cicadapond.serving import ServerEntry
 
 
 class PartCalls(abc.ABC):
--- a/cicadapond/residency/_directory.py
+++ b/cicadapond/residency/_directory.py
@@ -12,10 +12,10 @@
 
 import attrs
 
-from cicadapond.gateway.data import PromptPart, ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.residency._hashes import part_hash
 from cicadapond.residency._publication import TOKENS_PER_UNIT, HeldParts
+from cicadapond.serving import PromptPart, ServerEntry
 
 # What a data centre told longer ago is not used; summaries come about once a second.
 MAX_AGE = datetime.timedelta(seconds=5)
--- a/cicadapond/residency/_hashes.py
+++ b/cicadapond/residency/_hashes.py
@@ -9,8 +9,8 @@
 import hashlib
 import typing
 
-from cicadapond.gateway.data import PromptPart
 from cicadapond.kernel import Clock
+from cicadapond.serving import PromptPart
 
 HASH_BYTES = 4
 # Shared parts are reported in so many groups, so that a new one changes few bytes.
--- a/cicadapond/residency/_watching.py
+++ b/cicadapond/residency/_watching.py
@@ -8,9 +8,9 @@
 import datetime
 import typing
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.peer import rank
+from cicadapond.serving import ServerEntry
 
 # A deputy watches an engine of which nothing was told for this long; digests take about a second,
 # and a process that ended is noticed within some seconds.
--- a/cicadapond/residency/residency_test.py
+++ b/cicadapond/residency/residency_test.py
@@ -6,7 +6,6 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.gateway._digest_pace import held_parts_rate, shared_parts_rate, update_rate
-from cicadapond.gateway.data import PromptPart, ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.residency import (
     EngineHoldings,
@@ -25,6 +24,7 @@
     part_hash,
 )
 from cicadapond.residency._publication import BYTES_PER_SECOND, ITEM_BYTES, MAX_PARTS
+from cicadapond.serving import PromptPart, ServerEntry
 
 LONG, SHORT = PromptPart("long", 5382), PromptPart("short", 568)
 
--- a/cicadapond/rollout/_rollout.py
+++ b/cicadapond/rollout/_rollout.py
@@ -7,7 +7,6 @@
 import datetime
 import math
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.rollout._credits import Credits, route_shares
 from cicadapond.rollout._data import ALL_ROUTES, Phase, RolloutState, Verdict
 from cicadapond.rollout._evidence import Evidence, Totals, add_totals, read_totals
@@ -15,6 +14,7 @@
 from cicadapond.rollout._old_times import OldTimes
 from cicadapond.rollout._plan import end_margin
 from cicadapond.rollout._split import CanaryChoice, canary_count
+from cicadapond.serving import ServerEntry
 
 # How often the figures of a rollout are renewed, at most.
 REFRESH_INTERVAL = datetime.timedelta(milliseconds=250)
--- a/cicadapond/rollout/_rollouts.py
+++ b/cicadapond/rollout/_rollouts.py
@@ -10,7 +10,6 @@
 import typing
 from collections.abc import Mapping, Sequence
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import Clock
 from cicadapond.rollout._data import (
     ExposureBounds,
@@ -24,6 +23,7 @@
 from cicadapond.rollout._evidence import Evidence, readable_counts, rollout_of
 from cicadapond.rollout._rollout import Rollout
 from cicadapond.rollout._split import KnownVersions, barred_versions
+from cicadapond.serving import ServerEntry
 
 
 class Rollouts:
--- a/cicadapond/rollout/_split.py
+++ b/cicadapond/rollout/_split.py
@@ -11,8 +11,8 @@
 import typing
 from collections.abc import Sequence
 
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.rollout._data import Phase, RolloutOrder, RolloutState
+from cicadapond.serving import ServerEntry
 
 # An engine of a version that the service did not have before gets nothing for this time, as its
 # entry may be heard before the order.
--- a/cicadapond/rollout/rollouts_test.py
+++ b/cicadapond/rollout/rollouts_test.py
@@ -7,7 +7,6 @@
 import pytest
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import ServerEntry
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.rollout import (
     ALL_ROUTES,
@@ -20,6 +19,7 @@
     Verdict,
 )
 from cicadapond.rollout._evidence import add_totals
+from cicadapond.serving import ServerEntry
 
 ORDER = RolloutOrder("chat", "v2", seconds(15), 1)
 
--- a/cicadapond/routes/_active_configuration.py
+++ b/cicadapond/routes/_active_configuration.py
@@ -6,9 +6,9 @@
 
 import datetime
 
-from cicadapond.gateway.data import CallerRequest, ClientAccount, Configuration
 from cicadapond.kernel import Clock
 from cicadapond.routes._table import Admitted, BadKey, NoRoute, NotReady, RoutingTable, Verdict
+from cicadapond.serving import CallerRequest, ClientAccount, Configuration
 
 # Allowance for the time between the last check of a key and the moment at which the server counts
 # the request as sent.
--- a/cicadapond/routes/_table.py
+++ b/cicadapond/routes/_table.py
@@ -6,7 +6,7 @@
 import hashlib
 import itertools
 
-from cicadapond.gateway.data import CallerRequest, ClientAccount, Configuration, Route
+from cicadapond.serving import CallerRequest, ClientAccount, Configuration, Route
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cicadapond/routes/routes_test.py
+++ b/cicadapond/routes/routes_test.py
@@ -4,15 +4,6 @@
 
 import pytest
 
-from cicadapond.gateway.data import (
-    CallerRequest,
-    ClientAccount,
-    Configuration,
-    RequestLimits,
-    Route,
-    RouteKind,
-    WeightedService,
-)
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.routes import (
     ActiveConfiguration,
@@ -23,6 +14,15 @@
     RoutingTable,
     choose_service,
 )
+from cicadapond.serving import (
+    CallerRequest,
+    ClientAccount,
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    WeightedService,
+)
 
 LIMITS = RequestLimits(8192, 65536, seconds(1), seconds(10))
 ACCOUNT = ClientAccount("acme", frozenset(("k1",)))
--- a/cicadapond/scaling/_order_book.py
+++ b/cicadapond/scaling/_order_book.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from cicadapond.gateway import ServerOrder
 from cicadapond.kernel import Clock
+from cicadapond.serving import ServerOrder
 
 # The first time after which a declined order is tried again, the factor by which it grows, and the
 # longest.  Reclaimable servers were not to be had for 3 to 14 s; meanwhile on-demand ones that cost
--- a/cicadapond/scaling/_planner.py
+++ b/cicadapond/scaling/_planner.py
@@ -14,12 +14,11 @@
 
 import attrs
 
-from cicadapond.gateway import ServerOrder
-from cicadapond.gateway.data import ServerEntry, Service
 from cicadapond.kernel import Clock
 from cicadapond.scaling._demand import Demand
 from cicadapond.scaling._history import DEMAND_RETENTION, DemandHistory
 from cicadapond.scaling._sizing import Waiting
+from cicadapond.serving import ServerEntry, ServerOrder, Service
 
 # On-demand servers that are kept whatever the demand, in the cheapest data centres.
 MIN_ON_DEMAND = 1
--- a/cicadapond/scaling/load_test.py
+++ b/cicadapond/scaling/load_test.py
@@ -14,9 +14,9 @@
 
 from cicadapond.data import Endpoint
 from cicadapond.experiments.orders import DAYS, DEPLOYMENTS, play
-from cicadapond.gateway.data import Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.scaling import CapacityPlanner, Demand, DemandMeter, Waiting
+from cicadapond.serving import Scaling, ServerEntry, Service
 
 ZONES = ("a", "b", "c", "d")
 SLOTS = 12
--- a/cicadapond/scaling/order_book_test.py
+++ b/cicadapond/scaling/order_book_test.py
@@ -1,8 +1,8 @@
 """The order book: which orders are repeated, and which servers count as starting."""
 
-from cicadapond.gateway import ServerOrder
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.scaling import Due, Listed, OrderBook, Outcome
+from cicadapond.serving import ServerOrder
 
 BOOT = seconds(4)
 A, B = ServerOrder("pool", "a", True, 4), ServerOrder("pool", "b", True, 4)
--- a/cicadapond/scaling/planner_test.py
+++ b/cicadapond/scaling/planner_test.py
@@ -1,9 +1,9 @@
 """Capacity plans: the mix of servers by demand, and the replacement of reclaimed ones."""
 
 from cicadapond.data import Endpoint
-from cicadapond.gateway.data import Scaling, ServerEntry, Service
 from cicadapond.kernel import ManualClock, seconds
 from cicadapond.scaling import CapacityPlanner, Demand, DemandMeter, PromptTimes, Waiting
+from cicadapond.serving import Scaling, ServerEntry, Service
 
 ZONES = ("a", "b", "c")
 SCALING = Scaling(1, 4, seconds(4), 0.18, {"a": 0.85, "b": 1.2, "c": 1.0})
--- a/cicadapond/validation/_check.py
+++ b/cicadapond/validation/_check.py
@@ -8,10 +8,10 @@
 import collections
 import typing
 
-from cicadapond.gateway.data import ClientAccount, Configuration, RequestLimits, Route, Service
+from cicadapond.serving import ClientAccount, Configuration, RequestLimits, Route, Service
 from cicadapond.validation._remark import Remark, error, warning
 
-# Returns the operators' name of a field of `cicadapond.gateway.data`.
+# Returns the operators' name of a field of `cicadapond.serving`.
 Spelling = typing.Callable[[str], str]
 
 
--- a/cicadapond/validation/_differences.py
+++ b/cicadapond/validation/_differences.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cicadapond.gateway.data import Configuration
+from cicadapond.serving import Configuration
 
 
 @attrs.frozen
--- a/cicadapond/validation/validation_test.py
+++ b/cicadapond/validation/validation_test.py
@@ -5,7 +5,8 @@
 import attrs
 import pytest
 
-from cicadapond.gateway.data import (
+from cicadapond.kernel import seconds
+from cicadapond.serving import (
     ClientAccount,
     Configuration,
     EngineLimits,
@@ -16,7 +17,6 @@
     Service,
     WeightedService,
 )
-from cicadapond.kernel import seconds
 from cicadapond.validation import Severity, check_configuration, differences
 
 ZERO = datetime.timedelta()
