Do not count a late run that ends with its connection as a second one

Its gateway gave a server up that had been silent for a second and sent the stream to another one; 18 ms later the proxy passed the held bytes on, and the server began. The check asked after 0.4 s whether the other run, the right one, still went on.

Change: a run that its server has ended by then, as its connection was closed, is no second one. One that goes on without a connection, or ends by itself, counts as before.

--- a/cicadapond/platform/standin/_engine.py
+++ b/cicadapond/platform/standin/_engine.py
@@ -347,6 +347,9 @@
         run = self._model.memory.begin(request_id)
         try:
             return await self._write_events(run, first, fault, shape)
+        except ConnectionError:
+            run.is_left = True
+            raise
         finally:
             self._model.memory.end(run)
 
