--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -151,7 +151,7 @@
             adapters.header_codec, self._relay_pool, clock, cfg.zone, self._cluster.relay_peers
         )
         self._crash_causes = CrashCauses(
-            self.parts.crashes, adapters.tables, self._cluster, cfg.name, clock, log
+            self.parts.crashes, adapters.tables, self._cluster, cfg, clock, log
         )
         self._origin_store = OriginStore(self.parts, adapters.tables, self._cluster)
         self.parts.origin_lookup = OriginLookup(self.parts, adapters, self._cluster)
--- a/cicadapond/gateway/own_rows_test.py
+++ b/cicadapond/gateway/own_rows_test.py
@@ -13,10 +13,13 @@
 from cicadapond.gateway._crash_causes import CrashCauses
 from cicadapond.gateway._discovery import PROCESS_TABLE, ProcessDiscovery
 from cicadapond.kernel import VirtualClock, run_virtual, seconds
+from cicadapond.peer import rank
 from cicadapond.provider import Write
 from cicadapond.standin import DirectTables, TableModel
 
 WRITES_PER_SECOND = 100.0
+READS_PER_SECOND = 2000.0
+CONTACT = seconds(3)
 # The store's other writers go on meanwhile.
 MAX_SHARE = 0.5
 RECOVERY = seconds(15)
@@ -36,12 +39,17 @@
 
 
 class CountingTables(DirectTables):
-    """Notes the second of each write."""
+    """Notes the second of each write and of each read of a whole table."""
 
     def __init__(self, model, clock):
         super().__init__(model)
         self.clock = clock
         self.writes = collections.Counter()
+        self.reads = collections.Counter()
+
+    async def scan(self, *args):
+        self.reads[int(self.clock.monotonic().total_seconds())] += 1
+        return await super().scan(*args)
 
     async def transact(self, writes):
         self.writes[int(self.clock.monotonic().total_seconds())] += 1
@@ -73,9 +81,10 @@
         self.start(discovery.search(is_alone, set_seeds))
         return discovery.seeds(rows)
 
-    def start_causes(self, name, crashes, sharers):
-        cluster = types.SimpleNamespace(sharers=lambda: sharers)
-        causes = CrashCauses(crashes, self.tables, cluster, name, self.clock, Log())
+    def start_causes(self, name, crashes, sharers, live=None):
+        cluster = types.SimpleNamespace(sharers=lambda: sharers, live=lambda: live or sharers)
+        cfg = types.SimpleNamespace(name=name, store_reads_per_second=READS_PER_SECOND)
+        causes = CrashCauses(crashes, self.tables, cluster, cfg, self.clock, Log())
         self.start(causes.run())
 
 
@@ -173,3 +182,38 @@
         assert [row.value for row in world.model.rows("crash_causes")] == before != []
 
     run(check)
+
+
+def test_a_process_that_hears_no_other_one_shares_causes_of_crashes_with_them():
+    """Guards against BUDGET: it learned of each cause by crashes of its own, and told none."""
+
+    async def check(world):
+        names = tuple(f"p{number}" for number in range(195))
+        alone = sorted(names, key=lambda name: rank("part own", names).index(name))[-1]
+        others = tuple(name for name in names if name != alone)
+        trackers = {name: CrashTracker(world.clock, "z") for name in names}
+        for name, tracker in trackers.items():
+            world.start_causes(name, tracker, names, (alone,) if name == alone else others)
+        await world.clock.sleep(seconds(1))
+        trackers[alone].restore({"part own": world.clock.now()})
+        for name in others:
+            trackers[name].restore({"part bad": world.clock.now()})
+        await world.clock.sleep(CONTACT)
+        for tracker in trackers.values():
+            assert tracker.find_cause(("part own",)) and tracker.find_cause(("part bad",))
+
+    run(check)
+
+
+def test_causes_of_crashes_are_read_within_the_rates_of_the_store_when_half_hear_the_others():
+    async def check(world):
+        names = tuple(f"p{number}" for number in range(420))
+        for name in names:
+            half = names[:210] if name in names[:210] else names[210:]
+            world.start_causes(name, CrashTracker(world.clock, "z"), names, half)
+        await world.clock.sleep(seconds(20))
+        rates = [world.tables.reads[second] for second in range(1, 20)]
+        assert sum(rates) <= 0.1 * READS_PER_SECOND * len(rates)
+        assert sum(rates) > 0
+
+    run(check)
