--- a/cicadapond/continuation/_origins.py
+++ b/cicadapond/continuation/_origins.py
@@ -56,6 +56,9 @@
 
     Args:
       clock: Gives the time.
+
+    Attributes:
+      changes: How many times buckets of other sources have changed, as far as that was told.
     """
 
     def __init__(self, clock: Clock):
@@ -64,6 +67,9 @@
         self._told: dict[int, dict[str, bytes]] = {}
         self._received: dict[str, dict[int, dict[str, bytes]]] = {}
         self._received_at: dict[str, datetime.timedelta] = {}
+        self.changes = 0
+        # The count of changes at the last one of each bucket, by source and number.
+        self._changed: dict[str, dict[int, int]] = {}
 
     def begin(
         self,
@@ -116,7 +122,7 @@
         if origin is not None:
             origin.is_due = origin.is_broken = True
 
-    def find(self, request_id: str, is_in_progress: bool = False) -> str | None:
+    def find(self, request_id: str, is_in_progress: bool = False, since: int = 0) -> str | None:
         """Returns the version that began a stream, None if nothing is known of it.
 
         A request that was passed on to a second process, as the first was silent, may have begun at
@@ -125,6 +131,8 @@
         Args:
           request_id: The id of the request that brought the first event.
           is_in_progress: Whether the caller hears the stream from this process.
+          since: The value of `changes` when nothing was known of the stream; what the other
+            sources had told by then is not searched again.
 
         Returns:
           `UNKNOWN_VERSION` if the stream is known, and it is not sure at which version it began.
@@ -135,9 +143,10 @@
         wanted = _hash(request_id)
         found = {
             version
-            for buckets in self._received.values()
-            for versions in buckets.values()
-            for version, hashes in versions.items()
+            for source, changed in self._changed.items()
+            for number, change in changed.items()
+            if change > since
+            for version, hashes in self._received[source][number].items()
             if _contains(hashes, wanted)
         }
         if origin is not None:
@@ -169,7 +178,10 @@
 
     def apply(self, zone: str, buckets: Buckets) -> None:
         """Applies what a data centre told of its streams; what it told before still holds."""
-        merge_buckets(self._received.setdefault(zone, {}), buckets)
+        changed = merge_buckets(self._received.setdefault(zone, {}), buckets)
+        if changed:
+            self.changes += 1
+        self._changed.setdefault(zone, {}).update(dict.fromkeys(changed, self.changes))
         self._received_at[zone] = self._clock.monotonic()
 
     def ages(self) -> dict[str, datetime.timedelta]:
@@ -221,7 +233,7 @@
             if origin.begun_at >= oldest:
                 break
             del self._own[request_id]
-        for buckets in (self._told, *self._received.values()):
+        for buckets in (self._told, *self._received.values(), *self._changed.values()):
             drop_old_buckets(buckets, newest=self._bucket())
 
 
@@ -230,15 +242,24 @@
     return math.floor(at.timestamp() / BUCKET.total_seconds())
 
 
-def merge_buckets(known: dict[int, dict[str, bytes]], told: Buckets) -> None:
-    """Adds the streams that were told to those that are known."""
+def merge_buckets(known: dict[int, dict[str, bytes]], told: Buckets) -> list[int]:
+    """Adds the streams that were told to those that are known.
+
+    Returns:
+      The numbers of the buckets that have grown.
+    """
+    grown = []
     for number, versions in told.items():
         into = known.setdefault(number, {})
+        size = sum(map(len, into.values()))
         for version, hashes in versions.items():
             into[version] = _union(into.get(version, b""), hashes)
+        if sum(map(len, into.values())) > size:
+            grown.append(number)
+    return grown
 
 
-def drop_old_buckets(buckets: dict[int, dict[str, bytes]], newest: int | None = None) -> None:
+def drop_old_buckets(buckets: dict[int, typing.Any], newest: int | None = None) -> None:
     """Drops what was told longer ago than `ORIGIN_RETENTION` before the newest bucket."""
     if newest is None:
         newest = max(buckets, default=0)
--- a/cicadapond/continuation/continuation_test.py
+++ b/cicadapond/continuation/continuation_test.py
@@ -48,6 +48,41 @@
     assert there.find("s") is None and here.find("s") == "v1"
 
 
+def test_what_was_told_since_a_search_is_found_without_what_was_told_before():
+    """Guards against processors that are busy with the searches of streams that are waited for."""
+    clock = ManualClock()
+    streams = {name: StreamOrigins(clock) for name in ("early", "late", "here")}
+    here = streams["here"]
+    for name in ("early", "late"):
+        streams[name].begin(name, "v1", has_other_versions=True)
+        before = here.changes
+        here.apply(name, streams[name].reported())
+        here.apply(name, streams[name].reported())  # nothing new
+        assert here.changes == before + 1
+    assert here.find("late", since=before) == here.find("late") == "v1"
+    assert here.find("early", since=before) is None and here.find("early") == "v1"
+    assert here.find("late", since=here.changes) is None
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("yz"), st.sampled_from(("v1", "v2")), st.integers(0, 3)),
+        max_size=12,
+    )
+)
+def test_a_stream_is_found_by_searches_of_what_is_new_as_by_a_whole_one(told):
+    clock = ManualClock()
+    here, searched, found = StreamOrigins(clock), 0, None
+    for zone, version, number in told:
+        there = StreamOrigins(clock)
+        there.begin(f"s-{number}", version, has_other_versions=True)
+        here.apply(zone, there.reported())
+        if found is None:
+            found = here.find("s-0", since=searched)
+            searched = here.changes
+            assert found == here.find("s-0")
+
+
 def test_a_broken_stream_is_told_at_once():
     clock = ManualClock()
     here, there = StreamOrigins(clock), StreamOrigins(clock)
--- a/cicadapond/experiments/decisions.py
+++ b/cicadapond/experiments/decisions.py
@@ -2,8 +2,9 @@
 
 Measures the check of route, key and quota, the placement, the check of what the servers state where
 all of them state a limit, the merge of another process's digest, the search for what crashes
-servers, and the peak memory of placement and digests.  The placement is measured again with a
-directory of the prompt parts that the engines keep, and the memory of that.
+servers, the lookup of where a stream began, and the peak memory of placement and digests.  The
+placement is measured again with a directory of the prompt parts that the engines keep, and the
+memory of that.
 """
 
 import random
@@ -12,6 +13,7 @@
 
 from cicadapond.advisories import ServerAdvisories
 from cicadapond.containment import Crash, Successes, find_culprits, traits_of
+from cicadapond.continuation import BUCKET, ORIGIN_RETENTION, StreamOrigins, bucket_number
 from cicadapond.data import Endpoint
 from cicadapond.experiments._table import Experiment, Table, experiments
 from cicadapond.kernel import ManualClock, seconds
@@ -47,6 +49,9 @@
 ROUTES, ACCOUNTS, SUBJECTS = 250, 16, 110
 # Servers that crashed lately, and the requests that each of them ran.
 CRASHES, REQUESTS_PER_CRASH = 32, 30
+# Data centres, and the streams of each version that one tells of in each bucket.
+ZONES, STREAMS_PER_BUCKET = 10, 30
+HASH_BYTES = 6
 MICROSECONDS = 1e6
 # Between two placements, so that what engines have queued does not only grow.
 REQUEST_INTERVAL = seconds(0.002)
@@ -120,6 +125,20 @@
     return directory
 
 
+def _origins(clock, rng):
+    """Returns what the data centres have told of streams at two versions."""
+    origins = StreamOrigins(clock)
+    newest = bucket_number(clock.now())
+    for zone in range(ZONES):
+        buckets = {
+            newest
+            - age: {version: rng.randbytes(HASH_BYTES * STREAMS_PER_BUCKET) for version in "ab"}
+            for age in range(ORIGIN_RETENTION // BUCKET)
+        }
+        origins.apply(f"z{zone}", buckets)
+    return origins
+
+
 def _microseconds_per_call(call):
     before = time.process_time()
     for _ in range(REQUESTS):
@@ -188,6 +207,19 @@
 
     place_by_directory()
     knowing.apply_others_work("z1", "hub", work, includes_own=False)
+    origins = _origins(clock, rng)
+
+    def find_stream():
+        origins.find(f"r-{rng.getrandbits(32)}")
+
+    changes = origins.changes
+    for zone in range(ZONES):
+        told = {bucket_number(clock.now()): {"a": rng.randbytes(HASH_BYTES)}}
+        origins.apply(f"z{zone}", told)
+
+    def look_again():
+        origins.find(f"r-{rng.getrandbits(32)}", since=changes)
+
     operations = (
         admit,
         place,
@@ -195,6 +227,8 @@
         check_statements,
         merge_digest,
         find_crash_causes,
+        find_stream,
+        look_again,
     )
     costs = [_microseconds_per_call(operation) for operation in operations]
     tracemalloc.start()
@@ -224,6 +258,8 @@
             "statements of all servers (µs)",
             "one digest heard (µs)",
             "causes of 32 crashes (µs)",
+            "a stream looked up (µs)",
+            "looked up again, all data centres heard (µs)",
             "peak memory (MB)",
             "directory (MB)",
         )
--- a/cicadapond/gateway/_eligible.py
+++ b/cicadapond/gateway/_eligible.py
@@ -125,8 +125,14 @@
         """
         parts = self._parts
         search = OriginSearch(parts, first_request_id, time_left)
+        searched = 0
         while True:
-            self.version = parts.origins.find(first_request_id) if first_request_id else None
+            changes = parts.origins.changes
+            self.version = None
+            if first_request_id:
+                self.version = parts.origins.find(first_request_id, since=searched)
+            if self.version is None:
+                searched = changes
             only = self._only_version() if self.version is None else None
             if only is not None and parts.registry.knows_all_versions(search.begun):
                 self.version = only
