--- a/cicadapond/gateway/stale_servers_test.py
+++ b/cicadapond/gateway/stale_servers_test.py
@@ -10,6 +10,7 @@
 from cicadapond.gateway._starts import MAX_ANSWER_AGE, MAX_CLOCK_DIFFERENCE
 from cicadapond.gateway.versions_test import run, versions_of
 from cicadapond.kernel import seconds
+from cicadapond.placing._reach import MIN_SILENCE
 from cicadapond.platform.standin import EngineFault, ReportFault
 
 TAKE_UPS = 4
@@ -171,6 +172,34 @@
     run(check, tmp_path, {"a": "v1", "b": "v1"}, processes=2)
 
 
+def test_a_process_hears_of_servers_that_restarted_while_links_seemed_lost(tmp_path):
+    """Guards against ORDER: servers that ended at the same time were taken for lost links."""
+
+    async def check(system):
+        await system.until_joined()
+        entries = system.nodes[0].parts.registry.all()
+        assert (await system.caller(1).exchange("s-0", "/stream/x")).is_complete
+        for model in system.engines():
+            model.events, model.event_interval_s = EVENTS, 0.05
+        callers = [system.caller(1) for _ in range(6)]
+        for number, caller in enumerate(callers):
+            await caller.stream(f"w-{number}")
+        await system.until(lambda: all(model.memory.runs for model in system.engines()))
+        await asyncio.sleep(2 * MIN_SILENCE.total_seconds())
+        for name in "abc":
+            await system.fleet.servers[name].stop(resets=False)
+        await asyncio.sleep(MIN_SILENCE.total_seconds() / 3)
+        for caller in callers:  # else their streams would be sent again, and servers asked for it
+            caller.abort()
+        await asyncio.sleep(MIN_SILENCE.total_seconds())
+        for name in "abc":
+            await system.restart_engine(name, "v2")
+        known = system.nodes[0].parts.crashes.crashed_at
+        await system.until(lambda: all(known(entry.start) for entry in entries))
+
+    run(check, tmp_path, dict.fromkeys("abc", "v1"), processes=2)
+
+
 def test_a_stream_that_begins_while_the_store_is_out_of_reach_can_be_taken_up(tmp_path):
     """Guards against refusing streams of engines that have not restarted."""
 
