Look for servers a while longer before an end is taken for one that was sent (MIXED)

Half of the engines were being restarted under their names.

Cause: its engine had been killed, and no other one accepted a connection in that moment; open connections to others lived on, as they do in some partitions, so that the end was taken as sent.

Change: such a process tries the servers for 0.8 s more, as long as a restart takes. If others are reached, this one has ended; if it is reached itself, it says whether it is another start. If none is, the end is taken as sent as before, 0.8 s later.

--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -20,6 +20,9 @@
 # Connecting within a deployment takes a few milliseconds; a server that takes longer than this is
 # down or unreachable.
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
+# Servers that were ended together are up again within this time, and reached by then.
+MAX_RESTART_TIME = datetime.timedelta(milliseconds=800)
+REACH_INTERVAL = datetime.timedelta(milliseconds=100)
 # Bounds on what a server that does not end its answer makes this process hold: a whole answer that
 # is no stream, and one event of a stream.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -103,6 +106,10 @@
       reaches_others: Returns whether other servers of a server's service can be reached; if not,
         lost links look like the server's end.  None if that does not matter.
       costs: Learns of costly answers, None if nobody does.
+
+    Attributes:
+      has_restarted: Returns whether a server that can be reached is a later start than its entry
+        says; None if nobody knows.
     """
 
     def __init__(
@@ -118,6 +125,7 @@
         self._clock = clock
         self._reaches_others = reaches_others
         self._costs = costs
+        self.has_restarted: typing.Callable[[ServerEntry], typing.Awaitable[bool]] | None = None
         # The connections by which requests are in progress, with their servers, by service.
         self._in_use: dict[str, dict[ServerConnection, str]] = {}
 
@@ -341,7 +349,8 @@
         A process that has lost its links to all servers can tell only by its other connections.
         Those to this server end with it if it is killed.  If there are none, those to the other
         servers of the service tell: if all of them have ended as well, the servers were killed
-        together.  Without any other connection, the end is taken as sent.
+        together.  Otherwise the end is taken as sent, unless servers can be reached soon after and
+        show that this one has ended.
         """
         in_use = {
             each: name
@@ -358,7 +367,16 @@
             return False
         if in_use and not any(each.is_open for each in in_use):
             return False
-        return self._reaches_others is not None and not await self._reaches_others(server)
+        if self._reaches_others is None:
+            return False
+        until = self._clock.monotonic() + MAX_RESTART_TIME
+        while not await self._reaches_others(server):
+            if self._clock.monotonic() >= until:
+                return True
+            await self._clock.sleep(REACH_INTERVAL)
+            if await self._is_reachable(server):
+                return self.has_restarted is None or not await self.has_restarted(server)
+        return False
 
     async def _is_reachable(self, server):
         """Returns whether a server accepts a new connection."""
--- a/cicadapond/gateway/_node.py
+++ b/cicadapond/gateway/_node.py
@@ -138,6 +138,7 @@
         if adapters.engine_calls is not None:
             self.parts.evacuation = Evacuation(self.parts, adapters.engine_calls, self._tasks, rng)
             self.parts.start_check = StartCheck(self.parts, adapters.engine_calls, self._tasks)
+            self.parts.attempt.has_restarted = self.parts.start_check.has_restarted
         self.parts.links.on_change = self._cluster.publish_soon
         self.parts.costly_servers.on_change = self._cluster.publish_soon
         if self._rollouts is not None:
--- a/cicadapond/gateway/_start_check.py
+++ b/cicadapond/gateway/_start_check.py
@@ -85,6 +85,10 @@
             self._log_not_confirmed(entry, state, answer.reason)
         return state
 
+    async def has_restarted(self, entry: ServerEntry) -> bool:
+        """Returns whether a server says that it is another start than that of an entry."""
+        return (await self._ask(entry)).state is StartState.SUPERSEDED
+
     async def listed(
         self,
         entries: typing.Sequence[ServerEntry],
--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -111,6 +111,45 @@
     run(check, tmp_path, resumable=False)
 
 
+def test_a_stream_is_not_whole_when_its_engine_restarts_while_no_other_one_can_be_reached(
+    tmp_path, monkeypatch
+):
+    """Guards against MIXED: open connections to other engines were taken for lost links."""
+
+    async def check(system):
+        pool = system.node.parts.pool
+        connect, is_cut = pool.connect, [False]
+
+        async def connect_unless_cut(server, endpoint, timeout):
+            return None if is_cut[0] else await connect(server, endpoint, timeout)
+
+        monkeypatch.setattr(pool, "connect", connect_unless_cut)
+        system.fail_next(*[EngineFault.UNFRAMED] * ENGINES)
+        callers = [system.caller() for _ in range(ENGINES)]
+        for number, caller in enumerate(callers):
+            await caller.stream(f"s-{number}", x_cicadapond_token_count=f"100,{EVENTS}")
+        await system.until(
+            lambda: sum(run.events >= 5 for each in system.engines() for run in runs_of(each))
+            == ENGINES
+        )
+        (ended, run), *_ = [
+            (each.name, run)
+            for each in system.engines()
+            for run in runs_of(each)
+            if len(runs_of(each)) == 1
+        ]
+        is_cut[0] = True
+        await system.fleet.servers[ended].stop(resets=False)
+        await asyncio.sleep(0.3)
+        await system.restart_engine(ended, "v1")
+        is_cut[0] = False
+        answer = await callers[int(run.id.removeprefix("s-"))].read_response()
+        ids = answer.event_ids()
+        assert ids == list(range(1, len(ids) + 1)) and not answer.is_complete
+
+    run(check, tmp_path, resumable=False)
+
+
 @pytest.mark.parametrize("streams", [STREAMS, ENGINES])
 def test_no_stream_is_whole_when_all_engines_of_its_service_are_killed(tmp_path, streams):
     """Guards against MIXED: with no engine in reach, ends of killed engines were taken as sent."""
