--- a/cicadapond/advisories/_record.py
+++ b/cicadapond/advisories/_record.py
@@ -180,12 +180,17 @@
             self._put(entry, attrs.evolve(advisory, is_leaving=is_leaving), is_own=False)
 
     def reported(self) -> dict[str, Advisory]:
-        """Returns what this process heard itself and the others should know, by server."""
+        """Returns what the other processes should know, by server.
+
+        That is what this process heard itself, and which servers leave, as the process that heard
+        it may be gone.
+        """
         oldest = self._clock.now() - ENDED_LIMIT_REPORTED
         return {
             server: known.advisory
             for server, known in self._known.items()
-            if known.is_own and (_binds(known.advisory) or known.advisory.said_at >= oldest)
+            if known.advisory.is_leaving
+            or (known.is_own and (_binds(known.advisory) or known.advisory.said_at >= oldest))
         }
 
     def remove(self, server: str) -> None:
--- a/cicadapond/gateway/_cluster.py
+++ b/cicadapond/gateway/_cluster.py
@@ -441,6 +441,8 @@
             if report is not None:
                 self._zone_reports.record(_run_of(member), report, self._clock.monotonic())
                 self._parts.origins.apply(member.zone, report.origins)
+                # Not left to the sums, which a hub that has just started does not tell yet.
+                self._apply_advisories(report.advisories)
                 if self._peer.is_primary_hub():
                     self.publish_soon()
         summary = read_report(digest.summary)
@@ -470,12 +472,7 @@
             entry = self._parts.registry.find(server)
             if entry is not None:
                 self._parts.costly_servers.merge(entry, answers)
-        for server, advisory in summary.advisories.items():
-            entry = self._parts.registry.find(server)
-            if entry is not None and not concerns_earlier_builds(advisory):
-                self._parts.advisories.merge(entry, advisory)
-                if advisory.is_leaving and advisory.born == entry.born:
-                    self._parts.registry.mark_closed(entry)
+        self._apply_advisories(summary.advisories)
         known = self._summaries.get(zone)
         now = self._clock.monotonic()
         if known is not None and known.hub != hub and now - known.received_at < HUB_CHANGE_DELAY:
@@ -492,6 +489,14 @@
         self._summaries[zone] = _Summary(hub, now, summary)
         self._parts.placer.apply_others_work(zone, hub, summary.engines, includes_own=is_own_zone)
 
+    def _apply_advisories(self, advisories):
+        for server, advisory in advisories.items():
+            entry = self._parts.registry.find(server)
+            if entry is not None and not concerns_earlier_builds(advisory):
+                self._parts.advisories.merge(entry, advisory)
+                if advisory.is_leaving and advisory.born == entry.born:
+                    self._parts.registry.mark_closed(entry)
+
 
 def _run_of(member):
     return f"{member.name}/{start_time_ms(member.incarnation)}"
