--- a/cicadapond/gateway/unframed_test.py
+++ b/cicadapond/gateway/unframed_test.py
@@ -37,6 +37,19 @@
     return caller, engine_of(system)
 
 
+async def begin_several(system, streams):
+    """Sends streams; returns their callers once engines have made events of each."""
+    system.fail_next(*[EngineFault.UNFRAMED] * streams)
+    callers = [system.caller() for _ in range(streams)]
+    for number, caller in enumerate(callers):
+        await caller.stream(f"s-{number}", x_cicadapond_token_count=f"100,{EVENTS}")
+    await system.until(
+        lambda: sum(run.events >= 5 for each in system.engines() for run in runs_of(each))
+        == streams
+    )
+    return callers
+
+
 def engine_of(system):
     runs = [(run, each.name) for each in system.engines() for run in each.memory.runs.values()]
     return next((name for run, name in runs if run.events >= 5), None)
@@ -124,14 +137,7 @@
             return None if is_cut[0] else await connect(server, endpoint, timeout)
 
         monkeypatch.setattr(pool, "connect", connect_unless_cut)
-        system.fail_next(*[EngineFault.UNFRAMED] * ENGINES)
-        callers = [system.caller() for _ in range(ENGINES)]
-        for number, caller in enumerate(callers):
-            await caller.stream(f"s-{number}", x_cicadapond_token_count=f"100,{EVENTS}")
-        await system.until(
-            lambda: sum(run.events >= 5 for each in system.engines() for run in runs_of(each))
-            == ENGINES
-        )
+        callers = await begin_several(system, ENGINES)
         (ended, run), *_ = [
             (each.name, run)
             for each in system.engines()
@@ -155,14 +161,7 @@
     """Guards against MIXED: with no engine in reach, ends of killed engines were taken as sent."""
 
     async def check(system):
-        system.fail_next(*[EngineFault.UNFRAMED] * streams)
-        callers = [system.caller() for _ in range(streams)]
-        for number, caller in enumerate(callers):
-            await caller.stream(f"s-{number}", x_cicadapond_token_count=f"100,{EVENTS}")
-        await system.until(
-            lambda: sum(run.events >= 5 for each in system.engines() for run in runs_of(each))
-            == streams
-        )
+        callers = await begin_several(system, streams)
         for server in system.fleet.servers.values():
             await server.stop(resets=False)
         for caller in callers:
--- a/cicadapond/gateway/usage_restore_test.py
+++ b/cicadapond/gateway/usage_restore_test.py
@@ -6,8 +6,6 @@
 import random
 
 import attrs
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 from cicadapond.gateway.duties_test import (
     WINDOW,
@@ -436,6 +434,8 @@
         await second.run(15)
         assert max(sent(world)) > reported + 1
 
+    play(script)
+
 
 def test_a_process_that_starts_long_after_a_restore_withholds_nothing():
     """Guards against a lost window with each holder that starts while the store has an era."""
@@ -454,58 +454,3 @@
         assert sorted(sent(world)) == list(range(min(sent(world)), max(sent(world)) + 1))
 
     play(script)
-
-
-@settings(max_examples=60, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.sampled_from(("copy", "restore", "pause", "cut", "kill", "unanswered")),
-            st.integers(0, 2),
-            st.floats(0.1, 4),
-        ),
-        max_size=20,
-    )
-)
-def test_no_interleaving_with_restores_reports_a_window_with_two_counts(events):
-    async def script(world, *_):
-        names, count = ("a", "b", "c"), itertools.count(1)
-        found = [Process(world, name) for name in names]
-        paused = [0.0] * 3
-        world.tables.take_copy()
-
-        async def keep(number):
-            while True:
-                process = found[number]
-                window = world.usage.number(world.clock.now())
-                for back in range(4):
-                    process.hears(window - back, next(count))
-                await process.run(0.4)
-                await asyncio.sleep(paused[number])
-                paused[number] = 0.0
-
-        running = [asyncio.ensure_future(keep(number)) for number in range(3)]
-        for event, number, wait in events:
-            if event == "copy":
-                world.tables.take_copy()
-            elif event == "restore":
-                world.tables.restore()
-            elif event == "pause":
-                paused[number] = 2 * wait
-            elif event == "cut":
-                found[number].tables.reachable = not found[number].tables.reachable
-            elif event == "kill":
-                found[number] = Process(world, names[number])
-            elif event == "unanswered":
-                world.cloud.outcomes = [AnswerLost("lost")] * 3
-            await asyncio.sleep(wait)
-        for process in found:
-            process.tables.reachable = True
-        reported = max(sent(world), default=0)
-        await asyncio.sleep(25)
-        assert max(sent(world)) >= reported + 3
-        assert not any(task.done() for task in running)
-        for task in running:
-            task.cancel()
-
-    play(script)
