--- a/cicadapond/soak/_proxy.py
+++ b/cicadapond/soak/_proxy.py
@@ -37,15 +37,16 @@
         self._delay = delay
         self._fault = NetworkFault.NONE
         self._server: asyncio.Server | None = None
+        self._start_lock = asyncio.Lock()
         # Below the ephemeral range, so that it can be listened on again after a pause.
         self._port = free_endpoint().port
         self._connections: set[_Link] = set()
 
     async def start(self) -> int:
         """Listens on loopback, unless it does already; returns the port."""
-        if self._server is not None and self._server.is_serving():
-            return self._port
-        self._server = await asyncio.start_server(self._serve, HOST, self._port)
+        async with self._start_lock:
+            if self._server is None or not self._server.is_serving():
+                self._server = await asyncio.start_server(self._serve, HOST, self._port)
         return self._port
 
     def stop_listening(self) -> None:
--- a/cicadapond/soak/_run.py
+++ b/cicadapond/soak/_run.py
@@ -35,12 +35,12 @@
     async def run(self) -> None:
         """Runs the plan and a fault-free period after it, and fills the history."""
         deployment, cfg = self._deployment, self._cfg
+        injected = []
         try:
             await deployment.start()
             self._start_callers()
             loop = asyncio.get_running_loop()
             started_at = loop.time()
-            injected = []
             if cfg.rolls_out:
                 rng = random.Random(f"rollouts {cfg.seed}")
                 servers = (deployment.start_server, deployment.stop_server)
@@ -57,6 +57,10 @@
             if cfg.compares_times:
                 await compare_times(deployment)
         finally:
+            # Those in progress when one fails would still start servers.
+            for task in injected:
+                task.cancel()
+            await asyncio.gather(*injected, return_exceptions=True)
             await deployment.stop()
 
     def _start_callers(self):
--- a/cicadapond/soak/soak_test.py
+++ b/cicadapond/soak/soak_test.py
@@ -256,6 +256,18 @@
     asyncio.run(main())
 
 
+def test_a_proxy_that_is_started_by_several_at_once_listens_once():
+    """Guards against a soak that ends with an error as two restarts of a server overlap."""
+
+    async def main():
+        proxy = Proxy(1)
+        ports = await asyncio.gather(*(proxy.start() for _ in range(3)))
+        await proxy.stop()
+        return ports
+
+    assert len(set(asyncio.run(main()))) == 1
+
+
 def test_bytes_that_are_held_up_are_lost_if_their_sender_resets_the_connection():
     """Guards against a request that reaches a server after its attempt was given up."""
 
