--- a/cicadapond/forwarding/_attempt.py
+++ b/cicadapond/forwarding/_attempt.py
@@ -303,11 +303,9 @@
         # A run that was stopped after its last event, or whose server ended then, has nothing left
         # where it goes on.  Without framing, the same would be seen if the server died.
         may_be_over = dispatch.memory is not None or dispatch.may_be_over
-        may_be_empty = may_be_over and conn.is_framed
+        may_be_empty = may_be_over and conn.is_reusable
         if splitter.is_within_event or (progress.events == 0 and not may_be_empty):
             raise BrokenResponseError("the stream ended within an event")
-        if progress.events == 0:
-            await sink.begin(progress.head)
         return StreamWhole(progress.events, conn.is_framed)
 
     async def _read_chunk(self, conn, server, silence, progress, waiting_since):
--- a/cicadapond/gateway/_evaluation.py
+++ b/cicadapond/gateway/_evaluation.py
@@ -72,7 +72,7 @@
     def _evaluate_broken(self, outcome, entry):
         self._state.may_have_run = True
         self._state.reason = outcome.reason
-        self._state.record_broken_off(outcome)
+        self._state.may_be_over = outcome.may_be_whole
         self._state.servers.tried.add(entry.name)
         if outcome.was_silent and outcome.head is None:
             self._parts.links.failed(entry)
@@ -94,7 +94,7 @@
         """
         self._state.may_have_run = True
         self._state.reason = f"its engine left and it could not be moved: {outcome.reason}"
-        self._state.record_broken_off(outcome)
+        self._state.may_be_over = outcome.may_be_whole
         self._state.servers.tried.add(entry.name)
         self._state.count_usage()
         return None if self._state.route.repeatable else self._retries.failure_outcome()
--- a/cicadapond/gateway/_passing_on.py
+++ b/cicadapond/gateway/_passing_on.py
@@ -87,7 +87,6 @@
             time_left=left,
             last_event_id=self._state.last_event_id,
             max_attempts=self._state.max_attempts - self._state.send_count,
-            may_be_over=self._state.may_be_over,
         )
         self._state.is_relaying = True
         parts.demand.end(self._state.service)  # the other process counts it
@@ -135,7 +134,6 @@
                 self._state.reason = f"another process refused it: {reason}"
             case Broken(reason=reason, head=head):
                 self._count_sends(head)
-                self._state.record_broken_off(outcome)
                 return self._evaluate_doubtful(reason)
         return None
 
--- a/cicadapond/gateway/_request.py
+++ b/cicadapond/gateway/_request.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from cicadapond.forwarding import Broken, StreamWhole, Whole
+from cicadapond.forwarding import StreamWhole, Whole
 from cicadapond.gateway._caller import Reply
 from cicadapond.gateway._crash_watch import CrashWatch
 from cicadapond.gateway._eligible import EligibleServers
@@ -108,7 +108,7 @@
         self.may_have_run = False
         self.is_unanswered = False
         self.last_event_id = req.last_event_id
-        self.may_be_over = req.last_event_id is not None
+        self.may_be_over = False
         self.origin_id = req.resumes or req.id
         self.fallback: Whole | None = None
         self.complete: Whole | StreamWhole | None = None
@@ -173,14 +173,6 @@
         """Returns whether its caller has received a part of its stream before."""
         return self.route.kind is RouteKind.STREAM and self.req.last_event_id is not None
 
-    def record_broken_off(self, outcome: Broken) -> None:
-        """Records whether the stream may have no further events after an attempt that broke off.
-
-        A caller that takes it up may have them all, unless this response has brought some.
-        """
-        may_have_all = self.req.last_event_id is not None and not self.reply.has_begun
-        self.may_be_over = outcome.may_be_whole or may_have_all
-
     def count_send(self) -> None:
         """Counts that it is about to be sent to a server, or passed on."""
         self.send_count += 1
--- a/cicadapond/soak/_callers.py
+++ b/cicadapond/soak/_callers.py
@@ -207,6 +207,8 @@
 
     async def _take_up(self, call, behaviour, answer):
         last = (whole_event_ids(answer) or [0])[-1]
+        if last >= behaviour.shape.events:
+            return  # an engine would have nothing to add
         disturbed = sorted(self._disturbed & set(self._balancer.ready()))
         process = self._rng.choice(disturbed) if disturbed and self._rng.random() < 0.5 else None
         behaviour = attrs.evolve(behaviour, stay_s=RESUMED_STAY_S)
